--- /dev/null
+++ b/crates/hemlocktack-node/src/main.rs
@@ -0,0 +1,2 @@
+//! Stub.
+fn main() {}
--- /dev/null
+++ b/crates/hemlocktack-protocol/src/lib.rs
@@ -0,0 +1,20 @@
+//! Schema, generated messages and the plain types that every package shares.
+//!
+//! Nothing here does input or output. The schema files under `schema/` are the
+//! source; `src/generated/` is committed, so that the build needs no generator.
+
+mod generated;
+mod headers;
+mod ids;
+mod outcome;
+
+pub use generated::*;
+pub use headers::{
+    CALLER_KIND_HEADER, CONTEXT_HEADER, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, REASON_HEADER,
+    RETRY_AFTER_HEADER, TIMEOUT_HEADER, TRACEPARENT_HEADER, is_own_header,
+};
+pub use ids::{
+    CallId, ClassRank, DataCentre, Fingerprint, Generation, Incarnation, NodeId, RootRequestId,
+    ServiceName,
+};
+pub use outcome::{Refusal, Unfinished};
--- /dev/null
+++ b/crates/hemlocktack-protocol/src/outcome.rs
@@ -0,0 +1,46 @@
+//! Outcomes that are not an answer.
+
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::{Outcome, Reason};
+
+/// A refusal: no upstream started the call, and none will.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("not run: {}", <&'static str>::from(*reason))]
+pub struct Refusal {
+    /// Why it was refused.
+    pub reason: Reason,
+    /// When the caller may come back; `None` where coming back cannot help.
+    pub retry_after: Option<Duration>,
+}
+
+/// A call that ended without an answer.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Unfinished {
+    /// Proved not to have run.
+    #[display("{_0}")]
+    NotRun(Refusal),
+    /// An upstream may have run it.
+    #[display("unknown: {}", <&'static str>::from(*_0))]
+    Unknown(Reason),
+}
+
+impl Unfinished {
+    /// Outcome as it goes into frames and headers.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Unfinished::NotRun(_) => Outcome::NotRun,
+            Unfinished::Unknown(_) => Outcome::Unknown,
+        }
+    }
+
+    /// Reason as it goes into frames and headers.
+    pub fn reason(&self) -> Reason {
+        match self {
+            Unfinished::NotRun(refusal) => refusal.reason,
+            Unfinished::Unknown(reason) => *reason,
+        }
+    }
+}
