Check the configuration document and report all findings at once

The first reader stopped at the first wrong type and gave neither place nor line. The document is now read table by table, so that each fault leaves a finding with its place, line, label and help and does not hide the next one; relations between fields are checked on what could be read. Faults of the notation are reported together but alone: what stands around them cannot be trusted.

Ruled out: serde with spans, which ends at the first fault of a struct.

Bounds and defaults stand once, in bounds.rs, and a test holds the page to them.

--- a/crates/hemlocktack-config/src/document.rs
+++ b/crates/hemlocktack-config/src/document.rs
@@ -1,33 +1,52 @@
 //! The document as plain data.
 
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
+
+use crate::bounds::{
+    ANSWER_LIMIT_BYTES, BODY_LIMIT_BYTES, Bound, DRAIN_LIMIT_MS, KEPT_ANSWERS_BYTES,
+    QUARANTINE_CRASHES, QUARANTINE_MS, QUEUE_LIMIT_CALLS, RETRY_SHARE_PERCENT,
+    TRACE_SAMPLE_PER_MILLION,
+};
 
 /// One configuration: everything that operators declare.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Document {
+    /// Limits that hold for every node.
+    pub limits: Limits,
     /// Most important first: the last one is shed first.
-    #[serde(default)]
     pub classes: Vec<Class>,
     /// Kinds of caller; the first one stands for callers that name none.
-    #[serde(default)]
     pub caller_kinds: Vec<CallerKind>,
     /// Services of the call graph.
-    #[serde(default)]
     pub services: Vec<Service>,
 }
 
+/// Limits that hold for every node.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Limits {
+    /// How long a draining node waits for the calls in flight.
+    pub drain_limit_ms: u64,
+    /// Memory of a node for answers to requests that ran at most once.
+    pub kept_answers_bytes: u64,
+    /// Requests of a million that are traced.
+    pub trace_sample_per_million: u32,
+    /// Retries to one service as a share of first tries.
+    pub retry_share_percent: u32,
+    /// Crashes of upstreams after which a request is quarantined.
+    pub quarantine_crashes: u32,
+    /// How long a request stays quarantined.
+    pub quarantine_ms: u64,
+}
+
 /// Requests that matter equally.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Class {
     /// Name that request rules refer to.
     pub name: String,
 }
 
 /// How patient a kind of caller is.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct CallerKind {
     /// Value of the caller's `hemlocktack-caller-kind` header.
     pub name: String,
@@ -38,25 +57,22 @@
 }
 
 /// One service and what may be asked of it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct Service {
     /// First part of the path that callers use.
     pub name: String,
     /// Largest request body taken.
-    #[serde(default = "default_body_limit_bytes")]
     pub body_limit_bytes: usize,
     /// Largest answer passed on.
-    #[serde(default = "default_answer_limit_bytes")]
     pub answer_limit_bytes: usize,
+    /// Calls that may wait at one node for its upstream.
+    pub queue_limit_calls: usize,
     /// First match decides. What no rule matches is of the last class and may not be repeated.
-    #[serde(default)]
     pub requests: Vec<RequestRule>,
 }
 
 /// What holds for the requests that it matches.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct RequestRule {
     /// HTTP method; `*` for any.
     pub method: String,
@@ -68,12 +84,26 @@
     pub idempotent: bool,
 }
 
-fn default_body_limit_bytes() -> usize {
-    1 << 20
+/// Method of a rule that matches every method.
+pub const ANY_METHOD: &str = "*";
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            drain_limit_ms: default_of(DRAIN_LIMIT_MS),
+            kept_answers_bytes: default_of(KEPT_ANSWERS_BYTES),
+            trace_sample_per_million: default_of(TRACE_SAMPLE_PER_MILLION) as u32,
+            retry_share_percent: default_of(RETRY_SHARE_PERCENT) as u32,
+            quarantine_crashes: default_of(QUARANTINE_CRASHES) as u32,
+            quarantine_ms: default_of(QUARANTINE_MS),
+        }
+    }
 }
 
-fn default_answer_limit_bytes() -> usize {
-    4 << 20
+/// Value of a field that the document is silent about, or the least one where
+/// it has to say one.
+fn default_of(bound: Bound) -> u64 {
+    bound.default.unwrap_or(bound.least)
 }
 
 impl Document {
@@ -99,6 +129,17 @@
 }
 
 impl Service {
+    /// A service with default limits and no rules.
+    pub fn new(name: impl Into<String>) -> Self {
+        Service {
+            name: name.into(),
+            body_limit_bytes: default_of(BODY_LIMIT_BYTES) as usize,
+            answer_limit_bytes: default_of(ANSWER_LIMIT_BYTES) as usize,
+            queue_limit_calls: default_of(QUEUE_LIMIT_CALLS) as usize,
+            requests: Vec::new(),
+        }
+    }
+
     /// First rule that matches the method and the path below the service.
     pub fn rule(&self, method: &str, path: &str) -> Option<&RequestRule> {
         self.requests.iter().find(|rule| rule.matches(method, path))
@@ -107,7 +148,15 @@
 
 impl RequestRule {
     fn matches(&self, method: &str, path: &str) -> bool {
-        let method_matches = self.method == "*" || self.method.eq_ignore_ascii_case(method);
+        let method_matches = self.method == ANY_METHOD || self.method.eq_ignore_ascii_case(method);
         method_matches && path.starts_with(&self.path_prefix)
     }
+
+    /// Whether every request that `other` matches is matched by this rule too.
+    pub(crate) fn covers(&self, other: &RequestRule) -> bool {
+        let method_covers =
+            self.method == ANY_METHOD || self.method.eq_ignore_ascii_case(&other.method);
+        let has_prefix = !self.path_prefix.is_empty();
+        method_covers && has_prefix && other.path_prefix.starts_with(&self.path_prefix)
+    }
 }
--- a/crates/hemlocktack-config/src/lib.rs
+++ b/crates/hemlocktack-config/src/lib.rs
@@ -1,7 +1,20 @@
 //! The operators' configuration document: its format, checks and lookups.
+//!
+//! `docs/CONFIGURATION.md` describes every field.
 
+mod bounds;
+mod check;
+mod diff;
 mod document;
+mod entry;
 mod parse;
+mod places;
+mod read;
 
-pub use document::{CallerKind, Class, Document, RequestRule, Service};
+pub use bounds::{
+    BOUNDS, Bound, CALLER_KIND_LIMIT, CLASS_LIMIT, DOCUMENT_LIMIT_BYTES, NAME_LIMIT_BYTES,
+    PATH_PREFIX_LIMIT_BYTES, RULE_LIMIT, SERVICE_LIMIT,
+};
+pub use diff::{Change, diff};
+pub use document::{ANY_METHOD, CallerKind, Class, Document, Limits, RequestRule, Service};
 pub use parse::{Error, Result, parse};
