Add the operators' command line

One command a file, with its signature, flags, help and examples beside its run function; a test runs every example against a fake node and another holds the help. Commands (config apply, drain) and queries stand apart, and a test shows that no query calls a method that changes anything.

The id of a change is a digest of document, expected generation and author, so that the same command line, typed again after a lost answer or in a new process, is the same change. A random id was ruled out: the repeat would be refused as a conflict with the operator's own change.

All faults of a command line and of its document are reported together, exit 2; a refusal is 1, no answer 3. The token is never printed: the test support checks every run's output for it.

Classes are limited to eight, as queues and shedding keep eight.

--- /dev/null
+++ b/crates/hemlocktack-cli/src/arguments.rs
@@ -0,0 +1,210 @@
+//! Flags, operands and settings of one command line, with a finding for each
+//! fault, reported together.
+
+use std::fmt::Display;
+use std::io::Read;
+use std::str::FromStr;
+use std::time::Duration;
+
+use getopts::Matches;
+use hemlocktack_config::Document;
+use hemlocktack_protocol::Finding;
+
+use crate::error::{Error, Result};
+use crate::output::Format;
+use crate::rpc::Client;
+use crate::settings::{self, Setting};
+
+/// Looks up an environment variable.
+pub(crate) type Environment<'a> = &'a dyn Fn(&str) -> Option<String>;
+
+/// Operand that stands for standard input.
+const STANDARD_INPUT: &str = "-";
+
+/// A document from a file, as text and as data.
+pub(crate) struct CheckedDocument {
+    pub(crate) text: String,
+    pub(crate) document: Document,
+}
+
+/// One command line while it is read.
+pub(crate) struct Arguments<'a> {
+    matches: Matches,
+    environment: Environment<'a>,
+    operands: std::vec::IntoIter<String>,
+    findings: Vec<Finding>,
+}
+
+impl<'a> Arguments<'a> {
+    pub(crate) fn new(matches: Matches, environment: Environment<'a>) -> Self {
+        let operands = matches.free.clone().into_iter();
+        Arguments {
+            matches,
+            environment,
+            operands,
+            findings: Vec::new(),
+        }
+    }
+
+    pub(crate) fn add(&mut self, place: &str, label: impl Display, help: impl Display) {
+        self.findings.push(Finding {
+            place: place.to_owned(),
+            line: 0,
+            label: label.to_string(),
+            help: help.to_string(),
+        });
+    }
+
+    /// Ends the reading: every finding so far, and one for each operand that
+    /// no one asked for.
+    pub(crate) fn finish(&mut self) -> Result<()> {
+        while let Some(operand) = self.operands.next() {
+            self.add(&operand, "one operand too many", "see --help");
+        }
+        if self.findings.is_empty() {
+            return Ok(());
+        }
+        let findings = std::mem::take(&mut self.findings);
+        Err(Error::Input { findings })
+    }
+
+    /// Next operand; empty, with a finding, where there is none.
+    pub(crate) fn operand(&mut self, name: &str) -> String {
+        let Some(operand) = self.operands.next() else {
+            self.add(name, "missing", "see --help");
+            return String::new();
+        };
+        operand
+    }
+
+    /// Contents of the file that the next operand names.
+    pub(crate) fn file(&mut self) -> String {
+        let path = self.operand("FILE");
+        if path.is_empty() {
+            return String::new();
+        }
+        let contents = match path.as_str() {
+            STANDARD_INPUT => read_standard_input(),
+            path => std::fs::read_to_string(path),
+        };
+        contents.unwrap_or_else(|error| {
+            self.add(&path, "cannot be read", error);
+            String::new()
+        })
+    }
+
+    /// Text and contents of the document that the next operand names; what is
+    /// wrong with it is reported together with the faults of the command line.
+    pub(crate) fn document(&mut self) -> CheckedDocument {
+        let faults_before = self.findings.len();
+        let text = self.file();
+        let is_read = self.findings.len() == faults_before;
+        let mut document = Document::default();
+        match hemlocktack_config::parse(&text) {
+            Ok(checked) => document = checked,
+            Err(error) if is_read => self.findings.extend(error.findings),
+            Err(_) => {}
+        }
+        CheckedDocument { text, document }
+    }
+
+    pub(crate) fn is_set(&self, flag: &str) -> bool {
+        self.matches.opt_present(flag)
+    }
+
+    pub(crate) fn text(&self, flag: &str) -> Option<String> {
+        self.matches.opt_str(flag)
+    }
+
+    /// Value of a flag that is a whole number.
+    pub(crate) fn number<T: FromStr>(&mut self, flag: &str) -> Option<T> {
+        let text = self.text(flag)?;
+        let number = text.parse().ok();
+        if number.is_none() {
+            let place = format!("--{flag}");
+            let label = format!("{text:?} is not a number that fits here");
+            self.add(&place, label, "write a whole number");
+        }
+        number
+    }
+
+    /// Value of a flag that must be there.
+    pub(crate) fn needed_number<T: FromStr + Default>(&mut self, flag: &str, help: &str) -> T {
+        if !self.is_set(flag) {
+            self.add(&format!("--{flag}"), "missing", help);
+        }
+        self.number(flag).unwrap_or_default()
+    }
+
+    /// Value of an environment variable that no flag stands for.
+    pub(crate) fn variable(&self, name: &str) -> Option<String> {
+        (self.environment)(name).filter(|value| !value.is_empty())
+    }
+
+    fn setting(&self, setting: &Setting) -> Option<String> {
+        self.text(setting.flag)
+            .or_else(|| self.variable(setting.variable))
+    }
+
+    fn needed_setting(&mut self, setting: &Setting) -> String {
+        let value = self.setting(setting);
+        if value.is_none() {
+            let place = format!("--{}", setting.flag);
+            let help = format!("give the flag or set {}", setting.variable);
+            self.add(&place, "missing", help);
+        }
+        value.unwrap_or_default()
+    }
+
+    /// Form of the report.
+    pub(crate) fn format(&mut self) -> Format {
+        let Some(name) = self.setting(&settings::OUTPUT) else {
+            return Format::Text;
+        };
+        let Ok(format) = name.parse() else {
+            let label = format!("{name:?} is no form of output");
+            self.add("--output", label, "write text or json");
+            return Format::Text;
+        };
+        format
+    }
+
+    /// Client of the node that the settings name.
+    pub(crate) fn client(&mut self) -> Client {
+        let node_url = self.needed_setting(&settings::NODE_URL);
+        let token = self.needed_setting(&settings::TOKEN);
+        let timeout = self.timeout();
+        let is_http = node_url.starts_with("http://") && node_url.len() > "http://".len();
+        if !node_url.is_empty() && !is_http {
+            let label = format!("{node_url:?} is no address of a node");
+            let help = "write it as http://10.0.0.7:7400";
+            self.add("--node-url", label, help);
+        }
+        if token.chars().any(|character| !character.is_ascii_graphic()) {
+            let help = "it is printable ASCII without spaces";
+            self.add("--token", "the token cannot be sent", help);
+        }
+        Client::new(node_url, token, timeout)
+    }
+
+    fn timeout(&mut self) -> Duration {
+        let Some(text) = self.setting(&settings::TIMEOUT) else {
+            return settings::DEFAULT_TIMEOUT;
+        };
+        match text.parse() {
+            Ok(timeout_ms) if timeout_ms > 0 => Duration::from_millis(timeout_ms),
+            _ => {
+                let label = format!("{text:?} is no timeout");
+                let help = "write milliseconds, 1 or more";
+                self.add("--timeout-ms", label, help);
+                settings::DEFAULT_TIMEOUT
+            }
+        }
+    }
+}
+
+fn read_standard_input() -> std::io::Result<String> {
+    let mut text = String::new();
+    std::io::stdin().read_to_string(&mut text)?;
+    Ok(text)
+}
--- /dev/null
+++ b/crates/hemlocktack-cli/src/catalogue.rs
@@ -0,0 +1,28 @@
+//! Every command, in the order of the help.
+
+use crate::signature::Signature;
+use crate::{commands, queries};
+
+/// Every command, in the order of the help.
+pub const CATALOGUE: [&Signature; 10] = [
+    &queries::config::check::SIGNATURE,
+    &queries::config::diff::SIGNATURE,
+    &queries::config::show::SIGNATURE,
+    &queries::config::history::SIGNATURE,
+    &commands::config::apply::SIGNATURE,
+    &queries::fleet::status::SIGNATURE,
+    &queries::fleet::nodes::SIGNATURE,
+    &queries::fleet::upstreams::SIGNATURE,
+    &commands::fleet::drain::SIGNATURE,
+    &queries::calls::explain::SIGNATURE,
+];
+
+/// The command that the first words select, and how many they are.
+pub(crate) fn find(arguments: &[String]) -> Option<(&'static Signature, usize)> {
+    CATALOGUE.into_iter().find_map(|signature| {
+        let count = signature.words.split(' ').count();
+        let selected = arguments.get(..count)?;
+        let is_match = signature.words.split(' ').eq(selected);
+        is_match.then_some((signature, count))
+    })
+}
--- /dev/null
+++ b/crates/hemlocktack-cli/src/commands/config/mod.rs
@@ -0,0 +1,3 @@
+//! Commands on the configuration.
+
+pub(crate) mod apply;
--- /dev/null
+++ b/crates/hemlocktack-cli/src/commands/fleet/drain.rs
@@ -0,0 +1,37 @@
+//! `drain`: take a node out of service without cutting off a call.
+
+use hemlocktack_protocol::{DrainNodeRequest, NodeState};
+
+use crate::arguments::Arguments;
+use crate::error::Result;
+use crate::output::Output;
+use crate::rpc::methods::DRAIN_NODE;
+use crate::signature::{Effect, Example, Signature, no_flags};
+
+pub(crate) const SIGNATURE: Signature = Signature {
+    words: "drain",
+    operands: "NODE",
+    effect: Effect::Command,
+    summary: "Take a node out of service without cutting off a call.",
+    flags: no_flags,
+    examples: &[Example {
+        line: "drain listings-1",
+        meaning: "new calls go elsewhere, running ones finish; `nodes` shows when it has left",
+    }],
+    run,
+};
+
+fn run(arguments: &mut Arguments<'_>, output: &mut Output<'_>) -> Result<()> {
+    let node_id = arguments.operand("NODE");
+    let client = arguments.client();
+    arguments.finish()?;
+    let request = DrainNodeRequest { node_id };
+    let response = client.call(&DRAIN_NODE, &request)?;
+    let state = <&'static str>::from(response.state());
+    let what = match response.state() {
+        NodeState::Left => "it has left",
+        _ => "it takes nothing new and finishes what is in flight",
+    };
+    let text = format!("{}: {state}, {what}\n", request.node_id);
+    output.report(&text, &response)
+}
--- /dev/null
+++ b/crates/hemlocktack-cli/src/commands/fleet/mod.rs
@@ -0,0 +1,3 @@
+//! Commands on nodes.
+
+pub(crate) mod drain;
--- /dev/null
+++ b/crates/hemlocktack-cli/src/lib.rs
@@ -0,0 +1,17 @@
+//! The operators' command line: commands that change something, queries that
+//! do not, and the client of the remote procedure calls behind them.
+
+mod app;
+mod arguments;
+mod catalogue;
+mod commands;
+mod error;
+mod output;
+mod queries;
+mod rpc;
+mod settings;
+mod signature;
+
+pub use app::run;
+pub use catalogue::CATALOGUE;
+pub use signature::{Effect, Example, Signature};
--- /dev/null
+++ b/crates/hemlocktack-cli/src/output/mod.rs
@@ -0,0 +1,60 @@
+//! Reports, for people as text and for programs as JSON.
+
+mod failure;
+mod table;
+
+use std::io::Write;
+
+use serde::Serialize;
+use strum::EnumString;
+
+use crate::error::{Error, Result};
+
+pub(crate) use failure::failure;
+pub(crate) use table::Table;
+
+/// Form of a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumString)]
+#[strum(serialize_all = "lowercase")]
+pub(crate) enum Format {
+    /// For people.
+    Text,
+    /// For programs: one JSON value.
+    Json,
+}
+
+/// Where the reports of one command go.
+pub(crate) struct Output<'a> {
+    format: Format,
+    writer: &'a mut dyn Write,
+}
+
+impl<'a> Output<'a> {
+    pub(crate) fn new(format: Format, writer: &'a mut dyn Write) -> Self {
+        Output { format, writer }
+    }
+
+    /// Writes one report: `text` for people, or `data` for programs.
+    pub(crate) fn report(&mut self, text: &str, data: &impl Serialize) -> Result<()> {
+        match self.format {
+            Format::Text => self.writer.write_all(text.as_bytes())?,
+            Format::Json => {
+                let json = serde_json::to_string_pretty(data)
+                    .map_err(|error| Error::Output(error.into()))?;
+                writeln!(self.writer, "{json}")?;
+            }
+        }
+        self.writer.flush()?;
+        Ok(())
+    }
+
+    /// Begins a screen that replaces the one before; programs get one value
+    /// after the other.
+    pub(crate) fn clear_screen(&mut self) -> Result<()> {
+        const CLEAR: &str = "\x1b[2J\x1b[H";
+        if self.format == Format::Text {
+            self.writer.write_all(CLEAR.as_bytes())?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-cli/src/queries/calls/mod.rs
@@ -0,0 +1,3 @@
+//! Queries about single calls.
+
+pub(crate) mod explain;
--- /dev/null
+++ b/crates/hemlocktack-cli/src/queries/config/mod.rs
@@ -0,0 +1,6 @@
+//! Queries about the configuration.
+
+pub(crate) mod check;
+pub(crate) mod diff;
+pub(crate) mod history;
+pub(crate) mod show;
--- /dev/null
+++ b/crates/hemlocktack-cli/src/queries/mod.rs
@@ -0,0 +1,5 @@
+//! Queries: they change nothing.
+
+pub(crate) mod calls;
+pub(crate) mod config;
+pub(crate) mod fleet;
--- /dev/null
+++ b/crates/hemlocktack-cli/src/rpc/client.rs
@@ -0,0 +1,169 @@
+//! One request, sent again where its answer was lost.
+
+use std::error::Error as StdError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hemlocktack_protocol::{OPERATORS_SERVICE, OperatorError, OperatorErrorCode};
+use prost::Message;
+use reqwest::header::CONTENT_TYPE;
+use reqwest::{Response, StatusCode};
+
+use super::Method;
+use crate::error::{Error, Result};
+
+const PROTOBUF: &str = "application/x-protobuf";
+/// Sends of one request. Every method may be repeated: queries change nothing,
+/// and a command carries a change id or names the state that it wants.
+const ATTEMPTS: u32 = 4;
+/// Doubled before each further send, so that a node that restarts is met again
+/// without a burst.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// A status of 560 nodes is well below this.
+const ANSWER_LIMIT_BYTES: usize = 16 << 20;
+
+/// Client of one node.
+pub(crate) struct Client {
+    node_url: String,
+    token: String,
+    timeout: Duration,
+}
+
+/// Why one send brought nothing.
+enum Failure {
+    /// Sending again may help.
+    Passing(Error),
+    Final(Error),
+}
+
+impl Client {
+    pub(crate) fn new(node_url: String, token: String, timeout: Duration) -> Self {
+        Client {
+            node_url,
+            token,
+            timeout,
+        }
+    }
+
+    /// Calls a method and waits for its answer.
+    pub(crate) fn call<Request, Answer>(
+        &self,
+        method: &Method<Request, Answer>,
+        request: &Request,
+    ) -> Result<Answer>
+    where
+        Request: Message,
+        Answer: Message + Default,
+    {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(|error| self.unreachable(&error))?;
+        let body = Bytes::from(request.encode_to_vec());
+        let answer = runtime.block_on(self.send_until_answered(method.name, body))?;
+        Answer::decode(answer).map_err(|error| self.unreachable(&error))
+    }
+
+    async fn send_until_answered(&self, method: &str, body: Bytes) -> Result<Bytes> {
+        let client = reqwest::Client::builder()
+            .timeout(self.timeout)
+            .no_proxy()
+            .build()
+            .map_err(|error| self.unreachable(&error))?;
+        let mut pause = FIRST_PAUSE;
+        for _ in 1..ATTEMPTS {
+            match self.send(&client, method, body.clone()).await {
+                Ok(answer) => return Ok(answer),
+                Err(Failure::Final(error)) => return Err(error),
+                Err(Failure::Passing(_)) => {}
+            }
+            tokio::time::sleep(pause).await;
+            pause *= 2;
+        }
+        let last = self.send(&client, method, body).await;
+        last.map_err(|failure| match failure {
+            Failure::Passing(error) | Failure::Final(error) => error,
+        })
+    }
+
+    async fn send(
+        &self,
+        client: &reqwest::Client,
+        method: &str,
+        body: Bytes,
+    ) -> std::result::Result<Bytes, Failure> {
+        let base = self.node_url.trim_end_matches('/');
+        let response = client
+            .post(format!("{base}/{OPERATORS_SERVICE}/{method}"))
+            .bearer_auth(&self.token)
+            .header(CONTENT_TYPE, PROTOBUF)
+            .body(body)
+            .send()
+            .await
+            .map_err(|error| self.lost(&error))?;
+        let status = response.status();
+        let is_ours = is_protobuf(&response);
+        let answer = self.read(response).await?;
+        if !is_ours {
+            let cause = format!("it answered {status} and is no node of hemlocktack");
+            return Err(Failure::Final(self.unreachable(&cause)));
+        }
+        if status == StatusCode::OK {
+            return Ok(answer);
+        }
+        Err(self.refusal(answer))
+    }
+
+    /// Reads the answer whole; one that ends early is lost, never half taken.
+    async fn read(&self, mut response: Response) -> std::result::Result<Bytes, Failure> {
+        let mut answer = Vec::new();
+        while let Some(chunk) = response.chunk().await.map_err(|error| self.lost(&error))? {
+            if answer.len() + chunk.len() > ANSWER_LIMIT_BYTES {
+                let error = self.unreachable(&"its answer is over the limit");
+                return Err(Failure::Final(error));
+            }
+            answer.extend_from_slice(&chunk);
+        }
+        Ok(answer.into())
+    }
+
+    fn refusal(&self, answer: Bytes) -> Failure {
+        let refusal = match OperatorError::decode(answer) {
+            Ok(refusal) => refusal,
+            Err(error) => return Failure::Final(self.unreachable(&error)),
+        };
+        let code = refusal.code.parse::<OperatorErrorCode>();
+        let is_passing = code.is_ok_and(OperatorErrorCode::is_passing);
+        let error = Error::Refused(refusal);
+        match is_passing {
+            true => Failure::Passing(error),
+            false => Failure::Final(error),
+        }
+    }
+
+    fn lost(&self, error: &reqwest::Error) -> Failure {
+        let cause = root_cause(error);
+        Failure::Passing(self.unreachable(&cause))
+    }
+
+    fn unreachable(&self, cause: &dyn ToString) -> Error {
+        Error::Unreachable {
+            node_url: self.node_url.clone(),
+            cause: cause.to_string(),
+        }
+    }
+}
+
+fn is_protobuf(response: &Response) -> bool {
+    let content_type = response.headers().get(CONTENT_TYPE);
+    content_type.is_some_and(|value| value.as_bytes().starts_with(PROTOBUF.as_bytes()))
+}
+
+/// The library's own message names the URL again and hides what happened.
+fn root_cause(error: &dyn StdError) -> String {
+    let mut cause = error;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    cause.to_string()
+}
--- /dev/null
+++ b/crates/hemlocktack-cli/tests/examples.rs
@@ -0,0 +1,71 @@
+//! Every example of every command, run against a small fleet's answers.
+#![allow(clippy::unwrap_used)]
+
+mod support {
+    pub(crate) mod answers;
+    mod node;
+    pub(crate) use node::*;
+}
+
+use std::collections::BTreeSet;
+
+use hemlocktack_cli::{CATALOGUE, Effect};
+use support::{FakeNode, TOKEN, answers};
+
+#[test]
+fn every_example_does_what_it_says() {
+    let node = FakeNode::start(answers::fleet);
+    let mut reports = String::new();
+    for signature in CATALOGUE {
+        assert!(!signature.examples.is_empty(), "{}", signature.words);
+        for example in signature.examples {
+            let report = node.run(example.line);
+            assert_eq!(report.exit_code, 0, "{}", report.to_text());
+            reports += &format!("$ hemlocktack {}\n{}\n", example.line, report.stdout);
+        }
+    }
+    insta::assert_snapshot!(reports);
+    let seen = node.seen();
+    let authorization = format!("Bearer {TOKEN}");
+    assert!(seen.iter().all(|one| one.authorization == authorization));
+}
+
+#[test]
+fn every_query_answers_programs_with_json() {
+    let node = FakeNode::start(answers::fleet);
+    let queries = CATALOGUE
+        .into_iter()
+        .filter(|signature| signature.effect == Effect::Query);
+    for signature in queries {
+        let line = format!("{} --output json", signature.examples[0].line);
+        let report = node.run(&line);
+        let json = serde_json::from_str::<serde_json::Value>(&report.stdout).unwrap();
+        assert!(json.is_object(), "{line}");
+    }
+}
+
+#[test]
+fn queries_call_no_method_that_changes_anything() {
+    let node = FakeNode::start(answers::fleet);
+    for signature in CATALOGUE {
+        if signature.effect == Effect::Query {
+            node.run(signature.examples[0].line);
+        }
+    }
+    let methods = node.seen().into_iter().map(|seen| seen.path);
+    let methods = methods.collect::<BTreeSet<_>>();
+    let is_command =
+        |path: &String| path.ends_with("ApplyConfiguration") || path.ends_with("DrainNode");
+    assert!(!methods.iter().any(is_command), "{methods:?}");
+}
+
+#[test]
+fn help_names_every_command_and_flag() {
+    let node = FakeNode::start(answers::fleet);
+    let mut help = node.run("--help").stdout;
+    for signature in CATALOGUE {
+        help += &format!("\n---- {}\n", signature.words);
+        help += &node.run(&format!("{} --help", signature.words)).stdout;
+    }
+    insta::assert_snapshot!(help);
+}
--- a/crates/hemlocktack-config/src/bounds.rs
+++ b/crates/hemlocktack-config/src/bounds.rs
@@ -79,8 +79,9 @@
 /// The platform holds values of up to a megabyte; the other half is left for
 /// the generation, the author and the escaping of the text.
 pub const DOCUMENT_LIMIT_BYTES: usize = 512 << 10;
-/// Class ranks travel in one byte, and shedding is computed for each.
-pub const CLASS_LIMIT: usize = 16;
+/// Shedding and queues are kept for each class; a rank past the eighth would be
+/// shed together with it.
+pub const CLASS_LIMIT: usize = 8;
 /// Kinds of caller are label values of metrics.
 pub const CALLER_KIND_LIMIT: usize = 64;
 /// Services are label values of metrics too; ten times the aimed size.
--- a/crates/hemlocktack-protocol/src/lib.rs
+++ b/crates/hemlocktack-protocol/src/lib.rs
@@ -6,6 +6,7 @@
 mod generated;
 mod headers;
 mod ids;
+mod operators;
 mod outcome;
 
 pub use generated::*;
@@ -17,4 +18,5 @@
     CallId, ClassRank, DataCentre, Fingerprint, Generation, Incarnation, NodeId, RootRequestId,
     ServiceName,
 };
+pub use operators::{OPERATORS_SERVICE, OperatorErrorCode};
 pub use outcome::{Refusal, Unfinished};
