--- /dev/null
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -0,0 +1,659 @@
+//! Admission on the node beside an upstream: run, queue or refuse each call.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use hemlocktack_protocol::{
+    CallId, ClassRank, Fingerprint, LoadHint, Reason, Refusal, RootRequestId, UpstreamState,
+};
+
+use crate::limit::{ConcurrencyLimit, LimitPolicy, WindowEnd};
+use crate::mix::mix;
+use crate::quarantine::{Quarantine, QuarantinePolicy, Standing};
+use crate::queue::{ClassQueue, Waiting, class_of};
+use crate::retry_after::{RetryAfterPolicy, retry_after};
+use crate::shed::{Pressure, ShedController, ShedLevel, ShedPolicy};
+use crate::work::WorkTable;
+
+/// Kind of work: any stable number for the request rule that a call matched.
+/// Calls of one kind are expected to take about equally long.
+pub type WorkKind = u64;
+
+/// Numbers of [`Admission`].
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AdmissionPolicy {
+    /// Concurrency limit.
+    pub limit: LimitPolicy,
+    /// Shed level.
+    pub shed: ShedPolicy,
+    /// Crash quarantine.
+    pub quarantine: QuarantinePolicy,
+    /// When refused callers may come back.
+    pub retry_after: RetryAfterPolicy,
+    /// Queue bounds.
+    pub queue: QueuePolicy,
+}
+
+/// Bounds of the queue in front of the upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct QueuePolicy {
+    /// Calls that may wait for each slot. Four service times absorb a burst of
+    /// twice the capacity that lasts as long; a longer queue only delays the
+    /// refusal of what cannot be served.
+    pub per_slot: f64,
+    /// Queue that an upstream with very few slots still has.
+    pub least: usize,
+    /// A call is refused when its time left is below its expected wait and this
+    /// multiple of its expected work: service times spread around their mean.
+    pub work_margin: f64,
+    /// Time between two looks for calls in the queue that cannot make it any
+    /// more: small against any caller's patience.
+    pub sweep_every: Duration,
+    /// One call that looks hopeless is run this often while slots are idle: the
+    /// estimate may be out of date, and only finished calls correct it.
+    pub probe_every: Duration,
+    /// After a call was refused for load, calls of less important classes are
+    /// not queued for this long: slots that free up must not go to them.
+    pub strict_for: Duration,
+}
+
+impl Default for QueuePolicy {
+    fn default() -> Self {
+        QueuePolicy {
+            per_slot: 4.0,
+            least: 16,
+            work_margin: 1.25,
+            sweep_every: Duration::from_millis(10),
+            probe_every: Duration::from_millis(100),
+            strict_for: Duration::from_millis(50),
+        }
+    }
+}
+
+/// A call that asks for a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer {
+    /// Number that this node gave the call. Senders' own numbers clash.
+    pub call_id: CallId,
+    /// Class of the root request.
+    pub class_rank: ClassRank,
+    /// When the caller gives up.
+    pub deadline: Instant,
+    /// The root request.
+    pub root_request_id: RootRequestId,
+    /// Work that the chain has already spent on the root request.
+    pub work_spent: Duration,
+    /// Same for equal requests.
+    pub fingerprint: Fingerprint,
+    /// Kind of work.
+    pub kind: WorkKind,
+}
+
+/// What becomes of an offered call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Hand it to the upstream now.
+    Run,
+    /// It waits; [`Admission::take_ready`] tells what becomes of it.
+    Queued,
+    /// It was not run and will not be.
+    Refused(Refusal),
+}
+
+/// What has become of a queued call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Hand it to the upstream now.
+    Run(CallId),
+    /// It was not run and will not be.
+    Refuse(CallId, Refusal),
+}
+
+/// How a call ended in the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// With a whole answer.
+    Answered,
+    /// Without one: connection lost, short answer, timeout.
+    Failed,
+    /// The upstream itself refused it unstarted.
+    ShedByUpstream,
+    /// It was cancelled, and the connection is closed.
+    Cancelled,
+}
+
+/// What [`Admission::cancel`] found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelResult {
+    /// It waited; it was not run and will not be.
+    Unqueued,
+    /// It runs: close its connection, then report [`Ended::Cancelled`].
+    Running,
+    /// It has ended or was never offered.
+    NotHere,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    kind: WorkKind,
+    fingerprint: Fingerprint,
+    started: Instant,
+    is_suspect: bool,
+}
+
+/// All decisions of one node about calls to its upstream.
+///
+/// Load: any. Harm: an upstream with more calls than slots serves all of them
+/// late. Only this node hands calls to the upstream, so its count of what runs
+/// is exact, whatever the upstream's own reports say.
+#[derive(Debug)]
+pub struct Admission {
+    policy: AdmissionPolicy,
+    state: UpstreamState,
+    refuse_with: Reason,
+    slots: u32,
+    connections: u32,
+    limit: ConcurrencyLimit,
+    work: WorkTable,
+    queue: ClassQueue,
+    /// Suspected calls wait here, apart: they must not hold the others up.
+    suspects: Vec<Waiting>,
+    running: HashMap<CallId, Running>,
+    suspects_running: usize,
+    alone_running: bool,
+    alone_began: Option<Instant>,
+    shed: ShedController,
+    quarantine: Quarantine,
+    refusals: Vec<Decision>,
+    swept_at: Instant,
+    probed_at: Option<Instant>,
+    strict: Option<Strict>,
+    standing_since: Option<Instant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Strict {
+    class: usize,
+    until: Instant,
+}
+
+/// Suspected calls that may wait.
+const MOST_SUSPECTS: usize = 64;
+/// A queue that has been above half its bound for this long will not be worked
+/// off in time for its oldest calls: the newest run first until it is.
+const STANDING_AFTER: Duration = Duration::from_millis(200);
+/// Calls that the maps hold without growing: the largest upstream of today has
+/// 1,200 connections; larger ones grow them once.
+const RUNNING_CAPACITY: usize = 2048;
+
+impl Admission {
+    /// For an upstream that has not announced itself yet.
+    pub fn new(policy: AdmissionPolicy, now: Instant) -> Self {
+        Admission {
+            state: UpstreamState::Absent,
+            refuse_with: Reason::NoUpstream,
+            slots: 0,
+            connections: 0,
+            limit: ConcurrencyLimit::new(policy.limit, 1, 1, false, now),
+            work: WorkTable::new(now),
+            queue: ClassQueue::new(RUNNING_CAPACITY),
+            suspects: Vec::with_capacity(MOST_SUSPECTS),
+            running: HashMap::with_capacity(RUNNING_CAPACITY),
+            suspects_running: 0,
+            alone_running: false,
+            alone_began: None,
+            shed: ShedController::new(policy.shed, now),
+            quarantine: Quarantine::new(policy.quarantine),
+            refusals: Vec::with_capacity(RUNNING_CAPACITY),
+            swept_at: now,
+            probed_at: None,
+            strict: None,
+            standing_since: None,
+            policy,
+        }
+    }
+
+    /// The upstream announced itself or renewed its announcement. A renewal
+    /// with unchanged numbers keeps what has been learnt.
+    pub fn announced(&mut self, slots: u32, connections: u32, cold: bool, now: Instant) {
+        let was_here = matches!(self.state, UpstreamState::Ready | UpstreamState::Cold);
+        if was_here && slots == self.slots && connections == self.connections {
+            return;
+        }
+        self.slots = slots;
+        self.connections = connections;
+        let slow_start = cold && !was_here;
+        self.limit = ConcurrencyLimit::new(self.policy.limit, slots, connections, slow_start, now);
+        self.state = UpstreamState::Ready;
+    }
+
+    /// The upstream takes nothing new. Calls that wait here were accepted: they
+    /// still run, which takes less than a queue's delay.
+    pub fn drain(&mut self, reason: Reason) {
+        self.state = UpstreamState::Draining;
+        self.refuse_with = reason;
+    }
+
+    /// The upstream's announcement lapsed: nothing can be handed to it.
+    pub fn lost(&mut self, now: Instant) {
+        self.state = UpstreamState::Absent;
+        self.refuse_with = Reason::NoUpstream;
+        self.refuse_queued(Reason::NoUpstream, |_| true, now);
+    }
+
+    /// The upstream died. Every call that ran in it goes into `ended`, and
+    /// [`Admission::finish`] is not to be called for it.
+    pub fn crashed(&mut self, ended: &mut Vec<CallId>, now: Instant) {
+        let fingerprints: Vec<_> = self.running.values().map(|call| call.fingerprint).collect();
+        self.quarantine.crashed(&fingerprints, now);
+        ended.extend(self.running.drain().map(|(call_id, _)| call_id));
+        self.suspects_running = 0;
+        self.alone_running = false;
+    }
+
+    /// Load report of the upstream.
+    pub fn report_load(&mut self, in_flight: u32, slots: u32) {
+        self.limit.report_load(in_flight, slots);
+    }
+
+    /// A call asks for a slot.
+    pub fn offer(&mut self, offer: &Offer, now: Instant) -> Verdict {
+        self.end_interval_if_due(now);
+        if !matches!(self.state, UpstreamState::Ready | UpstreamState::Cold) {
+            return Verdict::Refused(self.refusal(self.refuse_with, offer.call_id));
+        }
+        self.shed.arrived(offer.class_rank, offer.root_request_id);
+        match self.quarantine.standing(offer.fingerprint, now) {
+            Standing::Free => self.offer_free(offer, now),
+            Standing::Refused => Verdict::Refused(Refusal {
+                reason: Reason::Quarantined,
+                retry_after: None,
+            }),
+            Standing::Suspected | Standing::RunsAlone => self.offer_suspect(offer),
+        }
+    }
+
+    /// A running call ended; `time_below` is the part of its time in which it
+    /// waited for deeper calls. Call [`Admission::take_ready`] next.
+    pub fn finish(&mut self, call_id: CallId, ended: Ended, time_below: Duration, now: Instant) {
+        let Some(call) = self.running.remove(&call_id) else {
+            return;
+        };
+        if call.is_suspect {
+            self.suspects_running -= 1;
+            self.alone_running = false;
+        }
+        match ended {
+            Ended::Answered => {
+                self.quarantine.finished(call.fingerprint);
+                self.learn_from(&call, time_below, now);
+            }
+            Ended::ShedByUpstream => self.limit.upstream_shed(now),
+            // A failed or cancelled call was cut short: its time says nothing.
+            Ended::Failed | Ended::Cancelled => {}
+        }
+    }
+
+    /// The caller has gone.
+    pub fn cancel(&mut self, call_id: CallId) -> CancelResult {
+        if self.queue.remove(call_id).is_some() {
+            return CancelResult::Unqueued;
+        }
+        if self.running.contains_key(&call_id) {
+            return CancelResult::Running;
+        }
+        let waiting = self
+            .suspects
+            .iter()
+            .position(|call| call.call_id == call_id);
+        let Some(index) = waiting else {
+            return CancelResult::NotHere;
+        };
+        self.suspects.remove(index);
+        CancelResult::Unqueued
+    }
+
+    /// Appends what has become of queued calls. To be called after each finish
+    /// and at [`Admission::next_wake`].
+    pub fn take_ready(&mut self, now: Instant, decisions: &mut Vec<Decision>) {
+        self.end_interval_if_due(now);
+        self.sweep_if_due(now);
+        decisions.append(&mut self.refusals);
+        if self.state == UpstreamState::Absent {
+            return;
+        }
+        while let Some(call) = self.next_call(now) {
+            decisions.push(Decision::Run(call.call_id));
+        }
+        decisions.append(&mut self.refusals);
+    }
+
+    /// When [`Admission::take_ready`] is to be called next if no call ends
+    /// before; `None` while nothing waits.
+    pub fn next_wake(&self) -> Option<Instant> {
+        if !self.refusals.is_empty() {
+            return Some(self.swept_at);
+        }
+        if !self.queue.is_empty() || !self.suspects.is_empty() {
+            return Some(self.swept_at + self.policy.queue.sweep_every);
+        }
+        (self.shed.level() != ShedLevel::OPEN).then(|| self.shed.next_due())
+    }
+
+    /// What replies say of this upstream. `chain_level` is the strictest level
+    /// of the deeper services that the answered call's kind needs.
+    pub fn hint(&self, chain_level: ShedLevel) -> LoadHint {
+        LoadHint {
+            in_flight: self.running.len() as u32,
+            limit: self.limit.current(),
+            queued: self.queue.len() as u32,
+            queue_delay_us: self.wait_for(self.queue.len()).as_micros() as u64,
+            service_time_us: self.work.expected_any().as_micros() as u64,
+            shed_level: self.shed.level().pack(),
+            chain_shed_level: chain_level.pack(),
+        }
+    }
+
+    /// Where the upstream stands.
+    pub fn state(&self) -> UpstreamState {
+        if self.state == UpstreamState::Ready && self.limit.is_cold() {
+            UpstreamState::Cold
+        } else {
+            self.state
+        }
+    }
+
+    /// Calls that run in the upstream.
+    pub fn in_flight(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Calls that wait.
+    pub fn queued(&self) -> usize {
+        self.queue.len() + self.suspects.len()
+    }
+
+    /// Shed level in force.
+    pub fn shed_level(&self) -> ShedLevel {
+        self.shed.level()
+    }
+
+    /// Crash quarantine, to exchange news with other nodes.
+    pub fn quarantine(&mut self) -> &mut Quarantine {
+        &mut self.quarantine
+    }
+
+    fn offer_free(&mut self, offer: &Offer, now: Instant) -> Verdict {
+        if self.has_free_slot() && self.queue.is_empty() {
+            return self.offer_idle(offer, now);
+        }
+        self.limit.note_saturated();
+        let class = class_of(offer.class_rank);
+        let invested = offer.work_spent > Duration::ZERO;
+        let ahead = self.queue.ahead_of(class, invested);
+        if self.is_hopeless(offer.kind, offer.deadline, self.wait_for(ahead + 1), now) {
+            return Verdict::Refused(self.refusal(Reason::DeadlineTooShort, offer.call_id));
+        }
+        if self.is_shed(offer, class, invested, now) {
+            return Verdict::Refused(self.refusal(Reason::Shed, offer.call_id));
+        }
+        if !self.make_room(class, invested) {
+            self.hold_back_below(class, now);
+            return Verdict::Refused(self.refusal(Reason::QueueFull, offer.call_id));
+        }
+        self.queue.push(waiting(offer));
+        Verdict::Queued
+    }
+
+    /// A slot is free and nobody waits. Load: none. Harm: refusing here would
+    /// keep capacity back for nobody; so only a call that has no chance at all
+    /// is refused, and one of those is run now and then to correct the estimate.
+    fn offer_idle(&mut self, offer: &Offer, now: Instant) -> Verdict {
+        let expected = self.work.expected(offer.kind);
+        let time_left = offer.deadline.saturating_duration_since(now);
+        if time_left < expected / 2 && !self.probe(now) {
+            return Verdict::Refused(self.refusal(Reason::DeadlineTooShort, offer.call_id));
+        }
+        self.start(&waiting(offer), false, now);
+        Verdict::Run
+    }
+
+    fn offer_suspect(&mut self, offer: &Offer) -> Verdict {
+        if self.suspects.len() >= MOST_SUSPECTS {
+            return Verdict::Refused(self.refusal(Reason::Quarantined, offer.call_id));
+        }
+        self.suspects.push(waiting(offer));
+        Verdict::Queued
+    }
+
+    /// Whether the level refuses a call here. The entry has applied the level
+    /// already, a little out of date; so while the queue is short, anything that
+    /// got here is taken.
+    fn is_shed(&self, offer: &Offer, class: usize, invested: bool, now: Instant) -> bool {
+        let below_refused = self
+            .strict
+            .is_some_and(|strict| class > strict.class && now < strict.until);
+        if below_refused {
+            return true;
+        }
+        let standing = f64::from(self.limit.current()) * self.policy.shed.target_queue;
+        let is_short = (self.queue.len() as f64) < standing.max(1.0);
+        let level = self.shed.level();
+        !is_short && !invested && !level.admits(offer.class_rank, offer.root_request_id)
+    }
+
+    /// Load: a queue full of important calls. Harm: a slot that frees up goes
+    /// to a less important call that came just after an important one was
+    /// refused. One interval of the shed level is enough: by then the entries
+    /// hold the less important ones back.
+    fn hold_back_below(&mut self, class: usize, now: Instant) {
+        let held = self.strict.filter(|strict| now < strict.until);
+        self.strict = Some(Strict {
+            class: held.map_or(class, |strict| strict.class.min(class)),
+            until: now + self.policy.queue.strict_for,
+        });
+    }
+
+    fn make_room(&mut self, class: usize, invested: bool) -> bool {
+        if self.queue.len() < self.queue_bound() {
+            return true;
+        }
+        let Some(evicted) = self.queue.evict_below(class, invested) else {
+            return false;
+        };
+        let refusal = self.refusal(Reason::QueueFull, evicted.call_id);
+        self.refusals
+            .push(Decision::Refuse(evicted.call_id, refusal));
+        true
+    }
+
+    fn queue_bound(&self) -> usize {
+        let bound = f64::from(self.limit.current()) * self.policy.queue.per_slot;
+        (bound as usize).max(self.policy.queue.least)
+    }
+
+    fn next_call(&mut self, now: Instant) -> Option<Waiting> {
+        if let Some(call) = self.next_suspect(now) {
+            self.start(&call, true, now);
+            return Some(call);
+        }
+        while self.has_free_slot() {
+            let call = self.queue.pop(self.is_standing(now))?;
+            if self.is_hopeless(call.kind, call.deadline, Duration::ZERO, now) && !self.probe(now) {
+                let refusal = self.refusal(Reason::QueueTimeout, call.call_id);
+                self.refusals.push(Decision::Refuse(call.call_id, refusal));
+                continue;
+            }
+            self.start(&call, false, now);
+            return Some(call);
+        }
+        None
+    }
+
+    fn next_suspect(&mut self, now: Instant) -> Option<Waiting> {
+        if self.suspects_running > 0 {
+            return None;
+        }
+        let index = self.suspects.iter().position(|call| {
+            match self.quarantine.standing(call.fingerprint, now) {
+                Standing::RunsAlone => self.running.is_empty() && self.alone_due(now),
+                _ => self.has_free_slot(),
+            }
+        })?;
+        let call = self.suspects.remove(index);
+        if self.quarantine.standing(call.fingerprint, now) == Standing::RunsAlone {
+            self.alone_running = true;
+            self.alone_began = Some(now);
+        }
+        Some(call)
+    }
+
+    fn alone_due(&self, now: Instant) -> bool {
+        let interval = self.quarantine.alone_interval();
+        self.alone_began
+            .is_none_or(|began| now.saturating_duration_since(began) >= interval)
+    }
+
+    /// Slots are held back only while a call runs alone or the upstream empties
+    /// for one that is due.
+    fn has_free_slot(&self) -> bool {
+        let room = self.running.len() < self.limit.current() as usize;
+        room && !self.alone_running && !self.empties_for_alone()
+    }
+
+    fn empties_for_alone(&self) -> bool {
+        let now = self.swept_at;
+        !self.suspects.is_empty()
+            && self.alone_due(now)
+            && self
+                .suspects
+                .iter()
+                .any(|call| self.quarantine.standing(call.fingerprint, now) == Standing::RunsAlone)
+    }
+
+    fn start(&mut self, call: &Waiting, is_suspect: bool, now: Instant) {
+        self.suspects_running += usize::from(is_suspect);
+        self.running.insert(
+            call.call_id,
+            Running {
+                kind: call.kind,
+                fingerprint: call.fingerprint,
+                started: now,
+                is_suspect,
+            },
+        );
+    }
+
+    fn learn_from(&mut self, call: &Running, time_below: Duration, now: Instant) {
+        let total = now.saturating_duration_since(call.started);
+        let own = total.saturating_sub(time_below);
+        let ratio = self.work.observe(call.kind, total, own, now);
+        if self.limit.observe(ratio, call.started, now) == WindowEnd::FloorIsStale {
+            self.work.adopt_floors();
+        }
+    }
+
+    fn end_interval_if_due(&mut self, now: Instant) {
+        if !self.shed.due(now) {
+            return;
+        }
+        let pressure = Pressure {
+            queued: self.queue.len(),
+            in_flight: self.running.len(),
+            limit: self.limit.current(),
+            capacity_per_sec: self.capacity_per_sec(),
+        };
+        self.shed.end_interval(pressure, now);
+        let is_long = self.queue.len() * 2 > self.queue_bound();
+        self.standing_since = is_long.then(|| self.standing_since.unwrap_or(now));
+    }
+
+    fn is_standing(&self, now: Instant) -> bool {
+        self.standing_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= STANDING_AFTER)
+    }
+
+    fn sweep_if_due(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.swept_at) < self.policy.queue.sweep_every {
+            return;
+        }
+        self.swept_at = now;
+        self.refuse_queued(Reason::QueueTimeout, |call| call.deadline <= now, now);
+    }
+
+    fn refuse_queued(&mut self, reason: Reason, which: impl Fn(&Waiting) -> bool, now: Instant) {
+        let mut gone = Vec::new();
+        self.queue.take_hopeless(&which, |call| gone.push(call));
+        self.suspects.retain(|call| {
+            if which(call) {
+                gone.push(*call);
+            }
+            !which(call)
+        });
+        self.swept_at = now;
+        for call in gone {
+            let refusal = self.refusal(reason, call.call_id);
+            self.refusals.push(Decision::Refuse(call.call_id, refusal));
+        }
+    }
+
+    /// Load: a queue or work too long for the caller's patience. Harm: the
+    /// answer comes after the caller has gone, and its work, here and in the
+    /// hops above, was for nobody.
+    fn is_hopeless(&self, kind: WorkKind, deadline: Instant, wait: Duration, now: Instant) -> bool {
+        let work = self
+            .work
+            .expected(kind)
+            .mul_f64(self.policy.queue.work_margin);
+        now + wait + work > deadline
+    }
+
+    /// Time until `calls` calls have started.
+    fn wait_for(&self, calls: usize) -> Duration {
+        let per_call = self.work.expected_any() / self.limit.current().max(1);
+        per_call.mul_f64(calls as f64)
+    }
+
+    fn capacity_per_sec(&self) -> f64 {
+        let expected = self.work.expected_any().as_secs_f64();
+        if expected > 0.0 {
+            f64::from(self.limit.current()) / expected
+        } else {
+            f64::INFINITY
+        }
+    }
+
+    fn probe(&mut self, now: Instant) -> bool {
+        let every = self.policy.queue.probe_every;
+        let due = self
+            .probed_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= every);
+        if due {
+            self.probed_at = Some(now);
+        }
+        due
+    }
+
+    fn refusal(&self, reason: Reason, call_id: CallId) -> Refusal {
+        let pressure = self.shed.excess(self.capacity_per_sec());
+        Refusal {
+            reason,
+            retry_after: Some(retry_after(
+                pressure,
+                mix(call_id),
+                &self.policy.retry_after,
+            )),
+        }
+    }
+}
+
+fn waiting(offer: &Offer) -> Waiting {
+    Waiting {
+        call_id: offer.call_id,
+        class: class_of(offer.class_rank),
+        invested: offer.work_spent > Duration::ZERO,
+        deadline: offer.deadline,
+        kind: offer.kind,
+        fingerprint: offer.fingerprint,
+    }
+}
--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -1,1 +1,27 @@
-//! Stub.
+//! Decisions under load: admit, queue, refuse, place, retry, shed.
+//!
+//! Nothing here does input or output, reads a clock or starts a thread: `now`
+//! and random numbers are arguments. README.md shows how a node drives the
+//! pieces for one call.
+
+mod admission;
+mod limit;
+mod mix;
+mod placement;
+mod quarantine;
+mod queue;
+mod retry;
+mod retry_after;
+mod shed;
+mod work;
+
+pub use admission::{
+    Admission, AdmissionPolicy, CancelResult, Decision, Ended, Offer, Verdict, WorkKind,
+};
+pub use limit::{ConcurrencyLimit, LimitPolicy};
+pub use placement::{PeerLoad, PlacementPolicy, may_move, place};
+pub use quarantine::{Quarantine, QuarantinePolicy, Standing, Suspect};
+pub use queue::MAX_CLASSES;
+pub use retry::{Allowance, EdgeBudget, RetryPolicy, RetryVerdict, retry_verdict, share_for_child};
+pub use retry_after::{RetryAfterPolicy, retry_after};
+pub use shed::{ChainEdges, Gate, GatePolicy, ServiceKey, ShedController, ShedLevel, ShedPolicy};
--- /dev/null
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -0,0 +1,297 @@
+//! Placement: on which node's upstream a call is put.
+
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use hemlocktack_protocol::{LoadHint, Reason, UpstreamState};
+use rand::{Rng, RngExt};
+
+/// Numbers of [`place`].
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementPolicy {
+    /// Load (calls over limit) at which the nearer upstream no longer goes
+    /// first: below 1, so that calls spill over before the near one queues.
+    pub spill_over_at: f64,
+    /// Cost of another data centre: today's lie 0.5 to 1 ms apart one way.
+    pub far_cost: Duration,
+    /// A hint this old counts for nothing; calls in between age it evenly.
+    pub hint_lifetime: Duration,
+    /// Service time assumed of an upstream that has not answered yet: short, so
+    /// that it is tried.
+    pub unknown_service_time: Duration,
+    /// Multiplies the cost of an upstream in slow start.
+    pub cold_factor: f64,
+    /// Multiplies the cost of an upstream whose calls all fail; fewer failures
+    /// count in proportion.
+    pub failure_factor: f64,
+    /// How long an upstream that refused a call for load is passed over.
+    pub refused_for: Duration,
+}
+
+impl Default for PlacementPolicy {
+    fn default() -> Self {
+        PlacementPolicy {
+            spill_over_at: 0.8,
+            far_cost: Duration::from_millis(2),
+            hint_lifetime: Duration::from_secs(2),
+            unknown_service_time: Duration::from_millis(5),
+            cold_factor: 2.0,
+            failure_factor: 20.0,
+            refused_for: Duration::from_millis(20),
+        }
+    }
+}
+
+/// What one node knows of one upstream's node. Shared between threads.
+#[derive(Debug)]
+pub struct PeerLoad {
+    born: Instant,
+    is_near: bool,
+    state: AtomicU32,
+    /// Calls sent from here and not answered.
+    outstanding: AtomicU32,
+    /// Of these, sent since the last hint: the hint does not count them.
+    sent_since_hint: AtomicU32,
+    load: AtomicU32,
+    limit: AtomicU32,
+    service_time_us: AtomicU64,
+    heard_us: AtomicU64,
+    refused_us: AtomicU64,
+    /// Failures among the last 16 or so calls, per mille.
+    failures_per_mille: AtomicU32,
+}
+
+/// One outcome moves the share of failures by this part of the way.
+const FAILURE_STEP: u32 = 16;
+const NEVER: u64 = u64::MAX;
+
+impl PeerLoad {
+    /// Knows nothing but whether the peer is in the same data centre.
+    pub fn new(is_near: bool, state: UpstreamState, now: Instant) -> Self {
+        PeerLoad {
+            born: now,
+            is_near,
+            state: AtomicU32::new(state as u32),
+            outstanding: AtomicU32::new(0),
+            sent_since_hint: AtomicU32::new(0),
+            load: AtomicU32::new(0),
+            limit: AtomicU32::new(0),
+            service_time_us: AtomicU64::new(0),
+            heard_us: AtomicU64::new(NEVER),
+            refused_us: AtomicU64::new(NEVER),
+            failures_per_mille: AtomicU32::new(0),
+        }
+    }
+
+    /// Membership reports where the upstream stands.
+    pub fn set_state(&self, state: UpstreamState) {
+        self.state.store(state as u32, Ordering::Release);
+    }
+
+    /// A call goes to it. Each must be followed by one of `answered`,
+    /// `refused` or `failed`.
+    pub fn sent(&self) {
+        self.outstanding.fetch_add(1, Ordering::AcqRel);
+        self.sent_since_hint.fetch_add(1, Ordering::AcqRel);
+    }
+
+    /// It answered.
+    pub fn answered(&self, hint: &LoadHint, now: Instant) {
+        self.ended();
+        self.learn(hint, now);
+        self.count_failure(false);
+    }
+
+    /// It refused the call, or an upstream below it did.
+    pub fn refused(&self, reason: Reason, hint: Option<&LoadHint>, now: Instant) {
+        self.ended();
+        if let Some(hint) = hint {
+            self.learn(hint, now);
+        }
+        if is_own_refusal(reason) {
+            self.refused_us.store(self.micros(now), Ordering::Release);
+        }
+    }
+
+    /// The call ended without an answer through a fault of it or its link.
+    pub fn failed(&self, now: Instant) {
+        self.ended();
+        self.count_failure(true);
+        self.refused_us.store(self.micros(now), Ordering::Release);
+    }
+
+    fn ended(&self) {
+        let minus_one = |count: u32| Some(count.saturating_sub(1));
+        let _ = self
+            .outstanding
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, minus_one);
+    }
+
+    fn learn(&self, hint: &LoadHint, now: Instant) {
+        self.load
+            .store(hint.in_flight + hint.queued, Ordering::Release);
+        self.limit.store(hint.limit, Ordering::Release);
+        self.service_time_us
+            .store(hint.service_time_us, Ordering::Release);
+        self.heard_us.store(self.micros(now), Ordering::Release);
+        self.sent_since_hint.store(0, Ordering::Release);
+    }
+
+    fn count_failure(&self, failed: bool) {
+        let towards = if failed { 1000 } else { 0 };
+        let _ =
+            self.failures_per_mille
+                .fetch_update(Ordering::AcqRel, Ordering::Acquire, |share| {
+                    Some(share + towards / FAILURE_STEP - share / FAILURE_STEP)
+                });
+    }
+
+    fn micros(&self, now: Instant) -> u64 {
+        now.saturating_duration_since(self.born).as_micros() as u64
+    }
+
+    fn takes_calls(&self) -> bool {
+        let state = self.state.load(Ordering::Acquire);
+        state == UpstreamState::Ready as u32 || state == UpstreamState::Cold as u32
+    }
+
+    fn age(&self, at_us: u64, now: Instant) -> Option<Duration> {
+        (at_us != NEVER).then(|| Duration::from_micros(self.micros(now).saturating_sub(at_us)))
+    }
+
+    /// Calls there over its limit, as far as known: what it said, and what was
+    /// sent since.
+    fn utilisation(&self, policy: &PlacementPolicy, now: Instant) -> f64 {
+        let heard = self.age(self.heard_us.load(Ordering::Acquire), now);
+        let freshness = heard.map_or(0.0, |age| {
+            1.0 - (age.as_secs_f64() / policy.hint_lifetime.as_secs_f64()).min(1.0)
+        });
+        let said = f64::from(self.load.load(Ordering::Acquire)) * freshness;
+        let since = f64::from(self.sent_since_hint.load(Ordering::Acquire));
+        let own = f64::from(self.outstanding.load(Ordering::Acquire));
+        let limit = f64::from(self.limit.load(Ordering::Acquire)).max(1.0);
+        (said + since).max(own) / limit
+    }
+
+    /// Expected time until an answer, in seconds.
+    fn cost(&self, policy: &PlacementPolicy, now: Instant) -> f64 {
+        let service_us = self.service_time_us.load(Ordering::Acquire);
+        let service = if service_us == 0 {
+            policy.unknown_service_time.as_secs_f64()
+        } else {
+            service_us as f64 / 1e6
+        };
+        let utilisation = self.utilisation(policy, now);
+        let waits = (utilisation - 1.0).max(0.0);
+        // Below the limit nothing waits; the small term spreads calls evenly.
+        let mut cost = service * (1.0 + waits + 0.3 * utilisation.min(1.0));
+        if !self.is_near {
+            cost += policy.far_cost.as_secs_f64();
+        }
+        if self.state.load(Ordering::Acquire) == UpstreamState::Cold as u32 {
+            cost *= policy.cold_factor;
+        }
+        cost * self.failure_penalty(policy)
+    }
+
+    /// Load: an upstream that fails or refuses at once. Harm: it always looks
+    /// idle and draws all calls to their failure. Times are learnt only from
+    /// answers, and failures multiply the cost, so it cannot look attractive.
+    fn failure_penalty(&self, policy: &PlacementPolicy) -> f64 {
+        let share = f64::from(self.failures_per_mille.load(Ordering::Acquire)) / 1000.0;
+        1.0 + share * policy.failure_factor
+    }
+
+    fn just_refused(&self, policy: &PlacementPolicy, now: Instant) -> bool {
+        self.age(self.refused_us.load(Ordering::Acquire), now)
+            .is_some_and(|age| age < policy.refused_for)
+    }
+}
+
+/// Picks the upstream for a call: its index in `peers`, or `None` when none
+/// takes calls. `excluded` is the one that has just refused it.
+///
+/// Load: uneven demand and uneven upstreams, known late. Harm: sending all
+/// calls to the one that looked best overloads it before the next hint, and
+/// sending evenly overloads the slow one. The better of two random choices
+/// avoids both. Nearer upstreams come first, but only until they are nearly
+/// full: a call in another data centre costs two milliseconds, a queue more.
+pub fn place(
+    peers: &[impl AsRef<PeerLoad>],
+    excluded: Option<usize>,
+    now: Instant,
+    policy: &PlacementPolicy,
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let takes = |index: usize, peer: &PeerLoad| Some(index) != excluded && peer.takes_calls();
+    let has_room = |index: usize, peer: &PeerLoad| {
+        takes(index, peer)
+            && !peer.just_refused(policy, now)
+            && peer.utilisation(policy, now) < policy.spill_over_at
+    };
+    let near = |index: usize, peer: &PeerLoad| peer.is_near && has_room(index, peer);
+    let settled =
+        |index: usize, peer: &PeerLoad| takes(index, peer) && !peer.just_refused(policy, now);
+    better_of_two(peers, near, now, policy, rng)
+        .or_else(|| better_of_two(peers, settled, now, policy, rng))
+        .or_else(|| better_of_two(peers, takes, now, policy, rng))
+}
+
+/// Whether a call that one node refused may be put on another. At most once a
+/// call, and no retry: nothing ran. A refusal that the others share (shed by
+/// level, no time left, quarantined) is passed up instead.
+pub fn may_move(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::QueueFull
+            | Reason::NoUpstream
+            | Reason::Starting
+            | Reason::Draining
+            | Reason::UpstreamDraining
+            | Reason::UpstreamUnreachable
+    )
+}
+
+fn is_own_refusal(reason: Reason) -> bool {
+    may_move(reason) || matches!(reason, Reason::Shed | Reason::QueueTimeout)
+}
+
+fn better_of_two(
+    peers: &[impl AsRef<PeerLoad>],
+    eligible: impl Fn(usize, &PeerLoad) -> bool,
+    now: Instant,
+    policy: &PlacementPolicy,
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let first = choose(peers, &eligible, None, rng)?;
+    let Some(second) = choose(peers, &eligible, Some(first), rng) else {
+        return Some(first);
+    };
+    let cost = |index: usize| peers[index].as_ref().cost(policy, now);
+    Some(if cost(second) < cost(first) {
+        second
+    } else {
+        first
+    })
+}
+
+/// One eligible peer, each with equal chance, in one pass and without memory.
+fn choose(
+    peers: &[impl AsRef<PeerLoad>],
+    eligible: impl Fn(usize, &PeerLoad) -> bool,
+    other_than: Option<usize>,
+    rng: &mut impl Rng,
+) -> Option<usize> {
+    let mut chosen = None;
+    let mut seen = 0u32;
+    for (index, peer) in peers.iter().enumerate() {
+        if Some(index) == other_than || !eligible(index, peer.as_ref()) {
+            continue;
+        }
+        seen += 1;
+        if rng.random_ratio(1, seen) {
+            chosen = Some(index);
+        }
+    }
+    chosen
+}
--- /dev/null
+++ b/crates/hemlocktack-decide/src/queue.rs
@@ -0,0 +1,144 @@
+//! Calls that wait for a slot: one lane for each class and for whether work has
+//! been spent on them.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Instant;
+
+use hemlocktack_protocol::{CallId, ClassRank};
+
+/// Classes told apart. Ranks beyond are treated as the last of these.
+pub const MAX_CLASSES: usize = 8;
+/// Lanes of each class: calls that the chain has worked for, then fresh ones.
+const LANES_PER_CLASS: usize = 2;
+const LANES: usize = MAX_CLASSES * LANES_PER_CLASS;
+
+/// A call that waits.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) call_id: CallId,
+    pub(crate) class: usize,
+    pub(crate) invested: bool,
+    pub(crate) deadline: Instant,
+    pub(crate) kind: u64,
+    pub(crate) fingerprint: u64,
+}
+
+/// Bounded queue. All memory is taken when it is made; each operation but
+/// [`ClassQueue::take_hopeless`] is constant time, amortised over the entries
+/// that were cancelled.
+#[derive(Debug)]
+pub(crate) struct ClassQueue {
+    lanes: [VecDeque<CallId>; LANES],
+    lane_lengths: [usize; LANES],
+    waiting: HashMap<CallId, Waiting>,
+}
+
+impl ClassQueue {
+    pub(crate) fn new(capacity: usize) -> Self {
+        ClassQueue {
+            lanes: std::array::from_fn(|_| VecDeque::new()),
+            lane_lengths: [0; LANES],
+            waiting: HashMap::with_capacity(capacity),
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Calls that would run before a new one of this class.
+    pub(crate) fn ahead_of(&self, class: usize, invested: bool) -> usize {
+        let lane = lane(class, invested);
+        self.lane_lengths[..=lane].iter().sum()
+    }
+
+    pub(crate) fn push(&mut self, call: Waiting) {
+        let lane = lane(call.class, call.invested);
+        self.lanes[lane].push_back(call.call_id);
+        self.lane_lengths[lane] += 1;
+        self.waiting.insert(call.call_id, call);
+    }
+
+    /// Next call to run: the best lane's oldest, or its newest.
+    pub(crate) fn pop(&mut self, newest_first: bool) -> Option<Waiting> {
+        let lane = self.lane_lengths.iter().position(|length| *length > 0)?;
+        self.take_from(lane, newest_first)
+    }
+
+    /// Takes out the call that would run last, if it is of a lower lane than a
+    /// new call of this class.
+    pub(crate) fn evict_below(&mut self, class: usize, invested: bool) -> Option<Waiting> {
+        let worst = self.lane_lengths.iter().rposition(|length| *length > 0)?;
+        if worst <= lane(class, invested) {
+            return None;
+        }
+        self.take_from(worst, true)
+    }
+
+    pub(crate) fn remove(&mut self, call_id: CallId) -> Option<Waiting> {
+        let call = self.waiting.remove(&call_id)?;
+        // Its id stays in the lane and is skipped when it comes up, or is
+        // dropped here once such ids outnumber the calls.
+        let lane = lane(call.class, call.invested);
+        self.lane_lengths[lane] -= 1;
+        if self.lanes[lane].len() > 2 * self.lane_lengths[lane] + LANES {
+            let waiting = &self.waiting;
+            self.lanes[lane].retain(|id| waiting.contains_key(id));
+        }
+        Some(call)
+    }
+
+    /// Takes out every call for which `is_hopeless` holds.
+    pub(crate) fn take_hopeless(
+        &mut self,
+        is_hopeless: impl Fn(&Waiting) -> bool,
+        mut taken: impl FnMut(Waiting),
+    ) {
+        for lane in 0..LANES {
+            if self.lane_lengths[lane] == 0 {
+                continue;
+            }
+            let waiting = &mut self.waiting;
+            let length = &mut self.lane_lengths[lane];
+            self.lanes[lane].retain(|call_id| {
+                let Some(call) = waiting.get(call_id).copied() else {
+                    return false;
+                };
+                if !is_hopeless(&call) {
+                    return true;
+                }
+                waiting.remove(call_id);
+                *length -= 1;
+                taken(call);
+                false
+            });
+        }
+    }
+
+    fn take_from(&mut self, lane: usize, newest: bool) -> Option<Waiting> {
+        loop {
+            let call_id = if newest {
+                self.lanes[lane].pop_back()?
+            } else {
+                self.lanes[lane].pop_front()?
+            };
+            if let Some(call) = self.waiting.remove(&call_id) {
+                self.lane_lengths[lane] -= 1;
+                return Some(call);
+            }
+        }
+    }
+}
+
+fn lane(class: usize, invested: bool) -> usize {
+    class * LANES_PER_CLASS + usize::from(!invested)
+}
+
+/// Lane class of a rank from a call.
+pub(crate) fn class_of(rank: ClassRank) -> usize {
+    usize::from(rank).min(MAX_CLASSES - 1)
+}
--- /dev/null
+++ b/crates/hemlocktack-decide/src/retry.rs
@@ -0,0 +1,191 @@
+//! Retries: bounded for a request over its whole call chain, and bounded as a
+//! share of first tries on each edge between two services.
+
+use std::sync::atomic::{AtomicI64, AtomicU32, Ordering};
+use std::time::Duration;
+
+use hemlocktack_protocol::{Reason, Unfinished};
+
+/// Retries that are left to one request at one node.
+///
+/// Load: a chain in which each hop repeats what failed below it. Harm: with
+/// three tries a hop, depth 10 turns one request into 59,049 calls. The
+/// allowance is granted once at the root and conserved from there on: what goes
+/// away with a child call is gone here until the child gives its rest back, so
+/// the sum over the chain never exceeds the grant, whatever depth and fan-out.
+/// Parallel children share one counter.
+#[derive(Debug)]
+pub struct Allowance {
+    left: AtomicU32,
+}
+
+impl Allowance {
+    /// At the root: the caller kind's allowance; below: what came with the call.
+    pub fn new(granted: u32) -> Self {
+        Allowance {
+            left: AtomicU32::new(granted),
+        }
+    }
+
+    /// Retries left here.
+    pub fn left(&self) -> u32 {
+        self.left.load(Ordering::Acquire)
+    }
+
+    /// Takes up to `wanted` away and returns how many were taken.
+    pub fn take(&self, wanted: u32) -> u32 {
+        let before = self
+            .left
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |left| {
+                Some(left.saturating_sub(wanted))
+            })
+            .unwrap_or(0);
+        before.min(wanted)
+    }
+
+    /// Takes one retry to spend it here; false when none is left.
+    pub fn take_one(&self) -> bool {
+        self.take(1) == 1
+    }
+
+    /// Takes the share that travels with one child call.
+    pub fn give_to_child(&self) -> u32 {
+        self.take(share_for_child(self.left()))
+    }
+
+    /// Puts back what a child did not spend. `given` is what went away with
+    /// the child: a child that claims more back than it got must not create
+    /// retries. A lost child gives nothing back, as it may have spent all.
+    pub fn give_back(&self, unspent: u32, given: u32) {
+        self.left.fetch_add(unspent.min(given), Ordering::AcqRel);
+    }
+}
+
+/// Share of `left` that travels with one child call: half, rounded up. All of
+/// it would leave nothing for a parallel sibling; a fixed share would leave
+/// nothing to the last hops.
+pub fn share_for_child(left: u32) -> u32 {
+    left.div_ceil(2)
+}
+
+/// Numbers of [`EdgeBudget`] and [`retry_verdict`].
+#[derive(Clone, Copy, Debug)]
+pub struct RetryPolicy {
+    /// Retries per thousand first tries that an edge may carry. At 100, retries
+    /// add a tenth to the load at worst: too little to hold an overload up.
+    pub share_per_mille: u32,
+    /// Retries that an edge may save up, so that a quiet edge can still repeat
+    /// the few calls that a restart cut off.
+    pub saved_retries: u32,
+}
+
+impl Default for RetryPolicy {
+    fn default() -> Self {
+        RetryPolicy {
+            share_per_mille: 100,
+            saved_retries: 20,
+        }
+    }
+}
+
+/// Token bucket of one edge: first tries fill it, retries drain it.
+///
+/// Load: retries of many requests at once after a fault. Harm: they keep the
+/// service overloaded when the fault has long gone. Each request's allowance
+/// does not prevent this, as many requests may each spend a little; a share of
+/// the edge's own first tries does.
+#[derive(Debug)]
+pub struct EdgeBudget {
+    policy: RetryPolicy,
+    milli_tokens: AtomicI64,
+}
+
+const MILLI: i64 = 1000;
+
+impl EdgeBudget {
+    /// A full bucket.
+    pub fn new(policy: RetryPolicy) -> Self {
+        EdgeBudget {
+            milli_tokens: AtomicI64::new(i64::from(policy.saved_retries) * MILLI),
+            policy,
+        }
+    }
+
+    /// Counts a first try.
+    pub fn first_try(&self) {
+        let most = i64::from(self.policy.saved_retries) * MILLI;
+        let added = i64::from(self.policy.share_per_mille);
+        let _ = self
+            .milli_tokens
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |tokens| {
+                (tokens < most).then(|| (tokens + added).min(most))
+            });
+    }
+
+    /// Takes one retry; false when the edge has used its share up.
+    pub fn take_one(&self) -> bool {
+        self.milli_tokens
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |tokens| {
+                (tokens >= MILLI).then_some(tokens - MILLI)
+            })
+            .is_ok()
+    }
+}
+
+/// What to do about a call that ended without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryVerdict {
+    /// Send it again; one retry is taken from allowance and edge.
+    Retry,
+    /// Pass the end up as it is.
+    PassUp,
+    /// Pass it up: another try could help, but the request's allowance or the
+    /// edge's share is used up.
+    Spent,
+}
+
+/// Whether a call that ended without an answer is sent again.
+///
+/// Load: any fault below. Harm: a refusal for overload that is retried adds to
+/// the very load it was refused for, at every hop above; so such refusals are
+/// passed up with their Retry-After. An unknown outcome is repeated only where
+/// the operators declared the request idempotent. A retry that cannot finish
+/// in the time left would be work for nobody.
+pub fn retry_verdict(
+    unfinished: &Unfinished,
+    idempotent: bool,
+    time_left: Duration,
+    expected: Duration,
+    allowance: &Allowance,
+    edge: &EdgeBudget,
+) -> RetryVerdict {
+    let safe = match unfinished {
+        Unfinished::NotRun(refusal) => is_passing_fault(refusal.reason),
+        Unfinished::Unknown(reason) => idempotent && is_passing_fault(*reason),
+    };
+    if !safe || time_left < expected {
+        return RetryVerdict::PassUp;
+    }
+    if !allowance.take_one() {
+        return RetryVerdict::Spent;
+    }
+    if !edge.take_one() {
+        allowance.give_back(1, 1);
+        return RetryVerdict::Spent;
+    }
+    RetryVerdict::Retry
+}
+
+/// Faults of one node, link or upstream that another node need not share.
+fn is_passing_fault(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::LinkLost
+            | Reason::UpstreamFailed
+            | Reason::UpstreamUnreachable
+            | Reason::Starting
+            | Reason::Draining
+            | Reason::UpstreamDraining
+            | Reason::Fenced
+    )
+}
--- /dev/null
+++ b/crates/hemlocktack-decide/src/shed.rs
@@ -0,0 +1,414 @@
+//! Shed level: which requests a service has room for, worked out on the node
+//! beside an upstream and applied where requests enter.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use hemlocktack_protocol::{ClassRank, LoadHint, RootRequestId};
+
+use crate::mix::mix;
+use crate::queue::{MAX_CLASSES, class_of};
+
+/// Positions of one class.
+const CLASS_SPAN: u32 = 1 << 16;
+/// Level at which everything is admitted.
+const OPEN: u32 = MAX_CLASSES as u32 * CLASS_SPAN;
+
+/// A cut through all requests, ordered by class and then by a stable hash of
+/// the root request: those before the cut are admitted.
+///
+/// Two nodes with the same level give the same request the same verdict, at
+/// whatever hop they meet it, so a chain's calls are admitted or refused
+/// together and no hop works for a request that the next one drops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ShedLevel(u32);
+
+impl ShedLevel {
+    /// Nothing is shed.
+    pub const OPEN: ShedLevel = ShedLevel(OPEN);
+
+    /// Form that goes into [`LoadHint::shed_level`]: 0 is nothing shed; the
+    /// high bits count the classes shed whole, from the last, and the low 16
+    /// are the share of the next one.
+    pub fn pack(self) -> u32 {
+        OPEN - self.0
+    }
+
+    /// Reverse of [`ShedLevel::pack`].
+    pub fn unpack(packed: u32) -> Self {
+        ShedLevel(OPEN - packed.min(OPEN))
+    }
+
+    /// Whether a request is before the cut.
+    pub fn admits(self, rank: ClassRank, root_request_id: RootRequestId) -> bool {
+        self.0 == OPEN || position(rank, root_request_id) < self.0
+    }
+
+    /// Share of a class that is admitted.
+    pub fn share_of(self, class: usize) -> f64 {
+        let begin = class as u32 * CLASS_SPAN;
+        let inside = self.0.saturating_sub(begin).min(CLASS_SPAN);
+        f64::from(inside) / f64::from(CLASS_SPAN)
+    }
+
+    fn at(class: usize, share: f64) -> Self {
+        let inside = (share.clamp(0.0, 1.0) * f64::from(CLASS_SPAN)) as u32;
+        ShedLevel(class as u32 * CLASS_SPAN + inside)
+    }
+}
+
+fn position(rank: ClassRank, root_request_id: RootRequestId) -> u32 {
+    let place = (mix(root_request_id) >> 48) as u32;
+    class_of(rank) as u32 * CLASS_SPAN + place
+}
+
+/// Numbers of [`ShedController`].
+#[derive(Clone, Copy, Debug)]
+pub struct ShedPolicy {
+    /// Time between two changes of the level: long enough for the entries to
+    /// have applied the last one (two hops and a call or so).
+    pub interval: Duration,
+    /// Queue that is kept standing under overload, as a share of the limit, so
+    /// that a freed slot always finds a call: arrivals of one interval vary
+    /// by less than this.
+    pub target_queue: f64,
+    /// Share of the queue beyond its target that an interval may work off.
+    pub drain_share: f64,
+    /// Largest cut of the admitted load in one interval.
+    pub least_step: f64,
+    /// Largest rise in one interval while calls wait.
+    pub most_step: f64,
+    /// Rise in one interval when slots are idle: back from a twentieth to all
+    /// within six intervals, so that shedding ends with the pressure.
+    pub idle_step: f64,
+}
+
+impl Default for ShedPolicy {
+    fn default() -> Self {
+        ShedPolicy {
+            interval: Duration::from_millis(50),
+            target_queue: 0.5,
+            drain_share: 0.25,
+            least_step: 0.5,
+            most_step: 1.2,
+            idle_step: 1.8,
+        }
+    }
+}
+
+/// What the controller sees of its upstream at the end of an interval.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pressure {
+    pub(crate) queued: usize,
+    pub(crate) in_flight: usize,
+    pub(crate) limit: u32,
+    /// Calls that the upstream can finish in a second at its limit.
+    pub(crate) capacity_per_sec: f64,
+}
+
+/// Works out the level of one upstream.
+///
+/// Load: demand above capacity for longer than a queue can absorb. Harm: calls
+/// wait until their callers have gone, and the chain works for nobody. The
+/// level lets in what the upstream can finish plus a short standing queue;
+/// what it cuts off is refused at the entry, the least important class first,
+/// before anything was spent on it.
+#[derive(Debug)]
+pub struct ShedController {
+    policy: ShedPolicy,
+    level: ShedLevel,
+    /// Arrivals of this interval that the level admits.
+    arrived: [u32; MAX_CLASSES],
+    /// Estimated demand per second of each class, shed or not.
+    demand: [f64; MAX_CLASSES],
+    began: Instant,
+}
+
+/// Weight of one interval in a class's demand: follows a surge in about three.
+const DEMAND_WEIGHT: f64 = 0.3;
+/// A smaller admitted share than this is too thin to estimate demand from.
+const LEAST_SEEN_SHARE: f64 = 0.02;
+/// Decay of the demand of a class that is shed whole, per interval: nothing is
+/// seen of it, and a high stale value would only slow the return.
+const UNSEEN_DECAY: f64 = 0.9;
+
+impl ShedController {
+    /// Nothing shed.
+    pub fn new(policy: ShedPolicy, now: Instant) -> Self {
+        ShedController {
+            policy,
+            level: ShedLevel::OPEN,
+            arrived: [0; MAX_CLASSES],
+            demand: [0.0; MAX_CLASSES],
+            began: now,
+        }
+    }
+
+    /// Level in force.
+    pub fn level(&self) -> ShedLevel {
+        self.level
+    }
+
+    /// Demand over capacity, less one; 0 when there is room.
+    pub(crate) fn excess(&self, capacity_per_sec: f64) -> f64 {
+        let demand: f64 = self.demand.iter().sum();
+        if capacity_per_sec > 0.0 {
+            (demand / capacity_per_sec - 1.0).max(0.0)
+        } else {
+            0.0
+        }
+    }
+
+    /// Counts an arriving call.
+    pub(crate) fn arrived(&mut self, rank: ClassRank, root_request_id: RootRequestId) {
+        if self.level.admits(rank, root_request_id) {
+            self.arrived[class_of(rank)] += 1;
+        }
+    }
+
+    pub(crate) fn due(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.began) >= self.policy.interval
+    }
+
+    pub(crate) fn next_due(&self) -> Instant {
+        self.began + self.policy.interval
+    }
+
+    /// Ends the interval and sets the level for the next one.
+    pub(crate) fn end_interval(&mut self, pressure: Pressure, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.began).as_secs_f64();
+        let admitted = f64::from(self.arrived.iter().sum::<u32>()) / elapsed;
+        self.estimate_demand(elapsed);
+        self.arrived = [0; MAX_CLASSES];
+        self.began = now;
+        let target = self.target_rate(admitted, elapsed, &pressure);
+        self.level = self.level_for(target);
+    }
+
+    fn estimate_demand(&mut self, elapsed: f64) {
+        for class in 0..MAX_CLASSES {
+            let share = self.level.share_of(class);
+            if share < LEAST_SEEN_SHARE {
+                self.demand[class] *= UNSEEN_DECAY;
+                continue;
+            }
+            let seen = f64::from(self.arrived[class]) / elapsed / share;
+            self.demand[class] += (seen - self.demand[class]) * DEMAND_WEIGHT;
+        }
+    }
+
+    /// Calls a second to let in during the next interval.
+    fn target_rate(&self, admitted: f64, elapsed: f64, pressure: &Pressure) -> f64 {
+        let limit = f64::from(pressure.limit);
+        let standing = limit * self.policy.target_queue;
+        let surplus = pressure.queued as f64 - standing;
+        let idle = pressure.queued == 0 && (pressure.in_flight as f64) < limit * 0.8;
+        let wanted = pressure.capacity_per_sec - surplus * self.policy.drain_share / elapsed;
+        if idle {
+            return admitted.max(wanted * 0.1) * self.policy.idle_step;
+        }
+        if surplus <= 0.0 && self.level == ShedLevel::OPEN {
+            return f64::INFINITY;
+        }
+        wanted
+            .min(admitted * self.policy.most_step)
+            .max(admitted * self.policy.least_step)
+    }
+
+    fn level_for(&self, rate: f64) -> ShedLevel {
+        let mut left = rate;
+        for (class, &demand) in self.demand.iter().enumerate() {
+            if left < demand {
+                return ShedLevel::at(class, left / demand);
+            }
+            left -= demand;
+        }
+        ShedLevel::OPEN
+    }
+}
+
+/// Key of a service at a gate: any stable number for its name.
+pub type ServiceKey = u64;
+
+/// Numbers of [`Gate`].
+#[derive(Clone, Copy, Debug)]
+pub struct GatePolicy {
+    /// A level that was not heard again for this long no longer refuses: the
+    /// upstream may have recovered or gone.
+    pub forget_after: Duration,
+    /// While every request is refused no reply brings news, so one request is
+    /// let through this often as a probe.
+    pub probe_every: Duration,
+    /// Extra share of a class that calls with spent work are let in with: the
+    /// level that the root met at its entry may since have moved this far.
+    pub invested_margin: f64,
+}
+
+impl Default for GatePolicy {
+    fn default() -> Self {
+        GatePolicy {
+            forget_after: Duration::from_secs(1),
+            probe_every: Duration::from_millis(50),
+            invested_margin: 0.15,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    level: ShedLevel,
+    at: Instant,
+}
+
+/// What one node knows of one service's shed levels, heard on replies.
+///
+/// Load: a service that sheds. Harm: a request that is refused after hops have
+/// worked for it wastes their work; one refused here costs nothing. The loosest
+/// level of the service's upstreams counts, since placement leads to the
+/// upstream that has room; a single slow upstream must not shed for all.
+#[derive(Debug)]
+pub struct Gate {
+    policy: GatePolicy,
+    upstreams: Vec<Option<Heard>>,
+    /// Level of the deeper services that calls of one kind need.
+    chains: HashMap<u64, Heard>,
+    probed_at: Option<Instant>,
+}
+
+impl Gate {
+    /// Knows of nothing; `upstreams` are numbered as in the node's roster.
+    pub fn new(policy: GatePolicy, upstreams: usize) -> Self {
+        Gate {
+            policy,
+            upstreams: vec![None; upstreams],
+            chains: HashMap::new(),
+            probed_at: None,
+        }
+    }
+
+    /// The roster has changed: `upstreams` many from now on, all unheard.
+    pub fn reset(&mut self, upstreams: usize) {
+        self.upstreams.clear();
+        self.upstreams.resize(upstreams, None);
+    }
+
+    /// Takes in the hint of a reply to a call of `kind` from one upstream.
+    pub fn learn(&mut self, upstream: usize, kind: u64, hint: &LoadHint, now: Instant) {
+        if let Some(entry) = self.upstreams.get_mut(upstream) {
+            *entry = Some(Heard {
+                level: ShedLevel::unpack(hint.shed_level),
+                at: now,
+            });
+        }
+        let level = ShedLevel::unpack(hint.chain_shed_level);
+        if level == ShedLevel::OPEN {
+            self.chains.remove(&kind);
+        } else {
+            self.chains.insert(kind, Heard { level, at: now });
+        }
+    }
+
+    /// Level that holds for calls of `kind` now.
+    pub fn level(&self, kind: u64, now: Instant) -> ShedLevel {
+        let own = self
+            .upstreams
+            .iter()
+            .flatten()
+            .filter(|heard| self.is_fresh(heard, now))
+            .map(|heard| heard.level)
+            .max()
+            .unwrap_or(ShedLevel::OPEN);
+        let chain = self
+            .chains
+            .get(&kind)
+            .filter(|heard| self.is_fresh(heard, now))
+            .map_or(ShedLevel::OPEN, |heard| heard.level);
+        own.min(chain)
+    }
+
+    /// Whether a request may go on to the service.
+    pub fn admits(
+        &mut self,
+        kind: u64,
+        rank: ClassRank,
+        root_request_id: RootRequestId,
+        invested: bool,
+        now: Instant,
+    ) -> bool {
+        let level = self.level(kind, now);
+        if level == ShedLevel::OPEN {
+            return true;
+        }
+        let margin = if invested {
+            self.policy.invested_margin
+        } else {
+            0.0
+        };
+        let widened = ShedLevel(level.0 + (margin * f64::from(CLASS_SPAN)) as u32);
+        if widened.admits(rank, root_request_id) {
+            return true;
+        }
+        self.probe(now)
+    }
+
+    fn probe(&mut self, now: Instant) -> bool {
+        let due = self
+            .probed_at
+            .is_none_or(|at| now.saturating_duration_since(at) >= self.policy.probe_every);
+        let silent = self
+            .upstreams
+            .iter()
+            .flatten()
+            .all(|heard| now.saturating_duration_since(heard.at) >= self.policy.probe_every);
+        if due && silent {
+            self.probed_at = Some(now);
+        }
+        due && silent
+    }
+
+    fn is_fresh(&self, heard: &Heard, now: Instant) -> bool {
+        now.saturating_duration_since(heard.at) < self.policy.forget_after
+    }
+}
+
+/// Which deeper services calls of one kind need, learnt on the node beside the
+/// upstream that makes those deeper calls.
+///
+/// Load: a deep service that sheds. Harm: its refusal comes after every hop
+/// above it has worked. The level of a service that (nearly) every call of a
+/// kind goes on to is therefore passed up, reply by reply, to the entry. A
+/// service that only some calls need is not: their entry cannot tell which.
+#[derive(Debug, Default)]
+pub struct ChainEdges {
+    edges: HashMap<(u64, ServiceKey), f64>,
+}
+
+/// Share of a kind's calls that must need a service before its level is passed
+/// up.
+const NEEDED_SHARE: f64 = 0.9;
+const EDGE_WEIGHT: f64 = 0.05;
+
+impl ChainEdges {
+    /// A call of `kind` was answered having called `deeper` services.
+    pub fn answered(&mut self, kind: u64, deeper: &[ServiceKey]) {
+        for ((of_kind, service), share) in &mut self.edges {
+            if *of_kind == kind {
+                let needed = f64::from(u8::from(deeper.contains(service)));
+                *share += (needed - *share) * EDGE_WEIGHT;
+            }
+        }
+        for service in deeper {
+            self.edges.entry((kind, *service)).or_insert(1.0);
+        }
+    }
+
+    /// Strictest level among the services that calls of `kind` need.
+    pub fn level(&self, kind: u64, level_of: impl Fn(ServiceKey) -> ShedLevel) -> ShedLevel {
+        self.edges
+            .iter()
+            .filter(|((of_kind, _), share)| *of_kind == kind && **share >= NEEDED_SHARE)
+            .map(|((_, service), _)| level_of(*service))
+            .min()
+            .unwrap_or(ShedLevel::OPEN)
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-decide/src/work.rs
@@ -0,0 +1,130 @@
+//! What a call of each kind of work takes, learnt from finished calls.
+
+use std::time::{Duration, Instant};
+
+use crate::mix::mix;
+
+/// Kinds told apart at one upstream. Kinds that fall on the same entry share
+/// its estimates, which then lie between theirs; 32 leaves that rare for the
+/// few request rules of one service.
+const KINDS: usize = 32;
+/// Weight of one sample: the mean follows the last 32 or so calls, which damps
+/// the spread of single calls to a fifth.
+const SAMPLE_WEIGHT: f64 = 1.0 / 32.0;
+/// Samples before a mean may become the floor.
+const SAMPLES_BEFORE_FLOOR: u32 = 32;
+/// Age at which a floor is dropped: an upstream that has become slower for good
+/// is measured against its new self after at most twice this.
+const FLOOR_EPOCH: Duration = Duration::from_secs(10);
+
+#[derive(Clone, Copy, Debug)]
+struct KindWork {
+    samples: u32,
+    total_secs: f64,
+    own_secs: f64,
+    floor_secs: f64,
+    previous_floor_secs: f64,
+}
+
+const UNKNOWN: KindWork = KindWork {
+    samples: 0,
+    total_secs: 0.0,
+    own_secs: 0.0,
+    floor_secs: f64::INFINITY,
+    previous_floor_secs: f64::INFINITY,
+};
+
+/// Estimates for each kind and over all kinds.
+#[derive(Debug)]
+pub(crate) struct WorkTable {
+    kinds: [KindWork; KINDS],
+    all: KindWork,
+    epoch_began: Instant,
+}
+
+impl WorkTable {
+    pub(crate) fn new(now: Instant) -> Self {
+        WorkTable {
+            kinds: [UNKNOWN; KINDS],
+            all: UNKNOWN,
+            epoch_began: now,
+        }
+    }
+
+    /// Takes in a finished call: its whole time and the part without deeper
+    /// calls. Returns its own time as a multiple of its kind's floor.
+    pub(crate) fn observe(
+        &mut self,
+        kind: u64,
+        total: Duration,
+        own: Duration,
+        now: Instant,
+    ) -> f64 {
+        self.drop_old_floors(now);
+        self.all.observe(total, own);
+        let entry = &mut self.kinds[slot(kind)];
+        entry.observe(total, own);
+        let floor = entry.floor();
+        if floor.is_finite() && floor > 0.0 {
+            own.as_secs_f64() / floor
+        } else {
+            1.0
+        }
+    }
+
+    /// Mean time of a call of the kind with its deeper calls; of any call while
+    /// the kind is not known.
+    pub(crate) fn expected(&self, kind: u64) -> Duration {
+        let entry = &self.kinds[slot(kind)];
+        let known = if entry.samples > 0 { entry } else { &self.all };
+        Duration::from_secs_f64(known.total_secs)
+    }
+
+    /// Mean time of a call of any kind.
+    pub(crate) fn expected_any(&self) -> Duration {
+        Duration::from_secs_f64(self.all.total_secs)
+    }
+
+    /// Takes today's own times as the floors.
+    pub(crate) fn adopt_floors(&mut self) {
+        for entry in &mut self.kinds {
+            if entry.floor().is_finite() {
+                entry.floor_secs = entry.own_secs;
+                entry.previous_floor_secs = f64::INFINITY;
+            }
+        }
+    }
+
+    fn drop_old_floors(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.epoch_began) < FLOOR_EPOCH {
+            return;
+        }
+        self.epoch_began = now;
+        for entry in &mut self.kinds {
+            entry.previous_floor_secs = entry.floor_secs;
+            entry.floor_secs = f64::INFINITY;
+        }
+    }
+}
+
+impl KindWork {
+    fn observe(&mut self, total: Duration, own: Duration) {
+        self.samples = self.samples.saturating_add(1);
+        // The first samples weigh as in a plain mean, so that the estimate does
+        // not start from an arbitrary value.
+        let weight = SAMPLE_WEIGHT.max(1.0 / f64::from(self.samples));
+        self.total_secs += (total.as_secs_f64() - self.total_secs) * weight;
+        self.own_secs += (own.as_secs_f64() - self.own_secs) * weight;
+        if self.samples >= SAMPLES_BEFORE_FLOOR {
+            self.floor_secs = self.floor_secs.min(self.own_secs);
+        }
+    }
+
+    fn floor(&self) -> f64 {
+        self.floor_secs.min(self.previous_floor_secs)
+    }
+}
+
+fn slot(kind: u64) -> usize {
+    mix(kind) as usize % KINDS
+}
--- /dev/null
+++ b/crates/hemlocktack-decide/tests/admission.rs
@@ -0,0 +1,128 @@
+//! Admission as one upstream's node sees it.
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use hemlocktack_decide::{
+    Admission, AdmissionPolicy, CancelResult, Decision, Ended, Offer, Verdict,
+};
+use hemlocktack_protocol::{CallId, Reason};
+
+const PATIENCE: Duration = Duration::from_secs(2);
+const WORK: Duration = Duration::from_millis(20);
+
+fn admission(slots: u32, now: Instant) -> Admission {
+    let mut admission = Admission::new(AdmissionPolicy::default(), now);
+    admission.announced(slots, slots * 8, false, now);
+    admission
+}
+
+fn offer(call_id: CallId, class_rank: u8, now: Instant) -> Offer {
+    Offer {
+        call_id,
+        class_rank,
+        deadline: now + PATIENCE,
+        root_request_id: call_id,
+        work_spent: Duration::ZERO,
+        fingerprint: call_id,
+        kind: 1,
+    }
+}
+
+fn ready(admission: &mut Admission, now: Instant) -> Vec<Decision> {
+    let mut decisions = Vec::new();
+    admission.take_ready(now, &mut decisions);
+    decisions
+}
+
+#[test]
+fn runs_up_to_the_slots_and_queues_the_rest_by_class() {
+    let now = Instant::now();
+    let mut admission = admission(2, now);
+    assert_eq!(admission.offer(&offer(1, 1, now), now), Verdict::Run);
+    assert_eq!(admission.offer(&offer(2, 1, now), now), Verdict::Run);
+    assert_eq!(admission.offer(&offer(3, 1, now), now), Verdict::Queued);
+    assert_eq!(admission.offer(&offer(4, 0, now), now), Verdict::Queued);
+    let invested = Offer {
+        work_spent: WORK,
+        ..offer(5, 1, now)
+    };
+    assert_eq!(admission.offer(&invested, now), Verdict::Queued);
+    let mut order = Vec::new();
+    for done in [1, 2, 4, 5] {
+        admission.finish(done, Ended::Answered, Duration::ZERO, now + WORK);
+        order.extend(ready(&mut admission, now + WORK));
+    }
+    let expected = [4, 5, 3].map(Decision::Run);
+    assert_eq!(order, expected);
+}
+
+#[test]
+fn a_full_queue_drops_the_least_important_call_first() {
+    let now = Instant::now();
+    let mut admission = admission(1, now);
+    admission.offer(&offer(0, 1, now), now);
+    let queued =
+        (1..).take_while(|id| admission.offer(&offer(*id, 1, now), now) == Verdict::Queued);
+    let last_queued = queued.last().unwrap();
+    assert_eq!(admission.offer(&offer(900, 0, now), now), Verdict::Queued);
+    let decisions = ready(&mut admission, now);
+    let [Decision::Refuse(evicted, refusal)] = decisions[..] else {
+        panic!("one call gives way: {decisions:?}");
+    };
+    assert_eq!((evicted, refusal.reason), (last_queued, Reason::QueueFull));
+    assert!(refusal.retry_after.is_some());
+}
+
+#[test]
+fn a_call_that_cannot_be_answered_in_time_is_refused_at_once() {
+    let now = Instant::now();
+    let mut admission = admission(1, now);
+    admission.offer(&offer(1, 0, now), now);
+    let later = now + Duration::from_millis(100);
+    admission.finish(1, Ended::Answered, Duration::ZERO, later);
+    admission.offer(&offer(2, 0, later), later);
+    let hurried = Offer {
+        deadline: later + Duration::from_millis(150),
+        ..offer(3, 0, later)
+    };
+    let Verdict::Refused(refusal) = admission.offer(&hurried, later) else {
+        panic!("100 ms of wait and 100 ms of work do not fit into 150 ms");
+    };
+    assert_eq!(refusal.reason, Reason::DeadlineTooShort);
+}
+
+#[test]
+fn expired_and_cancelled_calls_never_run() {
+    let now = Instant::now();
+    let mut admission = admission(1, now);
+    for call_id in 1..=3 {
+        admission.offer(&offer(call_id, 0, now), now);
+    }
+    assert_eq!(admission.cancel(2), CancelResult::Unqueued);
+    assert_eq!(admission.cancel(1), CancelResult::Running);
+    assert_eq!(admission.cancel(9), CancelResult::NotHere);
+    let late = now + PATIENCE;
+    let decisions = ready(&mut admission, late);
+    assert!(matches!(
+        decisions[..],
+        [Decision::Refuse(3, refusal)] if refusal.reason == Reason::QueueTimeout
+    ));
+    admission.finish(1, Ended::Cancelled, Duration::ZERO, late);
+    assert_eq!(ready(&mut admission, late), []);
+}
+
+#[test]
+fn a_draining_upstream_takes_nothing_new_and_runs_what_it_accepted() {
+    let now = Instant::now();
+    let mut admission = admission(1, now);
+    admission.offer(&offer(1, 0, now), now);
+    admission.offer(&offer(2, 0, now), now);
+    admission.drain(Reason::UpstreamDraining);
+    let Verdict::Refused(refusal) = admission.offer(&offer(3, 0, now), now) else {
+        panic!("nothing new while draining");
+    };
+    assert_eq!(refusal.reason, Reason::UpstreamDraining);
+    admission.finish(1, Ended::Answered, Duration::ZERO, now + WORK);
+    assert_eq!(ready(&mut admission, now + WORK), [Decision::Run(2)]);
+}
