--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -43,6 +43,8 @@
     pub per_slot: f64,
     /// Queue that an upstream with very few slots still has.
     pub least: usize,
+    /// Operators' bound on the queue, whatever the slots.
+    pub most: usize,
     /// A call is refused when its time left is below its expected wait and this
     /// multiple of its expected work: service times spread around their mean.
     pub work_margin: f64,
@@ -62,6 +64,7 @@
         QueuePolicy {
             per_slot: 4.0,
             least: 16,
+            most: 10_000,
             work_margin: 1.25,
             sweep_every: Duration::from_millis(10),
             probe_every: Duration::from_millis(100),
@@ -469,7 +472,9 @@
 
     fn queue_bound(&self) -> usize {
         let bound = f64::from(self.limit.current()) * self.policy.queue.per_slot;
-        (bound as usize).max(self.policy.queue.least)
+        (bound as usize)
+            .max(self.policy.queue.least)
+            .min(self.policy.queue.most)
     }
 
     fn next_call(&mut self, now: Instant) -> Option<Waiting> {
--- a/crates/hemlocktack-decide/src/quarantine.rs
+++ b/crates/hemlocktack-decide/src/quarantine.rs
@@ -8,6 +8,10 @@
 /// Numbers of [`Quarantine`].
 #[derive(Clone, Copy, Debug)]
 pub struct QuarantinePolicy {
+    /// Crashes after which a fingerprint is refused, the last of them alone in
+    /// its upstream. Operators' setting; three tell a guilty call from its
+    /// neighbours: all suspected, one suspect in each upstream, alone.
+    pub crashes: u32,
     /// How long a proven fingerprint is refused, counted from its last crash.
     /// The caller that sends it again has given up by then, and a mended
     /// upstream is found out soon enough.
@@ -25,6 +29,7 @@
 impl Default for QuarantinePolicy {
     fn default() -> Self {
         QuarantinePolicy {
+            crashes: 3,
             refused_for: Duration::from_secs(300),
             suspected_for: Duration::from_secs(60),
             alone_interval: Duration::from_secs(1),
@@ -41,7 +46,7 @@
     /// Ran in one upstream that crashed: at most one such call at a time in
     /// each upstream.
     Suspected,
-    /// Ran in two upstreams that crashed: nothing runs beside it.
+    /// One more crash refuses it: nothing runs beside it.
     RunsAlone,
     /// Crashed an upstream in which it ran alone: refused.
     Refused,
@@ -58,6 +63,9 @@
     pub proven: bool,
 }
 
+/// After one crash a call cannot be told from those that ran beside it.
+const LEAST_CRASHES: u32 = 2;
+
 #[derive(Clone, Copy, Debug)]
 struct Record {
     crashes: u32,
@@ -72,8 +80,8 @@
 /// What a crash shows is only which calls ran, so up to a whole upstream's
 /// calls are suspected at once. Suspects are kept apart: one at a time in each
 /// upstream, so the next crash names one suspect and the innocents finish and
-/// are cleared; seen in a second crash, it runs alone, and a third crash is
-/// proof. Three upstreams are lost at most, and no call is refused that has
+/// are cleared; before its last chance it runs alone, and that crash is proof.
+/// As many upstreams as the policy names are lost at most, and no call is refused that has
 /// not crashed an upstream in which it ran alone.
 #[derive(Debug)]
 pub struct Quarantine {
@@ -82,9 +90,6 @@
     news: Vec<Suspect>,
 }
 
-/// Crashes after which a fingerprint runs alone.
-const CRASHES_BEFORE_ALONE: u32 = 2;
-
 impl Quarantine {
     /// Nothing suspected.
     pub fn new(policy: QuarantinePolicy) -> Self {
@@ -105,7 +110,7 @@
             Standing::Refused
         } else if age >= self.policy.suspected_for {
             Standing::Free
-        } else if record.crashes >= CRASHES_BEFORE_ALONE {
+        } else if self.is_last_chance(record.crashes) {
             Standing::RunsAlone
         } else {
             Standing::Suspected
@@ -132,7 +137,7 @@
                 Suspect {
                     fingerprint,
                     crashes: crashes + 1,
-                    proven: alone && crashes >= CRASHES_BEFORE_ALONE,
+                    proven: alone && self.is_last_chance(crashes),
                 },
                 now,
             );
@@ -184,6 +189,10 @@
         self.policy.alone_interval
     }
 
+    fn is_last_chance(&self, crashes: u32) -> bool {
+        crashes + 1 >= self.policy.crashes.max(LEAST_CRASHES)
+    }
+
     fn record(&mut self, suspect: Suspect, now: Instant) {
         self.insert(suspect, now);
         self.news.push(suspect);
