Add the stand-ins for the platform and for an upstream

Both stand-ins run in a test's process or as processes of their own, with their switches and counts over HTTP.

An answer that is lost after its write took effect, and a crash, are made by declaring a longer body than is sent: the server then closes the connection before the head has left, seen as an empty reply.

Not covered: an upstream that notices a cancelled call. The server runs a handler to its end when the connection closes, so cancellation shows only as a deadline that has passed before the start.

--- /dev/null
+++ b/crates/hemlocktack-testkit/src/http.rs
@@ -0,0 +1,154 @@
+//! Answers that both stand-ins give, whole and faulty ones.
+
+use std::future::Future;
+use std::io::Cursor;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use rocket::data::ToByteUnit;
+use rocket::http::{ContentType, Header, Status};
+use rocket::{Data, Request, Response};
+use serde::Serialize;
+use serde_json::{Value, json};
+use tokio::io::{AsyncRead, ReadBuf};
+use tokio::time::Sleep;
+
+const READ_LIMIT_MIB: u32 = 16;
+/// Bytes that a cut answer declares beyond what it sends.
+const MISSING_BYTES: usize = 64;
+/// Longer than any timeout in a test.
+const STALL: Duration = Duration::from_secs(120);
+
+/// One answer.
+pub(crate) struct Reply {
+    status: u16,
+    body: Vec<u8>,
+    headers: Vec<(&'static str, String)>,
+    fault: Option<BodyFault>,
+}
+
+/// How an answer ends before its declared length.
+#[derive(Clone, Copy)]
+enum BodyFault {
+    CutAfter(usize),
+    StallAfter(usize),
+}
+
+impl Reply {
+    pub(crate) fn json(status: u16, body: &impl Serialize) -> Reply {
+        Reply {
+            status,
+            body: serde_json::to_vec(body).unwrap_or_default(),
+            headers: Vec::new(),
+            fault: None,
+        }
+    }
+
+    pub(crate) fn error(status: u16, error: &str, message: &str) -> Reply {
+        Reply::json(status, &json!({ "error": error, "message": message }))
+    }
+
+    pub(crate) fn with_header(mut self, name: &'static str, value: impl Into<String>) -> Reply {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    /// Declares the whole length, sends this many bytes and closes the connection.
+    pub(crate) fn cut_after(mut self, sent_bytes: usize) -> Reply {
+        self.fault = Some(BodyFault::CutAfter(sent_bytes));
+        self
+    }
+
+    /// Declares the whole length, sends this many bytes and keeps the connection open.
+    pub(crate) fn stall_after(mut self, sent_bytes: usize) -> Reply {
+        self.fault = Some(BodyFault::StallAfter(sent_bytes));
+        self
+    }
+
+    pub(crate) fn into_response<'r>(mut self) -> Response<'r> {
+        let mut response = Response::build();
+        response
+            .status(Status::new(self.status))
+            .header(ContentType::JSON);
+        for (name, value) in self.headers {
+            response.header(Header::new(name, value));
+        }
+        match self.fault {
+            None => {
+                response.sized_body(self.body.len(), Cursor::new(self.body));
+            }
+            Some(BodyFault::CutAfter(sent_bytes)) => {
+                let declared_bytes = self.body.len() + MISSING_BYTES;
+                self.body.truncate(sent_bytes);
+                response.sized_body(declared_bytes, Cursor::new(self.body));
+            }
+            Some(BodyFault::StallAfter(sent_bytes)) => {
+                response.raw_header("Content-Length", self.body.len().to_string());
+                self.body.truncate(sent_bytes);
+                response.streamed_body(StalledBody::new(self.body));
+            }
+        }
+        response.finalize()
+    }
+}
+
+/// Some bytes, then nothing for longer than any test waits.
+struct StalledBody {
+    bytes: Cursor<Vec<u8>>,
+    end: Pin<Box<Sleep>>,
+}
+
+impl StalledBody {
+    fn new(bytes: Vec<u8>) -> StalledBody {
+        StalledBody {
+            bytes: Cursor::new(bytes),
+            end: Box::pin(tokio::time::sleep(STALL)),
+        }
+    }
+}
+
+impl AsyncRead for StalledBody {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        if self.bytes.position() < self.bytes.get_ref().len() as u64 {
+            return Pin::new(&mut self.bytes).poll_read(context, buffer);
+        }
+        self.end.as_mut().poll(context).map(Ok)
+    }
+}
+
+/// The request's body, or `None` where it could not be read whole.
+pub(crate) async fn read_body(data: Data<'_>) -> Option<Vec<u8>> {
+    let body = data.open(READ_LIMIT_MIB.mebibytes()).into_bytes().await;
+    match body {
+        Ok(body) if body.is_complete() => Some(body.into_inner()),
+        _ => None,
+    }
+}
+
+/// The request's body as JSON.
+pub(crate) async fn read_json(data: Data<'_>) -> Option<Value> {
+    let body = read_body(data).await?;
+    serde_json::from_slice(&body).ok()
+}
+
+/// Path without its leading slash, percent-decoded.
+pub(crate) fn path_of(request: &Request<'_>) -> String {
+    let path = request.uri().path();
+    let decoded = path.percent_decode_lossy();
+    decoded.trim_start_matches('/').to_owned()
+}
+
+/// A parameter of the query as a number.
+pub(crate) fn number(request: &Request<'_>, name: &str) -> Option<u64> {
+    request.query_value::<u64>(name)?.ok()
+}
+
+/// A parameter of the query as text.
+pub(crate) fn text(request: &Request<'_>, name: &str) -> Option<String> {
+    request.query_value::<String>(name)?.ok()
+}
--- /dev/null
+++ b/crates/hemlocktack-testkit/src/platform/counts.rs
@@ -0,0 +1,56 @@
+//! Calls by kind, each counted once, a waiting watch as one.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use serde::{Deserialize, Serialize};
+
+/// Calls taken so far, refused ones too.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Of one object.
+    pub gets: u64,
+    /// Of a prefix.
+    pub lists: u64,
+    /// Waiting or over.
+    pub watches: u64,
+    /// Conditional writes.
+    pub puts: u64,
+    /// Conditional deletes.
+    pub deletes: u64,
+    /// Writes and deletes that found another version.
+    pub conflicts: u64,
+}
+
+/// What is counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    Get,
+    List,
+    Watch,
+    Put,
+    Delete,
+    Conflict,
+}
+
+const KIND_COUNT: usize = 6;
+
+#[derive(Debug, Default)]
+pub(crate) struct Counters([AtomicU64; KIND_COUNT]);
+
+impl Counters {
+    pub(crate) fn add(&self, kind: Kind) {
+        self.0[kind as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn read(&self) -> Counts {
+        let count = |kind: Kind| self.0[kind as usize].load(Ordering::Relaxed);
+        Counts {
+            gets: count(Kind::Get),
+            lists: count(Kind::List),
+            watches: count(Kind::Watch),
+            puts: count(Kind::Put),
+            deletes: count(Kind::Delete),
+            conflicts: count(Kind::Conflict),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-testkit/src/upstream/deeper.rs
@@ -0,0 +1,87 @@
+//! Calls that an upstream makes through the node beside it.
+
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::upstream::work::Call;
+use crate::upstream::{DeeperCall, Shared};
+
+const CONTEXT_HEADER: &str = "hemlocktack-context";
+const OUTCOME_HEADER: &str = "hemlocktack-outcome";
+const REASON_HEADER: &str = "hemlocktack-reason";
+
+/// What became of a deeper call, as it goes into the answer.
+#[derive(Debug, Serialize)]
+pub(crate) struct DeeperAnswer {
+    pub(crate) call: String,
+    pub(crate) status: u16,
+    pub(crate) outcome: String,
+    pub(crate) reason: String,
+    pub(crate) body: Value,
+}
+
+impl DeeperAnswer {
+    pub(crate) fn succeeded(&self) -> bool {
+        self.outcome == "answered" && (200..300).contains(&self.status)
+    }
+}
+
+/// Makes them in order; the first that fails is the last.
+pub(crate) async fn call_deeper(shared: &Shared, call: &Call) -> Vec<DeeperAnswer> {
+    let mut answers = Vec::new();
+    for (index, deeper) in shared.settings.deeper.iter().enumerate() {
+        let answer = send(shared, call, deeper, index).await;
+        let succeeded = answer.succeeded();
+        answers.push(answer);
+        if !succeeded {
+            break;
+        }
+    }
+    answers
+}
+
+async fn send(shared: &Shared, call: &Call, deeper: &DeeperCall, index: usize) -> DeeperAnswer {
+    let mut answer = DeeperAnswer {
+        call: deeper.to_string(),
+        status: 0,
+        outcome: "unknown".to_owned(),
+        reason: "no-answer".to_owned(),
+        body: Value::Null,
+    };
+    let Some(node_callers) = shared.settings.node_callers else {
+        return answer;
+    };
+    let mut request = shared
+        .http
+        .request(
+            deeper.method.clone(),
+            format!("http://{node_callers}/{}", deeper.path),
+        )
+        .header("x-marker", &call.marker)
+        // The same whenever this call is made again for the same parent.
+        .header("idempotency-key", format!("deeper-{index}"));
+    if let Some(context) = &call.context {
+        request = request.header(CONTEXT_HEADER, context);
+    }
+    if let Some(traceparent) = &call.traceparent {
+        request = request.header("traceparent", traceparent);
+    }
+    if let Some(time_left) = call.time_left() {
+        request = request.timeout(time_left);
+    }
+    let Ok(response) = request.send().await else {
+        return answer;
+    };
+    answer.status = response.status().as_u16();
+    let header = |name: &str| {
+        let value = response.headers().get(name)?;
+        Some(value.to_str().ok()?.to_owned())
+    };
+    answer.outcome = header(OUTCOME_HEADER).unwrap_or_default();
+    answer.reason = header(REASON_HEADER).unwrap_or_default();
+    match response.bytes().await {
+        Ok(body) => answer.body = serde_json::from_slice(&body).unwrap_or_default(),
+        Err(_) => answer.outcome = "unknown".to_owned(),
+    }
+    answer
+}
--- /dev/null
+++ b/crates/hemlocktack-testkit/src/upstream/work.rs
@@ -0,0 +1,134 @@
+//! One call: wait for a slot, work, call deeper, answer.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::time::Instant;
+
+use crate::http::Reply;
+use crate::upstream::deeper::call_deeper;
+use crate::upstream::{Crash, Fault, Shared};
+
+const COLD_FACTOR: u32 = 4;
+const CRASH_EXIT_CODE: i32 = 70;
+/// Part of an answer that a faulty one still sends.
+const SENT_BYTES_OF_FAULTY_BODY: usize = 12;
+const ECHO_LIMIT_BYTES: usize = 256;
+
+/// A call as the stand-in sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) marker: String,
+    pub(crate) context: Option<String>,
+    pub(crate) traceparent: Option<String>,
+    pub(crate) deadline: Option<Instant>,
+    /// Fault that the request asks for itself.
+    pub(crate) fault: Option<Fault>,
+    /// Added to the answer, to make it long.
+    pub(crate) padding_bytes: usize,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Call {
+    pub(crate) fn time_left(&self) -> Option<Duration> {
+        let deadline = self.deadline?;
+        Some(deadline.saturating_duration_since(Instant::now()))
+    }
+
+    fn is_too_late(&self) -> bool {
+        self.time_left().is_some_and(|left| left.is_zero())
+    }
+}
+
+/// Counts down again however the call ends.
+struct InFlight<'a>(&'a AtomicU64);
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Shared {
+    pub(crate) async fn answer(self: &Arc<Shared>, call: Call) -> Reply {
+        let before = self.in_flight.fetch_add(1, Ordering::Relaxed);
+        let _in_flight = InFlight(&self.in_flight);
+        let fault = self.fault_of(&call);
+        let shed_above = self.switches.borrow().shed_above;
+        if fault == Some(Fault::Shed) || shed_above.is_some_and(|limit| before >= limit) {
+            self.counters.shed.fetch_add(1, Ordering::Relaxed);
+            return not_run();
+        }
+        let Ok(_slot) = self.slots.acquire().await else {
+            return not_run();
+        };
+        if call.is_too_late() {
+            self.counters.too_late.fetch_add(1, Ordering::Relaxed);
+            return not_run();
+        }
+        self.counters.start(&call.marker);
+        if fault == Some(Fault::Crash) {
+            return self.crash();
+        }
+        tokio::time::sleep(self.service_time()).await;
+        let reply = self.finish(&call).await;
+        match fault {
+            Some(Fault::ShortBody) => reply.cut_after(SENT_BYTES_OF_FAULTY_BODY),
+            Some(Fault::StalledBody) => reply.stall_after(SENT_BYTES_OF_FAULTY_BODY),
+            Some(Fault::Error) => Reply::error(500, "failed", "the fault was asked for"),
+            _ => reply,
+        }
+    }
+
+    async fn finish(&self, call: &Call) -> Reply {
+        let deeper = call_deeper(self, call).await;
+        let succeeded = deeper.iter().all(|answer| answer.succeeded());
+        self.counters.finished.fetch_add(1, Ordering::Relaxed);
+        let echo_bytes = call.body.len().min(ECHO_LIMIT_BYTES);
+        let body = json!({
+            "service": self.settings.service,
+            "method": call.method,
+            "path": call.path,
+            "marker": call.marker,
+            "body_bytes": call.body.len(),
+            "echo": String::from_utf8_lossy(&call.body[..echo_bytes]),
+            "deeper": deeper,
+            "padding": "x".repeat(call.padding_bytes),
+        });
+        Reply::json(if succeeded { 200 } else { 502 }, &body)
+    }
+
+    fn fault_of(&self, call: &Call) -> Option<Fault> {
+        let switches = self.switches.borrow();
+        let is_meant =
+            switches.fault_markers.is_empty() || switches.fault_markers.contains(&call.marker);
+        call.fault.or(switches.fault.filter(|_| is_meant))
+    }
+
+    fn service_time(&self) -> Duration {
+        let service_time = Duration::from_millis(self.switches.borrow().service_time_ms);
+        if self.is_cold() {
+            return service_time * COLD_FACTOR;
+        }
+        service_time
+    }
+
+    fn crash(&self) -> Reply {
+        if self.settings.crash == Crash::Exit {
+            std::process::exit(CRASH_EXIT_CODE);
+        }
+        self.crashed.store(true, Ordering::Relaxed);
+        if let Some(front) = &self.front {
+            front.cut();
+        }
+        Reply::json(500, &json!({})).cut_after(0)
+    }
+}
+
+fn not_run() -> Reply {
+    Reply::error(503, "shed", "not started").with_header("hemlocktack-outcome", "not-run")
+}
