Add fleet keys, tickets, the home's table, lost-link resolution and handover

A non-idempotent call may run at most once without a write per call: each is bound by a signed ticket to one incarnation of one node, whose table lets it out to one place at a time and keeps its end. Ruled out while writing:

- Letting a refused ticket become startable again.
A send that is held up in another node would start after the caller was told not_run; so a told not_run fences the ticket for good, and the caller needs a fresh one.
- Letting the successor of a stopping home begin when it has accepted the table.
A late acceptance of an abandoned successor would leave two homes; so the home decides once, by a commit to one incarnation (new schema fields Handover.committed, HandoverAccepted.complete and .committed).
- Forgetting a sender as a whole when memory runs short.
Its highest call id stays as a mark below which nothing counts as never arrived.

Not wired into the node and not yet proved by randomised runs.

--- /dev/null
+++ b/crates/hemlocktack-fleet/src/handover/leaving.rs
@@ -0,0 +1,135 @@
+//! The stopping home's side.
+
+use hemlocktack_protocol::{Handover, HandoverAccepted};
+
+use crate::handover::parts::{to_commit, to_parts};
+use crate::peer::NodeIncarnation;
+use crate::tickets::TicketTable;
+
+/// What to do after a `HandoverAccepted` frame.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Progress {
+    /// Nothing yet, or the frame was not of this handover.
+    Waiting,
+    /// Every table was accepted: send these to the same successor.
+    Commit(Vec<Handover>),
+    /// The successor is the home now.
+    Finished,
+}
+
+#[derive(Clone, Debug)]
+enum Stage {
+    NotOffered,
+    Offered {
+        successor: NodeIncarnation,
+        accepted: Vec<NodeIncarnation>,
+    },
+    Committed {
+        successor: NodeIncarnation,
+        accepted: Vec<NodeIncarnation>,
+    },
+}
+
+/// A handover in progress.
+#[derive(Clone, Debug)]
+pub struct Leaving {
+    homes: Vec<NodeIncarnation>,
+    parts: Vec<Handover>,
+    stage: Stage,
+}
+
+impl Leaving {
+    /// Freezes the table: it starts nothing from now on, whatever becomes of
+    /// the handover.
+    pub fn begin(table: &mut TicketTable) -> Leaving {
+        let homes = table.homes().cloned().collect();
+        let parts = table.freeze().into_iter().flat_map(to_parts).collect();
+        Leaving {
+            homes,
+            parts,
+            stage: Stage::NotOffered,
+        }
+    }
+
+    /// Frames for a successor: all parts, or the commit where it is due. Sent
+    /// again over each new link to the same incarnation.
+    ///
+    /// Empty where the handover is bound to another successor.
+    pub fn offer(&mut self, successor: &NodeIncarnation) -> Vec<Handover> {
+        match &self.stage {
+            Stage::NotOffered => {
+                let successor = successor.clone();
+                self.stage = Stage::Offered {
+                    successor,
+                    accepted: Vec::new(),
+                };
+                self.parts.clone()
+            }
+            Stage::Offered {
+                successor: current, ..
+            } if current == successor => self.parts.clone(),
+            Stage::Committed {
+                successor: current, ..
+            } if current == successor => self.commit(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Gives up a successor that does not answer. `false` once the commit may
+    /// have left: it may have arrived, and a second successor would be a
+    /// second home.
+    pub fn abandon(&mut self) -> bool {
+        if let Stage::Committed { .. } = self.stage {
+            return false;
+        }
+        self.stage = Stage::NotOffered;
+        true
+    }
+
+    /// Takes in a `HandoverAccepted` frame of the node that sent it.
+    pub fn accepted(&mut self, from: &NodeIncarnation, frame: &HandoverAccepted) -> Progress {
+        let home = NodeIncarnation::new(&*frame.home_node_id, frame.home_incarnation);
+        if !self.homes.contains(&home) {
+            return Progress::Waiting;
+        }
+        let (successor, accepted) = match &mut self.stage {
+            Stage::Offered {
+                successor,
+                accepted,
+            } if !frame.committed => (successor, accepted),
+            Stage::Committed {
+                successor,
+                accepted,
+            } if frame.committed => (successor, accepted),
+            _ => return Progress::Waiting,
+        };
+        if successor != from || accepted.contains(&home) {
+            return Progress::Waiting;
+        }
+        accepted.push(home);
+        if accepted.len() < self.homes.len() {
+            return Progress::Waiting;
+        }
+        if frame.committed {
+            return Progress::Finished;
+        }
+        let successor = successor.clone();
+        self.stage = Stage::Committed {
+            successor,
+            accepted: Vec::new(),
+        };
+        Progress::Commit(self.commit())
+    }
+
+    /// The successor that the tickets are committed to.
+    pub fn successor(&self) -> Option<&NodeIncarnation> {
+        match &self.stage {
+            Stage::Committed { successor, .. } => Some(successor),
+            _ => None,
+        }
+    }
+
+    fn commit(&self) -> Vec<Handover> {
+        self.homes.iter().map(to_commit).collect()
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-fleet/src/tickets/table.rs
@@ -0,0 +1,405 @@
+//! The home's record of every ticket that it has seen.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+use hemlocktack_protocol::{Answer, Incarnation, NodeId, Reason, Refusal, Unfinished};
+
+use crate::peer::NodeIncarnation;
+use crate::tickets::epochs::{EpochAge, EpochWindow};
+use crate::tickets::kept_answers::KeptAnswers;
+use crate::tickets::record::{End, Nonce, Record, State, WrongState};
+use crate::tickets::ticket::Ticket;
+
+const FIRST_EPOCH: u64 = 1;
+const OWN_HOME_NUMBER: u32 = 0;
+// Expired records removed with each new one: faster than records are made, and
+// no single call pays for a whole epoch.
+const PURGED_PER_START: usize = 4;
+
+/// Bounds of a table's memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TableLimits {
+    /// New records after which the epoch advances.
+    pub records_per_epoch: usize,
+    /// Epochs whose records are kept; older tickets have expired.
+    pub kept_epochs: usize,
+    /// Encoded bytes of answers kept for re-sends.
+    pub kept_answer_bytes: usize,
+    /// Homes whose tables are taken over; the oldest goes first.
+    pub adopted_homes: usize,
+}
+
+impl Default for TableLimits {
+    /// A quarter of a million records: some 25 MB at worst, and with 375 new
+    /// tickets a second (210,000 calls a second over 560 nodes, none of them
+    /// idempotent) still more than ten minutes until a ticket expires.
+    fn default() -> TableLimits {
+        TableLimits {
+            records_per_epoch: 32_768,
+            kept_epochs: 8,
+            kept_answer_bytes: 16 << 20,
+            adopted_homes: 8,
+        }
+    }
+}
+
+/// What the home does with a call that came with a ticket.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Start {
+    /// First of its ticket: admit it; it is queued now.
+    Run,
+    /// It is queued or running: wait for the same end.
+    Join,
+    /// It has run: here is the answer.
+    Answered(Arc<Answer>),
+    /// It has run and its answer is no longer kept.
+    AnswerNotKept,
+    /// It has not run and never will, or it may have run and never will again.
+    Refused(Unfinished),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    Accepting,
+    // New tickets are fenced; those in flight go on.
+    Stopping,
+    // The table's content is on its way to a successor: nothing may be added.
+    Frozen,
+}
+
+/// All that one node incarnation knows of the tickets that it is home of.
+///
+/// It promises that [`TicketTable::started`] and [`TicketTable::delegate`]
+/// let each ticket's request out to at most one place at a time, and that no
+/// ticket starts again once it has ended or may have run.
+#[derive(Clone, Debug)]
+pub struct TicketTable {
+    pub(crate) limits: TableLimits,
+    pub(crate) phase: Phase,
+    // The first is this node's own.
+    pub(crate) homes: Vec<EpochWindow>,
+    pub(crate) dropped_homes: VecDeque<NodeIncarnation>,
+    next_home_number: u32,
+    pub(crate) records: HashMap<Nonce, Record>,
+    pub(crate) answers: KeptAnswers<Nonce>,
+    pub(crate) expired: VecDeque<Nonce>,
+    in_flight_count: usize,
+}
+
+impl TicketTable {
+    /// An empty table for one start of a node.
+    pub fn new(
+        node_id: impl Into<NodeId>,
+        incarnation: Incarnation,
+        limits: TableLimits,
+    ) -> TicketTable {
+        let home = NodeIncarnation::new(node_id, incarnation);
+        let mut table = TicketTable {
+            limits,
+            phase: Phase::Accepting,
+            homes: Vec::new(),
+            dropped_homes: VecDeque::new(),
+            next_home_number: OWN_HOME_NUMBER,
+            records: HashMap::new(),
+            answers: KeptAnswers::new(limits.kept_answer_bytes),
+            expired: VecDeque::new(),
+            in_flight_count: 0,
+        };
+        table.add_home(home, FIRST_EPOCH);
+        table
+    }
+
+    /// The node start that this table belongs to.
+    pub fn own_home(&self) -> &NodeIncarnation {
+        &self.homes[0].home
+    }
+
+    /// Epoch that new tickets for this home carry; goes into `Member.ticket_epoch`.
+    pub fn current_epoch(&self) -> u64 {
+        self.homes[0].current()
+    }
+
+    /// Tickets queued, delegated or started.
+    pub fn in_flight_count(&self) -> usize {
+        self.in_flight_count
+    }
+
+    /// Records held, of all homes.
+    pub fn record_count(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Encoded bytes of kept answers, with their overhead.
+    pub fn kept_answer_bytes(&self) -> usize {
+        self.answers.used_bytes()
+    }
+
+    /// Homes whose tickets this table decides on: its own and adopted ones.
+    pub fn homes(&self) -> impl Iterator<Item = &NodeIncarnation> {
+        self.homes.iter().map(|window| &window.home)
+    }
+
+    /// End of a ticket, where it has one.
+    pub fn end_of(&self, nonce: Nonce) -> Option<End> {
+        match self.records.get(&nonce)?.state {
+            State::Ended(end) => Some(end),
+            _ => None,
+        }
+    }
+
+    /// Decides on a call with a genuine ticket, first send or re-send alike.
+    pub fn start(&mut self, ticket: &Ticket) -> Start {
+        self.purge(PURGED_PER_START);
+        let window = self.homes.iter().find(|window| window.home == ticket.home);
+        if let Some(record) = self.records.get(&ticket.nonce) {
+            return self.restart(record, ticket, window);
+        }
+        // Another start of this node may have run it; so may a home whose
+        // table was dropped here.
+        let Some(window) = window else {
+            return Start::Refused(Unfinished::Unknown(Reason::HomeGone));
+        };
+        match window.age(ticket.epoch) {
+            EpochAge::Kept => {}
+            // Its record may have gone with its epoch.
+            EpochAge::Expired => {
+                return Start::Refused(Unfinished::Unknown(Reason::TicketExpired));
+            }
+            EpochAge::NotReached => {
+                return Start::Refused(Unfinished::Unknown(Reason::TicketForeign));
+            }
+        }
+        let home_number = window.number;
+        match self.phase {
+            Phase::Accepting => {
+                self.insert(ticket.nonce, home_number, ticket.epoch, State::Queued);
+                Start::Run
+            }
+            // The caller will be told `not_run`: an earlier send that is still
+            // under way must find the fence, here or at the successor.
+            Phase::Stopping => {
+                let end = End::NotRun(Reason::Draining);
+                self.insert(ticket.nonce, home_number, ticket.epoch, State::Ended(end));
+                Start::Refused(not_run(Reason::Draining))
+            }
+            // A fence made now would miss the successor. Asking it once it is
+            // known is safe: a re-send of the same ticket always is.
+            Phase::Frozen => Start::Refused(Unfinished::Unknown(Reason::Draining)),
+        }
+    }
+
+    /// Records that another node may start the request, before it is sent there.
+    pub fn delegate(&mut self, nonce: Nonce, delegate: NodeIncarnation) -> Result<(), WrongState> {
+        let state = self.state_mut(nonce)?;
+        let State::Queued = state else {
+            return Err(WrongState);
+        };
+        *state = State::Delegated(Box::new(delegate));
+        Ok(())
+    }
+
+    /// Records the start, before the first byte goes to the upstream.
+    pub fn started(&mut self, nonce: Nonce) -> Result<(), WrongState> {
+        let state = self.state_mut(nonce)?;
+        let State::Queued = state else {
+            return Err(WrongState);
+        };
+        *state = State::Started;
+        Ok(())
+    }
+
+    /// The upstream proved that it shed the request before it began: startable again.
+    pub fn give_back(&mut self, nonce: Nonce) -> Result<(), WrongState> {
+        let state = self.state_mut(nonce)?;
+        let State::Started = state else {
+            return Err(WrongState);
+        };
+        *state = State::Queued;
+        Ok(())
+    }
+
+    /// The delegate proved that it has not run and will not: startable again.
+    ///
+    /// Only the recorded delegate's word counts. A late word from an earlier
+    /// one would let the request out a second time.
+    pub fn give_back_from(
+        &mut self,
+        nonce: Nonce,
+        from: &NodeIncarnation,
+    ) -> Result<(), WrongState> {
+        let state = self.state_mut(nonce)?;
+        match state {
+            State::Delegated(delegate) if **delegate == *from => *state = State::Queued,
+            _ => return Err(WrongState),
+        }
+        Ok(())
+    }
+
+    /// Ends a queued ticket for good: `not_run` is told, and no send of it,
+    /// however late, will find it startable.
+    pub fn refuse(&mut self, nonce: Nonce, reason: Reason) -> Result<(), WrongState> {
+        let State::Queued = self.state_mut(nonce)? else {
+            return Err(WrongState);
+        };
+        self.end(nonce, End::NotRun(reason));
+        Ok(())
+    }
+
+    /// Ends a started or delegated ticket with the upstream's whole answer.
+    pub fn answer(&mut self, nonce: Nonce, answer: Arc<Answer>) -> Result<(), WrongState> {
+        self.expect_may_have_run(nonce)?;
+        self.answers.keep(nonce, answer);
+        self.end(nonce, End::Answered);
+        Ok(())
+    }
+
+    /// Ends a started or delegated ticket that came to no whole answer.
+    pub fn give_up(&mut self, nonce: Nonce, reason: Reason) -> Result<(), WrongState> {
+        self.expect_may_have_run(nonce)?;
+        self.end(nonce, End::Unknown(reason));
+        Ok(())
+    }
+
+    /// Takes no new tickets from now on; those in flight go on to their end.
+    pub fn stop_accepting(&mut self) {
+        if self.phase == Phase::Accepting {
+            self.phase = Phase::Stopping;
+        }
+    }
+
+    /// Begins a new epoch. It also advances by itself with the records made.
+    pub fn advance_epoch(&mut self) {
+        let expired = self.homes[0].advance();
+        self.expired.extend(expired);
+    }
+
+    /// Panics where the table contradicts itself; for tests and randomised runs.
+    pub fn assert_consistent(&self) {
+        let in_flight_count = self
+            .records
+            .values()
+            .filter(|record| !record.is_ended())
+            .count();
+        assert_eq!(in_flight_count, self.in_flight_count, "in-flight count");
+        let limits = self.limits;
+        let home_limit = 1 + limits.adopted_homes;
+        assert!(self.homes.len() <= home_limit, "adopted homes");
+        assert!(
+            self.answers.used_bytes() <= limits.kept_answer_bytes,
+            "kept answers"
+        );
+        let listed: usize = self
+            .homes
+            .iter()
+            .map(|window| window.nonces().count())
+            .sum();
+        assert!(
+            self.records.len() <= listed + self.expired.len() + in_flight_count,
+            "every ended record is listed for expiry"
+        );
+    }
+
+    fn restart(&self, record: &Record, ticket: &Ticket, window: Option<&EpochWindow>) -> Start {
+        let same_home = window.is_none_or(|window| window.number == record.home_number);
+        if record.epoch != ticket.epoch || !same_home {
+            return Start::Refused(Unfinished::Unknown(Reason::TicketForeign));
+        }
+        let State::Ended(end) = record.state else {
+            return Start::Join;
+        };
+        match end {
+            End::Answered => match self.answers.get(&ticket.nonce) {
+                Some(answer) => Start::Answered(answer),
+                None => Start::AnswerNotKept,
+            },
+            End::NotRun(reason) => Start::Refused(not_run(reason)),
+            End::Unknown(reason) => Start::Refused(Unfinished::Unknown(reason)),
+        }
+    }
+
+    fn state_mut(&mut self, nonce: Nonce) -> Result<&mut State, WrongState> {
+        self.records
+            .get_mut(&nonce)
+            .map(|record| &mut record.state)
+            .ok_or(WrongState)
+    }
+
+    fn expect_may_have_run(&self, nonce: Nonce) -> Result<(), WrongState> {
+        match self.records.get(&nonce) {
+            Some(record) if record.may_have_run() => Ok(()),
+            _ => Err(WrongState),
+        }
+    }
+
+    pub(crate) fn insert(&mut self, nonce: Nonce, home_number: u32, epoch: u64, state: State) {
+        let record = Record {
+            home_number,
+            epoch,
+            state,
+        };
+        if !record.is_ended() {
+            self.in_flight_count += 1;
+        }
+        self.records.insert(nonce, record);
+        let Some(window) = self
+            .homes
+            .iter_mut()
+            .find(|window| window.number == home_number)
+        else {
+            return;
+        };
+        let expired = window.note(epoch, nonce);
+        self.expired.extend(expired);
+    }
+
+    pub(crate) fn end(&mut self, nonce: Nonce, end: End) {
+        let Some(record) = self.records.get_mut(&nonce) else {
+            return;
+        };
+        record.state = State::Ended(end);
+        self.in_flight_count -= 1;
+        let (home_number, epoch) = (record.home_number, record.epoch);
+        let window = self
+            .homes
+            .iter()
+            .find(|window| window.number == home_number);
+        // Its epoch went while it ran; tickets of it are refused as expired.
+        if window.is_none_or(|window| window.age(epoch) != EpochAge::Kept) {
+            self.expired.push_back(nonce);
+        }
+    }
+
+    // Records in flight stay until their end, which lists them once more.
+    fn purge(&mut self, limit: usize) {
+        for _ in 0..limit {
+            let Some(nonce) = self.expired.pop_front() else {
+                return;
+            };
+            if self.records.get(&nonce).is_some_and(Record::is_ended) {
+                self.records.remove(&nonce);
+                self.answers.remove(&nonce);
+            }
+        }
+    }
+
+    pub(crate) fn add_home(&mut self, home: NodeIncarnation, current_epoch: u64) -> u32 {
+        let TableLimits {
+            kept_epochs,
+            records_per_epoch,
+            ..
+        } = self.limits;
+        let number = self.next_home_number;
+        self.next_home_number += 1;
+        let window = EpochWindow::new(home, number, current_epoch, kept_epochs, records_per_epoch);
+        self.homes.push(window);
+        number
+    }
+}
+
+fn not_run(reason: Reason) -> Unfinished {
+    Unfinished::NotRun(Refusal {
+        reason,
+        retry_after: None,
+    })
+}
--- /dev/null
+++ b/crates/hemlocktack-fleet/src/tickets/ticket.rs
@@ -0,0 +1,161 @@
+//! A ticket and its text form in the `Idempotency-Key` header.
+
+use derive_more::{Display, Error};
+use hemlocktack_protocol::{Reason, ServiceName};
+
+use crate::keys::{FleetKeys, MacPurpose};
+use crate::peer::NodeIncarnation;
+use crate::tickets::record::Nonce;
+
+/// Longest text that is looked at; longer ones are malformed.
+pub const TICKET_TEXT_LIMIT_BYTES: usize = 320;
+
+const VERSION: &str = "ht1";
+const SEPARATOR: char = '~';
+const NAME_LIMIT_BYTES: usize = 96;
+const MAC_KEPT_BYTES: usize = 16;
+
+/// Result of the functions of this module.
+pub type Result<T> = std::result::Result<T, TicketError>;
+
+/// Why a text is no ticket of this fleet, or a ticket can't be made.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum TicketError {
+    /// The text has not the form of a ticket.
+    #[display("not the form of a ticket")]
+    Malformed,
+    /// Form of a ticket, but signed with no valid key, or for another service.
+    #[display("the ticket was not issued by this fleet for this service")]
+    Foreign,
+    /// A service or node name that a ticket cannot carry.
+    #[display("a name in a ticket has 1 to {NAME_LIMIT_BYTES} letters, digits, '-', '_' or '.'")]
+    Name,
+}
+
+impl TicketError {
+    /// Reason that the caller is told.
+    pub fn reason(self) -> Reason {
+        match self {
+            TicketError::Malformed | TicketError::Name => Reason::TicketMalformed,
+            TicketError::Foreign => Reason::TicketForeign,
+        }
+    }
+}
+
+/// Permission to run one non-idempotent request, at one home, at most once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    /// Service that the request is for.
+    pub service: ServiceName,
+    /// The only node start that may begin the request.
+    pub home: NodeIncarnation,
+    /// The home's epoch as the issuer knew it.
+    pub epoch: u64,
+    /// Tells this request from all others.
+    pub nonce: Nonce,
+    mac: [u8; MAC_KEPT_BYTES],
+}
+
+impl Ticket {
+    /// Signs a ticket for a home of the service. `nonce` must come from a
+    /// cryptographic generator, or be derived under a key.
+    pub fn issue(
+        keys: &FleetKeys,
+        service: ServiceName,
+        home: NodeIncarnation,
+        epoch: u64,
+        nonce: Nonce,
+    ) -> Result<Ticket> {
+        if !is_name(&service) || !is_name(&home.node_id) {
+            return Err(TicketError::Name);
+        }
+        let mut ticket = Ticket {
+            service,
+            home,
+            epoch,
+            nonce,
+            mac: [0; MAC_KEPT_BYTES],
+        };
+        let mac = ticket.with_signed_parts(|parts| keys.sign(MacPurpose::Ticket, parts));
+        ticket.mac.copy_from_slice(&mac[..MAC_KEPT_BYTES]);
+        Ok(ticket)
+    }
+
+    /// Text for the header.
+    pub fn encode(&self) -> String {
+        let mac = u128::from_be_bytes(self.mac);
+        format!(
+            "{VERSION}~{}~{}~{:016x}~{:x}~{:032x}~{mac:032x}",
+            self.service, self.home.node_id, self.home.incarnation, self.epoch, self.nonce,
+        )
+    }
+
+    /// Reads a header's text, with or without quotes, and checks its MAC and service.
+    pub fn decode(keys: &FleetKeys, service: &str, text: &str) -> Result<Ticket> {
+        let ticket = parse(text).ok_or(TicketError::Malformed)?;
+        let genuine =
+            ticket.with_signed_parts(|parts| keys.verify(MacPurpose::Ticket, parts, &ticket.mac));
+        if !genuine || &*ticket.service != service {
+            return Err(TicketError::Foreign);
+        }
+        Ok(ticket)
+    }
+
+    fn with_signed_parts<T>(&self, use_parts: impl FnOnce(&[&[u8]]) -> T) -> T {
+        use_parts(&[
+            self.service.as_bytes(),
+            self.home.node_id.as_bytes(),
+            &self.home.incarnation.to_be_bytes(),
+            &self.epoch.to_be_bytes(),
+            &self.nonce.to_be_bytes(),
+        ])
+    }
+}
+
+fn parse(text: &str) -> Option<Ticket> {
+    if text.len() > TICKET_TEXT_LIMIT_BYTES {
+        return None;
+    }
+    let mut fields = unquote(text).split(SEPARATOR);
+    if fields.next()? != VERSION {
+        return None;
+    }
+    let service = fields.next().filter(|name| is_name(name))?;
+    let node_id = fields.next().filter(|name| is_name(name))?;
+    let incarnation = u64::try_from(parse_hex(fields.next()?, 16)?).ok()?;
+    let epoch = u64::try_from(parse_hex(fields.next()?, 16)?).ok()?;
+    let nonce = parse_hex(fields.next()?, 32)?;
+    let mac = parse_hex(fields.next()?, 32)?.to_be_bytes();
+    if fields.next().is_some() {
+        return None;
+    }
+    let home = NodeIncarnation::new(node_id, incarnation);
+    Some(Ticket {
+        service: service.into(),
+        home,
+        epoch,
+        nonce,
+        mac,
+    })
+}
+
+fn unquote(text: &str) -> &str {
+    let inner = text
+        .strip_prefix('"')
+        .and_then(|rest| rest.strip_suffix('"'));
+    inner.unwrap_or(text)
+}
+
+// `from_str_radix` alone would take a sign in front.
+fn parse_hex(text: &str, digit_limit: usize) -> Option<u128> {
+    if text.len() > digit_limit || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+        return None;
+    }
+    u128::from_str_radix(text, 16).ok()
+}
+
+fn is_name(name: &str) -> bool {
+    let is_name_byte =
+        |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    (1..=NAME_LIMIT_BYTES).contains(&name.len()) && name.bytes().all(is_name_byte)
+}
--- /dev/null
+++ b/crates/hemlocktack-fleet/tests/at_most_once/children.rs
@@ -0,0 +1,70 @@
+use hemlocktack_fleet::tickets::{ChildCalls, ChildHome, ChildRefusal, Ticket};
+use hemlocktack_protocol::ServiceName;
+
+use crate::{SERVICE, keys, peer, ticket};
+
+fn home_at(node_id: &str) -> Option<ChildHome> {
+    Some(ChildHome {
+        home: peer(node_id),
+        epoch: 4,
+    })
+}
+
+// An upstream sends its deeper payment again after a timeout, and by now the node
+// would choose another home. Two homes would each start the payment.
+#[test]
+fn one_child_keeps_its_home() {
+    let mut children = ChildCalls::of_ticketed(1);
+    let service = ServiceName::from("payments");
+    let mut ticket_for = |key: &[u8], node_id| {
+        children
+            .ticket_for(&keys(), &service, Some(key), || home_at(node_id))
+            .unwrap()
+    };
+    let first = ticket_for(b"charge", "dum-dum-1");
+    assert_eq!(ticket_for(b"charge", "howrah-1"), first);
+    assert_ne!(ticket_for(b"refund", "dum-dum-1").nonce, first.nonce);
+    assert_eq!(
+        Ticket::decode(&keys(), "payments", &first.encode()),
+        Ok(first.clone())
+    );
+    let of_other_parent = ChildCalls::of_ticketed(2)
+        .ticket_for(&keys(), &service, Some(b"charge"), || home_at("dum-dum-1"))
+        .unwrap();
+    assert_ne!(of_other_parent.nonce, first.nonce);
+}
+
+#[test]
+fn refuses_what_could_run_twice() {
+    let service = ServiceName::from(SERVICE);
+    let refused = |mut children: ChildCalls, key: Option<&[u8]>| {
+        children
+            .ticket_for(&keys(), &service, key, || None)
+            .unwrap_err()
+    };
+    let cases = [
+        (ChildCalls::of_ticketed(1), None, ChildRefusal::KeyRequired),
+        (
+            ChildCalls::of_ticketed(1),
+            Some(&[b'k'; 300][..]),
+            ChildRefusal::TooMuch,
+        ),
+        (
+            ChildCalls::of_ticketed(1),
+            Some(b"key"),
+            ChildRefusal::NoHome,
+        ),
+        (
+            ChildCalls::of_idempotent(),
+            Some(b"key"),
+            ChildRefusal::ParentIdempotent,
+        ),
+    ];
+    for (children, key, expected) in cases {
+        assert_eq!(refused(children, key), expected);
+    }
+    let text = ticket(1).encode();
+    let passed_along =
+        ChildCalls::of_idempotent().ticket_for(&keys(), &service, Some(text.as_bytes()), || None);
+    assert_eq!(passed_along, Ok(ticket(1)));
+}
--- /dev/null
+++ b/crates/hemlocktack-fleet/tests/at_most_once/handover.rs
@@ -0,0 +1,168 @@
+use hemlocktack_fleet::NodeIncarnation;
+use hemlocktack_fleet::handover::{HandoverError, HandoverLimits, Leaving, Progress, Receiving};
+use hemlocktack_fleet::tickets::{Start, TableLimits, TicketTable};
+use hemlocktack_protocol::{Handover, HandoverAccepted, Reason, Refusal, Unfinished};
+
+use crate::{answer, home, peer, table, ticket};
+
+struct Successor {
+    name: NodeIncarnation,
+    table: TicketTable,
+    receiving: Receiving,
+}
+
+impl Successor {
+    fn new(node_id: &str) -> Successor {
+        Successor {
+            name: peer(node_id),
+            table: TicketTable::new(node_id, 9, TableLimits::default()),
+            receiving: Receiving::new(HandoverLimits::default()),
+        }
+    }
+
+    fn take(&mut self, frames: Vec<Handover>) -> Vec<HandoverAccepted> {
+        let mut take = |frame| {
+            self.receiving
+                .part(&mut self.table, &home(), frame)
+                .unwrap()
+        };
+        frames.into_iter().map(&mut take).collect()
+    }
+}
+
+fn last_progress(
+    leaving: &mut Leaving,
+    from: &NodeIncarnation,
+    replies: &[HandoverAccepted],
+) -> Progress {
+    let mut each = replies.iter().map(|reply| leaving.accepted(from, reply));
+    each.next_back().unwrap()
+}
+
+fn home_with_every_end() -> TicketTable {
+    let mut table = table();
+    for nonce in 1..=4 {
+        table.start(&ticket(nonce));
+    }
+    table.started(1).unwrap();
+    table.answer(1, answer("booked")).unwrap();
+    table.refuse(2, Reason::Shed).unwrap();
+    table.started(3).unwrap();
+    table
+}
+
+#[test]
+fn the_successor_knows_every_end() {
+    let mut home_table = home_with_every_end();
+    let mut leaving = Leaving::begin(&mut home_table);
+    assert!(home_table.started(4).is_err());
+    let unknown = Start::Refused(Unfinished::Unknown(Reason::Draining));
+    assert_eq!(home_table.start(&ticket(9)), unknown);
+
+    let mut successor = Successor::new("dum-dum-1");
+    let offered = leaving.offer(&successor.name);
+    let replies = successor.take(offered);
+    let gone = Start::Refused(Unfinished::Unknown(Reason::HomeGone));
+    assert_eq!(successor.table.start(&ticket(9)), gone);
+    let Progress::Commit(commit) = last_progress(&mut leaving, &successor.name, &replies) else {
+        panic!("not committed");
+    };
+    let replies = successor.take(commit);
+    assert_eq!(
+        last_progress(&mut leaving, &successor.name, &replies),
+        Progress::Finished
+    );
+
+    let fenced = Refusal {
+        reason: Reason::Fenced,
+        retry_after: None,
+    };
+    let fenced = Start::Refused(Unfinished::NotRun(fenced));
+    let expected = [
+        (1, Start::Answered(answer("booked"))),
+        (2, fenced.clone()),
+        (3, gone),
+        (4, fenced),
+        (9, Start::Run),
+    ];
+    for (nonce, start) in expected {
+        assert_eq!(
+            successor.table.start(&ticket(nonce)),
+            start,
+            "ticket {nonce}"
+        );
+    }
+    successor.table.assert_consistent();
+}
+
+// A first successor accepts and its acceptance is late; the home goes to a second
+// one. If acceptance alone made a home, both would start the same tickets.
+#[test]
+fn an_orphaned_half_handover_leaves_one_home() {
+    let mut leaving = Leaving::begin(&mut home_with_every_end());
+    let mut first = Successor::new("dum-dum-1");
+    let mut second = Successor::new("howrah-1");
+    let late_replies = first.take(leaving.offer(&first.name));
+    assert!(leaving.abandon());
+    let replies = second.take(leaving.offer(&second.name));
+    assert_eq!(
+        last_progress(&mut leaving, &first.name, &late_replies),
+        Progress::Waiting
+    );
+    let Progress::Commit(commit) = last_progress(&mut leaving, &second.name, &replies) else {
+        panic!("not committed");
+    };
+    assert!(!leaving.abandon());
+    assert_eq!(leaving.offer(&first.name), []);
+    assert_eq!(leaving.successor(), Some(&second.name));
+    // The commit's acceptance is lost with the link, and it is sent again.
+    second.take(commit);
+    let replies = second.take(leaving.offer(&second.name));
+    assert_eq!(
+        last_progress(&mut leaving, &second.name, &replies),
+        Progress::Finished
+    );
+    assert_eq!(second.table.start(&ticket(9)), Start::Run);
+    let gone = Start::Refused(Unfinished::Unknown(Reason::HomeGone));
+    assert_eq!(first.table.start(&ticket(9)), gone);
+}
+
+#[test]
+fn refuses_what_does_not_fit() {
+    let mut leaving = Leaving::begin(&mut home_with_every_end());
+    let parts = leaving.offer(&peer("dum-dum-1"));
+    let part = &parts[0];
+    let mut bad_nonce = part.clone();
+    bad_nonce.entries[0].nonce = "short".into();
+    let mut bad_epoch = part.clone();
+    bad_epoch.entries[0].epoch = 2;
+    let commit = Handover {
+        committed: true,
+        ..part.clone()
+    };
+    let cases = [
+        (Handover::default(), HandoverError::Malformed),
+        (bad_nonce, HandoverError::Malformed),
+        (bad_epoch, HandoverError::Malformed),
+        (commit, HandoverError::NotComplete),
+    ];
+    let mut successor = Successor::new("dum-dum-1");
+    for (frame, expected) in cases {
+        let refused = successor
+            .receiving
+            .part(&mut successor.table, &home(), frame);
+        assert_eq!(refused, Err(expected));
+    }
+    let limits = HandoverLimits {
+        entries: 3,
+        ..HandoverLimits::default()
+    };
+    let refused = Receiving::new(limits).part(&mut successor.table, &home(), part.clone());
+    assert_eq!(refused, Err(HandoverError::TooLarge));
+    successor.table.stop_accepting();
+    let refused = successor
+        .receiving
+        .part(&mut successor.table, &home(), part.clone());
+    assert_eq!(refused, Err(HandoverError::Stopping));
+    assert_eq!(successor.receiving.entry_count(), 0);
+}
--- /dev/null
+++ b/crates/hemlocktack-fleet/tests/at_most_once/sends.rs
@@ -0,0 +1,63 @@
+use hemlocktack_fleet::calls::{LinkLoss, Resolved, Sends};
+use hemlocktack_protocol::CallProgress;
+
+use crate::peer;
+
+fn sends() -> Sends<&'static str> {
+    let mut sends = Sends::new(peer("dum-dum-1"));
+    for (call_id, waiter) in [(1, "first"), (2, "second"), (3, "third")] {
+        sends.insert(call_id, waiter);
+    }
+    sends
+}
+
+#[test]
+fn settles_each_call_once() {
+    let mut sends = sends();
+    assert!(sends.sent(1));
+    assert_eq!(sends.answered(1), Some("first"));
+    assert_eq!(sends.answered(1), None);
+    assert_eq!(
+        sends.resolved(1, CallProgress::Forgotten),
+        Resolved::Ignored
+    );
+    assert_eq!(sends.abandon(2), Some("second"));
+    assert!(!sends.sent(2));
+    assert_eq!((sends.dropped_answers(), sends.waiting_count()), (1, 1));
+}
+
+#[test]
+fn tells_not_run_only_for_what_never_left_or_is_fenced() {
+    let mut sends = sends();
+    sends.sent(1);
+    sends.sent(2);
+    let expected = LinkLoss {
+        not_sent: vec!["third"],
+        in_doubt: vec![1, 2],
+    };
+    assert_eq!(sends.link_lost(), expected);
+    assert_eq!(
+        sends.resolved(1, CallProgress::NeverArrived),
+        Resolved::NotRun("first")
+    );
+    assert_eq!(sends.resolved(2, CallProgress::Running), Resolved::Waiting);
+    assert_eq!(sends.unresolved(), []);
+    sends.link_lost();
+    assert_eq!(sends.unresolved(), [2]);
+    assert_eq!(
+        sends.resolved(2, CallProgress::Finished),
+        Resolved::Unknown("second")
+    );
+}
+
+#[test]
+fn another_incarnation_leaves_every_call_unknown() {
+    let mut sends = sends();
+    sends.sent(1);
+    assert_eq!(
+        sends.resolved(1, CallProgress::NeverArrived),
+        Resolved::Ignored
+    );
+    assert_eq!(sends.peer_gone(), ["first", "second", "third"]);
+    assert_eq!(sends.waiting_count(), 0);
+}
--- /dev/null
+++ b/crates/hemlocktack-fleet/tests/at_most_once/table.rs
@@ -0,0 +1,157 @@
+use hemlocktack_fleet::NodeIncarnation;
+use hemlocktack_fleet::tickets::{Start, TableLimits, Ticket, TicketTable, WrongState};
+use hemlocktack_protocol::{Reason, Refusal, Unfinished};
+
+use crate::{SERVICE, answer, home, keys, peer, table, ticket};
+
+fn not_run(reason: Reason) -> Start {
+    Start::Refused(Unfinished::NotRun(Refusal {
+        reason,
+        retry_after: None,
+    }))
+}
+
+fn unknown(reason: Reason) -> Start {
+    Start::Refused(Unfinished::Unknown(reason))
+}
+
+fn issue(home: NodeIncarnation, epoch: u64, nonce: u128) -> Ticket {
+    Ticket::issue(&keys(), SERVICE.into(), home, epoch, nonce).unwrap()
+}
+
+// A family's booking is sent, its answer is late, and the caller sends it again
+// through another node: both sends must come to the one run and its answer.
+#[test]
+fn resends_join_and_get_the_one_answer() {
+    let mut table = table();
+    assert_eq!(table.start(&ticket(1)), Start::Run);
+    assert_eq!(table.start(&ticket(1)), Start::Join);
+    table.started(1).unwrap();
+    assert_eq!(table.started(1), Err(WrongState));
+    assert_eq!(table.start(&ticket(1)), Start::Join);
+    table.answer(1, answer("booked")).unwrap();
+    assert_eq!(table.start(&ticket(1)), Start::Answered(answer("booked")));
+    for late_step in [
+        table.started(1),
+        table.delegate(1, peer("dum-dum-1")),
+        table.give_back(1),
+        table.refuse(1, Reason::Shed),
+        table.answer(1, answer("booked twice")),
+        table.give_up(1, Reason::Timeout),
+    ] {
+        assert_eq!(late_step, Err(WrongState));
+    }
+    table.assert_consistent();
+}
+
+// The caller is told `not_run`, and an earlier send of the same ticket arrives
+// after that, held up in another node. It must find the fence and not a free
+// ticket, or the caller has been told a falsehood.
+#[test]
+fn a_ticket_told_not_run_never_starts_later() {
+    let mut table = table();
+    assert_eq!(table.start(&ticket(1)), Start::Run);
+    table.refuse(1, Reason::Shed).unwrap();
+    assert_eq!(table.start(&ticket(1)), not_run(Reason::Shed));
+    assert_eq!(table.started(1), Err(WrongState));
+}
+
+#[test]
+fn a_ticket_that_may_have_run_never_starts_again() {
+    let mut table = table();
+    table.start(&ticket(1));
+    assert_eq!(table.give_up(1, Reason::LinkLost), Err(WrongState));
+    table.started(1).unwrap();
+    assert_eq!(table.refuse(1, Reason::Shed), Err(WrongState));
+    table.give_up(1, Reason::UpstreamFailed).unwrap();
+    assert_eq!(table.start(&ticket(1)), unknown(Reason::UpstreamFailed));
+}
+
+// The home is busy and delegates; the delegate refuses; the home delegates to a
+// second one. A late word of the first must not free the ticket once more.
+#[test]
+fn only_the_recorded_delegate_gives_back() {
+    let mut table = table();
+    let (first, second) = (peer("dum-dum-1"), peer("howrah-1"));
+    table.start(&ticket(1));
+    table.delegate(1, first.clone()).unwrap();
+    assert_eq!(table.delegate(1, second.clone()), Err(WrongState));
+    assert_eq!(table.started(1), Err(WrongState));
+    assert_eq!(table.give_back_from(1, &second), Err(WrongState));
+    table.give_back_from(1, &first).unwrap();
+    table.delegate(1, second.clone()).unwrap();
+    assert_eq!(table.give_back_from(1, &first), Err(WrongState));
+    table.answer(1, answer("booked")).unwrap();
+    assert_eq!(table.in_flight_count(), 0);
+}
+
+#[test]
+fn refuses_tickets_of_other_starts_and_epochs() {
+    let mut table = table();
+    let earlier_start = NodeIncarnation::new("salt-lake-1", 6);
+    assert_eq!(
+        table.start(&issue(earlier_start, 1, 1)),
+        unknown(Reason::HomeGone)
+    );
+    assert_eq!(
+        table.start(&issue(peer("dum-dum-1"), 1, 2)),
+        unknown(Reason::HomeGone)
+    );
+    assert_eq!(
+        table.start(&issue(home(), 0, 3)),
+        unknown(Reason::TicketExpired)
+    );
+    assert_eq!(
+        table.start(&issue(home(), 2, 4)),
+        unknown(Reason::TicketForeign)
+    );
+}
+
+// A ticket comes back after the home has dropped its record to stay within its
+// memory. Without the epoch in the ticket the home would take it for a new one.
+#[test]
+fn memory_is_bounded_and_expired_tickets_do_not_start() {
+    let limits = TableLimits {
+        records_per_epoch: 10,
+        kept_epochs: 3,
+        kept_answer_bytes: 3000,
+        adopted_homes: 1,
+    };
+    let mut table = TicketTable::new("salt-lake-1", 7, limits);
+    let running = issue(home(), 1, 1_000_000);
+    assert_eq!(table.start(&running), Start::Run);
+    table.started(running.nonce).unwrap();
+    for nonce in 0..1000 {
+        let ticket = issue(home(), table.current_epoch(), nonce);
+        assert_eq!(table.start(&ticket), Start::Run);
+        table.started(nonce).unwrap();
+        table.answer(nonce, answer("booked")).unwrap();
+        assert!(table.record_count() <= 10 * 4 + 1);
+        table.assert_consistent();
+    }
+    assert_eq!(
+        table.start(&issue(home(), 1, 0)),
+        unknown(Reason::TicketExpired)
+    );
+    assert_eq!(table.start(&running), Start::Join);
+    table.answer(running.nonce, answer("late")).unwrap();
+    let latest = issue(home(), table.current_epoch(), 999);
+    assert_eq!(table.start(&latest), Start::Answered(answer("booked")));
+    let earlier = issue(home(), table.current_epoch() - 2, 985);
+    assert_eq!(table.start(&earlier), Start::AnswerNotKept);
+    assert_eq!(table.start(&running), unknown(Reason::TicketExpired));
+    assert_eq!(table.in_flight_count(), 0);
+}
+
+// A stopping home tells `not_run`, and an earlier send arrives later still.
+#[test]
+fn a_stopping_home_fences_new_tickets_and_ends_those_in_flight() {
+    let mut table = table();
+    table.start(&ticket(1));
+    table.stop_accepting();
+    assert_eq!(table.start(&ticket(2)), not_run(Reason::Draining));
+    assert_eq!(table.start(&ticket(1)), Start::Join);
+    table.started(1).unwrap();
+    table.answer(1, answer("booked")).unwrap();
+    assert_eq!(table.start(&ticket(1)), Start::Answered(answer("booked")));
+}
