Add membership: probes, suspicion, bounded news, page-wise comparison

Own record with an owner-bumped version; SWIM-like probes at a constant rate per node; accusations outrank only the version they accuse; starts of one node id ranked by start_order.

--- a/crates/hemlocktack-fleet/src/lib.rs
+++ b/crates/hemlocktack-fleet/src/lib.rs
@@ -1,1 +1,5 @@
-//! Stub.
+//! What nodes must agree on, as state machines free of input and output:
+//! events go in, actions come out; time and random numbers are arguments.
+
+pub mod membership;
+mod stable_hash;
--- /dev/null
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -0,0 +1,332 @@
+//! The membership of one node: its own record and what it believes of others.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use hemlocktack_protocol::{
+    Generation, Gossip, Incarnation, Member, NodeState, Succession, UpstreamState, gossip,
+};
+use prost::Message;
+use rand::Rng;
+use rand::seq::IteratorRandom;
+
+use super::news::{News, tellings_limit};
+use super::probes::Probes;
+use super::record;
+use super::settings::{MembershipSettings, Safeguard};
+use super::table::{self, Entry, Table};
+
+/// What the runtime has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send one datagram.
+    Send {
+        /// Gossip address of the receiver.
+        to: SocketAddr,
+        /// What to send; a MAC goes behind it.
+        gossip: Box<Gossip>,
+    },
+    /// The members or their states changed: take a new snapshot.
+    MembersChanged,
+    /// A peer has a higher generation in force than this node.
+    GenerationHeard {
+        /// Peer to pull from.
+        node_id: String,
+        /// Its generation in force.
+        generation: Generation,
+    },
+    /// A later start of this node's own id runs at another address: this one
+    /// has been replaced and must drain.
+    Superseded {
+        /// Incarnation of the replacement.
+        by: Incarnation,
+    },
+}
+
+/// What this node believes of another one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Peer {
+    /// The other node's own last word.
+    pub member: Member,
+    /// Its state with others' accusations: may be `Suspect` or `Dead`.
+    pub state: NodeState,
+}
+
+impl Peer {
+    /// Whether new calls may be placed on it.
+    pub fn takes_new_work(&self) -> bool {
+        let upstream = self.member.upstream();
+        self.state == NodeState::Ready
+            && matches!(upstream, UpstreamState::Cold | UpstreamState::Ready)
+    }
+}
+
+/// Comparison of this node's table with one peer's, page by page.
+pub(super) struct Sweep {
+    pub(super) peer: SocketAddr,
+    pub(super) cursor: String,
+}
+
+/// Membership as one node sees it.
+///
+/// Each period it probes one member and tells news on the datagrams that the
+/// probes need anyway. So what a node sends and receives is the same whether
+/// the fleet has 8 nodes or 560; only the time until all have heard grows, with
+/// the logarithm.
+pub struct Membership {
+    pub(super) settings: MembershipSettings,
+    pub(super) own: Member,
+    pub(super) generation: Generation,
+    pub(super) table: Table,
+    pub(super) news: News,
+    pub(super) probes: Probes,
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) sweep: Option<Sweep>,
+    pub(super) joined: bool,
+    pub(super) started: Instant,
+    pub(super) last_tick: Instant,
+    pub(super) next_period: Instant,
+    pub(super) next_retry: Instant,
+    pub(super) next_sync: Instant,
+    pub(super) pages_given: u32,
+    pub(super) urgent_sent: u32,
+}
+
+impl Membership {
+    /// Starts with this node alone. `own` carries a fresh incarnation; its
+    /// `start_order` is the wall clock in milliseconds, which only has to rank
+    /// one node id's starts and is raised if it does not.
+    pub fn new(settings: MembershipSettings, mut own: Member, now: Instant) -> Self {
+        own.version = own.version.max(1);
+        if !settings.keeps(Safeguard::StartOrder) {
+            own.start_order = 0;
+        }
+        let mut news = News::default();
+        news.push(&own.node_id);
+        Self {
+            settings,
+            own,
+            generation: 0,
+            table: Table::default(),
+            news,
+            probes: Probes::default(),
+            seeds: Vec::new(),
+            sweep: None,
+            joined: false,
+            started: now,
+            last_tick: now,
+            next_period: now,
+            next_retry: now,
+            next_sync: now,
+            pages_given: 0,
+            urgent_sent: 0,
+        }
+    }
+
+    /// Gossip addresses to try where nobody else is known, from settings or
+    /// from the platform's objects. Replaces earlier ones.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    /// This node's own record.
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// Whether a whole table was read from a peer, or nobody answered at all.
+    pub fn is_joined(&self) -> bool {
+        self.joined
+    }
+
+    /// Records waiting to be passed on.
+    pub fn pending_news(&self) -> usize {
+        self.news.len()
+    }
+
+    /// All others that are known, dead and left ones too.
+    pub fn peers(&self) -> Vec<Peer> {
+        let peer = |(_, entry): (&String, &Entry)| Peer {
+            member: entry.member.clone(),
+            state: entry.state,
+        };
+        self.table.entries().map(peer).collect()
+    }
+
+    /// One other node, if it is known.
+    pub fn peer(&self, node_id: &str) -> Option<Peer> {
+        let entry = self.table.get(node_id)?;
+        Some(Peer {
+            member: entry.member.clone(),
+            state: entry.state,
+        })
+    }
+
+    /// Says something new of this node. News of leaving goes to several peers
+    /// at once; everything else rides on the next datagrams.
+    pub fn update_own(
+        &mut self,
+        state: NodeState,
+        upstream: UpstreamState,
+        slots: u32,
+        rng: &mut impl Rng,
+    ) -> Vec<Action> {
+        let was_leaving = record::is_leaving(&self.own);
+        self.own.state = state.into();
+        self.own.upstream = upstream.into();
+        self.own.slots = slots;
+        self.raise_own_version();
+        let mut actions = Vec::new();
+        let is_left = state == NodeState::Left;
+        if is_left || (record::is_leaving(&self.own) && !was_leaving) {
+            self.tell_at_once(vec![self.own.clone()], &mut actions, rng);
+        }
+        actions
+    }
+
+    /// Tells others the epoch that this node's tickets are issued in.
+    pub fn set_ticket_epoch(&mut self, epoch: u64) {
+        self.own.ticket_epoch = epoch;
+        self.raise_own_version();
+    }
+
+    /// Tells others whose tickets this node has taken over.
+    pub fn set_successions(&mut self, successions: Vec<Succession>) {
+        self.own.successions = successions;
+        self.raise_own_version();
+    }
+
+    /// Takes note of the generation in force here and tells several peers at
+    /// once. Without that a change would take a probe period for each doubling
+    /// of the nodes that have it.
+    pub fn set_generation(&mut self, generation: Generation, rng: &mut impl Rng) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if generation > self.generation {
+            self.generation = generation;
+            self.tell_at_once(Vec::new(), &mut actions, rng);
+        }
+        actions
+    }
+
+    pub(super) fn raise_own_version(&mut self) {
+        self.own.version += 1;
+        self.news.push(&self.own.node_id);
+    }
+
+    /// Sends records to a few members right away: half of them in this data
+    /// centre, half elsewhere. Within one period only so many, so that a mass
+    /// of drains cannot raise the cost without bound; what is over the limit
+    /// rides on the ordinary datagrams.
+    pub(super) fn tell_at_once(
+        &mut self,
+        records: Vec<Member>,
+        actions: &mut Vec<Action>,
+        rng: &mut impl Rng,
+    ) {
+        if !self.settings.keeps(Safeguard::UrgentNews) {
+            return;
+        }
+        for to in self.urgent_targets(rng) {
+            if self.urgent_sent >= self.settings.urgent_limit {
+                return;
+            }
+            self.urgent_sent += 1;
+            self.send(to, None, &records, actions);
+        }
+    }
+
+    fn urgent_targets(&self, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let fanout = self.settings.urgent_fanout;
+        let addresses = |near: bool| {
+            self.table
+                .live()
+                .filter(move |(_, e)| (e.member.data_centre == self.own.data_centre) == near)
+                .filter_map(|(_, entry)| entry.address)
+        };
+        let mut near: Vec<SocketAddr> = addresses(true).sample(rng, fanout);
+        let mut far: Vec<SocketAddr> = addresses(false).sample(rng, fanout);
+        let far_share = (fanout / 2).max(fanout.saturating_sub(near.len()));
+        far.truncate(far_share);
+        near.truncate(fanout - far.len());
+        near.append(&mut far);
+        near
+    }
+
+    /// Adds a datagram: first the given records, then as much other news as
+    /// fits.
+    pub(super) fn send(
+        &mut self,
+        to: SocketAddr,
+        body: Option<gossip::Body>,
+        first: &[Member],
+        actions: &mut Vec<Action>,
+    ) {
+        let mut gossip = self.empty_datagram(body);
+        let mut room = self.room_in(&gossip);
+        for record in first {
+            if !put_record(&mut gossip, &mut room, record.clone()) {
+                break;
+            }
+        }
+        self.fill_with_news(&mut gossip, room);
+        let gossip = Box::new(gossip);
+        actions.push(Action::Send { to, gossip });
+    }
+
+    pub(super) fn empty_datagram(&self, body: Option<gossip::Body>) -> Gossip {
+        Gossip {
+            from_node_id: self.own.node_id.clone(),
+            from_incarnation: self.own.incarnation,
+            generation_in_force: self.generation,
+            table_digest: self.digest(),
+            members: Vec::new(),
+            body,
+        }
+    }
+
+    pub(super) fn room_in(&self, gossip: &Gossip) -> usize {
+        let limit = self.settings.datagram_limit_bytes;
+        limit.saturating_sub(self.settings.mac_bytes + gossip.encoded_len())
+    }
+
+    fn fill_with_news(&mut self, gossip: &mut Gossip, mut room: usize) {
+        let limit = tellings_limit(self.table.entries().count() + 1);
+        for node_id in self.news.pending() {
+            let already_in = gossip.members.iter().any(|record| record.node_id == node_id);
+            let Some(record) = self.belief(&node_id) else {
+                self.news.told(&node_id, 0);
+                continue;
+            };
+            if already_in {
+                continue;
+            }
+            if !put_record(gossip, &mut room, record) {
+                return;
+            }
+            self.news.told(&node_id, limit);
+        }
+    }
+
+    fn belief(&self, node_id: &str) -> Option<Member> {
+        if node_id == self.own.node_id {
+            return Some(self.own.clone());
+        }
+        self.table.get(node_id).map(Entry::belief)
+    }
+
+    pub(super) fn digest(&self) -> u64 {
+        self.table.digest() ^ table::member_digest(&self.own)
+    }
+}
+
+/// Puts a record into a datagram if there is room for it.
+pub(super) fn put_record(gossip: &mut Gossip, room: &mut usize, record: Member) -> bool {
+    let length = record.encoded_len();
+    let needed = 1 + prost::length_delimiter_len(length) + length;
+    if needed > *room {
+        return false;
+    }
+    *room -= needed;
+    gossip.members.push(record);
+    true
+}
--- /dev/null
+++ b/crates/hemlocktack-fleet/src/membership/mod.rs
@@ -0,0 +1,16 @@
+//! Which nodes there are and in what state: a hint that nodes spread among
+//! themselves by small probes, with no work that grows with the fleet.
+
+mod datagram;
+mod machine;
+mod news;
+mod probes;
+mod receive;
+mod record;
+mod settings;
+mod table;
+mod tick;
+
+pub use datagram::{DatagramError, open_datagram, seal_datagram};
+pub use machine::{Action, Membership, Peer};
+pub use settings::{MembershipSettings, Safeguard};
--- /dev/null
+++ b/crates/hemlocktack-fleet/src/membership/probes.rs
@@ -0,0 +1,103 @@
+//! Whom to probe, and the probes that wait for an answer.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use hemlocktack_protocol::Incarnation;
+use rand::Rng;
+use rand::seq::SliceRandom;
+
+use super::table::Table;
+
+/// The one probe of this period.
+pub(crate) struct Pending {
+    pub(crate) sequence: u64,
+    pub(crate) node_id: String,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) sent: Instant,
+    pub(crate) asked_others: bool,
+    /// The target is held for dead: nobody else is asked about it.
+    pub(crate) is_retry: bool,
+}
+
+/// A probe made for another node.
+pub(crate) struct Relayed {
+    pub(crate) sequence: u64,
+    pub(crate) asker: SocketAddr,
+    pub(crate) asker_sequence: u64,
+    pub(crate) target: String,
+}
+
+/// Order of probing and what is outstanding.
+#[derive(Default)]
+pub(crate) struct Probes {
+    near: Vec<String>,
+    far: Vec<String>,
+    count: u32,
+    sequence: u64,
+    pub(crate) pending: Option<Pending>,
+    relayed: Vec<Relayed>,
+}
+
+impl Probes {
+    pub(crate) fn next_sequence(&mut self) -> u64 {
+        self.sequence += 1;
+        self.sequence
+    }
+
+    /// Next member in a shuffled round, so that each is reached within a
+    /// bounded time. Most probes stay within the data centre; a fixed share
+    /// goes across, whatever the fleet's size.
+    pub(crate) fn next_target(
+        &mut self,
+        table: &Table,
+        data_centre: &str,
+        far_interval: u32,
+        rng: &mut impl Rng,
+    ) -> Option<String> {
+        self.count = self.count.wrapping_add(1);
+        let far_first = self.count.is_multiple_of(far_interval);
+        for far in [far_first, !far_first] {
+            let round = if far { &mut self.far } else { &mut self.near };
+            if let Some(target) = next_of_round(round, table, data_centre, far, rng) {
+                return Some(target);
+            }
+        }
+        None
+    }
+
+    pub(crate) fn relay(&mut self, relayed: Relayed) {
+        const RELAYED_LIMIT: usize = 64;
+        if self.relayed.len() >= RELAYED_LIMIT {
+            self.relayed.remove(0);
+        }
+        self.relayed.push(relayed);
+    }
+
+    pub(crate) fn take_relayed(&mut self, sequence: u64) -> Option<Relayed> {
+        let position = self.relayed.iter().position(|relayed| relayed.sequence == sequence)?;
+        Some(self.relayed.remove(position))
+    }
+}
+
+fn next_of_round(
+    round: &mut Vec<String>,
+    table: &Table,
+    data_centre: &str,
+    far: bool,
+    rng: &mut impl Rng,
+) -> Option<String> {
+    let is_wanted = |node_id: &String| table.get(node_id).is_some_and(|entry| entry.is_live());
+    while let Some(node_id) = round.pop() {
+        if is_wanted(&node_id) {
+            return Some(node_id);
+        }
+    }
+    *round = table
+        .live()
+        .filter(|(_, entry)| (entry.member.data_centre != data_centre) == far)
+        .map(|(node_id, _)| node_id.clone())
+        .collect();
+    round.shuffle(rng);
+    round.pop()
+}
--- /dev/null
+++ b/crates/hemlocktack-fleet/src/membership/receive.rs
@@ -0,0 +1,297 @@
+//! What a datagram from another node changes.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use hemlocktack_protocol::{
+    Gossip, IndirectProbe, Member, NodeState, Probe, ProbeAck, SyncPage, SyncPull, gossip,
+};
+use rand::Rng;
+
+use super::machine::{Action, Membership, Sweep, put_record};
+use super::probes::Relayed;
+use super::record::{self, Freshness};
+use super::settings::Safeguard;
+use super::table::Merged;
+
+impl Membership {
+    /// Takes in a datagram whose MAC was found right.
+    pub fn receive(
+        &mut self,
+        now: Instant,
+        from: SocketAddr,
+        mut gossip: Gossip,
+        rng: &mut impl Rng,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if gossip.from_node_id == self.own.node_id
+            && gossip.from_incarnation == self.own.incarnation
+        {
+            return actions;
+        }
+        let mut corrections = Vec::new();
+        let records = std::mem::take(&mut gossip.members);
+        self.take_in(now, records, &mut corrections, &mut actions, rng);
+        self.hear_generation(&gossip, &mut actions);
+        self.correct_sender(&gossip, &mut corrections);
+        self.compare_digest(from, &gossip);
+        self.handle_body(from, gossip, corrections, &mut actions);
+        actions
+    }
+
+    fn take_in(
+        &mut self,
+        now: Instant,
+        records: Vec<Member>,
+        corrections: &mut Vec<Member>,
+        actions: &mut Vec<Action>,
+        rng: &mut impl Rng,
+    ) {
+        let mut urgent = Vec::new();
+        let mut changed = false;
+        for record in records {
+            if record.node_id == self.own.node_id {
+                self.hear_of_own(record, corrections, actions);
+                continue;
+            }
+            let node_id = record.node_id.clone();
+            let merged = self.table.merge(now, record.clone());
+            if merged == Merged::Stale {
+                continue;
+            }
+            changed = true;
+            self.news.push(&node_id);
+            if merged == Merged::BeganLeaving {
+                urgent.push(record);
+            }
+        }
+        if changed {
+            actions.push(Action::MembersChanged);
+        }
+        if !urgent.is_empty() {
+            self.tell_at_once(urgent, actions, rng);
+        }
+    }
+
+    /// Answers what others say of this node.
+    ///
+    /// An accusation is refuted by a higher version. A record of another start
+    /// of this node's id that ranks above this one is either an earlier start
+    /// whose clock ran ahead (then this start ranks itself above it), or a
+    /// replacement elsewhere while this process was paused (then this one
+    /// yields). The address tells them apart: an earlier start at this very
+    /// address cannot be running.
+    fn hear_of_own(
+        &mut self,
+        heard: Member,
+        corrections: &mut Vec<Member>,
+        actions: &mut Vec<Action>,
+    ) {
+        let same_start = heard.incarnation == self.own.incarnation;
+        let is_accusation = record::is_accusation(&heard);
+        if Freshness::of(&heard) <= Freshness::of(&self.own) {
+            if !same_start {
+                corrections.push(self.own.clone());
+                self.news.push(&self.own.node_id);
+            }
+            return;
+        }
+        if same_start {
+            self.refute(&heard, corrections);
+            return;
+        }
+        if !self.settings.keeps(Safeguard::StartOrder) {
+            return;
+        }
+        let is_elsewhere = !is_accusation && heard.gossip_address != self.own.gossip_address;
+        let is_gone = heard.state() == NodeState::Left;
+        if is_elsewhere && !is_gone && self.joined {
+            actions.push(Action::Superseded {
+                by: heard.incarnation,
+            });
+            return;
+        }
+        self.own.start_order = heard.start_order + 1;
+        self.raise_own_version();
+        corrections.push(self.own.clone());
+    }
+
+    fn refute(&mut self, heard: &Member, corrections: &mut Vec<Member>) {
+        if !self.settings.keeps(Safeguard::Refutation) {
+            return;
+        }
+        self.own.version = heard.version;
+        self.raise_own_version();
+        corrections.push(self.own.clone());
+    }
+
+    fn hear_generation(&self, gossip: &Gossip, actions: &mut Vec<Action>) {
+        if gossip.generation_in_force > self.generation {
+            actions.push(Action::GenerationHeard {
+                node_id: gossip.from_node_id.clone(),
+                generation: gossip.generation_in_force,
+            });
+        }
+    }
+
+    /// Tells a sender that is known otherwise what is believed of it, so that
+    /// it can refute: after a cut both sides hold each other for dead.
+    fn correct_sender(&mut self, gossip: &Gossip, corrections: &mut Vec<Member>) {
+        let Some(entry) = self.table.get(&gossip.from_node_id) else {
+            return;
+        };
+        let accused = matches!(entry.state, NodeState::Suspect | NodeState::Dead);
+        if accused || entry.member.incarnation != gossip.from_incarnation {
+            corrections.push(entry.belief());
+        }
+    }
+
+    fn compare_digest(&mut self, from: SocketAddr, gossip: &Gossip) {
+        let wanted = self.settings.keeps(Safeguard::AntiEntropy) || !self.joined;
+        if wanted && self.sweep.is_none() && gossip.table_digest != self.digest() {
+            self.sweep = Some(Sweep {
+                peer: from,
+                cursor: String::new(),
+            });
+        }
+    }
+
+    fn handle_body(
+        &mut self,
+        from: SocketAddr,
+        gossip: Gossip,
+        corrections: Vec<Member>,
+        actions: &mut Vec<Action>,
+    ) {
+        match gossip.body {
+            Some(gossip::Body::Probe(probe)) => {
+                let ack = ProbeAck {
+                    sequence: probe.sequence,
+                    of_node_id: self.own.node_id.clone(),
+                };
+                self.send(from, Some(gossip::Body::Ack(ack)), &corrections, actions);
+                return;
+            }
+            Some(gossip::Body::SyncPull(pull)) => {
+                self.give_page(from, &pull, &corrections, actions);
+                return;
+            }
+            Some(gossip::Body::Ack(ack)) => self.take_ack(&ack, actions),
+            Some(gossip::Body::IndirectProbe(probe)) => self.probe_for(from, probe, actions),
+            Some(gossip::Body::SyncPage(page)) => self.take_page(from, page, actions),
+            None => {}
+        }
+        if !corrections.is_empty() {
+            self.send(from, None, &corrections, actions);
+        }
+    }
+
+    fn take_ack(&mut self, ack: &ProbeAck, actions: &mut Vec<Action>) {
+        let pending = self.probes.pending.as_ref();
+        let is_answer = pending.is_some_and(|pending| {
+            pending.sequence == ack.sequence && pending.node_id == ack.of_node_id
+        });
+        if is_answer {
+            self.probes.pending = None;
+            return;
+        }
+        let Some(relayed) = self.probes.take_relayed(ack.sequence) else {
+            return;
+        };
+        let ack = ProbeAck {
+            sequence: relayed.asker_sequence,
+            of_node_id: relayed.target,
+        };
+        self.send(relayed.asker, Some(gossip::Body::Ack(ack)), &[], actions);
+    }
+
+    fn probe_for(&mut self, asker: SocketAddr, asked: IndirectProbe, actions: &mut Vec<Action>) {
+        let Some(entry) = self.table.get(&asked.target_node_id) else {
+            return;
+        };
+        let Some(address) = entry.address else {
+            return;
+        };
+        let sequence = self.probes.next_sequence();
+        self.probes.relay(Relayed {
+            sequence,
+            asker,
+            asker_sequence: asked.sequence,
+            target: asked.target_node_id,
+        });
+        let probe = Probe {
+            sequence,
+            on_behalf_of: String::new(),
+        };
+        self.send(address, Some(gossip::Body::Probe(probe)), &[], actions);
+    }
+
+    /// Gives one page of this node's table, its own record on each. A bounded
+    /// number in a period: joining nodes wait a little rather than load one.
+    fn give_page(
+        &mut self,
+        from: SocketAddr,
+        pull: &SyncPull,
+        corrections: &[Member],
+        actions: &mut Vec<Action>,
+    ) {
+        if self.pages_given >= self.settings.page_limit {
+            return;
+        }
+        self.pages_given += 1;
+        let full = SyncPage {
+            after_node_id: pull.after_node_id.clone(),
+            last_node_id: pull.after_node_id.clone(),
+            complete: true,
+        };
+        let mut gossip = self.empty_datagram(Some(gossip::Body::SyncPage(full.clone())));
+        const LONGEST_NODE_ID_BYTES: usize = 128;
+        let mut room = self.room_in(&gossip).saturating_sub(LONGEST_NODE_ID_BYTES);
+        let first = corrections.iter().chain([&self.own]);
+        for record in first {
+            put_record(&mut gossip, &mut room, record.clone());
+        }
+        let mut page = full;
+        for (node_id, entry) in self.table.after(&pull.after_node_id) {
+            if !put_record(&mut gossip, &mut room, entry.belief()) {
+                page.complete = false;
+                break;
+            }
+            page.last_node_id = node_id.clone();
+        }
+        gossip.body = Some(gossip::Body::SyncPage(page));
+        let gossip = Box::new(gossip);
+        actions.push(Action::Send { to: from, gossip });
+    }
+
+    fn take_page(&mut self, from: SocketAddr, page: SyncPage, actions: &mut Vec<Action>) {
+        let Some(sweep) = &mut self.sweep else {
+            return;
+        };
+        if sweep.peer != from || sweep.cursor != page.after_node_id {
+            return;
+        }
+        let made_no_progress = page.last_node_id == page.after_node_id;
+        if page.complete || made_no_progress {
+            self.sweep = None;
+            self.joined = true;
+            return;
+        }
+        sweep.cursor = page.last_node_id;
+        if !self.joined {
+            self.pull_page(actions);
+        }
+    }
+
+    pub(super) fn pull_page(&mut self, actions: &mut Vec<Action>) {
+        let Some(sweep) = &self.sweep else {
+            return;
+        };
+        let to = sweep.peer;
+        let pull = SyncPull {
+            after_node_id: sweep.cursor.clone(),
+        };
+        let own = self.own.clone();
+        self.send(to, Some(gossip::Body::SyncPull(pull)), &[own], actions);
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-fleet/src/membership/record.rs
@@ -0,0 +1,62 @@
+//! Which of two records of one node is the fresher.
+
+use hemlocktack_protocol::{Incarnation, Member, NodeState, UpstreamState};
+
+/// Total order of the records of one node id, so that merging gives the same
+/// table whatever order news arrives in.
+///
+/// Only the owner raises `start_order` and `version`; a suspicion or a death
+/// outranks the very version it accuses, and nothing later.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Freshness {
+    pub(crate) start_order: u64,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) version: u64,
+    severity: u8,
+}
+
+impl Freshness {
+    pub(crate) fn of(record: &Member) -> Self {
+        Self::with_state(record, record.state())
+    }
+
+    pub(crate) fn with_state(record: &Member, state: NodeState) -> Self {
+        Self {
+            start_order: record.start_order,
+            incarnation: record.incarnation,
+            version: record.version,
+            severity: severity(state),
+        }
+    }
+}
+
+fn severity(state: NodeState) -> u8 {
+    match state {
+        NodeState::Suspect => 1,
+        NodeState::Dead => 2,
+        _ => 0,
+    }
+}
+
+/// Whether a record is another node's accusation and not the owner's own word.
+pub(crate) fn is_accusation(record: &Member) -> bool {
+    severity(record.state()) > 0
+}
+
+/// Short record that accuses one version of a member.
+pub(crate) fn accusation(member: &Member, state: NodeState) -> Member {
+    Member {
+        node_id: member.node_id.clone(),
+        incarnation: member.incarnation,
+        start_order: member.start_order,
+        version: member.version,
+        state: state.into(),
+        ..Member::default()
+    }
+}
+
+/// Whether new work goes to a node that says this of itself.
+pub(crate) fn is_leaving(record: &Member) -> bool {
+    matches!(record.state(), NodeState::Draining | NodeState::Left)
+        || record.upstream() == UpstreamState::Draining
+}
