--- /dev/null
+++ b/crates/hemlocktack-fleet/src/drain/life.rs
@@ -0,0 +1,211 @@
+//! A node from its start to a stop that cuts nothing off.
+
+use std::time::{Duration, Instant};
+
+use hemlocktack_protocol::{NodeState, UpstreamState};
+
+use super::upstream::{Announcement, Upstream, UpstreamSettings};
+
+/// How a node stops.
+#[derive(Clone, Debug)]
+pub struct DrainSettings {
+    /// A draining node stays at least so long, refusing, so that others have
+    /// heard of the drain before it cannot answer any more.
+    pub settle: Duration,
+    /// Longest that calls in flight are waited for, by the operators' choice.
+    /// Where it is exceeded, the calls left are reported and end as unknown.
+    pub hard_limit: Option<Duration>,
+    /// Longest that a handover is waited for.
+    pub handover_limit: Duration,
+    /// Periods of the upstream's announcements.
+    pub upstream: UpstreamSettings,
+}
+
+impl Default for DrainSettings {
+    fn default() -> Self {
+        Self {
+            settle: Duration::from_secs(3),
+            hard_limit: None,
+            handover_limit: Duration::from_secs(10),
+            upstream: UpstreamSettings::default(),
+        }
+    }
+}
+
+/// What the runtime has to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LifeAction {
+    /// Tell the members (`Membership::update_own`).
+    Publish(Publication),
+    /// Nothing is in flight: give the tickets to a successor, then call
+    /// [`Life::handed_over`].
+    HandOver,
+    /// The hard limit was exceeded with calls still in flight.
+    ReportOverrun {
+        /// Calls that will be cut off.
+        in_flight: usize,
+    },
+    /// Close the listeners and exit.
+    Leave,
+}
+
+/// What members are told of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Publication {
+    /// State of the node.
+    pub state: NodeState,
+    /// State of its upstream.
+    pub upstream: UpstreamState,
+    /// Calls that the upstream runs side by side.
+    pub slots: u32,
+}
+
+/// Where a stop stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stop {
+    None,
+    WaitingForCalls { since: Instant },
+    HandingOver { since: Instant },
+    Done,
+}
+
+/// The life of one node and its upstream.
+pub struct Life {
+    settings: DrainSettings,
+    caught_up: bool,
+    stop: Stop,
+    upstream: Upstream,
+    published: Publication,
+}
+
+impl Life {
+    /// A node that has just started.
+    pub fn new(settings: DrainSettings, now: Instant) -> Self {
+        let upstream = Upstream::new(settings.upstream.clone(), now);
+        Self {
+            settings,
+            caught_up: false,
+            stop: Stop::None,
+            upstream,
+            published: Publication {
+                state: NodeState::Starting,
+                upstream: UpstreamState::Absent,
+                slots: 0,
+            },
+        }
+    }
+
+    /// State of this node.
+    pub fn state(&self) -> NodeState {
+        match self.stop {
+            Stop::None if self.caught_up => NodeState::Ready,
+            Stop::None => NodeState::Starting,
+            Stop::WaitingForCalls { .. } | Stop::HandingOver { .. } => NodeState::Draining,
+            Stop::Done => NodeState::Left,
+        }
+    }
+
+    /// State of the upstream beside it.
+    pub fn upstream(&self) -> UpstreamState {
+        self.upstream.state()
+    }
+
+    /// Whether a call may be handed to the upstream now.
+    pub fn takes_new_work(&self) -> bool {
+        let upstream = self.upstream();
+        self.state() == NodeState::Ready
+            && matches!(upstream, UpstreamState::Cold | UpstreamState::Ready)
+    }
+
+    /// The configuration has caught up.
+    pub fn caught_up(&mut self) -> Vec<LifeAction> {
+        self.caught_up = true;
+        self.publish_changes()
+    }
+
+    /// The upstream announced itself or renewed its announcement.
+    pub fn announce(&mut self, now: Instant, announcement: Announcement) -> Vec<LifeAction> {
+        self.upstream.announce(now, announcement);
+        self.publish_changes()
+    }
+
+    /// The upstream asked for no more work.
+    pub fn drain_upstream(&mut self) -> Vec<LifeAction> {
+        self.upstream.drain();
+        self.publish_changes()
+    }
+
+    /// This node is to stop: by a signal, by an operator's command, or since it
+    /// has been replaced. Repeating it changes nothing.
+    pub fn drain(&mut self, now: Instant) -> Vec<LifeAction> {
+        if self.stop == Stop::None {
+            self.stop = Stop::WaitingForCalls { since: now };
+        }
+        self.publish_changes()
+    }
+
+    /// The tickets have a new home, or none could be found.
+    pub fn handed_over(&mut self) -> Vec<LifeAction> {
+        if !matches!(self.stop, Stop::HandingOver { .. }) {
+            return Vec::new();
+        }
+        self.stop = Stop::Done;
+        let mut actions = self.publish_changes();
+        actions.push(LifeAction::Leave);
+        actions
+    }
+
+    /// To be called several times a second, with the calls in flight here in
+    /// both roles.
+    pub fn tick(&mut self, now: Instant, in_flight: usize) -> Vec<LifeAction> {
+        self.upstream.tick(now);
+        let mut actions = self.publish_changes();
+        match self.stop {
+            Stop::WaitingForCalls { since } => {
+                self.wait_for_calls(now, since, in_flight, &mut actions);
+            }
+            Stop::HandingOver { since } => {
+                if now.saturating_duration_since(since) >= self.settings.handover_limit {
+                    actions.append(&mut self.handed_over());
+                }
+            }
+            Stop::None | Stop::Done => {}
+        }
+        actions
+    }
+
+    fn wait_for_calls(
+        &mut self,
+        now: Instant,
+        since: Instant,
+        in_flight: usize,
+        actions: &mut Vec<LifeAction>,
+    ) {
+        let waited = now.saturating_duration_since(since);
+        let is_over = self
+            .settings
+            .hard_limit
+            .is_some_and(|limit| waited >= limit);
+        if is_over && in_flight > 0 {
+            actions.push(LifeAction::ReportOverrun { in_flight });
+        }
+        let is_settled = in_flight == 0 && waited >= self.settings.settle;
+        if is_over || is_settled {
+            self.stop = Stop::HandingOver { since: now };
+            actions.push(LifeAction::HandOver);
+        }
+    }
+
+    fn publish_changes(&mut self) -> Vec<LifeAction> {
+        let current = Publication {
+            state: self.state(),
+            upstream: self.upstream(),
+            slots: self.upstream.slots,
+        };
+        if current == self.published {
+            return Vec::new();
+        }
+        self.published = current;
+        vec![LifeAction::Publish(current)]
+    }
+}
--- a/crates/hemlocktack-fleet/src/membership/machine.rs
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -15,6 +15,7 @@
 use super::record;
 use super::settings::{MembershipSettings, Safeguard};
 use super::table::{self, Entry, Table};
+use crate::drain::Publication;
 
 /// What the runtime has to do.
 #[derive(Clone, Debug, PartialEq)]
@@ -84,6 +85,7 @@
     pub(super) sweep: Option<Sweep>,
     pub(super) joined: bool,
     pub(super) started: Instant,
+    pub(super) now: Instant,
     pub(super) last_tick: Instant,
     pub(super) next_period: Instant,
     pub(super) next_retry: Instant,
@@ -114,6 +116,7 @@
             sweep: None,
             joined: false,
             started: now,
+            now,
             last_tick: now,
             next_period: now,
             next_retry: now,
@@ -164,20 +167,14 @@
 
     /// Says something new of this node. News of leaving goes to several peers
     /// at once; everything else rides on the next datagrams.
-    pub fn update_own(
-        &mut self,
-        state: NodeState,
-        upstream: UpstreamState,
-        slots: u32,
-        rng: &mut impl Rng,
-    ) -> Vec<Action> {
+    pub fn update_own(&mut self, publication: Publication, rng: &mut impl Rng) -> Vec<Action> {
         let was_leaving = record::is_leaving(&self.own);
-        self.own.state = state.into();
-        self.own.upstream = upstream.into();
-        self.own.slots = slots;
+        self.own.state = publication.state.into();
+        self.own.upstream = publication.upstream.into();
+        self.own.slots = publication.slots;
         self.raise_own_version();
         let mut actions = Vec::new();
-        let is_left = state == NodeState::Left;
+        let is_left = publication.state == NodeState::Left;
         if is_left || (record::is_leaving(&self.own) && !was_leaving) {
             self.tell_at_once(vec![self.own.clone()], &mut actions, rng);
         }
@@ -292,8 +289,11 @@
     fn fill_with_news(&mut self, gossip: &mut Gossip, mut room: usize) {
         let limit = tellings_limit(self.table.entries().count() + 1);
         for node_id in self.news.pending() {
-            let already_in = gossip.members.iter().any(|record| record.node_id == node_id);
-            let Some(record) = self.belief(&node_id) else {
+            let already_in = gossip
+                .members
+                .iter()
+                .any(|record| record.node_id == node_id);
+            let Some(record) = self.fresh_belief(&node_id) else {
                 self.news.told(&node_id, 0);
                 continue;
             };
@@ -307,11 +307,19 @@
         }
     }
 
-    fn belief(&self, node_id: &str) -> Option<Member> {
+    /// What to tell others of a member; `None` for an accusation that is too
+    /// old. A node that was cut off for a while holds all others for dead. Were
+    /// it to tell that when it is back, the fleet would doubt itself for a
+    /// while; by then its accusations are past their age.
+    fn fresh_belief(&self, node_id: &str) -> Option<Member> {
         if node_id == self.own.node_id {
             return Some(self.own.clone());
         }
-        self.table.get(node_id).map(Entry::belief)
+        let entry = self.table.get(node_id)?;
+        let age = self.now.saturating_duration_since(entry.since);
+        let is_old = entry.is_accused() && age >= self.suspicion_timeout();
+        let keeps = self.settings.keeps(Safeguard::AccusationAge);
+        (!is_old || !keeps).then(|| entry.belief())
     }
 
     pub(super) fn digest(&self) -> u64 {
--- a/crates/hemlocktack-fleet/src/membership/news.rs
+++ b/crates/hemlocktack-fleet/src/membership/news.rs
@@ -19,8 +19,11 @@
 
     /// Node ids in the order in which they should be told.
     pub(crate) fn pending(&self) -> Vec<String> {
-        let mut pending: Vec<(u32, &String)> =
-            self.tellings.iter().map(|(id, &count)| (count, id)).collect();
+        let mut pending: Vec<(u32, &String)> = self
+            .tellings
+            .iter()
+            .map(|(id, &count)| (count, id))
+            .collect();
         pending.sort();
         pending.into_iter().map(|(_, id)| id.clone()).collect()
     }
--- a/crates/hemlocktack-fleet/src/membership/probes.rs
+++ b/crates/hemlocktack-fleet/src/membership/probes.rs
@@ -16,8 +16,6 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) sent: Instant,
     pub(crate) asked_others: bool,
-    /// The target is held for dead: nobody else is asked about it.
-    pub(crate) is_retry: bool,
 }
 
 /// A probe made for another node.
@@ -75,7 +73,10 @@
     }
 
     pub(crate) fn take_relayed(&mut self, sequence: u64) -> Option<Relayed> {
-        let position = self.relayed.iter().position(|relayed| relayed.sequence == sequence)?;
+        let position = self
+            .relayed
+            .iter()
+            .position(|relayed| relayed.sequence == sequence)?;
         Some(self.relayed.remove(position))
     }
 }
--- a/crates/hemlocktack-fleet/src/membership/receive.rs
+++ b/crates/hemlocktack-fleet/src/membership/receive.rs
@@ -24,6 +24,7 @@
         rng: &mut impl Rng,
     ) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.now = now;
         if gossip.from_node_id == self.own.node_id
             && gossip.from_incarnation == self.own.incarnation
         {
@@ -140,8 +141,7 @@
         let Some(entry) = self.table.get(&gossip.from_node_id) else {
             return;
         };
-        let accused = matches!(entry.state, NodeState::Suspect | NodeState::Dead);
-        if accused || entry.member.incarnation != gossip.from_incarnation {
+        if entry.is_accused() || entry.member.incarnation != gossip.from_incarnation {
             corrections.push(entry.belief());
         }
     }
@@ -226,8 +226,9 @@
         self.send(address, Some(gossip::Body::Probe(probe)), &[], actions);
     }
 
-    /// Gives one page of this node's table, its own record on each. A bounded
-    /// number in a period: joining nodes wait a little rather than load one.
+    /// Gives one page of this node's table, its own record on each, and only
+    /// what members said of themselves. A bounded number in a period: joining
+    /// nodes wait a little rather than load one.
     fn give_page(
         &mut self,
         from: SocketAddr,
@@ -253,7 +254,8 @@
         }
         let mut page = full;
         for (node_id, entry) in self.table.after(&pull.after_node_id) {
-            if !put_record(&mut gossip, &mut room, entry.belief()) {
+            let is_told = entry.state != NodeState::Dead;
+            if is_told && !put_record(&mut gossip, &mut room, entry.member.clone()) {
                 page.complete = false;
                 break;
             }
--- a/crates/hemlocktack-fleet/src/membership/record.rs
+++ b/crates/hemlocktack-fleet/src/membership/record.rs
@@ -44,13 +44,13 @@
 }
 
 /// Short record that accuses one version of a member.
-pub(crate) fn accusation(member: &Member, state: NodeState) -> Member {
+pub(crate) fn accusation(member: &Member) -> Member {
     Member {
         node_id: member.node_id.clone(),
         incarnation: member.incarnation,
         start_order: member.start_order,
         version: member.version,
-        state: state.into(),
+        state: NodeState::Suspect.into(),
         ..Member::default()
     }
 }
--- a/crates/hemlocktack-fleet/src/membership/settings.rs
+++ b/crates/hemlocktack-fleet/src/membership/settings.rs
@@ -13,6 +13,8 @@
     IndirectProbes,
     /// A suspected member may answer with a higher version.
     Refutation,
+    /// Old accusations are not passed on.
+    AccusationAge,
     /// A node that was paused itself accuses nobody.
     OwnPause,
     /// Left and dead records are kept, so that old news does not revive them.
--- a/crates/hemlocktack-fleet/src/membership/table.rs
+++ b/crates/hemlocktack-fleet/src/membership/table.rs
@@ -32,10 +32,14 @@
         !matches!(self.state, NodeState::Dead | NodeState::Left)
     }
 
+    pub(crate) fn is_accused(&self) -> bool {
+        matches!(self.state, NodeState::Suspect | NodeState::Dead)
+    }
+
     /// The record that tells others what this node believes.
     pub(crate) fn belief(&self) -> Member {
-        if matches!(self.state, NodeState::Suspect | NodeState::Dead) {
-            return record::accusation(&self.member, self.state);
+        if self.is_accused() {
+            return record::accusation(&self.member);
         }
         self.member.clone()
     }
@@ -84,7 +88,7 @@
     /// Takes in a record of another node, if it is fresher than what is known.
     pub(crate) fn merge(&mut self, now: Instant, record: Member) -> Merged {
         if record::is_accusation(&record) {
-            return self.accuse(now, &record);
+            return self.hear_accusation(now, &record);
         }
         let known = self.entries.get(&record.node_id);
         if known.is_some_and(|entry| Freshness::of(&record) <= entry.freshness()) {
@@ -107,7 +111,11 @@
         merged
     }
 
-    fn accuse(&mut self, now: Instant, record: &Member) -> Merged {
+    /// Takes another node's accusation for a suspicion, never for more: each
+    /// node waits for itself before it holds a member for dead. Were a death
+    /// taken over unseen, one node with a bad network could take any member
+    /// from everybody's view before it can answer.
+    fn hear_accusation(&mut self, now: Instant, record: &Member) -> Merged {
         let Some(entry) = self.entries.get(&record.node_id) else {
             return Merged::Stale;
         };
@@ -119,12 +127,23 @@
         let mut entry = entry.clone();
         entry.member.version = record.version;
         entry.member.start_order = record.start_order;
-        entry.state = record.state();
+        entry.state = NodeState::Suspect;
         entry.since = now;
         self.put(entry);
         Merged::Changed
     }
 
+    /// Records this node's own verdict on a member.
+    pub(crate) fn judge(&mut self, now: Instant, node_id: &str, state: NodeState) {
+        let Some(entry) = self.entries.get(node_id) else {
+            return;
+        };
+        let mut entry = entry.clone();
+        entry.state = state;
+        entry.since = now;
+        self.put(entry);
+    }
+
     /// Gives suspected members as much longer as this node was paused itself.
     pub(crate) fn extend_suspicions(&mut self, pause: Duration) {
         for entry in self.entries.values_mut() {
--- a/crates/hemlocktack-fleet/src/membership/tick.rs
+++ b/crates/hemlocktack-fleet/src/membership/tick.rs
@@ -9,9 +9,7 @@
 
 use super::machine::{Action, Membership, Sweep};
 use super::probes::Pending;
-use super::record;
 use super::settings::Safeguard;
-use super::table::Merged;
 
 /// Periods without an answer after which a node that finds nobody takes itself
 /// for the first of the fleet.
@@ -23,6 +21,7 @@
     /// To be called every tenth of a period or so.
     pub fn tick(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.now = now;
         self.forgive_own_pause(now);
         self.ask_others(now, &mut actions, rng);
         if now >= self.next_period {
@@ -70,7 +69,7 @@
             return;
         };
         let waited = now.saturating_duration_since(pending.sent);
-        if !wanted || pending.is_retry || pending.asked_others || waited < timeout {
+        if !wanted || pending.asked_others || waited < timeout {
             return;
         }
         pending.asked_others = true;
@@ -98,26 +97,17 @@
             return;
         };
         let same_start = entry.member.incarnation == pending.incarnation;
-        if pending.is_retry || !same_start || !entry.is_live() {
+        if !same_start || !entry.is_live() || entry.is_accused() {
             return;
         }
-        self.accuse(now, &pending.node_id, NodeState::Suspect, actions);
-    }
-
-    fn accuse(&mut self, now: Instant, node_id: &str, state: NodeState, actions: &mut Vec<Action>) {
-        let Some(entry) = self.table.get(node_id) else {
-            return;
-        };
-        let accusation = record::accusation(&entry.member, state);
-        if self.table.merge(now, accusation) != Merged::Stale {
-            self.news.push(node_id);
-            actions.push(Action::MembersChanged);
-        }
+        self.table.judge(now, &pending.node_id, NodeState::Suspect);
+        self.news.push(&pending.node_id);
+        actions.push(Action::MembersChanged);
     }
 
     /// Time for a suspected member to hear of it and for its answer to spread:
     /// each doubling of the fleet takes a period more.
-    fn suspicion_timeout(&self) -> Duration {
+    pub(super) fn suspicion_timeout(&self) -> Duration {
         let members = self.table.live().count() + 1;
         let doublings = usize::BITS - members.leading_zeros();
         self.settings.probe_period * (self.settings.suspicion_periods + doublings)
@@ -133,14 +123,17 @@
             .map(|(node_id, _)| node_id.clone())
             .collect();
         for node_id in expired {
-            self.accuse(now, &node_id, NodeState::Dead, actions);
+            self.table.judge(now, &node_id, NodeState::Dead);
+            actions.push(Action::MembersChanged);
         }
     }
 
     fn probe_next(&mut self, now: Instant, actions: &mut Vec<Action>, rng: &mut impl Rng) {
         let far_interval = self.settings.far_probe_interval;
         let data_centre = &self.own.data_centre;
-        let target = self.probes.next_target(&self.table, data_centre, far_interval, rng);
+        let target = self
+            .probes
+            .next_target(&self.table, data_centre, far_interval, rng);
         if let Some(target) = target {
             self.probe(now, &target, false, actions);
         }
@@ -153,8 +146,7 @@
         let Some(address) = entry.address else {
             return;
         };
-        let accused = matches!(entry.state, NodeState::Suspect | NodeState::Dead);
-        let first = accused.then(|| entry.belief());
+        let first = entry.is_accused().then(|| entry.belief());
         let sequence = self.probes.next_sequence();
         if !is_retry {
             self.probes.pending = Some(Pending {
@@ -163,7 +155,6 @@
                 incarnation: entry.member.incarnation,
                 sent: now,
                 asked_others: false,
-                is_retry,
             });
         }
         let body = gossip::Body::Probe(Probe {
@@ -198,7 +189,10 @@
     fn unknown_seed(&self, rng: &mut impl Rng) -> Option<SocketAddr> {
         let own: Option<SocketAddr> = self.own.gossip_address.parse().ok();
         let is_unknown = |seed: &SocketAddr| {
-            let known = self.table.live().any(|(_, entry)| entry.address == Some(*seed));
+            let known = self
+                .table
+                .live()
+                .any(|(_, entry)| entry.address == Some(*seed));
             !known && Some(*seed) != own
         };
         self.seeds.iter().copied().filter(is_unknown).choose(rng)
@@ -233,7 +227,10 @@
             return;
         };
         let peer = sweep.peer;
-        let is_live = self.table.live().any(|(_, entry)| entry.address == Some(peer));
+        let is_live = self
+            .table
+            .live()
+            .any(|(_, entry)| entry.address == Some(peer));
         if !is_live {
             self.sweep = None;
         }
@@ -246,11 +243,18 @@
         if now.saturating_duration_since(self.started) >= patience {
             self.joined = true;
         }
-        let known = self.table.live().filter_map(|(_, entry)| entry.address).choose(rng);
+        let known = self
+            .table
+            .live()
+            .filter_map(|(_, entry)| entry.address)
+            .choose(rng);
         let Some(peer) = self.unknown_seed(rng).or(known) else {
             return;
         };
-        let cursor = self.sweep.take().map_or(String::new(), |sweep| sweep.cursor);
+        let cursor = self
+            .sweep
+            .take()
+            .map_or(String::new(), |sweep| sweep.cursor);
         self.sweep = Some(Sweep { peer, cursor });
         self.pull_page(actions);
     }
