--- a/crates/hemlocktack-fleet/src/membership/machine.rs
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -276,6 +276,7 @@
             from_incarnation: self.own.incarnation,
             generation_in_force: self.generation,
             table_digest: self.digest(),
+            suspects: Vec::new(),
             members: Vec::new(),
             body,
         }
