Add the client of the object API and the objects kept there

The client says of each failed write whether it may have taken effect, asks within a node's share of the platform's rates, and leaves a failing platform alone. Configurations are accepted by one conditional write; the replaced one is copied to the history first, so that a repeat whose answer was lost is recognised also after others came on top. A process that wakes leaves the record of the start that took its place.

Ruled out: history written after the change (a crash in between leaves a gap, and a repeat would be refused as a conflict although it was stored); keeping the list of changes in the current object (grows against its 1 MiB).

--- a/crates/hemlocktack-platform/src/lib.rs
+++ b/crates/hemlocktack-platform/src/lib.rs
@@ -1,1 +1,21 @@
-//! Stub.
+//! Client of the platform's object API, and the objects that the system keeps there.
+//!
+//! What the platform gives, and what a caller of the client sees of its
+//! faults, is in docs/interfaces/platform.md.
+
+mod backoff;
+mod budget;
+mod client;
+mod configuration;
+mod error;
+mod nodes;
+mod resolve;
+mod values;
+
+pub use backoff::{Backoff, BackoffSettings};
+pub use budget::{Budget, BudgetSettings, Rate};
+pub use client::{Client, ClientSettings, VALUE_LIMIT_BYTES};
+pub use configuration::{Applied, Change, ConfigurationStore, HISTORY_LENGTH, StoredConfiguration};
+pub use error::{Effect, Error, Result};
+pub use nodes::{NodeRecords, Publication, PublishedNode, PublishedNodes};
+pub use values::{Listing, Object, Revision, Version, Watched, WatchedObject};
--- /dev/null
+++ b/crates/hemlocktack-platform/tests/contract/configuration.rs
@@ -0,0 +1,243 @@
+//! Accepted means stored: applying changes under faults of the platform.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::support::{client, kind, start_platform};
+use hemlocktack_platform::{Applied, Change, Client, ConfigurationStore, HISTORY_LENGTH};
+use hemlocktack_testkit::platform::{Platform, Switches};
+
+const LONG_WAIT: Duration = Duration::from_secs(30);
+
+fn change(id: &str, expected_generation: u64) -> Change {
+    Change {
+        document: format!("# {id}"),
+        expected_generation,
+        change_id: id.to_owned(),
+        author: "asha".to_owned(),
+    }
+}
+
+async fn start() -> (Platform, Arc<Client>, ConfigurationStore) {
+    let platform = start_platform().await;
+    let client = client(platform.address());
+    let store = ConfigurationStore::new(client.clone());
+    (platform, client, store)
+}
+
+fn stored(generation: u64) -> Applied {
+    Applied::Stored { generation }
+}
+
+#[tokio::test]
+async fn changes_follow_each_other() {
+    let (_platform, _client, store) = start().await;
+    assert_eq!(store.read_newest().await, Ok(None));
+    assert_eq!(store.apply(&change("one", 0)).await, Ok(stored(1)));
+    assert_eq!(store.apply(&change("two", 1)).await, Ok(stored(2)));
+    assert_eq!(store.apply(&change("three", 2)).await, Ok(stored(3)));
+    let ids: Vec<String> = store
+        .history(10)
+        .await
+        .unwrap()
+        .into_iter()
+        .map(|configuration| configuration.change_id)
+        .collect();
+    assert_eq!(ids, ["three", "two", "one"]);
+    let second = store.read(2).await.unwrap().unwrap();
+    assert_eq!(second.document, "# two");
+    assert_eq!(store.read(9).await, Ok(None));
+}
+
+/// An edit of an older generation would take back what came after it: refused,
+/// with the newest generation, and nothing is stored.
+#[tokio::test]
+async fn an_edit_of_another_generation_is_refused() {
+    let (_platform, _client, store) = start().await;
+    store.apply(&change("one", 0)).await.unwrap();
+    store.apply(&change("two", 1)).await.unwrap();
+    for expected in [0, 1, 7, u64::MAX] {
+        let applied = store.apply(&change("late", expected)).await;
+        let conflict = Applied::GenerationConflict {
+            current_generation: 2,
+        };
+        assert_eq!(applied, Ok(conflict), "expected generation {expected}");
+    }
+    let newest = store.read_newest().await.unwrap().unwrap();
+    assert_eq!(newest.configuration.change_id, "two");
+}
+
+/// The operator's script lost the answer and sends the change again, at once
+/// or after others came on top: it is one change.
+#[tokio::test]
+async fn a_repeated_change_is_one_change() {
+    let (_platform, _client, store) = start().await;
+    store.apply(&change("one", 0)).await.unwrap();
+    store.apply(&change("two", 1)).await.unwrap();
+    let already = Applied::AlreadyApplied { generation: 2 };
+    assert_eq!(store.apply(&change("two", 1)).await, Ok(already.clone()));
+    store.apply(&change("three", 2)).await.unwrap();
+    store.apply(&change("four", 3)).await.unwrap();
+    assert_eq!(store.apply(&change("two", 1)).await, Ok(already));
+    let newest = store.read_newest().await.unwrap().unwrap();
+    assert_eq!(newest.configuration.generation, 4);
+}
+
+/// Another document under a change id that was used must not pass for stored.
+#[tokio::test]
+async fn a_reused_change_id_is_refused() {
+    let (_platform, _client, store) = start().await;
+    store.apply(&change("one", 0)).await.unwrap();
+    let other = Change {
+        document: "# other".to_owned(),
+        ..change("one", 0)
+    };
+    let reused = Ok(Applied::ChangeIdReused { generation: 1 });
+    assert_eq!(store.apply(&other).await, reused);
+    assert_eq!(store.apply(&change("one", 1)).await, reused);
+}
+
+/// The answers of the copy to the history and of the change itself are lost
+/// after they took effect; the operator is told that it is stored, and it is
+/// stored once.
+#[tokio::test]
+async fn a_lost_answer_does_not_lose_or_double_a_change() {
+    let (platform, _client, store) = start().await;
+    store.apply(&change("one", 0)).await.unwrap();
+    for lose_answers in 1..=4 {
+        let generation = u64::from(lose_answers);
+        platform.set(Switches {
+            lose_answers,
+            ..Switches::default()
+        });
+        let change = change(&format!("lost {generation}"), generation);
+        assert_eq!(store.apply(&change).await, Ok(stored(generation + 1)));
+    }
+    let newest = store.read_newest().await.unwrap().unwrap();
+    assert_eq!(newest.configuration.generation, 5);
+}
+
+/// The platform goes out during an apply. The operator is told that it may be
+/// stored only where that is so, and sends it again after the outage.
+#[tokio::test]
+async fn an_apply_during_an_outage_is_honest() {
+    let (platform, _client, store) = start().await;
+    store.apply(&change("one", 0)).await.unwrap();
+    platform.set(Switches {
+        down: true,
+        ..Switches::default()
+    });
+    let error = store.apply(&change("two", 1)).await.unwrap_err();
+    assert_eq!(kind(&error), "Unavailable, no effect");
+    platform.set(Switches::default());
+    let applied = loop {
+        match store.apply(&change("two", 1)).await {
+            Ok(applied) => break applied,
+            Err(error) => tokio::time::sleep(error.retry_after().unwrap()).await,
+        }
+    };
+    assert_eq!(applied, stored(2));
+}
+
+/// A document over the platform's limit is refused; nothing is stored.
+#[tokio::test]
+async fn a_document_over_the_limit_is_refused() {
+    let (_platform, _client, store) = start().await;
+    let huge = Change {
+        document: "x".repeat(hemlocktack_platform::VALUE_LIMIT_BYTES),
+        ..change("huge", 0)
+    };
+    let error = store.apply(&huge).await.unwrap_err();
+    assert_eq!(kind(&error), "TooLarge over 1048576 bytes");
+    assert_eq!(store.read_newest().await, Ok(None));
+}
+
+/// Operators of six teams race, each on the newest generation it has read,
+/// through nodes of their own, while answers get lost. Each generation is
+/// stored for exactly one of them, and no accepted change is missing.
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators_never_both_win() {
+    const TEAMS: u64 = 6;
+    const CHANGES: u64 = 5;
+    let (platform, _client, store) = start().await;
+    let mut teams = Vec::new();
+    for team in 0..TEAMS {
+        let store = ConfigurationStore::new(client(platform.address()));
+        teams.push(tokio::spawn(async move {
+            let mut won = Vec::new();
+            let mut expected = 0;
+            while (won.len() as u64) < CHANGES {
+                let id = format!("team {team}, change {}", won.len());
+                match store.apply(&change(&id, expected)).await {
+                    Ok(Applied::Stored { generation }) => {
+                        won.push((generation, id));
+                        expected = generation;
+                    }
+                    Ok(Applied::GenerationConflict { current_generation }) => {
+                        expected = current_generation;
+                    }
+                    Ok(other) => panic!("{other:?}"),
+                    Err(error) => tokio::time::sleep(error.retry_after().unwrap()).await,
+                }
+            }
+            won
+        }));
+    }
+    let mut accepted = Vec::new();
+    for team in teams {
+        accepted.extend(team.await.unwrap());
+    }
+    accepted.sort();
+    let generations: Vec<u64> = accepted.iter().map(|(generation, _)| *generation).collect();
+    assert_eq!(
+        generations,
+        (1..=TEAMS * CHANGES).collect::<Vec<u64>>(),
+        "each generation accepted once"
+    );
+    for (generation, id) in accepted {
+        let kept = store.read(generation).await.unwrap().unwrap();
+        assert_eq!(kept.change_id, id);
+    }
+}
+
+/// Changes come for weeks: the history stays bounded, and the newest are there.
+#[tokio::test]
+async fn the_history_is_bounded() {
+    let (_platform, client, store) = start().await;
+    let count = HISTORY_LENGTH + 10;
+    for generation in 0..count {
+        store
+            .apply(&change(&format!("change {generation}"), generation))
+            .await
+            .unwrap();
+    }
+    let kept = client.list_keys("configuration/history/").await.unwrap();
+    assert_eq!(kept.objects.len() as u64, HISTORY_LENGTH);
+    assert!(store.read(count - HISTORY_LENGTH).await.unwrap().is_some());
+    assert_eq!(store.read(1).await, Ok(None));
+}
+
+/// A node watches; it learns of a change without asking again, and a watch
+/// that ended in between misses nothing.
+#[tokio::test]
+async fn a_watch_tells_of_newer_configurations_only() {
+    let (platform, _client, store) = start().await;
+    let watching = tokio::spawn({
+        let store = store.clone();
+        async move { store.watch_newer(0, LONG_WAIT).await }
+    });
+    while platform.counts().watches == 0 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    store.apply(&change("one", 0)).await.unwrap();
+    let first = watching.await.unwrap().unwrap().unwrap();
+    assert_eq!(first.configuration.generation, 1);
+    store.apply(&change("two", 1)).await.unwrap();
+    let second = store.watch_newer(first.version, LONG_WAIT).await;
+    let second = second.unwrap().unwrap();
+    assert_eq!(second.configuration.generation, 2);
+    let none = store.watch_newer(second.version, Duration::from_millis(5));
+    assert_eq!(none.await, Ok(None));
+    let unknown_revision = store.watch_newer(u64::MAX, LONG_WAIT).await.unwrap();
+    assert_eq!(unknown_revision, Some(second));
+}
--- /dev/null
+++ b/crates/hemlocktack-platform/tests/contract/nodes.rs
@@ -0,0 +1,83 @@
+//! Node records under restarts, pauses and lost answers.
+
+use crate::support::{client, start_platform};
+use hemlocktack_platform::{NodeRecords, Publication};
+use hemlocktack_protocol::Member;
+use hemlocktack_testkit::platform::Switches;
+use serde_json::json;
+
+fn member(incarnation: u64, version: u64) -> Member {
+    Member {
+        node_id: "salt-lake-1".to_owned(),
+        incarnation,
+        version,
+        ..Member::default()
+    }
+}
+
+/// A node publishes, refreshes, loses an answer and leaves.
+#[tokio::test]
+async fn a_record_follows_its_node() {
+    let platform = start_platform().await;
+    let records = NodeRecords::new(client(platform.address()));
+    for version in 1..=3 {
+        platform.set(Switches {
+            lose_answers: u32::from(version == 2),
+            ..Switches::default()
+        });
+        let published = records.publish(&member(1, version)).await;
+        assert_eq!(published, Ok(Publication::Published));
+        let listed = records.list().await.unwrap();
+        assert_eq!(listed.nodes[0].member, member(1, version));
+    }
+    records.withdraw("salt-lake-1").await.unwrap();
+    assert!(records.list().await.unwrap().nodes.is_empty());
+}
+
+/// The node is replaced while its old process is paused. The new start takes
+/// the record over; the old one wakes, still believing that it is its own, and
+/// must leave it: its addresses are dead, and others would call them.
+#[tokio::test]
+async fn a_woken_process_leaves_its_successors_record() {
+    let platform = start_platform().await;
+    let paused = NodeRecords::new(client(platform.address()));
+    let successor = NodeRecords::new(client(platform.address()));
+    paused.publish(&member(1, 1)).await.unwrap();
+    let published = successor.publish(&member(2, 1)).await;
+    assert_eq!(published, Ok(Publication::Published));
+    let woken = paused.publish(&member(1, 2)).await;
+    let replaced = Publication::Replaced { by_incarnation: 2 };
+    assert_eq!(woken, Ok(replaced));
+    assert!(paused.withdraw("salt-lake-1").await.is_err());
+    let listed = successor.list().await.unwrap();
+    assert_eq!(listed.nodes[0].member, member(2, 1));
+}
+
+/// Someone deleted the record of a node that was believed dead: it comes back.
+#[tokio::test]
+async fn a_deleted_record_is_published_again() {
+    let platform = start_platform().await;
+    let records = NodeRecords::new(client(platform.address()));
+    records.publish(&member(1, 1)).await.unwrap();
+    let listed = records.list().await.unwrap();
+    records.delete(&listed.nodes[0]).await.unwrap();
+    let published = records.publish(&member(1, 2)).await;
+    assert_eq!(published, Ok(Publication::Published));
+}
+
+/// One record that nobody can read does not hide the others.
+#[tokio::test]
+async fn a_malformed_record_is_named_and_passed_over() {
+    let platform = start_platform().await;
+    let client = client(platform.address());
+    let records = NodeRecords::new(client.clone());
+    let junk = json!({ "node_id": 7 });
+    client
+        .put_conditional("nodes/junk", 0, &junk)
+        .await
+        .unwrap();
+    records.publish(&member(1, 1)).await.unwrap();
+    let listed = records.list().await.unwrap();
+    assert_eq!(listed.nodes.len(), 1);
+    assert_eq!(listed.malformed_keys, ["nodes/junk"]);
+}
--- a/crates/hemlocktack-testkit/src/platform/routes.rs
+++ b/crates/hemlocktack-testkit/src/platform/routes.rs
@@ -35,7 +35,7 @@
             (Method::Put, "switches") => self.set_switches(read_json(data).await),
             (method, path) => {
                 let Some(kind) = kind_of(method, path) else {
-                    return Reply::error(404, "not-found", "no such call");
+                    return Reply::error(404, "unknown-call", "no such call");
                 };
                 self.counts.add(kind);
                 self.call(kind, path, request, data).await
