--- /dev/null
+++ b/crates/hemlocktack-node/src/callers/answer.rs
@@ -0,0 +1,126 @@
+//! What a caller gets back.
+
+use std::io::Cursor;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hemlocktack_protocol::{
+    Answer, Header, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, Outcome, REASON_HEADER,
+    RETRY_AFTER_HEADER, Reason,
+};
+use rocket::Response;
+use rocket::http::Status;
+
+/// Answer to one request of a caller, about to leave.
+pub(crate) struct CallerAnswer {
+    pub(crate) outcome: Outcome,
+    pub(crate) reason: Reason,
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<Header>,
+    pub(crate) body: Bytes,
+    pub(crate) retry_after: Option<Duration>,
+    pub(crate) fresh_ticket: Option<String>,
+}
+
+impl CallerAnswer {
+    /// A refusal of the entry itself: nothing was sent anywhere.
+    pub(crate) fn refused(reason: Reason) -> Self {
+        Self::from_answer(crate::calls::not_run(reason, None))
+    }
+
+    /// Translates what came back through the fleet.
+    pub(crate) fn from_answer(answer: Answer) -> Self {
+        let outcome = answer.outcome();
+        let reason = answer.reason();
+        let fresh_ticket = (!answer.fresh_ticket.is_empty()).then_some(answer.fresh_ticket);
+        let retry_after = (answer.retry_after_ms > 0)
+            .then(|| Duration::from_millis(answer.retry_after_ms.into()));
+        if outcome == Outcome::Answered {
+            let status = u16::try_from(answer.status).unwrap_or(Status::BadGateway.code);
+            return Self {
+                outcome,
+                reason,
+                status,
+                headers: answer.headers,
+                body: answer.body,
+                retry_after,
+                fresh_ticket,
+            };
+        }
+        Self {
+            outcome,
+            reason,
+            status: refusal_status(outcome, reason).code,
+            headers: vec![json_content_type()],
+            body: refusal_body(outcome, reason),
+            retry_after,
+            fresh_ticket,
+        }
+    }
+
+    pub(crate) fn into_response(self) -> Response<'static> {
+        let mut builder = Response::build();
+        builder.status(Status::new(self.status));
+        for header in self.headers {
+            let Ok(value) = String::from_utf8(header.value.to_vec()) else {
+                continue;
+            };
+            builder.raw_header_adjoin(header.name, value);
+        }
+        let outcome: &'static str = self.outcome.into();
+        builder.raw_header(OUTCOME_HEADER, outcome);
+        if self.outcome != Outcome::Answered {
+            let reason: &'static str = self.reason.into();
+            builder.raw_header(REASON_HEADER, reason);
+        }
+        if let Some(retry_after) = self.retry_after {
+            builder.raw_header(RETRY_AFTER_HEADER, whole_seconds(retry_after).to_string());
+        }
+        if let Some(ticket) = self.fresh_ticket {
+            builder.raw_header(IDEMPOTENCY_KEY_HEADER, ticket);
+        }
+        builder.sized_body(self.body.len(), Cursor::new(self.body));
+        builder.finalize()
+    }
+}
+
+/// The header has whole seconds only; rounding down would bring callers back early.
+fn whole_seconds(duration: Duration) -> u64 {
+    duration.as_millis().div_ceil(1000) as u64
+}
+
+fn json_content_type() -> Header {
+    Header {
+        name: "content-type".to_owned(),
+        value: Bytes::from_static(b"application/json"),
+    }
+}
+
+fn refusal_status(outcome: Outcome, reason: Reason) -> Status {
+    match reason {
+        Reason::UnknownService => Status::NotFound,
+        Reason::MalformedRequest
+        | Reason::MalformedContext
+        | Reason::ContextExpired
+        | Reason::TicketMalformed => Status::BadRequest,
+        Reason::BodyTooLarge => Status::PayloadTooLarge,
+        Reason::TicketRequired => Status::PreconditionRequired,
+        Reason::TicketForeign => Status::Conflict,
+        Reason::TicketExpired | Reason::AnswerNotKept => Status::Gone,
+        Reason::Timeout => Status::GatewayTimeout,
+        _ if outcome == Outcome::NotRun => Status::ServiceUnavailable,
+        _ => Status::BadGateway,
+    }
+}
+
+fn refusal_body(outcome: Outcome, reason: Reason) -> Bytes {
+    let outcome_name: &'static str = outcome.into();
+    let reason_name: &'static str = reason.into();
+    let message = match outcome {
+        Outcome::NotRun => "the request was not run",
+        _ => "the request may have run",
+    };
+    let body =
+        serde_json::json!({ "outcome": outcome_name, "reason": reason_name, "message": message });
+    Bytes::from(body.to_string())
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/callers/mod.rs
@@ -0,0 +1,9 @@
+//! The callers' side: HTTP in, HTTP out.
+
+mod answer;
+mod request;
+mod routes;
+
+pub(crate) use answer::CallerAnswer;
+pub(crate) use request::{CallerRequest, is_passed_on, read_head};
+pub(crate) use routes::routes;
--- /dev/null
+++ b/crates/hemlocktack-node/src/calls/classify.rs
@@ -0,0 +1,205 @@
+//! What the operators' configuration and the chain above say of a call.
+
+use std::hash::Hasher;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlocktack_config::{Document, Service};
+use hemlocktack_decide::{Allowance, WorkKind};
+use hemlocktack_protocol::{Call, ClassRank, Fingerprint, Reason};
+
+use super::RunningCall;
+use crate::callers::CallerRequest;
+use crate::node::Node;
+
+/// Calls above one another in one chain. Ten is the deepest graph we know of;
+/// a loop in a graph ends here instead of at the deadline.
+const DEPTH_LIMIT: u32 = 16;
+
+/// A call with all that decides about it.
+pub(crate) struct Classified {
+    pub(crate) call: Call,
+    pub(crate) idempotent: bool,
+    pub(crate) class_rank: ClassRank,
+    pub(crate) kind: WorkKind,
+    pub(crate) deadline: Instant,
+    /// Retries of this request; shared with the calls beside it in a chain.
+    pub(crate) allowance: Arc<Allowance>,
+    pub(crate) parent: Option<Arc<RunningCall>>,
+    /// As the caller sent it; see `Idempotency-Key`.
+    pub(crate) idempotency_key: Option<String>,
+}
+
+/// Looks a request up in the configuration and, for a deeper call, its parent.
+pub(crate) fn classify(
+    node: &Node,
+    request: CallerRequest,
+    now: Instant,
+) -> Result<Classified, Reason> {
+    let Some(in_force) = node.configuration_in_force() else {
+        return Err(Reason::Starting);
+    };
+    let Some(service) = in_force.document.service(&request.service) else {
+        return Err(Reason::UnknownService);
+    };
+    let parent = request
+        .context
+        .as_deref()
+        .map(|header| node.contexts.find(header))
+        .transpose()?;
+    let class_rank = class_rank(&in_force.document, service, &request, parent.as_deref());
+    let idempotent = is_idempotent(service, &request);
+    let kind = work_kind(service, request.method, &request.path);
+    node.roster.note_kind(kind, &service.name);
+    let patience = patience(&in_force.document, &request, parent.as_deref(), now)?;
+    let allowance = match &parent {
+        Some(parent) => parent.allowance.clone(),
+        None => Arc::new(Allowance::new(root_allowance(&in_force.document, &request))),
+    };
+    let call = Call {
+        service: request.service.to_string(),
+        fingerprint: fingerprint(&request),
+        method: request.method.to_owned(),
+        path: request.path,
+        headers: request.headers,
+        body: request.body,
+        class_rank: class_rank.into(),
+        depth: parent.as_ref().map_or(0, |parent| parent.depth + 1),
+        root_request_id: parent
+            .as_ref()
+            .map_or_else(rand::random, |parent| parent.root_request_id),
+        work_spent_us: parent
+            .as_ref()
+            .map_or(0, |parent| parent.work_spent_us(now)),
+        traceparent: request.traceparent.unwrap_or_default(),
+        ..Call::default()
+    };
+    if call.depth > DEPTH_LIMIT {
+        return Err(Reason::MalformedContext);
+    }
+    let deadline = now + patience;
+    let idempotency_key = request.idempotency_key;
+    Ok(Classified {
+        call,
+        idempotent,
+        class_rank,
+        kind,
+        deadline,
+        allowance,
+        parent,
+        idempotency_key,
+    })
+}
+
+/// A deeper call keeps the class of its root: what matters is the caller's
+/// request, not which hop of it is being worked on.
+fn class_rank(
+    document: &Document,
+    service: &Service,
+    request: &CallerRequest,
+    parent: Option<&RunningCall>,
+) -> ClassRank {
+    if let Some(parent) = parent {
+        return parent.class_rank;
+    }
+    let last = document.classes.len().saturating_sub(1);
+    let rule = service.rule(request.method, &request.path);
+    let rank = rule
+        .and_then(|rule| document.class_rank(&rule.class))
+        .unwrap_or(last);
+    ClassRank::try_from(rank).unwrap_or(ClassRank::MAX)
+}
+
+/// What no rule declares idempotent is not repeated.
+fn is_idempotent(service: &Service, request: &CallerRequest) -> bool {
+    service
+        .rule(request.method, &request.path)
+        .is_some_and(|rule| rule.idempotent)
+}
+
+fn patience(
+    document: &Document,
+    request: &CallerRequest,
+    parent: Option<&RunningCall>,
+    now: Instant,
+) -> Result<Duration, Reason> {
+    let most = match parent {
+        Some(parent) => parent.deadline.saturating_duration_since(now),
+        None => {
+            let kind = document
+                .caller_kind(request.caller_kind.as_deref())
+                .ok_or(Reason::MalformedRequest)?;
+            Duration::from_millis(kind.patience_ms)
+        }
+    };
+    Ok(request.timeout.map_or(most, |timeout| timeout.min(most)))
+}
+
+fn root_allowance(document: &Document, request: &CallerRequest) -> u32 {
+    document
+        .caller_kind(request.caller_kind.as_deref())
+        .map_or(0, |kind| kind.retry_allowance)
+}
+
+/// Kind of work of a call that reached the upstream side.
+pub(crate) fn work_kind_of(node: &Node, call: &Call) -> WorkKind {
+    let in_force = node.configuration_in_force();
+    let service = in_force
+        .as_ref()
+        .and_then(|in_force| in_force.document.service(&call.service));
+    service.map_or(0, |service| work_kind(service, &call.method, &call.path))
+}
+
+/// Calls that match the same rule are taken to be about equal work. Every node
+/// must come to the same number.
+fn work_kind(service: &Service, method: &str, path: &str) -> WorkKind {
+    let mut hasher = StableHasher::default();
+    hasher.write(service.name.as_bytes());
+    if let Some(rule) = service.rule(method, path) {
+        hasher.write(rule.method.as_bytes());
+        hasher.write(rule.path_prefix.as_bytes());
+    }
+    hasher.finish()
+}
+
+/// Equal requests have equal fingerprints on every node, so the hash must not
+/// be seeded at random as the standard maps' are.
+fn fingerprint(request: &CallerRequest) -> Fingerprint {
+    let mut hasher = StableHasher::default();
+    for part in [
+        request.service.as_bytes(),
+        request.method.as_bytes(),
+        request.path.as_bytes(),
+        &request.body,
+    ] {
+        hasher.write(&part.len().to_be_bytes());
+        hasher.write(part);
+    }
+    hasher.finish()
+}
+
+/// FNV-1a, whose result is the same in every process.
+struct StableHasher {
+    state: u64,
+}
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+impl Default for StableHasher {
+    fn default() -> Self {
+        Self { state: FNV_OFFSET }
+    }
+}
+
+impl Hasher for StableHasher {
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.state = (self.state ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
+        }
+    }
+
+    fn finish(&self) -> u64 {
+        self.state
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/calls/context.rs
@@ -0,0 +1,161 @@
+//! Calls that the upstream beside this node is running, for its deeper calls.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use hemlocktack_decide::{Allowance, WorkKind};
+use hemlocktack_fleet::tickets::{ChildCalls, Nonce};
+use hemlocktack_protocol::{Call, ClassRank, Reason, RootRequestId};
+
+/// Length of the opaque header: one 64-bit number in hexadecimal digits.
+const CONTEXT_DIGITS: usize = 16;
+/// Tables side by side, so that calls seldom wait for each other's lock.
+const SHARDS: usize = 16;
+
+/// What deeper calls of a running call inherit.
+pub(crate) struct RunningCall {
+    pub(crate) root_request_id: RootRequestId,
+    pub(crate) class_rank: ClassRank,
+    pub(crate) deadline: Instant,
+    pub(crate) depth: u32,
+    /// Retries that came with the call; its deeper calls draw on them.
+    pub(crate) allowance: Arc<Allowance>,
+    /// Tickets of its deeper calls.
+    pub(crate) children: Mutex<ChildCalls>,
+    started: Instant,
+    /// Work that the chain above had spent when the call started.
+    work_spent_before: Duration,
+    deeper: Mutex<DeeperCalls>,
+}
+
+#[derive(Default)]
+struct DeeperCalls {
+    total: Duration,
+    kinds: Vec<WorkKind>,
+}
+
+impl RunningCall {
+    /// `nonce` is that of the call's ticket, if it has one.
+    pub(crate) fn new(
+        call: &Call,
+        class_rank: ClassRank,
+        nonce: Option<Nonce>,
+        deadline: Instant,
+    ) -> Self {
+        Self {
+            root_request_id: call.root_request_id,
+            class_rank,
+            deadline,
+            depth: call.depth,
+            allowance: Arc::new(Allowance::new(call.retries_given)),
+            children: Mutex::new(
+                nonce.map_or_else(ChildCalls::of_idempotent, ChildCalls::of_ticketed),
+            ),
+            started: Instant::now(),
+            work_spent_before: Duration::from_micros(call.work_spent_us),
+            deeper: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn work_spent_us(&self, now: Instant) -> u64 {
+        let spent = self.work_spent_before + now.saturating_duration_since(self.started);
+        u64::try_from(spent.as_micros()).unwrap_or(u64::MAX)
+    }
+
+    /// Counts one deeper call.
+    pub(crate) fn count_deeper(&self, kind: WorkKind, duration: Duration) {
+        let mut deeper = self.deeper.lock().unwrap_or_else(PoisonError::into_inner);
+        deeper.total += duration;
+        if !deeper.kinds.contains(&kind) {
+            deeper.kinds.push(kind);
+        }
+    }
+
+    /// Time spent on deeper calls, as if made one after the other.
+    pub(crate) fn time_below(&self) -> Duration {
+        self.deeper
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .total
+            .min(self.started.elapsed())
+    }
+
+    pub(crate) fn deeper_kinds(&self) -> Vec<WorkKind> {
+        self.deeper
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .kinds
+            .clone()
+    }
+}
+
+/// All calls that the upstream is running, by the opaque header.
+#[derive(Default)]
+pub(crate) struct ContextTable {
+    shards: [Mutex<HashMap<u64, Arc<RunningCall>>>; SHARDS],
+}
+
+/// Keeps a running call findable until it ends.
+pub(crate) struct OpenContext<'a> {
+    table: &'a ContextTable,
+    handle: u64,
+    pub(crate) running: Arc<RunningCall>,
+}
+
+impl ContextTable {
+    /// Enters a call that is about to run.
+    ///
+    /// The handle is random: an upstream cannot name another call's by counting.
+    pub(crate) fn open(&self, running: RunningCall) -> OpenContext<'_> {
+        let handle = rand::random();
+        let running = Arc::new(running);
+        self.shard(handle)
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(handle, running.clone());
+        OpenContext {
+            table: self,
+            handle,
+            running,
+        }
+    }
+
+    /// The running call that a deeper call names.
+    pub(crate) fn find(&self, header: &str) -> Result<Arc<RunningCall>, Reason> {
+        let has_form =
+            header.len() == CONTEXT_DIGITS && header.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if !has_form {
+            return Err(Reason::MalformedContext);
+        }
+        let handle = u64::from_str_radix(header, 16).map_err(|_| Reason::MalformedContext)?;
+        let found = self
+            .shard(handle)
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(&handle)
+            .cloned();
+        found.ok_or(Reason::ContextExpired)
+    }
+
+    fn shard(&self, handle: u64) -> &Mutex<HashMap<u64, Arc<RunningCall>>> {
+        &self.shards[handle as usize % SHARDS]
+    }
+}
+
+impl OpenContext<'_> {
+    /// Text of the opaque header.
+    pub(crate) fn header(&self) -> String {
+        format!("{:0width$x}", self.handle, width = CONTEXT_DIGITS)
+    }
+}
+
+impl Drop for OpenContext<'_> {
+    fn drop(&mut self) {
+        self.table
+            .shard(self.handle)
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&self.handle);
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/calls/enter.rs
@@ -0,0 +1,48 @@
+//! The entry: a caller's request, or a deeper call of the own upstream.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use hemlocktack_protocol::{Answer, NodeState, Reason};
+
+use super::{Classified, classify, place, ticketed};
+use crate::callers::{CallerAnswer, CallerRequest};
+use crate::node::Node;
+
+/// Takes a request and answers it as soon as its end is known.
+pub(crate) async fn enter(node: &Arc<Node>, request: CallerRequest) -> CallerAnswer {
+    let _in_flight = node.enter_call();
+    let started = Instant::now();
+    let mut classified = match classify(node, request, started) {
+        Ok(classified) => classified,
+        Err(reason) => return CallerAnswer::refused(reason),
+    };
+    if let Some(reason) = refuses_new_roots(node, &classified) {
+        return CallerAnswer::refused(reason);
+    }
+    let answer = run(node, &mut classified).await;
+    if let Some(parent) = &classified.parent {
+        parent.count_deeper(classified.kind, started.elapsed());
+    }
+    CallerAnswer::from_answer(answer)
+}
+
+/// Deeper calls of requests in flight are taken to the end, also while the
+/// node drains: refusing them would cut those requests off.
+fn refuses_new_roots(node: &Node, classified: &Classified) -> Option<Reason> {
+    if classified.parent.is_some() {
+        return None;
+    }
+    match node.state() {
+        NodeState::Ready => None,
+        NodeState::Starting => Some(Reason::Starting),
+        _ => Some(Reason::Draining),
+    }
+}
+
+async fn run(node: &Arc<Node>, classified: &mut Classified) -> Answer {
+    if classified.idempotent {
+        return place::run_idempotent(node, classified).await;
+    }
+    ticketed::run_ticketed(node, classified).await
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/calls/home.rs
@@ -0,0 +1,241 @@
+//! The home of a ticket: the one node start that may let its request run.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+use futures::future::BoxFuture;
+use hemlocktack_fleet::NodeIncarnation;
+use hemlocktack_fleet::tickets::{Nonce, Start, TableLimits, Ticket, TicketTable};
+use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Unfinished};
+use tokio::sync::watch;
+
+use super::place::{choose, moves, send_with_allowance, unfinished};
+use super::receive::refuses_all;
+use super::roster::{PeerEntry, ServiceView};
+use super::run::{RunOrder, run};
+use super::{not_run, unknown};
+use crate::node::Node;
+
+/// Nodes that a busy home hands a request to before it refuses it. One more
+/// try than an idempotent call gets: a booking is shed last.
+const DELEGATIONS_MAX: usize = 2;
+
+type EndReceiver = watch::Receiver<Option<Arc<Answer>>>;
+
+/// Tickets that this node start is home of, and who waits for their ends.
+pub(crate) struct Home {
+    table: Mutex<TicketTable>,
+    ends: Mutex<HashMap<Nonce, watch::Sender<Option<Arc<Answer>>>>>,
+}
+
+impl Home {
+    pub(crate) fn new(identity: &NodeIncarnation) -> Self {
+        let table = TicketTable::new(
+            identity.node_id.clone(),
+            identity.incarnation,
+            TableLimits::default(),
+        );
+        Self {
+            table: Mutex::new(table),
+            ends: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn table(&self) -> MutexGuard<'_, TicketTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn ends(&self) -> MutexGuard<'_, HashMap<Nonce, watch::Sender<Option<Arc<Answer>>>>> {
+        self.ends.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Decides on a call with a ticket and finds the end to wait for. Both
+    /// under one lock: an end between them would leave a joiner waiting.
+    fn start(&self, ticket: &Ticket) -> (Start, Option<EndReceiver>) {
+        let mut ends = self.ends();
+        let start = self.table().start(ticket);
+        let end = match start {
+            Start::Run => {
+                let (sender, receiver) = watch::channel(None);
+                ends.insert(ticket.nonce, sender);
+                Some(receiver)
+            }
+            Start::Join => ends.get(&ticket.nonce).map(watch::Sender::subscribe),
+            _ => None,
+        };
+        (start, end)
+    }
+
+    /// Records the end for good and tells everyone who waits for it.
+    fn end(&self, nonce: Nonce, answer: Answer) {
+        let answer = Arc::new(answer);
+        let mut ends = self.ends();
+        let recorded = match answer.outcome() {
+            Outcome::Answered => self.table().answer(nonce, answer.clone()),
+            Outcome::NotRun => self.table().refuse(nonce, answer.reason()),
+            Outcome::Unknown | Outcome::Unspecified => self.table().give_up(nonce, answer.reason()),
+        };
+        debug_assert!(recorded.is_ok(), "a ticket ended twice");
+        if let Some(waiting) = ends.remove(&nonce) {
+            waiting.send_replace(Some(answer));
+        }
+    }
+}
+
+/// A call whose ticket names this node start, or one that it took over from.
+pub(super) async fn receive_home(node: &Arc<Node>, call: Call, deadline: Instant) -> Answer {
+    let ticket = match Ticket::decode(&node.keys, &call.service, &call.ticket) {
+        Ok(ticket) => ticket,
+        Err(error) => return not_run(error.reason(), None),
+    };
+    let retries_given = call.retries_given;
+    let (start, end) = node.home.start(&ticket);
+    match start {
+        Start::Run => {
+            // Apart from this send: its link or its caller may go while the
+            // request runs, and a re-send must find the end all the same.
+            tokio::spawn(boxed_run(node.clone(), call, ticket.nonce, deadline));
+            wait_for_end(end, deadline).await
+        }
+        Start::Join => Answer {
+            retries_unspent: retries_given,
+            ..wait_for_end(end, deadline).await
+        },
+        Start::Answered(answer) => Answer {
+            retries_unspent: retries_given,
+            ..Arc::unwrap_or_clone(answer)
+        },
+        Start::AnswerNotKept => Answer {
+            retries_unspent: retries_given,
+            ..unknown(Reason::AnswerNotKept)
+        },
+        Start::Refused(refused) => Answer {
+            retries_unspent: retries_given,
+            ..from_unfinished(refused)
+        },
+    }
+}
+
+async fn wait_for_end(end: Option<EndReceiver>, deadline: Instant) -> Answer {
+    let Some(mut end) = end else {
+        return unknown(Reason::AnswerNotKept);
+    };
+    let ended = tokio::time::timeout_at(deadline.into(), end.wait_for(Option::is_some)).await;
+    match ended {
+        Ok(Ok(answer)) => answer
+            .as_deref()
+            .cloned()
+            .unwrap_or_else(|| unknown(Reason::AnswerNotKept)),
+        Ok(Err(_)) => unknown(Reason::AnswerNotKept),
+        Err(_) => unknown(Reason::Timeout),
+    }
+}
+
+fn from_unfinished(unfinished: Unfinished) -> Answer {
+    match unfinished {
+        Unfinished::NotRun(refusal) => not_run(refusal.reason, refusal.retry_after),
+        Unfinished::Unknown(reason) => unknown(reason),
+    }
+}
+
+/// A home's run may send to this node itself, so its type has to end somewhere.
+fn boxed_run(
+    node: Arc<Node>,
+    call: Call,
+    nonce: Nonce,
+    deadline: Instant,
+) -> BoxFuture<'static, ()> {
+    Box::pin(run_home(node, call, nonce, deadline))
+}
+
+/// Runs the request here or, if this upstream is busy, on one other at a time.
+async fn run_home(node: Arc<Node>, call: Call, nonce: Nonce, deadline: Instant) {
+    let _in_flight = node.enter_call();
+    let mut answer = run_here(&node, &call, nonce, deadline).await;
+    let mut excluded = node
+        .roster
+        .service(&call.service)
+        .and_then(|view| own_index(&node, &view));
+    for _ in 0..DELEGATIONS_MAX {
+        let may_go_on = unfinished(&answer).is_some_and(|unfinished| moves(&unfinished));
+        if !may_go_on {
+            break;
+        }
+        let Some(view) = node.roster.service(&call.service) else {
+            break;
+        };
+        let Some(index) = choose(&view, excluded) else {
+            break;
+        };
+        if Some(index) == own_index(&node, &view) {
+            break;
+        }
+        answer = run_there(&node, &call, nonce, &view.peers[index], deadline).await;
+        excluded = Some(index);
+    }
+    node.home.end(nonce, answer);
+}
+
+fn own_index(node: &Node, view: &ServiceView) -> Option<usize> {
+    view.peers
+        .iter()
+        .position(|peer| peer.identity == node.identity)
+}
+
+async fn run_here(node: &Arc<Node>, call: &Call, nonce: Nonce, deadline: Instant) -> Answer {
+    if let Some(reason) = refuses_all(node, call) {
+        return not_run(reason, None);
+    }
+    let started = || node.home.table().started(nonce).is_ok();
+    let answer = run(
+        node,
+        RunOrder {
+            call: call.clone(),
+            nonce: Some(nonce),
+            deadline,
+            may_start: started,
+        },
+    )
+    .await;
+    if answer.outcome() == Outcome::NotRun {
+        // The upstream may have shed it after the start was recorded. The call
+        // is still this task's alone, so a ticket that was not started stays so.
+        let _ = node.home.table().give_back(nonce);
+    }
+    answer
+}
+
+/// Sends it to another node of the service, recorded before the first byte.
+async fn run_there(
+    node: &Arc<Node>,
+    call: &Call,
+    nonce: Nonce,
+    peer: &PeerEntry,
+    deadline: Instant,
+) -> Answer {
+    if node
+        .home
+        .table()
+        .delegate(nonce, peer.identity.clone())
+        .is_err()
+    {
+        return unknown(Reason::Fenced);
+    }
+    let mut call = call.clone();
+    call.purpose = CallPurpose::Delegated.into();
+    let allowance = hemlocktack_decide::Allowance::new(call.retries_given);
+    peer.as_ref().sent();
+    let answer = send_with_allowance(node, peer, call, deadline, &allowance).await;
+    super::place::learn_load(peer, &answer);
+    if answer.outcome() == Outcome::NotRun {
+        let given_back = node.home.table().give_back_from(nonce, &peer.identity);
+        if given_back.is_err() {
+            return unknown(Reason::Fenced);
+        }
+    }
+    Answer {
+        retries_unspent: allowance.left(),
+        ..answer
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -0,0 +1,26 @@
+//! The way of a call: from a caller to a node beside an upstream and back.
+//!
+//! Caller side: [`enter`] classifies a call, places it and stays with it until
+//! its end is known. Upstream side: [`receive`] admits a call, runs it and
+//! answers with what became of it.
+
+mod classify;
+mod context;
+mod desk;
+mod ends;
+mod enter;
+mod home;
+mod place;
+mod receive;
+mod roster;
+mod run;
+mod ticketed;
+
+pub(crate) use classify::{Classified, classify, work_kind_of};
+pub(crate) use context::{ContextTable, RunningCall};
+pub(crate) use desk::Desk;
+pub(crate) use ends::{not_run, unknown};
+pub(crate) use enter::enter;
+pub(crate) use home::Home;
+pub(crate) use receive::receive;
+pub(crate) use roster::Roster;
--- /dev/null
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -0,0 +1,220 @@
+//! Placing a call on a node of its service, and sending it again where that is allowed.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlocktack_decide::{
+    Allowance, PlacementPolicy, RetryAfterPolicy, RetryVerdict, ShedLevel, may_move, place,
+    retry_after, retry_verdict,
+};
+use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
+use tokio_util::sync::CancellationToken;
+
+use super::roster::{PeerEntry, ServiceView};
+use super::{Classified, not_run, receive, unknown};
+use crate::links::Sent;
+use crate::node::{Node, Place};
+
+/// Kept back from the time left that goes along with a call, so that the
+/// receiver's verdict at the deadline reaches the caller before the entry has
+/// to answer with less knowledge.
+const TIME_FOR_THE_WAY_BACK: Duration = Duration::from_millis(5);
+/// Shed levels are packed with one class in this many steps.
+const PACKED_STEPS_A_CLASS: f64 = 65536.0;
+
+/// Places an idempotent call and stays with it until its end.
+pub(crate) async fn run_idempotent(node: &Arc<Node>, classified: &Classified) -> Answer {
+    let view = match admitted_view(node, classified) {
+        Ok(view) => view,
+        Err(refusal) => return not_run(refusal.reason, refusal.retry_after),
+    };
+    view.edge.first_try();
+    let mut excluded = None;
+    let mut moved = false;
+    loop {
+        let Some(index) = choose(&view, excluded) else {
+            return not_run(
+                Reason::NoUpstream,
+                Some(wait_before_return(ShedLevel::OPEN)),
+            );
+        };
+        let answer = attempt(node, &view, index, classified, CallPurpose::Placed).await;
+        let Some(unfinished) = unfinished(&answer) else {
+            return answer;
+        };
+        excluded = Some(index);
+        if !moved && moves(&unfinished) {
+            moved = true;
+            continue;
+        }
+        match verdict(&unfinished, classified, &view, &answer) {
+            RetryVerdict::Retry => node.counters.retried(),
+            RetryVerdict::PassUp | RetryVerdict::Spent => return answer,
+        }
+    }
+}
+
+/// The service's nodes, if its shed level lets the request through.
+pub(crate) fn admitted_view(
+    node: &Node,
+    classified: &Classified,
+) -> Result<Arc<ServiceView>, Refusal> {
+    let call = &classified.call;
+    let Some(view) = node.roster.service(&call.service) else {
+        let retry_after = Some(wait_before_return(ShedLevel::OPEN));
+        return Err(Refusal {
+            reason: Reason::NoUpstream,
+            retry_after,
+        });
+    };
+    let invested = call.work_spent_us > 0;
+    if view.admits(
+        classified.kind,
+        classified.class_rank,
+        call.root_request_id,
+        invested,
+    ) {
+        return Ok(view);
+    }
+    let retry_after = Some(wait_before_return(view.level(classified.kind)));
+    Err(Refusal {
+        reason: Reason::Shed,
+        retry_after,
+    })
+}
+
+/// The peer that a call goes to next.
+pub(crate) fn choose(view: &ServiceView, excluded: Option<usize>) -> Option<usize> {
+    place(
+        &view.peers,
+        excluded,
+        Instant::now(),
+        &PlacementPolicy::default(),
+        &mut rand::rng(),
+    )
+}
+
+/// One send of the call to one peer, with its share of the retry allowance.
+pub(crate) async fn attempt(
+    node: &Arc<Node>,
+    view: &ServiceView,
+    index: usize,
+    classified: &Classified,
+    purpose: CallPurpose,
+) -> Answer {
+    let peer = &view.peers[index];
+    let mut call = classified.call.clone();
+    call.purpose = purpose.into();
+    peer.as_ref().sent();
+    let answer =
+        send_with_allowance(node, peer, call, classified.deadline, &classified.allowance).await;
+    learn(view, index, classified, &answer);
+    answer
+}
+
+/// Gives retries away with the call and takes the unspent rest back. A call
+/// that came to no answer gives nothing back: it may have spent all.
+pub(crate) async fn send_with_allowance(
+    node: &Arc<Node>,
+    peer: &PeerEntry,
+    mut call: Call,
+    deadline: Instant,
+    allowance: &Allowance,
+) -> Answer {
+    let given = allowance.give_to_child();
+    call.retries_given = given;
+    call.time_left_us = time_left_us(deadline);
+    let answer = match node.place_of(&peer.member) {
+        Some(Place::Here) => receive(node, call, &CancellationToken::new()).await,
+        Some(Place::There(peer)) => match node.links.call(&peer, call, deadline).await {
+            Sent::Answer(answer) => answer,
+            Sent::NeverArrived(reason) => Answer {
+                retries_unspent: given,
+                ..not_run(reason, None)
+            },
+            Sent::Unknown(reason) => unknown(reason),
+        },
+        None => Answer {
+            retries_unspent: given,
+            ..not_run(Reason::LinkLost, None)
+        },
+    };
+    allowance.give_back(answer.retries_unspent, given);
+    answer
+}
+
+/// The end of a call as the decisions see it; `None` for an answer.
+pub(crate) fn unfinished(answer: &Answer) -> Option<Unfinished> {
+    let reason = answer.reason();
+    match answer.outcome() {
+        Outcome::Answered => None,
+        Outcome::NotRun => {
+            let retry_after = (answer.retry_after_ms > 0)
+                .then(|| Duration::from_millis(answer.retry_after_ms.into()));
+            Some(Unfinished::NotRun(Refusal {
+                reason,
+                retry_after,
+            }))
+        }
+        Outcome::Unknown | Outcome::Unspecified => Some(Unfinished::Unknown(reason)),
+    }
+}
+
+/// Whether another node may be tried, which is no retry: nothing ran.
+pub(crate) fn moves(unfinished: &Unfinished) -> bool {
+    matches!(unfinished, Unfinished::NotRun(refusal) if may_move(refusal.reason))
+}
+
+/// When a caller that is refused here should come back.
+pub(crate) fn wait_before_return(level: ShedLevel) -> Duration {
+    let classes_shed = f64::from(level.pack()) / PACKED_STEPS_A_CLASS;
+    retry_after(classes_shed, rand::random(), &RetryAfterPolicy::default())
+}
+
+fn verdict(
+    unfinished: &Unfinished,
+    classified: &Classified,
+    view: &ServiceView,
+    answer: &Answer,
+) -> RetryVerdict {
+    let time_left = classified
+        .deadline
+        .saturating_duration_since(Instant::now());
+    let service_time_us = answer.hint.as_ref().map_or(0, |hint| hint.service_time_us);
+    let expected = Duration::from_micros(service_time_us);
+    retry_verdict(
+        unfinished,
+        true,
+        time_left,
+        expected,
+        &classified.allowance,
+        &view.edge,
+    )
+}
+
+fn learn(view: &ServiceView, index: usize, classified: &Classified, answer: &Answer) {
+    if let Some(hint) = &answer.hint {
+        view.learn(index, classified.kind, hint);
+    }
+    learn_load(&view.peers[index], answer);
+}
+
+/// Each `PeerLoad::sent` is followed by one of these.
+pub(crate) fn learn_load(peer: &PeerEntry, answer: &Answer) {
+    let load = peer.as_ref();
+    let now = Instant::now();
+    match (answer.outcome(), &answer.hint) {
+        (Outcome::Answered, Some(hint)) => load.answered(hint, now),
+        (Outcome::NotRun, hint) if answer.reason() != Reason::LinkLost => {
+            load.refused(answer.reason(), hint.as_ref(), now);
+        }
+        _ => load.failed(now),
+    }
+}
+
+fn time_left_us(deadline: Instant) -> u64 {
+    let left = deadline
+        .saturating_duration_since(Instant::now())
+        .saturating_sub(TIME_FOR_THE_WAY_BACK);
+    u64::try_from(left.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/calls/receive.rs
@@ -0,0 +1,91 @@
+//! The upstream side: a call that another node, or this one, sent here.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlocktack_fleet::tickets::Ticket;
+use hemlocktack_protocol::{Answer, Call, CallPurpose, NodeState, Reason};
+use tokio_util::sync::CancellationToken;
+
+use super::run::{RunOrder, run};
+use super::{home, not_run, unknown};
+use crate::node::Node;
+
+/// Treats a call by its purpose and answers with what became of it.
+pub(crate) async fn receive(node: &Arc<Node>, call: Call, cancelled: &CancellationToken) -> Answer {
+    let _in_flight = node.enter_call();
+    node.counters.demanded();
+    let deadline = Instant::now() + Duration::from_micros(call.time_left_us);
+    match call.purpose() {
+        // The home answers for a ticket's end even while it drains.
+        CallPurpose::Home => home::receive_home(node, call, deadline).await,
+        CallPurpose::Delegated => receive_delegated(node, call, deadline).await,
+        CallPurpose::Placed | CallPurpose::Unspecified => {
+            receive_placed(node, call, deadline, cancelled).await
+        }
+    }
+}
+
+/// Runs an idempotent call here; one that its caller has left is cancelled.
+async fn receive_placed(
+    node: &Arc<Node>,
+    call: Call,
+    deadline: Instant,
+    cancelled: &CancellationToken,
+) -> Answer {
+    if let Some(reason) = refuses_all(node, &call) {
+        return refused(node, &call, reason);
+    }
+    let order = RunOrder {
+        call,
+        nonce: None,
+        deadline,
+        may_start: || true,
+    };
+    tokio::select! {
+        answer = run(node, order) => answer,
+        () = cancelled.cancelled() => unknown(Reason::Cancelled),
+    }
+}
+
+/// Runs a ticketed call here that its home handed over. It is never cancelled:
+/// once begun it is finished, so that a re-send finds its answer at the home.
+async fn receive_delegated(node: &Arc<Node>, call: Call, deadline: Instant) -> Answer {
+    let ticket = match Ticket::decode(&node.keys, &call.service, &call.ticket) {
+        Ok(ticket) => ticket,
+        Err(error) => return refused(node, &call, error.reason()),
+    };
+    if let Some(reason) = refuses_all(node, &call) {
+        return refused(node, &call, reason);
+    }
+    run(
+        node,
+        RunOrder {
+            call,
+            nonce: Some(ticket.nonce),
+            deadline,
+            may_start: || true,
+        },
+    )
+    .await
+}
+
+fn refused(node: &Node, call: &Call, reason: Reason) -> Answer {
+    node.counters.refused(reason);
+    Answer {
+        retries_unspent: call.retries_given,
+        ..not_run(reason, None)
+    }
+}
+
+/// Why this node takes no new work for its upstream, if it takes none.
+pub(super) fn refuses_all(node: &Node, call: &Call) -> Option<Reason> {
+    if *call.service != *node.settings.service {
+        return Some(Reason::NoUpstream);
+    }
+    match node.state() {
+        NodeState::Ready => None,
+        NodeState::Starting => Some(Reason::Starting),
+        _ => Some(Reason::Draining),
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/calls/roster.rs
@@ -0,0 +1,180 @@
+//! What this node knows of each service's nodes, ready for the request path.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use hemlocktack_decide::{
+    EdgeBudget, Gate, GatePolicy, PeerLoad, RetryPolicy, ShedLevel, WorkKind,
+};
+use hemlocktack_fleet::NodeIncarnation;
+use hemlocktack_protocol::{
+    ClassRank, DataCentre, LoadHint, Member, NodeState, RootRequestId, ServiceName, UpstreamState,
+};
+
+/// One node of a service and what its replies said.
+pub(crate) struct PeerEntry {
+    pub(crate) member: Member,
+    pub(crate) identity: NodeIncarnation,
+    load: Arc<PeerLoad>,
+}
+
+impl AsRef<PeerLoad> for PeerEntry {
+    fn as_ref(&self) -> &PeerLoad {
+        &self.load
+    }
+}
+
+/// One service as seen from this node.
+pub(crate) struct ServiceView {
+    pub(crate) peers: Vec<PeerEntry>,
+    pub(crate) edge: Arc<EdgeBudget>,
+    gate: Arc<Mutex<Gate>>,
+}
+
+/// All services, replaced as a whole when membership changes.
+pub(crate) struct Roster {
+    own_data_centre: DataCentre,
+    services: ArcSwap<HashMap<ServiceName, Arc<ServiceView>>>,
+    /// Which service a kind of work belongs to, for kinds seen on this node.
+    service_of_kind: Mutex<HashMap<WorkKind, ServiceName>>,
+}
+
+impl Roster {
+    pub(crate) fn new(own_data_centre: DataCentre) -> Self {
+        Self {
+            own_data_centre,
+            services: ArcSwap::default(),
+            service_of_kind: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn service(&self, name: &str) -> Option<Arc<ServiceView>> {
+        self.services.load().get(name).cloned()
+    }
+
+    /// Takes in a new view of the fleet; what replies said of a node is kept
+    /// as long as it is the same start of it.
+    pub(crate) fn update(&self, members: &[Member]) {
+        let before = self.services.load_full();
+        let mut by_service: HashMap<ServiceName, Vec<&Member>> = HashMap::new();
+        for member in members.iter().filter(|member| is_live(member)) {
+            by_service
+                .entry(member.service.as_str().into())
+                .or_default()
+                .push(member);
+        }
+        let mut services = HashMap::new();
+        for (service, members) in by_service {
+            let known = before.get(&service);
+            let view = self.view_of(&members, known.map(Arc::as_ref));
+            services.insert(service, Arc::new(view));
+        }
+        self.services.store(Arc::new(services));
+    }
+
+    fn view_of(&self, members: &[&Member], known: Option<&ServiceView>) -> ServiceView {
+        let mut peers = Vec::new();
+        for member in members {
+            let identity = NodeIncarnation::new(member.node_id.as_str(), member.incarnation);
+            let kept = known.and_then(|view| view.load_of(&identity));
+            let load = kept.unwrap_or_else(|| self.fresh_load(member));
+            load.set_state(state_for_placement(member));
+            peers.push(PeerEntry {
+                member: Member::clone(member),
+                identity,
+                load,
+            });
+        }
+        let edge = known.map_or_else(
+            || Arc::new(EdgeBudget::new(RetryPolicy::default())),
+            |view| view.edge.clone(),
+        );
+        let same_peers = known.filter(|view| view.has_peers(&peers));
+        let fresh_gate = || Arc::new(Mutex::new(Gate::new(GatePolicy::default(), peers.len())));
+        let gate = same_peers.map_or_else(fresh_gate, |view| view.gate.clone());
+        ServiceView { peers, edge, gate }
+    }
+
+    fn fresh_load(&self, member: &Member) -> Arc<PeerLoad> {
+        let is_near = member.data_centre == *self.own_data_centre;
+        Arc::new(PeerLoad::new(is_near, member.upstream(), Instant::now()))
+    }
+
+    /// Remembers which service a kind of work belongs to.
+    pub(crate) fn note_kind(&self, kind: WorkKind, service: &str) {
+        let mut kinds = self
+            .service_of_kind
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        kinds.entry(kind).or_insert_with(|| service.into());
+    }
+
+    /// Shed level that calls of a kind meet below this node.
+    pub(crate) fn level_of_kind(&self, kind: WorkKind) -> ShedLevel {
+        let service = self
+            .service_of_kind
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(&kind)
+            .cloned();
+        let view = service.and_then(|service| self.service(&service));
+        view.map_or(ShedLevel::OPEN, |view| view.level(kind))
+    }
+}
+
+impl ServiceView {
+    /// Whether a request may go on to the service; see [`Gate`].
+    pub(crate) fn admits(
+        &self,
+        kind: WorkKind,
+        rank: ClassRank,
+        root: RootRequestId,
+        invested: bool,
+    ) -> bool {
+        let mut gate = self.gate.lock().unwrap_or_else(PoisonError::into_inner);
+        gate.admits(kind, rank, root, invested, Instant::now())
+    }
+
+    pub(crate) fn level(&self, kind: WorkKind) -> ShedLevel {
+        self.gate
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .level(kind, Instant::now())
+    }
+
+    pub(crate) fn learn(&self, index: usize, kind: WorkKind, hint: &LoadHint) {
+        let mut gate = self.gate.lock().unwrap_or_else(PoisonError::into_inner);
+        gate.learn(index, kind, hint, Instant::now());
+    }
+
+    /// Whether these are the same starts in the same order: only then do the
+    /// gate's numbers still mean the same nodes.
+    fn has_peers(&self, peers: &[PeerEntry]) -> bool {
+        let identities = |peers: &[PeerEntry]| {
+            peers
+                .iter()
+                .map(|peer| peer.identity.clone())
+                .collect::<Vec<_>>()
+        };
+        identities(&self.peers) == identities(peers)
+    }
+
+    fn load_of(&self, identity: &NodeIncarnation) -> Option<Arc<PeerLoad>> {
+        let peer = self.peers.iter().find(|peer| peer.identity == *identity)?;
+        Some(peer.load.clone())
+    }
+}
+
+fn is_live(member: &Member) -> bool {
+    !matches!(member.state(), NodeState::Left | NodeState::Dead)
+}
+
+/// Placement asks one question: does it take calls?
+fn state_for_placement(member: &Member) -> UpstreamState {
+    match member.state() {
+        NodeState::Ready | NodeState::Suspect => member.upstream(),
+        _ => UpstreamState::Draining,
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -0,0 +1,166 @@
+//! Running a call on the upstream beside this node: admission, hand-over, end.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlocktack_decide::{Ended, Offer, WorkKind};
+use hemlocktack_fleet::tickets::Nonce;
+use hemlocktack_protocol::{Answer, Call, ClassRank, Outcome, Reason};
+use tokio::net::TcpStream;
+
+use super::desk::Admitted;
+use super::{RunningCall, not_run, unknown, work_kind_of};
+use crate::node::Node;
+use crate::upstream::UpstreamEnd;
+
+/// A running upstream accepts a connection in a millisecond; one that does not
+/// within this time has crashed or is as good as crashed.
+const ALIVE_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// What the run needs beside the call itself.
+pub(crate) struct RunOrder<F> {
+    pub(crate) call: Call,
+    /// Of the call's ticket, checked.
+    pub(crate) nonce: Option<Nonce>,
+    pub(crate) deadline: Instant,
+    /// Asked right before the first byte goes out; `false` keeps it in.
+    pub(crate) may_start: F,
+}
+
+/// Waits for a slot, hands the call to the upstream and reports its end.
+pub(crate) async fn run<F: FnOnce() -> bool>(node: &Arc<Node>, order: RunOrder<F>) -> Answer {
+    let RunOrder {
+        call,
+        nonce,
+        deadline,
+        may_start,
+    } = order;
+    let class_rank = ClassRank::try_from(call.class_rank).unwrap_or(ClassRank::MAX);
+    let kind = work_kind_of(node, &call);
+    let admitted = node.desk.admit(|call_id| Offer {
+        call_id,
+        class_rank,
+        deadline,
+        root_request_id: call.root_request_id,
+        work_spent: Duration::from_micros(call.work_spent_us),
+        fingerprint: call.fingerprint,
+        kind,
+    });
+    let admitted = match admitted.await {
+        Ok(admitted) => admitted,
+        Err(refusal) => {
+            node.counters.refused(refusal.reason);
+            let answer = not_run(refusal.reason, refusal.retry_after);
+            return with_load(
+                node,
+                kind,
+                Answer {
+                    retries_unspent: call.retries_given,
+                    ..answer
+                },
+            );
+        }
+    };
+    if !may_start() {
+        drop(admitted);
+        return Answer {
+            retries_unspent: call.retries_given,
+            ..not_run(Reason::Fenced, None)
+        };
+    }
+    node.counters.admitted();
+    let running = RunningCall::new(&call, class_rank, nonce, deadline);
+    let answer = hand_over(node, &call, running, admitted, kind).await;
+    with_load(node, kind, answer)
+}
+
+async fn hand_over(
+    node: &Arc<Node>,
+    call: &Call,
+    running: RunningCall,
+    admitted: Admitted<'_>,
+    kind: WorkKind,
+) -> Answer {
+    let Some(announcement) = node.announcement() else {
+        return Answer {
+            retries_unspent: call.retries_given,
+            ..not_run(Reason::NoUpstream, None)
+        };
+    };
+    let deadline = running.deadline;
+    let context = node.contexts.open(running);
+    let address = announcement.address.to_string();
+    let limit_bytes = node.answer_limit_bytes();
+    let end = node
+        .upstream_client
+        .send(&address, call, &context.header(), deadline, limit_bytes)
+        .await;
+    if matches!(end, UpstreamEnd::Unknown(Reason::UpstreamFailed))
+        && !is_alive(announcement.address).await
+    {
+        note_crash(node);
+    }
+    let running = &context.running;
+    admitted.finish(ended(&end), running.time_below());
+    if matches!(end, UpstreamEnd::Answered { .. }) {
+        node.chain_edges_answered(kind, &running.deeper_kinds());
+    }
+    let answer = into_answer(end);
+    Answer {
+        retries_unspent: running.allowance.left(),
+        work_spent_us: running.work_spent_us(Instant::now()),
+        ..answer
+    }
+}
+
+fn with_load(node: &Node, kind: WorkKind, answer: Answer) -> Answer {
+    let hint = node.desk.hint(node.chain_level(kind));
+    Answer {
+        hint: Some(hint),
+        ..answer
+    }
+}
+
+/// Load: any. Harm: a request that kills each upstream which runs it, sent
+/// again, kills them one after the other. Every call that ran when the upstream
+/// died is marked; the quarantine narrows the marks down.
+fn note_crash(node: &Node) {
+    let mut ended = Vec::new();
+    node.desk
+        .with_admission(|admission| admission.crashed(&mut ended, Instant::now()));
+    tracing::warn!(running_count = ended.len(), "the upstream crashed");
+}
+
+async fn is_alive(address: std::net::SocketAddr) -> bool {
+    let connected = tokio::time::timeout(ALIVE_CHECK_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Ok(_)))
+}
+
+fn ended(end: &UpstreamEnd) -> Ended {
+    match end {
+        UpstreamEnd::Answered { .. } => Ended::Answered,
+        UpstreamEnd::NotRun(Reason::Shed) => Ended::ShedByUpstream,
+        UpstreamEnd::NotRun(_) | UpstreamEnd::Unknown(_) => Ended::Failed,
+    }
+}
+
+fn into_answer(end: UpstreamEnd) -> Answer {
+    match end {
+        UpstreamEnd::Answered {
+            status,
+            headers,
+            body,
+        } => {
+            let outcome = Outcome::Answered.into();
+            Answer {
+                outcome,
+                status: status.into(),
+                headers,
+                body,
+                ..Answer::default()
+            }
+        }
+        UpstreamEnd::NotRun(reason) => not_run(reason, None),
+        UpstreamEnd::Unknown(reason) => unknown(reason),
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/calls/ticketed.rs
@@ -0,0 +1,134 @@
+//! The entry of a call that must run at most once.
+
+use std::sync::{Arc, PoisonError};
+use std::time::{Duration, Instant};
+
+use hemlocktack_fleet::NodeIncarnation;
+use hemlocktack_fleet::tickets::{ChildHome, Ticket, find_home};
+use hemlocktack_protocol::{Answer, CallPurpose, Outcome, Reason};
+
+use super::place::{admitted_view, choose, send_with_allowance, wait_before_return};
+use super::roster::{PeerEntry, ServiceView};
+use super::{Classified, not_run, unknown};
+use crate::node::Node;
+
+/// Pause before the home is asked again after a lost link; the ticket makes
+/// any number of sends one request.
+const RESEND_PAUSE: Duration = Duration::from_millis(50);
+
+/// Sends the call to its ticket's home, or answers with a fresh ticket.
+pub(crate) async fn run_ticketed(node: &Arc<Node>, classified: &mut Classified) -> Answer {
+    let ticket = match ticket_of(node, classified) {
+        Ok(ticket) => ticket,
+        Err(answer) => return *answer,
+    };
+    classified.call.ticket = ticket.encode();
+    let answer = send_home(node, classified, &ticket).await;
+    if answer.outcome() == Outcome::NotRun && classified.parent.is_none() {
+        // The old ticket is fenced for good; the caller needs another one.
+        return Answer {
+            fresh_ticket: fresh_ticket(node, classified).unwrap_or_default(),
+            ..answer
+        };
+    }
+    answer
+}
+
+fn ticket_of(node: &Arc<Node>, classified: &Classified) -> Result<Ticket, Box<Answer>> {
+    let call = &classified.call;
+    let key = classified.idempotency_key.as_deref();
+    if let Some(parent) = &classified.parent {
+        let service = call.service.as_str().into();
+        let mut children = parent
+            .children
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let choose_home = || choose_home(node, classified);
+        let ticket = children.ticket_for(&node.keys, &service, key.map(str::as_bytes), choose_home);
+        return ticket.map_err(|refusal| Box::new(not_run(refusal.reason(), None)));
+    }
+    let Some(key) = key else {
+        return Err(Box::new(ask_for_ticket(node, classified)));
+    };
+    Ticket::decode(&node.keys, &call.service, key)
+        .map_err(|error| Box::new(not_run(error.reason(), None)))
+}
+
+/// Load: more bookings than the service can take. Harm: a ticket that leads to
+/// a refusal costs the caller two round trips. Nothing of this request has
+/// run, so it may be shed here; one that carries a ticket may not, since an
+/// earlier send of it may have run.
+fn ask_for_ticket(node: &Node, classified: &Classified) -> Answer {
+    if let Err(refusal) = admitted_view(node, classified) {
+        return not_run(refusal.reason, refusal.retry_after);
+    }
+    match fresh_ticket(node, classified) {
+        Some(fresh_ticket) => Answer {
+            fresh_ticket,
+            ..not_run(Reason::TicketRequired, None)
+        },
+        None => not_run(
+            Reason::NoUpstream,
+            Some(wait_before_return(hemlocktack_decide::ShedLevel::OPEN)),
+        ),
+    }
+}
+
+fn fresh_ticket(node: &Node, classified: &Classified) -> Option<String> {
+    let ChildHome { home, epoch } = choose_home(node, classified)?;
+    let service = classified.call.service.as_str().into();
+    let ticket = Ticket::issue(&node.keys, service, home, epoch, rand::random());
+    ticket.ok().map(|ticket| ticket.encode())
+}
+
+fn choose_home(node: &Node, classified: &Classified) -> Option<ChildHome> {
+    let view = node.roster.service(&classified.call.service)?;
+    let peer = &view.peers[choose(&view, None)?];
+    let is_own = peer.identity == node.identity;
+    let epoch = if is_own {
+        node.home.table().current_epoch()
+    } else {
+        peer.member.ticket_epoch
+    };
+    Some(ChildHome {
+        home: peer.identity.clone(),
+        epoch,
+    })
+}
+
+/// Asks the home until it has said what became of the request.
+///
+/// A lost link says nothing of a request that may have been sent before, so
+/// `not_run` is never said here: only the home can.
+async fn send_home(node: &Arc<Node>, classified: &Classified, ticket: &Ticket) -> Answer {
+    let mut call = classified.call.clone();
+    call.purpose = CallPurpose::Home.into();
+    while Instant::now() < classified.deadline {
+        let home = find_home(ticket, |home| node.successor_of(home));
+        let view = node.roster.service(&call.service);
+        let Some(peer) = view.as_deref().and_then(|view| peer_of(view, &home)) else {
+            return unknown(Reason::HomeGone);
+        };
+        let answer = send_with_allowance(
+            node,
+            peer,
+            call.clone(),
+            classified.deadline,
+            &classified.allowance,
+        )
+        .await;
+        if answer.outcome() != Outcome::NotRun || !is_link_fault(answer.reason()) {
+            return answer;
+        }
+        tokio::time::sleep(RESEND_PAUSE).await;
+    }
+    unknown(Reason::Timeout)
+}
+
+fn is_link_fault(reason: Reason) -> bool {
+    matches!(reason, Reason::LinkLost | Reason::Fenced)
+}
+
+fn peer_of<'a>(view: &'a ServiceView, home: &NodeIncarnation) -> Option<&'a PeerEntry> {
+    view.peers.iter().find(|peer| peer.identity == *home)
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/counters.rs
@@ -0,0 +1,107 @@
+//! Counts of calls, kept without locks on the request path.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use hemlocktack_protocol::{Reason, RefusalCount};
+use strum::IntoEnumIterator;
+
+/// Larger than any number of a `Reason` in the schema.
+const REASON_NUMBERS: usize = 64;
+
+/// Counts since the node's start.
+pub(crate) struct Counters {
+    in_flight: AtomicU64,
+    demanded: AtomicU64,
+    admitted: AtomicU64,
+    retried: AtomicU64,
+    refused: [AtomicU64; REASON_NUMBERS],
+}
+
+/// One call in flight.
+pub(crate) struct CallInFlight<'a> {
+    in_flight: &'a AtomicU64,
+}
+
+impl Default for Counters {
+    fn default() -> Self {
+        Self {
+            in_flight: AtomicU64::new(0),
+            demanded: AtomicU64::new(0),
+            admitted: AtomicU64::new(0),
+            retried: AtomicU64::new(0),
+            refused: std::array::from_fn(|_| AtomicU64::new(0)),
+        }
+    }
+}
+
+impl Counters {
+    /// Counts a call until the guard goes; a planned stop waits for all guards.
+    pub(crate) fn enter_call(&self) -> CallInFlight<'_> {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        CallInFlight {
+            in_flight: &self.in_flight,
+        }
+    }
+
+    pub(crate) fn in_flight(&self) -> u64 {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    /// A call reached the upstream side.
+    pub(crate) fn demanded(&self) {
+        self.demanded.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn demanded_count(&self) -> u64 {
+        self.demanded.load(Ordering::Relaxed)
+    }
+
+    /// A call got a slot of the upstream.
+    pub(crate) fn admitted(&self) {
+        self.admitted.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn admitted_count(&self) -> u64 {
+        self.admitted.load(Ordering::Relaxed)
+    }
+
+    /// A call was sent again.
+    pub(crate) fn retried(&self) {
+        self.retried.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn retried_count(&self) -> u64 {
+        self.retried.load(Ordering::Relaxed)
+    }
+
+    /// The upstream side refused a call.
+    pub(crate) fn refused(&self, reason: Reason) {
+        if let Some(count) = self.refused.get(reason as usize) {
+            count.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Refusals by reason, those that happened.
+    pub(crate) fn refusals(&self) -> Vec<RefusalCount> {
+        let mut refusals = Vec::new();
+        for reason in Reason::iter() {
+            let count = self
+                .refused
+                .get(reason as usize)
+                .map_or(0, |count| count.load(Ordering::Relaxed));
+            if count > 0 {
+                refusals.push(RefusalCount {
+                    reason: reason.into(),
+                    count,
+                });
+            }
+        }
+        refusals
+    }
+}
+
+impl Drop for CallInFlight<'_> {
+    fn drop(&mut self) {
+        self.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- a/crates/hemlocktack-node/src/lib.rs
+++ b/crates/hemlocktack-node/src/lib.rs
@@ -1,1 +1,19 @@
-//! Stub.
+//! The node beside each upstream instance: takes calls, places them, admits
+//! them to its upstream, and answers for their outcome.
+
+mod callers;
+mod calls;
+mod configuration;
+mod control;
+mod counters;
+mod links;
+mod node;
+mod operators;
+mod peers;
+mod run;
+mod settings;
+mod stop;
+mod telemetry;
+mod upstream;
+
+pub use run::run_from_command_line;
--- /dev/null
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -0,0 +1,245 @@
+//! Links that other nodes opened: their calls, cancellations and questions.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use arc_swap::ArcSwapOption;
+use futures::StreamExt;
+use hemlocktack_fleet::NodeIncarnation;
+use hemlocktack_fleet::calls::{Arrival, ArrivalLimits, Arrivals, Resolution};
+use hemlocktack_protocol::{Answer, Call, CallId, CallResolution, Frame, frame};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::{FramedRead, FramedWrite};
+use tokio_util::sync::CancellationToken;
+
+use super::FrameCodec;
+use super::connection::Connection;
+use super::handshake::{self, OpenLink};
+use crate::calls;
+use crate::node::Node;
+
+/// What this node remembers of those who send it calls.
+///
+/// It outlives connections: a call is answered, or asked about, over whichever
+/// connection from the same sender is open by then.
+pub(crate) struct Senders {
+    arrivals: Mutex<Arrivals>,
+    senders: Mutex<HashMap<NodeIncarnation, Arc<Sender>>>,
+}
+
+/// One start of a node that has a link here.
+struct Sender {
+    identity: NodeIncarnation,
+    connection: ArcSwapOption<Connection>,
+    cancellations: Mutex<HashMap<CallId, CancellationToken>>,
+}
+
+impl Default for Senders {
+    fn default() -> Self {
+        Self {
+            arrivals: Mutex::new(Arrivals::new(ArrivalLimits::default())),
+            senders: Mutex::default(),
+        }
+    }
+}
+
+impl Senders {
+    fn connected(&self, identity: &NodeIncarnation, connection: Connection) -> Arc<Sender> {
+        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
+        let sender = senders
+            .entry(identity.clone())
+            .or_insert_with(|| Sender::new(identity.clone()))
+            .clone();
+        sender.connection.store(Some(Arc::new(connection)));
+        sender
+    }
+
+    /// Forgets a sender whose last connection closed with no call of it running.
+    /// What became of its calls stays known in `arrivals`, which is bounded.
+    fn disconnected(&self, sender: &Sender) {
+        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
+        if sender.is_closed() && sender.is_idle() {
+            senders.remove(&sender.identity);
+        }
+    }
+
+    fn arrive(&self, sender: &Sender, call_id: CallId) -> Arrival {
+        self.arrivals
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .arrive(&sender.identity, call_id)
+    }
+
+    fn finish(&self, sender: &Sender, answer: &Answer) {
+        let kept = Some(Arc::new(answer.clone()));
+        let mut arrivals = self.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
+        arrivals.finish(&sender.identity, answer.call_id, kept);
+    }
+
+    fn resolve(&self, sender: &Sender, call_id: CallId) -> Resolution {
+        self.arrivals
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .resolve(&sender.identity, call_id)
+    }
+}
+
+impl Sender {
+    fn new(identity: NodeIncarnation) -> Arc<Self> {
+        Arc::new(Self {
+            identity,
+            connection: ArcSwapOption::empty(),
+            cancellations: Mutex::default(),
+        })
+    }
+
+    fn is_closed(&self) -> bool {
+        self.connection
+            .load()
+            .as_ref()
+            .is_none_or(|connection| connection.is_closed())
+    }
+
+    fn is_idle(&self) -> bool {
+        self.cancellations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .is_empty()
+    }
+
+    async fn send(&self, body: frame::Body) {
+        if let Some(connection) = self.connection.load_full() {
+            connection.send(body).await;
+        }
+    }
+}
+
+/// Accepts links until the listener fails for good or the node stops.
+pub(crate) async fn serve_links(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        tokio::spawn(serve_link(node.clone(), stream));
+    }
+}
+
+async fn serve_link(node: Arc<Node>, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let opening = handshake::accept(stream, &node.identity, &node.keys);
+    let Ok(Ok(open)) = tokio::time::timeout(handshake::OPENING_TIMEOUT, opening).await else {
+        return;
+    };
+    let OpenLink { peer, framed } = open;
+    let parts = framed.into_parts();
+    let (read, write) = parts.io.into_split();
+    let mut reader = FramedRead::new(read, FrameCodec::new());
+    reader.read_buffer_mut().extend_from_slice(&parts.read_buf);
+    let connection =
+        Connection::start(peer.incarnation, FramedWrite::new(write, FrameCodec::new()));
+    let sender = node.senders.connected(&peer, connection.clone());
+    while let Some(Ok(Frame { body })) = next_frame(&mut reader, &connection).await {
+        // A body of a newer schema decodes to nothing and is passed over.
+        let Some(body) = body else { continue };
+        handle(&node, &sender, &connection, body).await;
+    }
+    connection.close();
+    node.senders.disconnected(&sender);
+}
+
+async fn next_frame(
+    reader: &mut FramedRead<tokio::net::tcp::OwnedReadHalf, FrameCodec>,
+    connection: &Connection,
+) -> Option<super::codec::Result<Frame>> {
+    tokio::select! {
+        next = reader.next() => next,
+        () = connection.closed() => None,
+    }
+}
+
+async fn handle(
+    node: &Arc<Node>,
+    sender: &Arc<Sender>,
+    connection: &Connection,
+    body: frame::Body,
+) {
+    match body {
+        frame::Body::Call(call) => take_call(node, sender, call),
+        frame::Body::Cancel(cancel) => sender.cancel(cancel.call_id),
+        frame::Body::Resolve(resolve) => {
+            resolve_call(node, sender, connection, resolve.call_id).await
+        }
+        other => super::questions::answer(node, connection, other).await,
+    }
+}
+
+fn take_call(node: &Arc<Node>, sender: &Arc<Sender>, call: Call) {
+    if node.senders.arrive(sender, call.call_id) != Arrival::New {
+        return;
+    }
+    let cancelled = sender.register_cancellation(call.call_id);
+    let node = node.clone();
+    let sender = sender.clone();
+    tokio::spawn(async move {
+        let call_id = call.call_id;
+        let mut answer = calls::receive(&node, call, &cancelled).await;
+        answer.call_id = call_id;
+        finish_call(&node, &sender, answer).await;
+    });
+}
+
+async fn finish_call(node: &Node, sender: &Sender, answer: Answer) {
+    sender.forget_cancellation(answer.call_id);
+    node.senders.finish(sender, &answer);
+    sender.send(frame::Body::Answer(answer)).await;
+    node.senders.disconnected(sender);
+}
+
+/// Says what became of a call whose link was lost; see `Links::ask_again`.
+async fn resolve_call(node: &Node, sender: &Sender, connection: &Connection, call_id: CallId) {
+    let resolution = node.senders.resolve(sender, call_id);
+    let progress = resolution.progress().into();
+    if let Resolution::Finished(answer) = resolution {
+        connection
+            .send(frame::Body::Answer(Arc::unwrap_or_clone(answer)))
+            .await;
+    }
+    connection
+        .send(frame::Body::Resolution(CallResolution {
+            call_id,
+            progress,
+        }))
+        .await;
+}
+
+impl Sender {
+    fn register_cancellation(&self, call_id: CallId) -> CancellationToken {
+        let token = CancellationToken::new();
+        self.cancellations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(call_id, token.clone());
+        token
+    }
+
+    fn forget_cancellation(&self, call_id: CallId) {
+        self.cancellations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&call_id);
+    }
+
+    fn cancel(&self, call_id: CallId) {
+        let token = self
+            .cancellations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .get(&call_id)
+            .cloned();
+        if let Some(token) = token {
+            token.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/links/mod.rs
@@ -0,0 +1,17 @@
+//! Links between nodes: frames over TCP, both ends proved to hold the fleet key.
+//!
+//! Each node dials the nodes that it sends calls to; answers come back on the
+//! same link. A lost link leaves calls pending until the other incarnation has
+//! been asked what became of them.
+
+mod codec;
+mod connection;
+mod handshake;
+mod incoming;
+mod outgoing;
+mod queries;
+mod questions;
+
+pub(crate) use codec::FrameCodec;
+pub(crate) use incoming::{Senders, serve_links};
+pub(crate) use outgoing::{Links, Peer, Sent};
--- /dev/null
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -0,0 +1,323 @@
+//! Calls to other nodes and what became of them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use futures::StreamExt;
+use hemlocktack_fleet::NodeIncarnation;
+use hemlocktack_fleet::keys::FleetKeys;
+use hemlocktack_protocol::{
+    Answer, Call, CallId, CallProgress, CancelCall, Frame, Incarnation, NodeId, Reason,
+    ResolveCall, frame,
+};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+use super::connection::Connection;
+use super::handshake;
+
+/// Opening a link within a data centre takes a millisecond and between regions
+/// a few dozen; a peer that has not answered by then is as good as gone.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Wait between two attempts to reach a peer that has calls of ours pending.
+const REDIAL_PAUSE: Duration = Duration::from_millis(50);
+/// Answers or resolutions that may wait for one call; there are two at most.
+const EVENTS_A_CALL: usize = 4;
+
+/// Where a node is reached and which start of it is meant.
+#[derive(Clone, Debug)]
+pub(crate) struct Peer {
+    pub(crate) node_id: NodeId,
+    pub(crate) link_address: SocketAddr,
+}
+
+/// How one send to another node ended.
+#[derive(Debug)]
+pub(crate) enum Sent {
+    Answer(Answer),
+    /// No byte left, or the receiver has fenced the call: it will never run.
+    NeverArrived(Reason),
+    Unknown(Reason),
+}
+
+enum CallEvent {
+    Answer(Answer),
+    Resolution(CallProgress),
+}
+
+type Pending = Arc<Mutex<HashMap<CallId, mpsc::Sender<CallEvent>>>>;
+
+/// All outgoing links of a node.
+pub(crate) struct Links {
+    own: NodeIncarnation,
+    keys: FleetKeys,
+    links: ArcSwap<HashMap<NodeId, Arc<Link>>>,
+    next_call_id: AtomicU64,
+    pub(super) next_query_id: AtomicU64,
+    pub(super) queries: super::queries::PendingQueries,
+}
+
+/// The link to one node, over as many connections as it takes.
+pub(super) struct Link {
+    address: ArcSwap<SocketAddr>,
+    connection: ArcSwapOption<Connection>,
+    dialling: tokio::sync::Mutex<()>,
+    pending: Pending,
+}
+
+impl Links {
+    pub(crate) fn new(own: NodeIncarnation, keys: FleetKeys) -> Self {
+        Self {
+            own,
+            keys,
+            links: ArcSwap::default(),
+            next_call_id: AtomicU64::new(1),
+            next_query_id: AtomicU64::new(1),
+            queries: super::queries::PendingQueries::default(),
+        }
+    }
+
+    /// Sends one call and stays with it until its end is known or `deadline`.
+    ///
+    /// The call id is drawn here: unique in this incarnation, never reused.
+    pub(crate) async fn call(&self, peer: &Peer, mut call: Call, deadline: Instant) -> Sent {
+        call.call_id = self.next_call_id.fetch_add(1, Ordering::Relaxed);
+        let call_id = call.call_id;
+        let link = self.link(peer);
+        let Some(connection) = self.connect(&link, deadline).await else {
+            return Sent::NeverArrived(Reason::LinkLost);
+        };
+        let (events, receiver) = mpsc::channel(EVENTS_A_CALL);
+        let _pending = PendingCall::register(&link.pending, call_id, events);
+        if !connection.send(frame::Body::Call(call)).await {
+            return Sent::NeverArrived(Reason::LinkLost);
+        }
+        self.stay_with(&link, connection, call_id, receiver, deadline)
+            .await
+    }
+
+    async fn stay_with(
+        &self,
+        link: &Link,
+        mut connection: Connection,
+        call_id: CallId,
+        mut events: mpsc::Receiver<CallEvent>,
+        deadline: Instant,
+    ) -> Sent {
+        let incarnation = connection.peer_incarnation;
+        loop {
+            tokio::select! {
+                biased;
+                event = events.recv() => match event {
+                    Some(CallEvent::Answer(answer)) => return Sent::Answer(answer),
+                    Some(CallEvent::Resolution(progress)) => {
+                        if let Some(sent) = settled(progress) {
+                            return sent;
+                        }
+                    }
+                    None => return Sent::Unknown(Reason::LinkLost),
+                },
+                () = connection.closed() => {
+                    match self.ask_again(link, call_id, incarnation, deadline).await {
+                        Ok(next) => connection = next,
+                        Err(reason) => return Sent::Unknown(reason),
+                    }
+                }
+                () = tokio::time::sleep_until(deadline.into()) => {
+                    connection.send(frame::Body::Cancel(CancelCall { call_id })).await;
+                    return Sent::Unknown(Reason::Timeout);
+                }
+            }
+        }
+    }
+
+    /// Asks the same incarnation, over a new connection, what became of a call.
+    ///
+    /// Failure: a link that breaks leaves the caller not knowing whether the
+    /// call arrived. Symptom: a booking is either lost or sent twice. The same
+    /// incarnation knows exactly, and fences the call before it says that it
+    /// never arrived; another incarnation cannot know.
+    async fn ask_again(
+        &self,
+        link: &Link,
+        call_id: CallId,
+        incarnation: Incarnation,
+        deadline: Instant,
+    ) -> Result<Connection, Reason> {
+        while Instant::now() < deadline {
+            let Some(connection) = self.connect(link, deadline).await else {
+                tokio::time::sleep(REDIAL_PAUSE).await;
+                continue;
+            };
+            if connection.peer_incarnation != incarnation {
+                return Err(Reason::HomeGone);
+            }
+            if connection
+                .send(frame::Body::Resolve(ResolveCall { call_id }))
+                .await
+            {
+                return Ok(connection);
+            }
+        }
+        Err(Reason::LinkLost)
+    }
+
+    pub(super) fn link(&self, peer: &Peer) -> Arc<Link> {
+        if let Some(link) = self.links.load().get(&peer.node_id) {
+            if **link.address.load() != peer.link_address {
+                link.address.store(Arc::new(peer.link_address));
+            }
+            return link.clone();
+        }
+        let link = Arc::new(Link {
+            address: ArcSwap::from_pointee(peer.link_address),
+            connection: ArcSwapOption::empty(),
+            dialling: tokio::sync::Mutex::new(()),
+            pending: Pending::default(),
+        });
+        self.links.rcu(|links| {
+            let mut links = HashMap::clone(links);
+            links
+                .entry(peer.node_id.clone())
+                .or_insert_with(|| link.clone());
+            links
+        });
+        self.links
+            .load()
+            .get(&peer.node_id)
+            .cloned()
+            .unwrap_or(link)
+    }
+
+    /// The open connection, or a new one.
+    pub(super) async fn connect(&self, link: &Link, deadline: Instant) -> Option<Connection> {
+        if let Some(connection) = link.open_connection() {
+            return Some(connection);
+        }
+        let dial_deadline = deadline.min(Instant::now() + DIAL_TIMEOUT);
+        tokio::time::timeout_at(dial_deadline.into(), self.dial(link))
+            .await
+            .ok()
+            .flatten()
+    }
+
+    async fn dial(&self, link: &Link) -> Option<Connection> {
+        let _one_dials = link.dialling.lock().await;
+        if let Some(connection) = link.open_connection() {
+            return Some(connection);
+        }
+        let stream = TcpStream::connect(**link.address.load()).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let open = handshake::dial(stream, &self.own, &self.keys).await.ok()?;
+        let parts = open.framed.into_parts();
+        let (read, write) = parts.io.into_split();
+        let writer = tokio_util::codec::FramedWrite::new(write, super::FrameCodec::new());
+        let mut reader = tokio_util::codec::FramedRead::new(read, super::FrameCodec::new());
+        reader.read_buffer_mut().extend_from_slice(&parts.read_buf);
+        let connection = Connection::start(open.peer.incarnation, writer);
+        let answers = read_answers(
+            reader,
+            connection.clone(),
+            link.pending.clone(),
+            self.queries.clone(),
+        );
+        tokio::spawn(answers);
+        link.connection.store(Some(Arc::new(connection.clone())));
+        Some(connection)
+    }
+}
+
+impl Link {
+    fn open_connection(&self) -> Option<Connection> {
+        let connection = self.connection.load_full()?;
+        (!connection.is_closed()).then(|| Connection::clone(&connection))
+    }
+}
+
+/// A call that waits; leaving takes it off the list, so that a late answer
+/// finds nobody and is dropped.
+struct PendingCall {
+    pending: Pending,
+    call_id: CallId,
+}
+
+impl PendingCall {
+    fn register(pending: &Pending, call_id: CallId, events: mpsc::Sender<CallEvent>) -> Self {
+        pending
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .insert(call_id, events);
+        Self {
+            pending: pending.clone(),
+            call_id,
+        }
+    }
+}
+
+impl Drop for PendingCall {
+    fn drop(&mut self) {
+        self.pending
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&self.call_id);
+    }
+}
+
+fn settled(progress: CallProgress) -> Option<Sent> {
+    match progress {
+        CallProgress::NeverArrived => Some(Sent::NeverArrived(Reason::Fenced)),
+        CallProgress::Forgotten | CallProgress::Unspecified => {
+            Some(Sent::Unknown(Reason::AnswerNotKept))
+        }
+        CallProgress::Running | CallProgress::Finished => None,
+    }
+}
+
+type Reader = tokio_util::codec::FramedRead<tokio::net::tcp::OwnedReadHalf, super::FrameCodec>;
+
+async fn read_answers(
+    mut reader: Reader,
+    connection: Connection,
+    pending: Pending,
+    queries: super::queries::PendingQueries,
+) {
+    loop {
+        let next = tokio::select! {
+            next = reader.next() => next,
+            () = connection.closed() => None,
+        };
+        let Some(Ok(Frame { body })) = next else {
+            break;
+        };
+        match body {
+            Some(frame::Body::Answer(answer)) => {
+                settle(&pending, answer.call_id, CallEvent::Answer(answer))
+            }
+            Some(frame::Body::Resolution(resolution)) => {
+                settle(
+                    &pending,
+                    resolution.call_id,
+                    CallEvent::Resolution(resolution.progress()),
+                );
+            }
+            Some(other) => queries.settle(other),
+            None => {}
+        }
+    }
+    connection.close();
+}
+
+fn settle(pending: &Pending, call_id: CallId, event: CallEvent) {
+    let waiting = pending
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .get(&call_id)
+        .cloned();
+    if let Some(events) = waiting {
+        let _ = events.try_send(event);
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/operators/mod.rs
@@ -0,0 +1,5 @@
+//! Operators' remote procedure calls on the control address.
+
+mod apply_configuration;
+
+pub(crate) use apply_configuration::routes;
--- /dev/null
+++ b/crates/hemlocktack-node/src/run.rs
@@ -0,0 +1,142 @@
+//! From the command line to a running node and to its planned stop.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use derive_more::{Display, Error, From};
+use hemlocktack_fleet::keys::{FleetKeys, KeyError};
+use hemlocktack_platform::{Client, ClientSettings};
+use rocket::{Build, Config, Rocket};
+use tokio::net::TcpListener;
+
+use crate::node::Node;
+use crate::settings::{self, Invocation, Settings};
+use crate::upstream::UpstreamClient;
+use crate::{callers, configuration, control, links, operators, peers, stop, telemetry, upstream};
+
+/// Result of starting a node.
+pub(crate) type Result<T> = std::result::Result<T, StartError>;
+
+/// Exit code for settings that cannot be used.
+const EXIT_BAD_SETTINGS: u8 = 2;
+
+/// Why a node did not start.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum StartError {
+    #[display("cannot listen on {address}: {source}")]
+    #[from(ignore)]
+    Listen {
+        address: SocketAddr,
+        source: std::io::Error,
+    },
+    #[display("no runtime: {_0}")]
+    Runtime(std::io::Error),
+    #[display("no HTTP client: {_0}")]
+    HttpClient(reqwest::Error),
+    #[display("HTTP listener: {_0}")]
+    Rocket(Box<rocket::Error>),
+    #[display("{_0}")]
+    FleetKey(KeyError),
+    #[display("{_0}")]
+    Platform(hemlocktack_platform::Error),
+}
+
+/// Reads the settings and runs the node until it is told to stop.
+///
+/// Exit codes: 0 after a planned stop, `--help`, `--version` or a clean
+/// `--check`; 1 if the node could not start; 2 for settings that cannot be used.
+pub fn run_from_command_line() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match settings::read(&arguments, |name| std::env::var(name).ok()) {
+        Ok(Invocation::Help) => print!("{}", settings::usage()),
+        Ok(Invocation::Version) => println!("hemlocktackd {}", env!("CARGO_PKG_VERSION")),
+        Ok(Invocation::Check) => println!("settings are usable"),
+        Ok(Invocation::Run(settings)) => return run_to_exit_code(*settings),
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_BAD_SETTINGS);
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+fn run_to_exit_code(settings: Settings) -> ExitCode {
+    telemetry::start_logs(settings.log_format);
+    match run_on_runtime(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hemlocktackd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_on_runtime(settings: Settings) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(run(settings, stop::stop_signal()))
+}
+
+/// Runs one node until `stop_signal` ends; then drains and stops it.
+pub(crate) async fn run(settings: Settings, stop_signal: impl Future<Output = ()>) -> Result<()> {
+    let previous = settings.previous_fleet_key.as_deref().map(str::as_bytes);
+    let keys = FleetKeys::new(settings.fleet_key.as_bytes(), previous)?;
+    let platform = Arc::new(Client::new(ClientSettings::new(&settings.platform_url))?);
+    let node = Arc::new(Node::new(settings, keys, platform, UpstreamClient::new()?));
+    tokio::spawn(node.desk.clone().keep_awake());
+    let link_listener = listen(node.settings.link_address).await?;
+    let callers = http(&node, node.settings.caller_address).mount("/", callers::routes(&node));
+    let control = http(&node, node.settings.control_address)
+        .mount("/", control::routes())
+        .mount("/", upstream::routes())
+        .mount("/", operators::routes());
+    let callers = callers.ignite().await.map_err(Box::new)?;
+    let control = control.ignite().await.map_err(Box::new)?;
+    let shutdowns = [callers.shutdown(), control.shutdown()];
+    tokio::spawn(links::serve_links(node.clone(), link_listener));
+    peers::start(&node).await?;
+    configuration::start(&node)?;
+    let callers = tokio::spawn(callers.launch());
+    let control = tokio::spawn(control.launch());
+    tokio::pin!(stop_signal);
+    let failed = tokio::select! {
+        () = &mut stop_signal => None,
+        ended = callers => Some(ended),
+        ended = control => Some(ended),
+    };
+    if let Some(Ok(Err(error))) = failed {
+        return Err(Box::new(error).into());
+    }
+    stop::drain(&node).await;
+    for shutdown in shutdowns {
+        shutdown.notify();
+    }
+    Ok(())
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| StartError::Listen { address, source })
+}
+
+/// An HTTP listener whose own signal handling and grace period are off: the
+/// node has drained before the listener is told to stop.
+fn http(node: &Arc<Node>, address: SocketAddr) -> Rocket<Build> {
+    let mut config = Config {
+        address: address.ip(),
+        port: address.port(),
+        ..Config::release_default()
+    };
+    config.log_level = rocket::config::LogLevel::Off;
+    config.cli_colors = false;
+    config.shutdown.ctrlc = false;
+    config.shutdown.signals.clear();
+    // The framework's own headers would mix with the upstream's.
+    config.ident = rocket::config::Ident::none();
+    rocket::custom(config)
+        .attach(rocket::shield::Shield::new())
+        .manage(node.clone())
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/settings/flags.rs
@@ -0,0 +1,174 @@
+//! The table of flags; each has an environment variable of the same name.
+
+use getopts::Options;
+
+/// One setting as it appears on the command line.
+pub(crate) struct Flag {
+    pub(crate) name: &'static str,
+    pub(crate) help: &'static str,
+    pub(crate) hint: &'static str,
+    pub(crate) default: Option<&'static str>,
+    pub(crate) required: bool,
+}
+
+const fn required(name: &'static str, hint: &'static str, help: &'static str) -> Flag {
+    Flag {
+        name,
+        help,
+        hint,
+        default: None,
+        required: true,
+    }
+}
+
+const fn optional(name: &'static str, hint: &'static str, help: &'static str) -> Flag {
+    Flag {
+        name,
+        help,
+        hint,
+        default: None,
+        required: false,
+    }
+}
+
+const fn defaulted(
+    name: &'static str,
+    hint: &'static str,
+    help: &'static str,
+    default: &'static str,
+) -> Flag {
+    Flag {
+        name,
+        help,
+        hint,
+        default: Some(default),
+        required: false,
+    }
+}
+
+pub(crate) const NODE: &str = "node";
+pub(crate) const SERVICE: &str = "service";
+pub(crate) const DATA_CENTRE: &str = "data-centre";
+pub(crate) const REGION: &str = "region";
+pub(crate) const CALLER_ADDRESS: &str = "caller-address";
+pub(crate) const CONTROL_ADDRESS: &str = "control-address";
+pub(crate) const LINK_ADDRESS: &str = "link-address";
+pub(crate) const GOSSIP_ADDRESS: &str = "gossip-address";
+pub(crate) const PLATFORM_URL: &str = "platform-url";
+pub(crate) const SEED_PEERS: &str = "seed-peers";
+pub(crate) const FLEET_KEY: &str = "fleet-key";
+pub(crate) const PREVIOUS_FLEET_KEY: &str = "previous-fleet-key";
+pub(crate) const OPERATOR_TOKEN: &str = "operator-token";
+pub(crate) const PREVIOUS_OPERATOR_TOKEN: &str = "previous-operator-token";
+pub(crate) const DRAIN_LIMIT_MS: &str = "drain-limit-ms";
+pub(crate) const LOG_FORMAT: &str = "log-format";
+pub(crate) const OTLP_ENDPOINT: &str = "otlp-endpoint";
+
+/// All settings that take a value.
+pub(crate) const FLAGS: [Flag; 17] = [
+    required(
+        NODE,
+        "NAME",
+        "name of this node, unique in the fleet, the same after a restart",
+    ),
+    required(SERVICE, "NAME", "service of the upstream beside this node"),
+    required(DATA_CENTRE, "NAME", "data centre of this instance"),
+    defaulted(REGION, "NAME", "region of the data centre", "default"),
+    required(
+        CALLER_ADDRESS,
+        "IP:PORT",
+        "where callers and the own upstream's deeper calls come in",
+    ),
+    required(
+        CONTROL_ADDRESS,
+        "IP:PORT",
+        "health, metrics, operators' calls, the upstream's announcements",
+    ),
+    required(
+        LINK_ADDRESS,
+        "IP:PORT",
+        "TCP address for other nodes; must be reachable by them",
+    ),
+    required(
+        GOSSIP_ADDRESS,
+        "IP:PORT",
+        "UDP address for other nodes; must be reachable by them",
+    ),
+    required(PLATFORM_URL, "URL", "base URL of the platform's object API"),
+    defaulted(
+        SEED_PEERS,
+        "IP:PORT,...",
+        "gossip addresses of nodes to ask first",
+        "",
+    ),
+    required(
+        FLEET_KEY,
+        "TEXT",
+        "secret that all nodes share, 32 characters or more; better given in the environment",
+    ),
+    optional(
+        PREVIOUS_FLEET_KEY,
+        "TEXT",
+        "secret still accepted while the fleet changes its key",
+    ),
+    required(
+        OPERATOR_TOKEN,
+        "TEXT",
+        "token that operators' calls carry, 16 characters or more; better given in the environment",
+    ),
+    optional(
+        PREVIOUS_OPERATOR_TOKEN,
+        "TEXT",
+        "token still accepted while operators change theirs",
+    ),
+    defaulted(
+        DRAIN_LIMIT_MS,
+        "MS",
+        "longest that a planned stop waits for calls in flight",
+        "30000",
+    ),
+    defaulted(LOG_FORMAT, "text|json", "how log lines are written", "text"),
+    optional(
+        OTLP_ENDPOINT,
+        "URL",
+        "where traces go over HTTP; none are exported without it",
+    ),
+];
+
+pub(crate) const HELP: &str = "help";
+pub(crate) const VERSION: &str = "version";
+pub(crate) const CHECK: &str = "check";
+
+/// Environment variable of a flag: `data-centre` is `HEMLOCKTACK_DATA_CENTRE`.
+pub(crate) fn environment_name(flag: &str) -> String {
+    format!("HEMLOCKTACK_{}", flag.replace('-', "_").to_uppercase())
+}
+
+/// Flags as the command-line library wants them.
+pub(crate) fn options() -> Options {
+    let mut options = Options::new();
+    for flag in &FLAGS {
+        let help = describe(flag);
+        options.optopt("", flag.name, &help, flag.hint);
+    }
+    options.optflag("h", HELP, "print this help");
+    options.optflag("", VERSION, "print the version");
+    options.optflag("", CHECK, "check the settings and stop");
+    options
+}
+
+/// Text of `--help`.
+pub(crate) fn usage() -> String {
+    let brief = "Usage: hemlocktackd [options]\n\nOne node beside one upstream instance. Each option may also be given as an\nenvironment variable: --data-centre is HEMLOCKTACK_DATA_CENTRE. The flag wins.";
+    options().usage(brief)
+}
+
+fn describe(flag: &Flag) -> String {
+    match (flag.required, flag.default) {
+        (true, _) => format!("{} (required)", flag.help),
+        (false, Some(default)) if !default.is_empty() => {
+            format!("{} (default {default})", flag.help)
+        }
+        (false, _) => flag.help.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/settings/mod.rs
@@ -0,0 +1,48 @@
+//! Settings from flags and environment variables of the same names.
+
+mod flags;
+mod read;
+
+pub(crate) use flags::usage;
+pub(crate) use read::{Invocation, read};
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hemlocktack_protocol::{DataCentre, NodeId, ServiceName};
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumString, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum LogFormat {
+    Text,
+    Json,
+}
+
+/// Everything that a node learns before it starts.
+#[derive(Clone)]
+pub(crate) struct Settings {
+    pub(crate) node_id: NodeId,
+    pub(crate) service: ServiceName,
+    pub(crate) data_centre: DataCentre,
+    pub(crate) region: String,
+    pub(crate) caller_address: SocketAddr,
+    pub(crate) control_address: SocketAddr,
+    pub(crate) link_address: SocketAddr,
+    pub(crate) gossip_address: SocketAddr,
+    pub(crate) platform_url: String,
+    /// Gossip addresses of nodes to ask first.
+    #[expect(dead_code, reason = "the gossip that uses it comes next")]
+    pub(crate) seed_peers: Vec<SocketAddr>,
+    pub(crate) fleet_key: String,
+    /// Still accepted while the fleet changes its key.
+    pub(crate) previous_fleet_key: Option<String>,
+    pub(crate) operator_token: String,
+    /// Still accepted while operators change their token.
+    pub(crate) previous_operator_token: Option<String>,
+    /// Longest that a planned stop waits for calls in flight.
+    pub(crate) drain_limit: Duration,
+    pub(crate) log_format: LogFormat,
+    #[expect(dead_code, reason = "the trace export that uses it comes next")]
+    pub(crate) otlp_endpoint: Option<String>,
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/telemetry/logs.rs
@@ -0,0 +1,18 @@
+//! Log lines as text or JSON.
+
+use tracing_subscriber::EnvFilter;
+
+use crate::settings::LogFormat;
+
+/// Starts the log; `RUST_LOG` chooses what is written, `info` if it is not set.
+pub(crate) fn start_logs(format: LogFormat) {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    let lines = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr);
+    // A second start in one process, as in tests, keeps the first log.
+    let _ = match format {
+        LogFormat::Text => lines.try_init(),
+        LogFormat::Json => lines.json().try_init(),
+    };
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/telemetry/status.rs
@@ -0,0 +1,28 @@
+//! This node's own view of itself, for operators.
+
+use hemlocktack_decide::ShedLevel;
+use hemlocktack_protocol::NodeStatus;
+
+use crate::node::Node;
+
+/// Snapshot of this node.
+pub(crate) fn status(node: &Node) -> NodeStatus {
+    NodeStatus {
+        node_id: node.identity.node_id.to_string(),
+        incarnation: node.identity.incarnation,
+        service: node.settings.service.to_string(),
+        data_centre: node.settings.data_centre.to_string(),
+        state: node.state().into(),
+        upstream: node.upstream_state().into(),
+        generation_in_force: node
+            .configuration_in_force()
+            .map_or(0, |in_force| in_force.generation),
+        demand_count: node.counters.demanded_count(),
+        admitted_count: node.counters.admitted_count(),
+        retried_count: node.counters.retried_count(),
+        refusals: node.counters.refusals(),
+        load: Some(node.desk.hint(ShedLevel::OPEN)),
+        link_address: node.settings.link_address.to_string(),
+        ..NodeStatus::default()
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/upstream/client.rs
@@ -0,0 +1,139 @@
+//! HTTP to the upstream: one call, one whole answer or an honest reason.
+
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use hemlocktack_protocol::{
+    CONTEXT_HEADER, Call, Header, OUTCOME_HEADER, Outcome, Reason, TIMEOUT_HEADER,
+    TRACEPARENT_HEADER,
+};
+use reqwest::{Client, Method, Response};
+
+use crate::callers::is_passed_on;
+
+/// How one send to the upstream ended.
+pub(crate) enum UpstreamEnd {
+    Answered {
+        status: u16,
+        headers: Vec<Header>,
+        body: Bytes,
+    },
+    /// No byte of the call reached the upstream, or it says it shed the call.
+    NotRun(Reason),
+    Unknown(Reason),
+}
+
+/// Client for one upstream.
+pub(crate) struct UpstreamClient {
+    client: Client,
+}
+
+impl UpstreamClient {
+    /// The library's own repeats are off: the node alone decides what is sent twice.
+    pub(crate) fn new() -> reqwest::Result<Self> {
+        let client = Client::builder()
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .retry(reqwest::retry::never())
+            .tcp_nodelay(true)
+            .build()?;
+        Ok(Self { client })
+    }
+
+    /// Sends the call and reads the answer to its declared end.
+    ///
+    /// A body that stops short of its declared length is an error of the HTTP
+    /// library and becomes `Unknown`: the caller never gets a cut answer.
+    pub(crate) async fn send(
+        &self,
+        address: &str,
+        call: &Call,
+        context: &str,
+        deadline: Instant,
+        answer_limit_bytes: usize,
+    ) -> UpstreamEnd {
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        let exchange = self.exchange(address, call, context, time_left, answer_limit_bytes);
+        match tokio::time::timeout(time_left, exchange).await {
+            Ok(end) => end,
+            Err(_) => UpstreamEnd::Unknown(Reason::Timeout),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        address: &str,
+        call: &Call,
+        context: &str,
+        time_left: Duration,
+        answer_limit_bytes: usize,
+    ) -> UpstreamEnd {
+        let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
+            return UpstreamEnd::NotRun(Reason::MalformedRequest);
+        };
+        let mut request = self
+            .client
+            .request(method, format!("http://{address}{}", call.path));
+        for header in &call.headers {
+            request = request.header(header.name.as_str(), header.value.as_ref());
+        }
+        request = request
+            .header(CONTEXT_HEADER, context)
+            .header(TIMEOUT_HEADER, time_left.as_millis().to_string());
+        if !call.traceparent.is_empty() {
+            request = request.header(TRACEPARENT_HEADER, call.traceparent.as_str());
+        }
+        match request.body(call.body.clone()).send().await {
+            Ok(response) => read_whole(response, answer_limit_bytes).await,
+            Err(error) if error.is_builder() => UpstreamEnd::NotRun(Reason::MalformedRequest),
+            Err(error) if error.is_connect() => UpstreamEnd::NotRun(Reason::UpstreamUnreachable),
+            Err(_) => UpstreamEnd::Unknown(Reason::UpstreamFailed),
+        }
+    }
+}
+
+async fn read_whole(mut response: Response, limit_bytes: usize) -> UpstreamEnd {
+    let status = response.status().as_u16();
+    if is_shed(&response) {
+        return UpstreamEnd::NotRun(Reason::Shed);
+    }
+    let headers = passed_on(&response);
+    let mut body = BytesMut::new();
+    loop {
+        match response.chunk().await {
+            Ok(Some(chunk)) if body.len() + chunk.len() > limit_bytes => {
+                return UpstreamEnd::Unknown(Reason::AnswerTooLarge);
+            }
+            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+            Ok(None) => break,
+            Err(_) => return UpstreamEnd::Unknown(Reason::UpstreamFailed),
+        }
+    }
+    UpstreamEnd::Answered {
+        status,
+        headers,
+        body: body.freeze(),
+    }
+}
+
+fn is_shed(response: &Response) -> bool {
+    let not_run: &'static str = Outcome::NotRun.into();
+    let says_not_run = response
+        .headers()
+        .get(OUTCOME_HEADER)
+        .is_some_and(|value| value == not_run);
+    says_not_run && response.status() == reqwest::StatusCode::SERVICE_UNAVAILABLE
+}
+
+fn passed_on(response: &Response) -> Vec<Header> {
+    let mut headers = Vec::new();
+    for (name, value) in response.headers() {
+        if is_passed_on(name.as_str()) {
+            headers.push(Header {
+                name: name.as_str().to_owned(),
+                value: Bytes::copy_from_slice(value.as_bytes()),
+            });
+        }
+    }
+    headers
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/upstream/mod.rs
@@ -0,0 +1,7 @@
+//! The upstream beside this node: its announcements and the calls to it.
+
+mod announce;
+mod client;
+
+pub(crate) use announce::{Announcement, RENEW_EVERY, RENEWALS_MISSED_MAX, routes};
+pub(crate) use client::{UpstreamClient, UpstreamEnd};
