--- a/crates/hemlocktack-node/src/lib.rs
+++ b/crates/hemlocktack-node/src/lib.rs
@@ -16,4 +16,4 @@
 mod telemetry;
 mod upstream;
 
-pub use run::run_from_command_line;
+pub use run::{run_from_command_line, run_until};
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -58,7 +58,11 @@
     /// What became of its calls stays known in `arrivals`, which is bounded.
     fn disconnected(&self, sender: &Sender) {
         let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
-        if sender.is_closed() && sender.is_idle() {
+        // A newer link may have brought a newer entry of the same identity.
+        let is_listed = senders
+            .get(&sender.identity)
+            .is_some_and(|listed| std::ptr::eq(Arc::as_ptr(listed), sender));
+        if is_listed && sender.is_closed() && sender.is_idle() {
             senders.remove(&sender.identity);
         }
     }
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -61,6 +61,24 @@
     ExitCode::SUCCESS
 }
 
+/// Runs a node in this process until `stop` ends, with the flags of
+/// `hemlocktackd`; for examples and tests. It drains before it returns.
+///
+/// # Errors
+/// All faults of the flags in one text, or why the node did not start.
+pub async fn run_until(
+    arguments: &[String],
+    stop: impl Future<Output = ()>,
+) -> std::result::Result<(), String> {
+    match settings::read(arguments, |_| None) {
+        Ok(Invocation::Run(settings)) => run(*settings, stop)
+            .await
+            .map_err(|error| error.to_string()),
+        Ok(_) => Err("the flags do not ask for a run".to_owned()),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
 fn run_to_exit_code(settings: Settings) -> ExitCode {
     telemetry::start_logs(settings.log_format);
     match run_on_runtime(settings) {
@@ -86,7 +104,7 @@
     let platform = Arc::new(Client::new(ClientSettings::new(&settings.platform_url))?);
     let node = Arc::new(Node::new(settings, keys, platform, UpstreamClient::new()?));
     tokio::spawn(node.desk.clone().keep_awake());
-    let link_listener = listen(node.settings.link_address).await?;
+    let link_listener = listen(node.settings.link_listen_address).await?;
     let callers = http(&node, node.settings.caller_address).mount("/", callers::routes(&node));
     let control = http(&node, node.settings.control_address)
         .mount("/", control::routes())
--- a/crates/hemlocktack-node/src/settings/flags.rs
+++ b/crates/hemlocktack-node/src/settings/flags.rs
@@ -53,7 +53,9 @@
 pub(crate) const CALLER_ADDRESS: &str = "caller-address";
 pub(crate) const CONTROL_ADDRESS: &str = "control-address";
 pub(crate) const LINK_ADDRESS: &str = "link-address";
+pub(crate) const LINK_LISTEN_ADDRESS: &str = "link-listen-address";
 pub(crate) const GOSSIP_ADDRESS: &str = "gossip-address";
+pub(crate) const GOSSIP_LISTEN_ADDRESS: &str = "gossip-listen-address";
 pub(crate) const PLATFORM_URL: &str = "platform-url";
 pub(crate) const SEED_PEERS: &str = "seed-peers";
 pub(crate) const FLEET_KEY: &str = "fleet-key";
@@ -65,7 +67,7 @@
 pub(crate) const OTLP_ENDPOINT: &str = "otlp-endpoint";
 
 /// All settings that take a value.
-pub(crate) const FLAGS: [Flag; 17] = [
+pub(crate) const FLAGS: [Flag; 19] = [
     required(
         NODE,
         "NAME",
@@ -89,11 +91,21 @@
         "IP:PORT",
         "TCP address for other nodes; must be reachable by them",
     ),
+    optional(
+        LINK_LISTEN_ADDRESS,
+        "IP:PORT",
+        "where to listen if other nodes reach it under another address",
+    ),
     required(
         GOSSIP_ADDRESS,
         "IP:PORT",
         "UDP address for other nodes; must be reachable by them",
     ),
+    optional(
+        GOSSIP_LISTEN_ADDRESS,
+        "IP:PORT",
+        "where to listen if other nodes reach it under another address",
+    ),
     required(PLATFORM_URL, "URL", "base URL of the platform's object API"),
     defaulted(
         SEED_PEERS,
--- a/crates/hemlocktack-node/src/settings/mod.rs
+++ b/crates/hemlocktack-node/src/settings/mod.rs
@@ -28,8 +28,13 @@
     pub(crate) region: String,
     pub(crate) caller_address: SocketAddr,
     pub(crate) control_address: SocketAddr,
+    /// As other nodes reach it.
     pub(crate) link_address: SocketAddr,
+    pub(crate) link_listen_address: SocketAddr,
+    /// As other nodes reach it.
     pub(crate) gossip_address: SocketAddr,
+    #[expect(dead_code, reason = "the gossip that uses it comes next")]
+    pub(crate) gossip_listen_address: SocketAddr,
     pub(crate) platform_url: String,
     /// Gossip addresses of nodes to ask first.
     #[expect(dead_code, reason = "the gossip that uses it comes next")]
--- a/crates/hemlocktack-node/src/settings/read.rs
+++ b/crates/hemlocktack-node/src/settings/read.rs
@@ -72,7 +72,10 @@
         caller_address: reader.address(flags::CALLER_ADDRESS),
         control_address: reader.address(flags::CONTROL_ADDRESS),
         link_address: reader.address(flags::LINK_ADDRESS),
+        link_listen_address: reader.address_or(flags::LINK_LISTEN_ADDRESS, flags::LINK_ADDRESS),
         gossip_address: reader.address(flags::GOSSIP_ADDRESS),
+        gossip_listen_address: reader
+            .address_or(flags::GOSSIP_LISTEN_ADDRESS, flags::GOSSIP_ADDRESS),
         platform_url: reader.url(flags::PLATFORM_URL).unwrap_or_default(),
         seed_peers: reader.addresses(flags::SEED_PEERS),
         fleet_key: reader
@@ -180,6 +183,14 @@
         )
     }
 
+    fn address_or(&mut self, name: &str, otherwise: &str) -> SocketAddr {
+        if self.value(name).is_some() {
+            self.address(name)
+        } else {
+            self.address(otherwise)
+        }
+    }
+
     fn addresses(&mut self, name: &str) -> Vec<SocketAddr> {
         let text = self.value(name).unwrap_or_default();
         let mut addresses = Vec::new();
