Measure the decisions in virtual time, against two baselines

The driver models upstreams' slots, the time of messages, chains up to three deep and callers that send again at once. It uses the crate's own structs as a node would; the baselines replace admission, gate and placement.

--- /dev/null
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/entry_side.rs
@@ -0,0 +1,208 @@
+//! The side of a node that makes calls: gate, placement, retries.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hemlocktack_decide::{RetryVerdict, may_move, place, retry_verdict};
+use hemlocktack_protocol::{LoadHint, Reason, Refusal, Unfinished};
+use rand::RngExt;
+
+use super::arena::{Call, CallEnd, CallKey, Place};
+use super::scenario::Policy;
+use super::world::{Event, Reply, World};
+
+impl World<'_> {
+    /// A call is made at its node: first try.
+    pub(crate) fn make_call(&mut self, key: CallKey) {
+        let now = self.now();
+        let Some(call) = self.arena.calls.get(&key) else {
+            return;
+        };
+        if self.policy == Policy::Hemlocktack {
+            let service = self.deployment.steps[call.step].service;
+            let request = &self.arena.requests[&call.request];
+            let rank = self.deployment.kinds[request.kind].class_rank;
+            let invested = call.work_before > Duration::ZERO;
+            let node = &mut self.nodes[call.from];
+            let gate = &mut node.gates[service];
+            if !gate.admits(
+                call.step as u64,
+                rank,
+                request.root_request_id,
+                invested,
+                now,
+            ) {
+                self.end_call(key, CallEnd::Refused(refusal(Reason::Shed)));
+                return;
+            }
+            node.budgets[service].first_try();
+        }
+        self.put(key, None);
+    }
+
+    /// Puts a call on an upstream and sends it there.
+    fn put(&mut self, key: CallKey, excluded: Option<usize>) {
+        let Some(call) = self.arena.calls.get(&key) else {
+            return;
+        };
+        let service = self.deployment.steps[call.step].service;
+        let from = call.from;
+        let now = self.now();
+        let chosen = if self.policy == Policy::Hemlocktack {
+            let peers = &self.nodes[from].peers[service];
+            place(peers, excluded, now, &self.placement, &mut self.rng)
+        } else {
+            Some(self.rng.random_range(0..self.services[service].len()))
+        };
+        let Some(index) = chosen else {
+            self.end_call(key, CallEnd::Refused(refusal(Reason::NoUpstream)));
+            return;
+        };
+        self.nodes[from].peers[service][index].sent();
+        let upstream = self.services[service][index];
+        if let Some(call) = self.arena.calls.get_mut(&key) {
+            call.upstream = upstream;
+            call.place = Place::Travelling;
+            call.given = call.allowance.give_to_child();
+        }
+        self.outcomes.calls += 1;
+        let delay = self.delay(from, upstream);
+        self.schedule(delay, Event::AtUpstream(key));
+    }
+
+    /// The upstream's node sends a call's end back.
+    pub(crate) fn send_reply(&mut self, key: CallKey, end: CallEnd, hint: LoadHint, unspent: u32) {
+        let Some(call) = self.arena.calls.get_mut(&key) else {
+            return;
+        };
+        call.place = Place::Travelling;
+        let (from, upstream) = (call.from, call.upstream);
+        let reply = Some(Reply { end, hint, unspent });
+        let slot = match self.free_replies.pop() {
+            Some(slot) => {
+                self.replies[slot] = reply;
+                slot
+            }
+            None => {
+                self.replies.push(reply);
+                self.replies.len() - 1
+            }
+        };
+        let delay = self.delay(upstream, from);
+        self.schedule(delay, Event::Reply(key, slot));
+    }
+
+    pub(crate) fn reply(&mut self, key: CallKey, slot: usize) {
+        self.free_replies.push(slot);
+        let Some(reply) = self.replies[slot].take() else {
+            return;
+        };
+        let now = self.now();
+        let Some(call) = self.arena.calls.get_mut(&key) else {
+            return;
+        };
+        call.allowance.give_back(reply.unspent, call.given);
+        call.given = 0;
+        let service = self.deployment.steps[call.step].service;
+        let node = &mut self.nodes[call.from];
+        let index = index_in(&self.services[service], call.upstream);
+        let peer = &node.peers[service][index];
+        match reply.end {
+            CallEnd::Answered => peer.answered(&reply.hint, now),
+            CallEnd::Refused(refusal) => peer.refused(refusal.reason, Some(&reply.hint), now),
+            CallEnd::FailedBelow => peer.refused(Reason::Unspecified, Some(&reply.hint), now),
+            CallEnd::Crashed => peer.failed(now),
+        }
+        if reply.end != CallEnd::Crashed {
+            node.gates[service].learn(index, call.step as u64, &reply.hint, now);
+        }
+        self.after_reply(key, reply.end, index);
+    }
+
+    fn after_reply(&mut self, key: CallKey, end: CallEnd, index: usize) {
+        if self.policy != Policy::Hemlocktack {
+            self.end_call(key, end);
+            return;
+        }
+        let Some(call) = self.arena.calls.get_mut(&key) else {
+            return;
+        };
+        let unfinished = match end {
+            CallEnd::Answered | CallEnd::FailedBelow => {
+                self.end_call(key, end);
+                return;
+            }
+            CallEnd::Refused(refusal) => Unfinished::NotRun(refusal),
+            CallEnd::Crashed => Unfinished::Unknown(Reason::UpstreamFailed),
+        };
+        if let Unfinished::NotRun(refusal) = unfinished
+            && may_move(refusal.reason)
+            && !call.moved
+        {
+            call.moved = true;
+            self.put(key, Some(index));
+            return;
+        }
+        let service = self.deployment.steps[call.step].service;
+        let request = &self.arena.requests[&call.request];
+        let verdict = retry_verdict(
+            &unfinished,
+            self.deployment.kinds[request.kind].idempotent,
+            call.deadline.saturating_sub(self.at),
+            Duration::ZERO,
+            &call.allowance,
+            &self.nodes[call.from].budgets[service],
+        );
+        if verdict != RetryVerdict::Retry {
+            self.end_call(key, end);
+            return;
+        }
+        let request_key = call.request;
+        self.count_retry(request_key);
+        self.put(key, Some(index));
+    }
+
+    fn count_retry(&mut self, request: u64) {
+        self.outcomes.retries += 1;
+        if let Some(request) = self.arena.requests.get_mut(&request) {
+            request.retries += 1;
+            self.outcomes.most_retries = self.outcomes.most_retries.max(request.retries);
+        }
+    }
+
+    /// A call has come to its end at the node that made it.
+    fn end_call(&mut self, key: CallKey, end: CallEnd) {
+        let Some(call) = self.arena.calls.remove(&key) else {
+            return;
+        };
+        match call.parent {
+            None => self.end_root(&call, end),
+            Some(parent) => self.resume(parent, end),
+        }
+    }
+
+    /// Book-keeping for a call that is dropped while it is out.
+    pub(crate) fn forget_placement(&mut self, call: &Call) {
+        let service = self.deployment.steps[call.step].service;
+        if self.services[service].contains(&call.upstream) {
+            let index = index_in(&self.services[service], call.upstream);
+            let now = self.now();
+            let peer = Arc::clone(&self.nodes[call.from].peers[service][index]);
+            peer.refused(Reason::Cancelled, None, now);
+        }
+    }
+}
+
+fn index_in(nodes: &[usize], node: usize) -> usize {
+    nodes
+        .iter()
+        .position(|other| *other == node)
+        .expect("a call's upstream is of its service")
+}
+
+pub(crate) fn refusal(reason: Reason) -> Refusal {
+    Refusal {
+        reason,
+        retry_after: None,
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/mod.rs
@@ -0,0 +1,20 @@
+//! Driver in virtual time: a few upstreams' queues, the callers' side and the
+//! decisions between them. No network and no cluster: messages only take time.
+
+mod arena;
+mod callers;
+mod capacity;
+mod deployment;
+mod entry_side;
+mod faults;
+mod outcome;
+mod scenario;
+mod upstream;
+mod upstream_side;
+mod world;
+
+pub(crate) use capacity::{allowed, saturation_rate};
+pub(crate) use deployment::{Deployment, bhadralok, pases_dorados};
+pub(crate) use outcome::{BIN, Outcomes};
+pub(crate) use scenario::{Fault, Policy, Scenario, all_scenarios};
+pub(crate) use world::run;
--- /dev/null
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/scenario.rs
@@ -0,0 +1,186 @@
+//! Scenarios: demand over time, faults and callers' habits.
+
+use std::time::Duration;
+
+use strum::{Display, EnumString, VariantNames};
+
+/// How calls are admitted and placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumString, VariantNames)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum Policy {
+    /// Unbounded queue inside the upstreams, random placement.
+    None,
+    /// Fixed limit at the announced slots, bounded queue, random placement.
+    Static,
+    /// The decisions of this crate.
+    Hemlocktack,
+}
+
+/// What goes wrong while the pressure is on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Fault {
+    /// Nothing.
+    Nothing,
+    /// The first upstream of a service works this much slower.
+    SlowUpstream { service: usize, factor: f64 },
+    /// All upstreams of a service work this much slower.
+    SlowService { service: usize, factor: f64 },
+    /// The first upstream of each service restarts cold: down for a second,
+    /// then five times slower, warming up over three seconds.
+    ColdStart,
+    /// The load endpoints claim that all slots are taken, or none.
+    LyingReports { full: bool },
+    /// A request that crashes the upstream that runs it, sent again by its
+    /// caller every half second; crashed upstreams are back after two seconds.
+    CrashingRequest,
+}
+
+/// One row of the table.
+#[derive(Clone, Debug)]
+pub(crate) struct Scenario {
+    pub(crate) name: &'static str,
+    /// Demand before and after, as a multiple of what saturates.
+    pub(crate) calm: f64,
+    /// Demand under pressure.
+    pub(crate) pressure: f64,
+    /// Shares of the kinds under pressure, where they differ from the calm.
+    pub(crate) shares: Option<[f64; 4]>,
+    /// All requests enter in the first data centre.
+    pub(crate) skewed_entry: bool,
+    /// Pressure comes in bursts this long, once a second.
+    pub(crate) burst: Option<Duration>,
+    /// One call of ten of the last kind takes ten times as long.
+    pub(crate) long_calls: bool,
+    pub(crate) fault: Fault,
+    pub(crate) begins: Duration,
+    pub(crate) ends: Duration,
+    pub(crate) lasts: Duration,
+    /// Sends that a caller makes for one request at most.
+    pub(crate) caller_sends: u32,
+    /// Mean pause of a caller before it sends again; no caller heeds Retry-After.
+    pub(crate) caller_pause: Duration,
+}
+
+impl Scenario {
+    /// Demand as a multiple of what saturates.
+    pub(crate) fn demand_at(&self, at: Duration) -> f64 {
+        if !self.is_pressed(at) {
+            return self.calm;
+        }
+        let Some(burst) = self.burst else {
+            return self.pressure;
+        };
+        let into_second = (at - self.begins).subsec_nanos();
+        if into_second < burst.subsec_nanos() {
+            self.pressure
+        } else {
+            self.calm
+        }
+    }
+
+    /// Whether the pressure is on.
+    pub(crate) fn is_pressed(&self, at: Duration) -> bool {
+        (self.begins..self.ends).contains(&at)
+    }
+
+    /// Mean demand while the pressure is on.
+    pub(crate) fn mean_pressure(&self) -> f64 {
+        self.burst.map_or(self.pressure, |burst| {
+            let share = burst.as_secs_f64();
+            self.pressure * share + self.calm * (1.0 - share)
+        })
+    }
+}
+
+fn scenario(name: &'static str, pressure: f64) -> Scenario {
+    Scenario {
+        name,
+        calm: 0.7,
+        pressure,
+        shares: None,
+        skewed_entry: false,
+        burst: None,
+        long_calls: false,
+        fault: Fault::Nothing,
+        begins: Duration::from_secs(3),
+        ends: Duration::from_secs(13),
+        lasts: Duration::from_secs(25),
+        caller_sends: 3,
+        caller_pause: Duration::from_millis(100),
+    }
+}
+
+/// Every scenario, in the order of the table.
+pub(crate) fn all_scenarios() -> Vec<Scenario> {
+    let base = scenario;
+    vec![
+        Scenario {
+            calm: 0.5,
+            ..base("quiet", 0.5)
+        },
+        Scenario {
+            calm: 0.5,
+            burst: Some(Duration::from_millis(150)),
+            ..base("bursts", 3.0)
+        },
+        base("surge-2x", 2.0),
+        base("surge-4x", 4.0),
+        Scenario {
+            ends: Duration::from_secs(63),
+            lasts: Duration::from_secs(80),
+            ..base("surge-60s", 3.0)
+        },
+        base("saturation-8x", 8.0),
+        Scenario {
+            shares: Some([0.05, 0.75, 0.10, 0.10]),
+            skewed_entry: true,
+            ..base("skewed-2x", 2.0)
+        },
+        Scenario {
+            fault: Fault::SlowUpstream {
+                service: 0,
+                factor: 5.0,
+            },
+            ..base("slow-upstream", 0.7)
+        },
+        Scenario {
+            fault: Fault::SlowUpstream {
+                service: 0,
+                factor: 5.0,
+            },
+            ..base("slow-upstream-2x", 2.0)
+        },
+        Scenario {
+            fault: Fault::SlowService {
+                service: 3,
+                factor: 4.0,
+            },
+            ..base("deep-slow", 0.7)
+        },
+        Scenario {
+            long_calls: true,
+            ..base("short-long-2x", 2.0)
+        },
+        Scenario {
+            fault: Fault::ColdStart,
+            ..base("cold-start", 0.7)
+        },
+        Scenario {
+            fault: Fault::LyingReports { full: true },
+            ..base("reports-full-2x", 2.0)
+        },
+        Scenario {
+            fault: Fault::LyingReports { full: false },
+            ..base("reports-idle-2x", 2.0)
+        },
+        Scenario {
+            caller_sends: 8,
+            caller_pause: Duration::from_millis(50),
+            ..base("hard-retries-2x", 2.0)
+        },
+        Scenario {
+            fault: Fault::CrashingRequest,
+            ..base("crashing-request", 0.7)
+        },
+    ]
+}
--- /dev/null
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/upstream.rs
@@ -0,0 +1,82 @@
+//! One upstream: so many calls at a time, the others wait inside, first come
+//! first served.
+
+use std::collections::{HashSet, VecDeque};
+use std::time::Duration;
+
+use super::arena::CallKey;
+
+#[derive(Debug, Default)]
+pub(crate) struct Upstream {
+    pub(crate) data_centre: usize,
+    pub(crate) slots: usize,
+    pub(crate) connections: u32,
+    pub(crate) slowness: f64,
+    /// Restarted cold at this time.
+    pub(crate) cold_since: Option<Duration>,
+    pub(crate) is_down: bool,
+    running: HashSet<CallKey>,
+    inside: VecDeque<CallKey>,
+}
+
+/// Time in which a cold upstream warms up, and how slow it begins.
+const WARM_UP: Duration = Duration::from_secs(3);
+const COLD_SLOWNESS: f64 = 5.0;
+
+impl Upstream {
+    pub(crate) fn new(data_centre: usize, slots: u32, connections: u32) -> Self {
+        Upstream {
+            data_centre,
+            slots: slots as usize,
+            connections,
+            slowness: 1.0,
+            ..Upstream::default()
+        }
+    }
+
+    /// Takes a call; true if it starts now.
+    pub(crate) fn take(&mut self, call: CallKey) -> bool {
+        if self.running.len() < self.slots {
+            self.running.insert(call);
+            true
+        } else {
+            self.inside.push_back(call);
+            false
+        }
+    }
+
+    /// A call leaves; the next one that starts, if one waits inside.
+    pub(crate) fn leave(&mut self, call: CallKey) -> Option<CallKey> {
+        if !self.running.remove(&call) {
+            self.inside.retain(|other| *other != call);
+            return None;
+        }
+        let next = self.inside.pop_front()?;
+        self.running.insert(next);
+        Some(next)
+    }
+
+    /// It dies with all that it holds.
+    pub(crate) fn crash(&mut self) -> Vec<CallKey> {
+        self.is_down = true;
+        let mut calls: Vec<_> = self.running.drain().collect();
+        calls.sort_unstable();
+        calls.extend(self.inside.drain(..));
+        calls
+    }
+
+    /// Calls inside, running or waiting.
+    pub(crate) fn len(&self) -> usize {
+        self.running.len() + self.inside.len()
+    }
+
+    /// How much longer work takes now.
+    pub(crate) fn slowness_at(&self, at: Duration) -> f64 {
+        let Some(since) = self.cold_since else {
+            return self.slowness;
+        };
+        let warm = (at.saturating_sub(since)).as_secs_f64() / WARM_UP.as_secs_f64();
+        let cold = (COLD_SLOWNESS - 1.0) * (1.0 - warm.min(1.0));
+        self.slowness * (1.0 + cold)
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/world.rs
@@ -0,0 +1,282 @@
+//! The world of one run: its state, its events and their loop.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlocktack_decide::{
+    Admission, AdmissionPolicy, ChainEdges, EdgeBudget, Gate, GatePolicy, PeerLoad,
+    PlacementPolicy, RetryPolicy,
+};
+use hemlocktack_protocol::{LoadHint, UpstreamState};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use super::arena::{Arena, CallEnd, CallKey, RequestKey};
+use super::deployment::Deployment;
+use super::outcome::{BIN, Outcomes};
+use super::scenario::{Policy, Scenario};
+use super::upstream::Upstream;
+use super::{capacity, faults};
+
+/// Retries that one send of a request may use in its whole chain.
+pub(crate) const ALLOWANCE: u32 = 3;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Event {
+    /// The next request of the Poisson stream.
+    Arrival,
+    /// A caller sends a request (again).
+    Send(RequestKey),
+    /// A root call reaches its entry node.
+    AtEntry(CallKey),
+    /// A call reaches the node beside its upstream.
+    AtUpstream(CallKey),
+    /// A phase of work in the upstream is done.
+    WorkDone(CallKey, u32),
+    /// A call's end reaches the node that made it; index into `replies`.
+    Reply(CallKey, usize),
+    /// A caller's patience with one send is over.
+    GivesUp(RequestKey, u32),
+    /// An answer, good or not, reaches the caller.
+    AtCaller(RequestKey, u32, bool, bool),
+    /// `take_ready` is due at a node.
+    Wake(usize),
+    /// Begin and end of the fault.
+    FaultBegins,
+    FaultEnds,
+    /// A crashed or stopped upstream is back, cold.
+    Back(usize),
+    /// Load endpoints are read.
+    Reports,
+    /// The crashing request is sent again.
+    CrashingSend,
+    /// Sample of the queues.
+    Sample,
+}
+
+/// One upstream with the node beside it.
+pub(crate) struct Node {
+    pub(crate) upstream: Upstream,
+    pub(crate) admission: Admission,
+    /// Waiting calls of the static policy.
+    pub(crate) fifo: std::collections::VecDeque<CallKey>,
+    pub(crate) gates: Vec<Gate>,
+    /// Peers of each service, seen from here.
+    pub(crate) peers: Vec<Vec<Arc<PeerLoad>>>,
+    pub(crate) edges: ChainEdges,
+    pub(crate) budgets: Vec<EdgeBudget>,
+    pub(crate) wake_at: Option<Duration>,
+}
+
+pub(crate) struct Reply {
+    pub(crate) end: CallEnd,
+    pub(crate) hint: LoadHint,
+    pub(crate) unspent: u32,
+}
+
+pub(crate) struct World<'a> {
+    pub(crate) deployment: &'a Deployment,
+    pub(crate) scenario: &'a Scenario,
+    pub(crate) policy: Policy,
+    pub(crate) placement: PlacementPolicy,
+    pub(crate) rng: SmallRng,
+    pub(crate) epoch: Instant,
+    pub(crate) at: Duration,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    sequence: u64,
+    pub(crate) arena: Arena,
+    pub(crate) nodes: Vec<Node>,
+    /// Nodes of each service.
+    pub(crate) services: Vec<Vec<usize>>,
+    pub(crate) replies: Vec<Option<Reply>>,
+    pub(crate) free_replies: Vec<usize>,
+    pub(crate) outcomes: Outcomes,
+    saturation_rate: f64,
+}
+
+/// Runs a scenario under a policy; the same seed gives the same outcomes.
+pub(crate) fn run(
+    deployment: &Deployment,
+    scenario: &Scenario,
+    policy: Policy,
+    seed: u64,
+) -> Outcomes {
+    let mut world = World::new(deployment, scenario, policy, seed);
+    world.schedule(Duration::ZERO, Event::Arrival);
+    world.schedule(scenario.begins, Event::FaultBegins);
+    world.schedule(scenario.ends, Event::FaultEnds);
+    world.schedule(BIN, Event::Sample);
+    while let Some(Reverse((at, _, event))) = world.events.pop() {
+        if at > scenario.lasts {
+            break;
+        }
+        world.at = at;
+        world.handle(event);
+    }
+    world.outcomes
+}
+
+impl<'a> World<'a> {
+    fn new(deployment: &'a Deployment, scenario: &'a Scenario, policy: Policy, seed: u64) -> Self {
+        let epoch = Instant::now();
+        let mut services = vec![Vec::new(); deployment.services.len()];
+        let mut places = Vec::new();
+        for (service, spec) in deployment.services.iter().enumerate() {
+            for index in 0..spec.upstreams {
+                services[service].push(places.len());
+                places.push((service, index % deployment.data_centres));
+            }
+        }
+        let node = |&(service, data_centre): &(usize, usize)| {
+            new_node(deployment, &services, &places, service, data_centre, epoch)
+        };
+        World {
+            nodes: places.iter().map(node).collect(),
+            deployment,
+            scenario,
+            policy,
+            placement: PlacementPolicy::default(),
+            rng: SmallRng::seed_from_u64(seed),
+            epoch,
+            at: Duration::ZERO,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            arena: Arena::default(),
+            services,
+            replies: Vec::new(),
+            free_replies: Vec::new(),
+            outcomes: Outcomes::new(deployment.kinds.len(), scenario.lasts),
+            saturation_rate: capacity::saturation_rate(deployment),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Instant {
+        self.epoch + self.at
+    }
+
+    pub(crate) fn instant(&self, at: Duration) -> Instant {
+        self.epoch + at
+    }
+
+    pub(crate) fn schedule(&mut self, after: Duration, event: Event) {
+        self.sequence += 1;
+        let entry = (self.at + after, self.sequence, event);
+        self.events.push(Reverse(entry));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival => self.arrival(),
+            Event::Send(request) => self.send(request),
+            Event::AtEntry(call) => self.make_call(call),
+            Event::AtUpstream(call) => self.reach_upstream(call),
+            Event::WorkDone(call, phase) => self.work_done(call, phase),
+            Event::Reply(call, reply) => self.reply(call, reply),
+            Event::GivesUp(request, attempt) => self.gives_up(request, attempt),
+            Event::AtCaller(request, attempt, answered, refused) => {
+                self.at_caller(request, attempt, answered, refused);
+            }
+            Event::Wake(node) => self.wake(node),
+            Event::FaultBegins => faults::begin(self),
+            Event::FaultEnds => faults::end(self),
+            Event::Back(node) => faults::back(self, node),
+            Event::Reports => faults::report(self),
+            Event::CrashingSend => faults::send_crashing(self),
+            Event::Sample => self.sample(),
+        }
+    }
+
+    /// The stream is drawn at the highest rate of the scenario and thinned.
+    fn arrival(&mut self) {
+        let highest = self.scenario.pressure.max(self.scenario.calm);
+        let gap = self.exponential(1.0 / (highest * self.saturation_rate));
+        self.schedule(Duration::from_secs_f64(gap), Event::Arrival);
+        let keep = self.scenario.demand_at(self.at) / highest;
+        if !self.rng.random_bool(keep) {
+            return;
+        }
+        let kind = self.draw_kind();
+        self.new_request(kind, false);
+    }
+
+    fn draw_kind(&mut self) -> usize {
+        let pressed = self.scenario.is_pressed(self.at);
+        let shares = self.scenario.shares.filter(|_| pressed);
+        let mut left: f64 = self.rng.random();
+        for (index, kind) in self.deployment.kinds.iter().enumerate() {
+            left -= shares.map_or(kind.share, |shares| shares[index]);
+            if left < 0.0 {
+                return index;
+            }
+        }
+        self.deployment.kinds.len() - 1
+    }
+
+    pub(crate) fn exponential(&mut self, mean: f64) -> f64 {
+        let uniform: f64 = self.rng.random();
+        -(1.0 - uniform).ln() * mean
+    }
+
+    /// Time of a message from one node to another.
+    pub(crate) fn delay(&self, from: usize, to: usize) -> Duration {
+        const SAME_DATA_CENTRE: Duration = Duration::from_micros(100);
+        let data_centre = |node: usize| self.nodes[node].upstream.data_centre;
+        if data_centre(from) == data_centre(to) {
+            SAME_DATA_CENTRE
+        } else {
+            self.deployment.data_centre_delay
+        }
+    }
+
+    fn sample(&mut self) {
+        let waiting: usize = self
+            .nodes
+            .iter()
+            .map(|node| {
+                let inside = node.upstream.len().saturating_sub(node.upstream.slots);
+                inside + node.fifo.len() + node.admission.queued()
+            })
+            .sum();
+        let at = self.at - BIN;
+        if let Some(bin) = self.outcomes.bin(at) {
+            bin.waiting = waiting as u32;
+        }
+        self.schedule(BIN, Event::Sample);
+    }
+}
+
+fn new_node(
+    deployment: &Deployment,
+    services: &[Vec<usize>],
+    places: &[(usize, usize)],
+    service: usize,
+    data_centre: usize,
+    epoch: Instant,
+) -> Node {
+    let spec = &deployment.services[service];
+    let mut admission = Admission::new(AdmissionPolicy::default(), epoch);
+    admission.announced(spec.slots, spec.connections, false, epoch);
+    let peer = |node: &usize| {
+        let is_near = places[*node].1 == data_centre;
+        Arc::new(PeerLoad::new(is_near, UpstreamState::Ready, epoch))
+    };
+    let budget = |_| EdgeBudget::new(RetryPolicy::default());
+    Node {
+        upstream: Upstream::new(data_centre, spec.slots, spec.connections),
+        admission,
+        fifo: std::collections::VecDeque::new(),
+        gates: services
+            .iter()
+            .map(|nodes| Gate::new(GatePolicy::default(), nodes.len()))
+            .collect(),
+        peers: services
+            .iter()
+            .map(|nodes| nodes.iter().map(peer).collect())
+            .collect(),
+        edges: ChainEdges::default(),
+        budgets: services.iter().map(budget).collect(),
+        wake_at: None,
+    }
+}
