Give every policy the same requests in the scenarios

The demand draws from numbers of its own, and what capacity allows is worked out from what was asked for, so that chance does not favour a policy.

--- a/crates/hemlocktack-decide/examples/scenarios/driver/callers.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/callers.rs
@@ -22,7 +22,7 @@
             retries: 0,
             runs: 0,
             crashes_upstreams,
-            root_request_id: self.rng.random(),
+            root_request_id: self.demand_rng.random(),
         };
         self.arena.requests.insert(key, request);
         if !crashes_upstreams {
--- a/crates/hemlocktack-decide/examples/scenarios/driver/faults.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/faults.rs
@@ -78,7 +78,11 @@
         return;
     }
     // The kind of the most requests, which any entry takes.
-    let kind = if world.rng.random_bool(0.5) { 2 } else { 3 };
+    let kind = if world.demand_rng.random_bool(0.5) {
+        2
+    } else {
+        3
+    };
     world.new_request(kind, true);
     world.schedule(CRASHING_EVERY, Event::CrashingSend);
 }
--- a/crates/hemlocktack-decide/examples/scenarios/driver/scenario.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/scenario.rs
@@ -82,14 +82,6 @@
     pub(crate) fn is_pressed(&self, at: Duration) -> bool {
         (self.begins..self.ends).contains(&at)
     }
-
-    /// Mean demand while the pressure is on.
-    pub(crate) fn mean_pressure(&self) -> f64 {
-        self.burst.map_or(self.pressure, |burst| {
-            let share = burst.as_secs_f64();
-            self.pressure * share + self.calm * (1.0 - share)
-        })
-    }
 }
 
 fn scenario(name: &'static str, pressure: f64) -> Scenario {
--- a/crates/hemlocktack-decide/examples/scenarios/driver/world.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/world.rs
@@ -81,7 +81,10 @@
     pub(crate) scenario: &'a Scenario,
     pub(crate) policy: Policy,
     pub(crate) placement: PlacementPolicy,
+    /// Draws of callers and of service times.
     pub(crate) rng: SmallRng,
+    /// Draws of the demand alone, so that every policy meets the same requests.
+    pub(crate) demand_rng: SmallRng,
     pub(crate) epoch: Instant,
     pub(crate) at: Duration,
     events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
@@ -139,6 +142,7 @@
             policy,
             placement: PlacementPolicy::default(),
             rng: SmallRng::seed_from_u64(seed),
+            demand_rng: SmallRng::seed_from_u64(!seed),
             epoch,
             at: Duration::ZERO,
             events: BinaryHeap::new(),
@@ -191,10 +195,11 @@
     /// The stream is drawn at the highest rate of the scenario and thinned.
     fn arrival(&mut self) {
         let highest = self.scenario.pressure.max(self.scenario.calm);
-        let gap = self.exponential(1.0 / (highest * self.saturation_rate));
+        let uniform: f64 = self.demand_rng.random();
+        let gap = -(1.0 - uniform).ln() / (highest * self.saturation_rate);
         self.schedule(Duration::from_secs_f64(gap), Event::Arrival);
         let keep = self.scenario.demand_at(self.at) / highest;
-        if !self.rng.random_bool(keep) {
+        if !self.demand_rng.random_bool(keep) {
             return;
         }
         let kind = self.draw_kind();
@@ -204,7 +209,7 @@
     fn draw_kind(&mut self) -> usize {
         let pressed = self.scenario.is_pressed(self.at);
         let shares = self.scenario.shares.filter(|_| pressed);
-        let mut left: f64 = self.rng.random();
+        let mut left: f64 = self.demand_rng.random();
         for (index, kind) in self.deployment.kinds.iter().enumerate() {
             left -= shares.map_or(kind.share, |shares| shares[index]);
             if left < 0.0 {
--- a/crates/hemlocktack-decide/examples/scenarios/report.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/report.rs
@@ -6,7 +6,7 @@
 
 use serde::Serialize;
 
-use crate::driver::{BIN, Deployment, Fault, Outcomes, Policy, Scenario, allowed, saturation_rate};
+use crate::driver::{BIN, Deployment, Fault, Outcomes, Policy, Scenario, allowed};
 
 /// One run as it is printed.
 #[derive(Clone, Debug, Serialize)]
@@ -64,7 +64,7 @@
         policy: Policy,
         outcomes: Outcomes,
     ) -> Self {
-        let demand = demand(deployment, scenario);
+        let demand = demand(scenario, &outcomes);
         let allowed_rates = allowed(deployment, &demand, &slots(deployment, scenario));
         let pressed_secs = (scenario.ends - scenario.begins).as_secs_f64();
         let answered = |class: Option<u8>| -> f64 {
@@ -137,15 +137,12 @@
     weighed(|row| row.answered) / weighed(|row| row.allowed)
 }
 
-/// Requests a second of each kind under pressure.
-fn demand(deployment: &Deployment, scenario: &Scenario) -> Vec<f64> {
-    let rate = saturation_rate(deployment) * scenario.mean_pressure();
-    let kinds = deployment.kinds.iter().enumerate();
+/// Requests a second of each kind that were asked for under pressure.
+fn demand(scenario: &Scenario, outcomes: &Outcomes) -> Vec<f64> {
+    let pressed_secs = (scenario.ends - scenario.begins).as_secs_f64();
+    let kinds = outcomes.kinds.iter();
     kinds
-        .map(|(index, kind)| {
-            let share = scenario.shares.map_or(kind.share, |shares| shares[index]);
-            rate * share
-        })
+        .map(|kind| kind.pressed as f64 / pressed_secs)
         .collect()
 }
 
@@ -195,7 +192,7 @@
     let mut text = String::new();
     let _ = writeln!(
         text,
-        "{:<17} {:<13} {:<11} {:>7} {:>7} {:>21} {:>6} {:>8} {:>6} {:>7} {:>4} {:>7} {:>7} {:>7}",
+        "{:<17} {:<13} {:<11} {:>7} {:>7} {:>23} {:>6} {:>8} {:>6} {:>7} {:>4} {:>7} {:>5} {:>7} {:>7}",
         "scenario",
         "deployment",
         "policy",
@@ -208,6 +205,7 @@
         "retries",
         "most",
         "resends",
+        "twice",
         "p99 ms",
         "crashes"
     );
@@ -242,7 +240,7 @@
         None => "never".to_owned(),
     };
     format!(
-        "{:<17} {:<13} {:<11} {:>7} {:>7} {:>21} {:>6} {:>8} {:>6} {:>7.3} {:>4} {:>7.2} {:>7.0} {:>7}",
+        "{:<17} {:<13} {:<11} {:>7} {:>7} {:>23} {:>6} {:>8} {:>6} {:>7.3} {:>4} {:>7.2} {:>5} {:>7.0} {:>7}",
         row.scenario,
         row.deployment,
         row.policy,
@@ -255,6 +253,7 @@
         row.retries_per_request,
         row.most_retries,
         row.resends_per_request,
+        row.ran_twice,
         row.p99_ms,
         row.crashes,
     )
