Add numbered events and traces as a package of their own

Events are one enum with number, level, meaning and what to do; docs/EVENTS.md is written from it and a test holds both together.

--- /dev/null
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -0,0 +1,98 @@
+//! The catalogue of log events.
+
+use strum::{EnumIter, IntoStaticStr};
+use tracing::Level;
+
+macro_rules! events {
+    ($($number:literal $level:ident $name:ident: $meaning:literal, $action:literal;)*) => {
+        /// What a node logs, by number. Numbers are never given to another event.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, EnumIter, IntoStaticStr)]
+        #[strum(serialize_all = "kebab-case")]
+        pub enum Event {
+            $(#[doc = $meaning] $name = $number,)*
+        }
+
+        impl Event {
+            /// Level that it is logged at.
+            pub const fn level(self) -> Level {
+                match self {
+                    $(Event::$name => Level::$level,)*
+                }
+            }
+
+            /// What has happened.
+            pub const fn meaning(self) -> &'static str {
+                match self {
+                    $(Event::$name => $meaning,)*
+                }
+            }
+
+            /// What an operator does about it.
+            pub const fn action(self) -> &'static str {
+                match self {
+                    $(Event::$name => $action,)*
+                }
+            }
+        }
+    };
+}
+
+events! {
+    101 INFO NodeStarted: "the node listens; it takes calls once a configuration is in force", "nothing";
+    102 INFO NodeReady: "a configuration is in force and calls are taken", "nothing";
+    103 INFO DrainBegun: "the node takes nothing new and finishes what is in flight", "nothing; somebody asked for it";
+    104 INFO DrainFinished: "nothing is in flight any more; the node leaves", "nothing";
+    105 ERROR DrainLimitReached: "the drain limit has passed with calls still in flight; their callers may see unknown outcomes", "raise drain_limit_ms above the longest patience; look for a hanging upstream";
+    106 ERROR NodeFailed: "the node ends because a listener or its start failed", "read the error; check addresses and that no other process holds them";
+
+    201 INFO UpstreamAnnounced: "the upstream beside the node has announced itself, or with another size", "nothing";
+    202 WARN UpstreamLapsed: "the upstream has not renewed its announcement", "look whether the upstream's process runs and reaches the node's control address";
+    203 INFO UpstreamDraining: "the upstream drains: no new work goes to it", "nothing; somebody asked for it";
+    204 ERROR UpstreamCrashed: "the connection to the upstream died while calls ran, and it no longer listens", "look at the upstream's own log; the calls that ran are suspects";
+    205 ERROR RequestQuarantined: "a request that was running in repeated crashes is refused for a while", "find it by its fingerprint in status; mend the upstream or the caller";
+
+    301 INFO ConfigurationInForce: "a newer generation decides about calls from now on", "nothing";
+    302 ERROR ConfigurationUnreadable: "a stored generation cannot be read by this version of the node, which keeps the one before", "upgrade the node, or apply a document that all versions read";
+    303 WARN PlatformLost: "the platform does not answer; calls go on with the configuration in force", "look at the platform; changes of the configuration have to wait";
+    304 INFO PlatformBack: "the platform answers again", "nothing";
+    305 ERROR RecordReplaced: "another start with this node's name has published itself", "two processes have the same --node, or this one was paused and replaced: stop one";
+    306 INFO ConfigurationStored: "an operator's change is stored as a new generation", "nothing";
+
+    401 WARN LinkRefused: "a process could not prove the fleet key", "compare the fleet keys of both nodes; if the address is not a node's, look who it is";
+    402 INFO LinkLost: "a link to another node broke; calls on it are resolved over a new one", "nothing unless it repeats: then look at the network between the two";
+    403 WARN FrameMalformed: "a frame could not be read and its link was closed", "compare the versions of both nodes";
+    404 INFO PeerLost: "another node no longer answers probes", "nothing unless many go at once: then look at their data centre";
+
+    501 WARN OperatorRefused: "an operators' call without the right token was refused", "if it was you, check the token; if not, look who asks";
+    502 INFO OperatorCommand: "an operator's command is carried out", "nothing";
+
+    601 INFO HandoverDone: "a successor has taken over this node's tickets", "nothing";
+    602 WARN HandoverFailed: "no node took over the tickets; re-sends of their requests get unknown outcomes", "drain one node of a service at a time, with another one ready";
+
+    701 WARN SheddingBegun: "the upstream's queue stands and requests of the last class are refused", "look at status; add upstreams if it lasts";
+    702 INFO SheddingEnded: "nothing is refused for load any more", "nothing";
+
+    801 WARN CollectorLost: "spans cannot be exported; they are dropped and counted", "look at the collector; calls are not affected";
+    802 INFO CollectorBack: "spans are exported again", "nothing";
+}
+
+impl Event {
+    /// Its number in the catalogue.
+    pub const fn number(self) -> u16 {
+        self as u16
+    }
+}
+
+/// Logs an [`Event`] with fields of its own: `log_event!(Event::DrainBegun, in_flight_count = 3)`.
+#[macro_export]
+macro_rules! log_event {
+    ($event:path $(, $($fields:tt)+)?) => {
+        $crate::tracing::event!(
+            $event.level(),
+            number = $event.number(),
+            $($($fields)+,)?
+            "{}",
+            $event.meaning()
+        )
+    };
+}
--- /dev/null
+++ b/crates/hemlocktack-telemetry/src/lib.rs
@@ -0,0 +1,19 @@
+//! What a node tells of itself while it runs: numbered events for logs, and
+//! spans for traces.
+
+mod event;
+mod export;
+mod recent;
+mod span;
+mod trace_context;
+mod tracer;
+
+pub use event::Event;
+pub use export::{ExportError, ExportQueue, start_export};
+pub use recent::RecentSpans;
+pub use span::{ActiveSpan, SpanEnd, SpanName, SpanRecord};
+pub use trace_context::{SpanId, TraceContext, TraceId, parse_trace_id};
+pub use tracer::Tracer;
+
+#[doc(hidden)]
+pub use tracing;
--- /dev/null
+++ b/crates/hemlocktack-telemetry/tests/events.rs
@@ -0,0 +1,91 @@
+//! The catalogue of events and its page.
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeSet;
+use std::fmt::Write;
+use std::io;
+use std::sync::{Arc, Mutex};
+
+use hemlocktack_telemetry::{Event, log_event};
+use strum::IntoEnumIterator;
+
+const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/EVENTS.md");
+/// Set to write the table anew after a change of the catalogue.
+const REGENERATE_VARIABLE: &str = "HEMLOCKTACK_REGENERATE";
+const TABLE_BEGIN: &str = "| number | name | level | meaning | what to do |\n";
+
+fn table() -> String {
+    let mut table = format!("{TABLE_BEGIN}|---|---|---|---|---|\n");
+    for event in Event::iter() {
+        let name = <&str>::from(event);
+        writeln!(
+            table,
+            "| {} | {name} | {} | {} | {} |",
+            event.number(),
+            event.level(),
+            event.meaning(),
+            event.action()
+        )
+        .unwrap();
+    }
+    table
+}
+
+#[test]
+fn the_page_lists_every_event() {
+    let mut page = std::fs::read_to_string(PAGE).unwrap();
+    let (introduction, found) = page.split_once(TABLE_BEGIN).unwrap();
+    if std::env::var_os(REGENERATE_VARIABLE).is_some() {
+        page = format!("{introduction}{}", table());
+        std::fs::write(PAGE, page).unwrap();
+        return;
+    }
+    let found = format!("{TABLE_BEGIN}{found}");
+    assert!(
+        found == table(),
+        "run this test with {REGENERATE_VARIABLE}=1"
+    );
+}
+
+#[test]
+fn numbers_are_in_order_and_stand_once() {
+    let numbers = Event::iter().map(Event::number).collect::<Vec<_>>();
+    let in_order = numbers.iter().copied().collect::<BTreeSet<_>>();
+    assert!(in_order.into_iter().eq(numbers));
+}
+
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_line_carries_number_level_meaning_and_fields() {
+    let lines = Lines::default();
+    let writer = lines.clone();
+    let subscriber = tracing_subscriber::fmt()
+        .without_time()
+        .with_ansi(false)
+        .with_target(false)
+        .with_writer(move || writer.clone())
+        .finish();
+    tracing::subscriber::with_default(subscriber, || {
+        log_event!(Event::PlatformLost);
+        log_event!(Event::DrainBegun, in_flight_count = 3, node = "keys-1");
+    });
+    let text = String::from_utf8(lines.0.lock().unwrap().clone()).unwrap();
+    assert_eq!(
+        text,
+        " WARN the platform does not answer; calls go on with the configuration in force number=303\n \
+         INFO the node takes nothing new and finishes what is in flight number=103 in_flight_count=3 node=\"keys-1\"\n"
+    );
+}
