--- /dev/null
+++ b/crates/hemlocktack-node/examples/call_cost/measure.rs
@@ -0,0 +1,179 @@
+//! Direct and through the nodes, alternating.
+
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use reqwest::Client;
+use tokio::task::JoinHandle;
+
+use crate::common::Result;
+
+const WARM_UP_CALLS: usize = 200;
+/// Calls are sent in turns of this many, so that a slow moment of the machine
+/// falls on both ways.
+const TURN_CALLS: usize = 50;
+/// Unit of the processor times in `/proc/self/stat`.
+const CPU_TICK_US: u64 = 10_000;
+const HIGHEST_US: u64 = 10_000_000;
+
+/// Figures of one cell.
+pub(crate) struct Comparison {
+    direct: Way,
+    through: Way,
+}
+
+/// Figures of one way.
+struct Way {
+    times_us: Histogram<u64>,
+    cpu_us: u64,
+}
+
+impl Way {
+    fn new() -> Result<Self> {
+        Ok(Self {
+            times_us: Histogram::new_with_bounds(1, HIGHEST_US, 3)?,
+            cpu_us: 0,
+        })
+    }
+
+    fn quantile_us(&self, quantile: f64) -> i64 {
+        self.times_us.value_at_quantile(quantile) as i64
+    }
+
+    fn cpu_us_a_call(&self) -> i64 {
+        (self.cpu_us / self.times_us.len().max(1)) as i64
+    }
+}
+
+impl Comparison {
+    pub(crate) fn heading() -> String {
+        format!(
+            "{:>9}{:>8}{:>12}{:>12}{:>13}{:>13}{:>11}{:>11}{:>16}",
+            "load /s",
+            "body",
+            "direct p50",
+            "direct p99",
+            "through p50",
+            "through p99",
+            "added p50",
+            "added p99",
+            "added CPU/call"
+        )
+    }
+
+    pub(crate) fn line(&self, rate_per_s: u32, body_bytes: usize) -> String {
+        let (direct, through) = (&self.direct, &self.through);
+        let added = |quantile: f64| through.quantile_us(quantile) - direct.quantile_us(quantile);
+        format!(
+            "{rate_per_s:>9}{body_bytes:>8}{:>12}{:>12}{:>13}{:>13}{:>11}{:>11}{:>16}",
+            direct.quantile_us(0.50),
+            direct.quantile_us(0.99),
+            through.quantile_us(0.50),
+            through.quantile_us(0.99),
+            added(0.50),
+            added(0.99),
+            through.cpu_us_a_call() - direct.cpu_us_a_call(),
+        )
+    }
+}
+
+/// Sends `calls` calls each way over one kept-alive connection each.
+pub(crate) async fn compare(
+    direct_url: &str,
+    through_url: &str,
+    body_bytes: usize,
+    calls: usize,
+) -> Result<Comparison> {
+    let client = Client::builder().no_proxy().tcp_nodelay(true).build()?;
+    let body = vec![b'x'; body_bytes];
+    let mut warm_up = Way::new()?;
+    send_turn(&client, direct_url, &body, WARM_UP_CALLS, &mut warm_up).await?;
+    send_turn(&client, through_url, &body, WARM_UP_CALLS, &mut warm_up).await?;
+    let mut comparison = Comparison {
+        direct: Way::new()?,
+        through: Way::new()?,
+    };
+    for _ in 0..calls.div_ceil(TURN_CALLS) {
+        send_turn(
+            &client,
+            direct_url,
+            &body,
+            TURN_CALLS,
+            &mut comparison.direct,
+        )
+        .await?;
+        send_turn(
+            &client,
+            through_url,
+            &body,
+            TURN_CALLS,
+            &mut comparison.through,
+        )
+        .await?;
+    }
+    Ok(comparison)
+}
+
+async fn send_turn(
+    client: &Client,
+    url: &str,
+    body: &[u8],
+    calls: usize,
+    way: &mut Way,
+) -> Result<()> {
+    let cpu_before_us = process_cpu_us()?;
+    for _ in 0..calls {
+        let began = Instant::now();
+        let answer = client
+            .post(url)
+            .body(body.to_vec())
+            .send()
+            .await?
+            .error_for_status()?;
+        let whole = answer.bytes().await?;
+        way.times_us.record(began.elapsed().as_micros() as u64)?;
+        if whole.len() != body.len() {
+            return Err("an answer is not whole".into());
+        }
+    }
+    way.cpu_us += process_cpu_us()? - cpu_before_us;
+    Ok(())
+}
+
+/// Processor time of the whole process, which holds nodes, caller and upstream.
+fn process_cpu_us() -> Result<u64> {
+    let stat = std::fs::read_to_string("/proc/self/stat")?;
+    let after_name = stat.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let ticks: u64 = fields[11].parse::<u64>()? + fields[12].parse::<u64>()?;
+    Ok(ticks * CPU_TICK_US)
+}
+
+/// Other calls through the nodes while a cell is measured.
+pub(crate) struct Background {
+    task: JoinHandle<()>,
+}
+
+impl Background {
+    pub(crate) fn start(url: &str, rate_per_s: u32) -> Self {
+        Self {
+            task: tokio::spawn(send_evenly(url.to_owned(), rate_per_s)),
+        }
+    }
+
+    pub(crate) fn stop(self) {
+        self.task.abort();
+    }
+}
+
+async fn send_evenly(url: String, rate_per_s: u32) {
+    if rate_per_s == 0 {
+        return;
+    }
+    let client = Client::new();
+    let mut ticks = tokio::time::interval(Duration::from_secs(1) / rate_per_s);
+    loop {
+        ticks.tick().await;
+        tokio::spawn(client.post(&url).body("x").send());
+    }
+}
