Carry out every operators' call, and trace, count and explain calls

One file a method under operators/commands and operators/queries, protobuf and JSON bodies, unknown methods a clear 404. The token is compared in constant time before the body is read; refusals are logged at most once a second with their count, so that somebody who tries tokens does not fill the log. Status and spans are asked from all nodes at once, 64 at a time, two seconds each; those that do not answer are named.

Spans: entry, link, hop, queue, upstream; the upstream gets the trace context of its own span, and a deeper call that comes without one continues the trace of the call it is made for. Answers that are no answer carry traceparent, so that a caller can name the request to an operator.

Ends of calls are counted where they enter, by declared service, outcome and reason: refusals by the entry's shed level never reach the upstream side, and were missing in the status. Metrics are read from the node at each scrape; durations are counted in atomics.

A drain is ordered over the link and ends the process as a signal does.

The command line took a token with a space for one that cannot be sent; nodes accept it, so it does too.

--- a/crates/hemlocktack-cli/src/arguments.rs
+++ b/crates/hemlocktack-cli/src/arguments.rs
@@ -180,8 +180,8 @@
             let help = "write it as http://10.0.0.7:7400";
             self.add("--node-url", label, help);
         }
-        if token.chars().any(|character| !character.is_ascii_graphic()) {
-            let help = "it is printable ASCII without spaces";
+        if token.chars().any(char::is_control) {
+            let help = "it has control characters, perhaps a line break at its end";
             self.add("--token", "the token cannot be sent", help);
         }
         Client::new(node_url, token, timeout)
--- a/crates/hemlocktack-cli/src/queries/fleet/status.rs
+++ b/crates/hemlocktack-cli/src/queries/fleet/status.rs
@@ -55,7 +55,7 @@
 }
 
 fn run(arguments: &mut Arguments<'_>, output: &mut Output<'_>) -> Result<()> {
-    let service = arguments.text(SERVICE).unwrap_or_default();
+    let service = arguments.text(SERVICE);
     let interval_ms = arguments
         .number(INTERVAL_MS)
         .unwrap_or(DEFAULT_INTERVAL_MS)
@@ -66,13 +66,12 @@
     };
     let client = arguments.client();
     arguments.finish()?;
-    let request = GetStatusRequest { service };
     if times == 1 {
-        return report(&client, &request, output);
+        return report(&client, service.as_deref(), output);
     }
     for _ in 0..times {
         output.clear_screen()?;
-        match report(&client, &request, output) {
+        match report(&client, service.as_deref(), output) {
             // The fleet may come back while the operator watches.
             Err(Error::Unreachable { node_url, cause }) => {
                 let text = format!("{node_url} is not reachable: {cause}\n");
@@ -85,22 +84,25 @@
     Ok(())
 }
 
-fn report(client: &Client, request: &GetStatusRequest, output: &mut Output<'_>) -> Result<()> {
-    let response = client.call(&GET_STATUS, request)?;
-    output.report(&status_text(&response), &response)
+/// Asks all nodes whatever the service: its calls enter at any of them.
+fn report(client: &Client, service: Option<&str>, output: &mut Output<'_>) -> Result<()> {
+    let response = client.call(&GET_STATUS, &GetStatusRequest::default())?;
+    output.report(&status_text(&response, service), &response)
 }
 
-fn status_text(response: &GetStatusResponse) -> String {
-    let mut by_service = BTreeMap::<&str, Vec<&NodeStatus>>::new();
-    for node in &response.nodes {
-        by_service.entry(&node.service).or_default().push(node);
+fn status_text(response: &GetStatusResponse, service: Option<&str>) -> String {
+    let mut services = services(&response.nodes);
+    if let Some(service) = service {
+        services.retain(|name, _| *name == service);
     }
     let mut table = Table::new(&[
         "service",
         "nodes",
-        "demand",
+        "calls",
+        "answered",
+        "not run",
+        "unknown",
         "admitted",
-        "refused",
         "in flight",
         "limit",
         "queued",
@@ -108,19 +110,30 @@
         "draining",
         "quarantined",
     ]);
-    let mut refusals = String::new();
-    for (service, nodes) in by_service {
-        let summary = ServiceSummary::new(&nodes);
+    let mut reasons = String::new();
+    for (service, summary) in &services {
         table.row(summary.row(service));
-        refusals += &summary.refusals_text(service);
+        reasons += &summary.reasons_text(service);
     }
     let mut text = table.to_text();
-    text += &refusals;
+    text += &reasons;
     text += &generations_text(&response.nodes);
     text += &node_lists_text(response);
     text
 }
 
+/// Sums by service, of its own nodes and of the nodes where its calls enter.
+fn services(nodes: &[NodeStatus]) -> BTreeMap<&str, ServiceSummary> {
+    let mut services = BTreeMap::<&str, ServiceSummary>::new();
+    for node in nodes {
+        services.entry(&node.service).or_default().add_node(node);
+        for entry in &node.entries {
+            services.entry(&entry.service).or_default().add_entry(entry);
+        }
+    }
+    services
+}
+
 fn node_lists_text(response: &GetStatusResponse) -> String {
     let without_platform = response
         .nodes
--- a/crates/hemlocktack-cli/src/queries/fleet/summary.rs
+++ b/crates/hemlocktack-cli/src/queries/fleet/summary.rs
@@ -1,18 +1,22 @@
 //! Sums over the nodes of a service.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-use hemlocktack_protocol::{NodeState, NodeStatus, Reason, UpstreamState};
+use hemlocktack_decide::{MAX_CLASSES, ShedLevel};
+use hemlocktack_protocol::{EntryCount, NodeState, NodeStatus, Outcome, Reason, UpstreamState};
 
-/// What the nodes of one service say together.
+/// What all nodes say of one service.
 #[derive(Default)]
 pub(super) struct ServiceSummary {
     ready_count: usize,
     node_count: usize,
     draining_count: usize,
-    demand_count: u64,
+    answered_count: u64,
+    not_run: Reasons,
+    unknown: Reasons,
     admitted_count: u64,
-    refusals: BTreeMap<&'static str, u64>,
+    refused: Reasons,
     in_flight: u64,
     limit: u64,
     queued: u64,
@@ -20,26 +24,21 @@
     quarantined: BTreeSet<u64>,
 }
 
-impl ServiceSummary {
-    pub(super) fn new(nodes: &[&NodeStatus]) -> Self {
-        let mut summary = ServiceSummary::default();
-        for node in nodes {
-            summary.add(node);
-        }
-        summary
-    }
+/// Counts by reason.
+#[derive(Default)]
+struct Reasons(BTreeMap<&'static str, u64>);
 
-    fn add(&mut self, node: &NodeStatus) {
+impl ServiceSummary {
+    /// Takes in what a node of the service says of itself.
+    pub(super) fn add_node(&mut self, node: &NodeStatus) {
         let is_draining =
             node.state() == NodeState::Draining || node.upstream() == UpstreamState::Draining;
         self.node_count += 1;
         self.ready_count += usize::from(node.state() == NodeState::Ready);
         self.draining_count += usize::from(is_draining);
-        self.demand_count += node.demand_count;
         self.admitted_count += node.admitted_count;
         for refusal in &node.refusals {
-            let reason = <&'static str>::from(Reason::try_from(refusal.reason).unwrap_or_default());
-            *self.refusals.entry(reason).or_default() += refusal.count;
+            self.refused.add(refusal.reason(), refusal.count);
         }
         if let Some(load) = &node.load {
             self.in_flight += u64::from(load.in_flight);
@@ -50,17 +49,28 @@
         self.quarantined.extend(&node.quarantined_fingerprints);
     }
 
+    /// Takes in calls to the service that entered at some node.
+    pub(super) fn add_entry(&mut self, entry: &EntryCount) {
+        match entry.outcome() {
+            Outcome::Answered => self.answered_count += entry.count,
+            Outcome::NotRun => self.not_run.add(entry.reason(), entry.count),
+            Outcome::Unknown | Outcome::Unspecified => {
+                self.unknown.add(entry.reason(), entry.count);
+            }
+        }
+    }
+
     pub(super) fn row(&self, service: &str) -> Vec<String> {
-        let name = match service {
-            "" => "(entry only)",
-            service => service,
-        };
+        let not_run = self.not_run.total();
+        let unknown = self.unknown.total();
         vec![
-            name.to_owned(),
+            service_name(service).to_owned(),
             format!("{}/{}", self.ready_count, self.node_count),
-            self.demand_count.to_string(),
+            (self.answered_count + not_run + unknown).to_string(),
+            self.answered_count.to_string(),
+            not_run.to_string(),
+            unknown.to_string(),
             self.admitted_count.to_string(),
-            self.refusals.values().sum::<u64>().to_string(),
             self.in_flight.to_string(),
             self.limit.to_string(),
             self.queued.to_string(),
@@ -70,33 +80,61 @@
         ]
     }
 
-    /// One line with the reasons, most frequent first; empty without refusals.
-    pub(super) fn refusals_text(&self, service: &str) -> String {
-        if self.refusals.is_empty() {
-            return String::new();
+    /// One line for each kind of end that has reasons.
+    pub(super) fn reasons_text(&self, service: &str) -> String {
+        let kinds = [
+            ("not run", &self.not_run),
+            ("unknown", &self.unknown),
+            ("refused beside the upstream", &self.refused),
+        ];
+        let service = service_name(service);
+        let mut text = String::new();
+        for (kind, reasons) in kinds {
+            if reasons.total() > 0 {
+                text += &format!("{service} {kind}: {}\n", reasons.to_text());
+            }
         }
-        let mut reasons = self.refusals.iter().collect::<Vec<_>>();
-        reasons.sort_by_key(|(_, count)| std::cmp::Reverse(**count));
+        text
+    }
+}
+
+impl Reasons {
+    fn add(&mut self, reason: Reason, count: u64) {
+        *self.0.entry(reason.into()).or_default() += count;
+    }
+
+    fn total(&self) -> u64 {
+        self.0.values().sum()
+    }
+
+    /// Most frequent first.
+    fn to_text(&self) -> String {
+        let mut reasons = self.0.iter().collect::<Vec<_>>();
+        reasons.sort_by_key(|(_, count)| Reverse(**count));
         let reasons = reasons
             .into_iter()
-            .map(|(reason, count)| format!("{reason} {count}"))
-            .collect::<Vec<_>>();
-        format!("{service} refused: {}\n", reasons.join(", "))
+            .map(|(reason, count)| format!("{reason} {count}"));
+        reasons.collect::<Vec<_>>().join(", ")
+    }
+}
+
+/// Calls to services that no configuration declares are counted together.
+fn service_name(service: &str) -> &str {
+    match service {
+        "" => "(undeclared)",
+        service => service,
     }
 }
 
-/// Where shedding cuts, from the packed form of `LoadHint.shed_level`: ranks
-/// before the named one are admitted whole, of this one the given share.
+/// Where shedding cuts: ranks before the named one are admitted whole, of this
+/// one the given share, later ones not at all.
 fn shed_text(packed: u32) -> String {
-    const RANKS: u32 = 8;
-    const SHARE_BITS: u32 = 16;
-    if packed == 0 {
-        return "-".to_owned();
+    let level = ShedLevel::unpack(packed);
+    let cut = (0..MAX_CLASSES).find(|rank| level.share_of(*rank) < 1.0);
+    match cut {
+        Some(rank) => format!("rank {rank} to {:.0} %", level.share_of(rank) * 100.0),
+        None => "-".to_owned(),
     }
-    let cut = (RANKS << SHARE_BITS).saturating_sub(packed);
-    let rank = cut >> SHARE_BITS;
-    let share = f64::from(cut & 0xffff) / f64::from(1_u32 << SHARE_BITS);
-    format!("rank {rank} to {:.0} %", share * 100.0)
 }
 
 /// Which generations are in force on how many nodes, newest first.
--- a/crates/hemlocktack-cli/tests/support/answers.rs
+++ b/crates/hemlocktack-cli/tests/support/answers.rs
@@ -2,9 +2,10 @@
 
 use hemlocktack_protocol::{
     ApplyConfigurationResponse, ConfigurationChange, ConfigurationDocument, DrainNodeResponse,
-    ExplainCallResponse, GetStatusResponse, ListConfigurationHistoryResponse, ListNodesResponse,
-    ListUpstreamsResponse, LoadHint, Member, NodeState, NodeStatus, Outcome, Reason, RefusalCount,
-    ShowConfigurationRequest, ShowConfigurationResponse, Span, UpstreamListing, UpstreamState,
+    EntryCount, ExplainCallResponse, GetStatusResponse, ListConfigurationHistoryResponse,
+    ListNodesResponse, ListUpstreamsResponse, LoadHint, Member, NodeState, NodeStatus, Outcome,
+    Reason, RefusalCount, ShowConfigurationRequest, ShowConfigurationResponse, Span,
+    UpstreamListing, UpstreamState,
 };
 
 use prost::Message;
@@ -108,6 +109,12 @@
         reason: reason.into(),
         count,
     };
+    let entry = |service: &str, outcome: Outcome, reason: Reason, count| EntryCount {
+        service: service.to_owned(),
+        outcome: outcome.into(),
+        reason: reason.into(),
+        count,
+    };
     let listings = NodeStatus {
         node_id: "listings-1".to_owned(),
         service: "listings".to_owned(),
@@ -124,6 +131,12 @@
             shed_level: (5 << 16) + (3 << 14),
             ..LoadHint::default()
         }),
+        entries: vec![
+            entry("listings", Outcome::Answered, Reason::Unspecified, 1_000),
+            entry("listings", Outcome::NotRun, Reason::Shed, 70),
+            entry("diaries", Outcome::Unknown, Reason::Timeout, 3),
+            entry("", Outcome::NotRun, Reason::UnknownService, 2),
+        ],
         quarantined_fingerprints: vec![77],
         platform_reachable: true,
         ..NodeStatus::default()
--- a/crates/hemlocktack-node/src/callers/answer.rs
+++ b/crates/hemlocktack-node/src/callers/answer.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hemlocktack_protocol::{
     Answer, Header, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, Outcome, REASON_HEADER,
-    RETRY_AFTER_HEADER, Reason,
+    RETRY_AFTER_HEADER, Reason, TRACEPARENT_HEADER,
 };
 use rocket::Response;
 use rocket::http::Status;
@@ -20,6 +20,8 @@
     pub(crate) body: Bytes,
     pub(crate) retry_after: Option<Duration>,
     pub(crate) fresh_ticket: Option<String>,
+    /// Names the trace of a request without an answer, for `explain`.
+    pub(crate) traceparent: Option<String>,
 }
 
 impl CallerAnswer {
@@ -45,6 +47,7 @@
                 body: answer.body,
                 retry_after,
                 fresh_ticket,
+                traceparent: None,
             };
         }
         Self {
@@ -55,6 +58,7 @@
             body: refusal_body(outcome, reason),
             retry_after,
             fresh_ticket,
+            traceparent: None,
         }
     }
 
@@ -79,6 +83,9 @@
         if let Some(ticket) = self.fresh_ticket {
             builder.raw_header(IDEMPOTENCY_KEY_HEADER, ticket);
         }
+        if let Some(traceparent) = self.traceparent {
+            builder.raw_header(TRACEPARENT_HEADER, traceparent);
+        }
         builder.sized_body(self.body.len(), Cursor::new(self.body));
         builder.finalize()
     }
--- a/crates/hemlocktack-node/src/callers/routes.rs
+++ b/crates/hemlocktack-node/src/callers/routes.rs
@@ -9,6 +9,7 @@
 use rocket::route::{Handler, Outcome, Route};
 use rocket::{Request, async_trait};
 
+use super::observe::ObservedEntry;
 use super::{CallerAnswer, CallerRequest, read_head};
 use crate::calls;
 use crate::node::Node;
@@ -44,10 +45,12 @@
 #[async_trait]
 impl Handler for AnyPath {
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let entry = ObservedEntry::begin(&self.node, request);
         let answer = match read(&self.node, request, data).await {
-            Ok(call) => calls::enter(&self.node, call).await,
+            Ok(call) => calls::enter(&self.node, entry.pass_trace(call)).await,
             Err(reason) => CallerAnswer::refused(reason),
         };
+        let answer = entry.end(&self.node, request, answer);
         Outcome::Success(answer.into_response())
     }
 }
--- a/crates/hemlocktack-node/src/calls/context.rs
+++ b/crates/hemlocktack-node/src/calls/context.rs
@@ -7,6 +7,7 @@
 use hemlocktack_decide::{Allowance, WorkKind};
 use hemlocktack_fleet::tickets::{ChildCalls, Nonce};
 use hemlocktack_protocol::{Call, ClassRank, Reason, RootRequestId};
+use hemlocktack_telemetry::TraceContext;
 
 /// Length of the opaque header: one 64-bit number in hexadecimal digits.
 const CONTEXT_DIGITS: usize = 16;
@@ -23,6 +24,9 @@
     pub(crate) allowance: Arc<Allowance>,
     /// Tickets of its deeper calls.
     pub(crate) children: Mutex<ChildCalls>,
+    /// Where the upstream's work stands in its trace, for deeper calls that
+    /// come without a `traceparent`.
+    pub(crate) trace: Option<TraceContext>,
     started: Instant,
     /// Work that the chain above had spent when the call started.
     work_spent_before: Duration,
@@ -52,6 +56,7 @@
             children: Mutex::new(
                 nonce.map_or_else(ChildCalls::of_idempotent, ChildCalls::of_ticketed),
             ),
+            trace: TraceContext::parse(&call.traceparent),
             started: Instant::now(),
             work_spent_before: Duration::from_micros(call.work_spent_us),
             deeper: Mutex::default(),
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -8,12 +8,14 @@
     retry_after, retry_verdict,
 };
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
+use hemlocktack_telemetry::SpanName;
 use tokio_util::sync::CancellationToken;
 
 use super::roster::{PeerEntry, ServiceView};
 use super::{Classified, not_run, receive, unknown};
-use crate::links::Sent;
+use crate::links::{Peer, Sent};
 use crate::node::{Node, Place};
+use crate::telemetry::ObservedSpan;
 
 /// Kept back from the time left that goes along with a call, so that the
 /// receiver's verdict at the deadline reaches the caller before the entry has
@@ -126,14 +128,7 @@
     call.time_left_us = time_left_us(deadline);
     let answer = match node.place_of(&peer.member) {
         Some(Place::Here) => receive(node, call, &CancellationToken::new()).await,
-        Some(Place::There(peer)) => match node.links.call(&peer, call, deadline).await {
-            Sent::Answer(answer) => answer,
-            Sent::NeverArrived(reason) => Answer {
-                retries_unspent: given,
-                ..not_run(reason, None)
-            },
-            Sent::Unknown(reason) => unknown(reason),
-        },
+        Some(Place::There(peer)) => send_over_link(node, &peer, call, deadline).await,
         None => Answer {
             retries_unspent: given,
             ..not_run(Reason::LinkLost, None)
@@ -143,6 +138,22 @@
     answer
 }
 
+async fn send_over_link(node: &Node, peer: &Peer, mut call: Call, deadline: Instant) -> Answer {
+    let given = call.retries_given;
+    let span = ObservedSpan::begin(node, SpanName::Link, &mut call);
+    let answer = match node.links.call(peer, call, deadline).await {
+        Sent::Answer(answer) => answer,
+        Sent::NeverArrived(reason) => Answer {
+            retries_unspent: given,
+            ..not_run(reason, None)
+        },
+        Sent::Unknown(reason) => unknown(reason),
+    };
+    node.waits.link.observe(span.elapsed());
+    span.end(node, &answer, || format!("to {}", peer.node_id));
+    answer
+}
+
 /// The end of a call as the decisions see it; `None` for an answer.
 pub(crate) fn unfinished(answer: &Answer) -> Option<Unfinished> {
     let reason = answer.reason();
--- a/crates/hemlocktack-node/src/calls/receive.rs
+++ b/crates/hemlocktack-node/src/calls/receive.rs
@@ -5,16 +5,30 @@
 
 use hemlocktack_fleet::tickets::Ticket;
 use hemlocktack_protocol::{Answer, Call, CallPurpose, NodeState, Reason};
+use hemlocktack_telemetry::SpanName;
 use tokio_util::sync::CancellationToken;
 
 use super::run::{RunOrder, run};
 use super::{home, not_run, unknown};
 use crate::node::Node;
+use crate::telemetry::{ObservedSpan, request_line};
 
 /// Treats a call by its purpose and answers with what became of it.
-pub(crate) async fn receive(node: &Arc<Node>, call: Call, cancelled: &CancellationToken) -> Answer {
+pub(crate) async fn receive(
+    node: &Arc<Node>,
+    mut call: Call,
+    cancelled: &CancellationToken,
+) -> Answer {
     let _in_flight = node.enter_call();
     node.counters.demanded();
+    let span = ObservedSpan::begin(node, SpanName::Hop, &mut call);
+    let what = request_line(&call.method, &call.path);
+    let answer = treat(node, call, cancelled).await;
+    span.end(node, &answer, || what);
+    answer
+}
+
+async fn treat(node: &Arc<Node>, call: Call, cancelled: &CancellationToken) -> Answer {
     let deadline = Instant::now() + Duration::from_micros(call.time_left_us);
     match call.purpose() {
         // The home answers for a ticket's end even while it drains.
--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -6,11 +6,13 @@
 use hemlocktack_decide::{Ended, Offer, WorkKind};
 use hemlocktack_fleet::tickets::Nonce;
 use hemlocktack_protocol::{Answer, Call, ClassRank, Outcome, Reason};
+use hemlocktack_telemetry::{Event, SpanName, log_event};
 use tokio::net::TcpStream;
 
 use super::desk::Admitted;
 use super::{RunningCall, not_run, unknown, work_kind_of};
 use crate::node::Node;
+use crate::telemetry::{ObservedSpan, request_line};
 use crate::upstream::UpstreamEnd;
 
 /// A running upstream accepts a connection in a millisecond; one that does not
@@ -30,13 +32,14 @@
 /// Waits for a slot, hands the call to the upstream and reports its end.
 pub(crate) async fn run<F: FnOnce() -> bool>(node: &Arc<Node>, order: RunOrder<F>) -> Answer {
     let RunOrder {
-        call,
+        mut call,
         nonce,
         deadline,
         may_start,
     } = order;
     let class_rank = ClassRank::try_from(call.class_rank).unwrap_or(ClassRank::MAX);
     let kind = work_kind_of(node, &call);
+    let queue = ObservedSpan::begin_wait(node, SpanName::Queue, &call);
     let admitted = node.desk.admit(|call_id| Offer {
         call_id,
         class_rank,
@@ -46,7 +49,10 @@
         fingerprint: call.fingerprint,
         kind,
     });
-    let admitted = match admitted.await {
+    let admitted = admitted.await;
+    node.waits.queue.observe(queue.elapsed());
+    queue.end_wait(node, admitted.as_ref().err().map(|refusal| refusal.reason));
+    let admitted = match admitted {
         Ok(admitted) => admitted,
         Err(refusal) => {
             node.counters.refused(refusal.reason);
@@ -69,8 +75,11 @@
         };
     }
     node.counters.admitted();
+    let upstream = ObservedSpan::begin(node, SpanName::Upstream, &mut call);
     let running = RunningCall::new(&call, class_rank, nonce, deadline);
     let answer = hand_over(node, &call, running, admitted, kind).await;
+    node.waits.upstream.observe(upstream.elapsed());
+    upstream.end(node, &answer, || request_line(&call.method, &call.path));
     with_load(node, kind, answer)
 }
 
@@ -128,7 +137,7 @@
     let mut ended = Vec::new();
     node.desk
         .with_admission(|admission| admission.crashed(&mut ended, Instant::now()));
-    tracing::warn!(running_count = ended.len(), "the upstream crashed");
+    log_event!(Event::UpstreamCrashed, running_count = ended.len());
 }
 
 async fn is_alive(address: std::net::SocketAddr) -> bool {
--- a/crates/hemlocktack-node/src/configuration/mod.rs
+++ b/crates/hemlocktack-node/src/configuration/mod.rs
@@ -1,9 +1,7 @@
-//! Which configuration is in force, and operators' changes to it.
+//! Which configuration is in force.
 
-mod apply;
 mod relay;
 mod watch;
 
-pub(crate) use apply::{ApplyError, apply};
 pub(crate) use relay::newer_than;
 pub(crate) use watch::start;
--- a/crates/hemlocktack-node/src/links/queries.rs
+++ b/crates/hemlocktack-node/src/links/queries.rs
@@ -52,7 +52,6 @@
 }
 
 impl Links {
-    #[expect(dead_code, reason = "configuration pulls and status come next")]
     /// Asks one node; `question` gets the query id to put into its message.
     pub(crate) async fn ask(
         &self,
--- a/crates/hemlocktack-node/src/links/questions.rs
+++ b/crates/hemlocktack-node/src/links/questions.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use hemlocktack_protocol::frame;
+use hemlocktack_protocol::{DrainOrderAccepted, NodeStatus, Spans, frame};
 
 use super::connection::Connection;
 use crate::configuration;
@@ -12,10 +12,20 @@
 /// Answers a question; what is none is passed over.
 pub(super) async fn answer(node: &Arc<Node>, connection: &Connection, question: frame::Body) {
     let answer = match question {
-        frame::Body::StatusPull(pull) => frame::Body::Status(hemlocktack_protocol::NodeStatus {
+        frame::Body::StatusPull(pull) => frame::Body::Status(NodeStatus {
             query_id: pull.query_id,
             ..telemetry::status(node)
         }),
+        frame::Body::SpansPull(pull) => frame::Body::Spans(Spans {
+            query_id: pull.query_id,
+            spans: telemetry::spans_of(node, &pull.trace_id),
+        }),
+        frame::Body::DrainOrder(order) => {
+            node.order_stop();
+            frame::Body::DrainOrderAccepted(DrainOrderAccepted {
+                query_id: order.query_id,
+            })
+        }
         frame::Body::ConfigurationPull(pull) => match configuration::newer_than(node, pull) {
             Some(document) => frame::Body::Configuration(document),
             None => return,
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -13,11 +13,15 @@
 use hemlocktack_protocol::{
     ConfigurationDocument, Generation, Member, NodeState, Reason, Succession, UpstreamState,
 };
+use hemlocktack_telemetry::{Event, Tracer, log_event};
+use tokio::sync::Notify;
 
 use crate::calls::{ContextTable, Desk, Home, Roster};
 use crate::counters::{CallInFlight, Counters};
 use crate::links::{Links, Peer, Senders};
+use crate::operators::Refusals;
 use crate::settings::Settings;
+use crate::telemetry::{EntryCounts, Waits};
 use crate::upstream::{Announcement, RENEW_EVERY, RENEWALS_MISSED_MAX, UpstreamClient};
 
 /// Largest body read before any configuration is in force.
@@ -53,6 +57,11 @@
     pub(crate) home: Home,
     pub(crate) roster: Roster,
     pub(crate) counters: Counters,
+    pub(crate) operator_refusals: Refusals,
+    pub(crate) tracer: Tracer,
+    pub(crate) waits: Waits,
+    pub(crate) entry_counts: EntryCounts,
+    stop_order: Notify,
     chain_edges: Mutex<ChainEdges>,
     in_force: ArcSwapOption<InForce>,
     members: ArcSwap<Vec<Member>>,
@@ -73,6 +82,7 @@
         keys: FleetKeys,
         platform: Arc<Client>,
         upstream_client: UpstreamClient,
+        tracer: Tracer,
     ) -> Self {
         let identity = NodeIncarnation::new(settings.node_id.clone(), rand::random());
         Self {
@@ -82,6 +92,11 @@
             roster: Roster::new(settings.data_centre.clone()),
             desk: Arc::new(Desk::new()),
             counters: Counters::default(),
+            operator_refusals: Refusals::default(),
+            tracer,
+            waits: Waits::default(),
+            entry_counts: EntryCounts::default(),
+            stop_order: Notify::new(),
             chain_edges: Mutex::default(),
             identity,
             settings,
@@ -96,6 +111,16 @@
         }
     }
 
+    /// An operator wants this node to drain and stop; once is enough.
+    pub(crate) fn order_stop(&self) {
+        self.stop_order.notify_one();
+    }
+
+    /// Ends when an operator has ordered the stop.
+    pub(crate) async fn stop_ordered(&self) {
+        self.stop_order.notified().await;
+    }
+
     pub(crate) fn configuration_in_force(&self) -> Option<Arc<InForce>> {
         self.in_force.load_full()
     }
@@ -104,10 +129,8 @@
     /// this version cannot read, is left aside.
     pub(crate) fn take_configuration(&self, stored: ConfigurationDocument) {
         let Ok(document) = hemlocktack_config::parse(&stored.document) else {
-            tracing::error!(
-                generation = stored.generation,
-                "a stored configuration cannot be read"
-            );
+            let generation = stored.generation;
+            log_event!(Event::ConfigurationUnreadable, generation);
             return;
         };
         let next = Arc::new(InForce {
@@ -115,10 +138,21 @@
             document,
             stored,
         });
-        self.in_force.rcu(|current| match current {
+        let before = self.in_force.rcu(|current| match current {
             Some(current) if current.generation >= next.generation => Some(current.clone()),
             _ => Some(next.clone()),
         });
+        if before.is_none_or(|before| before.generation < next.generation) {
+            self.configuration_changed(&next);
+        }
+    }
+
+    fn configuration_changed(&self, in_force: &InForce) {
+        let generation = in_force.generation;
+        log_event!(Event::ConfigurationInForce, generation);
+        self.entry_counts.declare(&in_force.document);
+        let sample_per_million = in_force.document.limits.trace_sample_per_million;
+        self.tracer.set_sample_per_million(sample_per_million);
     }
 
     pub(crate) fn body_limit_bytes(&self, service: &str) -> usize {
@@ -150,7 +184,6 @@
         self.state.store(Arc::new(state));
     }
 
-    #[expect(dead_code, reason = "status and node lists come next")]
     /// All nodes known, this one included.
     pub(crate) fn members(&self) -> Arc<Vec<Member>> {
         self.members.load_full()
--- /dev/null
+++ b/crates/hemlocktack-node/src/operators/queries/get_status.rs
@@ -0,0 +1,32 @@
+//! `GetStatus`: what each node says of itself.
+
+use std::sync::Arc;
+
+use hemlocktack_protocol::{GetStatusRequest, GetStatusResponse, StatusPull, frame};
+
+use crate::node::Node;
+use crate::operators::fan_out::ask_others;
+use crate::telemetry;
+
+pub(in crate::operators) async fn run(
+    node: &Arc<Node>,
+    request: GetStatusRequest,
+) -> GetStatusResponse {
+    let is_asked_for = |service: &str| request.service.is_empty() || request.service == service;
+    let question = |query_id| frame::Body::StatusPull(StatusPull { query_id });
+    let others = ask_others(node, |member| is_asked_for(&member.service), question).await;
+    let mut nodes = Vec::new();
+    if is_asked_for(&node.settings.service) {
+        nodes.push(telemetry::status(node));
+    }
+    for body in others.bodies {
+        if let frame::Body::Status(status) = body {
+            nodes.push(status);
+        }
+    }
+    nodes.sort_by(|one, other| one.node_id.cmp(&other.node_id));
+    GetStatusResponse {
+        nodes,
+        silent_node_ids: others.silent_node_ids,
+    }
+}
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -7,6 +7,7 @@
 use derive_more::{Display, Error, From};
 use hemlocktack_fleet::keys::{FleetKeys, KeyError};
 use hemlocktack_platform::{Client, ClientSettings};
+use hemlocktack_telemetry::ExportError;
 use rocket::{Build, Config, Rocket};
 use tokio::net::TcpListener;
 
@@ -39,6 +40,8 @@
     #[display("{_0}")]
     FleetKey(KeyError),
     #[display("{_0}")]
+    Export(ExportError),
+    #[display("{_0}")]
     Platform(hemlocktack_platform::Error),
 }
 
@@ -84,14 +87,16 @@
     let previous = settings.previous_fleet_key.as_deref().map(str::as_bytes);
     let keys = FleetKeys::new(settings.fleet_key.as_bytes(), previous)?;
     let platform = Arc::new(Client::new(ClientSettings::new(&settings.platform_url))?);
-    let node = Arc::new(Node::new(settings, keys, platform, UpstreamClient::new()?));
+    let tracer = telemetry::start_tracer(&settings)?;
+    let upstream_client = UpstreamClient::new()?;
+    let node = Arc::new(Node::new(settings, keys, platform, upstream_client, tracer));
     tokio::spawn(node.desk.clone().keep_awake());
     let link_listener = listen(node.settings.link_address).await?;
     let callers = http(&node, node.settings.caller_address).mount("/", callers::routes(&node));
     let control = http(&node, node.settings.control_address)
         .mount("/", control::routes())
         .mount("/", upstream::routes())
-        .mount("/", operators::routes());
+        .mount("/", operators::routes(&node));
     let callers = callers.ignite().await.map_err(Box::new)?;
     let control = control.ignite().await.map_err(Box::new)?;
     let shutdowns = [callers.shutdown(), control.shutdown()];
@@ -103,6 +108,7 @@
     tokio::pin!(stop_signal);
     let failed = tokio::select! {
         () = &mut stop_signal => None,
+        () = node.stop_ordered() => None,
         ended = callers => Some(ended),
         ended = control => Some(ended),
     };
--- a/crates/hemlocktack-node/src/settings/mod.rs
+++ b/crates/hemlocktack-node/src/settings/mod.rs
@@ -43,6 +43,5 @@
     /// Longest that a planned stop waits for calls in flight.
     pub(crate) drain_limit: Duration,
     pub(crate) log_format: LogFormat,
-    #[expect(dead_code, reason = "the trace export that uses it comes next")]
     pub(crate) otlp_endpoint: Option<String>,
 }
--- a/crates/hemlocktack-node/src/telemetry/logs.rs
+++ b/crates/hemlocktack-node/src/telemetry/logs.rs
@@ -4,9 +4,14 @@
 
 use crate::settings::LogFormat;
 
-/// Starts the log; `RUST_LOG` chooses what is written, `info` if it is not set.
+/// The web framework writes lines for each request, and warns of each path that
+/// it does not know: neither is an event of the node.
+const DEFAULT_FILTER: &str = "info,rocket=off";
+
+/// Starts the log; `RUST_LOG` chooses what is written, if it is set.
 pub(crate) fn start_logs(format: LogFormat) {
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    let filter =
+        EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
     let lines = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_writer(std::io::stderr);
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -1,27 +1,220 @@
-//! Metrics in the OpenMetrics text format.
+//! Metrics in the OpenMetrics text format, read from the node at each scrape.
+//!
+//! `docs/METRICS.md` lists them; a test holds both together.
 
-use prometheus_client::encoding::text;
+use std::sync::atomic::AtomicU64;
+
+use hemlocktack_protocol::{NodeState, NodeStatus, Outcome, Reason};
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Registry, Unit};
 
+use super::status;
 use crate::node::Node;
 
+const PREFIX: &str = "hemlocktack";
+const MICROS_A_SECOND: f64 = 1e6;
+/// Steps of one class in a packed shed level.
+const STEPS_A_CLASS: f64 = 65_536.0;
+
+type FloatGauge = Gauge<f64, AtomicU64>;
+
+/// Bounded: declared services, three outcomes, the schema's reasons.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndLabels {
+    service: String,
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+/// Bounded: the schema's reasons.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: &'static str,
+}
+
+/// Bounded: the schema's states.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StateLabels {
+    state: &'static str,
+}
+
 /// Text of `/metrics`.
 pub(crate) fn metrics_text(node: &Node) -> String {
-    let mut registry = Registry::with_prefix("hemlocktack");
-    let generation: Gauge = Gauge::default();
-    let in_force = node
-        .configuration_in_force()
-        .map_or(0, |in_force| in_force.generation);
-    generation.set(i64::try_from(in_force).unwrap_or(i64::MAX));
-    registry.register(
-        "configuration_generation",
-        "generation in force on this node",
-        generation,
-    );
+    let mut registry = Registry::with_prefix(PREFIX);
+    let status = status(node);
+    register_calls(&mut registry, &status);
+    register_load(&mut registry, node, &status);
+    register_fleet(&mut registry, node, &status);
+    register_tickets(&mut registry, node);
+    register_waits(&mut registry, node);
+    register_telemetry(&mut registry, node);
     let mut out = String::new();
+    // Writing to a string fails only where a metric cannot be encoded; half a
+    // page would pass for a whole one.
     if text::encode(&mut out, &registry).is_err() {
         out.clear();
     }
     out
 }
+
+fn register_calls(registry: &mut Registry, status: &NodeStatus) {
+    let ends = Family::<EndLabels, Counter>::default();
+    for entry in &status.entries {
+        let labels = EndLabels {
+            service: entry.service.clone(),
+            outcome: Outcome::try_from(entry.outcome).unwrap_or_default().into(),
+            reason: Reason::try_from(entry.reason).unwrap_or_default().into(),
+        };
+        ends.get_or_create(&labels).inc_by(entry.count);
+    }
+    let help = "Calls that entered here and ended, by service, outcome and reason";
+    registry.register("entry_calls", help, ends);
+    let help = "Calls that reached the upstream side of this node";
+    counter(registry, "demand_calls", help, status.demand_count);
+    let help = "Calls that got a slot of the upstream";
+    counter(registry, "admitted_calls", help, status.admitted_count);
+    let help = "Sends beyond the first one of calls that entered here";
+    counter(registry, "retries", help, status.retried_count);
+    let refusals = Family::<ReasonLabels, Counter>::default();
+    for refusal in &status.refusals {
+        let reason = Reason::try_from(refusal.reason).unwrap_or_default().into();
+        let labels = ReasonLabels { reason };
+        refusals.get_or_create(&labels).inc_by(refusal.count);
+    }
+    let help = "Calls that the upstream side refused, by reason";
+    registry.register("refused_calls", help, refusals);
+}
+
+fn register_load(registry: &mut Registry, node: &Node, status: &NodeStatus) {
+    let load = status.load.unwrap_or_default();
+    let help = "Calls in flight on this node, on either side";
+    gauge(registry, "in_flight_calls", help, node.counters.in_flight());
+    let help = "Calls that the upstream is running";
+    gauge(registry, "upstream_in_flight_calls", help, load.in_flight);
+    let help = "Calls that the upstream may run at once, as measured";
+    gauge(registry, "upstream_limit_calls", help, load.limit);
+    let help = "Calls that wait for a slot of the upstream";
+    gauge(registry, "queued_calls", help, load.queued);
+    let delay = load.queue_delay_us as f64 / MICROS_A_SECOND;
+    let help = "Estimated wait of a call that would be queued now";
+    seconds(registry, "queue_delay", help, delay);
+    let service_time = load.service_time_us as f64 / MICROS_A_SECOND;
+    let help = "Estimated time of the upstream for one call";
+    seconds(registry, "service_time", help, service_time);
+    let shed = f64::from(load.shed_level) / STEPS_A_CLASS;
+    let help = "Class ranks that are shed, counted from the eighth down; 0 is nothing";
+    float(registry, "shed_ranks", help, shed);
+    let quarantined = status.quarantined_fingerprints.len() as u64;
+    let help = "Requests that are refused because upstreams crashed while running them";
+    gauge(registry, "quarantined_requests", help, quarantined);
+}
+
+fn register_fleet(registry: &mut Registry, node: &Node, status: &NodeStatus) {
+    let help = "Generation in force on this node, 0 for none";
+    gauge(
+        registry,
+        "configuration_generation",
+        help,
+        status.generation_in_force,
+    );
+    let help = "1 if the platform answered the last call";
+    let reachable = u64::from(status.platform_reachable);
+    gauge(registry, "platform_reachable", help, reachable);
+    let help = "1 if this node takes calls";
+    let ready = u64::from(status.state() == NodeState::Ready);
+    gauge(registry, "node_ready", help, ready);
+    let members = Family::<StateLabels, Gauge>::default();
+    for member in node.members().iter() {
+        let state = member.state().into();
+        members.get_or_create(&StateLabels { state }).inc();
+    }
+    let help = "Nodes that this node knows, by state";
+    registry.register("members", help, members);
+}
+
+fn register_tickets(registry: &mut Registry, node: &Node) {
+    let table = node.home.table();
+    let help = "Tickets that this node is home of and keeps a record of";
+    gauge(
+        registry,
+        "ticket_records",
+        help,
+        table.record_count() as u64,
+    );
+    let help = "Tickets that this node is home of and whose request runs";
+    let in_flight = table.in_flight_count() as u64;
+    gauge(registry, "tickets_in_flight", help, in_flight);
+    let kept = table.kept_answer_bytes() as u64;
+    let help = "Memory of answers kept for requests that ran at most once";
+    let value = Gauge::<i64>::default();
+    value.set(as_signed(kept));
+    registry.register_with_unit("kept_answers", help, Unit::Bytes, value);
+}
+
+fn register_waits(registry: &mut Registry, node: &Node) {
+    let waits = [
+        (
+            "entry_duration",
+            "From a caller's request until its answer leaves",
+            &node.waits.entry,
+        ),
+        (
+            "link_wait",
+            "Wait for another node's reply",
+            &node.waits.link,
+        ),
+        (
+            "queue_wait",
+            "Wait for a slot of the upstream",
+            &node.waits.queue,
+        ),
+        (
+            "upstream_wait",
+            "Wait for the upstream's answer",
+            &node.waits.upstream,
+        ),
+    ];
+    for (name, help, histogram) in waits {
+        registry.register_with_unit(name, help, Unit::Seconds, histogram.snapshot());
+    }
+}
+
+fn register_telemetry(registry: &mut Registry, node: &Node) {
+    let help = "Operators' calls refused for their token";
+    let refused = node.operator_refusals.total();
+    counter(registry, "operator_refusals", help, refused);
+    let help = "Sampled spans that the collector did not get";
+    let lost = node.tracer.lost_span_count();
+    counter(registry, "lost_spans", help, lost);
+}
+
+fn counter(registry: &mut Registry, name: &str, help: &str, count: u64) {
+    let metric = Counter::<u64>::default();
+    metric.inc_by(count);
+    registry.register(name, help, metric);
+}
+
+fn gauge(registry: &mut Registry, name: &str, help: &str, value: impl Into<u64>) {
+    let metric = Gauge::<i64>::default();
+    metric.set(as_signed(value.into()));
+    registry.register(name, help, metric);
+}
+
+fn float(registry: &mut Registry, name: &str, help: &str, value: f64) {
+    let metric = FloatGauge::default();
+    metric.set(value);
+    registry.register(name, help, metric);
+}
+
+fn seconds(registry: &mut Registry, name: &str, help: &str, value: f64) {
+    let metric = FloatGauge::default();
+    metric.set(value);
+    registry.register_with_unit(name, help, Unit::Seconds, metric);
+}
+
+fn as_signed(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- a/crates/hemlocktack-node/src/telemetry/status.rs
+++ b/crates/hemlocktack-node/src/telemetry/status.rs
@@ -1,5 +1,7 @@
 //! This node's own view of itself, for operators.
 
+use std::time::Instant;
+
 use hemlocktack_decide::ShedLevel;
 use hemlocktack_protocol::NodeStatus;
 
@@ -7,7 +9,12 @@
 
 /// Snapshot of this node.
 pub(crate) fn status(node: &Node) -> NodeStatus {
+    let now = Instant::now();
+    let quarantined = node
+        .desk
+        .with_admission(|admission| admission.quarantine().refused(now));
     NodeStatus {
+        query_id: 0,
         node_id: node.identity.node_id.to_string(),
         incarnation: node.identity.incarnation,
         service: node.settings.service.to_string(),
@@ -22,7 +29,9 @@
         retried_count: node.counters.retried_count(),
         refusals: node.counters.refusals(),
         load: Some(node.desk.hint(ShedLevel::OPEN)),
+        quarantined_fingerprints: quarantined,
         link_address: node.settings.link_address.to_string(),
-        ..NodeStatus::default()
+        platform_reachable: node.platform.is_answering(),
+        entries: node.entry_counts.counts(),
     }
 }
--- a/crates/hemlocktack-platform/src/backoff.rs
+++ b/crates/hemlocktack-platform/src/backoff.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Whether the last call failed.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
     /// How long calls are still held back.
     pub fn wait(&self, now: Instant) -> Option<Duration> {
         let wait = self.blocked_until?.saturating_duration_since(now);
--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -123,6 +123,12 @@
         })
     }
 
+    /// Whether the last call was answered; also before the first call.
+    pub fn is_answering(&self) -> bool {
+        let limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        !limits.backoff.is_failing()
+    }
+
     /// One object; `None` where it does not exist.
     ///
     /// # Errors
--- a/crates/hemlocktack-protocol/src/operators.rs
+++ b/crates/hemlocktack-protocol/src/operators.rs
@@ -28,6 +28,8 @@
     InvalidConfiguration,
     /// The stored generation is not the expected one; nothing was stored.
     GenerationConflict,
+    /// Another document was stored under this change id; nothing was stored.
+    ChangeIdReused,
     /// Another node that had to take part could not be reached; repeating is safe.
     NodeUnreachable,
     /// The platform cannot be reached; nothing was stored.
@@ -46,7 +48,7 @@
             OperatorErrorCode::UnknownMethod
             | OperatorErrorCode::UnknownNode
             | OperatorErrorCode::UnknownGeneration => 404,
-            OperatorErrorCode::GenerationConflict => 409,
+            OperatorErrorCode::GenerationConflict | OperatorErrorCode::ChangeIdReused => 409,
             OperatorErrorCode::BodyTooLarge => 413,
             OperatorErrorCode::UnsupportedMediaType => 415,
             OperatorErrorCode::InvalidConfiguration => 422,
--- a/crates/hemlocktack-telemetry/src/span.rs
+++ b/crates/hemlocktack-telemetry/src/span.rs
@@ -1,7 +1,7 @@
 //! One hop or one wait of a request.
 
 use std::sync::Arc;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use hemlocktack_protocol::{NodeId, Outcome, Reason, ServiceName, Span};
 use strum::{EnumIter, IntoStaticStr};
@@ -61,6 +61,11 @@
         self.context
     }
 
+    /// Time since it was started.
+    pub fn elapsed(&self) -> Duration {
+        self.started.elapsed()
+    }
+
     /// Ends the span; `detail` is made only if the span is recorded.
     pub fn end(self, tracer: &Tracer, end: SpanEnd, detail: impl FnOnce() -> String) {
         tracer.ended(self, end, detail);
