Hand a stopping node's tickets to another node of its service

The successor publishes the homes it took over in Member.successions. An entry whose home is on the way out sends the same ticket again until the successor is known, four seconds at most.

Found on the way: own_member() took the table's lock twice in one expression and stopped the refresh of members for good (no ticket was ever issued). The lock's guard lives to the end of the expression; both values are now read before it.

Not yet a test: waits for the harness of process tests.

--- a/crates/hemlocktack-node/src/calls/home.rs
+++ b/crates/hemlocktack-node/src/calls/home.rs
@@ -6,7 +6,7 @@
 
 use futures::future::BoxFuture;
 use hemlocktack_fleet::NodeIncarnation;
-use hemlocktack_fleet::tickets::{Nonce, Start, TableLimits, Ticket, TicketTable};
+use hemlocktack_fleet::tickets::{End, Nonce, Start, TableLimits, Ticket, TicketTable};
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Unfinished};
 use tokio::sync::watch;
 
@@ -69,14 +69,21 @@
 
     /// Records the end for good and tells everyone who waits for it.
     fn end(&self, nonce: Nonce, answer: Answer) {
-        let answer = Arc::new(answer);
+        let mut answer = Arc::new(answer);
         let mut ends = self.ends();
         let recorded = match answer.outcome() {
             Outcome::Answered => self.table().answer(nonce, answer.clone()),
             Outcome::NotRun => self.table().refuse(nonce, answer.reason()),
             Outcome::Unknown | Outcome::Unspecified => self.table().give_up(nonce, answer.reason()),
         };
-        debug_assert!(recorded.is_ok(), "a ticket ended twice");
+        // The freeze of a handover fenced it while it waited: the successor
+        // says so too, and both must say the same.
+        if recorded.is_err() {
+            answer = Arc::new(match self.table().end_of(nonce) {
+                Some(End::NotRun(reason)) => not_run(reason, None),
+                _ => unknown(answer.reason()),
+            });
+        }
         if let Some(waiting) = ends.remove(&nonce) {
             waiting.send_replace(Some(answer));
         }
--- a/crates/hemlocktack-node/src/calls/ticketed.rs
+++ b/crates/hemlocktack-node/src/calls/ticketed.rs
@@ -5,7 +5,7 @@
 
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::tickets::{ChildHome, Ticket, find_home};
-use hemlocktack_protocol::{Answer, CallPurpose, Outcome, Reason};
+use hemlocktack_protocol::{Answer, CallPurpose, NodeState, Outcome, Reason};
 
 use super::place::{admitted_view, choose, send_with_allowance, wait_before_return};
 use super::roster::{PeerEntry, ServiceView};
@@ -15,6 +15,9 @@
 /// Pause before the home is asked again after a lost link; the ticket makes
 /// any number of sends one request.
 const RESEND_PAUSE: Duration = Duration::from_millis(50);
+/// News of a successor takes a second or two; a home that stopped without one
+/// is not worth the caller's whole patience.
+const SUCCESSION_WAIT: Duration = Duration::from_secs(4);
 
 /// Sends the call to its ticket's home, or answers with a fresh ticket.
 pub(crate) async fn run_ticketed(node: &Arc<Node>, classified: &mut Classified) -> Answer {
@@ -103,21 +106,29 @@
 async fn send_home(node: &Arc<Node>, classified: &Classified, ticket: &Ticket) -> Answer {
     let mut call = classified.call.clone();
     call.purpose = CallPurpose::Home.into();
+    let succession_limit = classified.deadline.min(Instant::now() + SUCCESSION_WAIT);
     while Instant::now() < classified.deadline {
         let home = find_home(ticket, |home| node.successor_of(home));
         let view = node.roster.service(&call.service);
-        let Some(peer) = view.as_deref().and_then(|view| peer_of(view, &home)) else {
-            return unknown(Reason::HomeGone);
+        let peer = view.as_deref().and_then(|view| peer_of(view, &home));
+        let answer = match peer {
+            Some(peer) => {
+                let call = call.clone();
+                let Classified {
+                    deadline,
+                    allowance,
+                    ..
+                } = classified;
+                send_with_allowance(node, peer, call, *deadline, allowance).await
+            }
+            None => unknown(Reason::HomeGone),
         };
-        let answer = send_with_allowance(
-            node,
-            peer,
-            call.clone(),
-            classified.deadline,
-            &classified.allowance,
-        )
-        .await;
-        if answer.outcome() != Outcome::NotRun || !is_link_fault(answer.reason()) {
+        let is_handing_over = is_handing_over(node, &home, &answer);
+        let may_ask_again = match is_handing_over {
+            true => Instant::now() < succession_limit,
+            false => never_arrived(&answer),
+        };
+        if !may_ask_again {
             return answer;
         }
         tokio::time::sleep(RESEND_PAUSE).await;
@@ -125,8 +136,24 @@
     unknown(Reason::Timeout)
 }
 
-fn is_link_fault(reason: Reason) -> bool {
-    matches!(reason, Reason::LinkLost | Reason::Fenced)
+fn never_arrived(answer: &Answer) -> bool {
+    answer.outcome() == Outcome::NotRun
+        && matches!(answer.reason(), Reason::LinkLost | Reason::Fenced)
+}
+
+/// A home in a planned stop starts nothing once its tickets are on their way,
+/// and its successor has them a moment later: the same ticket is sent again.
+fn is_handing_over(node: &Node, home: &NodeIncarnation, answer: &Answer) -> bool {
+    if answer.outcome() == Outcome::Unknown && answer.reason() == Reason::Draining {
+        return true;
+    }
+    let is_home_lost = matches!(answer.reason(), Reason::HomeGone | Reason::LinkLost);
+    let members = node.members();
+    let known = members
+        .iter()
+        .find(|member| member.incarnation == home.incarnation && *member.node_id == *home.node_id);
+    let stops = |state| matches!(state, NodeState::Draining | NodeState::Left);
+    is_home_lost && known.is_some_and(|member| stops(member.state()))
 }
 
 fn peer_of<'a>(view: &'a ServiceView, home: &NodeIncarnation) -> Option<&'a PeerEntry> {
--- /dev/null
+++ b/crates/hemlocktack-node/src/handover/give.rs
@@ -0,0 +1,122 @@
+//! The stopping node's side.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlocktack_fleet::NodeIncarnation;
+use hemlocktack_fleet::handover::{Leaving, Progress};
+use hemlocktack_protocol::{Handover, NodeState, frame};
+
+use crate::links::Peer;
+use crate::node::{Node, Place};
+
+/// A part is a quarter of a megabyte at most; a successor that does not accept
+/// it within this time is left for another.
+const PART_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause before the next offer when none of the known nodes accepts.
+const OFFER_PAUSE: Duration = Duration::from_millis(200);
+/// Full tables take a few hundred parts; a node that found no successor within
+/// this time leaves, and its tickets' outcome is `unknown` from then on.
+const HANDOVER_LIMIT: Duration = Duration::from_secs(10);
+/// A service whose last node stops has nobody to hand over to.
+const LAST_OF_SERVICE_WAIT: Duration = Duration::from_secs(1);
+
+/// Another node of the service, as members know it.
+struct Successor {
+    name: NodeIncarnation,
+    peer: Peer,
+}
+
+/// Hands over all tickets; `false` if no successor confirmed that it has them.
+pub(crate) async fn give(node: &Arc<Node>) -> bool {
+    let mut leaving = Leaving::begin(&mut node.home.table());
+    let begun = Instant::now();
+    while begun.elapsed() < HANDOVER_LIMIT {
+        let successors = successors(node);
+        if successors.is_empty() && begun.elapsed() > LAST_OF_SERVICE_WAIT {
+            return false;
+        }
+        for successor in successors {
+            let bound_to = leaving.successor();
+            if bound_to.is_some_and(|bound_to| *bound_to != successor.name) {
+                continue;
+            }
+            if offer(node, &mut leaving, &successor).await {
+                return true;
+            }
+            leaving.abandon();
+        }
+        tokio::time::sleep(OFFER_PAUSE).await;
+    }
+    false
+}
+
+/// Those who may take over, in an order of this node's own: nodes that stop
+/// together do not all go to the same one.
+fn successors(node: &Node) -> Vec<Successor> {
+    let Some(view) = node.roster.service(&node.settings.service) else {
+        return Vec::new();
+    };
+    let ready = view
+        .peers
+        .iter()
+        .filter(|peer| peer.member.state() == NodeState::Ready && peer.identity != node.identity);
+    let mut successors: Vec<_> = ready
+        .filter_map(|peer| match node.place_of(&peer.member) {
+            Some(Place::There(there)) => Some(Successor {
+                name: peer.identity.clone(),
+                peer: there,
+            }),
+            _ => None,
+        })
+        .collect();
+    let first = usize::try_from(node.identity.incarnation).unwrap_or_default();
+    if !successors.is_empty() {
+        let first = first % successors.len();
+        successors.rotate_left(first);
+    }
+    successors
+}
+
+async fn offer(node: &Arc<Node>, leaving: &mut Leaving, successor: &Successor) -> bool {
+    let mut frames = leaving.offer(&successor.name);
+    loop {
+        let mut progress = Progress::Waiting;
+        for frame in frames {
+            progress = match send(node, leaving, successor, frame).await {
+                Some(Progress::Waiting) => Progress::Waiting,
+                Some(other) => other,
+                None => return false,
+            };
+        }
+        match progress {
+            Progress::Finished => return true,
+            Progress::Commit(commit) => frames = commit,
+            Progress::Waiting => return false,
+        }
+    }
+}
+
+/// `None`: no answer of this very start of the successor.
+async fn send(
+    node: &Arc<Node>,
+    leaving: &mut Leaving,
+    successor: &Successor,
+    part: Handover,
+) -> Option<Progress> {
+    let deadline = Instant::now() + PART_TIMEOUT;
+    let question = |query_id| frame::Body::Handover(Handover { query_id, ..part });
+    let answer = node
+        .links
+        .ask_incarnation(
+            &successor.peer,
+            successor.name.incarnation,
+            deadline,
+            question,
+        )
+        .await?;
+    let frame::Body::HandoverAccepted(accepted) = answer else {
+        return None;
+    };
+    Some(leaving.accepted(&successor.name, &accepted))
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/handover/mod.rs
@@ -0,0 +1,9 @@
+//! Planned stop: this node's tickets go to another node of its service.
+//!
+//! The promise is kept by `hemlocktack_fleet::handover`; here are its sends.
+
+mod give;
+mod take;
+
+pub(crate) use give::give;
+pub(crate) use take::take;
--- /dev/null
+++ b/crates/hemlocktack-node/src/handover/take.rs
@@ -0,0 +1,30 @@
+//! The successor's side.
+
+use hemlocktack_fleet::NodeIncarnation;
+use hemlocktack_protocol::{Handover, HandoverAccepted, NodeState};
+
+use crate::node::Node;
+
+/// Takes in a frame of a stopping node; the answer says how far it got.
+///
+/// From the commit on this node is the home; others learn it from its own
+/// record, see `Node::own_member`.
+pub(crate) fn take(node: &Node, from: &NodeIncarnation, frame: Handover) -> HandoverAccepted {
+    let refused = HandoverAccepted {
+        home_node_id: frame.home_node_id.clone(),
+        home_incarnation: frame.home_incarnation,
+        query_id: frame.query_id,
+        ..HandoverAccepted::default()
+    };
+    if node.state() != NodeState::Ready && !frame.committed {
+        return refused;
+    }
+    let mut table = node.home.table();
+    match node.receiving().part(&mut table, from, frame) {
+        Ok(accepted) => accepted,
+        Err(error) => {
+            tracing::warn!(%from, %error, "a handover is not taken");
+            refused
+        }
+    }
+}
--- a/crates/hemlocktack-node/src/lib.rs
+++ b/crates/hemlocktack-node/src/lib.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod control;
 mod counters;
+mod handover;
 mod links;
 mod node;
 mod operators;
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -16,6 +16,7 @@
 use super::connection::Connection;
 use super::handshake::{self, OpenLink};
 use crate::calls;
+use crate::handover;
 use crate::node::Node;
 
 /// What this node remembers of those who send it calls.
@@ -171,6 +172,12 @@
         frame::Body::Resolve(resolve) => {
             resolve_call(node, sender, connection, resolve.call_id).await
         }
+        frame::Body::Handover(part) => {
+            let accepted = handover::take(node, &sender.identity, part);
+            connection
+                .send(frame::Body::HandoverAccepted(accepted))
+                .await;
+        }
         other => super::questions::answer(node, connection, other).await,
     }
 }
--- a/crates/hemlocktack-node/src/links/queries.rs
+++ b/crates/hemlocktack-node/src/links/queries.rs
@@ -5,9 +5,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
-use hemlocktack_protocol::frame;
+use hemlocktack_protocol::{Incarnation, frame};
 use tokio::sync::oneshot;
 
+use super::connection::Connection;
 use super::outgoing::{Links, Peer};
 
 type Waiting = HashMap<u64, oneshot::Sender<frame::Body>>;
@@ -60,9 +61,34 @@
         deadline: Instant,
         question: impl FnOnce(u64) -> frame::Body,
     ) -> Option<frame::Body> {
-        let query_id = self.next_query_id.fetch_add(1, Ordering::Relaxed);
         let link = self.link(peer);
         let connection = self.connect(&link, deadline).await?;
+        self.ask_over(&connection, deadline, question).await
+    }
+
+    /// Asks one start of a node and no other.
+    pub(crate) async fn ask_incarnation(
+        &self,
+        peer: &Peer,
+        incarnation: Incarnation,
+        deadline: Instant,
+        question: impl FnOnce(u64) -> frame::Body,
+    ) -> Option<frame::Body> {
+        let link = self.link(peer);
+        let connection = self.connect(&link, deadline).await?;
+        if connection.peer_incarnation != incarnation {
+            return None;
+        }
+        self.ask_over(&connection, deadline, question).await
+    }
+
+    async fn ask_over(
+        &self,
+        connection: &Connection,
+        deadline: Instant,
+        question: impl FnOnce(u64) -> frame::Body,
+    ) -> Option<frame::Body> {
+        let query_id = self.next_query_id.fetch_add(1, Ordering::Relaxed);
         let answer = self.queries.register(query_id);
         if !connection.send(question(query_id)).await {
             self.queries.forget(query_id);
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -1,13 +1,14 @@
 //! State that all parts of a node share.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use hemlocktack_config::Document;
 use hemlocktack_decide::{ChainEdges, ShedLevel, WorkKind};
 use hemlocktack_fleet::NodeIncarnation;
+use hemlocktack_fleet::handover::{HandoverLimits, Receiving};
 use hemlocktack_fleet::keys::FleetKeys;
 use hemlocktack_platform::Client;
 use hemlocktack_protocol::{
@@ -53,6 +54,7 @@
     pub(crate) home: Home,
     pub(crate) roster: Roster,
     pub(crate) counters: Counters,
+    receiving: Mutex<Receiving>,
     chain_edges: Mutex<ChainEdges>,
     in_force: ArcSwapOption<InForce>,
     members: ArcSwap<Vec<Member>>,
@@ -82,6 +84,7 @@
             roster: Roster::new(settings.data_centre.clone()),
             desk: Arc::new(Desk::new()),
             counters: Counters::default(),
+            receiving: Mutex::new(Receiving::new(HandoverLimits::default())),
             chain_edges: Mutex::default(),
             identity,
             settings,
@@ -150,7 +153,6 @@
         self.state.store(Arc::new(state));
     }
 
-    #[expect(dead_code, reason = "status and node lists come next")]
     /// All nodes known, this one included.
     pub(crate) fn members(&self) -> Arc<Vec<Member>> {
         self.members.load_full()
@@ -276,8 +278,30 @@
         }
     }
 
+    /// Tables of stopping nodes on their way here.
+    pub(crate) fn receiving(&self) -> MutexGuard<'_, Receiving> {
+        self.receiving
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Homes whose tickets this node took over, itself left out.
+    fn successions(&self) -> Vec<Succession> {
+        let table = self.home.table();
+        let adopted = table.homes().skip(1);
+        adopted
+            .map(|home| Succession {
+                home_node_id: home.node_id.to_string(),
+                home_incarnation: home.incarnation,
+            })
+            .collect()
+    }
+
     /// What this node says of itself to others.
     pub(crate) fn own_member(&self) -> Member {
+        // Each takes the table's lock; in one expression they would both hold it.
+        let ticket_epoch = self.home.table().current_epoch();
+        let successions = self.successions();
         Member {
             node_id: self.identity.node_id.to_string(),
             incarnation: self.identity.incarnation,
@@ -288,7 +312,8 @@
             region: self.settings.region.clone(),
             link_address: self.settings.link_address.to_string(),
             gossip_address: self.settings.gossip_address.to_string(),
-            ticket_epoch: self.home.table().current_epoch(),
+            ticket_epoch,
+            successions,
             slots: self
                 .announcement()
                 .map_or(0, |announcement| announcement.slots),
