--- a/crates/hemlocktack-node/src/handover/give.rs
+++ b/crates/hemlocktack-node/src/handover/give.rs
@@ -27,14 +27,14 @@
     peer: Peer,
 }
 
-/// Hands over all tickets; `false` if no successor confirmed that it has them.
-pub(crate) async fn give(node: &Arc<Node>) -> bool {
+/// Hands over all tickets; `None` if no successor confirmed that it has them.
+pub(crate) async fn give(node: &Arc<Node>) -> Option<NodeIncarnation> {
     let mut leaving = Leaving::begin(&mut node.home.table());
     let begun = Instant::now();
     while begun.elapsed() < HANDOVER_LIMIT {
         let successors = successors(node);
         if successors.is_empty() && begun.elapsed() > LAST_OF_SERVICE_WAIT {
-            return false;
+            return None;
         }
         for successor in successors {
             let bound_to = leaving.successor();
@@ -42,13 +42,13 @@
                 continue;
             }
             if offer(node, &mut leaving, &successor).await {
-                return true;
+                return Some(successor.name);
             }
             leaving.abandon();
         }
         tokio::time::sleep(OFFER_PAUSE).await;
     }
-    false
+    None
 }
 
 /// Those who may take over, in an order of this node's own: nodes that stop
--- a/crates/hemlocktack-node/src/handover/take.rs
+++ b/crates/hemlocktack-node/src/handover/take.rs
@@ -2,6 +2,7 @@
 
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_protocol::{Handover, HandoverAccepted, NodeState};
+use hemlocktack_telemetry::{Event, log_event};
 
 use crate::node::Node;
 
@@ -21,9 +22,14 @@
     }
     let mut table = node.home.table();
     match node.receiving().part(&mut table, from, frame) {
-        Ok(accepted) => accepted,
+        Ok(accepted) => {
+            if accepted.committed {
+                log_event!(Event::HandoverTaken, home = accepted.home_node_id, %from);
+            }
+            accepted
+        }
         Err(error) => {
-            tracing::warn!(%from, %error, "a handover is not taken");
+            log_event!(Event::HandoverRefused, %from, %error);
             refused
         }
     }
--- a/crates/hemlocktack-node/src/stop.rs
+++ b/crates/hemlocktack-node/src/stop.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_protocol::NodeState;
+use hemlocktack_telemetry::{Event, log_event};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::handover;
@@ -40,8 +41,10 @@
     wait_until_idle(node, delegates_until).await;
     node.home.table().stop_accepting();
     wait_until_idle(node, limit).await;
-    let successor_found = handover::give(node).await;
-    tracing::info!(successor_found, "tickets handed over");
+    match handover::give(node).await {
+        Some(successor) => log_event!(Event::HandoverDone, %successor),
+        None => log_event!(Event::HandoverFailed),
+    }
     node.set_state(NodeState::Left);
 }
 
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -68,6 +68,8 @@
 
     601 INFO HandoverDone: "a successor has taken over this node's tickets", "nothing";
     602 WARN HandoverFailed: "no node took over the tickets; re-sends of their requests get unknown outcomes", "drain one node of a service at a time, with another one ready";
+    603 INFO HandoverTaken: "this node has taken over another's tickets and is their home now", "nothing";
+    604 WARN HandoverRefused: "a stopping node's tickets are not taken: too many, malformed, or this node stops itself", "nothing unless 602 follows on the stopping node";
 
     701 WARN SheddingBegun: "the upstream's queue stands and requests of the last class are refused", "look at status; add upstreams if it lasts";
     702 INFO SheddingEnded: "nothing is refused for load any more", "nothing";
