--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -1,13 +1,14 @@
 //! State that all parts of a node share.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use hemlocktack_config::Document;
 use hemlocktack_decide::{ChainEdges, ShedLevel, WorkKind};
 use hemlocktack_fleet::NodeIncarnation;
+use hemlocktack_fleet::handover::{HandoverLimits, Receiving};
 use hemlocktack_fleet::keys::FleetKeys;
 use hemlocktack_platform::Client;
 use hemlocktack_protocol::{
@@ -62,6 +63,7 @@
     pub(crate) waits: Waits,
     pub(crate) entry_counts: EntryCounts,
     stop_order: Notify,
+    receiving: Mutex<Receiving>,
     chain_edges: Mutex<ChainEdges>,
     in_force: ArcSwapOption<InForce>,
     members: ArcSwap<Vec<Member>>,
@@ -97,6 +99,7 @@
             waits: Waits::default(),
             entry_counts: EntryCounts::default(),
             stop_order: Notify::new(),
+            receiving: Mutex::new(Receiving::new(HandoverLimits::default())),
             chain_edges: Mutex::default(),
             identity,
             settings,
@@ -309,8 +312,30 @@
         }
     }
 
+    /// Tables of stopping nodes on their way here.
+    pub(crate) fn receiving(&self) -> MutexGuard<'_, Receiving> {
+        self.receiving
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Homes whose tickets this node took over, itself left out.
+    fn successions(&self) -> Vec<Succession> {
+        let table = self.home.table();
+        let adopted = table.homes().skip(1);
+        adopted
+            .map(|home| Succession {
+                home_node_id: home.node_id.to_string(),
+                home_incarnation: home.incarnation,
+            })
+            .collect()
+    }
+
     /// What this node says of itself to others.
     pub(crate) fn own_member(&self) -> Member {
+        // Each takes the table's lock; in one expression they would both hold it.
+        let ticket_epoch = self.home.table().current_epoch();
+        let successions = self.successions();
         Member {
             node_id: self.identity.node_id.to_string(),
             incarnation: self.identity.incarnation,
@@ -321,7 +346,8 @@
             region: self.settings.region.clone(),
             link_address: self.settings.link_address.to_string(),
             gossip_address: self.settings.gossip_address.to_string(),
-            ticket_epoch: self.home.table().current_epoch(),
+            ticket_epoch,
+            successions,
             slots: self
                 .announcement()
                 .map_or(0, |announcement| announcement.slots),
