Add randomised runs of membership, configuration and drain

Found by the first runs: two nodes that hold each other for dead corrected each other without a pause (a run that never ended); corrections are no longer answered by corrections, and an accusation of an old version is answered by the owner's record.

--- /dev/null
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
@@ -0,0 +1,540 @@
+//! A fleet of state machines in virtual time, with a network and a platform
+//! between them.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hemlocktack_fleet::configuration::{ConfigurationAction, ConfigurationSettings};
+use hemlocktack_fleet::drain::{Announcement, DrainSettings, LifeAction};
+use hemlocktack_fleet::membership::{Action, MembershipSettings};
+use hemlocktack_protocol::{ConfigurationDocument, Generation, Gossip, Incarnation};
+use prost::Message;
+use rand::rngs::StdRng;
+use rand::seq::IteratorRandom;
+use rand::{RngExt, SeedableRng};
+
+use crate::checks::Checks;
+use crate::network::Network;
+use crate::node::{Process, Slot};
+use crate::platform::{Platform, Watch, Weather};
+
+pub(crate) const TICK_PERIOD: Duration = Duration::from_millis(100);
+const SEED_COUNT: usize = 3;
+const RESEED_TICKS: u64 = 300;
+const ANNOUNCE_TICKS: u64 = 10;
+
+/// Settings of all machines in a run.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Settings {
+    /// Of membership.
+    pub(crate) membership: MembershipSettings,
+    /// Of configuration.
+    pub(crate) configuration: ConfigurationSettings,
+    /// Of the life of nodes.
+    pub(crate) drain: DrainSettings,
+}
+
+/// What happens next to one process.
+pub(crate) enum Event {
+    Tick(u64),
+    Datagram {
+        from: SocketAddr,
+        gossip: Box<Gossip>,
+    },
+    PullRequest {
+        from: usize,
+        above: Generation,
+    },
+    PullAnswer {
+        from: String,
+        in_force: Generation,
+        document: Option<ConfigurationDocument>,
+    },
+    PullFailed {
+        from: String,
+    },
+    PlatformAnswer(Option<ConfigurationDocument>),
+    PlatformFailed,
+    Stored(ConfigurationDocument),
+    Write {
+        expected: Generation,
+        change_id: String,
+    },
+}
+
+struct Scheduled {
+    to: usize,
+    incarnation: Incarnation,
+    event: Event,
+}
+
+/// The whole run.
+pub(crate) struct World {
+    pub(crate) settings: Settings,
+    pub(crate) rng: StdRng,
+    pub(crate) now: Duration,
+    base: Instant,
+    pub(crate) slots: Vec<Slot>,
+    pub(crate) network: Network,
+    pub(crate) platform: Platform,
+    pub(crate) checks: Checks,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    scheduled: BTreeMap<u64, Scheduled>,
+    sequence: u64,
+    pub(crate) bytes_sent: u64,
+    /// Events that the process at work has caused.
+    outbox: Vec<(usize, Duration, Event)>,
+    trace: VecDeque<String>,
+}
+
+impl World {
+    /// Starts a fleet; `seed` decides everything.
+    pub(crate) fn new(settings: Settings, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let count = rng.random_range(5..12);
+        let data_centres = rng.random_range(2..4);
+        let slot = |number| Slot::new(number, number % data_centres, number % data_centres % 2);
+        let mut world = Self {
+            settings,
+            rng,
+            now: Duration::ZERO,
+            base: Instant::now(),
+            slots: (0..count).map(slot).collect(),
+            network: Network::default(),
+            platform: Platform::new(),
+            checks: Checks::default(),
+            queue: BinaryHeap::new(),
+            scheduled: BTreeMap::new(),
+            sequence: 0,
+            bytes_sent: 0,
+            outbox: Vec::new(),
+            trace: VecDeque::new(),
+        };
+        for number in 0..count {
+            world.start(number);
+        }
+        world
+    }
+
+    pub(crate) fn instant(&self) -> Instant {
+        self.base + self.now
+    }
+
+    /// Notes a line for the trace of a violation.
+    pub(crate) fn note(&mut self, line: String) {
+        const TRACE_LINES: usize = 200;
+        if self.trace.len() == TRACE_LINES {
+            self.trace.pop_front();
+        }
+        self.trace.push_back(format!("{:>9.3?} {line}", self.now));
+    }
+
+    /// The last lines of what happened.
+    pub(crate) fn trace(&self) -> impl Iterator<Item = &String> {
+        self.trace.iter()
+    }
+
+    pub(crate) fn start(&mut self, number: usize) {
+        let floor = self.checks.settled;
+        let (now, instant) = (self.now, self.instant());
+        let slot = &mut self.slots[number];
+        slot.start(&self.settings, now, instant, floor, &mut self.rng);
+        slot.frozen_until = Duration::ZERO;
+        self.reseed(number);
+        self.schedule(number, Duration::ZERO, Event::Tick(0));
+        self.note(format!("start {number}"));
+    }
+
+    fn reseed(&mut self, number: usize) {
+        let others = self.slots.iter().map(|slot| slot.address);
+        let seeds = others.sample(&mut self.rng, SEED_COUNT);
+        if let Some(process) = &mut self.slots[number].process {
+            process.membership.set_seeds(seeds);
+        }
+    }
+
+    pub(crate) fn schedule(&mut self, to: usize, delay: Duration, event: Event) {
+        let Some(process) = &self.slots[to].process else {
+            return;
+        };
+        let incarnation = process.incarnation;
+        self.sequence += 1;
+        self.queue.push(Reverse((self.now + delay, self.sequence)));
+        let scheduled = Scheduled {
+            to,
+            incarnation,
+            event,
+        };
+        self.scheduled.insert(self.sequence, scheduled);
+    }
+
+    /// Runs all events until `end`, checking as time passes.
+    pub(crate) fn run_until(&mut self, end: Duration) -> Result<(), String> {
+        while let Some(Reverse((at, sequence))) = self.queue.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            let Some(scheduled) = self.scheduled.remove(&sequence) else {
+                continue;
+            };
+            self.network.expire(at);
+            self.platform.expire(at);
+            self.check_if_due()?;
+            self.deliver(scheduled)?;
+        }
+        self.now = end;
+        Ok(())
+    }
+
+    fn deliver(&mut self, scheduled: Scheduled) -> Result<(), String> {
+        let slot = &self.slots[scheduled.to];
+        let running = slot.process.as_ref().map(|process| process.incarnation);
+        let is_datagram = matches!(scheduled.event, Event::Datagram { .. });
+        if !is_datagram && running != Some(scheduled.incarnation) {
+            return Ok(());
+        }
+        if slot.is_frozen(self.now) {
+            let wait = slot.frozen_until - self.now + Duration::from_millis(1);
+            self.schedule(scheduled.to, wait, scheduled.event);
+            return Ok(());
+        }
+        self.handle(scheduled.to, scheduled.event)
+    }
+
+    fn handle(&mut self, number: usize, event: Event) -> Result<(), String> {
+        let instant = self.instant();
+        let Some(mut process) = self.slots[number].process.take() else {
+            return Ok(());
+        };
+        let outcome = self.step(number, &mut process, event, instant);
+        let has_left = matches!(outcome, Ok(true));
+        let cut_off = has_left.then_some(process.in_flight);
+        if has_left {
+            self.slots[number].left = Some((process.incarnation, self.now));
+        } else {
+            self.slots[number].process = Some(process);
+        }
+        self.send_outbox();
+        if let Some(cut_off) = cut_off {
+            self.slots[number].disturbed = self.now;
+            if cut_off > 0 {
+                return Err(format!("planned stop of {number} cuts off {cut_off} calls"));
+            }
+            self.note(format!("left {number}"));
+        }
+        outcome.map(|_| ())
+    }
+
+    /// Feeds one event to a process; whether the process has left.
+    fn step(
+        &mut self,
+        number: usize,
+        process: &mut Process,
+        event: Event,
+        instant: Instant,
+    ) -> Result<bool, String> {
+        match event {
+            Event::Tick(count) => return self.tick(number, process, count, instant),
+            Event::Datagram { from, gossip } => {
+                let actions = process
+                    .membership
+                    .receive(instant, from, *gossip, &mut self.rng);
+                self.act(number, process, actions);
+            }
+            Event::PullRequest { from, above } => self.answer_pull(number, process, from, above),
+            Event::PullAnswer {
+                from,
+                in_force,
+                document,
+            } => {
+                let actions = process
+                    .in_force
+                    .peer_answered(instant, &from, in_force, document);
+                self.configure(number, process, actions)?;
+            }
+            Event::PullFailed { from } => {
+                process.in_force.peer_failed(instant, &from, &mut self.rng);
+            }
+            Event::PlatformAnswer(document) => {
+                let view = process.peers_view(self.settings.configuration.watchers_per_data_centre);
+                let rng = &mut self.rng;
+                let actions = process
+                    .in_force
+                    .platform_answered(instant, document, &view, rng);
+                self.configure(number, process, actions)?;
+            }
+            Event::PlatformFailed => process.in_force.platform_failed(instant, &mut self.rng),
+            Event::Stored(document) => {
+                let actions = process.in_force.stored_here(document);
+                self.configure(number, process, actions)?;
+            }
+            Event::Write {
+                expected,
+                change_id,
+            } => self.write(number, expected, change_id),
+        }
+        Ok(false)
+    }
+
+    fn tick(
+        &mut self,
+        number: usize,
+        process: &mut Process,
+        count: u64,
+        instant: Instant,
+    ) -> Result<bool, String> {
+        let next = Event::Tick(count + 1);
+        self.follow(number, TICK_PERIOD, next);
+        if count % RESEED_TICKS == RESEED_TICKS - 1 && self.platform.weather == Weather::Fine {
+            let others = self.slots.iter().map(|slot| slot.address);
+            process
+                .membership
+                .set_seeds(others.sample(&mut self.rng, SEED_COUNT));
+        }
+        let actions = process.membership.tick(instant, &mut self.rng);
+        self.act(number, process, actions);
+        let view = process.peers_view(self.settings.configuration.watchers_per_data_centre);
+        let actions = process.in_force.tick(instant, &view, &mut self.rng);
+        self.configure(number, process, actions)?;
+        if count.is_multiple_of(ANNOUNCE_TICKS) {
+            let announcement = Announcement {
+                slots: 45,
+                is_cold: false,
+            };
+            let actions = process.life.announce(instant, announcement);
+            self.live(number, process, &actions);
+        }
+        process.in_flight = process.in_flight.saturating_sub(1);
+        let actions = process.life.tick(instant, process.in_flight);
+        Ok(self.live(number, process, &actions))
+    }
+
+    /// Lets something happen to a running process's life.
+    pub(crate) fn with_life(
+        &mut self,
+        number: usize,
+        change: impl FnOnce(&mut Process, Instant) -> Vec<LifeAction>,
+    ) {
+        let instant = self.instant();
+        let Some(mut process) = self.slots[number].process.take() else {
+            return;
+        };
+        let actions = change(&mut process, instant);
+        self.live(number, &mut process, &actions);
+        self.slots[number].process = Some(process);
+        self.send_outbox();
+    }
+
+    fn send_outbox(&mut self) {
+        for (to, delay, event) in std::mem::take(&mut self.outbox) {
+            self.schedule(to, delay, event);
+        }
+    }
+
+    fn follow(&mut self, to: usize, delay: Duration, event: Event) {
+        self.outbox.push((to, delay, event));
+    }
+
+    fn act(&mut self, number: usize, process: &mut Process, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, gossip } => self.send(number, to, gossip),
+                Action::GenerationHeard {
+                    node_id,
+                    generation,
+                } => {
+                    process.in_force.hear(&node_id, generation);
+                }
+                Action::Superseded { .. } => {
+                    let actions = process.life.drain(self.instant());
+                    self.live(number, process, &actions);
+                }
+                Action::MembersChanged => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, gossip: Box<Gossip>) {
+        const IP_AND_UDP_BYTES: usize = 28;
+        let membership = &self.settings.membership;
+        let length = gossip.encoded_len() + membership.mac_bytes;
+        assert!(
+            length <= membership.datagram_limit_bytes,
+            "datagram of {length} bytes"
+        );
+        self.bytes_sent += (length + IP_AND_UDP_BYTES) as u64;
+        let Some(target) = self.slots.iter().position(|slot| slot.address == to) else {
+            return;
+        };
+        let address = self.slots[from].address;
+        for delay in self.network.deliveries(from, target, &mut self.rng) {
+            let gossip = gossip.clone();
+            let event = Event::Datagram {
+                from: address,
+                gossip,
+            };
+            self.follow(target, delay, event);
+        }
+    }
+
+    fn configure(
+        &mut self,
+        number: usize,
+        process: &mut Process,
+        actions: Vec<ConfigurationAction>,
+    ) -> Result<(), String> {
+        for action in actions {
+            match action {
+                ConfigurationAction::AskPlatform { above, wait } => {
+                    self.ask_platform(number, above, wait);
+                }
+                ConfigurationAction::Pull { node_id, above } => {
+                    self.pull(number, node_id, above);
+                }
+                ConfigurationAction::Install { document } => {
+                    self.checks
+                        .installed(number, process, document.generation)?;
+                    let generation = document.generation;
+                    self.note(format!("{number} installs {generation}"));
+                    let actions = process.membership.set_generation(generation, &mut self.rng);
+                    self.act(number, process, actions);
+                }
+                ConfigurationAction::CaughtUp => {
+                    self.note(format!("{number} caught up"));
+                    self.checks
+                        .caught_up(number, process, &self.slots[number])?;
+                    let actions = process.life.caught_up();
+                    self.live(number, process, &actions);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn live(&mut self, number: usize, process: &mut Process, actions: &[LifeAction]) -> bool {
+        for action in actions {
+            match action {
+                LifeAction::Publish(publication) => {
+                    self.note(format!("{number} publishes {:?}", publication.state));
+                    let actions = process.membership.update_own(*publication, &mut self.rng);
+                    self.act(number, process, actions);
+                }
+                LifeAction::HandOver => {
+                    let actions = process.life.handed_over();
+                    return self.live(number, process, &actions);
+                }
+                LifeAction::ReportOverrun { .. } => {}
+                LifeAction::Leave => return true,
+            }
+        }
+        let is_leaving = process.life.state() != hemlocktack_protocol::NodeState::Starting
+            && !process.life.takes_new_work();
+        if !is_leaving {
+            process.leaving_since = None;
+        } else if process.leaving_since.is_none() {
+            process.leaving_since = Some(self.now);
+        }
+        false
+    }
+
+    fn ask_platform(&mut self, number: usize, above: Generation, wait: bool) {
+        const WATCH_LIMIT: Duration = Duration::from_secs(30);
+        self.platform.calls += 1;
+        let weather = self.platform.weather;
+        let delay = match weather {
+            Weather::Slow => Duration::from_millis(self.rng.random_range(500..4_000)),
+            _ => Duration::from_millis(self.rng.random_range(1..10)),
+        };
+        let answer = match weather {
+            Weather::Out => Event::PlatformFailed,
+            _ => Event::PlatformAnswer(self.platform.read(above)),
+        };
+        let is_empty = matches!(answer, Event::PlatformAnswer(None));
+        if !(wait && is_empty) {
+            self.follow(number, delay, answer);
+            return;
+        }
+        let ends = self.now + WATCH_LIMIT;
+        self.platform.watches.push(Watch {
+            number,
+            above,
+            ends,
+        });
+    }
+
+    /// Answers the watches whose document has come or whose time is over.
+    pub(crate) fn answer_watches(&mut self) {
+        for watch in std::mem::take(&mut self.platform.watches) {
+            let document = self.platform.read(watch.above);
+            let is_out = self.platform.weather == Weather::Out;
+            let event = match (is_out, document) {
+                (true, _) => Event::PlatformFailed,
+                (false, None) if self.now < watch.ends => {
+                    self.platform.watches.push(watch);
+                    continue;
+                }
+                (false, document) => Event::PlatformAnswer(document),
+            };
+            self.schedule(watch.number, Duration::from_millis(2), event);
+        }
+    }
+
+    fn pull(&mut self, number: usize, node_id: String, above: Generation) {
+        const FAILURE_DELAY: Duration = Duration::from_millis(2);
+        let target = self.slots.iter().position(|slot| slot.node_id == node_id);
+        let Some(target) = target else {
+            return;
+        };
+        if self.network.is_cut(number, target) {
+            return;
+        }
+        if self.slots[target].process.is_none() {
+            self.follow(number, FAILURE_DELAY, Event::PullFailed { from: node_id });
+            return;
+        }
+        let delay = Duration::from_micros(self.rng.random_range(300..5_000));
+        let request = Event::PullRequest {
+            from: number,
+            above,
+        };
+        self.follow(target, delay, request);
+    }
+
+    fn answer_pull(&mut self, number: usize, process: &Process, from: usize, above: Generation) {
+        if self.network.is_cut(number, from) {
+            return;
+        }
+        let current = process.in_force.current();
+        let document = current.filter(|document| document.generation > above);
+        let answer = Event::PullAnswer {
+            from: self.slots[number].node_id.clone(),
+            in_force: process.in_force.generation(),
+            document: document.cloned(),
+        };
+        let delay = Duration::from_micros(self.rng.random_range(300..600_000));
+        self.follow(from, delay, answer);
+    }
+
+    /// An operator's command at a node: a conditional update of the platform.
+    fn write(&mut self, number: usize, expected: Generation, change_id: String) {
+        let weather = self.platform.weather;
+        if weather == Weather::Out {
+            return;
+        }
+        let Some(document) = self.platform.write(self.now, expected, change_id) else {
+            return;
+        };
+        self.note(format!("stored {} through {number}", document.generation));
+        let delay = Duration::from_millis(match weather {
+            Weather::Slow => self.rng.random_range(500..4_000),
+            _ => self.rng.random_range(1..10),
+        });
+        if weather != Weather::LosesAnswers {
+            self.follow(number, delay, Event::Stored(document));
+        }
+    }
+}
--- a/crates/hemlocktack-fleet/src/drain/life.rs
+++ b/crates/hemlocktack-fleet/src/drain/life.rs
@@ -4,8 +4,21 @@
 
 use hemlocktack_protocol::{NodeState, UpstreamState};
 
+use strum::{Display, EnumIter, EnumString};
+
 use super::upstream::{Announcement, Upstream, UpstreamSettings};
 
+/// A rule that a mutation run switches off, to show that the run notices.
+/// A node never does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum DrainSafeguard {
+    /// A draining upstream's late renewal does not bring it back.
+    LateRenewal,
+    /// A stop waits for the calls in flight.
+    WaitForCalls,
+}
+
 /// How a node stops.
 #[derive(Clone, Debug)]
 pub struct DrainSettings {
@@ -19,6 +32,8 @@
     pub handover_limit: Duration,
     /// Periods of the upstream's announcements.
     pub upstream: UpstreamSettings,
+    /// Rule that a mutation run leaves out.
+    pub without: Option<DrainSafeguard>,
 }
 
 impl Default for DrainSettings {
@@ -28,6 +43,7 @@
             hard_limit: None,
             handover_limit: Duration::from_secs(10),
             upstream: UpstreamSettings::default(),
+            without: None,
         }
     }
 }
@@ -125,7 +141,8 @@
 
     /// The upstream announced itself or renewed its announcement.
     pub fn announce(&mut self, now: Instant, announcement: Announcement) -> Vec<LifeAction> {
-        self.upstream.announce(now, announcement);
+        let keeps = self.settings.without != Some(DrainSafeguard::LateRenewal);
+        self.upstream.announce(now, announcement, keeps);
         self.publish_changes()
     }
 
@@ -189,7 +206,9 @@
         if is_over && in_flight > 0 {
             actions.push(LifeAction::ReportOverrun { in_flight });
         }
-        let is_settled = in_flight == 0 && waited >= self.settings.settle;
+        let waits = self.settings.without != Some(DrainSafeguard::WaitForCalls);
+        let is_idle = in_flight == 0 || !waits;
+        let is_settled = is_idle && waited >= self.settings.settle;
         if is_over || is_settled {
             self.stop = Stop::HandingOver { since: now };
             actions.push(LifeAction::HandOver);
--- a/crates/hemlocktack-fleet/src/drain/mod.rs
+++ b/crates/hemlocktack-fleet/src/drain/mod.rs
@@ -4,5 +4,5 @@
 mod life;
 mod upstream;
 
-pub use life::{DrainSettings, Life, LifeAction, Publication};
+pub use life::{DrainSafeguard, DrainSettings, Life, LifeAction, Publication};
 pub use upstream::{Announcement, UpstreamSettings};
--- a/crates/hemlocktack-fleet/src/drain/upstream.rs
+++ b/crates/hemlocktack-fleet/src/drain/upstream.rs
@@ -61,9 +61,9 @@
     /// A draining upstream's last renewal may come after its drain; were it
     /// taken for a return, new work would go to an upstream that is about to
     /// stop. So only a cold start ends a drain, or a lapse.
-    pub(super) fn announce(&mut self, now: Instant, announcement: Announcement) {
+    pub(super) fn announce(&mut self, now: Instant, announcement: Announcement, guards: bool) {
         self.renewed = now;
-        if self.state == UpstreamState::Draining && !announcement.is_cold {
+        if guards && self.state == UpstreamState::Draining && !announcement.is_cold {
             return;
         }
         self.slots = announcement.slots;
--- a/crates/hemlocktack-fleet/src/membership/receive.rs
+++ b/crates/hemlocktack-fleet/src/membership/receive.rs
@@ -92,9 +92,11 @@
         let is_accusation = record::is_accusation(&heard);
         if Freshness::of(&heard) <= Freshness::of(&self.own) {
             if !same_start {
-                corrections.push(self.own.clone());
                 self.news.push(&self.own.node_id);
             }
+            if !same_start || is_accusation {
+                corrections.push(self.own.clone());
+            }
             return;
         }
         if same_start {
@@ -137,7 +139,13 @@
 
     /// Tells a sender that is known otherwise what is believed of it, so that
     /// it can refute: after a cut both sides hold each other for dead.
+    ///
+    /// Never in answer to such a correction: two nodes that hold each other
+    /// for dead would go on correcting each other without a pause.
     fn correct_sender(&mut self, gossip: &Gossip, corrections: &mut Vec<Member>) {
+        if gossip.body.is_none() {
+            return;
+        }
         let Some(entry) = self.table.get(&gossip.from_node_id) else {
             return;
         };
