Cut a class only for calls that wait in it or before it

Cause: the level was worked out from the whole queue, so a queue of browsing cut bookings, though the queue runs bookings first; and an idle upstream's level followed the noise of its own arrivals. Ruled out: placement (levels of the upstreams of a service agreed) and the deadline refusal (no such end).

Now each class has its own target rate: capacity less what its own queue needs to be worked off in four service times; demand is averaged over two service times; an idle upstream's level only opens.

--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -563,12 +563,12 @@
             return;
         }
         let pressure = Pressure {
-            queued: self.queue.len(),
+            queued_up_to: self.queue.queued_up_to(),
             in_flight: self.running.len(),
             limit: self.limit.current(),
-            capacity_per_sec: self.capacity_per_sec(),
+            service_time: self.work.expected_any(),
         };
-        self.shed.end_interval(pressure, now);
+        self.shed.end_interval(&pressure, now);
         let is_long = self.queue.len() * 2 > self.queue_bound();
         self.standing_since = is_long.then(|| self.standing_since.unwrap_or(now));
     }
--- a/crates/hemlocktack-decide/src/quarantine.rs
+++ b/crates/hemlocktack-decide/src/quarantine.rs
@@ -63,8 +63,8 @@
     pub proven: bool,
 }
 
-/// After one crash a call cannot be told from those that ran beside it.
-const LEAST_CRASHES: u32 = 2;
+/// With fewer, each call beside a crash would have to run alone, one a second.
+const LEAST_CRASHES: u32 = 3;
 
 #[derive(Clone, Copy, Debug)]
 struct Record {
--- a/crates/hemlocktack-decide/src/queue.rs
+++ b/crates/hemlocktack-decide/src/queue.rs
@@ -6,8 +6,9 @@
 
 use hemlocktack_protocol::{CallId, ClassRank};
 
-/// Classes told apart. Ranks beyond are treated as the last of these.
-pub const MAX_CLASSES: usize = 8;
+/// Classes told apart: as many as the operators may declare. Ranks beyond are
+/// treated as the last of these.
+pub const MAX_CLASSES: usize = 16;
 /// Lanes of each class: calls that the chain has worked for, then fresh ones.
 const LANES_PER_CLASS: usize = 2;
 const LANES: usize = MAX_CLASSES * LANES_PER_CLASS;
@@ -56,6 +57,16 @@
         self.lane_lengths[..=lane].iter().sum()
     }
 
+    /// Calls of each class and the more important ones together.
+    pub(crate) fn queued_up_to(&self) -> [usize; MAX_CLASSES] {
+        let mut sum = 0;
+        std::array::from_fn(|class| {
+            let lanes = &self.lane_lengths[class * LANES_PER_CLASS..][..LANES_PER_CLASS];
+            sum += lanes.iter().sum::<usize>();
+            sum
+        })
+    }
+
     pub(crate) fn push(&mut self, call: Waiting) {
         let lane = lane(call.class, call.invested);
         self.lanes[lane].push_back(call.call_id);
--- a/crates/hemlocktack-decide/src/shed.rs
+++ b/crates/hemlocktack-decide/src/shed.rs
@@ -72,8 +72,10 @@
     /// that a freed slot always finds a call: arrivals of one interval vary
     /// by less than this.
     pub target_queue: f64,
-    /// Share of the queue beyond its target that an interval may work off.
-    pub drain_share: f64,
+    /// Service times in which the queue beyond its target is worked off. A
+    /// queue of four times the limit then cuts the admitted load to nearly
+    /// nothing, one at its target not at all.
+    pub drain_service_times: f64,
     /// Largest cut of the admitted load in one interval.
     pub least_step: f64,
     /// Largest rise in one interval while calls wait.
@@ -81,6 +83,8 @@
     /// Rise in one interval when slots are idle: back from a twentieth to all
     /// within six intervals, so that shedding ends with the pressure.
     pub idle_step: f64,
+    /// Utilisation below which slots count as idle.
+    pub idle_below: f64,
 }
 
 impl Default for ShedPolicy {
@@ -88,10 +92,11 @@
         ShedPolicy {
             interval: Duration::from_millis(50),
             target_queue: 0.5,
-            drain_share: 0.25,
+            drain_service_times: 4.0,
             least_step: 0.5,
             most_step: 1.2,
             idle_step: 1.8,
+            idle_below: 0.8,
         }
     }
 }
@@ -99,11 +104,18 @@
 /// What the controller sees of its upstream at the end of an interval.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pressure {
-    pub(crate) queued: usize,
+    /// Calls of this class and the more important ones that wait.
+    pub(crate) queued_up_to: [usize; MAX_CLASSES],
     pub(crate) in_flight: usize,
     pub(crate) limit: u32,
-    /// Calls that the upstream can finish in a second at its limit.
-    pub(crate) capacity_per_sec: f64,
+    /// Mean time of a call; zero while none has finished.
+    pub(crate) service_time: Duration,
+}
+
+impl Pressure {
+    fn queued(&self) -> usize {
+        self.queued_up_to[MAX_CLASSES - 1]
+    }
 }
 
 /// Works out the level of one upstream.
@@ -112,7 +124,8 @@
 /// wait until their callers have gone, and the chain works for nobody. The
 /// level lets in what the upstream can finish plus a short standing queue;
 /// what it cuts off is refused at the entry, the least important class first,
-/// before anything was spent on it.
+/// before anything was spent on it. Since the queue runs more important classes
+/// first, a class is cut only for calls that wait in it or before it.
 #[derive(Debug)]
 pub struct ShedController {
     policy: ShedPolicy,
@@ -124,13 +137,14 @@
     began: Instant,
 }
 
-/// Weight of one interval in a class's demand: follows a surge in about three.
-const DEMAND_WEIGHT: f64 = 0.3;
+/// Demand is averaged over this and two service times: at five arrivals in an
+/// interval, a shorter average would be noise.
+const DEMAND_AVERAGED_OVER: Duration = Duration::from_millis(100);
 /// A smaller admitted share than this is too thin to estimate demand from.
 const LEAST_SEEN_SHARE: f64 = 0.02;
 /// Decay of the demand of a class that is shed whole, per interval: nothing is
-/// seen of it, and a high stale value would only slow the return.
-const UNSEEN_DECAY: f64 = 0.9;
+/// seen of it, and after some seconds the old value means nothing.
+const UNSEEN_DECAY: f64 = 0.98;
 
 impl ShedController {
     /// Nothing shed.
@@ -175,17 +189,18 @@
     }
 
     /// Ends the interval and sets the level for the next one.
-    pub(crate) fn end_interval(&mut self, pressure: Pressure, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.began).as_secs_f64();
-        let admitted = f64::from(self.arrived.iter().sum::<u32>()) / elapsed;
-        self.estimate_demand(elapsed);
+    pub(crate) fn end_interval(&mut self, pressure: &Pressure, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.began);
+        self.estimate_demand(elapsed, pressure.service_time);
         self.arrived = [0; MAX_CLASSES];
         self.began = now;
-        let target = self.target_rate(admitted, elapsed, &pressure);
-        self.level = self.level_for(target);
+        self.level = self.next_level(pressure);
     }
 
-    fn estimate_demand(&mut self, elapsed: f64) {
+    fn estimate_demand(&mut self, elapsed: Duration, service_time: Duration) {
+        let elapsed = elapsed.as_secs_f64();
+        let over = DEMAND_AVERAGED_OVER + service_time * 2;
+        let weight = elapsed / (elapsed + over.as_secs_f64());
         for class in 0..MAX_CLASSES {
             let share = self.level.share_of(class);
             if share < LEAST_SEEN_SHARE {
@@ -193,41 +208,59 @@
                 continue;
             }
             let seen = f64::from(self.arrived[class]) / elapsed / share;
-            self.demand[class] += (seen - self.demand[class]) * DEMAND_WEIGHT;
+            self.demand[class] += (seen - self.demand[class]) * weight;
         }
     }
 
-    /// Calls a second to let in during the next interval.
-    fn target_rate(&self, admitted: f64, elapsed: f64, pressure: &Pressure) -> f64 {
+    fn next_level(&self, pressure: &Pressure) -> ShedLevel {
         let limit = f64::from(pressure.limit);
-        let standing = limit * self.policy.target_queue;
-        let surplus = pressure.queued as f64 - standing;
-        let idle = pressure.queued == 0 && (pressure.in_flight as f64) < limit * 0.8;
-        let wanted = pressure.capacity_per_sec - surplus * self.policy.drain_share / elapsed;
-        if idle {
-            return admitted.max(wanted * 0.1) * self.policy.idle_step;
+        let is_open = self.level == ShedLevel::OPEN;
+        let is_short = pressure.queued() as f64 <= limit * self.policy.target_queue;
+        if pressure.service_time.is_zero() || (is_open && is_short) {
+            return ShedLevel::OPEN;
         }
-        if surplus <= 0.0 && self.level == ShedLevel::OPEN {
-            return f64::INFINITY;
+        let admitted = self.admitted();
+        let in_flight = pressure.in_flight as f64;
+        if pressure.queued() == 0 && in_flight < limit * self.policy.idle_below {
+            let risen = self.level_for(|_| admitted * self.policy.idle_step);
+            return risen.max(self.level);
         }
-        wanted
-            .min(admitted * self.policy.most_step)
-            .max(admitted * self.policy.least_step)
+        let capacity = limit / pressure.service_time.as_secs_f64();
+        let standing = limit * self.policy.target_queue;
+        let drain_secs = pressure.service_time.as_secs_f64() * self.policy.drain_service_times;
+        self.level_for(|class| {
+            let surplus = pressure.queued_up_to[class] as f64 - standing;
+            (capacity - surplus / drain_secs)
+                .min(admitted * self.policy.most_step)
+                .max(admitted * self.policy.least_step)
+        })
+    }
+
+    /// Calls a second that the level in force lets in.
+    fn admitted(&self) -> f64 {
+        let classes = self.demand.iter().enumerate();
+        classes
+            .map(|(class, demand)| demand * self.level.share_of(class))
+            .sum()
     }
 
-    fn level_for(&self, rate: f64) -> ShedLevel {
-        let mut left = rate;
+    /// Level that lets in `rate(class)` calls a second of each class and those
+    /// before it together.
+    fn level_for(&self, rate: impl Fn(usize) -> f64) -> ShedLevel {
+        let mut before = 0.0;
         for (class, &demand) in self.demand.iter().enumerate() {
+            let left = rate(class) - before;
             if left < demand {
                 return ShedLevel::at(class, left / demand);
             }
-            left -= demand;
+            before += demand;
         }
         ShedLevel::OPEN
     }
 }
 
-/// Key of a service at a gate: any stable number for its name.
+/// A deeper service and the request rule that its call matched there, as any
+/// stable number.
 pub type ServiceKey = u64;
 
 /// Numbers of [`Gate`].
