Keep or take back each large change of the limit by what latency does

Cause: in the surge of 60 s the limit drifted from 90 to 157 of 90 slots. A window that looked good by chance raised it, nothing stepped it back, and the floor, re-learnt every ten seconds under the queue that this made inside the upstream, hid it. Calls inside are served in the order of arrival, so bookings waited behind browsing there, at each hop. Ruled out: the shed level (bookings were at most 84% of capacity and their level was steady).

Now a cut or a raise is a trial: 96 samples before and after; it is kept only if latency followed, and one is made every ten seconds while calls wait, so that the floor is never measured under a queue alone. Reports only lower the bar for a cut.

--- a/crates/hemlocktack-decide/src/limit.rs
+++ b/crates/hemlocktack-decide/src/limit.rs
@@ -8,14 +8,13 @@
     /// Shortest time between two changes: several service times of the fast
     /// services, so that a change shows before the next one.
     pub window: Duration,
-    /// Fewest samples that a change may rest on; the mean of 24 spread-out
-    /// service times is good to about a tenth.
+    /// Fewest samples that a small step may rest on.
     pub window_samples: u32,
-    /// Raise above the announced slots only while latency is within this
-    /// multiple of its floor: no queue inside the upstream yet.
-    pub raise_below: f64,
-    /// Cut when latency is above this multiple of its floor. Noise of the mean
-    /// and of the floor reaches about 1.3.
+    /// Fewest samples on each side of a trial: the mean of 96 spread-out
+    /// service times is good to a twentieth, and a trial looks for a quarter.
+    pub trial_samples: u32,
+    /// Cut when latency is above this multiple of its floor. The floor is the
+    /// least of many means and so lies up to a fifth below the true one.
     pub cut_above: f64,
     /// The same while the upstream's load report claims that it is full: the
     /// report is believed only where latency bears it out.
@@ -25,6 +24,21 @@
     /// A cut helped when latency fell to this multiple of what it was. If the
     /// upstream queues inside, latency falls with the limit, to 0.7.
     pub helped_below: f64,
+    /// A raise above the announced slots multiplies the limit by this.
+    pub raise_factor: f64,
+    /// A raise failed when latency rose beyond this multiple of what it was. If
+    /// the upstream queues inside, latency rises with the limit, to 1.25.
+    pub failed_above: f64,
+    /// Small step: share of the limit.
+    pub step: f64,
+    /// Step back towards the slots from above, and do not step up to them from
+    /// below, while latency is above this multiple of its floor.
+    pub step_back_above: f64,
+    /// Time between two trials while calls wait. One lasts a few service times
+    /// at 0.7 of the limit, so this often it costs less than 1% of capacity.
+    pub trial_every: Duration,
+    /// Longest time between two raises; each one that fails doubles it.
+    pub raise_at_least_every: Duration,
     /// Share of the slots that an upstream starts with when cold: caches and
     /// pools are empty, and a full load at once would time out as a whole.
     pub cold_share: f64,
@@ -40,11 +54,17 @@
         LimitPolicy {
             window: Duration::from_millis(50),
             window_samples: 24,
-            raise_below: 1.1,
-            cut_above: 1.6,
-            cut_above_reported: 1.35,
+            trial_samples: 96,
+            cut_above: 1.5,
+            cut_above_reported: 1.3,
             cut_factor: 0.7,
             helped_below: 0.85,
+            raise_factor: 1.25,
+            failed_above: 1.1,
+            step: 0.05,
+            step_back_above: 1.25,
+            trial_every: Duration::from_secs(10),
+            raise_at_least_every: Duration::from_secs(320),
             cold_share: 0.2,
             cold_growth: 1.25,
             least_share: 0.1,
@@ -52,8 +72,16 @@
     }
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Direction {
+    Cut,
+    Raise,
+}
+
+/// A change that is kept or taken back by what latency does.
 #[derive(Clone, Copy, Debug)]
-struct Cut {
+struct Trial {
+    direction: Direction,
     limit_before: f64,
     ratio_before: f64,
 }
@@ -71,11 +99,13 @@
 ///
 /// Load: an upstream that can do less than it announced, has become slower, or
 /// can do more. Harm: more calls than it has slots queue up inside it, where
-/// nobody can order, refuse or cancel them. The limit starts from the announced
-/// slots, which is right unless measured otherwise, and follows latency against
-/// its own floor: latency above the floor that falls with the limit is a queue
-/// inside the upstream; latency that stays when the limit is cut is slower
-/// work, for which a lower limit would only waste slots.
+/// nobody can order, refuse or cancel them, so important calls wait behind
+/// unimportant ones. The limit starts from the announced slots, which is right
+/// unless measured otherwise. Latency alone cannot tell a queue inside from
+/// slower work, but its answer to a change of the limit can: the former follows
+/// the limit, the latter does not, and a lower limit would only waste slots. So
+/// each large change is a trial, and is repeated now and then while calls wait,
+/// since a floor that was measured under a queue would hide it.
 #[derive(Debug)]
 pub struct ConcurrencyLimit {
     policy: LimitPolicy,
@@ -84,7 +114,10 @@
     limit: f64,
     cold: bool,
     reported_full: bool,
-    cut: Option<Cut>,
+    trial: Option<Trial>,
+    tried_at: Instant,
+    raised_at: Instant,
+    raise_every: Duration,
     changed_at: Instant,
     ratio_sum: f64,
     samples: u32,
@@ -113,7 +146,10 @@
             limit: limit.max(1.0),
             cold,
             reported_full: false,
-            cut: None,
+            trial: None,
+            tried_at: now,
+            raised_at: now,
+            raise_every: policy.trial_every,
             changed_at: now,
             ratio_sum: 0.0,
             samples: 0,
@@ -141,12 +177,12 @@
     /// does not show. One step down a window.
     pub fn upstream_shed(&mut self, now: Instant) {
         if now.saturating_duration_since(self.changed_at) >= self.policy.window {
-            let limit = self.limit * self.policy.cut_factor;
-            self.change(limit, now);
+            self.change(self.limit * self.policy.cut_factor, now);
         }
     }
 
-    /// Notes that calls wait because the limit is reached.
+    /// Notes that calls wait because the limit is reached. A limit that holds
+    /// nobody back proves nothing when latency is good.
     pub(crate) fn note_saturated(&mut self) {
         self.saturated = true;
     }
@@ -169,48 +205,110 @@
     }
 
     fn end_window(&mut self, ratio: f64, now: Instant) -> WindowEnd {
-        if let Some(cut) = self.cut.take()
-            && ratio > cut.ratio_before * self.policy.helped_below
-        {
-            self.change(cut.limit_before, now);
-            return WindowEnd::FloorIsStale;
+        let settled = self.samples >= self.policy.trial_samples;
+        if let Some(trial) = self.trial {
+            return if settled {
+                self.end_trial(trial, ratio, now)
+            } else {
+                WindowEnd::Nothing
+            };
         }
         if self.cold {
             self.grow_cold(now);
             return WindowEnd::Nothing;
         }
-        let cut_above = if self.reported_full {
+        let Some(direction) = self.wanted_trial(ratio, now) else {
+            self.step(ratio, now);
+            return WindowEnd::Nothing;
+        };
+        // The window goes on until the mean is good enough to compare with.
+        if settled {
+            self.begin_trial(direction, ratio, now);
+        }
+        WindowEnd::Nothing
+    }
+
+    fn wanted_trial(&self, ratio: f64, now: Instant) -> Option<Direction> {
+        if ratio > self.cut_above() {
+            return Some(Direction::Cut);
+        }
+        let since = |at: Instant| now.saturating_duration_since(at);
+        if !self.saturated || since(self.tried_at) < self.policy.trial_every {
+            return None;
+        }
+        let may_raise = self.limit >= self.slots && ratio < self.policy.step_back_above;
+        if may_raise && since(self.raised_at) >= self.raise_every {
+            Some(Direction::Raise)
+        } else {
+            Some(Direction::Cut)
+        }
+    }
+
+    fn cut_above(&self) -> f64 {
+        if self.reported_full {
             self.policy.cut_above_reported
         } else {
             self.policy.cut_above
+        }
+    }
+
+    fn begin_trial(&mut self, direction: Direction, ratio: f64, now: Instant) {
+        self.tried_at = now;
+        self.trial = Some(Trial {
+            direction,
+            limit_before: self.limit,
+            ratio_before: ratio,
+        });
+        let factor = match direction {
+            Direction::Cut => self.policy.cut_factor,
+            Direction::Raise => {
+                self.raised_at = now;
+                self.policy.raise_factor
+            }
         };
-        if ratio > cut_above {
-            self.cut = Some(Cut {
-                limit_before: self.limit,
-                ratio_before: ratio,
-            });
-            self.change(self.limit * self.policy.cut_factor, now);
+        self.change(self.limit * factor, now);
+    }
+
+    fn end_trial(&mut self, trial: Trial, ratio: f64, now: Instant) -> WindowEnd {
+        self.trial = None;
+        let change = ratio / trial.ratio_before;
+        let is_kept = match trial.direction {
+            Direction::Cut => change <= self.policy.helped_below,
+            Direction::Raise => change <= self.policy.failed_above,
+        };
+        if trial.direction == Direction::Raise {
+            self.raise_every = if is_kept {
+                self.policy.trial_every
+            } else {
+                (self.raise_every * 2).min(self.policy.raise_at_least_every)
+            };
+        }
+        if is_kept {
+            self.change(self.limit, now);
+            return WindowEnd::Nothing;
+        }
+        let was_high = trial.ratio_before > self.cut_above();
+        self.change(trial.limit_before, now);
+        if trial.direction == Direction::Cut && was_high {
+            WindowEnd::FloorIsStale
         } else {
-            self.raise(ratio, now);
+            WindowEnd::Nothing
         }
-        WindowEnd::Nothing
     }
 
-    /// A limit that does not hold anybody back proves nothing when latency is
-    /// good, so it rises only when calls waited for it.
-    fn raise(&mut self, ratio: f64, now: Instant) {
-        let may_raise = self.limit < self.slots || ratio < self.policy.raise_below;
-        let step = if self.saturated && may_raise {
-            (self.limit * 0.05).max(1.0)
-        } else {
-            0.0
-        };
-        let top = if self.limit < self.slots {
-            self.slots
+    /// Small steps: back up to the slots after a cut, back down to them after a
+    /// raise, as long as latency agrees.
+    fn step(&mut self, ratio: f64, now: Instant) {
+        let step = (self.limit * self.policy.step).max(1.0);
+        let is_slow = ratio > self.policy.step_back_above;
+        let limit = if self.limit < self.slots && self.saturated && !is_slow {
+            (self.limit + step).min(self.slots)
+        } else if self.limit > self.slots && is_slow {
+            (self.limit - step).max(self.slots)
         } else {
-            self.connections
+            self.limit
         };
-        self.change((self.limit + step).min(top), now);
+        self.change(limit, now);
     }
 
     fn grow_cold(&mut self, now: Instant) {
--- a/crates/hemlocktack-decide/src/work.rs
+++ b/crates/hemlocktack-decide/src/work.rs
@@ -14,8 +14,10 @@
 /// Samples before a mean may become the floor.
 const SAMPLES_BEFORE_FLOOR: u32 = 32;
 /// Age at which a floor is dropped: an upstream that has become slower for good
-/// is measured against its new self after at most twice this.
-const FLOOR_EPOCH: Duration = Duration::from_secs(10);
+/// is measured against its new self after at most twice this. Longer than the
+/// time between two trials of the limit, so that each floor is from a time
+/// without a queue inside the upstream.
+const FLOOR_EPOCH: Duration = Duration::from_secs(15);
 
 #[derive(Clone, Copy, Debug)]
 struct KindWork {
