--- a/crates/hemlocktack-cli/tests/examples.rs
+++ b/crates/hemlocktack-cli/tests/examples.rs
@@ -69,3 +69,13 @@
     }
     insta::assert_snapshot!(help);
 }
+
+/// A document with more classes than decisions keep apart would have its last
+/// classes shed as one, against what the operators wrote.
+#[test]
+fn documents_have_no_more_classes_than_decisions_keep_apart() {
+    assert_eq!(
+        hemlocktack_config::CLASS_LIMIT,
+        hemlocktack_decide::MAX_CLASSES
+    );
+}
--- a/crates/hemlocktack-config/src/bounds.rs
+++ b/crates/hemlocktack-config/src/bounds.rs
@@ -58,8 +58,9 @@
 /// Retries to one service, as a share of first tries: a higher share keeps an
 /// overload up after its cause has gone.
 pub(crate) const RETRY_SHARE_PERCENT: Bound = optional("retry_share_percent", 10, 0, 100);
-pub(crate) const QUARANTINE_CRASHES: Bound = optional("quarantine_crashes", 2, 1, 100);
-pub(crate) const QUARANTINE_MS: Bound = optional("quarantine_ms", 60_000, 1_000, HOUR_MS);
+/// With fewer, calls that only ran beside a guilty one would be taken for it.
+pub(crate) const QUARANTINE_CRASHES: Bound = optional("quarantine_crashes", 3, 3, 100);
+pub(crate) const QUARANTINE_MS: Bound = optional("quarantine_ms", 300_000, 1_000, HOUR_MS);
 
 /// Every whole-number field of the document.
 pub const BOUNDS: [Bound; 11] = [
@@ -79,9 +80,9 @@
 /// The platform holds values of up to a megabyte; the other half is left for
 /// the generation, the author and the escaping of the text.
 pub const DOCUMENT_LIMIT_BYTES: usize = 512 << 10;
-/// Shedding and queues are kept for each class; a rank past the eighth would be
-/// shed together with it.
-pub const CLASS_LIMIT: usize = 8;
+/// Shedding and queues are kept for each class, for as many in
+/// `hemlocktack-decide`.
+pub const CLASS_LIMIT: usize = 16;
 /// Kinds of caller are label values of metrics.
 pub const CALLER_KIND_LIMIT: usize = 64;
 /// Services are label values of metrics too; ten times the aimed size.
--- a/crates/hemlocktack-node/src/links/codec.rs
+++ b/crates/hemlocktack-node/src/links/codec.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error, From};
 use hemlocktack_protocol::Frame;
+use hemlocktack_telemetry::{Event, log_event};
 use prost::Message;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
@@ -23,6 +24,17 @@
     Malformed(prost::DecodeError),
 }
 
+/// An ordinary loss of the connection is no fault of a frame.
+pub(super) fn log_malformed(error: &Error) {
+    let is_fault = match error {
+        Error::Io(error) => error.kind() == std::io::ErrorKind::InvalidData,
+        Error::Malformed(_) => true,
+    };
+    if is_fault {
+        log_event!(Event::FrameMalformed, %error);
+    }
+}
+
 /// Length-delimited protobuf frames.
 pub(crate) struct FrameCodec {
     lengths: LengthDelimitedCodec,
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -8,11 +8,13 @@
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::calls::{Arrival, ArrivalLimits, Arrivals, Resolution};
 use hemlocktack_protocol::{Answer, Call, CallId, CallResolution, Frame, frame};
+use hemlocktack_telemetry::{Event, log_event};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::{FramedRead, FramedWrite};
 use tokio_util::sync::CancellationToken;
 
 use super::FrameCodec;
+use super::codec::log_malformed;
 use super::connection::Connection;
 use super::handshake::{self, OpenLink};
 use crate::calls;
@@ -133,8 +135,7 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let opening = handshake::accept(stream, &node.identity, &node.keys);
-    let Ok(Ok(open)) = tokio::time::timeout(handshake::OPENING_TIMEOUT, opening).await else {
+    let Some(open) = open_link(&node, stream).await else {
         return;
     };
     let OpenLink { peer, framed } = open;
@@ -145,7 +146,10 @@
     let connection =
         Connection::start(peer.incarnation, FramedWrite::new(write, FrameCodec::new()));
     let sender = node.senders.connected(&peer, connection.clone());
-    while let Some(Ok(Frame { body })) = next_frame(&mut reader, &connection).await {
+    while let Some(next) = next_frame(&mut reader, &connection).await {
+        let Ok(Frame { body }) = next.inspect_err(log_malformed) else {
+            break;
+        };
         // A body of a newer schema decodes to nothing and is passed over.
         let Some(body) = body else { continue };
         handle(&node, &sender, &connection, body).await;
@@ -154,6 +158,19 @@
     node.senders.disconnected(&sender);
 }
 
+async fn open_link(node: &Node, stream: TcpStream) -> Option<OpenLink> {
+    let address = stream.peer_addr().ok()?;
+    let opening = handshake::accept(stream, &node.identity, &node.keys);
+    let opened = tokio::time::timeout(handshake::OPENING_TIMEOUT, opening).await;
+    if let Ok(Ok(open)) = opened {
+        return Some(open);
+    }
+    if let Some(refused_count) = node.link_refusals.count() {
+        log_event!(Event::LinkRefused, %address, refused_count);
+    }
+    None
+}
+
 async fn next_frame(
     reader: &mut FramedRead<tokio::net::tcp::OwnedReadHalf, FrameCodec>,
     connection: &Connection,
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -14,9 +14,11 @@
     Answer, Call, CallId, CallProgress, CancelCall, Frame, Incarnation, NodeId, Reason,
     ResolveCall, frame,
 };
+use hemlocktack_telemetry::{Event, log_event};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
+use super::codec::log_malformed;
 use super::connection::Connection;
 use super::handshake;
 
@@ -290,6 +292,7 @@
             next = reader.next() => next,
             () = connection.closed() => None,
         };
+        let next = next.map(|next| next.inspect_err(log_malformed));
         let Some(Ok(Frame { body })) = next else {
             break;
         };
@@ -309,6 +312,8 @@
         }
     }
     connection.close();
+    let peer_incarnation = connection.peer_incarnation;
+    log_event!(Event::LinkLost, peer_incarnation);
 }
 
 fn settle(pending: &Pending, call_id: CallId, event: CallEvent) {
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use hemlocktack_config::Document;
@@ -20,9 +20,8 @@
 use crate::calls::{ContextTable, Desk, Home, Roster};
 use crate::counters::{CallInFlight, Counters};
 use crate::links::{Links, Peer, Senders};
-use crate::operators::Refusals;
 use crate::settings::Settings;
-use crate::telemetry::{EntryCounts, Waits};
+use crate::telemetry::{EntryCounts, LogLimit, Waits};
 use crate::upstream::{Announcement, RENEW_EVERY, RENEWALS_MISSED_MAX, UpstreamClient};
 
 /// Largest body read before any configuration is in force.
@@ -58,7 +57,8 @@
     pub(crate) home: Home,
     pub(crate) roster: Roster,
     pub(crate) counters: Counters,
-    pub(crate) operator_refusals: Refusals,
+    pub(crate) operator_refusals: LogLimit,
+    pub(crate) link_refusals: LogLimit,
     pub(crate) tracer: Tracer,
     pub(crate) waits: Waits,
     pub(crate) entry_counts: EntryCounts,
@@ -94,7 +94,8 @@
             roster: Roster::new(settings.data_centre.clone()),
             desk: Arc::new(Desk::new()),
             counters: Counters::default(),
-            operator_refusals: Refusals::default(),
+            operator_refusals: LogLimit::default(),
+            link_refusals: LogLimit::default(),
             tracer,
             waits: Waits::default(),
             entry_counts: EntryCounts::default(),
@@ -114,6 +115,17 @@
         }
     }
 
+    /// Longest that a planned stop waits: the operators' limit, which covers the
+    /// most patient caller; that of the settings only before there is one.
+    pub(crate) fn drain_limit(&self) -> Duration {
+        let in_force = self.in_force.load();
+        let declared = in_force.as_ref().map(|in_force| {
+            let limits = &in_force.document.limits;
+            Duration::from_millis(limits.drain_limit_ms)
+        });
+        declared.unwrap_or(self.settings.drain_limit)
+    }
+
     /// An operator wants this node to drain and stop; once is enough.
     pub(crate) fn order_stop(&self) {
         self.stop_order.notify_one();
--- a/crates/hemlocktack-node/src/operators/mod.rs
+++ b/crates/hemlocktack-node/src/operators/mod.rs
@@ -12,6 +12,5 @@
 mod queries;
 mod routes;
 
-pub(crate) use authorise::Refusals;
 pub(crate) use failure::{Failure, Result};
 pub(crate) use routes::routes;
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -7,7 +7,7 @@
 use derive_more::{Display, Error, From};
 use hemlocktack_fleet::keys::{FleetKeys, KeyError};
 use hemlocktack_platform::{Client, ClientSettings};
-use hemlocktack_telemetry::ExportError;
+use hemlocktack_telemetry::{Event, ExportError, log_event};
 use rocket::{Build, Config, Rocket};
 use tokio::net::TcpListener;
 
@@ -87,6 +87,7 @@
     match run_on_runtime(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
+            log_event!(Event::NodeFailed, %error);
             eprintln!("hemlocktackd: {error}");
             ExitCode::FAILURE
         }
@@ -121,6 +122,13 @@
     tokio::spawn(links::serve_links(node.clone(), link_listener));
     peers::start(&node).await?;
     configuration::start(&node)?;
+    tokio::spawn(telemetry::monitor(node.clone()));
+    log_event!(
+        Event::NodeStarted,
+        node = %node.identity.node_id,
+        incarnation = node.identity.incarnation,
+        service = %node.settings.service
+    );
     let callers = tokio::spawn(callers.launch());
     let control = tokio::spawn(control.launch());
     tokio::pin!(stop_signal);
--- a/crates/hemlocktack-node/src/settings/flags.rs
+++ b/crates/hemlocktack-node/src/settings/flags.rs
@@ -136,7 +136,7 @@
     defaulted(
         DRAIN_LIMIT_MS,
         "MS",
-        "longest that a planned stop waits for calls in flight",
+        "longest that a planned stop waits for calls in flight before a configuration says it",
         "30000",
     ),
     defaulted(LOG_FORMAT, "text|json", "how log lines are written", "text"),
--- a/crates/hemlocktack-node/src/stop.rs
+++ b/crates/hemlocktack-node/src/stop.rs
@@ -33,7 +33,9 @@
 /// and hands its tickets over.
 pub(crate) async fn drain(node: &Arc<Node>) {
     node.set_state(NodeState::Draining);
-    let limit = Instant::now() + node.settings.drain_limit;
+    let in_flight_count = node.counters.in_flight();
+    log_event!(Event::DrainBegun, in_flight_count);
+    let limit = Instant::now() + node.drain_limit();
     // Others still issue tickets for this home until they hear of the drain;
     // until then it delegates them. A home that never stopped taking them
     // would not come to an end under load.
@@ -45,6 +47,11 @@
         Some(successor) => log_event!(Event::HandoverDone, %successor),
         None => log_event!(Event::HandoverFailed),
     }
+    let in_flight_count = node.counters.in_flight();
+    match in_flight_count {
+        0 => log_event!(Event::DrainFinished),
+        _ => log_event!(Event::DrainLimitReached, in_flight_count),
+    }
     node.set_state(NodeState::Left);
 }
 
--- a/crates/hemlocktack-node/src/telemetry/histogram.rs
+++ b/crates/hemlocktack-node/src/telemetry/histogram.rs
@@ -44,7 +44,7 @@
         let bounds = BOUNDS_US
             .iter()
             .map(|bound| *bound as f64 / MICROS_A_SECOND);
-        let bounds = bounds.chain([f64::MAX]);
+        let bounds = bounds.chain([f64::INFINITY]);
         let counts = self
             .buckets
             .iter()
--- /dev/null
+++ b/crates/hemlocktack-node/src/telemetry/log_limit.rs
@@ -0,0 +1,42 @@
+//! Log lines that others can cause at will, held to a rate.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Somebody who tries tokens or keys must not fill the log.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Counts occurrences and says when a line is due.
+#[derive(Debug, Default)]
+pub(crate) struct LogLimit {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    logged: Option<Instant>,
+    since_logged: u64,
+    total: u64,
+}
+
+impl LogLimit {
+    /// Counts one; if a line is due, how many it stands for.
+    pub(crate) fn count(&self) -> Option<u64> {
+        let now = Instant::now();
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.total += 1;
+        state.since_logged += 1;
+        let is_recent = |logged: Instant| now.saturating_duration_since(logged) < INTERVAL;
+        if state.logged.is_some_and(is_recent) {
+            return None;
+        }
+        state.logged = Some(now);
+        Some(std::mem::take(&mut state.since_logged))
+    }
+
+    /// All that were counted.
+    pub(crate) fn total(&self) -> u64 {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.total
+    }
+}
--- a/crates/hemlocktack-node/src/telemetry/logs.rs
+++ b/crates/hemlocktack-node/src/telemetry/logs.rs
@@ -1,5 +1,7 @@
 //! Log lines as text or JSON.
 
+use std::io::IsTerminal;
+
 use tracing_subscriber::EnvFilter;
 
 use crate::settings::LogFormat;
@@ -14,6 +16,7 @@
         EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(DEFAULT_FILTER));
     let lines = tracing_subscriber::fmt()
         .with_env_filter(filter)
+        .with_ansi(std::io::stderr().is_terminal())
         .with_writer(std::io::stderr);
     // A second start in one process, as in tests, keeps the first log.
     let _ = match format {
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -4,20 +4,20 @@
 
 use std::sync::atomic::AtomicU64;
 
+use hemlocktack_decide::ShedLevel;
 use hemlocktack_protocol::{NodeState, NodeStatus, Outcome, Reason};
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::{Registry, Unit};
+use strum::IntoEnumIterator;
 
 use super::status;
 use crate::node::Node;
 
 const PREFIX: &str = "hemlocktack";
 const MICROS_A_SECOND: f64 = 1e6;
-/// Steps of one class in a packed shed level.
-const STEPS_A_CLASS: f64 = 65_536.0;
 
 type FloatGauge = Gauge<f64, AtomicU64>;
 
@@ -79,6 +79,11 @@
     let help = "Sends beyond the first one of calls that entered here";
     counter(registry, "retries", help, status.retried_count);
     let refusals = Family::<ReasonLabels, Counter>::default();
+    for reason in Reason::iter() {
+        // From 0 on, so that a first refusal shows as a rise.
+        let reason = reason.into();
+        refusals.get_or_create(&ReasonLabels { reason }).inc_by(0);
+    }
     for refusal in &status.refusals {
         let reason = Reason::try_from(refusal.reason).unwrap_or_default().into();
         let labels = ReasonLabels { reason };
@@ -104,14 +109,22 @@
     let service_time = load.service_time_us as f64 / MICROS_A_SECOND;
     let help = "Estimated time of the upstream for one call";
     seconds(registry, "service_time", help, service_time);
-    let shed = f64::from(load.shed_level) / STEPS_A_CLASS;
-    let help = "Class ranks that are shed, counted from the eighth down; 0 is nothing";
-    float(registry, "shed_ranks", help, shed);
+    let shed = shed_classes(node, ShedLevel::unpack(load.shed_level));
+    let help = "Classes that are shed, from the last one; 1.5 is one whole and half of the next";
+    float(registry, "shed_classes", help, shed);
     let quarantined = status.quarantined_fingerprints.len() as u64;
     let help = "Requests that are refused because upstreams crashed while running them";
     gauge(registry, "quarantined_requests", help, quarantined);
 }
 
+fn shed_classes(node: &Node, level: ShedLevel) -> f64 {
+    let in_force = node.configuration_in_force();
+    let declared = in_force.map_or(0, |in_force| in_force.document.classes.len());
+    let shed = (0..declared).map(|rank| 1.0 - level.share_of(rank));
+    // An empty sum of floats is -0.
+    shed.sum::<f64>().max(0.0)
+}
+
 fn register_fleet(registry: &mut Registry, node: &Node, status: &NodeStatus) {
     let help = "Generation in force on this node, 0 for none";
     gauge(
@@ -186,6 +199,9 @@
     let help = "Operators' calls refused for their token";
     let refused = node.operator_refusals.total();
     counter(registry, "operator_refusals", help, refused);
+    let help = "Links refused because the other end did not prove the fleet key";
+    let refused = node.link_refusals.total();
+    counter(registry, "link_refusals", help, refused);
     let help = "Sampled spans that the collector did not get";
     let lost = node.tracer.lost_span_count();
     counter(registry, "lost_spans", help, lost);
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -45,7 +45,7 @@
     105 ERROR DrainLimitReached: "the drain limit has passed with calls still in flight; their callers may see unknown outcomes", "raise drain_limit_ms above the longest patience; look for a hanging upstream";
     106 ERROR NodeFailed: "the node ends because a listener or its start failed", "read the error; check addresses and that no other process holds them";
 
-    201 INFO UpstreamAnnounced: "the upstream beside the node has announced itself, or with another size", "nothing";
+    201 INFO UpstreamAnnounced: "the upstream beside the node has announced itself", "nothing";
     202 WARN UpstreamLapsed: "the upstream has not renewed its announcement", "look whether the upstream's process runs and reaches the node's control address";
     203 INFO UpstreamDraining: "the upstream drains: no new work goes to it", "nothing; somebody asked for it";
     204 ERROR UpstreamCrashed: "the connection to the upstream died while calls ran, and it no longer listens", "look at the upstream's own log; the calls that ran are suspects";
