--- a/crates/hemlocktack-cli/tests/support/answers.rs
+++ b/crates/hemlocktack-cli/tests/support/answers.rs
@@ -1,5 +1,6 @@
 //! A small fleet's answers to every method.
 
+use hemlocktack_decide::MAX_CLASSES;
 use hemlocktack_protocol::{
     ApplyConfigurationResponse, ConfigurationChange, ConfigurationDocument, DrainNodeResponse,
     EntryCount, ExplainCallResponse, GetStatusResponse, ListConfigurationHistoryResponse,
@@ -128,7 +129,8 @@
             in_flight: 40,
             limit: 45,
             queued: 12,
-            shed_level: (5 << 16) + (3 << 14),
+            // All classes below rank 2, and three quarters of rank 2.
+            shed_level: ((MAX_CLASSES as u32 - 3) << 16) + (3 << 14),
             ..LoadHint::default()
         }),
         entries: vec![
