--- a/crates/hemlocktack-node/src/links/connection.rs
+++ b/crates/hemlocktack-node/src/links/connection.rs
@@ -4,11 +4,9 @@
 
 use futures::SinkExt;
 use hemlocktack_protocol::{Frame, Incarnation, frame};
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::{mpsc, watch};
-use tokio_util::codec::FramedWrite;
 
-use super::FrameCodec;
+use super::handshake::Writer;
 
 /// Frames that wait for the socket. A peer that reads slowly makes senders
 /// wait here, bounded, and they give up at their own deadlines.
@@ -23,10 +21,7 @@
 }
 
 impl Connection {
-    pub(crate) fn start(
-        peer_incarnation: Incarnation,
-        writer: FramedWrite<OwnedWriteHalf, FrameCodec>,
-    ) -> Self {
+    pub(crate) fn start(peer_incarnation: Incarnation, writer: Writer) -> Self {
         let (frames, queue) = mpsc::channel(WRITE_QUEUE_FRAMES);
         let closed = Arc::new(watch::Sender::new(false));
         tokio::spawn(write_frames(writer, queue, closed.clone()));
@@ -63,7 +58,7 @@
 /// Writes what is queued and flushes when the queue is empty, so that a burst
 /// of frames costs one system call and a lone frame leaves at once.
 async fn write_frames(
-    mut writer: FramedWrite<OwnedWriteHalf, FrameCodec>,
+    mut writer: Writer,
     mut queue: mpsc::Receiver<Frame>,
     closed: Arc<watch::Sender<bool>>,
 ) {
@@ -82,7 +77,7 @@
 }
 
 async fn write_batch(
-    writer: &mut FramedWrite<OwnedWriteHalf, FrameCodec>,
+    writer: &mut Writer,
     first: Frame,
     queue: &mut mpsc::Receiver<Frame>,
 ) -> super::codec::Result<()> {
--- a/crates/hemlocktack-node/src/links/handshake.rs
+++ b/crates/hemlocktack-node/src/links/handshake.rs
@@ -13,7 +13,8 @@
 use hemlocktack_fleet::keys::{FleetKeys, MacPurpose};
 use hemlocktack_protocol::{Challenge, Frame, Hello, Proof, frame};
 use tokio::net::TcpStream;
-use tokio_util::codec::Framed;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio_util::codec::{Framed, FramedParts, FramedWrite};
 
 use super::{FrameCodec, codec};
 
@@ -41,7 +42,30 @@
 /// A link whose other end has proved itself.
 pub(crate) struct OpenLink {
     pub(crate) peer: NodeIncarnation,
-    pub(crate) framed: Framed<TcpStream, FrameCodec>,
+    framed: Framed<TcpStream, FrameCodec>,
+}
+
+/// Receiving half of an open link.
+pub(super) type Reader = Framed<OwnedReadHalf, FrameCodec>;
+/// Sending half of an open link.
+pub(super) type Writer = FramedWrite<OwnedWriteHalf, FrameCodec>;
+
+impl OpenLink {
+    /// Both halves, to be used by tasks of their own.
+    ///
+    /// Failure: the first call often comes in one segment with the proof, and
+    /// a reader that is merely given those bytes looks at them only when more
+    /// come. Symptom: the first call over a link ends `unknown` after its whole
+    /// patience. A reader made from the parts decodes what is there first.
+    pub(super) fn split(self) -> (Reader, Writer) {
+        let parts = self.framed.into_parts();
+        let (read, write) = parts.io.into_split();
+        let mut read_parts = FramedParts::new::<Frame>(read, FrameCodec::new());
+        read_parts.read_buf = parts.read_buf;
+        let reader = Framed::from_parts(read_parts);
+        let writer = FramedWrite::new(write, FrameCodec::new());
+        (reader, writer)
+    }
 }
 
 /// The dialling end.
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -9,12 +9,10 @@
 use hemlocktack_fleet::calls::{Arrival, ArrivalLimits, Arrivals, Resolution};
 use hemlocktack_protocol::{Answer, Call, CallId, CallResolution, Frame, frame};
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::codec::{FramedRead, FramedWrite};
 use tokio_util::sync::CancellationToken;
 
-use super::FrameCodec;
 use super::connection::Connection;
-use super::handshake::{self, OpenLink};
+use super::handshake::{self, Reader};
 use crate::calls;
 use crate::node::Node;
 
@@ -132,13 +130,9 @@
     let Ok(Ok(open)) = tokio::time::timeout(handshake::OPENING_TIMEOUT, opening).await else {
         return;
     };
-    let OpenLink { peer, framed } = open;
-    let parts = framed.into_parts();
-    let (read, write) = parts.io.into_split();
-    let mut reader = FramedRead::new(read, FrameCodec::new());
-    reader.read_buffer_mut().extend_from_slice(&parts.read_buf);
-    let connection =
-        Connection::start(peer.incarnation, FramedWrite::new(write, FrameCodec::new()));
+    let peer = open.peer.clone();
+    let (mut reader, writer) = open.split();
+    let connection = Connection::start(peer.incarnation, writer);
     let sender = node.senders.connected(&peer, connection.clone());
     while let Some(Ok(Frame { body })) = next_frame(&mut reader, &connection).await {
         // A body of a newer schema decodes to nothing and is passed over.
@@ -150,7 +144,7 @@
 }
 
 async fn next_frame(
-    reader: &mut FramedRead<tokio::net::tcp::OwnedReadHalf, FrameCodec>,
+    reader: &mut Reader,
     connection: &Connection,
 ) -> Option<super::codec::Result<Frame>> {
     tokio::select! {
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -18,7 +18,7 @@
 use tokio::sync::mpsc;
 
 use super::connection::Connection;
-use super::handshake;
+use super::handshake::{self, Reader};
 
 /// Opening a link within a data centre takes a millisecond and between regions
 /// a few dozen; a peer that has not answered by then is as good as gone.
@@ -213,12 +213,9 @@
         let stream = TcpStream::connect(**link.address.load()).await.ok()?;
         stream.set_nodelay(true).ok()?;
         let open = handshake::dial(stream, &self.own, &self.keys).await.ok()?;
-        let parts = open.framed.into_parts();
-        let (read, write) = parts.io.into_split();
-        let writer = tokio_util::codec::FramedWrite::new(write, super::FrameCodec::new());
-        let mut reader = tokio_util::codec::FramedRead::new(read, super::FrameCodec::new());
-        reader.read_buffer_mut().extend_from_slice(&parts.read_buf);
-        let connection = Connection::start(open.peer.incarnation, writer);
+        let peer_incarnation = open.peer.incarnation;
+        let (reader, writer) = open.split();
+        let connection = Connection::start(peer_incarnation, writer);
         let answers = read_answers(
             reader,
             connection.clone(),
@@ -277,8 +274,6 @@
     }
 }
 
-type Reader = tokio_util::codec::FramedRead<tokio::net::tcp::OwnedReadHalf, super::FrameCodec>;
-
 async fn read_answers(
     mut reader: Reader,
     connection: Connection,
--- /dev/null
+++ b/crates/hemlocktack-node/tests/processes/frames.rs
@@ -0,0 +1,151 @@
+//! Bytes at a node's link address that are not what another node sends.
+
+use bytes::{Bytes, BytesMut};
+use futures::{SinkExt, StreamExt};
+use hemlocktack_fleet::keys::{FleetKeys, MacPurpose};
+use hemlocktack_protocol::{Frame, Hello, Proof, StatusPull, frame};
+use prost::Message;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::harness::{FLEET_KEY, Fleet, Node, PATIENCE, Plan};
+
+type Link = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// A field number that no schema has yet.
+const FIELD_OF_THE_FUTURE: u32 = 4_000;
+const OWN_INCARNATION: u64 = 7;
+
+async fn connect(node: &Node) -> Link {
+    let stream = TcpStream::connect(node.link).await.unwrap();
+    Framed::new(stream, LengthDelimitedCodec::new())
+}
+
+async fn send(link: &mut Link, body: frame::Body) {
+    let frame = Frame { body: Some(body) };
+    link.send(Bytes::from(frame.encode_to_vec())).await.unwrap();
+}
+
+/// The next frame; `None` where the node has closed the link.
+async fn receive(link: &mut Link) -> Option<frame::Body> {
+    let bytes: BytesMut = link.next().await?.ok()?;
+    Frame::decode(bytes.freeze()).unwrap().body
+}
+
+/// Opens a link as a node with that fleet key does.
+async fn open(node: &Node, fleet_key: &str) -> Link {
+    let (mut link, proof) = open_up_to_proof(node, fleet_key).await;
+    send(&mut link, frame::Body::Proof(proof)).await;
+    link
+}
+
+async fn open_up_to_proof(node: &Node, fleet_key: &str) -> (Link, Proof) {
+    let keys = FleetKeys::new(fleet_key.as_bytes(), None).unwrap();
+    let mut link = connect(node).await;
+    let hello = Hello {
+        node_id: "visitor".to_owned(),
+        incarnation: OWN_INCARNATION,
+        nonce: Bytes::from_static(b"sixteen bytes ok"),
+    };
+    send(&mut link, frame::Body::Hello(hello.clone())).await;
+    let Some(frame::Body::Challenge(challenge)) = receive(&mut link).await else {
+        panic!("no challenge");
+    };
+    let parts = [
+        hello.node_id.as_bytes(),
+        &hello.incarnation.to_be_bytes(),
+        &hello.nonce,
+        challenge.node_id.as_bytes(),
+        &challenge.incarnation.to_be_bytes(),
+        &challenge.nonce,
+    ];
+    let mac = Bytes::copy_from_slice(&keys.sign(MacPurpose::LinkDialler, &parts));
+    (link, Proof { mac })
+}
+
+/// Whether the node answers a question on this link.
+async fn is_answered(link: &mut Link) -> bool {
+    send(link, frame::Body::StatusPull(StatusPull { query_id: 9 })).await;
+    loop {
+        match receive(link).await {
+            Some(frame::Body::Status(status)) => return status.query_id == 9,
+            Some(_) => {}
+            None => return false,
+        }
+    }
+}
+
+async fn assert_serves(fleet: &Fleet) {
+    let reply = fleet.caller(0).get("diaries/slots", "after").await;
+    assert!(reply.is_answered(), "{reply:?}");
+    let mut link = open(&fleet.nodes[0], FLEET_KEY).await;
+    assert!(is_answered(&mut link).await);
+}
+
+/// A node of a newer version sends a kind of frame that this one does not know:
+/// it is dropped, and the link goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frame_of_a_newer_schema_is_passed_over() {
+    let fleet = Fleet::start(&[Plan::new("diaries", 1)]).await;
+    let mut link = open(&fleet.nodes[0], FLEET_KEY).await;
+    let mut newer = BytesMut::new();
+    prost::encoding::string::encode(FIELD_OF_THE_FUTURE, &"unheard of".to_owned(), &mut newer);
+    link.send(newer.freeze()).await.unwrap();
+    assert!(is_answered(&mut link).await);
+}
+
+/// A node dials another and sends a question at once: both frames come in one
+/// segment. Nothing else comes on this link, so the question must be answered
+/// from what is there already. (It waited for the next frame, and the first
+/// call over each such link ended `unknown` after its whole patience.)
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frame_right_behind_the_opening_is_treated() {
+    let fleet = Fleet::start(&[Plan::new("diaries", 1)]).await;
+    let (mut link, proof) = open_up_to_proof(&fleet.nodes[0], FLEET_KEY).await;
+    let pull = StatusPull { query_id: 9 };
+    for body in [frame::Body::Proof(proof), frame::Body::StatusPull(pull)] {
+        let frame = Frame { body: Some(body) };
+        link.feed(Bytes::from(frame.encode_to_vec())).await.unwrap();
+    }
+    SinkExt::<Bytes>::flush(&mut link).await.unwrap();
+    let answer = tokio::time::timeout(PATIENCE, receive(&mut link)).await;
+    assert!(
+        matches!(answer, Ok(Some(frame::Body::Status(_)))),
+        "{answer:?}"
+    );
+}
+
+/// Truncated, oversized and senseless frames, before and after the link has
+/// proved itself: the link is closed, and the node goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_frames_end_their_link_only() {
+    let fleet = Fleet::start(&[Plan::new("diaries", 1)]).await;
+    let truncated: &[u8] = &[0, 0, 0, 100, 1, 2, 3];
+    let oversized: &[u8] = &[0x7f, 0xff, 0xff, 0xff, 1, 2, 3];
+    let senseless: &[u8] = &[0, 0, 0, 4, 0xff, 0xff, 0xff, 0xff];
+    for bytes in [truncated, oversized, senseless] {
+        let strangers = TcpStream::connect(fleet.nodes[0].link).await.unwrap();
+        let proved = open(&fleet.nodes[0], FLEET_KEY).await.into_inner();
+        for mut stream in [strangers, proved] {
+            stream.write_all(bytes).await.unwrap();
+            stream.shutdown().await.unwrap();
+            let mut rest = Vec::new();
+            // The end, or a reset: the node has closed the link.
+            let _ = stream.read_to_end(&mut rest).await;
+        }
+        assert_serves(&fleet).await;
+    }
+}
+
+/// A process without the fleet key, or that skips the opening, is not served.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_link_without_the_fleet_key_is_refused() {
+    let fleet = Fleet::start(&[Plan::new("diaries", 1)]).await;
+    let other_key = "another fleet's key, which is long enough";
+    let mut stranger = open(&fleet.nodes[0], other_key).await;
+    assert!(!is_answered(&mut stranger).await);
+    let mut impatient = connect(&fleet.nodes[0]).await;
+    assert!(!is_answered(&mut impatient).await);
+    assert_serves(&fleet).await;
+}
--- /dev/null
+++ b/crates/hemlocktack-node/tests/processes/harness/fleet.rs
@@ -0,0 +1,176 @@
+//! A whole small fleet.
+
+use std::net::SocketAddr;
+
+use hemlocktack_testkit::upstream;
+
+use super::{Caller, DOCUMENT, Node, NodeOptions, Operator, PlatformProcess, wait_until};
+
+const DATA_CENTRES: [&str; 2] = ["salt-lake", "howrah"];
+
+/// Instances of one service.
+#[derive(Clone, Debug)]
+pub(crate) struct Plan {
+    pub(crate) service: &'static str,
+    pub(crate) count: usize,
+    pub(crate) upstream_flags: Vec<&'static str>,
+}
+
+impl Plan {
+    pub(crate) fn new(service: &'static str, count: usize) -> Plan {
+        Plan {
+            service,
+            count,
+            upstream_flags: Vec::new(),
+        }
+    }
+
+    /// Further flags of the upstreams, such as `--deeper`.
+    pub(crate) fn with(self, flags: &[&'static str]) -> Plan {
+        Plan {
+            upstream_flags: flags.to_vec(),
+            ..self
+        }
+    }
+}
+
+/// Platform, nodes and upstreams of one test.
+pub(crate) struct Fleet {
+    pub(crate) platform: PlatformProcess,
+    pub(crate) nodes: Vec<Node>,
+}
+
+impl Fleet {
+    /// Starts everything, applies [`DOCUMENT`] and waits until every node serves.
+    pub(crate) async fn start(plans: &[Plan]) -> Fleet {
+        let platform = PlatformProcess::start().await;
+        let mut fleet = Fleet {
+            platform,
+            nodes: Vec::new(),
+        };
+        for plan in plans {
+            for number in 1..=plan.count {
+                fleet.add(plan, number);
+            }
+        }
+        let operator = fleet.operator(0, "asha");
+        wait_until("the first configuration is taken", || async {
+            let applied = operator.apply(DOCUMENT, 0).await;
+            let is_input_fault = applied.exit_code == 2;
+            assert!(!is_input_fault, "{applied:?}");
+            applied.exit_code == 0
+        })
+        .await;
+        fleet.wait_until_serving().await;
+        fleet
+    }
+
+    /// Starts one more instance; its number makes its name.
+    pub(crate) fn add(&mut self, plan: &Plan, number: usize) -> usize {
+        let options = NodeOptions {
+            id: format!("{}-{number}", plan.service),
+            service: plan.service.to_owned(),
+            data_centre: DATA_CENTRES[number % DATA_CENTRES.len()].to_owned(),
+            platform: self.platform.address,
+            seed_peers: self.gossip_addresses(),
+            flags: Vec::new(),
+            upstream_flags: plan
+                .upstream_flags
+                .iter()
+                .map(|flag| (*flag).to_owned())
+                .collect(),
+        };
+        self.nodes.push(Node::start(options));
+        self.nodes.len() - 1
+    }
+
+    fn gossip_addresses(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(|node| node.gossip).collect()
+    }
+
+    /// Every node is ready and gets an answer from every service.
+    pub(crate) async fn wait_until_serving(&self) {
+        for node in &self.nodes {
+            let what = format!("{} is ready", node.options.id);
+            wait_until(&what, || node.is_ready()).await;
+            for service in self.services() {
+                let what = format!("{} serves {service}", node.options.id);
+                let caller = Caller::at(node.callers);
+                let path = format!("{service}/warm-up");
+                wait_until(&what, || async {
+                    caller.get(&path, "warm-up").await.is_answered()
+                })
+                .await;
+            }
+        }
+    }
+
+    fn services(&self) -> Vec<&str> {
+        let mut services: Vec<&str> = self
+            .nodes
+            .iter()
+            .map(|node| node.options.service.as_str())
+            .collect();
+        services.sort_unstable();
+        services.dedup();
+        services
+    }
+
+    pub(crate) fn caller(&self, node: usize) -> Caller {
+        Caller::at(self.nodes[node].callers)
+    }
+
+    pub(crate) fn operator(&self, node: usize, name: &str) -> Operator {
+        Operator::at(self.nodes[node].control, name)
+    }
+
+    /// Positions of a service's nodes.
+    pub(crate) fn of(&self, service: &str) -> Vec<usize> {
+        (0..self.nodes.len())
+            .filter(|position| self.nodes[*position].options.service == service)
+            .collect()
+    }
+
+    /// What the upstreams of a service have done, those that are gone left out.
+    pub(crate) async fn counts(&self, service: &str) -> Vec<upstream::Counts> {
+        let mut counts = Vec::new();
+        for position in self.of(service) {
+            counts.extend(self.nodes[position].upstream.try_counts().await);
+        }
+        counts
+    }
+
+    /// Starts of the requests with that marker at all upstreams of a service.
+    pub(crate) async fn starts(&self, service: &str, marker: &str) -> u64 {
+        let counts = self.counts(service).await;
+        counts.iter().map(|counts| counts.starts_of(marker)).sum()
+    }
+
+    /// Waits until an upstream of the service has started the request; its node.
+    pub(crate) async fn wait_for_start(&self, service: &str, marker: &str) -> usize {
+        let mut found = None;
+        let what = format!("{service} starts {marker}");
+        let give_up_at = std::time::Instant::now() + super::PATIENCE;
+        while found.is_none() {
+            assert!(
+                std::time::Instant::now() < give_up_at,
+                "waited in vain: {what}"
+            );
+            for position in self.of(service) {
+                let counts = self.nodes[position].upstream.try_counts().await;
+                if counts.is_some_and(|counts| counts.starts_of(marker) > 0) {
+                    found = Some(position);
+                }
+            }
+        }
+        found.unwrap()
+    }
+
+    /// Sets the service time of all upstreams of a service.
+    pub(crate) async fn set_service_time_ms(&self, service: &str, service_time_ms: u64) {
+        for position in self.of(service) {
+            let upstream = &self.nodes[position].upstream;
+            upstream.set_service_time_ms(service_time_ms).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/tests/processes/harness/node.rs
@@ -0,0 +1,98 @@
+//! One `hemlocktackd` and the upstream beside it.
+
+use std::net::SocketAddr;
+
+use super::process::{Process, node_program};
+use super::{UpstreamProcess, next_address};
+
+/// All nodes of a test share it.
+pub(crate) const FLEET_KEY: &str = "a fleet key for tests, long enough for a node";
+/// Token of the operators' calls.
+pub(crate) const OPERATOR_TOKEN: &str = "operators-token-for-tests";
+
+/// What differs from node to node.
+#[derive(Clone, Debug)]
+pub(crate) struct NodeOptions {
+    pub(crate) id: String,
+    pub(crate) service: String,
+    pub(crate) data_centre: String,
+    pub(crate) platform: SocketAddr,
+    /// Gossip addresses of nodes to ask first.
+    pub(crate) seed_peers: Vec<SocketAddr>,
+    /// Further flags of the node.
+    pub(crate) flags: Vec<String>,
+    /// Further flags of its upstream.
+    pub(crate) upstream_flags: Vec<String>,
+}
+
+/// One instance: a node and its upstream.
+pub(crate) struct Node {
+    pub(crate) options: NodeOptions,
+    pub(crate) callers: SocketAddr,
+    pub(crate) control: SocketAddr,
+    pub(crate) link: SocketAddr,
+    pub(crate) gossip: SocketAddr,
+    pub(crate) process: Process,
+    pub(crate) upstream: UpstreamProcess,
+}
+
+impl Node {
+    pub(crate) fn start(options: NodeOptions) -> Node {
+        let callers = next_address();
+        let control = next_address();
+        let link = next_address();
+        let gossip = next_address();
+        let flags = [
+            ("node", options.id.clone()),
+            ("service", options.service.clone()),
+            ("data-centre", options.data_centre.clone()),
+            ("caller-address", callers.to_string()),
+            ("control-address", control.to_string()),
+            ("link-address", link.to_string()),
+            ("gossip-address", gossip.to_string()),
+            ("platform-url", format!("http://{}", options.platform)),
+            ("seed-peers", joined(&options.seed_peers)),
+            ("fleet-key", FLEET_KEY.to_owned()),
+            ("operator-token", OPERATOR_TOKEN.to_owned()),
+        ];
+        let mut arguments = as_arguments(&flags);
+        arguments.extend(options.flags.clone());
+        let upstream_flags = [
+            ("service", options.service.clone()),
+            ("node-control", control.to_string()),
+            ("node-callers", callers.to_string()),
+        ];
+        let mut upstream_arguments = as_arguments(&upstream_flags);
+        upstream_arguments.extend(options.upstream_flags.clone());
+        Node {
+            process: Process::start(&options.id, &node_program(), &arguments),
+            upstream: UpstreamProcess::start(upstream_arguments),
+            options,
+            callers,
+            control,
+            link,
+            gossip,
+        }
+    }
+
+    /// Whether the node says that it takes calls.
+    pub(crate) async fn is_ready(&self) -> bool {
+        let url = format!("http://{}/ready", self.control);
+        let answer = reqwest::get(url).await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+}
+
+fn as_arguments(flags: &[(&str, String)]) -> Vec<String> {
+    let mut arguments = Vec::new();
+    for (name, value) in flags {
+        arguments.push(format!("--{name}"));
+        arguments.push(value.clone());
+    }
+    arguments
+}
+
+fn joined(addresses: &[SocketAddr]) -> String {
+    let addresses: Vec<String> = addresses.iter().map(SocketAddr::to_string).collect();
+    addresses.join(",")
+}
--- /dev/null
+++ b/crates/hemlocktack-node/tests/processes/harness/operator.rs
@@ -0,0 +1,82 @@
+//! Operators: the command line as a process.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::{Command, Stdio};
+
+use serde_json::Value;
+
+use super::OPERATOR_TOKEN;
+use super::process::operator_program;
+
+/// How one run of the command line ended.
+#[derive(Debug)]
+pub(crate) struct Applied {
+    pub(crate) exit_code: i32,
+    pub(crate) report: Value,
+    #[expect(dead_code, reason = "shown by a failed assertion")]
+    pub(crate) failure: String,
+}
+
+/// An operator who speaks to one node.
+#[derive(Clone, Debug)]
+pub(crate) struct Operator {
+    node_control: SocketAddr,
+    name: String,
+}
+
+impl Operator {
+    pub(crate) fn at(node_control: SocketAddr, name: &str) -> Operator {
+        Operator {
+            node_control,
+            name: name.to_owned(),
+        }
+    }
+
+    /// `config apply`, started from the generation.
+    pub(crate) async fn apply(&self, document: &str, expected_generation: u64) -> Applied {
+        let expected = expected_generation.to_string();
+        let arguments = ["config", "apply", "-", "--expect-generation", &expected];
+        self.run(&arguments, document).await
+    }
+
+    /// Any command, with text for its standard input.
+    pub(crate) async fn run(&self, arguments: &[&str], input: &str) -> Applied {
+        let mut command = Command::new(operator_program());
+        command
+            .args(arguments)
+            .args(["--output", "json"])
+            .env(
+                "HEMLOCKTACK_NODE_URL",
+                format!("http://{}", self.node_control),
+            )
+            .env("HEMLOCKTACK_OPERATOR_TOKEN", OPERATOR_TOKEN)
+            .env("HEMLOCKTACK_AUTHOR", &self.name)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped());
+        let input = input.to_owned();
+        let output = tokio::task::spawn_blocking(move || {
+            let mut child = command.spawn().unwrap();
+            // A command that fails early does not read it.
+            let _ = child.stdin.take().unwrap().write_all(input.as_bytes());
+            child.wait_with_output().unwrap()
+        })
+        .await
+        .unwrap();
+        Applied {
+            exit_code: output.status.code().unwrap(),
+            report: serde_json::from_slice(&output.stdout).unwrap_or_default(),
+            failure: String::from_utf8(output.stderr).unwrap(),
+        }
+    }
+}
+
+impl Applied {
+    /// The generation that the report names, where the change was accepted.
+    pub(crate) fn generation(&self) -> Option<u64> {
+        let generation = &self.report["generation"];
+        let text = generation.as_str().map(str::to_owned);
+        text.unwrap_or_else(|| generation.to_string()).parse().ok()
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/tests/processes/harness/stand_ins.rs
@@ -0,0 +1,117 @@
+//! The stand-ins as processes, steered over HTTP.
+
+use std::net::SocketAddr;
+
+use hemlocktack_testkit::{platform, upstream};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use super::process::{Process, example_program};
+use super::{next_address, wait_until};
+
+/// The platform's stand-in.
+pub(crate) struct PlatformProcess {
+    pub(crate) address: SocketAddr,
+    _process: Process,
+}
+
+impl PlatformProcess {
+    pub(crate) async fn start() -> PlatformProcess {
+        let address = next_address();
+        let arguments = ["--address".to_owned(), address.to_string()];
+        let process = Process::start("platform", &example_program("platform"), &arguments);
+        wait_until("the platform listens", || is_listening(address)).await;
+        PlatformProcess {
+            address,
+            _process: process,
+        }
+    }
+
+    pub(crate) async fn set(&self, switches: platform::Switches) {
+        put_switches(self.address, &switches).await;
+    }
+
+    pub(crate) async fn set_down(&self, down: bool) {
+        let switches = platform::Switches {
+            down,
+            ..platform::Switches::default()
+        };
+        self.set(switches).await;
+    }
+
+    pub(crate) async fn counts(&self) -> platform::Counts {
+        read(self.address, "counts").await.unwrap()
+    }
+}
+
+/// An upstream's stand-in.
+pub(crate) struct UpstreamProcess {
+    pub(crate) address: SocketAddr,
+    arguments: Vec<String>,
+    pub(crate) process: Process,
+}
+
+impl UpstreamProcess {
+    /// `arguments` are those of the example, but for its address.
+    pub(crate) fn start(mut arguments: Vec<String>) -> UpstreamProcess {
+        let address = next_address();
+        arguments.extend(["--address".to_owned(), address.to_string()]);
+        let process = Process::start("upstream", &example_program("upstream"), &arguments);
+        UpstreamProcess {
+            address,
+            arguments,
+            process,
+        }
+    }
+
+    /// Starts it anew at the same address, as whoever runs it does after a crash.
+    pub(crate) fn restart(&mut self) {
+        self.process.kill();
+        self.process = Process::start("upstream", &example_program("upstream"), &self.arguments);
+    }
+
+    pub(crate) async fn set(&self, switches: upstream::Switches) {
+        put_switches(self.address, &switches).await;
+    }
+
+    /// Time that each of its calls takes from now on.
+    pub(crate) async fn set_service_time_ms(&self, service_time_ms: u64) {
+        let switches = upstream::Switches {
+            service_time_ms,
+            ..upstream::Switches::default()
+        };
+        self.set(switches).await;
+    }
+
+    pub(crate) async fn counts(&self) -> upstream::Counts {
+        self.try_counts().await.unwrap()
+    }
+
+    pub(crate) async fn try_counts(&self) -> Option<upstream::Counts> {
+        read(self.address, "counts").await
+    }
+
+    /// Tells its node that it is leaving.
+    pub(crate) async fn drain(&self) {
+        let url = format!("http://{}/drain", self.address);
+        let answer = reqwest::Client::new().post(url).send().await.unwrap();
+        assert!(answer.status().is_success());
+    }
+}
+
+async fn is_listening(address: SocketAddr) -> bool {
+    tokio::net::TcpStream::connect(address).await.is_ok()
+}
+
+async fn put_switches(address: SocketAddr, switches: &impl Serialize) {
+    let url = format!("http://{address}/switches");
+    let request = reqwest::Client::new().put(url).json(switches);
+    assert!(request.send().await.unwrap().status().is_success());
+}
+
+async fn read<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Option<T> {
+    let answer = reqwest::get(format!("http://{address}/{path}"))
+        .await
+        .ok()?;
+    answer.json().await.ok()
+}
--- /dev/null
+++ b/crates/hemlocktack-node/tests/processes/main.rs
@@ -0,0 +1,17 @@
+//! Failures of whole processes: nodes, upstreams and the platform as they run
+//! in production, on loopback, started from the built binaries and examples.
+//!
+//! `cargo build --workspace --bins --examples` goes before, as `.ci/run` does.
+//! Outcomes and counts at the upstreams are asserted, never times; every wait
+//! is bounded and ends as soon as what it waits for is there.
+#![allow(clippy::unwrap_used)]
+
+mod at_most_once;
+mod bad_input;
+mod crash;
+mod frames;
+mod harness;
+mod operators;
+mod platform_out;
+mod stop;
+mod thin_path;
--- /dev/null
+++ b/crates/hemlocktack-node/tests/processes/operators.rs
@@ -0,0 +1,148 @@
+//! Operators' changes: races, lost answers, and what is in force where.
+
+use hemlocktack_testkit::platform::Switches;
+
+use crate::harness::{Fleet, Plan, document_with_comment};
+
+const ROUNDS: u64 = 5;
+
+/// Operators of three teams apply different changes at the same time, each
+/// through another node and each from the same generation. One is accepted;
+/// the others are told of the conflict. The accepted one comes into force on
+/// every node, and no node ever goes back.
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators_have_one_winner() {
+    let fleet = Fleet::start(&[Plan::new("listings", 1), Plan::new("diaries", 2)]).await;
+    let mut seen = vec![0; fleet.nodes.len()];
+    for round in 1..=ROUNDS {
+        let mut teams = Vec::new();
+        for team in 0..fleet.nodes.len() {
+            let operator = fleet.operator(team, &format!("team {team}"));
+            let document = document_with_comment(&format!("round {round}, team {team}"));
+            teams.push(tokio::spawn(async move {
+                operator.apply(&document, round).await
+            }));
+        }
+        let mut accepted = 0;
+        for team in teams {
+            let applied = team.await.unwrap();
+            match applied.exit_code {
+                0 => {
+                    accepted += 1;
+                    assert_eq!(applied.generation(), Some(round + 1), "{applied:?}");
+                }
+                code => assert_eq!(code, 1, "{applied:?}"),
+            }
+        }
+        assert_eq!(accepted, 1, "round {round}");
+        wait_in_force(&fleet, round + 1, &mut seen).await;
+    }
+}
+
+/// The platform stores the change and its answer is lost. The operator is told
+/// that it is stored; the same command again is the same change.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_answer_is_no_second_change() {
+    let fleet = Fleet::start(&[Plan::new("diaries", 2)]).await;
+    // Nodes write their own records too, and may lose an answer in its place.
+    let switches = Switches {
+        lose_answers: 3,
+        ..Switches::default()
+    };
+    fleet.platform.set(switches).await;
+    let operator = fleet.operator(0, "asha");
+    let document = document_with_comment("lost");
+    let first = operator.apply(&document, 1).await;
+    assert_eq!(first.exit_code, 0, "{first:?}");
+    assert_eq!(first.generation(), Some(2));
+    let again = fleet.operator(1, "asha").apply(&document, 1).await;
+    assert_eq!(again.exit_code, 0, "{again:?}");
+    assert_eq!(again.generation(), Some(2));
+    wait_in_force(&fleet, 2, &mut [0, 0]).await;
+}
+
+/// A document with several faults: all of them are reported with their places,
+/// nothing is stored, and what was in force stays.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_faulty_document_is_refused_whole() {
+    let fleet = Fleet::start(&[Plan::new("diaries", 1)]).await;
+    let faulty = r#"
+        [[classes]]
+        name = "bookings"
+        [[caller_kinds]]
+        name = "family"
+        patience_ms = 0
+        retry_allowance = 2
+        [[services]]
+        name = "diaries"
+        [[services.requests]]
+        method = "GET"
+        path_prefix = "slots"
+        class = "no such class"
+        idempotent = true
+    "#;
+    let writes_before = fleet.platform.counts().await.puts;
+    let url = format!(
+        "http://{}/hemlocktack.v1.Operators/ApplyConfiguration",
+        fleet.nodes[0].control
+    );
+    let body = serde_json::json!({
+        "document": faulty, "expectedGeneration": "1", "changeId": "faulty", "author": "asha",
+    });
+    let answer = reqwest::Client::new()
+        .post(url)
+        .bearer_auth(crate::harness::OPERATOR_TOKEN)
+        .json(&body)
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(answer.status().as_u16(), 422);
+    let error: serde_json::Value = answer.json().await.unwrap();
+    let places: Vec<&str> = error["findings"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|finding| finding["place"].as_str().unwrap())
+        .collect();
+    for place in [
+        "caller_kinds[0].patience_ms",
+        "services[0].requests[0].class",
+    ] {
+        assert!(places.contains(&place), "{error:#}");
+    }
+    assert_eq!(fleet.platform.counts().await.puts, writes_before);
+    assert_eq!(in_force(&fleet, 0).await, 1);
+}
+
+/// Waits until the generation is in force on all nodes; none may go back meanwhile.
+async fn wait_in_force(fleet: &Fleet, generation: u64, seen: &mut [u64]) {
+    for (position, seen) in seen.iter_mut().enumerate() {
+        let what = format!("generation {generation} is in force on node {position}");
+        let mut newest = *seen;
+        let mut reverted = None;
+        let give_up_at = std::time::Instant::now() + crate::harness::PATIENCE;
+        while newest < generation {
+            assert!(
+                std::time::Instant::now() < give_up_at,
+                "waited in vain: {what}"
+            );
+            let found = in_force(fleet, position).await;
+            if found < newest {
+                reverted = Some(found);
+            }
+            newest = newest.max(found);
+        }
+        assert_eq!(reverted, None, "node {position} went back");
+        *seen = newest;
+    }
+}
+
+/// Generation in force on a node, from its metrics.
+async fn in_force(fleet: &Fleet, position: usize) -> u64 {
+    let url = format!("http://{}/metrics", fleet.nodes[position].control);
+    let text = reqwest::get(url).await.unwrap().text().await.unwrap();
+    let line = text
+        .lines()
+        .find(|line| line.starts_with("hemlocktack_configuration_generation "));
+    line.unwrap().split(' ').nth(1).unwrap().parse().unwrap()
+}
