--- a/crates/hemlocktack-node/src/lib.rs
+++ b/crates/hemlocktack-node/src/lib.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod control;
 mod counters;
+mod handover;
 mod links;
 mod node;
 mod operators;
@@ -16,4 +17,4 @@
 mod telemetry;
 mod upstream;
 
-pub use run::run_from_command_line;
+pub use run::{run_from_command_line, run_until};
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -14,6 +14,7 @@
 use super::connection::Connection;
 use super::handshake::{self, Reader};
 use crate::calls;
+use crate::handover;
 use crate::node::Node;
 
 /// What this node remembers of those who send it calls.
@@ -56,7 +57,11 @@
     /// What became of its calls stays known in `arrivals`, which is bounded.
     fn disconnected(&self, sender: &Sender) {
         let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
-        if sender.is_closed() && sender.is_idle() {
+        // A newer link may have brought a newer entry of the same identity.
+        let is_listed = senders
+            .get(&sender.identity)
+            .is_some_and(|listed| std::ptr::eq(Arc::as_ptr(listed), sender));
+        if is_listed && sender.is_closed() && sender.is_idle() {
             senders.remove(&sender.identity);
         }
     }
@@ -165,6 +170,12 @@
         frame::Body::Resolve(resolve) => {
             resolve_call(node, sender, connection, resolve.call_id).await
         }
+        frame::Body::Handover(part) => {
+            let accepted = handover::take(node, &sender.identity, part);
+            connection
+                .send(frame::Body::HandoverAccepted(accepted))
+                .await;
+        }
         other => super::questions::answer(node, connection, other).await,
     }
 }
