--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -10,13 +10,11 @@
 use hemlocktack_protocol::{Answer, Call, CallId, CallResolution, Frame, frame};
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::codec::{FramedRead, FramedWrite};
 use tokio_util::sync::CancellationToken;
 
-use super::FrameCodec;
 use super::codec::log_malformed;
 use super::connection::Connection;
-use super::handshake::{self, OpenLink};
+use super::handshake::{self, OpenLink, Reader};
 use crate::calls;
 use crate::handover;
 use crate::node::Node;
@@ -138,13 +136,9 @@
     let Some(open) = open_link(&node, stream).await else {
         return;
     };
-    let OpenLink { peer, framed } = open;
-    let parts = framed.into_parts();
-    let (read, write) = parts.io.into_split();
-    let mut reader = FramedRead::new(read, FrameCodec::new());
-    reader.read_buffer_mut().extend_from_slice(&parts.read_buf);
-    let connection =
-        Connection::start(peer.incarnation, FramedWrite::new(write, FrameCodec::new()));
+    let peer = open.peer.clone();
+    let (mut reader, writer) = open.split();
+    let connection = Connection::start(peer.incarnation, writer);
     let sender = node.senders.connected(&peer, connection.clone());
     while let Some(next) = next_frame(&mut reader, &connection).await {
         let Ok(Frame { body }) = next.inspect_err(log_malformed) else {
@@ -172,7 +166,7 @@
 }
 
 async fn next_frame(
-    reader: &mut FramedRead<tokio::net::tcp::OwnedReadHalf, FrameCodec>,
+    reader: &mut Reader,
     connection: &Connection,
 ) -> Option<super::codec::Result<Frame>> {
     tokio::select! {
