--- a/crates/hemlocktack-node/tests/processes/harness/operator.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/operator.rs
@@ -14,7 +14,6 @@
 pub(crate) struct Applied {
     pub(crate) exit_code: i32,
     pub(crate) report: Value,
-    #[expect(dead_code, reason = "shown by a failed assertion")]
     pub(crate) failure: String,
 }
 
--- /dev/null
+++ b/crates/hemlocktack-node/tests/processes/operator_calls.rs
@@ -0,0 +1,118 @@
+//! What operators see and order through any node.
+
+use serde_json::Value;
+
+use crate::harness::{DOCUMENT, Fleet, Plan, document_with_comment, wait_until};
+
+/// An operator drains a node through another one, and the script that does so
+/// runs twice. The node refuses new calls, ends by itself with exit code 0, and
+/// the other one answers every caller meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_is_drained_through_another_one() {
+    let mut fleet = Fleet::start(&[Plan::new("diaries", 2)]).await;
+    let operator = fleet.operator(0, "asha");
+    for _ in 0..2 {
+        let drained = operator.run(&["drain", "diaries-2"], "").await;
+        let is_gone_already = drained.failure.contains("node-unreachable");
+        assert!(drained.exit_code == 0 || is_gone_already, "{drained:?}");
+        let reply = fleet.caller(0).get("diaries/slots", "during").await;
+        assert!(reply.is_answered(), "{reply:?}");
+    }
+    assert_eq!(fleet.nodes[1].process.exit_code().await, Some(0));
+    let reply = fleet.caller(0).get("diaries/slots", "after").await;
+    assert!(reply.is_answered(), "{reply:?}");
+    let unknown = operator.run(&["drain", "diaries-9"], "").await;
+    assert_eq!(unknown.exit_code, 1);
+    assert!(unknown.failure.contains("unknown-node"), "{unknown:?}");
+}
+
+/// One node is frozen. The status names it as silent instead of leaving it out
+/// or waiting for it, and shows the others as they are.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_status_names_nodes_that_do_not_answer() {
+    let fleet = Fleet::start(&[Plan::new("listings", 1), Plan::new("diaries", 2)]).await;
+    fleet.nodes[2].process.signal("STOP");
+    let status = fleet.operator(0, "asha").run(&["status"], "").await;
+    fleet.nodes[2].process.signal("CONT");
+    assert_eq!(status.exit_code, 0, "{status:?}");
+    assert_eq!(
+        status.report["silentNodeIds"],
+        serde_json::json!(["diaries-2"])
+    );
+    let nodes = status.report["nodes"].as_array().unwrap();
+    let generations = nodes.iter().map(|node| &node["generationInForce"]);
+    assert_eq!(generations.collect::<Vec<_>>(), ["1", "1"]);
+}
+
+/// Calls enter at one node and run at another; the status has both ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_status_counts_calls_where_they_enter() {
+    let fleet = Fleet::start(&[Plan::new("listings", 1), Plan::new("diaries", 1)]).await;
+    let reply = fleet.caller(0).get("nowhere/at-all", "undeclared").await;
+    assert_eq!(reply.reason, "unknown-service");
+    let reply = fleet.caller(0).get("diaries/slots", "known").await;
+    assert!(reply.is_answered(), "{reply:?}");
+    let status = fleet.operator(1, "asha").run(&["status"], "").await;
+    let nodes = status.report["nodes"].as_array().unwrap();
+    let listings = nodes.iter().find(|node| node["nodeId"] == "listings-1");
+    let entries = listings.unwrap()["entries"].as_array().unwrap();
+    let has = |service: &Value, outcome: &str, reason: &Value| {
+        entries.iter().any(|entry| {
+            entry["service"] == *service
+                && entry["outcome"] == outcome
+                && entry["reason"] == *reason
+        })
+    };
+    let unknown_service = Value::from("REASON_UNKNOWN_SERVICE");
+    assert!(
+        has(&Value::Null, "OUTCOME_NOT_RUN", &unknown_service),
+        "{entries:#?}"
+    );
+    assert!(
+        has(&Value::from("diaries"), "OUTCOME_ANSWERED", &Value::Null),
+        "{entries:#?}"
+    );
+}
+
+/// Every generation stays readable, also while the platform is out if it is the
+/// one in force; the newest one is not guessed then, and changes are refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn stored_generations_are_shown() {
+    let fleet = Fleet::start(&[Plan::new("diaries", 1)]).await;
+    let operator = fleet.operator(0, "asha");
+    let second = document_with_comment("second");
+    assert_eq!(operator.apply(&second, 1).await.generation(), Some(2));
+    let document = |report: &Value| report["configuration"]["document"].clone();
+    let newest = operator.run(&["config", "show"], "").await;
+    assert_eq!(document(&newest.report), second.as_str());
+    let first = operator
+        .run(&["config", "show", "--generation", "1"], "")
+        .await;
+    assert_eq!(document(&first.report), DOCUMENT);
+    let missing = operator
+        .run(&["config", "show", "--generation", "7"], "")
+        .await;
+    assert_eq!(missing.exit_code, 1, "{missing:?}");
+    let history = operator.run(&["config", "history"], "").await;
+    let changes = history.report["changes"].as_array().unwrap();
+    let generations = changes.iter().map(|change| &change["generation"]);
+    assert_eq!(generations.collect::<Vec<_>>(), ["2", "1"]);
+    let what = "generation 2 is in force";
+    wait_until(what, || async {
+        let status = operator.run(&["status"], "").await;
+        status.report["nodes"][0]["generationInForce"] == "2"
+    })
+    .await;
+    fleet.platform.set_down(true).await;
+    let in_force = operator
+        .run(&["config", "show", "--generation", "2"], "")
+        .await;
+    assert_eq!(document(&in_force.report), second.as_str());
+    let newest = operator.run(&["config", "show"], "").await;
+    assert!(
+        newest.failure.contains("platform-unavailable"),
+        "{newest:?}"
+    );
+    let refused = operator.apply(DOCUMENT, 2).await;
+    assert_eq!(refused.exit_code, 1, "{refused:?}");
+}
