Let the operators' limits decide on running nodes

queue_limit_calls, kept_answers_bytes, retry_share_percent, quarantine_crashes and quarantine_ms were read and checked but decided nothing: each node ran on the defaults. A generation that comes into force now sets them. A smaller queue keeps what waits; a smaller budget drops the oldest answers at once, and their requests are still known to have run.

The default queue limit is 1,024: decisions use four calls a slot below it, and 256 would have bound a node of 140 slots.

--- a/crates/hemlocktack-config/src/bounds.rs
+++ b/crates/hemlocktack-config/src/bounds.rs
@@ -47,7 +47,7 @@
 pub(crate) const ANSWER_LIMIT_BYTES: Bound =
     optional("answer_limit_bytes", 4 * MIB_BYTES, 0, 16 * MIB_BYTES);
 /// A longer queue holds only calls that will miss their deadline.
-pub(crate) const QUEUE_LIMIT_CALLS: Bound = optional("queue_limit_calls", 256, 0, 65_536);
+pub(crate) const QUEUE_LIMIT_CALLS: Bound = optional("queue_limit_calls", 1_024, 0, 65_536);
 /// Below a second a drain would cut ordinary calls; see `docs/OPERATING.md`.
 pub(crate) const DRAIN_LIMIT_MS: Bound = optional("drain_limit_ms", 60_000, 1_000, HOUR_MS);
 /// Half of a node's 128 MB is the most that kept answers may take.
--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -381,6 +381,12 @@
         self.shed.level()
     }
 
+    /// Changes the operators' bound on the queue. What waits beyond a smaller
+    /// one stays: it was taken, and leaves in its turn.
+    pub fn set_queue_limit(&mut self, most: usize) {
+        self.policy.queue.most = most;
+    }
+
     /// Crash quarantine, to exchange news with other nodes.
     pub fn quarantine(&mut self) -> &mut Quarantine {
         &mut self.quarantine
--- a/crates/hemlocktack-decide/src/quarantine.rs
+++ b/crates/hemlocktack-decide/src/quarantine.rs
@@ -185,6 +185,12 @@
             .collect()
     }
 
+    /// Changes the operators' limits; records keep their count of crashes.
+    pub fn set_limits(&mut self, crashes: u32, refused_for: Duration) {
+        self.policy.crashes = crashes;
+        self.policy.refused_for = refused_for;
+    }
+
     pub(crate) fn alone_interval(&self) -> Duration {
         self.policy.alone_interval
     }
--- a/crates/hemlocktack-decide/src/retry.rs
+++ b/crates/hemlocktack-decide/src/retry.rs
@@ -96,7 +96,8 @@
 /// the edge's own first tries does.
 #[derive(Debug)]
 pub struct EdgeBudget {
-    policy: RetryPolicy,
+    share_per_mille: AtomicU32,
+    saved_retries: u32,
     milli_tokens: AtomicI64,
 }
 
@@ -107,14 +108,21 @@
     pub fn new(policy: RetryPolicy) -> Self {
         EdgeBudget {
             milli_tokens: AtomicI64::new(i64::from(policy.saved_retries) * MILLI),
-            policy,
+            share_per_mille: AtomicU32::new(policy.share_per_mille),
+            saved_retries: policy.saved_retries,
         }
     }
 
+    /// Changes the operators' share; what is saved up stays.
+    pub fn set_share_per_mille(&self, share_per_mille: u32) {
+        self.share_per_mille
+            .store(share_per_mille, Ordering::Relaxed);
+    }
+
     /// Counts a first try.
     pub fn first_try(&self) {
-        let most = i64::from(self.policy.saved_retries) * MILLI;
-        let added = i64::from(self.policy.share_per_mille);
+        let most = i64::from(self.saved_retries) * MILLI;
+        let added = i64::from(self.share_per_mille.load(Ordering::Relaxed));
         let _ = self
             .milli_tokens
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, |tokens| {
--- /dev/null
+++ b/crates/hemlocktack-decide/tests/operators_limits.rs
@@ -0,0 +1,73 @@
+//! Limits that operators change while calls run.
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use hemlocktack_decide::{
+    Admission, AdmissionPolicy, Decision, EdgeBudget, Ended, Offer, RetryPolicy, Standing, Verdict,
+};
+use hemlocktack_protocol::{CallId, Reason};
+
+fn offer(call_id: CallId, now: Instant) -> Offer {
+    Offer {
+        call_id,
+        class_rank: 0,
+        deadline: now + Duration::from_secs(2),
+        root_request_id: call_id,
+        work_spent: Duration::ZERO,
+        fingerprint: call_id,
+        kind: 1,
+    }
+}
+
+/// The operators set the queue to 0 while one call waits. That call was taken:
+/// it runs in its turn, and the next one is refused at once.
+#[test]
+fn a_smaller_queue_keeps_what_waits_and_takes_no_more() {
+    let now = Instant::now();
+    let mut admission = Admission::new(AdmissionPolicy::default(), now);
+    admission.announced(1, 8, false, now);
+    assert_eq!(admission.offer(&offer(1, now), now), Verdict::Run);
+    assert_eq!(admission.offer(&offer(2, now), now), Verdict::Queued);
+    admission.set_queue_limit(0);
+    let Verdict::Refused(refusal) = admission.offer(&offer(3, now), now) else {
+        panic!("queued beyond the limit");
+    };
+    assert_eq!(refusal.reason, Reason::QueueFull);
+    admission.finish(1, Ended::Answered, Duration::ZERO, now);
+    let mut decisions = Vec::new();
+    admission.take_ready(now, &mut decisions);
+    assert_eq!(decisions, [Decision::Run(2)]);
+}
+
+#[test]
+fn a_share_of_nothing_earns_no_more_retries() {
+    let policy = RetryPolicy {
+        saved_retries: 1,
+        ..RetryPolicy::default()
+    };
+    let edge = EdgeBudget::new(policy);
+    assert!(edge.take_one(), "saved up");
+    edge.set_share_per_mille(0);
+    (0..100).for_each(|_| edge.first_try());
+    assert!(!edge.take_one());
+    edge.set_share_per_mille(500);
+    (0..2).for_each(|_| edge.first_try());
+    assert!(edge.take_one());
+}
+
+/// A request is quarantined for the time that operators say, also if they say
+/// it after the crashes.
+#[test]
+fn the_time_in_quarantine_is_the_operators() {
+    let now = Instant::now();
+    let mut admission = Admission::new(AdmissionPolicy::default(), now);
+    let quarantine = admission.quarantine();
+    for _ in 0..3 {
+        quarantine.crashed(&[7], now);
+    }
+    let later = now + Duration::from_secs(20);
+    assert_eq!(quarantine.standing(7, later), Standing::Refused);
+    quarantine.set_limits(3, Duration::from_secs(10));
+    assert_ne!(quarantine.standing(7, later), Standing::Refused);
+}
--- a/crates/hemlocktack-fleet/src/tickets/kept_answers.rs
+++ b/crates/hemlocktack-fleet/src/tickets/kept_answers.rs
@@ -70,6 +70,14 @@
         self.used_bytes
     }
 
+    /// A smaller budget drops the oldest answers at once.
+    pub(crate) fn set_budget_bytes(&mut self, budget_bytes: usize) {
+        self.budget_bytes = budget_bytes;
+        while self.used_bytes > self.budget_bytes {
+            self.drop_oldest();
+        }
+    }
+
     fn drop_oldest(&mut self) {
         let Some(key) = self.oldest_first.pop_front() else {
             return;
--- a/crates/hemlocktack-fleet/src/tickets/table.rs
+++ b/crates/hemlocktack-fleet/src/tickets/table.rs
@@ -130,6 +130,12 @@
         self.records.len()
     }
 
+    /// Changes the budget for kept answers; where it is smaller, the oldest go.
+    pub fn set_kept_answer_bytes(&mut self, kept_answer_bytes: usize) {
+        self.limits.kept_answer_bytes = kept_answer_bytes;
+        self.answers.set_budget_bytes(kept_answer_bytes);
+    }
+
     /// Encoded bytes of kept answers, with their overhead.
     pub fn kept_answer_bytes(&self) -> usize {
         self.answers.used_bytes()
--- a/crates/hemlocktack-fleet/tests/at_most_once/table.rs
+++ b/crates/hemlocktack-fleet/tests/at_most_once/table.rs
@@ -155,3 +155,21 @@
     table.answer(1, answer("booked")).unwrap();
     assert_eq!(table.start(&ticket(1)), Start::Answered(answer("booked")));
 }
+
+// Operators halve the memory for answers while some are kept. The oldest go at
+// once; their requests are still known to have run, and never run again.
+#[test]
+fn a_smaller_budget_drops_answers_and_keeps_what_ran() {
+    let mut table = table();
+    for nonce in 1..=2 {
+        assert_eq!(table.start(&ticket(nonce)), Start::Run);
+        table.started(nonce).unwrap();
+        table.answer(nonce, answer("booked")).unwrap();
+    }
+    table.set_kept_answer_bytes(table.kept_answer_bytes() / 2);
+    assert_eq!(table.start(&ticket(1)), Start::AnswerNotKept);
+    assert_eq!(table.start(&ticket(2)), Start::Answered(answer("booked")));
+    table.set_kept_answer_bytes(0);
+    assert_eq!(table.start(&ticket(2)), Start::AnswerNotKept);
+    table.assert_consistent();
+}
--- a/crates/hemlocktack-node/src/calls/roster.rs
+++ b/crates/hemlocktack-node/src/calls/roster.rs
@@ -1,6 +1,7 @@
 //! What this node knows of each service's nodes, ready for the request path.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
@@ -13,6 +14,8 @@
     ClassRank, DataCentre, LoadHint, Member, NodeState, RootRequestId, ServiceName, UpstreamState,
 };
 
+const MILLE_A_PERCENT: u32 = 10;
+
 /// One node of a service and what its replies said.
 pub(crate) struct PeerEntry {
     pub(crate) member: Member,
@@ -37,6 +40,7 @@
 pub(crate) struct Roster {
     own_data_centre: DataCentre,
     services: ArcSwap<HashMap<ServiceName, Arc<ServiceView>>>,
+    retry_share_per_mille: AtomicU32,
     /// Which service a kind of work belongs to, for kinds seen on this node.
     service_of_kind: Mutex<HashMap<WorkKind, ServiceName>>,
 }
@@ -46,6 +50,7 @@
         Self {
             own_data_centre,
             services: ArcSwap::default(),
+            retry_share_per_mille: AtomicU32::new(RetryPolicy::default().share_per_mille),
             service_of_kind: Mutex::default(),
         }
     }
@@ -88,7 +93,7 @@
             });
         }
         let edge = known.map_or_else(
-            || Arc::new(EdgeBudget::new(RetryPolicy::default())),
+            || Arc::new(EdgeBudget::new(self.retry_policy())),
             |view| view.edge.clone(),
         );
         let same_peers = known.filter(|view| view.has_peers(&peers));
@@ -97,6 +102,23 @@
         ServiceView { peers, edge, gate }
     }
 
+    /// Takes in the operators' share of retries, for every service.
+    pub(crate) fn set_retry_share_percent(&self, share_percent: u32) {
+        let share_per_mille = share_percent * MILLE_A_PERCENT;
+        self.retry_share_per_mille
+            .store(share_per_mille, Ordering::Relaxed);
+        for view in self.services.load().values() {
+            view.edge.set_share_per_mille(share_per_mille);
+        }
+    }
+
+    fn retry_policy(&self) -> RetryPolicy {
+        RetryPolicy {
+            share_per_mille: self.retry_share_per_mille.load(Ordering::Relaxed),
+            ..RetryPolicy::default()
+        }
+    }
+
     fn fresh_load(&self, member: &Member) -> Arc<PeerLoad> {
         let is_near = member.data_centre == *self.own_data_centre;
         Arc::new(PeerLoad::new(is_near, member.upstream(), Instant::now()))
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -166,8 +166,29 @@
         let generation = in_force.generation;
         log_event!(Event::ConfigurationInForce, generation);
         self.entry_counts.declare(&in_force.document);
-        let sample_per_million = in_force.document.limits.trace_sample_per_million;
-        self.tracer.set_sample_per_million(sample_per_million);
+        self.take_limits(&in_force.document);
+    }
+
+    fn take_limits(&self, document: &Document) {
+        let limits = &document.limits;
+        self.tracer
+            .set_sample_per_million(limits.trace_sample_per_million);
+        self.roster
+            .set_retry_share_percent(limits.retry_share_percent);
+        let kept_answers_bytes = usize::try_from(limits.kept_answers_bytes);
+        self.home
+            .table()
+            .set_kept_answer_bytes(kept_answers_bytes.unwrap_or(usize::MAX));
+        let refused_for = Duration::from_millis(limits.quarantine_ms);
+        let own_service = document.service(&self.settings.service);
+        self.desk.with_admission(|admission| {
+            admission
+                .quarantine()
+                .set_limits(limits.quarantine_crashes, refused_for);
+            if let Some(service) = own_service {
+                admission.set_queue_limit(service.queue_limit_calls);
+            }
+        });
     }
 
     pub(crate) fn body_limit_bytes(&self, service: &str) -> usize {
