--- a/crates/hemlocktack-config/src/bounds.rs
+++ b/crates/hemlocktack-config/src/bounds.rs
@@ -58,8 +58,8 @@
 /// Retries to one service, as a share of first tries: a higher share keeps an
 /// overload up after its cause has gone.
 pub(crate) const RETRY_SHARE_PERCENT: Bound = optional("retry_share_percent", 10, 0, 100);
-/// With fewer, calls that only ran beside a guilty one would be taken for it.
-pub(crate) const QUARANTINE_CRASHES: Bound = optional("quarantine_crashes", 3, 3, 100);
+/// With one, calls that only ran beside a guilty one would be taken for it.
+pub(crate) const QUARANTINE_CRASHES: Bound = optional("quarantine_crashes", 2, 2, 100);
 pub(crate) const QUARANTINE_MS: Bound = optional("quarantine_ms", 300_000, 1_000, HOUR_MS);
 
 /// Every whole-number field of the document.
