--- a/crates/hemlocktack-telemetry/src/trace_context.rs
+++ b/crates/hemlocktack-telemetry/src/trace_context.rs
@@ -7,11 +7,12 @@
 
 /// The only version of `traceparent` so far; later ones begin the same way.
 const VERSION: &str = "00";
-const INVALID_VERSION: &str = "ff";
-const SAMPLED_FLAG: u8 = 1;
+const INVALID_VERSION: &[u8] = b"ff";
+const SAMPLED_FLAG: u128 = 1;
+/// Where the parts of a header meet.
+const DASHES: [usize; 3] = [2, 35, 52];
 const HEADER_LENGTH: usize = 55;
 const TRACE_ID_DIGITS: usize = 32;
-const SPAN_ID_DIGITS: usize = 16;
 
 /// Where in which trace something happens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,23 +29,17 @@
     /// Reads a `traceparent` header; `None` where it is malformed, which by the
     /// standard counts as absent.
     pub fn parse(header: &str) -> Option<Self> {
-        let mut parts = header.trim().split('-');
-        let version = parts.next()?;
-        let trace_id = parse_trace_id(parts.next()?)?;
-        let span_id = parse_span_id(parts.next()?)?;
-        let flags = parts.next()?;
-        let is_version = version.len() == VERSION.len() && is_lower_hex(version);
-        if !is_version || version == INVALID_VERSION {
+        let header = header.trim().as_bytes();
+        let (known, rest) = header.split_at_checked(HEADER_LENGTH)?;
+        let has_dashes = DASHES.iter().all(|position| known[*position] == b'-');
+        if !has_dashes || !is_version(&known[..2], rest) {
             return None;
         }
-        if version == VERSION && parts.next().is_some() {
-            return None;
-        }
-        if flags.len() != 2 || !is_lower_hex(flags) {
-            return None;
-        }
-        let flags = u8::from_str_radix(flags, 16).ok()?;
-        Some(TraceContext {
+        let trace_id = read_hex(&known[3..35])?;
+        let span_id = SpanId::try_from(read_hex(&known[36..52])?).ok()?;
+        let flags = read_hex(&known[53..])?;
+        let is_valid = trace_id != 0 && span_id != 0;
+        is_valid.then_some(TraceContext {
             trace_id,
             span_id,
             sampled: flags & SAMPLED_FLAG != 0,
@@ -79,22 +74,31 @@
 
 /// Reads a trace id as headers and operators write it.
 pub fn parse_trace_id(text: &str) -> Option<TraceId> {
-    if text.len() != TRACE_ID_DIGITS || !is_lower_hex(text) {
+    if text.len() != TRACE_ID_DIGITS {
         return None;
     }
-    let trace_id = TraceId::from_str_radix(text, 16).ok()?;
-    (trace_id != 0).then_some(trace_id)
+    read_hex(text.as_bytes()).filter(|trace_id| *trace_id != 0)
 }
 
-fn parse_span_id(text: &str) -> Option<SpanId> {
-    if text.len() != SPAN_ID_DIGITS || !is_lower_hex(text) {
-        return None;
+/// Later versions begin the same way and may go on after another dash.
+fn is_version(version: &[u8], rest: &[u8]) -> bool {
+    if version == VERSION.as_bytes() {
+        return rest.is_empty();
     }
-    let span_id = SpanId::from_str_radix(text, 16).ok()?;
-    (span_id != 0).then_some(span_id)
+    let is_later = read_hex(version).is_some() && version != INVALID_VERSION;
+    is_later && (rest.is_empty() || rest[0] == b'-')
 }
 
-fn is_lower_hex(text: &str) -> bool {
-    let is_digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
-    text.bytes().all(is_digit)
+/// Lower-case digits only, as the standard asks; at most 32.
+fn read_hex(digits: &[u8]) -> Option<u128> {
+    let mut number = 0;
+    for digit in digits {
+        let value = match digit {
+            b'0'..=b'9' => digit - b'0',
+            b'a'..=b'f' => digit - b'a' + 10,
+            _ => return None,
+        };
+        number = number << 4 | u128::from(value);
+    }
+    Some(number)
 }
