--- a/crates/hemlocktack-fleet/examples/fleet_runs/node.rs
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/node.rs
@@ -23,7 +23,7 @@
     pub(crate) frozen_until: Duration,
     /// The node was frozen, cut off, killed or started at this time.
     pub(crate) disturbed: Duration,
-    /// Incarnation and time of the last planned stop.
+    /// Incarnation and time of the last planned stop that others could hear of.
     pub(crate) left: Option<(Incarnation, Duration)>,
     /// Start order of the last start, so that clocks may go backwards.
     pub(crate) clock_ms: u64,
--- a/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
@@ -15,7 +15,7 @@
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 
-use crate::checks::Checks;
+use crate::checks::{Checks, LEAVING_LIMIT};
 use crate::network::Network;
 use crate::node::{Process, Slot};
 use crate::platform::{Platform, Watch, Weather};
@@ -214,7 +214,9 @@
         let has_left = matches!(outcome, Ok(true));
         let cut_off = has_left.then_some(process.in_flight);
         if has_left {
-            self.slots[number].left = Some((process.incarnation, self.now));
+            let slot = &mut self.slots[number];
+            let could_tell = self.now.saturating_sub(slot.disturbed) >= LEAVING_LIMIT;
+            slot.left = could_tell.then_some((process.incarnation, self.now));
         } else {
             self.slots[number].process = Some(process);
         }
--- a/crates/hemlocktack-fleet/src/membership/machine.rs
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -84,7 +84,9 @@
     pub(super) seeds: Vec<SocketAddr>,
     pub(super) sweep: Option<Sweep>,
     pub(super) joined: bool,
-    pub(super) started: Instant,
+    /// Set while a whole table is read at once: after the start, and after a
+    /// pause of this process.
+    pub(super) reading_since: Option<Instant>,
     pub(super) now: Instant,
     pub(super) last_tick: Instant,
     pub(super) next_period: Instant,
@@ -115,7 +117,7 @@
             seeds: Vec::new(),
             sweep: None,
             joined: false,
-            started: now,
+            reading_since: Some(now),
             now,
             last_tick: now,
             next_period: now,
--- a/crates/hemlocktack-fleet/src/membership/receive.rs
+++ b/crates/hemlocktack-fleet/src/membership/receive.rs
@@ -35,7 +35,7 @@
         self.take_in(now, records, &mut corrections, &mut actions, rng);
         self.hear_generation(&gossip, &mut actions);
         self.correct_sender(&gossip, &mut corrections);
-        self.compare_digest(from, &gossip);
+        self.compare_digest(from, &gossip, &mut actions);
         self.handle_body(from, gossip, corrections, &mut actions);
         actions
     }
@@ -154,13 +154,21 @@
         }
     }
 
-    fn compare_digest(&mut self, from: SocketAddr, gossip: &Gossip) {
-        let wanted = self.settings.keeps(Safeguard::AntiEntropy) || !self.joined;
-        if wanted && self.sweep.is_none() && gossip.table_digest != self.digest() {
-            self.sweep = Some(Sweep {
-                peer: from,
-                cursor: String::new(),
-            });
+    /// Begins a comparison with a sender whose table differs: with the first
+    /// page at once where none was pulled lately, since a node that comes back
+    /// from a cut has to learn soon who has left meanwhile.
+    fn compare_digest(&mut self, from: SocketAddr, gossip: &Gossip, actions: &mut Vec<Action>) {
+        let wanted = self.settings.keeps(Safeguard::AntiEntropy);
+        if !wanted || self.sweep.is_some() || gossip.table_digest == self.digest() {
+            return;
+        }
+        self.sweep = Some(Sweep {
+            peer: from,
+            cursor: String::new(),
+        });
+        if self.now >= self.next_sync {
+            self.next_sync = self.now + self.settings.sync_period;
+            self.pull_page(actions);
         }
     }
 
@@ -285,10 +293,11 @@
         if page.complete || made_no_progress {
             self.sweep = None;
             self.joined = true;
+            self.reading_since = None;
             return;
         }
         sweep.cursor = page.last_node_id;
-        if !self.joined {
+        if self.reading_since.is_some() {
             self.pull_page(actions);
         }
     }
--- a/crates/hemlocktack-fleet/src/membership/settings.rs
+++ b/crates/hemlocktack-fleet/src/membership/settings.rs
@@ -17,6 +17,8 @@
     AccusationAge,
     /// A node that was paused itself accuses nobody.
     OwnPause,
+    /// A node that was paused itself reads the whole table at once.
+    ReadAfterPause,
     /// Left and dead records are kept, so that old news does not revive them.
     Tombstones,
     /// Dead members are tried again now and then.
--- a/crates/hemlocktack-fleet/src/membership/tick.rs
+++ b/crates/hemlocktack-fleet/src/membership/tick.rs
@@ -50,6 +50,8 @@
     /// A node that was paused itself must not accuse others: their answers lay
     /// unread in its socket, and every suspicion's time passed while nobody
     /// could be heard. Symptom: on waking it holds half the fleet for dead.
+    /// And it has to read what it missed before others stop repeating it:
+    /// until then it places calls on upstreams that left meanwhile.
     fn forgive_own_pause(&mut self, now: Instant) {
         let gap = now.saturating_duration_since(self.last_tick);
         self.last_tick = now;
@@ -58,6 +60,11 @@
             self.probes.pending = None;
             self.table.extend_suspicions(gap);
         }
+        if was_paused && self.settings.keeps(Safeguard::ReadAfterPause) {
+            self.sweep = None;
+            self.reading_since = Some(now);
+            self.next_period = now;
+        }
     }
 
     /// Where a direct probe stays unanswered, others try: one bad path between
@@ -209,8 +216,8 @@
     }
 
     fn continue_sweep(&mut self, now: Instant, actions: &mut Vec<Action>, rng: &mut impl Rng) {
-        if !self.joined {
-            self.join(now, actions, rng);
+        if let Some(since) = self.reading_since {
+            self.read_table(now, since, actions, rng);
             return;
         }
         if now < self.next_sync {
@@ -236,19 +243,26 @@
         }
     }
 
-    /// Reads a whole table from a seed, another one each period until one has
-    /// answered.
-    fn join(&mut self, now: Instant, actions: &mut Vec<Action>, rng: &mut impl Rng) {
+    /// Reads a whole table from a live member or a seed, another one each
+    /// period until one has answered.
+    fn read_table(
+        &mut self,
+        now: Instant,
+        since: Instant,
+        actions: &mut Vec<Action>,
+        rng: &mut impl Rng,
+    ) {
         let patience = self.settings.probe_period * JOIN_PERIODS;
-        if now.saturating_duration_since(self.started) >= patience {
+        if now.saturating_duration_since(since) >= patience {
             self.joined = true;
+            self.reading_since = None;
         }
         let known = self
             .table
             .live()
             .filter_map(|(_, entry)| entry.address)
             .choose(rng);
-        let Some(peer) = self.unknown_seed(rng).or(known) else {
+        let Some(peer) = known.or_else(|| self.unknown_seed(rng)) else {
             return;
         };
         let cursor = self
