--- a/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
@@ -311,7 +311,8 @@
             self.live(number, process, &actions);
         }
         process.in_flight = process.in_flight.saturating_sub(1);
-        let actions = process.life.tick(instant, process.in_flight);
+        let mut actions = process.life.check_upstream(instant);
+        actions.append(&mut process.life.check_stop(instant, process.in_flight));
         Ok(self.live(number, process, &actions))
     }
 
@@ -355,7 +356,7 @@
                     let actions = process.life.drain(self.instant());
                     self.live(number, process, &actions);
                 }
-                Action::MembersChanged => {}
+                Action::MembersChanged | Action::SuspectsHeard { .. } => {}
             }
         }
     }
--- a/crates/hemlocktack-fleet/src/drain/life.rs
+++ b/crates/hemlocktack-fleet/src/drain/life.rs
@@ -172,11 +172,17 @@
         actions
     }
 
-    /// To be called several times a second, with the calls in flight here in
-    /// both roles.
-    pub fn tick(&mut self, now: Instant, in_flight: usize) -> Vec<LifeAction> {
+    /// To be called several times a second: an upstream's announcement may
+    /// have lapsed.
+    pub fn check_upstream(&mut self, now: Instant) -> Vec<LifeAction> {
         self.upstream.tick(now);
-        let mut actions = self.publish_changes();
+        self.publish_changes()
+    }
+
+    /// To be called several times a second during a stop, with the calls in
+    /// flight here in both roles.
+    pub fn check_stop(&mut self, now: Instant, in_flight: usize) -> Vec<LifeAction> {
+        let mut actions = Vec::new();
         match self.stop {
             Stop::WaitingForCalls { since } => {
                 self.wait_for_calls(now, since, in_flight, &mut actions);
--- a/crates/hemlocktack-fleet/src/membership/machine.rs
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -4,7 +4,8 @@
 use std::time::Instant;
 
 use hemlocktack_protocol::{
-    Generation, Gossip, Incarnation, Member, NodeState, Succession, UpstreamState, gossip,
+    Generation, Gossip, Incarnation, Member, NodeState, Succession, SuspectRequest, UpstreamState,
+    gossip,
 };
 use prost::Message;
 use rand::Rng;
@@ -29,6 +30,11 @@
     },
     /// The members or their states changed: take a new snapshot.
     MembersChanged,
+    /// Another node of the service found requests that crash upstreams.
+    SuspectsHeard {
+        /// What it found.
+        suspects: Vec<SuspectRequest>,
+    },
     /// A peer has a higher generation in force than this node.
     GenerationHeard {
         /// Peer to pull from.
@@ -183,16 +189,32 @@
         actions
     }
 
-    /// Tells others the epoch that this node's tickets are issued in.
-    pub fn set_ticket_epoch(&mut self, epoch: u64) {
+    /// Tells others the epoch that this node's tickets are issued in, and whose
+    /// tickets it has taken over. A succession is told at once: until it is
+    /// known, re-sends of the old home's calls find nobody.
+    pub fn update_tickets(
+        &mut self,
+        epoch: u64,
+        successions: Vec<Succession>,
+        rng: &mut impl Rng,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let has_taken_over = self.own.successions != successions;
+        if self.own.ticket_epoch == epoch && !has_taken_over {
+            return actions;
+        }
         self.own.ticket_epoch = epoch;
+        self.own.successions = successions;
         self.raise_own_version();
+        if has_taken_over {
+            self.tell_at_once(vec![self.own.clone()], &mut actions, rng);
+        }
+        actions
     }
 
-    /// Tells others whose tickets this node has taken over.
-    pub fn set_successions(&mut self, successions: Vec<Succession>) {
-        self.own.successions = successions;
-        self.raise_own_version();
+    /// Whether any other member is taken for live.
+    pub fn knows_live_members(&self) -> bool {
+        self.table.live().next().is_some()
     }
 
     /// Takes note of the generation in force here and tells several peers at
@@ -207,6 +229,27 @@
         actions
     }
 
+    /// Tells the other nodes of this service about requests that crash
+    /// upstreams: they run the same ones next. A service is small, whatever
+    /// the fleet's size; the limit holds if it is not.
+    pub fn tell_suspects(&mut self, suspects: &[SuspectRequest]) -> Vec<Action> {
+        const TOLD_LIMIT: usize = 32;
+        const SUSPECTS_LIMIT: usize = 16;
+        let is_told = |entry: &&Entry| entry.member.service == self.own.service;
+        let told = self.table.live().map(|(_, entry)| entry).filter(is_told);
+        let addresses: Vec<SocketAddr> = told.filter_map(|entry| entry.address).collect();
+        let told = addresses.into_iter().take(TOLD_LIMIT);
+        let sends = told.map(|to| {
+            let mut gossip = self.empty_datagram(None);
+            gossip.suspects = suspects.iter().copied().take(SUSPECTS_LIMIT).collect();
+            Action::Send {
+                to,
+                gossip: Box::new(gossip),
+            }
+        });
+        sends.collect()
+    }
+
     pub(super) fn raise_own_version(&mut self) {
         self.own.version += 1;
         self.news.push(&self.own.node_id);
--- a/crates/hemlocktack-fleet/src/membership/receive.rs
+++ b/crates/hemlocktack-fleet/src/membership/receive.rs
@@ -34,6 +34,10 @@
         let records = std::mem::take(&mut gossip.members);
         self.take_in(now, records, &mut corrections, &mut actions, rng);
         self.hear_generation(&gossip, &mut actions);
+        if !gossip.suspects.is_empty() {
+            let suspects = std::mem::take(&mut gossip.suspects);
+            actions.push(Action::SuspectsHeard { suspects });
+        }
         self.correct_sender(&gossip, &mut corrections);
         self.compare_digest(from, &gossip, &mut actions);
         self.handle_body(from, gossip, corrections, &mut actions);
