Run membership, configuration in force and drain in the node

Gossip over UDP replaces the listing of platform records; configuration is followed by two watchers a data centre, the others pull from peers; a planned stop goes through drain::Life and stays for 2 s, so that others have heard of it.

--- a/crates/hemlocktack-fleet/src/drain/life.rs
+++ b/crates/hemlocktack-fleet/src/drain/life.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// What members were told last.
+    pub fn publication(&self) -> Publication {
+        self.published
+    }
+
     /// State of this node.
     pub fn state(&self) -> NodeState {
         match self.stop {
--- a/crates/hemlocktack-node/src/calls/roster.rs
+++ b/crates/hemlocktack-node/src/calls/roster.rs
@@ -75,12 +75,15 @@
     }
 
     fn view_of(&self, members: &[&Member], known: Option<&ServiceView>) -> ServiceView {
+        let some_are_sure = members
+            .iter()
+            .any(|member| member.state() == NodeState::Ready);
         let mut peers = Vec::new();
         for member in members {
             let identity = NodeIncarnation::new(member.node_id.as_str(), member.incarnation);
             let kept = known.and_then(|view| view.load_of(&identity));
             let load = kept.unwrap_or_else(|| self.fresh_load(member));
-            load.set_state(state_for_placement(member));
+            load.set_state(state_for_placement(member, some_are_sure));
             peers.push(PeerEntry {
                 member: Member::clone(member),
                 identity,
@@ -171,10 +174,13 @@
     !matches!(member.state(), NodeState::Left | NodeState::Dead)
 }
 
-/// Placement asks one question: does it take calls?
-fn state_for_placement(member: &Member) -> UpstreamState {
+/// Placement asks one question: does it take calls? One that may be down is
+/// passed over while others are surely up: a frozen node holds each call placed
+/// on it until the caller's patience ends.
+fn state_for_placement(member: &Member, some_are_sure: bool) -> UpstreamState {
     match member.state() {
-        NodeState::Ready | NodeState::Suspect => member.upstream(),
+        NodeState::Ready => member.upstream(),
+        NodeState::Suspect if !some_are_sure => member.upstream(),
         _ => UpstreamState::Draining,
     }
 }
--- /dev/null
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -0,0 +1,237 @@
+//! The one task that owns the configuration in force: it asks the platform and
+//! peers, and brings what is newer into force.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlocktack_fleet::configuration::{
+    ConfigurationAction, ConfigurationSettings, InForce, PeersView, watches_platform,
+};
+use hemlocktack_platform::{ConfigurationStore, StoredConfiguration, Version};
+use hemlocktack_protocol::{
+    ConfigurationDocument, ConfigurationPull, Generation, Member, NodeState, frame,
+};
+use hemlocktack_telemetry::{Event as LogEvent, log_event};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+
+use crate::node::{Node, Place};
+use crate::run::Result;
+
+const TICK_PERIOD: Duration = Duration::from_millis(100);
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// What the task is told by other parts of the node and by its own questions.
+pub(crate) enum Event {
+    /// A peer says that it has this generation in force.
+    Heard {
+        node_id: String,
+        generation: Generation,
+    },
+    /// An operator's command on this node was stored.
+    StoredHere(ConfigurationDocument),
+    PlatformAnswered(Option<StoredConfiguration>),
+    PlatformFailed,
+    PeerAnswered {
+        node_id: String,
+        document: ConfigurationDocument,
+    },
+    PeerFailed {
+        node_id: String,
+    },
+}
+
+/// Starts to follow; the node is ready once its configuration has caught up.
+pub(crate) fn start(node: &Arc<Node>) -> Result<()> {
+    let Some(events) = node.take_configuration_events() else {
+        return Ok(());
+    };
+    let settings = ConfigurationSettings::default();
+    let follower = Follower {
+        watchers: settings.watchers_per_data_centre,
+        pull_timeout: settings.pull_timeout,
+        in_force: InForce::new(settings, Instant::now()),
+        store: Arc::new(ConfigurationStore::new(node.platform.clone())),
+        version: 0,
+        rng: StdRng::seed_from_u64(rand::random()),
+        was_reachable: true,
+        node: node.clone(),
+    };
+    tokio::spawn(follower.run(events));
+    Ok(())
+}
+
+struct Follower {
+    node: Arc<Node>,
+    store: Arc<ConfigurationStore>,
+    in_force: InForce,
+    watchers: usize,
+    pull_timeout: Duration,
+    /// Last version that the platform showed.
+    version: Version,
+    rng: StdRng,
+    was_reachable: bool,
+}
+
+impl Follower {
+    async fn run(mut self, mut events: mpsc::Receiver<Event>) {
+        let node = self.node.clone();
+        let mut ticks = tokio::time::interval(TICK_PERIOD);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                Some(event) = events.recv() => self.handle(event),
+                _ = ticks.tick() => {
+                    let view = self.view();
+                    let actions = self.in_force.tick(Instant::now(), &view, &mut self.rng);
+                    self.act(actions);
+                }
+                () = node.signals.stopped.cancelled() => return,
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = Instant::now();
+        let actions = match event {
+            Event::Heard {
+                node_id,
+                generation,
+            } => {
+                self.in_force.hear(&node_id, generation);
+                self.in_force.tick(now, &self.view(), &mut self.rng)
+            }
+            Event::StoredHere(document) => self.in_force.stored_here(document),
+            Event::PlatformAnswered(stored) => self.platform_answered(now, stored),
+            Event::PlatformFailed => {
+                self.in_force.platform_failed(now, &mut self.rng);
+                self.note_reachable(false);
+                Vec::new()
+            }
+            Event::PeerAnswered { node_id, document } => {
+                let generation = document.generation;
+                let document = (!document.document.is_empty()).then_some(document);
+                self.in_force
+                    .peer_answered(now, &node_id, generation, document)
+            }
+            Event::PeerFailed { node_id } => {
+                self.in_force.peer_failed(now, &node_id, &mut self.rng);
+                Vec::new()
+            }
+        };
+        self.act(actions);
+    }
+
+    fn platform_answered(
+        &mut self,
+        now: Instant,
+        stored: Option<StoredConfiguration>,
+    ) -> Vec<ConfigurationAction> {
+        self.note_reachable(true);
+        if let Some(stored) = &stored {
+            self.version = self.version.max(stored.version);
+        }
+        let document = stored.map(|stored| stored.configuration);
+        let view = self.view();
+        self.in_force
+            .platform_answered(now, document, &view, &mut self.rng)
+    }
+
+    fn note_reachable(&mut self, reachable: bool) {
+        if reachable == self.was_reachable {
+            return;
+        }
+        self.was_reachable = reachable;
+        match reachable {
+            true => log_event!(LogEvent::PlatformBack),
+            false => log_event!(LogEvent::PlatformLost),
+        }
+    }
+
+    fn act(&mut self, actions: Vec<ConfigurationAction>) {
+        for action in actions {
+            match action {
+                ConfigurationAction::AskPlatform { wait, .. } => self.ask_platform(wait),
+                ConfigurationAction::Pull { node_id, above } => self.pull(node_id, above),
+                ConfigurationAction::Install { document } => {
+                    self.node.take_configuration(document);
+                    self.node.signals.own_changed.notify_one();
+                }
+                ConfigurationAction::CaughtUp => {
+                    log_event!(LogEvent::NodeReady);
+                    self.node.live(|life, _| life.caught_up());
+                }
+            }
+        }
+    }
+
+    fn ask_platform(&self, wait: bool) {
+        let (node, store, version) = (self.node.clone(), self.store.clone(), self.version);
+        tokio::spawn(async move {
+            let answer = match wait {
+                true => store.watch_newer(version, WATCH_WAIT).await,
+                false => store.read_newest().await,
+            };
+            let event = answer.map_or(Event::PlatformFailed, Event::PlatformAnswered);
+            node.tell_configuration(event);
+        });
+    }
+
+    fn pull(&self, node_id: String, above: Generation) {
+        let (node, deadline) = (self.node.clone(), Instant::now() + self.pull_timeout);
+        tokio::spawn(async move {
+            let event = match ask_peer(&node, &node_id, above, deadline).await {
+                Some(document) => Event::PeerAnswered { node_id, document },
+                None => Event::PeerFailed { node_id },
+            };
+            node.tell_configuration(event);
+        });
+    }
+
+    fn view(&self) -> PeersView {
+        let members = self.node.members();
+        let own_id = &*self.node.identity.node_id;
+        let others = || members.iter().filter(|member| member.node_id != own_id);
+        let is_ready = |member: &&Member| member.state() == NodeState::Ready;
+        let is_near = |member: &&Member| *member.data_centre == *self.node.settings.data_centre;
+        let may_watch =
+            |member: &&Member| matches!(member.state(), NodeState::Ready | NodeState::Starting);
+        let near = others().filter(is_near).filter(may_watch);
+        // Only a starting node asks peers that have not said anything.
+        let is_asked = !self.in_force.is_caught_up();
+        let ready = others().filter(is_ready).filter(|_| is_asked);
+        PeersView {
+            ready: ready.map(|member| member.node_id.clone()).collect(),
+            is_watcher: watches_platform(
+                own_id,
+                near.map(|member| member.node_id.as_str()),
+                self.watchers,
+            ),
+        }
+    }
+}
+
+async fn ask_peer(
+    node: &Node,
+    node_id: &str,
+    above: Generation,
+    deadline: Instant,
+) -> Option<ConfigurationDocument> {
+    let members = node.members();
+    let member = members.iter().find(|member| member.node_id == node_id)?;
+    let Place::There(peer) = node.place_of(member)? else {
+        return None;
+    };
+    let question = |query_id| {
+        frame::Body::ConfigurationPull(ConfigurationPull {
+            generation_in_force: above,
+            query_id,
+        })
+    };
+    match node.links.ask(&peer, deadline, question).await? {
+        frame::Body::Configuration(document) => Some(document),
+        _ => None,
+    }
+}
--- a/crates/hemlocktack-node/src/configuration/mod.rs
+++ b/crates/hemlocktack-node/src/configuration/mod.rs
@@ -1,7 +1,7 @@
 //! Which configuration is in force.
 
+mod follow;
 mod relay;
-mod watch;
 
+pub(crate) use follow::{Event, start};
 pub(crate) use relay::newer_than;
-pub(crate) use watch::start;
--- a/crates/hemlocktack-node/src/configuration/relay.rs
+++ b/crates/hemlocktack-node/src/configuration/relay.rs
@@ -4,12 +4,25 @@
 
 use crate::node::Node;
 
-/// The document in force here, if it is newer than what the asker has.
-pub(crate) fn newer_than(node: &Node, pull: ConfigurationPull) -> Option<ConfigurationDocument> {
-    let in_force = node.configuration_in_force()?;
-    let is_newer = in_force.generation > pull.generation_in_force;
-    is_newer.then(|| ConfigurationDocument {
+/// The document in force here if it is newer than what the asker has; else
+/// only the generation, so that the asker knows that it lacks nothing.
+pub(crate) fn newer_than(node: &Node, pull: ConfigurationPull) -> ConfigurationDocument {
+    let in_force = node.configuration_in_force();
+    let Some(in_force) = in_force else {
+        return ConfigurationDocument {
+            query_id: pull.query_id,
+            ..ConfigurationDocument::default()
+        };
+    };
+    if in_force.generation <= pull.generation_in_force {
+        return ConfigurationDocument {
+            generation: in_force.generation,
+            query_id: pull.query_id,
+            ..ConfigurationDocument::default()
+        };
+    }
+    ConfigurationDocument {
         query_id: pull.query_id,
         ..in_force.stored.clone()
-    })
+    }
 }
--- a/crates/hemlocktack-node/src/links/questions.rs
+++ b/crates/hemlocktack-node/src/links/questions.rs
@@ -26,10 +26,9 @@
                 query_id: order.query_id,
             })
         }
-        frame::Body::ConfigurationPull(pull) => match configuration::newer_than(node, pull) {
-            Some(document) => frame::Body::Configuration(document),
-            None => return,
-        },
+        frame::Body::ConfigurationPull(pull) => {
+            frame::Body::Configuration(configuration::newer_than(node, pull))
+        }
         _ => return,
     };
     connection.send(answer).await;
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -2,29 +2,40 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant, SystemTime};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use hemlocktack_config::Document;
 use hemlocktack_decide::{ChainEdges, ShedLevel, WorkKind};
 use hemlocktack_fleet::NodeIncarnation;
+use hemlocktack_fleet::drain::{
+    self, DrainSettings, Life, LifeAction, Publication, UpstreamSettings,
+};
 use hemlocktack_fleet::handover::{HandoverLimits, Receiving};
 use hemlocktack_fleet::keys::FleetKeys;
-use hemlocktack_platform::Client;
+use hemlocktack_platform::{Client, NodeRecords};
 use hemlocktack_protocol::{
     ConfigurationDocument, Generation, Member, NodeState, Reason, Succession, UpstreamState,
 };
 use hemlocktack_telemetry::{Event, Tracer, log_event};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, mpsc};
+use tokio_util::sync::CancellationToken;
 
 use crate::calls::{ContextTable, Desk, Home, Roster};
+use crate::configuration;
 use crate::counters::{CallInFlight, Counters};
 use crate::links::{Links, Peer, Senders};
 use crate::operators::Refusals;
+use crate::peers::GossipCounts;
 use crate::settings::Settings;
 use crate::telemetry::{EntryCounts, Waits};
 use crate::upstream::{Announcement, RENEW_EVERY, RENEWALS_MISSED_MAX, UpstreamClient};
 
+/// News of a drain reaches all nodes within this time; until then a draining
+/// node is there to refuse what still comes.
+pub(crate) const DRAIN_SETTLE: Duration = Duration::from_secs(2);
+/// Handing over has a limit of its own, which is shorter.
+const HANDOVER_LIMIT: Duration = Duration::from_secs(30);
 /// Largest body read before any configuration is in force.
 const BODY_LIMIT_BEFORE_CONFIGURATION_BYTES: usize = 64 << 10;
 /// Largest answer passed on for a service that the configuration lacks.
@@ -67,17 +78,33 @@
     chain_edges: Mutex<ChainEdges>,
     in_force: ArcSwapOption<InForce>,
     members: ArcSwap<Vec<Member>>,
-    state: ArcSwap<NodeState>,
-    upstream: ArcSwapOption<AnnouncedUpstream>,
+    /// Gossip addresses to try where nobody else is known.
+    pub(crate) seeds: ArcSwap<Vec<SocketAddr>>,
+    pub(crate) records: NodeRecords,
+    pub(crate) gossip_counts: GossipCounts,
+    pub(crate) signals: Signals,
+    life: Mutex<Life>,
+    publication: ArcSwap<Publication>,
+    upstream: ArcSwapOption<Announcement>,
+    configuration_events: mpsc::Sender<configuration::Event>,
+    configuration_receiver: Mutex<Option<mpsc::Receiver<configuration::Event>>>,
+    start_order: u64,
 }
 
-/// The last announcement and when it came.
-struct AnnouncedUpstream {
-    announcement: Announcement,
-    renewed: Instant,
-    draining: bool,
+/// What the node's own tasks wait for.
+#[derive(Default)]
+pub(crate) struct Signals {
+    /// The own record or the generation in force has changed.
+    pub(crate) own_changed: Notify,
+    /// Members have been told that this node has left.
+    pub(crate) left_told: Notify,
+    /// The node has stopped: its tasks end.
+    pub(crate) stopped: CancellationToken,
 }
 
+/// Events of the configuration that may wait.
+const CONFIGURATION_EVENTS_LIMIT: usize = 256;
+
 impl Node {
     pub(crate) fn new(
         settings: Settings,
@@ -87,7 +114,18 @@
         tracer: Tracer,
     ) -> Self {
         let identity = NodeIncarnation::new(settings.node_id.clone(), rand::random());
+        let (configuration_events, receiver) = mpsc::channel(CONFIGURATION_EVENTS_LIMIT);
+        let life = Life::new(drain_settings(&settings), Instant::now());
         Self {
+            seeds: ArcSwap::from_pointee(settings.seed_peers.clone()),
+            records: NodeRecords::new(platform.clone()),
+            gossip_counts: GossipCounts::default(),
+            signals: Signals::default(),
+            publication: ArcSwap::from_pointee(life.publication()),
+            life: Mutex::new(life),
+            configuration_events,
+            configuration_receiver: Mutex::new(Some(receiver)),
+            start_order: unix_ms(),
             platform,
             links: Links::new(identity.clone(), keys.clone()),
             home: Home::new(&identity),
@@ -109,7 +147,6 @@
             upstream_client,
             in_force: ArcSwapOption::empty(),
             members: ArcSwap::default(),
-            state: ArcSwap::from_pointee(NodeState::Starting),
             upstream: ArcSwapOption::empty(),
         }
     }
@@ -180,11 +217,49 @@
     }
 
     pub(crate) fn state(&self) -> NodeState {
-        **self.state.load()
+        self.publication().state
+    }
+
+    /// What others are told of this node and its upstream.
+    pub(crate) fn publication(&self) -> Publication {
+        **self.publication.load()
+    }
+
+    /// Lets something happen in the life of this node; what it publishes then
+    /// is told to members at once.
+    pub(crate) fn live(
+        &self,
+        change: impl FnOnce(&mut Life, Instant) -> Vec<LifeAction>,
+    ) -> Vec<LifeAction> {
+        let mut life = self.life.lock().unwrap_or_else(PoisonError::into_inner);
+        let actions = change(&mut life, Instant::now());
+        for action in &actions {
+            if let LifeAction::Publish(publication) = action {
+                self.publication.store(Arc::new(*publication));
+                self.signals.own_changed.notify_one();
+            }
+        }
+        actions
     }
 
-    pub(crate) fn set_state(&self, state: NodeState) {
-        self.state.store(Arc::new(state));
+    pub(crate) fn generation_in_force(&self) -> Generation {
+        let in_force = self.in_force.load();
+        in_force.as_ref().map_or(0, |in_force| in_force.generation)
+    }
+
+    /// Tells the task that follows the configuration. An event that finds its
+    /// queue full is dropped: the task asks again.
+    pub(crate) fn tell_configuration(&self, event: configuration::Event) {
+        let _ = self.configuration_events.try_send(event);
+    }
+
+    /// The queue of that task, once.
+    pub(crate) fn take_configuration_events(&self) -> Option<mpsc::Receiver<configuration::Event>> {
+        let mut receiver = self
+            .configuration_receiver
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        receiver.take()
     }
 
     /// All nodes known, this one included.
@@ -249,67 +324,45 @@
     }
 
     pub(crate) fn upstream_announced(&self, announcement: Announcement) {
-        let draining = self.upstream.load().as_ref().is_some_and(|known| {
-            known.draining
-                && known.announcement.address == announcement.address
-                && !announcement.cold
+        let known = self.upstream.load_full();
+        // Another address is another start of the upstream, whatever it says.
+        let is_other = known.is_some_and(|known| known.address != announcement.address);
+        let is_draining = self.upstream_state() == UpstreamState::Draining;
+        self.live(|life, now| {
+            let word = drain::Announcement {
+                slots: announcement.slots,
+                is_cold: announcement.cold || (is_draining && is_other),
+            };
+            life.announce(now, word)
         });
-        let renewed = Instant::now();
-        if !draining {
+        if self.upstream_state() != UpstreamState::Draining {
             let Announcement {
                 slots,
                 connections,
                 cold,
                 ..
             } = announcement;
+            let now = Instant::now();
             self.desk
-                .with_admission(|admission| admission.announced(slots, connections, cold, renewed));
+                .with_admission(|admission| admission.announced(slots, connections, cold, now));
         }
-        self.upstream.store(Some(Arc::new(AnnouncedUpstream {
-            announcement,
-            renewed,
-            draining,
-        })));
+        self.upstream.store(Some(Arc::new(announcement)));
     }
 
     pub(crate) fn upstream_drains(&self) {
-        let Some(known) = self.upstream.load_full() else {
-            return;
-        };
-        let announcement = known.announcement.clone();
-        let renewed = known.renewed;
-        self.desk
-            .with_admission(|admission| admission.drain(Reason::UpstreamDraining));
-        self.upstream.store(Some(Arc::new(AnnouncedUpstream {
-            announcement,
-            renewed,
-            draining: true,
-        })));
+        self.live(|life, _| life.drain_upstream());
+        if self.upstream_state() == UpstreamState::Draining {
+            self.desk
+                .with_admission(|admission| admission.drain(Reason::UpstreamDraining));
+        }
     }
 
     pub(crate) fn announcement(&self) -> Option<Announcement> {
-        self.upstream
-            .load()
-            .as_ref()
-            .map(|known| known.announcement.clone())
+        self.upstream.load().as_deref().cloned()
     }
 
     pub(crate) fn upstream_state(&self) -> UpstreamState {
-        let upstream = self.upstream.load();
-        let Some(known) = upstream.as_ref() else {
-            return UpstreamState::Absent;
-        };
-        if known.renewed.elapsed() > RENEW_EVERY * RENEWALS_MISSED_MAX {
-            return UpstreamState::Absent;
-        }
-        if known.draining {
-            return UpstreamState::Draining;
-        }
-        if known.announcement.cold {
-            UpstreamState::Cold
-        } else {
-            UpstreamState::Ready
-        }
+        self.publication().upstream
     }
 
     /// Tables of stopping nodes on their way here.
@@ -348,10 +401,31 @@
             gossip_address: self.settings.gossip_address.to_string(),
             ticket_epoch,
             successions,
-            slots: self
-                .announcement()
-                .map_or(0, |announcement| announcement.slots),
-            ..Member::default()
+            slots: self.publication().slots,
+            start_order: self.start_order,
+            // Membership counts the versions.
+            version: 0,
         }
     }
 }
+
+fn drain_settings(settings: &Settings) -> DrainSettings {
+    DrainSettings {
+        settle: DRAIN_SETTLE,
+        hard_limit: Some(settings.drain_limit),
+        handover_limit: HANDOVER_LIMIT,
+        upstream: UpstreamSettings {
+            announcement_ttl: RENEW_EVERY * RENEWALS_MISSED_MAX,
+            ..UpstreamSettings::default()
+        },
+        without: None,
+    }
+}
+
+/// Wall clock in milliseconds: it only ranks the starts of one node.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
--- a/crates/hemlocktack-node/src/operators/commands/apply_configuration.rs
+++ b/crates/hemlocktack-node/src/operators/commands/apply_configuration.rs
@@ -2,10 +2,11 @@
 
 use hemlocktack_platform::{Applied, Change, ConfigurationStore};
 use hemlocktack_protocol::{
-    ApplyConfigurationRequest, ApplyConfigurationResponse, OperatorErrorCode,
+    ApplyConfigurationRequest, ApplyConfigurationResponse, ConfigurationDocument, OperatorErrorCode,
 };
 use hemlocktack_telemetry::{Event, log_event};
 
+use crate::configuration;
 use crate::node::Node;
 use crate::operators::{Failure, Result};
 
@@ -33,6 +34,13 @@
         applied.map_err(|error| Failure::of_platform(&error))?,
         &change,
     )?;
+    node.tell_configuration(configuration::Event::StoredHere(ConfigurationDocument {
+        generation: response.generation,
+        change_id: change.change_id.clone(),
+        author: change.author.clone(),
+        document: change.document.clone(),
+        query_id: 0,
+    }));
     log_event!(
         Event::ConfigurationStored,
         generation = response.generation,
--- /dev/null
+++ b/crates/hemlocktack-node/src/peers/counts.rs
@@ -0,0 +1,76 @@
+//! Datagrams and bytes of gossip, by kind.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use hemlocktack_protocol::{Gossip, gossip};
+use strum::{EnumCount, EnumIter, IntoEnumIterator, IntoStaticStr};
+
+/// IPv4 and UDP headers of each datagram.
+const HEADER_BYTES: u64 = 28;
+
+/// What a datagram is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumCount, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum GossipKind {
+    Probe,
+    Ack,
+    IndirectProbe,
+    SyncPull,
+    SyncPage,
+    /// News told at once.
+    News,
+}
+
+impl GossipKind {
+    pub(crate) fn of(gossip: &Gossip) -> Self {
+        match gossip.body {
+            Some(gossip::Body::Probe(_)) => GossipKind::Probe,
+            Some(gossip::Body::Ack(_)) => GossipKind::Ack,
+            Some(gossip::Body::IndirectProbe(_)) => GossipKind::IndirectProbe,
+            Some(gossip::Body::SyncPull(_)) => GossipKind::SyncPull,
+            Some(gossip::Body::SyncPage(_)) => GossipKind::SyncPage,
+            None => GossipKind::News,
+        }
+    }
+}
+
+/// Whether a datagram left or arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, EnumCount, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum Direction {
+    Sent,
+    Received,
+}
+
+/// Bytes on the wire, IP and UDP headers included.
+#[derive(Debug, Default)]
+pub(crate) struct GossipCounts {
+    bytes: [[AtomicU64; GossipKind::COUNT]; Direction::COUNT],
+    /// Datagrams without a right MAC.
+    refused: AtomicU64,
+}
+
+impl GossipCounts {
+    pub(crate) fn count(&self, direction: Direction, kind: GossipKind, length: usize) {
+        let bytes = length as u64 + HEADER_BYTES;
+        self.bytes[direction as usize][kind as usize].fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    pub(crate) fn count_refused(&self) {
+        self.refused.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn bytes(&self, direction: Direction, kind: GossipKind) -> u64 {
+        self.bytes[direction as usize][kind as usize].load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn refused_count(&self) -> u64 {
+        self.refused.load(Ordering::Relaxed)
+    }
+
+    /// All pairs of direction and kind.
+    pub(crate) fn each() -> impl Iterator<Item = (Direction, GossipKind)> {
+        Direction::iter()
+            .flat_map(|direction| GossipKind::iter().map(move |kind| (direction, kind)))
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/peers/gossip.rs
@@ -0,0 +1,232 @@
+//! Gossip over UDP: the one task that owns this node's membership.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hemlocktack_decide::Suspect;
+use hemlocktack_fleet::keys::{MAC_LENGTH_BYTES, MacPurpose};
+use hemlocktack_fleet::membership::{
+    Action, Membership, MembershipSettings, Peer, open_datagram, seal_datagram,
+};
+use hemlocktack_protocol::{Gossip, Member, NodeState, SuspectRequest};
+use hemlocktack_telemetry::{Event, log_event};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use tokio::net::UdpSocket;
+use tokio::time::{Interval, MissedTickBehavior};
+
+use super::counts::{Direction, GossipKind};
+use crate::configuration;
+use crate::node::Node;
+use crate::run::{Result, StartError};
+
+const TICK_PERIOD: Duration = Duration::from_millis(100);
+/// Larger than any datagram that nodes send.
+const BUFFER_BYTES: usize = 2048;
+
+/// Binds the socket and starts to gossip.
+pub(super) async fn start(node: &Arc<Node>) -> Result<()> {
+    let address = node.settings.gossip_listen_address;
+    let socket = UdpSocket::bind(address)
+        .await
+        .map_err(|source| StartError::Listen { address, source })?;
+    let settings = MembershipSettings {
+        mac_bytes: MAC_LENGTH_BYTES,
+        ..MembershipSettings::default()
+    };
+    let gossiper = Gossiper {
+        membership: Membership::new(settings, node.own_member(), Instant::now()),
+        rng: StdRng::seed_from_u64(rand::random()),
+        seeds: Arc::default(),
+        members_changed: true,
+        socket,
+        node: node.clone(),
+    };
+    tokio::spawn(gossiper.run());
+    Ok(())
+}
+
+struct Gossiper {
+    node: Arc<Node>,
+    socket: UdpSocket,
+    membership: Membership,
+    rng: StdRng,
+    seeds: Arc<Vec<SocketAddr>>,
+    members_changed: bool,
+}
+
+impl Gossiper {
+    async fn run(mut self) {
+        let node = self.node.clone();
+        let mut buffer = [0; BUFFER_BYTES];
+        let mut ticks = ticks();
+        loop {
+            tokio::select! {
+                received = self.socket.recv_from(&mut buffer) => {
+                    if let Ok((length, from)) = received {
+                        self.receive(from, &buffer[..length]).await;
+                    }
+                }
+                _ = ticks.tick() => self.tick().await,
+                () = node.signals.own_changed.notified() => self.tell_own().await,
+                () = node.signals.stopped.cancelled() => return,
+            }
+        }
+    }
+
+    async fn receive(&mut self, from: SocketAddr, datagram: &[u8]) {
+        let node = self.node.clone();
+        let is_right =
+            |message: &[u8], mac: &[u8]| node.keys.verify(MacPurpose::Gossip, &[message], mac);
+        let opened = open_datagram(Bytes::copy_from_slice(datagram), MAC_LENGTH_BYTES, is_right);
+        let Ok(gossip) = opened else {
+            node.gossip_counts.count_refused();
+            return;
+        };
+        let kind = GossipKind::of(&gossip);
+        node.gossip_counts
+            .count(Direction::Received, kind, datagram.len());
+        let actions = self
+            .membership
+            .receive(Instant::now(), from, gossip, &mut self.rng);
+        self.act(actions).await;
+    }
+
+    async fn tick(&mut self) {
+        let seeds = self.node.seeds.load_full();
+        if !Arc::ptr_eq(&seeds, &self.seeds) {
+            self.membership.set_seeds(seeds.to_vec());
+            self.seeds = seeds;
+        }
+        self.node.live(|life, now| life.check_upstream(now));
+        self.tell_own().await;
+        self.tell_suspects().await;
+        let actions = self.membership.tick(Instant::now(), &mut self.rng);
+        self.act(actions).await;
+        if std::mem::take(&mut self.members_changed) {
+            self.node.set_members(self.snapshot());
+        }
+    }
+
+    /// Tells members what has changed here: news of leaving goes out at once.
+    async fn tell_own(&mut self) {
+        let publication = self.node.publication();
+        let own = self.membership.own();
+        let is_changed = own.state() != publication.state
+            || own.upstream() != publication.upstream
+            || own.slots != publication.slots;
+        if is_changed {
+            let actions = self.membership.update_own(publication, &mut self.rng);
+            self.members_changed = true;
+            self.act(actions).await;
+        }
+        let own = self.node.own_member();
+        let (epoch, successions) = (own.ticket_epoch, own.successions);
+        let actions = self
+            .membership
+            .update_tickets(epoch, successions, &mut self.rng);
+        self.act(actions).await;
+        let generation = self.node.generation_in_force();
+        let actions = self.membership.set_generation(generation, &mut self.rng);
+        self.act(actions).await;
+        if publication.state == NodeState::Left {
+            self.node.signals.left_told.notify_one();
+        }
+    }
+
+    async fn tell_suspects(&mut self) {
+        let news = self
+            .node
+            .desk
+            .with_admission(|admission| admission.quarantine().take_news());
+        if news.is_empty() {
+            return;
+        }
+        let suspects: Vec<SuspectRequest> = news.iter().map(suspect_request).collect();
+        let actions = self.membership.tell_suspects(&suspects);
+        self.act(actions).await;
+    }
+
+    async fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send { to, gossip } => self.send(to, &gossip).await,
+                Action::MembersChanged => self.members_changed = true,
+                Action::GenerationHeard {
+                    node_id,
+                    generation,
+                } => self.node.tell_configuration(configuration::Event::Heard {
+                    node_id,
+                    generation,
+                }),
+                Action::SuspectsHeard { suspects } => self.learn(&suspects),
+                Action::Superseded { by } => {
+                    log_event!(Event::RecordReplaced, by_incarnation = by);
+                    self.node.order_stop();
+                }
+            }
+        }
+    }
+
+    async fn send(&self, to: SocketAddr, gossip: &Gossip) {
+        let sign = |message: &[u8]| {
+            let mac = self.node.keys.sign(MacPurpose::Gossip, &[message]);
+            Bytes::copy_from_slice(&mac)
+        };
+        let datagram = seal_datagram(gossip, sign);
+        let kind = GossipKind::of(gossip);
+        self.node
+            .gossip_counts
+            .count(Direction::Sent, kind, datagram.len());
+        // A datagram that cannot be sent is as good as lost: probes find out.
+        let _ = self.socket.send_to(&datagram, to).await;
+    }
+
+    fn learn(&self, suspects: &[SuspectRequest]) {
+        let now = Instant::now();
+        self.node.desk.with_admission(|admission| {
+            for suspect in suspects {
+                admission.quarantine().learn(suspect_of(suspect), now);
+            }
+        });
+    }
+
+    /// All nodes as this one sees them, itself first.
+    fn snapshot(&self) -> Vec<Member> {
+        let own = Member {
+            start_order: self.membership.own().start_order,
+            ..self.node.own_member()
+        };
+        let seen = |peer: Peer| Member {
+            state: peer.state.into(),
+            ..peer.member
+        };
+        let others = self.membership.peers().into_iter().map(seen);
+        std::iter::once(own).chain(others).collect()
+    }
+}
+
+/// After a pause of this process one tick follows, not all that were missed.
+fn ticks() -> Interval {
+    let mut ticks = tokio::time::interval(TICK_PERIOD);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    ticks
+}
+
+fn suspect_request(suspect: &Suspect) -> SuspectRequest {
+    SuspectRequest {
+        fingerprint: suspect.fingerprint,
+        crashes: suspect.crashes,
+        proven: suspect.proven,
+    }
+}
+
+fn suspect_of(request: &SuspectRequest) -> Suspect {
+    Suspect {
+        fingerprint: request.fingerprint,
+        crashes: request.crashes,
+        proven: request.proven,
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/peers/records.rs
@@ -0,0 +1,95 @@
+//! This node's record in the platform, and others' as seeds.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlocktack_platform::Publication;
+use hemlocktack_protocol::{Member, NodeState};
+use hemlocktack_telemetry::{Event, log_event};
+use rand::RngExt;
+use rand::seq::IteratorRandom;
+
+use crate::node::Node;
+
+/// How often it is looked whether the own record has changed.
+const LOOK_PERIOD: Duration = Duration::from_millis(500);
+/// Listing all records costs the platform a large answer: done when nobody is
+/// known, and otherwise this seldom, so that parts of a fleet that lost each
+/// other for longer than membership remembers find each other again.
+const LIST_PERIOD: Duration = Duration::from_secs(30 * 60);
+/// Pause between lists while nobody is known.
+const LONELY_LIST_PERIOD: Duration = Duration::from_secs(5);
+/// Seeds taken from a list.
+const SEED_LIMIT: usize = 16;
+
+/// Publishes this node when it begins, when it becomes ready and when its
+/// address or succession changes; not with each change of its state, which
+/// gossip tells: the platform's writes would grow with the fleet's upstreams.
+pub(crate) async fn keep(node: Arc<Node>) {
+    let mut published: Option<Member> = None;
+    let mut next_list = Instant::now();
+    loop {
+        let own = publishable(&node);
+        if published.as_ref() != Some(&own) && publish(&node, &own).await {
+            published = Some(own);
+        }
+        if Instant::now() >= next_list {
+            list_seeds(&node).await;
+            next_list = Instant::now() + list_pause(&node);
+        }
+        tokio::select! {
+            () = tokio::time::sleep(LOOK_PERIOD) => {}
+            () = node.signals.stopped.cancelled() => return,
+        }
+    }
+}
+
+/// The own record without what changes often.
+fn publishable(node: &Node) -> Member {
+    Member {
+        ticket_epoch: 0,
+        upstream: 0,
+        ..node.own_member()
+    }
+}
+
+async fn publish(node: &Arc<Node>, own: &Member) -> bool {
+    if own.state() == NodeState::Left {
+        return true;
+    }
+    match node.records.publish(own).await {
+        Ok(Publication::Published) => true,
+        Ok(Publication::Replaced { by_incarnation }) => {
+            log_event!(Event::RecordReplaced, by_incarnation);
+            node.order_stop();
+            true
+        }
+        Err(_) => false,
+    }
+}
+
+fn is_lonely(node: &Node) -> bool {
+    let members = node.members();
+    let is_live = |member: &&Member| !matches!(member.state(), NodeState::Dead | NodeState::Left);
+    members.iter().filter(is_live).count() <= 1
+}
+
+fn list_pause(node: &Node) -> Duration {
+    let longest = match is_lonely(node) {
+        true => LONELY_LIST_PERIOD,
+        false => LIST_PERIOD,
+    };
+    longest.mul_f64(rand::rng().random_range(0.5..1.0))
+}
+
+async fn list_seeds(node: &Node) {
+    let Ok(listed) = node.records.list().await else {
+        return;
+    };
+    let others = listed.nodes.iter().map(|listed| &listed.member);
+    let others = others.filter(|member| *member.node_id != *node.identity.node_id);
+    let addresses = others.filter_map(|member| member.gossip_address.parse().ok());
+    let mut seeds = addresses.sample(&mut rand::rng(), SEED_LIMIT);
+    seeds.extend(&node.settings.seed_peers);
+    node.seeds.store(Arc::new(seeds));
+}
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -134,6 +134,8 @@
         return Err(Box::new(error).into());
     }
     stop::drain(&node).await;
+    peers::say_farewell(&node).await;
+    node.signals.stopped.cancel();
     for shutdown in shutdowns {
         shutdown.notify();
     }
--- a/crates/hemlocktack-node/src/stop.rs
+++ b/crates/hemlocktack-node/src/stop.rs
@@ -1,19 +1,17 @@
 //! The planned stop: nothing in flight is cut off.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use hemlocktack_protocol::NodeState;
+use hemlocktack_fleet::drain::LifeAction;
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::handover;
-use crate::node::Node;
+use crate::node::{DRAIN_SETTLE, Node};
 
 /// How often the drain looks whether calls are still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
-/// News of the drain reaches the other nodes within a second or two.
-const DELEGATES_FOR: Duration = Duration::from_secs(2);
 
 /// Ends at SIGTERM or SIGINT.
 pub(crate) async fn stop_signal() {
@@ -30,26 +28,36 @@
 }
 
 /// Takes nothing new, waits for what is in flight, up to the operator's limit,
-/// and hands its tickets over.
+/// and hands its tickets over. What happens when is decided by
+/// `hemlocktack_fleet::drain`.
 pub(crate) async fn drain(node: &Arc<Node>) {
-    node.set_state(NodeState::Draining);
-    let limit = Instant::now() + node.settings.drain_limit;
+    log_event!(Event::DrainBegun);
+    node.live(|life, now| life.drain(now));
     // Others still issue tickets for this home until they hear of the drain;
     // until then it delegates them. A home that never stopped taking them
     // would not come to an end under load.
-    let delegates_until = limit.min(Instant::now() + DELEGATES_FOR);
-    wait_until_idle(node, delegates_until).await;
+    tokio::time::sleep(DRAIN_SETTLE).await;
     node.home.table().stop_accepting();
-    wait_until_idle(node, limit).await;
-    match handover::give(node).await {
-        Some(successor) => log_event!(Event::HandoverDone, %successor),
-        None => log_event!(Event::HandoverFailed),
+    loop {
+        let in_flight = usize::try_from(node.counters.in_flight()).unwrap_or(usize::MAX);
+        for action in node.live(|life, now| life.check_stop(now, in_flight)) {
+            match action {
+                LifeAction::ReportOverrun { in_flight } => {
+                    log_event!(Event::DrainLimitReached, in_flight);
+                }
+                LifeAction::HandOver => return hand_over(node).await,
+                LifeAction::Publish(_) | LifeAction::Leave => {}
+            }
+        }
+        tokio::time::sleep(DRAIN_POLL).await;
     }
-    node.set_state(NodeState::Left);
 }
 
-async fn wait_until_idle(node: &Node, limit: Instant) {
-    while node.counters.in_flight() > 0 && Instant::now() < limit {
-        tokio::time::sleep(DRAIN_POLL).await;
+async fn hand_over(node: &Arc<Node>) {
+    match handover::give(node).await {
+        Some(successor) => log_event!(Event::HandoverDone, %successor),
+        None => log_event!(Event::HandoverFailed),
     }
+    log_event!(Event::DrainFinished);
+    node.live(|life, _| life.handed_over());
 }
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -13,6 +13,7 @@
 
 use super::status;
 use crate::node::Node;
+use crate::peers::GossipCounts;
 
 const PREFIX: &str = "hemlocktack";
 const MICROS_A_SECOND: f64 = 1e6;
@@ -41,6 +42,13 @@
     state: &'static str,
 }
 
+/// Bounded: two directions, six kinds of datagrams.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct GossipLabels {
+    direction: &'static str,
+    kind: &'static str,
+}
+
 /// Text of `/metrics`.
 pub(crate) fn metrics_text(node: &Node) -> String {
     let mut registry = Registry::with_prefix(PREFIX);
@@ -51,6 +59,7 @@
     register_tickets(&mut registry, node);
     register_waits(&mut registry, node);
     register_telemetry(&mut registry, node);
+    register_gossip(&mut registry, node);
     let mut out = String::new();
     // Writing to a string fails only where a metric cannot be encoded; half a
     // page would pass for a whole one.
@@ -135,6 +144,23 @@
     registry.register("members", help, members);
 }
 
+fn register_gossip(registry: &mut Registry, node: &Node) {
+    let bytes = Family::<GossipLabels, Counter>::default();
+    for (direction, kind) in GossipCounts::each() {
+        let labels = GossipLabels {
+            direction: direction.into(),
+            kind: kind.into(),
+        };
+        let counted = node.gossip_counts.bytes(direction, kind);
+        bytes.get_or_create(&labels).inc_by(counted);
+    }
+    let help = "Bytes of gossip with IP and UDP headers, by direction and kind";
+    registry.register("gossip_bytes", help, bytes);
+    let help = "Datagrams that were dropped because their MAC was wrong";
+    let refused = node.gossip_counts.refused_count();
+    counter(registry, "refused_datagrams", help, refused);
+}
+
 fn register_tickets(registry: &mut Registry, node: &Node) {
     let table = node.home.table();
     let help = "Tickets that this node is home of and keeps a record of";
