--- a/crates/hemlocktack-node/src/telemetry/monitor.rs
+++ b/crates/hemlocktack-node/src/telemetry/monitor.rs
@@ -28,7 +28,6 @@
         tokio::time::sleep(LOOK_EVERY).await;
         let now = Instant::now();
         let status = status(&node);
-        seen.node(&status);
         seen.upstream(&status);
         seen.platform(&status, now);
         seen.shedding(&status, now);
@@ -40,7 +39,6 @@
 /// What has been logged so far.
 #[derive(Default)]
 struct Seen {
-    ready: bool,
     upstream: UpstreamState,
     platform: Lasting,
     shedding: Lasting,
@@ -75,14 +73,6 @@
 }
 
 impl Seen {
-    fn node(&mut self, status: &NodeStatus) {
-        let is_ready = status.state() == NodeState::Ready;
-        if is_ready && !self.ready {
-            log_event!(Event::NodeReady, generation = status.generation_in_force);
-        }
-        self.ready |= is_ready;
-    }
-
     fn upstream(&mut self, status: &NodeStatus) {
         let state = status.upstream();
         let before = std::mem::replace(&mut self.upstream, state);
--- a/crates/hemlocktack-node/tests/processes/operator_calls.rs
+++ b/crates/hemlocktack-node/tests/processes/operator_calls.rs
@@ -10,6 +10,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_is_drained_through_another_one() {
     let mut fleet = Fleet::start(&[Plan::new("diaries", 2)]).await;
+    fleet.wait_until_known().await;
     let operator = fleet.operator(0, "asha");
     for _ in 0..2 {
         let drained = operator.run(&["drain", "diaries-2"], "").await;
@@ -31,6 +32,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn the_status_names_nodes_that_do_not_answer() {
     let fleet = Fleet::start(&[Plan::new("listings", 1), Plan::new("diaries", 2)]).await;
+    fleet.wait_until_known().await;
     fleet.nodes[2].process.signal("STOP");
     let status = fleet.operator(0, "asha").run(&["status"], "").await;
     fleet.nodes[2].process.signal("CONT");
@@ -48,6 +50,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn the_status_counts_calls_where_they_enter() {
     let fleet = Fleet::start(&[Plan::new("listings", 1), Plan::new("diaries", 1)]).await;
+    fleet.wait_until_known().await;
     let reply = fleet.caller(0).get("nowhere/at-all", "undeclared").await;
     assert_eq!(reply.reason, "unknown-service");
     let reply = fleet.caller(0).get("diaries/slots", "known").await;
