--- a/crates/hemlocktack-fleet/src/drain/life.rs
+++ b/crates/hemlocktack-fleet/src/drain/life.rs
@@ -157,6 +157,11 @@
         self.publish_changes()
     }
 
+    /// The operators have set another limit for calls in flight at a stop.
+    pub fn set_hard_limit(&mut self, hard_limit: Duration) {
+        self.settings.hard_limit = Some(hard_limit);
+    }
+
     /// This node is to stop: by a signal, by an operator's command, or since it
     /// has been replaced. Repeating it changes nothing.
     pub fn drain(&mut self, now: Instant) -> Vec<LifeAction> {
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -25,10 +25,9 @@
 use crate::configuration;
 use crate::counters::{CallInFlight, Counters};
 use crate::links::{Links, Peer, Senders};
-use crate::operators::Refusals;
 use crate::peers::GossipCounts;
 use crate::settings::Settings;
-use crate::telemetry::{EntryCounts, Waits};
+use crate::telemetry::{EntryCounts, LogLimit, Waits};
 use crate::upstream::{Announcement, RENEW_EVERY, RENEWALS_MISSED_MAX, UpstreamClient};
 
 /// News of a drain reaches all nodes within this time; until then a draining
@@ -69,7 +68,8 @@
     pub(crate) home: Home,
     pub(crate) roster: Roster,
     pub(crate) counters: Counters,
-    pub(crate) operator_refusals: Refusals,
+    pub(crate) operator_refusals: LogLimit,
+    pub(crate) link_refusals: LogLimit,
     pub(crate) tracer: Tracer,
     pub(crate) waits: Waits,
     pub(crate) entry_counts: EntryCounts,
@@ -132,7 +132,8 @@
             roster: Roster::new(settings.data_centre.clone()),
             desk: Arc::new(Desk::new()),
             counters: Counters::default(),
-            operator_refusals: Refusals::default(),
+            operator_refusals: LogLimit::default(),
+            link_refusals: LogLimit::default(),
             tracer,
             waits: Waits::default(),
             entry_counts: EntryCounts::default(),
@@ -151,6 +152,17 @@
         }
     }
 
+    /// Longest that a planned stop waits: the operators' limit, which covers the
+    /// most patient caller; that of the settings only before there is one.
+    pub(crate) fn drain_limit(&self) -> Duration {
+        let in_force = self.in_force.load();
+        let declared = in_force.as_ref().map(|in_force| {
+            let limits = &in_force.document.limits;
+            Duration::from_millis(limits.drain_limit_ms)
+        });
+        declared.unwrap_or(self.settings.drain_limit)
+    }
+
     /// An operator wants this node to drain and stop; once is enough.
     pub(crate) fn order_stop(&self) {
         self.stop_order.notify_one();
@@ -191,8 +203,29 @@
         let generation = in_force.generation;
         log_event!(Event::ConfigurationInForce, generation);
         self.entry_counts.declare(&in_force.document);
-        let sample_per_million = in_force.document.limits.trace_sample_per_million;
-        self.tracer.set_sample_per_million(sample_per_million);
+        self.take_limits(&in_force.document);
+    }
+
+    fn take_limits(&self, document: &Document) {
+        let limits = &document.limits;
+        self.tracer
+            .set_sample_per_million(limits.trace_sample_per_million);
+        self.roster
+            .set_retry_share_percent(limits.retry_share_percent);
+        let kept_answers_bytes = usize::try_from(limits.kept_answers_bytes);
+        self.home
+            .table()
+            .set_kept_answer_bytes(kept_answers_bytes.unwrap_or(usize::MAX));
+        let refused_for = Duration::from_millis(limits.quarantine_ms);
+        let own_service = document.service(&self.settings.service);
+        self.desk.with_admission(|admission| {
+            admission
+                .quarantine()
+                .set_limits(limits.quarantine_crashes, refused_for);
+            if let Some(service) = own_service {
+                admission.set_queue_limit(service.queue_limit_calls);
+            }
+        });
     }
 
     pub(crate) fn body_limit_bytes(&self, service: &str) -> usize {
