Bind a ticket to its first request, and say unknown where a node cannot know

A caller that used its ticket for a second booking got the answer of the first. The home now keeps the fingerprint of the request that the ticket was first sent with, hands it over, and refuses others (409).

An entry that starts, drains or lacks the service told not-run for a request with a ticket, although an earlier send may have run through another node; likewise for a ticket whose signing key has been dropped. Both are unknown now. A key of the caller's own making gets a ticket in the refusal.

--- a/crates/hemlocktack-fleet/examples/randomised/world/callers.rs
+++ b/crates/hemlocktack-fleet/examples/randomised/world/callers.rs
@@ -42,7 +42,7 @@
             false => None,
         };
         let ticket = match is_ticketed {
-            true => self.issue(false),
+            true => self.ticket_for_caller(),
             false => None,
         };
         let request = Request {
@@ -62,6 +62,17 @@
         self.after(delay_ms, Event::NewRequest);
     }
 
+    // Now and then a faulty caller uses the ticket of its last request again.
+    fn ticket_for_caller(&mut self) -> Option<Ticket> {
+        if self.chance(4)
+            && let Some((_, last)) = self.requests.last_key_value()
+            && last.ticket.is_some()
+        {
+            return last.ticket.clone();
+        }
+        self.issue(false)
+    }
+
     pub(super) fn caller_send(&mut self, id: RequestId) {
         let entries: Vec<_> = self
             .processes
--- a/crates/hemlocktack-fleet/examples/randomised/world/home.rs
+++ b/crates/hemlocktack-fleet/examples/randomised/world/home.rs
@@ -28,9 +28,13 @@
             // A copy, so that nothing remembers what was told.
             false => process.stop.as_ref().map(|_| process.table.clone()),
         };
+        let fingerprint = match self.safeguards.has(Safeguard::RequestBound) {
+            true => work.request,
+            false => 0,
+        };
         let start = match forgetful {
-            Some(mut table) => table.start(&ticket),
-            None => process.table.start(&ticket),
+            Some(mut table) => table.start(&ticket, fingerprint),
+            None => process.table.start(&ticket, fingerprint),
         };
         match start {
             Start::Run => {
--- a/crates/hemlocktack-fleet/examples/randomised/world/safeguards.rs
+++ b/crates/hemlocktack-fleet/examples/randomised/world/safeguards.rs
@@ -9,6 +9,8 @@
 pub(crate) enum Safeguard {
     /// A home starts tickets of its own incarnation only.
     HomeIncarnation,
+    /// A ticket stands for the request that it was first sent with.
+    RequestBound,
     /// A re-send of a ticket in flight joins it.
     Join,
     /// A ticket in a state that does not allow it is not let out.
--- a/crates/hemlocktack-fleet/src/calls/arrivals.rs
+++ b/crates/hemlocktack-fleet/src/calls/arrivals.rs
@@ -22,13 +22,13 @@
 }
 
 impl Default for ArrivalLimits {
-    /// A link that holds more than 1,024 calls of one sender that were settled
-    /// between a frame's sending and its arrival is not a link worth waiting
-    /// for; 1,024 senders are almost twice the fleet of 560 nodes; 16,384
+    /// A frame that is overtaken by the end of 256 later calls of its sender
+    /// is on a link not worth waiting for. 1,024 senders are almost twice the
+    /// fleet of 560 nodes, whose calls were measured at 7.4 MB; 16,384
     /// forgotten ones are more than a year of thirty restarts a day.
     fn default() -> ArrivalLimits {
         ArrivalLimits {
-            settled_per_sender: 1024,
+            settled_per_sender: 256,
             senders: 1024,
             forgotten_senders: 16_384,
             kept_answer_bytes: 8 << 20,
--- a/crates/hemlocktack-fleet/src/handover/parts.rs
+++ b/crates/hemlocktack-fleet/src/handover/parts.rs
@@ -59,6 +59,7 @@
     HandoverEntry {
         nonce: Bytes::copy_from_slice(&entry.nonce.to_be_bytes()),
         epoch: entry.epoch,
+        fingerprint: entry.fingerprint,
         progress: progress.into(),
         answer: entry.answer.map(|answer| (*answer).clone()),
     }
@@ -78,6 +79,7 @@
     Some(TransferEntry {
         nonce,
         epoch: entry.epoch,
+        fingerprint: entry.fingerprint,
         end,
         answer,
     })
--- a/crates/hemlocktack-fleet/src/tickets/record.rs
+++ b/crates/hemlocktack-fleet/src/tickets/record.rs
@@ -1,7 +1,7 @@
 //! What a home knows of one ticket.
 
 use derive_more::{Display, Error};
-use hemlocktack_protocol::Reason;
+use hemlocktack_protocol::{Fingerprint, Reason};
 
 use crate::peer::NodeIncarnation;
 
@@ -40,6 +40,7 @@
 pub(crate) struct Record {
     pub(crate) home_number: u32,
     pub(crate) epoch: u64,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) state: State,
 }
 
--- a/crates/hemlocktack-fleet/src/tickets/table.rs
+++ b/crates/hemlocktack-fleet/src/tickets/table.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
-use hemlocktack_protocol::{Answer, Incarnation, NodeId, Reason, Refusal, Unfinished};
+use hemlocktack_protocol::{Answer, Fingerprint, Incarnation, NodeId, Reason, Refusal, Unfinished};
 
 use crate::peer::NodeIncarnation;
 use crate::tickets::epochs::{EpochAge, EpochWindow};
@@ -30,13 +30,20 @@
     pub adopted_homes: usize,
 }
 
+impl TableLimits {
+    // One epoch more than is kept may wait for its removal.
+    fn records_limit(&self) -> usize {
+        self.records_per_epoch * (self.kept_epochs + 1)
+    }
+}
+
 impl Default for TableLimits {
-    /// A quarter of a million records: some 25 MB at worst, and with 375 new
+    /// 131,072 records, measured at 15 MB, and 16 MB of answers. With 375 new
     /// tickets a second (210,000 calls a second over 560 nodes, none of them
-    /// idempotent) still more than ten minutes until a ticket expires.
+    /// idempotent) a ticket expires after six minutes at the earliest.
     fn default() -> TableLimits {
         TableLimits {
-            records_per_epoch: 32_768,
+            records_per_epoch: 16_384,
             kept_epochs: 8,
             kept_answer_bytes: 16 << 20,
             adopted_homes: 8,
@@ -101,7 +108,9 @@
             homes: Vec::new(),
             dropped_homes: VecDeque::new(),
             next_home_number: OWN_HOME_NUMBER,
-            records: HashMap::new(),
+            // Its growth would hold up every call of the node while it is moved;
+            // room that is not used yet takes no memory.
+            records: HashMap::with_capacity(limits.records_limit()),
             answers: KeptAnswers::new(limits.kept_answer_bytes),
             expired: VecDeque::new(),
             in_flight_count: 0,
@@ -154,11 +163,14 @@
     }
 
     /// Decides on a call with a genuine ticket, first send or re-send alike.
-    pub fn start(&mut self, ticket: &Ticket) -> Start {
+    ///
+    /// The first send binds the ticket to its request. A caller that uses the
+    /// ticket for another one would otherwise get the answer of the first.
+    pub fn start(&mut self, ticket: &Ticket, fingerprint: Fingerprint) -> Start {
         self.purge(PURGED_PER_START);
         let window = self.homes.iter().find(|window| window.home == ticket.home);
         if let Some(record) = self.records.get(&ticket.nonce) {
-            return self.restart(record, ticket, window);
+            return self.restart(record, ticket, fingerprint, window);
         }
         // Another start of this node may have run it; so may a home whose
         // table was dropped here.
@@ -175,17 +187,23 @@
                 return Start::Refused(Unfinished::Unknown(Reason::TicketForeign));
             }
         }
-        let home_number = window.number;
+        let record = |state| Record {
+            home_number: window.number,
+            epoch: ticket.epoch,
+            fingerprint,
+            state,
+        };
         match self.phase {
             Phase::Accepting => {
-                self.insert(ticket.nonce, home_number, ticket.epoch, State::Queued);
+                let record = record(State::Queued);
+                self.insert(ticket.nonce, record);
                 Start::Run
             }
             // The caller will be told `not_run`: an earlier send that is still
             // under way must find the fence, here or at the successor.
             Phase::Stopping => {
-                let end = End::NotRun(Reason::Draining);
-                self.insert(ticket.nonce, home_number, ticket.epoch, State::Ended(end));
+                let record = record(State::Ended(End::NotRun(Reason::Draining)));
+                self.insert(ticket.nonce, record);
                 Start::Refused(not_run(Reason::Draining))
             }
             // A fence made now would miss the successor. Asking it once it is
@@ -305,11 +323,20 @@
         );
     }
 
-    fn restart(&self, record: &Record, ticket: &Ticket, window: Option<&EpochWindow>) -> Start {
+    fn restart(
+        &self,
+        record: &Record,
+        ticket: &Ticket,
+        fingerprint: Fingerprint,
+        window: Option<&EpochWindow>,
+    ) -> Start {
         let same_home = window.is_none_or(|window| window.number == record.home_number);
         if record.epoch != ticket.epoch || !same_home {
             return Start::Refused(Unfinished::Unknown(Reason::TicketForeign));
         }
+        if record.fingerprint != fingerprint {
+            return Start::Refused(not_run(Reason::TicketForeign));
+        }
         let State::Ended(end) = record.state else {
             return Start::Join;
         };
@@ -337,12 +364,8 @@
         }
     }
 
-    pub(crate) fn insert(&mut self, nonce: Nonce, home_number: u32, epoch: u64, state: State) {
-        let record = Record {
-            home_number,
-            epoch,
-            state,
-        };
+    pub(crate) fn insert(&mut self, nonce: Nonce, record: Record) {
+        let (home_number, epoch) = (record.home_number, record.epoch);
         if !record.is_ended() {
             self.in_flight_count += 1;
         }
--- a/crates/hemlocktack-fleet/src/tickets/transfer.rs
+++ b/crates/hemlocktack-fleet/src/tickets/transfer.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use hemlocktack_protocol::{Answer, Reason};
+use hemlocktack_protocol::{Answer, Fingerprint, Reason};
 
 use crate::peer::NodeIncarnation;
 use crate::tickets::epochs::EpochAge;
@@ -14,6 +14,7 @@
 pub(crate) struct TransferEntry {
     pub(crate) nonce: Nonce,
     pub(crate) epoch: u64,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) end: End,
     pub(crate) answer: Option<Arc<Answer>>,
 }
@@ -84,12 +85,13 @@
         if let Some(answer) = entry.answer {
             self.answers.keep(entry.nonce, answer);
         }
-        self.insert(
-            entry.nonce,
+        let record = Record {
             home_number,
-            entry.epoch,
-            State::Ended(entry.end),
-        );
+            epoch: entry.epoch,
+            fingerprint: entry.fingerprint,
+            state: State::Ended(entry.end),
+        };
+        self.insert(entry.nonce, record);
     }
 
     fn fence_queued(&mut self) {
@@ -112,6 +114,7 @@
         Some(TransferEntry {
             nonce,
             epoch: record.epoch,
+            fingerprint: record.fingerprint,
             end,
             answer,
         })
--- a/crates/hemlocktack-fleet/tests/at_most_once/decoders.rs
+++ b/crates/hemlocktack-fleet/tests/at_most_once/decoders.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use prost::Message;
 
-use crate::{SERVICE, home, keys, table, ticket};
+use crate::{FINGERPRINT, SERVICE, home, keys, table, ticket};
 
 proptest! {
     #[test]
@@ -67,5 +67,5 @@
         assert!(receiving.entry_count() <= limits.entries);
     }
     table.assert_consistent();
-    assert_eq!(table.start(&ticket(1)), Start::Run);
+    assert_eq!(table.start(&ticket(1), FINGERPRINT), Start::Run);
 }
--- a/crates/hemlocktack-fleet/tests/at_most_once/handover.rs
+++ b/crates/hemlocktack-fleet/tests/at_most_once/handover.rs
@@ -3,7 +3,7 @@
 use hemlocktack_fleet::tickets::{Start, TableLimits, TicketTable};
 use hemlocktack_protocol::{Handover, HandoverAccepted, Reason, Refusal, Unfinished};
 
-use crate::{answer, home, peer, table, ticket};
+use crate::{FINGERPRINT, answer, home, peer, table, ticket};
 
 struct Successor {
     name: NodeIncarnation,
@@ -42,7 +42,7 @@
 fn home_with_every_end() -> TicketTable {
     let mut table = table();
     for nonce in 1..=4 {
-        table.start(&ticket(nonce));
+        table.start(&ticket(nonce), FINGERPRINT);
     }
     table.started(1).unwrap();
     table.answer(1, answer("booked")).unwrap();
@@ -57,13 +57,13 @@
     let mut leaving = Leaving::begin(&mut home_table);
     assert!(home_table.started(4).is_err());
     let unknown = Start::Refused(Unfinished::Unknown(Reason::Draining));
-    assert_eq!(home_table.start(&ticket(9)), unknown);
+    assert_eq!(home_table.start(&ticket(9), FINGERPRINT), unknown);
 
     let mut successor = Successor::new("dum-dum-1");
     let offered = leaving.offer(&successor.name);
     let replies = successor.take(offered);
     let gone = Start::Refused(Unfinished::Unknown(Reason::HomeGone));
-    assert_eq!(successor.table.start(&ticket(9)), gone);
+    assert_eq!(successor.table.start(&ticket(9), FINGERPRINT), gone);
     let Progress::Commit(commit) = last_progress(&mut leaving, &successor.name, &replies) else {
         panic!("not committed");
     };
@@ -87,11 +87,20 @@
     ];
     for (nonce, start) in expected {
         assert_eq!(
-            successor.table.start(&ticket(nonce)),
+            successor.table.start(&ticket(nonce), FINGERPRINT),
             start,
             "ticket {nonce}"
         );
     }
+    let of_other_request = Refusal {
+        reason: Reason::TicketForeign,
+        retry_after: None,
+    };
+    let of_other_request = Start::Refused(Unfinished::NotRun(of_other_request));
+    assert_eq!(
+        successor.table.start(&ticket(1), FINGERPRINT + 1),
+        of_other_request
+    );
     successor.table.assert_consistent();
 }
 
@@ -122,9 +131,9 @@
         last_progress(&mut leaving, &second.name, &replies),
         Progress::Finished
     );
-    assert_eq!(second.table.start(&ticket(9)), Start::Run);
+    assert_eq!(second.table.start(&ticket(9), FINGERPRINT), Start::Run);
     let gone = Start::Refused(Unfinished::Unknown(Reason::HomeGone));
-    assert_eq!(first.table.start(&ticket(9)), gone);
+    assert_eq!(first.table.start(&ticket(9), FINGERPRINT), gone);
 }
 
 #[test]
--- a/crates/hemlocktack-fleet/tests/at_most_once/main.rs
+++ b/crates/hemlocktack-fleet/tests/at_most_once/main.rs
@@ -21,6 +21,7 @@
 const KEY: &[u8] = b"a fleet key for tests";
 const OTHER_KEY: &[u8] = b"another key for tests";
 const SERVICE: &str = "bookings";
+const FINGERPRINT: u64 = 0xf1;
 
 fn keys() -> FleetKeys {
     FleetKeys::new(KEY, None).unwrap()
--- a/crates/hemlocktack-fleet/tests/at_most_once/table.rs
+++ b/crates/hemlocktack-fleet/tests/at_most_once/table.rs
@@ -2,7 +2,7 @@
 use hemlocktack_fleet::tickets::{Start, TableLimits, Ticket, TicketTable, WrongState};
 use hemlocktack_protocol::{Reason, Refusal, Unfinished};
 
-use crate::{SERVICE, answer, home, keys, peer, table, ticket};
+use crate::{FINGERPRINT, SERVICE, answer, home, keys, peer, table, ticket};
 
 fn not_run(reason: Reason) -> Start {
     Start::Refused(Unfinished::NotRun(Refusal {
@@ -24,13 +24,16 @@
 #[test]
 fn resends_join_and_get_the_one_answer() {
     let mut table = table();
-    assert_eq!(table.start(&ticket(1)), Start::Run);
-    assert_eq!(table.start(&ticket(1)), Start::Join);
+    assert_eq!(table.start(&ticket(1), FINGERPRINT), Start::Run);
+    assert_eq!(table.start(&ticket(1), FINGERPRINT), Start::Join);
     table.started(1).unwrap();
     assert_eq!(table.started(1), Err(WrongState));
-    assert_eq!(table.start(&ticket(1)), Start::Join);
+    assert_eq!(table.start(&ticket(1), FINGERPRINT), Start::Join);
     table.answer(1, answer("booked")).unwrap();
-    assert_eq!(table.start(&ticket(1)), Start::Answered(answer("booked")));
+    assert_eq!(
+        table.start(&ticket(1), FINGERPRINT),
+        Start::Answered(answer("booked"))
+    );
     for late_step in [
         table.started(1),
         table.delegate(1, peer("dum-dum-1")),
@@ -50,21 +53,24 @@
 #[test]
 fn a_ticket_told_not_run_never_starts_later() {
     let mut table = table();
-    assert_eq!(table.start(&ticket(1)), Start::Run);
+    assert_eq!(table.start(&ticket(1), FINGERPRINT), Start::Run);
     table.refuse(1, Reason::Shed).unwrap();
-    assert_eq!(table.start(&ticket(1)), not_run(Reason::Shed));
+    assert_eq!(table.start(&ticket(1), FINGERPRINT), not_run(Reason::Shed));
     assert_eq!(table.started(1), Err(WrongState));
 }
 
 #[test]
 fn a_ticket_that_may_have_run_never_starts_again() {
     let mut table = table();
-    table.start(&ticket(1));
+    table.start(&ticket(1), FINGERPRINT);
     assert_eq!(table.give_up(1, Reason::LinkLost), Err(WrongState));
     table.started(1).unwrap();
     assert_eq!(table.refuse(1, Reason::Shed), Err(WrongState));
     table.give_up(1, Reason::UpstreamFailed).unwrap();
-    assert_eq!(table.start(&ticket(1)), unknown(Reason::UpstreamFailed));
+    assert_eq!(
+        table.start(&ticket(1), FINGERPRINT),
+        unknown(Reason::UpstreamFailed)
+    );
 }
 
 // The home is busy and delegates; the delegate refuses; the home delegates to a
@@ -73,7 +79,7 @@
 fn only_the_recorded_delegate_gives_back() {
     let mut table = table();
     let (first, second) = (peer("dum-dum-1"), peer("howrah-1"));
-    table.start(&ticket(1));
+    table.start(&ticket(1), FINGERPRINT);
     table.delegate(1, first.clone()).unwrap();
     assert_eq!(table.delegate(1, second.clone()), Err(WrongState));
     assert_eq!(table.started(1), Err(WrongState));
@@ -90,19 +96,19 @@
     let mut table = table();
     let earlier_start = NodeIncarnation::new("salt-lake-1", 6);
     assert_eq!(
-        table.start(&issue(earlier_start, 1, 1)),
+        table.start(&issue(earlier_start, 1, 1), FINGERPRINT),
         unknown(Reason::HomeGone)
     );
     assert_eq!(
-        table.start(&issue(peer("dum-dum-1"), 1, 2)),
+        table.start(&issue(peer("dum-dum-1"), 1, 2), FINGERPRINT),
         unknown(Reason::HomeGone)
     );
     assert_eq!(
-        table.start(&issue(home(), 0, 3)),
+        table.start(&issue(home(), 0, 3), FINGERPRINT),
         unknown(Reason::TicketExpired)
     );
     assert_eq!(
-        table.start(&issue(home(), 2, 4)),
+        table.start(&issue(home(), 2, 4), FINGERPRINT),
         unknown(Reason::TicketForeign)
     );
 }
@@ -119,27 +125,33 @@
     };
     let mut table = TicketTable::new("salt-lake-1", 7, limits);
     let running = issue(home(), 1, 1_000_000);
-    assert_eq!(table.start(&running), Start::Run);
+    assert_eq!(table.start(&running, FINGERPRINT), Start::Run);
     table.started(running.nonce).unwrap();
     for nonce in 0..1000 {
         let ticket = issue(home(), table.current_epoch(), nonce);
-        assert_eq!(table.start(&ticket), Start::Run);
+        assert_eq!(table.start(&ticket, FINGERPRINT), Start::Run);
         table.started(nonce).unwrap();
         table.answer(nonce, answer("booked")).unwrap();
         assert!(table.record_count() <= 10 * 4 + 1);
         table.assert_consistent();
     }
     assert_eq!(
-        table.start(&issue(home(), 1, 0)),
+        table.start(&issue(home(), 1, 0), FINGERPRINT),
         unknown(Reason::TicketExpired)
     );
-    assert_eq!(table.start(&running), Start::Join);
+    assert_eq!(table.start(&running, FINGERPRINT), Start::Join);
     table.answer(running.nonce, answer("late")).unwrap();
     let latest = issue(home(), table.current_epoch(), 999);
-    assert_eq!(table.start(&latest), Start::Answered(answer("booked")));
+    assert_eq!(
+        table.start(&latest, FINGERPRINT),
+        Start::Answered(answer("booked"))
+    );
     let earlier = issue(home(), table.current_epoch() - 2, 985);
-    assert_eq!(table.start(&earlier), Start::AnswerNotKept);
-    assert_eq!(table.start(&running), unknown(Reason::TicketExpired));
+    assert_eq!(table.start(&earlier, FINGERPRINT), Start::AnswerNotKept);
+    assert_eq!(
+        table.start(&running, FINGERPRINT),
+        unknown(Reason::TicketExpired)
+    );
     assert_eq!(table.in_flight_count(), 0);
 }
 
@@ -147,11 +159,40 @@
 #[test]
 fn a_stopping_home_fences_new_tickets_and_ends_those_in_flight() {
     let mut table = table();
-    table.start(&ticket(1));
+    table.start(&ticket(1), FINGERPRINT);
     table.stop_accepting();
-    assert_eq!(table.start(&ticket(2)), not_run(Reason::Draining));
-    assert_eq!(table.start(&ticket(1)), Start::Join);
+    assert_eq!(
+        table.start(&ticket(2), FINGERPRINT),
+        not_run(Reason::Draining)
+    );
+    assert_eq!(table.start(&ticket(1), FINGERPRINT), Start::Join);
     table.started(1).unwrap();
     table.answer(1, answer("booked")).unwrap();
-    assert_eq!(table.start(&ticket(1)), Start::Answered(answer("booked")));
+    assert_eq!(
+        table.start(&ticket(1), FINGERPRINT),
+        Start::Answered(answer("booked"))
+    );
+}
+
+// A caller sends a second booking with the key of its first. The first one's
+// answer would tell the family of an appointment that is not theirs.
+#[test]
+fn a_ticket_is_bound_to_its_first_request() {
+    let mut table = table();
+    let other_request = FINGERPRINT + 1;
+    assert_eq!(table.start(&ticket(1), FINGERPRINT), Start::Run);
+    assert_eq!(
+        table.start(&ticket(1), other_request),
+        not_run(Reason::TicketForeign)
+    );
+    table.started(1).unwrap();
+    table.answer(1, answer("booked")).unwrap();
+    assert_eq!(
+        table.start(&ticket(1), other_request),
+        not_run(Reason::TicketForeign)
+    );
+    assert_eq!(
+        table.start(&ticket(1), FINGERPRINT),
+        Start::Answered(answer("booked"))
+    );
 }
--- a/crates/hemlocktack-node/src/calls/enter.rs
+++ b/crates/hemlocktack-node/src/calls/enter.rs
@@ -5,7 +5,7 @@
 
 use hemlocktack_protocol::{Answer, NodeState, Reason};
 
-use super::{Classified, classify, place, ticketed};
+use super::{Classified, classify, place, ticketed, unknown};
 use crate::callers::{CallerAnswer, CallerRequest};
 use crate::node::Node;
 
@@ -13,12 +13,13 @@
 pub(crate) async fn enter(node: &Arc<Node>, request: CallerRequest) -> CallerAnswer {
     let _in_flight = node.enter_call();
     let started = Instant::now();
+    let has_key = request.idempotency_key.is_some();
     let mut classified = match classify(node, request, started) {
         Ok(classified) => classified,
-        Err(reason) => return CallerAnswer::refused(reason),
+        Err(reason) => return refusal(reason, has_key),
     };
     if let Some(reason) = refuses_new_roots(node, &classified) {
-        return CallerAnswer::refused(reason);
+        return refusal(reason, has_key && !classified.idempotent);
     }
     let answer = run(node, &mut classified).await;
     if let Some(parent) = &classified.parent {
@@ -27,6 +28,27 @@
     CallerAnswer::from_answer(answer)
 }
 
+/// What this node refuses, another may have let run before.
+///
+/// Failure: a booking runs through one node, its answer is lost, and the caller
+/// sends it again to a node that drains. Told `not_run`, the caller would book
+/// once more with a fresh ticket. A request with a key may have been sent
+/// before, so a refusal that depends on the node says nothing of it.
+fn refusal(reason: Reason, may_have_been_sent: bool) -> CallerAnswer {
+    let depends_on_node = matches!(
+        reason,
+        Reason::UnknownService
+            | Reason::BodyTooLarge
+            | Reason::ContextExpired
+            | Reason::Starting
+            | Reason::Draining
+    );
+    if may_have_been_sent && depends_on_node {
+        return CallerAnswer::from_answer(unknown(reason));
+    }
+    CallerAnswer::refused(reason)
+}
+
 /// Deeper calls of requests in flight are taken to the end, also while the
 /// node drains: refusing them would cut those requests off.
 fn refuses_new_roots(node: &Node, classified: &Classified) -> Option<Reason> {
--- a/crates/hemlocktack-node/src/calls/home.rs
+++ b/crates/hemlocktack-node/src/calls/home.rs
@@ -7,7 +7,7 @@
 use futures::future::BoxFuture;
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::tickets::{End, Nonce, Start, TableLimits, Ticket, TicketTable};
-use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Unfinished};
+use hemlocktack_protocol::{Answer, Call, CallPurpose, Fingerprint, Outcome, Reason, Unfinished};
 use tokio::sync::watch;
 
 use super::place::{choose, moves, send_with_allowance, unfinished};
@@ -52,9 +52,9 @@
 
     /// Decides on a call with a ticket and finds the end to wait for. Both
     /// under one lock: an end between them would leave a joiner waiting.
-    fn start(&self, ticket: &Ticket) -> (Start, Option<EndReceiver>) {
+    fn start(&self, ticket: &Ticket, fingerprint: Fingerprint) -> (Start, Option<EndReceiver>) {
         let mut ends = self.ends();
-        let start = self.table().start(ticket);
+        let start = self.table().start(ticket, fingerprint);
         let end = match start {
             Start::Run => {
                 let (sender, receiver) = watch::channel(None);
@@ -97,7 +97,7 @@
         Err(error) => return not_run(error.reason(), None),
     };
     let retries_given = call.retries_given;
-    let (start, end) = node.home.start(&ticket);
+    let (start, end) = node.home.start(&ticket, call.fingerprint);
     match start {
         Start::Run => {
             // Apart from this send: its link or its caller may go while the
--- a/crates/hemlocktack-node/src/calls/ticketed.rs
+++ b/crates/hemlocktack-node/src/calls/ticketed.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_fleet::NodeIncarnation;
-use hemlocktack_fleet::tickets::{ChildHome, Ticket, find_home};
+use hemlocktack_fleet::tickets::{ChildHome, Ticket, TicketError, find_home};
 use hemlocktack_protocol::{Answer, CallPurpose, NodeState, Outcome, Reason};
 
 use super::place::{admitted_view, choose, send_with_allowance, wait_before_return};
@@ -53,8 +53,21 @@
     let Some(key) = key else {
         return Err(Box::new(ask_for_ticket(node, classified)));
     };
-    Ticket::decode(&node.keys, &call.service, key)
-        .map_err(|error| Box::new(not_run(error.reason(), None)))
+    let decoded = Ticket::decode(&node.keys, &call.service, key);
+    decoded.map_err(|error| Box::new(not_a_ticket(node, classified, error)))
+}
+
+/// A key of the caller's own making never ran, and the caller gets a ticket to
+/// use instead. One with the form of a ticket that no valid key has signed was
+/// forged, or has outlived the fleet key that signed it: then it may have run.
+fn not_a_ticket(node: &Node, classified: &Classified, error: TicketError) -> Answer {
+    match error {
+        TicketError::Foreign => unknown(error.reason()),
+        TicketError::Malformed | TicketError::Name => Answer {
+            fresh_ticket: fresh_ticket(node, classified).unwrap_or_default(),
+            ..not_run(error.reason(), None)
+        },
+    }
 }
 
 /// Load: more bookings than the service can take. Harm: a ticket that leads to
