Begin to shed only when a queue stands or nearly fills its bound

Cause: one look at the queue at the end of an interval decided. A few slots with uneven arrivals at half load have a queue of two or three times the limit for some milliseconds, which is no overload.

Now the queue has to be above its target for 250 ms or four service times, or at three quarters of its bound, and the bound is six service times.

--- a/crates/hemlocktack-decide/examples/scenarios/driver/deployment.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/deployment.rs
@@ -152,3 +152,17 @@
         ],
     }
 }
+
+/// Two services with few slots, where chance makes short queues at half load.
+pub(crate) fn quickstart() -> Deployment {
+    let (listings, diaries) = (0, 1);
+    Deployment {
+        name: "quickstart",
+        data_centres: 1,
+        data_centre_delay: Duration::from_micros(100),
+        client_delay: Duration::from_micros(100),
+        services: vec![service(2, 8, 64), service(2, 4, 32)],
+        steps: vec![step(diaries, 10, &[]), step(listings, 20, &[0])],
+        kinds: vec![kind("browsing", 0, 1000, 1.0, 1)],
+    }
+}
--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -37,9 +37,9 @@
 /// Bounds of the queue in front of the upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct QueuePolicy {
-    /// Calls that may wait for each slot. Four service times absorb a burst of
-    /// twice the capacity that lasts as long; a longer queue only delays the
-    /// refusal of what cannot be served.
+    /// Calls that may wait for each slot. Six service times absorb a burst of
+    /// three times the capacity that lasts two of them; a longer queue only
+    /// delays the refusal of what cannot be served.
     pub per_slot: f64,
     /// Queue that an upstream with very few slots still has.
     pub least: usize,
@@ -62,7 +62,7 @@
 impl Default for QueuePolicy {
     fn default() -> Self {
         QueuePolicy {
-            per_slot: 4.0,
+            per_slot: 6.0,
             least: 16,
             most: 10_000,
             work_margin: 1.25,
@@ -564,6 +564,7 @@
         }
         let pressure = Pressure {
             queued_up_to: self.queue.queued_up_to(),
+            queue_bound: self.queue_bound(),
             in_flight: self.running.len(),
             limit: self.limit.current(),
             service_time: self.work.expected_any(),
--- a/crates/hemlocktack-decide/src/shed.rs
+++ b/crates/hemlocktack-decide/src/shed.rs
@@ -72,6 +72,13 @@
     /// that a freed slot always finds a call: arrivals of one interval vary
     /// by less than this.
     pub target_queue: f64,
+    /// Shedding begins when the queue has been above its target for this long,
+    /// or for four service times: a burst that the queue works off by itself
+    /// is not a reason to refuse anybody.
+    pub begins_after: Duration,
+    /// It begins at once when the queue is filled to this share of its bound:
+    /// soon the node would refuse, which costs a hop.
+    pub begins_at: f64,
     /// Service times in which the queue beyond its target is worked off. A
     /// queue of four times the limit then cuts the admitted load to nearly
     /// nothing, one at its target not at all.
@@ -92,6 +99,8 @@
         ShedPolicy {
             interval: Duration::from_millis(50),
             target_queue: 0.5,
+            begins_after: Duration::from_millis(250),
+            begins_at: 0.75,
             drain_service_times: 4.0,
             least_step: 0.5,
             most_step: 1.2,
@@ -106,6 +115,8 @@
 pub(crate) struct Pressure {
     /// Calls of this class and the more important ones that wait.
     pub(crate) queued_up_to: [usize; MAX_CLASSES],
+    /// Most calls that may wait.
+    pub(crate) queue_bound: usize,
     pub(crate) in_flight: usize,
     pub(crate) limit: u32,
     /// Mean time of a call; zero while none has finished.
@@ -135,6 +146,7 @@
     /// Estimated demand per second of each class, shed or not.
     demand: [f64; MAX_CLASSES],
     began: Instant,
+    above_target_since: Option<Instant>,
 }
 
 /// Demand is averaged over this and two service times: at five arrivals in an
@@ -155,6 +167,7 @@
             arrived: [0; MAX_CLASSES],
             demand: [0.0; MAX_CLASSES],
             began: now,
+            above_target_since: None,
         }
     }
 
@@ -194,9 +207,24 @@
         self.estimate_demand(elapsed, pressure.service_time);
         self.arrived = [0; MAX_CLASSES];
         self.began = now;
+        let target = f64::from(pressure.limit) * self.policy.target_queue;
+        let is_above = pressure.queued() as f64 > target;
+        self.above_target_since = is_above.then(|| self.above_target_since.unwrap_or(now));
+        if self.level == ShedLevel::OPEN && !self.begins(pressure, now) {
+            return;
+        }
         self.level = self.next_level(pressure);
     }
 
+    fn begins(&self, pressure: &Pressure, now: Instant) -> bool {
+        let full = pressure.queue_bound as f64 * self.policy.begins_at;
+        let after = self.policy.begins_after.max(pressure.service_time * 4);
+        let stands = self
+            .above_target_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= after);
+        stands || pressure.queued() as f64 >= full
+    }
+
     fn estimate_demand(&mut self, elapsed: Duration, service_time: Duration) {
         let elapsed = elapsed.as_secs_f64();
         let over = DEMAND_AVERAGED_OVER + service_time * 2;
@@ -214,9 +242,7 @@
 
     fn next_level(&self, pressure: &Pressure) -> ShedLevel {
         let limit = f64::from(pressure.limit);
-        let is_open = self.level == ShedLevel::OPEN;
-        let is_short = pressure.queued() as f64 <= limit * self.policy.target_queue;
-        if pressure.service_time.is_zero() || (is_open && is_short) {
+        if pressure.service_time.is_zero() {
             return ShedLevel::OPEN;
         }
         let admitted = self.admitted();
