--- /dev/null
+++ b/crates/hemlocktack-node/src/callers/mod.rs
@@ -0,0 +1,10 @@
+//! The callers' side: HTTP in, HTTP out.
+
+mod answer;
+mod observe;
+mod request;
+mod routes;
+
+pub(crate) use answer::CallerAnswer;
+pub(crate) use request::{CallerRequest, is_passed_on, read_head};
+pub(crate) use routes::routes;
