Try suspects one at a time and convict the only one in a second crash

Cause: a suspect seen in two crashes ran with nothing beside it, and the upstream was emptied for that: 180 slots idle for a call. In cold-start of pases-dorados two healthy upstreams stood at one call in flight and 435 waiting. (Part of that was the driver, which gave a request's deeper calls the same fingerprint.)

A crash while a suspect runs now names it, as at most one runs in each upstream; its neighbours are not suspected. Nothing is emptied, two upstreams are lost instead of three, and a conviction ends by itself.

--- a/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
@@ -79,11 +79,13 @@
         self.schedule_wake(node);
     }
 
+    /// Differs by request and by step: a deeper call is another request to
+    /// another service.
     fn fingerprint(&self, call: &Call) -> u64 {
         if self.arena.requests[&call.request].crashes_upstreams {
             CRASHING_FINGERPRINT
         } else {
-            call.request
+            call.request * self.deployment.steps.len() as u64 + call.step as u64
         }
     }
 
--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -141,7 +141,6 @@
     kind: WorkKind,
     fingerprint: Fingerprint,
     started: Instant,
-    is_suspect: bool,
 }
 
 /// All decisions of one node about calls to its upstream.
@@ -162,9 +161,7 @@
     /// Suspected calls wait here, apart: they must not hold the others up.
     suspects: Vec<Waiting>,
     running: HashMap<CallId, Running>,
-    suspects_running: usize,
-    alone_running: bool,
-    alone_began: Option<Instant>,
+    suspect_running: Option<CallId>,
     shed: ShedController,
     quarantine: Quarantine,
     refusals: Vec<Decision>,
@@ -202,9 +199,7 @@
             queue: ClassQueue::new(RUNNING_CAPACITY),
             suspects: Vec::with_capacity(MOST_SUSPECTS),
             running: HashMap::with_capacity(RUNNING_CAPACITY),
-            suspects_running: 0,
-            alone_running: false,
-            alone_began: None,
+            suspect_running: None,
             shed: ShedController::new(policy.shed, now),
             quarantine: Quarantine::new(policy.quarantine),
             refusals: Vec::with_capacity(RUNNING_CAPACITY),
@@ -247,11 +242,12 @@
     /// The upstream died. Every call that ran in it goes into `ended`, and
     /// [`Admission::finish`] is not to be called for it.
     pub fn crashed(&mut self, ended: &mut Vec<CallId>, now: Instant) {
-        let fingerprints: Vec<_> = self.running.values().map(|call| call.fingerprint).collect();
-        self.quarantine.crashed(&fingerprints, now);
+        let suspect = self.suspect_running.take();
+        let suspect = suspect.and_then(|call_id| self.running.get(&call_id));
+        let suspect = suspect.map(|call| call.fingerprint);
+        let others: Vec<_> = self.running.values().map(|call| call.fingerprint).collect();
+        self.quarantine.crashed(suspect, &others, now);
         ended.extend(self.running.drain().map(|(call_id, _)| call_id));
-        self.suspects_running = 0;
-        self.alone_running = false;
     }
 
     /// Load report of the upstream.
@@ -272,7 +268,7 @@
                 reason: Reason::Quarantined,
                 retry_after: None,
             }),
-            Standing::Suspected | Standing::RunsAlone => self.offer_suspect(offer),
+            Standing::Suspected => self.offer_suspect(offer),
         }
     }
 
@@ -282,9 +278,8 @@
         let Some(call) = self.running.remove(&call_id) else {
             return;
         };
-        if call.is_suspect {
-            self.suspects_running -= 1;
-            self.alone_running = false;
+        if self.suspect_running == Some(call_id) {
+            self.suspect_running = None;
         }
         match ended {
             Ended::Answered => {
@@ -417,7 +412,7 @@
         if time_left < expected / 2 && !self.probe(now) {
             return Verdict::Refused(self.refusal(Reason::DeadlineTooShort, offer.call_id));
         }
-        self.start(&waiting(offer), false, now);
+        self.start(&waiting(offer), now);
         Verdict::Run
     }
 
@@ -478,8 +473,8 @@
     }
 
     fn next_call(&mut self, now: Instant) -> Option<Waiting> {
-        if let Some(call) = self.next_suspect(now) {
-            self.start(&call, true, now);
+        if let Some(call) = self.next_suspect() {
+            self.start(&call, now);
             return Some(call);
         }
         while self.has_free_slot() {
@@ -489,62 +484,33 @@
                 self.refusals.push(Decision::Refuse(call.call_id, refusal));
                 continue;
             }
-            self.start(&call, false, now);
+            self.start(&call, now);
             return Some(call);
         }
         None
     }
 
-    fn next_suspect(&mut self, now: Instant) -> Option<Waiting> {
-        if self.suspects_running > 0 {
+    /// One suspect at a time: if the upstream crashes now, it is named.
+    fn next_suspect(&mut self) -> Option<Waiting> {
+        if self.suspects.is_empty() || self.suspect_running.is_some() || !self.has_free_slot() {
             return None;
         }
-        let index = self.suspects.iter().position(|call| {
-            match self.quarantine.standing(call.fingerprint, now) {
-                Standing::RunsAlone => self.running.is_empty() && self.alone_due(now),
-                _ => self.has_free_slot(),
-            }
-        })?;
-        let call = self.suspects.remove(index);
-        if self.quarantine.standing(call.fingerprint, now) == Standing::RunsAlone {
-            self.alone_running = true;
-            self.alone_began = Some(now);
-        }
+        let call = self.suspects.remove(0);
+        self.suspect_running = Some(call.call_id);
         Some(call)
     }
 
-    fn alone_due(&self, now: Instant) -> bool {
-        let interval = self.quarantine.alone_interval();
-        self.alone_began
-            .is_none_or(|began| now.saturating_duration_since(began) >= interval)
-    }
-
-    /// Slots are held back only while a call runs alone or the upstream empties
-    /// for one that is due.
     fn has_free_slot(&self) -> bool {
-        let room = self.running.len() < self.limit.current() as usize;
-        room && !self.alone_running && !self.empties_for_alone()
-    }
-
-    fn empties_for_alone(&self) -> bool {
-        let now = self.swept_at;
-        !self.suspects.is_empty()
-            && self.alone_due(now)
-            && self
-                .suspects
-                .iter()
-                .any(|call| self.quarantine.standing(call.fingerprint, now) == Standing::RunsAlone)
+        self.running.len() < self.limit.current() as usize
     }
 
-    fn start(&mut self, call: &Waiting, is_suspect: bool, now: Instant) {
-        self.suspects_running += usize::from(is_suspect);
+    fn start(&mut self, call: &Waiting, now: Instant) {
         self.running.insert(
             call.call_id,
             Running {
                 kind: call.kind,
                 fingerprint: call.fingerprint,
                 started: now,
-                is_suspect,
             },
         );
     }
--- a/crates/hemlocktack-decide/src/quarantine.rs
+++ b/crates/hemlocktack-decide/src/quarantine.rs
@@ -8,47 +8,42 @@
 /// Numbers of [`Quarantine`].
 #[derive(Clone, Copy, Debug)]
 pub struct QuarantinePolicy {
-    /// Crashes after which a fingerprint is refused, the last of them alone in
-    /// its upstream. Operators' setting; three tell a guilty call from its
-    /// neighbours: all suspected, one suspect in each upstream, alone.
+    /// Crashes after which a fingerprint is refused. Operators' setting; fewer
+    /// than two cannot tell a guilty call from those that ran beside it.
     pub crashes: u32,
-    /// How long a proven fingerprint is refused, counted from its last crash.
-    /// The caller that sends it again has given up by then, and a mended
-    /// upstream is found out soon enough.
+    /// How long a convicted fingerprint is refused, counted from its last
+    /// crash. Then it is suspected again: one trial in one upstream.
     pub refused_for: Duration,
     /// How long a suspicion lasts without another crash.
     pub suspected_for: Duration,
-    /// Shortest time between two calls that run with nothing beside them: each
-    /// empties the upstream once, which costs about a service time.
-    pub alone_interval: Duration,
     /// Fingerprints kept. A crash of the largest upstream adds some 200; the
-    /// oldest suspicion makes room, a proven one stays.
+    /// oldest suspicion makes room, a conviction stays.
     pub kept: usize,
 }
 
 impl Default for QuarantinePolicy {
     fn default() -> Self {
         QuarantinePolicy {
-            crashes: 3,
-            refused_for: Duration::from_secs(300),
+            crashes: 2,
+            refused_for: Duration::from_secs(60),
             suspected_for: Duration::from_secs(60),
-            alone_interval: Duration::from_secs(1),
             kept: 2048,
         }
     }
 }
 
+/// Fewest crashes that convict.
+const LEAST_CRASHES: u32 = 2;
+
 /// How a fingerprint stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
     /// Nothing is known against it.
     Free,
-    /// Ran in one upstream that crashed: at most one such call at a time in
-    /// each upstream.
+    /// Ran in an upstream that crashed: at most one such call at a time in each
+    /// upstream.
     Suspected,
-    /// One more crash refuses it: nothing runs beside it.
-    RunsAlone,
-    /// Crashed an upstream in which it ran alone: refused.
+    /// Was the only suspect in an upstream that crashed: refused.
     Refused,
 }
 
@@ -57,15 +52,12 @@
 pub struct Suspect {
     /// The fingerprint.
     pub fingerprint: Fingerprint,
-    /// Crashes that it was seen in; 0 once it is cleared.
+    /// Crashes held against it; 0 once it is cleared.
     pub crashes: u32,
-    /// It ran alone in the last one.
+    /// It is refused from now on.
     pub proven: bool,
 }
 
-/// With fewer, each call beside a crash would have to run alone, one a second.
-const LEAST_CRASHES: u32 = 3;
-
 #[derive(Clone, Copy, Debug)]
 struct Record {
     crashes: u32,
@@ -78,11 +70,12 @@
 /// Load: one request that crashes each upstream that runs it, sent again by its
 /// caller. Harm: it takes the whole service down, one upstream after another.
 /// What a crash shows is only which calls ran, so up to a whole upstream's
-/// calls are suspected at once. Suspects are kept apart: one at a time in each
-/// upstream, so the next crash names one suspect and the innocents finish and
-/// are cleared; before its last chance it runs alone, and that crash is proof.
-/// As many upstreams as the policy names are lost at most, and no call is refused that has
-/// not crashed an upstream in which it ran alone.
+/// calls are suspected at once. Suspects run one at a time in each upstream
+/// beside calls that nothing is known against, so the next crash names one of
+/// them, and the innocents run to an answer and are cleared. No upstream has to
+/// be emptied for this. An innocent call can be convicted only by a second,
+/// unknown cause that hits it while it is the suspect of an upstream; the
+/// conviction ends after `refused_for`, and its next answer clears it.
 #[derive(Debug)]
 pub struct Quarantine {
     policy: QuarantinePolicy,
@@ -106,41 +99,28 @@
             return Standing::Free;
         };
         let age = now.saturating_duration_since(record.last_crash);
-        if record.proven && age < self.policy.refused_for {
-            Standing::Refused
-        } else if age >= self.policy.suspected_for {
-            Standing::Free
-        } else if self.is_last_chance(record.crashes) {
-            Standing::RunsAlone
+        let refused_for = if record.proven {
+            self.policy.refused_for
         } else {
+            Duration::ZERO
+        };
+        if age < refused_for {
+            Standing::Refused
+        } else if age < refused_for + self.policy.suspected_for {
             Standing::Suspected
+        } else {
+            Standing::Free
         }
     }
 
-    /// The upstream died while these ran in it.
-    pub fn crashed(&mut self, running: &[Fingerprint], now: Instant) {
-        let has_suspect = running
-            .iter()
-            .any(|fingerprint| self.standing(*fingerprint, now) != Standing::Free);
-        let alone = running.len() == 1;
-        for &fingerprint in running {
-            // With one known suspect among them the others are not suspected:
-            // otherwise each crash would add a whole upstream's calls.
-            if has_suspect && self.standing(fingerprint, now) == Standing::Free {
-                continue;
-            }
-            let crashes = self
-                .records
-                .get(&fingerprint)
-                .map_or(0, |record| record.crashes);
-            self.record(
-                Suspect {
-                    fingerprint,
-                    crashes: crashes + 1,
-                    proven: alone && self.is_last_chance(crashes),
-                },
-                now,
-            );
+    /// The upstream died while `suspect`, if any, and the others ran in it.
+    pub fn crashed(&mut self, suspect: Option<Fingerprint>, others: &[Fingerprint], now: Instant) {
+        if let Some(fingerprint) = suspect {
+            self.hold_against(fingerprint, now);
+            return;
+        }
+        for &fingerprint in others {
+            self.hold_against(fingerprint, now);
         }
     }
 
@@ -185,15 +165,14 @@
             .collect()
     }
 
-    pub(crate) fn alone_interval(&self) -> Duration {
-        self.policy.alone_interval
-    }
-
-    fn is_last_chance(&self, crashes: u32) -> bool {
-        crashes + 1 >= self.policy.crashes.max(LEAST_CRASHES)
-    }
-
-    fn record(&mut self, suspect: Suspect, now: Instant) {
+    fn hold_against(&mut self, fingerprint: Fingerprint, now: Instant) {
+        let known = self.records.get(&fingerprint);
+        let crashes = known.map_or(1, |record| record.crashes + 1);
+        let suspect = Suspect {
+            fingerprint,
+            crashes,
+            proven: crashes >= self.policy.crashes.max(LEAST_CRASHES),
+        };
         self.insert(suspect, now);
         self.news.push(suspect);
     }
@@ -214,9 +193,10 @@
 
     fn make_room(&mut self, now: Instant) {
         let policy = self.policy;
+        let kept_for = policy.suspected_for + policy.refused_for;
         self.records.retain(|_, record| {
             let age = now.saturating_duration_since(record.last_crash);
-            age < policy.suspected_for || (record.proven && age < policy.refused_for)
+            age < policy.suspected_for || (record.proven && age < kept_for)
         });
         if self.records.len() < policy.kept {
             return;
--- /dev/null
+++ b/crates/hemlocktack-decide/tests/quarantine.rs
@@ -0,0 +1,122 @@
+//! Crash quarantine over several upstreams.
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use hemlocktack_decide::{
+    Admission, AdmissionPolicy, Decision, Ended, Offer, Quarantine, QuarantinePolicy, Standing,
+    Verdict,
+};
+use hemlocktack_protocol::{Fingerprint, Reason};
+
+const GUILTY: Fingerprint = 666;
+
+fn admission(now: Instant) -> Admission {
+    let mut admission = Admission::new(AdmissionPolicy::default(), now);
+    admission.announced(8, 64, false, now);
+    admission
+}
+
+fn offer(call_id: u64, fingerprint: Fingerprint, now: Instant) -> Offer {
+    Offer {
+        call_id,
+        class_rank: 0,
+        deadline: now + Duration::from_secs(2),
+        root_request_id: call_id,
+        work_spent: Duration::ZERO,
+        fingerprint,
+        kind: 1,
+    }
+}
+
+fn ready(admission: &mut Admission, now: Instant) -> Vec<Decision> {
+    let mut decisions = Vec::new();
+    admission.take_ready(now, &mut decisions);
+    decisions
+}
+
+fn tell(from: &mut Admission, to: &mut Admission, now: Instant) {
+    for suspect in from.quarantine().take_news() {
+        to.quarantine().learn(suspect, now);
+    }
+}
+
+/// The caller sees its request fail, sends it again and again, and each time
+/// an upstream dies with all that runs in it. The first crash cannot tell which
+/// of the calls did it; the second has only one suspect.
+#[test]
+fn a_request_that_crashes_upstreams_is_refused_after_the_second_crash() {
+    let now = Instant::now();
+    let mut upstreams = [admission(now), admission(now), admission(now)];
+    let innocents = [1, 2, 3];
+    for fingerprint in innocents.into_iter().chain([GUILTY]) {
+        let offer = offer(fingerprint, fingerprint, now);
+        assert_eq!(upstreams[0].offer(&offer, now), Verdict::Run);
+    }
+    let mut ended = Vec::new();
+    upstreams[0].crashed(&mut ended, now);
+    assert_eq!(ended.len(), 4);
+    let [first, second, third] = &mut upstreams;
+    let news = first.quarantine().take_news();
+    for suspect in news {
+        second.quarantine().learn(suspect, now);
+        third.quarantine().learn(suspect, now);
+    }
+
+    // All four are sent again, to the second upstream: one at a time.
+    assert_eq!(second.offer(&offer(10, 99, now), now), Verdict::Run);
+    for fingerprint in innocents.into_iter().chain([GUILTY]) {
+        let offer = offer(fingerprint, fingerprint, now);
+        assert_eq!(second.offer(&offer, now), Verdict::Queued);
+    }
+    for innocent in innocents {
+        assert_eq!(ready(second, now), [Decision::Run(innocent)]);
+        second.finish(innocent, Ended::Answered, Duration::ZERO, now);
+        assert_eq!(second.quarantine().standing(innocent, now), Standing::Free);
+    }
+    assert_eq!(ready(second, now), [Decision::Run(GUILTY)]);
+    second.crashed(&mut ended, now);
+    tell(second, third, now);
+
+    let Verdict::Refused(refusal) = third.offer(&offer(20, GUILTY, now), now) else {
+        panic!("refused everywhere");
+    };
+    assert_eq!(refusal.reason, Reason::Quarantined);
+    for innocent in innocents.into_iter().chain([99]) {
+        assert_eq!(
+            third.offer(&offer(innocent, innocent, now), now),
+            Verdict::Run
+        );
+    }
+}
+
+/// The caller of an innocent request is refused, since an upstream happened to
+/// die of something else while the request was its only suspect. The conviction
+/// ends, the request runs once more as a suspect, and its answer clears it.
+#[test]
+fn no_conviction_is_for_good() {
+    let policy = QuarantinePolicy::default();
+    let mut now = Instant::now();
+    let mut quarantine = Quarantine::new(policy);
+    quarantine.crashed(None, &[1, 2], now);
+    quarantine.crashed(Some(1), &[1, 3], now);
+    assert_eq!(quarantine.standing(1, now), Standing::Refused);
+    assert_eq!(quarantine.standing(2, now), Standing::Suspected);
+    assert_eq!(quarantine.standing(3, now), Standing::Free);
+    now += policy.refused_for;
+    assert_eq!(quarantine.standing(1, now), Standing::Suspected);
+    quarantine.finished(1);
+    assert_eq!(quarantine.standing(1, now), Standing::Free);
+    assert_eq!(quarantine.standing(2, now), Standing::Free);
+}
+
+#[test]
+fn the_table_stays_bounded_and_keeps_convictions() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::new(QuarantinePolicy::default());
+    quarantine.crashed(None, &[GUILTY], now);
+    quarantine.crashed(Some(GUILTY), &[], now);
+    let others: Vec<_> = (1000..10_000).collect();
+    quarantine.crashed(None, &others, now + Duration::from_secs(1));
+    assert_eq!(quarantine.refused(now), [GUILTY]);
+}
