Pass over an upstream for half a second after it said it is not there

Cause: with two of four upstreams down and membership not told, a call that one refused as no-upstream was moved to the other one down, and a booking lost the work of its first hops. A refusal of that kind now counts for 500 ms, one for overload for 20 ms as before.

Long calls stay ten times as long.

--- a/crates/hemlocktack-decide/examples/scenarios/driver/callers.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/callers.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 
 use super::arena::{Call, CallEnd, CallKey, Place, Request, RequestKey};
-use super::scenario::Policy;
+use super::scenario::{LONG_ONE_IN, Policy};
 use super::world::{ALLOWANCE, Event, World};
 
 impl World<'_> {
@@ -51,7 +51,8 @@
         request.retries = 0;
         let attempt = request.sends;
         self.outcomes.caller_resends += u64::from(attempt > 1);
-        let is_long = self.scenario.long_calls && request.root_request_id.is_multiple_of(10);
+        let is_long =
+            self.scenario.long_calls && request.root_request_id.is_multiple_of(LONG_ONE_IN);
         let call = Call {
             request: key,
             attempt,
--- a/crates/hemlocktack-decide/examples/scenarios/driver/capacity.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/capacity.rs
@@ -1,6 +1,7 @@
 //! What the slots and service times allow, as a yardstick for goodput.
 
 use super::deployment::Deployment;
+use super::scenario::{LONG_FACTOR, LONG_ONE_IN, Scenario};
 
 /// Requests a second of each kind that capacity allows.
 #[derive(Clone, Debug)]
@@ -88,3 +89,19 @@
     });
     shares.fold(f64::INFINITY, f64::min)
 }
+
+/// The deployment with the mean work of the kind that has long calls. The last
+/// kind's chain has one step in each deployment.
+pub(crate) fn with_long_calls(deployment: &Deployment, scenario: &Scenario) -> Deployment {
+    let mut effective = deployment.clone();
+    if !scenario.long_calls {
+        return effective;
+    }
+    let mean_factor = 1.0 + (LONG_FACTOR - 1.0) / LONG_ONE_IN as f64;
+    let Some(kind) = effective.kinds.last() else {
+        return effective;
+    };
+    let step = &mut effective.steps[kind.root];
+    step.own_work = step.own_work.mul_f64(mean_factor);
+    effective
+}
--- a/crates/hemlocktack-decide/examples/scenarios/driver/mod.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/mod.rs
@@ -13,7 +13,7 @@
 mod upstream_side;
 mod world;
 
-pub(crate) use capacity::allowed;
+pub(crate) use capacity::{allowed, with_long_calls};
 pub(crate) use deployment::{Deployment, bhadralok, pases_dorados, quickstart};
 pub(crate) use outcome::{BIN, Outcomes};
 pub(crate) use scenario::{Fault, Policy, Scenario, all_scenarios};
--- a/crates/hemlocktack-decide/examples/scenarios/driver/scenario.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/scenario.rs
@@ -16,6 +16,11 @@
     Hemlocktack,
 }
 
+/// How much longer a long call takes. Nothing in the request tells.
+pub(crate) const LONG_FACTOR: f64 = 10.0;
+/// One request of so many is long.
+pub(crate) const LONG_ONE_IN: u64 = 10;
+
 /// What goes wrong while the pressure is on.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Fault {
@@ -49,7 +54,7 @@
     pub(crate) skewed_entry: bool,
     /// Pressure comes in bursts this long, once a second.
     pub(crate) burst: Option<Duration>,
-    /// One call of ten of the last kind takes ten times as long.
+    /// One request of ten of the last kind takes [`LONG_FACTOR`] times as long.
     pub(crate) long_calls: bool,
     pub(crate) fault: Fault,
     pub(crate) begins: Duration,
--- a/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
@@ -8,7 +8,7 @@
 
 use super::arena::{Call, CallEnd, CallKey, Place};
 use super::entry_side::refusal;
-use super::scenario::Policy;
+use super::scenario::{LONG_FACTOR, Policy};
 use super::world::{Event, World};
 
 /// Calls that the static policy lets wait for each slot.
@@ -189,7 +189,7 @@
         let step = &self.deployment.steps[call.step];
         let phases = step.deeper.len() as u32 + 1;
         let slowness = self.nodes[call.upstream].upstream.slowness_at(self.at);
-        let long = if call.is_long { 10.0 } else { 1.0 };
+        let long = if call.is_long { LONG_FACTOR } else { 1.0 };
         let mut work = (step.own_work / phases).mul_f64(spread * slowness * long);
         let crashes = self
             .arena
--- a/crates/hemlocktack-decide/examples/scenarios/driver/world.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/world.rs
@@ -152,7 +152,9 @@
             replies: Vec::new(),
             free_replies: Vec::new(),
             outcomes: Outcomes::new(deployment.kinds.len(), scenario.lasts),
-            saturation_rate: capacity::saturation_rate(deployment),
+            saturation_rate: capacity::saturation_rate(&capacity::with_long_calls(
+                deployment, scenario,
+            )),
         }
     }
 
--- a/crates/hemlocktack-decide/examples/scenarios/report.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/report.rs
@@ -6,6 +6,7 @@
 
 use serde::Serialize;
 
+use crate::driver::with_long_calls;
 use crate::driver::{BIN, Deployment, Fault, Outcomes, Policy, Scenario, allowed};
 
 /// One run as it is printed.
@@ -65,7 +66,8 @@
         outcomes: Outcomes,
     ) -> Self {
         let demand = demand(scenario, &outcomes);
-        let allowed_rates = allowed(deployment, &demand, &slots(deployment, scenario));
+        let effective = with_long_calls(deployment, scenario);
+        let allowed_rates = allowed(&effective, &demand, &slots(deployment, scenario));
         let pressed_secs = (scenario.ends - scenario.begins).as_secs_f64();
         let answered = |class: Option<u8>| -> f64 {
             let kinds = deployment.kinds.iter().zip(&outcomes.kinds);
@@ -102,7 +104,7 @@
             deployment: deployment.name,
             policy: policy.to_string(),
             goodput_share: answered(None) / allowed(None),
-            work_share: work_share(deployment, &kinds),
+            work_share: work_share(&effective, &kinds),
             class_shares: classes
                 .map(|class| answered(Some(class)) / allowed(Some(class)))
                 .collect(),
--- a/crates/hemlocktack-decide/src/placement.rs
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -24,8 +24,6 @@
     /// Multiplies the cost of an upstream whose calls all fail; fewer failures
     /// count in proportion.
     pub failure_factor: f64,
-    /// How long an upstream that refused a call for load is passed over.
-    pub refused_for: Duration,
 }
 
 impl Default for PlacementPolicy {
@@ -37,11 +35,17 @@
             unknown_service_time: Duration::from_millis(5),
             cold_factor: 2.0,
             failure_factor: 20.0,
-            refused_for: Duration::from_millis(20),
         }
     }
 }
 
+/// How long an upstream that refused a call for load is passed over: about as
+/// long as its queue takes to move on.
+const AVOIDED_AFTER_OVERLOAD: Duration = Duration::from_millis(20);
+/// How long one is passed over that has no upstream, starts, drains or failed:
+/// until membership has the news.
+const AVOIDED_AFTER_FAULT: Duration = Duration::from_millis(500);
+
 /// What one node knows of one upstream's node. Shared between threads.
 #[derive(Debug)]
 pub struct PeerLoad {
@@ -56,7 +60,8 @@
     limit: AtomicU32,
     service_time_us: AtomicU64,
     heard_us: AtomicU64,
-    refused_us: AtomicU64,
+    /// Until when it is passed over after a refusal or a failure.
+    avoided_until_us: AtomicU64,
     /// Failures among the last 16 or so calls, per mille.
     failures_per_mille: AtomicU32,
 }
@@ -78,7 +83,7 @@
             limit: AtomicU32::new(0),
             service_time_us: AtomicU64::new(0),
             heard_us: AtomicU64::new(NEVER),
-            refused_us: AtomicU64::new(NEVER),
+            avoided_until_us: AtomicU64::new(0),
             failures_per_mille: AtomicU32::new(0),
         }
     }
@@ -108,8 +113,10 @@
         if let Some(hint) = hint {
             self.learn(hint, now);
         }
-        if is_own_refusal(reason) {
-            self.refused_us.store(self.micros(now), Ordering::Release);
+        if is_unavailable(reason) {
+            self.avoid(AVOIDED_AFTER_FAULT, now);
+        } else if is_overloaded(reason) {
+            self.avoid(AVOIDED_AFTER_OVERLOAD, now);
         }
     }
 
@@ -117,7 +124,12 @@
     pub fn failed(&self, now: Instant) {
         self.ended();
         self.count_failure(true);
-        self.refused_us.store(self.micros(now), Ordering::Release);
+        self.avoid(AVOIDED_AFTER_FAULT, now);
+    }
+
+    fn avoid(&self, time: Duration, now: Instant) {
+        self.avoided_until_us
+            .fetch_max(self.micros(now + time), Ordering::AcqRel);
     }
 
     fn ended(&self) {
@@ -202,9 +214,8 @@
         1.0 + share * policy.failure_factor
     }
 
-    fn just_refused(&self, policy: &PlacementPolicy, now: Instant) -> bool {
-        self.age(self.refused_us.load(Ordering::Acquire), now)
-            .is_some_and(|age| age < policy.refused_for)
+    fn is_avoided(&self, now: Instant) -> bool {
+        self.micros(now) < self.avoided_until_us.load(Ordering::Acquire)
     }
 }
 
@@ -226,12 +237,11 @@
     let takes = |index: usize, peer: &PeerLoad| Some(index) != excluded && peer.takes_calls();
     let has_room = |index: usize, peer: &PeerLoad| {
         takes(index, peer)
-            && !peer.just_refused(policy, now)
+            && !peer.is_avoided(now)
             && peer.utilisation(policy, now) < policy.spill_over_at
     };
     let near = |index: usize, peer: &PeerLoad| peer.is_near && has_room(index, peer);
-    let settled =
-        |index: usize, peer: &PeerLoad| takes(index, peer) && !peer.just_refused(policy, now);
+    let settled = |index: usize, peer: &PeerLoad| takes(index, peer) && !peer.is_avoided(now);
     better_of_two(peers, near, now, policy, rng)
         .or_else(|| better_of_two(peers, settled, now, policy, rng))
         .or_else(|| better_of_two(peers, takes, now, policy, rng))
@@ -241,10 +251,13 @@
 /// call, and no retry: nothing ran. A refusal that the others share (shed by
 /// level, no time left, quarantined) is passed up instead.
 pub fn may_move(reason: Reason) -> bool {
+    reason == Reason::QueueFull || is_unavailable(reason)
+}
+
+fn is_unavailable(reason: Reason) -> bool {
     matches!(
         reason,
-        Reason::QueueFull
-            | Reason::NoUpstream
+        Reason::NoUpstream
             | Reason::Starting
             | Reason::Draining
             | Reason::UpstreamDraining
@@ -252,8 +265,11 @@
     )
 }
 
-fn is_own_refusal(reason: Reason) -> bool {
-    may_move(reason) || matches!(reason, Reason::Shed | Reason::QueueTimeout)
+fn is_overloaded(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::QueueFull | Reason::Shed | Reason::QueueTimeout
+    )
 }
 
 fn better_of_two(
