--- a/crates/hemlocktack-decide/examples/scenarios/driver/arena.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/arena.rs
@@ -49,6 +49,8 @@
     pub(crate) upstream: usize,
     pub(crate) place: Place,
     pub(crate) moved: bool,
+    /// A send of it died with its upstream: its outcome is unknown.
+    pub(crate) may_have_run: bool,
     /// Work that the chain had spent when this call was made.
     pub(crate) work_before: Duration,
     pub(crate) own_done: Duration,
--- a/crates/hemlocktack-decide/examples/scenarios/driver/callers.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/callers.rs
@@ -64,6 +64,7 @@
             upstream: entry,
             place: Place::Travelling,
             moved: false,
+            may_have_run: false,
             work_before: Duration::ZERO,
             own_done: Duration::ZERO,
             time_below: Duration::ZERO,
--- a/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
@@ -261,6 +261,7 @@
             upstream: parent.upstream,
             place: Place::Travelling,
             moved: false,
+            may_have_run: false,
             work_before: parent.work_before + parent.own_done,
             own_done: Duration::ZERO,
             time_below: Duration::ZERO,
--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -177,6 +177,11 @@
     until: Instant,
 }
 
+/// Coming back does not help a call that crashes upstreams.
+const QUARANTINED: Refusal = Refusal {
+    reason: Reason::Quarantined,
+    retry_after: None,
+};
 /// Suspected calls that may wait.
 const MOST_SUSPECTS: usize = 64;
 /// A queue that has been above half its bound for this long will not be worked
@@ -264,10 +269,7 @@
         self.shed.arrived(offer.class_rank, offer.root_request_id);
         match self.quarantine.standing(offer.fingerprint, now) {
             Standing::Free => self.offer_free(offer, now),
-            Standing::Refused => Verdict::Refused(Refusal {
-                reason: Reason::Quarantined,
-                retry_after: None,
-            }),
+            Standing::Refused => Verdict::Refused(QUARANTINED),
             Standing::Suspected => self.offer_suspect(offer),
         }
     }
@@ -473,7 +475,7 @@
     }
 
     fn next_call(&mut self, now: Instant) -> Option<Waiting> {
-        if let Some(call) = self.next_suspect() {
+        if let Some(call) = self.next_suspect(now) {
             self.start(&call, now);
             return Some(call);
         }
@@ -490,14 +492,24 @@
         None
     }
 
-    /// One suspect at a time: if the upstream crashes now, it is named.
-    fn next_suspect(&mut self) -> Option<Waiting> {
-        if self.suspects.is_empty() || self.suspect_running.is_some() || !self.has_free_slot() {
-            return None;
+    /// One suspect at a time: if the upstream crashes now, it is named. A call
+    /// that was convicted while it waited is refused, or each of its copies
+    /// would cost one more upstream.
+    fn next_suspect(&mut self, now: Instant) -> Option<Waiting> {
+        while !self.suspects.is_empty() && self.suspect_running.is_none() && self.has_free_slot() {
+            let call = self.suspects.remove(0);
+            match self.quarantine.standing(call.fingerprint, now) {
+                Standing::Refused => self
+                    .refusals
+                    .push(Decision::Refuse(call.call_id, QUARANTINED)),
+                Standing::Suspected => {
+                    self.suspect_running = Some(call.call_id);
+                    return Some(call);
+                }
+                Standing::Free => return Some(call),
+            }
         }
-        let call = self.suspects.remove(0);
-        self.suspect_running = Some(call.call_id);
-        Some(call)
+        None
     }
 
     fn has_free_slot(&self) -> bool {
--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -22,6 +22,8 @@
 pub use placement::{PeerLoad, PlacementPolicy, may_move, place};
 pub use quarantine::{Quarantine, QuarantinePolicy, Standing, Suspect};
 pub use queue::MAX_CLASSES;
-pub use retry::{Allowance, EdgeBudget, RetryPolicy, RetryVerdict, retry_verdict, share_for_child};
+pub use retry::{
+    Allowance, EdgeBudget, RetryPolicy, RetryVerdict, end_of_tries, retry_verdict, share_for_child,
+};
 pub use retry_after::{RetryAfterPolicy, retry_after};
 pub use shed::{ChainEdges, Gate, GatePolicy, ServiceKey, ShedController, ShedLevel, ShedPolicy};
--- a/crates/hemlocktack-decide/src/retry.rs
+++ b/crates/hemlocktack-decide/src/retry.rs
@@ -176,6 +176,19 @@
     RetryVerdict::Retry
 }
 
+/// End of a call that was sent several times, as the caller is told it.
+///
+/// Load: a retry after an unknown outcome is refused. Harm: "not run" would be
+/// a lie, as the first send may have run, and the caller would send it again as
+/// if nothing had happened. Unknown once is unknown in the end, unless a later
+/// send is answered.
+pub fn end_of_tries(earlier: Option<Unfinished>, last: Unfinished) -> Unfinished {
+    match earlier {
+        Some(Unfinished::Unknown(reason)) => Unfinished::Unknown(reason),
+        Some(Unfinished::NotRun(_)) | None => last,
+    }
+}
+
 /// Faults of one node, link or upstream that another node need not share.
 fn is_passing_fault(reason: Reason) -> bool {
     matches!(
