--- a/crates/hemlocktack-decide/benches/decisions.rs
+++ b/crates/hemlocktack-decide/benches/decisions.rs
@@ -1,2 +1,136 @@
-//! Stub.
-fn main() {}
+//! Cost of one decision on the path of a request. Target: 1 microsecond, median.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use divan::{Bencher, black_box};
+use hemlocktack_decide::{
+    Admission, AdmissionPolicy, Allowance, Decision, EdgeBudget, Ended, Gate, GatePolicy, Offer,
+    PeerLoad, PlacementPolicy, RetryPolicy, ShedLevel, place, retry_verdict,
+};
+use hemlocktack_protocol::{LoadHint, Reason, Unfinished, UpstreamState};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn main() {
+    divan::main();
+}
+
+const SLOTS: u32 = 140;
+const WORK: Duration = Duration::from_millis(50);
+
+fn offer(call_id: u64, now: Instant) -> Offer {
+    Offer {
+        call_id,
+        class_rank: (call_id % 3) as u8,
+        deadline: now + Duration::from_secs(3600),
+        root_request_id: call_id,
+        work_spent: Duration::ZERO,
+        fingerprint: call_id,
+        kind: call_id % 4,
+    }
+}
+
+/// An admission whose slots are taken and in whose queue `queued` calls wait.
+fn busy(queued: u64, now: Instant) -> Admission {
+    let mut policy = AdmissionPolicy::default();
+    policy.queue.per_slot = 1000.0;
+    let mut admission = Admission::new(policy, now);
+    admission.announced(SLOTS, SLOTS * 8, false, now);
+    for call_id in 0..u64::from(SLOTS) + queued {
+        admission.offer(&offer(call_id, now), now);
+    }
+    admission
+}
+
+/// Offer, finish and the start of the next waiting call, together: all that one
+/// call costs at a full upstream.
+#[divan::bench(args = [0, 100, 1000, 10_000])]
+fn admission_of_one_call(bencher: Bencher<'_, '_>, queued: u64) {
+    let start = Instant::now();
+    let mut admission = busy(queued, start);
+    let mut call_id = u64::from(SLOTS) + queued;
+    let mut running: std::collections::VecDeque<_> = (0..u64::from(SLOTS)).collect();
+    let mut decisions = Vec::with_capacity(16);
+    let mut now = start + WORK;
+    bencher.bench_local(|| {
+        now += Duration::from_micros(300);
+        call_id += 1;
+        let verdict = admission.offer(black_box(&offer(call_id, now)), now);
+        black_box(verdict);
+        if let Some(done) = running.pop_front() {
+            admission.finish(done, Ended::Answered, Duration::ZERO, now);
+        }
+        admission.take_ready(now, &mut decisions);
+        for decision in decisions.drain(..) {
+            if let Decision::Run(call_id) = decision {
+                running.push_back(call_id);
+            }
+        }
+    });
+}
+
+#[divan::bench]
+fn hint(bencher: Bencher<'_, '_>) {
+    let admission = busy(100, Instant::now());
+    bencher.bench_local(|| black_box(admission.hint(ShedLevel::OPEN)));
+}
+
+/// Number of upstreams of a service: today's largest and a subset at the aimed
+/// size.
+#[divan::bench(args = [6, 16])]
+fn placement(bencher: Bencher<'_, '_>, upstreams: usize) {
+    let now = Instant::now();
+    let hint = LoadHint {
+        in_flight: 40,
+        limit: 90,
+        service_time_us: 80_000,
+        ..LoadHint::default()
+    };
+    let peer = |index| {
+        let peer = PeerLoad::new(index % 3 == 0, UpstreamState::Ready, now);
+        peer.sent();
+        peer.answered(&hint, now);
+        Arc::new(peer)
+    };
+    let peers: Vec<_> = (0..upstreams).map(peer).collect();
+    let policy = PlacementPolicy::default();
+    let mut rng = SmallRng::seed_from_u64(1);
+    bencher.bench_local(|| place(black_box(&peers), None, now, &policy, &mut rng));
+}
+
+#[divan::bench(args = [6, 16])]
+fn gate(bencher: Bencher<'_, '_>, upstreams: usize) {
+    let now = Instant::now();
+    let mut gate = Gate::new(GatePolicy::default(), upstreams);
+    let hint = LoadHint {
+        shed_level: 3 << 16,
+        ..LoadHint::default()
+    };
+    for upstream in 0..upstreams {
+        gate.learn(upstream, 1, &hint, now);
+    }
+    let mut root = 0;
+    bencher.bench_local(|| {
+        root += 1;
+        gate.admits(1, 13, black_box(root), false, now)
+    });
+}
+
+#[divan::bench]
+fn retry(bencher: Bencher<'_, '_>) {
+    let allowance = Allowance::new(u32::MAX);
+    let edge = EdgeBudget::new(RetryPolicy::default());
+    let unfinished = Unfinished::Unknown(Reason::UpstreamFailed);
+    bencher.bench_local(|| {
+        edge.first_try();
+        retry_verdict(
+            black_box(&unfinished),
+            true,
+            Duration::from_secs(1),
+            WORK,
+            &allowance,
+            &edge,
+        )
+    });
+}
