--- a/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
@@ -8,7 +8,7 @@
 
 use super::arena::{Call, CallEnd, CallKey, Place};
 use super::entry_side::refusal;
-use super::scenario::Policy;
+use super::scenario::{LONG_FACTOR, Policy};
 use super::world::{Event, World};
 
 /// Calls that the static policy lets wait for each slot.
@@ -79,11 +79,13 @@
         self.schedule_wake(node);
     }
 
+    /// Differs by request and by step: a deeper call is another request to
+    /// another service.
     fn fingerprint(&self, call: &Call) -> u64 {
         if self.arena.requests[&call.request].crashes_upstreams {
             CRASHING_FINGERPRINT
         } else {
-            call.request
+            call.request * self.deployment.steps.len() as u64 + call.step as u64
         }
     }
 
@@ -187,7 +189,7 @@
         let step = &self.deployment.steps[call.step];
         let phases = step.deeper.len() as u32 + 1;
         let slowness = self.nodes[call.upstream].upstream.slowness_at(self.at);
-        let long = if call.is_long { 10.0 } else { 1.0 };
+        let long = if call.is_long { LONG_FACTOR } else { 1.0 };
         let mut work = (step.own_work / phases).mul_f64(spread * slowness * long);
         let crashes = self
             .arena
@@ -259,6 +261,7 @@
             upstream: parent.upstream,
             place: Place::Travelling,
             moved: false,
+            may_have_run: false,
             work_before: parent.work_before + parent.own_done,
             own_done: Duration::ZERO,
             time_below: Duration::ZERO,
--- a/crates/hemlocktack-decide/tests/operators_limits.rs
+++ b/crates/hemlocktack-decide/tests/operators_limits.rs
@@ -64,7 +64,7 @@
     let mut admission = Admission::new(AdmissionPolicy::default(), now);
     let quarantine = admission.quarantine();
     for _ in 0..3 {
-        quarantine.crashed(&[7], now);
+        quarantine.crashed(Some(7), &[], now);
     }
     let later = now + Duration::from_secs(20);
     assert_eq!(quarantine.standing(7, later), Standing::Refused);
