Refuse other verbs in the form of every error, and shrink kept answers in steps

A GET on an operators' call got the web framework's page; it is told to send a POST. Lowering kept_answers_bytes dropped all surplus answers under the lock that each call with a ticket takes; it now drops 64 KiB at a time, so that a configuration change does not stall bookings.

--- a/crates/hemlocktack-cli/src/arguments.rs
+++ b/crates/hemlocktack-cli/src/arguments.rs
@@ -177,7 +177,7 @@
         let is_http = node_url.starts_with("http://") && node_url.len() > "http://".len();
         if !node_url.is_empty() && !is_http {
             let label = format!("{node_url:?} is no address of a node");
-            let help = "write it as http://10.0.0.7:7400";
+            let help = "write it as http://10.0.0.7:7401";
             self.add("--node-url", label, help);
         }
         if token.chars().any(char::is_control) {
--- a/crates/hemlocktack-cli/src/commands/fleet/drain.rs
+++ b/crates/hemlocktack-cli/src/commands/fleet/drain.rs
@@ -27,11 +27,10 @@
     arguments.finish()?;
     let request = DrainNodeRequest { node_id };
     let response = client.call(&DRAIN_NODE, &request)?;
-    let state = <&'static str>::from(response.state());
     let what = match response.state() {
-        NodeState::Left => "it has left",
-        _ => "it takes nothing new and finishes what is in flight",
+        NodeState::Left => "has left",
+        _ => "drains: it takes nothing new and finishes what is in flight",
     };
-    let text = format!("{}: {state}, {what}\n", request.node_id);
+    let text = format!("{} {what}\n", request.node_id);
     output.report(&text, &response)
 }
--- a/crates/hemlocktack-node/src/calls/home.rs
+++ b/crates/hemlocktack-node/src/calls/home.rs
@@ -21,6 +21,9 @@
 /// try than an idempotent call gets: a booking is shed last.
 const DELEGATIONS_MAX: usize = 2;
 
+/// Kept answers dropped at once when the operators lower their memory.
+const SHRINK_STEP_BYTES: usize = 64 << 10;
+
 type EndReceiver = watch::Receiver<Option<Arc<Answer>>>;
 
 /// Tickets that this node start is home of, and who waits for their ends.
@@ -46,6 +49,23 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Changes the memory for answers.
+    ///
+    /// Failure: with a much smaller budget, a hundred thousand answers are
+    /// dropped under the lock that every call with a ticket takes; bookings
+    /// stall for a configuration change. In steps of a few answers the lock is
+    /// free in between.
+    pub(crate) fn set_kept_answer_bytes(&self, target_bytes: usize) {
+        loop {
+            let mut table = self.table();
+            let step_bytes = table.kept_answer_bytes().saturating_sub(SHRINK_STEP_BYTES);
+            table.set_kept_answer_bytes(step_bytes.max(target_bytes));
+            if step_bytes <= target_bytes {
+                return;
+            }
+        }
+    }
+
     fn ends(&self) -> MutexGuard<'_, HashMap<Nonce, watch::Sender<Option<Arc<Answer>>>>> {
         self.ends.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -203,7 +203,6 @@
             .set_retry_share_percent(limits.retry_share_percent);
         let kept_answers_bytes = usize::try_from(limits.kept_answers_bytes);
         self.home
-            .table()
             .set_kept_answer_bytes(kept_answers_bytes.unwrap_or(usize::MAX));
         // Covers the most patient caller, which the node's own setting may not.
         let drain_limit = Duration::from_millis(limits.drain_limit_ms);
--- a/crates/hemlocktack-node/src/operators/routes.rs
+++ b/crates/hemlocktack-node/src/operators/routes.rs
@@ -3,7 +3,7 @@
 use std::io::Cursor;
 use std::sync::Arc;
 
-use hemlocktack_protocol::OPERATORS_SERVICE;
+use hemlocktack_protocol::{OPERATORS_SERVICE, OperatorErrorCode};
 use rocket::data::Data;
 use rocket::http::{Header, Method, Status};
 use rocket::route::{Handler, Outcome, Route};
@@ -11,14 +11,26 @@
 
 use super::body::{self, Encoding};
 use super::dispatch::dispatch;
-use super::{Result, authorise};
+use super::{Failure, Result, authorise};
 use crate::node::Node;
 
+/// All but POST get an answer that says so, instead of the framework's page.
+const METHODS: [Method; 5] = [
+    Method::Post,
+    Method::Get,
+    Method::Put,
+    Method::Patch,
+    Method::Delete,
+];
+
 /// Routes of the operators' calls.
 pub(crate) fn routes(node: &Arc<Node>) -> Vec<Route> {
     let path = format!("/{OPERATORS_SERVICE}/<method..>");
     let handler = Operators { node: node.clone() };
-    vec![Route::new(Method::Post, &path, handler)]
+    METHODS
+        .into_iter()
+        .map(|method| Route::new(method, &path, handler.clone()))
+        .collect()
 }
 
 #[derive(Clone)]
@@ -60,6 +72,10 @@
         let method = path.rsplit('/').next().unwrap_or_default();
         let token = request.headers().get_one("authorization");
         authorise::authorise(&self.node, token, method)?;
+        if request.method() != Method::Post {
+            let message = "operators' calls are sent by POST";
+            return Err(Failure::new(OperatorErrorCode::UnknownMethod, message));
+        }
         let encoding = encoding?;
         let body = body::read(data).await?;
         dispatch(&self.node, method, encoding, &body).await
--- a/crates/hemlocktack-node/tests/processes/operator_calls.rs
+++ b/crates/hemlocktack-node/tests/processes/operator_calls.rs
@@ -2,7 +2,7 @@
 
 use serde_json::Value;
 
-use crate::harness::{DOCUMENT, Fleet, Plan, document_with_comment, wait_until};
+use crate::harness::{DOCUMENT, Fleet, OPERATOR_TOKEN, Plan, document_with_comment, wait_until};
 
 /// An operator drains a node through another one, and the script that does so
 /// runs twice. The node refuses new calls, ends by itself with exit code 0, and
@@ -119,3 +119,26 @@
     let refused = operator.apply(DOCUMENT, 2).await;
     assert_eq!(refused.exit_code, 1, "{refused:?}");
 }
+
+/// Somebody uses the wrong verb, and somebody sends a body without end. Both
+/// are told what is wrong in the form of every other error.
+#[tokio::test(flavor = "multi_thread")]
+async fn other_verbs_and_bodies_over_the_limit_are_refused() {
+    let fleet = Fleet::start(&[Plan::new("diaries", 1)]).await;
+    let control = fleet.nodes[0].control;
+    let http = reqwest::Client::new();
+    let url = format!("http://{control}/hemlocktack.v1.Operators/CheckConfiguration");
+    let document = "#".repeat((2 << 20) + 1);
+    let cases = [
+        (reqwest::Method::GET, String::new(), 404, "unknown-method"),
+        (reqwest::Method::POST, document, 413, "body-too-large"),
+    ];
+    for (method, body, status, code) in cases {
+        let request = http.request(method, &url).bearer_auth(OPERATOR_TOKEN);
+        let request = request.header("content-type", "application/json");
+        let answer = request.body(body).send().await.unwrap();
+        assert_eq!(answer.status().as_u16(), status);
+        let error = answer.json::<Value>().await.unwrap();
+        assert_eq!(error["code"], code, "{error}");
+    }
+}
