Bound every wait on a link and never say not-run for a home that was not reached

Cause, found in review: a call waited without limit for room on a link to a frozen peer; asking a killed peer again went on until the caller's deadline, so an idempotent call could not go elsewhere meanwhile; and a ticketed call whose send never arrived was told not-run though an earlier send may have run.

Now the wait for room ends at the deadline, asking again ends after a second, and a delivery says whether the answer is the receiver's own word: of a ticket only the home's word is not-run. The process test of frozen and killed nodes with bookings passes as before; a test that isolates each wait is still to be written.

--- a/crates/hemlocktack-node/src/calls/home.rs
+++ b/crates/hemlocktack-node/src/calls/home.rs
@@ -10,7 +10,7 @@
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Fingerprint, Outcome, Reason, Unfinished};
 use tokio::sync::watch;
 
-use super::place::{choose, moves, send_with_allowance, unfinished};
+use super::place::{Delivery, choose, moves, send_with_allowance, unfinished};
 use super::receive::refuses_all;
 use super::roster::{PeerEntry, ServiceView};
 use super::run::{RunOrder, run};
@@ -233,7 +233,7 @@
     call.purpose = CallPurpose::Delegated.into();
     let allowance = hemlocktack_decide::Allowance::new(call.retries_given);
     peer.as_ref().sent();
-    let answer = send_with_allowance(node, peer, call, deadline, &allowance).await;
+    let Delivery { answer, .. } = send_with_allowance(node, peer, call, deadline, &allowance).await;
     super::place::learn_load(peer, &answer);
     if answer.outcome() == Outcome::NotRun {
         let given_back = node.home.table().give_back_from(nonce, &peer.identity);
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -108,12 +108,23 @@
     let mut call = classified.call.clone();
     call.purpose = purpose.into();
     peer.as_ref().sent();
-    let answer =
-        send_with_allowance(node, peer, call, classified.deadline, &classified.allowance).await;
+    let Classified {
+        deadline,
+        allowance,
+        ..
+    } = classified;
+    let Delivery { answer, .. } = send_with_allowance(node, peer, call, *deadline, allowance).await;
     learn(view, index, classified, &answer);
     answer
 }
 
+/// What one send came to.
+pub(crate) struct Delivery {
+    pub(crate) answer: Answer,
+    /// The answer is the receiver's own word, not this node's conclusion.
+    pub(crate) is_receivers_word: bool,
+}
+
 /// Gives retries away with the call and takes the unspent rest back. A call
 /// that came to no answer gives nothing back: it may have spent all.
 pub(crate) async fn send_with_allowance(
@@ -122,36 +133,59 @@
     mut call: Call,
     deadline: Instant,
     allowance: &Allowance,
-) -> Answer {
+) -> Delivery {
     let given = allowance.give_to_child();
     call.retries_given = given;
     call.time_left_us = time_left_us(deadline);
-    let answer = match node.place_of(&peer.member) {
-        Some(Place::Here) => receive(node, call, &CancellationToken::new()).await,
-        Some(Place::There(peer)) => send_over_link(node, &peer, call, deadline).await,
-        None => Answer {
-            retries_unspent: given,
-            ..not_run(Reason::LinkLost, None)
+    let delivery = match node.place_of(&peer.member) {
+        Some(Place::Here) => Delivery {
+            answer: receive(node, call, &CancellationToken::new()).await,
+            is_receivers_word: true,
         },
+        Some(Place::There(peer)) => send_over_link(node, &peer, call, deadline).await,
+        None => never_arrived(&call, Reason::LinkLost),
     };
-    allowance.give_back(answer.retries_unspent, given);
-    answer
+    allowance.give_back(delivery.answer.retries_unspent, given);
+    delivery
 }
 
-async fn send_over_link(node: &Node, peer: &Peer, mut call: Call, deadline: Instant) -> Answer {
-    let given = call.retries_given;
-    let span = ObservedSpan::begin(node, SpanName::Link, &mut call);
-    let answer = match node.links.call(peer, call, deadline).await {
-        Sent::Answer(answer) => answer,
-        Sent::NeverArrived(reason) => Answer {
-            retries_unspent: given,
-            ..not_run(reason, None)
+async fn send_over_link(node: &Node, peer: &Peer, call: Call, deadline: Instant) -> Delivery {
+    let mut sent = call.clone();
+    let span = ObservedSpan::begin(node, SpanName::Link, &mut sent);
+    let delivery = match node.links.call(peer, sent, deadline).await {
+        Sent::Answer(answer) => Delivery {
+            answer,
+            is_receivers_word: true,
+        },
+        Sent::NeverArrived(reason) => never_arrived(&call, reason),
+        Sent::Unknown(reason) => Delivery {
+            answer: unknown(reason),
+            is_receivers_word: false,
         },
-        Sent::Unknown(reason) => unknown(reason),
     };
     node.waits.link.observe(span.elapsed());
-    span.end(node, &answer, || format!("to {}", peer.node_id));
-    answer
+    span.end(node, &delivery.answer, || format!("to {}", peer.node_id));
+    delivery
+}
+
+/// Failure: a caller sends a ticket again, and the home cannot be reached.
+/// Symptom: it is told that its booking was not run, though the first send ran
+/// it. That this send never arrived says nothing of earlier ones; only the home
+/// can say `not_run` of a ticket.
+fn never_arrived(call: &Call, reason: Reason) -> Delivery {
+    let is_to_home = call.purpose() == CallPurpose::Home;
+    let end = if is_to_home {
+        unknown(reason)
+    } else {
+        not_run(reason, None)
+    };
+    Delivery {
+        answer: Answer {
+            retries_unspent: call.retries_given,
+            ..end
+        },
+        is_receivers_word: false,
+    }
 }
 
 /// The end of a call as the decisions see it; `None` for an answer.
--- a/crates/hemlocktack-node/src/calls/ticketed.rs
+++ b/crates/hemlocktack-node/src/calls/ticketed.rs
@@ -7,7 +7,7 @@
 use hemlocktack_fleet::tickets::{ChildHome, Ticket, TicketError, find_home};
 use hemlocktack_protocol::{Answer, CallPurpose, NodeState, Outcome, Reason};
 
-use super::place::{admitted_view, choose, send_with_allowance, wait_before_return};
+use super::place::{Delivery, admitted_view, choose, send_with_allowance, wait_before_return};
 use super::roster::{PeerEntry, ServiceView};
 use super::{Classified, not_run, unknown};
 use crate::node::Node;
@@ -124,7 +124,10 @@
         let home = find_home(ticket, |home| node.successor_of(home));
         let view = node.roster.service(&call.service);
         let peer = view.as_deref().and_then(|view| peer_of(view, &home));
-        let answer = match peer {
+        let Delivery {
+            answer,
+            is_receivers_word,
+        } = match peer {
             Some(peer) => {
                 let call = call.clone();
                 let Classified {
@@ -134,12 +137,15 @@
                 } = classified;
                 send_with_allowance(node, peer, call, *deadline, allowance).await
             }
-            None => unknown(Reason::HomeGone),
+            None => Delivery {
+                answer: unknown(Reason::HomeGone),
+                is_receivers_word: false,
+            },
         };
         let is_handing_over = is_handing_over(node, &home, &answer);
         let may_ask_again = match is_handing_over {
             true => Instant::now() < succession_limit,
-            false => never_arrived(&answer),
+            false => !is_receivers_word && is_lost(answer.reason()),
         };
         if !may_ask_again {
             return answer;
@@ -149,9 +155,11 @@
     unknown(Reason::Timeout)
 }
 
-fn never_arrived(answer: &Answer) -> bool {
-    answer.outcome() == Outcome::NotRun
-        && matches!(answer.reason(), Reason::LinkLost | Reason::Fenced)
+/// Whether the home may still say what became of the request: this send was
+/// lost on the way, there or back. Once the home is known to be gone, the loop
+/// ends with `HomeGone`.
+fn is_lost(reason: Reason) -> bool {
+    matches!(reason, Reason::LinkLost | Reason::Fenced)
 }
 
 /// A home in a planned stop starts nothing once its tickets are on their way,
--- a/crates/hemlocktack-node/src/links/connection.rs
+++ b/crates/hemlocktack-node/src/links/connection.rs
@@ -67,6 +67,9 @@
     /// The sender writes to the socket itself if that is free. A task between
     /// them would cost every frame a wake-up, which on an idle machine takes
     /// longer than the rest of the hop.
+    ///
+    /// Waits while the peer reads too slowly. A sender that goes away while it
+    /// waits has sent nothing.
     pub(crate) async fn send(&self, body: frame::Body) -> bool {
         let frame = Frame { body: Some(body) };
         loop {
@@ -86,6 +89,13 @@
         }
     }
 
+    /// Sends a frame that helps but may be left out, if that needs no waiting.
+    pub(crate) fn send_if_room(&self, body: frame::Body) {
+        if !self.is_closed() && self.shared.outbox().bytes.len() < OUTBOX_BYTES {
+            self.shared.take(Frame { body: Some(body) });
+        }
+    }
+
     pub(crate) fn is_closed(&self) -> bool {
         *self.shared.closed.borrow()
     }
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -25,6 +25,10 @@
 /// Opening a link within a data centre takes a millisecond and between regions
 /// a few dozen; a peer that has not answered by then is as good as gone.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// A link that broke by itself is back within a few of these waits. A peer that
+/// was killed never is, and its callers must not wait for that: an idempotent
+/// call goes elsewhere then, and a ticket is sent to its home again.
+const ASK_AGAIN_LIMIT: Duration = Duration::from_secs(1);
 /// Wait between two attempts to reach a peer that has calls of ours pending.
 const REDIAL_PAUSE: Duration = Duration::from_millis(50);
 /// Answers or resolutions that may wait for one call; there are two at most.
@@ -95,8 +99,12 @@
         };
         let (events, receiver) = mpsc::channel(EVENTS_A_CALL);
         let _pending = PendingCall::register(&link.pending, call_id, events);
-        if !connection.send(frame::Body::Call(call)).await {
-            return Sent::NeverArrived(Reason::LinkLost);
+        // A peer that is frozen reads nothing, so the wait for room has to end too.
+        let sending = connection.send(frame::Body::Call(call));
+        match tokio::time::timeout_at(deadline.into(), sending).await {
+            Ok(true) => {}
+            Ok(false) => return Sent::NeverArrived(Reason::LinkLost),
+            Err(_) => return Sent::NeverArrived(Reason::Timeout),
         }
         self.stay_with(&link, connection, call_id, receiver, deadline)
             .await
@@ -130,7 +138,7 @@
                     }
                 }
                 () = tokio::time::sleep_until(deadline.into()) => {
-                    connection.send(frame::Body::Cancel(CancelCall { call_id })).await;
+                    connection.send_if_room(frame::Body::Cancel(CancelCall { call_id }));
                     return Sent::Unknown(Reason::Timeout);
                 }
             }
@@ -150,18 +158,17 @@
         incarnation: Incarnation,
         deadline: Instant,
     ) -> Result<Connection, Reason> {
-        while Instant::now() < deadline {
-            let Some(connection) = self.connect(link, deadline).await else {
+        let limit = deadline.min(Instant::now() + ASK_AGAIN_LIMIT);
+        while Instant::now() < limit {
+            let Some(connection) = self.connect(link, limit).await else {
                 tokio::time::sleep(REDIAL_PAUSE).await;
                 continue;
             };
             if connection.peer_incarnation != incarnation {
                 return Err(Reason::HomeGone);
             }
-            if connection
-                .send(frame::Body::Resolve(ResolveCall { call_id }))
-                .await
-            {
+            let asking = connection.send(frame::Body::Resolve(ResolveCall { call_id }));
+            if let Ok(true) = tokio::time::timeout_at(limit.into(), asking).await {
                 return Ok(connection);
             }
         }
