Keep an unknown end when a retry of the same request is refused

A GET whose first send crashed its upstream was told not-run when its retry found no upstream or met the quarantine. The refusal speaks of its own send only; run_idempotent now keeps the first unknown end.

Ruled out: the quarantine itself, which refuses before the start.

--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -25,6 +25,10 @@
 const PACKED_STEPS_A_CLASS: f64 = 65536.0;
 
 /// Places an idempotent call and stays with it until its end.
+///
+/// Failure: the first send crashes its upstream, and the retry is refused by
+/// the next node. Symptom: the caller is told `not-run` of a request that ran.
+/// The refusal speaks of its own send only, so an earlier unknown end stands.
 pub(crate) async fn run_idempotent(node: &Arc<Node>, classified: &Classified) -> Answer {
     let view = match admitted_view(node, classified) {
         Ok(view) => view,
@@ -33,25 +37,30 @@
     view.edge.first_try();
     let mut excluded = None;
     let mut moved = false;
+    let mut may_have_run = None;
     loop {
         let Some(index) = choose(&view, excluded) else {
-            return not_run(
+            let nowhere = not_run(
                 Reason::NoUpstream,
                 Some(wait_before_return(ShedLevel::OPEN)),
             );
+            return may_have_run.unwrap_or(nowhere);
         };
         let answer = attempt(node, &view, index, classified, CallPurpose::Placed).await;
         let Some(unfinished) = unfinished(&answer) else {
             return answer;
         };
         excluded = Some(index);
+        if answer.outcome() == Outcome::Unknown {
+            may_have_run.get_or_insert_with(|| answer.clone());
+        }
         if !moved && moves(&unfinished) {
             moved = true;
             continue;
         }
         match verdict(&unfinished, classified, &view, &answer) {
             RetryVerdict::Retry => node.counters.retried(),
-            RetryVerdict::PassUp | RetryVerdict::Spent => return answer,
+            RetryVerdict::PassUp | RetryVerdict::Spent => return may_have_run.unwrap_or(answer),
         }
     }
 }
