--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -37,9 +37,9 @@
 /// Bounds of the queue in front of the upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct QueuePolicy {
-    /// Calls that may wait for each slot. Four service times absorb a burst of
-    /// twice the capacity that lasts as long; a longer queue only delays the
-    /// refusal of what cannot be served.
+    /// Calls that may wait for each slot. Six service times absorb a burst of
+    /// three times the capacity that lasts two of them; a longer queue only
+    /// delays the refusal of what cannot be served.
     pub per_slot: f64,
     /// Queue that an upstream with very few slots still has.
     pub least: usize,
@@ -62,7 +62,7 @@
 impl Default for QueuePolicy {
     fn default() -> Self {
         QueuePolicy {
-            per_slot: 4.0,
+            per_slot: 6.0,
             least: 16,
             most: 10_000,
             work_margin: 1.25,
@@ -141,7 +141,6 @@
     kind: WorkKind,
     fingerprint: Fingerprint,
     started: Instant,
-    is_suspect: bool,
 }
 
 /// All decisions of one node about calls to its upstream.
@@ -162,9 +161,7 @@
     /// Suspected calls wait here, apart: they must not hold the others up.
     suspects: Vec<Waiting>,
     running: HashMap<CallId, Running>,
-    suspects_running: usize,
-    alone_running: bool,
-    alone_began: Option<Instant>,
+    suspect_running: Option<CallId>,
     shed: ShedController,
     quarantine: Quarantine,
     refusals: Vec<Decision>,
@@ -180,6 +177,11 @@
     until: Instant,
 }
 
+/// Coming back does not help a call that crashes upstreams.
+const QUARANTINED: Refusal = Refusal {
+    reason: Reason::Quarantined,
+    retry_after: None,
+};
 /// Suspected calls that may wait.
 const MOST_SUSPECTS: usize = 64;
 /// A queue that has been above half its bound for this long will not be worked
@@ -202,9 +204,7 @@
             queue: ClassQueue::new(RUNNING_CAPACITY),
             suspects: Vec::with_capacity(MOST_SUSPECTS),
             running: HashMap::with_capacity(RUNNING_CAPACITY),
-            suspects_running: 0,
-            alone_running: false,
-            alone_began: None,
+            suspect_running: None,
             shed: ShedController::new(policy.shed, now),
             quarantine: Quarantine::new(policy.quarantine),
             refusals: Vec::with_capacity(RUNNING_CAPACITY),
@@ -247,11 +247,12 @@
     /// The upstream died. Every call that ran in it goes into `ended`, and
     /// [`Admission::finish`] is not to be called for it.
     pub fn crashed(&mut self, ended: &mut Vec<CallId>, now: Instant) {
-        let fingerprints: Vec<_> = self.running.values().map(|call| call.fingerprint).collect();
-        self.quarantine.crashed(&fingerprints, now);
+        let suspect = self.suspect_running.take();
+        let suspect = suspect.and_then(|call_id| self.running.get(&call_id));
+        let suspect = suspect.map(|call| call.fingerprint);
+        let others: Vec<_> = self.running.values().map(|call| call.fingerprint).collect();
+        self.quarantine.crashed(suspect, &others, now);
         ended.extend(self.running.drain().map(|(call_id, _)| call_id));
-        self.suspects_running = 0;
-        self.alone_running = false;
     }
 
     /// Load report of the upstream.
@@ -268,11 +269,8 @@
         self.shed.arrived(offer.class_rank, offer.root_request_id);
         match self.quarantine.standing(offer.fingerprint, now) {
             Standing::Free => self.offer_free(offer, now),
-            Standing::Refused => Verdict::Refused(Refusal {
-                reason: Reason::Quarantined,
-                retry_after: None,
-            }),
-            Standing::Suspected | Standing::RunsAlone => self.offer_suspect(offer),
+            Standing::Refused => Verdict::Refused(QUARANTINED),
+            Standing::Suspected => self.offer_suspect(offer),
         }
     }
 
@@ -282,9 +280,8 @@
         let Some(call) = self.running.remove(&call_id) else {
             return;
         };
-        if call.is_suspect {
-            self.suspects_running -= 1;
-            self.alone_running = false;
+        if self.suspect_running == Some(call_id) {
+            self.suspect_running = None;
         }
         match ended {
             Ended::Answered => {
@@ -381,6 +378,12 @@
         self.shed.level()
     }
 
+    /// Changes the operators' bound on the queue. What waits beyond a smaller
+    /// one stays: it was taken, and leaves in its turn.
+    pub fn set_queue_limit(&mut self, most: usize) {
+        self.policy.queue.most = most;
+    }
+
     /// Crash quarantine, to exchange news with other nodes.
     pub fn quarantine(&mut self) -> &mut Quarantine {
         &mut self.quarantine
@@ -417,7 +420,7 @@
         if time_left < expected / 2 && !self.probe(now) {
             return Verdict::Refused(self.refusal(Reason::DeadlineTooShort, offer.call_id));
         }
-        self.start(&waiting(offer), false, now);
+        self.start(&waiting(offer), now);
         Verdict::Run
     }
 
@@ -479,7 +482,7 @@
 
     fn next_call(&mut self, now: Instant) -> Option<Waiting> {
         if let Some(call) = self.next_suspect(now) {
-            self.start(&call, true, now);
+            self.start(&call, now);
             return Some(call);
         }
         while self.has_free_slot() {
@@ -489,62 +492,43 @@
                 self.refusals.push(Decision::Refuse(call.call_id, refusal));
                 continue;
             }
-            self.start(&call, false, now);
+            self.start(&call, now);
             return Some(call);
         }
         None
     }
 
+    /// One suspect at a time: if the upstream crashes now, it is named. A call
+    /// that was convicted while it waited is refused, or each of its copies
+    /// would cost one more upstream.
     fn next_suspect(&mut self, now: Instant) -> Option<Waiting> {
-        if self.suspects_running > 0 {
-            return None;
-        }
-        let index = self.suspects.iter().position(|call| {
+        while !self.suspects.is_empty() && self.suspect_running.is_none() && self.has_free_slot() {
+            let call = self.suspects.remove(0);
             match self.quarantine.standing(call.fingerprint, now) {
-                Standing::RunsAlone => self.running.is_empty() && self.alone_due(now),
-                _ => self.has_free_slot(),
+                Standing::Refused => self
+                    .refusals
+                    .push(Decision::Refuse(call.call_id, QUARANTINED)),
+                Standing::Suspected => {
+                    self.suspect_running = Some(call.call_id);
+                    return Some(call);
+                }
+                Standing::Free => return Some(call),
             }
-        })?;
-        let call = self.suspects.remove(index);
-        if self.quarantine.standing(call.fingerprint, now) == Standing::RunsAlone {
-            self.alone_running = true;
-            self.alone_began = Some(now);
         }
-        Some(call)
-    }
-
-    fn alone_due(&self, now: Instant) -> bool {
-        let interval = self.quarantine.alone_interval();
-        self.alone_began
-            .is_none_or(|began| now.saturating_duration_since(began) >= interval)
+        None
     }
 
-    /// Slots are held back only while a call runs alone or the upstream empties
-    /// for one that is due.
     fn has_free_slot(&self) -> bool {
-        let room = self.running.len() < self.limit.current() as usize;
-        room && !self.alone_running && !self.empties_for_alone()
-    }
-
-    fn empties_for_alone(&self) -> bool {
-        let now = self.swept_at;
-        !self.suspects.is_empty()
-            && self.alone_due(now)
-            && self
-                .suspects
-                .iter()
-                .any(|call| self.quarantine.standing(call.fingerprint, now) == Standing::RunsAlone)
+        self.running.len() < self.limit.current() as usize
     }
 
-    fn start(&mut self, call: &Waiting, is_suspect: bool, now: Instant) {
-        self.suspects_running += usize::from(is_suspect);
+    fn start(&mut self, call: &Waiting, now: Instant) {
         self.running.insert(
             call.call_id,
             Running {
                 kind: call.kind,
                 fingerprint: call.fingerprint,
                 started: now,
-                is_suspect,
             },
         );
     }
@@ -564,6 +548,7 @@
         }
         let pressure = Pressure {
             queued_up_to: self.queue.queued_up_to(),
+            queue_bound: self.queue_bound(),
             in_flight: self.running.len(),
             limit: self.limit.current(),
             service_time: self.work.expected_any(),
--- a/crates/hemlocktack-node/src/calls/roster.rs
+++ b/crates/hemlocktack-node/src/calls/roster.rs
@@ -1,6 +1,7 @@
 //! What this node knows of each service's nodes, ready for the request path.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
@@ -13,6 +14,8 @@
     ClassRank, DataCentre, LoadHint, Member, NodeState, RootRequestId, ServiceName, UpstreamState,
 };
 
+const MILLE_A_PERCENT: u32 = 10;
+
 /// One node of a service and what its replies said.
 pub(crate) struct PeerEntry {
     pub(crate) member: Member,
@@ -37,6 +40,7 @@
 pub(crate) struct Roster {
     own_data_centre: DataCentre,
     services: ArcSwap<HashMap<ServiceName, Arc<ServiceView>>>,
+    retry_share_per_mille: AtomicU32,
     /// Which service a kind of work belongs to, for kinds seen on this node.
     service_of_kind: Mutex<HashMap<WorkKind, ServiceName>>,
 }
@@ -46,6 +50,7 @@
         Self {
             own_data_centre,
             services: ArcSwap::default(),
+            retry_share_per_mille: AtomicU32::new(RetryPolicy::default().share_per_mille),
             service_of_kind: Mutex::default(),
         }
     }
@@ -75,12 +80,15 @@
     }
 
     fn view_of(&self, members: &[&Member], known: Option<&ServiceView>) -> ServiceView {
+        let some_are_sure = members
+            .iter()
+            .any(|member| member.state() == NodeState::Ready);
         let mut peers = Vec::new();
         for member in members {
             let identity = NodeIncarnation::new(member.node_id.as_str(), member.incarnation);
             let kept = known.and_then(|view| view.load_of(&identity));
             let load = kept.unwrap_or_else(|| self.fresh_load(member));
-            load.set_state(state_for_placement(member));
+            load.set_state(state_for_placement(member, some_are_sure));
             peers.push(PeerEntry {
                 member: Member::clone(member),
                 identity,
@@ -88,7 +96,7 @@
             });
         }
         let edge = known.map_or_else(
-            || Arc::new(EdgeBudget::new(RetryPolicy::default())),
+            || Arc::new(EdgeBudget::new(self.retry_policy())),
             |view| view.edge.clone(),
         );
         let same_peers = known.filter(|view| view.has_peers(&peers));
@@ -97,6 +105,23 @@
         ServiceView { peers, edge, gate }
     }
 
+    /// Takes in the operators' share of retries, for every service.
+    pub(crate) fn set_retry_share_percent(&self, share_percent: u32) {
+        let share_per_mille = share_percent * MILLE_A_PERCENT;
+        self.retry_share_per_mille
+            .store(share_per_mille, Ordering::Relaxed);
+        for view in self.services.load().values() {
+            view.edge.set_share_per_mille(share_per_mille);
+        }
+    }
+
+    fn retry_policy(&self) -> RetryPolicy {
+        RetryPolicy {
+            share_per_mille: self.retry_share_per_mille.load(Ordering::Relaxed),
+            ..RetryPolicy::default()
+        }
+    }
+
     fn fresh_load(&self, member: &Member) -> Arc<PeerLoad> {
         let is_near = member.data_centre == *self.own_data_centre;
         Arc::new(PeerLoad::new(is_near, member.upstream(), Instant::now()))
@@ -171,10 +196,13 @@
     !matches!(member.state(), NodeState::Left | NodeState::Dead)
 }
 
-/// Placement asks one question: does it take calls?
-fn state_for_placement(member: &Member) -> UpstreamState {
+/// Placement asks one question: does it take calls? One that may be down is
+/// passed over while others are surely up: a frozen node holds each call placed
+/// on it until the caller's patience ends.
+fn state_for_placement(member: &Member, some_are_sure: bool) -> UpstreamState {
     match member.state() {
-        NodeState::Ready | NodeState::Suspect => member.upstream(),
+        NodeState::Ready => member.upstream(),
+        NodeState::Suspect if !some_are_sure => member.upstream(),
         _ => UpstreamState::Draining,
     }
 }
