--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -152,17 +152,6 @@
         }
     }
 
-    /// Longest that a planned stop waits: the operators' limit, which covers the
-    /// most patient caller; that of the settings only before there is one.
-    pub(crate) fn drain_limit(&self) -> Duration {
-        let in_force = self.in_force.load();
-        let declared = in_force.as_ref().map(|in_force| {
-            let limits = &in_force.document.limits;
-            Duration::from_millis(limits.drain_limit_ms)
-        });
-        declared.unwrap_or(self.settings.drain_limit)
-    }
-
     /// An operator wants this node to drain and stop; once is enough.
     pub(crate) fn order_stop(&self) {
         self.stop_order.notify_one();
@@ -216,6 +205,12 @@
         self.home
             .table()
             .set_kept_answer_bytes(kept_answers_bytes.unwrap_or(usize::MAX));
+        // Covers the most patient caller, which the node's own setting may not.
+        let drain_limit = Duration::from_millis(limits.drain_limit_ms);
+        self.live(|life, _| {
+            life.set_hard_limit(drain_limit);
+            Vec::new()
+        });
         let refused_for = Duration::from_millis(limits.quarantine_ms);
         let own_service = document.service(&self.settings.service);
         self.desk.with_admission(|admission| {
--- a/crates/hemlocktack-node/src/stop.rs
+++ b/crates/hemlocktack-node/src/stop.rs
@@ -33,11 +33,7 @@
 pub(crate) async fn drain(node: &Arc<Node>) {
     let in_flight_count = node.counters.in_flight();
     log_event!(Event::DrainBegun, in_flight_count);
-    let hard_limit = node.drain_limit();
-    node.live(|life, now| {
-        life.set_hard_limit(hard_limit);
-        life.drain(now)
-    });
+    node.live(|life, now| life.drain(now));
     // Others still issue tickets for this home until they hear of the drain;
     // until then it delegates them. A home that never stopped taking them
     // would not come to an end under load.
--- a/crates/hemlocktack-node/tests/processes/harness/fleet.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/fleet.rs
@@ -105,6 +105,20 @@
         }
     }
 
+    /// Every node knows of every other one: news between them takes a moment.
+    pub(crate) async fn wait_until_known(&self) {
+        for position in 0..self.nodes.len() {
+            let operator = self.operator(position, "asha");
+            let what = format!("{} knows all nodes", self.nodes[position].options.id);
+            wait_until(&what, || async {
+                let listed = operator.run(&["nodes"], "").await;
+                let nodes = listed.report["nodes"].as_array();
+                nodes.is_some_and(|nodes| nodes.len() == self.nodes.len())
+            })
+            .await;
+        }
+    }
+
     fn services(&self) -> Vec<&str> {
         let mut services: Vec<&str> = self
             .nodes
