Test misused tickets, a stopping entry and a stopped home as processes

a_stopping_entry_does_not_vouch_for_earlier_sends was seen to fail with the entry's old refusal (503 not-run draining for a booking that had run).

--- a/crates/hemlocktack-node/tests/processes/main.rs
+++ b/crates/hemlocktack-node/tests/processes/main.rs
@@ -15,3 +15,4 @@
 mod platform_out;
 mod stop;
 mod thin_path;
+mod tickets;
--- /dev/null
+++ b/crates/hemlocktack-node/tests/processes/tickets.rs
@@ -0,0 +1,93 @@
+//! Tickets that are misused, and tickets of homes that stop.
+
+use reqwest::Method;
+
+use crate::harness::{Caller, Fleet, Plan, Reply, wait_until};
+
+const PATH: &str = "diaries/appointments";
+
+async fn send(caller: &Caller, body: &str, ticket: &str) -> Reply {
+    let headers = [("x-marker", body), ("idempotency-key", ticket)];
+    caller.send(Method::POST, PATH, &headers, body).await
+}
+
+/// A faulty client uses the ticket of its first viewing for a second one. The
+/// answer of the first would send the family to the wrong door: it is refused,
+/// with a ticket of its own to use, through whichever node it comes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_ticket_stands_for_its_first_request_only() {
+    let fleet = Fleet::start(&[Plan::new("listings", 1), Plan::new("diaries", 2)]).await;
+    let ticket = fleet.caller(0).ticket(PATH, "first viewing").await;
+    let first = send(&fleet.caller(0), "first viewing", &ticket).await;
+    assert!(first.is_answered(), "{first:?}");
+    for entry in 0..fleet.nodes.len() {
+        let second = send(&fleet.caller(entry), "second viewing", &ticket).await;
+        assert_eq!(second.verdict(), "409 not-run ticket-foreign");
+        assert!(second.ticket.is_some_and(|fresh| fresh != ticket));
+        let again = send(&fleet.caller(entry), "first viewing", &ticket).await;
+        assert_eq!(again.body, first.body);
+    }
+    assert_eq!(fleet.starts("diaries", "second viewing").await, 0);
+    assert_eq!(fleet.starts("diaries", "first viewing").await, 1);
+}
+
+/// A booking ran and its answer was lost. Its caller sends it again to a node
+/// that is being stopped. That node takes nothing new, and cannot know of the
+/// first send: told `not-run`, the caller would book a second time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopping_entry_does_not_vouch_for_earlier_sends() {
+    let fleet = Fleet::start(&[Plan::new("listings", 2), Plan::new("diaries", 1)]).await;
+    let ticket = fleet.caller(0).ticket(PATH, "viewing").await;
+    assert!(
+        send(&fleet.caller(0), "viewing", &ticket)
+            .await
+            .is_answered()
+    );
+    fleet.set_service_time_ms("diaries", 4_000).await;
+    let stopping = fleet.caller(1);
+    let long = stopping.clone();
+    let in_flight = tokio::spawn(async move { long.get("diaries/slots", "long").await });
+    fleet.wait_for_start("diaries", "long").await;
+    fleet.nodes[1].process.signal("TERM");
+    wait_until("the entry takes nothing new", || async {
+        stopping.get("diaries/slots", "new").await.reason == "draining"
+    })
+    .await;
+    let again = send(&stopping, "viewing", &ticket).await;
+    assert_eq!(again.verdict(), "502 unknown draining");
+    assert!(again.ticket.is_none());
+    assert!(in_flight.await.unwrap().is_answered());
+    assert!(
+        send(&fleet.caller(0), "viewing", &ticket)
+            .await
+            .is_answered()
+    );
+    assert_eq!(fleet.starts("diaries", "viewing").await, 1);
+}
+
+/// Families hold tickets whose home is then stopped by plan, before their first
+/// send. The successor took over all the home's tickets, also those that it had
+/// not seen: each booking runs, once, and a re-send gets the same answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn tickets_first_sent_after_their_home_stopped_run_once() {
+    let mut fleet = Fleet::start(&[Plan::new("listings", 2), Plan::new("diaries", 2)]).await;
+    let mut tickets = Vec::new();
+    for number in 0..8 {
+        let marker = format!("viewing {number}");
+        tickets.push((fleet.caller(0).ticket(PATH, &marker).await, marker));
+    }
+    let is_home = |position: &usize| {
+        let home = format!("~{}~", fleet.nodes[*position].options.id);
+        tickets[0].0.contains(&home)
+    };
+    let leaving = fleet.of("diaries").into_iter().find(is_home).unwrap();
+    fleet.nodes[leaving].process.signal("TERM");
+    assert_eq!(fleet.nodes[leaving].process.exit_code().await, Some(0));
+    for (ticket, marker) in &tickets {
+        let first = send(&fleet.caller(0), marker, ticket).await;
+        assert!(first.is_answered(), "{marker}: {first:?}");
+        let again = send(&fleet.caller(1), marker, ticket).await;
+        assert_eq!(again.body, first.body, "{marker}");
+        assert_eq!(fleet.starts("diaries", marker).await, 1, "{marker}");
+    }
+}
