--- a/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
@@ -15,7 +15,7 @@
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
 
-use crate::checks::Checks;
+use crate::checks::{Checks, LEAVING_LIMIT};
 use crate::network::Network;
 use crate::node::{Process, Slot};
 use crate::platform::{Platform, Watch, Weather};
@@ -214,7 +214,9 @@
         let has_left = matches!(outcome, Ok(true));
         let cut_off = has_left.then_some(process.in_flight);
         if has_left {
-            self.slots[number].left = Some((process.incarnation, self.now));
+            let slot = &mut self.slots[number];
+            let could_tell = self.now.saturating_sub(slot.disturbed) >= LEAVING_LIMIT;
+            slot.left = could_tell.then_some((process.incarnation, self.now));
         } else {
             self.slots[number].process = Some(process);
         }
@@ -309,7 +311,8 @@
             self.live(number, process, &actions);
         }
         process.in_flight = process.in_flight.saturating_sub(1);
-        let actions = process.life.tick(instant, process.in_flight);
+        let mut actions = process.life.check_upstream(instant);
+        actions.append(&mut process.life.check_stop(instant, process.in_flight));
         Ok(self.live(number, process, &actions))
     }
 
@@ -353,7 +356,7 @@
                     let actions = process.life.drain(self.instant());
                     self.live(number, process, &actions);
                 }
-                Action::MembersChanged => {}
+                Action::MembersChanged | Action::SuspectsHeard { .. } => {}
             }
         }
     }
--- a/crates/hemlocktack-fleet/tests/at_most_once/table.rs
+++ b/crates/hemlocktack-fleet/tests/at_most_once/table.rs
@@ -196,3 +196,24 @@
         Start::Answered(answer("booked"))
     );
 }
+
+// Operators halve the memory for answers while some are kept. The oldest go at
+// once; their requests are still known to have run, and never run again.
+#[test]
+fn a_smaller_budget_drops_answers_and_keeps_what_ran() {
+    let mut table = table();
+    for nonce in 1..=2 {
+        assert_eq!(table.start(&ticket(nonce), FINGERPRINT), Start::Run);
+        table.started(nonce).unwrap();
+        table.answer(nonce, answer("booked")).unwrap();
+    }
+    table.set_kept_answer_bytes(table.kept_answer_bytes() / 2);
+    assert_eq!(table.start(&ticket(1), FINGERPRINT), Start::AnswerNotKept);
+    assert_eq!(
+        table.start(&ticket(2), FINGERPRINT),
+        Start::Answered(answer("booked"))
+    );
+    table.set_kept_answer_bytes(0);
+    assert_eq!(table.start(&ticket(2), FINGERPRINT), Start::AnswerNotKept);
+    table.assert_consistent();
+}
