--- a/crates/hemlocktack-node/src/calls/ticketed.rs
+++ b/crates/hemlocktack-node/src/calls/ticketed.rs
@@ -160,13 +160,14 @@
     if answer.outcome() == Outcome::Unknown && answer.reason() == Reason::Draining {
         return true;
     }
-    let is_home_lost = matches!(answer.reason(), Reason::HomeGone | Reason::LinkLost);
+    if !matches!(answer.reason(), Reason::HomeGone | Reason::LinkLost) {
+        return false;
+    }
     let members = node.members();
     let known = members
         .iter()
         .find(|member| member.incarnation == home.incarnation && *member.node_id == *home.node_id);
-    let stops = |state| matches!(state, NodeState::Draining | NodeState::Left);
-    is_home_lost && known.is_some_and(|member| stops(member.state()))
+    known.is_some_and(|member| matches!(member.state(), NodeState::Draining | NodeState::Left))
 }
 
 fn peer_of<'a>(view: &'a ServiceView, home: &NodeIncarnation) -> Option<&'a PeerEntry> {
