--- a/crates/hemlocktack-fleet/examples/fleet_runs/checks.rs
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/checks.rs
@@ -15,6 +15,9 @@
 pub(crate) const LEAVING_LIMIT: Duration = Duration::from_secs(3);
 /// The same where nobody was there who could tell: by probing.
 const UNTOLD_LIMIT: Duration = Duration::from_secs(20);
+/// After a cut, nodes that hold each other for dead find each other again
+/// within this time; the other limits count from then.
+const RECONNECT_LIMIT: Duration = Duration::from_secs(5);
 /// Two nodes undisturbed for so long never hold each other for dead.
 const DEATH_CALM: Duration = Duration::from_secs(40);
 /// Longest backoff towards the platform, and a little.
@@ -62,7 +65,7 @@
     /// A start takes no calls before it has what was in force everywhere else
     /// when it started.
     pub(crate) fn caught_up(&self, number: usize, process: &Process, slot: &Slot) -> Verdict {
-        let is_undisturbed = slot.disturbed == process.started;
+        let is_undisturbed = slot.disturbed <= process.started;
         let floor = if is_undisturbed { process.floor } else { 1 };
         if process.installed < floor {
             let installed = process.installed;
@@ -99,12 +102,12 @@
             let is_small = cut.side.len() * SMALL_SHARE <= self.slots.len();
             let other = if is_small { &[][..] } else { &cut.other[..] };
             for &number in cut.side.iter().chain(other) {
-                self.slots[number].disturbed = now;
+                self.slots[number].disturbed = now + RECONNECT_LIMIT;
             }
         }
         for slot in &mut self.slots {
             if slot.is_frozen(now) || slot.process.is_none() {
-                slot.disturbed = now;
+                slot.disturbed = slot.disturbed.max(now);
             }
         }
     }
--- a/crates/hemlocktack-fleet/src/membership/machine.rs
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -303,6 +303,28 @@
         first: &[Member],
         actions: &mut Vec<Action>,
     ) {
+        let (mut gossip, room) = self.datagram(body, first);
+        self.fill_with_news(&mut gossip, room);
+        let gossip = Box::new(gossip);
+        actions.push(Action::Send { to, gossip });
+    }
+
+    /// Adds a datagram that most likely nobody reads: news on it would count as
+    /// told.
+    pub(super) fn send_without_news(
+        &mut self,
+        to: SocketAddr,
+        body: Option<gossip::Body>,
+        first: &[Member],
+        actions: &mut Vec<Action>,
+    ) {
+        let (gossip, _) = self.datagram(body, first);
+        let gossip = Box::new(gossip);
+        actions.push(Action::Send { to, gossip });
+    }
+
+    /// A datagram with the given records, and the room that is left in it.
+    fn datagram(&self, body: Option<gossip::Body>, first: &[Member]) -> (Gossip, usize) {
         let mut gossip = self.empty_datagram(body);
         let mut room = self.room_in(&gossip);
         for record in first {
@@ -310,9 +332,7 @@
                 break;
             }
         }
-        self.fill_with_news(&mut gossip, room);
-        let gossip = Box::new(gossip);
-        actions.push(Action::Send { to, gossip });
+        (gossip, room)
     }
 
     pub(super) fn empty_datagram(&self, body: Option<gossip::Body>) -> Gossip {
--- a/crates/hemlocktack-fleet/src/membership/probes.rs
+++ b/crates/hemlocktack-fleet/src/membership/probes.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use hemlocktack_protocol::Incarnation;
+use hemlocktack_protocol::{Incarnation, NodeState};
 use rand::Rng;
 use rand::seq::SliceRandom;
 
-use super::table::Table;
+use super::table::{Entry, Table};
 
 /// The one probe of this period.
 pub(crate) struct Pending {
@@ -31,6 +31,7 @@
 pub(crate) struct Probes {
     near: Vec<String>,
     far: Vec<String>,
+    dead: Vec<String>,
     count: u32,
     sequence: u64,
     pub(crate) pending: Option<Pending>,
@@ -64,6 +65,21 @@
         None
     }
 
+    /// Next dead member to try again, in a shuffled round: tried at random, a
+    /// member that is back could wait long behind those that are gone for good.
+    pub(crate) fn next_dead(&mut self, table: &Table, rng: &mut impl Rng) -> Option<String> {
+        let is_dead = |entry: &Entry| entry.state == NodeState::Dead;
+        while let Some(node_id) = self.dead.pop() {
+            if table.get(&node_id).is_some_and(is_dead) {
+                return Some(node_id);
+            }
+        }
+        let dead = table.entries().filter(|(_, entry)| is_dead(entry));
+        self.dead = dead.map(|(node_id, _)| node_id.clone()).collect();
+        self.dead.shuffle(rng);
+        self.dead.pop()
+    }
+
     pub(crate) fn relay(&mut self, relayed: Relayed) {
         const RELAYED_LIMIT: usize = 64;
         if self.relayed.len() >= RELAYED_LIMIT {
--- a/crates/hemlocktack-fleet/src/membership/settings.rs
+++ b/crates/hemlocktack-fleet/src/membership/settings.rs
@@ -77,7 +77,7 @@
             suspicion_periods: 3,
             tombstone_age: Duration::from_secs(2 * 60 * 60),
             tombstone_limit: 1_024,
-            dead_retry_period: Duration::from_secs(5),
+            dead_retry_period: Duration::from_secs(1),
             sync_period: Duration::from_secs(2),
             page_limit: 64,
             datagram_limit_bytes: 1_200,
--- a/crates/hemlocktack-fleet/src/membership/tick.rs
+++ b/crates/hemlocktack-fleet/src/membership/tick.rs
@@ -168,7 +168,10 @@
             sequence,
             on_behalf_of: String::new(),
         });
-        self.send(address, Some(body), first.as_slice(), actions);
+        match is_retry {
+            true => self.send_without_news(address, Some(body), first.as_slice(), actions),
+            false => self.send(address, Some(body), first.as_slice(), actions),
+        }
     }
 
     /// Tries one dead member or one unknown seed now and then. Without this
@@ -179,12 +182,7 @@
             return;
         }
         self.next_retry = now + self.settings.dead_retry_period;
-        let dead = self
-            .table
-            .entries()
-            .filter(|(_, entry)| entry.state == NodeState::Dead)
-            .map(|(node_id, _)| node_id.clone())
-            .choose(rng);
+        let dead = self.probes.next_dead(&self.table, rng);
         if let Some(node_id) = dead {
             self.probe(now, &node_id, true, actions);
         }
@@ -212,7 +210,7 @@
             on_behalf_of: String::new(),
         });
         let own = self.own.clone();
-        self.send(seed, Some(body), &[own], actions);
+        self.send_without_news(seed, Some(body), &[own], actions);
     }
 
     fn continue_sweep(&mut self, now: Instant, actions: &mut Vec<Action>, rng: &mut impl Rng) {
