--- /dev/null
+++ b/crates/hemlocktack-node/examples/control_cost/fleet.rs
@@ -0,0 +1,273 @@
+//! Nodes as separate processes, so that each one's processor time and memory
+//! can be read; the platform and the upstreams' announcements are stand-ins.
+
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use hemlocktack_protocol::{ApplyConfigurationRequest, DrainNodeRequest};
+use hemlocktack_testkit::platform::{self, Platform};
+use prost::Message;
+use tokio::task::JoinHandle;
+
+use crate::sample::{Scrape, scrape};
+
+/// Result of the example's parts.
+pub(crate) type Result<T> = std::result::Result<T, Box<dyn std::error::Error + Send + Sync>>;
+
+const FLEET_KEY: &str = "a fleet key for examples, no secret";
+const OPERATOR_TOKEN: &str = "an operator token for examples";
+const DATA_CENTRES: usize = 4;
+const NODES_A_SERVICE: usize = 6;
+const LOOPBACK: [u8; 4] = [127, 0, 0, 1];
+const ANNOUNCE_PERIOD: Duration = Duration::from_secs(1);
+const POLL: Duration = Duration::from_millis(20);
+/// Longest wait for anything that the fleet should come to.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// One node's process and its addresses, the same over restarts.
+pub(crate) struct Node {
+    number: usize,
+    caller: SocketAddr,
+    pub(crate) control: SocketAddr,
+    link: SocketAddr,
+    gossip: SocketAddr,
+    process: Child,
+}
+
+/// All nodes and the platform.
+pub(crate) struct Fleet {
+    pub(crate) platform: Platform,
+    pub(crate) nodes: Vec<Node>,
+    http: reqwest::Client,
+    announcing: JoinHandle<()>,
+    seeds: String,
+    generation: u64,
+    document: String,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.announcing.abort();
+        for node in &mut self.nodes {
+            // Ended already, or ended now: nothing of the run is left behind.
+            let _ = node.process.kill();
+            let _ = node.process.wait();
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts `count` nodes and waits until each knows all others as ready.
+    pub(crate) async fn start(count: usize, document: &str) -> Result<Self> {
+        let platform = platform::spawn(SocketAddr::from((LOOPBACK, 0))).await?;
+        let addresses: Vec<[SocketAddr; 4]> = (0..count)
+            .map(|_| free_addresses())
+            .collect::<Result<_>>()?;
+        let seeds = addresses.iter().take(3).map(|known| known[3].to_string());
+        let seeds = seeds.collect::<Vec<_>>().join(",");
+        let mut nodes = Vec::new();
+        for (number, [caller, control, link, gossip]) in addresses.into_iter().enumerate() {
+            nodes.push(Node {
+                number,
+                caller,
+                control,
+                link,
+                gossip,
+                process: spawn(number, [caller, control, link, gossip], &seeds, &platform)?,
+            });
+        }
+        let http = reqwest::Client::new();
+        let controls = nodes.iter().map(|node| node.control).collect();
+        let announcing = tokio::spawn(announce(http.clone(), controls));
+        let mut fleet = Self {
+            platform,
+            nodes,
+            http,
+            announcing,
+            seeds,
+            generation: 0,
+            document: document.to_owned(),
+        };
+        fleet.apply().await?;
+        fleet.wait_until_joined().await?;
+        Ok(fleet)
+    }
+
+    /// Stores a change through one node; the document differs in a comment.
+    pub(crate) async fn apply(&mut self) -> Result<u64> {
+        let request = ApplyConfigurationRequest {
+            document: format!("{}\n# change {}\n", self.document, self.generation),
+            expected_generation: self.generation,
+            change_id: format!("change-{}", self.generation),
+            author: "control_cost".to_owned(),
+        };
+        let number = self.generation as usize % self.nodes.len();
+        let deadline = Instant::now() + PATIENCE;
+        while !self
+            .command(number, "ApplyConfiguration", request.encode_to_vec())
+            .await
+        {
+            if Instant::now() > deadline {
+                return Err("the change was not accepted".into());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        self.generation += 1;
+        Ok(self.generation)
+    }
+
+    async fn command(&self, number: usize, method: &str, body: Vec<u8>) -> bool {
+        let control = self.nodes[number].control;
+        let url = format!("http://{control}/hemlocktack.v1.Operators/{method}");
+        let sent = self.http.post(url).bearer_auth(OPERATOR_TOKEN);
+        let sent = sent.header("content-type", "application/x-protobuf");
+        let answer = sent.body(body).send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// Time until every node has the generation in force.
+    pub(crate) async fn wait_until_in_force(&self, generation: u64) -> Result<Duration> {
+        let begun = Instant::now();
+        let wanted = generation as f64;
+        self.wait_for(|scrape| scrape.value("hemlocktack_configuration_generation") >= wanted)
+            .await?;
+        Ok(begun.elapsed())
+    }
+
+    pub(crate) async fn wait_until_joined(&self) -> Result<()> {
+        let wanted = self.nodes.len() as f64;
+        let ready = "hemlocktack_members{state=\"ready\"}";
+        self.wait_for(|scrape| scrape.value(ready) >= wanted).await
+    }
+
+    async fn wait_for(&self, is_there: impl Fn(&Scrape) -> bool) -> Result<()> {
+        let deadline = Instant::now() + PATIENCE;
+        for node in &self.nodes {
+            loop {
+                let scraped = scrape(&self.http, node.control).await;
+                if scraped.is_some_and(|scraped| is_there(&scraped)) {
+                    break;
+                }
+                if Instant::now() > deadline {
+                    return Err(format!("node {} does not come to it", node.number).into());
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// A planned stop of one node and a new start in its place.
+    pub(crate) async fn restart(&mut self, number: usize) -> Result<()> {
+        let request = DrainNodeRequest {
+            node_id: node_id(number),
+        };
+        if !self
+            .command(number, "DrainNode", request.encode_to_vec())
+            .await
+        {
+            return Err("the drain was not accepted".into());
+        }
+        let deadline = Instant::now() + PATIENCE;
+        while self.nodes[number].process.try_wait()?.is_none() {
+            if Instant::now() > deadline {
+                return Err("a drained node does not end".into());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        let node = &mut self.nodes[number];
+        let addresses = [node.caller, node.control, node.link, node.gossip];
+        node.process = spawn(number, addresses, &self.seeds, &self.platform)?;
+        Ok(())
+    }
+
+    /// What every node shows and has used so far.
+    pub(crate) async fn scrape_all(&self) -> Result<Vec<Scrape>> {
+        let mut scrapes = Vec::new();
+        for node in &self.nodes {
+            let scraped = scrape(&self.http, node.control).await;
+            let mut scraped = scraped.ok_or("a node does not show its metrics")?;
+            scraped.read_process(node.process.id())?;
+            scrapes.push(scraped);
+        }
+        Ok(scrapes)
+    }
+}
+
+fn node_id(number: usize) -> String {
+    format!("node-{number:03}")
+}
+
+fn spawn(
+    number: usize,
+    [caller, control, link, gossip]: [SocketAddr; 4],
+    seeds: &str,
+    platform: &Platform,
+) -> Result<Child> {
+    let flags = [
+        ("node", node_id(number)),
+        ("service", format!("service-{}", number / NODES_A_SERVICE)),
+        (
+            "data-centre",
+            format!("data-centre-{}", number % DATA_CENTRES),
+        ),
+        ("region", format!("region-{}", number % DATA_CENTRES % 2)),
+        ("caller-address", caller.to_string()),
+        ("control-address", control.to_string()),
+        ("link-address", link.to_string()),
+        ("gossip-address", gossip.to_string()),
+        ("seed-peers", seeds.to_owned()),
+        ("platform-url", format!("http://{}", platform.address())),
+        ("fleet-key", FLEET_KEY.to_owned()),
+        ("operator-token", OPERATOR_TOKEN.to_owned()),
+    ];
+    let arguments = flags.map(|(flag, value)| format!("--{flag}={value}"));
+    let process = Command::new(node_program()?)
+        .args(arguments)
+        .env("RUST_LOG", "error,rocket=off")
+        .stdin(Stdio::null())
+        .spawn()?;
+    Ok(process)
+}
+
+/// `hemlocktackd` of the same build, beside the directory of the examples.
+fn node_program() -> Result<PathBuf> {
+    let example = std::env::current_exe()?;
+    let build = example.parent().and_then(|directory| directory.parent());
+    let program = build.ok_or("no build directory")?.join("hemlocktackd");
+    match program.is_file() {
+        true => Ok(program),
+        false => Err("build hemlocktackd first: cargo build --release -p hemlocktack-node".into()),
+    }
+}
+
+/// The upstreams' part: they announce themselves every second.
+async fn announce(http: reqwest::Client, controls: Vec<SocketAddr>) {
+    let body = r#"{"address": "127.0.0.1:9", "slots": 45, "connections": 360}"#;
+    let mut ticks = tokio::time::interval(ANNOUNCE_PERIOD);
+    loop {
+        ticks.tick().await;
+        for control in &controls {
+            let url = format!("http://{control}/upstream/announce");
+            // A node that is down hears the next one.
+            let _ = http.post(url).body(body).send().await;
+        }
+    }
+}
+
+/// Ports that were free a moment ago; the last one for UDP too.
+fn free_addresses() -> Result<[SocketAddr; 4]> {
+    loop {
+        let any = || TcpListener::bind(SocketAddr::from((LOOPBACK, 0)));
+        let listeners = [any()?, any()?, any()?, any()?];
+        let mut addresses = [SocketAddr::from((LOOPBACK, 0)); 4];
+        for (address, listener) in addresses.iter_mut().zip(&listeners) {
+            *address = listener.local_addr()?;
+        }
+        if UdpSocket::bind(addresses[3]).is_ok() {
+            return Ok(addresses);
+        }
+    }
+}
