--- a/crates/hemlocktack-decide/src/quarantine.rs
+++ b/crates/hemlocktack-decide/src/quarantine.rs
@@ -165,6 +165,12 @@
             .collect()
     }
 
+    /// Changes the operators' limits; records keep their count of crashes.
+    pub fn set_limits(&mut self, crashes: u32, refused_for: Duration) {
+        self.policy.crashes = crashes;
+        self.policy.refused_for = refused_for;
+    }
+
     fn hold_against(&mut self, fingerprint: Fingerprint, now: Instant) {
         let known = self.records.get(&fingerprint);
         let crashes = known.map_or(1, |record| record.crashes + 1);
--- a/crates/hemlocktack-fleet/src/drain/life.rs
+++ b/crates/hemlocktack-fleet/src/drain/life.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// What members were told last.
+    pub fn publication(&self) -> Publication {
+        self.published
+    }
+
     /// State of this node.
     pub fn state(&self) -> NodeState {
         match self.stop {
@@ -152,6 +157,11 @@
         self.publish_changes()
     }
 
+    /// The operators have set another limit for calls in flight at a stop.
+    pub fn set_hard_limit(&mut self, hard_limit: Duration) {
+        self.settings.hard_limit = Some(hard_limit);
+    }
+
     /// This node is to stop: by a signal, by an operator's command, or since it
     /// has been replaced. Repeating it changes nothing.
     pub fn drain(&mut self, now: Instant) -> Vec<LifeAction> {
@@ -172,11 +182,17 @@
         actions
     }
 
-    /// To be called several times a second, with the calls in flight here in
-    /// both roles.
-    pub fn tick(&mut self, now: Instant, in_flight: usize) -> Vec<LifeAction> {
+    /// To be called several times a second: an upstream's announcement may
+    /// have lapsed.
+    pub fn check_upstream(&mut self, now: Instant) -> Vec<LifeAction> {
         self.upstream.tick(now);
-        let mut actions = self.publish_changes();
+        self.publish_changes()
+    }
+
+    /// To be called several times a second during a stop, with the calls in
+    /// flight here in both roles.
+    pub fn check_stop(&mut self, now: Instant, in_flight: usize) -> Vec<LifeAction> {
+        let mut actions = Vec::new();
         match self.stop {
             Stop::WaitingForCalls { since } => {
                 self.wait_for_calls(now, since, in_flight, &mut actions);
