--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -7,19 +7,22 @@
 mod admission;
 mod limit;
 mod mix;
+mod offer;
 mod placement;
+mod policy;
 mod quarantine;
 mod queue;
 mod retry;
 mod retry_after;
 mod shed;
+mod suspects;
 mod work;
 
-pub use admission::{
-    Admission, AdmissionPolicy, CancelResult, Decision, Ended, Offer, Verdict, WorkKind,
-};
+pub use admission::Admission;
 pub use limit::{ConcurrencyLimit, LimitPolicy};
+pub use offer::{CancelResult, Decision, Ended, Offer, Verdict, WorkKind};
 pub use placement::{PeerLoad, PlacementPolicy, may_move, place};
+pub use policy::{AdmissionPolicy, QueuePolicy};
 pub use quarantine::{Quarantine, QuarantinePolicy, Standing, Suspect};
 pub use queue::MAX_CLASSES;
 pub use retry::{
--- /dev/null
+++ b/crates/hemlocktack-decide/src/offer.rs
@@ -0,0 +1,72 @@
+//! What goes into the admission and what comes out of it.
+
+use std::time::{Duration, Instant};
+
+use hemlocktack_protocol::{CallId, ClassRank, Fingerprint, Refusal, RootRequestId};
+
+/// Kind of work: any stable number for the request rule that a call matched.
+/// Calls of one kind are expected to take about equally long.
+pub type WorkKind = u64;
+
+/// A call that asks for a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct Offer {
+    /// Number that this node gave the call. Senders' own numbers clash.
+    pub call_id: CallId,
+    /// Class of the root request.
+    pub class_rank: ClassRank,
+    /// When the caller gives up.
+    pub deadline: Instant,
+    /// The root request.
+    pub root_request_id: RootRequestId,
+    /// Work that the chain has already spent on the root request.
+    pub work_spent: Duration,
+    /// Same for equal requests.
+    pub fingerprint: Fingerprint,
+    /// Kind of work.
+    pub kind: WorkKind,
+}
+
+/// What becomes of an offered call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Hand it to the upstream now.
+    Run,
+    /// It waits; [`crate::Admission::take_ready`] tells what becomes of it.
+    Queued,
+    /// It was not run and will not be.
+    Refused(Refusal),
+}
+
+/// What has become of a queued call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Hand it to the upstream now.
+    Run(CallId),
+    /// It was not run and will not be.
+    Refuse(CallId, Refusal),
+}
+
+/// How a call ended in the upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// With a whole answer.
+    Answered,
+    /// Without one: connection lost, short answer, timeout.
+    Failed,
+    /// The upstream itself refused it unstarted.
+    ShedByUpstream,
+    /// It was cancelled, and the connection is closed.
+    Cancelled,
+}
+
+/// What [`crate::Admission::cancel`] found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelResult {
+    /// It waited; it was not run and will not be.
+    Unqueued,
+    /// It runs: close its connection, then report [`Ended::Cancelled`].
+    Running,
+    /// It has ended or was never offered.
+    NotHere,
+}
