--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -3,139 +3,19 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use hemlocktack_protocol::{
-    CallId, ClassRank, Fingerprint, LoadHint, Reason, Refusal, RootRequestId, UpstreamState,
-};
+use hemlocktack_protocol::{CallId, Fingerprint, LoadHint, Reason, Refusal, UpstreamState};
 
-use crate::limit::{ConcurrencyLimit, LimitPolicy, WindowEnd};
+use crate::limit::{ConcurrencyLimit, WindowEnd};
 use crate::mix::mix;
-use crate::quarantine::{Quarantine, QuarantinePolicy, Standing};
+use crate::offer::{CancelResult, Decision, Ended, Offer, Verdict, WorkKind};
+use crate::policy::AdmissionPolicy;
+use crate::quarantine::{Quarantine, Standing};
 use crate::queue::{ClassQueue, Waiting, class_of};
-use crate::retry_after::{RetryAfterPolicy, retry_after};
-use crate::shed::{Pressure, ShedController, ShedLevel, ShedPolicy};
+use crate::retry_after::retry_after;
+use crate::shed::{Pressure, ShedController, ShedLevel};
+use crate::suspects::SuspectQueue;
 use crate::work::WorkTable;
 
-/// Kind of work: any stable number for the request rule that a call matched.
-/// Calls of one kind are expected to take about equally long.
-pub type WorkKind = u64;
-
-/// Numbers of [`Admission`].
-#[derive(Clone, Copy, Debug, Default)]
-pub struct AdmissionPolicy {
-    /// Concurrency limit.
-    pub limit: LimitPolicy,
-    /// Shed level.
-    pub shed: ShedPolicy,
-    /// Crash quarantine.
-    pub quarantine: QuarantinePolicy,
-    /// When refused callers may come back.
-    pub retry_after: RetryAfterPolicy,
-    /// Queue bounds.
-    pub queue: QueuePolicy,
-}
-
-/// Bounds of the queue in front of the upstream.
-#[derive(Clone, Copy, Debug)]
-pub struct QueuePolicy {
-    /// Calls that may wait for each slot. Six service times absorb a burst of
-    /// three times the capacity that lasts two of them; a longer queue only
-    /// delays the refusal of what cannot be served.
-    pub per_slot: f64,
-    /// Queue that an upstream with very few slots still has.
-    pub least: usize,
-    /// Operators' bound on the queue, whatever the slots.
-    pub most: usize,
-    /// A call is refused when its time left is below its expected wait and this
-    /// multiple of its expected work: service times spread around their mean.
-    pub work_margin: f64,
-    /// Time between two looks for calls in the queue that cannot make it any
-    /// more: small against any caller's patience.
-    pub sweep_every: Duration,
-    /// One call that looks hopeless is run this often while slots are idle: the
-    /// estimate may be out of date, and only finished calls correct it.
-    pub probe_every: Duration,
-    /// After a call was refused for load, calls of less important classes are
-    /// not queued for this long: slots that free up must not go to them.
-    pub strict_for: Duration,
-}
-
-impl Default for QueuePolicy {
-    fn default() -> Self {
-        QueuePolicy {
-            per_slot: 6.0,
-            least: 16,
-            most: 10_000,
-            work_margin: 1.25,
-            sweep_every: Duration::from_millis(10),
-            probe_every: Duration::from_millis(100),
-            strict_for: Duration::from_millis(50),
-        }
-    }
-}
-
-/// A call that asks for a slot.
-#[derive(Clone, Copy, Debug)]
-pub struct Offer {
-    /// Number that this node gave the call. Senders' own numbers clash.
-    pub call_id: CallId,
-    /// Class of the root request.
-    pub class_rank: ClassRank,
-    /// When the caller gives up.
-    pub deadline: Instant,
-    /// The root request.
-    pub root_request_id: RootRequestId,
-    /// Work that the chain has already spent on the root request.
-    pub work_spent: Duration,
-    /// Same for equal requests.
-    pub fingerprint: Fingerprint,
-    /// Kind of work.
-    pub kind: WorkKind,
-}
-
-/// What becomes of an offered call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// Hand it to the upstream now.
-    Run,
-    /// It waits; [`Admission::take_ready`] tells what becomes of it.
-    Queued,
-    /// It was not run and will not be.
-    Refused(Refusal),
-}
-
-/// What has become of a queued call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// Hand it to the upstream now.
-    Run(CallId),
-    /// It was not run and will not be.
-    Refuse(CallId, Refusal),
-}
-
-/// How a call ended in the upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ended {
-    /// With a whole answer.
-    Answered,
-    /// Without one: connection lost, short answer, timeout.
-    Failed,
-    /// The upstream itself refused it unstarted.
-    ShedByUpstream,
-    /// It was cancelled, and the connection is closed.
-    Cancelled,
-}
-
-/// What [`Admission::cancel`] found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CancelResult {
-    /// It waited; it was not run and will not be.
-    Unqueued,
-    /// It runs: close its connection, then report [`Ended::Cancelled`].
-    Running,
-    /// It has ended or was never offered.
-    NotHere,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Running {
     kind: WorkKind,
@@ -158,10 +38,8 @@
     limit: ConcurrencyLimit,
     work: WorkTable,
     queue: ClassQueue,
-    /// Suspected calls wait here, apart: they must not hold the others up.
-    suspects: Vec<Waiting>,
+    suspects: SuspectQueue,
     running: HashMap<CallId, Running>,
-    suspect_running: Option<CallId>,
     shed: ShedController,
     quarantine: Quarantine,
     refusals: Vec<Decision>,
@@ -182,8 +60,6 @@
     reason: Reason::Quarantined,
     retry_after: None,
 };
-/// Suspected calls that may wait.
-const MOST_SUSPECTS: usize = 64;
 /// A queue that has been above half its bound for this long will not be worked
 /// off in time for its oldest calls: the newest run first until it is.
 const STANDING_AFTER: Duration = Duration::from_millis(200);
@@ -202,9 +78,8 @@
             limit: ConcurrencyLimit::new(policy.limit, 1, 1, false, now),
             work: WorkTable::new(now),
             queue: ClassQueue::new(RUNNING_CAPACITY),
-            suspects: Vec::with_capacity(MOST_SUSPECTS),
+            suspects: SuspectQueue::new(),
             running: HashMap::with_capacity(RUNNING_CAPACITY),
-            suspect_running: None,
             shed: ShedController::new(policy.shed, now),
             quarantine: Quarantine::new(policy.quarantine),
             refusals: Vec::with_capacity(RUNNING_CAPACITY),
@@ -247,7 +122,7 @@
     /// The upstream died. Every call that ran in it goes into `ended`, and
     /// [`Admission::finish`] is not to be called for it.
     pub fn crashed(&mut self, ended: &mut Vec<CallId>, now: Instant) {
-        let suspect = self.suspect_running.take();
+        let suspect = self.suspects.take_running();
         let suspect = suspect.and_then(|call_id| self.running.get(&call_id));
         let suspect = suspect.map(|call| call.fingerprint);
         let others: Vec<_> = self.running.values().map(|call| call.fingerprint).collect();
@@ -280,9 +155,7 @@
         let Some(call) = self.running.remove(&call_id) else {
             return;
         };
-        if self.suspect_running == Some(call_id) {
-            self.suspect_running = None;
-        }
+        self.suspects.ended(call_id);
         match ended {
             Ended::Answered => {
                 self.quarantine.finished(call.fingerprint);
@@ -302,14 +175,9 @@
         if self.running.contains_key(&call_id) {
             return CancelResult::Running;
         }
-        let waiting = self
-            .suspects
-            .iter()
-            .position(|call| call.call_id == call_id);
-        let Some(index) = waiting else {
+        if !self.suspects.remove(call_id) {
             return CancelResult::NotHere;
-        };
-        self.suspects.remove(index);
+        }
         CancelResult::Unqueued
     }
 
@@ -407,7 +275,7 @@
             self.hold_back_below(class, now);
             return Verdict::Refused(self.refusal(Reason::QueueFull, offer.call_id));
         }
-        self.queue.push(waiting(offer));
+        self.queue.push(Waiting::from_offer(offer));
         Verdict::Queued
     }
 
@@ -420,15 +288,14 @@
         if time_left < expected / 2 && !self.probe(now) {
             return Verdict::Refused(self.refusal(Reason::DeadlineTooShort, offer.call_id));
         }
-        self.start(&waiting(offer), now);
+        self.start(&Waiting::from_offer(offer), now);
         Verdict::Run
     }
 
     fn offer_suspect(&mut self, offer: &Offer) -> Verdict {
-        if self.suspects.len() >= MOST_SUSPECTS {
+        if !self.suspects.push(Waiting::from_offer(offer)) {
             return Verdict::Refused(self.refusal(Reason::Quarantined, offer.call_id));
         }
-        self.suspects.push(waiting(offer));
         Verdict::Queued
     }
 
@@ -498,18 +365,17 @@
         None
     }
 
-    /// One suspect at a time: if the upstream crashes now, it is named. A call
-    /// that was convicted while it waited is refused, or each of its copies
-    /// would cost one more upstream.
+    /// A call that was convicted while it waited is refused, or each of its
+    /// copies would cost one more upstream.
     fn next_suspect(&mut self, now: Instant) -> Option<Waiting> {
-        while !self.suspects.is_empty() && self.suspect_running.is_none() && self.has_free_slot() {
-            let call = self.suspects.remove(0);
+        while self.has_free_slot() {
+            let call = self.suspects.next()?;
             match self.quarantine.standing(call.fingerprint, now) {
                 Standing::Refused => self
                     .refusals
                     .push(Decision::Refuse(call.call_id, QUARANTINED)),
                 Standing::Suspected => {
-                    self.suspect_running = Some(call.call_id);
+                    self.suspects.started(call.call_id);
                     return Some(call);
                 }
                 Standing::Free => return Some(call),
@@ -574,12 +440,7 @@
     fn refuse_queued(&mut self, reason: Reason, which: impl Fn(&Waiting) -> bool, now: Instant) {
         let mut gone = Vec::new();
         self.queue.take_hopeless(&which, |call| gone.push(call));
-        self.suspects.retain(|call| {
-            if which(call) {
-                gone.push(*call);
-            }
-            !which(call)
-        });
+        self.suspects.take_hopeless(&which, |call| gone.push(call));
         self.swept_at = now;
         for call in gone {
             let refusal = self.refusal(reason, call.call_id);
@@ -636,14 +497,3 @@
         }
     }
 }
-
-fn waiting(offer: &Offer) -> Waiting {
-    Waiting {
-        call_id: offer.call_id,
-        class: class_of(offer.class_rank),
-        invested: offer.work_spent > Duration::ZERO,
-        deadline: offer.deadline,
-        kind: offer.kind,
-        fingerprint: offer.fingerprint,
-    }
-}
