Tell why the last node refused, where no other is left to move to

Found by a new test of the operators' queue limit on a running node: of three calls to one slot without a queue, two were refused by the node with queue-full and their callers told no-upstream, since the one move to another node found none. Operators would look for an upstream that is there. The refusal that was met last is passed up now; an unknown end still goes before it.

--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -38,13 +38,15 @@
     let mut excluded = None;
     let mut moved = false;
     let mut may_have_run = None;
+    // Where no other node is left to move to, the caller and the operators are
+    // told why the first one refused: `no-upstream` would send them to look for
+    // an upstream that is there, only full.
+    let mut refused = None;
     loop {
         let Some(index) = choose(&view, excluded) else {
-            let nowhere = not_run(
-                Reason::NoUpstream,
-                Some(wait_before_return(ShedLevel::OPEN)),
-            );
-            return may_have_run.unwrap_or(nowhere);
+            let retry_after = Some(wait_before_return(ShedLevel::OPEN));
+            let nowhere = || not_run(Reason::NoUpstream, retry_after);
+            return may_have_run.or(refused).unwrap_or_else(nowhere);
         };
         let answer = attempt(node, &view, index, classified, CallPurpose::Placed).await;
         let Some(unfinished) = unfinished(&answer) else {
@@ -56,10 +58,14 @@
         }
         if !moved && moves(&unfinished) {
             moved = true;
+            refused = Some(answer);
             continue;
         }
         match verdict(&unfinished, classified, &view, &answer) {
-            RetryVerdict::Retry => node.counters.retried(),
+            RetryVerdict::Retry => {
+                node.counters.retried();
+                refused = Some(answer);
+            }
             RetryVerdict::PassUp | RetryVerdict::Spent => return may_have_run.unwrap_or(answer),
         }
     }
--- a/crates/hemlocktack-node/tests/processes/operator_calls.rs
+++ b/crates/hemlocktack-node/tests/processes/operator_calls.rs
@@ -100,12 +100,7 @@
     let changes = history.report["changes"].as_array().unwrap();
     let generations = changes.iter().map(|change| &change["generation"]);
     assert_eq!(generations.collect::<Vec<_>>(), ["2", "1"]);
-    let what = "generation 2 is in force";
-    wait_until(what, || async {
-        let status = operator.run(&["status"], "").await;
-        status.report["nodes"][0]["generationInForce"] == "2"
-    })
-    .await;
+    wait_in_force(&fleet, 2).await;
     fleet.platform.set_down(true).await;
     let in_force = operator
         .run(&["config", "show", "--generation", "2"], "")
@@ -142,3 +137,44 @@
         assert_eq!(error["code"], code, "{error}");
     }
 }
+
+/// Operators allow no queue in front of a slow upstream with one slot, and then
+/// allow one. With none, a caller that comes second is refused at once and may
+/// go elsewhere; with one, it waits and is answered.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_operators_queue_limit_is_in_force() {
+    let slow = Plan::new("diaries", 1).with(&["--slots", "1", "--service-time-ms", "400"]);
+    let fleet = Fleet::start(&[slow]).await;
+    let operator = fleet.operator(0, "asha");
+    let caller = fleet.caller(0);
+    let without_queue = DOCUMENT.replace(
+        "name = \"diaries\"\n",
+        "name = \"diaries\"\nqueue_limit_calls = 0\n",
+    );
+    for (expected, document, refused_count) in [(1, without_queue.as_str(), 2), (2, DOCUMENT, 0)] {
+        let applied = operator.apply(document, expected).await;
+        assert_eq!(applied.generation(), Some(expected + 1), "{applied:?}");
+        wait_in_force(&fleet, expected + 1).await;
+        let replies = futures::future::join_all([
+            caller.get("diaries/slots", "one"),
+            caller.get("diaries/slots", "two"),
+            caller.get("diaries/slots", "three"),
+        ])
+        .await;
+        let refused = replies.iter().filter(|reply| reply.reason == "queue-full");
+        assert_eq!(refused.count(), refused_count, "{replies:#?}");
+        let answered = replies.iter().filter(|reply| reply.is_answered());
+        assert_eq!(answered.count(), 3 - refused_count, "{replies:#?}");
+    }
+}
+
+async fn wait_in_force(fleet: &Fleet, generation: u64) {
+    let operator = fleet.operator(0, "asha");
+    let what = format!("generation {generation} is in force");
+    wait_until(&what, || async {
+        let status = operator.run(&["status"], "").await;
+        let in_force = &status.report["nodes"][0]["generationInForce"];
+        in_force.as_str() == Some(generation.to_string().as_str())
+    })
+    .await;
+}
