Let the last answers leave before a stopped node's process ends

Cause: the drain waits for calls, and a call ends when its answer is built, not when it has been written; the process then ended with the runtime, and whatever the HTTP library still held was lost. Seen in review, and as the library's panic about a failed shutdown. Now the listeners are told to stop and waited for, five seconds at most.

--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -8,7 +8,8 @@
 use hemlocktack_fleet::keys::{FleetKeys, KeyError};
 use hemlocktack_platform::{Client, ClientSettings};
 use hemlocktack_telemetry::{Event, ExportError, log_event};
-use rocket::{Build, Config, Rocket};
+use rocket::error::ErrorKind;
+use rocket::{Build, Config, Ignite, Rocket};
 use tokio::net::TcpListener;
 
 use crate::node::Node;
@@ -19,6 +20,9 @@
 /// Result of starting a node.
 pub(crate) type Result<T> = std::result::Result<T, StartError>;
 
+/// Seconds in which the last answers leave after the drain; a caller that has
+/// not read its answer by then is not going to.
+const LAST_ANSWERS_S: u32 = 5;
 /// Exit code for settings that cannot be used.
 const EXIT_BAD_SETTINGS: u8 = 2;
 
@@ -129,17 +133,17 @@
         incarnation = node.identity.incarnation,
         service = %node.settings.service
     );
-    let callers = tokio::spawn(callers.launch());
-    let control = tokio::spawn(control.launch());
+    let mut callers = tokio::spawn(serve_http(callers));
+    let mut control = tokio::spawn(serve_http(control));
     tokio::pin!(stop_signal);
     let failed = tokio::select! {
         () = &mut stop_signal => None,
         () = node.stop_ordered() => None,
-        ended = callers => Some(ended),
-        ended = control => Some(ended),
+        ended = &mut callers => Some(ended),
+        ended = &mut control => Some(ended),
     };
-    if let Some(Ok(Err(error))) = failed {
-        return Err(Box::new(error).into());
+    if let Some(ended) = failed {
+        return ended.unwrap_or(Ok(()));
     }
     stop::drain(&node).await;
     peers::say_farewell(&node).await;
@@ -147,9 +151,21 @@
     for shutdown in shutdowns {
         shutdown.notify();
     }
+    // The calls have ended, but their answers may still be on their way out.
+    let _ = tokio::join!(callers, control);
     Ok(())
 }
 
+/// Serves until it is told to stop and the last answers have left.
+async fn serve_http(rocket: Rocket<Ignite>) -> Result<()> {
+    match rocket.launch().await {
+        Ok(_) => Ok(()),
+        // Connections that a caller keeps open were closed: no answer was on them.
+        Err(error) if matches!(error.kind(), ErrorKind::Shutdown(..)) => Ok(()),
+        Err(error) => Err(Box::new(error).into()),
+    }
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
@@ -168,6 +184,8 @@
     config.cli_colors = false;
     config.shutdown.ctrlc = false;
     config.shutdown.signals.clear();
+    config.shutdown.grace = LAST_ANSWERS_S;
+    config.shutdown.mercy = LAST_ANSWERS_S;
     // The framework's own headers would mix with the upstream's.
     config.ident = rocket::config::Ident::none();
     rocket::custom(config)
