--- a/crates/hemlocktack-decide/src/queue.rs
+++ b/crates/hemlocktack-decide/src/queue.rs
@@ -2,10 +2,12 @@
 //! been spent on them.
 
 use std::collections::{HashMap, VecDeque};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hemlocktack_protocol::{CallId, ClassRank};
 
+use crate::offer::Offer;
+
 /// Classes told apart: as many as the operators may declare. Ranks beyond are
 /// treated as the last of these.
 pub const MAX_CLASSES: usize = 16;
@@ -24,6 +26,19 @@
     pub(crate) fingerprint: u64,
 }
 
+impl Waiting {
+    pub(crate) fn from_offer(offer: &Offer) -> Self {
+        Waiting {
+            call_id: offer.call_id,
+            class: class_of(offer.class_rank),
+            invested: offer.work_spent > Duration::ZERO,
+            deadline: offer.deadline,
+            kind: offer.kind,
+            fingerprint: offer.fingerprint,
+        }
+    }
+}
+
 /// Bounded queue. All memory is taken when it is made; each operation but
 /// [`ClassQueue::take_hopeless`] is constant time, amortised over the entries
 /// that were cancelled.
--- a/crates/hemlocktack-decide/src/retry.rs
+++ b/crates/hemlocktack-decide/src/retry.rs
@@ -96,7 +96,8 @@
 /// the edge's own first tries does.
 #[derive(Debug)]
 pub struct EdgeBudget {
-    policy: RetryPolicy,
+    share_per_mille: AtomicU32,
+    saved_retries: u32,
     milli_tokens: AtomicI64,
 }
 
@@ -107,14 +108,21 @@
     pub fn new(policy: RetryPolicy) -> Self {
         EdgeBudget {
             milli_tokens: AtomicI64::new(i64::from(policy.saved_retries) * MILLI),
-            policy,
+            share_per_mille: AtomicU32::new(policy.share_per_mille),
+            saved_retries: policy.saved_retries,
         }
     }
 
+    /// Changes the operators' share; what is saved up stays.
+    pub fn set_share_per_mille(&self, share_per_mille: u32) {
+        self.share_per_mille
+            .store(share_per_mille, Ordering::Relaxed);
+    }
+
     /// Counts a first try.
     pub fn first_try(&self) {
-        let most = i64::from(self.policy.saved_retries) * MILLI;
-        let added = i64::from(self.policy.share_per_mille);
+        let most = i64::from(self.saved_retries) * MILLI;
+        let added = i64::from(self.share_per_mille.load(Ordering::Relaxed));
         let _ = self
             .milli_tokens
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, |tokens| {
@@ -176,6 +184,19 @@
     RetryVerdict::Retry
 }
 
+/// End of a call that was sent several times, as the caller is told it.
+///
+/// Load: a retry after an unknown outcome is refused. Harm: "not run" would be
+/// a lie, as the first send may have run, and the caller would send it again as
+/// if nothing had happened. Unknown once is unknown in the end, unless a later
+/// send is answered.
+pub fn end_of_tries(earlier: Option<Unfinished>, last: Unfinished) -> Unfinished {
+    match earlier {
+        Some(Unfinished::Unknown(reason)) => Unfinished::Unknown(reason),
+        Some(Unfinished::NotRun(_)) | None => last,
+    }
+}
+
 /// Faults of one node, link or upstream that another node need not share.
 fn is_passing_fault(reason: Reason) -> bool {
     matches!(
--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -56,7 +56,6 @@
         store: Arc::new(ConfigurationStore::new(node.platform.clone())),
         version: 0,
         rng: StdRng::seed_from_u64(rand::random()),
-        was_reachable: true,
         node: node.clone(),
     };
     tokio::spawn(follower.run(events));
@@ -72,7 +71,6 @@
     /// Last version that the platform showed.
     version: Version,
     rng: StdRng,
-    was_reachable: bool,
 }
 
 impl Follower {
@@ -107,7 +105,6 @@
             Event::PlatformAnswered(stored) => self.platform_answered(now, stored),
             Event::PlatformFailed => {
                 self.in_force.platform_failed(now, &mut self.rng);
-                self.note_reachable(false);
                 Vec::new()
             }
             Event::PeerAnswered { node_id, document } => {
@@ -129,7 +126,6 @@
         now: Instant,
         stored: Option<StoredConfiguration>,
     ) -> Vec<ConfigurationAction> {
-        self.note_reachable(true);
         if let Some(stored) = &stored {
             self.version = self.version.max(stored.version);
         }
@@ -139,17 +135,6 @@
             .platform_answered(now, document, &view, &mut self.rng)
     }
 
-    fn note_reachable(&mut self, reachable: bool) {
-        if reachable == self.was_reachable {
-            return;
-        }
-        self.was_reachable = reachable;
-        match reachable {
-            true => log_event!(LogEvent::PlatformBack),
-            false => log_event!(LogEvent::PlatformLost),
-        }
-    }
-
     fn act(&mut self, actions: Vec<ConfigurationAction>) {
         for action in actions {
             match action {
--- a/crates/hemlocktack-node/src/stop.rs
+++ b/crates/hemlocktack-node/src/stop.rs
@@ -31,7 +31,8 @@
 /// and hands its tickets over. What happens when is decided by
 /// `hemlocktack_fleet::drain`.
 pub(crate) async fn drain(node: &Arc<Node>) {
-    log_event!(Event::DrainBegun);
+    let in_flight_count = node.counters.in_flight();
+    log_event!(Event::DrainBegun, in_flight_count);
     node.live(|life, now| life.drain(now));
     // Others still issue tickets for this home until they hear of the drain;
     // until then it delegates them. A home that never stopped taking them
--- a/crates/hemlocktack-telemetry/tests/events.rs
+++ b/crates/hemlocktack-telemetry/tests/events.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::io;
+use std::path::Path;
 use std::sync::{Arc, Mutex};
 
 use hemlocktack_telemetry::{Event, log_event};
@@ -89,3 +90,35 @@
          INFO the node takes nothing new and finishes what is in flight number=103 in_flight_count=3 node=\"keys-1\"\n"
     );
 }
+
+/// An event that nothing logs would have operators wait for a line in vain.
+#[test]
+fn every_event_is_logged_somewhere() {
+    let packages = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
+    let mut sources = String::new();
+    for package in ["hemlocktack-node", "hemlocktack-telemetry"] {
+        read_sources(&packages.join(package).join("src"), &mut sources);
+    }
+    let sources = sources.split_whitespace().collect::<String>();
+    let is_logged = |event: &Event| {
+        let name = format!("Event::{event:?}");
+        let calls = [
+            format!("log_event!({name}"),
+            format!("log_event!(Log{name}"),
+        ];
+        calls.iter().any(|call| sources.contains(call))
+    };
+    let silent = Event::iter().filter(|event| !is_logged(event));
+    assert_eq!(silent.collect::<Vec<_>>(), []);
+}
+
+fn read_sources(directory: &Path, sources: &mut String) {
+    for entry in std::fs::read_dir(directory).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            read_sources(&path, sources);
+        } else {
+            sources.push_str(&std::fs::read_to_string(path).unwrap());
+        }
+    }
+}
