--- /dev/null
+++ b/crates/hemlocktack-fleet/examples/fleet_size/world.rs
@@ -0,0 +1,270 @@
+//! Many memberships, and a network that delays and cuts.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hemlocktack_fleet::drain::Publication;
+use hemlocktack_fleet::membership::{Action, Membership, MembershipSettings, Safeguard};
+use hemlocktack_protocol::{Gossip, Member, NodeState, UpstreamState};
+use prost::Message;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const TICK_PERIOD: Duration = Duration::from_millis(100);
+const IP_AND_UDP_BYTES: usize = 28;
+const DATA_CENTRES: usize = 6;
+const REGIONS: usize = 2;
+const SEEDS: usize = 3;
+
+enum Event {
+    Tick(usize, u64),
+    Datagram {
+        from: usize,
+        to: usize,
+        gossip: Box<Gossip>,
+    },
+}
+
+/// One node; `None` while it is down.
+pub(crate) struct Node {
+    pub(crate) membership: Option<Membership>,
+    incarnation: u64,
+    pub(crate) sent_bytes: u64,
+    pub(crate) received_bytes: u64,
+}
+
+pub(crate) struct World {
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) now: Duration,
+    /// Datagrams between the regions are lost.
+    pub(crate) regions_apart: bool,
+    /// Real time spent in the machines.
+    pub(crate) computing: Duration,
+    without: Option<Safeguard>,
+    base: Instant,
+    rng: StdRng,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: std::collections::HashMap<u64, Event>,
+    sequence: u64,
+}
+
+fn address(number: usize) -> SocketAddr {
+    const FIRST_PORT: u16 = 20_000;
+    SocketAddr::from(([10, 0, 0, 1], FIRST_PORT + number as u16))
+}
+
+fn number_of(address: SocketAddr) -> usize {
+    usize::from(address.port()) - usize::from(address_base())
+}
+
+fn address_base() -> u16 {
+    address(0).port()
+}
+
+pub(crate) fn region_of(number: usize) -> usize {
+    number % DATA_CENTRES % REGIONS
+}
+
+pub(crate) fn data_centre_of(number: usize) -> usize {
+    number % DATA_CENTRES
+}
+
+impl World {
+    pub(crate) fn new(size: usize, without: Option<Safeguard>) -> Self {
+        let node = |_| Node {
+            membership: None,
+            incarnation: 0,
+            sent_bytes: 0,
+            received_bytes: 0,
+        };
+        let mut world = Self {
+            nodes: (0..size).map(node).collect(),
+            now: Duration::ZERO,
+            regions_apart: false,
+            computing: Duration::ZERO,
+            without,
+            base: Instant::now(),
+            rng: StdRng::seed_from_u64(1),
+            queue: BinaryHeap::new(),
+            events: std::collections::HashMap::new(),
+            sequence: 0,
+        };
+        for number in 0..size {
+            world.start(number);
+        }
+        world
+    }
+
+    pub(crate) fn start(&mut self, number: usize) {
+        let incarnation = self.rng.random();
+        let own = Member {
+            node_id: format!("service-{:02}-node-{number:03}", number / 6),
+            incarnation,
+            state: NodeState::Ready.into(),
+            upstream: UpstreamState::Ready.into(),
+            service: format!("service-{:02}", number / 6),
+            data_centre: format!("data-centre-{}", data_centre_of(number)),
+            region: format!("region-{}", region_of(number)),
+            link_address: address(number).to_string(),
+            gossip_address: address(number).to_string(),
+            start_order: 1_700_000_000_000 + self.now.as_millis() as u64,
+            ticket_epoch: 1,
+            slots: 45,
+            ..Member::default()
+        };
+        let settings = MembershipSettings {
+            without: self.without,
+            ..MembershipSettings::default()
+        };
+        let mut membership = Membership::new(settings, own, self.base + self.now);
+        let size = self.nodes.len();
+        let seeds = (0..SEEDS).map(|_| address(self.rng.random_range(0..size)));
+        membership.set_seeds(seeds.collect());
+        self.nodes[number].membership = Some(membership);
+        self.nodes[number].incarnation = incarnation;
+        let offset = Duration::from_millis(self.rng.random_range(0..1_000));
+        self.push(offset, Event::Tick(number, incarnation));
+    }
+
+    pub(crate) fn kill(&mut self, number: usize) {
+        self.nodes[number].membership = None;
+    }
+
+    pub(crate) fn publish(&mut self, number: usize, state: NodeState) {
+        let Some(membership) = &mut self.nodes[number].membership else {
+            return;
+        };
+        let publication = Publication {
+            state,
+            upstream: UpstreamState::Ready,
+            slots: 45,
+        };
+        let actions = membership.update_own(publication, &mut self.rng);
+        self.act(number, actions);
+    }
+
+    pub(crate) fn tell_generation(&mut self, number: usize, generation: u64) {
+        let Some(membership) = &mut self.nodes[number].membership else {
+            return;
+        };
+        let actions = membership.set_generation(generation, &mut self.rng);
+        self.act(number, actions);
+    }
+
+    pub(crate) fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(Reverse((at, sequence))) = self.queue.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            if let Some(event) = self.events.remove(&sequence) {
+                self.handle(event);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Runs until it holds, looking ten times a second; the time it took.
+    pub(crate) fn run_until(
+        &mut self,
+        limit: Duration,
+        holds: impl Fn(&World) -> bool,
+    ) -> Option<Duration> {
+        let begun = self.now;
+        while self.now - begun < limit {
+            self.run_for(TICK_PERIOD);
+            if holds(self) {
+                return Some(self.now - begun);
+            }
+        }
+        None
+    }
+
+    /// State of one node in another's view.
+    pub(crate) fn view(&self, viewer: usize, number: usize) -> Option<(u64, NodeState)> {
+        let membership = self.nodes[viewer].membership.as_ref()?;
+        let node_id = format!("service-{:02}-node-{number:03}", number / 6);
+        let peer = membership.peer(&node_id)?;
+        Some((peer.member.incarnation, peer.state))
+    }
+
+    pub(crate) fn incarnation(&self, number: usize) -> u64 {
+        self.nodes[number].incarnation
+    }
+
+    fn push(&mut self, delay: Duration, event: Event) {
+        self.sequence += 1;
+        self.queue.push(Reverse((self.now + delay, self.sequence)));
+        self.events.insert(self.sequence, event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        let begun = Instant::now();
+        let instant = self.base + self.now;
+        let (number, actions) = match event {
+            Event::Tick(number, incarnation) => {
+                let node = &mut self.nodes[number];
+                let Some(membership) = &mut node.membership else {
+                    return;
+                };
+                if node.incarnation != incarnation {
+                    return;
+                }
+                let actions = membership.tick(instant, &mut self.rng);
+                self.push(TICK_PERIOD, Event::Tick(number, incarnation));
+                (number, actions)
+            }
+            Event::Datagram { from, to, gossip } => {
+                let length = length(&gossip);
+                let node = &mut self.nodes[to];
+                let Some(membership) = &mut node.membership else {
+                    return;
+                };
+                node.received_bytes += length;
+                let from = address(from);
+                let actions = membership.receive(instant, from, *gossip, &mut self.rng);
+                for action in &actions {
+                    if let Action::GenerationHeard { generation, .. } = action {
+                        // The pull over a link takes a few milliseconds.
+                        let told = membership.set_generation(*generation, &mut self.rng);
+                        self.computing += begun.elapsed();
+                        self.act(to, told);
+                        break;
+                    }
+                }
+                (to, actions)
+            }
+        };
+        self.computing += begun.elapsed();
+        self.act(number, actions);
+    }
+
+    fn act(&mut self, from: usize, actions: Vec<Action>) {
+        for action in actions {
+            let Action::Send { to, gossip } = action else {
+                continue;
+            };
+            self.nodes[from].sent_bytes += length(&gossip);
+            let to = number_of(to);
+            let is_across = region_of(from) != region_of(to);
+            if is_across && self.regions_apart {
+                continue;
+            }
+            let delay_us = match is_across {
+                true => self.rng.random_range(30_000..32_000),
+                false => self.rng.random_range(500..1_000),
+            };
+            let event = Event::Datagram { from, to, gossip };
+            self.push(Duration::from_micros(delay_us), event);
+        }
+    }
+}
+
+fn length(gossip: &Gossip) -> u64 {
+    const MAC_BYTES: usize = 32;
+    (gossip.encoded_len() + MAC_BYTES + IP_AND_UDP_BYTES) as u64
+}
--- a/crates/hemlocktack-fleet/src/membership/machine.rs
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -147,6 +147,11 @@
         &self.own
     }
 
+    /// Generation that this node tells others it has in force.
+    pub fn generation(&self) -> Generation {
+        self.generation
+    }
+
     /// Whether a whole table was read from a peer, or nobody answered at all.
     pub fn is_joined(&self) -> bool {
         self.joined
@@ -216,7 +221,7 @@
 
     /// Whether any other member is taken for live.
     pub fn knows_live_members(&self) -> bool {
-        self.table.live().next().is_some()
+        self.table.live_count() > 0
     }
 
     /// Takes note of the generation in force here and tells several peers at
@@ -355,7 +360,7 @@
     }
 
     fn fill_with_news(&mut self, gossip: &mut Gossip, mut room: usize) {
-        let limit = tellings_limit(self.table.entries().count() + 1);
+        let limit = tellings_limit(self.table.count() + 1);
         for node_id in self.news.pending() {
             let already_in = gossip
                 .members
--- a/crates/hemlocktack-fleet/src/membership/table.rs
+++ b/crates/hemlocktack-fleet/src/membership/table.rs
@@ -60,6 +60,7 @@
 pub(crate) struct Table {
     entries: BTreeMap<String, Entry>,
     digest: u64,
+    live_count: usize,
 }
 
 impl Table {
@@ -75,6 +76,14 @@
         self.entries.iter().filter(|(_, entry)| entry.is_live())
     }
 
+    pub(crate) fn live_count(&self) -> usize {
+        self.live_count
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.entries.len()
+    }
+
     /// Changes with every live record, whatever order they came in.
     pub(crate) fn digest(&self) -> u64 {
         self.digest
@@ -156,6 +165,7 @@
     pub(crate) fn remove(&mut self, node_id: &str) {
         if let Some(entry) = self.entries.remove(node_id) {
             self.digest ^= digest_share(&entry);
+            self.live_count -= usize::from(entry.is_live());
         }
     }
 
@@ -178,8 +188,10 @@
 
     fn put(&mut self, entry: Entry) {
         self.digest ^= digest_share(&entry);
+        self.live_count += usize::from(entry.is_live());
         if let Some(old) = self.entries.insert(entry.member.node_id.clone(), entry) {
             self.digest ^= digest_share(&old);
+            self.live_count -= usize::from(old.is_live());
         }
     }
 }
--- a/crates/hemlocktack-fleet/src/membership/tick.rs
+++ b/crates/hemlocktack-fleet/src/membership/tick.rs
@@ -115,7 +115,7 @@
     /// Time for a suspected member to hear of it and for its answer to spread:
     /// each doubling of the fleet takes a period more.
     pub(super) fn suspicion_timeout(&self) -> Duration {
-        let members = self.table.live().count() + 1;
+        let members = self.table.live_count() + 1;
         let doublings = usize::BITS - members.leading_zeros();
         self.settings.probe_period * (self.settings.suspicion_periods + doublings)
     }
