Measure two troubles at once, and upstreams that overstate their slots

deep-slow, cold-start and crashing at twice the capacity, and overstated slots; what a restart costs is counted in what capacity allows.

--- a/crates/hemlocktack-decide/examples/scenarios/driver/faults.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/faults.rs
@@ -11,9 +11,21 @@
 const CRASHING_EVERY: Duration = Duration::from_millis(500);
 const RESTART: Duration = Duration::from_secs(1);
 
+/// Faults that are there from the start.
+pub(crate) fn prepare(world: &mut World<'_>) {
+    if world.scenario.fault != Fault::OverstatedSlots {
+        return;
+    }
+    for service in 0..world.services.len() {
+        let node = world.services[service][0];
+        world.nodes[node].upstream.slots /= 2;
+    }
+}
+
 pub(crate) fn begin(world: &mut World<'_>) {
     match world.scenario.fault {
-        Fault::Nothing => {}
+        // Overstated slots are there from the start.
+        Fault::Nothing | Fault::OverstatedSlots => {}
         Fault::SlowUpstream { service, factor } => {
             let node = world.services[service][0];
             world.nodes[node].upstream.slowness = factor;
@@ -51,7 +63,7 @@
     let node = &mut world.nodes[node];
     node.upstream.is_down = false;
     node.upstream.cold_since = Some(at);
-    let slots = node.upstream.slots as u32;
+    let slots = node.upstream.announced_slots;
     node.admission
         .announced(slots, node.upstream.connections, true, now);
 }
--- a/crates/hemlocktack-decide/examples/scenarios/driver/scenario.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/scenario.rs
@@ -33,6 +33,8 @@
     /// The first upstream of each service restarts cold: down for a second,
     /// then five times slower, warming up over three seconds.
     ColdStart,
+    /// The first upstream of each service announces twice the slots it has.
+    OverstatedSlots,
     /// The load endpoints claim that all slots are taken, or none.
     LyingReports { full: bool },
     /// A request that crashes the upstream that runs it, sent again by its
@@ -179,5 +181,24 @@
             fault: Fault::CrashingRequest,
             ..base("crashing-request", 0.7)
         },
+        Scenario {
+            fault: Fault::OverstatedSlots,
+            ..base("overstated-slots-2x", 2.0)
+        },
+        Scenario {
+            fault: Fault::SlowService {
+                service: 3,
+                factor: 4.0,
+            },
+            ..base("deep-slow-2x", 2.0)
+        },
+        Scenario {
+            fault: Fault::ColdStart,
+            ..base("cold-start-2x", 2.0)
+        },
+        Scenario {
+            fault: Fault::CrashingRequest,
+            ..base("crashing-2x", 2.0)
+        },
     ]
 }
--- a/crates/hemlocktack-decide/examples/scenarios/driver/upstream.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/upstream.rs
@@ -9,7 +9,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Upstream {
     pub(crate) data_centre: usize,
+    /// Slots that it has.
     pub(crate) slots: usize,
+    pub(crate) announced_slots: u32,
     pub(crate) connections: u32,
     pub(crate) slowness: f64,
     /// Restarted cold at this time.
@@ -28,6 +30,7 @@
         Upstream {
             data_centre,
             slots: slots as usize,
+            announced_slots: slots,
             connections,
             slowness: 1.0,
             ..Upstream::default()
--- a/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
@@ -42,7 +42,7 @@
 
     fn offer_static(&mut self, key: CallKey, node: usize) {
         let target = &mut self.nodes[node];
-        let slots = target.upstream.slots;
+        let slots = target.upstream.announced_slots as usize;
         if target.upstream.len() < slots {
             self.hand_over(key);
         } else if target.fifo.len() < slots * STATIC_QUEUE_PER_SLOT {
@@ -91,8 +91,8 @@
 
     fn refuse(&mut self, key: CallKey, refusal: hemlocktack_protocol::Refusal) {
         let call = &self.arena.calls[&key];
-        let unspent = call.given;
-        let hint = self.hint(call.upstream, call.step);
+        let (unspent, node, step) = (call.given, call.upstream, call.step);
+        let hint = self.hint(node, step);
         self.send_reply(key, CallEnd::Refused(refusal), hint, unspent);
     }
 
@@ -135,7 +135,9 @@
         match self.policy {
             Policy::None => {}
             Policy::Static => {
-                while self.nodes[node].upstream.len() < self.nodes[node].upstream.slots {
+                while self.nodes[node].upstream.len()
+                    < self.nodes[node].upstream.announced_slots as usize
+                {
                     let Some(key) = self.nodes[node].fifo.pop_front() else {
                         return;
                     };
--- a/crates/hemlocktack-decide/examples/scenarios/driver/world.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/world.rs
@@ -107,6 +107,7 @@
     seed: u64,
 ) -> Outcomes {
     let mut world = World::new(deployment, scenario, policy, seed);
+    faults::prepare(&mut world);
     world.schedule(Duration::ZERO, Event::Arrival);
     world.schedule(scenario.begins, Event::FaultBegins);
     world.schedule(scenario.ends, Event::FaultEnds);
--- a/crates/hemlocktack-decide/examples/scenarios/report.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/report.rs
@@ -148,6 +148,11 @@
         .collect()
 }
 
+/// What a restart costs of one upstream: a second down, then three seconds in
+/// which the work takes 5 times as long at first and falls to once, evenly: of
+/// these (1 - ln 5 / 4).
+const COLD_START_LOSS: Duration = Duration::from_millis(1000 + 1793);
+
 /// Slots of each service, less what a fault takes away.
 fn slots(deployment: &Deployment, scenario: &Scenario) -> Vec<f64> {
     let services = deployment.services.iter().enumerate();
@@ -159,6 +164,12 @@
                 Fault::SlowUpstream { service, factor } if service == index => {
                     whole - f64::from(spec.slots) * (1.0 - 1.0 / factor)
                 }
+                Fault::ColdStart => {
+                    let pressed = scenario.ends - scenario.begins;
+                    let lost = COLD_START_LOSS.as_secs_f64() / pressed.as_secs_f64();
+                    whole - f64::from(spec.slots) * lost
+                }
+                Fault::OverstatedSlots => whole - f64::from(spec.slots / 2),
                 Fault::SlowService { service, factor } if service == index => whole / factor,
                 _ => whole,
             }
