Estimate demand by what every entry has let in, and keep a shorter queue

Cause: in deep-slow-2x the level of keys fell to nothing and stayed there, as a level grows from what it lets in; and after each rise it rose too far, as what it let in more had not come down the chain yet and demand looked lower than it was. Waiting in a deep queue is paid for with slots of every hop above.

Bookings fill keys, wait there and hold slots of diaries, which diary checks then lack.

--- a/crates/hemlocktack-decide/src/shed.rs
+++ b/crates/hemlocktack-decide/src/shed.rs
@@ -87,6 +87,8 @@
     pub least_step: f64,
     /// Largest rise in one interval while calls wait.
     pub most_step: f64,
+    /// The same as a share of capacity, for a level that lets next to nothing in.
+    pub least_rise: f64,
     /// Rise in one interval when slots are idle: back from a twentieth to all
     /// within six intervals, so that shedding ends with the pressure.
     pub idle_step: f64,
@@ -98,12 +100,13 @@
     fn default() -> Self {
         ShedPolicy {
             interval: Duration::from_millis(50),
-            target_queue: 0.5,
+            target_queue: 0.25,
             begins_after: Duration::from_millis(250),
             begins_at: 0.75,
             drain_service_times: 4.0,
             least_step: 0.5,
             most_step: 1.2,
+            least_rise: 0.1,
             idle_step: 1.8,
             idle_below: 0.8,
         }
@@ -141,7 +144,13 @@
 pub struct ShedController {
     policy: ShedPolicy,
     level: ShedLevel,
-    /// Arrivals of this interval that the level admits.
+    /// Levels of the last intervals, in a ring.
+    recent: [ShedLevel; RECENT_LEVELS],
+    intervals: usize,
+    /// Strictest of the recent levels: what it admits, every entry has let in,
+    /// however late it heard of the last change.
+    settled: ShedLevel,
+    /// Arrivals of this interval that the settled level admits.
     arrived: [u32; MAX_CLASSES],
     /// Estimated demand per second of each class, shed or not.
     demand: [f64; MAX_CLASSES],
@@ -149,6 +158,11 @@
     above_target_since: Option<Instant>,
 }
 
+/// Levels looked back at. A request of a deep chain takes some hundred
+/// milliseconds from the entry that admitted it to here: after the level has
+/// risen, what it lets in more is not seen for as long, and demand would be
+/// taken for lower than it is, and the level raised too far.
+const RECENT_LEVELS: usize = 8;
 /// Demand is averaged over this and two service times: at five arrivals in an
 /// interval, a shorter average would be noise.
 const DEMAND_AVERAGED_OVER: Duration = Duration::from_millis(100);
@@ -164,6 +178,9 @@
         ShedController {
             policy,
             level: ShedLevel::OPEN,
+            recent: [ShedLevel::OPEN; RECENT_LEVELS],
+            intervals: 0,
+            settled: ShedLevel::OPEN,
             arrived: [0; MAX_CLASSES],
             demand: [0.0; MAX_CLASSES],
             began: now,
@@ -188,7 +205,7 @@
 
     /// Counts an arriving call.
     pub(crate) fn arrived(&mut self, rank: ClassRank, root_request_id: RootRequestId) {
-        if self.level.admits(rank, root_request_id) {
+        if self.settled.admits(rank, root_request_id) {
             self.arrived[class_of(rank)] += 1;
         }
     }
@@ -210,10 +227,12 @@
         let target = f64::from(pressure.limit) * self.policy.target_queue;
         let is_above = pressure.queued() as f64 > target;
         self.above_target_since = is_above.then(|| self.above_target_since.unwrap_or(now));
-        if self.level == ShedLevel::OPEN && !self.begins(pressure, now) {
-            return;
+        if self.level != ShedLevel::OPEN || self.begins(pressure, now) {
+            self.level = self.next_level(pressure);
         }
-        self.level = self.next_level(pressure);
+        self.recent[self.intervals % RECENT_LEVELS] = self.level;
+        self.intervals += 1;
+        self.settled = self.recent.into_iter().min().unwrap_or(self.level);
     }
 
     fn begins(&self, pressure: &Pressure, now: Instant) -> bool {
@@ -230,7 +249,7 @@
         let over = DEMAND_AVERAGED_OVER + service_time * 2;
         let weight = elapsed / (elapsed + over.as_secs_f64());
         for class in 0..MAX_CLASSES {
-            let share = self.level.share_of(class);
+            let share = self.settled.share_of(class);
             if share < LEAST_SEEN_SHARE {
                 self.demand[class] *= UNSEEN_DECAY;
                 continue;
@@ -254,10 +273,12 @@
         let capacity = limit / pressure.service_time.as_secs_f64();
         let standing = limit * self.policy.target_queue;
         let drain_secs = pressure.service_time.as_secs_f64() * self.policy.drain_service_times;
+        // A level that lets nothing in has nothing to grow from.
+        let most = (admitted * self.policy.most_step).max(capacity * self.policy.least_rise);
         self.level_for(|class| {
             let surplus = pressure.queued_up_to[class] as f64 - standing;
             (capacity - surplus / drain_secs)
-                .min(admitted * self.policy.most_step)
+                .min(most)
                 .max(admitted * self.policy.least_step)
         })
     }
@@ -308,7 +329,7 @@
         GatePolicy {
             forget_after: Duration::from_secs(1),
             probe_every: Duration::from_millis(50),
-            invested_margin: 0.15,
+            invested_margin: 0.05,
         }
     }
 }
--- a/crates/hemlocktack-decide/tests/scenarios.rs
+++ b/crates/hemlocktack-decide/tests/scenarios.rs
@@ -45,11 +45,26 @@
         assert_eq!(row.ran_after_refusal, 0, "a refused call ran");
         assert_eq!(row.ran_twice, 0, "a booking or renewal ran twice");
         assert!(row.recovery_secs.is_some_and(|secs| secs <= 1.0), "{row:?}");
+        assert!(row.goodput_share >= 0.95, "{row:?}");
+        if row.critical_demand_share < 0.8 {
+            assert!(row.critical_answered_share >= 0.99, "{row:?}");
+        }
+        assert!(row.wasted_share <= most_wasted(name), "{row:?}");
         lines.push(line(&row));
     }
     lines.join("\n")
 }
 
+/// Long calls that nothing tells from short ones take longer than their callers
+/// wait in a fifth of all cases, whatever the load; else 3% is the target.
+fn most_wasted(scenario: &str) -> f64 {
+    if scenario == "short-long-2x" {
+        0.15
+    } else {
+        0.03
+    }
+}
+
 fn line(row: &Row) -> String {
     let percent = |share: &f64| format!("{:.0}%", share * 100.0);
     let classes: Vec<_> = row.class_shares.iter().map(percent).collect();
