Decide a trial of the limit early where its answer is clear

Cause: with 15 slots at 120 ms a trial took 2 s at 0.7 of the slots, in the very seconds after the service had become slower. A window far above the bar now begins one with 24 samples, and a cut ends as soon as the change is further from the bar than its error.

--- a/crates/hemlocktack-decide/src/limit.rs
+++ b/crates/hemlocktack-decide/src/limit.rs
@@ -16,6 +16,9 @@
     /// Cut when latency is above this multiple of its floor. The floor is the
     /// least of many means and so lies up to a fifth below the true one.
     pub cut_above: f64,
+    /// Beyond this multiple of `cut_above` a window of the fewest samples is
+    /// enough to begin with: chance does not reach so far.
+    pub far_off: f64,
     /// The same while the upstream's load report claims that it is full: the
     /// report is believed only where latency bears it out.
     pub cut_above_reported: f64,
@@ -56,6 +59,7 @@
             window_samples: 24,
             trial_samples: 96,
             cut_above: 1.5,
+            far_off: 1.3,
             cut_above_reported: 1.3,
             cut_factor: 0.7,
             helped_below: 0.85,
@@ -207,7 +211,7 @@
     fn end_window(&mut self, ratio: f64, now: Instant) -> WindowEnd {
         let settled = self.samples >= self.policy.trial_samples;
         if let Some(trial) = self.trial {
-            return if settled {
+            return if settled || self.is_clear(trial, ratio) {
                 self.end_trial(trial, ratio, now)
             } else {
                 WindowEnd::Nothing
@@ -222,12 +226,22 @@
             return WindowEnd::Nothing;
         };
         // The window goes on until the mean is good enough to compare with.
-        if settled {
+        let is_far_off = ratio > self.cut_above() * self.policy.far_off;
+        if settled || is_far_off {
             self.begin_trial(direction, ratio, now);
         }
         WindowEnd::Nothing
     }
 
+    /// Whether a cut has shown what it does before all samples are in. The mean
+    /// of n service times is good to about half of 1/sqrt(n); twice that is
+    /// asked for. An upstream with few slots would else take seconds.
+    fn is_clear(&self, trial: Trial, ratio: f64) -> bool {
+        let error = 1.0 / f64::from(self.samples).sqrt();
+        let change = ratio / trial.ratio_before;
+        trial.direction == Direction::Cut && (change - self.policy.helped_below).abs() > error
+    }
+
     fn wanted_trial(&self, ratio: f64, now: Instant) -> Option<Direction> {
         if ratio > self.cut_above() {
             return Some(Direction::Cut);
