--- a/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
@@ -96,17 +96,16 @@
         self.send_reply(key, CallEnd::Refused(refusal), hint, unspent);
     }
 
-    fn hint(&mut self, node: usize, step: usize) -> LoadHint {
+    fn hint(&self, node: usize, step: usize) -> LoadHint {
         if self.policy != Policy::Hemlocktack {
             return LoadHint::default();
         }
         let now = self.now();
-        let node = &mut self.nodes[node];
+        let node = &self.nodes[node];
         let level = node.edges.level(step as u64, |deeper| {
             let service = self.deployment.steps[deeper as usize].service;
             node.gates[service].level(deeper, now)
         });
-        node.admission.note_chain_level(step as u64, level);
         node.admission.hint(level)
     }
 
--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -46,8 +46,6 @@
     swept_at: Instant,
     probed_at: Option<Instant>,
     strict: Option<Strict>,
-    /// Levels of the deeper services that calls of a kind need.
-    chain_levels: HashMap<WorkKind, ShedLevel>,
     standing_since: Option<Instant>,
 }
 
@@ -57,9 +55,6 @@
     until: Instant,
 }
 
-/// Extra share of a class that calls which wait here are let run with: the
-/// level moves by about as much from one interval to the next.
-const CHAIN_MARGIN: f64 = 0.1;
 /// Coming back does not help a call that crashes upstreams.
 const QUARANTINED: Refusal = Refusal {
     reason: Reason::Quarantined,
@@ -91,7 +86,6 @@
             swept_at: now,
             probed_at: None,
             strict: None,
-            chain_levels: HashMap::new(),
             standing_since: None,
             policy,
         }
@@ -228,20 +222,6 @@
         }
     }
 
-    /// The strictest level of the deeper services that calls of `kind` need, as
-    /// it goes into the hint of a reply to such a call.
-    ///
-    /// Load: a deep service slows while calls for it wait here, accepted under
-    /// an older level. Harm: they would run here, hold a slot while they wait
-    /// below, and fail there. They are refused before they start instead.
-    pub fn note_chain_level(&mut self, kind: WorkKind, level: ShedLevel) {
-        if level == ShedLevel::OPEN {
-            self.chain_levels.remove(&kind);
-        } else {
-            self.chain_levels.insert(kind, level);
-        }
-    }
-
     /// Where the upstream stands.
     pub fn state(&self) -> UpstreamState {
         if self.state == UpstreamState::Ready && self.limit.is_cold() {
@@ -379,26 +359,12 @@
                 self.refusals.push(Decision::Refuse(call.call_id, refusal));
                 continue;
             }
-            if self.is_shed_below(&call) {
-                let refusal = self.refusal(Reason::Shed, call.call_id);
-                self.refusals.push(Decision::Refuse(call.call_id, refusal));
-                continue;
-            }
             self.start(&call, now);
             return Some(call);
         }
         None
     }
 
-    fn is_shed_below(&self, call: &Waiting) -> bool {
-        let level = self.chain_levels.get(&call.kind);
-        !call.invested
-            && level.is_some_and(|level| {
-                let level = level.widened(CHAIN_MARGIN);
-                !level.admits(call.class as u8, call.root_request_id)
-            })
-    }
-
     /// A call that was convicted while it waited is refused, or each of its
     /// copies would cost one more upstream.
     fn next_suspect(&mut self, now: Instant) -> Option<Waiting> {
--- a/crates/hemlocktack-decide/src/queue.rs
+++ b/crates/hemlocktack-decide/src/queue.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use hemlocktack_protocol::{CallId, ClassRank, RootRequestId};
+use hemlocktack_protocol::{CallId, ClassRank};
 
 use crate::offer::Offer;
 
@@ -20,7 +20,6 @@
 pub(crate) struct Waiting {
     pub(crate) call_id: CallId,
     pub(crate) class: usize,
-    pub(crate) root_request_id: RootRequestId,
     pub(crate) invested: bool,
     pub(crate) deadline: Instant,
     pub(crate) kind: u64,
@@ -32,7 +31,6 @@
         Waiting {
             call_id: offer.call_id,
             class: class_of(offer.class_rank),
-            root_request_id: offer.root_request_id,
             invested: offer.work_spent > Duration::ZERO,
             deadline: offer.deadline,
             kind: offer.kind,
--- a/crates/hemlocktack-decide/src/shed.rs
+++ b/crates/hemlocktack-decide/src/shed.rs
@@ -51,11 +51,6 @@
         f64::from(inside) / f64::from(CLASS_SPAN)
     }
 
-    /// The level with `margin` of a class more admitted.
-    pub(crate) fn widened(self, margin: f64) -> Self {
-        ShedLevel((self.0 + (margin * f64::from(CLASS_SPAN)) as u32).min(OPEN))
-    }
-
     fn at(class: usize, share: f64) -> Self {
         let inside = (share.clamp(0.0, 1.0) * f64::from(CLASS_SPAN)) as u32;
         ShedLevel(class as u32 * CLASS_SPAN + inside)
@@ -429,7 +424,8 @@
         } else {
             0.0
         };
-        if level.widened(margin).admits(rank, root_request_id) {
+        let widened = ShedLevel(level.0 + (margin * f64::from(CLASS_SPAN)) as u32);
+        if widened.admits(rank, root_request_id) {
             return true;
         }
         self.probe(now)
