--- a/crates/hemlocktack-node/src/calls/ticketed.rs
+++ b/crates/hemlocktack-node/src/calls/ticketed.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_fleet::NodeIncarnation;
-use hemlocktack_fleet::tickets::{ChildHome, Ticket, find_home};
+use hemlocktack_fleet::tickets::{ChildHome, Ticket, TicketError, find_home};
 use hemlocktack_protocol::{Answer, CallPurpose, NodeState, Outcome, Reason};
 
-use super::place::{admitted_view, choose, send_with_allowance, wait_before_return};
+use super::place::{Delivery, admitted_view, choose, send_with_allowance, wait_before_return};
 use super::roster::{PeerEntry, ServiceView};
 use super::{Classified, not_run, unknown};
 use crate::node::Node;
@@ -53,8 +53,21 @@
     let Some(key) = key else {
         return Err(Box::new(ask_for_ticket(node, classified)));
     };
-    Ticket::decode(&node.keys, &call.service, key)
-        .map_err(|error| Box::new(not_run(error.reason(), None)))
+    let decoded = Ticket::decode(&node.keys, &call.service, key);
+    decoded.map_err(|error| Box::new(not_a_ticket(node, classified, error)))
+}
+
+/// A key of the caller's own making never ran, and the caller gets a ticket to
+/// use instead. One with the form of a ticket that no valid key has signed was
+/// forged, or has outlived the fleet key that signed it: then it may have run.
+fn not_a_ticket(node: &Node, classified: &Classified, error: TicketError) -> Answer {
+    match error {
+        TicketError::Foreign => unknown(error.reason()),
+        TicketError::Malformed | TicketError::Name => Answer {
+            fresh_ticket: fresh_ticket(node, classified).unwrap_or_default(),
+            ..not_run(error.reason(), None)
+        },
+    }
 }
 
 /// Load: more bookings than the service can take. Harm: a ticket that leads to
@@ -111,7 +124,10 @@
         let home = find_home(ticket, |home| node.successor_of(home));
         let view = node.roster.service(&call.service);
         let peer = view.as_deref().and_then(|view| peer_of(view, &home));
-        let answer = match peer {
+        let Delivery {
+            answer,
+            is_receivers_word,
+        } = match peer {
             Some(peer) => {
                 let call = call.clone();
                 let Classified {
@@ -121,12 +137,15 @@
                 } = classified;
                 send_with_allowance(node, peer, call, *deadline, allowance).await
             }
-            None => unknown(Reason::HomeGone),
+            None => Delivery {
+                answer: unknown(Reason::HomeGone),
+                is_receivers_word: false,
+            },
         };
         let is_handing_over = is_handing_over(node, &home, &answer);
         let may_ask_again = match is_handing_over {
             true => Instant::now() < succession_limit,
-            false => never_arrived(&answer),
+            false => !is_receivers_word && is_lost(answer.reason()),
         };
         if !may_ask_again {
             return answer;
@@ -136,9 +155,11 @@
     unknown(Reason::Timeout)
 }
 
-fn never_arrived(answer: &Answer) -> bool {
-    answer.outcome() == Outcome::NotRun
-        && matches!(answer.reason(), Reason::LinkLost | Reason::Fenced)
+/// Whether the home may still say what became of the request: this send was
+/// lost on the way, there or back. Once the home is known to be gone, the loop
+/// ends with `HomeGone`.
+fn is_lost(reason: Reason) -> bool {
+    matches!(reason, Reason::LinkLost | Reason::Fenced)
 }
 
 /// A home in a planned stop starts nothing once its tickets are on their way,
@@ -147,13 +168,14 @@
     if answer.outcome() == Outcome::Unknown && answer.reason() == Reason::Draining {
         return true;
     }
-    let is_home_lost = matches!(answer.reason(), Reason::HomeGone | Reason::LinkLost);
+    if !matches!(answer.reason(), Reason::HomeGone | Reason::LinkLost) {
+        return false;
+    }
     let members = node.members();
     let known = members
         .iter()
         .find(|member| member.incarnation == home.incarnation && *member.node_id == *home.node_id);
-    let stops = |state| matches!(state, NodeState::Draining | NodeState::Left);
-    is_home_lost && known.is_some_and(|member| stops(member.state()))
+    known.is_some_and(|member| matches!(member.state(), NodeState::Draining | NodeState::Left))
 }
 
 fn peer_of<'a>(view: &'a ServiceView, home: &NodeIncarnation) -> Option<&'a PeerEntry> {
--- a/crates/hemlocktack-node/tests/processes/main.rs
+++ b/crates/hemlocktack-node/tests/processes/main.rs
@@ -17,3 +17,4 @@
 mod stop;
 mod telemetry;
 mod thin_path;
+mod tickets;
--- a/crates/hemlocktack-node/tests/processes/telemetry.rs
+++ b/crates/hemlocktack-node/tests/processes/telemetry.rs
@@ -18,6 +18,7 @@
 async fn a_chain_is_explained_hop_by_hop() {
     let listings = Plan::new("listings", 1).with(&["--deeper", "GET diaries/slots"]);
     let fleet = Fleet::start(&[listings, Plan::new("diaries", 1)]).await;
+    fleet.wait_until_known().await;
     let headers = [("traceparent", TRACEPARENT)];
     let caller = fleet.caller(1);
     let reply = caller
@@ -49,6 +50,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refused_request_is_explained() {
     let fleet = Fleet::start(&[Plan::new("diaries", 2)]).await;
+    fleet.wait_until_known().await;
     let url = format!("http://{}/listings/flats?name=asha", fleet.nodes[0].callers);
     let answer = reqwest::get(url).await.unwrap();
     let traceparent = answer.headers()["traceparent"].to_str().unwrap();
