--- a/crates/hemlocktack-node/tests/processes/harness/fleet.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/fleet.rs
@@ -88,11 +88,16 @@
         self.nodes.iter().map(|node| node.gossip).collect()
     }
 
-    /// Every node is ready and gets an answer from every service.
+    /// Every node is ready, knows all others and gets an answer from every service.
     pub(crate) async fn wait_until_serving(&self) {
         for node in &self.nodes {
             let what = format!("{} is ready", node.options.id);
             wait_until(&what, || node.is_ready()).await;
+            let what = format!("{} knows all nodes", node.options.id);
+            wait_until(&what, || async {
+                node.ready_members().await == Some(self.nodes.len())
+            })
+            .await;
             for service in self.services() {
                 let what = format!("{} serves {service}", node.options.id);
                 let caller = Caller::at(node.callers);
--- a/crates/hemlocktack-node/tests/processes/harness/node.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/node.rs
@@ -81,6 +81,20 @@
         let answer = reqwest::get(url).await;
         answer.is_ok_and(|answer| answer.status().is_success())
     }
+
+    /// Nodes that this one knows to be ready, from its metrics.
+    pub(crate) async fn ready_members(&self) -> Option<usize> {
+        let count = self.metric("hemlocktack_members{state=\"ready\"}").await?;
+        count.parse().ok()
+    }
+
+    /// Value of a metric, named with its labels.
+    pub(crate) async fn metric(&self, name: &str) -> Option<String> {
+        let url = format!("http://{}/metrics", self.control);
+        let text = reqwest::get(url).await.ok()?.text().await.ok()?;
+        let value = text.lines().find_map(|line| line.strip_prefix(name))?;
+        Some(value.trim().to_owned())
+    }
 }
 
 fn as_arguments(flags: &[(&str, String)]) -> Vec<String> {
--- a/crates/hemlocktack-node/tests/processes/platform_out.rs
+++ b/crates/hemlocktack-node/tests/processes/platform_out.rs
@@ -38,6 +38,33 @@
     .await;
 }
 
+/// A node and its upstream are replaced while the platform is out. The new
+/// node gets the configuration from the others, becomes ready, and is called.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_is_replaced() {
+    let mut fleet = Fleet::start(&plans()).await;
+    fleet.platform.set_down(true).await;
+    let replaced = fleet.nodes.len() - 1;
+    fleet.nodes[replaced].process.kill();
+    fleet.nodes[replaced].upstream.process.kill();
+    let replacement = fleet.add(&plans()[1], 3);
+    let node = &fleet.nodes[replacement];
+    wait_until("the replacement is ready without the platform", || {
+        node.is_ready()
+    })
+    .await;
+    fleet.nodes.swap_remove(replaced);
+    let caller = fleet.caller(0);
+    wait_until("the replacement is called", || async {
+        caller.get("diaries/slots", "replaced").await;
+        let counts = fleet.nodes[replaced].upstream.counts().await;
+        counts.starts_of("replaced") > 0
+    })
+    .await;
+    let bookings = book_everywhere(&fleet, "replaced").await;
+    assert_honest(&fleet, "diaries", &bookings).await;
+}
+
 async fn book_everywhere(fleet: &Fleet, name: &str) -> Vec<Booking> {
     let mut bookings = Vec::new();
     for entry in 0..fleet.nodes.len() {
