Cut links between nodes with bookings and pages in flight

A relay before each diaries node. One cut while six bookings run: all are answered on their first send.

--- a/crates/hemlocktack-node/tests/processes/harness/fleet.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/fleet.rs
@@ -14,6 +14,7 @@
     pub(crate) service: &'static str,
     pub(crate) count: usize,
     pub(crate) upstream_flags: Vec<&'static str>,
+    pub(crate) is_relayed: bool,
 }
 
 impl Plan {
@@ -22,6 +23,15 @@
             service,
             count,
             upstream_flags: Vec::new(),
+            is_relayed: false,
+        }
+    }
+
+    /// Links to these nodes can be cut.
+    pub(crate) fn relayed(self) -> Plan {
+        Plan {
+            is_relayed: true,
+            ..self
         }
     }
 
@@ -50,7 +60,8 @@
         };
         for plan in plans {
             for number in 1..=plan.count {
-                fleet.add(plan, number);
+                let position = fleet.add(plan, number);
+                fleet.nodes[position].start_relay().await;
             }
         }
         let operator = fleet.operator(0, "asha");
@@ -73,6 +84,7 @@
             data_centre: DATA_CENTRES[number % DATA_CENTRES.len()].to_owned(),
             platform: self.platform.address,
             seed_peers: self.gossip_addresses(),
+            is_relayed: plan.is_relayed,
             flags: Vec::new(),
             upstream_flags: plan
                 .upstream_flags
@@ -130,6 +142,17 @@
         services
     }
 
+    /// Cuts all links to relayed nodes, until they are restored.
+    pub(crate) fn cut_links(&self) {
+        let relays = self.nodes.iter().filter_map(|node| node.relay.as_ref());
+        relays.for_each(hemlocktack_testkit::Relay::cut);
+    }
+
+    pub(crate) fn restore_links(&self) {
+        let relays = self.nodes.iter().filter_map(|node| node.relay.as_ref());
+        relays.for_each(hemlocktack_testkit::Relay::restore);
+    }
+
     pub(crate) fn caller(&self, node: usize) -> Caller {
         Caller::at(self.nodes[node].callers)
     }
--- a/crates/hemlocktack-node/tests/processes/harness/node.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/node.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use hemlocktack_testkit::Relay;
+
 use super::process::{Process, node_program};
 use super::{UpstreamProcess, next_address};
 
@@ -19,6 +21,8 @@
     pub(crate) platform: SocketAddr,
     /// Gossip addresses of nodes to ask first.
     pub(crate) seed_peers: Vec<SocketAddr>,
+    /// Whether links to it go through a relay of the test's.
+    pub(crate) is_relayed: bool,
     /// Further flags of the node.
     pub(crate) flags: Vec<String>,
     /// Further flags of its upstream.
@@ -30,7 +34,10 @@
     pub(crate) options: NodeOptions,
     pub(crate) callers: SocketAddr,
     pub(crate) control: SocketAddr,
+    /// Where others reach it: itself, or the relay before it.
     pub(crate) link: SocketAddr,
+    pub(crate) relay: Option<Relay>,
+    link_listen: SocketAddr,
     pub(crate) gossip: SocketAddr,
     pub(crate) process: Process,
     pub(crate) upstream: UpstreamProcess,
@@ -41,6 +48,10 @@
         let callers = next_address();
         let control = next_address();
         let link = next_address();
+        let link_listen = match options.is_relayed {
+            true => next_address(),
+            false => link,
+        };
         let gossip = next_address();
         let flags = [
             ("node", options.id.clone()),
@@ -49,6 +60,7 @@
             ("caller-address", callers.to_string()),
             ("control-address", control.to_string()),
             ("link-address", link.to_string()),
+            ("link-listen-address", link_listen.to_string()),
             ("gossip-address", gossip.to_string()),
             ("platform-url", format!("http://{}", options.platform)),
             ("seed-peers", joined(&options.seed_peers)),
@@ -71,10 +83,20 @@
             callers,
             control,
             link,
+            relay: None,
+            link_listen,
             gossip,
         }
     }
 
+    /// Starts the relay of a node that has one.
+    pub(crate) async fn start_relay(&mut self) {
+        if self.options.is_relayed {
+            let relay = Relay::spawn(self.link, self.link_listen).await;
+            self.relay = Some(relay.unwrap());
+        }
+    }
+
     /// Whether the node says that it takes calls.
     pub(crate) async fn is_ready(&self) -> bool {
         let url = format!("http://{}/ready", self.control);
--- /dev/null
+++ b/crates/hemlocktack-node/tests/processes/links.rs
@@ -0,0 +1,145 @@
+//! Links between nodes that break and come back.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use crate::harness::{Booking, Caller, Fleet, Plan, assert_honest};
+
+const PATH: &str = "diaries/appointments";
+const SERVICE_MS: u64 = 1_500;
+/// Longer than the pause between two attempts to reach a peer, shorter than a run.
+const CUT: Duration = Duration::from_millis(300);
+
+fn plans() -> [Plan; 2] {
+    [Plan::new("listings", 2), Plan::new("diaries", 2).relayed()]
+}
+
+async fn book(caller: &Caller, marker: &str) -> Booking {
+    let ticket = caller.ticket(PATH, marker).await;
+    let reply = caller.post_with(PATH, marker, &ticket).await;
+    Booking {
+        marker: marker.to_owned(),
+        ticket,
+        replies: vec![reply],
+    }
+}
+
+/// Bookings run when every link to the diaries' nodes breaks, for a moment. The
+/// entry asks the same starts of the homes over new links and hears that the
+/// bookings run: each caller gets its answer on the first send, and nothing ran
+/// twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_link_costs_no_answer() {
+    let fleet = Fleet::start(&plans()).await;
+    let caller = fleet.caller(0);
+    let mut tickets = Vec::new();
+    for number in 0..6 {
+        let marker = format!("viewing {number}");
+        tickets.push((caller.ticket(PATH, &marker).await, marker));
+    }
+    fleet.set_service_time_ms("diaries", SERVICE_MS).await;
+    let mut pending = Vec::new();
+    for (ticket, marker) in &tickets {
+        let (caller, ticket, marker) = (caller.clone(), ticket.clone(), marker.clone());
+        pending.push(tokio::spawn(async move {
+            let replies = vec![caller.post_with(PATH, &marker, &ticket).await];
+            Booking {
+                marker,
+                ticket,
+                replies,
+            }
+        }));
+    }
+    for (_, marker) in &tickets {
+        fleet.wait_for_start("diaries", marker).await;
+    }
+    fleet.cut_links();
+    tokio::time::sleep(CUT).await;
+    fleet.restore_links();
+    let mut bookings = Vec::new();
+    for pending in pending {
+        bookings.push(pending.await.unwrap());
+    }
+    for booking in &bookings {
+        assert!(booking.last().is_answered(), "{booking:#?}");
+    }
+    assert_honest(&fleet, "diaries", &bookings).await;
+}
+
+/// Links break again and again while families book and browse: frames are lost
+/// at any point of their way. Whatever the callers are told must be true, and
+/// they send each booking that is unknown again through the other entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn links_break_again_and_again_under_load() {
+    let fleet = Fleet::start(&plans()).await;
+    fleet.set_service_time_ms("diaries", 20).await;
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut workers = Vec::new();
+    for worker in 0..4 {
+        let callers = [fleet.caller(worker % 2), fleet.caller((worker + 1) % 2)];
+        workers.push(tokio::spawn(book_on(worker, callers.clone(), stop.clone())));
+        workers.push(tokio::spawn(browse_on(worker, callers, stop.clone())));
+    }
+    for round in 0..20 {
+        tokio::time::sleep(Duration::from_millis(40 + 13 * (round % 5))).await;
+        fleet.cut_links();
+        tokio::time::sleep(Duration::from_millis(10 + 31 * (round % 4))).await;
+        fleet.restore_links();
+    }
+    stop.store(true, Ordering::Relaxed);
+    let mut asked = Vec::new();
+    for worker in workers {
+        asked.extend(worker.await.unwrap());
+    }
+    let (bookings, pages): (Vec<_>, Vec<_>) = asked
+        .into_iter()
+        .partition(|asked| !asked.ticket.is_empty());
+    assert_honest(&fleet, "diaries", &bookings).await;
+    for page in &pages {
+        let starts = fleet.starts("diaries", &page.marker).await;
+        let verdict = page.last().verdict();
+        assert!(
+            starts == 0 || page.last().outcome != "not-run",
+            "{starts} starts of {page:#?}"
+        );
+        assert!(
+            starts > 0 || page.last().outcome != "answered",
+            "{verdict}: {page:#?}"
+        );
+    }
+    for asked in [bookings, pages] {
+        let answered = asked.iter().filter(|asked| asked.last().is_answered());
+        assert!(answered.count() > 0, "{asked:#?}");
+    }
+}
+
+async fn browse_on(worker: usize, callers: [Caller; 2], stop: Arc<AtomicBool>) -> Vec<Booking> {
+    let mut pages = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        let marker = format!("worker {worker}, page {}", pages.len());
+        pages.push(Booking {
+            replies: vec![callers[0].get("diaries/slots", &marker).await],
+            ticket: String::new(),
+            marker,
+        });
+    }
+    pages
+}
+
+async fn book_on(worker: usize, callers: [Caller; 2], stop: Arc<AtomicBool>) -> Vec<Booking> {
+    let mut bookings = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        let marker = format!("worker {worker}, viewing {}", bookings.len());
+        let mut booking = book(&callers[0], &marker).await;
+        for _ in 0..3 {
+            if booking.last().outcome != "unknown" {
+                break;
+            }
+            let again = callers[1].post_with(PATH, &marker, &booking.ticket).await;
+            booking.replies.push(again);
+        }
+        bookings.push(booking);
+    }
+    bookings
+}
--- a/crates/hemlocktack-node/tests/processes/main.rs
+++ b/crates/hemlocktack-node/tests/processes/main.rs
@@ -11,6 +11,7 @@
 mod crash;
 mod frames;
 mod harness;
+mod links;
 mod operator_calls;
 mod operators;
 mod platform_out;
