Ask the upstream for its load, and drop it when its announcement lapses

The load endpoint was announced and never read.

A lapsed announcement changed the node's published state, but its own admission went on handing calls over: a booking whose ticket named the node still ran in an upstream that had gone silent, and calls could queue for slots that were not there.

Tests: an upstream that reports too much still gets calls, one that reports too little is not flooded, a silent one gets none.

--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -376,6 +376,26 @@
         self.upstream.store(Some(Arc::new(announcement)));
     }
 
+    /// Drops an upstream whose announcement has lapsed.
+    ///
+    /// Failure: an upstream vanishes without a word, and calls queue for slots
+    /// that are not there until their callers give up. They are refused as soon
+    /// as the announcement has lapsed, while another node may still answer them.
+    /// The state is read under the lock of the admission: an announcement that
+    /// comes at the same moment changes the state first and the admission after.
+    pub(crate) fn check_upstream(&self) {
+        self.live(|life, now| life.check_upstream(now));
+        let is_absent = || self.upstream_state() == UpstreamState::Absent;
+        if !is_absent() {
+            return;
+        }
+        self.desk.with_admission(|admission| {
+            if is_absent() && admission.state() != UpstreamState::Absent {
+                admission.lost(Instant::now());
+            }
+        });
+    }
+
     pub(crate) fn upstream_drains(&self) {
         self.live(|life, _| life.drain_upstream());
         if self.upstream_state() == UpstreamState::Draining {
--- a/crates/hemlocktack-node/src/peers/gossip.rs
+++ b/crates/hemlocktack-node/src/peers/gossip.rs
@@ -100,7 +100,7 @@
             self.membership.set_seeds(seeds.to_vec());
             self.seeds = seeds;
         }
-        self.node.live(|life, now| life.check_upstream(now));
+        self.node.check_upstream();
         self.tell_own().await;
         self.tell_suspects().await;
         let actions = self.membership.tick(Instant::now(), &mut self.rng);
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -126,6 +126,7 @@
     tokio::spawn(links::serve_links(node.clone(), link_listener));
     peers::start(&node).await?;
     configuration::start(&node)?;
+    tokio::spawn(upstream::follow_load(node.clone()));
     tokio::spawn(telemetry::monitor(node.clone()));
     log_event!(
         Event::NodeStarted,
--- a/crates/hemlocktack-node/src/upstream/announce.rs
+++ b/crates/hemlocktack-node/src/upstream/announce.rs
@@ -47,6 +47,10 @@
     if announcement.slots == 0 || announcement.connections == 0 {
         return refuse("slots and connections must be 1 or more");
     }
+    let load_path = announcement.load_path.as_deref();
+    if load_path.is_some_and(|path| !path.starts_with('/')) {
+        return refuse("load_path begins with /");
+    }
     node.upstream_announced(announcement);
     let reply = serde_json::json!({ "renew_every_ms": RENEW_EVERY.as_millis() as u64 });
     (Status::Ok, (ContentType::JSON, reply.to_string()))
--- a/crates/hemlocktack-node/src/upstream/client.rs
+++ b/crates/hemlocktack-node/src/upstream/client.rs
@@ -40,6 +40,22 @@
         Ok(Self { client })
     }
 
+    /// Body of a small page of the upstream's own; `None` if it does not come
+    /// whole, in time and within the limit.
+    pub(crate) async fn read(
+        &self,
+        url: &str,
+        timeout: Duration,
+        limit_bytes: usize,
+    ) -> Option<Bytes> {
+        let response = self.client.get(url).timeout(timeout).send().await.ok()?;
+        let response = response.error_for_status().ok()?;
+        match read_whole(response, limit_bytes).await {
+            UpstreamEnd::Answered { body, .. } => Some(body),
+            UpstreamEnd::NotRun(_) | UpstreamEnd::Unknown(_) => None,
+        }
+    }
+
     /// Sends the call and reads the answer to its declared end.
     ///
     /// A body that stops short of its declared length is an error of the HTTP
--- a/crates/hemlocktack-node/tests/processes/main.rs
+++ b/crates/hemlocktack-node/tests/processes/main.rs
@@ -19,3 +19,4 @@
 mod telemetry;
 mod thin_path;
 mod tickets;
+mod upstream_reports;
--- a/crates/hemlocktack-testkit/src/upstream/counts.rs
+++ b/crates/hemlocktack-testkit/src/upstream/counts.rs
@@ -23,6 +23,8 @@
     pub in_flight: u64,
     /// Announcements that the node accepted.
     pub announcements: u64,
+    /// Load reports that were asked for.
+    pub load_reports: u64,
 }
 
 impl Counts {
@@ -44,6 +46,7 @@
     pub(crate) shed: AtomicU64,
     pub(crate) too_late: AtomicU64,
     pub(crate) announcements: AtomicU64,
+    pub(crate) load_reports: AtomicU64,
 }
 
 impl Counters {
@@ -66,6 +69,7 @@
             too_late: read(&self.counters.too_late),
             in_flight: read(&self.in_flight),
             announcements: read(&self.counters.announcements),
+            load_reports: read(&self.counters.load_reports),
         }
     }
 }
--- a/crates/hemlocktack-testkit/src/upstream/routes.rs
+++ b/crates/hemlocktack-testkit/src/upstream/routes.rs
@@ -1,5 +1,6 @@
 //! The upstream over HTTP, with its switches and counts beside the calls.
 
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -52,6 +53,7 @@
     }
 
     fn load(&self) -> Reply {
+        self.counters.load_reports.fetch_add(1, Ordering::Relaxed);
         let in_flight = self.switches.borrow().reported_in_flight;
         let in_flight = in_flight.unwrap_or_else(|| self.counts().in_flight);
         Reply::json(
