--- a/crates/hemlocktack-node/tests/processes/links.rs
+++ b/crates/hemlocktack-node/tests/processes/links.rs
@@ -4,12 +4,17 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use crate::harness::{Booking, Caller, Fleet, Plan, assert_honest};
+use reqwest::Method;
+
+use crate::harness::{Booking, Caller, Fleet, PATIENCE, Plan, assert_honest, wait_until};
 
 const PATH: &str = "diaries/appointments";
 const SERVICE_MS: u64 = 1_500;
 /// Longer than the pause between two attempts to reach a peer, shorter than a run.
 const CUT: Duration = Duration::from_millis(300);
+/// Together 18 MB: more than loopback sockets and a link's outbox hold.
+const PAGES_TO_FILL_SOCKETS: usize = 300;
+const LARGE_BODY_BYTES: usize = 60_000;
 
 fn plans() -> [Plan; 2] {
     [Plan::new("listings", 2), Plan::new("diaries", 2).relayed()]
@@ -143,3 +148,47 @@
     }
     bookings
 }
+
+/// A node freezes with its sockets open, and the entry has more for it than the
+/// sockets' buffers hold. Every caller gets an end when its patience is over,
+/// also those whose calls wait for room. The frozen node wakes and reads what
+/// was sent: what callers were told as not run must not be among it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_node_with_full_sockets_holds_nobody_up() {
+    let fleet = Fleet::start(&[Plan::new("listings", 1), Plan::new("diaries", 1)]).await;
+    let frozen = fleet.of("diaries")[0];
+    fleet.nodes[frozen].process.signal("STOP");
+    let mut pending = Vec::new();
+    for number in 0..PAGES_TO_FILL_SOCKETS {
+        let caller = fleet.caller(0);
+        pending.push(tokio::spawn(async move {
+            let marker = format!("page {number}");
+            let headers = [("x-marker", &*marker), ("hemlocktack-caller-kind", "kiosk")];
+            let body = "x".repeat(LARGE_BODY_BYTES);
+            let reply = caller
+                .send(Method::GET, "diaries/slots", &headers, &body)
+                .await;
+            (marker, reply)
+        }));
+    }
+    let mut pages = Vec::new();
+    for page in pending {
+        let ended = tokio::time::timeout(PATIENCE, page).await;
+        pages.push(ended.expect("a caller without an end").unwrap());
+    }
+    fleet.nodes[frozen].process.signal("CONT");
+    let caller = fleet.caller(0);
+    wait_until("the woken node serves", || async {
+        caller.get("diaries/slots", "woken").await.is_answered()
+    })
+    .await;
+    for (marker, reply) in &pages {
+        let is_end = ["not-run", "unknown"].contains(&reply.outcome.as_str());
+        assert!(is_end, "{marker}: {reply:?}");
+        let starts = fleet.starts("diaries", marker).await;
+        assert!(
+            starts == 0 || reply.outcome == "unknown",
+            "{starts} of {marker}: {reply:?}"
+        );
+    }
+}
