--- a/crates/hemlocktack-fleet/src/membership/machine.rs
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -93,6 +93,7 @@
     /// Set while a whole table is read at once: after the start, and after a
     /// pause of this process.
     pub(super) reading_since: Option<Instant>,
+    pub(super) pulled: Instant,
     pub(super) now: Instant,
     pub(super) last_tick: Instant,
     pub(super) next_period: Instant,
@@ -124,6 +125,7 @@
             sweep: None,
             joined: false,
             reading_since: Some(now),
+            pulled: now,
             now,
             last_tick: now,
             next_period: now,
@@ -145,6 +147,11 @@
         &self.own
     }
 
+    /// Generation that this node tells others it has in force.
+    pub fn generation(&self) -> Generation {
+        self.generation
+    }
+
     /// Whether a whole table was read from a peer, or nobody answered at all.
     pub fn is_joined(&self) -> bool {
         self.joined
@@ -214,7 +221,7 @@
 
     /// Whether any other member is taken for live.
     pub fn knows_live_members(&self) -> bool {
-        self.table.live().next().is_some()
+        self.table.live_count() > 0
     }
 
     /// Takes note of the generation in force here and tells several peers at
@@ -353,7 +360,7 @@
     }
 
     fn fill_with_news(&mut self, gossip: &mut Gossip, mut room: usize) {
-        let limit = tellings_limit(self.table.entries().count() + 1);
+        let limit = tellings_limit(self.table.count() + 1);
         for node_id in self.news.pending() {
             let already_in = gossip
                 .members
