Wait for a home that an entry does not know yet

A node that had just started told home-gone for bookings of a living home. Gone at once is now only a home whose node is known with another incarnation or as dead; one that nobody has named yet is asked for again, 4 s at most.

--- a/crates/hemlocktack-node/src/calls/ticketed.rs
+++ b/crates/hemlocktack-node/src/calls/ticketed.rs
@@ -15,9 +15,9 @@
 /// Pause before the home is asked again after a lost link; the ticket makes
 /// any number of sends one request.
 const RESEND_PAUSE: Duration = Duration::from_millis(50);
-/// News of a successor takes a second or two; a home that stopped without one
-/// is not worth the caller's whole patience.
-const SUCCESSION_WAIT: Duration = Duration::from_secs(4);
+/// News of a home or its successor takes a second or two; one that nobody knows
+/// by then is not worth the caller's whole patience.
+const HOME_WAIT: Duration = Duration::from_secs(4);
 
 /// Sends the call to its ticket's home, or answers with a fresh ticket.
 pub(crate) async fn run_ticketed(node: &Arc<Node>, classified: &mut Classified) -> Answer {
@@ -119,7 +119,7 @@
 async fn send_home(node: &Arc<Node>, classified: &Classified, ticket: &Ticket) -> Answer {
     let mut call = classified.call.clone();
     call.purpose = CallPurpose::Home.into();
-    let succession_limit = classified.deadline.min(Instant::now() + SUCCESSION_WAIT);
+    let home_limit = classified.deadline.min(Instant::now() + HOME_WAIT);
     while Instant::now() < classified.deadline {
         let home = find_home(ticket, |home| node.successor_of(home));
         let view = node.roster.service(&call.service);
@@ -142,9 +142,8 @@
                 is_receivers_word: false,
             },
         };
-        let is_handing_over = is_handing_over(node, &home, &answer);
-        let may_ask_again = match is_handing_over {
-            true => Instant::now() < succession_limit,
+        let may_ask_again = match may_turn_up(node, &home, &answer) {
+            true => Instant::now() < home_limit,
             false => !is_receivers_word && is_lost(answer.reason()),
         };
         if !may_ask_again {
@@ -162,9 +161,13 @@
     matches!(reason, Reason::LinkLost | Reason::Fenced)
 }
 
+/// Whether the home, or its successor, may turn up a moment later.
+///
 /// A home in a planned stop starts nothing once its tickets are on their way,
-/// and its successor has them a moment later: the same ticket is sent again.
-fn is_handing_over(node: &Node, home: &NodeIncarnation, answer: &Answer) -> bool {
+/// and its successor has them soon. A node that has just started may not know
+/// a home that lives: told `unknown` at once, the caller would take a booking
+/// for lost that is running. Sending the same ticket again is always safe.
+fn may_turn_up(node: &Node, home: &NodeIncarnation, answer: &Answer) -> bool {
     if answer.outcome() == Outcome::Unknown && answer.reason() == Reason::Draining {
         return true;
     }
@@ -174,8 +177,12 @@
     let members = node.members();
     let known = members
         .iter()
-        .find(|member| member.incarnation == home.incarnation && *member.node_id == *home.node_id);
-    known.is_some_and(|member| matches!(member.state(), NodeState::Draining | NodeState::Left))
+        .find(|member| *member.node_id == *home.node_id);
+    let Some(known) = known else {
+        return answer.reason() == Reason::HomeGone;
+    };
+    let stops = matches!(known.state(), NodeState::Draining | NodeState::Left);
+    known.incarnation == home.incarnation && stops
 }
 
 fn peer_of<'a>(view: &'a ServiceView, home: &NodeIncarnation) -> Option<&'a PeerEntry> {
