--- a/crates/hemlocktack-node/tests/processes/at_most_once.rs
+++ b/crates/hemlocktack-node/tests/processes/at_most_once.rs
@@ -181,3 +181,27 @@
     assert_honest(&fleet, "diaries", &running).await;
     assert_honest(&fleet, "diaries", &waiting).await;
 }
+
+/// An entry has just started and is ready. A family sends its booking again
+/// through it, as after a lost answer, before the new node can have heard of
+/// everyone. The booking's home lives, so the answer is the kept one and not
+/// `home-gone`, after which the family would take its viewing for lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_fresh_entry_asks_the_home_before_it_calls_it_gone() {
+    let mut fleet = Fleet::start(&plans()).await;
+    let mut bookings = tickets(&fleet, 0, "viewing", 8).await;
+    send_all(&fleet.caller(0), &mut bookings).await;
+    for number in 3..=6 {
+        let fresh = fleet.add(&plans()[0], number);
+        let node = &fleet.nodes[fresh];
+        let is_ready = wait_until("the fresh entry is ready", || node.is_ready());
+        is_ready.await;
+        send_all(&fleet.caller(fresh), &mut bookings).await;
+    }
+    assert_honest(&fleet, "diaries", &bookings).await;
+    for booking in &bookings {
+        let verdicts: Vec<String> = booking.replies.iter().map(Reply::verdict).collect();
+        let is_answered = booking.replies.iter().all(Reply::is_answered);
+        assert!(is_answered, "{}: {verdicts:#?}", booking.marker);
+    }
+}
