--- a/crates/hemlocktack-node/tests/processes/harness/document.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/document.rs
@@ -1,6 +1,6 @@
 //! The operators' document of these tests.
 
-/// Listings call diaries, diaries call nothing; bookings may not be repeated.
+/// Three services; what is asked by POST may not be repeated.
 pub(crate) const DOCUMENT: &str = r#"
 [limits]
 drain_limit_ms = 30000
@@ -46,6 +46,21 @@
 class = "browsing"
 idempotent = true
 
+[[services.requests]]
+method = "POST"
+path_prefix = "/"
+class = "bookings"
+idempotent = false
+
+[[services]]
+name = "keys"
+
+[[services.requests]]
+method = "GET"
+path_prefix = "/"
+class = "browsing"
+idempotent = true
+
 [[services.requests]]
 method = "POST"
 path_prefix = "/"
--- a/crates/hemlocktack-node/tests/processes/harness/fleet.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/fleet.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 
-use hemlocktack_testkit::upstream;
+use hemlocktack_testkit::{Relay, upstream};
 
-use super::{Caller, DOCUMENT, Node, NodeOptions, Operator, PlatformProcess, wait_until};
+use super::{
+    Caller, DOCUMENT, Node, NodeOptions, Operator, PlatformProcess, next_address, wait_until,
+};
 
 const DATA_CENTRES: [&str; 2] = ["salt-lake", "howrah"];
 
@@ -67,21 +69,38 @@
 
     /// Starts one more instance; its number makes its name.
     pub(crate) fn add(&mut self, plan: &Plan, number: usize) -> usize {
+        let options = self.options(plan, number);
+        self.nodes.push(Node::start(options));
+        self.nodes.len() - 1
+    }
+
+    /// As `add`, with a relay through which the others reach its links.
+    pub(crate) async fn add_behind_relay(&mut self, plan: &Plan, number: usize) -> Relay {
+        let link = next_address();
+        let relay = Relay::spawn(next_address(), link).await.unwrap();
         let options = NodeOptions {
+            relay: Some(relay.address),
+            ..self.options(plan, number)
+        };
+        self.nodes.push(Node::start_at(options, link));
+        relay
+    }
+
+    fn options(&self, plan: &Plan, number: usize) -> NodeOptions {
+        NodeOptions {
             id: format!("{}-{number}", plan.service),
             service: plan.service.to_owned(),
             data_centre: DATA_CENTRES[number % DATA_CENTRES.len()].to_owned(),
             platform: self.platform.address,
             seed_peers: self.gossip_addresses(),
             flags: Vec::new(),
+            relay: None,
             upstream_flags: plan
                 .upstream_flags
                 .iter()
                 .map(|flag| (*flag).to_owned())
                 .collect(),
-        };
-        self.nodes.push(Node::start(options));
-        self.nodes.len() - 1
+        }
     }
 
     fn gossip_addresses(&self) -> Vec<SocketAddr> {
--- a/crates/hemlocktack-node/tests/processes/harness/node.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/node.rs
@@ -21,6 +21,8 @@
     pub(crate) seed_peers: Vec<SocketAddr>,
     /// Further flags of the node.
     pub(crate) flags: Vec<String>,
+    /// Where other nodes reach its link address, if not directly.
+    pub(crate) relay: Option<SocketAddr>,
     /// Further flags of its upstream.
     pub(crate) upstream_flags: Vec<String>,
 }
@@ -38,9 +40,13 @@
 
 impl Node {
     pub(crate) fn start(options: NodeOptions) -> Node {
+        Node::start_at(options, next_address())
+    }
+
+    /// As `start`, listening for links at an address of the caller's choice.
+    pub(crate) fn start_at(options: NodeOptions, link: SocketAddr) -> Node {
         let callers = next_address();
         let control = next_address();
-        let link = next_address();
         let gossip = next_address();
         let flags = [
             ("node", options.id.clone()),
@@ -48,7 +54,8 @@
             ("data-centre", options.data_centre.clone()),
             ("caller-address", callers.to_string()),
             ("control-address", control.to_string()),
-            ("link-address", link.to_string()),
+            ("link-address", options.relay.unwrap_or(link).to_string()),
+            ("link-listen-address", link.to_string()),
             ("gossip-address", gossip.to_string()),
             ("platform-url", format!("http://{}", options.platform)),
             ("seed-peers", joined(&options.seed_peers)),
--- /dev/null
+++ b/crates/hemlocktack-node/tests/processes/whole_answers.rs
@@ -0,0 +1,68 @@
+//! Every caller gets the whole answer to its own request, or none.
+
+use hemlocktack_testkit::upstream::{Fault, Switches};
+
+use crate::harness::{Fleet, Plan};
+
+const CALLERS: usize = 12;
+const REQUESTS: usize = 25;
+const FAULTY_EVERY: usize = 5;
+
+/// Many callers ask at once through every node, for answers of different
+/// lengths; the upstreams close some connections in the middle of an answer.
+/// Each caller gets its own answer whole, or hears that there is none.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_are_neither_cut_nor_mixed_up() {
+    let fleet = Fleet::start(&[Plan::new("listings", 2), Plan::new("diaries", 2)]).await;
+    let mut callers = Vec::new();
+    for number in 0..CALLERS {
+        let caller = fleet.caller(number % fleet.nodes.len());
+        callers.push(tokio::spawn(async move {
+            for request in 0..REQUESTS {
+                let marker = format!("caller {number}, request {request}");
+                let padding = (number * 7_919 + request * 104_729) % 200_000;
+                let is_faulty = request % FAULTY_EVERY == 0;
+                let fault = if is_faulty { "&fault=short-body" } else { "" };
+                let path = format!("diaries/slots?padding-bytes={padding}{fault}");
+                let reply = caller.get(&path, &marker).await;
+                if is_faulty {
+                    assert_ne!(reply.outcome, "answered", "{reply:?}");
+                    assert_ne!(reply.outcome, "cut", "{reply:?}");
+                    continue;
+                }
+                assert!(reply.is_answered(), "{marker}: {}", reply.verdict());
+                assert_eq!(reply.body["marker"], marker);
+                let length = reply.body["padding"].as_str().unwrap().len();
+                assert_eq!(length, padding);
+            }
+        }));
+    }
+    for caller in callers {
+        caller.await.unwrap();
+    }
+}
+
+/// The upstream stops in the middle of an answer and keeps the connection
+/// open. The caller hears `unknown` when its patience is over, not a part.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stalled_answer_is_unknown() {
+    let fleet = Fleet::start(&[Plan::new("listings", 1), Plan::new("diaries", 1)]).await;
+    let switches = Switches {
+        fault: Some(Fault::StalledBody),
+        fault_markers: vec!["stalled".to_owned()],
+        ..Switches::default()
+    };
+    fleet.nodes[1].upstream.set(switches).await;
+    let headers = [
+        ("x-marker", "stalled"),
+        ("hemlocktack-caller-kind", "kiosk"),
+    ];
+    let reply = fleet
+        .caller(0)
+        .send(reqwest::Method::GET, "diaries/slots", &headers, "")
+        .await;
+    assert_eq!(reply.outcome, "unknown", "{reply:?}");
+    let next = fleet.caller(0).get("diaries/slots", "next").await;
+    assert!(next.is_answered(), "{next:?}");
+    assert_eq!(next.body["marker"], "next");
+}
