--- a/crates/hemlocktack-node/tests/processes/harness/fleet.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/fleet.rs
@@ -2,11 +2,9 @@
 
 use std::net::SocketAddr;
 
-use hemlocktack_testkit::{Relay, upstream};
+use hemlocktack_testkit::upstream;
 
-use super::{
-    Caller, DOCUMENT, Node, NodeOptions, Operator, PlatformProcess, next_address, wait_until,
-};
+use super::{Caller, DOCUMENT, Node, NodeOptions, Operator, PlatformProcess, wait_until};
 
 const DATA_CENTRES: [&str; 2] = ["salt-lake", "howrah"];
 
@@ -16,6 +14,7 @@
     pub(crate) service: &'static str,
     pub(crate) count: usize,
     pub(crate) upstream_flags: Vec<&'static str>,
+    pub(crate) is_relayed: bool,
 }
 
 impl Plan {
@@ -24,6 +23,15 @@
             service,
             count,
             upstream_flags: Vec::new(),
+            is_relayed: false,
+        }
+    }
+
+    /// Links to these nodes can be cut.
+    pub(crate) fn relayed(self) -> Plan {
+        Plan {
+            is_relayed: true,
+            ..self
         }
     }
 
@@ -52,7 +60,8 @@
         };
         for plan in plans {
             for number in 1..=plan.count {
-                fleet.add(plan, number);
+                let position = fleet.add(plan, number);
+                fleet.nodes[position].start_relay().await;
             }
         }
         let operator = fleet.operator(0, "asha");
@@ -69,38 +78,22 @@
 
     /// Starts one more instance; its number makes its name.
     pub(crate) fn add(&mut self, plan: &Plan, number: usize) -> usize {
-        let options = self.options(plan, number);
-        self.nodes.push(Node::start(options));
-        self.nodes.len() - 1
-    }
-
-    /// As `add`, with a relay through which the others reach its links.
-    pub(crate) async fn add_behind_relay(&mut self, plan: &Plan, number: usize) -> Relay {
-        let link = next_address();
-        let relay = Relay::spawn(next_address(), link).await.unwrap();
         let options = NodeOptions {
-            relay: Some(relay.address),
-            ..self.options(plan, number)
-        };
-        self.nodes.push(Node::start_at(options, link));
-        relay
-    }
-
-    fn options(&self, plan: &Plan, number: usize) -> NodeOptions {
-        NodeOptions {
             id: format!("{}-{number}", plan.service),
             service: plan.service.to_owned(),
             data_centre: DATA_CENTRES[number % DATA_CENTRES.len()].to_owned(),
             platform: self.platform.address,
             seed_peers: self.gossip_addresses(),
+            is_relayed: plan.is_relayed,
             flags: Vec::new(),
-            relay: None,
             upstream_flags: plan
                 .upstream_flags
                 .iter()
                 .map(|flag| (*flag).to_owned())
                 .collect(),
-        }
+        };
+        self.nodes.push(Node::start(options));
+        self.nodes.len() - 1
     }
 
     fn gossip_addresses(&self) -> Vec<SocketAddr> {
@@ -154,6 +147,17 @@
         services
     }
 
+    /// Cuts all links to relayed nodes, until they are restored.
+    pub(crate) fn cut_links(&self) {
+        let relays = self.nodes.iter().filter_map(|node| node.relay.as_ref());
+        relays.for_each(hemlocktack_testkit::Relay::cut);
+    }
+
+    pub(crate) fn restore_links(&self) {
+        let relays = self.nodes.iter().filter_map(|node| node.relay.as_ref());
+        relays.for_each(hemlocktack_testkit::Relay::restore);
+    }
+
     pub(crate) fn caller(&self, node: usize) -> Caller {
         Caller::at(self.nodes[node].callers)
     }
--- a/crates/hemlocktack-node/tests/processes/harness/node.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/node.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use hemlocktack_testkit::Relay;
+
 use super::process::{Process, node_program};
 use super::{UpstreamProcess, next_address};
 
@@ -19,10 +21,10 @@
     pub(crate) platform: SocketAddr,
     /// Gossip addresses of nodes to ask first.
     pub(crate) seed_peers: Vec<SocketAddr>,
+    /// Whether links to it go through a relay of the test's.
+    pub(crate) is_relayed: bool,
     /// Further flags of the node.
     pub(crate) flags: Vec<String>,
-    /// Where other nodes reach its link address, if not directly.
-    pub(crate) relay: Option<SocketAddr>,
     /// Further flags of its upstream.
     pub(crate) upstream_flags: Vec<String>,
 }
@@ -32,7 +34,10 @@
     pub(crate) options: NodeOptions,
     pub(crate) callers: SocketAddr,
     pub(crate) control: SocketAddr,
+    /// Where others reach it: itself, or the relay before it.
     pub(crate) link: SocketAddr,
+    pub(crate) relay: Option<Relay>,
+    link_listen: SocketAddr,
     pub(crate) gossip: SocketAddr,
     pub(crate) process: Process,
     pub(crate) upstream: UpstreamProcess,
@@ -40,13 +45,13 @@
 
 impl Node {
     pub(crate) fn start(options: NodeOptions) -> Node {
-        Node::start_at(options, next_address())
-    }
-
-    /// As `start`, listening for links at an address of the caller's choice.
-    pub(crate) fn start_at(options: NodeOptions, link: SocketAddr) -> Node {
         let callers = next_address();
         let control = next_address();
+        let link = next_address();
+        let link_listen = match options.is_relayed {
+            true => next_address(),
+            false => link,
+        };
         let gossip = next_address();
         let flags = [
             ("node", options.id.clone()),
@@ -54,8 +59,8 @@
             ("data-centre", options.data_centre.clone()),
             ("caller-address", callers.to_string()),
             ("control-address", control.to_string()),
-            ("link-address", options.relay.unwrap_or(link).to_string()),
-            ("link-listen-address", link.to_string()),
+            ("link-address", link.to_string()),
+            ("link-listen-address", link_listen.to_string()),
             ("gossip-address", gossip.to_string()),
             ("platform-url", format!("http://{}", options.platform)),
             ("seed-peers", joined(&options.seed_peers)),
@@ -78,10 +83,20 @@
             callers,
             control,
             link,
+            relay: None,
+            link_listen,
             gossip,
         }
     }
 
+    /// Starts the relay of a node that has one.
+    pub(crate) async fn start_relay(&mut self) {
+        if self.options.is_relayed {
+            let relay = Relay::spawn(self.link, self.link_listen).await;
+            self.relay = Some(relay.unwrap());
+        }
+    }
+
     /// Whether the node says that it takes calls.
     pub(crate) async fn is_ready(&self) -> bool {
         let url = format!("http://{}/ready", self.control);
--- a/crates/hemlocktack-node/tests/processes/links.rs
+++ b/crates/hemlocktack-node/tests/processes/links.rs
@@ -1,56 +1,72 @@
-//! Links between nodes that are cut and restored, with calls in flight.
+//! Links between nodes that break and come back.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use hemlocktack_testkit::Relay;
+use reqwest::Method;
 
-use crate::harness::{Booking, Caller, Fleet, Plan, Reply, assert_honest, wait_until};
+use crate::harness::{Booking, Caller, Fleet, PATIENCE, Plan, Reply, assert_honest, wait_until};
 
 const PATH: &str = "diaries/appointments";
-const LONG_SERVICE_MS: u64 = 1_500;
+const SERVICE_MS: u64 = 1_500;
+/// Longer than the pause between two attempts to reach a peer, shorter than a run.
+const CUT: Duration = Duration::from_millis(300);
+/// Together 18 MB: more than loopback sockets and a link's outbox hold.
+const PAGES_TO_FILL_SOCKETS: usize = 300;
+const LARGE_BODY_BYTES: usize = 60_000;
 
-/// One entry, and one diary whose links pass through a relay.
-async fn fleet_with_relay() -> (Fleet, Relay) {
-    let mut fleet = Fleet::start(&[Plan::new("listings", 2)]).await;
-    let relay = fleet.add_behind_relay(&Plan::new("diaries", 1), 1).await;
-    fleet.wait_until_serving().await;
-    (fleet, relay)
+fn plans() -> [Plan; 2] {
+    [Plan::new("listings", 2), Plan::new("diaries", 2).relayed()]
 }
 
-fn book(caller: &Caller, marker: &str, ticket: &str) -> tokio::task::JoinHandle<Reply> {
-    let caller = caller.clone();
-    let (marker, ticket) = (marker.to_owned(), ticket.to_owned());
-    tokio::spawn(async move { caller.post_with(PATH, &marker, &ticket).await })
+async fn book(caller: &Caller, marker: &str) -> Booking {
+    let ticket = caller.ticket(PATH, marker).await;
+    let reply = caller.post_with(PATH, marker, &ticket).await;
+    Booking {
+        marker: marker.to_owned(),
+        ticket,
+        replies: vec![reply],
+    }
 }
 
-/// Bookings run at the diary when its link to the entry breaks, and is back
-/// before they end. The entry asks the same start of the node what became of
-/// them; the callers get their answers on the first send.
+/// Bookings run when every link to the diaries' nodes breaks, for a moment. The
+/// entry asks the same starts of the homes over new links and hears that the
+/// bookings run: each caller gets its answer on the first send, and nothing ran
+/// twice.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_link_breaks_and_the_answers_come_over_the_next() {
-    let (fleet, relay) = fleet_with_relay().await;
+async fn a_cut_link_costs_no_answer() {
+    let fleet = Fleet::start(&plans()).await;
     let caller = fleet.caller(0);
-    fleet.set_service_time_ms("diaries", LONG_SERVICE_MS).await;
-    let mut bookings = Vec::new();
-    let mut pending = Vec::new();
+    let mut tickets = Vec::new();
     for number in 0..6 {
         let marker = format!("viewing {number}");
-        let ticket = caller.ticket(PATH, &marker).await;
-        pending.push(book(&caller, &marker, &ticket));
-        bookings.push(Booking {
-            marker,
-            ticket,
-            replies: Vec::new(),
-        });
+        tickets.push((caller.ticket(PATH, &marker).await, marker));
     }
-    for booking in &bookings {
-        fleet.wait_for_start("diaries", &booking.marker).await;
+    fleet.set_service_time_ms("diaries", SERVICE_MS).await;
+    let mut pending = Vec::new();
+    for (ticket, marker) in &tickets {
+        let (caller, ticket, marker) = (caller.clone(), ticket.clone(), marker.clone());
+        pending.push(tokio::spawn(async move {
+            let replies = vec![caller.post_with(PATH, &marker, &ticket).await];
+            Booking {
+                marker,
+                ticket,
+                replies,
+            }
+        }));
     }
-    relay.cut();
-    tokio::time::sleep(Duration::from_millis(200)).await;
-    relay.restore();
-    for (pending, booking) in pending.into_iter().zip(&mut bookings) {
-        booking.replies.push(pending.await.unwrap());
+    for (_, marker) in &tickets {
+        fleet.wait_for_start("diaries", marker).await;
+    }
+    fleet.cut_links();
+    tokio::time::sleep(CUT).await;
+    fleet.restore_links();
+    let mut bookings = Vec::new();
+    for pending in pending {
+        bookings.push(pending.await.unwrap());
+    }
+    for booking in &bookings {
         assert!(booking.last().is_answered(), "{booking:#?}");
     }
     assert_honest(&fleet, "diaries", &bookings).await;
@@ -61,7 +77,8 @@
 /// When the link is back, they are sent again with the same tickets.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_link_is_cut_past_the_callers_patience() {
-    let (fleet, relay) = fleet_with_relay().await;
+    let plans = [Plan::new("listings", 2), Plan::new("diaries", 1).relayed()];
+    let fleet = Fleet::start(&plans).await;
     let caller = fleet.caller(0);
     let mut bookings = Vec::new();
     for number in 0..8 {
@@ -72,24 +89,24 @@
             replies: Vec::new(),
         });
     }
-    fleet.set_service_time_ms("diaries", LONG_SERVICE_MS).await;
+    fleet.set_service_time_ms("diaries", SERVICE_MS).await;
     let mut pending = Vec::new();
     for booking in &bookings[..4] {
-        pending.push(book(&caller, &booking.marker, &booking.ticket));
+        pending.push(send(&caller, booking));
     }
     for booking in &bookings[..4] {
         fleet.wait_for_start("diaries", &booking.marker).await;
     }
-    relay.cut();
+    fleet.cut_links();
     for booking in &bookings[4..] {
-        pending.push(book(&caller, &booking.marker, &booking.ticket));
+        pending.push(send(&caller, booking));
     }
     for (pending, booking) in pending.into_iter().zip(&mut bookings) {
         booking.replies.push(pending.await.unwrap());
         assert_ne!(booking.last().outcome, "answered", "{booking:#?}");
     }
     assert_honest(&fleet, "diaries", &bookings).await;
-    relay.restore();
+    fleet.restore_links();
     wait_until("the diary is reached again", || async {
         caller.get("diaries/slots", "back").await.is_answered()
     })
@@ -106,49 +123,132 @@
     }
 }
 
-/// The link breaks again and again under browsing and booking. Nobody gets a
-/// cut or another's answer, and no booking runs twice.
+fn send(caller: &Caller, booking: &Booking) -> tokio::task::JoinHandle<Reply> {
+    let (caller, booking) = (caller.clone(), booking.clone());
+    tokio::spawn(async move {
+        caller
+            .post_with(PATH, &booking.marker, &booking.ticket)
+            .await
+    })
+}
+
+/// Links break again and again while families book and browse: frames are lost
+/// at any point of their way. Whatever the callers are told must be true, and
+/// they send each booking that is unknown again through the other entry.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_flapping_link_mixes_nothing_up() {
-    let (fleet, relay) = fleet_with_relay().await;
+async fn links_break_again_and_again_under_load() {
+    let fleet = Fleet::start(&plans()).await;
     fleet.set_service_time_ms("diaries", 20).await;
+    let stop = Arc::new(AtomicBool::new(false));
     let mut workers = Vec::new();
-    for worker in 0..6 {
-        let caller = fleet.caller(worker % 2);
-        workers.push(tokio::spawn(async move {
-            let mut asked = Vec::new();
-            for number in 0..30 {
-                let marker = format!("worker {worker}, request {number}");
-                let page_marker = format!("page of {marker}");
-                let page = caller.get("diaries/slots", &page_marker).await;
-                assert!(
-                    !page.is_answered() || page.body["marker"] == page_marker,
-                    "{page:?}"
-                );
-                let ticket = caller.ticket(PATH, &marker).await;
-                let first = caller.post_with(PATH, &marker, &ticket).await;
-                let again = caller.post_with(PATH, &marker, &ticket).await;
-                asked.push(Booking {
-                    marker,
-                    ticket,
-                    replies: vec![first, again],
-                });
-            }
-            asked
-        }));
+    for worker in 0..4 {
+        let callers = [fleet.caller(worker % 2), fleet.caller((worker + 1) % 2)];
+        workers.push(tokio::spawn(book_on(worker, callers.clone(), stop.clone())));
+        workers.push(tokio::spawn(browse_on(worker, callers, stop.clone())));
     }
-    for _ in 0..10 {
-        relay.cut();
-        tokio::time::sleep(Duration::from_millis(20)).await;
-        relay.restore();
-        tokio::time::sleep(Duration::from_millis(150)).await;
+    for round in 0..20 {
+        tokio::time::sleep(Duration::from_millis(40 + 13 * (round % 5))).await;
+        fleet.cut_links();
+        tokio::time::sleep(Duration::from_millis(10 + 31 * (round % 4))).await;
+        fleet.restore_links();
     }
+    stop.store(true, Ordering::Relaxed);
+    let mut asked = Vec::new();
     for worker in workers {
-        let asked = worker.await.unwrap();
-        for booking in &asked {
-            let is_cut = |reply: &Reply| reply.outcome == "cut";
-            assert!(!booking.replies.iter().any(is_cut), "{booking:#?}");
+        asked.extend(worker.await.unwrap());
+    }
+    let (bookings, pages): (Vec<_>, Vec<_>) = asked
+        .into_iter()
+        .partition(|asked| !asked.ticket.is_empty());
+    assert_honest(&fleet, "diaries", &bookings).await;
+    for page in &pages {
+        let starts = fleet.starts("diaries", &page.marker).await;
+        let verdict = page.last().verdict();
+        assert!(
+            starts == 0 || page.last().outcome != "not-run",
+            "{starts} starts of {page:#?}"
+        );
+        assert!(
+            starts > 0 || page.last().outcome != "answered",
+            "{verdict}: {page:#?}"
+        );
+    }
+    for asked in [bookings, pages] {
+        let answered = asked.iter().filter(|asked| asked.last().is_answered());
+        assert!(answered.count() > 0, "{asked:#?}");
+    }
+}
+
+async fn browse_on(worker: usize, callers: [Caller; 2], stop: Arc<AtomicBool>) -> Vec<Booking> {
+    let mut pages = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        let marker = format!("worker {worker}, page {}", pages.len());
+        pages.push(Booking {
+            replies: vec![callers[0].get("diaries/slots", &marker).await],
+            ticket: String::new(),
+            marker,
+        });
+    }
+    pages
+}
+
+async fn book_on(worker: usize, callers: [Caller; 2], stop: Arc<AtomicBool>) -> Vec<Booking> {
+    let mut bookings = Vec::new();
+    while !stop.load(Ordering::Relaxed) {
+        let marker = format!("worker {worker}, viewing {}", bookings.len());
+        let mut booking = book(&callers[0], &marker).await;
+        for _ in 0..3 {
+            if booking.last().outcome != "unknown" {
+                break;
+            }
+            let again = callers[1].post_with(PATH, &marker, &booking.ticket).await;
+            booking.replies.push(again);
         }
-        assert_honest(&fleet, "diaries", &asked).await;
+        bookings.push(booking);
+    }
+    bookings
+}
+
+/// A node freezes with its sockets open, and the entry has more for it than the
+/// sockets' buffers hold. Every caller gets an end when its patience is over,
+/// also those whose calls wait for room. The frozen node wakes and reads what
+/// was sent: what callers were told as not run must not be among it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_node_with_full_sockets_holds_nobody_up() {
+    let fleet = Fleet::start(&[Plan::new("listings", 1), Plan::new("diaries", 1)]).await;
+    let frozen = fleet.of("diaries")[0];
+    fleet.nodes[frozen].process.signal("STOP");
+    let mut pending = Vec::new();
+    for number in 0..PAGES_TO_FILL_SOCKETS {
+        let caller = fleet.caller(0);
+        pending.push(tokio::spawn(async move {
+            let marker = format!("page {number}");
+            let headers = [("x-marker", &*marker), ("hemlocktack-caller-kind", "kiosk")];
+            let body = "x".repeat(LARGE_BODY_BYTES);
+            let reply = caller
+                .send(Method::GET, "diaries/slots", &headers, &body)
+                .await;
+            (marker, reply)
+        }));
+    }
+    let mut pages = Vec::new();
+    for page in pending {
+        let ended = tokio::time::timeout(PATIENCE, page).await;
+        pages.push(ended.expect("a caller without an end").unwrap());
+    }
+    fleet.nodes[frozen].process.signal("CONT");
+    let caller = fleet.caller(0);
+    wait_until("the woken node serves", || async {
+        caller.get("diaries/slots", "woken").await.is_answered()
+    })
+    .await;
+    for (marker, reply) in &pages {
+        let is_end = ["not-run", "unknown"].contains(&reply.outcome.as_str());
+        assert!(is_end, "{marker}: {reply:?}");
+        let starts = fleet.starts("diaries", marker).await;
+        assert!(
+            starts == 0 || reply.outcome == "unknown",
+            "{starts} of {marker}: {reply:?}"
+        );
     }
 }
