--- a/crates/hemlocktack-node/tests/processes/stop.rs
+++ b/crates/hemlocktack-node/tests/processes/stop.rs
@@ -1,100 +1,16 @@
 //! Planned stops and leaving upstreams, under load.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
-use crate::harness::{Booking, Caller, Fleet, Plan, Reply, assert_honest, wait_until};
+use crate::harness::{Booking, Fleet, Load, Plan, Reply, assert_honest, book};
 
 const PATH: &str = "diaries/appointments";
-const WORKERS: usize = 6;
+const BROWSERS: usize = 3;
+const BOOKERS: usize = 3;
 const SERVICE_MS: u64 = 50;
 /// After which a leaving upstream must get no new work.
 const LEAVING: Duration = Duration::from_secs(3);
 
-/// Families who browse and book without a pause until told to stop.
-struct Load {
-    stop: Arc<AtomicBool>,
-    answered: Arc<AtomicU64>,
-    workers: Vec<tokio::task::JoinHandle<Vec<Booking>>>,
-}
-
-impl Load {
-    fn start(callers: &[Caller]) -> Load {
-        let stop = Arc::new(AtomicBool::new(false));
-        let answered = Arc::new(AtomicU64::new(0));
-        let workers = (0..WORKERS)
-            .map(|worker| {
-                let caller = callers[worker % callers.len()].clone();
-                tokio::spawn(work(worker, caller, stop.clone(), answered.clone()))
-            })
-            .collect();
-        Load {
-            stop,
-            answered,
-            workers,
-        }
-    }
-
-    async fn wait_for_more(&self, count: u64) {
-        let from = self.answered.load(Ordering::Relaxed);
-        wait_until("more requests are answered", || async {
-            self.answered.load(Ordering::Relaxed) >= from + count
-        })
-        .await;
-    }
-
-    /// Everything that was asked, browsing too.
-    async fn end(self) -> Vec<Booking> {
-        self.stop.store(true, Ordering::Relaxed);
-        let mut asked = Vec::new();
-        for worker in self.workers {
-            asked.extend(worker.await.unwrap());
-        }
-        asked
-    }
-}
-
-async fn work(
-    worker: usize,
-    caller: Caller,
-    stop: Arc<AtomicBool>,
-    answered: Arc<AtomicU64>,
-) -> Vec<Booking> {
-    let mut asked = Vec::new();
-    let mut number = 0;
-    while !stop.load(Ordering::Relaxed) {
-        number += 1;
-        let marker = format!("worker {worker}, request {number}");
-        let booking = if worker.is_multiple_of(2) {
-            book(&caller, &marker).await
-        } else {
-            browse(&caller, &marker).await
-        };
-        answered.fetch_add(u64::from(booking.last().is_answered()), Ordering::Relaxed);
-        asked.push(booking);
-    }
-    asked
-}
-
-async fn book(caller: &Caller, marker: &str) -> Booking {
-    let ticket = caller.ticket(PATH, marker).await;
-    let reply = caller.post_with(PATH, marker, &ticket).await;
-    Booking {
-        marker: marker.to_owned(),
-        ticket,
-        replies: vec![reply],
-    }
-}
-
-async fn browse(caller: &Caller, marker: &str) -> Booking {
-    Booking {
-        marker: marker.to_owned(),
-        ticket: String::new(),
-        replies: vec![caller.get("diaries/slots", marker).await],
-    }
-}
-
 fn assert_nothing_cut(asked: &[Booking]) {
     let is_cut = |reply: &Reply| ["cut", "unknown", "not-sent"].contains(&reply.outcome.as_str());
     let cut: Vec<&Booking> = asked
@@ -111,7 +27,7 @@
 async fn a_node_is_stopped_under_load() {
     let mut fleet = Fleet::start(&[Plan::new("listings", 2), Plan::new("diaries", 2)]).await;
     fleet.set_service_time_ms("diaries", SERVICE_MS).await;
-    let load = Load::start(&[fleet.caller(0), fleet.caller(1)]);
+    let load = Load::start(BROWSERS, BOOKERS, &[fleet.caller(0), fleet.caller(1)]);
     load.wait_for_more(60).await;
     let leaving = fleet.of("diaries")[0];
     fleet.nodes[leaving].process.signal("TERM");
@@ -162,7 +78,7 @@
     let caller = fleet.caller(0);
     let mut bookings = Vec::new();
     for number in 0..8 {
-        bookings.push(book(&caller, &format!("viewing {number}")).await);
+        bookings.push(book(&caller, PATH, &format!("viewing {number}")).await);
     }
     let leaving = fleet.wait_for_start("diaries", "viewing 0").await;
     fleet.nodes[leaving].process.signal("TERM");
@@ -186,7 +102,11 @@
     let fleet = Fleet::start(&[Plan::new("listings", 2), Plan::new("diaries", 2)]).await;
     fleet.set_service_time_ms("diaries", SERVICE_MS).await;
     let leaving = fleet.of("diaries")[0];
-    let load = Load::start(&[fleet.caller(0), fleet.caller(1), fleet.caller(leaving)]);
+    let load = Load::start(
+        BROWSERS,
+        BOOKERS,
+        &[fleet.caller(0), fleet.caller(1), fleet.caller(leaving)],
+    );
     load.wait_for_more(60).await;
     let upstream = &fleet.nodes[leaving].upstream;
     upstream.drain().await;
