Give up an idempotent call whose peer has gone silent

Cause: a node that stands still keeps its links open. A call that is placed there waits for its caller's whole patience, though others are idle; placement saw only that calls were outstanding there.

Ways weighed: an attempt's own time limit from the hint (a slow peer's calls would be done twice, at the worst moment); passing over peers with old unanswered calls (a long call is old too). Chosen: silence of the peer as a whole, that is, it owes answers and sent nothing of any kind for 250 ms or its queue and five service times. Then it is passed over; after twice that an idempotent call is given up there and retried out of allowance and edge budget.

--- a/crates/hemlocktack-decide/benches/decisions.rs
+++ b/crates/hemlocktack-decide/benches/decisions.rs
@@ -89,7 +89,7 @@
     };
     let peer = |index| {
         let peer = PeerLoad::new(index % 3 == 0, UpstreamState::Ready, now);
-        peer.sent();
+        peer.sent(now);
         peer.answered(&hint, now);
         Arc::new(peer)
     };
--- a/crates/hemlocktack-decide/examples/scenarios/driver/arena.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/arena.rs
@@ -48,6 +48,8 @@
     /// Upstream that it was put on.
     pub(crate) upstream: usize,
     pub(crate) place: Place,
+    /// Number of the send; messages of earlier ones are void.
+    pub(crate) send: u32,
     pub(crate) moved: bool,
     /// A send of it died with its upstream: its outcome is unknown.
     pub(crate) may_have_run: bool,
--- a/crates/hemlocktack-decide/examples/scenarios/driver/callers.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/callers.rs
@@ -63,6 +63,7 @@
             from: entry,
             upstream: entry,
             place: Place::Travelling,
+            send: 0,
             moved: false,
             may_have_run: false,
             work_before: Duration::ZERO,
@@ -90,6 +91,9 @@
         loop {
             let node = self.rng.random_range(0..self.nodes.len());
             let pressed = self.scenario.skewed_entry && self.scenario.is_pressed(self.at);
+            if self.frozen.contains(&node) {
+                continue;
+            }
             if !pressed || self.nodes[node].upstream.data_centre == 0 {
                 return node;
             }
--- a/crates/hemlocktack-decide/examples/scenarios/driver/entry_side.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/entry_side.rs
@@ -58,16 +58,66 @@
             self.end_call(key, CallEnd::Refused(refusal(Reason::NoUpstream)));
             return;
         };
-        self.nodes[from].peers[service][index].sent();
+        self.nodes[from].peers[service][index].sent(now);
+        let patience = self.nodes[from].peers[service][index].patience();
         let upstream = self.services[service][index];
-        if let Some(call) = self.arena.calls.get_mut(&key) {
-            call.upstream = upstream;
-            call.place = Place::Travelling;
-            call.given = call.allowance.give_to_child();
-        }
+        let Some(call) = self.arena.calls.get_mut(&key) else {
+            return;
+        };
+        call.upstream = upstream;
+        call.place = Place::Travelling;
+        call.given = call.allowance.give_to_child();
+        call.send += 1;
+        let send = call.send;
         self.outcomes.calls += 1;
         let delay = self.delay(from, upstream);
-        self.schedule(delay, Event::AtUpstream(key));
+        self.schedule(delay, Event::AtUpstream(key, send));
+        if self.policy == Policy::Hemlocktack {
+            self.schedule(patience, Event::LookForSilence(key, send));
+        }
+    }
+
+    /// An idempotent call whose peer has gone silent is sent elsewhere.
+    pub(crate) fn look_for_silence(&mut self, key: CallKey, send: u32) {
+        let now = self.now();
+        let Some(call) = self.arena.calls.get_mut(&key) else {
+            return;
+        };
+        let kind = self.arena.requests.get(&call.request);
+        let is_idempotent =
+            kind.is_some_and(|request| self.deployment.kinds[request.kind].idempotent);
+        if call.send != send || !is_idempotent {
+            return;
+        }
+        let service = self.deployment.steps[call.step].service;
+        let index = index_in(&self.services[service], call.upstream);
+        let peer = Arc::clone(&self.nodes[call.from].peers[service][index]);
+        if !peer.is_lost(now) {
+            self.schedule(peer.patience(), Event::LookForSilence(key, send));
+            return;
+        }
+        peer.failed(now);
+        let deeper = call.deeper_call.take();
+        if let Some(deeper) = deeper {
+            self.cancel(deeper);
+        }
+        self.give_up_send(key);
+        self.after_reply(key, CallEnd::Crashed, index);
+    }
+
+    /// Takes a send back from where it is; the call itself goes on.
+    fn give_up_send(&mut self, key: CallKey) {
+        let Some(mut call) = self.arena.calls.remove(&key) else {
+            return;
+        };
+        self.withdraw(key, &call);
+        call.send += 1;
+        call.phase += 1;
+        call.place = Place::Travelling;
+        call.deeper_done = 0;
+        call.own_done = Duration::ZERO;
+        call.time_below = Duration::ZERO;
+        self.arena.calls.insert(key, call);
     }
 
     /// The upstream's node sends a call's end back.
--- a/crates/hemlocktack-decide/examples/scenarios/driver/faults.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/faults.rs
@@ -37,6 +37,12 @@
                 world.stop(node, RESTART);
             }
         }
+        Fault::Frozen => {
+            for service in [0, 2] {
+                let node = world.services[service][0];
+                world.frozen.push(node);
+            }
+        }
         Fault::LyingReports { .. } => world.schedule(Duration::ZERO, Event::Reports),
         Fault::CrashingRequest => world.schedule(Duration::ZERO, Event::CrashingSend),
     }
@@ -44,6 +50,7 @@
 
 pub(crate) fn end(world: &mut World<'_>) {
     match world.scenario.fault {
+        Fault::Frozen => world.frozen.clear(),
         Fault::SlowUpstream { service, .. } | Fault::SlowService { service, .. } => {
             set_service(world, service, 1.0);
         }
--- a/crates/hemlocktack-decide/examples/scenarios/driver/scenario.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/scenario.rs
@@ -35,6 +35,9 @@
     ColdStart,
     /// The first upstream of each service announces twice the slots it has.
     OverstatedSlots,
+    /// The first node of the first and of the third service stands still: it
+    /// takes calls and sends nothing, until the pressure ends.
+    Frozen,
     /// The load endpoints claim that all slots are taken, or none.
     LyingReports { full: bool },
     /// A request that crashes the upstream that runs it, sent again by its
@@ -200,5 +203,9 @@
             fault: Fault::CrashingRequest,
             ..base("crashing-2x", 2.0)
         },
+        Scenario {
+            fault: Fault::Frozen,
+            ..base("frozen", 0.7)
+        },
     ]
 }
--- a/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
@@ -19,10 +19,13 @@
 const CRASHES_AFTER: Duration = Duration::from_millis(10);
 
 impl World<'_> {
-    pub(crate) fn reach_upstream(&mut self, key: CallKey) {
+    pub(crate) fn reach_upstream(&mut self, key: CallKey, send: u32) {
         let Some(call) = self.arena.calls.get(&key) else {
             return;
         };
+        if call.send != send {
+            return;
+        }
         let node = call.upstream;
         if self.nodes[node].upstream.is_down && self.policy != Policy::Hemlocktack {
             self.send_reply(
@@ -262,6 +265,7 @@
             from: parent.upstream,
             upstream: parent.upstream,
             place: Place::Travelling,
+            send: 0,
             moved: false,
             may_have_run: false,
             work_before: parent.work_before + parent.own_done,
@@ -352,7 +356,9 @@
                 }
                 let admission = &mut self.nodes[node].admission;
                 admission.finish(key, Ended::Cancelled, call.time_below, now);
-                self.take_ready(node);
+                if !self.frozen.contains(&node) {
+                    self.take_ready(node);
+                }
             }
         }
     }
--- a/crates/hemlocktack-decide/examples/scenarios/driver/world.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/world.rs
@@ -13,7 +13,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::arena::{Arena, CallEnd, CallKey, RequestKey};
+use super::arena::{Arena, Call, CallEnd, CallKey, RequestKey};
 use super::deployment::Deployment;
 use super::outcome::{BIN, Outcomes};
 use super::scenario::{Policy, Scenario};
@@ -31,12 +31,14 @@
     Send(RequestKey),
     /// A root call reaches its entry node.
     AtEntry(CallKey),
-    /// A call reaches the node beside its upstream.
-    AtUpstream(CallKey),
+    /// A send of a call reaches the node beside its upstream.
+    AtUpstream(CallKey, u32),
     /// A phase of work in the upstream is done.
     WorkDone(CallKey, u32),
     /// A call's end reaches the node that made it; index into `replies`.
     Reply(CallKey, usize),
+    /// The node that made a call looks whether its peer has gone silent.
+    LookForSilence(CallKey, u32),
     /// A caller's patience with one send is over.
     GivesUp(RequestKey, u32),
     /// An answer, good or not, reaches the caller.
@@ -96,6 +98,8 @@
     pub(crate) replies: Vec<Option<Reply>>,
     pub(crate) free_replies: Vec<usize>,
     pub(crate) outcomes: Outcomes,
+    /// Nodes that stand still.
+    pub(crate) frozen: Vec<usize>,
     saturation_rate: f64,
 }
 
@@ -153,6 +157,7 @@
             replies: Vec::new(),
             free_replies: Vec::new(),
             outcomes: Outcomes::new(deployment.kinds.len(), scenario.lasts),
+            frozen: Vec::new(),
             saturation_rate: capacity::saturation_rate(&capacity::with_long_calls(
                 deployment, scenario,
             )),
@@ -173,12 +178,38 @@
         self.events.push(Reverse(entry));
     }
 
+    /// What reaches a node that stands still is handled when it goes on.
+    fn is_held_back(&self, event: &Event) -> bool {
+        let at = |call: &CallKey, node: fn(&Call) -> usize| {
+            let call = self.arena.calls.get(call);
+            call.is_some_and(|call| self.frozen.contains(&node(call)))
+        };
+        match event {
+            Event::AtUpstream(call, send) => {
+                let call_now = self.arena.calls.get(call);
+                let is_current = call_now.is_some_and(|call| call.send == *send);
+                is_current && at(call, |call| call.upstream)
+            }
+            Event::WorkDone(call, _) => at(call, |call| call.upstream),
+            Event::AtEntry(call) | Event::Reply(call, _) | Event::LookForSilence(call, _) => {
+                at(call, |call| call.from)
+            }
+            Event::Wake(node) => self.frozen.contains(node),
+            _ => false,
+        }
+    }
+
     fn handle(&mut self, event: Event) {
+        if !self.frozen.is_empty() && self.is_held_back(&event) {
+            self.schedule(self.scenario.ends - self.at, event);
+            return;
+        }
         match event {
             Event::Arrival => self.arrival(),
             Event::Send(request) => self.send(request),
             Event::AtEntry(call) => self.make_call(call),
-            Event::AtUpstream(call) => self.reach_upstream(call),
+            Event::AtUpstream(call, send) => self.reach_upstream(call, send),
+            Event::LookForSilence(call, send) => self.look_for_silence(call, send),
             Event::WorkDone(call, phase) => self.work_done(call, phase),
             Event::Reply(call, reply) => self.reply(call, reply),
             Event::GivesUp(request, attempt) => self.gives_up(request, attempt),
--- a/crates/hemlocktack-decide/src/placement.rs
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -46,6 +46,16 @@
 /// until membership has the news.
 const AVOIDED_AFTER_FAULT: Duration = Duration::from_millis(500);
 
+/// Silence that is ordinary: this, or so many service times after the queue.
+/// Service times spread, and a quiet peer may run just one long call.
+const ORDINARY_SILENCE: Duration = Duration::from_millis(250);
+const ORDINARY_SILENCE_SERVICE_TIMES: u32 = 5;
+/// The same of a peer whose service time is not known yet.
+const ORDINARY_SILENCE_UNKNOWN: Duration = Duration::from_secs(1);
+/// A call is given up and sent elsewhere after this many ordinary silences:
+/// more than it takes to pass a peer over, as giving up costs a retry.
+const SILENCES_BEFORE_GIVING_UP: u32 = 2;
+
 /// What one node knows of one upstream's node. Shared between threads.
 #[derive(Debug)]
 pub struct PeerLoad {
@@ -59,6 +69,9 @@
     load: AtomicU32,
     limit: AtomicU32,
     service_time_us: AtomicU64,
+    queue_delay_us: AtomicU64,
+    /// Since when it owes an answer and has sent nothing.
+    silent_since_us: AtomicU64,
     heard_us: AtomicU64,
     /// Until when it is passed over after a refusal or a failure.
     avoided_until_us: AtomicU64,
@@ -82,6 +95,8 @@
             load: AtomicU32::new(0),
             limit: AtomicU32::new(0),
             service_time_us: AtomicU64::new(0),
+            queue_delay_us: AtomicU64::new(0),
+            silent_since_us: AtomicU64::new(0),
             heard_us: AtomicU64::new(NEVER),
             avoided_until_us: AtomicU64::new(0),
             failures_per_mille: AtomicU32::new(0),
@@ -95,14 +110,19 @@
 
     /// A call goes to it. Each must be followed by one of `answered`,
     /// `refused` or `failed`.
-    pub fn sent(&self) {
-        self.outstanding.fetch_add(1, Ordering::AcqRel);
+    pub fn sent(&self, now: Instant) {
+        let before = self.outstanding.fetch_add(1, Ordering::AcqRel);
+        if before == 0 {
+            self.silent_since_us
+                .store(self.micros(now), Ordering::Release);
+        }
         self.sent_since_hint.fetch_add(1, Ordering::AcqRel);
     }
 
     /// It answered.
     pub fn answered(&self, hint: &LoadHint, now: Instant) {
         self.ended();
+        self.heard(now);
         self.learn(hint, now);
         self.count_failure(false);
     }
@@ -111,6 +131,7 @@
     pub fn refused(&self, reason: Reason, hint: Option<&LoadHint>, now: Instant) {
         self.ended();
         if let Some(hint) = hint {
+            self.heard(now);
             self.learn(hint, now);
         }
         if is_unavailable(reason) {
@@ -132,6 +153,49 @@
             .fetch_max(self.micros(now + time), Ordering::AcqRel);
     }
 
+    /// How long to wait for an answer before asking [`PeerLoad::is_lost`].
+    pub fn patience(&self) -> Duration {
+        self.ordinary_silence() * SILENCES_BEFORE_GIVING_UP
+    }
+
+    /// Whether an idempotent call that waits there is to be given up, reported
+    /// as failed and sent elsewhere, out of allowance and edge budget.
+    ///
+    /// Load: a node or its link that stands still without closing anything.
+    /// Harm: calls wait there for their callers' whole patience while others
+    /// are idle. A slow peer is not given up: one that answers anything at all
+    /// is alive, and its calls would only be done twice.
+    pub fn is_lost(&self, now: Instant) -> bool {
+        self.silence(now) >= self.patience()
+    }
+
+    fn is_silent(&self, now: Instant) -> bool {
+        self.silence(now) >= self.ordinary_silence()
+    }
+
+    fn silence(&self, now: Instant) -> Duration {
+        if self.outstanding.load(Ordering::Acquire) == 0 {
+            return Duration::ZERO;
+        }
+        let since = self.silent_since_us.load(Ordering::Acquire);
+        Duration::from_micros(self.micros(now).saturating_sub(since))
+    }
+
+    fn ordinary_silence(&self) -> Duration {
+        let service_us = self.service_time_us.load(Ordering::Acquire);
+        if service_us == 0 {
+            return ORDINARY_SILENCE_UNKNOWN;
+        }
+        let queue = Duration::from_micros(self.queue_delay_us.load(Ordering::Acquire));
+        let work = Duration::from_micros(service_us) * ORDINARY_SILENCE_SERVICE_TIMES;
+        ORDINARY_SILENCE.max(queue + work)
+    }
+
+    fn heard(&self, now: Instant) {
+        self.silent_since_us
+            .store(self.micros(now), Ordering::Release);
+    }
+
     fn ended(&self) {
         let minus_one = |count: u32| Some(count.saturating_sub(1));
         let _ = self
@@ -145,6 +209,8 @@
         self.limit.store(hint.limit, Ordering::Release);
         self.service_time_us
             .store(hint.service_time_us, Ordering::Release);
+        self.queue_delay_us
+            .store(hint.queue_delay_us, Ordering::Release);
         self.heard_us.store(self.micros(now), Ordering::Release);
         self.sent_since_hint.store(0, Ordering::Release);
     }
@@ -215,7 +281,7 @@
     }
 
     fn is_avoided(&self, now: Instant) -> bool {
-        self.micros(now) < self.avoided_until_us.load(Ordering::Acquire)
+        self.micros(now) < self.avoided_until_us.load(Ordering::Acquire) || self.is_silent(now)
     }
 }
 
--- a/crates/hemlocktack-node/src/calls/desk.rs
+++ b/crates/hemlocktack-node/src/calls/desk.rs
@@ -9,9 +9,9 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Admission, AdmissionPolicy, CancelResult, Decision, Ended, Offer, ShedLevel, Verdict,
+    Admission, AdmissionPolicy, CancelResult, Decision, Ended, Offer, ShedLevel, Standing, Verdict,
 };
-use hemlocktack_protocol::{CallId, LoadHint, Reason, Refusal};
+use hemlocktack_protocol::{CallId, Fingerprint, LoadHint, Reason, Refusal};
 use tokio::sync::{Notify, oneshot};
 
 /// Longest sleep of the waker while nothing waits.
@@ -103,6 +103,15 @@
         result
     }
 
+    /// How a request stands in the crash quarantine, as far as this node heard.
+    pub(crate) fn standing(&self, fingerprint: Fingerprint) -> Standing {
+        let mut state = self.lock();
+        state
+            .admission
+            .quarantine()
+            .standing(fingerprint, Instant::now())
+    }
+
     pub(crate) fn hint(&self, chain_level: ShedLevel) -> LoadHint {
         self.lock().admission.hint(chain_level)
     }
--- a/crates/hemlocktack-node/src/calls/home.rs
+++ b/crates/hemlocktack-node/src/calls/home.rs
@@ -232,7 +232,7 @@
     let mut call = call.clone();
     call.purpose = CallPurpose::Delegated.into();
     let allowance = hemlocktack_decide::Allowance::new(call.retries_given);
-    peer.as_ref().sent();
+    peer.as_ref().sent(Instant::now());
     let Delivery { answer, .. } = send_with_allowance(node, peer, call, deadline, &allowance).await;
     super::place::learn_load(peer, &answer);
     if answer.outcome() == Outcome::NotRun {
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Allowance, PlacementPolicy, RetryAfterPolicy, RetryVerdict, ShedLevel, may_move, place,
-    retry_after, retry_verdict,
+    Allowance, PlacementPolicy, RetryAfterPolicy, RetryVerdict, ShedLevel, Standing, may_move,
+    place, retry_after, retry_verdict,
 };
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
 use hemlocktack_telemetry::SpanName;
@@ -65,12 +65,19 @@
     }
 }
 
-/// The service's nodes, if its shed level lets the request through.
+/// The service's nodes, if the request is not in quarantine and the service's
+/// shed level lets it through: what would be refused there costs nothing here.
 pub(crate) fn admitted_view(
     node: &Node,
     classified: &Classified,
 ) -> Result<Arc<ServiceView>, Refusal> {
     let call = &classified.call;
+    if node.desk.standing(call.fingerprint) == Standing::Refused {
+        return Err(Refusal {
+            reason: Reason::Quarantined,
+            retry_after: None,
+        });
+    }
     let Some(view) = node.roster.service(&call.service) else {
         let retry_after = Some(wait_before_return(ShedLevel::OPEN));
         return Err(Refusal {
@@ -116,7 +123,7 @@
     let peer = &view.peers[index];
     let mut call = classified.call.clone();
     call.purpose = purpose.into();
-    peer.as_ref().sent();
+    peer.as_ref().sent(Instant::now());
     let Classified {
         deadline,
         allowance,
