Wait less long for connections that hold no answer when a node stops

A stop with one idle kept-alive connection took the framework's whole grace, ten seconds; answers are in memory by then and two seconds are enough.

--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -20,9 +20,12 @@
 /// Result of starting a node.
 pub(crate) type Result<T> = std::result::Result<T, StartError>;
 
-/// Seconds in which the last answers leave after the drain; a caller that has
-/// not read its answer by then is not going to.
-const LAST_ANSWERS_S: u32 = 5;
+/// Seconds in which the last answers leave after the drain. They are in memory,
+/// 16 MB at most; longer waits would only serve connections that are kept open
+/// with nothing on them, which the framework waits for as well.
+const LAST_ANSWERS_S: u32 = 2;
+/// Seconds in which connections close after that.
+const CLOSING_S: u32 = 1;
 /// Exit code for settings that cannot be used.
 const EXIT_BAD_SETTINGS: u8 = 2;
 
@@ -152,7 +155,7 @@
         shutdown.notify();
     }
     // The calls have ended, but their answers may still be on their way out.
-    let _ = tokio::join!(callers, control);
+    let _ = callers.await;
     Ok(())
 }
 
@@ -185,7 +188,7 @@
     config.shutdown.ctrlc = false;
     config.shutdown.signals.clear();
     config.shutdown.grace = LAST_ANSWERS_S;
-    config.shutdown.mercy = LAST_ANSWERS_S;
+    config.shutdown.mercy = CLOSING_S;
     // The framework's own headers would mix with the upstream's.
     config.ident = rocket::config::Ident::none();
     rocket::custom(config)
