Say Retry-After on every refusal that passes by itself

Refusals for starting, draining, a full queue and the like came without it where the party that refused had not drawn a wait: callers then come back at once and together. Those whose reason passes get a drawn wait where they leave; refusals for the request itself, tickets and quarantine still get none, as coming back cannot help. The test of the queue limit asks for it on each refusal.

--- a/crates/hemlocktack-node/src/callers/answer.rs
+++ b/crates/hemlocktack-node/src/callers/answer.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hemlocktack_decide::ShedLevel;
 use hemlocktack_protocol::{
     Answer, Header, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, Outcome, REASON_HEADER,
     RETRY_AFTER_HEADER, Reason, TRACEPARENT_HEADER,
@@ -11,6 +12,8 @@
 use rocket::Response;
 use rocket::http::Status;
 
+use crate::calls::wait_before_return;
+
 /// Answer to one request of a caller, about to leave.
 pub(crate) struct CallerAnswer {
     pub(crate) outcome: Outcome,
@@ -34,9 +37,8 @@
     pub(crate) fn from_answer(answer: Answer) -> Self {
         let outcome = answer.outcome();
         let reason = answer.reason();
+        let retry_after = retry_after(&answer);
         let fresh_ticket = (!answer.fresh_ticket.is_empty()).then_some(answer.fresh_ticket);
-        let retry_after = (answer.retry_after_ms > 0)
-            .then(|| Duration::from_millis(answer.retry_after_ms.into()));
         if outcome == Outcome::Answered {
             let status = u16::try_from(answer.status).unwrap_or(Status::BadGateway.code);
             return Self {
@@ -91,6 +93,36 @@
     }
 }
 
+/// When the caller may come back: as those said who refused it, or soon where
+/// they said nothing and the reason passes by itself.
+fn retry_after(answer: &Answer) -> Option<Duration> {
+    if answer.retry_after_ms > 0 {
+        return Some(Duration::from_millis(answer.retry_after_ms.into()));
+    }
+    let passes = answer.outcome() == Outcome::NotRun && passes_by_itself(answer.reason());
+    passes.then(|| wait_before_return(ShedLevel::OPEN))
+}
+
+/// Whether the same request may get an answer a little later.
+fn passes_by_itself(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::NoUpstream
+            | Reason::QueueFull
+            | Reason::Shed
+            | Reason::DeadlineTooShort
+            | Reason::QueueTimeout
+            | Reason::RetriesSpent
+            | Reason::Starting
+            | Reason::Draining
+            | Reason::UpstreamDraining
+            | Reason::LinkLost
+            | Reason::Fenced
+            | Reason::UpstreamFailed
+            | Reason::UpstreamUnreachable
+    )
+}
+
 /// The header has whole seconds only; rounding down would bring callers back early.
 fn whole_seconds(duration: Duration) -> u64 {
     duration.as_millis().div_ceil(1000) as u64
--- a/crates/hemlocktack-node/tests/processes/harness/caller.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/caller.rs
@@ -13,6 +13,8 @@
     pub(crate) outcome: String,
     pub(crate) reason: String,
     pub(crate) ticket: Option<String>,
+    /// Seconds of `Retry-After`.
+    pub(crate) retry_after: Option<String>,
     pub(crate) body: Value,
 }
 
@@ -116,6 +118,7 @@
         outcome: header("hemlocktack-outcome").unwrap_or_default(),
         reason: header("hemlocktack-reason").unwrap_or_default(),
         ticket: header("idempotency-key"),
+        retry_after: header("retry-after"),
         body: Value::Null,
     };
     match response.bytes().await {
--- a/crates/hemlocktack-node/tests/processes/operator_calls.rs
+++ b/crates/hemlocktack-node/tests/processes/operator_calls.rs
@@ -166,7 +166,9 @@
         ])
         .await;
         let refused = replies.iter().filter(|reply| reply.reason == "queue-full");
-        assert_eq!(refused.count(), refused_count, "{replies:#?}");
+        assert_eq!(refused.clone().count(), refused_count, "{replies:#?}");
+        let may_return = refused.filter(|reply| reply.retry_after.is_some());
+        assert_eq!(may_return.count(), refused_count, "{replies:#?}");
         let answered = replies.iter().filter(|reply| reply.is_answered());
         assert_eq!(answered.count(), 3 - refused_count, "{replies:#?}");
     }
