Pass an upstream's own Retry-After on with its answer

The header was on the list of those that the system sets itself and was dropped from answers: a caller got an upstream's error without the time to come back, which is not the whole answer. The list is for headers whose value from outside must not pass; this one means no harm.

The new test failed before (no header) and passes after. Processes of the node: 51 run, 51 passed.

--- a/crates/hemlocktack-node/tests/processes/whole_answers.rs
+++ b/crates/hemlocktack-node/tests/processes/whole_answers.rs
@@ -66,3 +66,15 @@
     assert!(next.is_answered(), "{next:?}");
     assert_eq!(next.body["marker"], "next");
 }
+
+/// The upstream answers with an error of its own and says when to come back.
+/// That is its whole answer: status, body and headers are the caller's.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstreams_error_is_its_answer() {
+    let fleet = Fleet::start(&[Plan::new("listings", 1), Plan::new("diaries", 1)]).await;
+    let caller = fleet.caller(0);
+    let reply = caller.get("diaries/slots?fault=error", "error").await;
+    assert_eq!((reply.status, reply.outcome.as_str()), (500, "answered"));
+    assert_eq!(reply.body["error"], "failed");
+    assert_eq!(reply.retry_after.as_deref(), Some("7"));
+}
--- a/crates/hemlocktack-protocol/src/headers.rs
+++ b/crates/hemlocktack-protocol/src/headers.rs
@@ -17,7 +17,9 @@
 /// Seconds after which the caller may come back.
 pub const RETRY_AFTER_HEADER: &str = "retry-after";
 
-const OWN_HEADERS: [&str; 8] = [
+/// `Retry-After` is none of them: in an upstream's answer it is the upstream's
+/// word, and part of the whole answer.
+const OWN_HEADERS: [&str; 7] = [
     IDEMPOTENCY_KEY_HEADER,
     CALLER_KIND_HEADER,
     TIMEOUT_HEADER,
@@ -25,7 +27,6 @@
     TRACEPARENT_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
-    RETRY_AFTER_HEADER,
 ];
 
 /// Whether the system sets this header itself, so that a caller's or an
--- a/crates/hemlocktack-testkit/src/upstream/work.rs
+++ b/crates/hemlocktack-testkit/src/upstream/work.rs
@@ -79,7 +79,8 @@
         match fault {
             Some(Fault::ShortBody) => reply.cut_after(SENT_BYTES_OF_FAULTY_BODY),
             Some(Fault::StalledBody) => reply.stall_after(SENT_BYTES_OF_FAULTY_BODY),
-            Some(Fault::Error) => Reply::error(500, "failed", "the fault was asked for"),
+            Some(Fault::Error) => Reply::error(500, "failed", "the fault was asked for")
+                .with_header("retry-after", "7"),
             _ => reply,
         }
     }
