--- a/crates/hemlocktack-node/tests/processes/operator_calls.rs
+++ b/crates/hemlocktack-node/tests/processes/operator_calls.rs
@@ -184,3 +184,39 @@
     })
     .await;
 }
+
+/// What the offline check says of a document is what the node says, word for
+/// word, whether it only checks or is asked to store; and nothing is stored.
+#[tokio::test(flavor = "multi_thread")]
+async fn offline_check_and_node_agree() {
+    let fleet = Fleet::start(&[Plan::new("diaries", 1)]).await;
+    let operator = fleet.operator(0, "asha");
+    let documents = [
+        include_str!("../../../hemlocktack-config/tests/documents/all_wrong.toml"),
+        include_str!("../../../hemlocktack-config/tests/documents/wrong_types.toml"),
+        "classes = [",
+        "",
+    ];
+    let writes_before = fleet.platform.counts().await.puts;
+    for document in documents {
+        let offline = operator.run(&["config", "check", "-"], document).await;
+        assert_eq!(offline.exit_code, 2, "{offline:?}");
+        let request = serde_json::json!({
+            "document": document, "expectedGeneration": "1", "changeId": "c", "author": "asha",
+        });
+        for method in ["CheckConfiguration", "ApplyConfiguration"] {
+            let answer = call(&fleet, method, &request).await;
+            assert_eq!(answer["findings"], offline.report["findings"], "{method}");
+        }
+    }
+    assert_eq!(fleet.platform.counts().await.puts, writes_before);
+}
+
+/// One operators' call in the JSON form.
+async fn call(fleet: &Fleet, method: &str, request: &Value) -> Value {
+    let control = fleet.nodes[0].control;
+    let url = format!("http://{control}/hemlocktack.v1.Operators/{method}");
+    let http = reqwest::Client::new();
+    let answer = http.post(url).bearer_auth(OPERATOR_TOKEN).json(request);
+    answer.send().await.unwrap().json().await.unwrap()
+}
