Tell of a crash at once, and hold the crash test to two crashes a node

Cause: suspects went out with the next period of gossip, and a caller sends again sooner than that, so each of three nodes had to see two crashes itself.

The test's bound goes from 12 to 6: two crashes convict now.

--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -132,12 +132,14 @@
 
 /// Load: any. Harm: a request that kills each upstream which runs it, sent
 /// again, kills them one after the other. Every call that ran when the upstream
-/// died is marked; the quarantine narrows the marks down.
+/// died is marked; the quarantine narrows the marks down. Others hear of it at
+/// once: the caller's next send is quicker than the next period of gossip.
 fn note_crash(node: &Node) {
     let mut ended = Vec::new();
     node.desk
         .with_admission(|admission| admission.crashed(&mut ended, Instant::now()));
     log_event!(Event::UpstreamCrashed, running_count = ended.len());
+    node.signals.own_changed.notify_one();
 }
 
 async fn is_alive(address: std::net::SocketAddr) -> bool {
--- a/crates/hemlocktack-node/src/peers/gossip.rs
+++ b/crates/hemlocktack-node/src/peers/gossip.rs
@@ -70,7 +70,10 @@
                     }
                 }
                 _ = ticks.tick() => self.tick().await,
-                () = node.signals.own_changed.notified() => self.tell_own().await,
+                () = node.signals.own_changed.notified() => {
+                    self.tell_own().await;
+                    self.tell_suspects().await;
+                }
                 () = node.signals.stopped.cancelled() => return,
             }
         }
--- a/crates/hemlocktack-node/tests/processes/crash.rs
+++ b/crates/hemlocktack-node/tests/processes/crash.rs
@@ -8,9 +8,9 @@
 /// More often than any limit on retries or crashes.
 const SENDS: usize = 30;
 const UPSTREAMS: usize = 3;
-/// Each node quarantines what has crashed its upstream three times, and one
-/// more send may be under way to it.
-const CRASHES_A_NODE: usize = 4;
+/// Each node quarantines what has crashed its upstream twice, also if the news
+/// of the other nodes' crashes never came.
+const CRASHES_A_NODE: usize = 2;
 
 /// One family's request crashes the diary's upstream. The caller sends it again
 /// and again, and each upstream is started anew each time. After a few crashes
