--- a/crates/hemlocktack-decide/examples/scenarios/driver/faults.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/faults.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hemlocktack_protocol::UpstreamState;
 use rand::RngExt;
 
 use super::scenario::Fault;
@@ -9,6 +10,8 @@
 
 const REPORTS_EVERY: Duration = Duration::from_millis(500);
 const CRASHING_EVERY: Duration = Duration::from_millis(500);
+/// Time until probes that go unanswered reach every node as a suspicion.
+const SUSPECTED_AFTER: Duration = Duration::from_secs(2);
 const RESTART: Duration = Duration::from_secs(1);
 
 /// Faults that are there from the start.
@@ -42,6 +45,7 @@
                 let node = world.services[service][0];
                 world.frozen.push(node);
             }
+            world.schedule(SUSPECTED_AFTER, Event::Suspicion(true));
         }
         Fault::LyingReports { .. } => world.schedule(Duration::ZERO, Event::Reports),
         Fault::CrashingRequest => world.schedule(Duration::ZERO, Event::CrashingSend),
@@ -50,7 +54,10 @@
 
 pub(crate) fn end(world: &mut World<'_>) {
     match world.scenario.fault {
-        Fault::Frozen => world.frozen.clear(),
+        Fault::Frozen => {
+            suspect(world, false);
+            world.frozen.clear();
+        }
         Fault::SlowUpstream { service, .. } | Fault::SlowService { service, .. } => {
             set_service(world, service, 1.0);
         }
@@ -58,6 +65,22 @@
     }
 }
 
+/// What membership tells every node of those that stand still.
+pub(crate) fn suspect(world: &mut World<'_>, is_suspected: bool) {
+    let state = if is_suspected {
+        UpstreamState::Absent
+    } else {
+        UpstreamState::Ready
+    };
+    for service in [0, 2] {
+        for node in &world.nodes {
+            let peer = &node.peers[service][0];
+            peer.set_suspected(is_suspected);
+            peer.set_state(state);
+        }
+    }
+}
+
 fn set_service(world: &mut World<'_>, service: usize, slowness: f64) {
     for &node in &world.services[service] {
         world.nodes[node].upstream.slowness = slowness;
--- a/crates/hemlocktack-decide/examples/scenarios/driver/world.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/world.rs
@@ -54,6 +54,8 @@
     Reports,
     /// The crashing request is sent again.
     CrashingSend,
+    /// Membership suspects the nodes that stand still, or no longer does.
+    Suspicion(bool),
     /// Sample of the queues.
     Sample,
 }
@@ -222,6 +224,7 @@
             Event::Back(node) => faults::back(self, node),
             Event::Reports => faults::report(self),
             Event::CrashingSend => faults::send_crashing(self),
+            Event::Suspicion(is_suspected) => faults::suspect(self, is_suspected),
             Event::Sample => self.sample(),
         }
     }
--- a/crates/hemlocktack-decide/src/placement.rs
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -1,6 +1,6 @@
 //! Placement: on which node's upstream a call is put.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use hemlocktack_protocol::{LoadHint, Reason, UpstreamState};
@@ -62,6 +62,7 @@
     born: Instant,
     is_near: bool,
     state: AtomicU32,
+    is_suspected: AtomicBool,
     /// Calls sent from here and not answered.
     outstanding: AtomicU32,
     /// Of these, sent since the last hint: the hint does not count them.
@@ -90,6 +91,7 @@
             born: now,
             is_near,
             state: AtomicU32::new(state as u32),
+            is_suspected: AtomicBool::new(false),
             outstanding: AtomicU32::new(0),
             sent_since_hint: AtomicU32::new(0),
             load: AtomicU32::new(0),
@@ -108,6 +110,11 @@
         self.state.store(state as u32, Ordering::Release);
     }
 
+    /// Membership reports whether the node's probes go unanswered.
+    pub fn set_suspected(&self, is_suspected: bool) {
+        self.is_suspected.store(is_suspected, Ordering::Release);
+    }
+
     /// A call goes to it. Each must be followed by one of `answered`,
     /// `refused` or `failed`.
     pub fn sent(&self, now: Instant) {
@@ -163,10 +170,12 @@
     ///
     /// Load: a node or its link that stands still without closing anything.
     /// Harm: calls wait there for their callers' whole patience while others
-    /// are idle. A slow peer is not given up: one that answers anything at all
-    /// is alive, and its calls would only be done twice.
+    /// are idle. Silence alone is no proof: a quiet peer may run just one long
+    /// call, which would be done twice. So membership has to suspect the node
+    /// as well; a slow peer answers its probes and is not given up.
     pub fn is_lost(&self, now: Instant) -> bool {
-        self.silence(now) >= self.patience()
+        let is_suspected = self.is_suspected.load(Ordering::Acquire);
+        is_suspected && self.silence(now) >= self.patience()
     }
 
     fn is_silent(&self, now: Instant) -> bool {
--- /dev/null
+++ b/crates/hemlocktack-decide/tests/placement.rs
@@ -0,0 +1,98 @@
+//! Placement as one node sees its peers.
+#![allow(clippy::unwrap_used)]
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlocktack_decide::{PeerLoad, PlacementPolicy, place};
+use hemlocktack_protocol::{LoadHint, Reason, UpstreamState};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+fn hint(in_flight: u32) -> LoadHint {
+    LoadHint {
+        in_flight,
+        limit: 40,
+        service_time_us: 20_000,
+        ..LoadHint::default()
+    }
+}
+
+/// Peers that have just answered with so many calls in flight.
+fn peers(loads: &[(bool, u32)], now: Instant) -> Vec<Arc<PeerLoad>> {
+    let peer = |&(is_near, in_flight): &(bool, u32)| {
+        let peer = PeerLoad::new(is_near, UpstreamState::Ready, now);
+        peer.sent(now);
+        peer.answered(&hint(in_flight), now);
+        Arc::new(peer)
+    };
+    loads.iter().map(peer).collect()
+}
+
+/// How many of a hundred calls go to each peer, if none of them is answered.
+fn shares(peers: &[Arc<PeerLoad>], now: Instant) -> Vec<u32> {
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut counts = vec![0; peers.len()];
+    for _ in 0..100 {
+        let index = place(peers, None, now, &PlacementPolicy::default(), &mut rng).unwrap();
+        counts[index] += 1;
+    }
+    counts
+}
+
+#[test]
+fn the_near_data_centre_goes_first_until_it_is_nearly_full() {
+    let now = Instant::now();
+    assert_eq!(
+        shares(&peers(&[(true, 10), (false, 0)], now), now),
+        [100, 0]
+    );
+    assert_eq!(
+        shares(&peers(&[(true, 60), (false, 0)], now), now),
+        [0, 100]
+    );
+}
+
+/// A broken upstream answers each call with an error at once, so it is always
+/// idle. It must not draw the calls of the others.
+#[test]
+fn fast_failures_do_not_attract_calls() {
+    let now = Instant::now();
+    let peers = peers(&[(true, 0), (true, 25)], now);
+    for _ in 0..8 {
+        peers[0].sent(now);
+        peers[0].failed(now);
+    }
+    let later = now + Duration::from_secs(1);
+    assert_eq!(shares(&peers, later), [0, 100]);
+}
+
+#[test]
+fn peers_that_are_absent_draining_or_just_refused_are_passed_over() {
+    let now = Instant::now();
+    let peers = peers(&[(true, 0), (true, 0), (true, 0)], now);
+    peers[0].set_state(UpstreamState::Draining);
+    peers[1].sent(now);
+    peers[1].refused(Reason::NoUpstream, None, now);
+    assert_eq!(shares(&peers, now), [0, 0, 100]);
+    peers[2].set_state(UpstreamState::Absent);
+    assert_eq!(shares(&peers, now), [0, 100, 0], "the last resort");
+}
+
+/// A node stands still and its link stays open. New calls go elsewhere as soon
+/// as its silence is out of the ordinary. The calls that wait there are given
+/// up only when membership suspects it too: a quiet peer may run one long call,
+/// which would then be done twice.
+#[test]
+fn a_silent_peer_is_passed_over_and_lost_only_when_suspected() {
+    let now = Instant::now();
+    let peers = peers(&[(true, 0), (true, 30)], now);
+    peers[0].sent(now);
+    let later = now + peers[0].patience();
+    assert_eq!(shares(&peers, later), [0, 100]);
+    assert!(!peers[0].is_lost(later));
+    peers[0].set_suspected(true);
+    assert!(peers[0].is_lost(later));
+    peers[0].answered(&hint(0), later);
+    assert!(!peers[0].is_lost(later));
+}
--- a/crates/hemlocktack-decide/tests/scenarios.rs
+++ b/crates/hemlocktack-decide/tests/scenarios.rs
@@ -178,6 +178,23 @@
     insta::assert_snapshot!(table("crashing-request"));
 }
 
+/// A node stands still with its links open. Callers whose calls are placed there
+/// would wait their whole patience while other upstreams are idle. It is passed
+/// over for its silence; once membership suspects it, idempotent calls leave it.
+#[test]
+fn a_frozen_node_does_not_hold_its_callers() {
+    let scenario = Scenario {
+        ends: Duration::from_secs(7),
+        ..short("frozen")
+    };
+    for deployment in [bhadralok(), pases_dorados()] {
+        let row = outcome(&deployment, &scenario);
+        assert!(row.goodput_share >= 0.99, "{row:?}");
+        assert!(row.p99_ms < 1000.0, "{row:?}");
+        assert!(row.most_retries <= 3, "{row:?}");
+    }
+}
+
 /// The same seed gives the same outcome, so that a failing one can be repeated.
 #[test]
 fn a_run_can_be_repeated() {
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Allowance, PlacementPolicy, RetryAfterPolicy, RetryVerdict, ShedLevel, Standing, may_move,
-    place, retry_after, retry_verdict,
+    Allowance, PeerLoad, PlacementPolicy, RetryAfterPolicy, RetryVerdict, ShedLevel, Standing,
+    may_move, place, retry_after, retry_verdict,
 };
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
 use hemlocktack_telemetry::SpanName;
@@ -135,11 +135,31 @@
         allowance,
         ..
     } = classified;
-    let Delivery { answer, .. } = send_with_allowance(node, peer, call, *deadline, allowance).await;
+    let sending = send_with_allowance(node, peer, call, *deadline, allowance);
+    let answer = tokio::select! {
+        delivery = sending => delivery.answer,
+        () = silence(peer.as_ref()), if purpose == CallPurpose::Placed => {
+            unknown(Reason::LinkLost)
+        }
+    };
     learn(view, index, classified, &answer);
     answer
 }
 
+/// Ends once the peer is given up: it owes answers and sends nothing at all.
+///
+/// Failure: a node stands still and its links stay open. Symptom: idempotent
+/// calls wait there until their callers give up. What was given away with the
+/// call stays away, so the retry elsewhere is within the request's allowance.
+async fn silence(peer: &PeerLoad) {
+    loop {
+        tokio::time::sleep(peer.patience()).await;
+        if peer.is_lost(Instant::now()) {
+            return;
+        }
+    }
+}
+
 /// What one send came to.
 pub(crate) struct Delivery {
     pub(crate) answer: Answer,
--- a/crates/hemlocktack-node/src/calls/roster.rs
+++ b/crates/hemlocktack-node/src/calls/roster.rs
@@ -89,6 +89,10 @@
             let kept = known.and_then(|view| view.load_of(&identity));
             let load = kept.unwrap_or_else(|| self.fresh_load(member));
             load.set_state(state_for_placement(member, some_are_sure));
+            load.set_suspected(matches!(
+                member.state(),
+                NodeState::Suspect | NodeState::Dead
+            ));
             peers.push(PeerEntry {
                 member: Member::clone(member),
                 identity,
