--- a/crates/hemlocktack-decide/src/shed.rs
+++ b/crates/hemlocktack-decide/src/shed.rs
@@ -319,10 +319,8 @@
     /// While every request is refused no reply brings news, so one request is
     /// let through this often as a probe.
     pub probe_every: Duration,
-    /// By this share more of a class calls with spent work are let in: the level
-    /// that the root met at its entry may since have moved this far. A share of
-    /// what the level admits, as a share of the whole class would by itself
-    /// overload a service that is asked for many times its capacity.
+    /// Extra share of a class that calls with spent work are let in with: the
+    /// level that the root met at its entry may since have moved this far.
     pub invested_margin: f64,
 }
 
@@ -331,7 +329,7 @@
         GatePolicy {
             forget_after: Duration::from_secs(1),
             probe_every: Duration::from_millis(50),
-            invested_margin: 0.15,
+            invested_margin: 0.05,
         }
     }
 }
@@ -426,8 +424,7 @@
         } else {
             0.0
         };
-        let admitted_in_class = level.0 % CLASS_SPAN;
-        let widened = ShedLevel(level.0 + (margin * f64::from(admitted_in_class)) as u32);
+        let widened = ShedLevel(level.0 + (margin * f64::from(CLASS_SPAN)) as u32);
         if widened.admits(rank, root_request_id) {
             return true;
         }
