--- a/crates/hemlocktack-node/tests/processes/harness/fleet.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/fleet.rs
@@ -4,7 +4,9 @@
 
 use hemlocktack_testkit::upstream;
 
-use super::{Caller, DOCUMENT, Node, NodeOptions, Operator, PlatformProcess, wait_until};
+use super::{
+    Caller, DOCUMENT, FLEET_KEY, Node, NodeOptions, Operator, PlatformProcess, wait_until,
+};
 
 const DATA_CENTRES: [&str; 2] = ["salt-lake", "howrah"];
 
@@ -84,6 +86,8 @@
             data_centre: DATA_CENTRES[number % DATA_CENTRES.len()].to_owned(),
             platform: self.platform.address,
             seed_peers: self.gossip_addresses(),
+            fleet_key: FLEET_KEY.to_owned(),
+            previous_fleet_key: None,
             is_relayed: plan.is_relayed,
             flags: Vec::new(),
             upstream_flags: plan
@@ -96,6 +100,18 @@
         self.nodes.len() - 1
     }
 
+    /// Ends a node and starts it again with other fleet keys.
+    pub(crate) fn restart_with_keys(&mut self, position: usize, keys: (&str, Option<&str>)) {
+        self.nodes[position].process.kill();
+        let options = NodeOptions {
+            fleet_key: keys.0.to_owned(),
+            previous_fleet_key: keys.1.map(str::to_owned),
+            seed_peers: self.gossip_addresses(),
+            ..self.nodes[position].options.clone()
+        };
+        self.nodes[position] = Node::start(options);
+    }
+
     fn gossip_addresses(&self) -> Vec<SocketAddr> {
         self.nodes.iter().map(|node| node.gossip).collect()
     }
--- a/crates/hemlocktack-node/tests/processes/harness/node.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/node.rs
@@ -21,6 +21,9 @@
     pub(crate) platform: SocketAddr,
     /// Gossip addresses of nodes to ask first.
     pub(crate) seed_peers: Vec<SocketAddr>,
+    /// Key to sign with, and one more to accept.
+    pub(crate) fleet_key: String,
+    pub(crate) previous_fleet_key: Option<String>,
     /// Whether links to it go through a relay of the test's.
     pub(crate) is_relayed: bool,
     /// Further flags of the node.
@@ -64,10 +67,13 @@
             ("gossip-address", gossip.to_string()),
             ("platform-url", format!("http://{}", options.platform)),
             ("seed-peers", joined(&options.seed_peers)),
-            ("fleet-key", FLEET_KEY.to_owned()),
+            ("fleet-key", options.fleet_key.clone()),
             ("operator-token", OPERATOR_TOKEN.to_owned()),
         ];
         let mut arguments = as_arguments(&flags);
+        if let Some(key) = &options.previous_fleet_key {
+            arguments.extend(as_arguments(&[("previous-fleet-key", key.clone())]));
+        }
         arguments.extend(options.flags.clone());
         let upstream_flags = [
             ("service", options.service.clone()),
--- a/crates/hemlocktack-node/tests/processes/tickets.rs
+++ b/crates/hemlocktack-node/tests/processes/tickets.rs
@@ -2,9 +2,10 @@
 
 use reqwest::Method;
 
-use crate::harness::{Caller, Fleet, Plan, Reply, wait_until};
+use crate::harness::{Caller, FLEET_KEY, Fleet, Plan, Reply, wait_until};
 
 const PATH: &str = "diaries/appointments";
+const NEW_FLEET_KEY: &str = "another fleet key for tests, long enough";
 
 async fn send(caller: &Caller, body: &str, ticket: &str) -> Reply {
     let headers = [("x-marker", body), ("idempotency-key", ticket)];
@@ -91,3 +92,36 @@
         assert_eq!(fleet.starts("diaries", marker).await, 1, "{marker}");
     }
 }
+
+/// Operators change the fleet key node by node: first every node accepts the
+/// new one, then signs with it, then drops the old one. At each step nodes with
+/// different keys speak to each other and bookings go on. A ticket that has
+/// outlived its key may have run, so it is `unknown` and not `not-run`.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_fleet_key_is_changed_node_by_node() {
+    let mut fleet = Fleet::start(&[Plan::new("listings", 1), Plan::new("diaries", 1)]).await;
+    let old_ticket = fleet.caller(0).ticket(PATH, "before").await;
+    assert!(
+        send(&fleet.caller(0), "before", &old_ticket)
+            .await
+            .is_answered()
+    );
+    let steps = [
+        (FLEET_KEY, Some(NEW_FLEET_KEY)),
+        (NEW_FLEET_KEY, Some(FLEET_KEY)),
+        (NEW_FLEET_KEY, None),
+    ];
+    for (step, keys) in steps.into_iter().enumerate() {
+        for position in 0..fleet.nodes.len() {
+            fleet.restart_with_keys(position, keys);
+            fleet.wait_until_serving().await;
+            let marker = format!("step {step}, node {position}");
+            let ticket = fleet.caller(0).ticket(PATH, &marker).await;
+            let reply = send(&fleet.caller(0), &marker, &ticket).await;
+            assert!(reply.is_answered(), "{marker}: {reply:?}");
+            assert_eq!(fleet.starts("diaries", &marker).await, 1, "{marker}");
+        }
+    }
+    let late = send(&fleet.caller(0), "before", &old_ticket).await;
+    assert_eq!(late.verdict(), "409 unknown ticket-foreign");
+}
