--- a/crates/hemlocktack-node/tests/processes/links.rs
+++ b/crates/hemlocktack-node/tests/processes/links.rs
@@ -6,7 +6,7 @@
 
 use reqwest::Method;
 
-use crate::harness::{Booking, Caller, Fleet, PATIENCE, Plan, assert_honest, wait_until};
+use crate::harness::{Booking, Caller, Fleet, PATIENCE, Plan, Reply, assert_honest, wait_until};
 
 const PATH: &str = "diaries/appointments";
 const SERVICE_MS: u64 = 1_500;
@@ -72,6 +72,66 @@
     assert_honest(&fleet, "diaries", &bookings).await;
 }
 
+/// The link stays cut past the callers' patience, with bookings running and
+/// others sent meanwhile. They are `unknown`, or `not-run` and then never run.
+/// When the link is back, they are sent again with the same tickets.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_link_is_cut_past_the_callers_patience() {
+    let plans = [Plan::new("listings", 2), Plan::new("diaries", 1).relayed()];
+    let fleet = Fleet::start(&plans).await;
+    let caller = fleet.caller(0);
+    let mut bookings = Vec::new();
+    for number in 0..8 {
+        let marker = format!("viewing {number}");
+        bookings.push(Booking {
+            ticket: caller.ticket(PATH, &marker).await,
+            marker,
+            replies: Vec::new(),
+        });
+    }
+    fleet.set_service_time_ms("diaries", SERVICE_MS).await;
+    let mut pending = Vec::new();
+    for booking in &bookings[..4] {
+        pending.push(send(&caller, booking));
+    }
+    for booking in &bookings[..4] {
+        fleet.wait_for_start("diaries", &booking.marker).await;
+    }
+    fleet.cut_links();
+    for booking in &bookings[4..] {
+        pending.push(send(&caller, booking));
+    }
+    for (pending, booking) in pending.into_iter().zip(&mut bookings) {
+        booking.replies.push(pending.await.unwrap());
+        assert_ne!(booking.last().outcome, "answered", "{booking:#?}");
+    }
+    assert_honest(&fleet, "diaries", &bookings).await;
+    fleet.restore_links();
+    wait_until("the diary is reached again", || async {
+        caller.get("diaries/slots", "back").await.is_answered()
+    })
+    .await;
+    for booking in &mut bookings {
+        let again = caller
+            .post_with(PATH, &booking.marker, &booking.ticket)
+            .await;
+        booking.replies.push(again);
+    }
+    assert_honest(&fleet, "diaries", &bookings).await;
+    for booking in &bookings[..4] {
+        assert!(booking.last().is_answered(), "{booking:#?}");
+    }
+}
+
+fn send(caller: &Caller, booking: &Booking) -> tokio::task::JoinHandle<Reply> {
+    let (caller, booking) = (caller.clone(), booking.clone());
+    tokio::spawn(async move {
+        caller
+            .post_with(PATH, &booking.marker, &booking.ticket)
+            .await
+    })
+}
+
 /// Links break again and again while families book and browse: frames are lost
 /// at any point of their way. Whatever the callers are told must be true, and
 /// they send each booking that is unknown again through the other entry.
