Cut answers in the middle, not only before their head

Cause: the stand-in's short body ended before the server had flushed the head, so callers saw no answer at all. The bytes now leave before the connection closes; the old fault stays as no-answer, and both are asked for.

The case that is cut past every patience now has a page running too, for which nothing else stands.

--- a/crates/hemlocktack-node/tests/processes/links.rs
+++ b/crates/hemlocktack-node/tests/processes/links.rs
@@ -72,9 +72,10 @@
     assert_honest(&fleet, "diaries", &bookings).await;
 }
 
-/// The link stays cut past the callers' patience, with bookings running and
-/// others sent meanwhile. They are `unknown`, or `not-run` and then never run.
-/// When the link is back, they are sent again with the same tickets.
+/// The link stays cut past the callers' patience, with pages and bookings
+/// running and other bookings sent meanwhile. What runs is `unknown`; the
+/// others are `unknown` too, or `not-run` and then never run. When the link is
+/// back, the bookings are sent again with the same tickets.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_link_is_cut_past_the_callers_patience() {
     let plans = [Plan::new("listings", 2), Plan::new("diaries", 1).relayed()];
@@ -94,13 +95,20 @@
     for booking in &bookings[..4] {
         pending.push(send(&caller, booking));
     }
+    let page = tokio::spawn({
+        let caller = caller.clone();
+        async move { caller.get("diaries/slots", "page").await }
+    });
     for booking in &bookings[..4] {
         fleet.wait_for_start("diaries", &booking.marker).await;
     }
+    fleet.wait_for_start("diaries", "page").await;
     fleet.cut_links();
     for booking in &bookings[4..] {
         pending.push(send(&caller, booking));
     }
+    let page = page.await.unwrap();
+    assert_eq!(page.outcome, "unknown", "{page:?}");
     for (pending, booking) in pending.into_iter().zip(&mut bookings) {
         booking.replies.push(pending.await.unwrap());
         assert_ne!(booking.last().outcome, "answered", "{booking:#?}");
--- a/crates/hemlocktack-node/tests/processes/whole_answers.rs
+++ b/crates/hemlocktack-node/tests/processes/whole_answers.rs
@@ -6,11 +6,13 @@
 
 const CALLERS: usize = 12;
 const REQUESTS: usize = 25;
-const FAULTY_EVERY: usize = 5;
+/// Of successive requests, as queries.
+const FAULTS: [&str; 5] = ["&fault=short-body", "", "", "&fault=no-answer", ""];
 
 /// Many callers ask at once through every node, for answers of different
-/// lengths; the upstreams close some connections in the middle of an answer.
-/// Each caller gets its own answer whole, or hears that there is none.
+/// lengths; the upstreams close some connections in the middle of an answer and
+/// some before it. Each caller gets its own answer whole, or hears that there
+/// is none.
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_are_neither_cut_nor_mixed_up() {
     let fleet = Fleet::start(&[Plan::new("listings", 2), Plan::new("diaries", 2)]).await;
@@ -21,8 +23,8 @@
             for request in 0..REQUESTS {
                 let marker = format!("caller {number}, request {request}");
                 let padding = (number * 7_919 + request * 104_729) % 200_000;
-                let is_faulty = request % FAULTY_EVERY == 0;
-                let fault = if is_faulty { "&fault=short-body" } else { "" };
+                let fault = FAULTS[request % FAULTS.len()];
+                let is_faulty = !fault.is_empty();
                 let path = format!("diaries/slots?padding-bytes={padding}{fault}");
                 let reply = caller.get(&path, &marker).await;
                 if is_faulty {
--- a/crates/hemlocktack-testkit/src/http.rs
+++ b/crates/hemlocktack-testkit/src/http.rs
@@ -15,8 +15,10 @@
 use tokio::time::Sleep;
 
 const READ_LIMIT_MIB: u32 = 16;
-/// Bytes that a cut answer declares beyond what it sends.
+/// Bytes that a lost answer declares and does not send.
 const MISSING_BYTES: usize = 64;
+/// Enough for the bytes before it to leave the server.
+const CUT_PAUSE: Duration = Duration::from_millis(30);
 /// Longer than any timeout in a test.
 const STALL: Duration = Duration::from_secs(120);
 
@@ -31,8 +33,10 @@
 /// How an answer ends before its declared length.
 #[derive(Clone, Copy)]
 enum BodyFault {
-    CutAfter(usize),
-    StallAfter(usize),
+    /// Nothing of it leaves: the server closes before it has sent the head.
+    Lost,
+    /// Head and so many bytes leave; the connection closes after the pause.
+    StopsAfter(usize, Duration),
 }
 
 impl Reply {
@@ -54,15 +58,24 @@
         self
     }
 
+    /// Closes the connection in place of an answer.
+    pub(crate) fn lost(mut self) -> Reply {
+        self.fault = Some(BodyFault::Lost);
+        self
+    }
+
     /// Declares the whole length, sends this many bytes and closes the connection.
+    ///
+    /// The pause lets those bytes leave: closed at once, the server would send
+    /// nothing at all, which is another fault.
     pub(crate) fn cut_after(mut self, sent_bytes: usize) -> Reply {
-        self.fault = Some(BodyFault::CutAfter(sent_bytes));
+        self.fault = Some(BodyFault::StopsAfter(sent_bytes, CUT_PAUSE));
         self
     }
 
     /// Declares the whole length, sends this many bytes and keeps the connection open.
     pub(crate) fn stall_after(mut self, sent_bytes: usize) -> Reply {
-        self.fault = Some(BodyFault::StallAfter(sent_bytes));
+        self.fault = Some(BodyFault::StopsAfter(sent_bytes, STALL));
         self
     }
 
@@ -78,37 +91,35 @@
             None => {
                 response.sized_body(self.body.len(), Cursor::new(self.body));
             }
-            Some(BodyFault::CutAfter(sent_bytes)) => {
-                let declared_bytes = self.body.len() + MISSING_BYTES;
-                self.body.truncate(sent_bytes);
-                response.sized_body(declared_bytes, Cursor::new(self.body));
+            Some(BodyFault::Lost) => {
+                response.sized_body(MISSING_BYTES, Cursor::new(Vec::new()));
             }
-            Some(BodyFault::StallAfter(sent_bytes)) => {
+            Some(BodyFault::StopsAfter(sent_bytes, pause)) => {
                 response.raw_header("Content-Length", self.body.len().to_string());
                 self.body.truncate(sent_bytes);
-                response.streamed_body(StalledBody::new(self.body));
+                response.streamed_body(PartialBody::new(self.body, pause));
             }
         }
         response.finalize()
     }
 }
 
-/// Some bytes, then nothing for longer than any test waits.
-struct StalledBody {
+/// Some bytes, then nothing until its end.
+struct PartialBody {
     bytes: Cursor<Vec<u8>>,
     end: Pin<Box<Sleep>>,
 }
 
-impl StalledBody {
-    fn new(bytes: Vec<u8>) -> StalledBody {
-        StalledBody {
+impl PartialBody {
+    fn new(bytes: Vec<u8>, pause: Duration) -> PartialBody {
+        PartialBody {
             bytes: Cursor::new(bytes),
-            end: Box::pin(tokio::time::sleep(STALL)),
+            end: Box::pin(tokio::time::sleep(pause)),
         }
     }
 }
 
-impl AsyncRead for StalledBody {
+impl AsyncRead for PartialBody {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/hemlocktack-testkit/src/platform/routes.rs
+++ b/crates/hemlocktack-testkit/src/platform/routes.rs
@@ -132,7 +132,7 @@
             switches.lose_answers = switches.lose_answers.saturating_sub(1);
             lose
         });
-        if lost { reply.cut_after(0) } else { reply }
+        if lost { reply.lost() } else { reply }
     }
 
     async fn watch(&self, request: &Request<'_>) -> Reply {
@@ -149,7 +149,7 @@
                 Reply::json(200, &self.store.changes(&prefix, after))
             }
             _ = switches.wait_for(|switches| switches.down || switches.drop_watches) => {
-                unavailable().cut_after(0)
+                unavailable().lost()
             }
         }
     }
--- a/crates/hemlocktack-testkit/src/upstream/settings.rs
+++ b/crates/hemlocktack-testkit/src/upstream/settings.rs
@@ -86,6 +86,8 @@
 pub enum Fault {
     /// Starts, then takes the whole upstream down.
     Crash,
+    /// Runs; the connection is closed before anything of the answer has left.
+    NoAnswer,
     /// Runs; the answer's connection is closed before its declared end.
     ShortBody,
     /// Runs; half of the answer, then nothing more on an open connection.
--- a/crates/hemlocktack-testkit/src/upstream/work.rs
+++ b/crates/hemlocktack-testkit/src/upstream/work.rs
@@ -77,6 +77,7 @@
         tokio::time::sleep(self.service_time()).await;
         let reply = self.finish(&call).await;
         match fault {
+            Some(Fault::NoAnswer) => reply.lost(),
             Some(Fault::ShortBody) => reply.cut_after(SENT_BYTES_OF_FAULTY_BODY),
             Some(Fault::StalledBody) => reply.stall_after(SENT_BYTES_OF_FAULTY_BODY),
             Some(Fault::Error) => Reply::error(500, "failed", "the fault was asked for"),
@@ -125,7 +126,7 @@
         if let Some(front) = &self.front {
             front.cut();
         }
-        Reply::json(500, &json!({})).cut_after(0)
+        Reply::json(500, &json!({})).lost()
     }
 }
 
