Ask more of the cases of planned stops and leaving upstreams

Trials on a scratch copy were not noticed: an upstream's drain that is not heard (the lapse of its announcement kept new work away within the 3 s of the case; now 1 s), and a stop that does not wait for calls in flight (the HTTP listener's own grace let 1.5 s calls end; now 7 s, with bookings that came in at another node beside the pages).

--- a/crates/hemlocktack-node/tests/processes/stop.rs
+++ b/crates/hemlocktack-node/tests/processes/stop.rs
@@ -8,8 +8,12 @@
 const BROWSERS: usize = 3;
 const BOOKERS: usize = 3;
 const SERVICE_MS: u64 = 50;
-/// After which a leaving upstream must get no new work.
-const LEAVING: Duration = Duration::from_secs(3);
+/// After which a leaving upstream must get no new work. Shorter than the few
+/// seconds of the promise, and than the lapse of its announcement, which would
+/// keep new work away as well.
+const LEAVING: Duration = Duration::from_secs(1);
+/// Longer than the HTTP listener's own grace, which would let calls end too.
+const LONG_SERVICE_MS: u64 = 7_000;
 
 fn assert_nothing_cut(asked: &[Booking]) {
     let is_cut = |reply: &Reply| ["cut", "unknown", "not-sent"].contains(&reply.outcome.as_str());
@@ -42,31 +46,41 @@
     assert_honest(&fleet, "diaries", &bookings).await;
 }
 
-/// Calls are in flight at the very node that is stopped, as entry and as the
-/// one that runs them: they are all answered before it ends.
+/// Pages are in flight at the very node that is stopped, as entry and as the
+/// one that runs them, and bookings that came in elsewhere. All are answered
+/// on their first send before the node ends.
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_at_the_stopping_node_itself_are_answered() {
-    let mut fleet = Fleet::start(&[Plan::new("diaries", 1)]).await;
-    fleet.set_service_time_ms("diaries", 1_500).await;
+    let mut fleet = Fleet::start(&[Plan::new("listings", 1), Plan::new("diaries", 1)]).await;
+    let stopping = fleet.of("diaries")[0];
     let mut pending = Vec::new();
-    for number in 0..5 {
-        let caller = fleet.caller(0);
-        let marker = format!("page {number}");
+    let mut markers = Vec::new();
+    for number in 0..3 {
+        let marker = format!("viewing {number}");
+        let ticket = fleet.caller(0).ticket(PATH, &marker).await;
+        markers.push((marker, Some(ticket)));
+        markers.push((format!("page {number}"), None));
+    }
+    fleet.set_service_time_ms("diaries", LONG_SERVICE_MS).await;
+    for (marker, ticket) in markers.clone() {
+        let entry = fleet.caller(0);
+        let itself = fleet.caller(stopping);
         pending.push(tokio::spawn(async move {
-            caller.get("diaries/slots", &marker).await
+            match ticket {
+                Some(ticket) => entry.post_with(PATH, &marker, &ticket).await,
+                None => itself.get("diaries/slots", &marker).await,
+            }
         }));
     }
-    for number in 0..5 {
-        fleet
-            .wait_for_start("diaries", &format!("page {number}"))
-            .await;
+    for (marker, _) in &markers {
+        fleet.wait_for_start("diaries", marker).await;
     }
-    fleet.nodes[0].process.signal("TERM");
+    fleet.nodes[stopping].process.signal("TERM");
     for pending in pending {
         let reply = pending.await.unwrap();
         assert!(reply.is_answered(), "{reply:?}");
     }
-    assert_eq!(fleet.nodes[0].process.exit_code().await, Some(0));
+    assert_eq!(fleet.nodes[stopping].process.exit_code().await, Some(0));
 }
 
 /// A booking was answered by a node that is then stopped. Its caller never saw
