Prove that an older document in the platform is not taken

The platform's current object is put back to generation 1 while nodes have 3 in force: they keep it, and a node that starts then gets 3 from them.

--- a/crates/hemlocktack-node/tests/processes/harness/stand_ins.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/stand_ins.rs
@@ -5,6 +5,7 @@
 use hemlocktack_testkit::{platform, upstream};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 
 use super::process::{Process, example_program};
 use super::{next_address, wait_until};
@@ -39,6 +40,23 @@
         self.set(switches).await;
     }
 
+    /// Value of an object.
+    pub(crate) async fn object(&self, key: &str) -> Value {
+        let object = read::<Value>(self.address, &format!("objects/{key}")).await;
+        object.unwrap()["value"].take()
+    }
+
+    /// Replaces an object's value, whatever it is.
+    pub(crate) async fn replace(&self, key: &str, value: &Value) {
+        let object: Value = read(self.address, &format!("objects/{key}")).await.unwrap();
+        let url = format!(
+            "http://{}/objects/{key}?expected-version={}",
+            self.address, object["version"]
+        );
+        let request = reqwest::Client::new().put(url).json(value);
+        assert!(request.send().await.unwrap().status().is_success());
+    }
+
     pub(crate) async fn counts(&self) -> platform::Counts {
         read(self.address, "counts").await.unwrap()
     }
--- a/crates/hemlocktack-node/tests/processes/operators.rs
+++ b/crates/hemlocktack-node/tests/processes/operators.rs
@@ -1,10 +1,14 @@
 //! Operators' changes: races, lost answers, and what is in force where.
 
+use std::time::Duration;
+
 use hemlocktack_testkit::platform::Switches;
 
-use crate::harness::{Fleet, Plan, document_with_comment};
+use crate::harness::{Fleet, Plan, document_with_comment, wait_until};
 
 const ROUNDS: u64 = 5;
+/// A watching node has taken in a change long before.
+const AFTER_A_CHANGE: Duration = Duration::from_secs(2);
 
 /// Operators of three teams apply different changes at the same time, each
 /// through another node and each from the same generation. One is accepted;
@@ -61,6 +65,37 @@
     wait_in_force(&fleet, 2, &mut [0, 0]).await;
 }
 
+/// The platform comes back from an outage with an older state: what it stores
+/// as current is a generation that was replaced. Nodes keep the newer one that
+/// they have, and a node that starts then gets it from them.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_older_document_in_the_platform_is_not_taken() {
+    let plan = Plan::new("diaries", 2);
+    let mut fleet = Fleet::start(std::slice::from_ref(&plan)).await;
+    let operator = fleet.operator(0, "asha");
+    for generation in 1..=2 {
+        let document = document_with_comment(&format!("after {generation}"));
+        assert_eq!(operator.apply(&document, generation).await.exit_code, 0);
+    }
+    wait_in_force(&fleet, 3, &mut [0, 0]).await;
+    let older = fleet
+        .platform
+        .object("configuration/history/00000000000000000001")
+        .await;
+    fleet
+        .platform
+        .replace("configuration/current", &older)
+        .await;
+    tokio::time::sleep(AFTER_A_CHANGE).await;
+    for position in 0..2 {
+        assert_eq!(in_force(&fleet, position).await, 3, "node {position}");
+    }
+    let fresh = fleet.add(&plan, 3);
+    let node = &fleet.nodes[fresh];
+    wait_until("the fresh node is ready", || node.is_ready()).await;
+    wait_in_force(&fleet, 3, &mut [0, 0, 0]).await;
+}
+
 /// A document with several faults: all of them are reported with their places,
 /// nothing is stored, and what was in force stays.
 #[tokio::test(flavor = "multi_thread")]
