--- a/crates/hemlocktack-node/tests/processes/main.rs
+++ b/crates/hemlocktack-node/tests/processes/main.rs
@@ -23,4 +23,5 @@
 mod telemetry;
 mod thin_path;
 mod tickets;
+mod upstream_reports;
 mod whole_answers;
