--- a/crates/hemlocktack-fleet/src/membership/machine.rs
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -112,7 +112,7 @@
         if !settings.keeps(Safeguard::StartOrder) {
             own.start_order = 0;
         }
-        let mut news = News::default();
+        let mut news = News::new(own.incarnation);
         news.push(&own.node_id);
         Self {
             settings,
@@ -265,7 +265,8 @@
     /// Sends records to a few members right away: half of them in this data
     /// centre, half elsewhere. Within one period only so many, so that a mass
     /// of drains cannot raise the cost without bound; what is over the limit
-    /// rides on the ordinary datagrams.
+    /// rides on the ordinary datagrams. For the same reason these carry nothing
+    /// else.
     pub(super) fn tell_at_once(
         &mut self,
         records: Vec<Member>,
@@ -280,7 +281,7 @@
                 return;
             }
             self.urgent_sent += 1;
-            self.send(to, None, &records, actions);
+            self.send_without_news(to, None, &records, actions);
         }
     }
 
@@ -316,8 +317,7 @@
         actions.push(Action::Send { to, gossip });
     }
 
-    /// Adds a datagram that most likely nobody reads: news on it would count as
-    /// told.
+    /// Adds a datagram with nothing but the given records.
     pub(super) fn send_without_news(
         &mut self,
         to: SocketAddr,
--- a/crates/hemlocktack-fleet/src/membership/tick.rs
+++ b/crates/hemlocktack-fleet/src/membership/tick.rs
@@ -168,6 +168,7 @@
             sequence,
             on_behalf_of: String::new(),
         });
+        // Most likely nobody reads a retry: news on it would count as told.
         match is_retry {
             true => self.send_without_news(address, Some(body), first.as_slice(), actions),
             false => self.send(address, Some(body), first.as_slice(), actions),
