--- a/crates/hemlocktack-fleet/src/membership/receive.rs
+++ b/crates/hemlocktack-fleet/src/membership/receive.rs
@@ -32,7 +32,8 @@
         }
         let mut corrections = Vec::new();
         let records = std::mem::take(&mut gossip.members);
-        self.take_in(now, records, &mut corrections, &mut actions, rng);
+        let is_page = matches!(gossip.body, Some(gossip::Body::SyncPage(_)));
+        self.take_in(now, records, is_page, &mut corrections, &mut actions, rng);
         self.hear_generation(&gossip, &mut actions);
         if !gossip.suspects.is_empty() {
             let suspects = std::mem::take(&mut gossip.suspects);
@@ -44,10 +45,14 @@
         actions
     }
 
+    /// Merges records and passes on what is new; not what a page brought, which
+    /// the giver knew already: a starting node would tell the whole fleet about
+    /// the whole fleet.
     fn take_in(
         &mut self,
         now: Instant,
         records: Vec<Member>,
+        is_page: bool,
         corrections: &mut Vec<Member>,
         actions: &mut Vec<Action>,
         rng: &mut impl Rng,
@@ -65,8 +70,10 @@
                 continue;
             }
             changed = true;
-            self.news.push(&node_id);
-            if merged == Merged::BeganLeaving {
+            if !is_page {
+                self.news.push(&node_id);
+            }
+            if merged == Merged::BeganLeaving && !is_page {
                 urgent.push(record);
             }
         }
