--- a/crates/hemlocktack-node/tests/processes/main.rs
+++ b/crates/hemlocktack-node/tests/processes/main.rs
@@ -8,6 +8,7 @@
 
 mod at_most_once;
 mod bad_input;
+mod chains;
 mod crash;
 mod frames;
 mod harness;
@@ -22,4 +23,5 @@
 mod telemetry;
 mod thin_path;
 mod tickets;
+mod upstream_reports;
 mod whole_answers;
