--- a/crates/hemlocktack-node/tests/processes/platform_out.rs
+++ b/crates/hemlocktack-node/tests/processes/platform_out.rs
@@ -1,7 +1,9 @@
-//! The platform is out for as long as the test lasts.
+//! The platform is out or slow for as long as the test lasts.
 
 use std::time::Duration;
 
+use hemlocktack_testkit::platform::Switches;
+
 use crate::harness::{Booking, Fleet, Plan, assert_honest, document_with_comment, wait_until};
 
 const PATH: &str = "diaries/appointments";
@@ -38,6 +40,25 @@
     .await;
 }
 
+/// The platform takes a minute for each call. Nothing on the way of a call
+/// waits for it, and an operator's change is not told as accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_platform_holds_no_call_up() {
+    let fleet = Fleet::start(&plans()).await;
+    let switches = Switches {
+        slow_ms: 60_000,
+        ..Switches::default()
+    };
+    fleet.platform.set(switches).await;
+    let mut bookings = book_everywhere(&fleet, "at once").await;
+    tokio::time::sleep(LONG).await;
+    bookings.extend(book_everywhere(&fleet, "much later").await);
+    assert_honest(&fleet, "diaries", &bookings).await;
+    let change = document_with_comment("while it is slow");
+    let refused = fleet.operator(0, "asha").apply(&change, 1).await;
+    assert_ne!(refused.exit_code, 0, "{refused:?}");
+}
+
 /// A node and its upstream are replaced while the platform is out. The new
 /// node gets the configuration from the others, becomes ready, and is called.
 #[tokio::test(flavor = "multi_thread")]
