Count only declared classes in Retry-After, and mend what a newcomer stumbled over

Cause: the entry took the packed shed level for pressure, which counts all 16 possible classes: with three declared and half of the last one shed, callers were told 3 to 10 s.

--- a/crates/hemlocktack-decide/src/shed.rs
+++ b/crates/hemlocktack-decide/src/shed.rs
@@ -44,6 +44,14 @@
         self.0 == OPEN || position(rank, root_request_id) < self.0
     }
 
+    /// How many of the first `declared` classes are shed: 1.5 is one whole and
+    /// half of another.
+    pub fn classes_shed(self, declared: usize) -> f64 {
+        let shed = (0..declared).map(|class| 1.0 - self.share_of(class));
+        // An empty sum of floats is -0.
+        shed.sum::<f64>().max(0.0)
+    }
+
     /// Share of a class that is admitted.
     pub fn share_of(self, class: usize) -> f64 {
         let begin = class as u32 * CLASS_SPAN;
--- a/crates/hemlocktack-node/src/callers/answer.rs
+++ b/crates/hemlocktack-node/src/callers/answer.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hemlocktack_decide::ShedLevel;
 use hemlocktack_protocol::{
     Answer, Header, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, Outcome, REASON_HEADER,
     RETRY_AFTER_HEADER, Reason, TRACEPARENT_HEADER,
@@ -12,7 +11,7 @@
 use rocket::Response;
 use rocket::http::Status;
 
-use crate::calls::wait_before_return;
+use crate::calls::{NOTHING_SHED, wait_before_return};
 
 /// Answer to one request of a caller, about to leave.
 pub(crate) struct CallerAnswer {
@@ -100,7 +99,7 @@
         return Some(Duration::from_millis(answer.retry_after_ms.into()));
     }
     let passes = answer.outcome() == Outcome::NotRun && passes_by_itself(answer.reason());
-    passes.then(|| wait_before_return(ShedLevel::OPEN))
+    passes.then(|| wait_before_return(NOTHING_SHED))
 }
 
 /// Whether the same request may get an answer a little later.
--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -22,6 +22,6 @@
 pub(crate) use ends::{not_run, unknown};
 pub(crate) use enter::enter;
 pub(crate) use home::Home;
-pub(crate) use place::wait_before_return;
+pub(crate) use place::{NOTHING_SHED, wait_before_return};
 pub(crate) use receive::receive;
 pub(crate) use roster::Roster;
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Allowance, PeerLoad, PlacementPolicy, RetryAfterPolicy, RetryVerdict, ShedLevel, Standing,
-    may_move, place, retry_after, retry_verdict,
+    Allowance, PeerLoad, PlacementPolicy, RetryAfterPolicy, RetryVerdict, Standing, may_move,
+    place, retry_after, retry_verdict,
 };
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
 use hemlocktack_telemetry::SpanName;
@@ -21,8 +21,9 @@
 /// receiver's verdict at the deadline reaches the caller before the entry has
 /// to answer with less knowledge.
 const TIME_FOR_THE_WAY_BACK: Duration = Duration::from_millis(5);
-/// Shed levels are packed with one class in this many steps.
-const PACKED_STEPS_A_CLASS: f64 = 65536.0;
+
+/// Pressure behind a refusal that has other causes than load.
+pub(crate) const NOTHING_SHED: f64 = 0.0;
 
 /// Places an idempotent call and stays with it until its end.
 ///
@@ -44,7 +45,7 @@
     let mut refused = None;
     loop {
         let Some(index) = choose(&view, excluded) else {
-            let retry_after = Some(wait_before_return(ShedLevel::OPEN));
+            let retry_after = Some(wait_before_return(NOTHING_SHED));
             let nowhere = || not_run(Reason::NoUpstream, retry_after);
             return may_have_run.or(refused).unwrap_or_else(nowhere);
         };
@@ -85,7 +86,7 @@
         });
     }
     let Some(view) = node.roster.service(&call.service) else {
-        let retry_after = Some(wait_before_return(ShedLevel::OPEN));
+        let retry_after = Some(wait_before_return(NOTHING_SHED));
         return Err(Refusal {
             reason: Reason::NoUpstream,
             retry_after,
@@ -100,7 +101,8 @@
     ) {
         return Ok(view);
     }
-    let retry_after = Some(wait_before_return(view.level(classified.kind)));
+    let classes_shed = view.level(classified.kind).classes_shed(node.class_count());
+    let retry_after = Some(wait_before_return(classes_shed));
     Err(Refusal {
         reason: Reason::Shed,
         retry_after,
@@ -252,9 +254,10 @@
     matches!(unfinished, Unfinished::NotRun(refusal) if may_move(refusal.reason))
 }
 
-/// When a caller that is refused here should come back.
-pub(crate) fn wait_before_return(level: ShedLevel) -> Duration {
-    let classes_shed = f64::from(level.pack()) / PACKED_STEPS_A_CLASS;
+/// When a caller that is refused here should come back. How far demand exceeds
+/// capacity is not known at the entry; the number of classes that are shed
+/// grows with it, as each is a good part of the demand.
+pub(crate) fn wait_before_return(classes_shed: f64) -> Duration {
     retry_after(classes_shed, rand::random(), &RetryAfterPolicy::default())
 }
 
--- a/crates/hemlocktack-node/src/calls/ticketed.rs
+++ b/crates/hemlocktack-node/src/calls/ticketed.rs
@@ -7,7 +7,9 @@
 use hemlocktack_fleet::tickets::{ChildHome, Ticket, TicketError, find_home};
 use hemlocktack_protocol::{Answer, CallPurpose, NodeState, Outcome, Reason};
 
-use super::place::{Delivery, admitted_view, choose, send_with_allowance, wait_before_return};
+use super::place::{
+    Delivery, NOTHING_SHED, admitted_view, choose, send_with_allowance, wait_before_return,
+};
 use super::roster::{PeerEntry, ServiceView};
 use super::{Classified, not_run, unknown};
 use crate::node::Node;
@@ -83,10 +85,7 @@
             fresh_ticket,
             ..not_run(Reason::TicketRequired, None)
         },
-        None => not_run(
-            Reason::NoUpstream,
-            Some(wait_before_return(hemlocktack_decide::ShedLevel::OPEN)),
-        ),
+        None => not_run(Reason::NoUpstream, Some(wait_before_return(NOTHING_SHED))),
     }
 }
 
--- a/crates/hemlocktack-node/src/handover/give.rs
+++ b/crates/hemlocktack-node/src/handover/give.rs
@@ -17,7 +17,7 @@
 const OFFER_PAUSE: Duration = Duration::from_millis(200);
 /// Full tables take a few hundred parts; a node that found no successor within
 /// this time leaves, and its tickets' outcome is `unknown` from then on.
-const HANDOVER_LIMIT: Duration = Duration::from_secs(10);
+pub(crate) const LIMIT: Duration = Duration::from_secs(10);
 /// A service whose last node stops has nobody to hand over to.
 const LAST_OF_SERVICE_WAIT: Duration = Duration::from_secs(1);
 
@@ -31,7 +31,7 @@
 pub(crate) async fn give(node: &Arc<Node>) -> Option<NodeIncarnation> {
     let mut leaving = Leaving::begin(&mut node.home.table());
     let begun = Instant::now();
-    while begun.elapsed() < HANDOVER_LIMIT {
+    while begun.elapsed() < LIMIT {
         let successors = successors(node);
         if successors.is_empty() && begun.elapsed() > LAST_OF_SERVICE_WAIT {
             return None;
--- a/crates/hemlocktack-node/src/handover/mod.rs
+++ b/crates/hemlocktack-node/src/handover/mod.rs
@@ -5,5 +5,5 @@
 mod give;
 mod take;
 
-pub(crate) use give::give;
+pub(crate) use give::{LIMIT, give};
 pub(crate) use take::take;
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -24,6 +24,7 @@
 use crate::calls::{ContextTable, Desk, Home, Roster};
 use crate::configuration;
 use crate::counters::{CallInFlight, Counters};
+use crate::handover;
 use crate::links::{Links, Peer, Senders};
 use crate::peers::GossipCounts;
 use crate::settings::Settings;
@@ -33,8 +34,6 @@
 /// News of a drain reaches all nodes within this time; until then a draining
 /// node is there to refuse what still comes.
 pub(crate) const DRAIN_SETTLE: Duration = Duration::from_secs(2);
-/// Handing over has a limit of its own, which is shorter.
-const HANDOVER_LIMIT: Duration = Duration::from_secs(30);
 /// Largest body read before any configuration is in force.
 const BODY_LIMIT_BEFORE_CONFIGURATION_BYTES: usize = 64 << 10;
 /// Largest answer passed on for a service that the configuration lacks.
@@ -222,6 +221,14 @@
         });
     }
 
+    /// Classes that the configuration in force declares.
+    pub(crate) fn class_count(&self) -> usize {
+        let in_force = self.in_force.load();
+        in_force
+            .as_ref()
+            .map_or(0, |in_force| in_force.document.classes.len())
+    }
+
     pub(crate) fn body_limit_bytes(&self, service: &str) -> usize {
         let in_force = self.in_force.load();
         let declared = in_force
@@ -460,7 +467,7 @@
     DrainSettings {
         settle: DRAIN_SETTLE,
         hard_limit: Some(settings.drain_limit),
-        handover_limit: HANDOVER_LIMIT,
+        handover_limit: handover::LIMIT,
         upstream: UpstreamSettings {
             announcement_ttl: RENEW_EVERY * RENEWALS_MISSED_MAX,
             ..UpstreamSettings::default()
--- a/crates/hemlocktack-node/src/peers/records.rs
+++ b/crates/hemlocktack-node/src/peers/records.rs
@@ -22,9 +22,9 @@
 /// Seeds taken from a list.
 const SEED_LIMIT: usize = 16;
 
-/// Publishes this node when it begins, when it becomes ready and when its
-/// address or succession changes; not with each change of its state, which
-/// gossip tells: the platform's writes would grow with the fleet's upstreams.
+/// Publishes this node when it begins, becomes ready and drains, and when its
+/// address or succession changes; not with each change of its upstream, which
+/// gossip tells: the platform's writes would grow with the upstreams' changes.
 pub(crate) async fn keep(node: Arc<Node>) {
     let mut published: Option<Member> = None;
     let mut next_list = Instant::now();
@@ -49,6 +49,7 @@
     Member {
         ticket_epoch: 0,
         upstream: 0,
+        slots: 0,
         ..node.own_member()
     }
 }
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -118,7 +118,7 @@
     let service_time = load.service_time_us as f64 / MICROS_A_SECOND;
     let help = "Estimated time of the upstream for one call";
     seconds(registry, "service_time", help, service_time);
-    let shed = shed_classes(node, ShedLevel::unpack(load.shed_level));
+    let shed = ShedLevel::unpack(load.shed_level).classes_shed(node.class_count());
     let help = "Classes that are shed, from the last one; 1.5 is one whole and half of the next";
     float(registry, "shed_classes", help, shed);
     let quarantined = status.quarantined_fingerprints.len() as u64;
@@ -126,14 +126,6 @@
     gauge(registry, "quarantined_requests", help, quarantined);
 }
 
-fn shed_classes(node: &Node, level: ShedLevel) -> f64 {
-    let in_force = node.configuration_in_force();
-    let declared = in_force.map_or(0, |in_force| in_force.document.classes.len());
-    let shed = (0..declared).map(|rank| 1.0 - level.share_of(rank));
-    // An empty sum of floats is -0.
-    shed.sum::<f64>().max(0.0)
-}
-
 fn register_fleet(registry: &mut Registry, node: &Node, status: &NodeStatus) {
     let help = "Generation in force on this node, 0 for none";
     gauge(
