Draw a call's id when its frame gets its place on the link

Faults found in review, by reading: - The id was drawn before the link was dialled and before a wait for room; a call that waited long enough could arrive after 256 later ones had been settled, was taken for one of long ago and dropped, and its sender waited out its patience. The id is now drawn under the outbox's lock. No test brings this order about; it is not proved by a run. - A lookup whose node was killed and started again within a second ended unknown with its allowance unspent: home-gone was not among the faults that another node need not share. The new test failed before. - A finished call was taken off the sender's list before its answer left, so that a reconnect in between could lose the answer until the deadline. It now stays listed until then. Not proved by a run. - A listener out of file descriptors asked again without a pause.

--- a/crates/hemlocktack-decide/src/retry.rs
+++ b/crates/hemlocktack-decide/src/retry.rs
@@ -202,6 +202,7 @@
     matches!(
         reason,
         Reason::LinkLost
+            | Reason::HomeGone
             | Reason::UpstreamFailed
             | Reason::UpstreamUnreachable
             | Reason::Starting
--- a/crates/hemlocktack-decide/tests/retry.rs
+++ b/crates/hemlocktack-decide/tests/retry.rs
@@ -108,6 +108,25 @@
     insta::assert_snapshot!(verdicts.join("\n"));
 }
 
+/// A node is killed and started again at its address within a moment. A lookup
+/// that was on its way there ends `unknown`; other nodes are up, so it is sent
+/// again like one whose link was lost. A booking is not.
+#[test]
+fn a_lookup_on_a_restarted_node_is_sent_again() {
+    let verdict = |idempotent| {
+        retry_verdict(
+            &Unfinished::Unknown(Reason::HomeGone),
+            idempotent,
+            Duration::from_secs(1),
+            Duration::from_millis(100),
+            &Allowance::new(1),
+            &EdgeBudget::new(RetryPolicy::default()),
+        )
+    };
+    assert_eq!(verdict(true), RetryVerdict::Retry);
+    assert_eq!(verdict(false), RetryVerdict::PassUp);
+}
+
 #[test]
 fn a_spent_allowance_or_too_little_time_ends_the_retries() {
     let unfinished = Unfinished::Unknown(Reason::LinkLost);
--- a/crates/hemlocktack-node/src/links/connection.rs
+++ b/crates/hemlocktack-node/src/links/connection.rs
@@ -71,7 +71,12 @@
     /// Waits while the peer reads too slowly. A sender that goes away while it
     /// waits has sent nothing.
     pub(crate) async fn send(&self, body: frame::Body) -> bool {
-        let frame = Frame { body: Some(body) };
+        self.send_built(|| body).await
+    }
+
+    /// As [`Connection::send`], with a frame that is built when its place in the
+    /// order of frames is certain.
+    pub(crate) async fn send_built(&self, build: impl FnOnce() -> frame::Body) -> bool {
         loop {
             let room = self.shared.has_room.notified();
             tokio::pin!(room);
@@ -80,7 +85,7 @@
                 return false;
             }
             if self.shared.outbox().bytes.len() < OUTBOX_BYTES {
-                return self.shared.take(frame);
+                return self.shared.take(build);
             }
             tokio::select! {
                 () = room => {}
@@ -92,7 +97,7 @@
     /// Sends a frame that helps but may be left out, if that needs no waiting.
     pub(crate) fn send_if_room(&self, body: frame::Body) {
         if !self.is_closed() && self.shared.outbox().bytes.len() < OUTBOX_BYTES {
-            self.shared.take(Frame { body: Some(body) });
+            self.shared.take(|| body);
         }
     }
 
@@ -111,10 +116,9 @@
 }
 
 impl Outbox {
-    /// Whether the frame was taken; a closed connection and a frame over the
-    /// limit take none.
+    /// Whether the frame was taken; one over the limit is not.
     fn push(&mut self, frame: Frame) -> bool {
-        self.socket.is_some() && self.codec.encode(frame, &mut self.bytes).is_ok()
+        self.codec.encode(frame, &mut self.bytes).is_ok()
     }
 
     fn write(&mut self) -> std::io::Result<()> {
@@ -143,9 +147,13 @@
     }
 
     /// Puts a frame behind what waits and writes what the socket takes.
-    fn take(&self, frame: Frame) -> bool {
+    fn take(&self, build: impl FnOnce() -> frame::Body) -> bool {
         let mut outbox = self.outbox();
-        if !outbox.push(frame) {
+        if outbox.socket.is_none() {
+            return false;
+        }
+        let body = Some(build());
+        if !outbox.push(Frame { body }) {
             return false;
         }
         if !outbox.is_blocked {
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use futures::StreamExt;
@@ -19,6 +20,8 @@
 use crate::handover;
 use crate::node::Node;
 
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// What this node remembers of those who send it calls.
 ///
 /// It outlives connections: a call is answered, or asked about, over whichever
@@ -123,6 +126,8 @@
 pub(crate) async fn serve_links(node: Arc<Node>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
+            // Out of file descriptors, say: asking again at once would spin.
+            tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         tokio::spawn(serve_link(node.clone(), stream));
@@ -212,10 +217,15 @@
     });
 }
 
+/// Failure: the sender's entry is dropped between these steps while it dials
+/// again. Symptom: it is told that the call is running, and the answer goes to
+/// the lost link. The call stays listed until its answer has gone, so the entry
+/// stays and the answer takes the newest link.
 async fn finish_call(node: &Node, sender: &Sender, answer: Answer) {
-    sender.forget_cancellation(answer.call_id);
+    let call_id = answer.call_id;
     node.senders.finish(sender, &answer);
     sender.send(frame::Body::Answer(answer)).await;
+    sender.forget_cancellation(call_id);
     node.senders.disconnected(sender);
 }
 
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -89,24 +89,32 @@
 
     /// Sends one call and stays with it until its end is known or `deadline`.
     ///
-    /// The call id is drawn here: unique in this incarnation, never reused.
+    /// The call id is drawn when the frame gets its place on the link: unique in
+    /// this incarnation, never reused, and rising on each link. One that was
+    /// drawn before a wait for room could arrive after so many later ones that
+    /// the receiver takes it for a call of long ago.
     pub(crate) async fn call(&self, peer: &Peer, mut call: Call, deadline: Instant) -> Sent {
-        call.call_id = self.next_call_id.fetch_add(1, Ordering::Relaxed);
-        let call_id = call.call_id;
         let link = self.link(peer);
         let Some(connection) = self.connect(&link, deadline).await else {
             return Sent::NeverArrived(Reason::LinkLost);
         };
         let (events, receiver) = mpsc::channel(EVENTS_A_CALL);
-        let _pending = PendingCall::register(&link.pending, call_id, events);
+        let mut pending = None;
+        let sending = connection.send_built(|| {
+            call.call_id = self.next_call_id.fetch_add(1, Ordering::Relaxed);
+            pending = Some(PendingCall::register(&link.pending, call.call_id, events));
+            frame::Body::Call(call)
+        });
         // A peer that is frozen reads nothing, so the wait for room has to end too.
-        let sending = connection.send(frame::Body::Call(call));
         match tokio::time::timeout_at(deadline.into(), sending).await {
             Ok(true) => {}
             Ok(false) => return Sent::NeverArrived(Reason::LinkLost),
             Err(_) => return Sent::NeverArrived(Reason::Timeout),
         }
-        self.stay_with(&link, connection, call_id, receiver, deadline)
+        let Some(pending) = pending else {
+            return Sent::NeverArrived(Reason::LinkLost);
+        };
+        self.stay_with(&link, connection, pending.call_id, receiver, deadline)
             .await
     }
 
