--- a/crates/hemlocktack-fleet/examples/fleet_runs/main.rs
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/main.rs
@@ -4,6 +4,7 @@
 //! --steps 60 --seeds 1000 [--without SAFEGUARD]`
 
 mod checks;
+mod exchanges;
 mod faults;
 mod network;
 mod node;
--- a/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
@@ -20,7 +20,7 @@
 use crate::checks::{Checks, LEAVING_LIMIT};
 use crate::network::Network;
 use crate::node::{Process, Slot};
-use crate::platform::{Platform, Watch, Weather};
+use crate::platform::{Platform, Weather};
 
 pub(crate) const TICK_PERIOD: Duration = Duration::from_millis(100);
 const SEED_COUNT: usize = 3;
@@ -345,7 +345,7 @@
         }
     }
 
-    fn follow(&mut self, to: usize, delay: Duration, event: Event) {
+    pub(crate) fn follow(&mut self, to: usize, delay: Duration, event: Event) {
         self.outbox.push((to, delay, event));
     }
 
@@ -450,101 +450,4 @@
         }
         false
     }
-
-    fn ask_platform(&mut self, number: usize, above: Generation, wait: bool) {
-        const WATCH_LIMIT: Duration = Duration::from_secs(30);
-        self.platform.calls += 1;
-        let weather = self.platform.weather;
-        let delay = match weather {
-            Weather::Slow => Duration::from_millis(self.rng.random_range(500..4_000)),
-            _ => Duration::from_millis(self.rng.random_range(1..10)),
-        };
-        let answer = match weather {
-            Weather::Out => Event::PlatformFailed,
-            _ => Event::PlatformAnswer(self.platform.read(above)),
-        };
-        let is_empty = matches!(answer, Event::PlatformAnswer(None));
-        if !(wait && is_empty) {
-            self.follow(number, delay, answer);
-            return;
-        }
-        let ends = self.now + WATCH_LIMIT;
-        self.platform.watches.push(Watch {
-            number,
-            above,
-            ends,
-        });
-    }
-
-    /// Answers the watches whose document has come or whose time is over.
-    pub(crate) fn answer_watches(&mut self) {
-        for watch in std::mem::take(&mut self.platform.watches) {
-            let document = self.platform.read(watch.above);
-            let is_out = self.platform.weather == Weather::Out;
-            let event = match (is_out, document) {
-                (true, _) => Event::PlatformFailed,
-                (false, None) if self.now < watch.ends => {
-                    self.platform.watches.push(watch);
-                    continue;
-                }
-                (false, document) => Event::PlatformAnswer(document),
-            };
-            self.schedule(watch.number, Duration::from_millis(2), event);
-        }
-    }
-
-    fn pull(&mut self, number: usize, node_id: String, above: Generation) {
-        const FAILURE_DELAY: Duration = Duration::from_millis(2);
-        let target = self.slots.iter().position(|slot| slot.node_id == node_id);
-        let Some(target) = target else {
-            return;
-        };
-        if self.network.is_cut(number, target) {
-            return;
-        }
-        if self.slots[target].process.is_none() {
-            self.follow(number, FAILURE_DELAY, Event::PullFailed { from: node_id });
-            return;
-        }
-        let delay = Duration::from_micros(self.rng.random_range(300..5_000));
-        let request = Event::PullRequest {
-            from: number,
-            above,
-        };
-        self.follow(target, delay, request);
-    }
-
-    fn answer_pull(&mut self, number: usize, process: &Process, from: usize, above: Generation) {
-        if self.network.is_cut(number, from) {
-            return;
-        }
-        let current = process.in_force.current();
-        let document = current.filter(|document| document.generation > above);
-        let answer = Event::PullAnswer {
-            from: self.slots[number].node_id.clone(),
-            in_force: process.in_force.generation(),
-            document: document.cloned(),
-        };
-        let delay = Duration::from_micros(self.rng.random_range(300..600_000));
-        self.follow(from, delay, answer);
-    }
-
-    /// An operator's command at a node: a conditional update of the platform.
-    fn write(&mut self, number: usize, expected: Generation, change_id: String) {
-        let weather = self.platform.weather;
-        if weather == Weather::Out {
-            return;
-        }
-        let Some(document) = self.platform.write(self.now, expected, change_id) else {
-            return;
-        };
-        self.note(format!("stored {} through {number}", document.generation));
-        let delay = Duration::from_millis(match weather {
-            Weather::Slow => self.rng.random_range(500..4_000),
-            _ => self.rng.random_range(1..10),
-        });
-        if weather != Weather::LosesAnswers {
-            self.follow(number, delay, Event::Stored(document));
-        }
-    }
 }
--- a/crates/hemlocktack-fleet/tests/fleet_runs.rs
+++ b/crates/hemlocktack-fleet/tests/fleet_runs.rs
@@ -6,6 +6,8 @@
 
 #[path = "../examples/fleet_runs/checks.rs"]
 mod checks;
+#[path = "../examples/fleet_runs/exchanges.rs"]
+mod exchanges;
 #[path = "../examples/fleet_runs/faults.rs"]
 mod faults;
 #[path = "../examples/fleet_runs/network.rs"]
