--- a/crates/hemlocktack-fleet/tests/fleet_runs.rs
+++ b/crates/hemlocktack-fleet/tests/fleet_runs.rs
@@ -66,6 +66,7 @@
     const SEEDS: u64 = 40;
     let noticed = [
         "refutation",
+        "tombstones",
         "dead-retry",
         "anti-entropy",
         "urgent-news",
