--- a/crates/hemlocktack-fleet/tests/fleet_runs.rs
+++ b/crates/hemlocktack-fleet/tests/fleet_runs.rs
@@ -6,6 +6,8 @@
 
 #[path = "../examples/fleet_runs/checks.rs"]
 mod checks;
+#[path = "../examples/fleet_runs/exchanges.rs"]
+mod exchanges;
 #[path = "../examples/fleet_runs/faults.rs"]
 mod faults;
 #[path = "../examples/fleet_runs/network.rs"]
@@ -64,6 +66,7 @@
     const SEEDS: u64 = 40;
     let noticed = [
         "refutation",
+        "tombstones",
         "dead-retry",
         "anti-entropy",
         "urgent-news",
