End a call of several sends by the rule that is tested

The rule that an unknown send is never replaced by a later not-run stood twice, and the tested one was not the one that ran.

--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Allowance, PeerLoad, PlacementPolicy, RetryAfterPolicy, RetryVerdict, Standing, may_move,
-    place, retry_after, retry_verdict,
+    Allowance, PeerLoad, PlacementPolicy, RetryAfterPolicy, RetryVerdict, Standing, end_of_tries,
+    may_move, place, retry_after, retry_verdict,
 };
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
 use hemlocktack_telemetry::SpanName;
@@ -26,50 +26,67 @@
 pub(crate) const NOTHING_SHED: f64 = 0.0;
 
 /// Places an idempotent call and stays with it until its end.
-///
-/// Failure: the first send crashes its upstream, and the retry is refused by
-/// the next node. Symptom: the caller is told `not-run` of a request that ran.
-/// The refusal speaks of its own send only, so an earlier unknown end stands.
 pub(crate) async fn run_idempotent(node: &Arc<Node>, classified: &Classified) -> Answer {
     let view = match admitted_view(node, classified) {
         Ok(view) => view,
         Err(refusal) => return not_run(refusal.reason, refusal.retry_after),
     };
     view.edge.first_try();
-    let mut excluded = None;
-    let mut moved = false;
-    let mut may_have_run = None;
-    // Where no other node is left to move to, the caller and the operators are
-    // told why the first one refused: `no-upstream` would send them to look for
-    // an upstream that is there, only full.
-    let mut refused = None;
+    let mut tries = Tries::default();
     loop {
-        let Some(index) = choose(&view, excluded) else {
-            let retry_after = Some(wait_before_return(NOTHING_SHED));
-            let nowhere = || not_run(Reason::NoUpstream, retry_after);
-            return may_have_run.or(refused).unwrap_or_else(nowhere);
+        let Some(index) = choose(&view, tries.excluded) else {
+            return tries.told_or_no_upstream();
         };
         let answer = attempt(node, &view, index, classified, CallPurpose::Placed).await;
         let Some(unfinished) = unfinished(&answer) else {
             return answer;
         };
-        excluded = Some(index);
-        if answer.outcome() == Outcome::Unknown {
-            may_have_run.get_or_insert_with(|| answer.clone());
-        }
-        if !moved && moves(&unfinished) {
-            moved = true;
-            refused = Some(answer);
-            continue;
+        let goes_on = if !tries.moved && moves(&unfinished) {
+            tries.moved = true;
+            true
+        } else {
+            is_retried(node, &unfinished, classified, &view, &answer)
+        };
+        tries.add(index, unfinished, answer);
+        if !goes_on {
+            return tries.told_or_no_upstream();
         }
-        match verdict(&unfinished, classified, &view, &answer) {
-            RetryVerdict::Retry => {
-                node.counters.retried();
-                refused = Some(answer);
-            }
-            RetryVerdict::PassUp | RetryVerdict::Spent => return may_have_run.unwrap_or(answer),
+    }
+}
+
+/// The sends of one call so far.
+#[derive(Default)]
+struct Tries {
+    /// The node that ended the last one.
+    excluded: Option<usize>,
+    /// The one move that is no retry has been made.
+    moved: bool,
+    /// What the caller is told if no later send is answered.
+    told: Option<Told>,
+}
+
+struct Told {
+    unfinished: Unfinished,
+    answer: Answer,
+}
+
+impl Tries {
+    fn add(&mut self, index: usize, unfinished: Unfinished, answer: Answer) {
+        self.excluded = Some(index);
+        let earlier = self.told.as_ref().map(|told| told.unfinished);
+        if earlier.is_none_or(|earlier| end_of_tries(Some(earlier), unfinished) != earlier) {
+            self.told = Some(Told { unfinished, answer });
         }
     }
+
+    /// Where no other node is left, the caller and the operators are told why
+    /// the last one refused: `no-upstream` would send them to look for an
+    /// upstream that is there, only full.
+    fn told_or_no_upstream(self) -> Answer {
+        let retry_after = Some(wait_before_return(NOTHING_SHED));
+        let nowhere = || not_run(Reason::NoUpstream, retry_after);
+        self.told.map_or_else(nowhere, |told| told.answer)
+    }
 }
 
 /// The service's nodes, if the request is not in quarantine and the service's
@@ -261,25 +278,31 @@
     retry_after(classes_shed, rand::random(), &RetryAfterPolicy::default())
 }
 
-fn verdict(
+/// Takes a retry from the allowance and the edge, if one may be made.
+fn is_retried(
+    node: &Node,
     unfinished: &Unfinished,
     classified: &Classified,
     view: &ServiceView,
     answer: &Answer,
-) -> RetryVerdict {
+) -> bool {
     let time_left = classified
         .deadline
         .saturating_duration_since(Instant::now());
     let service_time_us = answer.hint.as_ref().map_or(0, |hint| hint.service_time_us);
     let expected = Duration::from_micros(service_time_us);
-    retry_verdict(
+    let verdict = retry_verdict(
         unfinished,
         true,
         time_left,
         expected,
         &classified.allowance,
         &view.edge,
-    )
+    );
+    if verdict == RetryVerdict::Retry {
+        node.counters.retried();
+    }
+    verdict == RetryVerdict::Retry
 }
 
 fn learn(view: &ServiceView, index: usize, classified: &Classified, answer: &Answer) {
