--- a/crates/hemlocktack-fleet/examples/randomised/world/stop.rs
+++ b/crates/hemlocktack-fleet/examples/randomised/world/stop.rs
@@ -170,7 +170,7 @@
             return;
         };
         match leaving.accepted(&name_of(from), accepted) {
-            Progress::Waiting => {}
+            Progress::Waiting | Progress::Refused => {}
             Progress::Commit(frames) => {
                 for frame in frames {
                     self.send(process, from, Body::Handover(frame));
--- a/crates/hemlocktack-fleet/src/handover/leaving.rs
+++ b/crates/hemlocktack-fleet/src/handover/leaving.rs
@@ -13,6 +13,8 @@
     Waiting,
     /// Every table was accepted: send these to the same successor.
     Commit(Vec<Handover>),
+    /// The successor takes nothing: try another one.
+    Refused,
     /// The successor is the home now.
     Finished,
 }
@@ -92,11 +94,14 @@
         if !self.homes.contains(&home) {
             return Progress::Waiting;
         }
+        if frame.refused {
+            return self.refused(from);
+        }
         let (successor, accepted) = match &mut self.stage {
             Stage::Offered {
                 successor,
                 accepted,
-            } if !frame.committed => (successor, accepted),
+            } if frame.complete && !frame.committed => (successor, accepted),
             Stage::Committed {
                 successor,
                 accepted,
@@ -121,6 +126,13 @@
         Progress::Commit(self.commit())
     }
 
+    fn refused(&self, from: &NodeIncarnation) -> Progress {
+        match &self.stage {
+            Stage::Offered { successor, .. } if successor == from => Progress::Refused,
+            _ => Progress::Waiting,
+        }
+    }
+
     /// The successor that the tickets are committed to.
     pub fn successor(&self) -> Option<&NodeIncarnation> {
         match &self.stage {
--- a/crates/hemlocktack-fleet/src/handover/parts.rs
+++ b/crates/hemlocktack-fleet/src/handover/parts.rs
@@ -11,8 +11,12 @@
 
 // Well under any frame limit, and many links' other frames fit in between.
 const PART_LIMIT_BYTES: usize = 256 << 10;
+// Answers of one table that go over, so that it stays under what a successor
+// takes in (`HandoverLimits::table_bytes`) however many the operators keep.
+const ANSWERS_LIMIT_BYTES: usize = 24 << 20;
 
-pub(crate) fn to_parts(table: TransferTable) -> Vec<Handover> {
+pub(crate) fn to_parts(mut table: TransferTable) -> Vec<Handover> {
+    drop_oldest_answers(&mut table.entries);
     let empty = Handover {
         home_node_id: table.home.node_id.to_string(),
         home_incarnation: table.home.incarnation,
@@ -41,6 +45,21 @@
     parts
 }
 
+// Entries are listed oldest epoch first; the latest answers are the likeliest
+// to be asked for again.
+fn drop_oldest_answers(entries: &mut [TransferEntry]) {
+    let mut left_bytes = ANSWERS_LIMIT_BYTES;
+    for entry in entries.iter_mut().rev() {
+        let Some(answer) = &entry.answer else {
+            continue;
+        };
+        match left_bytes.checked_sub(answer.encoded_len()) {
+            Some(left) => left_bytes = left,
+            None => entry.answer = None,
+        }
+    }
+}
+
 pub(crate) fn to_commit(home: &NodeIncarnation) -> Handover {
     Handover {
         home_node_id: home.node_id.to_string(),
--- a/crates/hemlocktack-fleet/src/handover/receiving.rs
+++ b/crates/hemlocktack-fleet/src/handover/receiving.rs
@@ -120,10 +120,9 @@
         Ok(accepted)
     }
 
-    /// Forgets what a sender offered and did not commit, once its incarnation
-    /// is known to have gone.
-    pub fn forget(&mut self, from: &NodeIncarnation) {
-        self.offers.retain(|key, _| key.from != *from);
+    /// Forgets what was offered and not committed by nodes that have gone.
+    pub fn retain_offers_of(&mut self, is_there: impl Fn(&NodeIncarnation) -> bool) {
+        self.offers.retain(|key, _| is_there(&key.from));
     }
 
     /// Entries held in offers.
--- a/crates/hemlocktack-fleet/src/tickets/children.rs
+++ b/crates/hemlocktack-fleet/src/tickets/children.rs
@@ -25,6 +25,10 @@
     /// Its parent may be repeated, and each repetition would run it again.
     #[display("an idempotent call cannot make a call that is not, except with a ticket")]
     ParentIdempotent,
+    /// The key is a ticket that no valid key signed. It may have run, under a
+    /// key that has been dropped since.
+    #[display("the key is a ticket that this fleet's keys did not sign")]
+    Foreign,
     /// Key too long, or too many keys under one parent.
     #[display("the key is too long or the parent has too many")]
     TooMuch,
@@ -38,6 +42,7 @@
     pub fn reason(self) -> Reason {
         match self {
             ChildRefusal::KeyRequired | ChildRefusal::ParentIdempotent => Reason::TicketRequired,
+            ChildRefusal::Foreign => Reason::TicketForeign,
             ChildRefusal::TooMuch => Reason::TicketMalformed,
             ChildRefusal::NoHome => Reason::NoUpstream,
         }
@@ -102,8 +107,8 @@
         let Some(key) = key.filter(|key| !key.is_empty()) else {
             return Err(ChildRefusal::KeyRequired);
         };
-        if let Some(ticket) = passed_along(keys, service, key) {
-            return Ok(ticket);
+        if let Some(passed_along) = passed_along(keys, service, key) {
+            return passed_along;
         }
         let Some(parent_nonce) = self.parent_nonce else {
             return Err(ChildRefusal::ParentIdempotent);
@@ -130,9 +135,17 @@
     }
 }
 
-fn passed_along(keys: &FleetKeys, service: &str, key: &[u8]) -> Option<Ticket> {
+// `None`: a key of the upstream's own.
+fn passed_along(
+    keys: &FleetKeys,
+    service: &str,
+    key: &[u8],
+) -> Option<Result<Ticket, ChildRefusal>> {
     let text = std::str::from_utf8(key).ok()?;
-    Ticket::decode(keys, service, text).ok()
+    if !Ticket::is_form_for(service, text) {
+        return None;
+    }
+    Some(Ticket::decode(keys, service, text).map_err(|_| ChildRefusal::Foreign))
 }
 
 fn child_nonce(keys: &FleetKeys, parent: Nonce, service: &str, key: &[u8]) -> Nonce {
--- a/crates/hemlocktack-fleet/src/tickets/epochs.rs
+++ b/crates/hemlocktack-fleet/src/tickets/epochs.rs
@@ -66,11 +66,17 @@
         }
     }
 
-    /// Notes a record; returns the nonces of an epoch that went out of the window.
-    pub(crate) fn note(&mut self, epoch: u64, nonce: Nonce) -> Vec<Nonce> {
+    /// Lists a record that another home made; it brings no epoch nearer its end,
+    /// or taking over a large table would expire it.
+    pub(crate) fn list(&mut self, epoch: u64, nonce: Nonce) {
         debug_assert_eq!(self.age(epoch), EpochAge::Kept);
         let index = self.nonces.len() - 1 - (self.current - epoch) as usize;
         self.nonces[index].push(nonce);
+    }
+
+    /// Lists a new record; returns the nonces of an epoch that went out of the window.
+    pub(crate) fn note(&mut self, epoch: u64, nonce: Nonce) -> Vec<Nonce> {
+        self.list(epoch, nonce);
         self.created_since_advance += 1;
         match self.created_since_advance >= self.records_per_epoch {
             true => self.advance(),
--- a/crates/hemlocktack-fleet/src/tickets/ticket.rs
+++ b/crates/hemlocktack-fleet/src/tickets/ticket.rs
@@ -101,6 +101,11 @@
         Ok(ticket)
     }
 
+    /// Whether the text has the form of a ticket for the service, whoever signed it.
+    pub(crate) fn is_form_for(service: &str, text: &str) -> bool {
+        parse(text).is_some_and(|ticket| &*ticket.service == service)
+    }
+
     fn with_signed_parts<T>(&self, use_parts: impl FnOnce(&[&[u8]]) -> T) -> T {
         use_parts(&[
             self.service.as_bytes(),
--- a/crates/hemlocktack-fleet/src/tickets/transfer.rs
+++ b/crates/hemlocktack-fleet/src/tickets/transfer.rs
@@ -76,12 +76,15 @@
     fn adopt_entry(&mut self, home_number: u32, entry: TransferEntry) {
         let window = self
             .homes
-            .iter()
+            .iter_mut()
             .find(|window| window.number == home_number);
-        let is_kept = window.is_some_and(|window| window.age(entry.epoch) == EpochAge::Kept);
-        if !is_kept || self.records.contains_key(&entry.nonce) {
+        let Some(window) = window.filter(|window| window.age(entry.epoch) == EpochAge::Kept) else {
+            return;
+        };
+        if self.records.contains_key(&entry.nonce) {
             return;
         }
+        window.list(entry.epoch, entry.nonce);
         if let Some(answer) = entry.answer {
             self.answers.keep(entry.nonce, answer);
         }
@@ -91,7 +94,7 @@
             fingerprint: entry.fingerprint,
             state: State::Ended(entry.end),
         };
-        self.insert(entry.nonce, record);
+        self.records.insert(entry.nonce, record);
     }
 
     fn fence_queued(&mut self) {
--- a/crates/hemlocktack-fleet/tests/at_most_once/children.rs
+++ b/crates/hemlocktack-fleet/tests/at_most_once/children.rs
@@ -1,7 +1,8 @@
+use hemlocktack_fleet::keys::FleetKeys;
 use hemlocktack_fleet::tickets::{ChildCalls, ChildHome, ChildRefusal, Ticket};
 use hemlocktack_protocol::ServiceName;
 
-use crate::{SERVICE, keys, peer, ticket};
+use crate::{OTHER_KEY, SERVICE, keys, peer, ticket};
 
 fn home_at(node_id: &str) -> Option<ChildHome> {
     Some(ChildHome {
@@ -68,3 +69,20 @@
         ChildCalls::of_idempotent().ticket_for(&keys(), &service, Some(text.as_bytes()), || None);
     assert_eq!(passed_along, Ok(ticket(1)));
 }
+
+// A caller's ticket outlived the fleet key and is passed along. Taken for a key
+// of the upstream's own, it would get a second ticket, and run a second time.
+#[test]
+fn a_ticket_that_no_valid_key_signed_is_no_key() {
+    let service = ServiceName::from(SERVICE);
+    let foreign = FleetKeys::new(OTHER_KEY, None).unwrap();
+    let text = Ticket::issue(&foreign, service.clone(), peer("dum-dum-1"), 1, 1)
+        .unwrap()
+        .encode();
+    for mut children in [ChildCalls::of_ticketed(1), ChildCalls::of_idempotent()] {
+        let ticket = children.ticket_for(&keys(), &service, Some(text.as_bytes()), || {
+            home_at("dum-dum-1")
+        });
+        assert_eq!(ticket, Err(ChildRefusal::Foreign));
+    }
+}
--- a/crates/hemlocktack-fleet/tests/at_most_once/handover.rs
+++ b/crates/hemlocktack-fleet/tests/at_most_once/handover.rs
@@ -37,8 +37,14 @@
     from: &NodeIncarnation,
     replies: &[HandoverAccepted],
 ) -> Progress {
-    let mut each = replies.iter().map(|reply| leaving.accepted(from, reply));
-    each.next_back().unwrap()
+    let mut progress = Progress::Waiting;
+    for reply in replies {
+        let next = leaving.accepted(from, reply);
+        if next != Progress::Waiting {
+            progress = next;
+        }
+    }
+    progress
 }
 
 fn home_with_every_end() -> TicketTable {
@@ -238,3 +244,108 @@
         );
     }
 }
+
+// The first successor refuses, or lost a part on the way. A commit after any
+// reply at all would bind the tickets to a node that does not have them, and
+// nobody else could be tried.
+#[test]
+fn only_a_complete_table_is_committed() {
+    let mut leaving = Leaving::begin(&mut home_with_every_end());
+    let mut first = Successor::new("dum-dum-1");
+    let parts = leaving.offer(&first.name);
+    let cut = parts.iter().map(|part| Handover {
+        last: false,
+        ..part.clone()
+    });
+    let replies = first.take(cut.collect());
+    assert_eq!(
+        last_progress(&mut leaving, &first.name, &replies),
+        Progress::Waiting
+    );
+    let refusal = HandoverAccepted {
+        refused: true,
+        ..replies[0].clone()
+    };
+    assert_eq!(leaving.accepted(&first.name, &refusal), Progress::Refused);
+    assert!(leaving.abandon());
+    let mut second = Successor::new("howrah-1");
+    let replies = second.take(leaving.offer(&second.name));
+    let progress = last_progress(&mut leaving, &second.name, &replies);
+    assert!(matches!(progress, Progress::Commit(_)), "{progress:?}");
+}
+
+// A home hands over more records than a new epoch of the successor holds. If
+// taking them over counted as new records, it would expire them at once.
+#[test]
+fn a_large_table_does_not_expire_while_it_is_adopted() {
+    let mut home_table = table();
+    for nonce in 1..=100 {
+        home_table.start(&ticket(nonce), FINGERPRINT);
+        home_table.started(nonce).unwrap();
+        home_table.answer(nonce, answer("booked")).unwrap();
+    }
+    let mut leaving = Leaving::begin(&mut home_table);
+    let mut successor = Successor::new("dum-dum-1");
+    let limits = TableLimits {
+        records_per_epoch: 10,
+        kept_epochs: 2,
+        ..TableLimits::default()
+    };
+    successor.table = TicketTable::new("dum-dum-1", 9, limits);
+    let replies = successor.take(leaving.offer(&successor.name));
+    let Progress::Commit(commit) = last_progress(&mut leaving, &successor.name, &replies) else {
+        panic!("not committed");
+    };
+    successor.take(commit);
+    for nonce in 1..=100 {
+        let start = successor.table.start(&ticket(nonce), FINGERPRINT);
+        assert_eq!(start, Start::Answered(answer("booked")), "ticket {nonce}");
+    }
+    successor.table.assert_consistent();
+}
+
+// Operators let homes keep more answers than a successor takes in. The oldest
+// stay behind; that their requests ran does not.
+#[test]
+fn a_table_with_more_answers_than_fit_goes_over_without_the_oldest() {
+    let limits = TableLimits {
+        kept_answer_bytes: 64 << 20,
+        ..TableLimits::default()
+    };
+    let mut home_table = TicketTable::new("salt-lake-1", 7, limits);
+    let large_answer = Arc::new(Answer {
+        body: vec![7; 1 << 20].into(),
+        ..Answer::default()
+    });
+    for nonce in 1..=40 {
+        home_table.start(&ticket(nonce), FINGERPRINT);
+        home_table.started(nonce).unwrap();
+        home_table.answer(nonce, large_answer.clone()).unwrap();
+    }
+    let mut leaving = Leaving::begin(&mut home_table);
+    let mut successor = Successor::new("dum-dum-1");
+    successor.table = TicketTable::new("dum-dum-1", 9, limits);
+    let replies = successor.take(leaving.offer(&successor.name));
+    let Progress::Commit(commit) = last_progress(&mut leaving, &successor.name, &replies) else {
+        panic!("not committed");
+    };
+    successor.take(commit);
+    assert_eq!(
+        successor.table.start(&ticket(1), FINGERPRINT),
+        Start::AnswerNotKept
+    );
+    let latest = successor.table.start(&ticket(40), FINGERPRINT);
+    assert_eq!(latest, Start::Answered(large_answer));
+}
+
+#[test]
+fn offers_of_nodes_that_have_gone_are_forgotten() {
+    let mut leaving = Leaving::begin(&mut home_with_every_end());
+    let mut successor = Successor::new("dum-dum-1");
+    successor.take(leaving.offer(&successor.name));
+    assert!(successor.receiving.entry_count() > 0);
+    successor.receiving.retain_offers_of(|from| *from == home());
+    assert!(successor.receiving.entry_count() > 0);
+    successor.receiving.retain_offers_of(|from| *from != home());
+    assert_eq!(successor.receiving.entry_count(), 0);
+}
--- a/crates/hemlocktack-node/src/calls/home.rs
+++ b/crates/hemlocktack-node/src/calls/home.rs
@@ -114,7 +114,14 @@
 pub(super) async fn receive_home(node: &Arc<Node>, call: Call, deadline: Instant) -> Answer {
     let ticket = match Ticket::decode(&node.keys, &call.service, &call.ticket) {
         Ok(ticket) => ticket,
-        Err(error) => return not_run(error.reason(), None),
+        // Signed with a key that this node does not hold: while keys are
+        // changed, another start may have run it under that key.
+        Err(error) => {
+            return Answer {
+                retries_unspent: call.retries_given,
+                ..unknown(error.reason())
+            };
+        }
     };
     let retries_given = call.retries_given;
     let (start, end) = node.home.start(&ticket, call.fingerprint);
--- a/crates/hemlocktack-node/src/calls/ticketed.rs
+++ b/crates/hemlocktack-node/src/calls/ticketed.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_fleet::NodeIncarnation;
-use hemlocktack_fleet::tickets::{ChildHome, Ticket, TicketError, find_home};
+use hemlocktack_fleet::tickets::{ChildHome, ChildRefusal, Ticket, TicketError, find_home};
 use hemlocktack_protocol::{Answer, CallPurpose, NodeState, Outcome, Reason};
 
 use super::place::{Delivery, admitted_view, choose, send_with_allowance, wait_before_return};
@@ -48,7 +48,12 @@
             .unwrap_or_else(PoisonError::into_inner);
         let choose_home = || choose_home(node, classified);
         let ticket = children.ticket_for(&node.keys, &service, key.map(str::as_bytes), choose_home);
-        return ticket.map_err(|refusal| Box::new(not_run(refusal.reason(), None)));
+        return ticket.map_err(|refusal| {
+            Box::new(match refusal {
+                ChildRefusal::Foreign => unknown(refusal.reason()),
+                _ => not_run(refusal.reason(), None),
+            })
+        });
     }
     let Some(key) = key else {
         return Err(Box::new(ask_for_ticket(node, classified)));
--- a/crates/hemlocktack-node/src/handover/give.rs
+++ b/crates/hemlocktack-node/src/handover/give.rs
@@ -84,15 +84,14 @@
         let mut progress = Progress::Waiting;
         for frame in frames {
             progress = match send(node, leaving, successor, frame).await {
-                Some(Progress::Waiting) => Progress::Waiting,
-                Some(other) => other,
-                None => return false,
+                Some(Progress::Refused) | None => return false,
+                Some(progress) => progress,
             };
         }
         match progress {
             Progress::Finished => return true,
             Progress::Commit(commit) => frames = commit,
-            Progress::Waiting => return false,
+            Progress::Waiting | Progress::Refused => return false,
         }
     }
 }
--- a/crates/hemlocktack-node/src/handover/take.rs
+++ b/crates/hemlocktack-node/src/handover/take.rs
@@ -15,6 +15,7 @@
         home_node_id: frame.home_node_id.clone(),
         home_incarnation: frame.home_incarnation,
         query_id: frame.query_id,
+        refused: true,
         ..HandoverAccepted::default()
     };
     if node.state() != NodeState::Ready && !frame.committed {
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -297,6 +297,16 @@
     /// Takes in a new view of the fleet.
     pub(crate) fn set_members(&self, members: Vec<Member>) {
         self.roster.update(&members);
+        // A stopping node that is not known here yet may still commit.
+        self.receiving().retain_offers_of(|from| {
+            let known = members
+                .iter()
+                .find(|member| *member.node_id == *from.node_id);
+            known.is_none_or(|known| {
+                let has_gone = matches!(known.state(), NodeState::Left | NodeState::Dead);
+                known.incarnation == from.incarnation && !has_gone
+            })
+        });
         self.members.store(Arc::new(members));
     }
 
--- a/crates/hemlocktack-node/tests/processes/frames.rs
+++ b/crates/hemlocktack-node/tests/processes/frames.rs
@@ -2,8 +2,12 @@
 
 use bytes::{Bytes, BytesMut};
 use futures::{SinkExt, StreamExt};
+use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::keys::{FleetKeys, MacPurpose};
-use hemlocktack_protocol::{Frame, Hello, Proof, StatusPull, frame};
+use hemlocktack_fleet::tickets::Ticket;
+use hemlocktack_protocol::{
+    Call, CallPurpose, Frame, Hello, Outcome, Proof, Reason, StatusPull, frame,
+};
 use prost::Message;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -149,3 +153,36 @@
     assert!(!is_answered(&mut impatient).await);
     assert_serves(&fleet).await;
 }
+
+/// A home gets a ticket that it cannot verify: signed with a key that it does
+/// not hold, while keys are changed. The booking may have run under that key,
+/// so the home must not say that it was not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_home_does_not_vouch_for_a_ticket_it_cannot_verify() {
+    let fleet = Fleet::start(&[Plan::new("diaries", 1)]).await;
+    let other_keys = FleetKeys::new(b"another fleet's key, long enough", None).unwrap();
+    let home = NodeIncarnation::new("diaries-1", 1);
+    let ticket = Ticket::issue(&other_keys, "diaries".into(), home, 1, 1).unwrap();
+    let call = Call {
+        call_id: 1,
+        purpose: CallPurpose::Home.into(),
+        service: "diaries".to_owned(),
+        method: "POST".to_owned(),
+        path: "/appointments".to_owned(),
+        time_left_us: 5_000_000,
+        retries_given: 2,
+        ticket: ticket.encode(),
+        ..Call::default()
+    };
+    let mut link = open(&fleet.nodes[0], FLEET_KEY).await;
+    send(&mut link, frame::Body::Call(call)).await;
+    let answer = tokio::time::timeout(PATIENCE, receive(&mut link))
+        .await
+        .unwrap();
+    let Some(frame::Body::Answer(answer)) = answer else {
+        panic!("no answer: {answer:?}");
+    };
+    assert_eq!(answer.outcome(), Outcome::Unknown);
+    assert_eq!(answer.reason(), Reason::TicketForeign);
+    assert_eq!(answer.retries_unspent, 2);
+}
