Split the shed level's module, and name its parts by the field's terms

Four jobs stood in one file of 500 lines: the level, the controller beside an upstream, the shedder at the entry, the chain's edges. Gate is EntryShedder; the two names for a kind of work are one; an edge is a struct and no tuple. Gate::reset had no caller. Behaviour stays; the crate's tests pass unchanged.

--- a/crates/hemlocktack-decide/benches/decisions.rs
+++ b/crates/hemlocktack-decide/benches/decisions.rs
@@ -5,8 +5,8 @@
 
 use divan::{Bencher, black_box};
 use hemlocktack_decide::{
-    Admission, AdmissionPolicy, Allowance, Decision, EdgeBudget, Ended, Gate, GatePolicy, Offer,
-    PeerLoad, PlacementPolicy, RetryPolicy, ShedLevel, place, retry_verdict,
+    Admission, AdmissionPolicy, Allowance, Decision, EdgeBudget, Ended, EntryShedPolicy,
+    EntryShedder, Offer, PeerLoad, PlacementPolicy, RetryPolicy, ShedLevel, place, retry_verdict,
 };
 use hemlocktack_protocol::{LoadHint, Reason, Unfinished, UpstreamState};
 use rand::SeedableRng;
@@ -100,20 +100,20 @@
 }
 
 #[divan::bench(args = [6, 16])]
-fn gate(bencher: Bencher<'_, '_>, upstreams: usize) {
+fn shedder(bencher: Bencher<'_, '_>, upstreams: usize) {
     let now = Instant::now();
-    let mut gate = Gate::new(GatePolicy::default(), upstreams);
+    let mut shedder = EntryShedder::new(EntryShedPolicy::default(), upstreams);
     let hint = LoadHint {
         shed_level: 3 << 16,
         ..LoadHint::default()
     };
     for upstream in 0..upstreams {
-        gate.learn(upstream, 1, &hint, now);
+        shedder.learn(upstream, 1, &hint, now);
     }
     let mut root = 0;
     bencher.bench_local(|| {
         root += 1;
-        gate.admits(1, 13, black_box(root), false, now)
+        shedder.admits(1, 13, black_box(root), false, now)
     });
 }
 
--- a/crates/hemlocktack-decide/examples/scenarios/driver/entry_side.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/entry_side.rs
@@ -1,4 +1,4 @@
-//! The side of a node that makes calls: gate, placement, retries.
+//! The side of a node that makes calls: shedder, placement, retries.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,8 +24,8 @@
             let rank = self.deployment.kinds[request.kind].class_rank;
             let invested = call.work_before > Duration::ZERO;
             let node = &mut self.nodes[call.from];
-            let gate = &mut node.gates[service];
-            if !gate.admits(
+            let shedder = &mut node.shedders[service];
+            if !shedder.admits(
                 call.step as u64,
                 rank,
                 request.root_request_id,
@@ -164,7 +164,7 @@
             CallEnd::Crashed => peer.failed(now),
         }
         if reply.end != CallEnd::Crashed {
-            node.gates[service].learn(index, call.step as u64, &reply.hint, now);
+            node.shedders[service].learn(index, call.step as u64, &reply.hint, now);
         }
         self.after_reply(key, reply.end, index);
     }
--- a/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
@@ -107,7 +107,7 @@
         let node = &self.nodes[node];
         let level = node.edges.level(step as u64, |deeper| {
             let service = self.deployment.steps[deeper as usize].service;
-            node.gates[service].level(deeper, now)
+            node.shedders[service].level(deeper, now)
         });
         node.admission.hint(level)
     }
--- a/crates/hemlocktack-decide/examples/scenarios/driver/world.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/world.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Admission, AdmissionPolicy, ChainEdges, EdgeBudget, Gate, GatePolicy, PeerLoad,
+    Admission, AdmissionPolicy, ChainEdges, EdgeBudget, EntryShedPolicy, EntryShedder, PeerLoad,
     PlacementPolicy, RetryPolicy,
 };
 use hemlocktack_protocol::{LoadHint, UpstreamState};
@@ -66,7 +66,7 @@
     pub(crate) admission: Admission,
     /// Waiting calls of the static policy.
     pub(crate) fifo: std::collections::VecDeque<CallKey>,
-    pub(crate) gates: Vec<Gate>,
+    pub(crate) shedders: Vec<EntryShedder>,
     /// Peers of each service, seen from here.
     pub(crate) peers: Vec<Vec<Arc<PeerLoad>>>,
     pub(crate) edges: ChainEdges,
@@ -309,9 +309,9 @@
         upstream: Upstream::new(data_centre, spec.slots, spec.connections),
         admission,
         fifo: std::collections::VecDeque::new(),
-        gates: services
+        shedders: services
             .iter()
-            .map(|nodes| Gate::new(GatePolicy::default(), nodes.len()))
+            .map(|nodes| EntryShedder::new(EntryShedPolicy::default(), nodes.len()))
             .collect(),
         peers: services
             .iter()
--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -29,4 +29,4 @@
     Allowance, EdgeBudget, RetryPolicy, RetryVerdict, end_of_tries, retry_verdict, share_for_child,
 };
 pub use retry_after::{RetryAfterPolicy, retry_after};
-pub use shed::{ChainEdges, Gate, GatePolicy, ServiceKey, ShedController, ShedLevel, ShedPolicy};
+pub use shed::{ChainEdges, EntryShedPolicy, EntryShedder, ShedController, ShedLevel, ShedPolicy};
--- a/crates/hemlocktack-decide/src/queue.rs
+++ b/crates/hemlocktack-decide/src/queue.rs
@@ -4,9 +4,9 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
 
-use hemlocktack_protocol::{CallId, ClassRank};
+use hemlocktack_protocol::{CallId, ClassRank, Fingerprint};
 
-use crate::offer::Offer;
+use crate::offer::{Offer, WorkKind};
 
 /// Classes told apart: as many as the operators may declare. Ranks beyond are
 /// treated as the last of these.
@@ -22,8 +22,8 @@
     pub(crate) class: usize,
     pub(crate) invested: bool,
     pub(crate) deadline: Instant,
-    pub(crate) kind: u64,
-    pub(crate) fingerprint: u64,
+    pub(crate) kind: WorkKind,
+    pub(crate) fingerprint: Fingerprint,
 }
 
 impl Waiting {
--- /dev/null
+++ b/crates/hemlocktack-decide/src/shed/mod.rs
@@ -0,0 +1,13 @@
+//! Shed level: which requests a service has room for, worked out on the node
+//! beside an upstream and applied where requests enter.
+
+mod chain_edges;
+mod controller;
+mod entry;
+mod level;
+
+pub use chain_edges::ChainEdges;
+pub(crate) use controller::Pressure;
+pub use controller::{ShedController, ShedPolicy};
+pub use entry::{EntryShedPolicy, EntryShedder};
+pub use level::ShedLevel;
--- a/crates/hemlocktack-decide/src/work.rs
+++ b/crates/hemlocktack-decide/src/work.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::WorkKind;
 use crate::mix::mix;
 
 /// Kinds told apart at one upstream. Kinds that fall on the same entry share
@@ -57,7 +58,7 @@
     /// calls. Returns its own time as a multiple of its kind's floor.
     pub(crate) fn observe(
         &mut self,
-        kind: u64,
+        kind: WorkKind,
         total: Duration,
         own: Duration,
         now: Instant,
@@ -76,7 +77,7 @@
 
     /// Mean time of a call of the kind with its deeper calls; of any call while
     /// the kind is not known.
-    pub(crate) fn expected(&self, kind: u64) -> Duration {
+    pub(crate) fn expected(&self, kind: WorkKind) -> Duration {
         let entry = &self.kinds[slot(kind)];
         let known = if entry.samples > 0 { entry } else { &self.all };
         Duration::from_secs_f64(known.total_secs)
@@ -127,6 +128,6 @@
     }
 }
 
-fn slot(kind: u64) -> usize {
+fn slot(kind: WorkKind) -> usize {
     mix(kind) as usize % KINDS
 }
--- a/crates/hemlocktack-node/src/calls/roster.rs
+++ b/crates/hemlocktack-node/src/calls/roster.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwap;
 use hemlocktack_decide::{
-    EdgeBudget, Gate, GatePolicy, PeerLoad, RetryPolicy, ShedLevel, WorkKind,
+    EdgeBudget, EntryShedPolicy, EntryShedder, PeerLoad, RetryPolicy, ShedLevel, WorkKind,
 };
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_protocol::{
@@ -33,7 +33,7 @@
 pub(crate) struct ServiceView {
     pub(crate) peers: Vec<PeerEntry>,
     pub(crate) edge: Arc<EdgeBudget>,
-    gate: Arc<Mutex<Gate>>,
+    shedder: Arc<Mutex<EntryShedder>>,
 }
 
 /// All services, replaced as a whole when membership changes.
@@ -104,9 +104,18 @@
             |view| view.edge.clone(),
         );
         let same_peers = known.filter(|view| view.has_peers(&peers));
-        let fresh_gate = || Arc::new(Mutex::new(Gate::new(GatePolicy::default(), peers.len())));
-        let gate = same_peers.map_or_else(fresh_gate, |view| view.gate.clone());
-        ServiceView { peers, edge, gate }
+        let fresh_shedder = || {
+            Arc::new(Mutex::new(EntryShedder::new(
+                EntryShedPolicy::default(),
+                peers.len(),
+            )))
+        };
+        let shedder = same_peers.map_or_else(fresh_shedder, |view| view.shedder.clone());
+        ServiceView {
+            peers,
+            edge,
+            shedder,
+        }
     }
 
     /// Takes in the operators' share of retries, for every service.
@@ -154,7 +163,7 @@
 }
 
 impl ServiceView {
-    /// Whether a request may go on to the service; see [`Gate`].
+    /// Whether a request may go on to the service; see [`EntryShedder`].
     pub(crate) fn admits(
         &self,
         kind: WorkKind,
@@ -162,24 +171,24 @@
         root: RootRequestId,
         invested: bool,
     ) -> bool {
-        let mut gate = self.gate.lock().unwrap_or_else(PoisonError::into_inner);
-        gate.admits(kind, rank, root, invested, Instant::now())
+        let mut shedder = self.shedder.lock().unwrap_or_else(PoisonError::into_inner);
+        shedder.admits(kind, rank, root, invested, Instant::now())
     }
 
     pub(crate) fn level(&self, kind: WorkKind) -> ShedLevel {
-        self.gate
+        self.shedder
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .level(kind, Instant::now())
     }
 
     pub(crate) fn learn(&self, index: usize, kind: WorkKind, hint: &LoadHint) {
-        let mut gate = self.gate.lock().unwrap_or_else(PoisonError::into_inner);
-        gate.learn(index, kind, hint, Instant::now());
+        let mut shedder = self.shedder.lock().unwrap_or_else(PoisonError::into_inner);
+        shedder.learn(index, kind, hint, Instant::now());
     }
 
     /// Whether these are the same starts in the same order: only then do the
-    /// gate's numbers still mean the same nodes.
+    /// shedder's numbers still mean the same nodes.
     fn has_peers(&self, peers: &[PeerEntry]) -> bool {
         let identities = |peers: &[PeerEntry]| {
             peers
