Keep that an upstream is leaving over a lapse

Cause: "is leaving" was only the state Draining. A lapse made the state Absent and forgot it, and a drain did nothing in Absent. Two orders gave a leaving upstream new work: it stalls past its announcement, drains, and renews once more; or it drains, the node is paused, the tick runs before the queued renewals, and the next renewal makes it Ready.

Now leaving is kept beside the state, is set by a drain in any state, and ends only with a cold announcement or another address. The address is part of the announcement that the state machine takes, so that the node does not decide it from a state read earlier. A renewal of a leaving upstream after a lapse makes it Draining.

The fleet runs forgot a drain at a lapse too, and counted a drain of an absent upstream as none; their check is stricter now.

Before: a_leaving_upstream_does_not_return_over_a_lapse fails at [Silence, Drain, Renew]. After: cargo test -p hemlocktack-fleet passes, 5 tests in drain, fleet runs included.

Not covered: an upstream that drains while it still announces itself as cold ends its own drain with the next such renewal; and a late renewal from the old address after another address has announced itself counts.

--- a/crates/hemlocktack-fleet/examples/fleet_runs/faults.rs
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/faults.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use hemlocktack_fleet::drain::Announcement;
-use hemlocktack_protocol::UpstreamState;
 use rand::RngExt;
 use rand::seq::IteratorRandom;
 use strum::{EnumIter, IntoEnumIterator};
@@ -153,19 +152,19 @@
         let now = self.now;
         self.with_life(number, |process, _| {
             let actions = process.life.drain_upstream();
-            let is_draining = process.life.upstream() == UpstreamState::Draining;
-            process.upstream_drained = is_draining.then_some(now);
+            process.upstream_drained.get_or_insert(now);
             actions
         });
     }
 
     fn return_upstream(&mut self, number: usize) {
         const SLOTS: u32 = 45;
-        let announcement = Announcement {
-            slots: SLOTS,
-            is_cold: true,
-        };
         self.with_life(number, |process, instant| {
+            let announcement = Announcement {
+                address: process.upstream_address,
+                slots: SLOTS,
+                is_cold: true,
+            };
             process.upstream_drained = None;
             process.life.announce(instant, announcement)
         });
--- a/crates/hemlocktack-fleet/examples/fleet_runs/node.rs
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/node.rs
@@ -42,6 +42,8 @@
     pub(crate) leaving_since: Option<Duration>,
     /// Since when its upstream has been asked to drain, as this run knows it.
     pub(crate) upstream_drained: Option<Duration>,
+    /// Address that its upstream announces.
+    pub(crate) upstream_address: SocketAddr,
     /// Calls in flight, for the drain.
     pub(crate) in_flight: usize,
     /// Generation that was in force everywhere when the process started.
@@ -99,6 +101,7 @@
             installed: 0,
             leaving_since: None,
             upstream_drained: None,
+            upstream_address: self.address,
             in_flight: 0,
             floor,
         });
--- a/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
@@ -9,9 +9,7 @@
 use hemlocktack_fleet::configuration::{ConfigurationAction, ConfigurationSettings};
 use hemlocktack_fleet::drain::{Announcement, DrainSettings, LifeAction};
 use hemlocktack_fleet::membership::{Action, MembershipSettings};
-use hemlocktack_protocol::{
-    ConfigurationDocument, Generation, Gossip, Incarnation, NodeState, UpstreamState,
-};
+use hemlocktack_protocol::{ConfigurationDocument, Generation, Gossip, Incarnation, NodeState};
 use prost::Message;
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
@@ -308,6 +306,7 @@
         self.configure(number, process, actions)?;
         if count.is_multiple_of(ANNOUNCE_TICKS) {
             let announcement = Announcement {
+                address: process.upstream_address,
                 slots: 45,
                 is_cold: false,
             };
@@ -316,9 +315,6 @@
         }
         process.in_flight = process.in_flight.saturating_sub(1);
         let mut actions = process.life.check_upstream(instant);
-        if process.life.upstream() == UpstreamState::Absent {
-            process.upstream_drained = None;
-        }
         actions.append(&mut process.life.check_stop(instant, process.in_flight));
         Ok(self.live(number, process, &actions))
     }
--- a/crates/hemlocktack-fleet/src/drain/upstream.rs
+++ b/crates/hemlocktack-fleet/src/drain/upstream.rs
@@ -1,5 +1,6 @@
 //! What the upstream beside this node last said of itself.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use hemlocktack_protocol::UpstreamState;
@@ -26,6 +27,8 @@
 /// What an upstream announces of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Announcement {
+    /// Where it is reached; another one is another start.
+    pub address: SocketAddr,
     /// Calls that it runs side by side.
     pub slots: u32,
     /// It has started a short while ago.
@@ -36,6 +39,10 @@
 pub(super) struct Upstream {
     settings: UpstreamSettings,
     state: UpstreamState,
+    /// It said that it takes no more work. Kept apart from the state: a lapse
+    /// says only that nothing was heard.
+    is_leaving: bool,
+    address: Option<SocketAddr>,
     pub(super) slots: u32,
     renewed: Instant,
     cold_since: Instant,
@@ -46,6 +53,8 @@
         Self {
             settings,
             state: UpstreamState::Absent,
+            is_leaving: false,
+            address: None,
             slots: 0,
             renewed: now,
             cold_since: now,
@@ -58,16 +67,24 @@
 
     /// Takes an announcement or its renewal.
     ///
-    /// A draining upstream's last renewal may come after its drain; were it
-    /// taken for a return, new work would go to an upstream that is about to
-    /// stop. So only a cold start ends a drain, or a lapse.
+    /// A leaving upstream's renewal may come after its drain, and after a lapse
+    /// when it or the node was paused; were it taken for a return, new work
+    /// would go to an upstream that is about to stop. So only a cold start or
+    /// another address, which is another start whatever it says, ends leaving.
     pub(super) fn announce(&mut self, now: Instant, announcement: Announcement, guards: bool) {
         self.renewed = now;
-        if guards && self.state == UpstreamState::Draining && !announcement.is_cold {
+        let is_other = self
+            .address
+            .is_some_and(|known| known != announcement.address);
+        let is_start = announcement.is_cold || (self.is_leaving && is_other);
+        self.address = Some(announcement.address);
+        if guards && self.is_leaving && !is_start {
+            self.state = UpstreamState::Draining;
             return;
         }
+        self.is_leaving = false;
         self.slots = announcement.slots;
-        self.state = match (self.state, announcement.is_cold) {
+        self.state = match (self.state, is_start) {
             (UpstreamState::Cold | UpstreamState::Ready, true) => self.state,
             (_, true) => self.begin_cold(now),
             (_, false) => UpstreamState::Ready,
@@ -79,7 +96,9 @@
         UpstreamState::Cold
     }
 
+    /// Also one that is absent now may be heard of again before it has stopped.
     pub(super) fn drain(&mut self) {
+        self.is_leaving = true;
         if self.state != UpstreamState::Absent {
             self.state = UpstreamState::Draining;
         }
--- a/crates/hemlocktack-fleet/tests/drain/main.rs
+++ b/crates/hemlocktack-fleet/tests/drain/main.rs
@@ -3,12 +3,17 @@
 #![allow(clippy::unwrap_used)]
 
 use std::fmt::Write;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::{Duration, Instant};
 
 use hemlocktack_fleet::drain::{Announcement, DrainSettings, Life, LifeAction};
 use hemlocktack_protocol::UpstreamState;
 
+const ADDRESS: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9001));
+const OTHER_ADDRESS: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9002));
+
 const WARM: Announcement = Announcement {
+    address: ADDRESS,
     slots: 45,
     is_cold: false,
 };
@@ -78,3 +83,54 @@
     life.check_upstream(now + Duration::from_secs(3));
     assert!(!life.takes_new_work());
 }
+
+/// What happens to an upstream, in order.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Renew,
+    Drain,
+    /// Nothing for longer than an announcement lasts; then the tick runs.
+    Silence,
+}
+
+/// An upstream says that it is leaving, and its announcement lapses before or
+/// after: it was stalled, or the node was. Its next renewal is no return. Were
+/// it taken for one, callers' new work would be cut off by the upstream's end.
+#[test]
+fn a_leaving_upstream_does_not_return_over_a_lapse() {
+    use Step::{Drain, Renew, Silence};
+    let tables: [&[Step]; 5] = [
+        &[Silence, Drain, Renew],
+        &[Drain, Renew, Silence, Renew],
+        &[Drain, Silence, Silence, Renew, Renew],
+        &[Drain, Silence, Renew, Silence, Renew],
+        &[Silence, Drain, Silence, Drain, Renew],
+    ];
+    for steps in tables {
+        let mut now = Instant::now();
+        let mut life = ready(now, DrainSettings::default());
+        let mut is_leaving = false;
+        for step in steps {
+            match step {
+                Renew => drop(life.announce(now, WARM)),
+                Drain => drop(life.drain_upstream()),
+                Silence => {
+                    now += Duration::from_secs(4);
+                    life.check_upstream(now);
+                }
+            }
+            is_leaving |= matches!(step, Drain);
+            let takes = is_leaving && life.takes_new_work();
+            assert!(!takes, "{steps:?} at {step:?}");
+        }
+        assert_eq!(life.upstream(), UpstreamState::Draining, "{steps:?}");
+        let returned = Announcement {
+            address: OTHER_ADDRESS,
+            ..WARM
+        };
+        life.announce(now, returned);
+        assert_eq!(life.upstream(), UpstreamState::Cold, "{steps:?}");
+        life.announce(now, WARM);
+        assert!(life.takes_new_work(), "{steps:?}");
+    }
+}
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -351,14 +351,11 @@
     }
 
     pub(crate) fn upstream_announced(&self, announcement: Announcement) {
-        let known = self.upstream.load_full();
-        // Another address is another start of the upstream, whatever it says.
-        let is_other = known.is_some_and(|known| known.address != announcement.address);
-        let is_draining = self.upstream_state() == UpstreamState::Draining;
         self.live(|life, now| {
             let word = drain::Announcement {
+                address: announcement.address,
                 slots: announcement.slots,
-                is_cold: announcement.cold || (is_draining && is_other),
+                is_cold: announcement.cold,
             };
             life.announce(now, word)
         });
