--- a/crates/hemlocktack-fleet/tests/fleet_runs.rs
+++ b/crates/hemlocktack-fleet/tests/fleet_runs.rs
@@ -85,3 +85,15 @@
         assert!((1..=SEEDS).any(breaks), "{name}");
     }
 }
+
+/// One node is killed; then an upstream drains, and no datagram is lost. The
+/// four told at once and their relays happen to miss one node, and the news
+/// has been told often enough before that node's next probes: 3 s later it
+/// still places calls there (which are refused at the draining side).
+#[test]
+fn a_drain_reaches_every_view_without_loss() {
+    const SEED: u64 = 7623;
+    let run = run::run(world::Settings::default(), SEED, STEPS);
+    let broken = run.violation.map(|violation| violation.rule);
+    assert_eq!(broken, None);
+}
