Decide about the upstream and its admission under one lock

Cause: an announcement read "not draining", a drain set the state and drained the admission, and then the first one told the admission of its announcement: a leaving upstream took new calls until its end. The lapse had a like window against an announcement.

Now each event changes the life, stores the announced address and brings the admission to the state reached, all under the lock of the life, with the admission's lock inside it and never the other way round.

Before: no test shows the interleaving, neither before nor after: it needs a thread stopped between two statements. follow is new, so its table test (all orders of three states) cannot fail on the old code either. What stands for the order is that no other code takes these two locks together.

--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -5,6 +5,7 @@
 //! pieces for one call.
 
 mod admission;
+mod follow;
 mod limit;
 mod mix;
 mod offer;
--- a/crates/hemlocktack-decide/tests/admission.rs
+++ b/crates/hemlocktack-decide/tests/admission.rs
@@ -6,7 +6,7 @@
 use hemlocktack_decide::{
     Admission, AdmissionPolicy, CancelResult, Decision, Ended, Offer, ShedLevel, Verdict,
 };
-use hemlocktack_protocol::{CallId, Reason};
+use hemlocktack_protocol::{CallId, Reason, UpstreamState};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -179,3 +179,31 @@
     }
     arrivals
 }
+
+/// Announcements, drains and lapses come in any order. The admission takes new
+/// calls exactly where the last state that it followed is one that takes them.
+#[test]
+fn follows_the_last_state_whatever_came_before() {
+    use UpstreamState::{Absent, Cold, Draining, Ready};
+    let states = [Absent, Cold, Ready, Draining];
+    let orders =
+        states.map(|first| states.map(|second| states.map(|third| [first, second, third])));
+    for (number, order) in orders.iter().flatten().flatten().enumerate() {
+        let now = Instant::now();
+        let mut admission = Admission::new(AdmissionPolicy::default(), now);
+        for upstream in order {
+            admission.follow(*upstream, 4, 32, now);
+        }
+        let verdict = admission.offer(&offer(number as CallId, 0, now), now);
+        let expected = match order[2] {
+            Cold | Ready => None,
+            Draining => Some(Reason::UpstreamDraining),
+            Absent | UpstreamState::Unspecified => Some(Reason::NoUpstream),
+        };
+        let refused = match verdict {
+            Verdict::Refused(refusal) => Some(refusal.reason),
+            Verdict::Run | Verdict::Queued => None,
+        };
+        assert_eq!(refused, expected, "{order:?}");
+    }
+}
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -15,7 +15,7 @@
 use hemlocktack_fleet::keys::FleetKeys;
 use hemlocktack_platform::{Client, NodeRecords};
 use hemlocktack_protocol::{
-    ConfigurationDocument, Generation, Member, NodeState, Reason, Succession, UpstreamState,
+    ConfigurationDocument, Generation, Member, NodeState, Succession, UpstreamState,
 };
 use hemlocktack_telemetry::{Event, Tracer, log_event};
 use tokio::sync::{Notify, mpsc};
@@ -350,6 +350,7 @@
         edges.level(kind, |deeper| self.roster.level_of_kind(deeper))
     }
 
+    /// Takes an announcement; calls go to the announced address from then on.
     pub(crate) fn upstream_announced(&self, announcement: Announcement) {
         self.live(|life, now| {
             let word = drain::Announcement {
@@ -357,20 +358,11 @@
                 slots: announcement.slots,
                 is_cold: announcement.cold,
             };
-            life.announce(now, word)
+            let actions = life.announce(now, word);
+            self.upstream.store(Some(Arc::new(announcement)));
+            self.admission_follows(life, now);
+            actions
         });
-        if self.upstream_state() != UpstreamState::Draining {
-            let Announcement {
-                slots,
-                connections,
-                cold,
-                ..
-            } = announcement;
-            let now = Instant::now();
-            self.desk
-                .with_admission(|admission| admission.announced(slots, connections, cold, now));
-        }
-        self.upstream.store(Some(Arc::new(announcement)));
     }
 
     /// Drops an upstream whose announcement has lapsed.
@@ -378,27 +370,31 @@
     /// Failure: an upstream vanishes without a word, and calls queue for slots
     /// that are not there until their callers give up. They are refused as soon
     /// as the announcement has lapsed, while another node may still answer them.
-    /// The state is read under the lock of the admission: an announcement that
-    /// comes at the same moment changes the state first and the admission after.
     pub(crate) fn check_upstream(&self) {
-        self.live(|life, now| life.check_upstream(now));
-        let is_absent = || self.upstream_state() == UpstreamState::Absent;
-        if !is_absent() {
-            return;
-        }
-        self.desk.with_admission(|admission| {
-            if is_absent() && admission.state() != UpstreamState::Absent {
-                admission.lost(Instant::now());
-            }
+        self.live(|life, now| {
+            let actions = life.check_upstream(now);
+            self.admission_follows(life, now);
+            actions
         });
     }
 
     pub(crate) fn upstream_drains(&self) {
-        self.live(|life, _| life.drain_upstream());
-        if self.upstream_state() == UpstreamState::Draining {
-            self.desk
-                .with_admission(|admission| admission.drain(Reason::UpstreamDraining));
-        }
+        self.live(|life, now| {
+            let actions = life.drain_upstream();
+            self.admission_follows(life, now);
+            actions
+        });
+    }
+
+    /// Takes the admission's lock inside that of the life, never the other way
+    /// round: what one event decides is carried out before the next one.
+    fn admission_follows(&self, life: &Life, now: Instant) {
+        let announcement = self.upstream.load();
+        let announcement = announcement.as_deref();
+        let slots = announcement.map_or(0, |announcement| announcement.slots);
+        let connections = announcement.map_or(0, |announcement| announcement.connections);
+        self.desk
+            .with_admission(|admission| admission.follow(life.upstream(), slots, connections, now));
     }
 
     pub(crate) fn announcement(&self) -> Option<Announcement> {
