--- a/crates/hemlocktack-config/src/parse.rs
+++ b/crates/hemlocktack-config/src/parse.rs
@@ -21,6 +21,9 @@
 }
 
 /// Reads and checks a document.
+///
+/// # Errors
+/// All findings, each with its place; nothing is taken then.
 pub fn parse(text: &str) -> Result<Document> {
     let mut reading = Reading::new(text);
     check_size(text, &mut reading);
--- a/crates/hemlocktack-fleet/src/keys.rs
+++ b/crates/hemlocktack-fleet/src/keys.rs
@@ -71,6 +71,9 @@
 
 impl FleetKeys {
     /// Takes the key to sign with and, while keys are changed, a second one to accept.
+    ///
+    /// # Errors
+    /// [`KeyError::TooShort`] for either key.
     pub fn new(signing: &[u8], also_accepted: Option<&[u8]>) -> Result<FleetKeys> {
         let signing = keyed_mac(signing)?;
         let also_accepted = also_accepted.map(keyed_mac).transpose()?;
--- a/crates/hemlocktack-fleet/src/membership/datagram.rs
+++ b/crates/hemlocktack-fleet/src/membership/datagram.rs
@@ -30,6 +30,9 @@
 }
 
 /// Checks the MAC, and only then decodes the message.
+///
+/// # Errors
+/// What the bytes are not: a datagram with a right MAC and a message behind it.
 pub fn open_datagram(
     mut datagram: Bytes,
     mac_bytes: usize,
--- a/crates/hemlocktack-fleet/src/tickets/children.rs
+++ b/crates/hemlocktack-fleet/src/tickets/children.rs
@@ -97,6 +97,9 @@
     ///
     /// A key that is itself a valid ticket for the service is used as it is,
     /// whatever the parent: it binds the request by itself.
+    ///
+    /// # Errors
+    /// Why the deeper call gets no ticket; nothing has run.
     pub fn ticket_for(
         &mut self,
         keys: &FleetKeys,
--- a/crates/hemlocktack-fleet/src/tickets/table.rs
+++ b/crates/hemlocktack-fleet/src/tickets/table.rs
@@ -219,6 +219,9 @@
     }
 
     /// Records that another node may start the request, before it is sent there.
+    ///
+    /// # Errors
+    /// [`WrongState`] where the ticket is not in the state that this step needs.
     pub fn delegate(&mut self, nonce: Nonce, delegate: NodeIncarnation) -> Result<(), WrongState> {
         let state = self.state_mut(nonce)?;
         let State::Queued = state else {
@@ -229,6 +232,9 @@
     }
 
     /// Records the start, before the first byte goes to the upstream.
+    ///
+    /// # Errors
+    /// [`WrongState`] where the ticket is not in the state that this step needs.
     pub fn started(&mut self, nonce: Nonce) -> Result<(), WrongState> {
         let state = self.state_mut(nonce)?;
         let State::Queued = state else {
@@ -239,6 +245,9 @@
     }
 
     /// The upstream proved that it shed the request before it began: startable again.
+    ///
+    /// # Errors
+    /// [`WrongState`] where the ticket is not in the state that this step needs.
     pub fn give_back(&mut self, nonce: Nonce) -> Result<(), WrongState> {
         let state = self.state_mut(nonce)?;
         let State::Started = state else {
@@ -252,6 +261,9 @@
     ///
     /// Only the recorded delegate's word counts. A late word from an earlier
     /// one would let the request out a second time.
+    ///
+    /// # Errors
+    /// [`WrongState`] where the ticket is not in the state that this step needs.
     pub fn give_back_from(
         &mut self,
         nonce: Nonce,
@@ -267,6 +279,9 @@
 
     /// Ends a queued ticket for good: `not_run` is told, and no send of it,
     /// however late, will find it startable.
+    ///
+    /// # Errors
+    /// [`WrongState`] where the ticket is not in the state that this step needs.
     pub fn refuse(&mut self, nonce: Nonce, reason: Reason) -> Result<(), WrongState> {
         let State::Queued = self.state_mut(nonce)? else {
             return Err(WrongState);
@@ -276,6 +291,9 @@
     }
 
     /// Ends a started or delegated ticket with the upstream's whole answer.
+    ///
+    /// # Errors
+    /// [`WrongState`] where the ticket is not in the state that this step needs.
     pub fn answer(&mut self, nonce: Nonce, answer: Arc<Answer>) -> Result<(), WrongState> {
         self.expect_may_have_run(nonce)?;
         self.answers.keep(nonce, answer);
@@ -284,6 +302,9 @@
     }
 
     /// Ends a started or delegated ticket that came to no whole answer.
+    ///
+    /// # Errors
+    /// [`WrongState`] where the ticket is not in the state that this step needs.
     pub fn give_up(&mut self, nonce: Nonce, reason: Reason) -> Result<(), WrongState> {
         self.expect_may_have_run(nonce)?;
         self.end(nonce, End::Unknown(reason));
--- a/crates/hemlocktack-fleet/src/tickets/ticket.rs
+++ b/crates/hemlocktack-fleet/src/tickets/ticket.rs
@@ -59,6 +59,9 @@
 impl Ticket {
     /// Signs a ticket for a home of the service. `nonce` must come from a
     /// cryptographic generator, or be derived under a key.
+    ///
+    /// # Errors
+    /// [`TicketError::Name`] for a service or node name that a ticket cannot carry.
     pub fn issue(
         keys: &FleetKeys,
         service: ServiceName,
@@ -91,6 +94,9 @@
     }
 
     /// Reads a header's text, with or without quotes, and checks its MAC and service.
+    ///
+    /// # Errors
+    /// What the text is not: a ticket, or one of this fleet for this service.
     pub fn decode(keys: &FleetKeys, service: &str, text: &str) -> Result<Ticket> {
         let ticket = parse(text).ok_or(TicketError::Malformed)?;
         let genuine =
--- a/crates/hemlocktack-testkit/src/platform/mod.rs
+++ b/crates/hemlocktack-testkit/src/platform/mod.rs
@@ -32,6 +32,9 @@
 }
 
 /// Starts a stand-in; port 0 takes a free one.
+///
+/// # Errors
+/// The address cannot be listened on.
 pub async fn spawn(address: SocketAddr) -> Result<Platform> {
     let shared = Arc::new(Shared {
         store: store::Store::default(),
--- a/crates/hemlocktack-testkit/src/relay.rs
+++ b/crates/hemlocktack-testkit/src/relay.rs
@@ -21,6 +21,9 @@
 
 impl Relay {
     /// Listens on `address` (port 0 for a free one) in front of `target`.
+    ///
+    /// # Errors
+    /// The address cannot be listened on.
     pub async fn spawn(address: SocketAddr, target: SocketAddr) -> Result<Relay> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
--- a/crates/hemlocktack-testkit/src/upstream/mod.rs
+++ b/crates/hemlocktack-testkit/src/upstream/mod.rs
@@ -43,6 +43,9 @@
 }
 
 /// Starts a stand-in that announces itself until it is dropped.
+///
+/// # Errors
+/// The address cannot be listened on.
 pub async fn spawn(settings: Settings) -> Result<Upstream> {
     let shared_cell = Arc::new(std::sync::OnceLock::new());
     let behind_relay = settings.crash == Crash::CutConnections;
