Keep one stable hash for all nodes' numbers

FNV-1a stood in the node and in the fleet crate, with three ways of parting its inputs. Fingerprints and kinds of work have other values from here on: in a rolling upgrade old and new nodes tell each other's suspects apart, and shed levels of deeper calls are learnt anew.

--- a/crates/hemlocktack-fleet/src/configuration/watchers.rs
+++ b/crates/hemlocktack-fleet/src/configuration/watchers.rs
@@ -1,6 +1,6 @@
 //! Which nodes watch the platform.
 
-use crate::stable_hash::stable_hash;
+use hemlocktack_protocol::stable_hash;
 
 /// Whether a node is among the few of its data centre that watch the platform.
 ///
--- a/crates/hemlocktack-fleet/src/lib.rs
+++ b/crates/hemlocktack-fleet/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod keys;
 pub mod membership;
 mod peer;
-mod stable_hash;
 pub mod tickets;
 
 pub use peer::NodeIncarnation;
--- a/crates/hemlocktack-fleet/src/membership/news.rs
+++ b/crates/hemlocktack-fleet/src/membership/news.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::stable_hash::stable_hash;
+use hemlocktack_protocol::stable_hash;
 
 /// How often one record was told.
 struct Telling {
--- a/crates/hemlocktack-fleet/src/membership/table.rs
+++ b/crates/hemlocktack-fleet/src/membership/table.rs
@@ -8,7 +8,7 @@
 use hemlocktack_protocol::{Member, NodeState};
 
 use super::record::{self, Freshness};
-use crate::stable_hash::stable_hash;
+use hemlocktack_protocol::stable_hash;
 
 /// What is known of one other member.
 #[derive(Clone, Debug)]
--- a/crates/hemlocktack-node/src/calls/classify.rs
+++ b/crates/hemlocktack-node/src/calls/classify.rs
@@ -1,12 +1,11 @@
 //! What the operators' configuration and the chain above say of a call.
 
-use std::hash::Hasher;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hemlocktack_config::{Document, Service};
 use hemlocktack_decide::{Allowance, WorkKind};
-use hemlocktack_protocol::{Call, ClassRank, Fingerprint, Reason};
+use hemlocktack_protocol::{Call, ClassRank, Fingerprint, Reason, stable_hash};
 
 use super::RunningCall;
 use crate::callers::CallerRequest;
@@ -153,53 +152,23 @@
 /// Calls that match the same rule are taken to be about equal work. Every node
 /// must come to the same number.
 fn work_kind(service: &Service, method: &str, path: &str) -> WorkKind {
-    let mut hasher = StableHasher::default();
-    hasher.write(service.name.as_bytes());
-    if let Some(rule) = service.rule(method, path) {
-        hasher.write(rule.method.as_bytes());
-        hasher.write(rule.path_prefix.as_bytes());
-    }
-    hasher.finish()
+    let rule = service.rule(method, path);
+    let (method, path_prefix) = rule.map_or(("", ""), |rule| {
+        (rule.method.as_str(), rule.path_prefix.as_str())
+    });
+    stable_hash(&[
+        service.name.as_bytes(),
+        method.as_bytes(),
+        path_prefix.as_bytes(),
+    ])
 }
 
-/// Equal requests have equal fingerprints on every node, so the hash must not
-/// be seeded at random as the standard maps' are.
+/// Equal requests have equal fingerprints on every node.
 fn fingerprint(request: &CallerRequest) -> Fingerprint {
-    let mut hasher = StableHasher::default();
-    for part in [
+    stable_hash(&[
         request.service.as_bytes(),
         request.method.as_bytes(),
         request.path.as_bytes(),
         &request.body,
-    ] {
-        hasher.write(&part.len().to_be_bytes());
-        hasher.write(part);
-    }
-    hasher.finish()
-}
-
-/// FNV-1a, whose result is the same in every process.
-struct StableHasher {
-    state: u64,
-}
-
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
-
-impl Default for StableHasher {
-    fn default() -> Self {
-        Self { state: FNV_OFFSET }
-    }
-}
-
-impl Hasher for StableHasher {
-    fn write(&mut self, bytes: &[u8]) {
-        for byte in bytes {
-            self.state = (self.state ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
-        }
-    }
-
-    fn finish(&self) -> u64 {
-        self.state
-    }
+    ])
 }
--- a/crates/hemlocktack-protocol/src/lib.rs
+++ b/crates/hemlocktack-protocol/src/lib.rs
@@ -8,6 +8,7 @@
 mod ids;
 mod operators;
 mod outcome;
+mod stable_hash;
 
 pub use generated::*;
 pub use headers::{
@@ -20,3 +21,4 @@
 };
 pub use operators::{OPERATORS_SERVICE, OperatorErrorCode};
 pub use outcome::{Refusal, Unfinished};
+pub use stable_hash::stable_hash;
--- a/crates/hemlocktack-fleet/src/stable_hash.rs
+++ b/crates/hemlocktack-protocol/src/stable_hash.rs
@@ -5,7 +5,7 @@
 
 /// FNV-1a of the parts, each ended by a byte that no UTF-8 text contains,
 /// with a final mix so that close inputs end far apart.
-pub(crate) fn stable_hash(parts: &[&[u8]]) -> u64 {
+pub fn stable_hash(parts: &[&[u8]]) -> u64 {
     const END_OF_PART: u8 = 0xff;
     let mut hash = OFFSET_BASIS;
     for part in parts {
