Keep calls in flight until their answers have left

Cause: the guard that a planned stop waits for ended with the decision on a call. The answer was written after it, and an upload was read before it. So a node with nothing in flight told its listener to stop, which cut connections after its grace of 2 s + 1 s; a large answer in a link's buffer was lost with the process.

Mend: the guard is owned and taken before the body is read; it goes with the answer's body until the HTTP server has read that to its end or dropped it. On a link it is held until the socket has taken the answer or the connection is closed. Both listeners are awaited, with their short grace as before. The operators' drain limit still bounds all.

Ruled out: the sockets' own buffers. The tests' answers of 12 MB are larger, and the readers pause for 8 s.

Not proved: what the HTTP server still holds of an answer when it has read the end, and what a link's socket holds when the process exits, have the listener's grace, or the kernel, only. A caller that reads that too slowly may still be cut.

--- a/crates/hemlocktack-node/src/callers/answer.rs
+++ b/crates/hemlocktack-node/src/callers/answer.rs
@@ -1,6 +1,5 @@
 //! What a caller gets back.
 
-use std::io::Cursor;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,7 +11,9 @@
 use rocket::Response;
 use rocket::http::Status;
 
+use super::leaving::LeavingBody;
 use crate::calls::wait_before_return;
+use crate::counters::CallInFlight;
 
 /// Answer to one request of a caller, about to leave.
 pub(crate) struct CallerAnswer {
@@ -64,7 +65,8 @@
         }
     }
 
-    pub(crate) fn into_response(self) -> Response<'static> {
+    /// The call stays in flight until the answer has left or its caller has gone.
+    pub(crate) fn into_response(self, in_flight: CallInFlight) -> Response<'static> {
         let mut builder = Response::build();
         builder.status(Status::new(self.status));
         for header in self.headers {
@@ -88,7 +90,8 @@
         if let Some(traceparent) = self.traceparent {
             builder.raw_header(TRACEPARENT_HEADER, traceparent);
         }
-        builder.sized_body(self.body.len(), Cursor::new(self.body));
+        let length_bytes = self.body.len();
+        builder.sized_body(length_bytes, LeavingBody::new(self.body, in_flight));
         builder.finalize()
     }
 }
--- a/crates/hemlocktack-node/src/callers/mod.rs
+++ b/crates/hemlocktack-node/src/callers/mod.rs
@@ -1,6 +1,7 @@
 //! The callers' side: HTTP in, HTTP out.
 
 mod answer;
+mod leaving;
 mod observe;
 mod request;
 mod routes;
--- a/crates/hemlocktack-node/src/callers/routes.rs
+++ b/crates/hemlocktack-node/src/callers/routes.rs
@@ -45,13 +45,14 @@
 #[async_trait]
 impl Handler for AnyPath {
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let in_flight = self.node.enter_call();
         let entry = ObservedEntry::begin(&self.node, request);
         let answer = match read(&self.node, request, data).await {
             Ok(call) => calls::enter(&self.node, entry.pass_trace(call)).await,
             Err(reason) => CallerAnswer::refused(reason),
         };
         let answer = entry.end(&self.node, request, answer);
-        Outcome::Success(answer.into_response())
+        Outcome::Success(answer.into_response(in_flight))
     }
 }
 
--- a/crates/hemlocktack-node/src/calls/enter.rs
+++ b/crates/hemlocktack-node/src/calls/enter.rs
@@ -9,9 +9,9 @@
 use crate::callers::{CallerAnswer, CallerRequest};
 use crate::node::Node;
 
-/// Takes a request and answers it as soon as its end is known.
+/// Takes a request and answers it as soon as its end is known. It is counted
+/// as in flight by whoever reads it and sends its answer.
 pub(crate) async fn enter(node: &Arc<Node>, request: CallerRequest) -> CallerAnswer {
-    let _in_flight = node.enter_call();
     let started = Instant::now();
     let has_key = request.idempotency_key.is_some();
     let mut classified = match classify(node, request, started) {
--- a/crates/hemlocktack-node/src/calls/receive.rs
+++ b/crates/hemlocktack-node/src/calls/receive.rs
@@ -13,13 +13,13 @@
 use crate::node::Node;
 use crate::telemetry::{ObservedSpan, request_line};
 
-/// Treats a call by its purpose and answers with what became of it.
+/// Treats a call by its purpose and answers with what became of it. It is
+/// counted as in flight by whoever sends the answer.
 pub(crate) async fn receive(
     node: &Arc<Node>,
     mut call: Call,
     cancelled: &CancellationToken,
 ) -> Answer {
-    let _in_flight = node.enter_call();
     node.counters.demanded();
     let span = ObservedSpan::begin(node, SpanName::Hop, &mut call);
     let what = request_line(&call.method, &call.path);
--- a/crates/hemlocktack-node/src/counters.rs
+++ b/crates/hemlocktack-node/src/counters.rs
@@ -1,5 +1,6 @@
 //! Counts of calls, kept without locks on the request path.
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use hemlocktack_protocol::{Reason, RefusalCount};
@@ -10,22 +11,22 @@
 
 /// Counts since the node's start.
 pub(crate) struct Counters {
-    in_flight: AtomicU64,
+    in_flight: Arc<AtomicU64>,
     demanded: AtomicU64,
     admitted: AtomicU64,
     retried: AtomicU64,
     refused: [AtomicU64; REASON_NUMBERS],
 }
 
-/// One call in flight.
-pub(crate) struct CallInFlight<'a> {
-    in_flight: &'a AtomicU64,
+/// One call in flight; goes wherever its answer goes.
+pub(crate) struct CallInFlight {
+    in_flight: Arc<AtomicU64>,
 }
 
 impl Default for Counters {
     fn default() -> Self {
         Self {
-            in_flight: AtomicU64::new(0),
+            in_flight: Arc::default(),
             demanded: AtomicU64::new(0),
             admitted: AtomicU64::new(0),
             retried: AtomicU64::new(0),
@@ -36,10 +37,10 @@
 
 impl Counters {
     /// Counts a call until the guard goes; a planned stop waits for all guards.
-    pub(crate) fn enter_call(&self) -> CallInFlight<'_> {
+    pub(crate) fn enter_call(&self) -> CallInFlight {
         self.in_flight.fetch_add(1, Ordering::AcqRel);
         CallInFlight {
-            in_flight: &self.in_flight,
+            in_flight: self.in_flight.clone(),
         }
     }
 
@@ -100,7 +101,7 @@
     }
 }
 
-impl Drop for CallInFlight<'_> {
+impl Drop for CallInFlight {
     fn drop(&mut self) {
         self.in_flight.fetch_sub(1, Ordering::AcqRel);
     }
--- a/crates/hemlocktack-node/src/links/connection.rs
+++ b/crates/hemlocktack-node/src/links/connection.rs
@@ -29,6 +29,8 @@
     left_over: Notify,
     /// There is room in the outbox again.
     has_room: Notify,
+    /// The socket took bytes.
+    progress: Notify,
     closed: watch::Sender<bool>,
 }
 
@@ -37,6 +39,8 @@
     socket: Option<Arc<OwnedWriteHalf>>,
     codec: FrameCodec,
     bytes: BytesMut,
+    /// What the socket has taken since the start.
+    written_bytes: u64,
     /// The writer task waits for the socket; what is added goes behind.
     is_blocked: bool,
 }
@@ -47,12 +51,14 @@
             socket: Some(Arc::new(socket)),
             codec: FrameCodec::new(),
             bytes: BytesMut::new(),
+            written_bytes: 0,
             is_blocked: false,
         };
         let shared = Arc::new(Shared {
             outbox: Mutex::new(outbox),
             left_over: Notify::new(),
             has_room: Notify::new(),
+            progress: Notify::new(),
             closed: watch::Sender::new(false),
         });
         tokio::spawn(write_left_overs(shared.clone()));
@@ -96,6 +102,24 @@
         }
     }
 
+    /// Waits until all that was sent so far is with the socket, or until the
+    /// connection is closed.
+    pub(crate) async fn flushed(&self) {
+        let end_bytes = self.shared.outbox().end_bytes();
+        loop {
+            let progress = self.shared.progress.notified();
+            tokio::pin!(progress);
+            progress.as_mut().enable();
+            if self.is_closed() || self.shared.outbox().written_bytes >= end_bytes {
+                return;
+            }
+            tokio::select! {
+                () = progress => {}
+                () = self.closed() => return,
+            }
+        }
+    }
+
     pub(crate) fn is_closed(&self) -> bool {
         *self.shared.closed.borrow()
     }
@@ -117,6 +141,11 @@
         self.socket.is_some() && self.codec.encode(frame, &mut self.bytes).is_ok()
     }
 
+    /// Position behind the last frame, counted as `written_bytes` is.
+    fn end_bytes(&self) -> u64 {
+        self.written_bytes + self.bytes.len() as u64
+    }
+
     fn write(&mut self) -> std::io::Result<()> {
         let Some(socket) = &self.socket else {
             return Err(ErrorKind::NotConnected.into());
@@ -124,7 +153,10 @@
         while !self.bytes.is_empty() {
             match socket.try_write(&self.bytes) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(written) => self.bytes.advance(written),
+                Ok(written) => {
+                    self.bytes.advance(written);
+                    self.written_bytes += written as u64;
+                }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     self.is_blocked = true;
                     return Ok(());
@@ -156,7 +188,9 @@
 
     /// Writes until the outbox is empty or the socket takes no more.
     fn write(&self, outbox: &mut Outbox) {
-        match outbox.write() {
+        let written = outbox.write();
+        self.progress.notify_waiters();
+        match written {
             Ok(()) if outbox.is_blocked => self.left_over.notify_one(),
             Ok(()) => self.has_room.notify_waiters(),
             Err(_) => self.close_with(outbox),
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -112,9 +112,14 @@
             .is_empty()
     }
 
-    async fn send(&self, body: frame::Body) {
+    /// Sends and waits until the frame has left.
+    ///
+    /// Failure: a node stops while a large answer waits for a sender that reads
+    /// slowly; the sender would get a part of it and a closed link.
+    async fn send_out(&self, body: frame::Body) {
         if let Some(connection) = self.connection.load_full() {
             connection.send(body).await;
+            connection.flushed().await;
         }
     }
 }
@@ -202,6 +207,7 @@
         return;
     }
     let cancelled = sender.register_cancellation(call.call_id);
+    let in_flight = node.enter_call();
     let node = node.clone();
     let sender = sender.clone();
     tokio::spawn(async move {
@@ -209,13 +215,14 @@
         let mut answer = calls::receive(&node, call, &cancelled).await;
         answer.call_id = call_id;
         finish_call(&node, &sender, answer).await;
+        drop(in_flight);
     });
 }
 
 async fn finish_call(node: &Node, sender: &Sender, answer: Answer) {
     sender.forget_cancellation(answer.call_id);
     node.senders.finish(sender, &answer);
-    sender.send(frame::Body::Answer(answer)).await;
+    sender.send_out(frame::Body::Answer(answer)).await;
     node.senders.disconnected(sender);
 }
 
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -329,7 +329,7 @@
     }
 
     /// Counts a call as in flight until the guard goes.
-    pub(crate) fn enter_call(&self) -> CallInFlight<'_> {
+    pub(crate) fn enter_call(&self) -> CallInFlight {
         self.counters.enter_call()
     }
 
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -20,8 +20,8 @@
 /// Result of starting a node.
 pub(crate) type Result<T> = std::result::Result<T, StartError>;
 
-/// Seconds in which the last answers leave after the drain. They are in memory,
-/// 16 MB at most; longer waits would only serve connections that are kept open
+/// Seconds in which the last pieces of answers leave after the drain, which has
+/// waited for all but what the HTTP server holds of each; longer waits would only serve connections that are kept open
 /// with nothing on them, which the framework waits for as well.
 const LAST_ANSWERS_S: u32 = 2;
 /// Seconds in which connections close after that.
@@ -155,8 +155,9 @@
     for shutdown in shutdowns {
         shutdown.notify();
     }
-    // The calls have ended, but their answers may still be on their way out.
-    let _ = callers.await;
+    // The calls have ended, but the last pieces of answers, and an operator's
+    // answer on the control port, may still be on their way out.
+    let _ = tokio::join!(callers, control);
     Ok(())
 }
 
--- a/crates/hemlocktack-node/tests/processes/frames.rs
+++ b/crates/hemlocktack-node/tests/processes/frames.rs
@@ -11,30 +11,35 @@
 
 use crate::harness::{FLEET_KEY, Fleet, Node, PATIENCE, Plan};
 
-type Link = Framed<TcpStream, LengthDelimitedCodec>;
+pub(crate) type Link = Framed<TcpStream, LengthDelimitedCodec>;
 
 /// A field number that no schema has yet.
 const FIELD_OF_THE_FUTURE: u32 = 4_000;
 const OWN_INCARNATION: u64 = 7;
+/// As in the node; the codec's own default is smaller.
+const FRAME_LIMIT_BYTES: usize = 32 << 20;
 
 async fn connect(node: &Node) -> Link {
     let stream = TcpStream::connect(node.link).await.unwrap();
-    Framed::new(stream, LengthDelimitedCodec::new())
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(FRAME_LIMIT_BYTES)
+        .new_codec();
+    Framed::new(stream, codec)
 }
 
-async fn send(link: &mut Link, body: frame::Body) {
+pub(crate) async fn send(link: &mut Link, body: frame::Body) {
     let frame = Frame { body: Some(body) };
     link.send(Bytes::from(frame.encode_to_vec())).await.unwrap();
 }
 
 /// The next frame; `None` where the node has closed the link.
-async fn receive(link: &mut Link) -> Option<frame::Body> {
+pub(crate) async fn receive(link: &mut Link) -> Option<frame::Body> {
     let bytes: BytesMut = link.next().await?.ok()?;
     Frame::decode(bytes.freeze()).unwrap().body
 }
 
 /// Opens a link as a node with that fleet key does.
-async fn open(node: &Node, fleet_key: &str) -> Link {
+pub(crate) async fn open(node: &Node, fleet_key: &str) -> Link {
     let (mut link, proof) = open_up_to_proof(node, fleet_key).await;
     send(&mut link, frame::Body::Proof(proof)).await;
     link
--- a/crates/hemlocktack-node/tests/processes/harness/document.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/document.rs
@@ -1,6 +1,7 @@
 //! The operators' document of these tests.
 
-/// Three services; what is asked by POST may not be repeated.
+/// Three services; what is asked by POST may not be repeated. Answers of the
+/// keys may be large.
 pub(crate) const DOCUMENT: &str = r#"
 [limits]
 drain_limit_ms = 30000
@@ -54,6 +55,7 @@
 
 [[services]]
 name = "keys"
+answer_limit_bytes = 16777216
 
 [[services.requests]]
 method = "GET"
--- a/crates/hemlocktack-node/tests/processes/stop.rs
+++ b/crates/hemlocktack-node/tests/processes/stop.rs
@@ -2,7 +2,14 @@
 
 use std::time::Duration;
 
-use crate::harness::{Booking, Fleet, Load, Plan, Reply, assert_honest, book};
+use hemlocktack_protocol::{Call, CallPurpose, frame};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::frames;
+use crate::harness::{
+    Booking, FLEET_KEY, Fleet, Load, Node, Plan, Reply, assert_honest, book, wait_until,
+};
 
 const PATH: &str = "diaries/appointments";
 const BROWSERS: usize = 3;
@@ -14,6 +21,19 @@
 const LEAVING: Duration = Duration::from_secs(1);
 /// Longer than the HTTP listener's own grace, which would let calls end too.
 const LONG_SERVICE_MS: u64 = 7_000;
+/// More than the sockets on both sides hold.
+const LARGE_ANSWER_BYTES: usize = 12_000_000;
+/// The HTTP server hands an upload over once its first few bytes have come.
+const UPLOAD_BYTES: usize = 2_000;
+/// For which a reader pauses: longer than the drain of an idle node together
+/// with the HTTP listener's own grace, and shorter than the drain limit.
+const READERS_PAUSE: Duration = Duration::from_secs(8);
+
+/// Tells the node to stop and pauses until an idle node would have ended.
+async fn stop_and_pause(node: &Node) {
+    node.process.signal("TERM");
+    tokio::time::sleep(READERS_PAUSE).await;
+}
 
 fn assert_nothing_cut(asked: &[Booking]) {
     let is_cut = |reply: &Reply| ["cut", "unknown", "not-sent"].contains(&reply.outcome.as_str());
@@ -131,3 +151,79 @@
     assert_nothing_cut(&asked);
     assert_eq!(upstream.counts().await.all_starts(), starts_before);
 }
+
+/// A phone asks a node for a large page and reads it slowly. The page is ready,
+/// so nothing runs any more when the node is stopped, but most of it has not
+/// left yet. The phone gets all of it before the node ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_answer_that_is_read_slowly_is_whole() {
+    let mut fleet = Fleet::start(&[Plan::new("keys", 1)]).await;
+    let url = format!(
+        "http://{}/keys/box?padding-bytes={LARGE_ANSWER_BYTES}",
+        fleet.nodes[0].callers
+    );
+    let answer = reqwest::get(url).await.unwrap();
+    assert_eq!(answer.status(), 200);
+    stop_and_pause(&fleet.nodes[0]).await;
+    let body = answer.bytes().await.expect("the answer is cut");
+    assert!(body.len() > LARGE_ANSWER_BYTES);
+    assert_eq!(fleet.nodes[0].process.exit_code().await, Some(0));
+}
+
+/// Another node sent a call and reads its link slowly. The answer waits in the
+/// link's buffer when the node that ran the call is stopped. It is whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_answer_to_a_slow_node_is_whole() {
+    let mut fleet = Fleet::start(&[Plan::new("keys", 1)]).await;
+    let mut link = frames::open(&fleet.nodes[0], FLEET_KEY).await;
+    let call = Call {
+        call_id: 1,
+        service: "keys".to_owned(),
+        purpose: CallPurpose::Placed.into(),
+        method: "GET".to_owned(),
+        path: format!("/box?marker=slow&padding-bytes={LARGE_ANSWER_BYTES}"),
+        time_left_us: Duration::from_secs(10).as_micros() as u64,
+        ..Call::default()
+    };
+    frames::send(&mut link, frame::Body::Call(call)).await;
+    fleet.wait_for_start("keys", "slow").await;
+    stop_and_pause(&fleet.nodes[0]).await;
+    let answer = loop {
+        match frames::receive(&mut link).await {
+            Some(frame::Body::Answer(answer)) => break answer,
+            Some(_) => {}
+            None => panic!("the answer is cut"),
+        }
+    };
+    assert!(answer.body.len() > LARGE_ANSWER_BYTES);
+    assert_eq!(fleet.nodes[0].process.exit_code().await, Some(0));
+}
+
+/// A caller is half-way through its upload when the node is stopped. The node
+/// takes nothing new by the time the rest comes, but says so with a whole
+/// answer; the caller is not left with a cut connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upload_that_is_under_way_gets_an_answer() {
+    let mut fleet = Fleet::start(&[Plan::new("diaries", 1)]).await;
+    let node = &fleet.nodes[0];
+    let mut upload = TcpStream::connect(node.callers).await.unwrap();
+    let half = "x".repeat(UPLOAD_BYTES / 2);
+    let head = format!(
+        "POST /diaries/appointments HTTP/1.1\r\nHost: diaries\r\n\
+         Content-Length: {UPLOAD_BYTES}\r\nConnection: close\r\n\r\n{half}"
+    );
+    upload.write_all(head.as_bytes()).await.unwrap();
+    wait_until("the upload is counted", || async {
+        let in_flight = node.metric("hemlocktack_in_flight_calls").await;
+        in_flight.is_some_and(|count| count == "1")
+    })
+    .await;
+    stop_and_pause(node).await;
+    upload.write_all(half.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    upload.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("hemlocktack-outcome: not-run"), "{answer}");
+    assert!(answer.contains("hemlocktack-reason: draining"), "{answer}");
+    assert_eq!(fleet.nodes[0].process.exit_code().await, Some(0));
+}
