Say unknown of a re-send that fails before it is placed

Cause: a request whose body could not be read was refused past the rule for requests with a ticket, and an undeclared kind of caller was not in that rule's list. Both depend on the configuration that this node has: another generation may have let an earlier send run. Told not-run, the caller books twice.

Mend: the caller port sends failures of reading through the same rule, and malformed requests are in its list. That includes a malformed timeout and a cut body: an earlier send of the same ticket may have had a good one.

Not tested: the same re-send to a node without any configuration. It takes the same path with the limit that holds before the first one.

--- a/crates/hemlocktack-node/src/callers/request.rs
+++ b/crates/hemlocktack-node/src/callers/request.rs
@@ -67,6 +67,11 @@
     })
 }
 
+/// Whether the request may have been sent before, with the same ticket.
+pub(crate) fn has_key(request: &Request<'_>) -> bool {
+    request.headers().contains(IDEMPOTENCY_KEY_HEADER)
+}
+
 /// Whether a header goes on to the next party.
 pub(crate) fn is_passed_on(name: &str) -> bool {
     !is_own_header(name)
--- a/crates/hemlocktack-node/src/callers/routes.rs
+++ b/crates/hemlocktack-node/src/callers/routes.rs
@@ -10,7 +10,7 @@
 use rocket::{Request, async_trait};
 
 use super::observe::ObservedEntry;
-use super::{CallerAnswer, CallerRequest, read_head};
+use super::{CallerRequest, has_key, read_head};
 use crate::calls;
 use crate::node::Node;
 
@@ -49,7 +49,7 @@
         let entry = ObservedEntry::begin(&self.node, request);
         let answer = match read(&self.node, request, data).await {
             Ok(call) => calls::enter(&self.node, entry.pass_trace(call)).await,
-            Err(reason) => CallerAnswer::refused(reason),
+            Err(reason) => calls::refusal(reason, has_key(request)),
         };
         let answer = entry.end(&self.node, request, answer);
         Outcome::Success(answer.into_response(in_flight))
--- a/crates/hemlocktack-node/src/calls/enter.rs
+++ b/crates/hemlocktack-node/src/calls/enter.rs
@@ -33,17 +33,20 @@
 /// Failure: a booking runs through one node, its answer is lost, and the caller
 /// sends it again to a node that drains. Told `not_run`, the caller would book
 /// once more with a fresh ticket. A request with a key may have been sent
-/// before, so a refusal that depends on the node says nothing of it.
-fn refusal(reason: Reason, may_have_been_sent: bool) -> CallerAnswer {
-    let depends_on_node = matches!(
+/// before, so a refusal that depends on the node, on its configuration or on
+/// what the caller sent this time says nothing of it.
+pub(crate) fn refusal(reason: Reason, may_have_been_sent: bool) -> CallerAnswer {
+    let is_of_this_send = matches!(
         reason,
         Reason::UnknownService
             | Reason::BodyTooLarge
+            // A limit or a kind of caller that another generation has, or a cut body.
+            | Reason::MalformedRequest
             | Reason::ContextExpired
             | Reason::Starting
             | Reason::Draining
     );
-    if may_have_been_sent && depends_on_node {
+    if may_have_been_sent && is_of_this_send {
         return CallerAnswer::from_answer(unknown(reason));
     }
     CallerAnswer::refused(reason)
--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -20,7 +20,7 @@
 pub(crate) use context::{ContextTable, RunningCall};
 pub(crate) use desk::Desk;
 pub(crate) use ends::{not_run, unknown};
-pub(crate) use enter::enter;
+pub(crate) use enter::{enter, refusal};
 pub(crate) use home::Home;
 pub(crate) use place::wait_before_return;
 pub(crate) use receive::receive;
--- a/crates/hemlocktack-node/tests/processes/tickets.rs
+++ b/crates/hemlocktack-node/tests/processes/tickets.rs
@@ -2,7 +2,7 @@
 
 use reqwest::Method;
 
-use crate::harness::{Caller, FLEET_KEY, Fleet, Plan, Reply, wait_until};
+use crate::harness::{Caller, DOCUMENT, FLEET_KEY, Fleet, Plan, Reply, wait_until};
 
 const PATH: &str = "diaries/appointments";
 /// Keeps the entry alive for the whole test, within the families' patience.
@@ -127,3 +127,47 @@
     let late = send(&fleet.caller(0), "before", &old_ticket).await;
     assert_eq!(late.verdict(), "409 unknown ticket-foreign");
 }
+
+/// Two bookings ran and their answers were lost. Then operators lower the limit
+/// on bodies and drop a kind of caller, and both are sent again. A node that
+/// refuses them by its present configuration cannot know of the first sends:
+/// told `not-run`, the callers would book a second time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_changed_configuration_does_not_vouch_for_earlier_sends() {
+    const LISTINGS: &str = "listings/viewings";
+    let fleet = Fleet::start(&[Plan::new("listings", 1)]).await;
+    let caller = fleet.caller(0);
+    let long_body = "x".repeat(3_000);
+    let large = caller.ticket(LISTINGS, "large").await;
+    let at_kiosk = caller.ticket(LISTINGS, "kiosk").await;
+    let headers = |ticket| [("x-marker", "large"), ("idempotency-key", ticket)];
+    let send_large = async |ticket| {
+        caller
+            .send(Method::POST, LISTINGS, &headers(ticket), &long_body)
+            .await
+    };
+    let kiosk = [
+        ("x-marker", "kiosk"),
+        ("idempotency-key", at_kiosk.as_str()),
+        ("hemlocktack-caller-kind", "kiosk"),
+    ];
+    assert!(send_large(&large).await.is_answered());
+    let first = caller.send(Method::POST, LISTINGS, &kiosk, "").await;
+    assert!(first.is_answered(), "{first:?}");
+    let changed = DOCUMENT
+        .replace("body_limit_bytes = 4096", "body_limit_bytes = 1024")
+        .replace("name = \"kiosk\"", "name = \"counter\"");
+    let applied = fleet.operator(0, "asha").apply(&changed, 1).await;
+    assert_eq!(applied.exit_code, 0, "{applied:?}");
+    wait_until("the lower limit is in force", || async {
+        let unticketed = caller.send(Method::POST, LISTINGS, &[], &long_body).await;
+        unticketed.verdict() == "413 not-run body-too-large"
+    })
+    .await;
+    let again = send_large(&large).await;
+    assert_eq!(again.verdict(), "413 unknown body-too-large");
+    assert!(again.ticket.is_none());
+    let again = caller.send(Method::POST, LISTINGS, &kiosk, "").await;
+    assert_eq!(again.verdict(), "400 unknown malformed-request");
+    assert!(again.ticket.is_none());
+}
