--- a/crates/hemlocktack-node/src/callers/routes.rs
+++ b/crates/hemlocktack-node/src/callers/routes.rs
@@ -10,7 +10,7 @@
 use rocket::{Request, async_trait};
 
 use super::observe::ObservedEntry;
-use super::{CallerAnswer, CallerRequest, read_head};
+use super::{CallerRequest, has_key, read_head};
 use crate::calls;
 use crate::node::Node;
 
@@ -45,13 +45,14 @@
 #[async_trait]
 impl Handler for AnyPath {
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let in_flight = self.node.enter_call();
         let entry = ObservedEntry::begin(&self.node, request);
         let answer = match read(&self.node, request, data).await {
             Ok(call) => calls::enter(&self.node, entry.pass_trace(call)).await,
-            Err(reason) => CallerAnswer::refused(reason),
+            Err(reason) => calls::refusal(reason, has_key(request)),
         };
         let answer = entry.end(&self.node, request, answer);
-        Outcome::Success(answer.into_response())
+        Outcome::Success(answer.into_response(in_flight))
     }
 }
 
