Count a configuration as in force only if this version reads it

Cause: the follower counted every stored document of a higher generation as current and as caught up, and left reading it to the node, which logged a document it could not read and kept nothing. An older binary started against a document with a newer field published Ready and refused every call as starting; and a running one counted a generation that it lacks.

Now the state machine asks can_read before it counts a document. One that cannot be read is reported once, is not in force and makes no node ready; a starting node does not become ready by an older one that a peer still has either, as operators were told of the newer. Peers are not asked again for a generation that was seen, and a starting node that is behind asks the platform every 15 to 30 s instead of twice a second: it hears of a newer one from peers. Relaying is as before: what is in force, as stored bytes.

--- a/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
@@ -409,6 +409,9 @@
                     let actions = process.membership.set_generation(generation, &mut self.rng);
                     self.act(number, process, actions);
                 }
+                ConfigurationAction::ReportUnreadable { generation } => {
+                    return Err(format!("{number} cannot read {generation}"));
+                }
                 ConfigurationAction::CaughtUp => {
                     self.note(format!("{number} caught up"));
                     self.checks
--- a/crates/hemlocktack-fleet/src/configuration/in_force.rs
+++ b/crates/hemlocktack-fleet/src/configuration/in_force.rs
@@ -37,6 +37,11 @@
         /// The document, as stored.
         document: ConfigurationDocument,
     },
+    /// Tell the operators that this version cannot read a document.
+    ReportUnreadable {
+        /// Its generation.
+        generation: Generation,
+    },
     /// This node may take calls now.
     CaughtUp,
 }
@@ -63,6 +68,8 @@
 pub struct InForce {
     settings: ConfigurationSettings,
     current: Option<ConfigurationDocument>,
+    /// Highest generation seen that this version cannot read.
+    unreadable: Generation,
     caught_up: bool,
     heard: BTreeMap<String, Generation>,
     answered: BTreeSet<String>,
@@ -78,6 +85,7 @@
         Self {
             settings,
             current: None,
+            unreadable: 0,
             caught_up: false,
             heard: BTreeMap::new(),
             answered: BTreeSet::new(),
@@ -95,6 +103,16 @@
             .map_or(0, |document| document.generation)
     }
 
+    /// Whether a newer document than the one in force could not be read.
+    fn is_behind(&self) -> bool {
+        self.unreadable > self.generation()
+    }
+
+    /// Highest generation seen, readable or not: peers are not asked for it again.
+    fn newest_seen(&self) -> Generation {
+        self.generation().max(self.unreadable)
+    }
+
     /// Document in force, for peers that pull it.
     pub fn current(&self) -> Option<&ConfigurationDocument> {
         self.current.as_ref()
@@ -130,7 +148,7 @@
 
     /// A peer says that it has a higher generation in force.
     pub fn hear(&mut self, node_id: &str, generation: Generation) {
-        if generation <= self.generation() {
+        if generation <= self.newest_seen() {
             return;
         }
         self.heard.insert(node_id.to_owned(), generation);
@@ -159,12 +177,12 @@
         rng: &mut impl Rng,
     ) -> Vec<ConfigurationAction> {
         let mut actions = Vec::new();
-        let pause = self.pause_after_answer(view, rng);
-        self.platform.succeed(now, pause);
         if let Some(document) = document {
             self.take(document, &mut actions);
         }
-        if self.current.is_some() {
+        let pause = self.pause_after_answer(view, rng);
+        self.platform.succeed(now, pause);
+        if self.current.is_some() && !self.is_behind() {
             self.catch_up(&mut actions);
         }
         actions
@@ -240,12 +258,26 @@
         if document.generation == 0 || (keeps && !is_higher) {
             return;
         }
-        self.current = Some(document.clone());
         let generation = document.generation;
         self.heard.retain(|_, heard| *heard > generation);
+        if !(self.settings.can_read)(&document) {
+            self.leave_aside(generation, actions);
+            return;
+        }
+        self.current = Some(document.clone());
         actions.push(ConfigurationAction::Install { document });
     }
 
+    /// A document with a field of a newer version is not in force here, whatever
+    /// its generation. Were it counted so, a starting node would call itself
+    /// ready with nothing to decide by, and refuse every call sent to it.
+    fn leave_aside(&mut self, generation: Generation, actions: &mut Vec<ConfigurationAction>) {
+        if generation > self.unreadable {
+            self.unreadable = generation;
+            actions.push(ConfigurationAction::ReportUnreadable { generation });
+        }
+    }
+
     fn ask_platform(
         &mut self,
         now: Instant,
@@ -275,11 +307,19 @@
     }
 
     /// A watcher asks again at once; a starting fleet without any document
-    /// asks soon; all others seldom, at times drawn apart.
+    /// asks soon; all others seldom, at times drawn apart. A node that cannot
+    /// read the document hears of a newer one from peers as well, and a whole
+    /// fleet of an older version must not use up the platform's rates.
     fn pause_after_answer(&self, view: &PeersView, rng: &mut impl Rng) -> Duration {
         if self.watches(view) && self.caught_up {
             return Duration::ZERO;
         }
+        if !self.caught_up && self.is_behind() {
+            return self
+                .settings
+                .backoff_limit
+                .mul_f64(rng.random_range(0.5..1.0));
+        }
         if !self.caught_up {
             return self.settings.backoff_base;
         }
@@ -305,7 +345,7 @@
             node_id: node_id.clone(),
             sent: now,
         });
-        let above = self.generation();
+        let above = self.newest_seen();
         actions.push(ConfigurationAction::Pull { node_id, above });
     }
 
@@ -330,7 +370,8 @@
         }
         let needed = self.settings.catch_up_peers.min(view.ready.len()).max(1);
         let is_enough = self.answered.len() >= needed && self.heard.is_empty();
-        if self.current.is_some() && self.platform.has_failed() && is_enough {
+        let has_newest = self.current.is_some() && !self.is_behind();
+        if has_newest && self.platform.has_failed() && is_enough {
             self.catch_up(actions);
         }
     }
--- a/crates/hemlocktack-fleet/src/configuration/settings.rs
+++ b/crates/hemlocktack-fleet/src/configuration/settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hemlocktack_protocol::ConfigurationDocument;
 use strum::{Display, EnumIter, EnumString};
 
 /// A rule that a mutation run switches off, to show that the run notices.
@@ -41,6 +42,8 @@
     /// A node that does not watch reads the platform this seldom, lest some
     /// news was lost.
     pub backstop_period: Duration,
+    /// Whether this version of the node can bring a document into force.
+    pub can_read: fn(&ConfigurationDocument) -> bool,
     /// Rule that a mutation run leaves out.
     pub without: Option<ConfigurationSafeguard>,
 }
@@ -56,6 +59,7 @@
             backoff_base: Duration::from_millis(500),
             backoff_limit: Duration::from_secs(30),
             backstop_period: Duration::from_secs(5 * 60),
+            can_read: |_| true,
             without: None,
         }
     }
--- a/crates/hemlocktack-fleet/tests/configuration/main.rs
+++ b/crates/hemlocktack-fleet/tests/configuration/main.rs
@@ -99,3 +99,61 @@
         assert_eq!(names.iter().filter(watches).count(), size.min(2));
     }
 }
+
+fn unreadable(generation: Generation) -> ConfigurationDocument {
+    ConfigurationDocument {
+        document: "a newer field".to_owned(),
+        ..document(generation)
+    }
+}
+
+fn older_version(now: Instant) -> InForce {
+    let settings = ConfigurationSettings {
+        can_read: |document| document.document == "text",
+        ..ConfigurationSettings::default()
+    };
+    InForce::new(settings, now)
+}
+
+/// An older binary starts while the stored document has a newer field. Were it
+/// ready, it would refuse every call that others send it, or decide by a
+/// configuration that was replaced. It waits for a document that it can read.
+#[test]
+fn an_unreadable_document_makes_no_node_ready() {
+    let now = Instant::now();
+    let view = peers(&["a"]);
+    let mut in_force = older_version(now);
+    in_force.platform_answered(now, Some(unreadable(5)), &view, &mut rng());
+    assert!(!in_force.is_caught_up());
+    assert_eq!(in_force.generation(), 0);
+    in_force.peer_answered(now, "a", 4, Some(document(4)));
+    in_force.platform_answered(now, Some(unreadable(5)), &view, &mut rng());
+    in_force.platform_failed(now, &mut rng());
+    in_force.tick(now, &view, &mut rng());
+    assert!(!in_force.is_caught_up());
+    let actions = in_force.platform_answered(now, Some(document(6)), &view, &mut rng());
+    assert!(actions.contains(&ConfigurationAction::CaughtUp));
+    assert_eq!(in_force.generation(), 6);
+}
+
+/// A running node hears of a document that it cannot read, from everywhere and
+/// repeatedly. It goes on with the one before, and asks peers for it no more.
+#[test]
+fn an_unreadable_document_leaves_the_older_in_force() {
+    let now = Instant::now();
+    let view = PeersView::default();
+    let mut in_force = older_version(now);
+    in_force.platform_answered(now, Some(document(3)), &view, &mut rng());
+    let mut actions = in_force.stored_here(unreadable(4));
+    actions.extend(in_force.platform_answered(now, Some(unreadable(4)), &view, &mut rng()));
+    actions.extend(in_force.peer_answered(now, "a", 4, Some(unreadable(4))));
+    in_force.hear("b", 4);
+    actions.extend(in_force.tick(now, &view, &mut rng()));
+    let is_install =
+        |action: &ConfigurationAction| matches!(action, ConfigurationAction::Install { .. });
+    let is_pull = |action: &ConfigurationAction| matches!(action, ConfigurationAction::Pull { .. });
+    assert!(!actions.iter().any(is_install), "{actions:?}");
+    assert!(!actions.iter().any(is_pull), "{actions:?}");
+    assert!(in_force.is_caught_up());
+    assert_eq!(in_force.current(), Some(&document(3)));
+}
--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -48,7 +48,10 @@
     let Some(events) = node.take_configuration_events() else {
         return Ok(());
     };
-    let settings = ConfigurationSettings::default();
+    let settings = ConfigurationSettings {
+        can_read: |stored| hemlocktack_config::parse(&stored.document).is_ok(),
+        ..ConfigurationSettings::default()
+    };
     let follower = Follower {
         watchers: settings.watchers_per_data_centre,
         pull_timeout: settings.pull_timeout,
@@ -144,6 +147,9 @@
                     self.node.take_configuration(document);
                     self.node.signals.own_changed.notify_one();
                 }
+                ConfigurationAction::ReportUnreadable { generation } => {
+                    log_event!(LogEvent::ConfigurationUnreadable, generation);
+                }
                 ConfigurationAction::CaughtUp => {
                     log_event!(LogEvent::NodeReady);
                     self.node.live(|life, _| life.caught_up());
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -166,8 +166,8 @@
         self.in_force.load_full()
     }
 
-    /// Puts a higher generation in force; a lower or equal one, and one that
-    /// this version cannot read, is left aside.
+    /// Puts a higher generation in force; a lower or equal one is left aside.
+    /// The task that follows the configuration has found that it can be read.
     pub(crate) fn take_configuration(&self, stored: ConfigurationDocument) {
         let Ok(document) = hemlocktack_config::parse(&stored.document) else {
             let generation = stored.generation;
