Watch from the revision that was told, and pause after a 410

Cause: the follower watched from the configuration's own version. Nodes write their records all the time, so a store that keeps a limited past forgets that version; the watch got 410, the store client read the object, got the same version, and the next watch was refused at once: a watch and a read in a loop without a pause, out of the budget of the node. A version kept as the highest seen did the same after the store lost newer writes.

Now reads of the follower are lists, which tell the revision, and watches go on from the revision of the last answer. A 410 is told to the state machine, which reads at once and watches again after 1 to 2 s. The stand-in can forget all but its newest revision (forgets_revisions).

The contract test of watches asserted that watch_newer reads by itself after a 410. It now asserts RevisionGone and that read_to_watch tells the same configuration, which is as strict: who reads has changed, not what.

Before: the new state machine test with the pause taken out (a trial) fails with 1498 watches in 300 s of virtual time, at 10 ticks a second; the bound is 300. The contract test is of new calls and shows the refused watch from the version beside the good one from the revision.

Not covered: no process test switches forgets_revisions on.

--- a/crates/hemlocktack-fleet/src/configuration/in_force.rs
+++ b/crates/hemlocktack-fleet/src/configuration/in_force.rs
@@ -13,6 +13,10 @@
 /// Peers with a higher generation that are remembered.
 const HEARD_LIMIT: usize = 8;
 
+/// Longest pause before a watch that follows a refused one: a change is still
+/// in force within seconds.
+const REWATCH_PAUSE: Duration = Duration::from_secs(2);
+
 /// What the runtime has to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ConfigurationAction {
@@ -77,6 +81,8 @@
     next_pull: Instant,
     platform: PlatformCalls,
     was_watcher: bool,
+    /// The store no longer knows the revision that was watched from.
+    is_revision_gone: bool,
 }
 
 impl InForce {
@@ -93,6 +99,7 @@
             next_pull: now,
             platform: PlatformCalls::new(now),
             was_watcher: false,
+            is_revision_gone: false,
         }
     }
 
@@ -182,12 +189,20 @@
         }
         let pause = self.pause_after_answer(view, rng);
         self.platform.succeed(now, pause);
+        self.is_revision_gone = false;
         if self.current.is_some() && !self.is_behind() {
             self.catch_up(&mut actions);
         }
         actions
     }
 
+    /// The platform no longer knows the revision that was watched from: a read
+    /// follows at once, and a pause before the next watch.
+    pub fn revision_gone(&mut self, now: Instant) {
+        self.platform.succeed(now, Duration::ZERO);
+        self.is_revision_gone = true;
+    }
+
     /// The platform refused, was out, or its answer was lost.
     pub fn platform_failed(&mut self, now: Instant, rng: &mut impl Rng) {
         self.platform.fail(now, &self.settings, rng);
@@ -292,7 +307,7 @@
         if !self.platform.is_due(now) {
             return;
         }
-        let wait = watches && self.caught_up;
+        let wait = watches && self.caught_up && !self.is_revision_gone;
         let timeout = match wait {
             true => self.settings.watch_timeout,
             false => self.settings.read_timeout,
@@ -311,6 +326,11 @@
     /// read the document hears of a newer one from peers as well, and a whole
     /// fleet of an older version must not use up the platform's rates.
     fn pause_after_answer(&self, view: &PeersView, rng: &mut impl Rng) -> Duration {
+        if self.is_revision_gone {
+            // Where the store forgets faster than a watch follows, reads and
+            // refused watches without a pause would use up the node's budget.
+            return REWATCH_PAUSE.mul_f64(rng.random_range(0.5..1.0));
+        }
         if self.watches(view) && self.caught_up {
             return Duration::ZERO;
         }
--- a/crates/hemlocktack-fleet/tests/configuration/main.rs
+++ b/crates/hemlocktack-fleet/tests/configuration/main.rs
@@ -157,3 +157,37 @@
     assert!(in_force.is_caught_up());
     assert_eq!(in_force.current(), Some(&document(3)));
 }
+
+/// The store forgets revisions faster than a watch follows: each watch is
+/// refused at once. The node reads, pauses and watches again, and leaves its
+/// budget of platform calls to others.
+#[test]
+fn refused_watches_are_not_repeated_without_a_pause() {
+    let start = Instant::now();
+    let mut in_force = InForce::new(ConfigurationSettings::default(), start);
+    let view = PeersView {
+        is_watcher: true,
+        ..PeersView::default()
+    };
+    let (mut reads, mut watches) = (0, 0);
+    for tick in 0..3_000 {
+        let now = start + Duration::from_millis(100) * tick;
+        for action in in_force.tick(now, &view, &mut rng()) {
+            let ConfigurationAction::AskPlatform { wait, .. } = action else {
+                continue;
+            };
+            if wait {
+                watches += 1;
+                in_force.revision_gone(now);
+            } else {
+                reads += 1;
+                in_force.platform_answered(now, Some(document(1)), &view, &mut rng());
+            }
+        }
+    }
+    assert!((100..=300).contains(&watches), "{watches} watches in 300 s");
+    assert!(
+        (watches..=watches + 1).contains(&reads),
+        "{reads} reads in 300 s"
+    );
+}
--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -7,7 +7,7 @@
 use hemlocktack_fleet::configuration::{
     ConfigurationAction, ConfigurationSettings, InForce, PeersView, watches_platform,
 };
-use hemlocktack_platform::{ConfigurationStore, StoredConfiguration, Version};
+use hemlocktack_platform::{ConfigurationStore, Error, Revision, SeenConfiguration};
 use hemlocktack_protocol::{
     ConfigurationDocument, ConfigurationPull, Generation, Member, NodeState, frame,
 };
@@ -32,7 +32,8 @@
     },
     /// An operator's command on this node was stored.
     StoredHere(ConfigurationDocument),
-    PlatformAnswered(Option<StoredConfiguration>),
+    PlatformAnswered(SeenConfiguration),
+    RevisionGone,
     PlatformFailed,
     PeerAnswered {
         node_id: String,
@@ -57,7 +58,7 @@
         pull_timeout: settings.pull_timeout,
         in_force: InForce::new(settings, Instant::now()),
         store: Arc::new(ConfigurationStore::new(node.platform.clone())),
-        version: 0,
+        revision: 0,
         rng: StdRng::seed_from_u64(rand::random()),
         node: node.clone(),
     };
@@ -71,8 +72,8 @@
     in_force: InForce,
     watchers: usize,
     pull_timeout: Duration,
-    /// Last version that the platform showed.
-    version: Version,
+    /// To watch from, as the platform's last answer told.
+    revision: Revision,
     rng: StdRng,
 }
 
@@ -105,7 +106,11 @@
                 self.in_force.tick(now, &self.view(), &mut self.rng)
             }
             Event::StoredHere(document) => self.in_force.stored_here(document),
-            Event::PlatformAnswered(stored) => self.platform_answered(now, stored),
+            Event::PlatformAnswered(seen) => self.platform_answered(now, seen),
+            Event::RevisionGone => {
+                self.in_force.revision_gone(now);
+                self.in_force.tick(now, &self.view(), &mut self.rng)
+            }
             Event::PlatformFailed => {
                 self.in_force.platform_failed(now, &mut self.rng);
                 Vec::new()
@@ -127,12 +132,11 @@
     fn platform_answered(
         &mut self,
         now: Instant,
-        stored: Option<StoredConfiguration>,
+        seen: SeenConfiguration,
     ) -> Vec<ConfigurationAction> {
-        if let Some(stored) = &stored {
-            self.version = self.version.max(stored.version);
-        }
-        let document = stored.map(|stored| stored.configuration);
+        // A store that lost its newest writes tells a lower one, which is then right.
+        self.revision = seen.revision;
+        let document = seen.stored.map(|stored| stored.configuration);
         let view = self.view();
         self.in_force
             .platform_answered(now, document, &view, &mut self.rng)
@@ -159,13 +163,17 @@
     }
 
     fn ask_platform(&self, wait: bool) {
-        let (node, store, version) = (self.node.clone(), self.store.clone(), self.version);
+        let (node, store, revision) = (self.node.clone(), self.store.clone(), self.revision);
         tokio::spawn(async move {
             let answer = match wait {
-                true => store.watch_newer(version, WATCH_WAIT).await,
-                false => store.read_newest().await,
+                true => store.watch_newer(revision, WATCH_WAIT).await,
+                false => store.read_to_watch().await,
+            };
+            let event = match answer {
+                Ok(seen) => Event::PlatformAnswered(seen),
+                Err(Error::RevisionGone) => Event::RevisionGone,
+                Err(_) => Event::PlatformFailed,
             };
-            let event = answer.map_or(Event::PlatformFailed, Event::PlatformAnswered);
             node.tell_configuration(event);
         });
     }
--- a/crates/hemlocktack-platform/src/configuration.rs
+++ b/crates/hemlocktack-platform/src/configuration.rs
@@ -11,7 +11,7 @@
 use hemlocktack_protocol::{ConfigurationDocument, Generation};
 use serde_json::Value;
 
-use crate::{Client, Effect, Error, Object, Result, Version};
+use crate::{Client, Effect, Error, Object, Result, Revision, Version};
 
 const CURRENT_KEY: &str = "configuration/current";
 const HISTORY_PREFIX: &str = "configuration/history/";
@@ -25,12 +25,23 @@
 /// A configuration with the version it is stored under.
 #[derive(Clone, Debug, PartialEq)]
 pub struct StoredConfiguration {
-    /// For `watch_newer`.
+    /// For the next conditional write.
     pub version: Version,
     /// The stored document.
     pub configuration: ConfigurationDocument,
 }
 
+/// What an answer told of the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SeenConfiguration {
+    /// Revision of the store to watch from next. It grows with every object's
+    /// writes, so the store still knows it when the configuration's own version
+    /// is long forgotten.
+    pub revision: Revision,
+    /// The configuration, where there is one, or a newer one.
+    pub stored: Option<StoredConfiguration>,
+}
+
 /// A change that an operator asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
@@ -125,34 +136,41 @@
         Ok(changes)
     }
 
-    /// Waits for a configuration newer than the version, `wait` at most;
-    /// `None` where there is none in time.
+    /// The newest configuration and the revision to watch from.
     ///
     /// # Errors
     /// See [`Error`].
-    pub async fn watch_newer(
-        &self,
-        after: Version,
-        wait: Duration,
-    ) -> Result<Option<StoredConfiguration>> {
-        let watched = match self.client.watch(CURRENT_KEY, after, wait).await {
-            Ok(watched) => watched,
-            Err(Error::RevisionGone) => return self.read_newest().await,
-            Err(error) => return Err(error),
-        };
+    pub async fn read_to_watch(&self) -> Result<SeenConfiguration> {
+        let listing = self.client.list(CURRENT_KEY).await?;
+        let mut objects = listing.objects.into_iter();
+        let current = objects.find(|object| object.key == CURRENT_KEY);
+        Ok(SeenConfiguration {
+            revision: listing.revision,
+            stored: current.map(decode).transpose()?,
+        })
+    }
+
+    /// Waits for a configuration stored after the revision, `wait` at most;
+    /// none where there is none in time.
+    ///
+    /// # Errors
+    /// See [`Error`]. `RevisionGone`: to be read with `read_to_watch`, and
+    /// watched from the revision that it tells, after a pause.
+    pub async fn watch_newer(&self, after: Revision, wait: Duration) -> Result<SeenConfiguration> {
+        let watched = self.client.watch(CURRENT_KEY, after, wait).await?;
         let current = watched
             .objects
             .into_iter()
             .find(|object| object.key == CURRENT_KEY && !object.deleted);
-        let Some(current) = current else {
-            return Ok(None);
-        };
-        let object = Object {
+        let current = current.map(|current| Object {
             key: current.key,
             version: current.version,
             value: current.value,
-        };
-        decode(object).map(Some)
+        });
+        Ok(SeenConfiguration {
+            revision: watched.revision,
+            stored: current.map(decode).transpose()?,
+        })
     }
 
     /// Stores a change if the newest generation is the one it started from.
--- a/crates/hemlocktack-platform/src/lib.rs
+++ b/crates/hemlocktack-platform/src/lib.rs
@@ -15,7 +15,9 @@
 pub use backoff::{Backoff, BackoffSettings};
 pub use budget::{Budget, BudgetSettings, Rate};
 pub use client::{Client, ClientSettings, VALUE_LIMIT_BYTES};
-pub use configuration::{Applied, Change, ConfigurationStore, HISTORY_LENGTH, StoredConfiguration};
+pub use configuration::{
+    Applied, Change, ConfigurationStore, HISTORY_LENGTH, SeenConfiguration, StoredConfiguration,
+};
 pub use error::{Effect, Error, Result};
 pub use nodes::{NodeRecords, Publication, PublishedNode, PublishedNodes};
 pub use values::{Listing, Object, Revision, Version, Watched, WatchedObject};
--- a/crates/hemlocktack-platform/tests/contract/configuration.rs
+++ b/crates/hemlocktack-platform/tests/contract/configuration.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::support::{client, kind, start_platform};
-use hemlocktack_platform::{Applied, Change, Client, ConfigurationStore, HISTORY_LENGTH};
+use hemlocktack_platform::{Applied, Change, Client, ConfigurationStore, Error, HISTORY_LENGTH};
 use hemlocktack_testkit::platform::{Platform, Switches};
 
 const LONG_WAIT: Duration = Duration::from_secs(30);
@@ -230,14 +230,40 @@
         tokio::time::sleep(Duration::from_millis(1)).await;
     }
     store.apply(&change("one", 0)).await.unwrap();
-    let first = watching.await.unwrap().unwrap().unwrap();
+    let seen = watching.await.unwrap().unwrap();
+    let first = seen.stored.unwrap();
     assert_eq!(first.configuration.generation, 1);
     store.apply(&change("two", 1)).await.unwrap();
-    let second = store.watch_newer(first.version, LONG_WAIT).await;
-    let second = second.unwrap().unwrap();
+    let seen = store.watch_newer(seen.revision, LONG_WAIT).await.unwrap();
+    let second = seen.stored.unwrap();
     assert_eq!(second.configuration.generation, 2);
-    let none = store.watch_newer(second.version, Duration::from_millis(5));
-    assert_eq!(none.await, Ok(None));
-    let unknown_revision = store.watch_newer(u64::MAX, LONG_WAIT).await.unwrap();
-    assert_eq!(unknown_revision, Some(second));
+    let none = store.watch_newer(seen.revision, Duration::from_millis(5));
+    assert_eq!(none.await.unwrap().stored, None);
+    let unknown_revision = store.watch_newer(u64::MAX, LONG_WAIT).await;
+    assert_eq!(unknown_revision, Err(Error::RevisionGone));
+    let read_again = store.read_to_watch().await.unwrap();
+    assert_eq!(read_again.stored, Some(second));
+}
+
+/// Nodes write their records, and the store forgets older revisions. A watch
+/// from the configuration's own version is refused for good; one from the
+/// revision that the read told is not, and costs one call.
+#[tokio::test]
+async fn a_watch_goes_on_from_the_revision_that_was_told() {
+    let (platform, client, store) = start().await;
+    store.apply(&change("one", 0)).await.unwrap();
+    let written = client.put_conditional("nodes/a", 0, &1.into()).await;
+    assert!(written.is_ok());
+    platform.set(Switches {
+        forgets_revisions: true,
+        ..Switches::default()
+    });
+    let read = store.read_to_watch().await.unwrap();
+    let version = read.stored.unwrap().version;
+    let stale = store.watch_newer(version, LONG_WAIT).await;
+    assert_eq!(stale, Err(Error::RevisionGone));
+    let watched = store.watch_newer(read.revision, Duration::from_millis(5));
+    assert_eq!(watched.await.unwrap().stored, None);
+    let counts = platform.counts();
+    assert_eq!((counts.lists, counts.watches), (1, 2));
 }
--- a/crates/hemlocktack-testkit/src/platform/routes.rs
+++ b/crates/hemlocktack-testkit/src/platform/routes.rs
@@ -140,7 +140,9 @@
         let after = number(request, "after").unwrap_or_default();
         let wait_ms = number(request, "wait-ms").unwrap_or_default();
         let wait = Duration::from_millis(wait_ms.min(WATCH_WAIT_LIMIT_MS));
-        if after > self.store.changes(&prefix, after).revision {
+        let revision = self.store.changes(&prefix, after).revision;
+        let is_forgotten = after < revision && self.switches.borrow().forgets_revisions;
+        if after > revision || is_forgotten {
             return Reply::error(410, "revision-gone", "list again");
         }
         let mut switches = self.switches.subscribe();
--- a/crates/hemlocktack-testkit/src/platform/switches.rs
+++ b/crates/hemlocktack-testkit/src/platform/switches.rs
@@ -14,6 +14,8 @@
     pub lose_answers: u32,
     /// Watches are cut, the waiting ones too.
     pub drop_watches: bool,
+    /// Only the newest revision is known: watches after an older one are 410.
+    pub forgets_revisions: bool,
     /// Answers are not what the interface says.
     pub malformed: bool,
 }
