--- a/crates/hemlocktack-fleet/src/configuration/in_force.rs
+++ b/crates/hemlocktack-fleet/src/configuration/in_force.rs
@@ -13,6 +13,10 @@
 /// Peers with a higher generation that are remembered.
 const HEARD_LIMIT: usize = 8;
 
+/// Longest pause before a watch that follows a refused one: a change is still
+/// in force within seconds.
+const REWATCH_PAUSE: Duration = Duration::from_secs(2);
+
 /// What the runtime has to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ConfigurationAction {
@@ -37,6 +41,11 @@
         /// The document, as stored.
         document: ConfigurationDocument,
     },
+    /// Tell the operators that this version cannot read a document.
+    ReportUnreadable {
+        /// Its generation.
+        generation: Generation,
+    },
     /// This node may take calls now.
     CaughtUp,
 }
@@ -63,6 +72,8 @@
 pub struct InForce {
     settings: ConfigurationSettings,
     current: Option<ConfigurationDocument>,
+    /// Highest generation seen that this version cannot read.
+    unreadable: Generation,
     caught_up: bool,
     heard: BTreeMap<String, Generation>,
     answered: BTreeSet<String>,
@@ -70,6 +81,8 @@
     next_pull: Instant,
     platform: PlatformCalls,
     was_watcher: bool,
+    /// The store no longer knows the revision that was watched from.
+    is_revision_gone: bool,
 }
 
 impl InForce {
@@ -78,6 +91,7 @@
         Self {
             settings,
             current: None,
+            unreadable: 0,
             caught_up: false,
             heard: BTreeMap::new(),
             answered: BTreeSet::new(),
@@ -85,6 +99,7 @@
             next_pull: now,
             platform: PlatformCalls::new(now),
             was_watcher: false,
+            is_revision_gone: false,
         }
     }
 
@@ -95,6 +110,16 @@
             .map_or(0, |document| document.generation)
     }
 
+    /// Whether a newer document than the one in force could not be read.
+    fn is_behind(&self) -> bool {
+        self.unreadable > self.generation()
+    }
+
+    /// Highest generation seen, readable or not: peers are not asked for it again.
+    fn newest_seen(&self) -> Generation {
+        self.generation().max(self.unreadable)
+    }
+
     /// Document in force, for peers that pull it.
     pub fn current(&self) -> Option<&ConfigurationDocument> {
         self.current.as_ref()
@@ -130,7 +155,7 @@
 
     /// A peer says that it has a higher generation in force.
     pub fn hear(&mut self, node_id: &str, generation: Generation) {
-        if generation <= self.generation() {
+        if generation <= self.newest_seen() {
             return;
         }
         self.heard.insert(node_id.to_owned(), generation);
@@ -159,17 +184,25 @@
         rng: &mut impl Rng,
     ) -> Vec<ConfigurationAction> {
         let mut actions = Vec::new();
-        let pause = self.pause_after_answer(view, rng);
-        self.platform.succeed(now, pause);
         if let Some(document) = document {
             self.take(document, &mut actions);
         }
-        if self.current.is_some() {
+        let pause = self.pause_after_answer(view, rng);
+        self.platform.succeed(now, pause);
+        self.is_revision_gone = false;
+        if self.current.is_some() && !self.is_behind() {
             self.catch_up(&mut actions);
         }
         actions
     }
 
+    /// The platform no longer knows the revision that was watched from: a read
+    /// follows at once, and a pause before the next watch.
+    pub fn revision_gone(&mut self, now: Instant) {
+        self.platform.succeed(now, Duration::ZERO);
+        self.is_revision_gone = true;
+    }
+
     /// The platform refused, was out, or its answer was lost.
     pub fn platform_failed(&mut self, now: Instant, rng: &mut impl Rng) {
         self.platform.fail(now, &self.settings, rng);
@@ -240,12 +273,26 @@
         if document.generation == 0 || (keeps && !is_higher) {
             return;
         }
-        self.current = Some(document.clone());
         let generation = document.generation;
         self.heard.retain(|_, heard| *heard > generation);
+        if !(self.settings.can_read)(&document) {
+            self.leave_aside(generation, actions);
+            return;
+        }
+        self.current = Some(document.clone());
         actions.push(ConfigurationAction::Install { document });
     }
 
+    /// A document with a field of a newer version is not in force here, whatever
+    /// its generation. Were it counted so, a starting node would call itself
+    /// ready with nothing to decide by, and refuse every call sent to it.
+    fn leave_aside(&mut self, generation: Generation, actions: &mut Vec<ConfigurationAction>) {
+        if generation > self.unreadable {
+            self.unreadable = generation;
+            actions.push(ConfigurationAction::ReportUnreadable { generation });
+        }
+    }
+
     fn ask_platform(
         &mut self,
         now: Instant,
@@ -260,7 +307,7 @@
         if !self.platform.is_due(now) {
             return;
         }
-        let wait = watches && self.caught_up;
+        let wait = watches && self.caught_up && !self.is_revision_gone;
         let timeout = match wait {
             true => self.settings.watch_timeout,
             false => self.settings.read_timeout,
@@ -275,11 +322,24 @@
     }
 
     /// A watcher asks again at once; a starting fleet without any document
-    /// asks soon; all others seldom, at times drawn apart.
+    /// asks soon; all others seldom, at times drawn apart. A node that cannot
+    /// read the document hears of a newer one from peers as well, and a whole
+    /// fleet of an older version must not use up the platform's rates.
     fn pause_after_answer(&self, view: &PeersView, rng: &mut impl Rng) -> Duration {
+        if self.is_revision_gone {
+            // Where the store forgets faster than a watch follows, reads and
+            // refused watches without a pause would use up the node's budget.
+            return REWATCH_PAUSE.mul_f64(rng.random_range(0.5..1.0));
+        }
         if self.watches(view) && self.caught_up {
             return Duration::ZERO;
         }
+        if !self.caught_up && self.is_behind() {
+            return self
+                .settings
+                .backoff_limit
+                .mul_f64(rng.random_range(0.5..1.0));
+        }
         if !self.caught_up {
             return self.settings.backoff_base;
         }
@@ -305,7 +365,7 @@
             node_id: node_id.clone(),
             sent: now,
         });
-        let above = self.generation();
+        let above = self.newest_seen();
         actions.push(ConfigurationAction::Pull { node_id, above });
     }
 
@@ -330,7 +390,8 @@
         }
         let needed = self.settings.catch_up_peers.min(view.ready.len()).max(1);
         let is_enough = self.answered.len() >= needed && self.heard.is_empty();
-        if self.current.is_some() && self.platform.has_failed() && is_enough {
+        let has_newest = self.current.is_some() && !self.is_behind();
+        if has_newest && self.platform.has_failed() && is_enough {
             self.catch_up(actions);
         }
     }
--- a/crates/hemlocktack-fleet/tests/configuration/main.rs
+++ b/crates/hemlocktack-fleet/tests/configuration/main.rs
@@ -99,3 +99,95 @@
         assert_eq!(names.iter().filter(watches).count(), size.min(2));
     }
 }
+
+fn unreadable(generation: Generation) -> ConfigurationDocument {
+    ConfigurationDocument {
+        document: "a newer field".to_owned(),
+        ..document(generation)
+    }
+}
+
+fn older_version(now: Instant) -> InForce {
+    let settings = ConfigurationSettings {
+        can_read: |document| document.document == "text",
+        ..ConfigurationSettings::default()
+    };
+    InForce::new(settings, now)
+}
+
+/// An older binary starts while the stored document has a newer field. Were it
+/// ready, it would refuse every call that others send it, or decide by a
+/// configuration that was replaced. It waits for a document that it can read.
+#[test]
+fn an_unreadable_document_makes_no_node_ready() {
+    let now = Instant::now();
+    let view = peers(&["a"]);
+    let mut in_force = older_version(now);
+    in_force.platform_answered(now, Some(unreadable(5)), &view, &mut rng());
+    assert!(!in_force.is_caught_up());
+    assert_eq!(in_force.generation(), 0);
+    in_force.peer_answered(now, "a", 4, Some(document(4)));
+    in_force.platform_answered(now, Some(unreadable(5)), &view, &mut rng());
+    in_force.platform_failed(now, &mut rng());
+    in_force.tick(now, &view, &mut rng());
+    assert!(!in_force.is_caught_up());
+    let actions = in_force.platform_answered(now, Some(document(6)), &view, &mut rng());
+    assert!(actions.contains(&ConfigurationAction::CaughtUp));
+    assert_eq!(in_force.generation(), 6);
+}
+
+/// A running node hears of a document that it cannot read, from everywhere and
+/// repeatedly. It goes on with the one before, and asks peers for it no more.
+#[test]
+fn an_unreadable_document_leaves_the_older_in_force() {
+    let now = Instant::now();
+    let view = PeersView::default();
+    let mut in_force = older_version(now);
+    in_force.platform_answered(now, Some(document(3)), &view, &mut rng());
+    let mut actions = in_force.stored_here(unreadable(4));
+    actions.extend(in_force.platform_answered(now, Some(unreadable(4)), &view, &mut rng()));
+    actions.extend(in_force.peer_answered(now, "a", 4, Some(unreadable(4))));
+    in_force.hear("b", 4);
+    actions.extend(in_force.tick(now, &view, &mut rng()));
+    let is_install =
+        |action: &ConfigurationAction| matches!(action, ConfigurationAction::Install { .. });
+    let is_pull = |action: &ConfigurationAction| matches!(action, ConfigurationAction::Pull { .. });
+    assert!(!actions.iter().any(is_install), "{actions:?}");
+    assert!(!actions.iter().any(is_pull), "{actions:?}");
+    assert!(in_force.is_caught_up());
+    assert_eq!(in_force.current(), Some(&document(3)));
+}
+
+/// The store forgets revisions faster than a watch follows: each watch is
+/// refused at once. The node reads, pauses and watches again, and leaves its
+/// budget of platform calls to others.
+#[test]
+fn refused_watches_are_not_repeated_without_a_pause() {
+    let start = Instant::now();
+    let mut in_force = InForce::new(ConfigurationSettings::default(), start);
+    let view = PeersView {
+        is_watcher: true,
+        ..PeersView::default()
+    };
+    let (mut reads, mut watches) = (0, 0);
+    for tick in 0..3_000 {
+        let now = start + Duration::from_millis(100) * tick;
+        for action in in_force.tick(now, &view, &mut rng()) {
+            let ConfigurationAction::AskPlatform { wait, .. } = action else {
+                continue;
+            };
+            if wait {
+                watches += 1;
+                in_force.revision_gone(now);
+            } else {
+                reads += 1;
+                in_force.platform_answered(now, Some(document(1)), &view, &mut rng());
+            }
+        }
+    }
+    assert!((100..=300).contains(&watches), "{watches} watches in 300 s");
+    assert!(
+        (watches..=watches + 1).contains(&reads),
+        "{reads} reads in 300 s"
+    );
+}
