--- a/crates/hemlocktack-fleet/src/membership/machine.rs
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -101,13 +101,8 @@
     pub(super) next_sync: Instant,
     pub(super) pages_given: u32,
     pub(super) urgent_sent: u32,
-    /// Urgent news of this period, told once more in the next one.
-    pub(super) told_at_once: Vec<Member>,
 }
 
-/// Records that one datagram holds with room to spare.
-const TOLD_AGAIN_LIMIT: usize = 4;
-
 impl Membership {
     /// Starts with this node alone. `own` carries a fresh incarnation; its
     /// `start_order` is the wall clock in milliseconds, which only has to rank
@@ -138,7 +133,6 @@
             next_sync: now,
             pages_given: 0,
             urgent_sent: 0,
-            told_at_once: Vec::new(),
         }
     }
 
@@ -282,30 +276,12 @@
         if !self.settings.keeps(Safeguard::UrgentNews) {
             return;
         }
-        self.send_at_once(&records, actions, rng);
-        let room = TOLD_AGAIN_LIMIT.saturating_sub(self.told_at_once.len());
-        self.told_at_once.extend(records.into_iter().take(room));
-    }
-
-    /// Failure: the few who are told at once, and the few whom each of them
-    /// tells, miss a node by chance, and the news has been told often enough
-    /// before that node's next probes. Symptom: it still sends calls to a node
-    /// that drains. With four told by each, one in e^4 is missed the first
-    /// time, one in e^8 after the second.
-    pub(super) fn tell_again(&mut self, actions: &mut Vec<Action>, rng: &mut impl Rng) {
-        let records = std::mem::take(&mut self.told_at_once);
-        if !records.is_empty() {
-            self.send_at_once(&records, actions, rng);
-        }
-    }
-
-    fn send_at_once(&mut self, records: &[Member], actions: &mut Vec<Action>, rng: &mut impl Rng) {
         for to in self.urgent_targets(rng) {
             if self.urgent_sent >= self.settings.urgent_limit {
                 return;
             }
             self.urgent_sent += 1;
-            self.send_without_news(to, None, records, actions);
+            self.send_without_news(to, None, &records, actions);
         }
     }
 
--- a/crates/hemlocktack-fleet/src/membership/tick.rs
+++ b/crates/hemlocktack-fleet/src/membership/tick.rs
@@ -35,7 +35,6 @@
     fn begin_period(&mut self, now: Instant, actions: &mut Vec<Action>, rng: &mut impl Rng) {
         self.pages_given = 0;
         self.urgent_sent = 0;
-        self.tell_again(actions, rng);
         self.conclude_probe(now, actions);
         self.declare_dead(now, actions);
         let (age, limit) = (self.settings.tombstone_age, self.settings.tombstone_limit);
