Believe no shed of a call that has gone deeper

Cause: an upstream's 503 with `hemlocktack-outcome: not-run` was taken for shed before start even where the node had let deeper calls of that very call through. An upstream that passes up the refusal of its second deeper call thus made a booking whose first deeper call had run not-run, with a fresh ticket: the caller would make the deeper booking twice.

Mend: a running call notes that a deeper call of it begins, before that call is placed; such a shed then counts as unknown (upstream-failed), for the caller, the ticket's home and admission alike. The stand-in upstream gets a fault that runs and then claims to have shed.

--- a/crates/hemlocktack-node/src/calls/context.rs
+++ b/crates/hemlocktack-node/src/calls/context.rs
@@ -1,6 +1,7 @@
 //! Calls that the upstream beside this node is running, for its deeper calls.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -31,6 +32,7 @@
     /// Work that the chain above had spent when the call started.
     work_spent_before: Duration,
     deeper: Mutex<DeeperCalls>,
+    went_deeper: AtomicBool,
 }
 
 #[derive(Default)]
@@ -60,6 +62,7 @@
             started: Instant::now(),
             work_spent_before: Duration::from_micros(call.work_spent_us),
             deeper: Mutex::default(),
+            went_deeper: AtomicBool::new(false),
         }
     }
 
@@ -68,7 +71,17 @@
         u64::try_from(spent.as_micros()).unwrap_or(u64::MAX)
     }
 
-    /// Counts one deeper call.
+    /// Notes that a deeper call begins, whatever becomes of it.
+    pub(crate) fn go_deeper(&self) {
+        self.went_deeper.store(true, Ordering::Release);
+    }
+
+    /// Whether its upstream began work on it for certain.
+    pub(crate) fn went_deeper(&self) -> bool {
+        self.went_deeper.load(Ordering::Acquire)
+    }
+
+    /// Counts one deeper call that has ended.
     pub(crate) fn count_deeper(&self, kind: WorkKind, duration: Duration) {
         let mut deeper = self.deeper.lock().unwrap_or_else(PoisonError::into_inner);
         deeper.total += duration;
--- a/crates/hemlocktack-node/src/calls/enter.rs
+++ b/crates/hemlocktack-node/src/calls/enter.rs
@@ -21,6 +21,9 @@
     if let Some(reason) = refuses_new_roots(node, &classified) {
         return refusal(reason, has_key && !classified.idempotent);
     }
+    if let Some(parent) = &classified.parent {
+        parent.go_deeper();
+    }
     let answer = run(node, &mut classified).await;
     if let Some(parent) = &classified.parent {
         parent.count_deeper(classified.kind, started.elapsed());
--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -110,6 +110,7 @@
         note_crash(node);
     }
     let running = &context.running;
+    let end = believed(end, running);
     admitted.finish(ended(&end), running.time_below());
     if matches!(end, UpstreamEnd::Answered { .. }) {
         node.chain_edges_answered(kind, &running.deeper_kinds());
@@ -122,6 +123,21 @@
     }
 }
 
+/// What the upstream says, unless the node knows better.
+///
+/// Failure: a booking's deeper booking ran, its next deeper call was refused,
+/// and the upstream passed that refusal up as its own. Told `not_run`, with a
+/// fresh ticket, the caller would make the deeper booking twice. One that made
+/// a deeper call has begun, and only that shows here, so `unknown` is enough.
+fn believed(end: UpstreamEnd, running: &RunningCall) -> UpstreamEnd {
+    match end {
+        UpstreamEnd::NotRun(Reason::Shed) if running.went_deeper() => {
+            UpstreamEnd::Unknown(Reason::UpstreamFailed)
+        }
+        end => end,
+    }
+}
+
 fn with_load(node: &Node, kind: WorkKind, answer: Answer) -> Answer {
     let hint = node.desk.hint(node.chain_level(kind));
     Answer {
--- a/crates/hemlocktack-node/tests/processes/chains.rs
+++ b/crates/hemlocktack-node/tests/processes/chains.rs
@@ -94,3 +94,23 @@
         .await;
     assert!(!deeper.is_empty());
 }
+
+/// A viewing books its appointment; a later deeper call of it is shed, and the
+/// viewing's upstream passes that refusal up as its own. The viewing did begin,
+/// so the family hears `unknown` and gets no fresh ticket: with one, it would
+/// book the appointment a second time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_after_a_deeper_booking_is_not_believed() {
+    let fleet = Fleet::start(&plans()).await;
+    let path = "listings/viewings?fault=shed-after-run";
+    let ticket = fleet.caller(0).ticket(path, "viewing").await;
+    for entry in 0..fleet.nodes.len() {
+        let reply = fleet
+            .caller(entry)
+            .post_with(path, "viewing", &ticket)
+            .await;
+        assert_eq!(reply.verdict(), "502 unknown upstream-failed");
+        assert!(reply.ticket.is_none());
+    }
+    assert_started_once(&fleet, "viewing").await;
+}
--- a/crates/hemlocktack-testkit/src/upstream/settings.rs
+++ b/crates/hemlocktack-testkit/src/upstream/settings.rs
@@ -94,6 +94,9 @@
     StalledBody,
     /// Does not start: 503 and `hemlocktack-outcome: not-run`.
     Shed,
+    /// Runs, then claims what `Shed` says, as one does that passes up the
+    /// refusal of a deeper call.
+    ShedAfterRun,
     /// Runs, and answers 500.
     Error,
 }
--- a/crates/hemlocktack-testkit/src/upstream/work.rs
+++ b/crates/hemlocktack-testkit/src/upstream/work.rs
@@ -80,6 +80,7 @@
             Some(Fault::NoAnswer) => reply.lost(),
             Some(Fault::ShortBody) => reply.cut_after(SENT_BYTES_OF_FAULTY_BODY),
             Some(Fault::StalledBody) => reply.stall_after(SENT_BYTES_OF_FAULTY_BODY),
+            Some(Fault::ShedAfterRun) => not_run(),
             Some(Fault::Error) => Reply::error(500, "failed", "the fault was asked for")
                 .with_header("retry-after", "7"),
             _ => reply,
