Say in the metric's help how long a call is in flight

Cause: docs/METRICS.md said it anew without the node's help text, which a test compares: telemetry::the_page_lists_every_metric failed in the run of all 62 process tests (61 passed). After: the telemetry tests pass.

--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -104,7 +104,7 @@
 
 fn register_load(registry: &mut Registry, node: &Node, status: &NodeStatus) {
     let load = status.load.unwrap_or_default();
-    let help = "Calls in flight on this node, on either side";
+    let help = "Calls in flight on this node, on either side, until their answers have left";
     gauge(registry, "in_flight_calls", help, node.counters.in_flight());
     let help = "Calls that the upstream is running";
     gauge(registry, "upstream_in_flight_calls", help, load.in_flight);
