--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -15,7 +15,7 @@
 use hemlocktack_fleet::keys::FleetKeys;
 use hemlocktack_platform::{Client, NodeRecords};
 use hemlocktack_protocol::{
-    ConfigurationDocument, Generation, Member, NodeState, Reason, Succession, UpstreamState,
+    ConfigurationDocument, Generation, Member, NodeState, Succession, UpstreamState,
 };
 use hemlocktack_telemetry::{Event, Tracer, log_event};
 use tokio::sync::{Notify, mpsc};
@@ -24,6 +24,7 @@
 use crate::calls::{ContextTable, Desk, Home, Roster};
 use crate::configuration;
 use crate::counters::{CallInFlight, Counters};
+use crate::handover;
 use crate::links::{Links, Peer, Senders};
 use crate::peers::GossipCounts;
 use crate::settings::Settings;
@@ -33,8 +34,6 @@
 /// News of a drain reaches all nodes within this time; until then a draining
 /// node is there to refuse what still comes.
 pub(crate) const DRAIN_SETTLE: Duration = Duration::from_secs(2);
-/// Handing over has a limit of its own, which is shorter.
-const HANDOVER_LIMIT: Duration = Duration::from_secs(30);
 /// Largest body read before any configuration is in force.
 const BODY_LIMIT_BEFORE_CONFIGURATION_BYTES: usize = 64 << 10;
 /// Largest answer passed on for a service that the configuration lacks.
@@ -166,8 +165,8 @@
         self.in_force.load_full()
     }
 
-    /// Puts a higher generation in force; a lower or equal one, and one that
-    /// this version cannot read, is left aside.
+    /// Puts a higher generation in force; a lower or equal one is left aside.
+    /// The task that follows the configuration has found that it can be read.
     pub(crate) fn take_configuration(&self, stored: ConfigurationDocument) {
         let Ok(document) = hemlocktack_config::parse(&stored.document) else {
             let generation = stored.generation;
@@ -222,6 +221,14 @@
         });
     }
 
+    /// Classes that the configuration in force declares.
+    pub(crate) fn class_count(&self) -> usize {
+        let in_force = self.in_force.load();
+        in_force
+            .as_ref()
+            .map_or(0, |in_force| in_force.document.classes.len())
+    }
+
     pub(crate) fn body_limit_bytes(&self, service: &str) -> usize {
         let in_force = self.in_force.load();
         let declared = in_force
@@ -297,6 +304,16 @@
     /// Takes in a new view of the fleet.
     pub(crate) fn set_members(&self, members: Vec<Member>) {
         self.roster.update(&members);
+        // A stopping node that is not known here yet may still commit.
+        self.receiving().retain_offers_of(|from| {
+            let known = members
+                .iter()
+                .find(|member| *member.node_id == *from.node_id);
+            known.is_none_or(|known| {
+                let has_gone = matches!(known.state(), NodeState::Left | NodeState::Dead);
+                known.incarnation == from.incarnation && !has_gone
+            })
+        });
         self.members.store(Arc::new(members));
     }
 
@@ -350,30 +367,19 @@
         edges.level(kind, |deeper| self.roster.level_of_kind(deeper))
     }
 
+    /// Takes an announcement; calls go to the announced address from then on.
     pub(crate) fn upstream_announced(&self, announcement: Announcement) {
-        let known = self.upstream.load_full();
-        // Another address is another start of the upstream, whatever it says.
-        let is_other = known.is_some_and(|known| known.address != announcement.address);
-        let is_draining = self.upstream_state() == UpstreamState::Draining;
         self.live(|life, now| {
             let word = drain::Announcement {
+                address: announcement.address,
                 slots: announcement.slots,
-                is_cold: announcement.cold || (is_draining && is_other),
+                is_cold: announcement.cold,
             };
-            life.announce(now, word)
+            let actions = life.announce(now, word);
+            self.upstream.store(Some(Arc::new(announcement)));
+            self.admission_follows(life, now);
+            actions
         });
-        if self.upstream_state() != UpstreamState::Draining {
-            let Announcement {
-                slots,
-                connections,
-                cold,
-                ..
-            } = announcement;
-            let now = Instant::now();
-            self.desk
-                .with_admission(|admission| admission.announced(slots, connections, cold, now));
-        }
-        self.upstream.store(Some(Arc::new(announcement)));
     }
 
     /// Drops an upstream whose announcement has lapsed.
@@ -381,27 +387,31 @@
     /// Failure: an upstream vanishes without a word, and calls queue for slots
     /// that are not there until their callers give up. They are refused as soon
     /// as the announcement has lapsed, while another node may still answer them.
-    /// The state is read under the lock of the admission: an announcement that
-    /// comes at the same moment changes the state first and the admission after.
     pub(crate) fn check_upstream(&self) {
-        self.live(|life, now| life.check_upstream(now));
-        let is_absent = || self.upstream_state() == UpstreamState::Absent;
-        if !is_absent() {
-            return;
-        }
-        self.desk.with_admission(|admission| {
-            if is_absent() && admission.state() != UpstreamState::Absent {
-                admission.lost(Instant::now());
-            }
+        self.live(|life, now| {
+            let actions = life.check_upstream(now);
+            self.admission_follows(life, now);
+            actions
         });
     }
 
     pub(crate) fn upstream_drains(&self) {
-        self.live(|life, _| life.drain_upstream());
-        if self.upstream_state() == UpstreamState::Draining {
-            self.desk
-                .with_admission(|admission| admission.drain(Reason::UpstreamDraining));
-        }
+        self.live(|life, now| {
+            let actions = life.drain_upstream();
+            self.admission_follows(life, now);
+            actions
+        });
+    }
+
+    /// Takes the admission's lock inside that of the life, never the other way
+    /// round: what one event decides is carried out before the next one.
+    fn admission_follows(&self, life: &Life, now: Instant) {
+        let announcement = self.upstream.load();
+        let announcement = announcement.as_deref();
+        let slots = announcement.map_or(0, |announcement| announcement.slots);
+        let connections = announcement.map_or(0, |announcement| announcement.connections);
+        self.desk
+            .with_admission(|admission| admission.follow(life.upstream(), slots, connections, now));
     }
 
     pub(crate) fn announcement(&self) -> Option<Announcement> {
@@ -460,7 +470,7 @@
     DrainSettings {
         settle: DRAIN_SETTLE,
         hard_limit: Some(settings.drain_limit),
-        handover_limit: HANDOVER_LIMIT,
+        handover_limit: handover::LIMIT,
         upstream: UpstreamSettings {
             announcement_ttl: RENEW_EVERY * RENEWALS_MISSED_MAX,
             ..UpstreamSettings::default()
