Tell one node of each data centre at once who leaves

The owner now tells one member of each other data centre and two near; a receiver passes on to three near and one far, as many datagrams as before.

--- a/crates/hemlocktack-fleet/src/membership/receive.rs
+++ b/crates/hemlocktack-fleet/src/membership/receive.rs
@@ -81,7 +81,7 @@
             actions.push(Action::MembersChanged);
         }
         if !urgent.is_empty() {
-            self.tell_at_once(urgent, actions, rng);
+            self.pass_on_at_once(urgent, actions, rng);
         }
     }
 
--- a/crates/hemlocktack-fleet/src/membership/settings.rs
+++ b/crates/hemlocktack-fleet/src/membership/settings.rs
@@ -59,7 +59,8 @@
     pub datagram_limit_bytes: usize,
     /// Bytes that the MAC behind each datagram takes.
     pub mac_bytes: usize,
-    /// Members told at once of urgent news, by its owner and by each receiver.
+    /// Members that a receiver of urgent news tells at once; its owner tells
+    /// half as many in its data centre and one in each other.
     pub urgent_fanout: usize,
     /// Datagrams of urgent news in one probe period, at most.
     pub urgent_limit: u32,
--- a/crates/hemlocktack-fleet/tests/fleet_runs.rs
+++ b/crates/hemlocktack-fleet/tests/fleet_runs.rs
@@ -60,7 +60,8 @@
 }
 
 /// Without this a run could pass because it cannot fail. Safeguards that are
-/// not here are not noticed by these runs: see docs/MEASUREMENTS-fleet-runs.md.
+/// not here are not noticed by so few runs: see docs/MEASUREMENTS-fleet-runs.md.
+/// `tombstones` has a case of its own in the tests of membership.
 #[test]
 fn safeguards_left_out_are_noticed() {
     const SEEDS: u64 = 40;
@@ -85,16 +86,6 @@
     }
 }
 
-/// Records of members that left are missed about once in 500 runs, since those
-/// told at once are drawn evenly; this seed is one of them.
-#[test]
-fn missing_tombstones_are_noticed() {
-    const SEED: u64 = 248;
-    let settings = safeguards::settings(Some("tombstones")).unwrap();
-    let run = run::run(settings, SEED, STEPS);
-    assert!(run.violation.is_some());
-}
-
 /// One node is killed; then an upstream drains, and no datagram is lost. Those
 /// told at once were the first of the table, so two nodes of another data
 /// centre were never among them, and probed nobody but each other: 3 s later
--- a/crates/hemlocktack-fleet/tests/membership/replacement.rs
+++ b/crates/hemlocktack-fleet/tests/membership/replacement.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use hemlocktack_fleet::membership::Action;
+use hemlocktack_fleet::membership::{Action, Membership, MembershipSettings, Safeguard};
 use hemlocktack_protocol::{Member, NodeState};
 
 use crate::support::{accusation, address, node, record, rng, tell};
@@ -91,3 +91,35 @@
         NodeState::Suspect
     );
 }
+
+/// A node leaves; a member that has not heard of it yet passes on that it is
+/// ready. Whoever has forgotten the leaving takes it for a new member and
+/// places calls on a node that is gone. Without the kept record it does.
+#[test]
+fn a_late_word_does_not_bring_back_who_left() {
+    assert!(!is_back_after_late_word(MembershipSettings::default()));
+    let forgetful = MembershipSettings {
+        without: Some(Safeguard::Tombstones),
+        ..MembershipSettings::default()
+    };
+    assert!(is_back_after_late_word(forgetful));
+}
+
+fn is_back_after_late_word(settings: MembershipSettings) -> bool {
+    let mut now = Instant::now();
+    let mut membership = Membership::new(settings, record(0, 1), now);
+    tell(&mut membership, now, vec![record(1, 7)]);
+    let left = Member {
+        version: 2,
+        state: NodeState::Left.into(),
+        ..record(1, 7)
+    };
+    tell(&mut membership, now, vec![left]);
+    for _ in 0..5 {
+        now += Duration::from_secs(1);
+        membership.tick(now, &mut rng());
+    }
+    tell(&mut membership, now, vec![record(1, 7)]);
+    let peer = membership.peer("node-001");
+    peer.is_some_and(|peer| peer.takes_new_work())
+}
--- a/crates/hemlocktack-fleet/tests/membership/urgent_news.rs
+++ b/crates/hemlocktack-fleet/tests/membership/urgent_news.rs
@@ -26,7 +26,8 @@
 /// An upstream drains; some nodes of other data centres are never among those
 /// who are told at once, whoever tells, and go on placing calls on it until
 /// they meet somebody who knows. Each member must have a chance, about the same
-/// one: of seven others four are told, so each in a good half of the draws.
+/// one: of seven others four are told, two near and one in each other data
+/// centre, so each in a quarter of the draws at least.
 #[test]
 fn every_member_has_its_chance_to_be_told_at_once() {
     let mut told = [0; NODES as usize];
@@ -49,6 +50,11 @@
             })
             .collect();
         assert_eq!(targets.len(), 4);
+        for (centre, name) in DATA_CENTRES.iter().enumerate().skip(1) {
+            let of_centre = (1..NODES).filter(|number| usize::from(*number) % 3 == centre);
+            let told = of_centre.filter(|number| targets.contains(&address(*number)));
+            assert!(told.count() >= 1, "{name}");
+        }
         for number in 1..NODES {
             told[usize::from(number)] += u64::from(targets.contains(&address(number)));
         }
