Tell who speaks of a member that has left that it has left

Back again, it compares tables, but pages hold nothing of who has left, so it kept the record until its own probes failed. The new test fails before.

--- a/crates/hemlocktack-fleet/src/membership/receive.rs
+++ b/crates/hemlocktack-fleet/src/membership/receive.rs
@@ -67,6 +67,7 @@
             let node_id = record.node_id.clone();
             let merged = self.table.merge(now, record.clone());
             if merged == Merged::Stale {
+                corrections.extend(self.table.word_of_leaving(&record));
                 continue;
             }
             changed = true;
--- a/crates/hemlocktack-fleet/src/membership/table.rs
+++ b/crates/hemlocktack-fleet/src/membership/table.rs
@@ -120,6 +120,20 @@
         merged
     }
 
+    /// What a member itself said last, if it has left and the record says that
+    /// it is still there.
+    ///
+    /// Failure: a node is paused or cut off while a member leaves, and comes
+    /// back when the news has been told. Symptom: pages hold nothing of who has
+    /// left, so it goes on placing calls there until its own probes fail. Who
+    /// tells of such a member is told that it has left.
+    pub(crate) fn word_of_leaving(&self, record: &Member) -> Option<Member> {
+        let entry = self.entries.get(&record.node_id)?;
+        let has_left = entry.state == NodeState::Left && record.state() != NodeState::Left;
+        let same_start = entry.member.incarnation == record.incarnation;
+        (has_left && same_start).then(|| entry.member.clone())
+    }
+
     /// Takes another node's accusation for a suspicion, never for more: each
     /// node waits for itself before it holds a member for dead. Were a death
     /// taken over unseen, one node with a bad network could take any member
--- a/crates/hemlocktack-fleet/tests/membership/replacement.rs
+++ b/crates/hemlocktack-fleet/tests/membership/replacement.rs
@@ -123,3 +123,25 @@
     let peer = membership.peer("node-001");
     peer.is_some_and(|peer| peer.takes_new_work())
 }
+
+/// A node was cut off while another left. It comes back and tells of that one
+/// as ready; nobody believes it, but it has to learn, or it goes on placing
+/// calls there.
+#[test]
+fn who_tells_of_a_member_that_left_is_told() {
+    let now = Instant::now();
+    let mut membership = node(0, now);
+    let left = Member {
+        version: 2,
+        state: NodeState::Left.into(),
+        ..record(1, 7)
+    };
+    tell(&mut membership, now, vec![record(1, 7)]);
+    tell(&mut membership, now, vec![left.clone()]);
+    let actions = tell(&mut membership, now, vec![record(1, 7)]);
+    let is_told = |action: &Action| match action {
+        Action::Send { gossip, .. } => gossip.members.contains(&left),
+        _ => false,
+    };
+    assert!(actions.iter().any(is_told), "{actions:?}");
+}
