--- a/crates/hemlocktack-node/src/callers/answer.rs
+++ b/crates/hemlocktack-node/src/callers/answer.rs
@@ -14,10 +14,6 @@
 use crate::calls::{NOTHING_SHED, wait_before_return};
 use crate::counters::CallInFlight;
 
-/// The framework hands bodies to the connection in pieces of this size, one
-/// wake-up each; the whole body is in memory already.
-const BODY_CHUNK_BYTES: usize = 64 << 10;
-
 /// Answer to one request of a caller, about to leave.
 pub(crate) struct CallerAnswer {
     pub(crate) outcome: Outcome,
@@ -95,7 +91,6 @@
         }
         let length_bytes = self.body.len();
         builder.sized_body(length_bytes, LeavingBody::new(self.body, in_flight));
-        builder.max_chunk_size(BODY_CHUNK_BYTES);
         builder.finalize()
     }
 }
