--- a/crates/hemlocktack-node/src/settings/read.rs
+++ b/crates/hemlocktack-node/src/settings/read.rs
@@ -64,6 +64,8 @@
     };
     reader.reject_free_arguments();
     reader.require_all();
+    let link_address = reader.address(flags::LINK_ADDRESS);
+    let gossip_address = reader.address(flags::GOSSIP_ADDRESS);
     let settings = Settings {
         node_id: reader.name(flags::NODE).into(),
         service: reader.name(flags::SERVICE).into(),
@@ -71,11 +73,10 @@
         region: reader.name(flags::REGION),
         caller_address: reader.address(flags::CALLER_ADDRESS),
         control_address: reader.address(flags::CONTROL_ADDRESS),
-        link_address: reader.address(flags::LINK_ADDRESS),
-        link_listen_address: reader.address_or(flags::LINK_LISTEN_ADDRESS, flags::LINK_ADDRESS),
-        gossip_address: reader.address(flags::GOSSIP_ADDRESS),
-        gossip_listen_address: reader
-            .address_or(flags::GOSSIP_LISTEN_ADDRESS, flags::GOSSIP_ADDRESS),
+        link_address,
+        link_listen_address: reader.address_or(flags::LINK_LISTEN_ADDRESS, link_address),
+        gossip_address,
+        gossip_listen_address: reader.address_or(flags::GOSSIP_LISTEN_ADDRESS, gossip_address),
         platform_url: reader.url(flags::PLATFORM_URL).unwrap_or_default(),
         seed_peers: reader.addresses(flags::SEED_PEERS),
         fleet_key: reader
@@ -183,11 +184,10 @@
         )
     }
 
-    fn address_or(&mut self, name: &str, otherwise: &str) -> SocketAddr {
-        if self.value(name).is_some() {
-            self.address(name)
-        } else {
-            self.address(otherwise)
+    fn address_or(&mut self, name: &str, otherwise: SocketAddr) -> SocketAddr {
+        match self.value(name) {
+            Some(_) => self.address(name),
+            None => otherwise,
         }
     }
 
