--- a/crates/hemlocktack-node/tests/settings.rs
+++ b/crates/hemlocktack-node/tests/settings.rs
@@ -21,11 +21,11 @@
         .env_clear()
         .envs(environment.iter().copied())
         .output()
-        .unwrap()
+        .expect("the binary runs")
 }
 
 fn standard_error(output: &Output) -> String {
-    String::from_utf8(output.stderr.clone()).unwrap()
+    String::from_utf8_lossy(&output.stderr).into_owned()
 }
 
 #[test]
