Do each thing of a call once, and drop what nothing used

A call was cloned once more for each link it went over, only to know its purpose and its retries afterwards; its rule was looked up three times where it is classified. A home stated the unspent retries of each end apart. Three public queries of the fleet crate, and the state behind them, had no reader. The cost of a call was not measured again.

--- a/crates/hemlocktack-fleet/src/configuration/in_force.rs
+++ b/crates/hemlocktack-fleet/src/configuration/in_force.rs
@@ -130,11 +130,6 @@
         self.caught_up
     }
 
-    /// Whether the last platform call succeeded.
-    pub fn is_platform_reachable(&self) -> bool {
-        self.platform.is_reachable()
-    }
-
     /// To be called several times a second.
     pub fn tick(
         &mut self,
--- a/crates/hemlocktack-fleet/src/configuration/platform_calls.rs
+++ b/crates/hemlocktack-fleet/src/configuration/platform_calls.rs
@@ -14,7 +14,6 @@
     outstanding: Option<Instant>,
     next: Instant,
     failures: u32,
-    reachable: bool,
 }
 
 impl PlatformCalls {
@@ -23,7 +22,6 @@
             outstanding: None,
             next: now,
             failures: 0,
-            reachable: false,
         }
     }
 
@@ -35,10 +33,6 @@
         self.failures > 0
     }
 
-    pub(super) fn is_reachable(&self) -> bool {
-        self.reachable
-    }
-
     pub(super) fn begin(&mut self, now: Instant, timeout: Duration) {
         self.outstanding = Some(now + timeout);
     }
@@ -46,7 +40,6 @@
     pub(super) fn succeed(&mut self, now: Instant, pause: Duration) {
         self.outstanding = None;
         self.failures = 0;
-        self.reachable = true;
         self.next = now + pause;
     }
 
@@ -62,7 +55,6 @@
         let longest = longest.min(settings.backoff_limit);
         self.outstanding = None;
         self.failures = self.failures.saturating_add(1);
-        self.reachable = false;
         self.next = now + longest.mul_f64(rng.random_range(0.5..1.0));
     }
 
--- a/crates/hemlocktack-fleet/src/membership/machine.rs
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -158,11 +158,6 @@
         self.joined
     }
 
-    /// Records waiting to be passed on.
-    pub fn pending_news(&self) -> usize {
-        self.news.len()
-    }
-
     /// All others that are known, dead and left ones too.
     pub fn peers(&self) -> Vec<Peer> {
         let peer = |(_, entry): (&String, &Entry)| Peer {
@@ -220,11 +215,6 @@
         actions
     }
 
-    /// Whether any other member is taken for live.
-    pub fn knows_live_members(&self) -> bool {
-        self.table.live_count() > 0
-    }
-
     /// Takes note of the generation in force here and tells several peers at
     /// once. Without that a change would take a probe period for each doubling
     /// of the nodes that have it.
--- a/crates/hemlocktack-fleet/src/membership/news.rs
+++ b/crates/hemlocktack-fleet/src/membership/news.rs
@@ -59,10 +59,6 @@
             self.tellings.remove(node_id);
         }
     }
-
-    pub(crate) fn len(&self) -> usize {
-        self.tellings.len()
-    }
 }
 
 /// Tellings by which epidemic spreading has reached all of `members` but a
--- a/crates/hemlocktack-node/src/calls/classify.rs
+++ b/crates/hemlocktack-node/src/calls/classify.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hemlocktack_config::{Document, Service};
+use hemlocktack_config::{Document, RequestRule, Service};
 use hemlocktack_decide::{Allowance, WorkKind};
 use hemlocktack_protocol::{Call, ClassRank, Fingerprint, Reason, stable_hash};
 
@@ -46,9 +46,11 @@
         .as_deref()
         .map(|header| node.contexts.find(header))
         .transpose()?;
-    let class_rank = class_rank(&in_force.document, service, &request, parent.as_deref());
-    let idempotent = is_idempotent(service, &request);
-    let kind = work_kind(service, request.method, &request.path);
+    let rule = service.rule(request.method, &request.path);
+    let class_rank = class_rank(&in_force.document, rule, parent.as_deref());
+    // What no rule declares idempotent is not repeated.
+    let idempotent = rule.is_some_and(|rule| rule.idempotent);
+    let kind = work_kind(service, rule);
     node.services.note_kind(kind, &service.name);
     let patience = patience(&in_force.document, &request, parent.as_deref(), now)?;
     let allowance = match &parent {
@@ -94,28 +96,19 @@
 /// request, not which hop of it is being worked on.
 fn class_rank(
     document: &Document,
-    service: &Service,
-    request: &CallerRequest,
+    rule: Option<&RequestRule>,
     parent: Option<&RunningCall>,
 ) -> ClassRank {
     if let Some(parent) = parent {
         return parent.class_rank;
     }
     let last = document.classes.len().saturating_sub(1);
-    let rule = service.rule(request.method, &request.path);
     let rank = rule
         .and_then(|rule| document.class_rank(&rule.class))
         .unwrap_or(last);
     ClassRank::try_from(rank).unwrap_or(ClassRank::MAX)
 }
 
-/// What no rule declares idempotent is not repeated.
-fn is_idempotent(service: &Service, request: &CallerRequest) -> bool {
-    service
-        .rule(request.method, &request.path)
-        .is_some_and(|rule| rule.idempotent)
-}
-
 fn patience(
     document: &Document,
     request: &CallerRequest,
@@ -146,13 +139,14 @@
     let service = in_force
         .as_ref()
         .and_then(|in_force| in_force.document.service(&call.service));
-    service.map_or(0, |service| work_kind(service, &call.method, &call.path))
+    service.map_or(0, |service| {
+        work_kind(service, service.rule(&call.method, &call.path))
+    })
 }
 
 /// Calls that match the same rule are taken to be about equal work. Every node
 /// must come to the same number.
-fn work_kind(service: &Service, method: &str, path: &str) -> WorkKind {
-    let rule = service.rule(method, path);
+fn work_kind(service: &Service, rule: Option<&RequestRule>) -> WorkKind {
     let (method, path_prefix) = rule.map_or(("", ""), |rule| {
         (rule.method.as_str(), rule.path_prefix.as_str())
     });
--- a/crates/hemlocktack-node/src/calls/home.rs
+++ b/crates/hemlocktack-node/src/calls/home.rs
@@ -125,29 +125,22 @@
     };
     let retries_given = call.retries_given;
     let (start, end) = node.home.start(&ticket, call.fingerprint);
-    match start {
+    let answer = match start {
         Start::Run => {
             // Apart from this send: its link or its caller may go while the
             // request runs, and a re-send must find the end all the same.
             tokio::spawn(boxed_run(node.clone(), call, ticket.nonce, deadline));
-            wait_for_end(end, deadline).await
+            return wait_for_end(end, deadline).await;
         }
-        Start::Join => Answer {
-            retries_unspent: retries_given,
-            ..wait_for_end(end, deadline).await
-        },
-        Start::Answered(answer) => Answer {
-            retries_unspent: retries_given,
-            ..Arc::unwrap_or_clone(answer)
-        },
-        Start::AnswerNotKept => Answer {
-            retries_unspent: retries_given,
-            ..unknown(Reason::AnswerNotKept)
-        },
-        Start::Refused(refused) => Answer {
-            retries_unspent: retries_given,
-            ..from_unfinished(refused)
-        },
+        Start::Join => wait_for_end(end, deadline).await,
+        Start::Answered(answer) => Arc::unwrap_or_clone(answer),
+        Start::AnswerNotKept => unknown(Reason::AnswerNotKept),
+        Start::Refused(refused) => from_unfinished(refused),
+    };
+    // Only the send that began the run can have spent retries.
+    Answer {
+        retries_unspent: retries_given,
+        ..answer
     }
 }
 
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -204,21 +204,22 @@
             is_receivers_word: true,
         },
         Some(Place::There(peer)) => send_over_link(node, &peer, call, deadline).await,
-        None => never_arrived(&call, Reason::LinkLost),
+        None => never_arrived(call.purpose(), given, Reason::LinkLost),
     };
     allowance.give_back(delivery.answer.retries_unspent, given);
     delivery
 }
 
-async fn send_over_link(node: &Node, peer: &Peer, call: Call, deadline: Instant) -> Delivery {
-    let mut sent = call.clone();
-    let span = ObservedSpan::begin(node, SpanName::Link, &mut sent);
-    let delivery = match node.links.call(peer, sent, deadline).await {
+async fn send_over_link(node: &Node, peer: &Peer, mut call: Call, deadline: Instant) -> Delivery {
+    let purpose = call.purpose();
+    let given = call.retries_given;
+    let span = ObservedSpan::begin(node, SpanName::Link, &mut call);
+    let delivery = match node.links.call(peer, call, deadline).await {
         Sent::Answer(answer) => Delivery {
             answer,
             is_receivers_word: true,
         },
-        Sent::NeverArrived(reason) => never_arrived(&call, reason),
+        Sent::NeverArrived(reason) => never_arrived(purpose, given, reason),
         Sent::Unknown(reason) => Delivery {
             answer: unknown(reason),
             is_receivers_word: false,
@@ -233,16 +234,15 @@
 /// Symptom: it is told that its booking was not run, though the first send ran
 /// it. That this send never arrived says nothing of earlier ones; only the home
 /// can say `not_run` of a ticket.
-fn never_arrived(call: &Call, reason: Reason) -> Delivery {
-    let is_to_home = call.purpose() == CallPurpose::Home;
-    let end = if is_to_home {
+fn never_arrived(purpose: CallPurpose, given: u32, reason: Reason) -> Delivery {
+    let end = if purpose == CallPurpose::Home {
         unknown(reason)
     } else {
         not_run(reason, None)
     };
     Delivery {
         answer: Answer {
-            retries_unspent: call.retries_given,
+            retries_unspent: given,
             ..end
         },
         is_receivers_word: false,
