--- a/crates/hemlocktack-config/src/document.rs
+++ b/crates/hemlocktack-config/src/document.rs
@@ -7,6 +7,7 @@
     QUARANTINE_CRASHES, QUARANTINE_MS, QUEUE_LIMIT_CALLS, RETRY_SHARE_PERCENT,
     TRACE_SAMPLE_PER_MILLION,
 };
+use crate::routes::{self, ClientLimits, Route};
 
 /// One configuration: everything that operators declare.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
@@ -19,6 +20,13 @@
     pub caller_kinds: Vec<CallerKind>,
     /// Services of the call graph.
     pub services: Vec<Service>,
+    /// Routes of deployments whose callers name no service. They come from the
+    /// deployment's own configuration; the text of this format has none.
+    #[serde(skip)]
+    pub routes: Vec<Route>,
+    /// What callers may send, where the deployment says so.
+    #[serde(skip)]
+    pub client_limits: ClientLimits,
 }
 
 /// Limits that hold for every node.
@@ -69,6 +77,12 @@
     pub queue_limit_calls: usize,
     /// First match decides. What no rule matches is of the last class and may not be repeated.
     pub requests: Vec<RequestRule>,
+    /// Where an upstream of it is asked for its health, if not at the usual place.
+    #[serde(skip)]
+    pub health_path: Option<String>,
+    /// Connections that one upstream of it accepts, where the operators say so.
+    #[serde(skip)]
+    pub connection_limit: Option<u32>,
 }
 
 /// What holds for the requests that it matches.
@@ -119,6 +133,12 @@
         self.services.iter().find(|service| service.name == name)
     }
 
+    /// The route that a request takes: that with the longest prefix among those
+    /// of its host.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        routes::find(&self.routes, host, path)
+    }
+
     /// The caller kind of that name, or the first one for callers that name none.
     pub fn caller_kind(&self, name: Option<&str>) -> Option<&CallerKind> {
         let Some(name) = name else {
@@ -137,6 +157,8 @@
             answer_limit_bytes: default_of(ANSWER_LIMIT_BYTES) as usize,
             queue_limit_calls: default_of(QUEUE_LIMIT_CALLS) as usize,
             requests: Vec::new(),
+            health_path: None,
+            connection_limit: None,
         }
     }
 
--- a/crates/hemlocktack-config/src/lib.rs
+++ b/crates/hemlocktack-config/src/lib.rs
@@ -10,6 +10,7 @@
 mod parse;
 mod places;
 mod read;
+mod routes;
 
 pub use bounds::{
     BOUNDS, Bound, CALLER_KIND_LIMIT, CLASS_LIMIT, DOCUMENT_LIMIT_BYTES, NAME_LIMIT_BYTES,
@@ -18,3 +19,4 @@
 pub use diff::{Change, diff};
 pub use document::{ANY_METHOD, CallerKind, Class, Document, Limits, RequestRule, Service};
 pub use parse::{Error, Result, parse};
+pub use routes::{ClientLimits, Route, RouteTarget};
--- a/crates/hemlocktack-config/src/read.rs
+++ b/crates/hemlocktack-config/src/read.rs
@@ -18,6 +18,7 @@
         classes: entry.list("classes", reading, class),
         caller_kinds: entry.list("caller_kinds", reading, caller_kind),
         services: entry.list("services", reading, service),
+        ..Document::default()
     };
     entry.finish(reading);
     document
@@ -56,11 +57,11 @@
 
 fn service(mut entry: Entry<'_, '_>, reading: &mut Reading) -> Service {
     let service = Service {
-        name: entry.text("name", reading),
         body_limit_bytes: entry.number(BODY_LIMIT_BYTES, reading) as usize,
         answer_limit_bytes: entry.number(ANSWER_LIMIT_BYTES, reading) as usize,
         queue_limit_calls: entry.number(QUEUE_LIMIT_CALLS, reading) as usize,
         requests: entry.list("requests", reading, request_rule),
+        ..Service::new(entry.text("name", reading))
     };
     entry.finish(reading);
     service
--- a/crates/hemlocktack-config/tests/properties.rs
+++ b/crates/hemlocktack-config/tests/properties.rs
@@ -40,6 +40,7 @@
                 ..Service::new(name)
             })
             .collect(),
+        ..Document::default()
     })
 }
 
--- a/crates/hemlocktack-decide/src/placement.rs
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -337,6 +337,7 @@
             | Reason::Draining
             | Reason::UpstreamDraining
             | Reason::UpstreamUnreachable
+            | Reason::UpstreamReplaced
     )
 }
 
--- a/crates/hemlocktack-node/src/callers/answer.rs
+++ b/crates/hemlocktack-node/src/callers/answer.rs
@@ -11,7 +11,7 @@
 use rocket::http::Status;
 
 use super::leaving::LeavingBody;
-use crate::calls::{NOTHING_SHED, wait_before_return};
+use crate::calls::retry_after;
 use crate::counters::CallInFlight;
 
 /// Answer to one request of a caller, about to leave.
@@ -95,36 +95,6 @@
     }
 }
 
-/// When the caller may come back: as those said who refused it, or soon where
-/// they said nothing and the reason passes by itself.
-fn retry_after(answer: &Answer) -> Option<Duration> {
-    if answer.retry_after_ms > 0 {
-        return Some(Duration::from_millis(answer.retry_after_ms.into()));
-    }
-    let passes = answer.outcome() == Outcome::NotRun && passes_by_itself(answer.reason());
-    passes.then(|| wait_before_return(NOTHING_SHED))
-}
-
-/// Whether the same request may get an answer a little later.
-fn passes_by_itself(reason: Reason) -> bool {
-    matches!(
-        reason,
-        Reason::NoUpstream
-            | Reason::QueueFull
-            | Reason::Shed
-            | Reason::DeadlineTooShort
-            | Reason::QueueTimeout
-            | Reason::RetriesSpent
-            | Reason::Starting
-            | Reason::Draining
-            | Reason::UpstreamDraining
-            | Reason::LinkLost
-            | Reason::Fenced
-            | Reason::UpstreamFailed
-            | Reason::UpstreamUnreachable
-    )
-}
-
 /// The header has whole seconds only; rounding down would bring callers back early.
 fn whole_seconds(duration: Duration) -> u64 {
     duration.as_millis().div_ceil(1000) as u64
--- a/crates/hemlocktack-node/src/calls/classify.rs
+++ b/crates/hemlocktack-node/src/calls/classify.rs
@@ -135,6 +135,9 @@
 
 /// Kind of work of a call that reached the upstream side.
 pub(crate) fn work_kind_of(node: &Node, call: &Call) -> WorkKind {
+    if call.work_kind != 0 {
+        return call.work_kind;
+    }
     let in_force = node.configuration_in_force();
     let service = in_force
         .as_ref()
--- a/crates/hemlocktack-node/src/calls/ends.rs
+++ b/crates/hemlocktack-node/src/calls/ends.rs
@@ -4,6 +4,8 @@
 
 use hemlocktack_protocol::{Answer, Outcome, Reason};
 
+use super::{NOTHING_SHED, wait_before_return};
+
 /// Nothing ran and nothing will.
 pub(crate) fn not_run(reason: Reason, retry_after: Option<Duration>) -> Answer {
     let retry_after_ms = retry_after.map_or(0, |wait| {
@@ -25,3 +27,34 @@
         ..Answer::default()
     }
 }
+
+/// When the caller may come back: as those said who refused it, or soon where
+/// they said nothing and the reason passes by itself.
+pub(crate) fn retry_after(answer: &Answer) -> Option<Duration> {
+    if answer.retry_after_ms > 0 {
+        return Some(Duration::from_millis(answer.retry_after_ms.into()));
+    }
+    let passes = answer.outcome() == Outcome::NotRun && passes_by_itself(answer.reason());
+    passes.then(|| wait_before_return(NOTHING_SHED))
+}
+
+/// Whether the same request may get an answer a little later.
+fn passes_by_itself(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::NoUpstream
+            | Reason::QueueFull
+            | Reason::Shed
+            | Reason::DeadlineTooShort
+            | Reason::QueueTimeout
+            | Reason::RetriesSpent
+            | Reason::Starting
+            | Reason::Draining
+            | Reason::UpstreamDraining
+            | Reason::LinkLost
+            | Reason::Fenced
+            | Reason::UpstreamFailed
+            | Reason::UpstreamUnreachable
+            | Reason::UpstreamReplaced
+    )
+}
--- a/crates/hemlocktack-node/src/calls/enter.rs
+++ b/crates/hemlocktack-node/src/calls/enter.rs
@@ -70,7 +70,7 @@
 
 async fn run(node: &Arc<Node>, classified: &mut Classified) -> Answer {
     if classified.idempotent {
-        return place::run_idempotent(node, classified).await;
+        return place::run_placed(node, classified).await;
     }
     ticketed::run_ticketed(node, classified).await
 }
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -25,19 +25,25 @@
 /// Pressure behind a refusal that has other causes than load.
 pub(crate) const NOTHING_SHED: f64 = 0.0;
 
-/// Places an idempotent call and stays with it until its end.
-pub(crate) async fn run_idempotent(node: &Arc<Node>, classified: &Classified) -> Answer {
+/// Places a call without a ticket and stays with it until its end. One that is
+/// not idempotent goes to another node only after the one before has proved
+/// that it has not run there.
+pub(crate) async fn run_placed(node: &Arc<Node>, classified: &Classified) -> Answer {
     let view = match admitted_view(node, classified) {
         Ok(view) => view,
         Err(refusal) => return not_run(refusal.reason, refusal.retry_after),
     };
     view.edge.first_try();
+    let purpose = match classified.idempotent {
+        true => CallPurpose::Placed,
+        false => CallPurpose::PlacedOnce,
+    };
     let mut tries = Tries::default();
     loop {
         let Some(index) = choose(&view, tries.excluded) else {
             return tries.told_or_no_upstream();
         };
-        let answer = attempt(node, &view, index, classified, CallPurpose::Placed).await;
+        let answer = attempt(node, &view, index, classified, purpose).await;
         let Some(unfinished) = unfinished(&answer) else {
             return answer;
         };
@@ -200,7 +206,7 @@
     call.time_left_us = time_left_us(deadline);
     let delivery = match node.place_of(&peer.member) {
         Some(Place::Here) => Delivery {
-            answer: receive(node, call, &CancellationToken::new()).await,
+            answer: receive_here(node, call).await,
             is_receivers_word: true,
         },
         Some(Place::There(peer)) => send_over_link(node, &peer, call, deadline).await,
@@ -210,6 +216,24 @@
     delivery
 }
 
+/// A caller that goes drops this: what may be cancelled ends with it, and what
+/// may not goes on in a task of its own.
+async fn receive_here(node: &Arc<Node>, call: Call) -> Answer {
+    let cancelled = CancellationToken::new();
+    if call.purpose() != CallPurpose::PlacedOnce {
+        return receive(node, call, &cancelled).await;
+    }
+    let _cancelled_with_caller = cancelled.clone().drop_guard();
+    let node = node.clone();
+    let running = tokio::spawn(async move {
+        let _in_flight = node.enter_call();
+        receive(&node, call, &cancelled).await
+    });
+    running
+        .await
+        .unwrap_or_else(|_| unknown(Reason::UpstreamFailed))
+}
+
 async fn send_over_link(node: &Node, peer: &Peer, mut call: Call, deadline: Instant) -> Delivery {
     let purpose = call.purpose();
     let given = call.retries_given;
@@ -293,7 +317,7 @@
     let expected = Duration::from_micros(service_time_us);
     let verdict = retry_verdict(
         unfinished,
-        true,
+        classified.idempotent,
         time_left,
         expected,
         &classified.allowance,
--- a/crates/hemlocktack-node/src/calls/receive.rs
+++ b/crates/hemlocktack-node/src/calls/receive.rs
@@ -37,6 +37,7 @@
         CallPurpose::Placed | CallPurpose::Unspecified => {
             receive_placed(node, call, deadline, cancelled).await
         }
+        CallPurpose::PlacedOnce => receive_once(node, call, deadline, cancelled).await,
     }
 }
 
@@ -62,6 +63,39 @@
     }
 }
 
+/// Runs a call here that its entry sends to one node at a time. Until it is
+/// handed to the upstream, a caller that leaves takes it back; once begun it is
+/// finished, as breaking off a booking helps nobody.
+async fn receive_once(
+    node: &Arc<Node>,
+    call: Call,
+    deadline: Instant,
+    cancelled: &CancellationToken,
+) -> Answer {
+    if let Some(reason) = refuses_all(node, &call) {
+        return refused(node, &call, reason);
+    }
+    let begun = CancellationToken::new();
+    let order = RunOrder {
+        call,
+        nonce: None,
+        deadline,
+        may_start: || {
+            begun.cancel();
+            !cancelled.is_cancelled()
+        },
+    };
+    let running = run(node, order);
+    tokio::pin!(running);
+    tokio::select! {
+        biased;
+        answer = &mut running => return answer,
+        () = begun.cancelled() => {}
+        () = cancelled.cancelled() => return not_run(Reason::Cancelled, None),
+    }
+    running.await
+}
+
 /// Runs a ticketed call here that its home handed over. It is never cancelled:
 /// once begun it is finished, so that a re-send finds its answer at the home.
 async fn receive_delegated(node: &Arc<Node>, call: Call, deadline: Instant) -> Answer {
--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -13,7 +13,7 @@
 use super::{RunningCall, not_run, unknown, work_kind_of};
 use crate::node::Node;
 use crate::telemetry::{ObservedSpan, request_line};
-use crate::upstream::UpstreamEnd;
+use crate::upstream::{UpstreamEnd, UpstreamSend};
 
 /// A running upstream accepts a connection in a millisecond; one that does not
 /// within this time has crashed or is as good as crashed.
@@ -98,11 +98,15 @@
     };
     let deadline = running.deadline;
     let context = node.contexts.open(running);
-    let address = announcement.address.to_string();
-    let limit_bytes = node.answer_limit_bytes();
     let end = node
         .upstream_client
-        .send(&address, call, &context.header(), deadline, limit_bytes)
+        .send(UpstreamSend {
+            announcement: &announcement,
+            call,
+            context: &context.header(),
+            deadline,
+            answer_limit_bytes: node.answer_limit_bytes(),
+        })
         .await;
     if matches!(end, UpstreamEnd::Unknown(Reason::UpstreamFailed))
         && !is_alive(announcement.address).await
--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 
+use crate::interfaces;
 use crate::node::{Node, Place};
 use crate::run::Result;
 
@@ -50,7 +51,7 @@
         return Ok(());
     };
     let settings = ConfigurationSettings {
-        can_read: |stored| hemlocktack_config::parse(&stored.document).is_ok(),
+        can_read: interfaces::can_read(node.settings.interface),
         ..ConfigurationSettings::default()
     };
     let follower = Follower {
--- /dev/null
+++ b/crates/hemlocktack-node/src/gateway/announcements.rs
@@ -0,0 +1,184 @@
+//! What the upstream beside the node says, and whether the node is ready.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hemlocktack_interface::{Health, Interface, Standing, UpstreamReport, Word};
+use hemlocktack_protocol::{NodeState, UpstreamState};
+use hemlocktack_telemetry::{Event, log_event};
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+
+use super::requests::LeavingBody;
+use super::server::plain;
+use crate::node::Node;
+use crate::upstream::Announcement;
+
+/// Announcements are a few hundred bytes.
+const BODY_LIMIT_BYTES: usize = 16 << 10;
+/// An upstream on the same machine answers within a millisecond; one that is
+/// full makes the question wait for a slot.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(300);
+/// Pause between two questions to an upstream that is not known yet. Waiting
+/// for its own next word would take a second or two in which its node refuses
+/// everybody.
+const FIND_PAUSE: Duration = Duration::from_millis(250);
+/// Slots taken for granted until the upstream says how many it has.
+const SLOTS_UNSAID: u32 = 8;
+
+/// Answers an announcement or a question for readiness.
+pub(super) async fn answer(
+    node: Arc<Node>,
+    interface: Interface,
+    request: Request<Incoming>,
+) -> Response<LeavingBody> {
+    let (head, body) = request.into_parts();
+    if (interface.announcements.asks_readiness)(&head) {
+        return plain(readiness(&node));
+    }
+    let body = Limited::new(body, BODY_LIMIT_BYTES).collect().await;
+    let body = body.map(|body| body.to_bytes()).unwrap_or_default();
+    let word = match (interface.announcements.read)(&head, &body) {
+        Ok(word) => word,
+        Err(fault) => {
+            log_event!(Event::AnnouncementMalformed, %fault);
+            return plain(refuse(fault));
+        }
+    };
+    take(&node, interface, word).await;
+    plain((interface.announcements.write_acknowledgement)())
+}
+
+/// Ready means: a configuration is in force and the node is not stopping. That
+/// the platform is away or the upstream silent is no reason to send callers
+/// elsewhere: the other nodes would see the same.
+fn readiness(node: &Node) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    if node.state() != NodeState::Ready {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+fn refuse(fault: String) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::from(fault));
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    response
+}
+
+/// Takes the word of one start of the upstream, if it is the one that listens.
+async fn take(node: &Arc<Node>, interface: Interface, word: Word) {
+    let upstream_start = match &word {
+        Word::Report(report) => &report.upstream_start,
+        Word::Leaving { upstream_start } => upstream_start,
+    };
+    if !node.upstream_starts().is_current(upstream_start) {
+        let listens = ask_health(node, interface).await;
+        let listens = listens
+            .as_ref()
+            .map(|health| health.upstream_start.as_str());
+        let mut starts = node.upstream_starts();
+        if !starts.may_follow(upstream_start, listens) {
+            return;
+        }
+        starts.follow(upstream_start);
+    }
+    match word {
+        Word::Report(report) => take_report(node, &report),
+        Word::Leaving { .. } => {
+            node.upstream_starts().leave();
+            node.upstream_drains();
+        }
+    }
+}
+
+fn take_report(node: &Node, report: &UpstreamReport) {
+    if *report.service != *node.settings.service {
+        log_event!(
+            Event::AnnouncementMalformed,
+            fault = "it is of another service"
+        );
+        return;
+    }
+    let is_news = node.upstream_starts().is_news(report.sequence);
+    if !is_news {
+        return;
+    }
+    if report.standing == Standing::Draining {
+        node.upstream_starts().leave();
+        node.upstream_drains();
+        return;
+    }
+    if node.upstream_starts().has_left() {
+        return;
+    }
+    let is_cold = report.cold_left > Duration::ZERO;
+    announce(
+        node,
+        &report.upstream_start,
+        report.address,
+        report.slots,
+        is_cold,
+    );
+}
+
+fn announce(
+    node: &Node,
+    upstream_start: &str,
+    address: std::net::SocketAddr,
+    slots: u32,
+    cold: bool,
+) {
+    node.upstream_announced(Announcement {
+        // Only its own node reaches the upstream, under the address in the settings.
+        address: node.settings.upstream_address.unwrap_or(address),
+        slots,
+        connections: node.connection_limit(),
+        cold,
+        load_path: None,
+        upstream_start: Some(upstream_start.into()),
+    });
+}
+
+/// Asks the upstream who it is until its node knows it.
+///
+/// Failure: all nodes are killed at once and start again; each refuses its
+/// callers until its upstream's next announcement. An upstream that says it is
+/// not well may be leaving, and its word to the start before this one binds.
+pub(super) async fn find_upstream(node: Arc<Node>, interface: Interface) {
+    if node.settings.upstream_address.is_none() {
+        return;
+    }
+    while !node.signals.stopped.is_cancelled() && node.upstream_state() == UpstreamState::Absent {
+        if let Some(health) = ask_health(&node, interface).await {
+            found(&node, &health);
+        }
+        tokio::time::sleep(FIND_PAUSE).await;
+    }
+}
+
+fn found(node: &Node, health: &Health) {
+    {
+        let mut starts = node.upstream_starts();
+        if !health.is_well || starts.is_known() {
+            return;
+        }
+        starts.follow(&health.upstream_start);
+    }
+    let Some(address) = node.settings.upstream_address else {
+        return;
+    };
+    let slots = health.slots.unwrap_or(SLOTS_UNSAID);
+    announce(node, &health.upstream_start, address, slots, false);
+}
+
+async fn ask_health(node: &Node, interface: Interface) -> Option<Health> {
+    let address = node.settings.upstream_address?;
+    let path = node.health_path(interface.upstreams.health_path);
+    let deadline = Instant::now() + HEALTH_TIMEOUT;
+    node.upstream_client
+        .ask_health(address, &path, deadline)
+        .await
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -0,0 +1,100 @@
+//! What the operators' routes say of a request.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlocktack_config::{Document, Route};
+use hemlocktack_decide::Allowance;
+use hemlocktack_interface::Entered;
+use hemlocktack_protocol::{Call, ClassRank, Reason, stable_hash};
+
+use crate::calls::Classified;
+use crate::node::Node;
+
+/// Time that a caller is taken to wait where neither it nor its route says.
+const PATIENCE_UNSAID: Duration = Duration::from_secs(30);
+
+/// What a request's head and the configuration come to.
+pub(super) struct Routed {
+    pub(super) route: String,
+    pub(super) service: String,
+    pub(super) body_limit_bytes: usize,
+    pub(super) deadline: Instant,
+    idempotent: bool,
+    class_rank: ClassRank,
+    attempts: u32,
+}
+
+/// Finds the route of a request and draws the service that gets it.
+pub(super) fn find_route(
+    node: &Node,
+    entered: &Entered,
+    path: &str,
+    now: Instant,
+) -> Result<Routed, Reason> {
+    let Some(in_force) = node.configuration_in_force() else {
+        return Err(Reason::Starting);
+    };
+    let document = &in_force.document;
+    let route = document
+        .route(&entered.host, path)
+        .ok_or(Reason::UnknownService)?;
+    let target = route.target(rand::random()).ok_or(Reason::UnknownService)?;
+    Ok(Routed {
+        route: route.name.clone(),
+        service: target.service.clone(),
+        body_limit_bytes: document.client_limits.body_limit_bytes,
+        deadline: now + patience(entered, route),
+        idempotent: route.idempotent,
+        class_rank: class_rank(document, route),
+        attempts: route.attempts,
+    })
+}
+
+/// The caller's patience and the operators' limit, whichever is shorter.
+fn patience(entered: &Entered, route: &Route) -> Duration {
+    let timeout = route.timeout_ms.map(Duration::from_millis);
+    let both = entered.time_left.into_iter().chain(timeout);
+    both.min().unwrap_or(PATIENCE_UNSAID)
+}
+
+/// Routes without a rank come after all that have one.
+fn class_rank(document: &Document, route: &Route) -> ClassRank {
+    let last = document.classes.len().saturating_sub(1);
+    let rank = route
+        .priority
+        .map_or(last, |rank| usize::try_from(rank).unwrap_or(last));
+    ClassRank::try_from(rank.min(last)).unwrap_or(ClassRank::MAX)
+}
+
+impl Routed {
+    /// The call that goes through the fleet.
+    pub(super) fn classify(self, node: &Node, call: Call) -> Classified {
+        let kind = stable_hash(&[self.service.as_bytes(), self.route.as_bytes()]);
+        node.services.note_kind(kind, &self.service);
+        let fingerprint = stable_hash(&[
+            self.service.as_bytes(),
+            call.method.as_bytes(),
+            call.path.as_bytes(),
+            &call.body,
+        ]);
+        Classified {
+            call: Call {
+                service: self.service,
+                fingerprint,
+                class_rank: self.class_rank.into(),
+                root_request_id: rand::random(),
+                work_kind: kind,
+                ..call
+            },
+            idempotent: self.idempotent,
+            class_rank: self.class_rank,
+            kind,
+            deadline: self.deadline,
+            // Each retry may reach one more upstream.
+            allowance: Arc::new(Allowance::new(self.attempts.saturating_sub(1))),
+            parent: None,
+            idempotency_key: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/gateway/mod.rs
@@ -0,0 +1,16 @@
+//! HTTP towards callers and upstreams of a deployment that speaks an interface
+//! of its own.
+//!
+//! Built on the HTTP library under the web framework of the product's own
+//! interface. The framework runs a handler to its end after its caller has
+//! gone, and its shutdown cuts kept connections; both are promises here.
+
+mod announcements;
+mod classify;
+mod headers;
+mod requests;
+mod server;
+mod start;
+
+pub(crate) use headers::passed_on;
+pub(crate) use start::start;
--- /dev/null
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -0,0 +1,177 @@
+//! One request of a caller, from its head to its answer.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hemlocktack_interface::{Entered, Interface, Refused};
+use hemlocktack_protocol::{Answer, Call, Header, Outcome, Reason};
+use hemlocktack_telemetry::{SpanEnd, SpanName};
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode, request};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+
+use super::classify::{Routed, find_route};
+use super::{passed_on, server};
+use crate::calls::{self, not_run, retry_after};
+use crate::counters::CallInFlight;
+use crate::node::Node;
+use crate::telemetry::request_line;
+
+/// Body of an answer; its call stays in flight until the HTTP library has
+/// taken all of it or has dropped it because the caller is gone.
+pub(super) struct LeavingBody {
+    body: Full<Bytes>,
+    _in_flight: Option<CallInFlight>,
+}
+
+impl LeavingBody {
+    pub(super) fn new(body: Full<Bytes>, in_flight: Option<CallInFlight>) -> Self {
+        Self {
+            body,
+            _in_flight: in_flight,
+        }
+    }
+}
+
+impl Body for LeavingBody {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Answers a request as soon as its end is known.
+pub(super) async fn answer(
+    node: Arc<Node>,
+    interface: Interface,
+    request: Request<Incoming>,
+) -> Response<LeavingBody> {
+    let in_flight = node.enter_call();
+    let (head, body) = request.into_parts();
+    let entered = match (interface.callers.read)(&head) {
+        Ok(entered) => entered,
+        Err(reason) => return refuse(interface, String::new(), not_run(reason, None)),
+    };
+    let answer = run(&node, interface, &head, &entered, body).await;
+    if answer.outcome() != Outcome::Answered {
+        return refuse(interface, entered.request_id, answer);
+    }
+    respond(answer, in_flight)
+}
+
+async fn run(
+    node: &Arc<Node>,
+    interface: Interface,
+    head: &request::Parts,
+    entered: &Entered,
+    body: Incoming,
+) -> Answer {
+    let path = head.uri.path();
+    let span = node
+        .tracer
+        .start(node.tracer.context_of(None), SpanName::Entry);
+    let routed = match find_route(node, entered, path, Instant::now()) {
+        Ok(routed) => routed,
+        Err(reason) => return not_run(reason, None),
+    };
+    let service = routed.service.clone();
+    let body = match read_body(body, &routed).await {
+        Ok(body) => body,
+        Err(reason) => return not_run(reason, None),
+    };
+    let call = Call {
+        request_id: entered.request_id.clone(),
+        method: head.method.as_str().to_owned(),
+        path: target(head),
+        headers: headers(node, interface, head),
+        body,
+        traceparent: span.context().header(),
+        ..Call::default()
+    };
+    let answer = calls::run_placed(node, &routed.classify(node, call)).await;
+    let (outcome, reason) = (answer.outcome(), answer.reason());
+    node.waits.entry.observe(span.elapsed());
+    node.entry_counts.ended(&service, outcome, reason);
+    span.end(&node.tracer, SpanEnd { outcome, reason }, || {
+        request_line(head.method.as_str(), path)
+    });
+    answer
+}
+
+/// The whole body, while its caller would still wait for an answer.
+async fn read_body(body: Incoming, routed: &Routed) -> Result<Bytes, Reason> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let limited = Limited::new(body, routed.body_limit_bytes);
+    let collected = tokio::time::timeout_at(routed.deadline.into(), limited.collect()).await;
+    match collected {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::BodyTooLarge),
+        Ok(Err(_)) => Err(Reason::MalformedRequest),
+        Err(_) => Err(Reason::DeadlineTooShort),
+    }
+}
+
+/// Path and query as they were sent, also of a target in absolute form.
+fn target(head: &request::Parts) -> String {
+    let target = head.uri.path_and_query();
+    target.map_or_else(|| "/".to_owned(), |target| target.as_str().to_owned())
+}
+
+/// What goes on, with the system's own word on where the request began.
+fn headers(node: &Node, interface: Interface, head: &request::Parts) -> Vec<Header> {
+    let origin = (interface.callers.origin_headers)(&node.settings.service);
+    let own: Vec<&str> = origin.iter().map(|header| header.name.as_str()).collect();
+    let mut headers = passed_on(&head.headers, &own);
+    headers.extend(origin);
+    headers
+}
+
+fn refuse(interface: Interface, request_id: String, answer: Answer) -> Response<LeavingBody> {
+    let refused = Refused {
+        request_id,
+        outcome: answer.outcome(),
+        reason: answer.reason(),
+        retry_after: retry_after(&answer).map(shortest),
+    };
+    server::plain((interface.callers.write_refused)(&refused))
+}
+
+/// Below this a caller would come back before anything can have changed.
+fn shortest(wait: Duration) -> Duration {
+    const LEAST: Duration = Duration::from_millis(20);
+    wait.max(LEAST)
+}
+
+fn respond(answer: Answer, in_flight: CallInFlight) -> Response<LeavingBody> {
+    let body = LeavingBody::new(Full::new(answer.body), Some(in_flight));
+    let mut response = Response::new(body);
+    let status = u16::try_from(answer.status).ok();
+    let status = status.and_then(|status| StatusCode::from_u16(status).ok());
+    *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+    for header in answer.headers {
+        let name = HeaderName::from_bytes(header.name.as_bytes());
+        let value = HeaderValue::from_maybe_shared(header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/gateway/start.rs
@@ -0,0 +1,34 @@
+//! Opens the listeners of an interface.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hemlocktack_interface::Interface;
+
+use super::{announcements, requests, server};
+use crate::node::Node;
+use crate::run::{Result, listen};
+
+/// Listens for callers, announcements and questions for readiness.
+pub(crate) async fn start(node: &Arc<Node>, interface: Interface) -> Result<()> {
+    let settings = &node.settings;
+    let callers = listen(settings.caller_address).await?;
+    let handle = move |node, request| requests::answer(node, interface, request);
+    tokio::spawn(server::serve(node.clone(), callers, handle));
+    for address in own_addresses(settings.announce_address, settings.readiness_address) {
+        let listener = listen(address).await?;
+        let handle = move |node, request| announcements::answer(node, interface, request);
+        tokio::spawn(server::serve(node.clone(), listener, handle));
+    }
+    tokio::spawn(announcements::find_upstream(node.clone(), interface));
+    Ok(())
+}
+
+/// Both questions may come in at one address.
+fn own_addresses(
+    announce: Option<SocketAddr>,
+    readiness: Option<SocketAddr>,
+) -> impl Iterator<Item = SocketAddr> {
+    let readiness = readiness.filter(|readiness| Some(*readiness) != announce);
+    announce.into_iter().chain(readiness)
+}
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -127,13 +127,18 @@
         deadline: Instant,
     ) -> Sent {
         let incarnation = connection.peer_incarnation;
+        let mut leaving = CancelOnLeaving::new(call_id, &connection);
         loop {
             tokio::select! {
                 biased;
                 event = events.recv() => match event {
-                    Some(CallEvent::Answer(answer)) => return Sent::Answer(answer),
+                    Some(CallEvent::Answer(answer)) => {
+                        leaving.stay();
+                        return Sent::Answer(answer);
+                    }
                     Some(CallEvent::Resolution(progress)) => {
                         if let Some(sent) = settled(progress) {
+                            leaving.stay();
                             return sent;
                         }
                     }
@@ -141,12 +146,14 @@
                 },
                 () = connection.closed() => {
                     match self.ask_again(link, call_id, incarnation, deadline).await {
-                        Ok(next) => connection = next,
+                        Ok(next) => {
+                            leaving.follow(&next);
+                            connection = next;
+                        }
                         Err(reason) => return Sent::Unknown(reason),
                     }
                 }
                 () = tokio::time::sleep_until(deadline.into()) => {
-                    connection.send_if_room(frame::Body::Cancel(CancelCall { call_id }));
                     return Sent::Unknown(Reason::Timeout);
                 }
             }
@@ -252,6 +259,43 @@
     }
 }
 
+/// Tells the receiver that nobody waits for a call any more, unless its end is
+/// known.
+///
+/// Failure: a caller hangs up, its request goes on in a queue and an upstream
+/// elsewhere, and the work is for nobody. The wait for a call ends with its
+/// caller, so what is dropped with it reaches the receiver one way later.
+struct CancelOnLeaving {
+    call_id: CallId,
+    connection: Option<Connection>,
+}
+
+impl CancelOnLeaving {
+    fn new(call_id: CallId, connection: &Connection) -> Self {
+        Self {
+            call_id,
+            connection: Some(connection.clone()),
+        }
+    }
+
+    fn follow(&mut self, connection: &Connection) {
+        self.connection = Some(connection.clone());
+    }
+
+    fn stay(&mut self) {
+        self.connection = None;
+    }
+}
+
+impl Drop for CancelOnLeaving {
+    fn drop(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            let call_id = self.call_id;
+            connection.send_if_room(frame::Body::Cancel(CancelCall { call_id }));
+        }
+    }
+}
+
 /// A call that waits; leaving takes it off the list, so that a late answer
 /// finds nobody and is dropped.
 struct PendingCall {
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use hemlocktack_config::Document;
+use hemlocktack_config::{ClientLimits, Document};
 use hemlocktack_decide::{ChainEdges, ShedLevel, WorkKind};
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::drain::{
@@ -13,6 +13,7 @@
 };
 use hemlocktack_fleet::handover::{HandoverLimits, Receiving};
 use hemlocktack_fleet::keys::FleetKeys;
+use hemlocktack_interface::Interface;
 use hemlocktack_platform::{Client, NodeRecords};
 use hemlocktack_protocol::{
     ConfigurationDocument, Generation, Member, NodeState, Succession, UpstreamState,
@@ -25,11 +26,14 @@
 use crate::configuration;
 use crate::counters::{CallInFlight, Counters};
 use crate::handover;
+use crate::interfaces;
 use crate::links::{Links, Peer, Senders};
 use crate::peers::GossipCounts;
-use crate::settings::Settings;
+use crate::settings::{InterfaceName, Settings};
 use crate::telemetry::{EntryCounts, LogLimit, Waits};
-use crate::upstream::{Announcement, RENEW_EVERY, RENEWALS_MISSED_MAX, UpstreamClient};
+use crate::upstream::{
+    Announcement, RENEW_EVERY, RENEWALS_MISSED_MAX, UpstreamClient, UpstreamStarts,
+};
 
 /// News of a drain reaches all nodes within this time; until then a draining
 /// node is there to refuse what still comes.
@@ -39,6 +43,16 @@
 /// Largest answer passed on for a service that the configuration lacks.
 const ANSWER_LIMIT_BEFORE_CONFIGURATION_BYTES: usize = 1 << 20;
 
+/// Connections that an upstream is taken to accept where nobody says.
+const CONNECTION_LIMIT_UNSAID: u32 = 1_000;
+/// Kept back from the time between the signal to stop and the end by force:
+/// to say farewell and to exit.
+const EXIT_TIME: Duration = Duration::from_millis(1_200);
+/// An upstream whose announcements are spelled by an interface renews every
+/// second or two and may be seconds late; that it is down shows when a
+/// connection fails.
+const SPELLED_ANNOUNCEMENT_TTL: Duration = Duration::from_secs(10);
+
 /// The configuration that decides about calls now.
 pub(crate) struct InForce {
     pub(crate) generation: Generation,
@@ -56,6 +70,8 @@
 /// One start of one node.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
+    /// The interface that is spoken instead of the product's own.
+    pub(crate) interface: Option<Interface>,
     pub(crate) identity: NodeIncarnation,
     pub(crate) keys: FleetKeys,
     pub(crate) platform: Arc<Client>,
@@ -85,6 +101,7 @@
     life: Mutex<Life>,
     publication: ArcSwap<Publication>,
     upstream: ArcSwapOption<Announcement>,
+    upstream_starts: Mutex<UpstreamStarts>,
     configuration_events: mpsc::Sender<configuration::Event>,
     configuration_receiver: Mutex<Option<mpsc::Receiver<configuration::Event>>>,
     start_order: u64,
@@ -139,6 +156,7 @@
             stop_order: Notify::new(),
             receiving: Mutex::new(Receiving::new(HandoverLimits::default())),
             chain_edges: Mutex::default(),
+            interface: interfaces::find(settings.interface),
             identity,
             settings,
             keys,
@@ -148,6 +166,7 @@
             in_force: ArcSwapOption::empty(),
             members: ArcSwap::default(),
             upstream: ArcSwapOption::empty(),
+            upstream_starts: Mutex::default(),
         }
     }
 
@@ -168,10 +187,13 @@
     /// Puts a higher generation in force; a lower or equal one is left aside.
     /// The task that follows the configuration has found that it can be read.
     pub(crate) fn take_configuration(&self, stored: ConfigurationDocument) {
-        let Ok(document) = hemlocktack_config::parse(&stored.document) else {
-            let generation = stored.generation;
-            log_event!(Event::ConfigurationUnreadable, generation);
-            return;
+        let document = match self.read_configuration(&stored.document) {
+            Ok(document) => document,
+            Err(fault) => {
+                let generation = stored.generation;
+                log_event!(Event::ConfigurationUnreadable, generation, fault);
+                return;
+            }
         };
         let next = Arc::new(InForce {
             generation: stored.generation,
@@ -187,6 +209,13 @@
         }
     }
 
+    fn read_configuration(&self, text: &str) -> std::result::Result<Document, String> {
+        match self.interface {
+            Some(interface) => (interface.read_configuration)(text),
+            None => hemlocktack_config::parse(text).map_err(|error| error.to_string()),
+        }
+    }
+
     fn configuration_changed(&self, in_force: &InForce) {
         let generation = in_force.generation;
         log_event!(Event::ConfigurationInForce, generation);
@@ -203,12 +232,14 @@
         let kept_answers_bytes = usize::try_from(limits.kept_answers_bytes);
         self.home
             .set_kept_answer_bytes(kept_answers_bytes.unwrap_or(usize::MAX));
-        // Covers the most patient caller, which the node's own setting may not.
-        let drain_limit = Duration::from_millis(limits.drain_limit_ms);
-        self.live(|life, _| {
-            life.set_hard_limit(drain_limit);
-            Vec::new()
-        });
+        if self.settings.stop_grace.is_none() {
+            // Covers the most patient caller, which the node's own setting may not.
+            let drain_limit = Duration::from_millis(limits.drain_limit_ms);
+            self.live(|life, _| {
+                life.set_hard_limit(drain_limit);
+                Vec::new()
+            });
+        }
         let refused_for = Duration::from_millis(limits.quarantine_ms);
         let own_service = document.service(&self.settings.service);
         self.admission_queue.with_admission(|admission| {
@@ -239,6 +270,49 @@
         })
     }
 
+    /// What callers may send and how long they may take.
+    pub(crate) fn client_limits(&self) -> ClientLimits {
+        let in_force = self.in_force.load();
+        let declared = in_force.as_ref();
+        declared.map_or_else(ClientLimits::default, |in_force| {
+            in_force.document.client_limits
+        })
+    }
+
+    /// Connections that the upstream accepts, where the operators say so.
+    pub(crate) fn connection_limit(&self) -> u32 {
+        let in_force = self.in_force.load();
+        let service = in_force
+            .as_ref()
+            .and_then(|in_force| in_force.document.service(&self.settings.service));
+        service
+            .and_then(|service| service.connection_limit)
+            .unwrap_or(CONNECTION_LIMIT_UNSAID)
+    }
+
+    /// Where the upstream is asked for its health.
+    pub(crate) fn health_path(&self, usual: &str) -> String {
+        let in_force = self.in_force.load();
+        let service = in_force
+            .as_ref()
+            .and_then(|in_force| in_force.document.service(&self.settings.service));
+        service
+            .and_then(|service| service.health_path.clone())
+            .unwrap_or_else(|| usual.to_owned())
+    }
+
+    /// Whether a planned stop has begun.
+    pub(crate) fn is_stopping(&self) -> bool {
+        matches!(self.state(), NodeState::Draining | NodeState::Left)
+    }
+
+    /// Which starts of the upstream have announced themselves.
+    pub(crate) fn upstream_starts(&self) -> MutexGuard<'_, UpstreamStarts> {
+        self.upstream_starts
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Of the service beside this node.
     pub(crate) fn answer_limit_bytes(&self) -> usize {
         let in_force = self.in_force.load();
@@ -469,16 +543,26 @@
 fn drain_settings(settings: &Settings) -> DrainSettings {
     DrainSettings {
         settle: DRAIN_SETTLE,
-        hard_limit: Some(settings.drain_limit),
+        hard_limit: Some(drain_limit(settings)),
         handover_limit: handover::LIMIT,
         upstream: UpstreamSettings {
-            announcement_ttl: RENEW_EVERY * RENEWALS_MISSED_MAX,
+            announcement_ttl: match settings.interface {
+                InterfaceName::Own => RENEW_EVERY * RENEWALS_MISSED_MAX,
+                InterfaceName::Cooperative => SPELLED_ANNOUNCEMENT_TTL,
+            },
             ..UpstreamSettings::default()
         },
         without: None,
     }
 }
 
+fn drain_limit(settings: &Settings) -> Duration {
+    let grace = settings.stop_grace;
+    grace.map_or(settings.drain_limit, |grace| {
+        grace.saturating_sub(EXIT_TIME)
+    })
+}
+
 /// Wall clock in milliseconds: it only ranks the starts of one node.
 fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -6,6 +6,7 @@
 
 use derive_more::{Display, Error, From};
 use hemlocktack_fleet::keys::{FleetKeys, KeyError};
+use hemlocktack_interface::Interface;
 use hemlocktack_platform::{Client, ClientSettings};
 use hemlocktack_telemetry::{Event, ExportError, log_event};
 use rocket::error::ErrorKind;
@@ -15,7 +16,10 @@
 use crate::node::Node;
 use crate::settings::{self, Invocation, Settings};
 use crate::upstream::UpstreamClient;
-use crate::{callers, configuration, control, links, operators, peers, stop, telemetry, upstream};
+use crate::{
+    callers, configuration, control, gateway, interfaces, links, operators, peers, stop, telemetry,
+    upstream,
+};
 
 /// Result of starting a node.
 pub(crate) type Result<T> = std::result::Result<T, StartError>;
@@ -112,20 +116,25 @@
 pub(crate) async fn run(settings: Settings, stop_signal: impl Future<Output = ()>) -> Result<()> {
     let previous = settings.previous_fleet_key.as_deref().map(str::as_bytes);
     let keys = FleetKeys::new(settings.fleet_key.as_bytes(), previous)?;
-    let platform = Arc::new(Client::new(ClientSettings::new(&settings.platform_url))?);
+    let interface = interfaces::find(settings.interface);
+    let platform = Arc::new(Client::new(platform_settings(&settings, interface))?);
     let tracer = telemetry::start_tracer(&settings)?;
-    let upstream_client = UpstreamClient::new()?;
+    let upstream_client = UpstreamClient::new(interface)?;
     let node = Arc::new(Node::new(settings, keys, platform, upstream_client, tracer));
+    tokio::spawn(stop::outlive_reload_signal());
     tokio::spawn(node.admission_queue.clone().keep_awake());
     let link_listener = listen(node.settings.link_listen_address).await?;
-    let callers = http(&node, node.settings.caller_address).mount("/", callers::routes(&node));
     let control = http(&node, node.settings.control_address)
         .mount("/", control::routes())
         .mount("/", upstream::routes())
         .mount("/", operators::routes(&node));
-    let callers = callers.ignite().await.map_err(Box::new)?;
+    let callers = match interface {
+        Some(_) => None,
+        None => Some(own_callers(&node).await?),
+    };
     let control = control.ignite().await.map_err(Box::new)?;
-    let shutdowns = [callers.shutdown(), control.shutdown()];
+    let mut shutdowns = vec![control.shutdown()];
+    shutdowns.extend(callers.as_ref().map(Rocket::<Ignite>::shutdown));
     tokio::spawn(links::serve_links(node.clone(), link_listener));
     peers::start(&node).await?;
     configuration::start(&node)?;
@@ -137,7 +146,10 @@
         incarnation = node.identity.incarnation,
         service = %node.settings.service
     );
-    let mut callers = tokio::spawn(serve_http(callers));
+    if let Some(interface) = interface {
+        gateway::start(&node, interface).await?;
+    }
+    let mut callers = tokio::spawn(serve_callers(callers));
     let mut control = tokio::spawn(serve_http(control));
     tokio::pin!(stop_signal);
     let failed = tokio::select! {
@@ -157,10 +169,38 @@
     }
     // The calls have ended, but the last pieces of answers, and an operator's
     // answer on the control port, may still be on their way out.
-    let _ = tokio::join!(callers, control);
+    match interface {
+        Some(_) => callers.abort(),
+        None => {
+            let _ = callers.await;
+        }
+    }
+    let _ = control.await;
     Ok(())
 }
 
+async fn own_callers(node: &Arc<Node>) -> Result<Rocket<Ignite>> {
+    let callers = http(node, node.settings.caller_address).mount("/", callers::routes(node));
+    Ok(callers.ignite().await.map_err(Box::new)?)
+}
+
+/// Callers who speak another interface have listeners that last until the
+/// process ends.
+async fn serve_callers(callers: Option<Rocket<Ignite>>) -> Result<()> {
+    match callers {
+        Some(callers) => serve_http(callers).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn platform_settings(settings: &Settings, interface: Option<Interface>) -> ClientSettings {
+    let usual = ClientSettings::new(&settings.platform_url);
+    ClientSettings {
+        spelling: interface.map_or(usual.spelling, |interface| interface.store),
+        ..usual
+    }
+}
+
 /// Serves until it is told to stop and the last answers have left.
 async fn serve_http(rocket: Rocket<Ignite>) -> Result<()> {
     match rocket.launch().await {
@@ -171,7 +211,7 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
+pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address)
         .await
         .map_err(|source| StartError::Listen { address, source })
--- a/crates/hemlocktack-node/src/settings/flags.rs
+++ b/crates/hemlocktack-node/src/settings/flags.rs
@@ -65,9 +65,14 @@
 pub(crate) const DRAIN_LIMIT_MS: &str = "drain-limit-ms";
 pub(crate) const LOG_FORMAT: &str = "log-format";
 pub(crate) const OTLP_ENDPOINT: &str = "otlp-endpoint";
+pub(crate) const INTERFACE: &str = "interface";
+pub(crate) const READINESS_ADDRESS: &str = "readiness-address";
+pub(crate) const ANNOUNCE_ADDRESS: &str = "announce-address";
+pub(crate) const UPSTREAM_ADDRESS: &str = "upstream-address";
+pub(crate) const STOP_GRACE: &str = "stop-grace";
 
 /// All settings that take a value.
-pub(crate) const FLAGS: [Flag; 19] = [
+pub(crate) const FLAGS: [Flag; 24] = [
     required(
         NODE,
         "NAME",
@@ -145,6 +150,32 @@
         "URL",
         "where traces go over HTTP; none are exported without it",
     ),
+    defaulted(
+        INTERFACE,
+        "own|cooperative",
+        "how callers, upstreams and the platform speak",
+        "own",
+    ),
+    optional(
+        READINESS_ADDRESS,
+        "IP:PORT",
+        "where it is asked whether the node is ready, with an interface that has an address for it",
+    ),
+    optional(
+        ANNOUNCE_ADDRESS,
+        "IP:PORT",
+        "where the upstream announces itself, with an interface that has an address for it",
+    ),
+    optional(
+        UPSTREAM_ADDRESS,
+        "IP:PORT",
+        "where the upstream listens, with an interface that tells it beforehand",
+    ),
+    optional(
+        STOP_GRACE,
+        "TIME",
+        "how long after the signal to stop the process may live, such as 6s or 1500ms",
+    ),
 ];
 
 pub(crate) const HELP: &str = "help";
--- a/crates/hemlocktack-node/src/settings/mod.rs
+++ b/crates/hemlocktack-node/src/settings/mod.rs
@@ -19,6 +19,16 @@
     Json,
 }
 
+/// Whose way of speaking a node uses towards callers, upstreams and the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::EnumString, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum InterfaceName {
+    /// That of docs/INTERFACES.md.
+    Own,
+    /// That of the co-operative's platform.
+    Cooperative,
+}
+
 /// Everything that a node learns before it starts.
 #[derive(Clone)]
 pub(crate) struct Settings {
@@ -47,4 +57,11 @@
     pub(crate) drain_limit: Duration,
     pub(crate) log_format: LogFormat,
     pub(crate) otlp_endpoint: Option<String>,
+    pub(crate) interface: InterfaceName,
+    pub(crate) readiness_address: Option<SocketAddr>,
+    pub(crate) announce_address: Option<SocketAddr>,
+    /// Where the upstream listens, if that is known before it announces itself.
+    pub(crate) upstream_address: Option<SocketAddr>,
+    /// Time between the signal to stop and the end of the process by force.
+    pub(crate) stop_grace: Option<Duration>,
 }
--- a/crates/hemlocktack-node/src/settings/read.rs
+++ b/crates/hemlocktack-node/src/settings/read.rs
@@ -8,7 +8,7 @@
 use getopts::Matches;
 
 use super::flags::{self, FLAGS, environment_name};
-use super::{LogFormat, Settings};
+use super::{InterfaceName, LogFormat, Settings};
 
 /// Result of reading the settings.
 pub(crate) type Result<T> = std::result::Result<T, Error>;
@@ -95,6 +95,11 @@
         )),
         log_format: reader.parsed(flags::LOG_FORMAT, "text or json", LogFormat::Text),
         otlp_endpoint: reader.url(flags::OTLP_ENDPOINT),
+        interface: reader.parsed(flags::INTERFACE, "own or cooperative", InterfaceName::Own),
+        readiness_address: reader.optional_address(flags::READINESS_ADDRESS),
+        announce_address: reader.optional_address(flags::ANNOUNCE_ADDRESS),
+        upstream_address: reader.optional_address(flags::UPSTREAM_ADDRESS),
+        stop_grace: reader.time(flags::STOP_GRACE),
     };
     if reader.findings.is_empty() {
         Ok(settings)
@@ -191,6 +196,20 @@
         }
     }
 
+    fn optional_address(&mut self, name: &str) -> Option<SocketAddr> {
+        self.value(name)?;
+        Some(self.address(name))
+    }
+
+    fn time(&mut self, name: &str) -> Option<Duration> {
+        let text = self.value(name)?;
+        let read = read_time(&text);
+        if read.is_none() {
+            self.find(name, &format!("'{text}' is not a time; write 6s or 1500ms"));
+        }
+        read
+    }
+
     fn addresses(&mut self, name: &str) -> Vec<SocketAddr> {
         let text = self.value(name).unwrap_or_default();
         let mut addresses = Vec::new();
@@ -227,3 +246,13 @@
         Some(text)
     }
 }
+
+/// A number with its unit, `ms` or `s`.
+fn read_time(text: &str) -> Option<Duration> {
+    let (number, unit_s) = match text.strip_suffix("ms") {
+        Some(number) => (number, 0.001),
+        None => (text.strip_suffix('s')?, 1.0),
+    };
+    let number: f64 = number.parse().ok()?;
+    Duration::try_from_secs_f64(number * unit_s).ok()
+}
--- a/crates/hemlocktack-node/src/upstream/announce.rs
+++ b/crates/hemlocktack-node/src/upstream/announce.rs
@@ -31,6 +31,9 @@
     /// Where it tells its load; a hint.
     #[serde(default)]
     pub(crate) load_path: Option<String>,
+    /// Names its start, with an interface that has such names.
+    #[serde(skip)]
+    pub(crate) upstream_start: Option<Arc<str>>,
 }
 
 /// Routes of the upstream on the control address.
--- /dev/null
+++ b/crates/hemlocktack-node/src/upstream/any_client.rs
@@ -0,0 +1,95 @@
+//! The client for the upstream beside the node, whatever it speaks.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hemlocktack_interface::{Health, Interface};
+use hemlocktack_protocol::Call;
+
+use super::client::OwnClient;
+use super::spelled::SpelledClient;
+use super::{Announcement, UpstreamEnd};
+
+/// One send of a call to the upstream.
+pub(crate) struct UpstreamSend<'a> {
+    pub(crate) announcement: &'a Announcement,
+    pub(crate) call: &'a Call,
+    /// Opaque header by which deeper calls find their parent.
+    pub(crate) context: &'a str,
+    pub(crate) deadline: Instant,
+    pub(crate) answer_limit_bytes: usize,
+}
+
+/// Client for one upstream.
+pub(crate) enum UpstreamClient {
+    Own(OwnClient),
+    Spelled(SpelledClient),
+}
+
+impl UpstreamClient {
+    /// For the product's own interface, or the one given.
+    pub(crate) fn new(interface: Option<Interface>) -> reqwest::Result<Self> {
+        Ok(match interface {
+            Some(interface) => Self::Spelled(SpelledClient::new(interface.upstreams)),
+            None => Self::Own(OwnClient::new()?),
+        })
+    }
+
+    /// Sends the call and reads the answer to its declared end.
+    pub(crate) async fn send(&self, send: UpstreamSend<'_>) -> UpstreamEnd {
+        let UpstreamSend {
+            announcement,
+            call,
+            context,
+            deadline,
+            answer_limit_bytes,
+        } = send;
+        match self {
+            Self::Own(client) => {
+                let address = announcement.address.to_string();
+                client
+                    .send(&address, call, context, deadline, answer_limit_bytes)
+                    .await
+            }
+            Self::Spelled(client) => {
+                let start = announcement.upstream_start.as_deref();
+                client
+                    .send(
+                        announcement.address,
+                        start,
+                        call,
+                        deadline,
+                        answer_limit_bytes,
+                    )
+                    .await
+            }
+        }
+    }
+
+    /// Body of a small page of the upstream's own; see [`OwnClient::read`].
+    pub(crate) async fn read(
+        &self,
+        url: &str,
+        timeout: Duration,
+        limit_bytes: usize,
+    ) -> Option<Bytes> {
+        let Self::Own(client) = self else {
+            return None;
+        };
+        client.read(url, timeout, limit_bytes).await
+    }
+
+    /// Asks the upstream who it is; `None` where its interface has no such question.
+    pub(crate) async fn ask_health(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        deadline: Instant,
+    ) -> Option<Health> {
+        let Self::Spelled(client) = self else {
+            return None;
+        };
+        client.ask_health(address, path, deadline).await
+    }
+}
--- a/crates/hemlocktack-node/src/upstream/client.rs
+++ b/crates/hemlocktack-node/src/upstream/client.rs
@@ -23,12 +23,12 @@
     Unknown(Reason),
 }
 
-/// Client for one upstream.
-pub(crate) struct UpstreamClient {
+/// Client for one upstream that speaks the product's own interface.
+pub(crate) struct OwnClient {
     client: Client,
 }
 
-impl UpstreamClient {
+impl OwnClient {
     /// The library's own repeats are off: the node alone decides what is sent twice.
     pub(crate) fn new() -> reqwest::Result<Self> {
         let client = Client::builder()
--- /dev/null
+++ b/crates/hemlocktack-node/src/upstream/spelled.rs
@@ -0,0 +1,184 @@
+//! HTTP to an upstream that speaks an interface of its own: one call, one
+//! whole answer or an honest reason.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use bytes::{Bytes, BytesMut};
+use hemlocktack_interface::{AnswerCheck, Health, Upstreams};
+use hemlocktack_protocol::{Call, Reason};
+use http::{HeaderName, HeaderValue, Method, Request, Response, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+
+use super::UpstreamEnd;
+use super::connections::{Connections, Leased};
+use crate::gateway::passed_on;
+
+/// Idle connections that may turn out closed before a new one is opened.
+const STALE_MAX: usize = 3;
+
+/// Client for the one upstream beside the node.
+pub(crate) struct SpelledClient {
+    spelling: Upstreams,
+    connections: Connections,
+}
+
+/// A request that could not be sent, with nothing of it written.
+enum NotSent {
+    Unreachable,
+    Malformed,
+}
+
+impl SpelledClient {
+    pub(crate) fn new(spelling: Upstreams) -> Self {
+        Self {
+            spelling,
+            connections: Connections::default(),
+        }
+    }
+
+    /// Sends the call and reads the answer to its end, until the deadline. A
+    /// caller that goes before drops this future, which closes the connection.
+    pub(super) async fn send(
+        &self,
+        address: SocketAddr,
+        upstream_start: Option<&str>,
+        call: &Call,
+        deadline: Instant,
+        answer_limit_bytes: usize,
+    ) -> UpstreamEnd {
+        let exchange = self.exchange(address, upstream_start, call, deadline, answer_limit_bytes);
+        match tokio::time::timeout_at(deadline.into(), exchange).await {
+            Ok(end) => end,
+            Err(_) => UpstreamEnd::Unknown(Reason::Timeout),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        upstream_start: Option<&str>,
+        call: &Call,
+        deadline: Instant,
+        answer_limit_bytes: usize,
+    ) -> UpstreamEnd {
+        let build = || self.request(upstream_start, call, deadline);
+        let (leased, response) = match self.send_head(address, build).await {
+            Ok(Ok(sent)) => sent,
+            Ok(Err(reason)) => return UpstreamEnd::Unknown(reason),
+            Err(NotSent::Unreachable) => return UpstreamEnd::NotRun(Reason::UpstreamUnreachable),
+            Err(NotSent::Malformed) => return UpstreamEnd::NotRun(Reason::MalformedRequest),
+        };
+        let (head, body) = response.into_parts();
+        let end = match (self.spelling.check_answer)(&head, &call.request_id) {
+            AnswerCheck::Answer => None,
+            AnswerCheck::NotRun(reason) => Some(UpstreamEnd::NotRun(reason)),
+            AnswerCheck::OtherUpstream => Some(UpstreamEnd::NotRun(Reason::UpstreamReplaced)),
+            // What comes next on this connection belongs to nobody here.
+            AnswerCheck::OtherRequest => return UpstreamEnd::Unknown(Reason::UpstreamFailed),
+            AnswerCheck::FalsePromise => Some(UpstreamEnd::Unknown(Reason::UpstreamFailed)),
+        };
+        let body = match read_whole(body, answer_limit_bytes).await {
+            Ok(body) => body,
+            Err(reason) => return end.unwrap_or(UpstreamEnd::Unknown(reason)),
+        };
+        self.connections.give_back(leased, &head.headers);
+        end.unwrap_or_else(|| UpstreamEnd::Answered {
+            status: head.status.as_u16(),
+            headers: passed_on(&head.headers, &[]),
+            body,
+        })
+    }
+
+    /// The head of the answer. Only a request of which nothing was written is
+    /// sent again, on another connection.
+    async fn send_head(
+        &self,
+        address: SocketAddr,
+        build: impl Fn() -> Option<Request<Full<Bytes>>>,
+    ) -> Result<Result<(Leased, Response<Incoming>), Reason>, NotSent> {
+        for tried in 0.. {
+            let leased = match tried < STALE_MAX {
+                true => self.connections.lease(address).await,
+                false => self.connections.dial(address).await,
+            };
+            let mut leased = leased.ok_or(NotSent::Unreachable)?;
+            let request = build().ok_or(NotSent::Malformed)?;
+            let Some(sender) = leased.sender.as_mut() else {
+                continue;
+            };
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok(Ok((leased, response))),
+                Err(mut error) => {
+                    let nothing_left = error.take_message().is_some();
+                    if !nothing_left {
+                        return Ok(Err(Reason::UpstreamFailed));
+                    }
+                    if leased.is_fresh {
+                        return Err(NotSent::Unreachable);
+                    }
+                }
+            }
+        }
+        Err(NotSent::Unreachable)
+    }
+
+    fn request(
+        &self,
+        upstream_start: Option<&str>,
+        call: &Call,
+        deadline: Instant,
+    ) -> Option<Request<Full<Bytes>>> {
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = Method::from_bytes(call.method.as_bytes()).ok()?;
+        *request.uri_mut() = call.path.parse::<Uri>().ok()?;
+        let headers = request.headers_mut();
+        for header in &call.headers {
+            let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+            let value = HeaderValue::from_maybe_shared(header.value.clone()).ok()?;
+            headers.append(name, value);
+        }
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        (self.spelling.write_headers)(headers, time_left, upstream_start);
+        Some(request)
+    }
+
+    /// Asks the upstream who it is and how it does.
+    pub(super) async fn ask_health(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        deadline: Instant,
+    ) -> Option<Health> {
+        let question = async {
+            let mut leased = self.connections.dial(address).await?;
+            let request = Request::get(path)
+                .header("host", address.to_string())
+                .body(Full::default())
+                .ok()?;
+            let response = leased.sender.as_mut()?.send_request(request).await.ok()?;
+            (self.spelling.read_health)(&response.into_parts().0)
+        };
+        tokio::time::timeout_at(deadline.into(), question)
+            .await
+            .ok()?
+    }
+}
+
+/// A body that stops before its declared end is an error of the HTTP library:
+/// a caller never gets a cut answer as if it were whole.
+async fn read_whole(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, Reason> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Reason::UpstreamFailed)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + data.len() > limit_bytes {
+            return Err(Reason::AnswerTooLarge);
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/upstream/starts.rs
@@ -0,0 +1,75 @@
+//! Which start of the upstream the node has beside it.
+
+use std::collections::VecDeque;
+
+/// Starts that are remembered as gone; a word of theirs comes seconds late, not
+/// dozens of starts late.
+const GONE_LIMIT: usize = 32;
+
+/// The upstream's starts, by what they said.
+#[derive(Default)]
+pub(crate) struct UpstreamStarts {
+    current: Option<String>,
+    sequence: Option<u64>,
+    has_left: bool,
+    gone: VecDeque<String>,
+}
+
+impl UpstreamStarts {
+    /// Whether a start is known at all.
+    pub(crate) fn is_known(&self) -> bool {
+        self.current.is_some()
+    }
+
+    pub(crate) fn is_current(&self, upstream_start: &str) -> bool {
+        self.current.as_deref() == Some(upstream_start)
+    }
+
+    /// Whether the current start has said that it takes no more work. Only
+    /// another start ends that: its late renewals do not.
+    pub(crate) fn has_left(&self) -> bool {
+        self.has_left
+    }
+
+    /// Whether a message of the current start is later than those before it.
+    pub(crate) fn is_news(&mut self, sequence: u64) -> bool {
+        let is_news = self.sequence.is_none_or(|seen| seen < sequence);
+        if is_news {
+            self.sequence = Some(sequence);
+        }
+        is_news
+    }
+
+    /// Whether another start's word is to be taken; `listens` is the start that
+    /// answers at the upstream's address, if one does.
+    ///
+    /// Failure: a message that was held up on the way arrives after its sender
+    /// has crashed and the next start has announced itself; calls would be sent
+    /// to a start that is gone, and refused by the one that is there. Who
+    /// listens settles it; where nobody answers, a start that is known to be
+    /// gone stays gone.
+    pub(crate) fn may_follow(&self, upstream_start: &str, listens: Option<&str>) -> bool {
+        match listens {
+            Some(listens) => listens == upstream_start,
+            None => !self.gone.iter().any(|gone| gone == upstream_start),
+        }
+    }
+
+    /// Another start is the current one from now on.
+    pub(crate) fn follow(&mut self, upstream_start: &str) {
+        if let Some(before) = self.current.replace(upstream_start.to_owned()) {
+            self.gone.push_back(before);
+        }
+        if self.gone.len() > GONE_LIMIT {
+            self.gone.pop_front();
+        }
+        self.gone.retain(|gone| gone != upstream_start);
+        self.sequence = None;
+        self.has_left = false;
+    }
+
+    /// The current start takes no more work.
+    pub(crate) fn leave(&mut self) {
+        self.has_left = true;
+    }
+}
--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use reqwest::{Method, RequestBuilder, Response, StatusCode, Url};
-use serde::Deserialize;
-use serde::de::DeserializeOwned;
+use reqwest::{RequestBuilder, Response, StatusCode, Url};
 use serde_json::Value;
 
+use crate::own_spelling::OWN_SPELLING;
+use crate::spelling::{Read, Spelling, StoreCall, StoreRefusal};
 use crate::{
     Backoff, BackoffSettings, Budget, BudgetSettings, Effect, Error, Listing, Object, Result,
     Revision, Version, Watched,
@@ -19,8 +19,6 @@
 /// Larger answers are not read to their end: a list of 560 records is under 1 MiB.
 const ANSWER_LIMIT_BYTES: usize = 32 << 20;
 
-/// Error of a 404 that speaks of an object.
-const NOT_FOUND: &str = "not-found";
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The platform answers in milliseconds; what takes longer is an outage.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
@@ -36,6 +34,8 @@
     pub backoff: BackoffSettings,
     /// After which a call counts as failed; a watch waits longer by its own wait.
     pub call_timeout: Duration,
+    /// How the platform spells calls and answers.
+    pub spelling: Spelling,
 }
 
 impl ClientSettings {
@@ -46,6 +46,7 @@
             budget: BudgetSettings::default(),
             backoff: BackoffSettings::default(),
             call_timeout: CALL_TIMEOUT,
+            spelling: OWN_SPELLING,
         }
     }
 }
@@ -83,18 +84,6 @@
     }
 }
 
-#[derive(Deserialize)]
-struct Written {
-    version: Version,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(default)]
-struct ErrorBody {
-    error: String,
-    current_version: Option<Version>,
-}
-
 impl Client {
     /// Does not connect yet.
     ///
@@ -129,14 +118,20 @@
         !limits.backoff.is_failing()
     }
 
+    /// The spelling that calls are made in.
+    pub(crate) fn spelling(&self) -> &Spelling {
+        &self.settings.spelling
+    }
+
     /// One object; `None` where it does not exist.
     ///
     /// # Errors
     /// See [`Error`].
     pub async fn get(&self, key: &str) -> Result<Option<Object>> {
-        let url = self.url(&format!("objects/{key}"), &[]);
-        let request = self.request(Method::GET, url);
-        self.call_for_object(Access::Read, request).await
+        let read = self.spelling().read_object;
+        let call = (self.spelling().get)(key);
+        let got = self.call(Access::Read, call, |body| read(key, body));
+        missing_as_none(got.await)
     }
 
     /// All objects whose key begins with the prefix.
@@ -144,9 +139,7 @@
     /// # Errors
     /// See [`Error`].
     pub async fn list(&self, prefix: &str) -> Result<Listing> {
-        let url = self.url("objects", &[("prefix", prefix)]);
-        let request = self.request(Method::GET, url);
-        self.call(Access::Read, request).await
+        self.list_pages(prefix, false).await
     }
 
     /// As `list`, with null in place of each value.
@@ -154,9 +147,32 @@
     /// # Errors
     /// See [`Error`].
     pub async fn list_keys(&self, prefix: &str) -> Result<Listing> {
-        let url = self.url("objects", &[("prefix", prefix), ("keys-only", "true")]);
-        let request = self.request(Method::GET, url);
-        self.call(Access::Read, request).await
+        self.list_pages(prefix, true).await
+    }
+
+    /// Pages may be of different revisions; what changed between them is told
+    /// by a watch from the first one.
+    async fn list_pages(&self, prefix: &str, keys_only: bool) -> Result<Listing> {
+        let read = self.spelling().read_listing;
+        let mut whole: Option<Listing> = None;
+        let mut after: Option<String> = None;
+        loop {
+            let call = (self.spelling().list)(prefix, after.as_deref(), keys_only);
+            let got = self.call(Access::Read, call, |body| read(prefix, body));
+            let page = got.await.map_err(Missing::into_error)?;
+            let listing = match whole {
+                Some(mut listing) => {
+                    listing.objects.extend(page.listing.objects);
+                    listing
+                }
+                None => page.listing,
+            };
+            if page.next_after.is_none() || page.next_after <= after {
+                return Ok(listing);
+            }
+            whole = Some(listing);
+            after = page.next_after;
+        }
     }
 
     /// Waits for changes under the prefix after the revision, `wait` at most.
@@ -164,14 +180,11 @@
     /// # Errors
     /// See [`Error`]; `RevisionGone` where the objects have to be listed anew.
     pub async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Watched> {
-        let after = after.to_string();
-        let wait_ms = wait.as_millis().to_string();
-        let query = [("prefix", prefix), ("after", &after), ("wait-ms", &wait_ms)];
-        let url = self.url("watch", &query);
-        let request = self
-            .request(Method::GET, url)
-            .timeout(wait + self.settings.call_timeout);
-        self.call(Access::Read, request).await
+        let read = self.spelling().read_watched;
+        let call = (self.spelling().watch)(prefix, after, wait);
+        let timeout = wait + self.settings.call_timeout;
+        let got = self.call_within(timeout, Access::Read, call, |body| read(prefix, body));
+        got.await.map_err(Missing::into_error)
     }
 
     /// Replaces the object's value if it has the expected version (0: does not exist).
@@ -185,15 +198,19 @@
         expected_version: Version,
         value: &Value,
     ) -> Result<Version> {
-        let body = Bytes::from(value.to_string());
-        if body.len() > VALUE_LIMIT_BYTES {
+        let call = (self.spelling().put)(key, expected_version, value);
+        if call
+            .body
+            .as_ref()
+            .is_some_and(|body| body.len() > VALUE_LIMIT_BYTES)
+        {
             return Err(too_large());
         }
-        let request = self
-            .request(Method::PUT, self.object_url(key, expected_version))
-            .body(body);
-        let written: Written = self.call(Access::Write, request).await?;
-        Ok(written.version)
+        let got = self.call(Access::Write, call, self.spelling().read_written);
+        match got.await {
+            Err(Missing::Object) => Err(Error::Conflict { current_version: 0 }),
+            other => other.map_err(Missing::into_error),
+        }
     }
 
     /// Deletes the object if it has the expected version. One that does not
@@ -202,71 +219,64 @@
     /// # Errors
     /// See [`Error`].
     pub async fn delete(&self, key: &str, expected_version: Version) -> Result<()> {
-        let url = self.object_url(key, expected_version);
-        let request = self.request(Method::DELETE, url);
-        let deleted = self.call_for_object::<Written>(Access::Write, request);
-        deleted.await.map(|_| ())
-    }
-
-    fn object_url(&self, key: &str, expected_version: Version) -> Url {
-        let expected_version = expected_version.to_string();
-        let query = [("expected-version", expected_version.as_str())];
-        self.url(&format!("objects/{key}"), &query)
+        let call = (self.spelling().delete)(key, expected_version);
+        let got = self.call(Access::Write, call, self.spelling().read_deleted);
+        missing_as_none(got.await).map(|_| ())
     }
 
-    fn url(&self, path: &str, query: &[(&str, &str)]) -> Url {
+    fn url(&self, call: &StoreCall) -> Url {
         let mut url = self.base_url.clone();
-        url.set_path(&format!("{}/{path}", url.path().trim_end_matches('/')));
-        if !query.is_empty() {
-            url.query_pairs_mut().extend_pairs(query);
+        url.set_path(&format!(
+            "{}/{}",
+            url.path().trim_end_matches('/'),
+            call.path
+        ));
+        if !call.query.is_empty() {
+            url.query_pairs_mut().extend_pairs(&call.query);
         }
         url
     }
 
-    fn request(&self, method: Method, url: Url) -> RequestBuilder {
-        self.http
-            .request(method, url)
-            .timeout(self.settings.call_timeout)
+    fn request(&self, call: StoreCall, timeout: Duration) -> RequestBuilder {
+        let url = self.url(&call);
+        let request = self.http.request(call.method, url).timeout(timeout);
+        let Some(body) = call.body else {
+            return request;
+        };
+        request
+            .header(reqwest::header::CONTENT_TYPE, "application/json")
+            .body(body)
     }
 
-    async fn call<T: DeserializeOwned>(
+    async fn call<T>(
         &self,
         access: Access,
-        request: RequestBuilder,
-    ) -> Result<T> {
-        let missing = malformed(
-            access.effect_of_lost_answer(),
-            "a missing object where none was asked for".to_owned(),
-        );
-        self.call_for_object(access, request).await?.ok_or(missing)
+        call: StoreCall,
+        read: impl FnOnce(&[u8]) -> Read<T>,
+    ) -> std::result::Result<T, Missing> {
+        self.call_within(self.settings.call_timeout, access, call, read)
+            .await
     }
 
-    /// `None` where the object does not exist.
-    async fn call_for_object<T: DeserializeOwned>(
+    async fn call_within<T>(
         &self,
+        timeout: Duration,
         access: Access,
-        request: RequestBuilder,
-    ) -> Result<Option<T>> {
+        call: StoreCall,
+        read: impl FnOnce(&[u8]) -> Read<T>,
+    ) -> std::result::Result<T, Missing> {
         self.admit(access, Instant::now())?;
-        let result = exchange(access, request).await;
+        let request = self.request(call, timeout);
+        let read_refusal = self.spelling().read_refusal;
+        let result = exchange(access, request, read_refusal, read).await;
         let failed = matches!(
             result,
-            Err(Error::Unavailable { .. } | Error::Malformed { .. })
+            Err(Missing::Failed(
+                Error::Unavailable { .. } | Error::Malformed { .. }
+            ))
         );
         let wait = self.record(failed, Instant::now());
-        result.map_err(|error| match error {
-            Error::Unavailable { effect, detail, .. } => Error::Unavailable {
-                effect,
-                detail,
-                retry_after: wait,
-            },
-            Error::Malformed { effect, detail, .. } => Error::Malformed {
-                effect,
-                detail,
-                retry_after: Some(wait),
-            },
-            other => other,
-        })
+        result.map_err(|error| error.with_wait(wait))
     }
 
     fn admit(&self, access: Access, now: Instant) -> Result<()> {
@@ -298,10 +308,64 @@
     }
 }
 
-async fn exchange<T: DeserializeOwned>(
+/// Why a call gave no value: the object does not exist, or it failed.
+enum Missing {
+    Object,
+    Failed(Error),
+}
+
+impl From<Error> for Missing {
+    fn from(error: Error) -> Missing {
+        Missing::Failed(error)
+    }
+}
+
+impl Missing {
+    /// For calls that no missing object can answer.
+    fn into_error(self) -> Error {
+        match self {
+            Missing::Object => malformed(
+                Effect::None,
+                "a missing object where none was asked for".to_owned(),
+            ),
+            Missing::Failed(error) => error,
+        }
+    }
+
+    fn with_wait(self, wait: Duration) -> Missing {
+        let Missing::Failed(error) = self else {
+            return self;
+        };
+        Missing::Failed(match error {
+            Error::Unavailable { effect, detail, .. } => Error::Unavailable {
+                effect,
+                detail,
+                retry_after: wait,
+            },
+            Error::Malformed { effect, detail, .. } => Error::Malformed {
+                effect,
+                detail,
+                retry_after: Some(wait),
+            },
+            other => other,
+        })
+    }
+}
+
+fn missing_as_none<T>(result: std::result::Result<T, Missing>) -> Result<Option<T>> {
+    match result {
+        Ok(value) => Ok(Some(value)),
+        Err(Missing::Object) => Ok(None),
+        Err(Missing::Failed(error)) => Err(error),
+    }
+}
+
+async fn exchange<T>(
     access: Access,
     request: RequestBuilder,
-) -> Result<Option<T>> {
+    read_refusal: fn(StatusCode, &[u8]) -> StoreRefusal,
+    read: impl FnOnce(&[u8]) -> Read<T>,
+) -> std::result::Result<T, Missing> {
     let lost = access.effect_of_lost_answer();
     let response = request.send().await.map_err(|error| {
         let effect = if error.is_connect() {
@@ -313,15 +377,11 @@
     })?;
     let status = response.status();
     let body = read_whole(response, lost).await?;
-    if is_missing_object(status, &body) {
-        return Ok(None);
-    }
     if !status.is_success() {
-        return Err(refused(status, &body, lost));
+        return Err(refused(read_refusal(status, &body), lost));
     }
-    let answer =
-        serde_json::from_slice(&body).map_err(|error| malformed(lost, error.to_string()))?;
-    Ok(Some(answer))
+    let value = read(&body).map_err(|detail| malformed(lost, detail))?;
+    Ok(value)
 }
 
 async fn read_whole(mut response: Response, lost: Effect) -> Result<Bytes> {
@@ -342,34 +402,21 @@
     }
 }
 
-/// Any other 404 comes from something that is not the object API, and must
-/// not be taken for "there is no configuration yet".
-fn is_missing_object(status: StatusCode, body: &[u8]) -> bool {
-    status == StatusCode::NOT_FOUND && error_body(body).error == NOT_FOUND
-}
-
-fn error_body(body: &[u8]) -> ErrorBody {
-    serde_json::from_slice(body).unwrap_or_default()
-}
-
-fn refused(status: StatusCode, body: &[u8], lost: Effect) -> Error {
-    let body = error_body(body);
-    match (status, body.current_version) {
-        (StatusCode::CONFLICT, Some(current_version)) => Error::Conflict { current_version },
-        (StatusCode::PAYLOAD_TOO_LARGE, _) => too_large(),
-        (StatusCode::GONE, _) => Error::RevisionGone,
-        (StatusCode::TOO_MANY_REQUESTS, _) => Error::Unavailable {
-            effect: Effect::None,
-            detail: "its rates are used up".to_owned(),
-            retry_after: Duration::ZERO,
-        },
-        (status, _) if status.is_server_error() => Error::Unavailable {
-            effect: lost,
-            detail: format!("status {status}"),
-            retry_after: Duration::ZERO,
-        },
-        _ => malformed(lost, format!("status {status} with error {:?}", body.error)),
-    }
+fn refused(refusal: StoreRefusal, lost: Effect) -> Missing {
+    let unavailable = |effect, detail| Error::Unavailable {
+        effect,
+        detail,
+        retry_after: Duration::ZERO,
+    };
+    Missing::Failed(match refusal {
+        StoreRefusal::Missing => return Missing::Object,
+        StoreRefusal::Conflict(current_version) => Error::Conflict { current_version },
+        StoreRefusal::TooLarge => too_large(),
+        StoreRefusal::RevisionGone => Error::RevisionGone,
+        StoreRefusal::NotDone(detail) => unavailable(Effect::None, detail),
+        StoreRefusal::Failed(detail) => unavailable(lost, detail),
+        StoreRefusal::Malformed(detail) => malformed(lost, detail),
+    })
 }
 
 fn too_large() -> Error {
--- a/crates/hemlocktack-platform/src/configuration.rs
+++ b/crates/hemlocktack-platform/src/configuration.rs
@@ -98,7 +98,7 @@
     /// See [`Error`].
     pub async fn read_newest(&self) -> Result<Option<StoredConfiguration>> {
         let object = self.client.get(CURRENT_KEY).await?;
-        object.map(decode).transpose()
+        object.map(|object| self.decode(object)).transpose()
     }
 
     /// A configuration by its generation; `None` where it never was or is no longer kept.
@@ -146,7 +146,7 @@
         let current = objects.find(|object| object.key == CURRENT_KEY);
         Ok(SeenConfiguration {
             revision: listing.revision,
-            stored: current.map(decode).transpose()?,
+            stored: current.map(|object| self.decode(object)).transpose()?,
         })
     }
 
@@ -169,7 +169,7 @@
         });
         Ok(SeenConfiguration {
             revision: watched.revision,
-            stored: current.map(decode).transpose()?,
+            stored: current.map(|object| self.decode(object)).transpose()?,
         })
     }
 
@@ -208,7 +208,7 @@
         };
         let stored = self
             .client
-            .put_resolved(CURRENT_KEY, expected_version, &encode(&next)?)
+            .put_resolved(CURRENT_KEY, expected_version, &self.encode(&next)?)
             .await;
         match stored {
             Ok(_) => {
@@ -267,16 +267,34 @@
         Ok(Applied::AlreadyApplied { generation })
     }
 
+    fn encode(&self, configuration: &ConfigurationDocument) -> Result<Value> {
+        let Some(write) = self.client.spelling().write_configuration else {
+            let detail = "the configuration is written with the operators' own tools";
+            return Err(malformed(detail.to_owned()));
+        };
+        write(configuration).map_err(malformed)
+    }
+
+    fn decode(&self, object: Object) -> Result<StoredConfiguration> {
+        let read = self.client.spelling().read_configuration;
+        let configuration =
+            read(&object).map_err(|detail| malformed(format!("{}: {detail}", object.key)))?;
+        Ok(StoredConfiguration {
+            version: object.version,
+            configuration,
+        })
+    }
+
     async fn read_history(&self, generation: Generation) -> Result<Option<ConfigurationDocument>> {
         let object = self.client.get(&history_key(generation)).await?;
-        let stored = object.map(decode).transpose()?;
+        let stored = object.map(|object| self.decode(object)).transpose()?;
         Ok(stored.map(|stored| stored.configuration))
     }
 
     /// A conflict means that it is there: racing operators copy the same document.
     async fn copy_to_history(&self, configuration: &ConfigurationDocument) -> Result<()> {
         let key = history_key(configuration.generation);
-        let value = encode(configuration)?;
+        let value = self.encode(configuration)?;
         match self.client.put_resolved(&key, 0, &value).await {
             Ok(_) | Err(Error::Conflict { .. }) => Ok(()),
             Err(error) => Err(without_effect(error)),
@@ -335,22 +353,10 @@
     }
 }
 
-fn encode(configuration: &ConfigurationDocument) -> Result<Value> {
-    serde_json::to_value(configuration).map_err(|error| Error::Malformed {
+fn malformed(detail: String) -> Error {
+    Error::Malformed {
         effect: Effect::None,
-        detail: error.to_string(),
+        detail,
         retry_after: None,
-    })
-}
-
-fn decode(object: Object) -> Result<StoredConfiguration> {
-    let configuration = serde_json::from_value(object.value).map_err(|error| Error::Malformed {
-        effect: Effect::None,
-        detail: format!("{}: {error}", object.key),
-        retry_after: None,
-    })?;
-    Ok(StoredConfiguration {
-        version: object.version,
-        configuration,
-    })
+    }
 }
--- a/crates/hemlocktack-platform/src/lib.rs
+++ b/crates/hemlocktack-platform/src/lib.rs
@@ -9,7 +9,9 @@
 mod configuration;
 mod error;
 mod nodes;
+mod own_spelling;
 mod resolve;
+mod spelling;
 mod values;
 
 pub use backoff::{Backoff, BackoffSettings};
@@ -20,4 +22,6 @@
 };
 pub use error::{Effect, Error, Result};
 pub use nodes::{NodeRecords, Publication, PublishedNode, PublishedNodes};
+pub use own_spelling::OWN_SPELLING;
+pub use spelling::{ListingPage, Read, Spelling, StoreCall, StoreRefusal};
 pub use values::{Listing, Object, Revision, Version, Watched, WatchedObject};
--- /dev/null
+++ b/crates/hemlocktack-platform/src/spelling.rs
@@ -0,0 +1,89 @@
+//! How a store spells the calls of the object API.
+//!
+//! Budget, backoff and lost answers are the client's, whatever the spelling.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hemlocktack_protocol::ConfigurationDocument;
+use reqwest::{Method, StatusCode};
+use serde_json::Value;
+
+use crate::{Listing, Object, Revision, Version, Watched};
+
+/// One call as it goes over the wire.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreCall {
+    /// HTTP method.
+    pub method: Method,
+    /// Path without a leading slash, as it stands in the URL.
+    pub path: String,
+    /// Query parameters.
+    pub query: Vec<(&'static str, String)>,
+    /// Body, where the call has one.
+    pub body: Option<Bytes>,
+}
+
+/// One answer to a list; a long list takes several.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListingPage {
+    /// Objects of this page and the revision that it was read at.
+    pub listing: Listing,
+    /// Where the next page begins; `None` on the last one.
+    pub next_after: Option<String>,
+}
+
+/// What an answer without success means.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreRefusal {
+    /// The object does not exist.
+    Missing,
+    /// It has another version than the expected one; 0: it does not exist.
+    Conflict(Version),
+    /// The value is over the limit.
+    TooLarge,
+    /// The store does not know the changes after this revision any more.
+    RevisionGone,
+    /// Nothing was done, and the same call may succeed later.
+    NotDone(String),
+    /// The store failed; a write may have been done.
+    Failed(String),
+    /// Something else than the interface says.
+    Malformed(String),
+}
+
+/// Result of reading an answer's body; the error is what was found wrong.
+pub type Read<T> = std::result::Result<T, String>;
+
+/// How one store spells calls and answers. Keys are ours: `nodes/NAME`,
+/// `configuration/current`.
+#[derive(Clone, Copy, Debug)]
+pub struct Spelling {
+    /// Reads one object.
+    pub get: fn(key: &str) -> StoreCall,
+    /// Reads all objects under a prefix; `after` is a page's `next_after`.
+    pub list: fn(prefix: &str, after: Option<&str>, keys_only: bool) -> StoreCall,
+    /// Waits for changes under a prefix.
+    pub watch: fn(prefix: &str, after: Revision, wait: Duration) -> StoreCall,
+    /// Stores a value if the object has the version; 0: it must not exist.
+    pub put: fn(key: &str, expected_version: Version, value: &Value) -> StoreCall,
+    /// Deletes the object if it has the version.
+    pub delete: fn(key: &str, expected_version: Version) -> StoreCall,
+    /// Reads the answer to `get`.
+    pub read_object: fn(key: &str, body: &[u8]) -> Read<Object>,
+    /// Reads an answer to `list`.
+    pub read_listing: fn(prefix: &str, body: &[u8]) -> Read<ListingPage>,
+    /// Reads the answer to `watch`.
+    pub read_watched: fn(prefix: &str, body: &[u8]) -> Read<Watched>,
+    /// Reads the new version from the answer to `put`.
+    pub read_written: fn(body: &[u8]) -> Read<Version>,
+    /// Checks the answer to `delete`.
+    pub read_deleted: fn(body: &[u8]) -> Read<()>,
+    /// Reads an answer without success.
+    pub read_refusal: fn(StatusCode, body: &[u8]) -> StoreRefusal,
+    /// Reads the operators' configuration from its object.
+    pub read_configuration: fn(&Object) -> Read<ConfigurationDocument>,
+    /// Spells the configuration as a value; `None` where operators write it
+    /// with tools of their own and nodes only read it.
+    pub write_configuration: Option<fn(&ConfigurationDocument) -> Read<Value>>,
+}
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -44,6 +44,7 @@
     104 INFO DrainFinished: "nothing is in flight any more; the node leaves", "nothing";
     105 ERROR DrainLimitReached: "the drain limit has passed with calls still in flight; their callers may see unknown outcomes", "raise drain_limit_ms above the longest patience; look for a hanging upstream";
     106 ERROR NodeFailed: "the node ends because a listener or its start failed", "read the error; check addresses and that no other process holds them";
+    107 INFO SettingsReloaded: "the signal to read the settings again came; all of them hold until the next start", "start the node again if a setting has changed";
 
     201 INFO UpstreamAnnounced: "the upstream beside the node has announced itself", "nothing";
     202 WARN UpstreamLapsed: "the upstream has not renewed its announcement", "look whether the upstream's process runs and reaches the node's control address";
@@ -51,6 +52,8 @@
     204 ERROR UpstreamCrashed: "the connection to the upstream died while calls ran, and it no longer listens", "look at the upstream's own log; the calls that ran are suspects";
     205 ERROR RequestQuarantined: "a request that was running in repeated crashes is refused for a while", "find it by its fingerprint in status; mend the upstream or the caller";
 
+    206 WARN AnnouncementMalformed: "a word of the upstream cannot be read or is of another service; it is passed over", "compare the versions of the upstream and the node";
+
     301 INFO ConfigurationInForce: "a newer generation decides about calls from now on", "nothing";
     302 ERROR ConfigurationUnreadable: "a stored generation cannot be read by this version of the node, which keeps the one before", "upgrade the node, or apply a document that all versions read";
     303 WARN PlatformLost: "the platform does not answer; calls go on with the configuration in force", "look at the platform; changes of the configuration have to wait";
