Let deeper calls take class, root and retries from the request they are made for

The co-operative's upstreams name a deeper call after its request (id, dot, own part), so the node beside the upstream finds the running call by that name, and class, root id, work spent and retries pass on as with the product's own context. Calls with spent work pass the entry's shed level of one class more: what was let in at the root is not refused below it for a level that has moved since; the queue takes the difference.

Ruled out: matching a deeper call to its parent by deadline (theirs are cut to their own limit), by address (callers and upstream share it).

--- a/crates/hemlocktack-decide/src/shed/entry.rs
+++ b/crates/hemlocktack-decide/src/shed/entry.rs
@@ -28,7 +28,7 @@
         EntryShedPolicy {
             forget_after: Duration::from_secs(1),
             probe_every: Duration::from_millis(50),
-            invested_margin: 0.05,
+            invested_margin: 1.0,
         }
     }
 }
--- a/crates/hemlocktack-interface/src/callers.rs
+++ b/crates/hemlocktack-interface/src/callers.rs
@@ -24,6 +24,9 @@
 pub struct Entered {
     /// The caller's own name of the request; the same on every hop.
     pub request_id: String,
+    /// The request that the upstream beside the node was running when it made
+    /// this one for it, where the deployment tells.
+    pub parent_request_id: Option<String>,
     /// How long the caller says it waits.
     pub time_left: Option<Duration>,
     /// Host that the request is addressed to, without a port.
--- a/crates/hemlocktack-node/src/calls/context.rs
+++ b/crates/hemlocktack-node/src/calls/context.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{Allowance, WorkKind};
@@ -108,16 +108,19 @@
     }
 }
 
-/// All calls that the upstream is running, by the opaque header.
+/// All calls that the upstream is running, by the opaque header and by the
+/// caller's own name of the request.
 #[derive(Default)]
 pub(crate) struct ContextTable {
     shards: [Mutex<HashMap<u64, Arc<RunningCall>>>; SHARDS],
+    by_request: Mutex<HashMap<String, Arc<RunningCall>>>,
 }
 
 /// Keeps a running call findable until it ends.
 pub(crate) struct OpenContext<'a> {
     table: &'a ContextTable,
     handle: u64,
+    request_id: String,
     pub(crate) running: Arc<RunningCall>,
 }
 
@@ -125,9 +128,14 @@
     /// Enters a call that is about to run.
     ///
     /// The handle is random: an upstream cannot name another call's by counting.
-    pub(crate) fn open(&self, running: RunningCall) -> OpenContext<'_> {
+    ///
+    /// `request_id` is empty where callers give their requests no names.
+    pub(crate) fn open(&self, running: RunningCall, request_id: &str) -> OpenContext<'_> {
         let handle = rand::random();
         let running = Arc::new(running);
+        if !request_id.is_empty() {
+            self.named().insert(request_id.to_owned(), running.clone());
+        }
         self.shard(handle)
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -135,10 +143,22 @@
         OpenContext {
             table: self,
             handle,
+            request_id: request_id.to_owned(),
             running,
         }
     }
 
+    /// The running call of a request that a deeper call is made for.
+    pub(crate) fn find_by_request(&self, request_id: &str) -> Option<Arc<RunningCall>> {
+        self.named().get(request_id).cloned()
+    }
+
+    fn named(&self) -> MutexGuard<'_, HashMap<String, Arc<RunningCall>>> {
+        self.by_request
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The running call that a deeper call names.
     pub(crate) fn find(&self, header: &str) -> Result<Arc<RunningCall>, Reason> {
         let has_form =
@@ -175,5 +195,16 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .remove(&self.handle);
+        if self.request_id.is_empty() {
+            return;
+        }
+        let mut named = self.table.named();
+        // A second send of the same request may have taken the name meanwhile.
+        let is_own = named
+            .get(&self.request_id)
+            .is_some_and(|running| Arc::ptr_eq(running, &self.running));
+        if is_own {
+            named.remove(&self.request_id);
+        }
     }
 }
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -8,7 +8,7 @@
     may_move, place, retry_after, retry_verdict,
 };
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
-use hemlocktack_telemetry::SpanName;
+use hemlocktack_telemetry::{Event, SpanName, log_event};
 use tokio_util::sync::CancellationToken;
 
 use super::service_directory::{PeerEntry, ServiceView};
@@ -53,6 +53,7 @@
         } else {
             is_retried(node, &unfinished, classified, &view, &answer)
         };
+        log_unfinished(node, classified, &view.peers[index], &unfinished, goes_on);
         tries.add(index, unfinished, answer);
         if !goes_on {
             return tries.told_or_no_upstream();
@@ -60,6 +61,35 @@
     }
 }
 
+fn log_unfinished(
+    node: &Node,
+    classified: &Classified,
+    peer: &PeerEntry,
+    unfinished: &Unfinished,
+    goes_on: bool,
+) {
+    let Some(left_out) = node.call_lines.take() else {
+        return;
+    };
+    let outcome: &'static str = unfinished.outcome().into();
+    let reason: &'static str = unfinished.reason().into();
+    let time_left = classified
+        .deadline
+        .saturating_duration_since(Instant::now());
+    log_event!(
+        Event::SendEnded,
+        request_id = classified.call.request_id,
+        service = classified.call.service,
+        node = %peer.identity.node_id,
+        outcome,
+        reason,
+        next = if goes_on { "another-node" } else { "the-caller" },
+        time_left_ms = time_left.as_millis() as u64,
+        retries_left = classified.allowance.left(),
+        left_out
+    );
+}
+
 /// The sends of one call so far.
 #[derive(Default)]
 struct Tries {
--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -56,15 +56,13 @@
         Ok(admitted) => admitted,
         Err(refusal) => {
             node.counters.refused(refusal.reason);
-            let answer = not_run(refusal.reason, refusal.retry_after);
-            return with_load(
-                node,
-                kind,
-                Answer {
-                    retries_unspent: call.retries_given,
-                    ..answer
-                },
-            );
+            let answer = Answer {
+                retries_unspent: call.retries_given,
+                ..not_run(refusal.reason, refusal.retry_after)
+            };
+            let answer = with_load(node, kind, answer);
+            log_refused(node, &call, &answer, deadline);
+            return answer;
         }
     };
     if !may_start() {
@@ -83,6 +81,30 @@
     with_load(node, kind, answer)
 }
 
+fn log_refused(node: &Node, call: &Call, answer: &Answer, deadline: Instant) {
+    let Some(left_out) = node.call_lines.take() else {
+        return;
+    };
+    let reason: &'static str = answer.reason().into();
+    let hint = answer.hint.unwrap_or_default();
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    log_event!(
+        Event::CallRefused,
+        request_id = call.request_id,
+        class_rank = call.class_rank,
+        is_deeper = call.work_spent_us > 0,
+        reason,
+        in_flight = hint.in_flight,
+        limit = hint.limit,
+        queued = hint.queued,
+        queue_delay_us = hint.queue_delay_us,
+        shed_level = hint.shed_level,
+        time_left_ms = time_left.as_millis() as u64,
+        retry_after_ms = answer.retry_after_ms,
+        left_out
+    );
+}
+
 async fn hand_over(
     node: &Arc<Node>,
     call: &Call,
@@ -97,7 +119,7 @@
         };
     };
     let deadline = running.deadline;
-    let context = node.contexts.open(running);
+    let context = node.contexts.open(running, &call.request_id);
     let end = node
         .upstream_client
         .send(UpstreamSend {
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -8,7 +8,7 @@
 use hemlocktack_interface::Entered;
 use hemlocktack_protocol::{Call, ClassRank, Reason, stable_hash};
 
-use crate::calls::Classified;
+use crate::calls::{Classified, RunningCall};
 use crate::node::Node;
 
 /// Time that a caller is taken to wait where neither it nor its route says.
@@ -23,6 +23,9 @@
     idempotent: bool,
     class_rank: ClassRank,
     attempts: u32,
+    parent: Option<Arc<RunningCall>>,
+    /// An upstream made it for a request, known here or not.
+    is_deeper: bool,
 }
 
 /// Finds the route of a request and draws the service that gets it.
@@ -40,6 +43,8 @@
         .route(&entered.host, path)
         .ok_or(Reason::UnknownService)?;
     let target = route.target(rand::random()).ok_or(Reason::UnknownService)?;
+    let parent_id = entered.parent_request_id.as_deref();
+    let parent = parent_id.and_then(|parent| node.contexts.find_by_request(parent));
     Ok(Routed {
         route: route.name.clone(),
         service: target.service.clone(),
@@ -48,6 +53,8 @@
         idempotent: route.idempotent,
         class_rank: class_rank(document, route),
         attempts: route.attempts,
+        parent,
+        is_deeper: parent_id.is_some(),
     })
 }
 
@@ -67,9 +74,14 @@
     ClassRank::try_from(rank.min(last)).unwrap_or(ClassRank::MAX)
 }
 
+/// Work that is told of a deeper call whose parent is not known here, because
+/// this node has started since: more than none, as the hops above have worked.
+const WORK_UNKNOWN_US: u64 = 1;
+
 impl Routed {
-    /// The call that goes through the fleet.
-    pub(super) fn classify(self, node: &Node, call: Call) -> Classified {
+    /// The call that goes through the fleet. A deeper call is of its root's
+    /// class, and draws on the root's retries.
+    pub(super) fn classify(self, node: &Node, call: Call, now: Instant) -> Classified {
         let kind = stable_hash(&[self.service.as_bytes(), self.route.as_bytes()]);
         node.services.note_kind(kind, &self.service);
         let fingerprint = stable_hash(&[
@@ -78,22 +90,37 @@
             call.path.as_bytes(),
             &call.body,
         ]);
+        let parent = self.parent;
+        let class_rank = parent
+            .as_ref()
+            .map_or(self.class_rank, |parent| parent.class_rank);
+        let work_unknown_us = if self.is_deeper { WORK_UNKNOWN_US } else { 0 };
+        let allowance = match &parent {
+            Some(parent) => parent.allowance.clone(),
+            // Each retry may reach one more upstream.
+            None => Arc::new(Allowance::new(self.attempts.saturating_sub(1))),
+        };
         Classified {
             call: Call {
                 service: self.service,
                 fingerprint,
-                class_rank: self.class_rank.into(),
-                root_request_id: rand::random(),
+                class_rank: class_rank.into(),
+                depth: parent.as_ref().map_or(0, |parent| parent.depth + 1),
+                root_request_id: parent
+                    .as_ref()
+                    .map_or_else(rand::random, |parent| parent.root_request_id),
+                work_spent_us: parent.as_ref().map_or(work_unknown_us, |parent| {
+                    parent.work_spent_us(now).max(WORK_UNKNOWN_US)
+                }),
                 work_kind: kind,
                 ..call
             },
             idempotent: self.idempotent,
-            class_rank: self.class_rank,
+            class_rank,
             kind,
             deadline: self.deadline,
-            // Each retry may reach one more upstream.
-            allowance: Arc::new(Allowance::new(self.attempts.saturating_sub(1))),
-            parent: None,
+            allowance,
+            parent,
             idempotency_key: None,
         }
     }
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hemlocktack_interface::{Entered, Interface, Refused};
 use hemlocktack_protocol::{Answer, Call, Header, Outcome, Reason};
-use hemlocktack_telemetry::{SpanEnd, SpanName};
+use hemlocktack_telemetry::{Event, SpanEnd, SpanName, log_event};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -70,11 +70,31 @@
     };
     let answer = run(&node, interface, &head, &entered, body).await;
     if answer.outcome() != Outcome::Answered {
+        log_refused(&node, &entered, &answer);
         return refuse(interface, entered.request_id, answer);
     }
     respond(answer, in_flight)
 }
 
+fn log_refused(node: &Node, entered: &Entered, answer: &Answer) {
+    let Some(left_out) = node.call_lines.take() else {
+        return;
+    };
+    let outcome: &'static str = answer.outcome().into();
+    let reason: &'static str = answer.reason().into();
+    let patience_ms = entered.time_left.unwrap_or_default().as_millis() as u64;
+    log_event!(
+        Event::RequestRefused,
+        request_id = entered.request_id,
+        outcome,
+        reason,
+        patience_ms,
+        retry_after_ms = answer.retry_after_ms,
+        generation = node.generation_in_force(),
+        left_out
+    );
+}
+
 async fn run(
     node: &Arc<Node>,
     interface: Interface,
@@ -104,7 +124,15 @@
         traceparent: span.context().header(),
         ..Call::default()
     };
-    let answer = calls::run_placed(node, &routed.classify(node, call)).await;
+    let started = Instant::now();
+    let classified = routed.classify(node, call, started);
+    if let Some(parent) = &classified.parent {
+        parent.go_deeper();
+    }
+    let answer = calls::run_placed(node, &classified).await;
+    if let Some(parent) = &classified.parent {
+        parent.count_deeper(classified.kind, started.elapsed());
+    }
     let (outcome, reason) = (answer.outcome(), answer.reason());
     node.waits.entry.observe(span.elapsed());
     node.entry_counts.ended(&service, outcome, reason);
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -30,7 +30,7 @@
 use crate::links::{Links, Peer, Senders};
 use crate::peers::GossipCounts;
 use crate::settings::{InterfaceName, Settings};
-use crate::telemetry::{EntryCounts, LogLimit, Waits};
+use crate::telemetry::{EntryCounts, LineBudget, LogLimit, Waits};
 use crate::upstream::{
     Announcement, RENEW_EVERY, RENEWALS_MISSED_MAX, UpstreamClient, UpstreamStarts,
 };
@@ -85,6 +85,8 @@
     pub(crate) counters: Counters,
     pub(crate) operator_refusals: LogLimit,
     pub(crate) link_refusals: LogLimit,
+    /// Log lines about single calls.
+    pub(crate) call_lines: LineBudget,
     pub(crate) tracer: Tracer,
     pub(crate) waits: Waits,
     pub(crate) entry_counts: EntryCounts,
@@ -150,6 +152,7 @@
             counters: Counters::default(),
             operator_refusals: LogLimit::default(),
             link_refusals: LogLimit::default(),
+            call_lines: LineBudget::default(),
             tracer,
             waits: Waits::default(),
             entry_counts: EntryCounts::default(),
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -94,7 +94,7 @@
 }
 
 fn run_to_exit_code(settings: Settings) -> ExitCode {
-    telemetry::start_logs(settings.log_format);
+    let _written_before_exit = telemetry::start_logs(settings.log_format);
     match run_on_runtime(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/hemlocktack-node/src/telemetry/mod.rs
+++ b/crates/hemlocktack-node/src/telemetry/mod.rs
@@ -2,6 +2,7 @@
 
 mod entry_counts;
 mod histogram;
+mod line_budget;
 mod log_limit;
 mod logs;
 mod metrics;
@@ -11,6 +12,7 @@
 mod waits;
 
 pub(crate) use entry_counts::EntryCounts;
+pub(crate) use line_budget::LineBudget;
 pub(crate) use log_limit::LogLimit;
 pub(crate) use logs::start_logs;
 pub(crate) use metrics::metrics_text;
