--- a/crates/hemlocktack-decide/benches/decisions.rs
+++ b/crates/hemlocktack-decide/benches/decisions.rs
@@ -24,6 +24,7 @@
         call_id,
         class_rank: (call_id % 3) as u8,
         deadline: now + Duration::from_secs(3600),
+        objective: None,
         root_request_id: call_id,
         work_spent: Duration::ZERO,
         fingerprint: call_id,
--- a/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
@@ -68,6 +68,7 @@
             call_id: key,
             class_rank: self.deployment.kinds[request.kind].class_rank,
             deadline: self.instant(call.deadline),
+            objective: None,
             root_request_id: request.root_request_id,
             work_spent: call.work_before,
             fingerprint: self.fingerprint(call),
--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -7,6 +7,7 @@
 
 use crate::limit::{ConcurrencyLimit, WindowEnd};
 use crate::mix::mix;
+use crate::objective_limit::ObjectiveLimit;
 use crate::offer::{CancelResult, Decision, Ended, Offer, Verdict, WorkKind};
 use crate::policy::AdmissionPolicy;
 use crate::quarantine::{Quarantine, Standing};
@@ -21,6 +22,8 @@
     kind: WorkKind,
     fingerprint: Fingerprint,
     started: Instant,
+    /// Time in which its answer is wanted, from its offer on.
+    objective: Option<Duration>,
 }
 
 /// All decisions of one node about calls to its upstream.
@@ -36,6 +39,8 @@
     slots: u32,
     connections: u32,
     limit: ConcurrencyLimit,
+    /// Holds instead of `limit` where operators state objectives.
+    objective_limit: Option<ObjectiveLimit>,
     work: WorkTable,
     queue: ClassQueue,
     suspects: SuspectQueue,
@@ -63,6 +68,9 @@
 /// A queue that has been above half its bound for this long will not be worked
 /// off in time for its oldest calls: the newest run first until it is.
 const STANDING_AFTER: Duration = Duration::from_millis(200);
+/// A call that comes with next to none of its objective left says nothing about
+/// the limit; this bounds what it weighs.
+const LEAST_OBJECTIVE_SECS: f64 = 0.01;
 /// Calls that the maps hold without growing: the largest upstream of today has
 /// 1,200 connections; larger ones grow them once.
 const RUNNING_CAPACITY: usize = 2048;
@@ -76,6 +84,7 @@
             slots: 0,
             connections: 0,
             limit: ConcurrencyLimit::new(policy.limit, 1, 1, false, now),
+            objective_limit: None,
             work: WorkTable::new(now),
             queue: ClassQueue::new(RUNNING_CAPACITY),
             suspects: SuspectQueue::new(),
@@ -102,6 +111,10 @@
         self.connections = connections;
         let slow_start = cold && !was_here;
         self.limit = ConcurrencyLimit::new(self.policy.limit, slots, connections, slow_start, now);
+        self.objective_limit = self
+            .policy
+            .objective
+            .map(|policy| ObjectiveLimit::new(policy, slots, now));
         self.state = UpstreamState::Ready;
     }
 
@@ -145,7 +158,7 @@
         match self.quarantine.standing(offer.fingerprint, now) {
             Standing::Free => self.offer_free(offer, now),
             Standing::Refused => Verdict::Refused(QUARANTINED),
-            Standing::Suspected => self.offer_suspect(offer),
+            Standing::Suspected => self.offer_suspect(offer, now),
         }
     }
 
@@ -162,6 +175,7 @@
                 self.learn_from(&call, time_below, now);
             }
             Ended::ShedByUpstream => self.limit.upstream_shed(now),
+            Ended::AnsweredWithFailure => self.quarantine.finished(call.fingerprint),
             // A failed or cancelled call was cut short: its time says nothing.
             Ended::Failed | Ended::Cancelled => {}
         }
@@ -213,7 +227,7 @@
     pub fn hint(&self, chain_level: ShedLevel) -> LoadHint {
         LoadHint {
             in_flight: self.running.len() as u32,
-            limit: self.limit.current(),
+            limit: self.current_limit(),
             queued: self.queue.len() as u32,
             queue_delay_us: self.wait_for(self.queue.len()).as_micros() as u64,
             service_time_us: self.work.expected_any().as_micros() as u64,
@@ -262,10 +276,14 @@
             return self.offer_idle(offer, now);
         }
         self.limit.note_saturated();
+        if let Some(limit) = &mut self.objective_limit {
+            limit.note_saturated();
+        }
         let class = class_of(offer.class_rank);
         let invested = offer.work_spent > Duration::ZERO;
         let ahead = self.queue.ahead_of(class, invested);
-        if self.is_hopeless(offer.kind, offer.deadline, self.wait_for(ahead + 1), now) {
+        let waiting = Waiting::from_offer(offer, now);
+        if self.is_hopeless(offer.kind, waiting.deadline, self.wait_for(ahead + 1), now) {
             return Verdict::Refused(self.refusal(Reason::DeadlineTooShort, offer.call_id));
         }
         if self.is_shed(offer, class, invested, now) {
@@ -275,7 +293,7 @@
             self.hold_back_below(class, now);
             return Verdict::Refused(self.refusal(Reason::QueueFull, offer.call_id));
         }
-        self.queue.push(Waiting::from_offer(offer));
+        self.queue.push(waiting);
         Verdict::Queued
     }
 
@@ -288,12 +306,12 @@
         if time_left < expected / 2 && !self.probe(now) {
             return Verdict::Refused(self.refusal(Reason::DeadlineTooShort, offer.call_id));
         }
-        self.start(&Waiting::from_offer(offer), now);
+        self.start(&Waiting::from_offer(offer, now), now);
         Verdict::Run
     }
 
-    fn offer_suspect(&mut self, offer: &Offer) -> Verdict {
-        if !self.suspects.push(Waiting::from_offer(offer)) {
+    fn offer_suspect(&mut self, offer: &Offer, now: Instant) -> Verdict {
+        if !self.suspects.push(Waiting::from_offer(offer, now)) {
             return Verdict::Refused(self.refusal(Reason::Quarantined, offer.call_id));
         }
         Verdict::Queued
@@ -309,7 +327,7 @@
         if below_refused {
             return true;
         }
-        let standing = f64::from(self.limit.current()) * self.policy.shed.target_queue;
+        let standing = f64::from(self.current_limit()) * self.policy.shed.target_queue;
         let is_short = (self.queue.len() as f64) < standing.max(1.0);
         let level = self.shed.level();
         !is_short && !invested && !level.admits(offer.class_rank, offer.root_request_id)
@@ -341,7 +359,7 @@
     }
 
     fn queue_bound(&self) -> usize {
-        let bound = f64::from(self.limit.current()) * self.policy.queue.per_slot;
+        let bound = f64::from(self.current_limit()) * self.policy.queue.per_slot;
         (bound as usize)
             .max(self.policy.queue.least)
             .min(self.policy.queue.most)
@@ -384,8 +402,15 @@
         None
     }
 
+    /// Calls that may run at once.
+    fn current_limit(&self) -> u32 {
+        self.objective_limit
+            .as_ref()
+            .map_or_else(|| self.limit.current(), ObjectiveLimit::current)
+    }
+
     fn has_free_slot(&self) -> bool {
-        self.running.len() < self.limit.current() as usize
+        self.running.len() < self.current_limit() as usize
     }
 
     fn start(&mut self, call: &Waiting, now: Instant) {
@@ -395,14 +420,27 @@
                 kind: call.kind,
                 fingerprint: call.fingerprint,
                 started: now,
+                objective: call.objective,
             },
         );
+        if let Some(limit) = &mut self.objective_limit {
+            limit.note_running(self.running.len());
+        }
     }
 
     fn learn_from(&mut self, call: &Running, time_below: Duration, now: Instant) {
         let total = now.saturating_duration_since(call.started);
         let own = total.saturating_sub(time_below);
         let ratio = self.work.observe(call.kind, total, own, now);
+        if let Some(limit) = &mut self.objective_limit {
+            if let Some(objective) = call.objective {
+                let whole = objective.as_secs_f64().max(LEAST_OBJECTIVE_SECS);
+                let own_share = own.as_secs_f64() / whole;
+                let below_share = (total - own).as_secs_f64() / whole;
+                limit.observe(own_share, below_share, call.started, now);
+            }
+            return;
+        }
         if self.limit.observe(ratio, call.started, now) == WindowEnd::FloorIsStale {
             self.work.adopt_floors();
         }
@@ -416,7 +454,7 @@
             queued_up_to: self.queue.queued_up_to(),
             queue_bound: self.queue_bound(),
             in_flight: self.running.len(),
-            limit: self.limit.current(),
+            limit: self.current_limit(),
             service_time: self.work.expected_any(),
         };
         self.shed.end_interval(&pressure, now);
@@ -461,14 +499,14 @@
 
     /// Time until `calls` calls have started.
     fn wait_for(&self, calls: usize) -> Duration {
-        let per_call = self.work.expected_any() / self.limit.current().max(1);
+        let per_call = self.work.expected_any() / self.current_limit().max(1);
         per_call.mul_f64(calls as f64)
     }
 
     fn capacity_per_sec(&self) -> f64 {
         let expected = self.work.expected_any().as_secs_f64();
         if expected > 0.0 {
-            f64::from(self.limit.current()) / expected
+            f64::from(self.current_limit()) / expected
         } else {
             f64::INFINITY
         }
--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -8,6 +8,7 @@
 mod follow;
 mod limit;
 mod mix;
+mod objective_limit;
 mod offer;
 mod placement;
 mod policy;
@@ -21,6 +22,7 @@
 
 pub use admission::Admission;
 pub use limit::{ConcurrencyLimit, LimitPolicy};
+pub use objective_limit::ObjectivePolicy;
 pub use offer::{CancelResult, Decision, Ended, Offer, Verdict, WorkKind};
 pub use placement::{PeerLoad, PlacementPolicy, may_move, place};
 pub use policy::{AdmissionPolicy, QueuePolicy};
--- /dev/null
+++ b/crates/hemlocktack-decide/src/objective_limit.rs
@@ -0,0 +1,137 @@
+//! How many calls may run in an upstream at once, by the time that operators
+//! want answers in.
+
+use std::time::{Duration, Instant};
+
+/// Numbers of [`ObjectiveLimit`].
+#[derive(Clone, Copy, Debug)]
+pub struct ObjectivePolicy {
+    /// Shortest time between two changes.
+    pub window: Duration,
+    /// Fewest samples that a change may rest on: the mean of eight spread-out
+    /// times is good to a fifth, and a change is seldom smaller.
+    pub window_samples: u32,
+    /// Share of the objective that must be spent below before the limit is cut.
+    pub least_below: f64,
+    /// Share of the objective that a run may take. The rest is for the way, for
+    /// the wait in front of the upstream and for the spread of single runs.
+    pub target: f64,
+    /// Below this share the limit grows while calls wait for it.
+    pub grow_below: f64,
+    /// Growth in one window.
+    pub growth: f64,
+    /// Largest cut in one window.
+    pub least_cut: f64,
+    /// Least share of the slots. Below it too few calls finish to notice that
+    /// the chain is well again.
+    pub least_share: f64,
+}
+
+impl Default for ObjectivePolicy {
+    fn default() -> Self {
+        ObjectivePolicy {
+            window: Duration::from_millis(100),
+            window_samples: 8,
+            least_below: 0.2,
+            target: 0.6,
+            grow_below: 0.5,
+            growth: 1.15,
+            least_cut: 0.4,
+            least_share: 0.1,
+        }
+    }
+}
+
+/// A concurrency limit that keeps the runs of root requests within their
+/// objectives.
+///
+/// Load: a deep service that many calls of one request need one after the
+/// other. Harm: each call of an upstream above it waits there a little, ten of
+/// them add up, the upstream's own slots fill with requests that wait, and all
+/// of them are answered late, though the deep service could answer most in
+/// time. What runs side by side over what is finished a second is the time that
+/// a run takes, so the limit that gives the time wanted is known in one step.
+/// Only time spent below falls with the limit: an upstream that is slow itself
+/// is as slow with fewer calls, and would lose its slots for nothing.
+#[derive(Debug)]
+pub(crate) struct ObjectiveLimit {
+    policy: ObjectivePolicy,
+    slots: f64,
+    limit: f64,
+    changed_at: Instant,
+    own_sum: f64,
+    below_sum: f64,
+    samples: u32,
+    most_running: usize,
+    is_saturated: bool,
+}
+
+impl ObjectiveLimit {
+    pub(crate) fn new(policy: ObjectivePolicy, slots: u32, now: Instant) -> Self {
+        let slots = f64::from(slots.max(1));
+        ObjectiveLimit {
+            policy,
+            slots,
+            limit: slots,
+            changed_at: now,
+            own_sum: 0.0,
+            below_sum: 0.0,
+            samples: 0,
+            most_running: 0,
+            is_saturated: false,
+        }
+    }
+
+    pub(crate) fn current(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Calls wait because the limit is reached.
+    pub(crate) fn note_saturated(&mut self) {
+        self.is_saturated = true;
+    }
+
+    /// Calls run side by side.
+    pub(crate) fn note_running(&mut self, running: usize) {
+        self.most_running = self.most_running.max(running);
+    }
+
+    /// Takes in a root request's run: when it started, and the shares of its
+    /// objective that it took itself and waited for deeper calls. Runs from
+    /// before the last change say nothing about it.
+    pub(crate) fn observe(&mut self, own: f64, below: f64, started: Instant, now: Instant) {
+        if started < self.changed_at {
+            return;
+        }
+        self.own_sum += own;
+        self.below_sum += below;
+        self.samples += 1;
+        let age = now.saturating_duration_since(self.changed_at);
+        if self.samples >= self.policy.window_samples && age >= self.policy.window {
+            self.end_window(now);
+        }
+    }
+
+    fn end_window(&mut self, now: Instant) {
+        let samples = f64::from(self.samples);
+        let (own, below) = (self.own_sum / samples, self.below_sum / samples);
+        let running = (self.most_running as f64).min(self.limit);
+        let waits_below = below > self.policy.least_below;
+        let limit = if waits_below && own + below > self.policy.target {
+            let wanted_below = (self.policy.target - own).max(self.policy.least_below);
+            running * (wanted_below / below).max(self.policy.least_cut)
+        } else if self.is_saturated && (own + below < self.policy.grow_below || !waits_below) {
+            self.limit * self.policy.growth + 1.0
+        } else {
+            self.limit
+        };
+        let least = (self.slots * self.policy.least_share).max(1.0);
+        self.limit = limit.max(least).min(self.slots);
+        self.changed_at = now;
+        self.own_sum = 0.0;
+        self.below_sum = 0.0;
+        self.samples = 0;
+        self.most_running = 0;
+        self.is_saturated = false;
+    }
+}
--- a/crates/hemlocktack-decide/src/offer.rs
+++ b/crates/hemlocktack-decide/src/offer.rs
@@ -17,6 +17,9 @@
     pub class_rank: ClassRank,
     /// When the caller gives up.
     pub deadline: Instant,
+    /// Until when an answer is worth most to the caller of a root request;
+    /// `None` for deeper calls and where operators do not say.
+    pub objective: Option<Instant>,
     /// The root request.
     pub root_request_id: RootRequestId,
     /// Work that the chain has already spent on the root request.
@@ -52,6 +55,8 @@
 pub enum Ended {
     /// With a whole answer.
     Answered,
+    /// With a whole answer that reports a failure: its time says nothing.
+    AnsweredWithFailure,
     /// Without one: connection lost, short answer, timeout.
     Failed,
     /// The upstream itself refused it unstarted.
--- a/crates/hemlocktack-decide/src/policy.rs
+++ b/crates/hemlocktack-decide/src/policy.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::limit::LimitPolicy;
+use crate::objective_limit::ObjectivePolicy;
 use crate::quarantine::QuarantinePolicy;
 use crate::retry_after::RetryAfterPolicy;
 use crate::shed::ShedPolicy;
@@ -10,8 +11,11 @@
 /// Numbers of [`crate::Admission`].
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AdmissionPolicy {
-    /// Concurrency limit.
+    /// Concurrency limit by the upstream's own latency.
     pub limit: LimitPolicy,
+    /// Concurrency limit by operators' objectives, used instead where they
+    /// state them.
+    pub objective: Option<ObjectivePolicy>,
     /// Shed level.
     pub shed: ShedPolicy,
     /// Crash quarantine.
--- a/crates/hemlocktack-decide/src/queue.rs
+++ b/crates/hemlocktack-decide/src/queue.rs
@@ -21,18 +21,25 @@
     pub(crate) call_id: CallId,
     pub(crate) class: usize,
     pub(crate) invested: bool,
+    /// Until when it may wait and still be worth its work.
     pub(crate) deadline: Instant,
+    /// Time in which its answer is wanted, from its offer on.
+    pub(crate) objective: Option<Duration>,
     pub(crate) kind: WorkKind,
     pub(crate) fingerprint: Fingerprint,
 }
 
 impl Waiting {
-    pub(crate) fn from_offer(offer: &Offer) -> Self {
+    pub(crate) fn from_offer(offer: &Offer, now: Instant) -> Self {
+        let worth_until = offer.objective.unwrap_or(offer.deadline);
         Waiting {
             call_id: offer.call_id,
             class: class_of(offer.class_rank),
             invested: offer.work_spent > Duration::ZERO,
-            deadline: offer.deadline,
+            deadline: offer.deadline.min(worth_until),
+            objective: offer
+                .objective
+                .map(|objective| objective.saturating_duration_since(now)),
             kind: offer.kind,
             fingerprint: offer.fingerprint,
         }
--- a/crates/hemlocktack-decide/tests/admission.rs
+++ b/crates/hemlocktack-decide/tests/admission.rs
@@ -24,6 +24,7 @@
         call_id,
         class_rank,
         deadline: now + PATIENCE,
+        objective: None,
         root_request_id: call_id,
         work_spent: Duration::ZERO,
         fingerprint: call_id,
--- a/crates/hemlocktack-node/src/calls/admission_queue.rs
+++ b/crates/hemlocktack-node/src/calls/admission_queue.rs
@@ -39,8 +39,8 @@
 }
 
 impl AdmissionQueue {
-    pub(crate) fn new() -> Self {
-        let admission = Admission::new(AdmissionPolicy::default(), Instant::now());
+    pub(crate) fn new(policy: AdmissionPolicy) -> Self {
+        let admission = Admission::new(policy, Instant::now());
         let state = QueueState {
             admission,
             waiting: HashMap::new(),
--- a/crates/hemlocktack-node/src/calls/classify.rs
+++ b/crates/hemlocktack-node/src/calls/classify.rs
@@ -22,6 +22,8 @@
     pub(crate) class_rank: ClassRank,
     pub(crate) kind: WorkKind,
     pub(crate) deadline: Instant,
+    /// Until when an answer is worth most to the caller of a root request.
+    pub(crate) objective: Option<Instant>,
     /// Retries of this request; shared with the calls beside it in a chain.
     pub(crate) allowance: Arc<Allowance>,
     pub(crate) parent: Option<Arc<RunningCall>>,
@@ -86,6 +88,7 @@
         class_rank,
         kind,
         deadline,
+        objective: None,
         allowance,
         parent,
         idempotency_key,
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -184,6 +184,7 @@
     let peer = &view.peers[index];
     let mut call = classified.call.clone();
     call.purpose = purpose.into();
+    call.objective_left_us = classified.objective.map_or(0, micros_left);
     peer.as_ref().sent(Instant::now());
     let Classified {
         deadline,
@@ -380,8 +381,10 @@
 }
 
 fn time_left_us(deadline: Instant) -> u64 {
-    let left = deadline
-        .saturating_duration_since(Instant::now())
-        .saturating_sub(TIME_FOR_THE_WAY_BACK);
+    micros_left(deadline - TIME_FOR_THE_WAY_BACK)
+}
+
+fn micros_left(until: Instant) -> u64 {
+    let left = until.saturating_duration_since(Instant::now());
     u64::try_from(left.as_micros()).unwrap_or(u64::MAX)
 }
--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -19,6 +19,9 @@
 /// within this time has crashed or is as good as crashed.
 const ALIVE_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Statuses from here on say that the upstream failed.
+const SERVER_FAILURES_FROM: u16 = 500;
+
 /// What the run needs beside the call itself.
 pub(crate) struct RunOrder<F> {
     pub(crate) call: Call,
@@ -44,6 +47,7 @@
         call_id,
         class_rank,
         deadline,
+        objective: objective(&call),
         root_request_id: call.root_request_id,
         work_spent: Duration::from_micros(call.work_spent_us),
         fingerprint: call.fingerprint,
@@ -189,8 +193,17 @@
     matches!(connected, Ok(Ok(_)))
 }
 
+/// Until when an answer to a root request is worth most.
+fn objective(call: &Call) -> Option<Instant> {
+    let left = Duration::from_micros(call.objective_left_us);
+    (!left.is_zero()).then(|| Instant::now() + left)
+}
+
 fn ended(end: &UpstreamEnd) -> Ended {
     match end {
+        UpstreamEnd::Answered { status, .. } if *status >= SERVER_FAILURES_FROM => {
+            Ended::AnsweredWithFailure
+        }
         UpstreamEnd::Answered { .. } => Ended::Answered,
         UpstreamEnd::NotRun(Reason::Shed) => Ended::ShedByUpstream,
         UpstreamEnd::NotRun(_) | UpstreamEnd::Unknown(_) => Ended::Failed,
--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -23,6 +23,11 @@
 
 const TICK_PERIOD: Duration = Duration::from_millis(100);
 const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Pauses after failed calls: the two watchers of a data centre and starting
+/// nodes are all that call, so that a short limit costs the platform little, and
+/// a change is in force soon after an outage.
+const BACKOFF_BASE: Duration = Duration::from_millis(200);
+const BACKOFF_LIMIT: Duration = Duration::from_secs(1);
 
 /// What the task is told by other parts of the node and by its own questions.
 pub(crate) enum Event {
@@ -52,6 +57,8 @@
     };
     let settings = ConfigurationSettings {
         can_read: interfaces::can_read(node.settings.interface),
+        backoff_base: BACKOFF_BASE,
+        backoff_limit: BACKOFF_LIMIT,
         ..ConfigurationSettings::default()
     };
     let follower = Follower {
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -20,12 +20,13 @@
     pub(super) service: String,
     pub(super) body_limit_bytes: usize,
     pub(super) deadline: Instant,
+    objective: Option<Instant>,
     idempotent: bool,
     class_rank: ClassRank,
     attempts: u32,
     parent: Option<Arc<RunningCall>>,
     /// An upstream made it for a request, known here or not.
-    is_deeper: bool,
+    pub(super) is_deeper: bool,
 }
 
 /// Finds the route of a request and draws the service that gets it.
@@ -50,6 +51,12 @@
         service: target.service.clone(),
         body_limit_bytes: document.client_limits.body_limit_bytes,
         deadline: now + patience(entered, route),
+        objective: match parent_id {
+            Some(_) => None,
+            None => route
+                .target_latency_ms
+                .map(|target| now + Duration::from_millis(target)),
+        },
         idempotent: route.idempotent,
         class_rank: class_rank(document, route),
         attempts: route.attempts,
@@ -119,6 +126,7 @@
             class_rank,
             kind,
             deadline: self.deadline,
+            objective: self.objective,
             allowance,
             parent,
             idempotency_key: None,
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -110,6 +110,9 @@
         Ok(routed) => routed,
         Err(reason) => return not_run(reason, None),
     };
+    if !routed.is_deeper && node.refuses_entries() {
+        return not_run(Reason::Draining, None);
+    }
     let service = routed.service.clone();
     let body = match read_body(body, &routed).await {
         Ok(body) => body,
--- a/crates/hemlocktack-node/src/node.rs
+++ b/crates/hemlocktack-node/src/node.rs
@@ -1,12 +1,12 @@
 //! State that all parts of a node share.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use hemlocktack_config::{ClientLimits, Document};
-use hemlocktack_decide::{ChainEdges, ShedLevel, WorkKind};
+use hemlocktack_decide::{AdmissionPolicy, ChainEdges, ObjectivePolicy, ShedLevel, WorkKind};
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::drain::{
     self, DrainSettings, Life, LifeAction, Publication, UpstreamSettings,
@@ -38,6 +38,11 @@
 /// News of a drain reaches all nodes within this time; until then a draining
 /// node is there to refuse what still comes.
 pub(crate) const DRAIN_SETTLE: Duration = Duration::from_secs(2);
+/// A stopping node takes requests for this long: readiness is asked once a
+/// second, and two refusals send callers elsewhere.
+const ENTRIES_TAKEN_IN_STOP: Duration = Duration::from_millis(2_800);
+/// The same for how long it stays at least.
+const SPELLED_DRAIN_SETTLE: Duration = Duration::from_millis(2_500);
 /// Largest body read before any configuration is in force.
 const BODY_LIMIT_BEFORE_CONFIGURATION_BYTES: usize = 64 << 10;
 /// Largest answer passed on for a service that the configuration lacks.
@@ -47,7 +52,7 @@
 const CONNECTION_LIMIT_UNSAID: u32 = 1_000;
 /// Kept back from the time between the signal to stop and the end by force:
 /// to say farewell and to exit.
-const EXIT_TIME: Duration = Duration::from_millis(1_200);
+const EXIT_TIME: Duration = Duration::from_millis(700);
 /// An upstream whose announcements are spelled by an interface renews every
 /// second or two and may be seconds late; that it is down shows when a
 /// connection fails.
@@ -91,6 +96,7 @@
     pub(crate) waits: Waits,
     pub(crate) entry_counts: EntryCounts,
     stop_order: Notify,
+    stop_began: OnceLock<Instant>,
     receiving: Mutex<Receiving>,
     chain_edges: Mutex<ChainEdges>,
     in_force: ArcSwapOption<InForce>,
@@ -148,7 +154,7 @@
             links: Links::new(identity.clone(), keys.clone()),
             home: Home::new(&identity),
             services: ServiceDirectory::new(settings.data_centre.clone()),
-            admission_queue: Arc::new(AdmissionQueue::new()),
+            admission_queue: Arc::new(AdmissionQueue::new(admission_policy(&settings))),
             counters: Counters::default(),
             operator_refusals: LogLimit::default(),
             link_refusals: LogLimit::default(),
@@ -157,6 +163,7 @@
             waits: Waits::default(),
             entry_counts: EntryCounts::default(),
             stop_order: Notify::new(),
+            stop_began: OnceLock::new(),
             receiving: Mutex::new(Receiving::new(HandoverLimits::default())),
             chain_edges: Mutex::default(),
             interface: interfaces::find(settings.interface),
@@ -304,6 +311,24 @@
             .unwrap_or_else(|| usual.to_owned())
     }
 
+    /// Takes nothing new for the upstream from now on.
+    pub(crate) fn begin_stop(&self) {
+        let _ = self.stop_began.set(Instant::now());
+        self.live(|life, now| life.drain(now));
+    }
+
+    /// Whether requests that enter now are refused because the node stops.
+    ///
+    /// Failure: the platform sends callers elsewhere only once the node has
+    /// said twice that it is not ready. Refusing before that would turn away
+    /// callers who had no way to know; taking requests until the end would cut
+    /// those off that are not done by then.
+    pub(crate) fn refuses_entries(&self) -> bool {
+        self.stop_began
+            .get()
+            .is_some_and(|began| began.elapsed() >= ENTRIES_TAKEN_IN_STOP)
+    }
+
     /// Whether a planned stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
         matches!(self.state(), NodeState::Draining | NodeState::Left)
@@ -381,6 +406,7 @@
     /// Takes in a new view of the fleet.
     pub(crate) fn set_members(&self, members: Vec<Member>) {
         self.services.update(&members);
+        self.platform.set_node_count(members.len());
         // A stopping node that is not known here yet may still commit.
         self.receiving().retain_offers_of(|from| {
             let known = members
@@ -545,7 +571,10 @@
 
 fn drain_settings(settings: &Settings) -> DrainSettings {
     DrainSettings {
-        settle: DRAIN_SETTLE,
+        settle: match settings.interface {
+            InterfaceName::Own => DRAIN_SETTLE,
+            InterfaceName::Cooperative => SPELLED_DRAIN_SETTLE,
+        },
         hard_limit: Some(drain_limit(settings)),
         handover_limit: handover::LIMIT,
         upstream: UpstreamSettings {
@@ -559,6 +588,18 @@
     }
 }
 
+/// Routes of an interface state objectives; the product's own configuration has
+/// none.
+fn admission_policy(settings: &Settings) -> AdmissionPolicy {
+    AdmissionPolicy {
+        objective: match settings.interface {
+            InterfaceName::Own => None,
+            InterfaceName::Cooperative => Some(ObjectivePolicy::default()),
+        },
+        ..AdmissionPolicy::default()
+    }
+}
+
 fn drain_limit(settings: &Settings) -> Duration {
     let grace = settings.stop_grace;
     grace.map_or(settings.drain_limit, |grace| {
--- a/crates/hemlocktack-node/src/peers/mod.rs
+++ b/crates/hemlocktack-node/src/peers/mod.rs
@@ -15,6 +15,8 @@
 
 /// Longest that a leaving node takes to say so.
 const FAREWELL_LIMIT: Duration = Duration::from_secs(1);
+/// The same where the process is ended by force soon.
+const SHORT_FAREWELL_LIMIT: Duration = Duration::from_millis(300);
 
 /// Starts to gossip and to publish this node.
 pub(crate) async fn start(node: &Arc<Node>) -> Result<()> {
@@ -30,5 +32,9 @@
     let withdrawn = node.records.withdraw(&node.identity.node_id);
     let both = async { tokio::join!(told, withdrawn) };
     // What others do not hear they find out by probing.
-    let _ = tokio::time::timeout(FAREWELL_LIMIT, both).await;
+    let limit = match node.settings.stop_grace {
+        Some(_) => SHORT_FAREWELL_LIMIT,
+        None => FAREWELL_LIMIT,
+    };
+    let _ = tokio::time::timeout(limit, both).await;
 }
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use derive_more::{Display, Error, From};
 use hemlocktack_fleet::keys::{FleetKeys, KeyError};
 use hemlocktack_interface::Interface;
-use hemlocktack_platform::{Client, ClientSettings};
+use hemlocktack_platform::{BackoffSettings, Client, ClientSettings};
 use hemlocktack_telemetry::{Event, ExportError, log_event};
 use rocket::error::ErrorKind;
 use rocket::{Build, Config, Ignite, Rocket};
@@ -30,6 +31,13 @@
 const LAST_ANSWERS_S: u32 = 2;
 /// Seconds in which connections close after that.
 const CLOSING_S: u32 = 1;
+/// Waits after failures of a platform whose changes have to be in force within
+/// a second or two of its return. Few nodes of a data centre call it at all
+/// once they have found each other.
+const SHORT_BACKOFF: BackoffSettings = BackoffSettings {
+    first: Duration::from_millis(100),
+    longest: Duration::from_secs(1),
+};
 /// Exit code for settings that cannot be used.
 const EXIT_BAD_SETTINGS: u8 = 2;
 
@@ -164,18 +172,17 @@
     stop::drain(&node).await;
     peers::say_farewell(&node).await;
     node.signals.stopped.cancel();
+    // The gateway's answers have left with their calls, and the process has
+    // little time left.
+    if interface.is_some() {
+        return Ok(());
+    }
     for shutdown in shutdowns {
         shutdown.notify();
     }
     // The calls have ended, but the last pieces of answers, and an operator's
     // answer on the control port, may still be on their way out.
-    match interface {
-        Some(_) => callers.abort(),
-        None => {
-            let _ = callers.await;
-        }
-    }
-    let _ = control.await;
+    let _ = tokio::join!(callers, control);
     Ok(())
 }
 
@@ -197,6 +204,11 @@
     let usual = ClientSettings::new(&settings.platform_url);
     ClientSettings {
         spelling: interface.map_or(usual.spelling, |interface| interface.store),
+        rates: settings.platform_rates,
+        backoff: match interface {
+            Some(_) => SHORT_BACKOFF,
+            None => usual.backoff,
+        },
         ..usual
     }
 }
--- a/crates/hemlocktack-node/src/settings/flags.rs
+++ b/crates/hemlocktack-node/src/settings/flags.rs
@@ -69,10 +69,12 @@
 pub(crate) const READINESS_ADDRESS: &str = "readiness-address";
 pub(crate) const ANNOUNCE_ADDRESS: &str = "announce-address";
 pub(crate) const UPSTREAM_ADDRESS: &str = "upstream-address";
+pub(crate) const PLATFORM_READS: &str = "platform-reads-per-second";
+pub(crate) const PLATFORM_WRITES: &str = "platform-writes-per-second";
 pub(crate) const STOP_GRACE: &str = "stop-grace";
 
 /// All settings that take a value.
-pub(crate) const FLAGS: [Flag; 24] = [
+pub(crate) const FLAGS: [Flag; 26] = [
     required(
         NODE,
         "NAME",
@@ -171,6 +173,16 @@
         "IP:PORT",
         "where the upstream listens, with an interface that tells it beforehand",
     ),
+    optional(
+        PLATFORM_READS,
+        "NUMBER",
+        "reading calls a second that the platform takes from all nodes together",
+    ),
+    optional(
+        PLATFORM_WRITES,
+        "NUMBER",
+        "writing calls a second that the platform takes from all nodes together",
+    ),
     optional(
         STOP_GRACE,
         "TIME",
--- a/crates/hemlocktack-node/src/settings/mod.rs
+++ b/crates/hemlocktack-node/src/settings/mod.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hemlocktack_platform::PlatformRates;
 use hemlocktack_protocol::{DataCentre, NodeId, ServiceName};
 
 /// How log lines are written.
@@ -62,6 +63,8 @@
     pub(crate) announce_address: Option<SocketAddr>,
     /// Where the upstream listens, if that is known before it announces itself.
     pub(crate) upstream_address: Option<SocketAddr>,
+    /// What the platform takes from all nodes together.
+    pub(crate) platform_rates: Option<PlatformRates>,
     /// Time between the signal to stop and the end of the process by force.
     pub(crate) stop_grace: Option<Duration>,
 }
--- a/crates/hemlocktack-node/src/settings/read.rs
+++ b/crates/hemlocktack-node/src/settings/read.rs
@@ -6,6 +6,7 @@
 
 use derive_more::{Display, Error};
 use getopts::Matches;
+use hemlocktack_platform::PlatformRates;
 
 use super::flags::{self, FLAGS, environment_name};
 use super::{InterfaceName, LogFormat, Settings};
@@ -99,6 +100,7 @@
         readiness_address: reader.optional_address(flags::READINESS_ADDRESS),
         announce_address: reader.optional_address(flags::ANNOUNCE_ADDRESS),
         upstream_address: reader.optional_address(flags::UPSTREAM_ADDRESS),
+        platform_rates: reader.platform_rates(),
         stop_grace: reader.time(flags::STOP_GRACE),
     };
     if reader.findings.is_empty() {
@@ -201,6 +203,24 @@
         Some(self.address(name))
     }
 
+    /// Both or none: a budget that follows only one of them helps nobody.
+    fn platform_rates(&mut self) -> Option<PlatformRates> {
+        let is_given =
+            [flags::PLATFORM_READS, flags::PLATFORM_WRITES].map(|name| self.value(name).is_some());
+        match is_given {
+            [false, false] => return None,
+            [true, true] => {}
+            _ => self.find(
+                flags::PLATFORM_READS,
+                &format!("give --{} with it", flags::PLATFORM_WRITES),
+            ),
+        }
+        Some(PlatformRates {
+            reads_per_second: self.parsed(flags::PLATFORM_READS, "a number", 0.0),
+            writes_per_second: self.parsed(flags::PLATFORM_WRITES, "a number", 0.0),
+        })
+    }
+
     fn time(&mut self, name: &str) -> Option<Duration> {
         let text = self.value(name)?;
         let read = read_time(&text);
--- a/crates/hemlocktack-node/src/stop.rs
+++ b/crates/hemlocktack-node/src/stop.rs
@@ -48,7 +48,7 @@
 pub(crate) async fn drain(node: &Arc<Node>) {
     let in_flight_count = node.counters.in_flight();
     log_event!(Event::DrainBegun, in_flight_count);
-    node.live(|life, now| life.drain(now));
+    node.begin_stop();
     // Others still issue tickets for this home until they hear of the drain;
     // until then it delegates them. A home that never stopped taking them
     // would not come to an end under load.
--- a/crates/hemlocktack-platform/src/budget.rs
+++ b/crates/hemlocktack-platform/src/budget.rs
@@ -36,6 +36,26 @@
     burst: 20.0,
 };
 
+/// Part of the platform's rates that the whole fleet may use up. The rest is for
+/// operators and for shares that overlap while members come and go.
+const FLEET_SHARE: f64 = 0.5;
+
+/// What the platform takes from all nodes together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlatformRates {
+    /// Gets, lists and watches a second.
+    pub reads_per_second: f64,
+    /// Puts and deletes a second.
+    pub writes_per_second: f64,
+}
+
+impl PlatformRates {
+    /// Calls a second that one of so many nodes may make.
+    pub(crate) fn share(total_per_second: f64, nodes: usize) -> f64 {
+        total_per_second * FLEET_SHARE / nodes.max(1) as f64
+    }
+}
+
 impl Default for BudgetSettings {
     fn default() -> BudgetSettings {
         BudgetSettings {
@@ -63,6 +83,11 @@
         }
     }
 
+    /// Changes what is earned a second; what is saved up stays.
+    pub fn set_calls_per_second(&mut self, calls_per_second: f64) {
+        self.rate.calls_per_second = calls_per_second;
+    }
+
     /// Takes one call, or says how long until there is one.
     pub fn take(&mut self, now: Instant) -> std::result::Result<(), Duration> {
         let elapsed = now.saturating_duration_since(self.counted_at);
--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -10,8 +10,8 @@
 use crate::own_spelling::OWN_SPELLING;
 use crate::spelling::{Read, Spelling, StoreCall, StoreRefusal};
 use crate::{
-    Backoff, BackoffSettings, Budget, BudgetSettings, Effect, Error, Listing, Object, Result,
-    Revision, Version, Watched,
+    Backoff, BackoffSettings, Budget, BudgetSettings, Effect, Error, Listing, Object,
+    PlatformRates, Result, Revision, Version, Watched,
 };
 
 /// Largest value that the platform stores.
@@ -20,6 +20,11 @@
 const ANSWER_LIMIT_BYTES: usize = 32 << 20;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// A connection that has gone silent, behind a cut or for good, must not hold a
+/// watch for its whole wait: it is probed after this, and given up when so many
+/// probes have met silence.
+const SILENCE_PROBED_AFTER: Duration = Duration::from_secs(1);
+const SILENCE_PROBES: u32 = 2;
 /// The platform answers in milliseconds; what takes longer is an outage.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -30,6 +35,9 @@
     pub base_url: String,
     /// This node's share of the platform's rates.
     pub budget: BudgetSettings,
+    /// What the platform takes from all nodes, where that is known: the budget
+    /// then follows the size of the fleet.
+    pub rates: Option<PlatformRates>,
     /// Waits after failures.
     pub backoff: BackoffSettings,
     /// After which a call counts as failed; a watch waits longer by its own wait.
@@ -44,6 +52,7 @@
         ClientSettings {
             base_url: base_url.trim_end_matches('/').to_owned(),
             budget: BudgetSettings::default(),
+            rates: None,
             backoff: BackoffSettings::default(),
             call_timeout: CALL_TIMEOUT,
             spelling: OWN_SPELLING,
@@ -95,6 +104,11 @@
         })?;
         let http = reqwest::Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
+            .tcp_nodelay(true)
+            .tcp_keepalive(SILENCE_PROBED_AFTER)
+            .tcp_keepalive_interval(SILENCE_PROBED_AFTER)
+            .tcp_keepalive_retries(SILENCE_PROBES)
+            .tcp_user_timeout(SILENCE_PROBED_AFTER * SILENCE_PROBES)
             .no_proxy()
             .build()
             .map_err(|error| unavailable(Effect::None, &error, Duration::ZERO))?;
@@ -118,6 +132,18 @@
         !limits.backoff.is_failing()
     }
 
+    /// Tells how many nodes share the platform's rates.
+    pub fn set_node_count(&self, nodes: usize) {
+        let Some(rates) = self.settings.rates else {
+            return;
+        };
+        let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        let reads = PlatformRates::share(rates.reads_per_second, nodes);
+        let writes = PlatformRates::share(rates.writes_per_second, nodes);
+        limits.reads.set_calls_per_second(reads);
+        limits.writes.set_calls_per_second(writes);
+    }
+
     /// The spelling that calls are made in.
     pub(crate) fn spelling(&self) -> &Spelling {
         &self.settings.spelling
--- a/crates/hemlocktack-platform/src/lib.rs
+++ b/crates/hemlocktack-platform/src/lib.rs
@@ -15,7 +15,7 @@
 mod values;
 
 pub use backoff::{Backoff, BackoffSettings};
-pub use budget::{Budget, BudgetSettings, Rate};
+pub use budget::{Budget, BudgetSettings, PlatformRates, Rate};
 pub use client::{Client, ClientSettings, VALUE_LIMIT_BYTES};
 pub use configuration::{
     Applied, Change, ConfigurationStore, HISTORY_LENGTH, SeenConfiguration, StoredConfiguration,
