--- /dev/null
+++ b/crates/hemlocktack-decide/tests/objectives.rs
@@ -0,0 +1,83 @@
+//! The limit by operators' objectives, under the load that it is made for.
+
+use std::time::{Duration, Instant};
+
+use hemlocktack_decide::{Admission, AdmissionPolicy, Ended, ObjectivePolicy, Offer, Verdict};
+
+const SLOTS: u32 = 92;
+const OBJECTIVE: Duration = Duration::from_millis(1_500);
+const PATIENCE: Duration = Duration::from_secs(6);
+const OWN_WORK: Duration = Duration::from_millis(90);
+
+fn admission(now: Instant) -> Admission {
+    let policy = AdmissionPolicy {
+        objective: Some(ObjectivePolicy::default()),
+        ..AdmissionPolicy::default()
+    };
+    let mut admission = Admission::new(policy, now);
+    admission.announced(SLOTS, 652, false, now);
+    admission
+}
+
+fn offer(call_id: u64, now: Instant) -> Offer {
+    Offer {
+        call_id,
+        class_rank: 2,
+        deadline: now + PATIENCE,
+        objective: Some(now + OBJECTIVE),
+        root_request_id: call_id,
+        work_spent: Duration::ZERO,
+        fingerprint: call_id,
+        kind: 1,
+    }
+}
+
+/// Keeps every slot busy for some rounds; each round's calls take `run`, of
+/// which the upstream itself needs `own`. Returns the limit after each round.
+fn run_rounds(rounds: usize, own: Duration, run: Duration) -> Vec<u32> {
+    let mut now = Instant::now();
+    let mut admission = admission(now);
+    let mut next_call = 0;
+    let mut limits = Vec::new();
+    for _ in 0..rounds {
+        let mut running = Vec::new();
+        for _ in 0..SLOTS * 2 {
+            next_call += 1;
+            if admission.offer(&offer(next_call, now), now) == Verdict::Run {
+                running.push(next_call);
+            }
+        }
+        now += run;
+        for call_id in running {
+            admission.finish(call_id, Ended::Answered, run - own, now);
+        }
+        let mut decisions = Vec::new();
+        admission.take_ready(now + PATIENCE, &mut decisions);
+        now += PATIENCE;
+        for call_id in 1..=next_call {
+            admission.cancel(call_id);
+            admission.finish(call_id, Ended::Cancelled, Duration::ZERO, now);
+        }
+        limits.push(admission.hint(hemlocktack_decide::ShedLevel::OPEN).limit);
+    }
+    limits
+}
+
+/// Ten calls one after the other wait at a deep service that is full, and each
+/// request takes 1.3 of the 1.5 s that it may. Fewer of them side by side wait
+/// less, so the limit comes down until runs take six tenths of the objective;
+/// what does not fit is refused before any work.
+#[test]
+fn waiting_below_lowers_the_limit() {
+    let limits = run_rounds(3, OWN_WORK, Duration::from_millis(1_300));
+    assert!(limits[0] < SLOTS * 7 / 10, "{limits:?}");
+    assert!(limits[2] < limits[0], "{limits:?}");
+}
+
+/// An upstream of half the speed takes most of the objective itself. It is as
+/// slow with fewer calls, and would only lose slots.
+#[test]
+fn an_upstream_that_is_slow_itself_keeps_its_slots() {
+    let run = Duration::from_millis(1_300);
+    assert_eq!(run_rounds(3, run, run), [SLOTS; 3]);
+}
--- a/crates/hemlocktack-node/src/telemetry/monitor.rs
+++ b/crates/hemlocktack-node/src/telemetry/monitor.rs
@@ -31,11 +31,29 @@
         seen.upstream(&status);
         seen.platform(&status, now);
         seen.shedding(&status, now);
+        log_load(&status);
         seen.quarantine(&status);
         seen.peers(&node.members());
     }
 }
 
+/// While calls wait, what decides about them is written down with each look, so
+/// that a refusal can be explained afterwards.
+fn log_load(status: &NodeStatus) {
+    let Some(load) = status.load.filter(|load| load.queued > 0) else {
+        return;
+    };
+    log_event!(
+        Event::CallsWait,
+        in_flight = load.in_flight,
+        limit = load.limit,
+        queued = load.queued,
+        queue_delay_us = load.queue_delay_us,
+        service_time_us = load.service_time_us,
+        shed_level = load.shed_level
+    );
+}
+
 /// What has been logged so far.
 #[derive(Default)]
 struct Seen {
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -77,6 +77,8 @@
     701 WARN SheddingBegun: "the upstream's queue stands and requests of the last class are refused", "look at status; add upstreams if it lasts";
     702 INFO SheddingEnded: "nothing is refused for load any more", "nothing";
 
+    703 INFO CallsWait: "calls wait in front of the upstream", "nothing unless it lasts: compare in_flight with limit, and service_time_us with that of other nodes";
+
     711 INFO SendEnded: "a send of a call ended without an answer; what follows is in the field next", "look for the same request_id on the node in the field node";
     712 INFO CallRefused: "the node beside an upstream refused a call", "compare the reason with the numbers beside it";
     713 INFO RequestRefused: "a request ended where it entered without an answer of an upstream", "follow its request_id through 711 and 712";
