Read two tables at a node's start

Cause: a node that starts between cuts read the table of one member that had not heard who left, and nobody repeated the news: it went on placing calls there.

--- a/crates/hemlocktack-fleet/src/membership/machine.rs
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -94,6 +94,8 @@
     /// Set while a whole table is read at once: after the start, and after a
     /// pause of this process.
     pub(super) reading_since: Option<Instant>,
+    /// Members whose tables have been read since then.
+    pub(super) read_from: Vec<SocketAddr>,
     pub(super) pulled: Instant,
     pub(super) now: Instant,
     pub(super) last_tick: Instant,
@@ -126,6 +128,7 @@
             sweep: None,
             joined: false,
             reading_since: Some(now),
+            read_from: Vec::new(),
             pulled: now,
             now,
             last_tick: now,
--- a/crates/hemlocktack-fleet/src/membership/receive.rs
+++ b/crates/hemlocktack-fleet/src/membership/receive.rs
@@ -14,6 +14,9 @@
 use super::settings::Safeguard;
 use super::table::Merged;
 
+/// Tables that a starting node reads, each of another member.
+const TABLES_READ: usize = 2;
+
 impl Membership {
     /// Takes in a datagram whose MAC was found right.
     pub fn receive(
@@ -296,6 +299,10 @@
         actions.push(Action::Send { to: from, gossip });
     }
 
+    /// Failure: a node starts between cuts, and the one whose table it reads had
+    /// not heard yet that others left. Symptom: seconds after all faults have
+    /// ended it still places calls on them. Whoever has heard passes the news on
+    /// for a few periods only, so a second table is read, of another member.
     fn take_page(&mut self, from: SocketAddr, page: SyncPage, actions: &mut Vec<Action>) {
         let Some(sweep) = &mut self.sweep else {
             return;
@@ -307,7 +314,10 @@
         if page.complete || made_no_progress {
             self.sweep = None;
             self.joined = true;
-            self.reading_since = None;
+            self.read_from.push(from);
+            if self.read_from.len() >= TABLES_READ {
+                self.reading_since = None;
+            }
             return;
         }
         sweep.cursor = page.last_node_id;
--- a/crates/hemlocktack-fleet/src/membership/tick.rs
+++ b/crates/hemlocktack-fleet/src/membership/tick.rs
@@ -64,6 +64,7 @@
         if was_paused && self.settings.keeps(Safeguard::ReadAfterPause) {
             self.sweep = None;
             self.reading_since = Some(now);
+            self.read_from.clear();
         }
     }
 
@@ -260,6 +261,7 @@
             .table
             .live()
             .filter_map(|(_, entry)| entry.address)
+            .filter(|address| !self.read_from.contains(address))
             .choose(rng);
         let Some(peer) = known.or_else(|| self.unknown_seed(rng)) else {
             return;
