Notice silent connections between nodes and to the upstream

Cause: a path that forgets connections swallows packets without a word; every call on such a link would wait for its whole patience, while UDP probes still say that the node is up. What the store answers that is no answer is logged with its detail (307), a configuration that cannot be read with its faults (302).

--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -66,6 +66,7 @@
         pull_timeout: settings.pull_timeout,
         in_force: InForce::new(settings, Instant::now()),
         store: Arc::new(ConfigurationStore::new(node.platform.clone())),
+        unreadable: String::new(),
         revision: 0,
         rng: StdRng::seed_from_u64(rand::random()),
         node: node.clone(),
@@ -80,6 +81,8 @@
     in_force: InForce,
     watchers: usize,
     pull_timeout: Duration,
+    /// What is wrong with the last document that could not be read.
+    unreadable: String,
     /// To watch from, as the platform's last answer told.
     revision: Revision,
     rng: StdRng,
@@ -125,6 +128,7 @@
             }
             Event::PeerAnswered { node_id, document } => {
                 let generation = document.generation;
+                self.note_fault(&document);
                 let document = (!document.document.is_empty()).then_some(document);
                 self.in_force
                     .peer_answered(now, &node_id, generation, document)
@@ -145,11 +149,24 @@
         // A store that lost its newest writes tells a lower one, which is then right.
         self.revision = seen.revision;
         let document = seen.stored.map(|stored| stored.configuration);
+        if let Some(document) = &document {
+            self.note_fault(document);
+        }
         let view = self.view();
         self.in_force
             .platform_answered(now, document, &view, &mut self.rng)
     }
 
+    /// Keeps what is wrong with a document, for the line that reports it.
+    fn note_fault(&mut self, document: &ConfigurationDocument) {
+        if document.document.is_empty() {
+            return;
+        }
+        if let Err(fault) = self.node.read_configuration(&document.document) {
+            self.unreadable = fault;
+        }
+    }
+
     fn act(&mut self, actions: Vec<ConfigurationAction>) {
         for action in actions {
             match action {
@@ -160,7 +177,8 @@
                     self.node.signals.own_changed.notify_one();
                 }
                 ConfigurationAction::ReportUnreadable { generation } => {
-                    log_event!(LogEvent::ConfigurationUnreadable, generation);
+                    let fault = std::mem::take(&mut self.unreadable);
+                    log_event!(LogEvent::ConfigurationUnreadable, generation, fault);
                 }
                 ConfigurationAction::CaughtUp => {
                     log_event!(LogEvent::NodeReady);
@@ -180,6 +198,12 @@
             let event = match answer {
                 Ok(seen) => Event::PlatformAnswered(seen),
                 Err(Error::RevisionGone) => Event::RevisionGone,
+                Err(Error::Malformed { detail, .. }) => {
+                    if let Some(count) = node.unreadable_answers.count() {
+                        log_event!(LogEvent::PlatformUnreadable, detail, count);
+                    }
+                    Event::PlatformFailed
+                }
                 Err(_) => Event::PlatformFailed,
             };
             node.tell_configuration(event);
--- a/crates/hemlocktack-node/src/lib.rs
+++ b/crates/hemlocktack-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod run;
 mod settings;
+mod sockets;
 mod stop;
 mod telemetry;
 mod upstream;
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -19,6 +19,7 @@
 use crate::calls;
 use crate::handover;
 use crate::node::Node;
+use crate::sockets;
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -140,7 +141,7 @@
 }
 
 async fn serve_link(node: Arc<Node>, stream: TcpStream) {
-    if stream.set_nodelay(true).is_err() {
+    if sockets::prepare(&stream).is_err() {
         return;
     }
     let Some(open) = open_link(&node, stream).await else {
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -21,6 +21,7 @@
 use super::codec::log_malformed;
 use super::connection::Connection;
 use super::handshake::{self, Reader};
+use crate::sockets;
 
 /// Opening a link within a data centre takes a millisecond and between regions
 /// a few dozen; a peer that has not answered by then is as good as gone.
@@ -235,7 +236,7 @@
             return Some(connection);
         }
         let stream = TcpStream::connect(**link.address.load()).await.ok()?;
-        stream.set_nodelay(true).ok()?;
+        sockets::prepare(&stream).ok()?;
         let open = handshake::dial(stream, &self.own, &self.keys).await.ok()?;
         let peer_incarnation = open.peer.incarnation;
         let (reader, writer) = open.split();
--- a/crates/hemlocktack-node/src/node/configuration.rs
+++ b/crates/hemlocktack-node/src/node/configuration.rs
@@ -56,7 +56,8 @@
         }
     }
 
-    fn read_configuration(&self, text: &str) -> std::result::Result<Document, String> {
+    /// Reads a document; the error says what is wrong and where.
+    pub(crate) fn read_configuration(&self, text: &str) -> std::result::Result<Document, String> {
         match self.interface {
             Some(interface) => (interface.read_configuration)(text),
             None => hemlocktack_config::parse(text).map_err(|error| error.to_string()),
--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -54,6 +54,7 @@
     pub(crate) services: ServiceDirectory,
     pub(crate) counters: Counters,
     pub(crate) operator_refusals: LogLimit,
+    pub(crate) unreadable_answers: LogLimit,
     pub(crate) link_refusals: LogLimit,
     /// Log lines about single calls.
     pub(crate) call_lines: LineBudget,
@@ -122,6 +123,7 @@
             admission_queue: Arc::new(AdmissionQueue::new(policies::admission_policy(&settings))),
             counters: Counters::default(),
             operator_refusals: LogLimit::default(),
+            unreadable_answers: LogLimit::default(),
             link_refusals: LogLimit::default(),
             call_lines: LineBudget::default(),
             tracer,
--- a/crates/hemlocktack-node/src/upstream/connections.rs
+++ b/crates/hemlocktack-node/src/upstream/connections.rs
@@ -13,6 +13,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::sockets;
+
 /// The upstream runs on this machine: it takes a connection within a
 /// millisecond. One that does not within this time is gone or stands still.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -65,7 +67,7 @@
     pub(super) async fn dial(&self, address: SocketAddr) -> Option<Leased> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
+        sockets::prepare(&stream).ok()?;
         let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
         // Ends with an error if the upstream sends what nobody asked for; the
         // connection is closed then, and its sender knows.
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -60,6 +60,7 @@
     304 INFO PlatformBack: "the platform answers again", "nothing";
     305 ERROR RecordReplaced: "another start with this node's name has published itself", "two processes have the same --node, or this one was paused and replaced: stop one";
     306 INFO ConfigurationStored: "an operator's change is stored as a new generation", "nothing";
+    307 ERROR PlatformUnreadable: "the platform answered something else than its interface says; the last good configuration stays in force", "read the detail; look what wrote the object";
 
     401 WARN LinkRefused: "a process could not prove the fleet key", "compare the fleet keys of both nodes; if the address is not a node's, look who it is";
     402 INFO LinkLost: "a link to another node broke; calls on it are resolved over a new one", "nothing unless it repeats: then look at the network between the two";
