Limit unacknowledged bytes only where calls are sent

Cause: a_large_answer_to_a_slow_node_is_whole failed with the change before: the limit also closes a connection whose peer reads slowly, and a large answer was cut.

--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -236,7 +236,7 @@
             return Some(connection);
         }
         let stream = TcpStream::connect(**link.address.load()).await.ok()?;
-        sockets::prepare(&stream).ok()?;
+        sockets::prepare_to_ask(&stream).ok()?;
         let open = handshake::dial(stream, &self.own, &self.keys).await.ok()?;
         let peer_incarnation = open.peer.incarnation;
         let (reader, writer) = open.split();
--- a/crates/hemlocktack-node/src/sockets.rs
+++ b/crates/hemlocktack-node/src/sockets.rs
@@ -15,19 +15,25 @@
 /// again three times within this.
 const UNACKNOWLEDGED_FOR: Duration = Duration::from_millis(1_500);
 
-/// Sends at once, and notices a connection that has gone silent.
+/// Sends at once, and notices a silent connection while it carries nothing.
 ///
 /// Failure: a cut, a peer that lost power or a path that forgot the connection
 /// swallows all packets without a word. Symptom: every call on it waits for its
 /// whole patience, one after the other, while a new connection would work. The
-/// system closes it after this time, and calls are resolved over the next one.
+/// system closes it after some probes, and calls are resolved over the next one.
 pub(crate) fn prepare(stream: &TcpStream) -> Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(PROBED_AFTER)
         .with_interval(PROBED_AFTER)
         .with_retries(PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_FOR))
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+}
+
+/// The same for the end that sends calls, also while they lie unacknowledged,
+/// when no probes are sent. Not for the end that answers: a peer that reads a
+/// large answer slowly would lose it.
+pub(crate) fn prepare_to_ask(stream: &TcpStream) -> Result<()> {
+    prepare(stream)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_FOR))
 }
