Ask all seeds at once after a start

Cause: after all processes were killed, callers were refused for want of an upstream for a second: each node asked one of the addresses that it had read from the platform a second. Test: nodes_that_start_together_know_each_other_at_once. Changes of belief about other nodes are logged (405).

--- a/crates/hemlocktack-fleet/src/membership/machine.rs
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -94,6 +94,8 @@
     /// Set while a whole table is read at once: after the start, and after a
     /// pause of this process.
     pub(super) reading_since: Option<Instant>,
+    /// Seeds have come that nobody was asked by yet.
+    pub(super) asks_seeds: bool,
     /// Members whose tables have been read since then.
     pub(super) read_from: Vec<SocketAddr>,
     pub(super) pulled: Instant,
@@ -128,6 +130,7 @@
             sweep: None,
             joined: false,
             reading_since: Some(now),
+            asks_seeds: false,
             read_from: Vec::new(),
             pulled: now,
             now,
@@ -144,6 +147,7 @@
     /// from the platform's objects. Replaces earlier ones.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
+        self.asks_seeds = true;
     }
 
     /// This node's own record.
--- a/crates/hemlocktack-fleet/src/membership/tick.rs
+++ b/crates/hemlocktack-fleet/src/membership/tick.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hemlocktack_protocol::{IndirectProbe, NodeState, Probe, gossip};
+use hemlocktack_protocol::{IndirectProbe, NodeState, Probe, SyncPull, gossip};
 use rand::Rng;
 use rand::seq::IteratorRandom;
 
@@ -14,6 +14,8 @@
 /// Periods without an answer after which a node that finds nobody takes itself
 /// for the first of the fleet.
 const JOIN_PERIODS: u32 = 5;
+/// Behind every name of a node: names are ASCII.
+const BEHIND_ALL_NAMES: &str = "\u{10ffff}";
 /// A node that did not run for so many periods was paused itself.
 const PAUSE_PERIODS: u32 = 2;
 
@@ -24,6 +26,7 @@
         self.now = now;
         self.forgive_own_pause(now);
         self.ask_others(now, &mut actions, rng);
+        self.ask_seeds(&mut actions);
         self.read_table(now, &mut actions, rng);
         if now >= self.next_period {
             self.next_period = now + self.settings.probe_period;
@@ -193,7 +196,32 @@
         }
     }
 
+    /// Asks all seeds that are not known yet who they are, once after a start.
+    ///
+    /// Failure: all nodes are killed at once. Each finds the others' addresses
+    /// in the platform and asks one a second; until they have told each other,
+    /// callers are refused for want of an upstream that stands idle. A page
+    /// behind the last name holds nothing but its giver's own record, so this
+    /// costs a datagram each way for each seed, once a start.
+    fn ask_seeds(&mut self, actions: &mut Vec<Action>) {
+        if !std::mem::take(&mut self.asks_seeds) || self.reading_since.is_none() {
+            return;
+        }
+        let own = self.own.clone();
+        for seed in self.unknown_seeds() {
+            let pull = SyncPull {
+                after_node_id: BEHIND_ALL_NAMES.to_owned(),
+            };
+            let body = Some(gossip::Body::SyncPull(pull));
+            self.send_without_news(seed, body, std::slice::from_ref(&own), actions);
+        }
+    }
+
     fn unknown_seed(&self, rng: &mut impl Rng) -> Option<SocketAddr> {
+        self.unknown_seeds().into_iter().choose(rng)
+    }
+
+    fn unknown_seeds(&self) -> Vec<SocketAddr> {
         let own: Option<SocketAddr> = self.own.gossip_address.parse().ok();
         let is_unknown = |seed: &SocketAddr| {
             let known = self
@@ -202,7 +230,7 @@
                 .any(|(_, entry)| entry.address == Some(*seed));
             !known && Some(*seed) != own
         };
-        self.seeds.iter().copied().filter(is_unknown).choose(rng)
+        self.seeds.iter().copied().filter(is_unknown).collect()
     }
 
     fn greet(&mut self, seed: SocketAddr, actions: &mut Vec<Action>) {
--- a/crates/hemlocktack-fleet/tests/membership/main.rs
+++ b/crates/hemlocktack-fleet/tests/membership/main.rs
@@ -5,5 +5,6 @@
 mod datagrams;
 mod merging;
 mod replacement;
+mod restart;
 mod support;
 mod urgent_news;
--- /dev/null
+++ b/crates/hemlocktack-fleet/tests/membership/restart.rs
@@ -0,0 +1,60 @@
+//! All nodes at once.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use hemlocktack_fleet::membership::{Action, Membership};
+use hemlocktack_protocol::Gossip;
+
+use crate::support::{address, node, rng};
+
+const NODES: u16 = 8;
+/// A tick is a tenth of a second: within three of them everybody is known.
+const TICKS: u32 = 3;
+const TICK: Duration = Duration::from_millis(100);
+
+struct Datagram {
+    from: SocketAddr,
+    to: SocketAddr,
+    gossip: Gossip,
+}
+
+/// A rack's power fails and all processes start again at the same moment, with
+/// the others' addresses from the platform. Callers are refused for want of an
+/// upstream until their node knows one; asking one address a second, that took
+/// more than a second.
+#[test]
+fn nodes_that_start_together_know_each_other_at_once() {
+    let began = Instant::now();
+    let mut rng = rng();
+    let mut nodes: Vec<Membership> = (0..NODES).map(|number| node(number, began)).collect();
+    let mut on_the_way = VecDeque::new();
+    for membership in &mut nodes {
+        membership.set_seeds((0..NODES).map(address).collect());
+    }
+    for tick in 0..TICKS {
+        let now = began + TICK * tick;
+        for (number, membership) in (0..NODES).zip(&mut nodes) {
+            let actions = membership.tick(now, &mut rng);
+            post(&mut on_the_way, address(number), actions);
+        }
+        while let Some(datagram) = on_the_way.pop_front() {
+            let number = datagram.to.port() - address(0).port();
+            let receiver = &mut nodes[usize::from(number)];
+            let actions = receiver.receive(now, datagram.from, datagram.gossip, &mut rng);
+            post(&mut on_the_way, datagram.to, actions);
+        }
+    }
+    let known: Vec<usize> = nodes.iter().map(|node| node.peers().len()).collect();
+    assert_eq!(known, [usize::from(NODES) - 1; NODES as usize]);
+}
+
+fn post(on_the_way: &mut VecDeque<Datagram>, from: SocketAddr, actions: Vec<Action>) {
+    for action in actions {
+        if let Action::Send { to, gossip } = action {
+            let gossip = *gossip;
+            on_the_way.push_back(Datagram { from, to, gossip });
+        }
+    }
+}
--- a/crates/hemlocktack-node/src/node/members.rs
+++ b/crates/hemlocktack-node/src/node/members.rs
@@ -6,6 +6,7 @@
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::handover::Receiving;
 use hemlocktack_protocol::{Member, NodeState, Succession};
+use hemlocktack_telemetry::{Event, log_event};
 
 use super::Node;
 use crate::links::Peer;
@@ -24,6 +25,7 @@
 
     /// Takes in a new view of the fleet.
     pub(crate) fn set_members(&self, members: Vec<Member>) {
+        self.log_changes(&members);
         self.services.update(&members);
         self.platform.set_node_count(members.len());
         // A stopping node that is not known here yet may still commit.
@@ -39,6 +41,32 @@
         self.members.store(Arc::new(members));
     }
 
+    /// One line for each change of belief, with the version that it rests on.
+    fn log_changes(&self, members: &[Member]) {
+        let known = self.members.load();
+        for member in members {
+            let before = known.iter().find(|known| known.node_id == member.node_id);
+            let is_same = before.is_some_and(|before| {
+                before.incarnation == member.incarnation
+                    && before.state == member.state
+                    && before.upstream == member.upstream
+            });
+            if is_same {
+                continue;
+            }
+            let state: &'static str = member.state().into();
+            let upstream: &'static str = member.upstream().into();
+            log_event!(
+                Event::PeerChanged,
+                node = member.node_id,
+                incarnation = member.incarnation,
+                version = member.version,
+                state,
+                upstream
+            );
+        }
+    }
+
     /// Where a member is reached; `None` if its address cannot be read.
     pub(crate) fn place_of(&self, member: &Member) -> Option<Place> {
         if *member.node_id == *self.identity.node_id {
--- a/crates/hemlocktack-node/src/peers/records.rs
+++ b/crates/hemlocktack-node/src/peers/records.rs
@@ -17,8 +17,9 @@
 /// known, and otherwise this seldom, so that parts of a fleet that lost each
 /// other for longer than membership remembers find each other again.
 const LIST_PERIOD: Duration = Duration::from_secs(30 * 60);
-/// Pause between lists while nobody is known.
-const LONELY_LIST_PERIOD: Duration = Duration::from_secs(5);
+/// Pause between lists while nobody is known: nodes that start together find
+/// no records at first.
+const LONELY_LIST_PERIOD: Duration = Duration::from_secs(1);
 /// Seeds taken from a list.
 const SEED_LIMIT: usize = 16;
 
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -66,6 +66,7 @@
     402 INFO LinkLost: "a link to another node broke; calls on it are resolved over a new one", "nothing unless it repeats: then look at the network between the two";
     403 WARN FrameMalformed: "a frame could not be read and its link was closed", "compare the versions of both nodes";
     404 INFO PeerLost: "another node no longer answers probes", "nothing unless many go at once: then look at their data centre";
+    405 INFO PeerChanged: "what this node believes of another one, or of its upstream, has changed", "nothing; compare with the other node's own log";
 
     501 WARN OperatorRefused: "an operators' call without the right token was refused", "if it was you, check the token; if not, look who asks";
     502 INFO OperatorCommand: "an operator's command is carried out", "nothing";
