Place calls by news of the fleet within 20 ms

Cause: after a restart of all nodes callers were refused until the next tick of gossip, a tenth of a second each time something was learnt.

--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -86,6 +86,8 @@
 pub(crate) struct Signals {
     /// The own record or the generation in force has changed.
     pub(crate) own_changed: Notify,
+    /// Gossip addresses of others have been read from the platform.
+    pub(crate) seeds_changed: Notify,
     /// Members have been told that this node has left.
     pub(crate) left_told: Notify,
     /// The node has stopped: its tasks end.
--- a/crates/hemlocktack-node/src/peers/gossip.rs
+++ b/crates/hemlocktack-node/src/peers/gossip.rs
@@ -23,6 +23,8 @@
 use crate::run::{Result, StartError};
 
 const TICK_PERIOD: Duration = Duration::from_millis(100);
+/// Shortest time between two views of the fleet that calls are placed by.
+const VIEW_PERIOD: Duration = Duration::from_millis(20);
 /// Larger than any datagram that nodes send.
 const BUFFER_BYTES: usize = 2048;
 
@@ -41,6 +43,7 @@
         rng: StdRng::seed_from_u64(rand::random()),
         seeds: Arc::default(),
         members_changed: true,
+        view_published: Instant::now(),
         socket,
         node: node.clone(),
     };
@@ -55,6 +58,7 @@
     rng: StdRng,
     seeds: Arc<Vec<SocketAddr>>,
     members_changed: bool,
+    view_published: Instant,
 }
 
 impl Gossiper {
@@ -70,6 +74,7 @@
                     }
                 }
                 _ = ticks.tick() => self.tick().await,
+                () = node.signals.seeds_changed.notified() => self.tick().await,
                 () = node.signals.own_changed.notified() => {
                     self.tell_own().await;
                     self.tell_suspects().await;
@@ -95,6 +100,7 @@
             .membership
             .receive(Instant::now(), from, gossip, &mut self.rng);
         self.act(actions).await;
+        self.publish_view(Instant::now());
     }
 
     async fn tick(&mut self) {
@@ -108,7 +114,15 @@
         self.tell_suspects().await;
         let actions = self.membership.tick(Instant::now(), &mut self.rng);
         self.act(actions).await;
-        if std::mem::take(&mut self.members_changed) {
+        self.publish_view(Instant::now());
+    }
+
+    /// Lets calls be placed by what has changed. Not with each datagram: a node
+    /// that starts hears of the whole fleet in a few milliseconds.
+    fn publish_view(&mut self, now: Instant) {
+        let is_due = now.saturating_duration_since(self.view_published) >= VIEW_PERIOD;
+        if is_due && std::mem::take(&mut self.members_changed) {
+            self.view_published = now;
             self.node.set_members(self.snapshot());
         }
     }
--- a/crates/hemlocktack-node/src/peers/records.rs
+++ b/crates/hemlocktack-node/src/peers/records.rs
@@ -94,4 +94,5 @@
     let mut seeds = addresses.sample(&mut rand::rng(), SEED_LIMIT);
     seeds.extend(&node.settings.seed_peers);
     node.seeds.store(Arc::new(seeds));
+    node.signals.seeds_changed.notify_one();
 }
