Place by expected time across data centres, and move once from a node whose own wait is too long

Ruled out: capacity (the same services idled elsewhere). Test: a_quick_upstream_far_away_goes_before_a_slow_near_one.

--- a/crates/hemlocktack-decide/src/placement.rs
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -12,6 +12,10 @@
     /// Load (calls over limit) at which the nearer upstream no longer goes
     /// first: below 1, so that calls spill over before the near one queues.
     pub spill_over_at: f64,
+    /// An upstream in another data centre goes before a near one with room where
+    /// its answer is expected this many times sooner. Bytes between data
+    /// centres cost money, and smaller differences are chance.
+    pub far_advantage: f64,
     /// Cost of another data centre: today's lie 0.5 to 1 ms apart one way.
     pub far_cost: Duration,
     /// A hint this old counts for nothing; calls in between age it evenly.
@@ -30,6 +34,7 @@
     fn default() -> Self {
         PlacementPolicy {
             spill_over_at: 0.8,
+            far_advantage: 1.3,
             far_cost: Duration::from_millis(2),
             hint_lifetime: Duration::from_secs(2),
             unknown_service_time: Duration::from_millis(5),
@@ -301,7 +306,8 @@
 /// calls to the one that looked best overloads it before the next hint, and
 /// sending evenly overloads the slow one. The better of two random choices
 /// avoids both. Nearer upstreams come first, but only until they are nearly
-/// full: a call in another data centre costs two milliseconds, a queue more.
+/// full, and only where they are not much slower: a call in another data centre
+/// costs two milliseconds, a queue or an old machine more.
 pub fn place(
     peers: &[impl AsRef<PeerLoad>],
     excluded: Option<usize>,
@@ -317,16 +323,24 @@
     };
     let near = |index: usize, peer: &PeerLoad| peer.is_near && has_room(index, peer);
     let settled = |index: usize, peer: &PeerLoad| takes(index, peer) && !peer.is_avoided(now);
-    better_of_two(peers, near, now, policy, rng)
+    let near = better_of_two(peers, near, now, policy, rng);
+    let anywhere = better_of_two(peers, has_room, now, policy, rng);
+    let cost = |index: usize| peers[index].as_ref().cost(policy, now);
+    let is_sooner =
+        |far: &usize| near.is_none_or(|near| cost(*far) * policy.far_advantage < cost(near));
+    anywhere
+        .filter(is_sooner)
+        .or(near)
         .or_else(|| better_of_two(peers, settled, now, policy, rng))
         .or_else(|| better_of_two(peers, takes, now, policy, rng))
 }
 
 /// Whether a call that one node refused may be put on another. At most once a
 /// call, and no retry: nothing ran. A refusal that the others share (shed by
-/// level, no time left, quarantined) is passed up instead.
+/// level, quarantined) is passed up instead. How long a call would wait is one
+/// node's own: its upstream may be the slow one of its data centre.
 pub fn may_move(reason: Reason) -> bool {
-    reason == Reason::QueueFull || is_unavailable(reason)
+    matches!(reason, Reason::QueueFull | Reason::DeadlineTooShort) || is_unavailable(reason)
 }
 
 fn is_unavailable(reason: Reason) -> bool {
--- a/crates/hemlocktack-decide/tests/placement.rs
+++ b/crates/hemlocktack-decide/tests/placement.rs
@@ -96,3 +96,22 @@
     peers[0].answered(&hint(0), later);
     assert!(!peers[0].is_lost(later));
 }
+
+/// Two near machines are old: calls take them three times as long as those of
+/// another data centre. Callers there would be refused for slowness while the
+/// quick ones have room.
+#[test]
+fn a_quick_upstream_far_away_goes_before_a_slow_near_one() {
+    let now = Instant::now();
+    let peers = peers(&[(true, 10), (true, 10), (false, 10)], now);
+    for slow in &peers[..2] {
+        let hint = LoadHint {
+            service_time_us: 60_000,
+            ..hint(10)
+        };
+        slow.sent(now);
+        slow.answered(&hint, now);
+    }
+    let shares = shares(&peers, now);
+    assert!(shares[2] > 50, "{shares:?}");
+}
