--- a/crates/hemlocktack-node/src/callers/mod.rs
+++ b/crates/hemlocktack-node/src/callers/mod.rs
@@ -7,5 +7,5 @@
 mod routes;
 
 pub(crate) use answer::CallerAnswer;
-pub(crate) use request::{CallerRequest, has_key, is_passed_on, read_head};
+pub(crate) use request::{CONNECTION_HEADERS, CallerRequest, has_key, is_passed_on, read_head};
 pub(crate) use routes::routes;
--- a/crates/hemlocktack-node/src/callers/request.rs
+++ b/crates/hemlocktack-node/src/callers/request.rs
@@ -9,9 +9,9 @@
 };
 use rocket::Request;
 
-/// Headers that hold for one connection only, and those that the HTTP client
-/// sets anew; passed on they would describe the wrong connection.
-const CONNECTION_HEADERS: [&str; 9] = [
+/// Headers that hold for one connection only, and those that frame a body and
+/// are set anew; passed on they would describe the wrong connection.
+pub(crate) const CONNECTION_HEADERS: [&str; 8] = [
     "connection",
     "keep-alive",
     "proxy-connection",
@@ -19,9 +19,10 @@
     "trailer",
     "transfer-encoding",
     "upgrade",
-    "host",
     "content-length",
 ];
+/// The HTTP client sets it anew.
+const HOST_HEADER: &str = "host";
 
 /// A caller's request.
 pub(crate) struct CallerRequest {
@@ -75,6 +76,7 @@
 /// Whether a header goes on to the next party.
 pub(crate) fn is_passed_on(name: &str) -> bool {
     !is_own_header(name)
+        && !name.eq_ignore_ascii_case(HOST_HEADER)
         && !CONNECTION_HEADERS
             .iter()
             .any(|own| own.eq_ignore_ascii_case(name))
--- a/crates/hemlocktack-node/src/gateway/headers.rs
+++ b/crates/hemlocktack-node/src/gateway/headers.rs
@@ -5,20 +5,10 @@
 use http::HeaderMap;
 use http::header::CONNECTION;
 
-/// Headers that hold for one connection only, and those that frame a body,
-/// which are set anew. The host goes on: upstreams read it.
-const CONNECTION_HEADERS: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-];
+use crate::callers::CONNECTION_HEADERS;
 
-/// The headers of a message that go on, but for those with one of the `dropped` names.
+/// The headers of a message that go on, but for those with one of the `dropped`
+/// names. The host goes on: upstreams of such interfaces read it.
 pub(crate) fn passed_on(headers: &HeaderMap, dropped: &[&str]) -> Vec<Header> {
     let named = named_by_connection(headers);
     let mut passed = Vec::with_capacity(headers.len());
--- a/crates/hemlocktack-node/src/settings/read.rs
+++ b/crates/hemlocktack-node/src/settings/read.rs
@@ -7,6 +7,7 @@
 use derive_more::{Display, Error};
 use getopts::Matches;
 use hemlocktack_platform::PlatformRates;
+use hemlocktack_protocol::parse_time;
 
 use super::flags::{self, FLAGS, environment_name};
 use super::{InterfaceName, LogFormat, Settings};
@@ -223,7 +224,7 @@
 
     fn time(&mut self, name: &str) -> Option<Duration> {
         let text = self.value(name)?;
-        let read = read_time(&text);
+        let read = parse_time(&text);
         if read.is_none() {
             self.find(name, &format!("'{text}' is not a time; write 6s or 1500ms"));
         }
@@ -266,13 +267,3 @@
         Some(text)
     }
 }
-
-/// A number with its unit, `ms` or `s`.
-fn read_time(text: &str) -> Option<Duration> {
-    let (number, unit_s) = match text.strip_suffix("ms") {
-        Some(number) => (number, 0.001),
-        None => (text.strip_suffix('s')?, 1.0),
-    };
-    let number: f64 = number.parse().ok()?;
-    Duration::try_from_secs_f64(number * unit_s).ok()
-}
--- a/crates/hemlocktack-node/src/upstream/any_client.rs
+++ b/crates/hemlocktack-node/src/upstream/any_client.rs
@@ -38,32 +38,9 @@
 
     /// Sends the call and reads the answer to its declared end.
     pub(crate) async fn send(&self, send: UpstreamSend<'_>) -> UpstreamEnd {
-        let UpstreamSend {
-            announcement,
-            call,
-            context,
-            deadline,
-            answer_limit_bytes,
-        } = send;
         match self {
-            Self::Own(client) => {
-                let address = announcement.address.to_string();
-                client
-                    .send(&address, call, context, deadline, answer_limit_bytes)
-                    .await
-            }
-            Self::Spelled(client) => {
-                let start = announcement.upstream_start.as_deref();
-                client
-                    .send(
-                        announcement.address,
-                        start,
-                        call,
-                        deadline,
-                        answer_limit_bytes,
-                    )
-                    .await
-            }
+            Self::Own(client) => client.send(&send).await,
+            Self::Spelled(client) => client.send(&send).await,
         }
     }
 
--- a/crates/hemlocktack-node/src/upstream/client.rs
+++ b/crates/hemlocktack-node/src/upstream/client.rs
@@ -4,11 +4,11 @@
 
 use bytes::{Bytes, BytesMut};
 use hemlocktack_protocol::{
-    CONTEXT_HEADER, Call, Header, OUTCOME_HEADER, Outcome, Reason, TIMEOUT_HEADER,
-    TRACEPARENT_HEADER,
+    CONTEXT_HEADER, Header, OUTCOME_HEADER, Outcome, Reason, TIMEOUT_HEADER, TRACEPARENT_HEADER,
 };
 use reqwest::{Client, Method, Response};
 
+use super::UpstreamSend;
 use crate::callers::is_passed_on;
 
 /// How one send to the upstream ended.
@@ -60,30 +60,17 @@
     ///
     /// A body that stops short of its declared length is an error of the HTTP
     /// library and becomes `Unknown`: the caller never gets a cut answer.
-    pub(crate) async fn send(
-        &self,
-        address: &str,
-        call: &Call,
-        context: &str,
-        deadline: Instant,
-        answer_limit_bytes: usize,
-    ) -> UpstreamEnd {
-        let time_left = deadline.saturating_duration_since(Instant::now());
-        let exchange = self.exchange(address, call, context, time_left, answer_limit_bytes);
-        match tokio::time::timeout(time_left, exchange).await {
+    pub(super) async fn send(&self, send: &UpstreamSend<'_>) -> UpstreamEnd {
+        let time_left = send.deadline.saturating_duration_since(Instant::now());
+        match tokio::time::timeout(time_left, self.exchange(send, time_left)).await {
             Ok(end) => end,
             Err(_) => UpstreamEnd::Unknown(Reason::Timeout),
         }
     }
 
-    async fn exchange(
-        &self,
-        address: &str,
-        call: &Call,
-        context: &str,
-        time_left: Duration,
-        answer_limit_bytes: usize,
-    ) -> UpstreamEnd {
+    async fn exchange(&self, send: &UpstreamSend<'_>, time_left: Duration) -> UpstreamEnd {
+        let call = send.call;
+        let address = send.announcement.address;
         let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
             return UpstreamEnd::NotRun(Reason::MalformedRequest);
         };
@@ -94,13 +81,13 @@
             request = request.header(header.name.as_str(), header.value.as_ref());
         }
         request = request
-            .header(CONTEXT_HEADER, context)
+            .header(CONTEXT_HEADER, send.context)
             .header(TIMEOUT_HEADER, time_left.as_millis().to_string());
         if !call.traceparent.is_empty() {
             request = request.header(TRACEPARENT_HEADER, call.traceparent.as_str());
         }
         match request.body(call.body.clone()).send().await {
-            Ok(response) => read_whole(response, answer_limit_bytes).await,
+            Ok(response) => read_whole(response, send.answer_limit_bytes).await,
             Err(error) if error.is_builder() => UpstreamEnd::NotRun(Reason::MalformedRequest),
             Err(error) if error.is_connect() => UpstreamEnd::NotRun(Reason::UpstreamUnreachable),
             Err(_) => UpstreamEnd::Unknown(Reason::UpstreamFailed),
--- a/crates/hemlocktack-node/src/upstream/spelled.rs
+++ b/crates/hemlocktack-node/src/upstream/spelled.rs
@@ -6,13 +6,13 @@
 
 use bytes::{Bytes, BytesMut};
 use hemlocktack_interface::{AnswerCheck, Health, Upstreams};
-use hemlocktack_protocol::{Call, Reason};
+use hemlocktack_protocol::Reason;
 use http::{HeaderName, HeaderValue, Method, Request, Response, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
-use super::UpstreamEnd;
 use super::connections::{Connections, Leased};
+use super::{UpstreamEnd, UpstreamSend};
 use crate::gateway::passed_on;
 
 /// Idle connections that may turn out closed before a new one is opened.
@@ -40,38 +40,22 @@
 
     /// Sends the call and reads the answer to its end, until the deadline. A
     /// caller that goes before drops this future, which closes the connection.
-    pub(super) async fn send(
-        &self,
-        address: SocketAddr,
-        upstream_start: Option<&str>,
-        call: &Call,
-        deadline: Instant,
-        answer_limit_bytes: usize,
-    ) -> UpstreamEnd {
-        let exchange = self.exchange(address, upstream_start, call, deadline, answer_limit_bytes);
-        match tokio::time::timeout_at(deadline.into(), exchange).await {
+    pub(super) async fn send(&self, send: &UpstreamSend<'_>) -> UpstreamEnd {
+        match tokio::time::timeout_at(send.deadline.into(), self.exchange(send)).await {
             Ok(end) => end,
             Err(_) => UpstreamEnd::Unknown(Reason::Timeout),
         }
     }
 
-    async fn exchange(
-        &self,
-        address: SocketAddr,
-        upstream_start: Option<&str>,
-        call: &Call,
-        deadline: Instant,
-        answer_limit_bytes: usize,
-    ) -> UpstreamEnd {
-        let build = || self.request(upstream_start, call, deadline);
-        let (leased, response) = match self.send_head(address, build).await {
+    async fn exchange(&self, send: &UpstreamSend<'_>) -> UpstreamEnd {
+        let (leased, response) = match self.send_head(send).await {
             Ok(Ok(sent)) => sent,
             Ok(Err(reason)) => return UpstreamEnd::Unknown(reason),
             Err(NotSent::Unreachable) => return UpstreamEnd::NotRun(Reason::UpstreamUnreachable),
             Err(NotSent::Malformed) => return UpstreamEnd::NotRun(Reason::MalformedRequest),
         };
         let (head, body) = response.into_parts();
-        let end = match (self.spelling.check_answer)(&head, &call.request_id) {
+        let end = match (self.spelling.check_answer)(&head, &send.call.request_id) {
             AnswerCheck::Answer => None,
             AnswerCheck::NotRun(reason) => Some(UpstreamEnd::NotRun(reason)),
             AnswerCheck::OtherUpstream => Some(UpstreamEnd::NotRun(Reason::UpstreamReplaced)),
@@ -79,7 +63,7 @@
             AnswerCheck::OtherRequest => return UpstreamEnd::Unknown(Reason::UpstreamFailed),
             AnswerCheck::FalsePromise => Some(UpstreamEnd::Unknown(Reason::UpstreamFailed)),
         };
-        let body = match read_whole(body, answer_limit_bytes).await {
+        let body = match read_whole(body, send.answer_limit_bytes).await {
             Ok(body) => body,
             Err(reason) => return end.unwrap_or(UpstreamEnd::Unknown(reason)),
         };
@@ -95,16 +79,16 @@
     /// sent again, on another connection.
     async fn send_head(
         &self,
-        address: SocketAddr,
-        build: impl Fn() -> Option<Request<Full<Bytes>>>,
+        send: &UpstreamSend<'_>,
     ) -> Result<Result<(Leased, Response<Incoming>), Reason>, NotSent> {
+        let address = send.announcement.address;
         for tried in 0.. {
             let leased = match tried < STALE_MAX {
                 true => self.connections.lease(address).await,
                 false => self.connections.dial(address).await,
             };
             let mut leased = leased.ok_or(NotSent::Unreachable)?;
-            let request = build().ok_or(NotSent::Malformed)?;
+            let request = self.request(send).ok_or(NotSent::Malformed)?;
             let Some(sender) = leased.sender.as_mut() else {
                 continue;
             };
@@ -124,12 +108,8 @@
         Err(NotSent::Unreachable)
     }
 
-    fn request(
-        &self,
-        upstream_start: Option<&str>,
-        call: &Call,
-        deadline: Instant,
-    ) -> Option<Request<Full<Bytes>>> {
+    fn request(&self, send: &UpstreamSend<'_>) -> Option<Request<Full<Bytes>>> {
+        let call = send.call;
         let mut request = Request::new(Full::new(call.body.clone()));
         *request.method_mut() = Method::from_bytes(call.method.as_bytes()).ok()?;
         *request.uri_mut() = call.path.parse::<Uri>().ok()?;
@@ -139,7 +119,8 @@
             let value = HeaderValue::from_maybe_shared(header.value.clone()).ok()?;
             headers.append(name, value);
         }
-        let time_left = deadline.saturating_duration_since(Instant::now());
+        let time_left = send.deadline.saturating_duration_since(Instant::now());
+        let upstream_start = send.announcement.upstream_start.as_deref();
         (self.spelling.write_headers)(headers, time_left, upstream_start);
         Some(request)
     }
--- a/crates/hemlocktack-protocol/src/lib.rs
+++ b/crates/hemlocktack-protocol/src/lib.rs
@@ -9,6 +9,7 @@
 mod operators;
 mod outcome;
 mod stable_hash;
+mod time;
 
 pub use generated::*;
 pub use headers::{
@@ -22,3 +23,4 @@
 pub use operators::{OPERATORS_SERVICE, OperatorErrorCode};
 pub use outcome::{Refusal, Unfinished};
 pub use stable_hash::stable_hash;
+pub use time::parse_time;
--- a/platform/src/spans.rs
+++ b/crates/hemlocktack-protocol/src/time.rs
@@ -1,9 +1,9 @@
-//! Times as the platform writes them: a number and its unit.
+//! Times as people and other systems write them.
 
 use std::time::Duration;
 
-/// Reads `1500ms` or `2.5s`.
-pub(crate) fn read(text: &str) -> Option<Duration> {
+/// Reads a number with its unit, `ms` or `s`: `1500ms`, `2.5s`.
+pub fn parse_time(text: &str) -> Option<Duration> {
     let (number, unit_s) = match text.strip_suffix("ms") {
         Some(number) => (number, 0.001),
         None => (text.strip_suffix('s')?, 1.0),
