--- a/crates/hemlocktack-decide/src/placement.rs
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -16,6 +16,10 @@
     /// its answer is expected this many times sooner. Bytes between data
     /// centres cost money, and smaller differences are chance.
     pub far_advantage: f64,
+    /// Load below which a near upstream goes first whatever is held against it:
+    /// one that was slow or stood still would get no call that shows that it
+    /// has recovered.
+    pub tried_below: f64,
     /// Cost of another data centre: today's lie 0.5 to 1 ms apart one way.
     pub far_cost: Duration,
     /// A hint this old counts for nothing; calls in between age it evenly.
@@ -35,6 +39,7 @@
         PlacementPolicy {
             spill_over_at: 0.8,
             far_advantage: 1.3,
+            tried_below: 0.2,
             far_cost: Duration::from_millis(2),
             hint_lifetime: Duration::from_secs(2),
             unknown_service_time: Duration::from_millis(5),
@@ -326,8 +331,10 @@
     let near = better_of_two(peers, near, now, policy, rng);
     let anywhere = better_of_two(peers, has_room, now, policy, rng);
     let cost = |index: usize| peers[index].as_ref().cost(policy, now);
-    let is_sooner =
-        |far: &usize| near.is_none_or(|near| cost(*far) * policy.far_advantage < cost(near));
+    let is_tried = |near: usize| peers[near].as_ref().utilisation(policy, now) < policy.tried_below;
+    let is_sooner = |far: &usize| {
+        near.is_none_or(|near| !is_tried(near) && cost(*far) * policy.far_advantage < cost(near))
+    };
     anywhere
         .filter(is_sooner)
         .or(near)
--- a/crates/hemlocktack-decide/tests/placement.rs
+++ b/crates/hemlocktack-decide/tests/placement.rs
@@ -115,3 +115,18 @@
     let shares = shares(&peers, now);
     assert!(shares[2] > 50, "{shares:?}");
 }
+
+/// A near node has woken from a freeze; what its last calls took is held
+/// against it. Left alone it would never show that it is well.
+#[test]
+fn an_idle_near_peer_is_tried_however_slow_it_was() {
+    let now = Instant::now();
+    let peers = peers(&[(true, 0), (false, 10)], now);
+    let slow = LoadHint {
+        service_time_us: 900_000,
+        ..hint(0)
+    };
+    peers[0].sent(now);
+    peers[0].answered(&slow, now);
+    assert!(shares(&peers, now)[0] > 0);
+}
