--- a/crates/hemlocktack-interface/src/callers.rs
+++ b/crates/hemlocktack-interface/src/callers.rs
@@ -6,7 +6,7 @@
 use hemlocktack_protocol::{Header, Outcome, Reason};
 use http::{Response, request};
 
-/// How callers spell requests, and how answers are spelled for them.
+/// How callers encode requests, and how answers are encoded for them.
 #[derive(Clone, Copy)]
 pub struct Callers {
     /// Reads what the head of a request says; the reason is that of the refusal.
@@ -15,12 +15,12 @@
     /// upstream of this service. Values that the caller sent under these names
     /// have to be dropped first.
     pub origin_headers: fn(own_service: &str) -> Vec<Header>,
-    /// Spells an end that is not an upstream's answer.
+    /// Encodes an end that is not an upstream's answer.
     pub write_refused: fn(&Refused) -> Response<Bytes>,
 }
 
 /// What the head of a request says.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Entered {
     /// The caller's own name of the request; the same on every hop.
     pub request_id: String,
--- a/crates/hemlocktack-interface/src/lib.rs
+++ b/crates/hemlocktack-interface/src/lib.rs
@@ -15,7 +15,7 @@
 pub use upstreams::{AnswerCheck, Health, Upstreams};
 
 use hemlocktack_config::Document;
-use hemlocktack_platform::Spelling;
+use hemlocktack_platform::StoreCodec;
 
 /// One deployment's way of speaking.
 #[derive(Clone, Copy)]
@@ -27,7 +27,7 @@
     /// What upstreams say of themselves, and what asks whether the node is ready.
     pub announcements: Announcements,
     /// Objects in the platform's store.
-    pub store: Spelling,
+    pub store: StoreCodec,
     /// Reads the stored text of a configuration; the error says what is wrong
     /// and where.
     pub read_configuration: fn(&str) -> Result<Document, String>,
--- a/crates/hemlocktack-interface/src/upstreams.rs
+++ b/crates/hemlocktack-interface/src/upstreams.rs
@@ -5,7 +5,7 @@
 use hemlocktack_protocol::Reason;
 use http::{HeaderMap, response};
 
-/// How upstreams spell requests and answers.
+/// How upstreams encode requests and answers.
 #[derive(Clone, Copy)]
 pub struct Upstreams {
     /// Sets the headers of the system on a request: the time left, and the
--- a/crates/hemlocktack-node/src/gateway/announcements.rs
+++ b/crates/hemlocktack-node/src/gateway/announcements.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 
-use super::requests::LeavingBody;
+use super::leaving::LeavingBody;
 use super::server::plain;
 use crate::node::Node;
 use crate::upstream::Announcement;
--- /dev/null
+++ b/crates/hemlocktack-node/src/gateway/leaving.rs
@@ -0,0 +1,46 @@
+//! The body of an answer on its way to the caller.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, SizeHint};
+
+use crate::counters::CallInFlight;
+
+/// Body of an answer; its call stays in flight until the HTTP library has
+/// taken all of it or has dropped it because the caller is gone.
+pub(super) struct LeavingBody {
+    body: Full<Bytes>,
+    _in_flight: Option<CallInFlight>,
+}
+
+impl LeavingBody {
+    pub(super) fn new(body: Full<Bytes>, in_flight: Option<CallInFlight>) -> Self {
+        Self {
+            body,
+            _in_flight: in_flight,
+        }
+    }
+}
+
+impl Body for LeavingBody {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-node/src/gateway/lines.rs
@@ -0,0 +1,51 @@
+//! Log lines about requests that ended otherwise than wanted.
+
+use std::time::Instant;
+
+use hemlocktack_interface::Entered;
+use hemlocktack_protocol::{Answer, Outcome};
+use hemlocktack_telemetry::{Event, log_event};
+
+use crate::calls::Classified;
+use crate::node::Node;
+
+pub(super) fn log_refused(node: &Node, entered: &Entered, answer: &Answer) {
+    let Some(left_out) = node.call_lines.take() else {
+        return;
+    };
+    let outcome: &'static str = answer.outcome().into();
+    let reason: &'static str = answer.reason().into();
+    let patience_ms = entered.time_left.unwrap_or_default().as_millis() as u64;
+    log_event!(
+        Event::RequestRefused,
+        request_id = entered.request_id,
+        outcome,
+        reason,
+        patience_ms,
+        retry_after_ms = answer.retry_after_ms,
+        generation = node.generation_in_force(),
+        left_out
+    );
+}
+
+pub(super) fn log_late(node: &Node, classified: &Classified, answer: &Answer, started: Instant) {
+    let is_late = classified
+        .objective
+        .is_some_and(|objective| Instant::now() > objective);
+    if !is_late || answer.outcome() != Outcome::Answered {
+        return;
+    }
+    let Some(left_out) = node.call_lines.take() else {
+        return;
+    };
+    let objective = classified.objective.unwrap_or(started);
+    log_event!(
+        Event::AnsweredLate,
+        request_id = classified.call.request_id,
+        service = classified.call.service,
+        status = answer.status,
+        elapsed_ms = started.elapsed().as_millis() as u64,
+        objective_ms = objective.saturating_duration_since(started).as_millis() as u64,
+        left_out
+    );
+}
--- a/crates/hemlocktack-node/src/gateway/mod.rs
+++ b/crates/hemlocktack-node/src/gateway/mod.rs
@@ -8,6 +8,8 @@
 mod announcements;
 mod classify;
 mod headers;
+mod leaving;
+mod lines;
 mod requests;
 mod server;
 mod start;
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -1,61 +1,25 @@
 //! One request of a caller, from its head to its answer.
 
-use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hemlocktack_interface::{Entered, Interface, Refused};
 use hemlocktack_protocol::{Answer, Call, Header, Outcome, Reason};
-use hemlocktack_telemetry::{Event, SpanEnd, SpanName, log_event};
+use hemlocktack_telemetry::{SpanEnd, SpanName};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Incoming};
 
 use super::classify::{Routed, find_route};
+use super::leaving::LeavingBody;
+use super::lines::{log_late, log_refused};
 use super::{passed_on, server};
-use crate::calls::{self, Classified, not_run, retry_after};
+use crate::calls::{self, not_run, retry_after};
 use crate::counters::CallInFlight;
 use crate::node::Node;
 use crate::telemetry::request_line;
 
-/// Body of an answer; its call stays in flight until the HTTP library has
-/// taken all of it or has dropped it because the caller is gone.
-pub(super) struct LeavingBody {
-    body: Full<Bytes>,
-    _in_flight: Option<CallInFlight>,
-}
-
-impl LeavingBody {
-    pub(super) fn new(body: Full<Bytes>, in_flight: Option<CallInFlight>) -> Self {
-        Self {
-            body,
-            _in_flight: in_flight,
-        }
-    }
-}
-
-impl Body for LeavingBody {
-    type Data = Bytes;
-    type Error = std::convert::Infallible;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// Answers a request as soon as its end is known.
 pub(super) async fn answer(
     node: Arc<Node>,
@@ -66,7 +30,12 @@
     let (head, body) = request.into_parts();
     let entered = match (interface.callers.read)(&head) {
         Ok(entered) => entered,
-        Err(reason) => return refuse(interface, String::new(), not_run(reason, None)),
+        Err(reason) => {
+            let unread = Entered::default();
+            let answer = not_run(reason, None);
+            log_refused(&node, &unread, &answer);
+            return refuse(interface, unread.request_id, answer);
+        }
     };
     let answer = run(&node, interface, &head, &entered, body).await;
     if answer.outcome() != Outcome::Answered {
@@ -76,47 +45,6 @@
     respond(answer, in_flight)
 }
 
-fn log_refused(node: &Node, entered: &Entered, answer: &Answer) {
-    let Some(left_out) = node.call_lines.take() else {
-        return;
-    };
-    let outcome: &'static str = answer.outcome().into();
-    let reason: &'static str = answer.reason().into();
-    let patience_ms = entered.time_left.unwrap_or_default().as_millis() as u64;
-    log_event!(
-        Event::RequestRefused,
-        request_id = entered.request_id,
-        outcome,
-        reason,
-        patience_ms,
-        retry_after_ms = answer.retry_after_ms,
-        generation = node.generation_in_force(),
-        left_out
-    );
-}
-
-fn log_late(node: &Node, classified: &Classified, answer: &Answer, started: Instant) {
-    let is_late = classified
-        .objective
-        .is_some_and(|objective| Instant::now() > objective);
-    if !is_late || answer.outcome() != Outcome::Answered {
-        return;
-    }
-    let Some(left_out) = node.call_lines.take() else {
-        return;
-    };
-    let objective = classified.objective.unwrap_or(started);
-    log_event!(
-        Event::AnsweredLate,
-        request_id = classified.call.request_id,
-        service = classified.call.service,
-        status = answer.status,
-        elapsed_ms = started.elapsed().as_millis() as u64,
-        objective_ms = objective.saturating_duration_since(started).as_millis() as u64,
-        left_out
-    );
-}
-
 async fn run(
     node: &Arc<Node>,
     interface: Interface,
--- a/crates/hemlocktack-node/src/gateway/server.rs
+++ b/crates/hemlocktack-node/src/gateway/server.rs
@@ -14,7 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::requests::LeavingBody;
+use super::leaving::LeavingBody;
 use crate::node::Node;
 
 /// Pause after a failed accept: out of file descriptors, say, asking again at
--- a/crates/hemlocktack-node/src/interfaces.rs
+++ b/crates/hemlocktack-node/src/interfaces.rs
@@ -5,7 +5,7 @@
 
 use crate::settings::InterfaceName;
 
-/// `None` for the product's own interface, which is not spelled by a package
+/// `None` for the product's own interface, which is not translated by a package
 /// of its own.
 pub(crate) fn find(name: InterfaceName) -> Option<Interface> {
     match name {
--- a/crates/hemlocktack-node/src/node/policies.rs
+++ b/crates/hemlocktack-node/src/node/policies.rs
@@ -14,27 +14,27 @@
 pub(crate) const DRAIN_SETTLE: Duration = Duration::from_secs(2);
 /// A stopping node whose callers are sent elsewhere by its readiness stays at
 /// least so long.
-const SPELLED_DRAIN_SETTLE: Duration = Duration::from_millis(2_500);
+const INTERFACE_DRAIN_SETTLE: Duration = Duration::from_millis(2_500);
 /// Kept back from the time between the signal to stop and the end by force:
 /// to say farewell and to exit.
 const EXIT_TIME: Duration = Duration::from_millis(700);
-/// An upstream whose announcements are spelled by an interface renews every
+/// An upstream whose announcements come through an interface renews every
 /// second or two and may be seconds late; that it is down shows when a
 /// connection fails.
-const SPELLED_ANNOUNCEMENT_TTL: Duration = Duration::from_secs(10);
+const INTERFACE_ANNOUNCEMENT_TTL: Duration = Duration::from_secs(10);
 
 pub(super) fn drain_settings(settings: &Settings) -> DrainSettings {
     DrainSettings {
         settle: match settings.interface {
             InterfaceName::Own => DRAIN_SETTLE,
-            InterfaceName::Cooperative => SPELLED_DRAIN_SETTLE,
+            InterfaceName::Cooperative => INTERFACE_DRAIN_SETTLE,
         },
         hard_limit: Some(drain_limit(settings)),
         handover_limit: handover::LIMIT,
         upstream: UpstreamSettings {
             announcement_ttl: match settings.interface {
                 InterfaceName::Own => RENEW_EVERY * RENEWALS_MISSED_MAX,
-                InterfaceName::Cooperative => SPELLED_ANNOUNCEMENT_TTL,
+                InterfaceName::Cooperative => INTERFACE_ANNOUNCEMENT_TTL,
             },
             ..UpstreamSettings::default()
         },
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -203,7 +203,7 @@
 fn platform_settings(settings: &Settings, interface: Option<Interface>) -> ClientSettings {
     let usual = ClientSettings::new(&settings.platform_url);
     ClientSettings {
-        spelling: interface.map_or(usual.spelling, |interface| interface.store),
+        codec: interface.map_or(usual.codec, |interface| interface.store),
         rates: settings.platform_rates,
         backoff: match interface {
             Some(_) => SHORT_BACKOFF,
--- a/crates/hemlocktack-node/src/upstream/any_client.rs
+++ b/crates/hemlocktack-node/src/upstream/any_client.rs
@@ -8,7 +8,7 @@
 use hemlocktack_protocol::Call;
 
 use super::client::OwnClient;
-use super::spelled::SpelledClient;
+use super::interface_client::InterfaceClient;
 use super::{Announcement, UpstreamEnd};
 
 /// One send of a call to the upstream.
@@ -24,14 +24,14 @@
 /// Client for one upstream.
 pub(crate) enum UpstreamClient {
     Own(OwnClient),
-    Spelled(SpelledClient),
+    Interface(InterfaceClient),
 }
 
 impl UpstreamClient {
     /// For the product's own interface, or the one given.
     pub(crate) fn new(interface: Option<Interface>) -> reqwest::Result<Self> {
         Ok(match interface {
-            Some(interface) => Self::Spelled(SpelledClient::new(interface.upstreams)),
+            Some(interface) => Self::Interface(InterfaceClient::new(interface.upstreams)),
             None => Self::Own(OwnClient::new()?),
         })
     }
@@ -40,7 +40,7 @@
     pub(crate) async fn send(&self, send: UpstreamSend<'_>) -> UpstreamEnd {
         match self {
             Self::Own(client) => client.send(&send).await,
-            Self::Spelled(client) => client.send(&send).await,
+            Self::Interface(client) => client.send(&send).await,
         }
     }
 
@@ -64,7 +64,7 @@
         path: &str,
         deadline: Instant,
     ) -> Option<Health> {
-        let Self::Spelled(client) = self else {
+        let Self::Interface(client) = self else {
             return None;
         };
         client.ask_health(address, path, deadline).await
--- a/crates/hemlocktack-node/src/upstream/spelled.rs
+++ b/crates/hemlocktack-node/src/upstream/interface_client.rs
@@ -19,8 +19,8 @@
 const STALE_MAX: usize = 3;
 
 /// Client for the one upstream beside the node.
-pub(crate) struct SpelledClient {
-    spelling: Upstreams,
+pub(crate) struct InterfaceClient {
+    codec: Upstreams,
     connections: Connections,
 }
 
@@ -30,10 +30,10 @@
     Malformed,
 }
 
-impl SpelledClient {
-    pub(crate) fn new(spelling: Upstreams) -> Self {
+impl InterfaceClient {
+    pub(crate) fn new(codec: Upstreams) -> Self {
         Self {
-            spelling,
+            codec,
             connections: Connections::default(),
         }
     }
@@ -55,7 +55,7 @@
             Err(NotSent::Malformed) => return UpstreamEnd::NotRun(Reason::MalformedRequest),
         };
         let (head, body) = response.into_parts();
-        let end = match (self.spelling.check_answer)(&head, &send.call.request_id) {
+        let end = match (self.codec.check_answer)(&head, &send.call.request_id) {
             AnswerCheck::Answer => None,
             AnswerCheck::NotRun(reason) => Some(UpstreamEnd::NotRun(reason)),
             AnswerCheck::OtherUpstream => Some(UpstreamEnd::NotRun(Reason::UpstreamReplaced)),
@@ -121,7 +121,7 @@
         }
         let time_left = send.deadline.saturating_duration_since(Instant::now());
         let upstream_start = send.announcement.upstream_start.as_deref();
-        (self.spelling.write_headers)(headers, time_left, upstream_start);
+        (self.codec.write_headers)(headers, time_left, upstream_start);
         Some(request)
     }
 
@@ -139,7 +139,7 @@
                 .body(Full::default())
                 .ok()?;
             let response = leased.sender.as_mut()?.send_request(request).await.ok()?;
-            (self.spelling.read_health)(&response.into_parts().0)
+            (self.codec.read_health)(&response.into_parts().0)
         };
         tokio::time::timeout_at(deadline.into(), question)
             .await
--- a/crates/hemlocktack-node/src/upstream/mod.rs
+++ b/crates/hemlocktack-node/src/upstream/mod.rs
@@ -4,8 +4,8 @@
 mod any_client;
 mod client;
 mod connections;
+mod interface_client;
 mod load;
-mod spelled;
 mod starts;
 
 pub(crate) use announce::{Announcement, RENEW_EVERY, RENEWALS_MISSED_MAX, routes};
--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -7,8 +7,8 @@
 use reqwest::{RequestBuilder, Response, StatusCode, Url};
 use serde_json::Value;
 
-use crate::own_spelling::OWN_SPELLING;
-use crate::spelling::{Read, Spelling, StoreCall, StoreRefusal};
+use crate::own_codec::OWN_CODEC;
+use crate::store_codec::{Read, StoreCall, StoreCodec, StoreRefusal};
 use crate::{
     Backoff, BackoffSettings, Budget, BudgetSettings, Effect, Error, Listing, Object,
     PlatformRates, Result, Revision, Version, Watched,
@@ -42,8 +42,8 @@
     pub backoff: BackoffSettings,
     /// After which a call counts as failed; a watch waits longer by its own wait.
     pub call_timeout: Duration,
-    /// How the platform spells calls and answers.
-    pub spelling: Spelling,
+    /// How the platform encodes calls and answers.
+    pub codec: StoreCodec,
 }
 
 impl ClientSettings {
@@ -55,7 +55,7 @@
             rates: None,
             backoff: BackoffSettings::default(),
             call_timeout: CALL_TIMEOUT,
-            spelling: OWN_SPELLING,
+            codec: OWN_CODEC,
         }
     }
 }
@@ -144,9 +144,9 @@
         limits.writes.set_calls_per_second(writes);
     }
 
-    /// The spelling that calls are made in.
-    pub(crate) fn spelling(&self) -> &Spelling {
-        &self.settings.spelling
+    /// The wire format that calls are made in.
+    pub(crate) fn codec(&self) -> &StoreCodec {
+        &self.settings.codec
     }
 
     /// One object; `None` where it does not exist.
@@ -154,8 +154,8 @@
     /// # Errors
     /// See [`Error`].
     pub async fn get(&self, key: &str) -> Result<Option<Object>> {
-        let read = self.spelling().read_object;
-        let call = (self.spelling().get)(key);
+        let read = self.codec().read_object;
+        let call = (self.codec().get)(key);
         let got = self.call(Access::Read, call, |body| read(key, body));
         missing_as_none(got.await)
     }
@@ -179,11 +179,11 @@
     /// Pages may be of different revisions; what changed between them is told
     /// by a watch from the first one.
     async fn list_pages(&self, prefix: &str, keys_only: bool) -> Result<Listing> {
-        let read = self.spelling().read_listing;
+        let read = self.codec().read_listing;
         let mut whole: Option<Listing> = None;
         let mut after: Option<String> = None;
         loop {
-            let call = (self.spelling().list)(prefix, after.as_deref(), keys_only);
+            let call = (self.codec().list)(prefix, after.as_deref(), keys_only);
             let got = self.call(Access::Read, call, |body| read(prefix, body));
             let page = got.await.map_err(Missing::into_error)?;
             let listing = match whole {
@@ -206,8 +206,8 @@
     /// # Errors
     /// See [`Error`]; `RevisionGone` where the objects have to be listed anew.
     pub async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Watched> {
-        let read = self.spelling().read_watched;
-        let call = (self.spelling().watch)(prefix, after, wait);
+        let read = self.codec().read_watched;
+        let call = (self.codec().watch)(prefix, after, wait);
         let timeout = wait + self.settings.call_timeout;
         let got = self.call_within(timeout, Access::Read, call, |body| read(prefix, body));
         got.await.map_err(Missing::into_error)
@@ -224,7 +224,7 @@
         expected_version: Version,
         value: &Value,
     ) -> Result<Version> {
-        let call = (self.spelling().put)(key, expected_version, value);
+        let call = (self.codec().put)(key, expected_version, value);
         if call
             .body
             .as_ref()
@@ -232,7 +232,7 @@
         {
             return Err(too_large());
         }
-        let got = self.call(Access::Write, call, self.spelling().read_written);
+        let got = self.call(Access::Write, call, self.codec().read_written);
         match got.await {
             Err(Missing::Object) => Err(Error::Conflict { current_version: 0 }),
             other => other.map_err(Missing::into_error),
@@ -245,8 +245,8 @@
     /// # Errors
     /// See [`Error`].
     pub async fn delete(&self, key: &str, expected_version: Version) -> Result<()> {
-        let call = (self.spelling().delete)(key, expected_version);
-        let got = self.call(Access::Write, call, self.spelling().read_deleted);
+        let call = (self.codec().delete)(key, expected_version);
+        let got = self.call(Access::Write, call, self.codec().read_deleted);
         missing_as_none(got.await).map(|_| ())
     }
 
@@ -293,7 +293,7 @@
     ) -> std::result::Result<T, Missing> {
         self.admit(access, Instant::now())?;
         let request = self.request(call, timeout);
-        let read_refusal = self.spelling().read_refusal;
+        let read_refusal = self.codec().read_refusal;
         let result = exchange(access, request, read_refusal, read).await;
         let failed = matches!(
             result,
--- a/crates/hemlocktack-platform/src/configuration.rs
+++ b/crates/hemlocktack-platform/src/configuration.rs
@@ -268,7 +268,7 @@
     }
 
     fn encode(&self, configuration: &ConfigurationDocument) -> Result<Value> {
-        let Some(write) = self.client.spelling().write_configuration else {
+        let Some(write) = self.client.codec().write_configuration else {
             let detail = "the configuration is written with the operators' own tools";
             return Err(malformed(detail.to_owned()));
         };
@@ -276,7 +276,7 @@
     }
 
     fn decode(&self, object: Object) -> Result<StoredConfiguration> {
-        let read = self.client.spelling().read_configuration;
+        let read = self.client.codec().read_configuration;
         let configuration =
             read(&object).map_err(|detail| malformed(format!("{}: {detail}", object.key)))?;
         Ok(StoredConfiguration {
--- a/crates/hemlocktack-platform/src/lib.rs
+++ b/crates/hemlocktack-platform/src/lib.rs
@@ -9,9 +9,9 @@
 mod configuration;
 mod error;
 mod nodes;
-mod own_spelling;
+mod own_codec;
 mod resolve;
-mod spelling;
+mod store_codec;
 mod values;
 
 pub use backoff::{Backoff, BackoffSettings};
@@ -22,6 +22,6 @@
 };
 pub use error::{Effect, Error, Result};
 pub use nodes::{NodeRecords, Publication, PublishedNode, PublishedNodes};
-pub use own_spelling::OWN_SPELLING;
-pub use spelling::{ListingPage, Read, Spelling, StoreCall, StoreRefusal};
+pub use own_codec::OWN_CODEC;
+pub use store_codec::{ListingPage, Read, StoreCall, StoreCodec, StoreRefusal};
 pub use values::{Listing, Object, Revision, Version, Watched, WatchedObject};
--- a/crates/hemlocktack-platform/src/own_spelling.rs
+++ b/crates/hemlocktack-platform/src/own_codec.rs
@@ -1,4 +1,4 @@
-//! The spelling of docs/interfaces/platform.md.
+//! The wire format of docs/interfaces/platform.md.
 
 use std::time::Duration;
 
@@ -9,14 +9,14 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use crate::spelling::{ListingPage, Read, Spelling, StoreCall, StoreRefusal};
+use crate::store_codec::{ListingPage, Read, StoreCall, StoreCodec, StoreRefusal};
 use crate::{Object, Revision, Version};
 
 /// Error of a 404 that speaks of an object.
 const NOT_FOUND: &str = "not-found";
 
-/// The product's own spelling.
-pub const OWN_SPELLING: Spelling = Spelling {
+/// The product's own wire format.
+pub const OWN_CODEC: StoreCodec = StoreCodec {
     get,
     list,
     watch,
--- a/crates/hemlocktack-platform/src/spelling.rs
+++ b/crates/hemlocktack-platform/src/store_codec.rs
@@ -1,6 +1,6 @@
-//! How a store spells the calls of the object API.
+//! How a store encodes the calls of the object API.
 //!
-//! Budget, backoff and lost answers are the client's, whatever the spelling.
+//! Budget, backoff and lost answers are the client's, whatever the wire format.
 
 use std::time::Duration;
 
@@ -55,10 +55,10 @@
 /// Result of reading an answer's body; the error is what was found wrong.
 pub type Read<T> = std::result::Result<T, String>;
 
-/// How one store spells calls and answers. Keys are ours: `nodes/NAME`,
+/// How one store encodes calls and answers. Keys are ours: `nodes/NAME`,
 /// `configuration/current`.
 #[derive(Clone, Copy, Debug)]
-pub struct Spelling {
+pub struct StoreCodec {
     /// Reads one object.
     pub get: fn(key: &str) -> StoreCall,
     /// Reads all objects under a prefix; `after` is a page's `next_after`.
@@ -83,7 +83,7 @@
     pub read_refusal: fn(StatusCode, body: &[u8]) -> StoreRefusal,
     /// Reads the operators' configuration from its object.
     pub read_configuration: fn(&Object) -> Read<ConfigurationDocument>,
-    /// Spells the configuration as a value; `None` where operators write it
+    /// Encodes the configuration as a value; `None` where operators write it
     /// with tools of their own and nodes only read it.
     pub write_configuration: Option<fn(&ConfigurationDocument) -> Read<Value>>,
 }
