--- a/crates/hemlocktack-decide/src/objective_limit.rs
+++ b/crates/hemlocktack-decide/src/objective_limit.rs
@@ -15,16 +15,19 @@
     /// longer once they are nearly full, which costs a fifth of what they can
     /// do; a slot of sixteen left free costs the others a sixteenth.
     pub filled_share: f64,
-    /// Share of the objective that must be spent below before the limit is cut.
+    /// Share of the objective that must be spent below before the limit is cut:
+    /// a chain without a queue spends about this much.
     pub least_below: f64,
     /// Share of the objective that a run may take. The rest is for the way, for
-    /// the wait in front of the upstream and for the spread of single runs.
+    /// the wait in front of the upstream and for the spread of single runs. At
+    /// 0.6 most answers of an overload came just too late.
     pub target: f64,
-    /// Below this share the limit grows while calls wait for it.
+    /// Below this share the limit grows while calls wait for it: far enough
+    /// from the target that the spread of eight runs does not cross both.
     pub grow_below: f64,
-    /// Growth in one window.
+    /// Growth in one window: back from a tenth of the slots to all in seventeen.
     pub growth: f64,
-    /// Largest cut in one window.
+    /// Largest cut in one window: what is cut too far costs calls that had room.
     pub least_cut: f64,
     /// Least share of the slots. Below it too few calls finish to notice that
     /// the chain is well again.
