Look a service up, hash a request and take an upstream's leave in one place each

Found when the whole change was read once more: four copies of one lookup in the configuration in force, two of the fingerprint, two of an upstream's leave.

--- a/crates/hemlocktack-node/src/calls/classify.rs
+++ b/crates/hemlocktack-node/src/calls/classify.rs
@@ -61,7 +61,12 @@
     };
     let call = Call {
         service: request.service.to_string(),
-        fingerprint: fingerprint(&request),
+        fingerprint: fingerprint(
+            &request.service,
+            request.method,
+            &request.path,
+            &request.body,
+        ),
         method: request.method.to_owned(),
         path: request.path,
         headers: request.headers,
@@ -164,11 +169,6 @@
 }
 
 /// Equal requests have equal fingerprints on every node.
-fn fingerprint(request: &CallerRequest) -> Fingerprint {
-    stable_hash(&[
-        request.service.as_bytes(),
-        request.method.as_bytes(),
-        request.path.as_bytes(),
-        &request.body,
-    ])
+pub(crate) fn fingerprint(service: &str, method: &str, path: &str, body: &[u8]) -> Fingerprint {
+    stable_hash(&[service.as_bytes(), method.as_bytes(), path.as_bytes(), body])
 }
--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -17,7 +17,7 @@
 mod ticketed;
 
 pub(crate) use admission_queue::AdmissionQueue;
-pub(crate) use classify::{Classified, classify, work_kind_of};
+pub(crate) use classify::{Classified, classify, fingerprint, work_kind_of};
 pub(crate) use context::{ContextTable, RunningCall};
 pub(crate) use ends::{not_run, retry_after, unknown};
 pub(crate) use enter::{enter, refusal};
--- a/crates/hemlocktack-node/src/gateway/announcements.rs
+++ b/crates/hemlocktack-node/src/gateway/announcements.rs
@@ -87,10 +87,7 @@
     }
     match word {
         Word::Report(report) => take_report(node, &report),
-        Word::Leaving { .. } => {
-            node.upstream_starts().leave();
-            node.upstream_drains();
-        }
+        Word::Leaving { .. } => leave(node),
     }
 }
 
@@ -107,9 +104,7 @@
         return;
     }
     if report.standing == Standing::Draining {
-        node.upstream_starts().leave();
-        node.upstream_drains();
-        return;
+        return leave(node);
     }
     if node.upstream_starts().has_left() {
         return;
@@ -124,6 +119,11 @@
     );
 }
 
+fn leave(node: &Node) {
+    node.upstream_starts().leave();
+    node.upstream_drains();
+}
+
 fn announce(
     node: &Node,
     upstream_start: &str,
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -8,7 +8,7 @@
 use hemlocktack_interface::Entered;
 use hemlocktack_protocol::{Call, ClassRank, Reason, stable_hash};
 
-use crate::calls::{Classified, RunningCall};
+use crate::calls::{Classified, RunningCall, fingerprint};
 use crate::node::Node;
 
 /// Time that a caller is taken to wait where neither it nor its route says.
@@ -91,12 +91,7 @@
     pub(super) fn classify(self, node: &Node, call: Call, now: Instant) -> Classified {
         let kind = stable_hash(&[self.service.as_bytes(), self.route.as_bytes()]);
         node.services.note_kind(kind, &self.service);
-        let fingerprint = stable_hash(&[
-            self.service.as_bytes(),
-            call.method.as_bytes(),
-            call.path.as_bytes(),
-            &call.body,
-        ]);
+        let fingerprint = fingerprint(&self.service, &call.method, &call.path, &call.body);
         let parent = self.parent;
         let class_rank = parent
             .as_ref()
--- a/crates/hemlocktack-node/src/node/configuration.rs
+++ b/crates/hemlocktack-node/src/node/configuration.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
-use hemlocktack_config::{ClientLimits, Document};
+use hemlocktack_config::{ClientLimits, Document, Service};
 use hemlocktack_protocol::{ConfigurationDocument, Generation};
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::sync::mpsc;
@@ -109,13 +109,8 @@
     }
 
     pub(crate) fn body_limit_bytes(&self, service: &str) -> usize {
-        let in_force = self.in_force.load();
-        let declared = in_force
-            .as_ref()
-            .and_then(|in_force| in_force.document.service(service));
-        declared.map_or(BODY_LIMIT_BEFORE_CONFIGURATION_BYTES, |service| {
-            service.body_limit_bytes
-        })
+        self.of_service(service, |service| service.body_limit_bytes)
+            .unwrap_or(BODY_LIMIT_BEFORE_CONFIGURATION_BYTES)
     }
 
     /// What callers may send and how long they may take.
@@ -129,35 +124,31 @@
 
     /// Connections that the upstream accepts, where the operators say so.
     pub(crate) fn connection_limit(&self) -> u32 {
-        let in_force = self.in_force.load();
-        let service = in_force
-            .as_ref()
-            .and_then(|in_force| in_force.document.service(&self.settings.service));
-        service
-            .and_then(|service| service.connection_limit)
+        self.of_service(&self.settings.service, |service| service.connection_limit)
+            .flatten()
             .unwrap_or(CONNECTION_LIMIT_UNSAID)
     }
 
     /// Where the upstream is asked for its health.
     pub(crate) fn health_path(&self, usual: &str) -> String {
-        let in_force = self.in_force.load();
-        let service = in_force
-            .as_ref()
-            .and_then(|in_force| in_force.document.service(&self.settings.service));
-        service
-            .and_then(|service| service.health_path.clone())
-            .unwrap_or_else(|| usual.to_owned())
+        self.of_service(&self.settings.service, |service| {
+            service.health_path.clone()
+        })
+        .flatten()
+        .unwrap_or_else(|| usual.to_owned())
     }
 
     /// Of the service beside this node.
     pub(crate) fn answer_limit_bytes(&self) -> usize {
+        self.of_service(&self.settings.service, |service| service.answer_limit_bytes)
+            .unwrap_or(ANSWER_LIMIT_BEFORE_CONFIGURATION_BYTES)
+    }
+
+    /// What the configuration in force says of a service that it declares.
+    fn of_service<T>(&self, name: &str, read: impl FnOnce(&Service) -> T) -> Option<T> {
         let in_force = self.in_force.load();
-        let declared = in_force
-            .as_ref()
-            .and_then(|in_force| in_force.document.service(&self.settings.service));
-        declared.map_or(ANSWER_LIMIT_BEFORE_CONFIGURATION_BYTES, |service| {
-            service.answer_limit_bytes
-        })
+        let service = in_force.as_ref()?.document.service(name)?;
+        Some(read(service))
     }
 
     pub(crate) fn generation_in_force(&self) -> Generation {
