Take changed settings over while the node runs

Cause: a changed settings file waited for the next start of the node, and SIGHUP was only answered. The platform changes the file with a signal and without one. Ruled out: reading the platform's own file (its names and one more parser would come into the product); flags alone (a running process keeps them). Now: a settings file of our own names, filled in from a template, read again at SIGHUP and when its bytes differ, once a second. Adjustable settings are taken over, the others named in the log; a faulty file changes nothing. Before: event 107 said that all waits.

--- a/crates/hemlocktack-node/src/node/configuration.rs
+++ b/crates/hemlocktack-node/src/node/configuration.rs
@@ -71,7 +71,7 @@
         self.take_limits(&in_force.document);
     }
 
-    fn take_limits(&self, document: &Document) {
+    pub(super) fn take_limits(&self, document: &Document) {
         let limits = &document.limits;
         self.tracer
             .set_sample_per_million(limits.trace_sample_per_million);
@@ -80,7 +80,7 @@
         let kept_answers_bytes = usize::try_from(limits.kept_answers_bytes);
         self.home
             .set_kept_answer_bytes(kept_answers_bytes.unwrap_or(usize::MAX));
-        if self.settings.stop_grace.is_none() {
+        if self.adjustable().stop_grace.is_none() {
             // Covers the most patient caller, which the node's own setting may not.
             let drain_limit = Duration::from_millis(limits.drain_limit_ms);
             self.live(|life, _| {
--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -33,13 +33,14 @@
 use crate::interfaces;
 use crate::links::{Links, Senders};
 use crate::peers::GossipCounts;
-use crate::settings::Settings;
+use crate::settings::{AdjustableSettings, Settings};
 use crate::telemetry::{EntryCounts, LineBudget, LogLimit, Waits};
 use crate::upstream::{Announcement, UpstreamClient, UpstreamStarts};
 
 /// One start of one node.
 pub(crate) struct Node {
     pub(crate) settings: Settings,
+    adjustable: ArcSwap<AdjustableSettings>,
     /// The interface that is spoken instead of the product's own.
     pub(crate) interface: Option<Interface>,
     pub(crate) identity: NodeIncarnation,
@@ -100,6 +101,7 @@
 impl Node {
     pub(crate) fn new(
         settings: Settings,
+        adjustable: AdjustableSettings,
         keys: FleetKeys,
         platform: Arc<Client>,
         upstream_client: UpstreamClient,
@@ -107,9 +109,13 @@
     ) -> Self {
         let identity = NodeIncarnation::new(settings.node_id.clone(), rand::random());
         let (configuration_events, receiver) = mpsc::channel(CONFIGURATION_EVENTS_LIMIT);
-        let life = Life::new(policies::drain_settings(&settings), Instant::now());
+        let life = Life::new(
+            policies::drain_settings(&settings, &adjustable),
+            Instant::now(),
+        );
         Self {
-            seeds: ArcSwap::from_pointee(settings.seed_peers.clone()),
+            seeds: ArcSwap::from_pointee(adjustable.seed_peers.clone()),
+            adjustable: ArcSwap::from_pointee(adjustable),
             records: NodeRecords::new(platform.clone()),
             gossip_counts: GossipCounts::default(),
             signals: Signals::default(),
@@ -149,6 +155,31 @@
         }
     }
 
+    /// Settings that may change while the node runs, as they are now.
+    pub(crate) fn adjustable(&self) -> Arc<AdjustableSettings> {
+        self.adjustable.load_full()
+    }
+
+    /// Takes over changed settings.
+    pub(crate) fn adjust(&self, adjustable: &AdjustableSettings) {
+        self.adjustable.store(Arc::new(adjustable.clone()));
+        self.platform.set_rates(adjustable.platform_rates);
+        let drain_limit = policies::drain_limit(adjustable);
+        self.live(|life, _| {
+            life.set_hard_limit(drain_limit);
+            Vec::new()
+        });
+        if let Some(in_force) = self.configuration_in_force() {
+            self.take_limits(&in_force.document);
+        }
+        let mut seeds = Vec::clone(&self.seeds.load());
+        let is_new = |seed: &&SocketAddr| !seeds.contains(seed);
+        let new: Vec<_> = adjustable.seed_peers.iter().filter(is_new).collect();
+        seeds.extend(new);
+        self.seeds.store(Arc::new(seeds));
+        self.signals.seeds_changed.notify_one();
+    }
+
     /// Counts a call as in flight until the guard goes.
     pub(crate) fn enter_call(&self) -> CallInFlight {
         self.counters.enter_call()
--- a/crates/hemlocktack-node/src/node/policies.rs
+++ b/crates/hemlocktack-node/src/node/policies.rs
@@ -6,7 +6,7 @@
 use hemlocktack_fleet::drain::{DrainSettings, UpstreamSettings};
 
 use crate::handover;
-use crate::settings::{InterfaceName, Settings};
+use crate::settings::{AdjustableSettings, InterfaceName, Settings};
 use crate::upstream::{RENEW_EVERY, RENEWALS_MISSED_MAX};
 
 /// News of a drain reaches all nodes within this time; until then a draining
@@ -23,13 +23,16 @@
 /// connection fails.
 const INTERFACE_ANNOUNCEMENT_TTL: Duration = Duration::from_secs(10);
 
-pub(super) fn drain_settings(settings: &Settings) -> DrainSettings {
+pub(super) fn drain_settings(
+    settings: &Settings,
+    adjustable: &AdjustableSettings,
+) -> DrainSettings {
     DrainSettings {
         settle: match settings.interface {
             InterfaceName::Own => DRAIN_SETTLE,
             InterfaceName::Cooperative => INTERFACE_DRAIN_SETTLE,
         },
-        hard_limit: Some(drain_limit(settings)),
+        hard_limit: Some(drain_limit(adjustable)),
         handover_limit: handover::LIMIT,
         upstream: UpstreamSettings {
             announcement_ttl: match settings.interface {
@@ -54,9 +57,9 @@
     }
 }
 
-fn drain_limit(settings: &Settings) -> Duration {
-    let grace = settings.stop_grace;
-    grace.map_or(settings.drain_limit, |grace| {
+pub(super) fn drain_limit(adjustable: &AdjustableSettings) -> Duration {
+    let grace = adjustable.stop_grace;
+    grace.map_or(adjustable.drain_limit, |grace| {
         grace.saturating_sub(EXIT_TIME)
     })
 }
--- a/crates/hemlocktack-node/src/operators/authorise.rs
+++ b/crates/hemlocktack-node/src/operators/authorise.rs
@@ -7,13 +7,13 @@
 
 use super::{Failure, Result};
 use crate::node::Node;
-use crate::settings::Settings;
+use crate::settings::AdjustableSettings;
 
 const SCHEME: &str = "Bearer ";
 /// Checks the token of a call before its body is read.
 pub(super) fn authorise(node: &Node, header: Option<&str>, method: &str) -> Result<()> {
     let token = header.and_then(|header| header.strip_prefix(SCHEME));
-    if token.is_some_and(|token| is_operators_token(&node.settings, token)) {
+    if token.is_some_and(|token| is_operators_token(&node.adjustable(), token)) {
         return Ok(());
     }
     if let Some(refused_count) = node.operator_refusals.count() {
@@ -26,7 +26,7 @@
     ))
 }
 
-fn is_operators_token(settings: &Settings, token: &str) -> bool {
+fn is_operators_token(settings: &AdjustableSettings, token: &str) -> bool {
     let is_current = is_equal(token, &settings.operator_token);
     let previous = settings.previous_operator_token.as_deref();
     let is_previous = previous.is_some_and(|previous| is_equal(token, previous));
--- a/crates/hemlocktack-node/src/peers/mod.rs
+++ b/crates/hemlocktack-node/src/peers/mod.rs
@@ -32,7 +32,7 @@
     let withdrawn = node.records.withdraw(&node.identity.node_id);
     let both = async { tokio::join!(told, withdrawn) };
     // What others do not hear they find out by probing.
-    let limit = match node.settings.stop_grace {
+    let limit = match node.adjustable().stop_grace {
         Some(_) => SHORT_FAREWELL_LIMIT,
         None => FAREWELL_LIMIT,
     };
--- a/crates/hemlocktack-node/src/peers/records.rs
+++ b/crates/hemlocktack-node/src/peers/records.rs
@@ -92,7 +92,7 @@
     let others = others.filter(|member| *member.node_id != *node.identity.node_id);
     let addresses = others.filter_map(|member| member.gossip_address.parse().ok());
     let mut seeds = addresses.sample(&mut rand::rng(), SEED_LIMIT);
-    seeds.extend(&node.settings.seed_peers);
+    seeds.extend(&node.adjustable().seed_peers);
     node.seeds.store(Arc::new(seeds));
     node.signals.seeds_changed.notify_one();
 }
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -15,11 +15,11 @@
 use tokio::net::TcpListener;
 
 use crate::node::Node;
-use crate::settings::{self, Invocation, Settings};
+use crate::settings::{self, AdjustableSettings, Invocation, Run, Settings};
 use crate::upstream::UpstreamClient;
 use crate::{
-    callers, configuration, control, gateway, interfaces, links, operators, peers, stop, telemetry,
-    upstream,
+    callers, configuration, control, gateway, interfaces, links, operators, peers, reload, stop,
+    telemetry, upstream,
 };
 
 /// Result of starting a node.
@@ -74,7 +74,7 @@
         Ok(Invocation::Help) => print!("{}", settings::usage()),
         Ok(Invocation::Version) => println!("hemlocktackd {}", env!("CARGO_PKG_VERSION")),
         Ok(Invocation::Check) => println!("settings are usable"),
-        Ok(Invocation::Run(settings)) => return run_to_exit_code(*settings),
+        Ok(Invocation::Run(order)) => return run_to_exit_code(*order),
         Err(error) => {
             eprintln!("{error}");
             return ExitCode::from(EXIT_BAD_SETTINGS);
@@ -93,17 +93,15 @@
     stop: impl Future<Output = ()>,
 ) -> std::result::Result<(), String> {
     match settings::read(arguments, |_| None) {
-        Ok(Invocation::Run(settings)) => run(*settings, stop)
-            .await
-            .map_err(|error| error.to_string()),
+        Ok(Invocation::Run(order)) => run(*order, stop).await.map_err(|error| error.to_string()),
         Ok(_) => Err("the flags do not ask for a run".to_owned()),
         Err(error) => Err(error.to_string()),
     }
 }
 
-fn run_to_exit_code(settings: Settings) -> ExitCode {
-    let _written_before_exit = telemetry::start_logs(settings.log_format);
-    match run_on_runtime(settings) {
+fn run_to_exit_code(order: Run) -> ExitCode {
+    let _written_before_exit = telemetry::start_logs(order.loaded.settings.log_format);
+    match run_on_runtime(order) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log_event!(Event::NodeFailed, %error);
@@ -113,23 +111,37 @@
     }
 }
 
-fn run_on_runtime(settings: Settings) -> Result<()> {
+fn run_on_runtime(order: Run) -> Result<()> {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(run(settings, stop::stop_signal()))
+    runtime.block_on(run(order, stop::stop_signal()))
 }
 
 /// Runs one node until `stop_signal` ends; then drains and stops it.
-pub(crate) async fn run(settings: Settings, stop_signal: impl Future<Output = ()>) -> Result<()> {
+pub(crate) async fn run(order: Run, stop_signal: impl Future<Output = ()>) -> Result<()> {
+    let Run { loaded, sources } = order;
+    let (settings, adjustable) = (loaded.settings.clone(), loaded.adjustable.clone());
     let previous = settings.previous_fleet_key.as_deref().map(str::as_bytes);
     let keys = FleetKeys::new(settings.fleet_key.as_bytes(), previous)?;
     let interface = interfaces::find(settings.interface);
-    let platform = Arc::new(Client::new(platform_settings(&settings, interface))?);
+    let platform = Arc::new(Client::new(platform_settings(
+        &settings,
+        &adjustable,
+        interface,
+    ))?);
     let tracer = telemetry::start_tracer(&settings)?;
     let upstream_client = UpstreamClient::new(interface)?;
-    let node = Arc::new(Node::new(settings, keys, platform, upstream_client, tracer));
-    tokio::spawn(stop::outlive_reload_signal());
+    let node = Node::new(
+        settings,
+        adjustable,
+        keys,
+        platform,
+        upstream_client,
+        tracer,
+    );
+    let node = Arc::new(node);
+    tokio::spawn(reload::follow_settings(node.clone(), sources, loaded));
     tokio::spawn(node.admission_queue.clone().keep_awake());
     let link_listener = listen(node.settings.link_listen_address).await?;
     let control = http(&node, node.settings.control_address)
@@ -200,11 +212,15 @@
     }
 }
 
-fn platform_settings(settings: &Settings, interface: Option<Interface>) -> ClientSettings {
+fn platform_settings(
+    settings: &Settings,
+    adjustable: &AdjustableSettings,
+    interface: Option<Interface>,
+) -> ClientSettings {
     let usual = ClientSettings::new(&settings.platform_url);
     ClientSettings {
         codec: interface.map_or(usual.codec, |interface| interface.store),
-        rates: settings.platform_rates,
+        rates: adjustable.platform_rates,
         backoff: match interface {
             Some(_) => SHORT_BACKOFF,
             None => usual.backoff,
--- /dev/null
+++ b/crates/hemlocktack-node/src/settings/file.rs
@@ -0,0 +1,60 @@
+//! The settings file: lines `NAME=value` under the names of the environment.
+
+use std::collections::HashMap;
+use std::path::Path;
+
+use super::flags::{FLAGS, environment_name};
+
+/// Result of reading a settings file; the error lists findings with their place.
+pub(super) type Result<T> = std::result::Result<T, Vec<String>>;
+
+/// Values by the name of their environment variable.
+pub(super) type Values = HashMap<String, String>;
+
+/// A settings file is a few hundred bytes; one that is much larger is another file.
+const SIZE_LIMIT_BYTES: usize = 64 << 10;
+
+pub(super) fn read(path: &Path) -> Result<Values> {
+    let place = path.display();
+    let text = std::fs::read_to_string(path).map_err(|error| vec![format!("{place}: {error}")])?;
+    if text.len() > SIZE_LIMIT_BYTES {
+        return Err(vec![format!(
+            "{place}: over {SIZE_LIMIT_BYTES} bytes; is it a settings file?"
+        )]);
+    }
+    parse(&text).map_err(|findings| {
+        let with_place = |finding| format!("{place}:{finding}");
+        findings.into_iter().map(with_place).collect()
+    })
+}
+
+/// Blank lines and lines that begin with `#` say nothing. A value stands as it
+/// is written, without quotes.
+fn parse(text: &str) -> Result<Values> {
+    let mut values = Values::new();
+    let mut findings = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        let (number, line) = (index + 1, line.trim());
+        if line.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        let Some((name, value)) = line.split_once('=') else {
+            findings.push(format!("{number}: not of the form NAME=value"));
+            continue;
+        };
+        let name = name.trim();
+        if !FLAGS.iter().any(|flag| environment_name(flag.name) == name) {
+            findings.push(format!("{number}: '{name}' is no setting; see --help"));
+        } else if values
+            .insert(name.to_owned(), value.trim().to_owned())
+            .is_some()
+        {
+            findings.push(format!("{number}: '{name}' stands twice"));
+        }
+    }
+    if findings.is_empty() {
+        Ok(values)
+    } else {
+        Err(findings)
+    }
+}
--- a/crates/hemlocktack-node/src/settings/flags.rs
+++ b/crates/hemlocktack-node/src/settings/flags.rs
@@ -9,6 +9,17 @@
     pub(crate) hint: &'static str,
     pub(crate) default: Option<&'static str>,
     pub(crate) required: bool,
+    /// A change of it in the settings file is taken over by a running node.
+    pub(crate) is_adjustable: bool,
+}
+
+impl Flag {
+    const fn adjustable(self) -> Flag {
+        Flag {
+            is_adjustable: true,
+            ..self
+        }
+    }
 }
 
 const fn required(name: &'static str, hint: &'static str, help: &'static str) -> Flag {
@@ -18,6 +29,7 @@
         hint,
         default: None,
         required: true,
+        is_adjustable: false,
     }
 }
 
@@ -28,6 +40,7 @@
         hint,
         default: None,
         required: false,
+        is_adjustable: false,
     }
 }
 
@@ -43,6 +56,7 @@
         hint,
         default: Some(default),
         required: false,
+        is_adjustable: false,
     }
 }
 
@@ -119,7 +133,8 @@
         "IP:PORT,...",
         "gossip addresses of nodes to ask first",
         "",
-    ),
+    )
+    .adjustable(),
     required(
         FLEET_KEY,
         "TEXT",
@@ -134,18 +149,21 @@
         OPERATOR_TOKEN,
         "TEXT",
         "token that operators' calls carry, 16 characters or more; better given in the environment",
-    ),
+    )
+    .adjustable(),
     optional(
         PREVIOUS_OPERATOR_TOKEN,
         "TEXT",
         "token still accepted while operators change theirs",
-    ),
+    )
+    .adjustable(),
     defaulted(
         DRAIN_LIMIT_MS,
         "MS",
         "longest that a planned stop waits for calls in flight before a configuration says it",
         "30000",
-    ),
+    )
+    .adjustable(),
     defaulted(LOG_FORMAT, "text|json", "how log lines are written", "text"),
     optional(
         OTLP_ENDPOINT,
@@ -177,19 +195,24 @@
         PLATFORM_READS,
         "NUMBER",
         "reading calls a second that the platform takes from all nodes together",
-    ),
+    )
+    .adjustable(),
     optional(
         PLATFORM_WRITES,
         "NUMBER",
         "writing calls a second that the platform takes from all nodes together",
-    ),
+    )
+    .adjustable(),
     optional(
         STOP_GRACE,
         "TIME",
         "how long after the signal to stop the process may live, such as 6s or 1500ms",
-    ),
+    )
+    .adjustable(),
 ];
 
+/// Where further settings are read from; not one of them itself.
+pub(crate) const SETTINGS_FILE: &str = "settings-file";
 pub(crate) const HELP: &str = "help";
 pub(crate) const VERSION: &str = "version";
 pub(crate) const CHECK: &str = "check";
@@ -206,6 +229,12 @@
         let help = describe(flag);
         options.optopt("", flag.name, &help, flag.hint);
     }
+    options.optopt(
+        "",
+        SETTINGS_FILE,
+        "further settings, a line NAME=value each under the names of the environment; changes marked (adjustable) are taken over while the node runs",
+        "FILE",
+    );
     options.optflag("h", HELP, "print this help");
     options.optflag("", VERSION, "print the version");
     options.optflag("", CHECK, "check the settings and stop");
@@ -214,11 +243,20 @@
 
 /// Text of `--help`.
 pub(crate) fn usage() -> String {
-    let brief = "Usage: hemlocktackd [options]\n\nOne node beside one upstream instance. Each option may also be given as an\nenvironment variable: --data-centre is HEMLOCKTACK_DATA_CENTRE. The flag wins.";
+    let brief = "Usage: hemlocktackd [options]\n\nOne node beside one upstream instance. Each option may also be given as an\nenvironment variable or a line of the settings file: --data-centre is\nHEMLOCKTACK_DATA_CENTRE. The flag goes first, then the environment, then the file.";
     options().usage(brief)
 }
 
 fn describe(flag: &Flag) -> String {
+    let adjustable = if flag.is_adjustable {
+        " (adjustable)"
+    } else {
+        ""
+    };
+    format!("{}{adjustable}", describe_use(flag))
+}
+
+fn describe_use(flag: &Flag) -> String {
     match (flag.required, flag.default) {
         (true, _) => format!("{} (required)", flag.help),
         (false, Some(default)) if !default.is_empty() => {
--- a/crates/hemlocktack-node/src/settings/mod.rs
+++ b/crates/hemlocktack-node/src/settings/mod.rs
@@ -1,10 +1,13 @@
-//! Settings from flags and environment variables of the same names.
+//! Settings from flags, environment variables and a file, all of the same names.
 
+mod file;
 mod flags;
 mod read;
+mod sources;
 
 pub(crate) use flags::usage;
-pub(crate) use read::{Invocation, read};
+pub(crate) use read::Loaded;
+pub(crate) use sources::{Invocation, Run, Sources, read};
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -30,7 +33,7 @@
     Cooperative,
 }
 
-/// Everything that a node learns before it starts.
+/// Settings that hold from the start of a node to its end.
 #[derive(Clone)]
 pub(crate) struct Settings {
     pub(crate) node_id: NodeId,
@@ -46,16 +49,9 @@
     pub(crate) gossip_address: SocketAddr,
     pub(crate) gossip_listen_address: SocketAddr,
     pub(crate) platform_url: String,
-    /// Gossip addresses of nodes to ask first.
-    pub(crate) seed_peers: Vec<SocketAddr>,
     pub(crate) fleet_key: String,
     /// Still accepted while the fleet changes its key.
     pub(crate) previous_fleet_key: Option<String>,
-    pub(crate) operator_token: String,
-    /// Still accepted while operators change their token.
-    pub(crate) previous_operator_token: Option<String>,
-    /// Longest that a planned stop waits for calls in flight.
-    pub(crate) drain_limit: Duration,
     pub(crate) log_format: LogFormat,
     pub(crate) otlp_endpoint: Option<String>,
     pub(crate) interface: InterfaceName,
@@ -63,6 +59,18 @@
     pub(crate) announce_address: Option<SocketAddr>,
     /// Where the upstream listens, if that is known before it announces itself.
     pub(crate) upstream_address: Option<SocketAddr>,
+}
+
+/// Settings that a running node takes over when their file changes.
+#[derive(Clone)]
+pub(crate) struct AdjustableSettings {
+    /// Gossip addresses of nodes to ask first.
+    pub(crate) seed_peers: Vec<SocketAddr>,
+    pub(crate) operator_token: String,
+    /// Still accepted while operators change their token.
+    pub(crate) previous_operator_token: Option<String>,
+    /// Longest that a planned stop waits for calls in flight.
+    pub(crate) drain_limit: Duration,
     /// What the platform takes from all nodes together.
     pub(crate) platform_rates: Option<PlatformRates>,
     /// Time between the signal to stop and the end of the process by force.
--- a/crates/hemlocktack-node/src/settings/read.rs
+++ b/crates/hemlocktack-node/src/settings/read.rs
@@ -5,12 +5,11 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use getopts::Matches;
 use hemlocktack_platform::PlatformRates;
 use hemlocktack_protocol::parse_time;
 
-use super::flags::{self, FLAGS, environment_name};
-use super::{InterfaceName, LogFormat, Settings};
+use super::flags::{self, FLAGS, Flag, environment_name};
+use super::{AdjustableSettings, InterfaceName, LogFormat, Settings};
 
 /// Result of reading the settings.
 pub(crate) type Result<T> = std::result::Result<T, Error>;
@@ -26,49 +25,75 @@
     pub(crate) findings: Vec<String>,
 }
 
-/// What the command line asks for.
-pub(crate) enum Invocation {
-    Help,
-    Version,
-    Check,
-    Run(Box<Settings>),
+/// Everything that was read, and the texts that it was read from.
+pub(crate) struct Loaded {
+    pub(crate) settings: Settings,
+    pub(crate) adjustable: AdjustableSettings,
+    /// In the order of the flags.
+    texts: Vec<Option<String>>,
 }
 
-/// Reads flags first, then the environment, then defaults.
-pub(crate) fn read(
-    arguments: &[String],
-    environment: impl Fn(&str) -> Option<String>,
-) -> Result<Invocation> {
-    let matches = flags::options().parse(arguments).map_err(|error| Error {
-        findings: vec![error.to_string()],
-    })?;
-    if matches.opt_present(flags::HELP) {
-        return Ok(Invocation::Help);
-    }
-    if matches.opt_present(flags::VERSION) {
-        return Ok(Invocation::Version);
-    }
-    let settings = Box::new(read_settings(&matches, environment)?);
-    if matches.opt_present(flags::CHECK) {
-        return Ok(Invocation::Check);
+/// What differs between two readings, by the names of the flags.
+pub(crate) struct Changes {
+    /// Taken over at once.
+    pub(crate) adjusted: Vec<&'static str>,
+    /// Left for the next start.
+    pub(crate) deferred: Vec<&'static str>,
+}
+
+impl Loaded {
+    /// Values are left out: some are secrets, and names end up in logs.
+    pub(crate) fn changes_since(&self, before: &Loaded) -> Changes {
+        let pairs = self.texts.iter().zip(&before.texts);
+        let changed = FLAGS
+            .iter()
+            .zip(pairs)
+            .filter(|(_, (now, then))| now != then);
+        let (adjusted, deferred): (Vec<_>, Vec<_>) = changed
+            .map(|(flag, _)| flag)
+            .partition(|flag| flag.is_adjustable);
+        let names = |flags: Vec<&Flag>| flags.into_iter().map(|flag| flag.name).collect();
+        Changes {
+            adjusted: names(adjusted),
+            deferred: names(deferred),
+        }
     }
-    Ok(Invocation::Run(settings))
 }
 
-fn read_settings(
-    matches: &Matches,
-    environment: impl Fn(&str) -> Option<String>,
-) -> Result<Settings> {
+/// Reads the texts that `value` finds for the flags; `findings` are those of
+/// the places that they come from.
+pub(super) fn read_texts(
+    value: impl Fn(&str) -> Option<String>,
+    findings: Vec<String>,
+) -> Result<Loaded> {
+    let default = |flag: &Flag| flag.default.map(str::to_owned);
+    let text = |flag: &Flag| value(flag.name).filter(|text| !text.is_empty());
+    let texts = FLAGS
+        .iter()
+        .map(|flag| text(flag).or_else(|| default(flag)));
     let mut reader = Reader {
-        matches,
-        environment: &environment,
-        findings: Vec::new(),
+        texts: texts.collect(),
+        findings,
     };
-    reader.reject_free_arguments();
     reader.require_all();
+    let settings = read_settings(&mut reader);
+    let adjustable = read_adjustable(&mut reader);
+    if !reader.findings.is_empty() {
+        return Err(Error {
+            findings: reader.findings,
+        });
+    }
+    Ok(Loaded {
+        settings,
+        adjustable,
+        texts: reader.texts,
+    })
+}
+
+fn read_settings(reader: &mut Reader) -> Settings {
     let link_address = reader.address(flags::LINK_ADDRESS);
     let gossip_address = reader.address(flags::GOSSIP_ADDRESS);
-    let settings = Settings {
+    Settings {
         node_id: reader.name(flags::NODE).into(),
         service: reader.name(flags::SERVICE).into(),
         data_centre: reader.name(flags::DATA_CENTRE).into(),
@@ -80,53 +105,41 @@
         gossip_address,
         gossip_listen_address: reader.address_or(flags::GOSSIP_LISTEN_ADDRESS, gossip_address),
         platform_url: reader.url(flags::PLATFORM_URL).unwrap_or_default(),
-        seed_peers: reader.addresses(flags::SEED_PEERS),
         fleet_key: reader
             .secret(flags::FLEET_KEY, FLEET_KEY_MIN_CHARS)
             .unwrap_or_default(),
         previous_fleet_key: reader.secret(flags::PREVIOUS_FLEET_KEY, FLEET_KEY_MIN_CHARS),
-        operator_token: reader
-            .secret(flags::OPERATOR_TOKEN, OPERATOR_TOKEN_MIN_CHARS)
-            .unwrap_or_default(),
-        previous_operator_token: reader
-            .secret(flags::PREVIOUS_OPERATOR_TOKEN, OPERATOR_TOKEN_MIN_CHARS),
-        drain_limit: Duration::from_millis(reader.parsed(
-            flags::DRAIN_LIMIT_MS,
-            "a number of milliseconds",
-            0,
-        )),
         log_format: reader.parsed(flags::LOG_FORMAT, "text or json", LogFormat::Text),
         otlp_endpoint: reader.url(flags::OTLP_ENDPOINT),
         interface: reader.parsed(flags::INTERFACE, "own or cooperative", InterfaceName::Own),
         readiness_address: reader.optional_address(flags::READINESS_ADDRESS),
         announce_address: reader.optional_address(flags::ANNOUNCE_ADDRESS),
         upstream_address: reader.optional_address(flags::UPSTREAM_ADDRESS),
+    }
+}
+
+fn read_adjustable(reader: &mut Reader) -> AdjustableSettings {
+    let drain_limit_ms = reader.parsed(flags::DRAIN_LIMIT_MS, "a number of milliseconds", 0);
+    AdjustableSettings {
+        seed_peers: reader.addresses(flags::SEED_PEERS),
+        operator_token: reader
+            .secret(flags::OPERATOR_TOKEN, OPERATOR_TOKEN_MIN_CHARS)
+            .unwrap_or_default(),
+        previous_operator_token: reader
+            .secret(flags::PREVIOUS_OPERATOR_TOKEN, OPERATOR_TOKEN_MIN_CHARS),
+        drain_limit: Duration::from_millis(drain_limit_ms),
         platform_rates: reader.platform_rates(),
         stop_grace: reader.time(flags::STOP_GRACE),
-    };
-    if reader.findings.is_empty() {
-        Ok(settings)
-    } else {
-        Err(Error {
-            findings: reader.findings,
-        })
     }
 }
 
-struct Reader<'a> {
-    matches: &'a Matches,
-    environment: &'a dyn Fn(&str) -> Option<String>,
+struct Reader {
+    /// In the order of the flags.
+    texts: Vec<Option<String>>,
     findings: Vec<String>,
 }
 
-impl Reader<'_> {
-    fn reject_free_arguments(&mut self) {
-        for argument in &self.matches.free {
-            self.findings
-                .push(format!("{argument}: not an option; see --help"));
-        }
-    }
-
+impl Reader {
     fn require_all(&mut self) {
         for flag in FLAGS.iter().filter(|flag| flag.required) {
             if self.value(flag.name).is_none() {
@@ -140,18 +153,8 @@
     }
 
     fn value(&self, name: &str) -> Option<String> {
-        let given = self
-            .matches
-            .opt_str(name)
-            .or_else(|| (self.environment)(&environment_name(name)));
-        let default = || {
-            FLAGS
-                .iter()
-                .find(|flag| flag.name == name)?
-                .default
-                .map(str::to_owned)
-        };
-        given.filter(|text| !text.is_empty()).or_else(default)
+        let index = FLAGS.iter().position(|flag| flag.name == name)?;
+        self.texts[index].clone()
     }
 
     fn find(&mut self, name: &str, fault: &str) {
--- /dev/null
+++ b/crates/hemlocktack-node/src/settings/sources.rs
@@ -0,0 +1,97 @@
+//! Where settings come from, so that they can be read again.
+
+use std::path::PathBuf;
+
+use getopts::Matches;
+
+use super::file::{self, Values};
+use super::flags::{self, environment_name};
+use super::read::{self, Error, Loaded, Result};
+
+/// What the command line asks for.
+pub(crate) enum Invocation {
+    Help,
+    Version,
+    Check,
+    Run(Box<Run>),
+}
+
+/// A node to be run.
+pub(crate) struct Run {
+    pub(crate) loaded: Loaded,
+    pub(crate) sources: Sources,
+}
+
+/// Flags, the environment and the settings file.
+pub(crate) struct Sources {
+    matches: Matches,
+    environment: Environment,
+    file: Option<PathBuf>,
+}
+
+type Environment = Box<dyn Fn(&str) -> Option<String> + Send + Sync>;
+
+/// Reads flags first, then the environment, then the file, then defaults.
+pub(crate) fn read(
+    arguments: &[String],
+    environment: impl Fn(&str) -> Option<String> + Send + Sync + 'static,
+) -> Result<Invocation> {
+    let matches = flags::options().parse(arguments).map_err(|error| Error {
+        findings: vec![error.to_string()],
+    })?;
+    if matches.opt_present(flags::HELP) {
+        return Ok(Invocation::Help);
+    }
+    if matches.opt_present(flags::VERSION) {
+        return Ok(Invocation::Version);
+    }
+    let is_check = matches.opt_present(flags::CHECK);
+    let sources = Sources::new(matches, Box::new(environment));
+    let loaded = sources.read()?;
+    if is_check {
+        return Ok(Invocation::Check);
+    }
+    Ok(Invocation::Run(Box::new(Run { loaded, sources })))
+}
+
+impl Sources {
+    fn new(matches: Matches, environment: Environment) -> Self {
+        let file = matches.opt_str(flags::SETTINGS_FILE);
+        let file = file.or_else(|| environment(&environment_name(flags::SETTINGS_FILE)));
+        Self {
+            matches,
+            environment,
+            file: file.filter(|path| !path.is_empty()).map(PathBuf::from),
+        }
+    }
+
+    /// Reads all of them as they are now.
+    pub(crate) fn read(&self) -> Result<Loaded> {
+        let mut findings = Vec::new();
+        for argument in &self.matches.free {
+            findings.push(format!("{argument}: not an option; see --help"));
+        }
+        let values = match self.file.as_deref().map(file::read) {
+            None => Values::new(),
+            Some(Ok(values)) => values,
+            Some(Err(of_file)) => {
+                findings.extend(of_file);
+                Values::new()
+            }
+        };
+        let value = |name: &str| {
+            let variable = environment_name(name);
+            let given = self.matches.opt_str(name);
+            given
+                .or_else(|| (self.environment)(&variable))
+                .or_else(|| values.get(&variable).cloned())
+        };
+        read::read_texts(value, findings)
+    }
+
+    /// What the settings file holds now, to notice a change; `None` without a
+    /// file or while it cannot be read.
+    pub(crate) fn file_bytes(&self) -> Option<Vec<u8>> {
+        std::fs::read(self.file.as_deref()?).ok()
+    }
+}
--- a/crates/hemlocktack-node/src/stop.rs
+++ b/crates/hemlocktack-node/src/stop.rs
@@ -27,21 +27,6 @@
     }
 }
 
-/// Answers SIGHUP for as long as the process lives.
-///
-/// Failure: the platform tells all nodes that a settings file has changed, and
-/// the default of the signal ends them with their callers' requests. Settings
-/// come from flags and the environment, which a running process keeps, so there
-/// is nothing to be read again.
-pub(crate) async fn outlive_reload_signal() {
-    let Ok(mut reload) = signal(SignalKind::hangup()) else {
-        return;
-    };
-    while reload.recv().await.is_some() {
-        log_event!(Event::SettingsReloaded);
-    }
-}
-
 /// Takes nothing new, waits for what is in flight, up to the operator's limit,
 /// and hands its tickets over. What happens when is decided by
 /// `hemlocktack_fleet::drain`.
--- a/crates/hemlocktack-node/tests/processes/harness/fleet.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/fleet.rs
@@ -16,6 +16,7 @@
     pub(crate) service: &'static str,
     pub(crate) count: usize,
     pub(crate) upstream_flags: Vec<&'static str>,
+    pub(crate) node_flags: Vec<String>,
     pub(crate) is_relayed: bool,
 }
 
@@ -25,6 +26,7 @@
             service,
             count,
             upstream_flags: Vec::new(),
+            node_flags: Vec::new(),
             is_relayed: false,
         }
     }
@@ -37,6 +39,14 @@
         }
     }
 
+    /// Further flags of the nodes.
+    pub(crate) fn with_node_flags(self, flags: Vec<String>) -> Plan {
+        Plan {
+            node_flags: flags,
+            ..self
+        }
+    }
+
     /// Further flags of the upstreams, such as `--deeper`.
     pub(crate) fn with(self, flags: &[&'static str]) -> Plan {
         Plan {
@@ -89,7 +99,7 @@
             fleet_key: FLEET_KEY.to_owned(),
             previous_fleet_key: None,
             is_relayed: plan.is_relayed,
-            flags: Vec::new(),
+            flags: plan.node_flags.clone(),
             upstream_flags: plan
                 .upstream_flags
                 .iter()
--- a/crates/hemlocktack-node/tests/processes/main.rs
+++ b/crates/hemlocktack-node/tests/processes/main.rs
@@ -17,6 +17,7 @@
 mod operators;
 mod overload;
 mod platform_out;
+mod reload;
 mod retries;
 mod slow_nodes;
 mod stop;
--- /dev/null
+++ b/crates/hemlocktack-node/tests/processes/reload.rs
@@ -0,0 +1,65 @@
+//! Settings that change while a node runs.
+
+use std::path::Path;
+
+use crate::harness::{Fleet, Plan, wait_until};
+
+const OLD_TOKEN: &str = "the operators' token until now";
+const NEW_TOKEN: &str = "the operators' token from now on";
+
+fn write_token(path: &Path, token: &str) {
+    std::fs::write(
+        path,
+        format!("HEMLOCKTACK_PREVIOUS_OPERATOR_TOKEN={token}\n"),
+    )
+    .unwrap();
+}
+
+/// Status of an operators' call with this token.
+async fn status(fleet: &Fleet, token: &str) -> u16 {
+    let url = format!(
+        "http://{}/hemlocktack.v1.Operators/GetStatus",
+        fleet.nodes[0].control
+    );
+    let call = reqwest::Client::new().post(url).bearer_auth(token);
+    let call = call.header("content-type", "application/json").body("{}");
+    call.send().await.unwrap().status().as_u16()
+}
+
+async fn wait_until_taken(fleet: &Fleet, token: &str) {
+    wait_until("the token is taken", || async {
+        status(fleet, token).await == 200
+    })
+    .await;
+}
+
+/// The file changes, once with the signal and once without. The node goes on to
+/// answer its callers and takes the new token over. Then the file is spoilt:
+/// what is in force stays, and the process lives.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_changed_file_is_taken_over_and_a_faulty_one_is_not() {
+    let directory = tempfile::tempdir().unwrap();
+    let path = directory.path().join("settings.env");
+    write_token(&path, OLD_TOKEN);
+    let flags = vec!["--settings-file".to_owned(), path.display().to_string()];
+    let fleet = Fleet::start(&[Plan::new("diaries", 1).with_node_flags(flags)]).await;
+    wait_until_taken(&fleet, OLD_TOKEN).await;
+
+    write_token(&path, NEW_TOKEN);
+    fleet.nodes[0].process.signal("HUP");
+    wait_until_taken(&fleet, NEW_TOKEN).await;
+    assert_eq!(status(&fleet, OLD_TOKEN).await, 401);
+
+    std::fs::write(
+        &path,
+        "HEMLOCKTACK_PREVIOUS_OPERATOR_TOKEN=short\nand nonsense",
+    )
+    .unwrap();
+    fleet.nodes[0].process.signal("HUP");
+    let reply = fleet.caller(0).get("diaries/slots", "after").await;
+    assert!(reply.is_answered(), "{reply:?}");
+    assert_eq!(status(&fleet, NEW_TOKEN).await, 200);
+
+    write_token(&path, OLD_TOKEN);
+    wait_until_taken(&fleet, OLD_TOKEN).await;
+}
--- a/crates/hemlocktack-node/tests/settings.rs
+++ b/crates/hemlocktack-node/tests/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of `hemlocktackd`, as an operator gives them.
 
+use std::io::Write;
 use std::process::{Command, Output};
 
 const COMPLETE: [&str; 10] = [
@@ -72,3 +73,64 @@
     let output = run(&["--colour"], &[]);
     assert_eq!(output.status.code(), Some(2), "{output:?}");
 }
+
+fn settings_file(text: &str) -> tempfile::NamedTempFile {
+    let mut file = tempfile::NamedTempFile::new().expect("a file");
+    file.write_all(text.as_bytes()).expect("it is written");
+    file
+}
+
+fn file_flag(file: &tempfile::NamedTempFile) -> String {
+    format!("--settings-file={}", file.path().display())
+}
+
+/// A deployment fills one file in, and no variable of it is set.
+#[test]
+fn all_settings_may_come_from_a_file() {
+    let as_line = |flag: &&str| {
+        let (name, value) = flag
+            .trim_start_matches("--")
+            .split_once('=')
+            .expect("a flag");
+        let name = name.replace('-', "_").to_uppercase();
+        format!("HEMLOCKTACK_{name}={value}\n")
+    };
+    let lines: String = COMPLETE.iter().map(as_line).collect();
+    let file = settings_file(&format!("# one node\n\n{lines}"));
+    let output = run(&[&file_flag(&file), "--check"], &[]);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+}
+
+/// The place where a value was given by hand goes before the file.
+#[test]
+fn flags_and_the_environment_go_before_the_file() {
+    let file = settings_file("HEMLOCKTACK_NODE=not a name\nHEMLOCKTACK_REGION=nor this\n");
+    let mut arguments = COMPLETE.to_vec();
+    let flag = file_flag(&file);
+    arguments.extend([flag.as_str(), "--check"]);
+    let output = run(&arguments, &[("HEMLOCKTACK_REGION", "kolkata")]);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+}
+
+/// A template was filled in badly. Each faulty line is told with its number,
+/// and what stands in it only where it is a name.
+#[test]
+fn faults_of_the_file_are_told_with_their_line() {
+    let file = settings_file("HEMLOCKTACK_NODE=a\nnonsense\n\nHEMLOCKTACK_NODE=b\nCOLOUR=red\n");
+    let mut arguments = COMPLETE.to_vec();
+    let flag = file_flag(&file);
+    arguments.extend([flag.as_str(), "--check"]);
+    let output = run(&arguments, &[]);
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    let told = standard_error(&output).replace(&file.path().display().to_string(), "FILE");
+    insta::assert_snapshot!(told);
+}
+
+#[test]
+fn a_missing_settings_file_is_a_fault() {
+    let mut arguments = COMPLETE.to_vec();
+    arguments.extend(["--settings-file=/nowhere/at/all", "--check"]);
+    let output = run(&arguments, &[]);
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    assert!(standard_error(&output).contains("/nowhere/at/all"));
+}
--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -72,11 +72,25 @@
 
 #[derive(Debug)]
 struct Limits {
+    rates: Option<PlatformRates>,
+    nodes: usize,
     reads: Budget,
     writes: Budget,
     backoff: Backoff,
 }
 
+impl Limits {
+    fn share_rates(&mut self) {
+        let Some(rates) = self.rates else {
+            return;
+        };
+        let reads = PlatformRates::share(rates.reads_per_second, self.nodes);
+        let writes = PlatformRates::share(rates.writes_per_second, self.nodes);
+        self.reads.set_calls_per_second(reads);
+        self.writes.set_calls_per_second(writes);
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Access {
     Read,
@@ -114,6 +128,8 @@
             .map_err(|error| unavailable(Effect::None, &error, Duration::ZERO))?;
         let now = Instant::now();
         let limits = Limits {
+            rates: settings.rates,
+            nodes: 1,
             reads: Budget::new(settings.budget.reads, now),
             writes: Budget::new(settings.budget.writes, now),
             backoff: Backoff::new(settings.backoff),
@@ -134,14 +150,16 @@
 
     /// Tells how many nodes share the platform's rates.
     pub fn set_node_count(&self, nodes: usize) {
-        let Some(rates) = self.settings.rates else {
-            return;
-        };
         let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
-        let reads = PlatformRates::share(rates.reads_per_second, nodes);
-        let writes = PlatformRates::share(rates.writes_per_second, nodes);
-        limits.reads.set_calls_per_second(reads);
-        limits.writes.set_calls_per_second(writes);
+        limits.nodes = nodes;
+        limits.share_rates();
+    }
+
+    /// Tells what the platform takes from all nodes, where that has changed.
+    pub fn set_rates(&self, rates: Option<PlatformRates>) {
+        let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        limits.rates = rates;
+        limits.share_rates();
     }
 
     /// The wire format that calls are made in.
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -44,7 +44,8 @@
     104 INFO DrainFinished: "nothing is in flight any more; the node leaves", "nothing";
     105 ERROR DrainLimitReached: "the drain limit has passed with calls still in flight; their callers may see unknown outcomes", "raise drain_limit_ms above the longest patience; look for a hanging upstream";
     106 ERROR NodeFailed: "the node ends because a listener or its start failed", "read the error; check addresses and that no other process holds them";
-    107 INFO SettingsReloaded: "the signal to read the settings again came; all of them hold until the next start", "start the node again if a setting has changed";
+    107 INFO SettingsReloaded: "the settings were read again: those in adjusted are in force, those in deferred hold from the next start on", "start the node again if a setting in deferred has changed";
+    108 ERROR SettingsFaulty: "the settings were read again and cannot be used; those before stay in force", "read the faults and mend the settings file";
 
     201 INFO UpstreamAnnounced: "the upstream beside the node has announced itself", "nothing";
     202 WARN UpstreamLapsed: "the upstream has not renewed its announcement", "look whether the upstream's process runs and reaches the node's control address";
