--- a/crates/hemlocktack-node/tests/processes/harness/mod.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/mod.rs
@@ -1,6 +1,5 @@
 //! Starts, steers and ends the processes of one test.
 
-mod addresses;
 mod audit;
 mod caller;
 mod document;
@@ -12,11 +11,11 @@
 mod stand_ins;
 mod wait;
 
-pub(crate) use addresses::next_address;
 pub(crate) use audit::{Booking, assert_honest};
 pub(crate) use caller::{Caller, Reply};
 pub(crate) use document::{DOCUMENT, document_with_comment};
 pub(crate) use fleet::{Fleet, Plan};
+pub(crate) use hemlocktack_testkit::next_address;
 pub(crate) use load::{Load, book};
 pub(crate) use node::{FLEET_KEY, Node, NodeOptions, OPERATOR_TOKEN};
 pub(crate) use operator::Operator;
