Serve an upstream that is replaced at its address; end a stop without cutting

Cause: a start that follows a drained one at the same address, and is no longer cold when it is first heard of, was taken for a late renewal of the one that left. Ruled out: lost health answers (the node asked and got the new name). Now its name, where the interface has names, ends the leaving. 2. Cause: with nothing in flight the node took its leave and ended, while its listener and kept connections still took requests. Now the listener closes and each connection ends between two requests before the leave. Signals to stop are taken over before anything listens.

--- a/crates/hemlocktack-fleet/examples/fleet_runs/faults.rs
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/faults.rs
@@ -164,6 +164,7 @@
                 address: process.upstream_address,
                 slots: SLOTS,
                 is_cold: true,
+                is_other_start: false,
             };
             process.upstream_drained = None;
             process.life.announce(instant, announcement)
--- a/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
@@ -309,6 +309,7 @@
                 address: process.upstream_address,
                 slots: 45,
                 is_cold: false,
+                is_other_start: false,
             };
             let actions = process.life.announce(instant, announcement);
             self.live(number, process, &actions);
--- a/crates/hemlocktack-fleet/src/drain/upstream.rs
+++ b/crates/hemlocktack-fleet/src/drain/upstream.rs
@@ -33,6 +33,8 @@
     pub slots: u32,
     /// It has started a short while ago.
     pub is_cold: bool,
+    /// It has named itself, and by another name than before: another start.
+    pub is_other_start: bool,
 }
 
 /// State of the upstream, by its announcements.
@@ -69,16 +71,20 @@
     ///
     /// A leaving upstream's renewal may come after its drain, and after a lapse
     /// when it or the node was paused; were it taken for a return, new work
-    /// would go to an upstream that is about to stop. So only a cold start or
-    /// another address, which is another start whatever it says, ends leaving.
+    /// would go to an upstream that is about to stop. So only a cold start,
+    /// another name or another address, which is another start whatever it
+    /// says, ends leaving. Names count on their own: a start that is heard of
+    /// late is no longer cold, and without them its node would refuse all calls
+    /// for as long as it lives.
     pub(super) fn announce(&mut self, now: Instant, announcement: Announcement, guards: bool) {
         self.renewed = now;
         let is_other = self
             .address
             .is_some_and(|known| known != announcement.address);
         let is_start = announcement.is_cold || (self.is_leaving && is_other);
+        let has_returned = is_start || announcement.is_other_start;
         self.address = Some(announcement.address);
-        if guards && self.is_leaving && !is_start {
+        if guards && self.is_leaving && !has_returned {
             self.state = UpstreamState::Draining;
             return;
         }
--- a/crates/hemlocktack-fleet/tests/drain/main.rs
+++ b/crates/hemlocktack-fleet/tests/drain/main.rs
@@ -16,6 +16,7 @@
     address: ADDRESS,
     slots: 45,
     is_cold: false,
+    is_other_start: false,
 };
 
 fn ready(now: Instant, settings: DrainSettings) -> Life {
@@ -74,6 +75,24 @@
     assert_eq!(life.upstream(), UpstreamState::Cold);
 }
 
+/// An upstream drains and is replaced at its address; the next start names
+/// itself, and is first heard of when it is no longer cold. Taken for a late
+/// renewal, it would get nothing for as long as it lives, and where all of a
+/// service are replaced so, every caller is refused.
+#[test]
+fn another_start_at_the_same_address_ends_a_drain() {
+    let now = Instant::now();
+    let mut life = ready(now, DrainSettings::default());
+    life.drain_upstream();
+    let next = Announcement {
+        is_other_start: true,
+        ..WARM
+    };
+    life.announce(now, next);
+    assert_eq!(life.upstream(), UpstreamState::Ready);
+    assert!(life.takes_new_work());
+}
+
 /// An upstream that no longer renews gets no new work.
 #[test]
 fn an_announcement_lapses() {
--- a/crates/hemlocktack-node/src/gateway/mod.rs
+++ b/crates/hemlocktack-node/src/gateway/mod.rs
@@ -15,4 +15,5 @@
 mod start;
 
 pub(crate) use headers::passed_on;
+pub(crate) use server::close;
 pub(crate) use start::start;
--- a/crates/hemlocktack-node/src/gateway/server.rs
+++ b/crates/hemlocktack-node/src/gateway/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hemlocktack_telemetry::{Event, log_event};
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
 use http_body_util::Full;
@@ -20,6 +21,9 @@
 /// Pause after a failed accept: out of file descriptors, say, asking again at
 /// once would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Answers that are ready leave within this time, also where the drain has taken
+/// all of its own.
+const LEAST_CLOSING_TIME: Duration = Duration::from_millis(100);
 /// Room for the request line and for what the library reads ahead, above the
 /// operators' limit of a head.
 const READ_AHEAD_BYTES: usize = 8 << 10;
@@ -35,11 +39,36 @@
     F: Future<Output = Response<LeavingBody>> + Send + 'static,
 {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = node.signals.closing.cancelled() => return,
+        };
+        let Ok((stream, _)) = accepted else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        tokio::spawn(serve_connection(node.clone(), stream, handle));
+        let connection = serve_connection(node.clone(), stream, handle);
+        node.connections.spawn(connection);
+    }
+}
+
+/// Takes no request any more and waits for the answers of those that were read.
+///
+/// Failure: a caller goes on using its connection while the node stops. Its
+/// request is read and passed on in the moment in which nothing else is in
+/// flight, and the process ends under it: the caller gets no answer, and its
+/// booking may have been made. From here on a connection is closed between two
+/// requests or after an answer, so that the end of the process cuts none.
+pub(crate) async fn close(node: &Node) {
+    node.signals.closing.cancel();
+    node.connections.close();
+    let limit = node.drain_time_left().max(LEAST_CLOSING_TIME);
+    if tokio::time::timeout(limit, node.connections.wait())
+        .await
+        .is_err()
+    {
+        let in_flight = node.counters.in_flight();
+        log_event!(Event::DrainLimitReached, in_flight);
     }
 }
 
@@ -70,11 +99,16 @@
         // this has to be the longer of the two limits.
         .header_read_timeout(limits.longest_silence())
         .max_buf_size(limits.header_limit_bytes + READ_AHEAD_BYTES);
-    // The connection ends with an error if its caller goes or sends what is no
-    // request: there is nobody to tell.
-    let _ = builder
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    // It ends with an error if its caller goes or sends what is no request:
+    // there is nobody to tell.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = node.signals.closing.cancelled() => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
 }
 
 /// A short answer of the node itself.
--- a/crates/hemlocktack-node/src/node/life.rs
+++ b/crates/hemlocktack-node/src/node/life.rs
@@ -29,6 +29,13 @@
         self.live(|life, now| life.drain(now));
     }
 
+    /// Time left of a planned stop for calls in flight; none before it begins.
+    pub(crate) fn drain_time_left(&self) -> Duration {
+        let limit = super::policies::drain_limit(&self.adjustable());
+        let elapsed = self.stop_began.get().map(Instant::elapsed);
+        elapsed.map_or(Duration::ZERO, |elapsed| limit.saturating_sub(elapsed))
+    }
+
     /// Whether requests that enter now are refused because the node stops.
     ///
     /// Failure: the platform sends callers elsewhere only once the node has
--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -26,6 +26,7 @@
 use hemlocktack_telemetry::Tracer;
 use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::calls::{AdmissionQueue, ContextTable, Home, ServiceDirectory};
 use crate::configuration as follower;
@@ -62,6 +63,8 @@
     pub(crate) tracer: Tracer,
     pub(crate) waits: Waits,
     pub(crate) entry_counts: EntryCounts,
+    /// Connections of an interface's callers.
+    pub(crate) connections: TaskTracker,
     stop_order: Notify,
     stop_began: OnceLock<Instant>,
     receiving: Mutex<Receiving>,
@@ -91,6 +94,8 @@
     pub(crate) seeds_changed: Notify,
     /// Members have been told that this node has left.
     pub(crate) left_told: Notify,
+    /// No request is taken any more: callers' connections end with what is on them.
+    pub(crate) closing: CancellationToken,
     /// The node has stopped: its tasks end.
     pub(crate) stopped: CancellationToken,
 }
@@ -137,6 +142,7 @@
             tracer,
             waits: Waits::default(),
             entry_counts: EntryCounts::default(),
+            connections: TaskTracker::new(),
             stop_order: Notify::new(),
             stop_began: OnceLock::new(),
             receiving: Mutex::new(Receiving::new(HandoverLimits::default())),
--- a/crates/hemlocktack-node/src/node/upstream.rs
+++ b/crates/hemlocktack-node/src/node/upstream.rs
@@ -21,10 +21,16 @@
     /// Takes an announcement; calls go to the announced address from then on.
     pub(crate) fn upstream_announced(&self, announcement: Announcement) {
         self.live(|life, now| {
+            let before = self.upstream.load();
+            let before = before
+                .as_ref()
+                .and_then(|before| before.upstream_start.as_ref());
+            let is_other_start = before.is_some() && before != announcement.upstream_start.as_ref();
             let word = drain::Announcement {
                 address: announcement.address,
                 slots: announcement.slots,
                 is_cold: announcement.cold,
+                is_other_start,
             };
             let actions = life.announce(now, word);
             self.upstream.store(Some(Arc::new(announcement)));
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -115,7 +115,12 @@
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(run(order, stop::stop_signal()))
+    runtime.block_on(async {
+        // Before anything listens: until then the signal ends the process, and
+        // whatever it has taken with it.
+        let stop_signal = stop::stop_signal();
+        run(order, stop_signal).await
+    })
 }
 
 /// Runs one node until `stop_signal` ends; then drains and stops it.
@@ -182,6 +187,9 @@
         return ended.unwrap_or(Ok(()));
     }
     stop::drain(&node).await;
+    if interface.is_some() {
+        gateway::close(&node).await;
+    }
     peers::say_farewell(&node).await;
     node.signals.stopped.cancel();
     // The gateway's answers have left with their calls, and the process has
--- a/crates/hemlocktack-node/src/stop.rs
+++ b/crates/hemlocktack-node/src/stop.rs
@@ -13,17 +13,20 @@
 /// How often the drain looks whether calls are still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
-/// Ends at SIGTERM or SIGINT.
-pub(crate) async fn stop_signal() {
-    let (Ok(mut terminate), Ok(mut interrupt)) = (
+/// Takes over SIGTERM and SIGINT at once; what it returns ends at one of them.
+pub(crate) fn stop_signal() -> impl Future<Output = ()> {
+    let signals = (
         signal(SignalKind::terminate()),
         signal(SignalKind::interrupt()),
-    ) else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    );
+    async move {
+        let (Ok(mut terminate), Ok(mut interrupt)) = signals else {
+            return std::future::pending().await;
+        };
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
     }
 }
 
