Tell a request's story and count causes from logs

Cause: an engineer with only logs had to search several files for an id and to sort by hand. Ruled out: asking nodes (they may be gone); another tool (each line's own order and the dots of deeper ids are known here). Before: grep.

--- a/crates/hemlocktack-cli/src/arguments.rs
+++ b/crates/hemlocktack-cli/src/arguments.rs
@@ -11,6 +11,7 @@
 use hemlocktack_protocol::Finding;
 
 use crate::error::{Error, Result};
+use crate::log_lines::{self, LogLine};
 use crate::output::Format;
 use crate::rpc::Client;
 use crate::settings::{self, Setting};
@@ -83,12 +84,28 @@
         if path.is_empty() {
             return String::new();
         }
-        let contents = match path.as_str() {
+        self.read(&path)
+    }
+
+    /// Events in the logs that the rest of the operands name, one at least.
+    pub(crate) fn logs(&mut self) -> Vec<LogLine> {
+        let mut paths = vec![self.operand("FILE")];
+        paths.extend(self.operands.by_ref());
+        let mut lines = Vec::new();
+        for path in paths.iter().filter(|path| !path.is_empty()) {
+            let text = self.read(path);
+            lines.extend(log_lines::read(&text, path));
+        }
+        lines
+    }
+
+    fn read(&mut self, path: &str) -> String {
+        let contents = match path {
             STANDARD_INPUT => read_standard_input(),
             path => std::fs::read_to_string(path),
         };
         contents.unwrap_or_else(|error| {
-            self.add(&path, "cannot be read", error);
+            self.add(path, "cannot be read", error);
             String::new()
         })
     }
--- a/crates/hemlocktack-cli/src/catalogue.rs
+++ b/crates/hemlocktack-cli/src/catalogue.rs
@@ -4,7 +4,7 @@
 use crate::{commands, queries};
 
 /// Every command, in the order of the help.
-pub const CATALOGUE: [&Signature; 10] = [
+pub const CATALOGUE: [&Signature; 12] = [
     &queries::config::check::SIGNATURE,
     &queries::config::diff::SIGNATURE,
     &queries::config::show::SIGNATURE,
@@ -15,6 +15,8 @@
     &queries::fleet::upstreams::SIGNATURE,
     &commands::fleet::drain::SIGNATURE,
     &queries::calls::explain::SIGNATURE,
+    &queries::logs::story::SIGNATURE,
+    &queries::logs::summary::SIGNATURE,
 ];
 
 /// The command that the first words select, and how many they are.
--- a/crates/hemlocktack-cli/src/lib.rs
+++ b/crates/hemlocktack-cli/src/lib.rs
@@ -6,6 +6,7 @@
 mod catalogue;
 mod commands;
 mod error;
+mod log_lines;
 mod output;
 mod queries;
 mod rpc;
--- /dev/null
+++ b/crates/hemlocktack-cli/src/log_lines.rs
@@ -0,0 +1,110 @@
+//! Lines of nodes' logs, read back.
+
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+/// One line of a node's log.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct LogLine {
+    /// Wall clock of the node that wrote it, as in the line.
+    pub(crate) at: String,
+    /// Milliseconds since the Unix epoch.
+    pub(crate) at_ms: f64,
+    /// What stood before the line's object, or else the name of its file.
+    pub(crate) source: String,
+    /// Number in the catalogue of events.
+    pub(crate) number: u64,
+    pub(crate) message: String,
+    /// All else that the line says.
+    pub(crate) fields: Map<String, Value>,
+}
+
+#[derive(Deserialize)]
+struct Written {
+    timestamp: String,
+    number: u64,
+    #[serde(default)]
+    message: String,
+    #[serde(flatten)]
+    fields: Map<String, Value>,
+}
+
+/// Not part of what an event says.
+const LEVEL_FIELD: &str = "level";
+
+impl LogLine {
+    /// Value of a field as text, without the quotes of JSON.
+    pub(crate) fn field(&self, name: &str) -> Option<String> {
+        self.fields.get(name).map(text_of)
+    }
+
+    /// Fields by name.
+    pub(crate) fn fields_text(&self) -> String {
+        let pairs = self.fields.iter();
+        let pairs = pairs.map(|(name, value)| format!("{name}={}", text_of(value)));
+        pairs.collect::<Vec<_>>().join(" ")
+    }
+}
+
+/// All events in the text of one log. Lines that are none (a stack trace, the
+/// output of another program in the same file) are passed over.
+pub(crate) fn read(text: &str, path: &str) -> Vec<LogLine> {
+    let lines = text.lines();
+    lines.filter_map(|line| parse(line, path)).collect()
+}
+
+fn parse(line: &str, path: &str) -> Option<LogLine> {
+    let begin = line.find('{')?;
+    let mut written: Written = serde_json::from_str(&line[begin..]).ok()?;
+    written.fields.remove(LEVEL_FIELD);
+    let at_ms = milliseconds(&written.timestamp)?;
+    Some(LogLine {
+        at: written.timestamp,
+        at_ms,
+        source: source(&line[..begin], path),
+        number: written.number,
+        message: written.message,
+        fields: written.fields,
+    })
+}
+
+/// Collectors put the machine's name in front, after times of their own.
+fn source(before: &str, path: &str) -> String {
+    let name = before.split_whitespace().last();
+    let file = || Path::new(path).file_stem().and_then(|stem| stem.to_str());
+    name.or_else(file).unwrap_or_default().to_owned()
+}
+
+fn text_of(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+/// Reads `2026-12-02T23:59:01.234567Z`, which is all that nodes write.
+fn milliseconds(timestamp: &str) -> Option<f64> {
+    let (date, time) = timestamp.strip_suffix('Z')?.split_once('T')?;
+    let mut date = date.splitn(3, '-').map(|part| part.parse::<i64>().ok());
+    let (year, month, day) = (date.next()??, date.next()??, date.next()??);
+    let mut time = time.splitn(3, ':');
+    let hours: f64 = time.next()?.parse().ok()?;
+    let minutes: f64 = time.next()?.parse().ok()?;
+    let seconds: f64 = time.next()?.parse().ok()?;
+    let of_day = (hours * 60.0 + minutes) * 60.0 + seconds;
+    let days = days_since_epoch(year, month, day) as f64;
+    Some((days * 86_400.0 + of_day) * 1_000.0)
+}
+
+/// Days from 1970-01-01 in the Gregorian calendar: years are counted from March,
+/// so that the leap day is the last of its year.
+fn days_since_epoch(year: i64, month: i64, day: i64) -> i64 {
+    let year = if month <= 2 { year - 1 } else { year };
+    let months_since_march = (month + 9) % 12;
+    let day_of_year = (153 * months_since_march + 2) / 5 + day - 1;
+    let leap_days = year.div_euclid(4) - year.div_euclid(100) + year.div_euclid(400);
+    const DAYS_BEFORE_1970: i64 = 719_468;
+    year * 365 + leap_days + day_of_year - DAYS_BEFORE_1970
+}
--- /dev/null
+++ b/crates/hemlocktack-cli/src/queries/logs/mod.rs
@@ -0,0 +1,2 @@
+pub(crate) mod story;
+pub(crate) mod summary;
--- a/crates/hemlocktack-cli/src/queries/mod.rs
+++ b/crates/hemlocktack-cli/src/queries/mod.rs
@@ -3,3 +3,4 @@
 pub(crate) mod calls;
 pub(crate) mod config;
 pub(crate) mod fleet;
+pub(crate) mod logs;
--- /dev/null
+++ b/crates/hemlocktack-cli/tests/logs.rs
@@ -0,0 +1,56 @@
+//! Logs of nodes as collectors leave them.
+#![allow(clippy::unwrap_used)]
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+
+fn story(request_id: &str, logs: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_hemlocktack"))
+        .args(["logs", "story", request_id, "-"])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut input = child.stdin.take().unwrap();
+    input.write_all(logs.as_bytes()).unwrap();
+    drop(input);
+    child.wait_with_output().unwrap()
+}
+
+/// Two nodes' lines come interleaved and out of order, with what a collector put
+/// in front; a deeper call belongs to its request, a longer id does not; lines
+/// that no node wrote, or only half of, are passed over.
+#[test]
+fn a_story_is_told_in_order_whatever_stands_between() {
+    let logs = r#"
+12:00 howrah-2 {"timestamp":"2024-02-29T23:59:59.900000Z","level":"INFO","message":"second","number":711,"request_id":"a-1"}
+panicked at nothing {of ours}
+salt-lake-1 {"timestamp":"2024-03-01T00:00:00.100000Z","level":"INFO","message":"third","number":712,"request_id":"a-1.7"}
+howrah-2 {"timestamp":"2024-02-29T23:59:59.899000Z","level":"INFO","message":"first","number":713,"request_id":"a-1"}
+howrah-2 {"timestamp":"2024-02-29T23:59:59.899500Z","level":"INFO","message":"another's","number":713,"request_id":"a-10"}
+howrah-2 {"timestamp":"2024-02-29T23:59:59.9
+"#;
+    let output = story("a-1", logs);
+    assert!(output.status.success(), "{output:?}");
+    insta::assert_snapshot!(String::from_utf8(output.stdout).unwrap());
+}
+
+#[test]
+fn a_request_without_lines_is_said_to_have_none() {
+    let output = story("a-2", "");
+    assert!(output.status.success(), "{output:?}");
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(text.starts_with("no line names this request"), "{text}");
+}
+
+#[test]
+fn a_log_that_cannot_be_read_is_bad_input() {
+    let output = Command::new(env!("CARGO_BIN_EXE_hemlocktack"))
+        .args(["logs", "summary", "/nowhere/at/all.log"])
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(text.contains("/nowhere/at/all.log"), "{text}");
+}
