Notice a lost link by its echo, and keep the entry a retry of its own

Load: half of the machines lose power at once, or one stands still; links to them stay open and say nothing. Cause of what callers saw: (1) a call on a dead node waited for its whole patience: keep-alive takes 3 s, unacknowledged bytes 1.5 s, and one probe a second needs seconds for many nodes; (2) the one retry of a request travelled with its first send and was lost with it; (3) a call that had reached nobody was given back to its caller after one move; (4) a peer that had failed looked full, as its failed calls were never taken off. Ruled out: shorter keep-alive (idle links would be probed all the time); giving a child half rounded down (deep hops then keep none: the process test of one allowance saw no retry any more; reverted within this work). Now: a link with calls that waits 150 ms in silence is asked for an echo and closed after 250 ms more; entries keep attempts-1 retries of their own and chains get five for each; three moves to unreached nodes; peers that fail whenever tried are tried less often; edges save 8 retries, not 20.

--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -7,7 +7,9 @@
 mod admission;
 mod follow;
 mod limit;
+mod link_watch;
 mod mix;
+mod moves;
 mod objective_limit;
 mod offer;
 mod placement;
@@ -22,6 +24,8 @@
 
 pub use admission::Admission;
 pub use limit::{ConcurrencyLimit, LimitPolicy};
+pub use link_watch::{LinkStep, LinkWatch, LinkWatchPolicy};
+pub use moves::Moves;
 pub use objective_limit::ObjectivePolicy;
 pub use offer::{CancelResult, Decision, Ended, Offer, Verdict, WorkKind};
 pub use placement::{PeerLoad, PlacementPolicy, may_move, place};
--- a/crates/hemlocktack-decide/src/placement.rs
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -55,6 +55,10 @@
 /// How long one is passed over that has no upstream, starts, drains or failed:
 /// until membership has the news.
 const AVOIDED_AFTER_FAULT: Duration = Duration::from_millis(500);
+/// Each time that a peer fails again as soon as it is tried, it is passed over
+/// twice as long, up to this: a call that tries a peer without power waits half
+/// a second for nothing, and one that is back is tried soon enough.
+const AVOIDED_AT_MOST: Duration = Duration::from_secs(2);
 
 /// Silence that is ordinary: this, or so many service times after the queue.
 /// Service times spread, and a quiet peer may run just one long call.
@@ -86,6 +90,8 @@
     heard_us: AtomicU64,
     /// Until when it is passed over after a refusal or a failure.
     avoided_until_us: AtomicU64,
+    /// Times in a row that it was tried and failed.
+    failed_in_row: AtomicU32,
     /// Failures among the last 16 or so calls, per mille.
     failures_per_mille: AtomicU32,
 }
@@ -111,6 +117,7 @@
             silent_since_us: AtomicU64::new(0),
             heard_us: AtomicU64::new(NEVER),
             avoided_until_us: AtomicU64::new(0),
+            failed_in_row: AtomicU32::new(0),
             failures_per_mille: AtomicU32::new(0),
         }
     }
@@ -141,6 +148,7 @@
         self.ended();
         self.heard(now);
         self.learn(hint, now);
+        self.failed_in_row.store(0, Ordering::Release);
         self.count_failure(false);
     }
 
@@ -161,8 +169,17 @@
     /// The call ended without an answer through a fault of it or its link.
     pub fn failed(&self, now: Instant) {
         self.ended();
+        // No hint came that would count it. Left in, the calls that a peer has
+        // failed make it look full, and it is not tried when it is back.
+        count_down(&self.sent_since_hint);
         self.count_failure(true);
-        self.avoid(AVOIDED_AFTER_FAULT, now);
+        // Calls that fail together are one try.
+        let is_known = self.micros(now) < self.avoided_until_us.load(Ordering::Acquire);
+        if !is_known {
+            let before = self.failed_in_row.fetch_add(1, Ordering::AcqRel);
+            let doubled = AVOIDED_AFTER_FAULT.saturating_mul(1 << before.min(8));
+            self.avoid(doubled.min(AVOIDED_AT_MOST), now);
+        }
     }
 
     fn avoid(&self, time: Duration, now: Instant) {
@@ -216,10 +233,7 @@
     }
 
     fn ended(&self) {
-        let minus_one = |count: u32| Some(count.saturating_sub(1));
-        let _ = self
-            .outstanding
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, minus_one);
+        count_down(&self.outstanding);
     }
 
     fn learn(&self, hint: &LoadHint, now: Instant) {
@@ -304,6 +318,11 @@
     }
 }
 
+fn count_down(count: &AtomicU32) {
+    let minus_one = |count: u32| Some(count.saturating_sub(1));
+    let _ = count.fetch_update(Ordering::AcqRel, Ordering::Acquire, minus_one);
+}
+
 /// Picks the upstream for a call: its index in `peers`, or `None` when none
 /// takes calls. `excluded` is the one that has just refused it.
 ///
--- a/crates/hemlocktack-decide/src/retry.rs
+++ b/crates/hemlocktack-decide/src/retry.rs
@@ -14,9 +14,15 @@
 /// away with a child call is gone here until the child gives its rest back, so
 /// the sum over the chain never exceeds the grant, whatever depth and fan-out.
 /// Parallel children share one counter.
+///
+/// Where requests enter, retries of the entry's own sends may be kept apart: a
+/// child that is lost gives nothing back, and a lost first send is just what
+/// the entry could repeat. Both parts are granted once, so their sum bounds the
+/// chain as one grant did.
 #[derive(Debug)]
 pub struct Allowance {
     left: AtomicU32,
+    own: Option<AtomicU32>,
 }
 
 impl Allowance {
@@ -24,33 +30,57 @@
     pub fn new(granted: u32) -> Self {
         Allowance {
             left: AtomicU32::new(granted),
+            own: None,
         }
     }
 
-    /// Retries left here.
+    /// At an entry that keeps `own` retries for its own sends and grants
+    /// `for_chain` to the calls below.
+    pub fn with_own(own: u32, for_chain: u32) -> Self {
+        Allowance {
+            left: AtomicU32::new(for_chain),
+            own: Some(AtomicU32::new(own)),
+        }
+    }
+
+    /// Retries that sends from here may still be repeated with.
+    pub fn left_here(&self) -> u32 {
+        self.here().load(Ordering::Acquire)
+    }
+
+    fn here(&self) -> &AtomicU32 {
+        self.own.as_ref().unwrap_or(&self.left)
+    }
+
+    /// Retries left for the calls below and, where none are kept apart, here.
     pub fn left(&self) -> u32 {
         self.left.load(Ordering::Acquire)
     }
 
-    /// Takes up to `wanted` away and returns how many were taken.
+    /// Takes up to `wanted` away from the calls below and returns how many were
+    /// taken.
     pub fn take(&self, wanted: u32) -> u32 {
-        let before = self
-            .left
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |left| {
-                Some(left.saturating_sub(wanted))
-            })
-            .unwrap_or(0);
-        before.min(wanted)
+        take_from(&self.left, wanted)
     }
 
     /// Takes one retry to spend it here; false when none is left.
     pub fn take_one(&self) -> bool {
-        self.take(1) == 1
+        take_from(self.here(), 1) == 1
     }
 
-    /// Takes the share that travels with one child call.
+    /// Puts back a retry that was taken and not made.
+    pub(crate) fn put_back_one(&self) {
+        self.here().fetch_add(1, Ordering::AcqRel);
+    }
+    /// Takes the share that travels with one child call: all of it from an entry
+    /// that keeps retries of its own.
     pub fn give_to_child(&self) -> u32 {
-        self.take(share_for_child(self.left()))
+        let left = self.left();
+        let share = match self.own {
+            Some(_) => left,
+            None => share_for_child(left),
+        };
+        self.take(share)
     }
 
     /// Puts back what a child did not spend. `given` is what went away with
@@ -61,6 +91,12 @@
     }
 }
 
+fn take_from(retries: &AtomicU32, wanted: u32) -> u32 {
+    let fewer = |left: u32| Some(left.saturating_sub(wanted));
+    let before = retries.fetch_update(Ordering::AcqRel, Ordering::Acquire, fewer);
+    before.unwrap_or(0).min(wanted)
+}
+
 /// Share of `left` that travels with one child call: half, rounded up. All of
 /// it would leave nothing for a parallel sibling; a fixed share would leave
 /// nothing to the last hops.
@@ -75,7 +111,9 @@
     /// add a tenth to the load at worst: too little to hold an overload up.
     pub share_per_mille: u32,
     /// Retries that an edge may save up, so that a quiet edge can still repeat
-    /// the few calls that a restart cut off.
+    /// the few calls that a restart cut off. Every node has such an edge: where
+    /// half of seventeen are lost at once, a service of a hundred calls a second
+    /// is sent 136 of them again within a second, an eighth of ten seconds' calls.
     pub saved_retries: u32,
 }
 
@@ -83,7 +121,7 @@
     fn default() -> Self {
         RetryPolicy {
             share_per_mille: 100,
-            saved_retries: 20,
+            saved_retries: 8,
         }
     }
 }
@@ -178,7 +216,7 @@
         return RetryVerdict::Spent;
     }
     if !edge.take_one() {
-        allowance.give_back(1, 1);
+        allowance.put_back_one();
         return RetryVerdict::Spent;
     }
     RetryVerdict::Retry
--- /dev/null
+++ b/crates/hemlocktack-decide/tests/link_watch.rs
@@ -0,0 +1,71 @@
+//! Links whose far end goes without a word.
+
+use std::time::{Duration, Instant};
+
+use hemlocktack_decide::{LinkStep, LinkWatch, LinkWatchPolicy};
+
+/// Lets time pass step by step. `heard_at` are the moments at which something
+/// comes over the link, echoes or not; the moments of echoes asked for, and
+/// when the link counts as lost, in milliseconds.
+fn watch(heard_at: impl Fn(&[u64]) -> Option<u64>, until_ms: u64) -> (Vec<u64>, Option<u64>) {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut watch = LinkWatch::new(LinkWatchPolicy::default());
+    let mut asked = Vec::new();
+    let mut now_ms = 0;
+    while now_ms <= until_ms {
+        let heard_ms = heard_at(&asked).filter(|heard_ms| *heard_ms <= now_ms);
+        let next = match watch.look(at(heard_ms.unwrap_or(0)), at(now_ms)) {
+            LinkStep::Lost => return (asked, Some(now_ms)),
+            LinkStep::Wait(until) => until,
+            LinkStep::Ask(until) => {
+                asked.push(now_ms);
+                until
+            }
+        };
+        now_ms = (next - start).as_millis() as u64;
+    }
+    (asked, None)
+}
+
+/// The peer loses power under a call. Its caller would wait for its whole
+/// patience; it learns of the loss within half a second, early enough for
+/// another node.
+#[test]
+fn a_silent_peer_is_noticed_within_half_a_second() {
+    let (asked, lost) = watch(|_| None, 10_000);
+    assert_eq!(asked, [150]);
+    assert_eq!(lost, Some(420));
+}
+
+/// The upstream takes seconds for one call, and its node is well: it answers
+/// each echo, and the call goes on.
+#[test]
+fn a_slow_upstream_behind_a_living_node_is_waited_for() {
+    let echoed = |asked: &[u64]| asked.last().map(|asked| asked + 2);
+    let (asked, lost) = watch(echoed, 10_000);
+    assert_eq!(lost, None);
+    assert!(asked.len() > 20, "{asked:?}");
+}
+
+/// One packet is lost and comes with the next try of the system, 200 ms later.
+#[test]
+fn one_lost_packet_is_no_lost_peer() {
+    let late = |asked: &[u64]| asked.last().map(|asked| asked + 210);
+    assert_eq!(watch(late, 5_000).1, None);
+}
+
+/// This node stood still for seconds, and the echo that came meanwhile is read
+/// only after the first look.
+#[test]
+fn what_lies_unread_counts_before_a_link_is_lost() {
+    let start = Instant::now();
+    let mut watch = LinkWatch::new(LinkWatchPolicy::default());
+    let asked = start + Duration::from_millis(150);
+    assert!(matches!(watch.look(start, asked), LinkStep::Ask(_)));
+    let woken = start + Duration::from_secs(5);
+    assert!(matches!(watch.look(start, woken), LinkStep::Wait(_)));
+    let read = woken + Duration::from_millis(1);
+    let look = watch.look(read, woken + Duration::from_millis(20));
+    assert!(matches!(look, LinkStep::Wait(_)), "{look:?}");
+}
--- a/crates/hemlocktack-decide/tests/placement.rs
+++ b/crates/hemlocktack-decide/tests/placement.rs
@@ -116,6 +116,36 @@
     assert!(shares[2] > 50, "{shares:?}");
 }
 
+/// A peer lost power. Each call that tries it waits for nothing; so it is tried
+/// less and less often while it fails, and as ever once it has answered.
+#[test]
+fn a_peer_that_fails_whenever_it_is_tried_is_tried_less_often() {
+    let start = Instant::now();
+    let peers = peers(&[(true, 0), (false, 0)], start);
+    let policy = PlacementPolicy::default();
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut tried_ms = Vec::new();
+    for now_ms in (0..8_000).step_by(10) {
+        let now = start + Duration::from_millis(now_ms);
+        if place(&peers, None, now, &policy, &mut rng) == Some(0) {
+            tried_ms.push(now_ms);
+            // Two calls meet the same fault.
+            for _ in 0..2 {
+                peers[0].sent(now);
+                peers[0].failed(now);
+            }
+        }
+    }
+    assert_eq!(tried_ms, [0, 500, 1_500, 3_500, 5_500, 7_500]);
+    let back = start + Duration::from_millis(9_500);
+    peers[0].sent(back);
+    peers[0].answered(&hint(0), back);
+    peers[0].sent(back);
+    peers[0].failed(back);
+    let soon = back + Duration::from_millis(510);
+    assert!(shares(&peers, soon)[0] > 0);
+}
+
 /// A near node has woken from a freeze; what its last calls took is held
 /// against it. Left alone it would never show that it is well.
 #[test]
--- a/crates/hemlocktack-decide/tests/retry.rs
+++ b/crates/hemlocktack-decide/tests/retry.rs
@@ -53,6 +53,35 @@
     }
 }
 
+/// A request's first send goes to a node that loses power, and its share of the
+/// allowance with it. The entry can still send it to another node, once, and a
+/// second loss is told to the caller.
+#[test]
+fn a_lost_child_leaves_the_entry_its_own_retry() {
+    let allowance = Allowance::with_own(1, 1);
+    let edge = EdgeBudget::new(RetryPolicy::default());
+    let verdicts = [(); 2].map(|()| {
+        // Gone for good with the child that is lost.
+        allowance.give_to_child();
+        let lost = Unfinished::Unknown(Reason::LinkLost);
+        let (left, expected) = (Duration::from_secs(1), Duration::from_millis(100));
+        retry_verdict(&lost, true, left, expected, &allowance, &edge)
+    });
+    assert_eq!(verdicts, [RetryVerdict::Retry, RetryVerdict::Spent]);
+}
+
+/// A child that answers gives its rest back, which stays for the calls below:
+/// the entry sends a request to no more nodes than its own retries allow.
+#[test]
+fn what_a_child_gives_back_is_not_spent_at_the_entry() {
+    let allowance = Allowance::with_own(1, 4);
+    let given = allowance.give_to_child();
+    allowance.give_back(given, given);
+    assert!(allowance.take_one());
+    assert!(!allowance.take_one());
+    assert_eq!((allowance.left(), allowance.left_here()), (4, 0));
+}
+
 #[test]
 fn a_child_cannot_give_back_more_than_it_got() {
     let allowance = Allowance::new(3);
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Allowance, PeerLoad, PlacementPolicy, RetryAfterPolicy, RetryVerdict, Standing, end_of_tries,
-    may_move, place, retry_after, retry_verdict,
+    Allowance, Moves, PeerLoad, PlacementPolicy, RetryAfterPolicy, RetryVerdict, Standing,
+    end_of_tries, may_move, place, retry_after, retry_verdict,
 };
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
 use hemlocktack_telemetry::{Event, SpanName, log_event};
@@ -47,12 +47,8 @@
         let Some(unfinished) = unfinished(&answer) else {
             return answer;
         };
-        let goes_on = if !tries.moved && moves(&unfinished) {
-            tries.moved = true;
-            true
-        } else {
-            is_retried(node, &unfinished, classified, &view, &answer)
-        };
+        let goes_on =
+            tries.moves(&unfinished) || is_retried(node, &unfinished, classified, &view, &answer);
         log_unfinished(node, classified, &view.peers[index], &unfinished, goes_on);
         tries.add(index, unfinished, answer);
         if !goes_on {
@@ -85,7 +81,7 @@
         reason,
         next = if goes_on { "another-node" } else { "the-caller" },
         time_left_ms = time_left.as_millis() as u64,
-        retries_left = classified.allowance.left(),
+        retries_left = classified.allowance.left_here(),
         left_out
     );
 }
@@ -95,8 +91,8 @@
 struct Tries {
     /// The node that ended the last one.
     excluded: Option<usize>,
-    /// The one move that is no retry has been made.
-    moved: bool,
+    /// Those that were no retry.
+    moves: Moves,
     /// What the caller is told if no later send is answered.
     told: Option<Told>,
 }
@@ -107,6 +103,11 @@
 }
 
 impl Tries {
+    /// Whether another node may be tried, which is no retry: nothing ran.
+    fn moves(&mut self, unfinished: &Unfinished) -> bool {
+        matches!(unfinished, Unfinished::NotRun(refusal) if self.moves.take(refusal))
+    }
+
     fn add(&mut self, index: usize, unfinished: Unfinished, answer: Answer) {
         self.excluded = Some(index);
         let earlier = self.told.as_ref().map(|told| told.unfinished);
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -14,6 +14,12 @@
 /// Time that a caller is taken to wait where neither it nor its route says.
 const PATIENCE_UNSAID: Duration = Duration::from_secs(30);
 
+/// Retries of all calls below a request for each that it may make itself. Each
+/// hop gives half of them away with a call, rounded up, and needs one that is
+/// left when the call is lost: of five, the third hop still keeps one, and
+/// today's services call each other so deep.
+const CHAIN_RETRIES_A_RETRY: u32 = 5;
+
 /// What a request's head and the configuration come to.
 pub(super) struct Routed {
     pub(super) route: String,
@@ -99,8 +105,12 @@
         let work_unknown_us = if self.is_deeper { WORK_UNKNOWN_US } else { 0 };
         let allowance = match &parent {
             Some(parent) => parent.allowance.clone(),
-            // Each retry may reach one more upstream.
-            None => Arc::new(Allowance::new(self.attempts.saturating_sub(1))),
+            // Each retry of its own may reach one more upstream.
+            None => {
+                let retries = self.attempts.saturating_sub(1);
+                let for_chain = retries * CHAIN_RETRIES_A_RETRY;
+                Arc::new(Allowance::with_own(retries, for_chain))
+            }
         };
         Classified {
             call: Call {
--- a/crates/hemlocktack-node/src/links/codec.rs
+++ b/crates/hemlocktack-node/src/links/codec.rs
@@ -7,6 +7,8 @@
 use prost::Message;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
+use super::heard::Heard;
+
 /// Result of reading or writing a frame.
 pub(crate) type Result<T> = std::result::Result<T, Error>;
 
@@ -38,6 +40,7 @@
 /// Length-delimited protobuf frames.
 pub(crate) struct FrameCodec {
     lengths: LengthDelimitedCodec,
+    heard: Heard,
 }
 
 impl FrameCodec {
@@ -45,7 +48,13 @@
         let lengths = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME_BYTES)
             .new_codec();
-        Self { lengths }
+        let heard = Heard::new();
+        Self { lengths, heard }
+    }
+
+    /// When anything was read last.
+    pub(super) fn heard(&self) -> &Heard {
+        &self.heard
     }
 }
 
@@ -54,6 +63,8 @@
     type Error = Error;
 
     fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Frame>> {
+        // Called when bytes have come, and once more for each frame in them.
+        self.heard.note();
         let Some(bytes) = self.lengths.decode(source)? else {
             return Ok(None);
         };
--- a/crates/hemlocktack-node/src/links/connection.rs
+++ b/crates/hemlocktack-node/src/links/connection.rs
@@ -3,14 +3,18 @@
 
 use std::io::ErrorKind;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
 
 use bytes::{Buf, BytesMut};
-use hemlocktack_protocol::{Frame, Incarnation, frame};
+use hemlocktack_decide::{LinkStep, LinkWatch, LinkWatchPolicy};
+use hemlocktack_protocol::{EchoRequest, Frame, Incarnation, frame};
+use hemlocktack_telemetry::{Event, log_event};
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::{Notify, watch};
 use tokio_util::codec::Encoder;
 
 use super::FrameCodec;
+use super::heard::Heard;
 
 /// Bytes that may wait for the socket before senders have to. A peer that
 /// reads slowly makes senders wait, and they give up at their own deadlines.
@@ -32,6 +36,10 @@
     /// The socket took bytes.
     progress: Notify,
     closed: watch::Sender<bool>,
+    /// When the far end gave a sign of life.
+    heard: Heard,
+    /// It answers echo requests.
+    answers_echo: bool,
 }
 
 struct Outbox {
@@ -46,7 +54,12 @@
 }
 
 impl Connection {
-    pub(crate) fn start(peer_incarnation: Incarnation, socket: OwnedWriteHalf) -> Self {
+    pub(super) fn start(
+        peer_incarnation: Incarnation,
+        socket: OwnedWriteHalf,
+        heard: Heard,
+        answers_echo: bool,
+    ) -> Self {
         let outbox = Outbox {
             socket: Some(Arc::new(socket)),
             codec: FrameCodec::new(),
@@ -60,6 +73,8 @@
             has_room: Notify::new(),
             progress: Notify::new(),
             closed: watch::Sender::new(false),
+            heard,
+            answers_echo,
         });
         tokio::spawn(write_left_overs(shared.clone()));
         Self {
@@ -133,6 +148,32 @@
         self.shared.close();
     }
 
+    /// Ends when the far end, or the way to it, counts as lost for a call that
+    /// was sent at `sent`; see [`LinkWatch`].
+    pub(crate) async fn lost(&self, sent: Instant) {
+        if !self.shared.answers_echo {
+            return std::future::pending().await;
+        }
+        let mut watch = LinkWatch::new(LinkWatchPolicy::default());
+        loop {
+            let heard = self.shared.heard.last().max(sent);
+            let until = match watch.look(heard, Instant::now()) {
+                LinkStep::Lost => {
+                    let peer_incarnation = self.peer_incarnation;
+                    let silent_ms = heard.elapsed().as_millis() as u64;
+                    log_event!(Event::LinkSilent, peer_incarnation, silent_ms);
+                    return;
+                }
+                LinkStep::Wait(until) => until,
+                LinkStep::Ask(until) => {
+                    self.send_if_room(frame::Body::EchoRequest(EchoRequest {}));
+                    until
+                }
+            };
+            tokio::time::sleep_until(until.into()).await;
+        }
+    }
+
     /// Ends when the connection is lost or closed.
     pub(crate) async fn closed(&self) {
         self.shared.until_closed().await;
@@ -196,7 +237,13 @@
 
     /// Writes until the outbox is empty or the socket takes no more.
     fn write(&self, outbox: &mut Outbox) {
+        let was_blocked = outbox.is_blocked;
+        let before_bytes = outbox.written_bytes;
         let written = outbox.write();
+        if was_blocked && outbox.written_bytes > before_bytes {
+            // The far end has made room: it reads what was sent before.
+            self.heard.note();
+        }
         self.progress.notify_waiters();
         match written {
             Ok(()) if outbox.is_blocked => self.left_over.notify_one(),
--- a/crates/hemlocktack-node/src/links/handshake.rs
+++ b/crates/hemlocktack-node/src/links/handshake.rs
@@ -42,6 +42,8 @@
 /// A link whose other end has proved itself.
 pub(crate) struct OpenLink {
     pub(crate) peer: NodeIncarnation,
+    /// The far end answers echo requests.
+    pub(crate) answers_echo: bool,
     framed: Framed<TcpStream, FrameCodec>,
 }
 
@@ -96,7 +98,11 @@
         node_id: challenge.node_id.as_str().into(),
         incarnation: challenge.incarnation,
     };
-    Ok(OpenLink { peer, framed })
+    Ok(OpenLink {
+        peer,
+        answers_echo: challenge.answers_echo,
+        framed,
+    })
 }
 
 /// The accepting end.
@@ -114,6 +120,7 @@
         incarnation: own.incarnation,
         nonce: fresh_nonce(),
         mac: Bytes::new(),
+        answers_echo: true,
     };
     challenge.mac = sign(keys, MacPurpose::LinkAcceptor, &hello, &challenge);
     send(&mut framed, frame::Body::Challenge(challenge.clone())).await?;
@@ -133,7 +140,12 @@
         node_id: hello.node_id.as_str().into(),
         incarnation: hello.incarnation,
     };
-    Ok(OpenLink { peer, framed })
+    Ok(OpenLink {
+        peer,
+        // Only the end that sends calls asks.
+        answers_echo: false,
+        framed,
+    })
 }
 
 fn fresh_nonce() -> Bytes {
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -8,7 +8,9 @@
 use futures::StreamExt;
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::calls::{Arrival, ArrivalLimits, Arrivals, Resolution};
-use hemlocktack_protocol::{Answer, Call, CallId, CallResolution, Frame, frame};
+use hemlocktack_protocol::{
+    Answer, Call, CallId, CallResolution, EchoReply, EchoRequest, Frame, frame,
+};
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -148,8 +150,10 @@
         return;
     };
     let peer = open.peer.clone();
+    let answers_echo = open.answers_echo;
     let (mut reader, writer) = open.split();
-    let connection = Connection::start(peer.incarnation, writer);
+    let heard = reader.codec().heard().clone();
+    let connection = Connection::start(peer.incarnation, writer, heard, answers_echo);
     let sender = node.senders.connected(&peer, connection.clone());
     while let Some(next) = next_frame(&mut reader, &connection).await {
         let Ok(Frame { body }) = next.inspect_err(log_malformed) else {
@@ -194,6 +198,9 @@
 ) {
     match body {
         frame::Body::Call(call) => take_call(node, sender, call),
+        frame::Body::EchoRequest(EchoRequest {}) => {
+            connection.send_if_room(frame::Body::EchoReply(EchoReply {}));
+        }
         frame::Body::Cancel(cancel) => sender.cancel(cancel.call_id),
         frame::Body::Resolve(resolve) => {
             resolve_call(node, sender, connection, resolve.call_id).await
--- a/crates/hemlocktack-node/src/links/mod.rs
+++ b/crates/hemlocktack-node/src/links/mod.rs
@@ -7,6 +7,7 @@
 mod codec;
 mod connection;
 mod handshake;
+mod heard;
 mod incoming;
 mod outgoing;
 mod queries;
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -11,8 +11,8 @@
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::keys::FleetKeys;
 use hemlocktack_protocol::{
-    Answer, Call, CallId, CallProgress, CancelCall, Frame, Incarnation, NodeId, Reason,
-    ResolveCall, frame,
+    Answer, Call, CallId, CallProgress, CallPurpose, CancelCall, Frame, Incarnation, NodeId,
+    Reason, ResolveCall, frame,
 };
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::net::TcpStream;
@@ -30,6 +30,9 @@
 /// was killed never is, and its callers must not wait for that: an idempotent
 /// call goes elsewhere then, and a ticket is sent to its home again.
 const ASK_AGAIN_LIMIT: Duration = Duration::from_secs(1);
+/// The same for an idempotent call, which another node may run at once: a link
+/// that broke by itself is back within a few milliseconds in a region.
+const ASK_AGAIN_LIMIT_IDEMPOTENT: Duration = Duration::from_millis(150);
 /// Wait between two attempts to reach a peer that has calls of ours pending.
 const REDIAL_PAUSE: Duration = Duration::from_millis(50);
 /// Answers or resolutions that may wait for one call; there are two at most.
@@ -58,6 +61,22 @@
 
 type Pending = Arc<Mutex<HashMap<CallId, mpsc::Sender<CallEvent>>>>;
 
+/// A call that waits for its end.
+struct Wait<'a> {
+    link: &'a Link,
+    call_id: CallId,
+    deadline: Instant,
+    ask_again_limit: Duration,
+}
+
+/// How long a lost peer is tried before the call's end counts as unknown.
+fn ask_again_limit(purpose: CallPurpose) -> Duration {
+    match purpose {
+        CallPurpose::Placed => ASK_AGAIN_LIMIT_IDEMPOTENT,
+        _ => ASK_AGAIN_LIMIT,
+    }
+}
+
 /// All outgoing links of a node.
 pub(crate) struct Links {
     own: NodeIncarnation,
@@ -100,6 +119,7 @@
             return Sent::NeverArrived(Reason::LinkLost);
         };
         let (events, receiver) = mpsc::channel(EVENTS_A_CALL);
+        let ask_again_limit = ask_again_limit(call.purpose());
         let mut pending = None;
         let sending = connection.send_built(|| {
             call.call_id = self.next_call_id.fetch_add(1, Ordering::Relaxed);
@@ -115,20 +135,24 @@
         let Some(pending) = pending else {
             return Sent::NeverArrived(Reason::LinkLost);
         };
-        self.stay_with(&link, connection, pending.call_id, receiver, deadline)
-            .await
+        let wait = Wait {
+            link: &link,
+            call_id: pending.call_id,
+            deadline,
+            ask_again_limit,
+        };
+        self.stay_with(wait, connection, receiver).await
     }
 
     async fn stay_with(
         &self,
-        link: &Link,
+        wait: Wait<'_>,
         mut connection: Connection,
-        call_id: CallId,
         mut events: mpsc::Receiver<CallEvent>,
-        deadline: Instant,
     ) -> Sent {
         let incarnation = connection.peer_incarnation;
-        let mut leaving = CancelOnLeaving::new(call_id, &connection);
+        let mut leaving = CancelOnLeaving::new(wait.call_id, &connection);
+        let mut sent = Instant::now();
         loop {
             tokio::select! {
                 biased;
@@ -145,16 +169,19 @@
                     }
                     None => return Sent::Unknown(Reason::LinkLost),
                 },
+                // What else waits on it learns of the loss by its close.
+                () = connection.lost(sent) => connection.close(),
                 () = connection.closed() => {
-                    match self.ask_again(link, call_id, incarnation, deadline).await {
+                    match self.ask_again(&wait, incarnation).await {
                         Ok(next) => {
                             leaving.follow(&next);
                             connection = next;
+                            sent = Instant::now();
                         }
                         Err(reason) => return Sent::Unknown(reason),
                     }
                 }
-                () = tokio::time::sleep_until(deadline.into()) => {
+                () = tokio::time::sleep_until(wait.deadline.into()) => {
                     return Sent::Unknown(Reason::Timeout);
                 }
             }
@@ -169,14 +196,13 @@
     /// never arrived; another incarnation cannot know.
     async fn ask_again(
         &self,
-        link: &Link,
-        call_id: CallId,
+        wait: &Wait<'_>,
         incarnation: Incarnation,
-        deadline: Instant,
     ) -> Result<Connection, Reason> {
-        let limit = deadline.min(Instant::now() + ASK_AGAIN_LIMIT);
+        let call_id = wait.call_id;
+        let limit = wait.deadline.min(Instant::now() + wait.ask_again_limit);
         while Instant::now() < limit {
-            let Some(connection) = self.connect(link, limit).await else {
+            let Some(connection) = self.connect(wait.link, limit).await else {
                 tokio::time::sleep(REDIAL_PAUSE).await;
                 continue;
             };
@@ -239,8 +265,10 @@
         sockets::prepare_to_ask(&stream).ok()?;
         let open = handshake::dial(stream, &self.own, &self.keys).await.ok()?;
         let peer_incarnation = open.peer.incarnation;
+        let answers_echo = open.answers_echo;
         let (reader, writer) = open.split();
-        let connection = Connection::start(peer_incarnation, writer);
+        let heard = reader.codec().heard().clone();
+        let connection = Connection::start(peer_incarnation, writer, heard, answers_echo);
         let answers = read_answers(
             reader,
             connection.clone(),
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -69,6 +69,8 @@
     404 INFO PeerLost: "another node no longer answers probes", "nothing unless many go at once: then look at their data centre";
     405 INFO PeerChanged: "what this node believes of another one, or of its upstream, has changed", "nothing; compare with the other node's own log";
 
+    406 WARN LinkSilent: "the other end of a link gave no sign of life while calls waited on it; the link is closed", "nothing unless it repeats with the same peer: then look at it, and at the network between";
+
     501 WARN OperatorRefused: "an operators' call without the right token was refused", "if it was you, check the token; if not, look who asks";
     502 INFO OperatorCommand: "an operator's command is carried out", "nothing";
 
