Take the node's state apart from what uses it

Cause: files of the node imported each other in a circle of fifteen (counted by resolving each import to the file that defines it): the node's state needed types that stood beside functions which need the node. Now: tickets at home, senders of calls, the upstream's announcement, and one send to the upstream have files of their own; refusals and their waits stand with the other ends. Ruled out: narrower contexts for each part of a call: more types for the same calls, as every part needs settings, counters and the log.

--- a/crates/hemlocktack-node/src/calls/ends.rs
+++ b/crates/hemlocktack-node/src/calls/ends.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use hemlocktack_decide::RetryAfterPolicy;
 use hemlocktack_protocol::{Answer, Outcome, Reason};
 
-use super::{NOTHING_SHED, wait_before_return};
+/// Pressure behind a refusal that has other causes than load.
+pub(crate) const NOTHING_SHED: f64 = 0.0;
 
 /// Nothing ran and nothing will.
 pub(crate) fn not_run(reason: Reason, retry_after: Option<Duration>) -> Answer {
@@ -38,6 +40,13 @@
     passes.then(|| wait_before_return(NOTHING_SHED))
 }
 
+/// When a caller that is refused here should come back. How far demand exceeds
+/// capacity is not known at the entry; the number of classes that are shed
+/// grows with it, as each is a good part of the demand.
+pub(crate) fn wait_before_return(classes_shed: f64) -> Duration {
+    hemlocktack_decide::retry_after(classes_shed, rand::random(), &RetryAfterPolicy::default())
+}
+
 /// Whether the same request may get an answer a little later.
 fn passes_by_itself(reason: Reason) -> bool {
     matches!(
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -4,15 +4,16 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Allowance, Moves, PeerLoad, PlacementPolicy, RetryAfterPolicy, RetryVerdict, Standing,
-    end_of_tries, may_move, place, retry_after, retry_verdict,
+    Allowance, Moves, PeerLoad, PlacementPolicy, RetryVerdict, Standing, end_of_tries, may_move,
+    place, retry_verdict,
 };
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
 use hemlocktack_telemetry::{Event, SpanName, log_event};
 use tokio_util::sync::CancellationToken;
 
+use super::ends::{NOTHING_SHED, not_run, unknown, wait_before_return};
 use super::service_directory::{PeerEntry, ServiceView};
-use super::{Classified, not_run, receive, unknown};
+use super::{Classified, receive};
 use crate::links::{Peer, Sent};
 use crate::node::{Node, Place};
 use crate::telemetry::ObservedSpan;
@@ -22,9 +23,6 @@
 /// to answer with less knowledge.
 const TIME_FOR_THE_WAY_BACK: Duration = Duration::from_millis(5);
 
-/// Pressure behind a refusal that has other causes than load.
-pub(crate) const NOTHING_SHED: f64 = 0.0;
-
 /// Places a call without a ticket and stays with it until its end. One that is
 /// not idempotent goes to another node only after the one before has proved
 /// that it has not run there.
@@ -327,13 +325,6 @@
     matches!(unfinished, Unfinished::NotRun(refusal) if may_move(refusal.reason))
 }
 
-/// When a caller that is refused here should come back. How far demand exceeds
-/// capacity is not known at the entry; the number of classes that are shed
-/// grows with it, as each is a good part of the demand.
-pub(crate) fn wait_before_return(classes_shed: f64) -> Duration {
-    retry_after(classes_shed, rand::random(), &RetryAfterPolicy::default())
-}
-
 /// Takes a retry from the allowance and the edge, if one may be made.
 fn is_retried(
     node: &Node,
--- a/crates/hemlocktack-node/src/calls/ticketed.rs
+++ b/crates/hemlocktack-node/src/calls/ticketed.rs
@@ -7,9 +7,8 @@
 use hemlocktack_fleet::tickets::{ChildHome, ChildRefusal, Ticket, TicketError, find_home};
 use hemlocktack_protocol::{Answer, CallPurpose, NodeState, Outcome, Reason};
 
-use super::place::{
-    Delivery, NOTHING_SHED, admitted_view, choose, send_with_allowance, wait_before_return,
-};
+use super::ends::{NOTHING_SHED, wait_before_return};
+use super::place::{Delivery, admitted_view, choose, send_with_allowance};
 use super::service_directory::{PeerEntry, ServiceView};
 use super::{Classified, not_run, unknown};
 use crate::node::Node;
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -1,23 +1,20 @@
 //! Links that other nodes opened: their calls, cancellations and questions.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
-use arc_swap::ArcSwapOption;
 use futures::StreamExt;
-use hemlocktack_fleet::NodeIncarnation;
-use hemlocktack_fleet::calls::{Arrival, ArrivalLimits, Arrivals, Resolution};
+use hemlocktack_fleet::calls::{Arrival, Resolution};
 use hemlocktack_protocol::{
     Answer, Call, CallId, CallResolution, EchoReply, EchoRequest, Frame, frame,
 };
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::net::{TcpListener, TcpStream};
-use tokio_util::sync::CancellationToken;
 
 use super::codec::log_malformed;
 use super::connection::Connection;
 use super::handshake::{self, OpenLink, Reader};
+use super::senders::Sender;
 use crate::calls;
 use crate::handover;
 use crate::node::Node;
@@ -25,111 +22,6 @@
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// What this node remembers of those who send it calls.
-///
-/// It outlives connections: a call is answered, or asked about, over whichever
-/// connection from the same sender is open by then.
-pub(crate) struct Senders {
-    arrivals: Mutex<Arrivals>,
-    senders: Mutex<HashMap<NodeIncarnation, Arc<Sender>>>,
-}
-
-/// One start of a node that has a link here.
-struct Sender {
-    identity: NodeIncarnation,
-    connection: ArcSwapOption<Connection>,
-    cancellations: Mutex<HashMap<CallId, CancellationToken>>,
-}
-
-impl Default for Senders {
-    fn default() -> Self {
-        Self {
-            arrivals: Mutex::new(Arrivals::new(ArrivalLimits::default())),
-            senders: Mutex::default(),
-        }
-    }
-}
-
-impl Senders {
-    fn connected(&self, identity: &NodeIncarnation, connection: Connection) -> Arc<Sender> {
-        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
-        let sender = senders
-            .entry(identity.clone())
-            .or_insert_with(|| Sender::new(identity.clone()))
-            .clone();
-        sender.connection.store(Some(Arc::new(connection)));
-        sender
-    }
-
-    /// Forgets a sender whose last connection closed with no call of it running.
-    /// What became of its calls stays known in `arrivals`, which is bounded.
-    fn disconnected(&self, sender: &Sender) {
-        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
-        // A newer link may have brought a newer entry of the same identity.
-        let is_listed = senders
-            .get(&sender.identity)
-            .is_some_and(|listed| std::ptr::eq(Arc::as_ptr(listed), sender));
-        if is_listed && sender.is_closed() && sender.is_idle() {
-            senders.remove(&sender.identity);
-        }
-    }
-
-    fn arrive(&self, sender: &Sender, call_id: CallId) -> Arrival {
-        self.arrivals
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .arrive(&sender.identity, call_id)
-    }
-
-    fn finish(&self, sender: &Sender, answer: &Answer) {
-        let kept = Some(Arc::new(answer.clone()));
-        let mut arrivals = self.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
-        arrivals.finish(&sender.identity, answer.call_id, kept);
-    }
-
-    fn resolve(&self, sender: &Sender, call_id: CallId) -> Resolution {
-        self.arrivals
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .resolve(&sender.identity, call_id)
-    }
-}
-
-impl Sender {
-    fn new(identity: NodeIncarnation) -> Arc<Self> {
-        Arc::new(Self {
-            identity,
-            connection: ArcSwapOption::empty(),
-            cancellations: Mutex::default(),
-        })
-    }
-
-    fn is_closed(&self) -> bool {
-        self.connection
-            .load()
-            .as_ref()
-            .is_none_or(|connection| connection.is_closed())
-    }
-
-    fn is_idle(&self) -> bool {
-        self.cancellations
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .is_empty()
-    }
-
-    /// Sends and waits until the frame has left.
-    ///
-    /// Failure: a node stops while a large answer waits for a sender that reads
-    /// slowly; the sender would get a part of it and a closed link.
-    async fn send_out(&self, body: frame::Body) {
-        if let Some(connection) = self.connection.load_full() {
-            connection.send(body).await;
-            connection.flushed().await;
-        }
-    }
-}
-
 /// Accepts links until the listener fails for good or the node stops.
 pub(crate) async fn serve_links(node: Arc<Node>, listener: TcpListener) {
     loop {
@@ -260,33 +152,3 @@
         }))
         .await;
 }
-
-impl Sender {
-    fn register_cancellation(&self, call_id: CallId) -> CancellationToken {
-        let token = CancellationToken::new();
-        self.cancellations
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .insert(call_id, token.clone());
-        token
-    }
-
-    fn forget_cancellation(&self, call_id: CallId) {
-        self.cancellations
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(&call_id);
-    }
-
-    fn cancel(&self, call_id: CallId) {
-        let token = self
-            .cancellations
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(&call_id)
-            .cloned();
-        if let Some(token) = token {
-            token.cancel();
-        }
-    }
-}
--- a/crates/hemlocktack-node/src/links/mod.rs
+++ b/crates/hemlocktack-node/src/links/mod.rs
@@ -12,7 +12,9 @@
 mod outgoing;
 mod queries;
 mod questions;
+mod senders;
 
 pub(crate) use codec::FrameCodec;
-pub(crate) use incoming::{Senders, serve_links};
+pub(crate) use incoming::serve_links;
 pub(crate) use outgoing::{Links, Peer, Sent};
+pub(crate) use senders::Senders;
--- a/crates/hemlocktack-node/src/upstream/announce.rs
+++ b/crates/hemlocktack-node/src/upstream/announce.rs
@@ -1,14 +1,13 @@
 //! What the upstream tells the node beside it.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rocket::State;
 use rocket::http::{ContentType, Status};
 use rocket::{Route, post, routes};
-use serde::Deserialize;
 
+use super::Announcement;
 use crate::node::Node;
 
 /// An upstream that has not renewed for three of these counts as absent.
@@ -16,26 +15,6 @@
 /// Renewals that may be missed.
 pub(crate) const RENEWALS_MISSED_MAX: u32 = 3;
 
-/// An upstream's word about itself.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub(crate) struct Announcement {
-    pub(crate) address: SocketAddr,
-    /// Requests that it works on at once.
-    pub(crate) slots: u32,
-    /// Connections that it accepts.
-    pub(crate) connections: u32,
-    /// It has just started and is slower than it will be.
-    #[serde(default)]
-    pub(crate) cold: bool,
-    /// Where it tells its load; a hint.
-    #[serde(default)]
-    pub(crate) load_path: Option<String>,
-    /// Names its start, with an interface that has such names.
-    #[serde(skip)]
-    pub(crate) upstream_start: Option<Arc<str>>,
-}
-
 /// Routes of the upstream on the control address.
 pub(crate) fn routes() -> Vec<Route> {
     routes![announce, drain]
--- a/crates/hemlocktack-node/src/upstream/any_client.rs
+++ b/crates/hemlocktack-node/src/upstream/any_client.rs
@@ -5,21 +5,10 @@
 
 use bytes::Bytes;
 use hemlocktack_interface::{Health, Interface};
-use hemlocktack_protocol::Call;
 
 use super::client::OwnClient;
 use super::interface_client::InterfaceClient;
-use super::{Announcement, UpstreamEnd};
-
-/// One send of a call to the upstream.
-pub(crate) struct UpstreamSend<'a> {
-    pub(crate) announcement: &'a Announcement,
-    pub(crate) call: &'a Call,
-    /// Opaque header by which deeper calls find their parent.
-    pub(crate) context: &'a str,
-    pub(crate) deadline: Instant,
-    pub(crate) answer_limit_bytes: usize,
-}
+use super::{UpstreamEnd, UpstreamSend};
 
 /// Client for one upstream.
 pub(crate) enum UpstreamClient {
--- a/crates/hemlocktack-node/src/upstream/client.rs
+++ b/crates/hemlocktack-node/src/upstream/client.rs
@@ -8,21 +8,9 @@
 };
 use reqwest::{Client, Method, Response};
 
-use super::UpstreamSend;
+use super::{UpstreamEnd, UpstreamSend};
 use crate::callers::is_passed_on;
 
-/// How one send to the upstream ended.
-pub(crate) enum UpstreamEnd {
-    Answered {
-        status: u16,
-        headers: Vec<Header>,
-        body: Bytes,
-    },
-    /// No byte of the call reached the upstream, or it says it shed the call.
-    NotRun(Reason),
-    Unknown(Reason),
-}
-
 /// Client for one upstream that speaks the product's own interface.
 pub(crate) struct OwnClient {
     client: Client,
