Let callers come back while they can still be answered in time

Load: more than a deep service has room for, for 18 s; every refused caller comes back once. Ruled out: returning requests first (in a lasting overload as many are refused twice either way, and the served ones are then all late); no time to come back (they come all the same). Now: the patience met most on a route is the whole one, and who brings less has waited; its rest of the objective bounds its wait, it is not queued where it would be late anyway, and does not teach the limit; times to come back are cut to three quarters of what is left beside the run.

--- a/crates/hemlocktack-decide/benches/decisions.rs
+++ b/crates/hemlocktack-decide/benches/decisions.rs
@@ -25,6 +25,7 @@
         class_rank: (call_id % 3) as u8,
         deadline: now + Duration::from_secs(3600),
         objective: None,
+        has_returned: false,
         root_request_id: call_id,
         work_spent: Duration::ZERO,
         fingerprint: call_id,
--- a/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/upstream_side.rs
@@ -69,6 +69,7 @@
             class_rank: self.deployment.kinds[request.kind].class_rank,
             deadline: self.instant(call.deadline),
             objective: None,
+            has_returned: false,
             root_request_id: request.root_request_id,
             work_spent: call.work_before,
             fingerprint: self.fingerprint(call),
--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -12,7 +12,7 @@
 use crate::policy::AdmissionPolicy;
 use crate::quarantine::{Quarantine, Standing};
 use crate::queue::{ClassQueue, Waiting, class_of};
-use crate::retry_after::retry_after;
+use crate::retry_after::{retry_after, within_objective};
 use crate::shed::{Pressure, ShedController, ShedLevel};
 use crate::suspects::SuspectQueue;
 use crate::work::WorkTable;
@@ -24,6 +24,7 @@
     started: Instant,
     /// Time in which its answer is wanted, from its offer on.
     objective: Option<Duration>,
+    has_returned: bool,
 }
 
 /// All decisions of one node about calls to its upstream.
@@ -287,15 +288,18 @@
         let is_long = waiting
             .objective
             .is_some_and(|objective| wait > objective.mul_f64(self.policy.queue.wait_share));
-        if is_long || self.is_hopeless(offer.kind, waiting.deadline, wait, now) {
-            return Verdict::Refused(self.refusal(Reason::DeadlineTooShort, offer.call_id));
+        if is_long
+            || self.is_late_anyway(&waiting)
+            || self.is_hopeless(offer.kind, waiting.deadline, wait, now)
+        {
+            return Verdict::Refused(self.refusal_of(Reason::DeadlineTooShort, &waiting));
         }
         if self.is_shed(offer, class, invested, now) {
-            return Verdict::Refused(self.refusal(Reason::Shed, offer.call_id));
+            return Verdict::Refused(self.refusal_of(Reason::Shed, &waiting));
         }
         if !self.make_room(class, invested) {
             self.hold_back_below(class, now);
-            return Verdict::Refused(self.refusal(Reason::QueueFull, offer.call_id));
+            return Verdict::Refused(self.refusal_of(Reason::QueueFull, &waiting));
         }
         self.queue.push(waiting);
         Verdict::Queued
@@ -321,6 +325,17 @@
         Verdict::Queued
     }
 
+    /// Whether a caller who came back cannot be answered in time any more.
+    ///
+    /// Load: more than there is room for, with callers who come back. Harm: a
+    /// slot that answers it late is taken from one that could be answered in
+    /// time. Fresh requests are never held to this: where even they are late,
+    /// late answers are all that there is to give.
+    fn is_late_anyway(&self, call: &Waiting) -> bool {
+        let expected = self.work.expected(call.kind);
+        call.has_returned && call.objective.is_some_and(|objective| objective < expected)
+    }
+
     /// Whether the level refuses a call here. The entry has applied the level
     /// already, a little out of date; so while the queue is short, anything that
     /// got here is taken.
@@ -425,6 +440,7 @@
                 fingerprint: call.fingerprint,
                 started: now,
                 objective: call.objective,
+                has_returned: call.has_returned,
             },
         );
         if let Some(limit) = &mut self.objective_limit {
@@ -437,7 +453,8 @@
         let own = total.saturating_sub(time_below);
         let ratio = self.work.observe(call.kind, total, own, now);
         if let Some(limit) = &mut self.objective_limit {
-            if let Some(objective) = call.objective {
+            // A rest of an objective says nothing about the limit.
+            if let Some(objective) = call.objective.filter(|_| !call.has_returned) {
                 let whole = objective.as_secs_f64().max(LEAST_OBJECTIVE_SECS);
                 let own_share = own.as_secs_f64() / whole;
                 let below_share = (total - own).as_secs_f64() / whole;
@@ -527,6 +544,20 @@
         due
     }
 
+    /// A refusal that lets the caller come back in time, where it can.
+    fn refusal_of(&self, reason: Reason, call: &Waiting) -> Refusal {
+        let refusal = self.refusal(reason, call.call_id);
+        let expected = self.work.expected(call.kind);
+        let cut = |wait| match call.objective {
+            Some(objective) => within_objective(wait, objective, expected),
+            None => wait,
+        };
+        Refusal {
+            retry_after: refusal.retry_after.map(cut),
+            ..refusal
+        }
+    }
+
     fn refusal(&self, reason: Reason, call_id: CallId) -> Refusal {
         let pressure = self.shed.excess(self.capacity_per_sec());
         Refusal {
--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -20,6 +20,7 @@
 mod retry_after;
 mod shed;
 mod suspects;
+mod usual_patience;
 mod work;
 
 pub use admission::Admission;
@@ -35,5 +36,6 @@
 pub use retry::{
     Allowance, EdgeBudget, RetryPolicy, RetryVerdict, end_of_tries, retry_verdict, share_for_child,
 };
-pub use retry_after::{RetryAfterPolicy, retry_after};
+pub use retry_after::{RetryAfterPolicy, retry_after, within_objective};
 pub use shed::{ChainEdges, EntryShedPolicy, EntryShedder, ShedController, ShedLevel, ShedPolicy};
+pub use usual_patience::UsualPatience;
--- a/crates/hemlocktack-decide/src/offer.rs
+++ b/crates/hemlocktack-decide/src/offer.rs
@@ -20,6 +20,9 @@
     /// Until when an answer is worth most to the caller of a root request;
     /// `None` for deeper calls and where operators do not say.
     pub objective: Option<Instant>,
+    /// The caller was refused before and has come back: part of its objective
+    /// had passed before it came.
+    pub has_returned: bool,
     /// The root request.
     pub root_request_id: RootRequestId,
     /// Work that the chain has already spent on the root request.
--- a/crates/hemlocktack-decide/src/queue.rs
+++ b/crates/hemlocktack-decide/src/queue.rs
@@ -25,6 +25,7 @@
     pub(crate) deadline: Instant,
     /// Time in which its answer is wanted, from its offer on.
     pub(crate) objective: Option<Duration>,
+    pub(crate) has_returned: bool,
     pub(crate) kind: WorkKind,
     pub(crate) fingerprint: Fingerprint,
 }
@@ -40,6 +41,7 @@
             objective: offer
                 .objective
                 .map(|objective| objective.saturating_duration_since(now)),
+            has_returned: offer.has_returned,
             kind: offer.kind,
             fingerprint: offer.fingerprint,
         }
--- a/crates/hemlocktack-decide/src/retry_after.rs
+++ b/crates/hemlocktack-decide/src/retry_after.rs
@@ -21,6 +21,26 @@
     }
 }
 
+/// Share of what is left of an objective beside the work itself that a caller
+/// may be sent away for: the rest is for the wait when it is back.
+const SLACK_SHARE: f64 = 0.75;
+/// With less left than this a caller cannot be answered in time any more.
+const LEAST_SLACK: Duration = Duration::from_millis(100);
+
+/// The same wait, cut so that the caller can still be answered in time.
+///
+/// Load: an overload of some seconds. Harm: callers who are told to come back
+/// in a second, with a run of one second and an objective of two, come back too
+/// late whatever happens then, and each slot that they get answers one late
+/// that could have answered another in time.
+pub fn within_objective(wait: Duration, objective_left: Duration, expected: Duration) -> Duration {
+    let slack = objective_left.saturating_sub(expected);
+    if slack < LEAST_SLACK {
+        return wait;
+    }
+    wait.min(slack.mul_f64(SLACK_SHARE))
+}
+
 /// Time until a refused caller should come back.
 ///
 /// Load: a surge whose refused callers all return. Harm: if all wait equally
--- a/crates/hemlocktack-decide/tests/admission.rs
+++ b/crates/hemlocktack-decide/tests/admission.rs
@@ -25,6 +25,7 @@
         class_rank,
         deadline: now + PATIENCE,
         objective: None,
+        has_returned: false,
         root_request_id: call_id,
         work_spent: Duration::ZERO,
         fingerprint: call_id,
--- a/crates/hemlocktack-decide/tests/objectives.rs
+++ b/crates/hemlocktack-decide/tests/objectives.rs
@@ -27,6 +27,7 @@
         class_rank: 2,
         deadline: now + PATIENCE,
         objective: Some(now + OBJECTIVE),
+        has_returned: false,
         root_request_id: call_id,
         work_spent: Duration::ZERO,
         fingerprint: call_id,
@@ -83,3 +84,62 @@
     let run = Duration::from_millis(1_300);
     assert_eq!(run_rounds(3, run, run), [FILLED_SLOTS; 3]);
 }
+
+/// An admission whose runs take `run`, mostly in deeper calls, with every slot
+/// busy and nobody waiting.
+fn busy(run: Duration, now: Instant) -> (Admission, Instant) {
+    let mut admission = admission(now);
+    for call_id in 0..u64::from(FILLED_SLOTS) {
+        assert_eq!(admission.offer(&offer(call_id, now), now), Verdict::Run);
+    }
+    let later = now + run;
+    for call_id in 0..8 {
+        admission.finish(call_id, Ended::Answered, run - OWN_WORK, later);
+    }
+    let mut call_id = 1_000;
+    while admission.offer(&offer(call_id, later), later) == Verdict::Run {
+        call_id += 1;
+    }
+    admission.cancel(call_id);
+    (admission, later)
+}
+
+/// A saturated service, and a caller who was refused a while ago comes back with
+/// less left of its objective than a run takes. Its answer would be late in any
+/// case; a fresh request in its place is answered in time.
+#[test]
+fn who_came_back_too_late_does_not_take_the_place_of_a_fresh_request() {
+    let run = Duration::from_millis(600);
+    let (mut admission, now) = busy(run, Instant::now());
+    let returned = Offer {
+        objective: Some(now + Duration::from_millis(500)),
+        has_returned: true,
+        ..offer(2_000, now)
+    };
+    let verdict = admission.offer(&returned, now);
+    assert!(matches!(verdict, Verdict::Refused(_)), "{verdict:?}");
+    let in_time = Offer {
+        objective: Some(now + Duration::from_millis(900)),
+        ..returned
+    };
+    assert_eq!(admission.offer(&in_time, now), Verdict::Queued);
+    assert_eq!(admission.offer(&offer(2_001, now), now), Verdict::Queued);
+}
+
+/// Whoever is refused is told a time at which it can still be answered in time:
+/// of 1.5 s a run takes 0.6.
+#[test]
+fn a_refused_caller_is_sent_away_for_no_longer_than_it_can_use() {
+    let run = Duration::from_millis(600);
+    let (mut admission, now) = busy(run, Instant::now());
+    let slack = OBJECTIVE - run;
+    let mut refused = 0;
+    for call_id in 3_000..3_400 {
+        if let Verdict::Refused(refusal) = admission.offer(&offer(call_id, now), now) {
+            let wait = refusal.retry_after.expect("a time to come back");
+            assert!(wait <= slack, "{wait:?}");
+            refused += 1;
+        }
+    }
+    assert!(refused > 100, "{refused}");
+}
--- a/crates/hemlocktack-decide/tests/quarantine.rs
+++ b/crates/hemlocktack-decide/tests/quarantine.rs
@@ -23,6 +23,7 @@
         class_rank: 0,
         deadline: now + Duration::from_secs(2),
         objective: None,
+        has_returned: false,
         root_request_id: call_id,
         work_spent: Duration::ZERO,
         fingerprint,
--- /dev/null
+++ b/crates/hemlocktack-decide/tests/usual_patience.rs
@@ -0,0 +1,57 @@
+//! Callers who come back, told from fresh ones.
+
+use std::time::Duration;
+
+use hemlocktack_decide::UsualPatience;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+const WHOLE: Duration = Duration::from_millis(6_000);
+const PATIENT: Duration = Duration::from_millis(9_000);
+
+/// An overload in which two of five requests are from callers who come back,
+/// each with another rest of its patience, and one of twenty is from a more
+/// patient program. The rests are told from the whole, and patient callers are
+/// not taken for a new usual.
+#[test]
+fn the_patience_met_most_is_the_whole_one() {
+    let mut random = SmallRng::seed_from_u64(5);
+    let mut patience = UsualPatience::default();
+    let mut wrong = 0;
+    for number in 0..5_000 {
+        let rest = WHOLE - Duration::from_millis(random.random_range(200..1_500));
+        let sent = match random.random_range(0..20) {
+            0 => PATIENT,
+            1..9 => rest,
+            _ => WHOLE,
+        };
+        let waited = patience.waited(sent);
+        let is_right = waited == WHOLE.saturating_sub(sent);
+        wrong += u32::from(number >= 100 && !is_right);
+    }
+    assert_eq!(wrong, 0);
+}
+
+#[test]
+fn nothing_is_held_against_the_first_requests() {
+    let mut patience = UsualPatience::default();
+    for rest_ms in [6_000, 5_000, 4_000, 3_000] {
+        let waited = patience.waited(Duration::from_millis(rest_ms));
+        assert_eq!(waited, Duration::ZERO);
+    }
+}
+
+/// The callers' program is replaced by one with less patience: until that is
+/// known its requests look like those of callers who come back, and no longer.
+#[test]
+fn another_usual_patience_is_learnt() {
+    let mut patience = UsualPatience::default();
+    for _ in 0..5_000 {
+        patience.waited(WHOLE);
+    }
+    let less = Duration::from_millis(4_000);
+    for _ in 0..1_500 {
+        patience.waited(less);
+    }
+    assert_eq!(patience.waited(less), Duration::ZERO);
+}
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -5,7 +5,7 @@
 
 use hemlocktack_decide::{
     Allowance, Moves, PeerLoad, PlacementPolicy, RetryVerdict, Standing, end_of_tries, may_move,
-    place, retry_verdict,
+    place, retry_verdict, within_objective,
 };
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
 use hemlocktack_telemetry::{Event, SpanName, log_event};
@@ -154,10 +154,15 @@
         return Ok(view);
     }
     let classes_shed = view.level(classified.kind).classes_shed(node.class_count());
-    let retry_after = Some(wait_before_return(classes_shed));
+    let wait = wait_before_return(classes_shed);
+    let wait = classified.objective.map_or(wait, |objective| {
+        // How long it would run is known where it was sent; half is usual.
+        let left = objective.saturating_duration_since(Instant::now());
+        within_objective(wait, left, left / 2)
+    });
     Err(Refusal {
         reason: Reason::Shed,
-        retry_after,
+        retry_after: Some(wait),
     })
 }
 
--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -49,6 +49,7 @@
         class_rank,
         deadline,
         objective: objective(&call),
+        has_returned: call.has_returned,
         root_request_id: call.root_request_id,
         work_spent: Duration::from_micros(call.work_spent_us),
         fingerprint: call.fingerprint,
--- a/crates/hemlocktack-node/src/calls/service_directory.rs
+++ b/crates/hemlocktack-node/src/calls/service_directory.rs
@@ -3,11 +3,12 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use hemlocktack_decide::{
-    EdgeBudget, EntryShedPolicy, EntryShedder, PeerLoad, RetryPolicy, ShedLevel, WorkKind,
+    EdgeBudget, EntryShedPolicy, EntryShedder, PeerLoad, RetryPolicy, ShedLevel, UsualPatience,
+    WorkKind,
 };
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_protocol::{
@@ -15,6 +16,9 @@
 };
 
 const MILLE_A_PERCENT: u32 = 10;
+/// Routes whose callers' patience is remembered: more than any deployment of
+/// today has. Beyond it all are learnt anew, which takes a few requests each.
+const PATIENCES_LIMIT: usize = 4_096;
 
 /// One node of a service and what its replies said.
 pub(crate) struct PeerEntry {
@@ -43,6 +47,8 @@
     retry_share_per_mille: AtomicU32,
     /// Which service a kind of work belongs to, for kinds seen on this node.
     service_of_kind: Mutex<HashMap<WorkKind, ServiceName>>,
+    /// Patience of callers by route.
+    patiences: Mutex<HashMap<u64, UsualPatience>>,
 }
 
 impl ServiceDirectory {
@@ -52,6 +58,7 @@
             services: ArcSwap::default(),
             retry_share_per_mille: AtomicU32::new(RetryPolicy::default().share_per_mille),
             service_of_kind: Mutex::default(),
+            patiences: Mutex::default(),
         }
     }
 
@@ -140,6 +147,19 @@
         Arc::new(PeerLoad::new(is_near, member.upstream(), Instant::now()))
     }
 
+    /// How long the caller of a request on this route has waited before it came,
+    /// by how long it says that it still waits.
+    pub(crate) fn waited(&self, route_id: u64, time_left: Duration) -> Duration {
+        let mut patiences = self
+            .patiences
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if patiences.len() >= PATIENCES_LIMIT && !patiences.contains_key(&route_id) {
+            patiences.clear();
+        }
+        patiences.entry(route_id).or_default().waited(time_left)
+    }
+
     /// Remembers which service a kind of work belongs to.
     pub(crate) fn note_kind(&self, kind: WorkKind, service: &str) {
         let mut kinds = self
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -27,6 +27,7 @@
     pub(super) body_limit_bytes: usize,
     pub(super) deadline: Instant,
     objective: Option<Instant>,
+    has_returned: bool,
     idempotent: bool,
     class_rank: ClassRank,
     attempts: u32,
@@ -51,6 +52,10 @@
         .ok_or(Reason::UnknownService)?;
     let target = route.target(rand::random()).ok_or(Reason::UnknownService)?;
     let parent_id = entered.parent_request_id.as_deref();
+    let waited = match (parent_id, entered.time_left) {
+        (None, Some(time_left)) => node.services.waited(route_id(route), time_left),
+        _ => Duration::ZERO,
+    };
     let parent = parent_id.and_then(|parent| node.contexts.find_by_request(parent));
     Ok(Routed {
         route: route.name.clone(),
@@ -61,8 +66,9 @@
             Some(_) => None,
             None => route
                 .target_latency_ms
-                .map(|target| now + Duration::from_millis(target)),
+                .map(|target| now + objective_left(target, waited)),
         },
+        has_returned: !waited.is_zero(),
         idempotent: route.idempotent,
         class_rank: class_rank(document, route),
         attempts: route.attempts,
@@ -71,6 +77,18 @@
     })
 }
 
+fn route_id(route: &Route) -> u64 {
+    stable_hash(&[route.name.as_bytes()])
+}
+
+/// What is left of the objective of a caller that has waited before; one that
+/// has none left may still be answered while nobody waits.
+fn objective_left(target_ms: u64, waited: Duration) -> Duration {
+    const LEAST: Duration = Duration::from_millis(1);
+    let whole = Duration::from_millis(target_ms);
+    whole.saturating_sub(waited).max(LEAST)
+}
+
 /// The caller's patience and the operators' limit, whichever is shorter.
 fn patience(entered: &Entered, route: &Route) -> Duration {
     let timeout = route.timeout_ms.map(Duration::from_millis);
@@ -125,6 +143,7 @@
                     parent.work_spent_us(now).max(WORK_UNKNOWN_US)
                 }),
                 work_kind: kind,
+                has_returned: self.has_returned,
                 ..call
             },
             idempotent: self.idempotent,
