--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -108,6 +108,8 @@
         queue_delay_us = hint.queue_delay_us,
         shed_level = hint.shed_level,
         time_left_ms = time_left.as_millis() as u64,
+        objective_left_ms = call.objective_left_us / 1_000,
+        has_returned = call.has_returned,
         retry_after_ms = answer.retry_after_ms,
         left_out
     );
