--- a/crates/hemlocktack-node/tests/processes/harness/stand_ins.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/stand_ins.rs
@@ -64,10 +64,6 @@
         let request = reqwest::Client::new().put(url).json(value);
         assert!(request.send().await.unwrap().status().is_success());
     }
-
-    pub(crate) async fn counts(&self) -> platform::Counts {
-        read(self.address, "counts").await.unwrap()
-    }
 }
 
 /// An upstream's stand-in.
