--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -1,18 +1,18 @@
 //! Admission on the node beside an upstream: run, queue or refuse each call.
 
+mod refuse;
+
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use hemlocktack_protocol::{CallId, Fingerprint, LoadHint, Reason, Refusal, UpstreamState};
 
 use crate::limit::{ConcurrencyLimit, WindowEnd};
-use crate::mix::mix;
 use crate::objective_limit::ObjectiveLimit;
 use crate::offer::{CancelResult, Decision, Ended, Offer, Verdict, WorkKind};
 use crate::policy::AdmissionPolicy;
 use crate::quarantine::{Quarantine, Standing};
 use crate::queue::{ClassQueue, Waiting, class_of};
-use crate::retry_after::{retry_after, within_objective};
 use crate::shed::{Pressure, ShedController, ShedLevel};
 use crate::suspects::SuspectQueue;
 use crate::work::WorkTable;
@@ -325,45 +325,6 @@
         Verdict::Queued
     }
 
-    /// Whether a caller who came back cannot be answered in time any more.
-    ///
-    /// Load: more than there is room for, with callers who come back. Harm: a
-    /// slot that answers it late is taken from one that could be answered in
-    /// time. Fresh requests are never held to this: where even they are late,
-    /// late answers are all that there is to give.
-    fn is_late_anyway(&self, call: &Waiting) -> bool {
-        let expected = self.work.expected(call.kind);
-        call.has_returned && call.objective.is_some_and(|objective| objective < expected)
-    }
-
-    /// Whether the level refuses a call here. The entry has applied the level
-    /// already, a little out of date; so while the queue is short, anything that
-    /// got here is taken.
-    fn is_shed(&self, offer: &Offer, class: usize, invested: bool, now: Instant) -> bool {
-        let below_refused = self
-            .strict
-            .is_some_and(|strict| class > strict.class && now < strict.until);
-        if below_refused {
-            return true;
-        }
-        let standing = f64::from(self.current_limit()) * self.policy.shed.target_queue;
-        let is_short = (self.queue.len() as f64) < standing.max(1.0);
-        let level = self.shed.level();
-        !is_short && !invested && !level.admits(offer.class_rank, offer.root_request_id)
-    }
-
-    /// Load: a queue full of important calls. Harm: a slot that frees up goes
-    /// to a less important call that came just after an important one was
-    /// refused. One interval of the shed level is enough: by then the entries
-    /// hold the less important ones back.
-    fn hold_back_below(&mut self, class: usize, now: Instant) {
-        let held = self.strict.filter(|strict| now < strict.until);
-        self.strict = Some(Strict {
-            class: held.map_or(class, |strict| strict.class.min(class)),
-            until: now + self.policy.queue.strict_for,
-        });
-    }
-
     fn make_room(&mut self, class: usize, invested: bool) -> bool {
         if self.queue.len() < self.queue_bound() {
             return true;
@@ -507,32 +468,12 @@
         }
     }
 
-    /// Load: a queue or work too long for the caller's patience. Harm: the
-    /// answer comes after the caller has gone, and its work, here and in the
-    /// hops above, was for nobody.
-    fn is_hopeless(&self, kind: WorkKind, deadline: Instant, wait: Duration, now: Instant) -> bool {
-        let work = self
-            .work
-            .expected(kind)
-            .mul_f64(self.policy.queue.work_margin);
-        now + wait + work > deadline
-    }
-
     /// Time until `calls` calls have started.
     fn wait_for(&self, calls: usize) -> Duration {
         let per_call = self.work.expected_any() / self.current_limit().max(1);
         per_call.mul_f64(calls as f64)
     }
 
-    fn capacity_per_sec(&self) -> f64 {
-        let expected = self.work.expected_any().as_secs_f64();
-        if expected > 0.0 {
-            f64::from(self.current_limit()) / expected
-        } else {
-            f64::INFINITY
-        }
-    }
-
     fn probe(&mut self, now: Instant) -> bool {
         let every = self.policy.queue.probe_every;
         let due = self
@@ -543,30 +484,4 @@
         }
         due
     }
-
-    /// A refusal that lets the caller come back in time, where it can.
-    fn refusal_of(&self, reason: Reason, call: &Waiting) -> Refusal {
-        let refusal = self.refusal(reason, call.call_id);
-        let expected = self.work.expected(call.kind);
-        let cut = |wait| match call.objective {
-            Some(objective) => within_objective(wait, objective, expected),
-            None => wait,
-        };
-        Refusal {
-            retry_after: refusal.retry_after.map(cut),
-            ..refusal
-        }
-    }
-
-    fn refusal(&self, reason: Reason, call_id: CallId) -> Refusal {
-        let pressure = self.shed.excess(self.capacity_per_sec());
-        Refusal {
-            reason,
-            retry_after: Some(retry_after(
-                pressure,
-                mix(call_id),
-                &self.policy.retry_after,
-            )),
-        }
-    }
 }
