Say whose watch a link's watch is; keep one function for moves

LinkWatch told of one watch a link; each waiting call has its own. place.rs had a second function named moves that only the home of tickets used: the home asks may_move itself. No behaviour changed.

--- a/crates/hemlocktack-decide/src/link_watch.rs
+++ b/crates/hemlocktack-decide/src/link_watch.rs
@@ -38,7 +38,9 @@
     Lost,
 }
 
-/// Watches one link for as long as calls wait on it.
+/// Watches one link for one call that waits on it. Each call has a watch of its
+/// own: what any of them hears counts for all, and the first that gives the link
+/// up closes it for all.
 ///
 /// Load: any; a peer that lost power, stands still or is cut off, or a
 /// connection that a path has forgotten. Harm: nothing says so, and every call
@@ -64,8 +66,8 @@
     }
 
     /// To be asked when the wait that was given last is over. `heard` is when
-    /// anything came over the link last, or when the first call that waits was
-    /// sent, whichever is later.
+    /// anything came over the link last, or when the call was sent, whichever is
+    /// later.
     pub fn look(&mut self, heard: Instant, now: Instant) -> LinkStep {
         let Some(asked) = self.asked.filter(|asked| heard <= *asked) else {
             return self.look_for_silence(heard, now);
--- a/crates/hemlocktack-node/src/calls/home.rs
+++ b/crates/hemlocktack-node/src/calls/home.rs
@@ -4,11 +4,12 @@
 use std::time::Instant;
 
 use futures::future::BoxFuture;
+use hemlocktack_decide::may_move;
 use hemlocktack_fleet::tickets::{Nonce, Start, Ticket};
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Unfinished};
 
 use super::home_table::EndReceiver;
-use super::place::{Delivery, choose, moves, send_with_allowance, unfinished};
+use super::place::{Delivery, choose, send_with_allowance, unfinished};
 use super::receive::refuses_all;
 use super::run::{RunOrder, run};
 use super::service_directory::{PeerEntry, ServiceView};
@@ -94,7 +95,9 @@
         .service(&call.service)
         .and_then(|view| own_index(&node, &view));
     for _ in 0..DELEGATIONS_MAX {
-        let may_go_on = unfinished(&answer).is_some_and(|unfinished| moves(&unfinished));
+        let may_go_on = unfinished(&answer).is_some_and(|unfinished| {
+            matches!(unfinished, Unfinished::NotRun(refusal) if may_move(refusal.reason))
+        });
         if !may_go_on {
             break;
         }
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Allowance, Moves, PeerLoad, PlacementPolicy, RetryVerdict, Standing, end_of_tries, may_move,
-    place, retry_verdict, within_objective,
+    Allowance, Moves, PeerLoad, PlacementPolicy, RetryVerdict, Standing, end_of_tries, place,
+    retry_verdict, within_objective,
 };
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
 use hemlocktack_telemetry::{Event, SpanName, log_event};
@@ -325,11 +325,6 @@
     }
 }
 
-/// Whether another node may be tried, which is no retry: nothing ran.
-pub(crate) fn moves(unfinished: &Unfinished) -> bool {
-    matches!(unfinished, Unfinished::NotRun(refusal) if may_move(refusal.reason))
-}
-
 /// Takes a retry from the allowance and the edge, if one may be made.
 fn is_retried(
     node: &Node,
