--- a/crates/hemlocktack-interface/src/announcements.rs
+++ b/crates/hemlocktack-interface/src/announcements.rs
@@ -24,15 +24,17 @@
     Report(UpstreamReport),
     /// It takes no new work from now on and ends soon.
     Leaving {
-        /// Names this start of the upstream.
+        /// Names the upstream; a later start of it may have the same name.
         upstream_start: String,
+        /// Unix milliseconds of the start, where it says.
+        started_unix_ms: Option<u64>,
     },
 }
 
 /// An upstream's report of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamReport {
-    /// Names this start of the upstream.
+    /// Names the upstream; a later start of it may have the same name.
     pub upstream_start: String,
     /// Service that it is an upstream of.
     pub service: String,
@@ -46,6 +48,9 @@
     pub cold_left: Duration,
     /// Rises with each message of one start: a lower one was overtaken.
     pub sequence: u64,
+    /// Unix milliseconds of the start, where it says. Of two starts of one name
+    /// the higher one is the later one.
+    pub started_unix_ms: Option<u64>,
 }
 
 /// Whether an upstream takes new work.
--- a/crates/hemlocktack-node/src/gateway/announcements.rs
+++ b/crates/hemlocktack-node/src/gateway/announcements.rs
@@ -14,7 +14,7 @@
 use super::leaving::LeavingBody;
 use super::server::plain;
 use crate::node::Node;
-use crate::upstream::Announcement;
+use crate::upstream::{Announcement, Speaker};
 
 /// Announcements are a few hundred bytes.
 const BODY_LIMIT_BYTES: usize = 16 << 10;
@@ -70,27 +70,46 @@
 
 /// Takes the word of one start of the upstream, if it is the one that listens.
 async fn take(node: &Arc<Node>, interface: Interface, word: Word) {
-    let upstream_start = match &word {
-        Word::Report(report) => &report.upstream_start,
-        Word::Leaving { upstream_start } => upstream_start,
+    let (upstream_start, started_unix_ms) = match &word {
+        Word::Report(report) => (&report.upstream_start, report.started_unix_ms),
+        Word::Leaving {
+            upstream_start,
+            started_unix_ms,
+        } => (upstream_start, *started_unix_ms),
     };
-    if !node.upstream_starts().is_current(upstream_start) {
-        let listens = ask_health(node, interface).await;
-        let listens = listens
-            .as_ref()
-            .map(|health| health.upstream_start.as_str());
-        let mut starts = node.upstream_starts();
-        if !starts.may_follow(upstream_start, listens) {
-            return;
+    let speaker = node
+        .upstream_starts()
+        .speaker(upstream_start, started_unix_ms);
+    match speaker {
+        Speaker::Current => {}
+        Speaker::Earlier => return,
+        Speaker::Later => node.upstream_starts().follow(upstream_start),
+        Speaker::Other => {
+            if !follow_if_it_listens(node, interface, upstream_start).await {
+                return;
+            }
         }
-        starts.follow(upstream_start);
     }
+    node.upstream_starts().note_started(started_unix_ms);
     match word {
         Word::Report(report) => take_report(node, &report),
         Word::Leaving { .. } => leave(node),
     }
 }
 
+async fn follow_if_it_listens(node: &Node, interface: Interface, upstream_start: &str) -> bool {
+    let listens = ask_health(node, interface).await;
+    let listens = listens
+        .as_ref()
+        .map(|health| health.upstream_start.as_str());
+    let mut starts = node.upstream_starts();
+    let follows = starts.may_follow(upstream_start, listens);
+    if follows {
+        starts.follow(upstream_start);
+    }
+    follows
+}
+
 fn take_report(node: &Node, report: &UpstreamReport) {
     if *report.service != *node.settings.service {
         log_event!(
@@ -139,6 +158,7 @@
         cold,
         load_path: None,
         upstream_start: Some(upstream_start.into()),
+        start_number: node.upstream_starts().number(),
     });
 }
 
--- a/crates/hemlocktack-node/src/node/upstream.rs
+++ b/crates/hemlocktack-node/src/node/upstream.rs
@@ -22,10 +22,9 @@
     pub(crate) fn upstream_announced(&self, announcement: Announcement) {
         self.live(|life, now| {
             let before = self.upstream.load();
-            let before = before
+            let is_other_start = before
                 .as_ref()
-                .and_then(|before| before.upstream_start.as_ref());
-            let is_other_start = before.is_some() && before != announcement.upstream_start.as_ref();
+                .is_some_and(|before| before.start_number != announcement.start_number);
             let word = drain::Announcement {
                 address: announcement.address,
                 slots: announcement.slots,
--- a/crates/hemlocktack-node/src/upstream/announcement.rs
+++ b/crates/hemlocktack-node/src/upstream/announcement.rs
@@ -23,4 +23,8 @@
     /// Names its start, with an interface that has such names.
     #[serde(skip)]
     pub(crate) upstream_start: Option<Arc<str>>,
+    /// Counts the starts that the node has had beside it: a later start may have
+    /// the name of an earlier one.
+    #[serde(skip)]
+    pub(crate) start_number: u64,
 }
--- a/crates/hemlocktack-node/src/upstream/mod.rs
+++ b/crates/hemlocktack-node/src/upstream/mod.rs
@@ -15,4 +15,4 @@
 pub(crate) use any_client::UpstreamClient;
 pub(crate) use load::follow_load;
 pub(crate) use send::{UpstreamEnd, UpstreamSend};
-pub(crate) use starts::UpstreamStarts;
+pub(crate) use starts::{Speaker, UpstreamStarts};
--- a/crates/hemlocktack-node/src/upstream/starts.rs
+++ b/crates/hemlocktack-node/src/upstream/starts.rs
@@ -1,15 +1,32 @@
 //! Which start of the upstream the node has beside it.
 
+use std::cmp::Ordering;
 use std::collections::VecDeque;
 
 /// Starts that are remembered as gone; a word of theirs comes seconds late, not
 /// dozens of starts late.
 const GONE_LIMIT: usize = 32;
 
+/// Which start a message is from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Speaker {
+    Current,
+    /// One of the current start's name, before it.
+    Earlier,
+    /// One of the current start's name, after it.
+    Later,
+    /// One of another name.
+    Other,
+}
+
 /// The upstream's starts, by what they said.
 #[derive(Default)]
 pub(crate) struct UpstreamStarts {
     current: Option<String>,
+    /// When the current one started, once it has said so.
+    started_unix_ms: Option<u64>,
+    /// Starts that were followed so far.
+    followed: u64,
     sequence: Option<u64>,
     has_left: bool,
     gone: VecDeque<String>,
@@ -21,8 +38,36 @@
         self.current.is_some()
     }
 
-    pub(crate) fn is_current(&self, upstream_start: &str) -> bool {
-        self.current.as_deref() == Some(upstream_start)
+    /// Whose word one of this name is that says when it started.
+    ///
+    /// Failure: an upstream crashes and starts again under its name, and counts
+    /// its messages from one. Taken for the earlier start's, they are passed
+    /// over as overtaken, or as late words of one that has left, and the
+    /// upstream gets nothing for as long as it lives; or a leave that was held
+    /// up takes the later start out. Times of one machine's starts tell them
+    /// apart, whatever its clock.
+    pub(crate) fn speaker(&self, upstream_start: &str, started_unix_ms: Option<u64>) -> Speaker {
+        if self.current.as_deref() != Some(upstream_start) {
+            return Speaker::Other;
+        }
+        let (Some(known), Some(said)) = (self.started_unix_ms, started_unix_ms) else {
+            return Speaker::Current;
+        };
+        match said.cmp(&known) {
+            Ordering::Less => Speaker::Earlier,
+            Ordering::Equal => Speaker::Current,
+            Ordering::Greater => Speaker::Later,
+        }
+    }
+
+    /// The current start has said when it started.
+    pub(crate) fn note_started(&mut self, started_unix_ms: Option<u64>) {
+        self.started_unix_ms = started_unix_ms.or(self.started_unix_ms);
+    }
+
+    /// Number of the current start.
+    pub(crate) fn number(&self) -> u64 {
+        self.followed
     }
 
     /// Whether the current start has said that it takes no more work. Only
@@ -60,6 +105,8 @@
         if let Some(before) = self.current.replace(upstream_start.to_owned()) {
             self.gone.push_back(before);
         }
+        self.followed += 1;
+        self.started_unix_ms = None;
         if self.gone.len() > GONE_LIMIT {
             self.gone.pop_front();
         }
