Hold an edge's retries to a share of its calls in any ten seconds

Cause: a bucket that saves eight retries and earns a tenth of a retry a call uses up a small part of what operators allow in a fault of some seconds: the co-operative's bound is a fifth of a service's calls in ten seconds.

Change: retries and first tries are counted by second; in any ten seconds an edge makes at most its share of the first tries in them, or in the ten that began five seconds before. The share is a setting (--retry-share), of which each node keeps to four fifths. Calls of a repeated run count as retries (is_repeat on the wire).

Ruled out: a larger bucket, which lets twice the share out in the ten seconds after it was full.

--- a/crates/hemlocktack-decide/benches/decisions.rs
+++ b/crates/hemlocktack-decide/benches/decisions.rs
@@ -122,10 +122,10 @@
 #[divan::bench]
 fn retry(bencher: Bencher<'_, '_>) {
     let allowance = Allowance::new(u32::MAX);
-    let edge = EdgeBudget::new(RetryPolicy::default());
+    let edge = EdgeBudget::new(RetryPolicy::default(), Instant::now());
     let unfinished = Unfinished::Unknown(Reason::UpstreamFailed);
     bencher.bench_local(|| {
-        edge.first_try();
+        edge.first_try(Instant::now());
         retry_verdict(
             black_box(&unfinished),
             true,
@@ -133,6 +133,7 @@
             WORK,
             &allowance,
             &edge,
+            Instant::now(),
         )
     });
 }
--- a/crates/hemlocktack-decide/examples/scenarios/driver/entry_side.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/entry_side.rs
@@ -35,7 +35,7 @@
                 self.end_call(key, CallEnd::Refused(refusal(Reason::Shed)));
                 return;
             }
-            node.budgets[service].first_try();
+            node.budgets[service].first_try(now);
         }
         self.put(key, None);
     }
@@ -176,6 +176,7 @@
     }
 
     fn after_reply(&mut self, key: CallKey, end: CallEnd, index: usize) {
+        let now = self.now();
         if self.policy != Policy::Hemlocktack {
             self.end_call(key, end);
             return;
@@ -215,6 +216,7 @@
             Duration::ZERO,
             &call.allowance,
             &self.nodes[call.from].budgets[service],
+            now,
         );
         if verdict != RetryVerdict::Retry {
             self.end_call(key, end);
--- a/crates/hemlocktack-decide/examples/scenarios/driver/world.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/world.rs
@@ -304,7 +304,7 @@
         let is_near = places[*node].1 == data_centre;
         Arc::new(PeerLoad::new(is_near, UpstreamState::Ready, epoch))
     };
-    let budget = |_| EdgeBudget::new(RetryPolicy::default());
+    let budget = |_| EdgeBudget::new(RetryPolicy::default(), epoch);
     Node {
         upstream: Upstream::new(data_centre, spec.slots, spec.connections),
         admission,
--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -5,6 +5,7 @@
 //! pieces for one call.
 
 mod admission;
+mod edge_budget;
 mod follow;
 mod limit;
 mod link_watch;
@@ -24,6 +25,7 @@
 mod work;
 
 pub use admission::Admission;
+pub use edge_budget::EdgeBudget;
 pub use limit::{ConcurrencyLimit, LimitPolicy};
 pub use link_watch::{LinkStep, LinkWatch, LinkWatchPolicy};
 pub use moves::Moves;
@@ -34,7 +36,7 @@
 pub use quarantine::{Quarantine, QuarantinePolicy, Standing, Suspect};
 pub use queue::MAX_CLASSES;
 pub use retry::{
-    Allowance, EdgeBudget, RetryPolicy, RetryVerdict, end_of_tries, retry_verdict, share_for_child,
+    Allowance, RetryPolicy, RetryVerdict, end_of_tries, retry_verdict, share_for_child,
 };
 pub use retry_after::{RetryAfterPolicy, retry_after, within_objective};
 pub use shed::{ChainEdges, EntryShedPolicy, EntryShedder, ShedController, ShedLevel, ShedPolicy};
--- a/crates/hemlocktack-decide/src/retry.rs
+++ b/crates/hemlocktack-decide/src/retry.rs
@@ -1,11 +1,13 @@
-//! Retries: bounded for a request over its whole call chain, and bounded as a
-//! share of first tries on each edge between two services.
+//! Retries: bounded for a request over its whole call chain, and as a share of
+//! first tries on each edge between two services.
 
-use std::sync::atomic::{AtomicI64, AtomicU32, Ordering};
-use std::time::Duration;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
 
 use hemlocktack_protocol::{Reason, Unfinished};
 
+use crate::edge_budget::EdgeBudget;
+
 /// Retries that are left to one request at one node.
 ///
 /// Load: a chain in which each hop repeats what failed below it. Harm: with
@@ -112,14 +114,14 @@
     left.div_ceil(2)
 }
 
-/// Numbers of [`EdgeBudget`] and [`retry_verdict`].
+/// Numbers of [`EdgeBudget`].
 #[derive(Clone, Copy, Debug)]
 pub struct RetryPolicy {
     /// Retries per thousand first tries that an edge may carry. At 100, retries
     /// add a tenth to the load at worst: too little to hold an overload up.
     pub share_per_mille: u32,
-    /// Retries that an edge may save up, so that a quiet edge can still repeat
-    /// the few calls that a restart cut off. Every node has such an edge: where
+    /// Retries that an edge may make in any window, however quiet it is: it can
+    /// still repeat the few calls that a restart cut off. Every node has such an edge: where
     /// half of seventeen are lost at once, a service of a hundred calls a second
     /// is sent 136 of them again within a second, an eighth of ten seconds' calls.
     pub saved_retries: u32,
@@ -134,58 +136,6 @@
     }
 }
 
-/// Token bucket of one edge: first tries fill it, retries drain it.
-///
-/// Load: retries of many requests at once after a fault. Harm: they keep the
-/// service overloaded when the fault has long gone. Each request's allowance
-/// does not prevent this, as many requests may each spend a little; a share of
-/// the edge's own first tries does.
-#[derive(Debug)]
-pub struct EdgeBudget {
-    share_per_mille: AtomicU32,
-    saved_retries: u32,
-    milli_tokens: AtomicI64,
-}
-
-const MILLI: i64 = 1000;
-
-impl EdgeBudget {
-    /// A full bucket.
-    pub fn new(policy: RetryPolicy) -> Self {
-        EdgeBudget {
-            milli_tokens: AtomicI64::new(i64::from(policy.saved_retries) * MILLI),
-            share_per_mille: AtomicU32::new(policy.share_per_mille),
-            saved_retries: policy.saved_retries,
-        }
-    }
-
-    /// Changes the operators' share; what is saved up stays.
-    pub fn set_share_per_mille(&self, share_per_mille: u32) {
-        self.share_per_mille
-            .store(share_per_mille, Ordering::Relaxed);
-    }
-
-    /// Counts a first try.
-    pub fn first_try(&self) {
-        let most = i64::from(self.saved_retries) * MILLI;
-        let added = i64::from(self.share_per_mille.load(Ordering::Relaxed));
-        let _ = self
-            .milli_tokens
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |tokens| {
-                (tokens < most).then(|| (tokens + added).min(most))
-            });
-    }
-
-    /// Takes one retry; false when the edge has used its share up.
-    pub fn take_one(&self) -> bool {
-        self.milli_tokens
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, |tokens| {
-                (tokens >= MILLI).then_some(tokens - MILLI)
-            })
-            .is_ok()
-    }
-}
-
 /// What to do about a call that ended without an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryVerdict {
@@ -216,6 +166,7 @@
     expected: Duration,
     allowance: &Allowance,
     edge: &EdgeBudget,
+    now: Instant,
 ) -> RetryVerdict {
     let safe = match unfinished {
         Unfinished::NotRun(refusal) => is_passing_fault(refusal.reason),
@@ -228,7 +179,7 @@
     if take_from(part, 1) == 0 {
         return RetryVerdict::Spent;
     }
-    if !edge.take_one() {
+    if !edge.take_one(now) {
         part.fetch_add(1, Ordering::AcqRel);
         return RetryVerdict::Spent;
     }
--- /dev/null
+++ b/crates/hemlocktack-decide/tests/edge_budget.rs
@@ -0,0 +1,87 @@
+//! Retries of one edge as a share of its first tries.
+
+use std::time::{Duration, Instant};
+
+use hemlocktack_decide::{EdgeBudget, RetryPolicy};
+
+const POLICY: RetryPolicy = RetryPolicy {
+    share_per_mille: 160,
+    saved_retries: 8,
+};
+/// Checks of one node at a deep service.
+const FIRST_TRIES_A_SECOND: u32 = 200;
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Tries and retries of each second; every first try asks for `wanted` retries.
+fn play(edge: &EdgeBudget, from: Instant, first_tries: &[u32], wanted: u32) -> Vec<u32> {
+    let play_second = |(second, first_tries): (usize, &u32)| {
+        let begin = from + SECOND * second as u32;
+        let pause = SECOND / (first_tries + 1);
+        let tries = (0..*first_tries).map(|number| begin + pause * number);
+        tries
+            .map(|now| {
+                edge.first_try(now);
+                (0..wanted).filter(|_| edge.take_one(now)).count() as u32
+            })
+            .sum()
+    };
+    first_tries.iter().enumerate().map(play_second).collect()
+}
+
+/// The upstreams of a deep service turn away half of what they get for eight
+/// seconds. Requests end at their first check, so that fewer first tries come
+/// than before, and each wants a retry. The share of the calls before the fault
+/// is there at once, and no ten seconds have more retries than the share of the
+/// first tries in them or in those that began five seconds before.
+#[test]
+fn a_fault_of_seconds_may_use_the_share_of_the_calls_before_it() {
+    let now = Instant::now();
+    let edge = EdgeBudget::new(POLICY, now);
+    let before = [FIRST_TRIES_A_SECOND; 12];
+    assert_eq!(play(&edge, now, &before, 0), [0; 12]);
+    let during = [FIRST_TRIES_A_SECOND / 3; 8];
+    let retries: u32 = play(&edge, now + SECOND * 12, &during, 10).iter().sum();
+    let share_before = 10 * FIRST_TRIES_A_SECOND * POLICY.share_per_mille / 1000;
+    assert!(retries <= share_before, "{retries} of {share_before}");
+    assert!(
+        retries * 10 >= share_before * 9,
+        "{retries} of {share_before}"
+    );
+}
+
+/// A fault that does not end, with every call wanting a retry: in the long run an
+/// edge carries its share and no more, in any ten seconds.
+#[test]
+fn an_edge_carries_at_most_its_share_in_any_window() {
+    let now = Instant::now();
+    let edge = EdgeBudget::new(POLICY, now);
+    let retries = play(&edge, now, &[FIRST_TRIES_A_SECOND; 60], 1);
+    let most = 10 * FIRST_TRIES_A_SECOND * POLICY.share_per_mille / 1000 + POLICY.saved_retries;
+    for window in retries.windows(10) {
+        assert!(window.iter().sum::<u32>() <= most, "{retries:?}");
+    }
+    let all: u32 = retries.iter().sum();
+    assert!(all * 10 >= 60 * FIRST_TRIES_A_SECOND * POLICY.share_per_mille / 1000 * 9);
+}
+
+/// A quiet edge whose node sees a handful of calls can still repeat what a
+/// restart cut off, once in ten seconds.
+#[test]
+fn a_quiet_edge_can_repeat_a_few_calls() {
+    let now = Instant::now();
+    let edge = EdgeBudget::new(POLICY, now);
+    let take_all = |now| (0..100).filter(|_| edge.take_one(now)).count();
+    assert_eq!(take_all(now), 8);
+    assert_eq!(take_all(now + SECOND * 9), 0);
+    assert_eq!(take_all(now + SECOND * 10), 8);
+}
+
+/// A lookup was sent twice, and its second run makes its deeper calls again.
+/// They use the share up like retries and earn none.
+#[test]
+fn calls_of_a_repeated_run_count_as_retries() {
+    let now = Instant::now();
+    let edge = EdgeBudget::new(POLICY, now);
+    (0..8).for_each(|_| edge.repeated_below(now));
+    assert!(!edge.take_one(now));
+}
--- a/crates/hemlocktack-decide/tests/operators_limits.rs
+++ b/crates/hemlocktack-decide/tests/operators_limits.rs
@@ -44,18 +44,19 @@
 
 #[test]
 fn a_share_of_nothing_earns_no_more_retries() {
+    let now = Instant::now();
     let policy = RetryPolicy {
         saved_retries: 1,
         ..RetryPolicy::default()
     };
-    let edge = EdgeBudget::new(policy);
-    assert!(edge.take_one(), "saved up");
+    let edge = EdgeBudget::new(policy, now);
+    assert!(edge.take_one(now), "saved up");
     edge.set_share_per_mille(0);
-    (0..100).for_each(|_| edge.first_try());
-    assert!(!edge.take_one());
+    (0..100).for_each(|_| edge.first_try(now));
+    assert!(!edge.take_one(now));
     edge.set_share_per_mille(500);
-    (0..2).for_each(|_| edge.first_try());
-    assert!(edge.take_one());
+    (0..2).for_each(|_| edge.first_try(now));
+    assert!(edge.take_one(now));
 }
 
 /// A request is quarantined for the time that operators say, also if they say
--- a/crates/hemlocktack-decide/tests/retry.rs
+++ b/crates/hemlocktack-decide/tests/retry.rs
@@ -1,7 +1,7 @@
 //! Retries over a whole chain.
 #![allow(clippy::unwrap_used)]
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
     Allowance, EdgeBudget, RetryPolicy, RetryVerdict, end_of_tries, retry_verdict,
@@ -59,13 +59,21 @@
 #[test]
 fn a_lost_child_leaves_the_entry_its_own_retry() {
     let allowance = Allowance::with_own(1, 1);
-    let edge = EdgeBudget::new(RetryPolicy::default());
+    let edge = EdgeBudget::new(RetryPolicy::default(), Instant::now());
     let verdicts = [(); 2].map(|()| {
         // Gone for good with the child that is lost.
         allowance.give_to_child();
         let lost = Unfinished::Unknown(Reason::LinkLost);
         let (left, expected) = (Duration::from_secs(1), Duration::from_millis(100));
-        retry_verdict(&lost, true, left, expected, &allowance, &edge)
+        retry_verdict(
+            &lost,
+            true,
+            left,
+            expected,
+            &allowance,
+            &edge,
+            Instant::now(),
+        )
     });
     assert_eq!(verdicts, [RetryVerdict::Retry, RetryVerdict::Spent]);
 }
@@ -90,21 +98,6 @@
     assert_eq!(allowance.left(), 3);
 }
 
-#[test]
-fn an_edge_carries_at_most_its_share_of_retries() {
-    let policy = RetryPolicy::default();
-    let edge = EdgeBudget::new(policy);
-    let retries = (0..1000)
-        .filter(|_| {
-            edge.first_try();
-            edge.take_one()
-        })
-        .count();
-    let most = 1000 * policy.share_per_mille / 1000 + policy.saved_retries;
-    // The bucket is full at the first try, whose share is lost.
-    assert!((most - 1..=most).contains(&(retries as u32)), "{retries}");
-}
-
 #[test]
 fn what_is_retried() {
     let not_run = |reason| {
@@ -131,7 +124,8 @@
             Duration::from_secs(1),
             Duration::from_millis(100),
             &Allowance::new(1),
-            &EdgeBudget::new(RetryPolicy::default()),
+            &EdgeBudget::new(RetryPolicy::default(), Instant::now()),
+            Instant::now(),
         );
         format!("{unfinished}, idempotent {idempotent}: {verdict:?}")
     });
@@ -150,7 +144,8 @@
             Duration::from_secs(1),
             Duration::from_millis(100),
             &Allowance::new(1),
-            &EdgeBudget::new(RetryPolicy::default()),
+            &EdgeBudget::new(RetryPolicy::default(), Instant::now()),
+            Instant::now(),
         )
     };
     assert_eq!(verdict(true), RetryVerdict::Retry);
@@ -168,7 +163,7 @@
         reason: Reason::UpstreamShed,
         retry_after: None,
     });
-    let edge = EdgeBudget::new(RetryPolicy::default());
+    let edge = EdgeBudget::new(RetryPolicy::default(), Instant::now());
     let entry = Allowance::with_own(1, FOR_CHAIN);
     let hop = Allowance::new(entry.give_to_child());
     let deep = Allowance::new(hop.give_to_child());
@@ -177,7 +172,15 @@
         let given = deep.give_to_child();
         deep.give_back(given, given);
         let (left, expected) = (Duration::from_secs(1), Duration::from_millis(22));
-        let verdict = retry_verdict(&turned_away, false, left, expected, &deep, &edge);
+        let verdict = retry_verdict(
+            &turned_away,
+            false,
+            left,
+            expected,
+            &deep,
+            &edge,
+            Instant::now(),
+        );
         answers += u32::from(verdict == RetryVerdict::Retry);
     }
     assert_eq!(answers, 4);
@@ -187,11 +190,19 @@
 #[test]
 fn a_spent_allowance_or_too_little_time_ends_the_retries() {
     let unfinished = Unfinished::Unknown(Reason::LinkLost);
-    let edge = EdgeBudget::new(RetryPolicy::default());
+    let edge = EdgeBudget::new(RetryPolicy::default(), Instant::now());
     let verdict = |left, allowance: u32| {
         let allowance = Allowance::new(allowance);
         let expected = Duration::from_millis(100);
-        retry_verdict(&unfinished, true, left, expected, &allowance, &edge)
+        retry_verdict(
+            &unfinished,
+            true,
+            left,
+            expected,
+            &allowance,
+            &edge,
+            Instant::now(),
+        )
     };
     assert_eq!(verdict(Duration::from_secs(1), 0), RetryVerdict::Spent);
     assert_eq!(verdict(Duration::from_millis(99), 1), RetryVerdict::PassUp);
--- a/crates/hemlocktack-node/src/calls/classify.rs
+++ b/crates/hemlocktack-node/src/calls/classify.rs
@@ -76,6 +76,7 @@
         body: request.body,
         class_rank: class_rank.into(),
         depth: parent.as_ref().map_or(0, |parent| parent.depth + 1),
+        is_repeat: parent.as_ref().is_some_and(|parent| parent.is_repeat),
         root_request_id: parent
             .as_ref()
             .map_or_else(rand::random, |parent| parent.root_request_id),
--- a/crates/hemlocktack-node/src/calls/context.rs
+++ b/crates/hemlocktack-node/src/calls/context.rs
@@ -21,6 +21,8 @@
     pub(crate) class_rank: ClassRank,
     pub(crate) deadline: Instant,
     pub(crate) depth: u32,
+    /// It may have run before, and so may its deeper calls.
+    pub(crate) is_repeat: bool,
     /// Retries that came with the call; its deeper calls draw on them.
     pub(crate) allowance: Arc<Allowance>,
     /// Tickets of its deeper calls.
@@ -54,6 +56,7 @@
             class_rank,
             deadline,
             depth: call.depth,
+            is_repeat: call.is_repeat,
             allowance: Arc::new(Allowance::new(call.retries_given)),
             children: Mutex::new(
                 nonce.map_or_else(ChildCalls::of_idempotent, ChildCalls::of_ticketed),
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -31,7 +31,7 @@
         Ok(view) => view,
         Err(refusal) => return not_run(refusal.reason, refusal.retry_after),
     };
-    view.edge.first_try();
+    count_try(&view, &classified.call);
     let purpose = match classified.idempotent {
         true => CallPurpose::Placed,
         false => CallPurpose::PlacedOnce,
@@ -42,7 +42,7 @@
             return tries.told_or_no_upstream();
         };
         tokio::time::sleep(tries.pause()).await;
-        let answer = attempt(node, &view, index, classified, purpose).await;
+        let answer = attempt(node, &view, index, classified, purpose, tries.is_repeat()).await;
         let Some(unfinished) = unfinished(&answer) else {
             return answer;
         };
@@ -56,6 +56,17 @@
     }
 }
 
+/// A deeper call of a run that was itself repeated adds to its service's load as
+/// a retry does, and nobody is asked for it: counted as a first try, it would
+/// earn that service's edge a share of retries.
+fn count_try(view: &ServiceView, call: &Call) {
+    let now = Instant::now();
+    match call.is_repeat {
+        true => view.edge.repeated_below(now),
+        false => view.edge.first_try(now),
+    }
+}
+
 fn log_unfinished(
     node: &Node,
     classified: &Classified,
@@ -129,6 +140,11 @@
         choose_among(view, may_get_it).or_else(same)
     }
 
+    /// Whether the next send comes after one that an upstream got.
+    fn is_repeat(&self) -> bool {
+        !self.reached.is_empty()
+    }
+
     fn pause(&self) -> Duration {
         PAUSE_A_TURN * self.turned_away.saturating_sub(1)
     }
@@ -221,10 +237,12 @@
     index: usize,
     classified: &Classified,
     purpose: CallPurpose,
+    is_repeat: bool,
 ) -> Answer {
     let peer = &view.peers[index];
     let mut call = classified.call.clone();
     call.purpose = purpose.into();
+    call.is_repeat |= is_repeat;
     call.objective_left_us = classified.objective.map_or(0, micros_left);
     peer.as_ref().sent(Instant::now());
     let Classified {
@@ -382,6 +400,7 @@
         expected,
         &classified.allowance,
         &view.edge,
+        Instant::now(),
     );
     if verdict == RetryVerdict::Retry {
         node.counters.retried();
--- a/crates/hemlocktack-node/src/calls/service_directory.rs
+++ b/crates/hemlocktack-node/src/calls/service_directory.rs
@@ -15,7 +15,6 @@
     ClassRank, DataCentre, LoadHint, Member, NodeState, RootRequestId, ServiceName, UpstreamState,
 };
 
-const MILLE_A_PERCENT: u32 = 10;
 /// Routes whose callers' patience is remembered: more than any deployment of
 /// today has. Beyond it all are learnt anew, which takes a few requests each.
 const PATIENCES_LIMIT: usize = 4_096;
@@ -107,7 +106,7 @@
             });
         }
         let edge = known.map_or_else(
-            || Arc::new(EdgeBudget::new(self.retry_policy())),
+            || Arc::new(EdgeBudget::new(self.retry_policy(), Instant::now())),
             |view| view.edge.clone(),
         );
         let same_peers = known.filter(|view| view.has_peers(&peers));
@@ -126,8 +125,7 @@
     }
 
     /// Takes in the operators' share of retries, for every service.
-    pub(crate) fn set_retry_share_percent(&self, share_percent: u32) {
-        let share_per_mille = share_percent * MILLE_A_PERCENT;
+    pub(crate) fn set_retry_share_per_mille(&self, share_per_mille: u32) {
         self.retry_share_per_mille
             .store(share_per_mille, Ordering::Relaxed);
         for view in self.services.load().values() {
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -138,6 +138,7 @@
                 fingerprint,
                 class_rank: class_rank.into(),
                 depth: parent.as_ref().map_or(0, |parent| parent.depth + 1),
+                is_repeat: parent.as_ref().is_some_and(|parent| parent.is_repeat),
                 root_request_id: parent
                     .as_ref()
                     .map_or_else(rand::random, |parent| parent.root_request_id),
--- a/crates/hemlocktack-node/src/node/configuration.rs
+++ b/crates/hemlocktack-node/src/node/configuration.rs
@@ -26,6 +26,12 @@
     pub(crate) stored: ConfigurationDocument,
 }
 
+const MILLE_A_PERCENT: u32 = 10;
+/// Part of the share for all nodes together that each one keeps to. The rest is
+/// for edges so quiet that they may make a few retries whatever their share, and
+/// for the different beginnings of the nodes' windows, a second of ten.
+const SHARE_KEPT_TO_PERCENT: u32 = 80;
+
 impl Node {
     pub(crate) fn configuration_in_force(&self) -> Option<Arc<InForce>> {
         self.in_force.load_full()
@@ -76,7 +82,7 @@
         self.tracer
             .set_sample_per_million(limits.trace_sample_per_million);
         self.services
-            .set_retry_share_percent(limits.retry_share_percent);
+            .set_retry_share_per_mille(self.retry_share_per_mille(limits.retry_share_percent));
         let kept_answers_bytes = usize::try_from(limits.kept_answers_bytes);
         self.home
             .set_kept_answer_bytes(kept_answers_bytes.unwrap_or(usize::MAX));
@@ -100,6 +106,14 @@
         });
     }
 
+    /// Share of retries that this node's edges keep to.
+    fn retry_share_per_mille(&self, configured_percent: u32) -> u32 {
+        let share_for_all = self.adjustable().retry_share_per_mille;
+        share_for_all.map_or(configured_percent * MILLE_A_PERCENT, |share| {
+            share * SHARE_KEPT_TO_PERCENT / 100
+        })
+    }
+
     /// Classes that the configuration in force declares.
     pub(crate) fn class_count(&self) -> usize {
         let in_force = self.in_force.load();
--- a/crates/hemlocktack-node/src/settings/flags.rs
+++ b/crates/hemlocktack-node/src/settings/flags.rs
@@ -86,9 +86,10 @@
 pub(crate) const PLATFORM_READS: &str = "platform-reads-per-second";
 pub(crate) const PLATFORM_WRITES: &str = "platform-writes-per-second";
 pub(crate) const STOP_GRACE: &str = "stop-grace";
+pub(crate) const RETRY_SHARE: &str = "retry-share";
 
 /// All settings that take a value.
-pub(crate) const FLAGS: [Flag; 26] = [
+pub(crate) const FLAGS: [Flag; 27] = [
     required(
         NODE,
         "NAME",
@@ -209,6 +210,12 @@
         "how long after the signal to stop the process may live, such as 6s or 1500ms",
     )
     .adjustable(),
+    optional(
+        RETRY_SHARE,
+        "NUMBER",
+        "largest share of retries among a service's calls from all nodes in ten seconds, such as 0.2; goes before the configuration's",
+    )
+    .adjustable(),
 ];
 
 /// Where further settings are read from; not one of them itself.
--- a/crates/hemlocktack-node/src/settings/mod.rs
+++ b/crates/hemlocktack-node/src/settings/mod.rs
@@ -75,4 +75,6 @@
     pub(crate) platform_rates: Option<PlatformRates>,
     /// Time between the signal to stop and the end of the process by force.
     pub(crate) stop_grace: Option<Duration>,
+    /// Largest share of retries among a service's calls from all nodes, per mille.
+    pub(crate) retry_share_per_mille: Option<u32>,
 }
--- a/crates/hemlocktack-node/src/settings/read.rs
+++ b/crates/hemlocktack-node/src/settings/read.rs
@@ -130,6 +130,7 @@
         drain_limit: Duration::from_millis(drain_limit_ms),
         platform_rates: reader.platform_rates(),
         stop_grace: reader.time(flags::STOP_GRACE),
+        retry_share_per_mille: reader.share_per_mille(flags::RETRY_SHARE),
     }
 }
 
@@ -225,6 +226,15 @@
         })
     }
 
+    fn share_per_mille(&mut self, name: &str) -> Option<u32> {
+        self.value(name)?;
+        let share: f64 = self.parsed(name, "a number between 0 and 1", 0.0);
+        if !(0.0..=1.0).contains(&share) {
+            self.find(name, "a share is between 0 and 1");
+        }
+        Some((share * 1_000.0) as u32)
+    }
+
     fn time(&mut self, name: &str) -> Option<Duration> {
         let text = self.value(name)?;
         let read = parse_time(&text);
