Spend a scarce share of retries on whole requests, by class and hash

Cause: requests that need four or eight answers of a service that turns half of its calls away get a few retries each, and hardly one of them gets all that it needs.

Change: the less of an edge's share is left, the fewer requests may take from it: by class, and within a class by a hash of the root request, which is the same for all its calls. A call that is the request itself stands in front of its class.

Ruled out: the furthest advanced first.

--- a/crates/hemlocktack-decide/benches/decisions.rs
+++ b/crates/hemlocktack-decide/benches/decisions.rs
@@ -6,7 +6,8 @@
 use divan::{Bencher, black_box};
 use hemlocktack_decide::{
     Admission, AdmissionPolicy, Allowance, Decision, EdgeBudget, Ended, EntryShedPolicy,
-    EntryShedder, Offer, PeerLoad, PlacementPolicy, RetryPolicy, ShedLevel, place, retry_verdict,
+    EntryShedder, Offer, PeerLoad, PlacementPolicy, RetryPolicy, RetryStanding, ShedLevel, place,
+    retry_verdict,
 };
 use hemlocktack_protocol::{LoadHint, Reason, Unfinished, UpstreamState};
 use rand::SeedableRng;
@@ -133,6 +134,7 @@
             WORK,
             &allowance,
             &edge,
+            RetryStanding::FIRST,
             Instant::now(),
         )
     });
--- a/crates/hemlocktack-decide/examples/scenarios/driver/entry_side.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/entry_side.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hemlocktack_decide::{RetryVerdict, end_of_tries, may_move, place, retry_verdict};
+use hemlocktack_decide::{
+    RetryStanding, RetryVerdict, end_of_tries, may_move, place, retry_verdict,
+};
 use hemlocktack_protocol::{LoadHint, Reason, Refusal, Unfinished};
 use rand::RngExt;
 
@@ -216,6 +218,7 @@
             Duration::ZERO,
             &call.allowance,
             &self.nodes[call.from].budgets[service],
+            RetryStanding::FIRST,
             now,
         );
         if verdict != RetryVerdict::Retry {
--- a/crates/hemlocktack-decide/src/edge_budget.rs
+++ b/crates/hemlocktack-decide/src/edge_budget.rs
@@ -3,6 +3,9 @@
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Instant;
 
+use hemlocktack_protocol::{ClassRank, RootRequestId};
+
+use crate::mix::mix;
 use crate::retry::RetryPolicy;
 
 /// Span over which retries and first tries are compared, in whole seconds. A
@@ -15,6 +18,48 @@
 /// Seconds that are remembered: both windows, and the one that is being counted.
 const REMEMBERED_SECS: usize = (WINDOW_SECS + EARLIER_SECS) as usize + 1;
 
+/// Part of an edge's share that is not for everybody: the less of it is left, the
+/// fewer requests may take from it. The rest is used up in the first second of a
+/// fault of all upstreams, half of it by classes that then get no more.
+const KEPT_SHARE: f64 = 0.8;
+/// Part of its class's span at which a request stands whose call is its last: it
+/// needs one more answer and no other call has to succeed as well.
+const LAST_CALL_SPAN: f64 = 0.25;
+
+/// Where a request stands among all that may want retries: 0 comes first, and 1
+/// after all.
+///
+/// Load: a deep service that turns away half of what it gets for seconds, while
+/// requests need four or eight answers of it. Harm: retries that are spread
+/// evenly over all calls run out in the middle of each request, and nearly none
+/// comes to its end (one in seven, for the share that could finish one in four).
+/// So a scarce share goes to whole requests: by class, and within a class by a
+/// stable hash of the root request, so that every call of a request meets the
+/// same verdict wherever it is made. A request that gets none ends at its first
+/// failure, before more is spent on it.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct RetryStanding(f64);
+
+impl RetryStanding {
+    /// Before all others.
+    pub const FIRST: RetryStanding = RetryStanding(0.0);
+
+    /// Of a request of class `class_rank` among `class_count` classes; `is_last`
+    /// if the call that failed is the request itself and not one made for it.
+    pub fn new(
+        class_rank: ClassRank,
+        class_count: usize,
+        root_request_id: RootRequestId,
+        is_last: bool,
+    ) -> Self {
+        let span = 1.0 / class_count.max(1) as f64;
+        let begin = f64::from(class_rank) * span;
+        let place = (mix(root_request_id) >> 11) as f64 / (1_u64 << 53) as f64;
+        let width = if is_last { span * LAST_CALL_SPAN } else { span };
+        RetryStanding((begin + place * width).min(1.0))
+    }
+}
+
 /// Retries of one edge, bounded in any ten seconds.
 ///
 /// Load: retries of many requests at once after a fault. Harm: they keep the
@@ -62,16 +107,23 @@
         self.retries.add(self.second(now));
     }
 
-    /// Takes one retry; false when the edge has used its share up.
-    pub fn take_one(&self, now: Instant) -> bool {
+    /// Takes one retry for a request of this standing; false when the edge has
+    /// used its share up, or what is left is kept for requests before it.
+    pub fn take_one(&self, standing: RetryStanding, now: Instant) -> bool {
         let second = self.second(now);
-        let has_left = self.used_share(second) < 1.0;
+        let has_left = standing.0 < self.open_share(second);
         if has_left {
             self.retries.add(second);
         }
         has_left
     }
 
+    /// Share of all requests, the most important first, that may take retries.
+    fn open_share(&self, second: u64) -> f64 {
+        let left = 1.0 - self.used_share(second);
+        (left / KEPT_SHARE).clamp(0.0, 1.0)
+    }
+
     /// Retries of the last window over those that it may have.
     fn used_share(&self, second: u64) -> f64 {
         let share = f64::from(self.share_per_mille.load(Ordering::Relaxed)) / 1000.0;
--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -25,7 +25,7 @@
 mod work;
 
 pub use admission::Admission;
-pub use edge_budget::EdgeBudget;
+pub use edge_budget::{EdgeBudget, RetryStanding};
 pub use limit::{ConcurrencyLimit, LimitPolicy};
 pub use link_watch::{LinkStep, LinkWatch, LinkWatchPolicy};
 pub use moves::Moves;
--- a/crates/hemlocktack-decide/src/retry.rs
+++ b/crates/hemlocktack-decide/src/retry.rs
@@ -6,7 +6,7 @@
 
 use hemlocktack_protocol::{Reason, Unfinished};
 
-use crate::edge_budget::EdgeBudget;
+use crate::edge_budget::{EdgeBudget, RetryStanding};
 
 /// Retries that are left to one request at one node.
 ///
@@ -166,6 +166,7 @@
     expected: Duration,
     allowance: &Allowance,
     edge: &EdgeBudget,
+    standing: RetryStanding,
     now: Instant,
 ) -> RetryVerdict {
     let safe = match unfinished {
@@ -179,7 +180,7 @@
     if take_from(part, 1) == 0 {
         return RetryVerdict::Spent;
     }
-    if !edge.take_one(now) {
+    if !edge.take_one(standing, now) {
         part.fetch_add(1, Ordering::AcqRel);
         return RetryVerdict::Spent;
     }
--- a/crates/hemlocktack-decide/tests/edge_budget.rs
+++ b/crates/hemlocktack-decide/tests/edge_budget.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use hemlocktack_decide::{EdgeBudget, RetryPolicy};
+use hemlocktack_decide::{EdgeBudget, RetryPolicy, RetryStanding};
 
 const POLICY: RetryPolicy = RetryPolicy {
     share_per_mille: 160,
@@ -21,7 +21,9 @@
         tries
             .map(|now| {
                 edge.first_try(now);
-                (0..wanted).filter(|_| edge.take_one(now)).count() as u32
+                (0..wanted)
+                    .filter(|_| edge.take_one(RetryStanding::FIRST, now))
+                    .count() as u32
             })
             .sum()
     };
@@ -70,7 +72,11 @@
 fn a_quiet_edge_can_repeat_a_few_calls() {
     let now = Instant::now();
     let edge = EdgeBudget::new(POLICY, now);
-    let take_all = |now| (0..100).filter(|_| edge.take_one(now)).count();
+    let take_all = |now| {
+        (0..100)
+            .filter(|_| edge.take_one(RetryStanding::FIRST, now))
+            .count()
+    };
     assert_eq!(take_all(now), 8);
     assert_eq!(take_all(now + SECOND * 9), 0);
     assert_eq!(take_all(now + SECOND * 10), 8);
@@ -83,5 +89,37 @@
     let now = Instant::now();
     let edge = EdgeBudget::new(POLICY, now);
     (0..8).for_each(|_| edge.repeated_below(now));
-    assert!(!edge.take_one(now));
+    assert!(!edge.take_one(RetryStanding::FIRST, now));
+}
+
+/// Lookups and grants whose calls a deep service turns away half of the time,
+/// five wanting retries where the share has room for one. Spread evenly, each
+/// request would get a fifth of what it needs. Grants come first; each lookup
+/// gets all that it asks for or, from soon on, nothing.
+#[test]
+fn a_scarce_share_goes_to_whole_requests() {
+    const CLASSES: usize = 4;
+    const ROUNDS: u64 = 400;
+    let now = Instant::now();
+    let edge = EdgeBudget::new(POLICY, now);
+    play(&edge, now, &[FIRST_TRIES_A_SECOND; 10], 0);
+    let during = now + SECOND * 10;
+    let (mut grants, mut whole, mut some) = (0, 0, 0);
+    for root_request_id in 0..ROUNDS {
+        let takes = |class, wanted: u32| {
+            let standing = RetryStanding::new(class, CLASSES, root_request_id, false);
+            (0..wanted)
+                .filter(|_| edge.take_one(standing, during))
+                .count()
+        };
+        if root_request_id % 10 == 0 {
+            grants += takes(0, 4);
+        }
+        let lookup = takes(2, 4);
+        whole += usize::from(lookup == 4);
+        some += usize::from((1..4).contains(&lookup));
+    }
+    assert!(grants >= 40 * 4 * 6 / 10, "{grants}");
+    assert!(whole >= 20, "{whole}");
+    assert!(some * 5 <= whole, "{some} of {whole} got a part");
 }
--- a/crates/hemlocktack-decide/tests/operators_limits.rs
+++ b/crates/hemlocktack-decide/tests/operators_limits.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Admission, AdmissionPolicy, Decision, EdgeBudget, Ended, Offer, RetryPolicy, Standing, Verdict,
+    Admission, AdmissionPolicy, Decision, EdgeBudget, Ended, Offer, RetryPolicy, RetryStanding,
+    Standing, Verdict,
 };
 use hemlocktack_protocol::{CallId, Reason};
 
@@ -50,13 +51,13 @@
         ..RetryPolicy::default()
     };
     let edge = EdgeBudget::new(policy, now);
-    assert!(edge.take_one(now), "saved up");
+    assert!(edge.take_one(RetryStanding::FIRST, now), "saved up");
     edge.set_share_per_mille(0);
     (0..100).for_each(|_| edge.first_try(now));
-    assert!(!edge.take_one(now));
+    assert!(!edge.take_one(RetryStanding::FIRST, now));
     edge.set_share_per_mille(500);
     (0..2).for_each(|_| edge.first_try(now));
-    assert!(edge.take_one(now));
+    assert!(edge.take_one(RetryStanding::FIRST, now));
 }
 
 /// A request is quarantined for the time that operators say, also if they say
--- a/crates/hemlocktack-decide/tests/retry.rs
+++ b/crates/hemlocktack-decide/tests/retry.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Allowance, EdgeBudget, RetryPolicy, RetryVerdict, end_of_tries, retry_verdict,
+    Allowance, EdgeBudget, RetryPolicy, RetryStanding, RetryVerdict, end_of_tries, retry_verdict,
 };
 use hemlocktack_protocol::{Reason, Refusal, Unfinished};
 use proptest::prelude::*;
@@ -72,6 +72,7 @@
             expected,
             &allowance,
             &edge,
+            RetryStanding::FIRST,
             Instant::now(),
         )
     });
@@ -125,6 +126,7 @@
             Duration::from_millis(100),
             &Allowance::new(1),
             &EdgeBudget::new(RetryPolicy::default(), Instant::now()),
+            RetryStanding::FIRST,
             Instant::now(),
         );
         format!("{unfinished}, idempotent {idempotent}: {verdict:?}")
@@ -145,6 +147,7 @@
             Duration::from_millis(100),
             &Allowance::new(1),
             &EdgeBudget::new(RetryPolicy::default(), Instant::now()),
+            RetryStanding::FIRST,
             Instant::now(),
         )
     };
@@ -179,6 +182,7 @@
             expected,
             &deep,
             &edge,
+            RetryStanding::FIRST,
             Instant::now(),
         );
         answers += u32::from(verdict == RetryVerdict::Retry);
@@ -201,6 +205,7 @@
             expected,
             &allowance,
             &edge,
+            RetryStanding::FIRST,
             Instant::now(),
         )
     };
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Allowance, Moves, PeerLoad, PlacementPolicy, RetryVerdict, Standing, end_of_tries, place,
-    retry_verdict, within_objective,
+    Allowance, Moves, PeerLoad, PlacementPolicy, RetryStanding, RetryVerdict, Standing,
+    end_of_tries, place, retry_verdict, within_objective,
 };
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
 use hemlocktack_telemetry::{Event, SpanName, log_event};
@@ -393,6 +393,12 @@
         .saturating_duration_since(Instant::now());
     let service_time_us = answer.hint.as_ref().map_or(0, |hint| hint.service_time_us);
     let expected = Duration::from_micros(service_time_us);
+    let standing = RetryStanding::new(
+        classified.class_rank,
+        node.class_count(),
+        classified.call.root_request_id,
+        classified.parent.is_none(),
+    );
     let verdict = retry_verdict(
         unfinished,
         classified.idempotent,
@@ -400,6 +406,7 @@
         expected,
         &classified.allowance,
         &view.edge,
+        standing,
         Instant::now(),
     );
     if verdict == RetryVerdict::Retry {
