Let what failures say of an upstream age

Cause: after a fault of all upstreams the first that answered drew every call; the failures of the others stayed on record, as nothing came that could disprove them.

Change: the share of failures falls to nothing within two seconds without calls.

--- a/crates/hemlocktack-decide/src/placement.rs
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -94,10 +94,15 @@
     failed_in_row: AtomicU32,
     /// Failures among the last 16 or so calls, per mille.
     failures_per_mille: AtomicU32,
+    /// When the last of these calls ended.
+    failures_counted_us: AtomicU64,
 }
 
 /// One outcome moves the share of failures by this part of the way.
 const FAILURE_STEP: u32 = 16;
+/// The share of failures falls evenly to nothing in this time without calls: as
+/// long as a hint counts.
+const FAILURES_FORGOTTEN_AFTER: Duration = Duration::from_secs(2);
 const NEVER: u64 = u64::MAX;
 
 impl PeerLoad {
@@ -119,6 +124,7 @@
             avoided_until_us: AtomicU64::new(0),
             failed_in_row: AtomicU32::new(0),
             failures_per_mille: AtomicU32::new(0),
+            failures_counted_us: AtomicU64::new(NEVER),
         }
     }
 
@@ -149,7 +155,7 @@
         self.heard(now);
         self.learn(hint, now);
         self.failed_in_row.store(0, Ordering::Release);
-        self.count_failure(false);
+        self.count_failure(false, now);
     }
 
     /// It refused the call, or an upstream below it did.
@@ -160,7 +166,7 @@
             self.learn(hint, now);
         }
         if reason == Reason::UpstreamShed {
-            self.count_failure(true);
+            self.count_failure(true, now);
         } else if is_unavailable(reason) {
             self.avoid(AVOIDED_AFTER_FAULT, now);
         } else if is_overloaded(reason) {
@@ -174,7 +180,7 @@
         // No hint came that would count it. Left in, the calls that a peer has
         // failed make it look full, and it is not tried when it is back.
         count_down(&self.sent_since_hint);
-        self.count_failure(true);
+        self.count_failure(true, now);
         // Calls that fail together are one try.
         let is_known = self.micros(now) < self.avoided_until_us.load(Ordering::Acquire);
         if !is_known {
@@ -250,13 +256,23 @@
         self.sent_since_hint.store(0, Ordering::Release);
     }
 
-    fn count_failure(&self, failed: bool) {
+    fn count_failure(&self, failed: bool, now: Instant) {
         let towards = if failed { 1000 } else { 0 };
-        let _ =
-            self.failures_per_mille
-                .fetch_update(Ordering::AcqRel, Ordering::Acquire, |share| {
-                    Some(share + towards / FAILURE_STEP - share / FAILURE_STEP)
-                });
+        let share = (self.failure_share(now) * 1000.0) as u32;
+        let share = share + towards / FAILURE_STEP - share / FAILURE_STEP;
+        self.failures_per_mille.store(share, Ordering::Release);
+        self.failures_counted_us
+            .store(self.micros(now), Ordering::Release);
+    }
+
+    /// Share of failures among its last calls; what they say ages.
+    ///
+    /// After a fault of all upstreams the first that answers would else draw
+    /// every call, and the others none that shows that they are well.
+    fn failure_share(&self, now: Instant) -> f64 {
+        let counted = self.age(self.failures_counted_us.load(Ordering::Acquire), now);
+        let freshness = counted.map_or(0.0, |age| 1.0 - share_of(age, FAILURES_FORGOTTEN_AFTER));
+        f64::from(self.failures_per_mille.load(Ordering::Acquire)) / 1000.0 * freshness
     }
 
     fn micros(&self, now: Instant) -> u64 {
@@ -276,9 +292,7 @@
     /// sent since.
     fn utilisation(&self, policy: &PlacementPolicy, now: Instant) -> f64 {
         let heard = self.age(self.heard_us.load(Ordering::Acquire), now);
-        let freshness = heard.map_or(0.0, |age| {
-            1.0 - (age.as_secs_f64() / policy.hint_lifetime.as_secs_f64()).min(1.0)
-        });
+        let freshness = heard.map_or(0.0, |age| 1.0 - share_of(age, policy.hint_lifetime));
         let said = f64::from(self.load.load(Ordering::Acquire)) * freshness;
         let since = f64::from(self.sent_since_hint.load(Ordering::Acquire));
         let own = f64::from(self.outstanding.load(Ordering::Acquire));
@@ -304,15 +318,14 @@
         if self.state.load(Ordering::Acquire) == UpstreamState::Cold as u32 {
             cost *= policy.cold_factor;
         }
-        cost * self.failure_penalty(policy)
+        cost * self.failure_penalty(policy, now)
     }
 
     /// Load: an upstream that fails or refuses at once. Harm: it always looks
     /// idle and draws all calls to their failure. Times are learnt only from
     /// answers, and failures multiply the cost, so it cannot look attractive.
-    fn failure_penalty(&self, policy: &PlacementPolicy) -> f64 {
-        let share = f64::from(self.failures_per_mille.load(Ordering::Acquire)) / 1000.0;
-        1.0 + share * policy.failure_factor
+    fn failure_penalty(&self, policy: &PlacementPolicy, now: Instant) -> f64 {
+        1.0 + self.failure_share(now) * policy.failure_factor
     }
 
     fn is_avoided(&self, now: Instant) -> bool {
@@ -320,6 +333,11 @@
     }
 }
 
+/// Part of a lifetime that has passed, 1 at most.
+fn share_of(age: Duration, lifetime: Duration) -> f64 {
+    (age.as_secs_f64() / lifetime.as_secs_f64()).min(1.0)
+}
+
 fn count_down(count: &AtomicU32) {
     let minus_one = |count: u32| Some(count.saturating_sub(1));
     let _ = count.fetch_update(Ordering::AcqRel, Ordering::Acquire, minus_one);
