Count a call that its caller left no longer as load of its peer

A send is counted as outstanding until its end is told; where the caller left, or an upstream gave its deeper call up at its deadline, nobody told it. After a bad time a peer looked full for as long as both nodes lived, and its calls went on to others: bytes, waits and refusals.

Ruled out: failures held against the near machine (they age within two seconds); stale hints (the far machine had a full queue all the time).

--- a/crates/hemlocktack-decide/src/placement.rs
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -145,7 +145,7 @@
     }
 
     /// A call goes to it. Each must be followed by one of `answered`,
-    /// `refused` or `failed`.
+    /// `refused`, `failed` or `abandoned`.
     pub fn sent(&self, now: Instant) {
         let before = self.outstanding.fetch_add(1, Ordering::AcqRel);
         if before == 0 {
@@ -196,6 +196,17 @@
         }
     }
 
+    /// Its caller has left the call before its end.
+    ///
+    /// Failure: callers give up, and upstreams give up deeper calls at their
+    /// deadline. Symptom: a peer that still counts these calls looks full for as
+    /// long as it lives, and the node sends its calls past an idle upstream to
+    /// the others. A call that was left says nothing else of the peer.
+    pub fn abandoned(&self) {
+        self.ended();
+        count_down(&self.sent_since_hint);
+    }
+
     fn avoid(&self, time: Duration, now: Instant) {
         self.avoided_until_us
             .fetch_max(self.micros(now + time), Ordering::AcqRel);
--- a/crates/hemlocktack-decide/tests/placement.rs
+++ b/crates/hemlocktack-decide/tests/placement.rs
@@ -222,3 +222,18 @@
     let shares = shares(&peers, later + Duration::from_millis(1));
     assert!(shares[1] >= 40, "{shares:?}");
 }
+
+/// A deep service is slow for a while, and the upstreams above give their checks
+/// up at their deadline, hundreds of them at the near machine. When it is well it
+/// has all its slots free. A node that still counted the calls which were left
+/// would send every later one to another data centre, for good.
+#[test]
+fn calls_that_were_left_do_not_make_a_peer_look_full() {
+    let now = Instant::now();
+    let peers = peers(&[(true, 0), (false, 30)], now);
+    for _ in 0..200 {
+        peers[0].sent(now);
+        peers[0].abandoned();
+    }
+    assert_eq!(shares(&peers, now), [100, 0]);
+}
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -250,7 +250,7 @@
     call.purpose = purpose.into();
     call.is_repeat |= is_repeat;
     call.objective_left_us = classified.objective.map_or(0, micros_left);
-    peer.as_ref().sent(Instant::now());
+    let open_send = OpenSend::begin(peer.as_ref());
     let Classified {
         deadline,
         allowance,
@@ -263,10 +263,41 @@
             unknown(Reason::LinkLost)
         }
     };
+    open_send.end();
     learn(view, index, classified, &answer);
     answer
 }
 
+/// A send whose end its peer's load has to be told, also where nobody waits for
+/// it any more.
+struct OpenSend<'a> {
+    load: &'a PeerLoad,
+    is_open: bool,
+}
+
+impl<'a> OpenSend<'a> {
+    fn begin(load: &'a PeerLoad) -> Self {
+        load.sent(Instant::now());
+        Self {
+            load,
+            is_open: true,
+        }
+    }
+
+    /// The end is known, and the load is told of it next.
+    fn end(mut self) {
+        self.is_open = false;
+    }
+}
+
+impl Drop for OpenSend<'_> {
+    fn drop(&mut self) {
+        if self.is_open {
+            self.load.abandoned();
+        }
+    }
+}
+
 /// Ends once the peer is given up: it owes answers and sends nothing at all.
 ///
 /// Failure: a node stands still and its links stay open. Symptom: idempotent
