Forget what calls waited below when none of them finishes any more

The expected time of a kind is learnt from calls that finish; while the deepest service was overloaded they took 1.3 s of 1.5.

Change: without a finished call for longer than such a call takes, the part that was waited below is forgotten within a second; what the upstream takes itself is kept.

Ruled out: the admission's limit by objectives (the reads are no root requests).

--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -289,17 +289,17 @@
             .objective
             .is_some_and(|objective| wait > objective.mul_f64(self.policy.queue.wait_share));
         if is_long
-            || self.is_late_anyway(&waiting)
+            || self.is_late_anyway(&waiting, now)
             || self.is_hopeless(offer.kind, waiting.deadline, wait, now)
         {
-            return Verdict::Refused(self.refusal_of(Reason::DeadlineTooShort, &waiting));
+            return Verdict::Refused(self.refusal_of(Reason::DeadlineTooShort, &waiting, now));
         }
         if self.is_shed(offer, class, invested, now) {
-            return Verdict::Refused(self.refusal_of(Reason::Shed, &waiting));
+            return Verdict::Refused(self.refusal_of(Reason::Shed, &waiting, now));
         }
         if !self.make_room(class, invested) {
             self.hold_back_below(class, now);
-            return Verdict::Refused(self.refusal_of(Reason::QueueFull, &waiting));
+            return Verdict::Refused(self.refusal_of(Reason::QueueFull, &waiting, now));
         }
         self.queue.push(waiting);
         Verdict::Queued
@@ -309,7 +309,7 @@
     /// keep capacity back for nobody; so only a call that has no chance at all
     /// is refused, and one of those is run now and then to correct the estimate.
     fn offer_idle(&mut self, offer: &Offer, now: Instant) -> Verdict {
-        let expected = self.work.expected(offer.kind);
+        let expected = self.work.expected(offer.kind, now);
         let time_left = offer.deadline.saturating_duration_since(now);
         if time_left < expected / 2 && !self.probe(now) {
             return Verdict::Refused(self.refusal(Reason::DeadlineTooShort, offer.call_id));
--- a/crates/hemlocktack-decide/src/admission/refuse.rs
+++ b/crates/hemlocktack-decide/src/admission/refuse.rs
@@ -17,8 +17,8 @@
     /// slot that answers it late is taken from one that could be answered in
     /// time. Fresh requests are never held to this: where even they are late,
     /// late answers are all that there is to give.
-    pub(super) fn is_late_anyway(&self, call: &Waiting) -> bool {
-        let expected = self.work.expected(call.kind);
+    pub(super) fn is_late_anyway(&self, call: &Waiting, now: Instant) -> bool {
+        let expected = self.work.expected(call.kind, now);
         call.has_returned && call.objective.is_some_and(|objective| objective < expected)
     }
 
@@ -34,7 +34,7 @@
     ) -> bool {
         let work = self
             .work
-            .expected(kind)
+            .expected(kind, now)
             .mul_f64(self.policy.queue.work_margin);
         now + wait + work > deadline
     }
@@ -49,9 +49,9 @@
     }
 
     /// A refusal that lets the caller come back in time, where it can.
-    pub(super) fn refusal_of(&self, reason: Reason, call: &Waiting) -> Refusal {
+    pub(super) fn refusal_of(&self, reason: Reason, call: &Waiting, now: Instant) -> Refusal {
         let refusal = self.refusal(reason, call.call_id);
-        let expected = self.work.expected(call.kind);
+        let expected = self.work.expected(call.kind, now);
         let cut = |wait| match call.objective {
             Some(objective) => within_objective(wait, objective, expected),
             None => wait,
--- a/crates/hemlocktack-decide/src/work.rs
+++ b/crates/hemlocktack-decide/src/work.rs
@@ -20,9 +20,20 @@
 /// without a queue inside the upstream.
 const FLOOR_EPOCH: Duration = Duration::from_secs(15);
 
+/// Time without a finished call after which what the last ones waited for deeper
+/// calls says nothing any more: as long as a shed level is remembered.
+///
+/// Load: an overload of a deeper service. Harm: calls of a kind take longer than
+/// their callers wait, so that all are refused; none finishes that could show
+/// that the way is free again, and they are refused for as long as the node
+/// lives. What the upstream itself takes does not depend on others and is kept.
+const WAIT_BELOW_FORGOTTEN_AFTER: Duration = Duration::from_secs(1);
+
 #[derive(Clone, Copy, Debug)]
 struct KindWork {
     samples: u32,
+    /// When the last call of the kind finished.
+    seen_at: Option<Instant>,
     total_secs: f64,
     own_secs: f64,
     floor_secs: f64,
@@ -31,6 +42,7 @@
 
 const UNKNOWN: KindWork = KindWork {
     samples: 0,
+    seen_at: None,
     total_secs: 0.0,
     own_secs: 0.0,
     floor_secs: f64::INFINITY,
@@ -64,9 +76,9 @@
         now: Instant,
     ) -> f64 {
         self.drop_old_floors(now);
-        self.all.observe(total, own);
+        self.all.observe(total, own, now);
         let entry = &mut self.kinds[slot(kind)];
-        entry.observe(total, own);
+        entry.observe(total, own, now);
         let floor = entry.floor();
         if floor.is_finite() && floor > 0.0 {
             own.as_secs_f64() / floor
@@ -77,10 +89,10 @@
 
     /// Mean time of a call of the kind with its deeper calls; of any call while
     /// the kind is not known.
-    pub(crate) fn expected(&self, kind: WorkKind) -> Duration {
+    pub(crate) fn expected(&self, kind: WorkKind, now: Instant) -> Duration {
         let entry = &self.kinds[slot(kind)];
         let known = if entry.samples > 0 { entry } else { &self.all };
-        Duration::from_secs_f64(known.total_secs)
+        Duration::from_secs_f64(known.expected_secs(now))
     }
 
     /// Mean time of a call of any kind.
@@ -111,7 +123,8 @@
 }
 
 impl KindWork {
-    fn observe(&mut self, total: Duration, own: Duration) {
+    fn observe(&mut self, total: Duration, own: Duration, now: Instant) {
+        self.seen_at = Some(now);
         self.samples = self.samples.saturating_add(1);
         // The first samples weigh as in a plain mean, so that the estimate does
         // not start from an arbitrary value.
@@ -123,6 +136,18 @@
         }
     }
 
+    /// A call that was let in now shows what it takes only after that time, so
+    /// that the wait below begins to be forgotten then.
+    fn expected_secs(&self, now: Instant) -> f64 {
+        let age = self.seen_at.map_or(Duration::ZERO, |seen_at| {
+            now.saturating_duration_since(seen_at)
+        });
+        let unseen_secs = (age.as_secs_f64() - self.total_secs).max(0.0);
+        let forgotten = (unseen_secs / WAIT_BELOW_FORGOTTEN_AFTER.as_secs_f64()).min(1.0);
+        let below_secs = (self.total_secs - self.own_secs).max(0.0);
+        self.total_secs - below_secs * forgotten
+    }
+
     fn floor(&self) -> f64 {
         self.floor_secs.min(self.previous_floor_secs)
     }
--- /dev/null
+++ b/crates/hemlocktack-decide/tests/after_overload.rs
@@ -0,0 +1,84 @@
+//! What a node goes by after its deeper services were overloaded.
+
+use std::time::{Duration, Instant};
+
+use hemlocktack_decide::{
+    Admission, AdmissionPolicy, Decision, Ended, ObjectivePolicy, Offer, Verdict,
+};
+use hemlocktack_protocol::Reason;
+
+const SLOTS: u32 = 100;
+const PATIENCE: Duration = Duration::from_millis(1_500);
+const OWN: Duration = Duration::from_millis(15);
+/// What a call takes while the service below is overloaded.
+const OVERLOADED: Duration = Duration::from_millis(1_300);
+
+fn admission(now: Instant) -> Admission {
+    let policy = AdmissionPolicy {
+        objective: Some(ObjectivePolicy::default()),
+        ..AdmissionPolicy::default()
+    };
+    let mut admission = Admission::new(policy, now);
+    admission.announced(SLOTS, SLOTS * 7, false, now);
+    admission
+}
+
+/// A deeper read, three hops below a lookup.
+fn read(call_id: u64, now: Instant) -> Offer {
+    Offer {
+        call_id,
+        class_rank: 2,
+        deadline: now + PATIENCE,
+        objective: None,
+        has_returned: false,
+        root_request_id: call_id,
+        work_spent: OWN,
+        fingerprint: call_id,
+        kind: 1,
+    }
+}
+
+/// Payments of another kind that keep all slots busy.
+fn payment(call_id: u64, now: Instant) -> Offer {
+    Offer {
+        class_rank: 0,
+        deadline: now + PATIENCE * 4,
+        work_spent: Duration::ZERO,
+        kind: 2,
+        ..read(call_id, now)
+    }
+}
+
+/// A service runs payments in all of its slots, and reads that lookups need. While
+/// a deeper service was overloaded, the reads that finished took 1.3 s, and each
+/// new one has 1.5 s left: taken to need a quarter more, it is refused at once.
+/// The overload passes, but no read runs that could show it. Callers of lookups
+/// are refused until the nodes are started again.
+#[test]
+fn an_estimate_from_an_overload_does_not_outlive_it() {
+    let start = Instant::now();
+    let mut admission = admission(start);
+    for call_id in 0..8 {
+        assert_eq!(admission.offer(&read(call_id, start), start), Verdict::Run);
+    }
+    let now = start + OVERLOADED;
+    for call_id in 0..8 {
+        admission.finish(call_id, Ended::Answered, OVERLOADED - OWN, now);
+    }
+    let mut payments = 1_000;
+    while admission.offer(&payment(payments, now), now) == Verdict::Run {
+        payments += 1;
+    }
+    admission.cancel(payments);
+    let Verdict::Refused(refusal) = admission.offer(&read(2_000, now), now) else {
+        panic!("a read that takes 1.3 s does not fit into 1.5 s beside others");
+    };
+    assert_eq!(refusal.reason, Reason::DeadlineTooShort);
+    let later = now + OVERLOADED + Duration::from_secs(1);
+    assert_eq!(admission.offer(&read(2_001, later), later), Verdict::Queued);
+    admission.finish(1_000, Ended::Answered, Duration::ZERO, later);
+    let mut decisions = Vec::new();
+    admission.take_ready(later, &mut decisions);
+    let runs = |decision: &Decision| *decision == Decision::Run(2_001);
+    assert!(decisions.iter().any(runs), "{decisions:?}");
+}
