Take a request that found no room below as a sign to let fewer in

Cause: the limit by objectives learns from answered runs. Where nine lookups of ten fail half way, refused at a deeper service, the tenth is answered in time and the limit stays as it is.

Change: an answer tells that the upstream's failure came after a deeper call found no room (lacked_room_below on the wire, passed up hop by hop); such a run counts as if it had waited for the rest of its objective.

Ruled out: to count every failure, as an upstream that fails by itself is not helped by less of its work.

--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -177,6 +177,10 @@
             }
             Ended::ShedByUpstream => self.limit.upstream_shed(now),
             Ended::AnsweredWithFailure => self.quarantine.finished(call.fingerprint),
+            Ended::LackedRoomBelow => {
+                self.quarantine.finished(call.fingerprint);
+                self.learn_lack_of_room(&call, time_below, now);
+            }
             // A failed or cancelled call was cut short: its time says nothing.
             Ended::Failed | Ended::Cancelled => {}
         }
@@ -430,6 +434,25 @@
         }
     }
 
+    /// Load: more roots than a service below can finish. Harm: nearly all of them
+    /// fail there, half way, and the few that are answered in time say that all
+    /// is well: the limit stays, and the service below goes on working for
+    /// requests that fail. So one that found no room below counts as if it had
+    /// waited there for the rest of its objective.
+    fn learn_lack_of_room(&mut self, call: &Running, time_below: Duration, now: Instant) {
+        let Some(limit) = &mut self.objective_limit else {
+            return;
+        };
+        let Some(objective) = call.objective.filter(|_| !call.has_returned) else {
+            return;
+        };
+        let total = now.saturating_duration_since(call.started);
+        let whole = objective.as_secs_f64().max(LEAST_OBJECTIVE_SECS);
+        let own_share = total.saturating_sub(time_below).as_secs_f64() / whole;
+        let below_share = (1.0 - own_share).max(time_below.as_secs_f64() / whole);
+        limit.observe(total, own_share, below_share, now);
+    }
+
     fn end_interval_if_due(&mut self, now: Instant) {
         if !self.shed.due(now) {
             return;
--- a/crates/hemlocktack-decide/src/offer.rs
+++ b/crates/hemlocktack-decide/src/offer.rs
@@ -60,6 +60,8 @@
     Answered,
     /// With a whole answer that reports a failure: its time says nothing.
     AnsweredWithFailure,
+    /// With a failure, after a deeper call found no room.
+    LackedRoomBelow,
     /// Without one: connection lost, short answer, timeout.
     Failed,
     /// The upstream itself refused it unstarted.
--- a/crates/hemlocktack-decide/tests/objectives.rs
+++ b/crates/hemlocktack-decide/tests/objectives.rs
@@ -143,3 +143,37 @@
     }
     assert!(refused > 100, "{refused}");
 }
+
+/// Ten calls one after the other at a deep service that has room for a third of
+/// the lookups. Nine in ten lookups fail when one of their calls is refused there,
+/// half way, and the tenth is answered in time. Going by the answers alone, the
+/// upstream would run as many lookups side by side for ever, and the deep service
+/// would work for those that fail. Let in less, most of them are answered.
+#[test]
+fn requests_that_found_no_room_below_lower_the_limit() {
+    let mut now = Instant::now();
+    let mut admission = admission(now);
+    let run = Duration::from_millis(400);
+    let mut next_call = 0;
+    for _ in 0..4 {
+        let mut running = Vec::new();
+        loop {
+            next_call += 1;
+            if admission.offer(&offer(next_call, now), now) != Verdict::Run {
+                break;
+            }
+            running.push(next_call);
+        }
+        admission.cancel(next_call);
+        now += run;
+        for (number, call_id) in running.into_iter().enumerate() {
+            let ended = match number % 10 {
+                0 => Ended::Answered,
+                _ => Ended::LackedRoomBelow,
+            };
+            admission.finish(call_id, ended, run - OWN_WORK, now);
+        }
+    }
+    let limit = admission.hint(hemlocktack_decide::ShedLevel::OPEN).limit;
+    assert!(limit <= FILLED_SLOTS / 3, "{limit}");
+}
--- a/crates/hemlocktack-node/src/calls/context.rs
+++ b/crates/hemlocktack-node/src/calls/context.rs
@@ -7,9 +7,11 @@
 
 use hemlocktack_decide::{Allowance, WorkKind};
 use hemlocktack_fleet::tickets::{ChildCalls, Nonce};
-use hemlocktack_protocol::{Call, ClassRank, Reason, RootRequestId};
+use hemlocktack_protocol::{Answer, Call, ClassRank, Reason, RootRequestId};
 use hemlocktack_telemetry::TraceContext;
 
+use super::ends::lacked_room;
+
 /// Length of the opaque header: one 64-bit number in hexadecimal digits.
 const CONTEXT_DIGITS: usize = 16;
 /// Tables side by side, so that calls seldom wait for each other's lock.
@@ -37,6 +39,8 @@
     work_spent_before: Duration,
     deeper: Mutex<DeeperCalls>,
     went_deeper: AtomicBool,
+    /// A deeper call of it found no room.
+    lacked_room: AtomicBool,
 }
 
 #[derive(Default)]
@@ -69,6 +73,7 @@
             work_spent_before: Duration::from_micros(call.work_spent_us),
             deeper: Mutex::default(),
             went_deeper: AtomicBool::new(false),
+            lacked_room: AtomicBool::new(false),
         }
     }
 
@@ -88,7 +93,10 @@
     }
 
     /// Counts one deeper call that has ended.
-    pub(crate) fn count_deeper(&self, kind: WorkKind, duration: Duration) {
+    pub(crate) fn count_deeper(&self, kind: WorkKind, duration: Duration, answer: &Answer) {
+        if lacked_room(answer) {
+            self.lacked_room.store(true, Ordering::Release);
+        }
         let mut deeper = self.deeper.lock().unwrap_or_else(PoisonError::into_inner);
         deeper.total += duration;
         if !deeper.kinds.contains(&kind) {
@@ -96,6 +104,10 @@
         }
     }
 
+    pub(crate) fn lacked_room(&self) -> bool {
+        self.lacked_room.load(Ordering::Acquire)
+    }
+
     /// Time spent on deeper calls, as if made one after the other.
     pub(crate) fn time_below(&self) -> Duration {
         self.deeper
--- a/crates/hemlocktack-node/src/calls/ends.rs
+++ b/crates/hemlocktack-node/src/calls/ends.rs
@@ -30,6 +30,22 @@
     }
 }
 
+/// Whether a call failed because a service had no room for it, or one below it.
+pub(crate) fn lacked_room(answer: &Answer) -> bool {
+    let is_load = matches!(
+        answer.reason(),
+        Reason::QueueFull
+            | Reason::Shed
+            | Reason::DeadlineTooShort
+            | Reason::QueueTimeout
+            | Reason::Timeout
+    );
+    match answer.outcome() {
+        Outcome::Answered => answer.lacked_room_below,
+        _ => is_load,
+    }
+}
+
 /// When the caller may come back: as those said who refused it, or soon where
 /// they said nothing and the reason passes by itself.
 pub(crate) fn retry_after(answer: &Answer) -> Option<Duration> {
--- a/crates/hemlocktack-node/src/calls/enter.rs
+++ b/crates/hemlocktack-node/src/calls/enter.rs
@@ -26,7 +26,7 @@
     }
     let answer = run(node, &mut classified).await;
     if let Some(parent) = &classified.parent {
-        parent.count_deeper(classified.kind, started.elapsed());
+        parent.count_deeper(classified.kind, started.elapsed(), &answer);
     }
     CallerAnswer::from_answer(answer)
 }
--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -148,13 +148,15 @@
     }
     let running = &context.running;
     let end = believed(end, running);
-    admitted.finish(ended(&end), running.time_below());
+    let ended = ended(&end, running);
+    admitted.finish(ended, running.time_below());
     if matches!(end, UpstreamEnd::Answered { .. }) {
         node.chain_edges_answered(kind, &running.deeper_kinds());
     }
     let answer = Answer {
         retries_unspent: running.allowance.left(),
         work_spent_us: running.work_spent_us(Instant::now()),
+        lacked_room_below: ended == Ended::LackedRoomBelow,
         ..into_answer(end)
     };
     (answer, running.time_below())
@@ -221,8 +223,13 @@
     matches!(connected, Ok(Ok(_)))
 }
 
-fn ended(end: &UpstreamEnd) -> Ended {
+fn ended(end: &UpstreamEnd, running: &RunningCall) -> Ended {
     match end {
+        UpstreamEnd::Answered { status, .. }
+            if *status >= SERVER_FAILURES_FROM && running.lacked_room() =>
+        {
+            Ended::LackedRoomBelow
+        }
         UpstreamEnd::Answered { status, .. } if *status >= SERVER_FAILURES_FROM => {
             Ended::AnsweredWithFailure
         }
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -84,7 +84,7 @@
     }
     let answer = calls::run_placed(node, &classified).await;
     if let Some(parent) = &classified.parent {
-        parent.count_deeper(classified.kind, started.elapsed());
+        parent.count_deeper(classified.kind, started.elapsed(), &answer);
     }
     let (outcome, reason) = (answer.outcome(), answer.reason());
     node.waits.entry.observe(span.elapsed());
