Do not hold a long chain at its least limit

Change: what a run takes while the limit holds nobody up, or next to nothing is let in, is remembered; the target is at least 1.25 times that, 0.85 at most.

Ruled out: a larger target for all; at 0.6 most answers of an overload came late.

--- a/crates/hemlocktack-decide/src/objective_limit.rs
+++ b/crates/hemlocktack-decide/src/objective_limit.rs
@@ -22,8 +22,15 @@
     /// the wait in front of the upstream and for the spread of single runs. At
     /// 0.6 most answers of an overload came just too late.
     pub target: f64,
-    /// Below this share the limit grows while calls wait for it: far enough
-    /// from the target that the spread of eight runs does not cross both.
+    /// The same as a multiple of what a run takes while nobody waits or next to
+    /// nothing is let in, where that is more: such a chain needs half of its
+    /// objective by itself, and no limit makes it shorter.
+    pub target_of_free_run: f64,
+    /// Largest share that a run is let take for that reason: the rest is for the
+    /// spread of single runs.
+    pub most_target: f64,
+    /// Below this share of the target the limit grows while calls wait for it: far enough
+    /// from it that the spread of eight runs does not cross both.
     pub grow_below: f64,
     /// Growth in one window: back from a tenth of the slots to all in seventeen.
     pub growth: f64,
@@ -42,7 +49,9 @@
             filled_share: 0.94,
             least_below: 0.2,
             target: 0.5,
-            grow_below: 0.42,
+            target_of_free_run: 1.25,
+            most_target: 0.85,
+            grow_below: 0.84,
             growth: 1.15,
             least_cut: 0.4,
             least_share: 0.1,
@@ -74,8 +83,16 @@
     samples: u32,
     most_running: usize,
     is_saturated: bool,
+    /// Share of the objective that a run takes while the limit holds nobody up
+    /// or next to nothing is let in; zero while that is not known.
+    free_run: f64,
 }
 
+/// Multiple of the least limit up to which next to nothing is let in.
+const NEARLY_LEAST: f64 = 1.5;
+/// One window moves what a free run takes by this part of the way.
+const FREE_RUN_STEP: f64 = 0.25;
+
 impl ObjectiveLimit {
     pub(crate) fn new(policy: ObjectivePolicy, slots: u32, now: Instant) -> Self {
         let slots = (f64::from(slots) * policy.filled_share).max(1.0);
@@ -90,6 +107,7 @@
             samples: 0,
             most_running: 0,
             is_saturated: false,
+            free_run: 0.0,
         }
     }
 
@@ -127,20 +145,47 @@
         }
     }
 
+    fn note_free_run(&mut self, share: f64) {
+        let step = if self.free_run > 0.0 {
+            FREE_RUN_STEP
+        } else {
+            1.0
+        };
+        self.free_run += (share - self.free_run) * step;
+    }
+
+    /// Share of the objective that a run may take.
+    ///
+    /// Load: an overload of a chain that takes more than half of its objective
+    /// when nothing waits. Harm: held to half, the limit falls to its least and
+    /// stays there, and three of four requests that the chain could serve are
+    /// refused for as long as callers press.
+    fn target(&self) -> f64 {
+        let by_free_run = self.free_run * self.policy.target_of_free_run;
+        by_free_run
+            .max(self.policy.target)
+            .min(self.policy.most_target)
+    }
+
     fn end_window(&mut self, now: Instant) {
         let samples = f64::from(self.samples);
         let (own, below) = (self.own_sum / samples, self.below_sum / samples);
+        let least = (self.slots * self.policy.least_share).max(1.0);
+        if !self.is_saturated || self.limit <= least * NEARLY_LEAST {
+            self.note_free_run(own + below);
+        }
         let running = (self.most_running as f64).min(self.limit);
         let waits_below = below > self.policy.least_below;
-        let limit = if waits_below && own + below > self.policy.target {
-            let wanted_below = (self.policy.target - own).max(self.policy.least_below);
+        let target = self.target();
+        let is_short = own + below < target * self.policy.grow_below;
+        let limit = if waits_below && own + below > target {
+            let wanted_below = (target - own).max(self.policy.least_below);
             running * (wanted_below / below).max(self.policy.least_cut)
-        } else if self.is_saturated && (own + below < self.policy.grow_below || !waits_below) {
+        } else if self.is_saturated && (is_short || !waits_below) {
             self.limit * self.policy.growth + 1.0
         } else {
             self.limit
         };
-        let least = (self.slots * self.policy.least_share).max(1.0);
         let limit = limit.max(least).min(self.slots);
         self.counted_from = now;
         if limit != self.limit {
--- a/crates/hemlocktack-decide/tests/objectives.rs
+++ b/crates/hemlocktack-decide/tests/objectives.rs
@@ -177,3 +177,35 @@
     let limit = admission.hint(hemlocktack_decide::ShedLevel::OPEN).limit;
     assert!(limit <= FILLED_SLOTS / 3, "{limit}");
 }
+
+/// A chain that takes 0.8 of 1.5 s when nothing waits. An overload brings the limit
+/// down to its least; from there the runs are as short as they get, and more than
+/// half of the objective all the same. The limit comes back up: held at its least,
+/// three of four requests that could be served would be refused.
+#[test]
+fn a_long_chain_is_not_held_at_the_least_limit() {
+    let free = Duration::from_millis(800);
+    let mut now = Instant::now();
+    let mut admission = admission(now);
+    let mut next_call = 0;
+    let mut limits = Vec::new();
+    for round in 0..40 {
+        let run = if round < 8 { OBJECTIVE } else { free };
+        let mut running = Vec::new();
+        loop {
+            next_call += 1;
+            match admission.offer(&offer(next_call, now), now) {
+                Verdict::Run => running.push(next_call),
+                Verdict::Queued | Verdict::Refused(_) => break,
+            }
+        }
+        admission.cancel(next_call);
+        now += run;
+        for call_id in running {
+            admission.finish(call_id, Ended::Answered, run - OWN_WORK, now);
+        }
+        limits.push(admission.hint(hemlocktack_decide::ShedLevel::OPEN).limit);
+    }
+    assert!(limits[7] <= FILLED_SLOTS / 8, "{limits:?}");
+    assert!(limits[39] >= FILLED_SLOTS / 2, "{limits:?}");
+}
