Let a limit that was cut grow back by what is left of its target

Cause: the limit grew by 15 % a window, and after a change a window lasts a run's time, a second in a long chain: twenty seconds from its least to all.

Change: it grows by as much as waits below may grow until they take the share left for them, half of it more at most.

--- a/crates/hemlocktack-decide/src/objective_limit.rs
+++ b/crates/hemlocktack-decide/src/objective_limit.rs
@@ -32,8 +32,13 @@
     /// Below this share of the target the limit grows while calls wait for it: far enough
     /// from it that the spread of eight runs does not cross both.
     pub grow_below: f64,
-    /// Growth in one window: back from a tenth of the slots to all in seventeen.
+    /// Least growth in one window: back from a tenth of the slots to all in
+    /// seventeen.
     pub growth: f64,
+    /// Largest growth in one window, where runs are as much shorter than wanted:
+    /// a window lasts as long as a run, and a limit that was cut to its least for
+    /// a moment would else hold callers back for ten seconds.
+    pub most_growth: f64,
     /// Largest cut in one window: what is cut too far costs calls that had room.
     pub least_cut: f64,
     /// Least share of the slots. Below it too few calls finish to notice that
@@ -53,6 +58,7 @@
             most_target: 0.85,
             grow_below: 0.84,
             growth: 1.15,
+            most_growth: 1.5,
             least_cut: 0.4,
             least_share: 0.1,
         }
@@ -145,6 +151,13 @@
         }
     }
 
+    /// By how much waits below may grow until they take the share that is left
+    /// for them; what runs side by side may grow as much.
+    fn growth(&self, left_for_below: f64, below: f64) -> f64 {
+        let room = left_for_below / below.max(self.policy.least_below);
+        room.clamp(self.policy.growth, self.policy.most_growth)
+    }
+
     fn note_free_run(&mut self, share: f64) {
         let step = if self.free_run > 0.0 {
             FREE_RUN_STEP
@@ -182,7 +195,7 @@
             let wanted_below = (target - own).max(self.policy.least_below);
             running * (wanted_below / below).max(self.policy.least_cut)
         } else if self.is_saturated && (is_short || !waits_below) {
-            self.limit * self.policy.growth + 1.0
+            self.limit * self.growth(target - own, below) + 1.0
         } else {
             self.limit
         };
