--- a/crates/hemlocktack-decide/benches/decisions.rs
+++ b/crates/hemlocktack-decide/benches/decisions.rs
@@ -6,8 +6,8 @@
 use divan::{Bencher, black_box};
 use hemlocktack_decide::{
     Admission, AdmissionPolicy, Allowance, Decision, EdgeBudget, Ended, EntryShedPolicy,
-    EntryShedder, Offer, PeerLoad, PlacementPolicy, RetryPolicy, RetryStanding, ShedLevel, place,
-    retry_verdict,
+    EntryShedder, Offer, PeerLoad, PlacementPolicy, RetryBudget, RetryPolicy, RetryStanding,
+    ShedLevel, place, retry_verdict,
 };
 use hemlocktack_protocol::{LoadHint, Reason, Unfinished, UpstreamState};
 use rand::SeedableRng;
@@ -132,9 +132,11 @@
             true,
             Duration::from_secs(1),
             WORK,
-            &allowance,
-            &edge,
-            RetryStanding::FIRST,
+            &RetryBudget {
+                allowance: &allowance,
+                edge: &edge,
+                standing: RetryStanding::FIRST,
+            },
             Instant::now(),
         )
     });
--- a/crates/hemlocktack-decide/examples/scenarios/driver/entry_side.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/entry_side.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hemlocktack_decide::{
-    RetryStanding, RetryVerdict, end_of_tries, may_move, place, retry_verdict,
+    RetryBudget, RetryStanding, RetryVerdict, end_of_tries, may_move, place, retry_verdict,
 };
 use hemlocktack_protocol::{LoadHint, Reason, Refusal, Unfinished};
 use rand::RngExt;
@@ -217,9 +217,11 @@
             self.deployment.kinds[request.kind].idempotent,
             call.deadline.saturating_sub(self.at),
             Duration::ZERO,
-            &call.allowance,
-            &self.nodes[call.from].budgets[service],
-            RetryStanding::FIRST,
+            &RetryBudget {
+                allowance: &call.allowance,
+                edge: &self.nodes[call.from].budgets[service],
+                standing: RetryStanding::FIRST,
+            },
             now,
         );
         if verdict != RetryVerdict::Retry {
--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -36,7 +36,7 @@
 pub use quarantine::{Quarantine, QuarantinePolicy, Standing, Suspect};
 pub use queue::MAX_CLASSES;
 pub use retry::{
-    Allowance, RetryPolicy, RetryVerdict, end_of_tries, retry_verdict, share_for_child,
+    Allowance, RetryBudget, RetryPolicy, RetryVerdict, end_of_tries, retry_verdict, share_for_child,
 };
 pub use retry_after::{RetryAfterPolicy, retry_after, within_objective};
 pub use shed::{ChainEdges, EntryShedPolicy, EntryShedder, ShedController, ShedLevel, ShedPolicy};
--- a/crates/hemlocktack-decide/src/retry.rs
+++ b/crates/hemlocktack-decide/src/retry.rs
@@ -136,6 +136,17 @@
     }
 }
 
+/// What the retry of one call is taken from.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBudget<'a> {
+    /// Of the request.
+    pub allowance: &'a Allowance,
+    /// Of the edge to the service that is called.
+    pub edge: &'a EdgeBudget,
+    /// Where the request stands among those that draw on the edge.
+    pub standing: RetryStanding,
+}
+
 /// What to do about a call that ended without an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RetryVerdict {
@@ -164,9 +175,7 @@
     idempotent: bool,
     time_left: Duration,
     expected: Duration,
-    allowance: &Allowance,
-    edge: &EdgeBudget,
-    standing: RetryStanding,
+    budget: &RetryBudget<'_>,
     now: Instant,
 ) -> RetryVerdict {
     let safe = match unfinished {
@@ -176,11 +185,11 @@
     if !safe || time_left < expected {
         return RetryVerdict::PassUp;
     }
-    let part = allowance.part_for(unfinished);
+    let part = budget.allowance.part_for(unfinished);
     if take_from(part, 1) == 0 {
         return RetryVerdict::Spent;
     }
-    if !edge.take_one(standing, now) {
+    if !budget.edge.take_one(budget.standing, now) {
         part.fetch_add(1, Ordering::AcqRel);
         return RetryVerdict::Spent;
     }
--- a/crates/hemlocktack-decide/tests/retry.rs
+++ b/crates/hemlocktack-decide/tests/retry.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Allowance, EdgeBudget, RetryPolicy, RetryStanding, RetryVerdict, end_of_tries, retry_verdict,
+    Allowance, EdgeBudget, RetryBudget, RetryPolicy, RetryStanding, RetryVerdict, end_of_tries,
+    retry_verdict,
 };
 use hemlocktack_protocol::{Reason, Refusal, Unfinished};
 use proptest::prelude::*;
@@ -13,6 +14,14 @@
 
 const DEPTH: u32 = 10;
 
+fn budget<'a>(allowance: &'a Allowance, edge: &'a EdgeBudget) -> RetryBudget<'a> {
+    RetryBudget {
+        allowance,
+        edge,
+        standing: RetryStanding::FIRST,
+    }
+}
+
 /// A call at `depth` whose calls fail at random; returns retries spent below.
 fn spend(allowance: &Allowance, depth: u32, fan_out: u32, rng: &mut SmallRng) -> u32 {
     let mut spent = 0;
@@ -70,9 +79,7 @@
             true,
             left,
             expected,
-            &allowance,
-            &edge,
-            RetryStanding::FIRST,
+            &budget(&allowance, &edge),
             Instant::now(),
         )
     });
@@ -124,9 +131,10 @@
             idempotent,
             Duration::from_secs(1),
             Duration::from_millis(100),
-            &Allowance::new(1),
-            &EdgeBudget::new(RetryPolicy::default(), Instant::now()),
-            RetryStanding::FIRST,
+            &budget(
+                &Allowance::new(1),
+                &EdgeBudget::new(RetryPolicy::default(), Instant::now()),
+            ),
             Instant::now(),
         );
         format!("{unfinished}, idempotent {idempotent}: {verdict:?}")
@@ -145,9 +153,10 @@
             idempotent,
             Duration::from_secs(1),
             Duration::from_millis(100),
-            &Allowance::new(1),
-            &EdgeBudget::new(RetryPolicy::default(), Instant::now()),
-            RetryStanding::FIRST,
+            &budget(
+                &Allowance::new(1),
+                &EdgeBudget::new(RetryPolicy::default(), Instant::now()),
+            ),
             Instant::now(),
         )
     };
@@ -180,9 +189,7 @@
             false,
             left,
             expected,
-            &deep,
-            &edge,
-            RetryStanding::FIRST,
+            &budget(&deep, &edge),
             Instant::now(),
         );
         answers += u32::from(verdict == RetryVerdict::Retry);
@@ -203,9 +210,7 @@
             true,
             left,
             expected,
-            &allowance,
-            &edge,
-            RetryStanding::FIRST,
+            &budget(&allowance, &edge),
             Instant::now(),
         )
     };
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Allowance, Moves, PeerLoad, PlacementPolicy, RetryStanding, RetryVerdict, Standing,
-    end_of_tries, place, retry_verdict, within_objective,
+    Allowance, Moves, PeerLoad, PlacementPolicy, RetryBudget, RetryStanding, RetryVerdict,
+    Standing, end_of_tries, place, retry_verdict, within_objective,
 };
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
 use hemlocktack_telemetry::{Event, SpanName, log_event};
@@ -430,20 +430,22 @@
         .saturating_duration_since(Instant::now());
     let service_time_us = answer.hint.as_ref().map_or(0, |hint| hint.service_time_us);
     let expected = Duration::from_micros(service_time_us);
-    let standing = RetryStanding::new(
-        classified.class_rank,
-        node.class_count(),
-        classified.call.root_request_id,
-        classified.parent.is_none(),
-    );
+    let budget = RetryBudget {
+        allowance: &classified.allowance,
+        edge: &view.edge,
+        standing: RetryStanding::new(
+            classified.class_rank,
+            node.class_count(),
+            classified.call.root_request_id,
+            classified.parent.is_none(),
+        ),
+    };
     let verdict = retry_verdict(
         unfinished,
         classified.idempotent,
         time_left,
         expected,
-        &classified.allowance,
-        &view.edge,
-        standing,
+        &budget,
         Instant::now(),
     );
     if verdict == RetryVerdict::Retry {
