--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -16,6 +16,7 @@
 mod run;
 mod service_directory;
 mod ticketed;
+mod tries;
 
 pub(crate) use admission_queue::AdmissionQueue;
 pub(crate) use classify::{Classified, classify, fingerprint, work_kind_of};
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Allowance, Moves, PeerLoad, PlacementPolicy, RetryBudget, RetryStanding, RetryVerdict,
-    Standing, end_of_tries, place, retry_verdict, within_objective,
+    Allowance, PeerLoad, PlacementPolicy, RetryBudget, RetryStanding, RetryVerdict, Standing,
+    place, retry_verdict, within_objective,
 };
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
 use hemlocktack_telemetry::{Event, SpanName, log_event};
@@ -13,6 +13,7 @@
 
 use super::ends::{NOTHING_SHED, not_run, unknown, wait_before_return};
 use super::service_directory::{PeerEntry, ServiceView};
+use super::tries::Tries;
 use super::{Classified, receive};
 use crate::links::{Peer, Sent};
 use crate::node::{Node, Place};
@@ -41,13 +42,16 @@
         let Some(index) = tries.next(&view, classified) else {
             return tries.told_or_no_upstream();
         };
-        tokio::time::sleep(tries.pause()).await;
+        if let Some(pause) = tries.pause() {
+            tokio::time::sleep(pause).await;
+        }
         let answer = attempt(node, &view, index, classified, purpose, tries.is_repeat()).await;
         let Some(unfinished) = unfinished(&answer) else {
             return answer;
         };
-        let goes_on =
-            tries.moves(&unfinished) || is_retried(node, &unfinished, classified, &view, &answer);
+        let goes_on = tries.moves(&unfinished)
+            || (tries.may_run_again(&unfinished, classified)
+                && is_retried(node, &unfinished, classified, &view, &answer));
         log_unfinished(node, classified, &view.peers[index], &unfinished, goes_on);
         tries.add(index, unfinished, answer);
         if !goes_on {
@@ -96,83 +100,6 @@
     );
 }
 
-/// Pause before a call goes again to upstreams that have turned it away, for each
-/// time but the first: a quarter of what today's shortest calls take. An upstream
-/// that turns a share of its calls away takes the next one as soon as any; one
-/// that is full is not asked hundreds of times a second.
-const PAUSE_A_TURN: Duration = Duration::from_millis(4);
-
-/// The sends of one call so far.
-#[derive(Default)]
-struct Tries {
-    /// The node that ended the last one.
-    excluded: Option<usize>,
-    /// Those whose upstreams the call was handed to, or may have been.
-    reached: Vec<usize>,
-    /// Times that an upstream has turned it away.
-    turned_away: u32,
-    /// Those that were no retry.
-    moves: Moves,
-    /// What the caller is told if no later send is answered.
-    told: Option<Told>,
-}
-
-struct Told {
-    unfinished: Unfinished,
-    answer: Answer,
-}
-
-impl Tries {
-    /// Whether another node may be tried, which is no retry: nothing ran.
-    fn moves(&mut self, unfinished: &Unfinished) -> bool {
-        matches!(unfinished, Unfinished::NotRun(refusal) if self.moves.take(refusal))
-    }
-
-    /// The node that the call goes to next, on another upstream than the last
-    /// one where that is allowed: it is handed to `upstreams_most` at most, and
-    /// one that has turned it away may be asked again.
-    fn next(&self, view: &ServiceView, classified: &Classified) -> Option<usize> {
-        let last = self.excluded;
-        let may_be_new = self.reached.len() < classified.upstreams_most;
-        let may_get_it =
-            |index: usize| last != Some(index) && (may_be_new || self.reached.contains(&index));
-        let same = || last.filter(|_| self.turned_away > 0);
-        choose_among(view, may_get_it, classified.objective).or_else(same)
-    }
-
-    /// Whether the next send comes after one that an upstream got.
-    fn is_repeat(&self) -> bool {
-        !self.reached.is_empty()
-    }
-
-    fn pause(&self) -> Duration {
-        PAUSE_A_TURN * self.turned_away.saturating_sub(1)
-    }
-
-    fn add(&mut self, index: usize, unfinished: Unfinished, answer: Answer) {
-        self.excluded = Some(index);
-        let is_turned_away = unfinished.reason() == Reason::UpstreamShed;
-        let was_handed_over = is_turned_away || matches!(unfinished, Unfinished::Unknown(_));
-        self.turned_away += u32::from(is_turned_away);
-        if was_handed_over && !self.reached.contains(&index) {
-            self.reached.push(index);
-        }
-        let earlier = self.told.as_ref().map(|told| told.unfinished);
-        if earlier.is_none_or(|earlier| end_of_tries(Some(earlier), unfinished) != earlier) {
-            self.told = Some(Told { unfinished, answer });
-        }
-    }
-
-    /// Where no other node is left, the caller and the operators are told why
-    /// the last one refused: `no-upstream` would send them to look for an
-    /// upstream that is there, only full.
-    fn told_or_no_upstream(self) -> Answer {
-        let retry_after = Some(wait_before_return(NOTHING_SHED));
-        let nowhere = || not_run(Reason::NoUpstream, retry_after);
-        self.told.map_or_else(nowhere, |told| told.answer)
-    }
-}
-
 /// The service's nodes, if the request is not in quarantine and the service's
 /// shed level lets it through: what would be refused there costs nothing here.
 pub(crate) fn admitted_view(
@@ -220,7 +147,7 @@
     choose_among(view, |index| Some(index) != excluded, None)
 }
 
-fn choose_among(
+pub(super) fn choose_among(
     view: &ServiceView,
     may_get_it: impl Fn(usize) -> bool,
     objective: Option<Instant>,
