--- a/crates/hemlocktack-node/src/peers/records.rs
+++ b/crates/hemlocktack-node/src/peers/records.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hemlocktack_platform::Publication;
+use hemlocktack_platform::{Publication, PublishedNodes};
 use hemlocktack_protocol::{Member, NodeState};
 use hemlocktack_telemetry::{Event, log_event};
 use rand::RngExt;
@@ -88,6 +88,7 @@
     let Ok(listed) = node.records.list().await else {
         return;
     };
+    log_unreadable(node, &listed);
     let others = listed.nodes.iter().map(|listed| &listed.member);
     let others = others.filter(|member| *member.node_id != *node.identity.node_id);
     let addresses = others.filter_map(|member| member.gossip_address.parse().ok());
@@ -96,3 +97,15 @@
     node.seeds.store(Arc::new(seeds));
     node.signals.seeds_changed.notify_one();
 }
+
+/// Records of another writer name no node; that they are there is told.
+fn log_unreadable(node: &Node, listed: &PublishedNodes) {
+    let unreadable = listed.malformed_keys.len() + listed.unreadable_count;
+    if unreadable == 0 {
+        return;
+    }
+    if let Some(count) = node.unreadable_answers.count() {
+        let detail = format!("{unreadable} records of nodes cannot be read");
+        log_event!(Event::PlatformUnreadable, detail, count);
+    }
+}
--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -207,6 +207,7 @@
             let listing = match whole {
                 Some(mut listing) => {
                     listing.objects.extend(page.listing.objects);
+                    listing.unreadable_count += page.listing.unreadable_count;
                     listing
                 }
                 None => page.listing,
--- a/crates/hemlocktack-platform/src/nodes.rs
+++ b/crates/hemlocktack-platform/src/nodes.rs
@@ -44,6 +44,8 @@
     pub nodes: Vec<PublishedNode>,
     /// Records that cannot be read; the others are of use all the same.
     pub malformed_keys: Vec<String>,
+    /// Entries among them that are not even records with a key.
+    pub unreadable_count: usize,
 }
 
 /// Publishes the own record and reads the others.
@@ -133,6 +135,7 @@
             revision: listing.revision,
             nodes,
             malformed_keys,
+            unreadable_count: listing.unreadable_count,
         })
     }
 
--- a/crates/hemlocktack-platform/src/values.rs
+++ b/crates/hemlocktack-platform/src/values.rs
@@ -26,6 +26,10 @@
     pub revision: Revision,
     /// In order of keys.
     pub objects: Vec<Object>,
+    /// Entries that are no objects: somebody else wrote them. The others are of
+    /// use all the same.
+    #[serde(default)]
+    pub unreadable_count: usize,
 }
 
 /// An object that changed while a watch was waiting.
