One place for a send's end, for what roots teach the limit, and for ends without a hint

A send that was begun and the word of its end to the peer's load stood apart, and twice: at the entry with a guard for callers that leave, at the home of tickets without one. The guard takes the answer now, so that every send has its end told. A peer's load counted an end without a hint in two ways.

saved_retries is least_retries: nothing is saved up any more. Comments that spoke of windows a second apart, or ran over, are put right.

--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -1,5 +1,6 @@
 //! Admission on the node beside an upstream: run, queue or refuse each call.
 
+mod learn;
 mod refuse;
 
 use std::collections::HashMap;
@@ -7,7 +8,7 @@
 
 use hemlocktack_protocol::{CallId, Fingerprint, LoadHint, Reason, Refusal, UpstreamState};
 
-use crate::limit::{ConcurrencyLimit, WindowEnd};
+use crate::limit::ConcurrencyLimit;
 use crate::objective_limit::ObjectiveLimit;
 use crate::offer::{CancelResult, Decision, Ended, Offer, Verdict, WorkKind};
 use crate::policy::AdmissionPolicy;
@@ -69,9 +70,6 @@
 /// A queue that has been above half its bound for this long will not be worked
 /// off in time for its oldest calls: the newest run first until it is.
 const STANDING_AFTER: Duration = Duration::from_millis(200);
-/// A call that comes with next to none of its objective left says nothing about
-/// the limit; this bounds what it weighs.
-const LEAST_OBJECTIVE_SECS: f64 = 0.01;
 /// Calls that the maps hold without growing: the largest upstream of today has
 /// 1,200 connections; larger ones grow them once.
 const RUNNING_CAPACITY: usize = 2048;
@@ -415,44 +413,6 @@
         }
     }
 
-    fn learn_from(&mut self, call: &Running, time_below: Duration, now: Instant) {
-        let total = now.saturating_duration_since(call.started);
-        let own = total.saturating_sub(time_below);
-        let ratio = self.work.observe(call.kind, total, own, now);
-        if let Some(limit) = &mut self.objective_limit {
-            // A rest of an objective says nothing about the limit.
-            if let Some(objective) = call.objective.filter(|_| !call.has_returned) {
-                let whole = objective.as_secs_f64().max(LEAST_OBJECTIVE_SECS);
-                let own_share = own.as_secs_f64() / whole;
-                let below_share = (total - own).as_secs_f64() / whole;
-                limit.observe(total, own_share, below_share, now);
-            }
-            return;
-        }
-        if self.limit.observe(ratio, call.started, now) == WindowEnd::FloorIsStale {
-            self.work.adopt_floors();
-        }
-    }
-
-    /// Load: more roots than a service below can finish. Harm: nearly all of them
-    /// fail there, half way, and the few that are answered in time say that all
-    /// is well: the limit stays, and the service below goes on working for
-    /// requests that fail. So one that found no room below counts as if it had
-    /// waited there for the rest of its objective.
-    fn learn_lack_of_room(&mut self, call: &Running, time_below: Duration, now: Instant) {
-        let Some(limit) = &mut self.objective_limit else {
-            return;
-        };
-        let Some(objective) = call.objective.filter(|_| !call.has_returned) else {
-            return;
-        };
-        let total = now.saturating_duration_since(call.started);
-        let whole = objective.as_secs_f64().max(LEAST_OBJECTIVE_SECS);
-        let own_share = total.saturating_sub(time_below).as_secs_f64() / whole;
-        let below_share = (1.0 - own_share).max(time_below.as_secs_f64() / whole);
-        limit.observe(total, own_share, below_share, now);
-    }
-
     fn end_interval_if_due(&mut self, now: Instant) {
         if !self.shed.due(now) {
             return;
--- a/crates/hemlocktack-decide/src/edge_budget.rs
+++ b/crates/hemlocktack-decide/src/edge_budget.rs
@@ -83,7 +83,7 @@
 pub struct EdgeBudget {
     began: Instant,
     share_per_mille: AtomicU32,
-    saved_retries: u32,
+    least_retries: u32,
     first_tries: CountByTick,
     retries: CountByTick,
 }
@@ -94,7 +94,7 @@
         EdgeBudget {
             began: now,
             share_per_mille: AtomicU32::new(policy.share_per_mille),
-            saved_retries: policy.saved_retries,
+            least_retries: policy.least_retries,
             first_tries: CountByTick::default(),
             retries: CountByTick::default(),
         }
@@ -134,7 +134,7 @@
         let left = 1.0 - self.retries.in_window(tick, WINDOW_TICKS) as f64 / most;
         // A quiet edge may make its few retries all at once.
         let pace_most = most * PACE_TICKS as f64 / WINDOW_TICKS as f64;
-        let pace_most = pace_most.max(f64::from(self.saved_retries));
+        let pace_most = pace_most.max(f64::from(self.least_retries));
         let pace = self.retries.in_window(tick, PACE_TICKS) as f64 / pace_most;
         let by_pace = (PACE_CLOSED - pace) / (PACE_CLOSED - PACE_OPEN);
         (left / KEPT_SHARE).min(by_pace).clamp(0.0, 1.0)
@@ -146,7 +146,7 @@
         let earlier = tick.saturating_sub(EARLIER_TICKS);
         let first_tries = [tick, earlier].map(|end| self.first_tries.in_window(end, WINDOW_TICKS));
         let most = first_tries[0].max(first_tries[1]) as f64 * share;
-        most.floor().max(f64::from(self.saved_retries))
+        most.floor().max(f64::from(self.least_retries))
     }
 
     /// The first tick is not 0, which an unused count has.
--- a/crates/hemlocktack-decide/src/objective_limit.rs
+++ b/crates/hemlocktack-decide/src/objective_limit.rs
@@ -29,8 +29,8 @@
     /// Largest share that a run is let take for that reason: the rest is for the
     /// spread of single runs.
     pub most_target: f64,
-    /// Below this share of the target the limit grows while calls wait for it: far enough
-    /// from it that the spread of eight runs does not cross both.
+    /// Below this share of the target the limit grows while calls wait for it:
+    /// far enough from it that the spread of eight runs does not cross both.
     pub grow_below: f64,
     /// Least growth in one window: back from a tenth of the slots to all in
     /// seventeen.
--- a/crates/hemlocktack-decide/src/peer_load.rs
+++ b/crates/hemlocktack-decide/src/peer_load.rs
@@ -134,10 +134,7 @@
 
     /// The call ended without an answer through a fault of it or its link.
     pub fn failed(&self, now: Instant) {
-        self.ended();
-        // No hint came that would count it. Left in, the calls that a peer has
-        // failed make it look full, and it is not tried when it is back.
-        count_down(&self.sent_since_hint);
+        self.ended_without_hint();
         self.count_failure(true, now);
         // Calls that fail together are one try.
         let is_known = self.micros(now) < self.avoided_until_us.load(Ordering::Acquire);
@@ -155,8 +152,7 @@
     /// long as it lives, and the node sends its calls past an idle upstream to
     /// the others. A call that was left says nothing else of the peer.
     pub fn abandoned(&self) {
-        self.ended();
-        count_down(&self.sent_since_hint);
+        self.ended_without_hint();
     }
 
     fn avoid(&self, time: Duration, now: Instant) {
@@ -213,6 +209,13 @@
         count_down(&self.outstanding);
     }
 
+    /// No hint came that would count the call. Left in, the calls that a peer has
+    /// failed make it look full, and it is not tried when it is back.
+    fn ended_without_hint(&self) {
+        self.ended();
+        count_down(&self.sent_since_hint);
+    }
+
     fn learn(&self, hint: &LoadHint, now: Instant) {
         self.load
             .store(hint.in_flight + hint.queued, Ordering::Release);
--- a/crates/hemlocktack-decide/src/retry.rs
+++ b/crates/hemlocktack-decide/src/retry.rs
@@ -121,17 +121,18 @@
     /// add a tenth to the load at worst: too little to hold an overload up.
     pub share_per_mille: u32,
     /// Retries that an edge may make in any window, however quiet it is: it can
-    /// still repeat the few calls that a restart cut off. Every node has such an edge: where
-    /// half of seventeen are lost at once, a service of a hundred calls a second
-    /// is sent 136 of them again within a second, an eighth of ten seconds' calls.
-    pub saved_retries: u32,
+    /// still repeat the few calls that a restart cut off. Every node has such an
+    /// edge: where half of seventeen are lost at once, a service of a hundred
+    /// calls a second is sent 136 of them again within a second, an eighth of ten
+    /// seconds' calls.
+    pub least_retries: u32,
 }
 
 impl Default for RetryPolicy {
     fn default() -> Self {
         RetryPolicy {
             share_per_mille: 100,
-            saved_retries: 8,
+            least_retries: 8,
         }
     }
 }
@@ -167,9 +168,9 @@
 /// matter: its node had counted a free slot for the call, so load is not the
 /// cause, and a share of all calls is turned away whatever their number. A
 /// request that needs eight answers of such a service gets none without
-/// retries. An unknown outcome is repeated only where
-/// the operators declared the request idempotent. A retry that cannot finish
-/// in the time left would be work for nobody.
+/// retries. An unknown outcome is repeated only where the operators declared the
+/// request idempotent. A retry that cannot finish in the time left would be work
+/// for nobody.
 pub fn retry_verdict(
     unfinished: &Unfinished,
     idempotent: bool,
--- a/crates/hemlocktack-decide/tests/edge_budget.rs
+++ b/crates/hemlocktack-decide/tests/edge_budget.rs
@@ -6,7 +6,7 @@
 
 const POLICY: RetryPolicy = RetryPolicy {
     share_per_mille: 160,
-    saved_retries: 8,
+    least_retries: 8,
 };
 /// Checks of one node at a deep service.
 const FIRST_TRIES_A_SECOND: u32 = 200;
@@ -58,7 +58,7 @@
     let now = Instant::now();
     let edge = EdgeBudget::new(POLICY, now);
     let retries = play(&edge, now, &[FIRST_TRIES_A_SECOND; 60], 1);
-    let most = 10 * FIRST_TRIES_A_SECOND * POLICY.share_per_mille / 1000 + POLICY.saved_retries;
+    let most = 10 * FIRST_TRIES_A_SECOND * POLICY.share_per_mille / 1000 + POLICY.least_retries;
     for window in retries.windows(10) {
         assert!(window.iter().sum::<u32>() <= most, "{retries:?}");
     }
--- a/crates/hemlocktack-decide/tests/operators_limits.rs
+++ b/crates/hemlocktack-decide/tests/operators_limits.rs
@@ -47,7 +47,7 @@
 fn a_share_of_nothing_earns_no_more_retries() {
     let now = Instant::now();
     let policy = RetryPolicy {
-        saved_retries: 1,
+        least_retries: 1,
         ..RetryPolicy::default()
     };
     let edge = EdgeBudget::new(policy, now);
--- a/crates/hemlocktack-node/src/calls/home.rs
+++ b/crates/hemlocktack-node/src/calls/home.rs
@@ -9,6 +9,7 @@
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Unfinished};
 
 use super::home_table::EndReceiver;
+use super::open_send::OpenSend;
 use super::place::{Delivery, choose, send_with_allowance, unfinished};
 use super::receive::refuses_all;
 use super::run::{RunOrder, run};
@@ -164,9 +165,9 @@
     let mut call = call.clone();
     call.purpose = CallPurpose::Delegated.into();
     let allowance = hemlocktack_decide::Allowance::new(call.retries_given);
-    peer.as_ref().sent(Instant::now());
+    let open_send = OpenSend::begin(peer);
     let Delivery { answer, .. } = send_with_allowance(node, peer, call, deadline, &allowance).await;
-    super::place::learn_load(peer, &answer);
+    open_send.end(&answer);
     if answer.outcome() == Outcome::NotRun {
         let given_back = node.home.table().give_back_from(nonce, &peer.identity);
         if given_back.is_err() {
--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -11,6 +11,7 @@
 mod enter;
 mod home;
 mod home_table;
+mod open_send;
 mod place;
 mod receive;
 mod run;
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::ends::{NOTHING_SHED, not_run, unknown, wait_before_return};
+use super::open_send::OpenSend;
 use super::service_directory::{PeerEntry, ServiceView};
 use super::tries::Tries;
 use super::{Classified, receive};
@@ -177,7 +178,7 @@
     call.purpose = purpose.into();
     call.is_repeat |= is_repeat;
     call.objective_left_us = classified.objective.map_or(0, micros_left);
-    let open_send = OpenSend::begin(peer.as_ref());
+    let open_send = OpenSend::begin(peer);
     let Classified {
         deadline,
         allowance,
@@ -190,39 +191,11 @@
             unknown(Reason::LinkLost)
         }
     };
-    open_send.end();
-    learn(view, index, classified, &answer);
-    answer
-}
-
-/// A send whose end its peer's load has to be told, also where nobody waits for
-/// it any more.
-struct OpenSend<'a> {
-    load: &'a PeerLoad,
-    is_open: bool,
-}
-
-impl<'a> OpenSend<'a> {
-    fn begin(load: &'a PeerLoad) -> Self {
-        load.sent(Instant::now());
-        Self {
-            load,
-            is_open: true,
-        }
-    }
-
-    /// The end is known, and the load is told of it next.
-    fn end(mut self) {
-        self.is_open = false;
-    }
-}
-
-impl Drop for OpenSend<'_> {
-    fn drop(&mut self) {
-        if self.is_open {
-            self.load.abandoned();
-        }
+    if let Some(hint) = &answer.hint {
+        view.learn(index, classified.kind, hint);
     }
+    open_send.end(&answer);
+    answer
 }
 
 /// Ends once the peer is given up: it owes answers and sends nothing at all.
@@ -352,9 +325,8 @@
     view: &ServiceView,
     answer: &Answer,
 ) -> bool {
-    let time_left = classified
-        .deadline
-        .saturating_duration_since(Instant::now());
+    let now = Instant::now();
+    let time_left = classified.deadline.saturating_duration_since(now);
     let service_time_us = answer.hint.as_ref().map_or(0, |hint| hint.service_time_us);
     let expected = Duration::from_micros(service_time_us);
     let budget = RetryBudget {
@@ -373,7 +345,7 @@
         time_left,
         expected,
         &budget,
-        Instant::now(),
+        now,
     );
     if verdict == RetryVerdict::Retry {
         node.counters.retried();
@@ -381,26 +353,6 @@
     verdict == RetryVerdict::Retry
 }
 
-fn learn(view: &ServiceView, index: usize, classified: &Classified, answer: &Answer) {
-    if let Some(hint) = &answer.hint {
-        view.learn(index, classified.kind, hint);
-    }
-    learn_load(&view.peers[index], answer);
-}
-
-/// Each `PeerLoad::sent` is followed by one of these.
-pub(crate) fn learn_load(peer: &PeerEntry, answer: &Answer) {
-    let load = peer.as_ref();
-    let now = Instant::now();
-    match (answer.outcome(), &answer.hint) {
-        (Outcome::Answered, Some(hint)) => load.answered(hint, now),
-        (Outcome::NotRun, hint) if answer.reason() != Reason::LinkLost => {
-            load.refused(answer.reason(), hint.as_ref(), now);
-        }
-        _ => load.failed(now),
-    }
-}
-
 fn time_left_us(deadline: Instant) -> u64 {
     micros_left(deadline - TIME_FOR_THE_WAY_BACK)
 }
--- a/crates/hemlocktack-node/src/node/configuration.rs
+++ b/crates/hemlocktack-node/src/node/configuration.rs
@@ -29,7 +29,7 @@
 const MILLE_A_PERCENT: u32 = 10;
 /// Part of the share for all nodes together that each one keeps to. The rest is
 /// for edges so quiet that they may make a few retries whatever their share, and
-/// for the different beginnings of the nodes' windows, a second of ten.
+/// for windows that begin at another time on each node.
 const SHARE_KEPT_TO_PERCENT: u32 = 80;
 
 impl Node {
