Say in a send's line which limit ended the sends, and how many upstreams had the call

Cause: 711 told neither a move from a retry, nor which limit ended the sends, nor how many upstreams had had the call of how many, nor the generation that said so.

Change: the count of a call's sends and the step that follows are a decision of their own without I/O (CallSends, NextStep), with its tests; 711 and a counter tell the step. A verdict on a retry tells a spent allowance from a spent edge, and too little time from what is never repeated.

Ruled out: a line for each answered repeat; its 711 before it tells the same.

--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -20,6 +20,7 @@
 mod queue;
 mod retry;
 mod retry_after;
+mod sends;
 mod shed;
 mod suspects;
 mod usual_patience;
@@ -41,5 +42,6 @@
     Allowance, RetryBudget, RetryPolicy, RetryVerdict, end_of_tries, retry_verdict, share_for_child,
 };
 pub use retry_after::{RetryAfterPolicy, retry_after, within_objective};
+pub use sends::{CallSends, NextStep};
 pub use shed::{ChainEdges, EntryShedPolicy, EntryShedder, ShedController, ShedLevel, ShedPolicy};
 pub use usual_patience::UsualPatience;
--- a/crates/hemlocktack-decide/src/retry.rs
+++ b/crates/hemlocktack-decide/src/retry.rs
@@ -155,9 +155,13 @@
     Retry,
     /// Pass the end up as it is.
     PassUp,
-    /// Pass it up: another try could help, but the request's allowance or the
-    /// edge's share is used up.
-    Spent,
+    /// Pass it up: another try could not end in the time left.
+    TooLate,
+    /// Pass it up: another try could help, but the request's allowance is used up.
+    AllowanceSpent,
+    /// Pass it up: another try could help, but the edge's share is used up, or kept
+    /// for requests before this one.
+    EdgeSpent,
 }
 
 /// Whether a call that ended without an answer is sent again.
@@ -183,16 +187,19 @@
         Unfinished::NotRun(refusal) => is_passing_fault(refusal.reason),
         Unfinished::Unknown(reason) => idempotent && is_passing_fault(*reason),
     };
-    if !safe || time_left < expected {
+    if !safe {
         return RetryVerdict::PassUp;
     }
+    if time_left < expected {
+        return RetryVerdict::TooLate;
+    }
     let part = budget.allowance.part_for(unfinished);
     if take_from(part, 1) == 0 {
-        return RetryVerdict::Spent;
+        return RetryVerdict::AllowanceSpent;
     }
     if !budget.edge.take_one(budget.standing, now) {
         part.fetch_add(1, Ordering::AcqRel);
-        return RetryVerdict::Spent;
+        return RetryVerdict::EdgeSpent;
     }
     RetryVerdict::Retry
 }
--- /dev/null
+++ b/crates/hemlocktack-decide/tests/sends.rs
@@ -0,0 +1,121 @@
+//! The sends of one call: how many upstreams may run it, and what ends them.
+
+use hemlocktack_decide::{CallSends, NextStep, RetryVerdict};
+use hemlocktack_protocol::{Reason, Refusal, Unfinished};
+use proptest::prelude::*;
+
+const LOST: Unfinished = Unfinished::Unknown(Reason::UpstreamFailed);
+const TURNED_AWAY: Unfinished = not_run(Reason::UpstreamShed);
+const FULL: Unfinished = not_run(Reason::QueueFull);
+
+const fn not_run(reason: Reason) -> Unfinished {
+    Unfinished::NotRun(Refusal {
+        reason,
+        retry_after: None,
+    })
+}
+
+/// Sends a call to node after node, as long as another send follows.
+fn steps(upstreams_most: usize, ends: &[Unfinished]) -> Vec<NextStep> {
+    let mut sends = CallSends::new(upstreams_most);
+    let mut steps = Vec::new();
+    for (node, end) in ends.iter().enumerate() {
+        let step = sends.ended(node, end, || RetryVerdict::Retry);
+        steps.push(step);
+        if !step.goes_on() {
+            break;
+        }
+    }
+    steps
+}
+
+/// Upstreams run a deeper call and lose the answers, one after the other. Its chain
+/// has retries left for twenty sends more; its route has two upstreams. The third
+/// does not get it, and no retry is taken for what is not sent.
+#[test]
+fn a_call_stops_at_its_own_route_whatever_its_chain_has_left() {
+    let mut sends = CallSends::new(2);
+    assert_eq!(
+        sends.ended(0, &LOST, || RetryVerdict::Retry),
+        NextStep::Retried
+    );
+    let never = || unreachable!("a retry is asked for");
+    assert_eq!(sends.ended(1, &LOST, never), NextStep::UpstreamsUsedUp);
+    assert_eq!(sends.upstreams_reached(), 2);
+}
+
+#[test]
+fn what_follows_each_end() {
+    use NextStep::{Moved, Retried, UpstreamsUsedUp};
+    assert_eq!(steps(1, &[LOST]), [UpstreamsUsedUp]);
+    // A node that refuses it has not handed it over.
+    assert_eq!(
+        steps(2, &[FULL, LOST, LOST]),
+        [Moved, Retried, UpstreamsUsedUp]
+    );
+    // What an upstream turns away has not run there.
+    assert_eq!(
+        steps(2, &[TURNED_AWAY, LOST, LOST]),
+        [Retried, Retried, UpstreamsUsedUp]
+    );
+}
+
+/// Why the caller is told, by the verdict on a further retry.
+#[test]
+fn each_verdict_has_a_step_of_its_own() {
+    let cases = [
+        (RetryVerdict::PassUp, NextStep::PassedUp),
+        (RetryVerdict::TooLate, NextStep::TooLate),
+        (RetryVerdict::AllowanceSpent, NextStep::AllowanceUsedUp),
+        (RetryVerdict::EdgeSpent, NextStep::EdgeUsedUp),
+    ];
+    for (verdict, step) in cases {
+        assert_eq!(CallSends::new(2).ended(0, &LOST, || verdict), step);
+    }
+}
+
+/// Two upstreams have turned a call away, and its route allows no third: only
+/// these may get it again, and one that is left alone may get it at once.
+#[test]
+fn only_upstreams_that_turned_it_away_may_get_it_again() {
+    let mut sends = CallSends::new(2);
+    sends.ended(0, &TURNED_AWAY, || RetryVerdict::Retry);
+    sends.ended(1, &TURNED_AWAY, || RetryVerdict::Retry);
+    let may_get_it: Vec<usize> = (0..4).filter(|node| sends.may_get_it(*node)).collect();
+    assert_eq!(may_get_it, [0]);
+    assert_eq!(sends.same_again(), Some(1));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Any ends at any nodes, with a retry for each that asks: the call is handed to
+    /// no more upstreams than its route allows, and runs no oftener than that.
+    #[test]
+    fn no_call_runs_on_more_upstreams_than_allowed(
+        upstreams_most in 1usize..4,
+        draws in prop::collection::vec((0usize..6, 0usize..3), 1..40),
+    ) {
+        let mut sends = CallSends::new(upstreams_most);
+        let mut handed_to = Vec::new();
+        let mut runs = 0;
+        for (first, end) in draws {
+            let nodes = (0..6).map(|offset| (first + offset) % 6);
+            let mut allowed = nodes.filter(|node| sends.may_get_it(*node));
+            let Some(node) = allowed.next().or(sends.same_again()) else {
+                break;
+            };
+            drop(allowed);
+            let end = [LOST, TURNED_AWAY, FULL][end];
+            if end != FULL && !handed_to.contains(&node) {
+                handed_to.push(node);
+            }
+            runs += usize::from(end == LOST);
+            prop_assert!(handed_to.len() <= upstreams_most);
+            prop_assert!(runs <= upstreams_most);
+            if !sends.ended(node, &end, || RetryVerdict::Retry).goes_on() {
+                break;
+            }
+        }
+    }
+}
--- a/crates/hemlocktack-node/src/calls/classify.rs
+++ b/crates/hemlocktack-node/src/calls/classify.rs
@@ -5,7 +5,7 @@
 
 use hemlocktack_config::{Document, RequestRule, Service};
 use hemlocktack_decide::{Allowance, WorkKind};
-use hemlocktack_protocol::{Call, ClassRank, Fingerprint, Reason, stable_hash};
+use hemlocktack_protocol::{Call, ClassRank, Fingerprint, Generation, Reason, stable_hash};
 
 use super::RunningCall;
 use crate::callers::CallerRequest;
@@ -26,9 +26,12 @@
     pub(crate) objective: Option<Instant>,
     /// Retries of this request; shared with the calls beside it in a chain.
     pub(crate) allowance: Arc<Allowance>,
-    /// Upstreams that the call may be handed to; those whose nodes refuse it
-    /// before do not count.
-    pub(crate) upstreams_most: usize,
+    /// Upstreams that the call may be handed to, where its route says so; those
+    /// whose nodes refuse it before do not count. Else the allowance alone bounds
+    /// them.
+    pub(crate) upstreams_most: Option<usize>,
+    /// Of the configuration that all this was read from.
+    pub(crate) generation: Generation,
     pub(crate) parent: Option<Arc<RunningCall>>,
     /// As the caller sent it; see `Idempotency-Key`.
     pub(crate) idempotency_key: Option<String>,
@@ -99,8 +102,8 @@
         deadline,
         objective: parent.as_ref().and_then(|parent| parent.objective),
         allowance,
-        // The allowance alone bounds them.
-        upstreams_most: usize::MAX,
+        upstreams_most: None,
+        generation: in_force.generation,
         parent,
         idempotency_key,
     })
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Allowance, PeerLoad, PlacementPolicy, RetryBudget, RetryStanding, RetryVerdict, Standing,
-    place, retry_verdict, within_objective,
+    Allowance, CallSends, NextStep, PeerLoad, PlacementPolicy, RetryBudget, RetryStanding,
+    RetryVerdict, Standing, place, retry_verdict, within_objective,
 };
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
 use hemlocktack_telemetry::{Event, SpanName, log_event};
@@ -38,24 +38,26 @@
         true => CallPurpose::Placed,
         false => CallPurpose::PlacedOnce,
     };
-    let mut tries = Tries::default();
+    let mut tries = Tries::new(classified);
     loop {
         let Some(index) = tries.next(&view, classified) else {
             return tries.told_or_no_upstream();
         };
-        if let Some(pause) = tries.pause() {
+        if let Some(pause) = tries.sends.pause() {
             tokio::time::sleep(pause).await;
         }
-        let answer = attempt(node, &view, index, classified, purpose, tries.is_repeat()).await;
+        let is_repeat = tries.sends.is_repeat();
+        let answer = attempt(node, &view, index, classified, purpose, is_repeat).await;
         let Some(unfinished) = unfinished(&answer) else {
             return answer;
         };
-        let goes_on = tries.moves(&unfinished)
-            || (tries.may_run_again(&unfinished, classified)
-                && is_retried(node, &unfinished, classified, &view, &answer));
-        log_unfinished(node, classified, &view.peers[index], &unfinished, goes_on);
-        tries.add(index, unfinished, answer);
-        if !goes_on {
+        let next = tries.ended(index, unfinished, answer, |answer| {
+            take_retry(node, &unfinished, classified, &view, answer)
+        });
+        node.counters.send_ended(next);
+        let peer = &view.peers[index];
+        log_unfinished(node, classified, peer, &unfinished, next, &tries.sends);
+        if !next.goes_on() {
             return tries.told_or_no_upstream();
         }
     }
@@ -77,13 +79,15 @@
     classified: &Classified,
     peer: &PeerEntry,
     unfinished: &Unfinished,
-    goes_on: bool,
+    next: NextStep,
+    sends: &CallSends,
 ) {
     let Some(left_out) = node.call_lines.take() else {
         return;
     };
     let outcome: &'static str = unfinished.outcome().into();
     let reason: &'static str = unfinished.reason().into();
+    let because: &'static str = next.into();
     let time_left = classified
         .deadline
         .saturating_duration_since(Instant::now());
@@ -94,7 +98,12 @@
         node = %peer.identity.node_id,
         outcome,
         reason,
-        next = if goes_on { "another-node" } else { "the-caller" },
+        next = if next.goes_on() { "another-node" } else { "the-caller" },
+        because,
+        is_deeper = classified.call.work_spent_us > 0,
+        upstreams_reached = sends.upstreams_reached(),
+        upstreams_most = classified.upstreams_most,
+        generation = classified.generation,
         time_left_ms = time_left.as_millis() as u64,
         retries_left = classified.allowance.left_here(),
         left_out
@@ -318,13 +327,13 @@
 }
 
 /// Takes a retry from the allowance and the edge, if one may be made.
-fn is_retried(
+fn take_retry(
     node: &Node,
     unfinished: &Unfinished,
     classified: &Classified,
     view: &ServiceView,
     answer: &Answer,
-) -> bool {
+) -> RetryVerdict {
     let now = Instant::now();
     let time_left = classified.deadline.saturating_duration_since(now);
     let service_time_us = answer.hint.as_ref().map_or(0, |hint| hint.service_time_us);
@@ -339,18 +348,14 @@
             classified.parent.is_none(),
         ),
     };
-    let verdict = retry_verdict(
+    retry_verdict(
         unfinished,
         classified.idempotent,
         time_left,
         expected,
         &budget,
         now,
-    );
-    if verdict == RetryVerdict::Retry {
-        node.counters.retried();
-    }
-    verdict == RetryVerdict::Retry
+    )
 }
 
 fn time_left_us(deadline: Instant) -> u64 {
--- a/crates/hemlocktack-node/src/counters.rs
+++ b/crates/hemlocktack-node/src/counters.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use hemlocktack_decide::NextStep;
 use hemlocktack_protocol::{Reason, RefusalCount};
-use strum::IntoEnumIterator;
+use strum::{EnumCount, IntoEnumIterator};
 
 /// Larger than any number of a `Reason` in the schema.
 const REASON_NUMBERS: usize = 64;
@@ -14,7 +15,7 @@
     in_flight: Arc<AtomicU64>,
     demanded: AtomicU64,
     admitted: AtomicU64,
-    retried: AtomicU64,
+    ended_sends: [AtomicU64; NextStep::COUNT],
     refused: [AtomicU64; REASON_NUMBERS],
 }
 
@@ -29,7 +30,7 @@
             in_flight: Arc::default(),
             demanded: AtomicU64::new(0),
             admitted: AtomicU64::new(0),
-            retried: AtomicU64::new(0),
+            ended_sends: std::array::from_fn(|_| AtomicU64::new(0)),
             refused: std::array::from_fn(|_| AtomicU64::new(0)),
         }
     }
@@ -66,13 +67,17 @@
         self.admitted.load(Ordering::Relaxed)
     }
 
-    /// A call was sent again.
-    pub(crate) fn retried(&self) {
-        self.retried.fetch_add(1, Ordering::Relaxed);
+    /// A send ended without an answer, and this followed.
+    pub(crate) fn send_ended(&self, next: NextStep) {
+        self.ended_sends[next as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn ended_sends_count(&self, next: NextStep) -> u64 {
+        self.ended_sends[next as usize].load(Ordering::Relaxed)
     }
 
     pub(crate) fn retried_count(&self) -> u64 {
-        self.retried.load(Ordering::Relaxed)
+        self.ended_sends_count(NextStep::Retried)
     }
 
     /// The upstream side refused a call.
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -6,7 +6,7 @@
 use hemlocktack_config::{Document, Route};
 use hemlocktack_decide::Allowance;
 use hemlocktack_interface::Entered;
-use hemlocktack_protocol::{Call, ClassRank, Reason, stable_hash};
+use hemlocktack_protocol::{Call, ClassRank, Generation, Reason, stable_hash};
 
 use crate::calls::{Classified, RunningCall, fingerprint};
 use crate::node::Node;
@@ -33,6 +33,7 @@
     idempotent: bool,
     class_rank: ClassRank,
     attempts: u32,
+    generation: Generation,
     parent: Option<Arc<RunningCall>>,
     /// An upstream made it for a request, known here or not.
     pub(super) is_deeper: bool,
@@ -74,6 +75,7 @@
         idempotent: route.idempotent,
         class_rank: class_rank(document, route),
         attempts: route.attempts,
+        generation: in_force.generation,
         parent,
         is_deeper: parent_id.is_some(),
     })
@@ -155,7 +157,8 @@
             deadline: self.deadline,
             objective: self.objective,
             allowance,
-            upstreams_most: usize::try_from(self.attempts).unwrap_or(usize::MAX),
+            upstreams_most: usize::try_from(self.attempts).ok(),
+            generation: self.generation,
             parent,
             idempotency_key: None,
         }
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -4,7 +4,7 @@
 
 use std::sync::atomic::AtomicU64;
 
-use hemlocktack_decide::ShedLevel;
+use hemlocktack_decide::{NextStep, ShedLevel};
 use hemlocktack_protocol::{NodeState, NodeStatus, Outcome, Reason};
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
@@ -36,6 +36,12 @@
     reason: &'static str,
 }
 
+/// Bounded: what may follow a send.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct NextStepLabels {
+    next: &'static str,
+}
+
 /// Bounded: the schema's states.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StateLabels {
@@ -53,7 +59,7 @@
 pub(crate) fn metrics_text(node: &Node) -> String {
     let mut registry = Registry::with_prefix(PREFIX);
     let status = status(node);
-    register_calls(&mut registry, &status);
+    register_calls(&mut registry, node, &status);
     register_load(&mut registry, node, &status);
     register_fleet(&mut registry, node, &status);
     register_tickets(&mut registry, node);
@@ -69,7 +75,7 @@
     out
 }
 
-fn register_calls(registry: &mut Registry, status: &NodeStatus) {
+fn register_calls(registry: &mut Registry, node: &Node, status: &NodeStatus) {
     let ends = Family::<EndLabels, Counter>::default();
     for entry in &status.entries {
         let labels = EndLabels {
@@ -87,6 +93,14 @@
     counter(registry, "admitted_calls", help, status.admitted_count);
     let help = "Sends beyond the first one of calls that entered here";
     counter(registry, "retries", help, status.retried_count);
+    let help = "Sends that ended without an answer, by what followed";
+    let ended_sends = Family::<NextStepLabels, Counter>::default();
+    for next in NextStep::iter() {
+        let labels = NextStepLabels { next: next.into() };
+        let count = node.counters.ended_sends_count(next);
+        ended_sends.get_or_create(&labels).inc_by(count);
+    }
+    registry.register("ended_sends", help, ended_sends);
     let refusals = Family::<ReasonLabels, Counter>::default();
     for reason in Reason::iter() {
         // From 0 on, so that a first refusal shows as a rise.
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -84,7 +84,7 @@
 
     703 INFO CallsWait: "calls wait in front of the upstream", "nothing unless it lasts: compare in_flight with limit, and service_time_us with that of other nodes";
 
-    711 INFO SendEnded: "a send of a call ended without an answer; what follows is in the field next", "look for the same request_id on the node in the field node";
+    711 INFO SendEnded: "a send of a call ended without an answer; what follows is in the field next", "look for the same request_id on the node in the field node; because names the limit that ended the sends";
     712 INFO CallRefused: "the node beside an upstream refused a call", "compare the reason with the numbers beside it";
     713 INFO RequestRefused: "a request ended where it entered without an answer of an upstream", "follow its request_id through 711 and 712";
 
