Tests that fail: retries of all nodes together, and of a service that comes back

Change: the budgets of a node's edges are one value without I/O (EdgeBudgets), which knows what operators allow all nodes and where this node stands among them, and so far does with it what was done before.

Seen: 17 nodes make 136 retries in ten seconds where operators allow 91; an edge has eight retries anew two seconds after it had used them up.

--- /dev/null
+++ b/crates/hemlocktack-decide/src/edge_budgets.rs
@@ -0,0 +1,105 @@
+//! The retry budgets of one node, an edge for each service.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+use hemlocktack_protocol::ServiceName;
+
+use crate::edge_budget::EdgeBudget;
+use crate::retry::RetryPolicy;
+
+/// [`FleetRetries::beside_share`] where operators say nothing: where half of
+/// seventeen nodes are lost at once, a service of a hundred calls a second is sent
+/// 136 of them again within a second.
+const BESIDE_SHARE_DEFAULT: u32 = 136;
+
+/// Retries that operators allow of a service's calls in any ten seconds, all nodes
+/// together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetRetries {
+    /// Per thousand first tries.
+    pub share_per_mille: u32,
+    /// Beside the share, however few first tries there are.
+    pub beside_share: u32,
+}
+
+impl Default for FleetRetries {
+    fn default() -> Self {
+        FleetRetries {
+            share_per_mille: RetryPolicy::default().share_per_mille,
+            beside_share: BESIDE_SHARE_DEFAULT,
+        }
+    }
+}
+
+/// One node among those that may make retries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NodePlace {
+    /// Its number in an order that all nodes agree on.
+    pub index: usize,
+    /// Nodes in that order.
+    pub count: usize,
+}
+
+impl NodePlace {
+    /// Of a node that knows no other.
+    pub const ALONE: NodePlace = NodePlace { index: 0, count: 1 };
+}
+
+/// Edges to the services that a node knows.
+#[derive(Debug)]
+pub struct EdgeBudgets {
+    allowed: FleetRetries,
+    place: NodePlace,
+    edges: HashMap<ServiceName, Arc<EdgeBudget>>,
+}
+
+impl EdgeBudgets {
+    /// No edge yet.
+    pub fn new(allowed: FleetRetries, place: NodePlace) -> Self {
+        EdgeBudgets {
+            allowed,
+            place,
+            edges: HashMap::new(),
+        }
+    }
+
+    /// Takes in what operators allow, for every edge.
+    pub fn set_allowed(&mut self, allowed: FleetRetries) {
+        self.allowed = allowed;
+        self.set_policies();
+    }
+
+    /// Takes in where this node stands among the others.
+    pub fn set_place(&mut self, place: NodePlace) {
+        self.place = place;
+        self.set_policies();
+    }
+
+    /// Takes in which services have nodes now.
+    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool, _now: Instant) {
+        self.edges.retain(|service, _| is_known(service));
+    }
+
+    /// The edge to a service.
+    pub fn edge(&mut self, service: &ServiceName, now: Instant) -> Arc<EdgeBudget> {
+        let policy = self.policy();
+        let edge = self.edges.entry(service.clone());
+        edge.or_insert_with(|| Arc::new(EdgeBudget::new(policy, now)))
+            .clone()
+    }
+
+    fn set_policies(&self) {
+        for edge in self.edges.values() {
+            edge.set_share_per_mille(self.allowed.share_per_mille);
+        }
+    }
+
+    fn policy(&self) -> RetryPolicy {
+        RetryPolicy {
+            share_per_mille: self.allowed.share_per_mille,
+            ..RetryPolicy::default()
+        }
+    }
+}
--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod edge_budget;
+mod edge_budgets;
 mod follow;
 mod limit;
 mod link_watch;
@@ -28,6 +29,7 @@
 
 pub use admission::Admission;
 pub use edge_budget::{EdgeBudget, RetryStanding};
+pub use edge_budgets::{EdgeBudgets, FleetRetries, NodePlace};
 pub use limit::{ConcurrencyLimit, LimitPolicy};
 pub use link_watch::{LinkStep, LinkWatch, LinkWatchPolicy};
 pub use moves::Moves;
--- /dev/null
+++ b/crates/hemlocktack-decide/tests/edge_budgets.rs
@@ -0,0 +1,96 @@
+//! Retries of all nodes together, and what a node remembers of its own.
+
+use std::time::{Duration, Instant};
+
+use hemlocktack_decide::{EdgeBudget, EdgeBudgets, FleetRetries, NodePlace, RetryStanding};
+use hemlocktack_protocol::ServiceName;
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Span over which operators bound retries.
+const WINDOW_S: u64 = 10;
+
+fn service() -> ServiceName {
+    "diaries".into()
+}
+
+fn budgets_of_fleet(allowed: FleetRetries, nodes: usize) -> Vec<EdgeBudgets> {
+    (0..nodes)
+        .map(|index| {
+            let place = NodePlace {
+                index,
+                count: nodes,
+            };
+            EdgeBudgets::new(allowed, place)
+        })
+        .collect()
+}
+
+fn take_all(edge: &EdgeBudget, now: Instant) -> u32 {
+    (0..1_000)
+        .take_while(|_| edge.take_one(RetryStanding::FIRST, now))
+        .count() as u32
+}
+
+/// Most retries of all nodes in any ten seconds, where each node makes one first
+/// try a second or fewer and every call wants all the retries that it can get.
+fn most_retries(allowed: FleetRetries, nodes: usize, seconds_between_tries: u64) -> (u32, u32) {
+    const SECONDS: u64 = 40;
+    let now = Instant::now();
+    let mut budgets = budgets_of_fleet(allowed, nodes);
+    let mut retries = vec![0; SECONDS as usize];
+    let mut first_tries = 0;
+    for second in 0..SECONDS {
+        let at = now + SECOND * second as u32;
+        for (number, budgets) in budgets.iter_mut().enumerate() {
+            if !(second + number as u64).is_multiple_of(seconds_between_tries) {
+                continue;
+            }
+            let edge = budgets.edge(&service(), at);
+            edge.first_try(at);
+            first_tries += 1;
+            retries[second as usize] += take_all(&edge, at);
+        }
+    }
+    let windows = retries.windows(WINDOW_S as usize);
+    let most = windows.map(|window| window.iter().sum()).max().unwrap_or(0);
+    (most, first_tries * WINDOW_S as u32 / SECONDS as u32)
+}
+
+/// All answers of a quiet service are lost. Each of many nodes has a few calls to it,
+/// too few to earn a retry by its share, and repeats what it may repeat however quiet
+/// it is. Seen from the service, these add up: operators' bound is on the sum, so the
+/// part of one node is the smaller the more nodes there are.
+#[test]
+fn many_nodes_with_a_few_calls_each_stay_within_what_operators_allow_together() {
+    for (nodes, beside_share) in [(17, 57), (74, 69), (560, 57)] {
+        let allowed = FleetRetries {
+            share_per_mille: 200,
+            beside_share,
+        };
+        for seconds_between_tries in [1, 3, 10] {
+            let (most, first_tries) = most_retries(allowed, nodes, seconds_between_tries);
+            let bound = first_tries * allowed.share_per_mille / 1_000 + beside_share;
+            assert!(most <= bound, "{nodes} nodes: {most} of {bound}");
+            assert!(most > 0, "{nodes} nodes make no retry at all");
+        }
+    }
+}
+
+/// All nodes of a service are lost at once and come back two seconds later, as when
+/// its machines lose power. A node that had used its retries up would otherwise have
+/// them anew, and the callers' repeats would meet the service as it starts.
+#[test]
+fn a_service_that_comes_back_finds_its_retries_spent() {
+    let allowed = FleetRetries {
+        share_per_mille: 200,
+        beside_share: 57,
+    };
+    let now = Instant::now();
+    let mut budgets = budgets_of_fleet(allowed, 1).remove(0);
+    assert!(take_all(&budgets.edge(&service(), now), now) > 0);
+    budgets.retain(|_| false, now + SECOND);
+    let back = now + SECOND * 3;
+    assert_eq!(take_all(&budgets.edge(&service(), back), back), 0);
+    let later = now + SECOND * WINDOW_S as u32;
+    assert!(take_all(&budgets.edge(&service(), later), later) > 0);
+}
--- a/crates/hemlocktack-node/src/calls/service_directory.rs
+++ b/crates/hemlocktack-node/src/calls/service_directory.rs
@@ -1,14 +1,13 @@
 //! What this node knows of each service's nodes, ready for the request path.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use hemlocktack_decide::{
-    EdgeBudget, EntryShedPolicy, EntryShedder, PeerLoad, RetryPolicy, ShedLevel, UsualPatience,
-    WorkKind,
+    EdgeBudget, EdgeBudgets, EntryShedPolicy, EntryShedder, FleetRetries, NodePlace, PeerLoad,
+    ShedLevel, UsualPatience, WorkKind,
 };
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_protocol::{
@@ -43,7 +42,7 @@
 pub(crate) struct ServiceDirectory {
     own_data_centre: DataCentre,
     services: ArcSwap<HashMap<ServiceName, Arc<ServiceView>>>,
-    retry_share_per_mille: AtomicU32,
+    edges: Mutex<EdgeBudgets>,
     /// Which service a kind of work belongs to, for kinds seen on this node.
     service_of_kind: Mutex<HashMap<WorkKind, ServiceName>>,
     /// Patience of callers by route.
@@ -55,7 +54,7 @@
         Self {
             own_data_centre,
             services: ArcSwap::default(),
-            retry_share_per_mille: AtomicU32::new(RetryPolicy::default().share_per_mille),
+            edges: Mutex::new(EdgeBudgets::new(FleetRetries::default(), NodePlace::ALONE)),
             service_of_kind: Mutex::default(),
             patiences: Mutex::default(),
         }
@@ -67,7 +66,8 @@
 
     /// Takes in a new view of the fleet; what replies said of a node is kept
     /// as long as it is the same start of it.
-    pub(crate) fn update(&self, members: &[Member]) {
+    pub(crate) fn update(&self, members: &[Member], place: NodePlace) {
+        self.edges().set_place(place);
         let before = self.services.load_full();
         let mut by_service: HashMap<ServiceName, Vec<&Member>> = HashMap::new();
         for member in members.iter().filter(|member| is_live(member)) {
@@ -79,13 +79,21 @@
         let mut services = HashMap::new();
         for (service, members) in by_service {
             let known = before.get(&service);
-            let view = self.view_of(&members, known.map(Arc::as_ref));
+            let edge = self.edges().edge(&service, Instant::now());
+            let view = self.view_of(&members, known.map(Arc::as_ref), edge);
             services.insert(service, Arc::new(view));
         }
+        self.edges()
+            .retain(|service| services.contains_key(service), Instant::now());
         self.services.store(Arc::new(services));
     }
 
-    fn view_of(&self, members: &[&Member], known: Option<&ServiceView>) -> ServiceView {
+    fn view_of(
+        &self,
+        members: &[&Member],
+        known: Option<&ServiceView>,
+        edge: Arc<EdgeBudget>,
+    ) -> ServiceView {
         let some_are_sure = members
             .iter()
             .any(|member| member.state() == NodeState::Ready);
@@ -105,10 +113,6 @@
                 load,
             });
         }
-        let edge = known.map_or_else(
-            || Arc::new(EdgeBudget::new(self.retry_policy(), Instant::now())),
-            |view| view.edge.clone(),
-        );
         let same_peers = known.filter(|view| view.has_peers(&peers));
         let fresh_shedder = || {
             Arc::new(Mutex::new(EntryShedder::new(
@@ -124,20 +128,13 @@
         }
     }
 
-    /// Takes in the operators' share of retries, for every service.
-    pub(crate) fn set_retry_share_per_mille(&self, share_per_mille: u32) {
-        self.retry_share_per_mille
-            .store(share_per_mille, Ordering::Relaxed);
-        for view in self.services.load().values() {
-            view.edge.set_share_per_mille(share_per_mille);
-        }
+    /// Takes in the retries that operators allow, for every service.
+    pub(crate) fn set_retries(&self, allowed: FleetRetries) {
+        self.edges().set_allowed(allowed);
     }
 
-    fn retry_policy(&self) -> RetryPolicy {
-        RetryPolicy {
-            share_per_mille: self.retry_share_per_mille.load(Ordering::Relaxed),
-            ..RetryPolicy::default()
-        }
+    fn edges(&self) -> MutexGuard<'_, EdgeBudgets> {
+        self.edges.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn fresh_load(&self, member: &Member) -> Arc<PeerLoad> {
--- a/crates/hemlocktack-node/src/node/configuration.rs
+++ b/crates/hemlocktack-node/src/node/configuration.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hemlocktack_config::{ClientLimits, Document, Service};
+use hemlocktack_decide::FleetRetries;
 use hemlocktack_protocol::{ConfigurationDocument, Generation};
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::sync::mpsc;
@@ -82,7 +83,7 @@
         self.tracer
             .set_sample_per_million(limits.trace_sample_per_million);
         self.services
-            .set_retry_share_per_mille(self.retry_share_per_mille(limits.retry_share_percent));
+            .set_retries(self.fleet_retries(limits.retry_share_percent));
         let kept_answers_bytes = usize::try_from(limits.kept_answers_bytes);
         self.home
             .set_kept_answer_bytes(kept_answers_bytes.unwrap_or(usize::MAX));
@@ -106,12 +107,16 @@
         });
     }
 
-    /// Share of retries that this node's edges keep to.
-    fn retry_share_per_mille(&self, configured_percent: u32) -> u32 {
+    /// Retries of a service's calls that all nodes' edges together keep to.
+    fn fleet_retries(&self, configured_percent: u32) -> FleetRetries {
         let share_for_all = self.adjustable().retry_share_per_mille;
-        share_for_all.map_or(configured_percent * MILLE_A_PERCENT, |share| {
+        let share_per_mille = share_for_all.map_or(configured_percent * MILLE_A_PERCENT, |share| {
             share * SHARE_KEPT_TO_PERCENT / 100
-        })
+        });
+        FleetRetries {
+            share_per_mille,
+            ..FleetRetries::default()
+        }
     }
 
     /// Classes that the configuration in force declares.
--- a/crates/hemlocktack-node/src/node/members.rs
+++ b/crates/hemlocktack-node/src/node/members.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, MutexGuard, PoisonError};
 
+use hemlocktack_decide::NodePlace;
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::handover::Receiving;
 use hemlocktack_protocol::{Member, NodeState, Succession};
@@ -26,7 +27,7 @@
     /// Takes in a new view of the fleet.
     pub(crate) fn set_members(&self, members: Vec<Member>) {
         self.log_changes(&members);
-        self.services.update(&members);
+        self.services.update(&members, self.place_among(&members));
         self.platform.set_node_count(members.len());
         // A stopping node that is not known here yet may still commit.
         self.receiving().retain_offers_of(|from| {
@@ -41,6 +42,24 @@
         self.members.store(Arc::new(members));
     }
 
+    /// This node's number among those that may make retries, by their names. One
+    /// that may be down still counts: it may only be out of reach from here.
+    fn place_among(&self, members: &[Member]) -> NodePlace {
+        let has_left = |member: &&Member| member.state() == NodeState::Left;
+        let others = members.iter().filter(|member| !has_left(member));
+        let names = others.map(|member| member.node_id.as_str());
+        let others: Vec<&str> = names
+            .filter(|name| *name != &*self.identity.node_id)
+            .collect();
+        let before = others
+            .iter()
+            .filter(|name| **name < &*self.identity.node_id);
+        NodePlace {
+            index: before.count(),
+            count: others.len() + 1,
+        }
+    }
+
     /// One line for each change of belief, with the version that it rests on.
     fn log_changes(&self, members: &[Member]) {
         let known = self.members.load();
