Take no retry where no node is left that may get the call

Found by the test of the new lines, which failed two times in seven runs: traced to a node that did not know the others yet. It took a retry from allowance and edge, logged that the call goes to another node, and then told the caller, as there was none. The share of retries was the poorer by one, and the line not true.

Change: whether a node is left is asked first; no-node-left says so. A test without network holds it for both kinds of end.

Ruled out: a line that was not written before the end of the process (it is stopped, not killed, and the first line was there).

--- a/crates/hemlocktack-decide/src/sends.rs
+++ b/crates/hemlocktack-decide/src/sends.rs
@@ -25,6 +25,8 @@
     Retried,
     /// Its caller is told: as many upstreams may have run it as its route allows.
     UpstreamsUsedUp,
+    /// Its caller is told: no node is left that may get it.
+    NoNodeLeft,
     /// Its caller is told: it may not run twice, or another node would refuse it
     /// as well.
     PassedUp,
@@ -120,15 +122,8 @@
         (turns > 0).then(|| PAUSE_A_TURN * turns)
     }
 
-    /// Counts the end of a send to this node and says what follows. `retry` takes
-    /// a retry if there is one; it is asked only where the call's own limits let
-    /// it be sent again.
-    pub fn ended(
-        &mut self,
-        node: usize,
-        unfinished: &Unfinished,
-        retry: impl FnOnce() -> RetryVerdict,
-    ) -> NextStep {
+    /// Counts the end of a send to this node.
+    pub fn ended(&mut self, node: usize, unfinished: &Unfinished) {
         self.last = Some(node);
         let may_have_run = matches!(unfinished, Unfinished::Unknown(_));
         let is_turned_away = unfinished.reason() == Reason::UpstreamShed;
@@ -138,11 +133,22 @@
         if was_handed_over && !self.reached.contains(&node) {
             self.reached.push(node);
         }
+    }
+
+    /// What follows the end that was counted last. `retry` takes a retry if there is
+    /// one; it is asked only where the call would be sent again with it.
+    pub fn next_step(
+        &mut self,
+        unfinished: &Unfinished,
+        has_node_left: bool,
+        retry: impl FnOnce() -> RetryVerdict,
+    ) -> NextStep {
         match unfinished {
-            Unfinished::NotRun(refusal) if self.moves.take(refusal) => NextStep::Moved,
             Unfinished::Unknown(_) if self.may_have_run >= self.upstreams_most => {
                 NextStep::UpstreamsUsedUp
             }
+            _ if !has_node_left => NextStep::NoNodeLeft,
+            Unfinished::NotRun(refusal) if self.moves.take(refusal) => NextStep::Moved,
             _ => retry().into(),
         }
     }
--- a/crates/hemlocktack-decide/tests/sends.rs
+++ b/crates/hemlocktack-decide/tests/sends.rs
@@ -15,12 +15,17 @@
     })
 }
 
+fn step(sends: &mut CallSends, node: usize, end: &Unfinished) -> NextStep {
+    sends.ended(node, end);
+    sends.next_step(end, true, || RetryVerdict::Retry)
+}
+
 /// Sends a call to node after node, as long as another send follows.
 fn steps(upstreams_most: usize, ends: &[Unfinished]) -> Vec<NextStep> {
     let mut sends = CallSends::new(upstreams_most);
     let mut steps = Vec::new();
     for (node, end) in ends.iter().enumerate() {
-        let step = sends.ended(node, end, || RetryVerdict::Retry);
+        let step = step(&mut sends, node, end);
         steps.push(step);
         if !step.goes_on() {
             break;
@@ -35,12 +40,13 @@
 #[test]
 fn a_call_stops_at_its_own_route_whatever_its_chain_has_left() {
     let mut sends = CallSends::new(2);
+    assert_eq!(step(&mut sends, 0, &LOST), NextStep::Retried);
+    let never = || unreachable!("a retry is asked for");
+    sends.ended(1, &LOST);
     assert_eq!(
-        sends.ended(0, &LOST, || RetryVerdict::Retry),
-        NextStep::Retried
+        sends.next_step(&LOST, true, never),
+        NextStep::UpstreamsUsedUp
     );
-    let never = || unreachable!("a retry is asked for");
-    assert_eq!(sends.ended(1, &LOST, never), NextStep::UpstreamsUsedUp);
     assert_eq!(sends.upstreams_reached(), 2);
 }
 
@@ -70,7 +76,21 @@
         (RetryVerdict::EdgeSpent, NextStep::EdgeUsedUp),
     ];
     for (verdict, step) in cases {
-        assert_eq!(CallSends::new(2).ended(0, &LOST, || verdict), step);
+        let mut sends = CallSends::new(2);
+        sends.ended(0, &LOST);
+        assert_eq!(sends.next_step(&LOST, true, || verdict), step);
+    }
+}
+
+/// The only node of a service loses an answer. There is no other to send the call to,
+/// so the retry that it would have taken is left for a call that can use it.
+#[test]
+fn no_retry_is_taken_where_no_node_is_left() {
+    for end in [LOST, FULL] {
+        let mut sends = CallSends::new(2);
+        let never = || unreachable!("a retry is asked for");
+        sends.ended(0, &end);
+        assert_eq!(sends.next_step(&end, false, never), NextStep::NoNodeLeft);
     }
 }
 
@@ -79,8 +99,8 @@
 #[test]
 fn only_upstreams_that_turned_it_away_may_get_it_again() {
     let mut sends = CallSends::new(2);
-    sends.ended(0, &TURNED_AWAY, || RetryVerdict::Retry);
-    sends.ended(1, &TURNED_AWAY, || RetryVerdict::Retry);
+    sends.ended(0, &TURNED_AWAY);
+    sends.ended(1, &TURNED_AWAY);
     let may_get_it: Vec<usize> = (0..4).filter(|node| sends.may_get_it(*node)).collect();
     assert_eq!(may_get_it, [0]);
     assert_eq!(sends.same_again(), Some(1));
@@ -113,7 +133,7 @@
             runs += usize::from(end == LOST);
             prop_assert!(handed_to.len() <= upstreams_most);
             prop_assert!(runs <= upstreams_most);
-            if !sends.ended(node, &end, || RetryVerdict::Retry).goes_on() {
+            if !step(&mut sends, node, &end).goes_on() {
                 break;
             }
         }
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -51,9 +51,9 @@
         let Some(unfinished) = unfinished(&answer) else {
             return answer;
         };
-        let next = tries.ended(index, unfinished, answer, |answer| {
-            take_retry(node, &unfinished, classified, &view, answer)
-        });
+        let has_node_left = |tries: &Tries| tries.next(&view, classified).is_some();
+        let retry = |answer: &Answer| take_retry(node, &unfinished, classified, &view, answer);
+        let next = tries.ended(index, unfinished, answer, has_node_left, retry);
         node.counters.send_ended(next);
         let peer = &view.peers[index];
         log_unfinished(node, classified, peer, &unfinished, next, &tries.sends);
--- a/crates/hemlocktack-node/src/calls/tries.rs
+++ b/crates/hemlocktack-node/src/calls/tries.rs
@@ -42,9 +42,13 @@
         node: usize,
         unfinished: Unfinished,
         answer: Answer,
+        has_node_left: impl FnOnce(&Tries) -> bool,
         retry: impl FnOnce(&Answer) -> RetryVerdict,
     ) -> NextStep {
-        let next = self.sends.ended(node, &unfinished, || retry(&answer));
+        self.sends.ended(node, &unfinished);
+        let has_node_left = has_node_left(self);
+        let take_retry = || retry(&answer);
+        let next = self.sends.next_step(&unfinished, has_node_left, take_retry);
         let earlier = self.told.as_ref().map(|told| told.unfinished);
         if earlier.is_none_or(|earlier| end_of_tries(Some(earlier), unfinished) != earlier) {
             self.told = Some(Told { unfinished, answer });
