Share the retries beside the share among all nodes

Cause: each node made eight retries in ten seconds on each of its edges whatever its share, 136 at 17 nodes and 4,480 at 560, where operators allow a number for all of them together. A small service whose answers are lost gets them all.

Change: what operators allow beside the share (--retries-beside-share, 136 where they say nothing) is split into whole parts by the node's number among all it knows, eight at most; four fifths of it are used, as of the share. The test that failed passes (17, 74 and 560 nodes with a call a second to a call in ten seconds each).

Ruled out: parts by the number of calls seen, which nobody can know without counting for all; a part added to the share instead of the larger of the two, which would let a busy edge make more than its share.

It costs nothing where nodes have calls enough to earn a share.

--- a/crates/hemlocktack-decide/src/edge_budget.rs
+++ b/crates/hemlocktack-decide/src/edge_budget.rs
@@ -83,7 +83,7 @@
 pub struct EdgeBudget {
     began: Instant,
     share_per_mille: AtomicU32,
-    least_retries: u32,
+    least_retries: AtomicU32,
     first_tries: CountByTick,
     retries: CountByTick,
 }
@@ -94,7 +94,7 @@
         EdgeBudget {
             began: now,
             share_per_mille: AtomicU32::new(policy.share_per_mille),
-            least_retries: policy.least_retries,
+            least_retries: AtomicU32::new(policy.least_retries),
             first_tries: CountByTick::default(),
             retries: CountByTick::default(),
         }
@@ -106,6 +106,11 @@
             .store(share_per_mille, Ordering::Relaxed);
     }
 
+    /// Changes the retries that the edge may make however quiet it is.
+    pub fn set_least_retries(&self, least_retries: u32) {
+        self.least_retries.store(least_retries, Ordering::Relaxed);
+    }
+
     /// Counts a first try.
     pub fn first_try(&self, now: Instant) {
         self.first_tries.add(self.tick(now));
@@ -130,23 +135,27 @@
 
     /// Share of all requests, the most important first, that may take retries.
     fn open_share(&self, tick: u64) -> f64 {
-        let most = self.retries_most(tick);
+        let least = f64::from(self.least_retries.load(Ordering::Relaxed));
+        let most = self.share_of_first_tries(tick).max(least);
+        if most < 1.0 {
+            return 0.0;
+        }
         let left = 1.0 - self.retries.in_window(tick, WINDOW_TICKS) as f64 / most;
         // A quiet edge may make its few retries all at once.
         let pace_most = most * PACE_TICKS as f64 / WINDOW_TICKS as f64;
-        let pace_most = pace_most.max(f64::from(self.least_retries));
+        let pace_most = pace_most.max(least);
         let pace = self.retries.in_window(tick, PACE_TICKS) as f64 / pace_most;
         let by_pace = (PACE_CLOSED - pace) / (PACE_CLOSED - PACE_OPEN);
         (left / KEPT_SHARE).min(by_pace).clamp(0.0, 1.0)
     }
 
-    /// Retries that the window that ends now may have.
-    fn retries_most(&self, tick: u64) -> f64 {
+    /// Retries that the share comes to in the window that ends now.
+    fn share_of_first_tries(&self, tick: u64) -> f64 {
         let share = f64::from(self.share_per_mille.load(Ordering::Relaxed)) / 1000.0;
         let earlier = tick.saturating_sub(EARLIER_TICKS);
         let first_tries = [tick, earlier].map(|end| self.first_tries.in_window(end, WINDOW_TICKS));
         let most = first_tries[0].max(first_tries[1]) as f64 * share;
-        most.floor().max(f64::from(self.least_retries))
+        most.floor()
     }
 
     /// The first tick is not 0, which an unused count has.
--- a/crates/hemlocktack-decide/src/edge_budgets.rs
+++ b/crates/hemlocktack-decide/src/edge_budgets.rs
@@ -14,6 +14,10 @@
 /// 136 of them again within a second.
 const BESIDE_SHARE_DEFAULT: u32 = 136;
 
+/// Most retries that one node makes on an edge beside its share: as many callers of
+/// one node are cut off at once by a restart.
+const NODE_BESIDE_SHARE_MAX: u32 = 8;
+
 /// Retries that operators allow of a service's calls in any ten seconds, all nodes
 /// together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +51,22 @@
     pub const ALONE: NodePlace = NodePlace { index: 0, count: 1 };
 }
 
+impl FleetRetries {
+    /// One node's part of the retries beside the share.
+    ///
+    /// Load: many nodes, each with a few calls to a service whose answers are lost.
+    /// Harm: retries that each node makes whatever its share add up with the size of
+    /// the fleet (136 at seventeen nodes, 4,480 at 560), and a small service gets
+    /// them all. Whole parts that add up to what is allowed need nobody to count.
+    fn beside_share_of(&self, place: NodePlace) -> u32 {
+        let nodes = u32::try_from(place.count.max(1)).unwrap_or(u32::MAX);
+        let rest = self.beside_share % nodes;
+        let gets_one_more = u32::try_from(place.index).is_ok_and(|index| index < rest);
+        let part = self.beside_share / nodes + u32::from(gets_one_more);
+        part.min(NODE_BESIDE_SHARE_MAX)
+    }
+}
+
 /// Edges to the services that a node knows.
 #[derive(Debug)]
 pub struct EdgeBudgets {
@@ -91,15 +111,17 @@
     }
 
     fn set_policies(&self) {
+        let policy = self.policy();
         for edge in self.edges.values() {
-            edge.set_share_per_mille(self.allowed.share_per_mille);
+            edge.set_share_per_mille(policy.share_per_mille);
+            edge.set_least_retries(policy.least_retries);
         }
     }
 
     fn policy(&self) -> RetryPolicy {
         RetryPolicy {
             share_per_mille: self.allowed.share_per_mille,
-            ..RetryPolicy::default()
+            least_retries: self.allowed.beside_share_of(self.place),
         }
     }
 }
--- a/crates/hemlocktack-node/src/node/configuration.rs
+++ b/crates/hemlocktack-node/src/node/configuration.rs
@@ -28,10 +28,10 @@
 }
 
 const MILLE_A_PERCENT: u32 = 10;
-/// Part of the share for all nodes together that each one keeps to. The rest is
-/// for edges so quiet that they may make a few retries whatever their share, and
-/// for windows that begin at another time on each node.
-const SHARE_KEPT_TO_PERCENT: u32 = 80;
+/// Part of what operators allow all nodes together that the nodes keep to. The rest
+/// is for windows that begin at another time on each node, and for nodes that start
+/// again and do not know what they had spent.
+const KEPT_TO_PERCENT: u32 = 80;
 
 impl Node {
     pub(crate) fn configuration_in_force(&self) -> Option<Arc<InForce>> {
@@ -109,13 +109,13 @@
 
     /// Retries of a service's calls that all nodes' edges together keep to.
     fn fleet_retries(&self, configured_percent: u32) -> FleetRetries {
-        let share_for_all = self.adjustable().retry_share_per_mille;
-        let share_per_mille = share_for_all.map_or(configured_percent * MILLE_A_PERCENT, |share| {
-            share * SHARE_KEPT_TO_PERCENT / 100
-        });
+        let kept_to = |allowed: u32| allowed * KEPT_TO_PERCENT / 100;
+        let settings = self.adjustable();
+        let share_per_mille = settings.retry_share_per_mille.map(kept_to);
+        let beside_share = settings.retries_beside_share.map(kept_to);
         FleetRetries {
-            share_per_mille,
-            ..FleetRetries::default()
+            share_per_mille: share_per_mille.unwrap_or(configured_percent * MILLE_A_PERCENT),
+            beside_share: beside_share.unwrap_or(FleetRetries::default().beside_share),
         }
     }
 
--- a/crates/hemlocktack-node/src/settings/flags.rs
+++ b/crates/hemlocktack-node/src/settings/flags.rs
@@ -87,9 +87,10 @@
 pub(crate) const PLATFORM_WRITES: &str = "platform-writes-per-second";
 pub(crate) const STOP_GRACE: &str = "stop-grace";
 pub(crate) const RETRY_SHARE: &str = "retry-share";
+pub(crate) const RETRIES_BESIDE_SHARE: &str = "retries-beside-share";
 
 /// All settings that take a value.
-pub(crate) const FLAGS: [Flag; 27] = [
+pub(crate) const FLAGS: [Flag; 28] = [
     required(
         NODE,
         "NAME",
@@ -216,6 +217,12 @@
         "largest share of retries among a service's calls from all nodes in ten seconds, such as 0.2; goes before the configuration's",
     )
     .adjustable(),
+    optional(
+        RETRIES_BESIDE_SHARE,
+        "NUMBER",
+        "retries of a service's calls that all nodes together may make in ten seconds however few calls there are, such as 50",
+    )
+    .adjustable(),
 ];
 
 /// Where further settings are read from; not one of them itself.
--- a/crates/hemlocktack-node/src/settings/mod.rs
+++ b/crates/hemlocktack-node/src/settings/mod.rs
@@ -77,4 +77,6 @@
     pub(crate) stop_grace: Option<Duration>,
     /// Largest share of retries among a service's calls from all nodes, per mille.
     pub(crate) retry_share_per_mille: Option<u32>,
+    /// Retries of a service's calls from all nodes in ten seconds, however few calls.
+    pub(crate) retries_beside_share: Option<u32>,
 }
--- a/crates/hemlocktack-node/src/settings/read.rs
+++ b/crates/hemlocktack-node/src/settings/read.rs
@@ -131,6 +131,7 @@
         platform_rates: reader.platform_rates(),
         stop_grace: reader.time(flags::STOP_GRACE),
         retry_share_per_mille: reader.share_per_mille(flags::RETRY_SHARE),
+        retries_beside_share: reader.whole_number(flags::RETRIES_BESIDE_SHARE),
     }
 }
 
@@ -235,6 +236,11 @@
         Some((share * 1_000.0) as u32)
     }
 
+    fn whole_number(&mut self, name: &str) -> Option<u32> {
+        self.value(name)?;
+        Some(self.parsed(name, "a whole number, such as 50", 0))
+    }
+
     fn time(&mut self, name: &str) -> Option<Duration> {
         let text = self.value(name)?;
         let read = parse_time(&text);
