Let an edge outlive the last node of its service

Cause: an edge's count of retries went with the last node of its service, so after a loss of them all callers' nodes had their retries anew, within the ten seconds that they had been used up in, while the service started.

Change: an edge stays for 20 s after the last node of its service has gone, longer than what is counted over. The test that failed passes; one more has an edge that is an hour old, and one that is forgotten in the end.

Ruled out: keeping edges for ever, as names of services come and go over a node's life.

--- a/crates/hemlocktack-decide/src/edge_budgets.rs
+++ b/crates/hemlocktack-decide/src/edge_budgets.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use hemlocktack_protocol::ServiceName;
 
@@ -17,6 +17,9 @@
 /// Most retries that one node makes on an edge beside its share: as many callers of
 /// one node are cut off at once by a restart.
 const NODE_BESIDE_SHARE_MAX: u32 = 8;
+/// How long an edge outlives the last node of its service: longer than the windows
+/// over which retries are counted.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
 
 /// Retries that operators allow of a service's calls in any ten seconds, all nodes
 /// together.
@@ -67,12 +70,23 @@
     }
 }
 
-/// Edges to the services that a node knows.
+/// Edges to the services that a node knows, or has just known.
+///
+/// Load: all nodes of a service are lost and come back seconds later. Harm: an edge
+/// that went with them would begin anew, with its retries unspent, while the service
+/// starts. So it stays until none of its retries counts any more.
 #[derive(Debug)]
 pub struct EdgeBudgets {
     allowed: FleetRetries,
     place: NodePlace,
-    edges: HashMap<ServiceName, Arc<EdgeBudget>>,
+    edges: HashMap<ServiceName, Edge>,
+}
+
+#[derive(Debug)]
+struct Edge {
+    budget: Arc<EdgeBudget>,
+    /// Since when its service has had no node; `None` while it has some.
+    absent_since: Option<Instant>,
 }
 
 impl EdgeBudgets {
@@ -98,23 +112,33 @@
     }
 
     /// Takes in which services have nodes now.
-    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool, _now: Instant) {
-        self.edges.retain(|service, _| is_known(service));
+    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool, now: Instant) {
+        self.edges.retain(|service, edge| {
+            if is_known(service) {
+                edge.absent_since = None;
+                return true;
+            }
+            let absent_since = *edge.absent_since.get_or_insert(now);
+            now.saturating_duration_since(absent_since) < FORGOTTEN_AFTER
+        });
     }
 
     /// The edge to a service.
     pub fn edge(&mut self, service: &ServiceName, now: Instant) -> Arc<EdgeBudget> {
         let policy = self.policy();
-        let edge = self.edges.entry(service.clone());
-        edge.or_insert_with(|| Arc::new(EdgeBudget::new(policy, now)))
-            .clone()
+        let fresh = || Edge {
+            budget: Arc::new(EdgeBudget::new(policy, now)),
+            absent_since: None,
+        };
+        let edge = self.edges.entry(service.clone()).or_insert_with(fresh);
+        edge.budget.clone()
     }
 
     fn set_policies(&self) {
         let policy = self.policy();
         for edge in self.edges.values() {
-            edge.set_share_per_mille(policy.share_per_mille);
-            edge.set_least_retries(policy.least_retries);
+            edge.budget.set_share_per_mille(policy.share_per_mille);
+            edge.budget.set_least_retries(policy.least_retries);
         }
     }
 
--- a/crates/hemlocktack-decide/tests/edge_budgets.rs
+++ b/crates/hemlocktack-decide/tests/edge_budgets.rs
@@ -94,3 +94,22 @@
     let later = now + SECOND * WINDOW_S as u32;
     assert!(take_all(&budgets.edge(&service(), later), later) > 0);
 }
+
+/// The same with a service that had its nodes for an hour in which nothing changed;
+/// and one that is gone for good is forgotten in the end.
+#[test]
+fn an_old_edge_outlives_its_service_as_a_young_one_does() {
+    let begin = Instant::now();
+    let mut budgets = budgets_of_fleet(FleetRetries::default(), 1).remove(0);
+    budgets.edge(&service(), begin);
+    let now = begin + SECOND * 3_600;
+    let edge = budgets.edge(&service(), now);
+    assert!(take_all(&edge, now) > 0);
+    budgets.retain(|_| false, now + SECOND);
+    let back = now + SECOND * 3;
+    assert_eq!(take_all(&budgets.edge(&service(), back), back), 0);
+    budgets.retain(|_| false, now + SECOND * 60);
+    let later = now + SECOND * 61;
+    let anew = budgets.edge(&service(), later);
+    assert!(!std::sync::Arc::ptr_eq(&edge, &anew));
+}
