Send deeper calls of a request that nobody knows once

Change: a deeper call whose parent is not known is granted nothing, where it was granted what a root is.

Ruled out: keeping the entry's own retry for it: the request's caller went with the node that knew it, so nobody waits for the answer.

--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -113,6 +113,20 @@
 /// this node has started since: more than none, as the hops above have worked.
 const WORK_UNKNOWN_US: u64 = 1;
 
+/// Each retry of its own may reach one more upstream.
+fn allowance_of_root(attempts: u32) -> Allowance {
+    let retries = attempts.saturating_sub(1);
+    Allowance::with_own(retries, retries * CHAIN_RETRIES_A_RETRY)
+}
+
+/// Failure: a node starts again while its upstream works on. Symptom: each deeper
+/// call is granted what a root is, and one request is repeated beyond its allowance
+/// over its chain. Its caller's connection went with the node, so no answer is lost
+/// to anybody if its calls are sent once.
+fn allowance_of_orphan() -> Allowance {
+    Allowance::new(0)
+}
+
 impl Routed {
     /// The call that goes through the fleet. A deeper call is of its root's
     /// class, and draws on the root's retries.
@@ -127,12 +141,8 @@
         let work_unknown_us = if self.is_deeper { WORK_UNKNOWN_US } else { 0 };
         let allowance = match &parent {
             Some(parent) => parent.allowance.clone(),
-            // Each retry of its own may reach one more upstream.
-            None => {
-                let retries = self.attempts.saturating_sub(1);
-                let for_chain = retries * CHAIN_RETRIES_A_RETRY;
-                Arc::new(Allowance::with_own(retries, for_chain))
-            }
+            None if self.is_deeper => Arc::new(allowance_of_orphan()),
+            None => Arc::new(allowance_of_root(self.attempts)),
         };
         Classified {
             call: Call {
