Test that fails: a settings file that is being written is not taken over

Traced: the file is cut to nothing and then written; the look of each second came in between, took the empty file for settings that say nothing, and the token with it. The new test brings that about at each of five rewrites, and fails at the first.

--- a/crates/hemlocktack-node/tests/processes/reload.rs
+++ b/crates/hemlocktack-node/tests/processes/reload.rs
@@ -1,6 +1,7 @@
 //! Settings that change while a node runs.
 
 use std::path::Path;
+use std::time::Duration;
 
 use crate::harness::{Fleet, Plan, wait_until};
 
@@ -63,3 +64,27 @@
     write_token(&path, OLD_TOKEN);
     wait_until_taken(&fleet, OLD_TOKEN).await;
 }
+
+/// A tool rewrites the file as most do: it cuts it to nothing and then writes. The
+/// node looks at it in between. Taken for new settings, an empty file would undo all
+/// that the old one said, until the next look; operators' calls under the token that
+/// stands in both the old and the new file would be refused meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_file_that_is_being_written_is_not_taken_over() {
+    const REWRITES: usize = 5;
+    let directory = tempfile::tempdir().unwrap();
+    let path = directory.path().join("settings.env");
+    write_token(&path, OLD_TOKEN);
+    let flags = vec!["--settings-file".to_owned(), path.display().to_string()];
+    let fleet = Fleet::start(&[Plan::new("diaries", 1).with_node_flags(flags)]).await;
+    wait_until_taken(&fleet, OLD_TOKEN).await;
+    for _ in 0..REWRITES {
+        std::fs::write(&path, "").unwrap();
+        fleet.nodes[0].process.signal("HUP");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        write_token(&path, OLD_TOKEN);
+        for _ in 0..10 {
+            assert_eq!(status(&fleet, OLD_TOKEN).await, 200);
+        }
+    }
+}
