Pass over a settings file that is empty while it is being written

Cause: the file was read a second time for its settings, and an empty one, cut and not yet written, passed for settings that say nothing: a token that stood in the old and in the new file was refused until the next look.

Tried and dropped: taking a file over once it has held the same for 100 ms. A file that is rewritten again and again is seen empty twice, and a faulty file that is replaced within that time leaves no line.

--- a/crates/hemlocktack-node/src/reload.rs
+++ b/crates/hemlocktack-node/src/reload.rs
@@ -7,7 +7,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::node::Node;
-use crate::settings::{Loaded, Sources};
+use crate::settings::{FileContents, Loaded, Sources};
 
 /// How often the settings file is compared with what was read last: a change
 /// without a signal is in force about as soon as a new configuration.
@@ -23,15 +23,20 @@
     let Ok(mut reload) = signal(SignalKind::hangup()) else {
         return;
     };
-    let mut bytes = sources.file_bytes();
+    let mut contents = sources.file_contents();
     loop {
         let is_asked = is_asked(&mut reload).await;
-        let now = sources.file_bytes();
-        if !is_asked && now == bytes {
+        let now = sources.file_contents();
+        if !is_asked && now == contents {
             continue;
         }
-        bytes = now;
-        match sources.read() {
+        contents = now;
+        if says_nothing(&contents) {
+            let faults = "the file is empty, as while it is being written";
+            log_event!(Event::SettingsFaulty, faults);
+            continue;
+        }
+        match sources.read(contents.clone()) {
             Ok(read) => {
                 adopt(&node, &read, &loaded);
                 loaded = read;
@@ -41,6 +46,15 @@
     }
 }
 
+/// Failure: a tool cuts the file to nothing and then writes it, and the node looks
+/// in between. Symptom: an empty file passes for settings that say nothing, and
+/// operators are refused until the next look. A file of a few hundred bytes is
+/// written in one piece, and whoever wants no setting in it can leave a comment, so
+/// it is enough to pass over an empty one.
+fn says_nothing(contents: &FileContents) -> bool {
+    matches!(contents, Some(Ok(bytes)) if bytes.trim_ascii().is_empty())
+}
+
 /// Whether the signal came before the next look was due.
 async fn is_asked(reload: &mut Signal) -> bool {
     tokio::select! {
--- a/crates/hemlocktack-node/src/settings/file.rs
+++ b/crates/hemlocktack-node/src/settings/file.rs
@@ -14,9 +14,10 @@
 /// A settings file is a few hundred bytes; one that is much larger is another file.
 const SIZE_LIMIT_BYTES: usize = 64 << 10;
 
-pub(super) fn read(path: &Path) -> Result<Values> {
+/// Reads what the file at `path` holds.
+pub(super) fn read(path: &Path, contents: Vec<u8>) -> Result<Values> {
     let place = path.display();
-    let text = std::fs::read_to_string(path).map_err(|error| vec![format!("{place}: {error}")])?;
+    let text = String::from_utf8(contents).map_err(|error| vec![format!("{place}: {error}")])?;
     if text.len() > SIZE_LIMIT_BYTES {
         return Err(vec![format!(
             "{place}: over {SIZE_LIMIT_BYTES} bytes; is it a settings file?"
--- a/crates/hemlocktack-node/src/settings/mod.rs
+++ b/crates/hemlocktack-node/src/settings/mod.rs
@@ -7,7 +7,7 @@
 
 pub(crate) use flags::usage;
 pub(crate) use read::Loaded;
-pub(crate) use sources::{Invocation, Run, Sources, read};
+pub(crate) use sources::{FileContents, Invocation, Run, Sources, read};
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/hemlocktack-node/src/settings/sources.rs
+++ b/crates/hemlocktack-node/src/settings/sources.rs
@@ -31,6 +31,9 @@
 
 type Environment = Box<dyn Fn(&str) -> Option<String> + Send + Sync>;
 
+/// What the settings file holds, or why it cannot be read; `None` without a file.
+pub(crate) type FileContents = Option<std::result::Result<Vec<u8>, String>>;
+
 /// Reads flags first, then the environment, then the file, then defaults.
 pub(crate) fn read(
     arguments: &[String],
@@ -47,7 +50,7 @@
     }
     let is_check = matches.opt_present(flags::CHECK);
     let sources = Sources::new(matches, Box::new(environment));
-    let loaded = sources.read()?;
+    let loaded = sources.read(sources.file_contents())?;
     if is_check {
         return Ok(Invocation::Check);
     }
@@ -65,20 +68,16 @@
         }
     }
 
-    /// Reads all of them as they are now.
-    pub(crate) fn read(&self) -> Result<Loaded> {
+    /// Reads all of them, the file as it was when it held this.
+    pub(crate) fn read(&self, contents: FileContents) -> Result<Loaded> {
         let mut findings = Vec::new();
         for argument in &self.matches.free {
             findings.push(format!("{argument}: not an option; see --help"));
         }
-        let values = match self.file.as_deref().map(file::read) {
-            None => Values::new(),
-            Some(Ok(values)) => values,
-            Some(Err(of_file)) => {
-                findings.extend(of_file);
-                Values::new()
-            }
-        };
+        let values = self.values(contents).unwrap_or_else(|of_file| {
+            findings.extend(of_file);
+            Values::new()
+        });
         let value = |name: &str| {
             let variable = environment_name(name);
             let given = self.matches.opt_str(name);
@@ -89,9 +88,18 @@
         read::read_texts(value, findings)
     }
 
-    /// What the settings file holds now, to notice a change; `None` without a
-    /// file or while it cannot be read.
-    pub(crate) fn file_bytes(&self) -> Option<Vec<u8>> {
-        std::fs::read(self.file.as_deref()?).ok()
+    fn values(&self, contents: FileContents) -> file::Result<Values> {
+        let (Some(path), Some(contents)) = (&self.file, contents) else {
+            return Ok(Values::new());
+        };
+        let contents = contents.map_err(|error| vec![error])?;
+        file::read(path, contents)
+    }
+
+    /// What the settings file holds now.
+    pub(crate) fn file_contents(&self) -> FileContents {
+        let path = self.file.as_deref()?;
+        let place = path.display();
+        Some(std::fs::read(path).map_err(|error| format!("{place}: {error}")))
     }
 }
