Take one send to a peer apart from placing; say a retry's numbers in one place

place.rs had 368 lines with two jobs; what carries one send out and gives retries along is deliver.rs now, what an answer is to the decisions stands with the ends. The most of an edge's own retries stood twice. No change of a decision.

--- a/crates/hemlocktack-decide/src/edge_budgets.rs
+++ b/crates/hemlocktack-decide/src/edge_budgets.rs
@@ -7,16 +7,13 @@
 use hemlocktack_protocol::ServiceName;
 
 use crate::edge_budget::EdgeBudget;
-use crate::retry::RetryPolicy;
+use crate::retry::{LEAST_RETRIES_MAX, RetryPolicy};
 
 /// [`FleetRetries::beside_share`] where operators say nothing: where half of
 /// seventeen nodes are lost at once, a service of a hundred calls a second is sent
 /// 136 of them again within a second.
 const BESIDE_SHARE_DEFAULT: u32 = 136;
 
-/// Most retries that one node makes on an edge beside its share: as many callers of
-/// one node are cut off at once by a restart.
-const NODE_BESIDE_SHARE_MAX: u32 = 8;
 /// How long an edge outlives the last node of its service: longer than the windows
 /// over which retries are counted.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(20);
@@ -40,20 +37,6 @@
     }
 }
 
-/// One node among those that may make retries.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NodePlace {
-    /// Its number in an order that all nodes agree on.
-    pub index: usize,
-    /// Nodes in that order.
-    pub count: usize,
-}
-
-impl NodePlace {
-    /// Of a node that knows no other.
-    pub const ALONE: NodePlace = NodePlace { index: 0, count: 1 };
-}
-
 impl FleetRetries {
     /// One node's part of the retries beside the share.
     ///
@@ -66,10 +49,24 @@
         let rest = self.beside_share % nodes;
         let gets_one_more = u32::try_from(place.index).is_ok_and(|index| index < rest);
         let part = self.beside_share / nodes + u32::from(gets_one_more);
-        part.min(NODE_BESIDE_SHARE_MAX)
+        part.min(LEAST_RETRIES_MAX)
     }
 }
 
+/// One node among those that may make retries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NodePlace {
+    /// Its number in an order that all nodes agree on.
+    pub index: usize,
+    /// Nodes in that order.
+    pub count: usize,
+}
+
+impl NodePlace {
+    /// Of a node that knows no other.
+    pub const ALONE: NodePlace = NodePlace { index: 0, count: 1 };
+}
+
 /// Edges to the services that a node knows, or has just known.
 ///
 /// Load: all nodes of a service are lost and come back seconds later. Harm: an edge
--- a/crates/hemlocktack-decide/src/retry.rs
+++ b/crates/hemlocktack-decide/src/retry.rs
@@ -114,6 +114,10 @@
     left.div_ceil(2)
 }
 
+/// Most of [`RetryPolicy::least_retries`]: about as many calls of one node to one
+/// service are cut off at once by a restart.
+pub(crate) const LEAST_RETRIES_MAX: u32 = 8;
+
 /// Numbers of [`EdgeBudget`].
 #[derive(Clone, Copy, Debug)]
 pub struct RetryPolicy {
@@ -122,9 +126,8 @@
     pub share_per_mille: u32,
     /// Retries that an edge may make in any window, however quiet it is: it can
     /// still repeat the few calls that a restart cut off. Every node has such an
-    /// edge: where half of seventeen are lost at once, a service of a hundred
-    /// calls a second is sent 136 of them again within a second, an eighth of ten
-    /// seconds' calls.
+    /// edge, so in a fleet it is this node's part of what all may make
+    /// ([`crate::EdgeBudgets`]).
     pub least_retries: u32,
 }
 
@@ -132,7 +135,7 @@
     fn default() -> Self {
         RetryPolicy {
             share_per_mille: 100,
-            least_retries: 8,
+            least_retries: LEAST_RETRIES_MAX,
         }
     }
 }
--- /dev/null
+++ b/crates/hemlocktack-node/src/calls/deliver.rs
@@ -0,0 +1,119 @@
+//! One send of a call to the node of a peer, with its share of the retries.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlocktack_decide::Allowance;
+use hemlocktack_protocol::{Answer, Call, CallPurpose, Reason};
+use hemlocktack_telemetry::SpanName;
+use tokio_util::sync::CancellationToken;
+
+use super::ends::{not_run, unknown};
+use super::receive;
+use super::service_directory::PeerEntry;
+use crate::links::{Peer, Sent};
+use crate::node::{Node, Place};
+use crate::telemetry::ObservedSpan;
+
+/// Kept back from the time left that goes along with a call, so that the
+/// receiver's verdict at the deadline reaches the caller before the entry has
+/// to answer with less knowledge.
+const TIME_FOR_THE_WAY_BACK: Duration = Duration::from_millis(5);
+
+/// What one send came to.
+pub(crate) struct Delivery {
+    pub(crate) answer: Answer,
+    /// The answer is the receiver's own word, not this node's conclusion.
+    pub(crate) is_receivers_word: bool,
+}
+
+/// Gives retries away with the call and takes the unspent rest back. A call
+/// that came to no answer gives nothing back: it may have spent all.
+pub(crate) async fn send_with_allowance(
+    node: &Arc<Node>,
+    peer: &PeerEntry,
+    mut call: Call,
+    deadline: Instant,
+    allowance: &Allowance,
+) -> Delivery {
+    let given = allowance.give_to_child();
+    call.retries_given = given;
+    call.time_left_us = time_left_us(deadline);
+    let delivery = match node.place_of(&peer.member) {
+        Some(Place::Here) => Delivery {
+            answer: receive_here(node, call).await,
+            is_receivers_word: true,
+        },
+        Some(Place::There(peer)) => send_over_link(node, &peer, call, deadline).await,
+        None => never_arrived(call.purpose(), given, Reason::LinkLost),
+    };
+    allowance.give_back(delivery.answer.retries_unspent, given);
+    delivery
+}
+
+/// A caller that goes drops this: what may be cancelled ends with it, and what
+/// may not goes on in a task of its own.
+async fn receive_here(node: &Arc<Node>, call: Call) -> Answer {
+    let cancelled = CancellationToken::new();
+    if call.purpose() != CallPurpose::PlacedOnce {
+        return receive(node, call, &cancelled).await;
+    }
+    let _cancelled_with_caller = cancelled.clone().drop_guard();
+    let node = node.clone();
+    let running = tokio::spawn(async move {
+        let _in_flight = node.enter_call();
+        receive(&node, call, &cancelled).await
+    });
+    running
+        .await
+        .unwrap_or_else(|_| unknown(Reason::UpstreamFailed))
+}
+
+async fn send_over_link(node: &Node, peer: &Peer, mut call: Call, deadline: Instant) -> Delivery {
+    let purpose = call.purpose();
+    let given = call.retries_given;
+    let span = ObservedSpan::begin(node, SpanName::Link, &mut call);
+    let delivery = match node.links.call(peer, call, deadline).await {
+        Sent::Answer(answer) => Delivery {
+            answer,
+            is_receivers_word: true,
+        },
+        Sent::NeverArrived(reason) => never_arrived(purpose, given, reason),
+        Sent::Unknown(reason) => Delivery {
+            answer: unknown(reason),
+            is_receivers_word: false,
+        },
+    };
+    node.waits.link.observe(span.elapsed());
+    span.end(node, &delivery.answer, || format!("to {}", peer.node_id));
+    delivery
+}
+
+/// Failure: a caller sends a ticket again, and the home cannot be reached.
+/// Symptom: it is told that its booking was not run, though the first send ran
+/// it. That this send never arrived says nothing of earlier ones; only the home
+/// can say `not_run` of a ticket.
+fn never_arrived(purpose: CallPurpose, given: u32, reason: Reason) -> Delivery {
+    let end = if purpose == CallPurpose::Home {
+        unknown(reason)
+    } else {
+        not_run(reason, None)
+    };
+    Delivery {
+        answer: Answer {
+            retries_unspent: given,
+            ..end
+        },
+        is_receivers_word: false,
+    }
+}
+
+fn time_left_us(deadline: Instant) -> u64 {
+    micros_left(deadline - TIME_FOR_THE_WAY_BACK)
+}
+
+/// Time left as it travels with a call.
+pub(super) fn micros_left(until: Instant) -> u64 {
+    let left = until.saturating_duration_since(Instant::now());
+    u64::try_from(left.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/hemlocktack-node/src/calls/ends.rs
+++ b/crates/hemlocktack-node/src/calls/ends.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hemlocktack_decide::RetryAfterPolicy;
-use hemlocktack_protocol::{Answer, Outcome, Reason};
+use hemlocktack_protocol::{Answer, Outcome, Reason, Refusal, Unfinished};
 
 /// Pressure behind a refusal that has other causes than load.
 pub(crate) const NOTHING_SHED: f64 = 0.0;
@@ -84,3 +84,20 @@
             | Reason::UpstreamReplaced
     )
 }
+
+/// The end of a call as the decisions see it; `None` for an answer.
+pub(super) fn unfinished(answer: &Answer) -> Option<Unfinished> {
+    let reason = answer.reason();
+    match answer.outcome() {
+        Outcome::Answered => None,
+        Outcome::NotRun => {
+            let retry_after = (answer.retry_after_ms > 0)
+                .then(|| Duration::from_millis(answer.retry_after_ms.into()));
+            Some(Unfinished::NotRun(Refusal {
+                reason,
+                retry_after,
+            }))
+        }
+        Outcome::Unknown | Outcome::Unspecified => Some(Unfinished::Unknown(reason)),
+    }
+}
--- a/crates/hemlocktack-node/src/calls/home.rs
+++ b/crates/hemlocktack-node/src/calls/home.rs
@@ -8,9 +8,11 @@
 use hemlocktack_fleet::tickets::{Nonce, Start, Ticket};
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Unfinished};
 
+use super::deliver::{Delivery, send_with_allowance};
+use super::ends::unfinished;
 use super::home_table::EndReceiver;
 use super::open_send::OpenSend;
-use super::place::{Delivery, choose, send_with_allowance, unfinished};
+use super::place::choose;
 use super::receive::refuses_all;
 use super::run::{RunOrder, run};
 use super::service_directory::{PeerEntry, ServiceView};
--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -7,6 +7,7 @@
 mod admission_queue;
 mod classify;
 mod context;
+mod deliver;
 mod ends;
 mod enter;
 mod home;
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -4,26 +4,19 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Allowance, CallSends, NextStep, PeerLoad, PlacementPolicy, RetryBudget, RetryStanding,
-    RetryVerdict, Standing, place, retry_verdict, within_objective,
+    CallSends, NextStep, PeerLoad, PlacementPolicy, RetryBudget, RetryStanding, RetryVerdict,
+    Standing, place, retry_verdict, within_objective,
 };
-use hemlocktack_protocol::{Answer, Call, CallPurpose, Outcome, Reason, Refusal, Unfinished};
-use hemlocktack_telemetry::{Event, SpanName, log_event};
-use tokio_util::sync::CancellationToken;
+use hemlocktack_protocol::{Answer, Call, CallPurpose, Reason, Refusal, Unfinished};
+use hemlocktack_telemetry::{Event, log_event};
 
-use super::ends::{NOTHING_SHED, not_run, unknown, wait_before_return};
+use super::Classified;
+use super::deliver::{micros_left, send_with_allowance};
+use super::ends::{NOTHING_SHED, not_run, unfinished, unknown, wait_before_return};
 use super::open_send::OpenSend;
 use super::service_directory::{PeerEntry, ServiceView};
 use super::tries::Tries;
-use super::{Classified, receive};
-use crate::links::{Peer, Sent};
-use crate::node::{Node, Place};
-use crate::telemetry::ObservedSpan;
-
-/// Kept back from the time left that goes along with a call, so that the
-/// receiver's verdict at the deadline reaches the caller before the entry has
-/// to answer with less knowledge.
-const TIME_FOR_THE_WAY_BACK: Duration = Duration::from_millis(5);
+use crate::node::Node;
 
 /// Places a call without a ticket and stays with it until its end. One that is
 /// not idempotent goes to another node only after the one before has proved
@@ -51,9 +44,11 @@
         let Some(unfinished) = unfinished(&answer) else {
             return answer;
         };
-        let has_node_left = |tries: &Tries| tries.next(&view, classified).is_some();
-        let retry = |answer: &Answer| take_retry(node, &unfinished, classified, &view, answer);
-        let next = tries.ended(index, unfinished, answer, has_node_left, retry);
+        let expected = expected_run(&answer);
+        tries.ended(index, unfinished, answer);
+        let has_node_left = tries.next(&view, classified).is_some();
+        let retry = || take_retry(node, &unfinished, classified, &view, expected);
+        let next = tries.sends.next_step(&unfinished, has_node_left, retry);
         node.counters.send_ended(next);
         let peer = &view.peers[index];
         log_unfinished(node, classified, peer, &unfinished, next, &tries.sends);
@@ -221,109 +216,11 @@
     }
 }
 
-/// What one send came to.
-pub(crate) struct Delivery {
-    pub(crate) answer: Answer,
-    /// The answer is the receiver's own word, not this node's conclusion.
-    pub(crate) is_receivers_word: bool,
-}
-
-/// Gives retries away with the call and takes the unspent rest back. A call
-/// that came to no answer gives nothing back: it may have spent all.
-pub(crate) async fn send_with_allowance(
-    node: &Arc<Node>,
-    peer: &PeerEntry,
-    mut call: Call,
-    deadline: Instant,
-    allowance: &Allowance,
-) -> Delivery {
-    let given = allowance.give_to_child();
-    call.retries_given = given;
-    call.time_left_us = time_left_us(deadline);
-    let delivery = match node.place_of(&peer.member) {
-        Some(Place::Here) => Delivery {
-            answer: receive_here(node, call).await,
-            is_receivers_word: true,
-        },
-        Some(Place::There(peer)) => send_over_link(node, &peer, call, deadline).await,
-        None => never_arrived(call.purpose(), given, Reason::LinkLost),
-    };
-    allowance.give_back(delivery.answer.retries_unspent, given);
-    delivery
-}
-
-/// A caller that goes drops this: what may be cancelled ends with it, and what
-/// may not goes on in a task of its own.
-async fn receive_here(node: &Arc<Node>, call: Call) -> Answer {
-    let cancelled = CancellationToken::new();
-    if call.purpose() != CallPurpose::PlacedOnce {
-        return receive(node, call, &cancelled).await;
-    }
-    let _cancelled_with_caller = cancelled.clone().drop_guard();
-    let node = node.clone();
-    let running = tokio::spawn(async move {
-        let _in_flight = node.enter_call();
-        receive(&node, call, &cancelled).await
-    });
-    running
-        .await
-        .unwrap_or_else(|_| unknown(Reason::UpstreamFailed))
-}
-
-async fn send_over_link(node: &Node, peer: &Peer, mut call: Call, deadline: Instant) -> Delivery {
-    let purpose = call.purpose();
-    let given = call.retries_given;
-    let span = ObservedSpan::begin(node, SpanName::Link, &mut call);
-    let delivery = match node.links.call(peer, call, deadline).await {
-        Sent::Answer(answer) => Delivery {
-            answer,
-            is_receivers_word: true,
-        },
-        Sent::NeverArrived(reason) => never_arrived(purpose, given, reason),
-        Sent::Unknown(reason) => Delivery {
-            answer: unknown(reason),
-            is_receivers_word: false,
-        },
-    };
-    node.waits.link.observe(span.elapsed());
-    span.end(node, &delivery.answer, || format!("to {}", peer.node_id));
-    delivery
-}
-
-/// Failure: a caller sends a ticket again, and the home cannot be reached.
-/// Symptom: it is told that its booking was not run, though the first send ran
-/// it. That this send never arrived says nothing of earlier ones; only the home
-/// can say `not_run` of a ticket.
-fn never_arrived(purpose: CallPurpose, given: u32, reason: Reason) -> Delivery {
-    let end = if purpose == CallPurpose::Home {
-        unknown(reason)
-    } else {
-        not_run(reason, None)
-    };
-    Delivery {
-        answer: Answer {
-            retries_unspent: given,
-            ..end
-        },
-        is_receivers_word: false,
-    }
-}
-
-/// The end of a call as the decisions see it; `None` for an answer.
-pub(crate) fn unfinished(answer: &Answer) -> Option<Unfinished> {
-    let reason = answer.reason();
-    match answer.outcome() {
-        Outcome::Answered => None,
-        Outcome::NotRun => {
-            let retry_after = (answer.retry_after_ms > 0)
-                .then(|| Duration::from_millis(answer.retry_after_ms.into()));
-            Some(Unfinished::NotRun(Refusal {
-                reason,
-                retry_after,
-            }))
-        }
-        Outcome::Unknown | Outcome::Unspecified => Some(Unfinished::Unknown(reason)),
-    }
+/// How long a run takes, as the node said that ended a send; zero where it said
+/// nothing.
+fn expected_run(answer: &Answer) -> Duration {
+    let service_time_us = answer.hint.as_ref().map_or(0, |hint| hint.service_time_us);
+    Duration::from_micros(service_time_us)
 }
 
 /// Takes a retry from the allowance and the edge, if one may be made.
@@ -332,12 +229,10 @@
     unfinished: &Unfinished,
     classified: &Classified,
     view: &ServiceView,
-    answer: &Answer,
+    expected: Duration,
 ) -> RetryVerdict {
     let now = Instant::now();
     let time_left = classified.deadline.saturating_duration_since(now);
-    let service_time_us = answer.hint.as_ref().map_or(0, |hint| hint.service_time_us);
-    let expected = Duration::from_micros(service_time_us);
     let budget = RetryBudget {
         allowance: &classified.allowance,
         edge: &view.edge,
@@ -357,12 +252,3 @@
         now,
     )
 }
-
-fn time_left_us(deadline: Instant) -> u64 {
-    micros_left(deadline - TIME_FOR_THE_WAY_BACK)
-}
-
-fn micros_left(until: Instant) -> u64 {
-    let left = until.saturating_duration_since(Instant::now());
-    u64::try_from(left.as_micros()).unwrap_or(u64::MAX)
-}
--- a/crates/hemlocktack-node/src/calls/ticketed.rs
+++ b/crates/hemlocktack-node/src/calls/ticketed.rs
@@ -7,8 +7,9 @@
 use hemlocktack_fleet::tickets::{ChildHome, ChildRefusal, Ticket, TicketError, find_home};
 use hemlocktack_protocol::{Answer, CallPurpose, NodeState, Outcome, Reason};
 
+use super::deliver::{Delivery, send_with_allowance};
 use super::ends::{NOTHING_SHED, wait_before_return};
-use super::place::{Delivery, admitted_view, choose, send_with_allowance};
+use super::place::{admitted_view, choose};
 use super::service_directory::{PeerEntry, ServiceView};
 use super::{Classified, not_run, unknown};
 use crate::node::Node;
--- a/crates/hemlocktack-node/src/calls/tries.rs
+++ b/crates/hemlocktack-node/src/calls/tries.rs
@@ -1,6 +1,6 @@
 //! The sends of one call so far, and what its caller is told in the end.
 
-use hemlocktack_decide::{CallSends, NextStep, RetryVerdict, end_of_tries};
+use hemlocktack_decide::{CallSends, end_of_tries};
 use hemlocktack_protocol::{Answer, Reason, Unfinished};
 
 use super::Classified;
@@ -36,24 +36,13 @@
         chosen.or_else(|| self.sends.same_again())
     }
 
-    /// Takes in the end of a send to this node, and says what follows.
-    pub(super) fn ended(
-        &mut self,
-        node: usize,
-        unfinished: Unfinished,
-        answer: Answer,
-        has_node_left: impl FnOnce(&Tries) -> bool,
-        retry: impl FnOnce(&Answer) -> RetryVerdict,
-    ) -> NextStep {
+    /// Takes in the end of a send to this node.
+    pub(super) fn ended(&mut self, node: usize, unfinished: Unfinished, answer: Answer) {
         self.sends.ended(node, &unfinished);
-        let has_node_left = has_node_left(self);
-        let take_retry = || retry(&answer);
-        let next = self.sends.next_step(&unfinished, has_node_left, take_retry);
         let earlier = self.told.as_ref().map(|told| told.unfinished);
         if earlier.is_none_or(|earlier| end_of_tries(Some(earlier), unfinished) != earlier) {
             self.told = Some(Told { unfinished, answer });
         }
-        next
     }
 
     /// Where no other node is left, the caller and the operators are told why
