--- a/crates/hemlocktack-node/src/node/configuration.rs
+++ b/crates/hemlocktack-node/src/node/configuration.rs
@@ -109,7 +109,7 @@
 
     /// Retries of a service's calls that all nodes' edges together keep to.
     fn fleet_retries(&self, configured_percent: u32) -> FleetRetries {
-        let kept_to = |allowed: u32| allowed * KEPT_TO_PERCENT / 100;
+        let kept_to = |allowed: u32| allowed.saturating_mul(KEPT_TO_PERCENT) / 100;
         let settings = self.adjustable();
         let share_per_mille = settings.retry_share_per_mille.map(kept_to);
         let beside_share = settings.retries_beside_share.map(kept_to);
--- a/crates/hemlocktack-node/src/settings/read.rs
+++ b/crates/hemlocktack-node/src/settings/read.rs
@@ -131,7 +131,7 @@
         platform_rates: reader.platform_rates(),
         stop_grace: reader.time(flags::STOP_GRACE),
         retry_share_per_mille: reader.share_per_mille(flags::RETRY_SHARE),
-        retries_beside_share: reader.whole_number(flags::RETRIES_BESIDE_SHARE),
+        retries_beside_share: reader.count(flags::RETRIES_BESIDE_SHARE),
     }
 }
 
@@ -236,9 +236,14 @@
         Some((share * 1_000.0) as u32)
     }
 
-    fn whole_number(&mut self, name: &str) -> Option<u32> {
+    /// Others may write it as a fraction; what is behind the point is left out.
+    fn count(&mut self, name: &str) -> Option<u32> {
         self.value(name)?;
-        Some(self.parsed(name, "a whole number, such as 50", 0))
+        let count: f64 = self.parsed(name, "a number such as 50", 0.0);
+        if !(0.0..=f64::from(u32::MAX)).contains(&count) {
+            self.find(name, "a count is 0 or more");
+        }
+        Some(count as u32)
     }
 
     fn time(&mut self, name: &str) -> Option<Duration> {
