--- a/crates/hemlocktack-node/tests/processes/reload.rs
+++ b/crates/hemlocktack-node/tests/processes/reload.rs
@@ -34,6 +34,15 @@
     .await;
 }
 
+/// One node whose settings file holds the old token, which is in force.
+async fn start_with_old_token(path: &Path) -> Fleet {
+    write_token(path, OLD_TOKEN);
+    let flags = vec!["--settings-file".to_owned(), path.display().to_string()];
+    let fleet = Fleet::start(&[Plan::new("diaries", 1).with_node_flags(flags)]).await;
+    wait_until_taken(&fleet, OLD_TOKEN).await;
+    fleet
+}
+
 /// The file changes, once with the signal and once without. The node goes on to
 /// answer its callers and takes the new token over. Then the file is spoilt:
 /// what is in force stays, and the process lives.
@@ -41,10 +50,7 @@
 async fn a_changed_file_is_taken_over_and_a_faulty_one_is_not() {
     let directory = tempfile::tempdir().unwrap();
     let path = directory.path().join("settings.env");
-    write_token(&path, OLD_TOKEN);
-    let flags = vec!["--settings-file".to_owned(), path.display().to_string()];
-    let fleet = Fleet::start(&[Plan::new("diaries", 1).with_node_flags(flags)]).await;
-    wait_until_taken(&fleet, OLD_TOKEN).await;
+    let fleet = start_with_old_token(&path).await;
 
     write_token(&path, NEW_TOKEN);
     fleet.nodes[0].process.signal("HUP");
@@ -74,10 +80,7 @@
     const REWRITES: usize = 5;
     let directory = tempfile::tempdir().unwrap();
     let path = directory.path().join("settings.env");
-    write_token(&path, OLD_TOKEN);
-    let flags = vec!["--settings-file".to_owned(), path.display().to_string()];
-    let fleet = Fleet::start(&[Plan::new("diaries", 1).with_node_flags(flags)]).await;
-    wait_until_taken(&fleet, OLD_TOKEN).await;
+    let fleet = start_with_old_token(&path).await;
     for _ in 0..REWRITES {
         std::fs::write(&path, "").unwrap();
         fleet.nodes[0].process.signal("HUP");
