Keep only the socket of a connection on which its caller asks nothing

Cause: the HTTP library keeps for each connection, while it is idle too, a read and a write buffer of 8 KB each, and room for the handler's whole state (8.8 KB); its read buffer also stays alive behind an empty piece of it. Ruled out: membership, links, answers kept for lost links and log lines: 14 times 100 requests over one connection add 0.2 MB, 1,300 connections without a request 4.4 MB, the same with one request each 20 KB a connection.

After half a second without a request the library's part is taken apart and the socket waits alone; what had been read ahead is kept. The handler's state is in a box of its own, which a connection has only while it is asked. Heads now have the operators' time for heads: the idle time, which the library cannot tell from it, is kept outside of it.

--- a/crates/hemlocktack-config/src/routes.rs
+++ b/crates/hemlocktack-config/src/routes.rs
@@ -62,9 +62,14 @@
 }
 
 impl ClientLimits {
-    /// Longest that a connection may carry nothing at all.
-    pub fn longest_silence(&self) -> Duration {
-        Duration::from_millis(self.header_timeout_ms.max(self.idle_timeout_ms))
+    /// Longest that a head may take to arrive.
+    pub fn header_timeout(&self) -> Duration {
+        Duration::from_millis(self.header_timeout_ms)
+    }
+
+    /// Longest that a kept connection may carry no request.
+    pub fn idle_timeout(&self) -> Duration {
+        Duration::from_millis(self.idle_timeout_ms)
     }
 }
 
--- /dev/null
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -0,0 +1,130 @@
+//! One connection of a caller: the HTTP library serves it while requests come, and
+//! a bare socket is all that stays of it while none does.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+
+use super::caller_socket::CallerSocket;
+use super::leaving::LeavingBody;
+use crate::node::Node;
+
+/// A connection without a request for this long gives its buffers back. Upstreams
+/// make one deeper call after another and keep theirs.
+const REST_AFTER: Duration = Duration::from_millis(500);
+/// Room for the request line and for what the library reads ahead, above the
+/// operators' limit of a head.
+const READ_AHEAD_BYTES: usize = 8 << 10;
+
+/// Serves a connection until one end closes it.
+///
+/// Failure: callers open a connection for one request and leave it open. Symptom:
+/// each holds the library's buffers and the room of a whole call, twenty kilobytes,
+/// and thousands of them cost a small machine its memory. Hearing of the next
+/// request takes the socket alone.
+pub(super) async fn serve<H, F>(node: Arc<Node>, stream: TcpStream, handle: H)
+where
+    H: Fn(Arc<Node>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
+    F: Future<Output = Response<LeavingBody>> + Send + 'static,
+{
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let mut socket = CallerSocket::new(stream);
+    while something_comes(&node, &socket).await {
+        let requests = Box::pin(serve_requests(&node, socket, handle));
+        let Some(resting) = requests.await else {
+            return;
+        };
+        socket = resting;
+    }
+}
+
+/// Whether bytes or the far end's close come before this end closes.
+async fn something_comes(node: &Node, socket: &CallerSocket) -> bool {
+    let limits = node.client_limits();
+    tokio::select! {
+        readable = socket.readable() => readable.is_ok(),
+        () = tokio::time::sleep(limits.idle_timeout()) => false,
+        () = node.signals.closing.cancelled() => false,
+    }
+}
+
+/// Serves requests until the connection is closed, or until none has come for a
+/// while: then the socket is given back.
+async fn serve_requests<H, F>(
+    node: &Arc<Node>,
+    socket: CallerSocket,
+    handle: H,
+) -> Option<CallerSocket>
+where
+    H: Fn(Arc<Node>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
+    F: Future<Output = Response<LeavingBody>> + Send + 'static,
+{
+    let traffic = socket.traffic();
+    // In a box of its own, as the library keeps room for it between requests too.
+    let service = service_fn(|request| {
+        let open_request = traffic.begin_request();
+        let answering = answer(node.clone(), request, handle);
+        async move {
+            let response = answering.await;
+            drop(open_request);
+            Ok::<_, Infallible>(response)
+        }
+        .boxed()
+    });
+    let limits = node.client_limits();
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        // The library counts the time between two requests as well.
+        .header_read_timeout(limits.header_timeout().max(REST_AFTER * 2))
+        .max_buf_size(limits.header_limit_bytes + READ_AHEAD_BYTES);
+    let mut connection = builder.serve_connection(TokioIo::new(socket), service);
+    // It ends with an error if its caller goes or sends what is no request:
+    // there is nobody to tell.
+    let rests = tokio::select! {
+        // What has come is read before the connection counts as quiet.
+        biased;
+        _ = &mut connection => return None,
+        () = node.signals.closing.cancelled() => false,
+        () = traffic.quiet_for(REST_AFTER) => true,
+    };
+    Pin::new(&mut connection).graceful_shutdown();
+    if rests {
+        let ended = std::future::poll_fn(|context| connection.poll_without_shutdown(context));
+        if let Some(Ok(())) = ended.now_or_never() {
+            let parts = connection.into_parts();
+            return Some(parts.io.into_inner().with_read_ahead(parts.read_buf));
+        }
+    }
+    let _ = connection.await;
+    None
+}
+
+async fn answer<H, F>(
+    node: Arc<Node>,
+    request: Request<Incoming>,
+    handle: H,
+) -> Response<LeavingBody>
+where
+    H: Fn(Arc<Node>, Request<Incoming>) -> F,
+    F: Future<Output = Response<LeavingBody>>,
+{
+    let mut response = handle(node.clone(), request).await;
+    if node.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
--- a/crates/hemlocktack-node/src/gateway/mod.rs
+++ b/crates/hemlocktack-node/src/gateway/mod.rs
@@ -6,7 +6,9 @@
 //! gone, and its shutdown cuts kept connections; both are promises here.
 
 mod announcements;
+mod caller_socket;
 mod classify;
+mod connection;
 mod headers;
 mod leaving;
 mod lines;
