--- a/crates/hemlocktack-decide/tests/objectives.rs
+++ b/crates/hemlocktack-decide/tests/objectives.rs
@@ -178,6 +178,74 @@
     assert!(limit <= FILLED_SLOTS / 3, "{limit}");
 }
 
+/// Operators want answers within 1.5 s, and callers of this route wait for 0.8 s.
+/// Runs take 0.7 s, most of it at a deep service that is full: less than half of the
+/// objective, and whatever takes a little longer than the mean is answered to nobody.
+/// Going by the objective, the limit would stay, and each of the requests that run
+/// out of time has taken the room of one that would not.
+#[test]
+fn the_limit_goes_by_callers_who_wait_for_less_than_the_objective() {
+    let patience = Duration::from_millis(800);
+    let mut now = Instant::now();
+    let mut admission = admission(now);
+    let run = Duration::from_millis(700);
+    let mut next_call = 0;
+    for _ in 0..4 {
+        let impatient = |call_id| Offer {
+            deadline: now + patience,
+            ..offer(call_id, now)
+        };
+        let mut running = Vec::new();
+        loop {
+            next_call += 1;
+            if admission.offer(&impatient(next_call), now) != Verdict::Run {
+                break;
+            }
+            running.push(next_call);
+        }
+        admission.cancel(next_call);
+        now += run;
+        for call_id in running {
+            admission.finish(call_id, Ended::Answered, run - OWN_WORK, now);
+        }
+    }
+    let limit = admission.hint(hemlocktack_decide::ShedLevel::OPEN).limit;
+    assert!(limit <= FILLED_SLOTS / 2, "{limit}");
+}
+
+/// A deep service that has lost two of its three upstreams: the last one finishes
+/// what a twentieth of the slots above it ask for. With a tenth of them in use, half
+/// of the requests fail half way, and their share of its work is lost.
+#[test]
+fn a_limit_falls_to_what_is_left_of_a_deep_service() {
+    let mut now = Instant::now();
+    let mut admission = admission(now);
+    let run = Duration::from_millis(400);
+    let room_below = FILLED_SLOTS / 20;
+    let mut next_call = 0;
+    for _ in 0..24 {
+        let mut running = Vec::new();
+        loop {
+            next_call += 1;
+            if admission.offer(&offer(next_call, now), now) != Verdict::Run {
+                break;
+            }
+            running.push(next_call);
+        }
+        admission.cancel(next_call);
+        now += run;
+        for (number, call_id) in running.into_iter().enumerate() {
+            let ended = match number < room_below as usize {
+                true => Ended::Answered,
+                false => Ended::LackedRoomBelow,
+            };
+            admission.finish(call_id, ended, run - OWN_WORK, now);
+        }
+    }
+    let limit = admission.hint(hemlocktack_decide::ShedLevel::OPEN).limit;
+    assert!(limit < FILLED_SLOTS / 12, "{limit}");
+}
+
 /// A chain that takes 0.8 of 1.5 s when nothing waits. An overload brings the limit
 /// down to its least; from there the runs are as short as they get, and more than
 /// half of the objective all the same. The limit comes back up: held at its least,
