Revert: hold runs against their callers' patience, limits down to a twentieth

Causes: the time left was taken when a run starts, so that a wait of a fifth of the objective counted against the run; and what a run takes when nothing waits is learnt from limits near the least, which a lower least keeps from happening.

--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -23,8 +23,7 @@
     kind: WorkKind,
     fingerprint: Fingerprint,
     started: Instant,
-    /// Time in which its answer is wanted, or its caller gives up if that is
-    /// sooner.
+    /// Time in which its answer is wanted, from its offer on.
     objective: Option<Duration>,
     has_returned: bool,
 }
@@ -398,19 +397,14 @@
         self.running.len() < self.current_limit() as usize
     }
 
-    /// Load: an overload of a deep service, with callers who wait for less than
-    /// the objective. Harm: runs that are short beside the objective end at the
-    /// callers' deadline, half way, and the limit takes them for well. So a run is
-    /// held against whichever comes first.
     fn start(&mut self, call: &Waiting, now: Instant) {
-        let time_left = call.deadline.saturating_duration_since(now);
         self.running.insert(
             call.call_id,
             Running {
                 kind: call.kind,
                 fingerprint: call.fingerprint,
                 started: now,
-                objective: call.objective.map(|objective| objective.min(time_left)),
+                objective: call.objective,
                 has_returned: call.has_returned,
             },
         );
--- a/crates/hemlocktack-decide/src/objective_limit.rs
+++ b/crates/hemlocktack-decide/src/objective_limit.rs
@@ -60,7 +60,7 @@
             growth: 1.15,
             most_growth: 1.5,
             least_cut: 0.4,
-            least_share: 0.05,
+            least_share: 0.1,
         }
     }
 }
