--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -54,8 +54,6 @@
     probed_at: Option<Instant>,
     strict: Option<Strict>,
     standing_since: Option<Instant>,
-    /// Of the latest root request, in which its caller did not come back.
-    latest_objective: Option<Duration>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -72,8 +70,6 @@
 /// A queue that has been above half its bound for this long will not be worked
 /// off in time for its oldest calls: the newest run first until it is.
 const STANDING_AFTER: Duration = Duration::from_millis(200);
-/// With fewer calls, a single one that waits would look like an overload.
-const LEAST_QUEUE_IN_TIME: usize = 2;
 /// Calls that the maps hold without growing: the largest upstream of today has
 /// 1,200 connections; larger ones grow them once.
 const RUNNING_CAPACITY: usize = 2048;
@@ -99,7 +95,6 @@
             probed_at: None,
             strict: None,
             standing_since: None,
-            latest_objective: None,
             policy,
         }
     }
@@ -291,9 +286,6 @@
         let invested = offer.work_spent > Duration::ZERO;
         let ahead = self.queue.ahead_of(class, invested);
         let waiting = Waiting::from_offer(offer, now);
-        if !offer.has_returned && waiting.objective.is_some() {
-            self.latest_objective = waiting.objective;
-        }
         let wait = self.wait_for(ahead + 1);
         let is_long = waiting
             .objective
@@ -357,25 +349,6 @@
             .min(self.policy.queue.most)
     }
 
-    /// Calls that may wait before roots are refused for their wait.
-    ///
-    /// Load: an overload of a service whose objective leaves time for a short queue
-    /// only. Harm: every call beyond it is refused here, put on another node and
-    /// refused there, as the queue never gets to the length at which the entries
-    /// are told to refuse.
-    fn queue_in_time(&self) -> usize {
-        let bound = self.queue_bound();
-        let run = self.work.expected_any();
-        let Some(objective) = self.latest_objective.filter(|_| !run.is_zero()) else {
-            return bound;
-        };
-        let share = objective.mul_f64(self.policy.queue.wait_share);
-        let left_by_run = objective.saturating_sub(run.mul_f64(self.policy.queue.work_margin));
-        let per_call = run / self.current_limit().max(1);
-        let in_time = share.min(left_by_run).as_secs_f64() / per_call.as_secs_f64();
-        bound.min(in_time as usize).max(LEAST_QUEUE_IN_TIME)
-    }
-
     fn next_call(&mut self, now: Instant) -> Option<Waiting> {
         if let Some(call) = self.next_suspect(now) {
             self.start(&call, now);
@@ -446,7 +419,7 @@
         }
         let pressure = Pressure {
             queued_up_to: self.queue.queued_up_to(),
-            queue_bound: self.queue_in_time(),
+            queue_bound: self.queue_bound(),
             in_flight: self.running.len(),
             limit: self.current_limit(),
             service_time: self.work.expected_any(),
--- a/crates/hemlocktack-decide/src/shed/controller.rs
+++ b/crates/hemlocktack-decide/src/shed/controller.rs
@@ -17,9 +17,6 @@
     /// that a freed slot always finds a call: arrivals of one interval vary
     /// by less than this.
     pub target_queue: f64,
-    /// The same as a share of the calls that may wait, where these are few: beyond
-    /// the bound calls are refused beside the upstream.
-    pub target_of_bound: f64,
     /// Shedding begins when the queue has been above its target for this long,
     /// or for four service times: a burst that the queue works off by itself
     /// is not a reason to refuse anybody.
@@ -49,7 +46,6 @@
         ShedPolicy {
             interval: Duration::from_millis(50),
             target_queue: 0.25,
-            target_of_bound: 0.5,
             begins_after: Duration::from_millis(250),
             begins_at: 0.75,
             drain_service_times: 4.0,
@@ -173,7 +169,7 @@
         self.estimate_demand(elapsed, pressure.service_time);
         self.arrived = [0; MAX_CLASSES];
         self.began = now;
-        let target = self.target_queue(pressure);
+        let target = f64::from(pressure.limit) * self.policy.target_queue;
         let is_above = pressure.queued() as f64 > target;
         self.above_target_since = is_above.then(|| self.above_target_since.unwrap_or(now));
         if self.level != ShedLevel::OPEN || self.begins(pressure, now) {
@@ -184,13 +180,6 @@
         self.settled = self.recent.into_iter().min().unwrap_or(self.level);
     }
 
-    /// Queue that is kept standing under overload.
-    fn target_queue(&self, pressure: &Pressure) -> f64 {
-        let of_limit = f64::from(pressure.limit) * self.policy.target_queue;
-        let of_bound = pressure.queue_bound as f64 * self.policy.target_of_bound;
-        of_limit.min(of_bound)
-    }
-
     fn begins(&self, pressure: &Pressure, now: Instant) -> bool {
         let full = pressure.queue_bound as f64 * self.policy.begins_at;
         let after = self.policy.begins_after.max(pressure.service_time * 4);
@@ -227,7 +216,7 @@
             return risen.max(self.level);
         }
         let capacity = limit / pressure.service_time.as_secs_f64();
-        let standing = self.target_queue(pressure);
+        let standing = limit * self.policy.target_queue;
         let drain_secs = pressure.service_time.as_secs_f64() * self.policy.drain_service_times;
         // A level that lets nothing in has nothing to grow from.
         let most = (admitted * self.policy.most_step).max(capacity * self.policy.least_rise);
