--- a/crates/hemlocktack-cli/src/arguments.rs
+++ b/crates/hemlocktack-cli/src/arguments.rs
@@ -2,7 +2,8 @@
 //! fault, reported together.
 
 use std::fmt::Display;
-use std::io::Read;
+use std::fs::File;
+use std::io::{BufReader, Read};
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -89,14 +90,20 @@
 
     /// Events in the logs that the rest of the operands name, one at least.
     pub(crate) fn logs(&mut self) -> Vec<LogLine> {
+        let mut lines = Vec::new();
+        self.each_log_line(|line| lines.push(line));
+        lines
+    }
+
+    /// The same one by one, however many they are.
+    pub(crate) fn each_log_line(&mut self, mut take: impl FnMut(LogLine)) {
         let mut paths = vec![self.operand("FILE")];
         paths.extend(self.operands.by_ref());
-        let mut lines = Vec::new();
         for path in paths.iter().filter(|path| !path.is_empty()) {
-            let text = self.read(path);
-            lines.extend(log_lines::read(&text, path));
+            if let Err(error) = read_log(path, &mut take) {
+                self.add(path, "cannot be read", error);
+            }
         }
-        lines
     }
 
     fn read(&mut self, path: &str) -> String {
@@ -220,6 +227,13 @@
     }
 }
 
+fn read_log(path: &str, take: impl FnMut(LogLine)) -> std::io::Result<()> {
+    match path {
+        STANDARD_INPUT => log_lines::for_each(std::io::stdin().lock(), path, take),
+        path => log_lines::for_each(BufReader::new(File::open(path)?), path, take),
+    }
+}
+
 fn read_standard_input() -> std::io::Result<String> {
     let mut text = String::new();
     std::io::stdin().read_to_string(&mut text)?;
--- a/crates/hemlocktack-cli/src/log_lines.rs
+++ b/crates/hemlocktack-cli/src/log_lines.rs
@@ -1,5 +1,6 @@
 //! Lines of nodes' logs, read back.
 
+use std::io::BufRead;
 use std::path::Path;
 
 use serde::{Deserialize, Serialize};
@@ -48,11 +49,22 @@
     }
 }
 
-/// All events in the text of one log. Lines that are none (a stack trace, the
-/// output of another program in the same file) are passed over.
-pub(crate) fn read(text: &str, path: &str) -> Vec<LogLine> {
-    let lines = text.lines();
-    lines.filter_map(|line| parse(line, path)).collect()
+/// Hands on each event of one log, a line at a time: a log may be larger than the
+/// memory. Lines that are none (a stack trace, the output of another program in the
+/// same file) are passed over.
+pub(crate) fn for_each(
+    mut log: impl BufRead,
+    path: &str,
+    mut take: impl FnMut(LogLine),
+) -> std::io::Result<()> {
+    let mut bytes = Vec::new();
+    while log.read_until(b'\n', &mut bytes)? > 0 {
+        if let Some(line) = parse(&String::from_utf8_lossy(&bytes), path) {
+            take(line);
+        }
+        bytes.clear();
+    }
+    Ok(())
 }
 
 fn parse(line: &str, path: &str) -> Option<LogLine> {
--- a/crates/hemlocktack-cli/tests/logs.rs
+++ b/crates/hemlocktack-cli/tests/logs.rs
@@ -5,15 +5,21 @@
 use std::process::{Command, Output, Stdio};
 
 fn story(request_id: &str, logs: &str) -> Output {
+    read_logs(&["story", request_id], logs.as_bytes())
+}
+
+fn read_logs(words: &[&str], logs: &[u8]) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_hemlocktack"))
-        .args(["logs", "story", request_id, "-"])
+        .arg("logs")
+        .args(words)
+        .arg("-")
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
     let mut input = child.stdin.take().unwrap();
-    input.write_all(logs.as_bytes()).unwrap();
+    input.write_all(logs).unwrap();
     drop(input);
     child.wait_with_output().unwrap()
 }
@@ -54,3 +60,30 @@
     let text = String::from_utf8(output.stderr).unwrap();
     assert!(text.contains("/nowhere/at/all.log"), "{text}");
 }
+
+/// Logs of 40 nodes, of which one refuses far more than the others. What the fleet
+/// refused comes first, and the one node after it: forty rows would hide it. Bytes
+/// that are no text belong to another program and end nothing.
+#[test]
+fn a_summary_of_many_nodes_shows_totals_and_those_unlike_the_others() {
+    let line = |node: usize| {
+        format!(
+            "node-{node} {{\"timestamp\":\"2024-03-01T00:00:00.100000Z\",\"number\":713,\
+             \"outcome\":\"not-run\",\"reason\":\"shed\"}}\n"
+        )
+    };
+    let mut logs: Vec<u8> = (0..40).flat_map(|node| line(node).into_bytes()).collect();
+    logs.extend(b"\xff\xfe\n");
+    for _ in 0..30 {
+        logs.extend(line(7).into_bytes());
+    }
+    let shown = read_logs(&["summary"], &logs);
+    assert!(shown.status.success(), "{shown:?}");
+    insta::assert_snapshot!(String::from_utf8(shown.stdout).unwrap());
+    let all = read_logs(&["summary", "--nodes"], &logs);
+    let rows = String::from_utf8(all.stdout).unwrap();
+    assert_eq!(
+        rows.lines().filter(|row| row.starts_with("node-")).count(),
+        40
+    );
+}
