--- a/crates/hemlocktack-decide/src/edge_budgets.rs
+++ b/crates/hemlocktack-decide/src/edge_budgets.rs
@@ -9,9 +9,8 @@
 use crate::edge_budget::EdgeBudget;
 use crate::retry::{LEAST_RETRIES_MAX, RetryPolicy};
 
-/// [`FleetRetries::beside_share`] where operators say nothing: where half of
-/// seventeen nodes are lost at once, a service of a hundred calls a second is sent
-/// 136 of them again within a second.
+/// [`FleetRetries::beside_share`] where operators say nothing: about the calls that
+/// a service has under way when half of its nodes are lost at once.
 const BESIDE_SHARE_DEFAULT: u32 = 136;
 
 /// How long an edge outlives the last node of its service: longer than the windows
--- a/crates/hemlocktack-decide/src/limit.rs
+++ b/crates/hemlocktack-decide/src/limit.rs
@@ -37,8 +37,8 @@
     /// Step back towards the slots from above, and do not step up to them from
     /// below, while latency is above this multiple of its floor.
     pub step_back_above: f64,
-    /// Time between two trials while calls wait. One lasts a few service times
-    /// at 0.7 of the limit, so this often it costs less than 1% of capacity.
+    /// Time between two trials while calls wait. Each lowers the limit for a few
+    /// service times, and next to no capacity may go into them.
     pub trial_every: Duration,
     /// Longest time between two raises; each one that fails doubles it.
     pub raise_at_least_every: Duration,
--- a/crates/hemlocktack-decide/src/objective_limit.rs
+++ b/crates/hemlocktack-decide/src/objective_limit.rs
@@ -8,19 +8,16 @@
 pub struct ObjectivePolicy {
     /// Shortest time between two changes.
     pub window: Duration,
-    /// Fewest samples that a change may rest on: the mean of eight spread-out
-    /// times is good to a fifth, and a change is seldom smaller.
+    /// Fewest samples that a change may rest on.
     pub window_samples: u32,
-    /// Share of the announced slots that are filled. Some upstreams take a third
-    /// longer once they are nearly full, which costs a fifth of what they can
-    /// do; a slot of sixteen left free costs the others a sixteenth.
+    /// Share of the announced slots that are filled: some upstreams slow down by
+    /// more than this once they are nearly full.
     pub filled_share: f64,
     /// Share of the objective that must be spent below before the limit is cut:
     /// a chain without a queue spends about this much.
     pub least_below: f64,
     /// Share of the objective that a run may take. The rest is for the way, for
-    /// the wait in front of the upstream and for the spread of single runs. At
-    /// 0.6 most answers of an overload came just too late.
+    /// the wait in front of the upstream and for the spread of single runs.
     pub target: f64,
     /// The same as a multiple of what a run takes while nobody waits or next to
     /// nothing is let in, where that is more: such a chain needs half of its
@@ -32,12 +29,11 @@
     /// Below this share of the target the limit grows while calls wait for it:
     /// far enough from it that the spread of eight runs does not cross both.
     pub grow_below: f64,
-    /// Least growth in one window: back from a tenth of the slots to all in
-    /// seventeen.
+    /// Least growth in one window.
     pub growth: f64,
     /// Largest growth in one window, where runs are as much shorter than wanted:
     /// a window lasts as long as a run, and a limit that was cut to its least for
-    /// a moment would else hold callers back for ten seconds.
+    /// a moment must not hold callers back for long.
     pub most_growth: f64,
     /// Largest cut in one window: what is cut too far costs calls that had room.
     pub least_cut: f64,
--- a/crates/hemlocktack-fleet/src/calls/arrivals.rs
+++ b/crates/hemlocktack-fleet/src/calls/arrivals.rs
@@ -24,8 +24,8 @@
 impl Default for ArrivalLimits {
     /// A frame that is overtaken by the end of 256 later calls of its sender
     /// is on a link not worth waiting for. 1,024 senders are almost twice the
-    /// fleet of 560 nodes, whose calls were measured at 7.4 MB; 16,384
-    /// forgotten ones are more than a year of thirty restarts a day. A sender
+    /// largest fleet; 16,384 forgotten ones are more than a year of thirty
+    /// restarts a day. A sender
     /// asks for an answer within a second of losing the link: a megabyte holds
     /// those of some seconds, at 375 calls a second of 1 KB.
     fn default() -> ArrivalLimits {
--- a/crates/hemlocktack-fleet/src/tickets/table.rs
+++ b/crates/hemlocktack-fleet/src/tickets/table.rs
@@ -38,9 +38,9 @@
 }
 
 impl Default for TableLimits {
-    /// 131,072 records, measured at 15 MB, and 16 MB of answers. With 375 new
-    /// tickets a second (210,000 calls a second over 560 nodes, none of them
-    /// idempotent) a ticket expires after six minutes at the earliest.
+    /// With 375 new tickets a second a ticket expires after six minutes at the
+    /// earliest. Records and answers together stay under a quarter of the memory
+    /// that a node may use.
     fn default() -> TableLimits {
         TableLimits {
             records_per_epoch: 16_384,
