--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -1,7 +1,9 @@
 //! Admission on the node beside an upstream: run, queue or refuse each call.
 
 mod learn;
+mod offered;
 mod refuse;
+mod waiting;
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -13,7 +15,7 @@
 use crate::offer::{CancelResult, Decision, Ended, Offer, Verdict, WorkKind};
 use crate::policy::AdmissionPolicy;
 use crate::quarantine::{Quarantine, Standing};
-use crate::queue::{ClassQueue, Waiting, class_of};
+use crate::queue::{ClassQueue, Waiting};
 use crate::shed::{Pressure, ShedController, ShedLevel};
 use crate::suspects::SuspectQueue;
 use crate::work::WorkTable;
@@ -67,9 +69,6 @@
     reason: Reason::Quarantined,
     retry_after: None,
 };
-/// A queue that has been above half its bound for this long will not be worked
-/// off in time for its oldest calls: the newest run first until it is.
-const STANDING_AFTER: Duration = Duration::from_millis(200);
 /// Calls that the maps hold without growing: the largest upstream of today has
 /// 1,200 connections; larger ones grow them once.
 const RUNNING_CAPACITY: usize = 2048;
@@ -274,118 +273,6 @@
         &mut self.quarantine
     }
 
-    fn offer_free(&mut self, offer: &Offer, now: Instant) -> Verdict {
-        if self.has_free_slot() && self.queue.is_empty() {
-            return self.offer_idle(offer, now);
-        }
-        self.limit.note_saturated();
-        if let Some(limit) = &mut self.objective_limit {
-            limit.note_saturated();
-        }
-        let class = class_of(offer.class_rank);
-        let invested = offer.work_spent > Duration::ZERO;
-        let ahead = self.queue.ahead_of(class, invested);
-        let waiting = Waiting::from_offer(offer, now);
-        let wait = self.wait_for(ahead + 1);
-        let is_long = waiting
-            .objective
-            .is_some_and(|objective| wait > objective.mul_f64(self.policy.queue.wait_share));
-        if is_long
-            || self.is_late_anyway(&waiting, now)
-            || self.is_hopeless(offer.kind, waiting.deadline, wait, now)
-        {
-            return Verdict::Refused(self.refusal_of(Reason::DeadlineTooShort, &waiting, now));
-        }
-        if self.is_shed(offer, class, invested, now) {
-            return Verdict::Refused(self.refusal_of(Reason::Shed, &waiting, now));
-        }
-        if !self.make_room(class, invested) {
-            self.hold_back_below(class, now);
-            return Verdict::Refused(self.refusal_of(Reason::QueueFull, &waiting, now));
-        }
-        self.queue.push(waiting);
-        Verdict::Queued
-    }
-
-    /// A slot is free and nobody waits. Load: none. Harm: refusing here would
-    /// keep capacity back for nobody; so only a call that has no chance at all
-    /// is refused, and one of those is run now and then to correct the estimate.
-    fn offer_idle(&mut self, offer: &Offer, now: Instant) -> Verdict {
-        let expected = self.work.expected(offer.kind, now);
-        let time_left = offer.deadline.saturating_duration_since(now);
-        if time_left < expected / 2 && !self.probe(now) {
-            return Verdict::Refused(self.refusal(Reason::DeadlineTooShort, offer.call_id));
-        }
-        self.start(&Waiting::from_offer(offer, now), now);
-        Verdict::Run
-    }
-
-    fn offer_suspect(&mut self, offer: &Offer, now: Instant) -> Verdict {
-        if !self.suspects.push(Waiting::from_offer(offer, now)) {
-            return Verdict::Refused(self.refusal(Reason::Quarantined, offer.call_id));
-        }
-        Verdict::Queued
-    }
-
-    fn make_room(&mut self, class: usize, invested: bool) -> bool {
-        // A queue full of deeper calls keeps no fresh one from its turn.
-        let has_turn = !invested && self.queue.has_turn(class);
-        if self.queue.len() < self.queue_bound() || has_turn {
-            return true;
-        }
-        let Some(evicted) = self.queue.evict_below(class, invested) else {
-            return false;
-        };
-        let refusal = self.refusal(Reason::QueueFull, evicted.call_id);
-        self.refusals
-            .push(Decision::Refuse(evicted.call_id, refusal));
-        true
-    }
-
-    fn queue_bound(&self) -> usize {
-        let bound = f64::from(self.current_limit()) * self.policy.queue.per_slot;
-        (bound as usize)
-            .max(self.policy.queue.least)
-            .min(self.policy.queue.most)
-    }
-
-    fn next_call(&mut self, now: Instant) -> Option<Waiting> {
-        if let Some(call) = self.next_suspect(now) {
-            self.start(&call, now);
-            return Some(call);
-        }
-        while self.has_free_slot() {
-            let call = self.queue.pop(self.is_standing(now))?;
-            if self.is_hopeless(call.kind, call.deadline, Duration::ZERO, now) && !self.probe(now) {
-                let refusal = self.refusal(Reason::QueueTimeout, call.call_id);
-                self.refusals.push(Decision::Refuse(call.call_id, refusal));
-                continue;
-            }
-            self.start(&call, now);
-            return Some(call);
-        }
-        None
-    }
-
-    /// A call that was convicted while it waited is refused, or each of its
-    /// copies would cost one more upstream.
-    fn next_suspect(&mut self, now: Instant) -> Option<Waiting> {
-        while self.has_free_slot() {
-            let call = self.suspects.next()?;
-            match self.quarantine.standing(call.fingerprint, now) {
-                Standing::Refused => self
-                    .refusals
-                    .push(Decision::Refuse(call.call_id, QUARANTINED)),
-                Standing::Suspected => {
-                    self.suspects.started(call.call_id);
-                    return Some(call);
-                }
-                Standing::Free => return Some(call),
-            }
-        }
-        None
-    }
-
     /// Calls that may run at once.
     fn current_limit(&self) -> u32 {
         self.objective_limit
@@ -429,30 +316,6 @@
         self.standing_since = is_long.then(|| self.standing_since.unwrap_or(now));
     }
 
-    fn is_standing(&self, now: Instant) -> bool {
-        self.standing_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= STANDING_AFTER)
-    }
-
-    fn sweep_if_due(&mut self, now: Instant) {
-        if now.saturating_duration_since(self.swept_at) < self.policy.queue.sweep_every {
-            return;
-        }
-        self.swept_at = now;
-        self.refuse_queued(Reason::QueueTimeout, |call| call.deadline <= now, now);
-    }
-
-    fn refuse_queued(&mut self, reason: Reason, which: impl Fn(&Waiting) -> bool, now: Instant) {
-        let mut gone = Vec::new();
-        self.queue.take_hopeless(&which, |call| gone.push(call));
-        self.suspects.take_hopeless(&which, |call| gone.push(call));
-        self.swept_at = now;
-        for call in gone {
-            let refusal = self.refusal(reason, call.call_id);
-            self.refusals.push(Decision::Refuse(call.call_id, refusal));
-        }
-    }
-
     /// Time until `calls` calls have started.
     fn wait_for(&self, calls: usize) -> Duration {
         let per_call = self.work.expected_any() / self.current_limit().max(1);
