--- a/crates/hemlocktack-node/src/gateway/connection.rs
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -42,6 +42,7 @@
     }
     let mut socket = CallerSocket::new(stream);
     while something_comes(&node, &socket).await {
+        // In a box, so that a connection at rest keeps no room for it.
         let requests = Box::pin(serve_requests(&node, socket, handle));
         let Some(resting) = requests.await else {
             return;
@@ -72,7 +73,7 @@
     F: Future<Output = Response<LeavingBody>> + Send + 'static,
 {
     let traffic = socket.traffic();
-    // In a box of its own, as the library keeps room for it between requests too.
+    // Boxed as well: the library keeps room for it between two requests.
     let service = service_fn(|request| {
         let open_request = traffic.begin_request();
         let answering = answer(node.clone(), request, handle);
