Count the nodes of a summary that stand out and are not shown as such

Found at the last read: beyond the twelve nodes shown, those that count more than twice the mean were added to the ones said to count less (48 where 40 do, in the test, which failed first).

--- a/crates/hemlocktack-cli/src/queries/logs/summary.rs
+++ b/crates/hemlocktack-cli/src/queries/logs/summary.rs
@@ -68,9 +68,9 @@
     if summary.seconds.is_empty() {
         return "no event of a node: are these logs in JSON?\n".to_owned();
     }
-    let nodes = match with_all_nodes {
-        true => summary.nodes.iter().collect(),
-        false => nodes::standing_out(&summary.nodes),
+    let (nodes, most) = match with_all_nodes {
+        true => (summary.nodes.iter().collect(), usize::MAX),
+        false => (nodes::standing_out(&summary.nodes), nodes::SHOWN_MOST),
     };
     let like_others = summary.nodes.len() - nodes.len();
     let parts = [
@@ -78,7 +78,7 @@
         causes("sends that ended without an answer", &summary.sends),
         causes("calls refused beside upstreams", &summary.calls),
         seconds(&summary.seconds),
-        nodes::text(&nodes, like_others),
+        nodes::text(&nodes, most, like_others),
     ];
     let parts = parts.into_iter().filter(|part| !part.is_empty());
     parts.collect::<Vec<_>>().join("\n")
--- a/crates/hemlocktack-cli/src/queries/logs/summary/nodes.rs
+++ b/crates/hemlocktack-cli/src/queries/logs/summary/nodes.rs
@@ -9,7 +9,7 @@
 /// A node is shown if it counts more than so many times what its like do on average.
 const TIMES_THE_MEAN: f64 = 2.0;
 /// Nodes that are shown of a fleet of any size.
-const SHOWN_MOST: usize = 12;
+pub(super) const SHOWN_MOST: usize = 12;
 
 /// What one node logged.
 #[derive(Clone, Default, Serialize)]
@@ -44,11 +44,11 @@
     let total: u64 = nodes.iter().map(NodeCount::sum).sum();
     let mean = total as f64 / nodes.len().max(1) as f64;
     let far_above = |node: &&NodeCount| node.sum() as f64 > mean * TIMES_THE_MEAN;
-    nodes.iter().filter(far_above).take(SHOWN_MOST).collect()
+    nodes.iter().filter(far_above).collect()
 }
 
-/// Rows of these nodes, and how many others there are.
-pub(super) fn text(nodes: &[&NodeCount], like_others: usize) -> String {
+/// Rows of these nodes, `most` of them, and how many others there are.
+pub(super) fn text(nodes: &[&NodeCount], most: usize, like_others: usize) -> String {
     let heading = [
         "node",
         "refused",
@@ -58,7 +58,7 @@
         "most waiting",
     ];
     let mut table = Table::new(&heading);
-    for node in nodes {
+    for node in nodes.iter().take(most) {
         let counts = [
             node.refused_requests,
             node.ended_sends,
@@ -70,12 +70,16 @@
         row.extend(counts.map(|count| count.to_string()));
         table.row(row);
     }
-    let rows = match nodes {
+    let mut text = match nodes {
         [] => String::new(),
         _ => table.to_text(),
     };
-    match like_others {
-        0 => rows,
-        count => format!("{rows}{count} nodes count less than twice the mean; --nodes shows all\n"),
+    let cut_off = nodes.len().saturating_sub(most);
+    if cut_off > 0 {
+        text += &format!("{cut_off} more count more than twice the mean\n");
     }
+    if like_others > 0 {
+        text += &format!("{like_others} nodes count less than twice the mean; --nodes shows all\n");
+    }
+    text
 }
--- a/crates/hemlocktack-cli/tests/logs.rs
+++ b/crates/hemlocktack-cli/tests/logs.rs
@@ -66,17 +66,9 @@
 /// that are no text belong to another program and end nothing.
 #[test]
 fn a_summary_of_many_nodes_shows_totals_and_those_unlike_the_others() {
-    let line = |node: usize| {
-        format!(
-            "node-{node} {{\"timestamp\":\"2024-03-01T00:00:00.100000Z\",\"number\":713,\
-             \"outcome\":\"not-run\",\"reason\":\"shed\"}}\n"
-        )
-    };
-    let mut logs: Vec<u8> = (0..40).flat_map(|node| line(node).into_bytes()).collect();
+    let mut logs: Vec<u8> = (0..40).flat_map(|node| refusals(node, 1)).collect();
     logs.extend(b"\xff\xfe\n");
-    for _ in 0..30 {
-        logs.extend(line(7).into_bytes());
-    }
+    logs.extend(refusals(7, 30));
     let shown = read_logs(&["summary"], &logs);
     assert!(shown.status.success(), "{shown:?}");
     insta::assert_snapshot!(String::from_utf8(shown.stdout).unwrap());
@@ -87,3 +79,30 @@
         40
     );
 }
+
+/// More nodes stand out than fit. The rest of them is counted as what it is: said to
+/// be like the others, they would be passed over.
+#[test]
+fn nodes_that_stand_out_and_are_not_shown_are_counted_as_such() {
+    let logs: Vec<u8> = (0..60)
+        .flat_map(|node| refusals(node, if node < 20 { 30 } else { 1 }))
+        .collect();
+    let shown = read_logs(&["summary"], &logs);
+    let text = String::from_utf8(shown.stdout).unwrap();
+    let rows = text.lines().filter(|row| row.starts_with("node-")).count();
+    assert_eq!(rows, 12);
+    assert!(
+        text.contains("8 more count more than twice the mean"),
+        "{text}"
+    );
+    assert!(text.contains("40 nodes count less than"), "{text}");
+}
+
+/// Lines of one node about requests that it refused.
+fn refusals(node: usize, count: usize) -> Vec<u8> {
+    let line = format!(
+        "node-{node} {{\"timestamp\":\"2024-03-01T00:00:00.100000Z\",\"number\":713,\
+         \"outcome\":\"not-run\",\"reason\":\"shed\"}}\n"
+    );
+    line.repeat(count).into_bytes()
+}
