--- a/crates/hemlocktack-cli/src/app.rs
+++ b/crates/hemlocktack-cli/src/app.rs
@@ -7,7 +7,7 @@
 use hemlocktack_protocol::Finding;
 
 use crate::arguments::{Arguments, Environment};
-use crate::catalogue::{CATALOGUE, find};
+use crate::catalogue::{CATALOGUE, find, group};
 use crate::error::{Error, Result};
 use crate::output::{self, Output};
 use crate::settings;
@@ -52,6 +52,10 @@
         }
         _ => {}
     }
+    if let Some(word) = asked_group(arguments) {
+        stdout.write_all(group_overview(word).as_bytes())?;
+        return Ok(());
+    }
     let Some((signature, word_count)) = find(arguments) else {
         return Err(unknown_command(arguments));
     };
@@ -69,6 +73,18 @@
     (signature.run)(&mut arguments, &mut output)
 }
 
+/// Word of the group whose commands are asked for: it stands alone, or with the
+/// flag for help and nothing else.
+fn asked_group(arguments: &[String]) -> Option<&str> {
+    let word = match arguments {
+        [word] => word,
+        [word, flag] if flag == "--help" || flag == "-h" => word,
+        _ => return None,
+    };
+    let is_group = group(word).next().is_some();
+    is_group.then_some(word)
+}
+
 fn options_of(signature: &Signature) -> Options {
     let mut options = Options::new();
     (signature.flags)(&mut options);
@@ -116,12 +132,21 @@
 }
 
 fn overview() -> String {
-    let mut text = format!("Usage: {PROGRAM} COMMAND [operands] [flags]\n\n");
-    for signature in CATALOGUE {
+    list_of("COMMAND", CATALOGUE)
+}
+
+fn group_overview(word: &str) -> String {
+    list_of(&format!("{word} COMMAND"), group(word))
+}
+
+/// Usage with these command words, and a line for each of these commands.
+fn list_of(words: &str, signatures: impl IntoIterator<Item = &'static Signature>) -> String {
+    let mut text = format!("Usage: {PROGRAM} {words} [operands] [flags]\n\n");
+    for signature in signatures {
         let usage = format!("{} {}", signature.words, signature.operands);
         text += &format!("  {:<22} {}\n", usage.trim_end(), signature.summary);
     }
-    text += &format!("\n{PROGRAM} COMMAND --help shows flags and examples.\n{EXIT_CODES}\n");
+    text += &format!("\n{PROGRAM} {words} --help shows flags and examples.\n{EXIT_CODES}\n");
     text
 }
 
--- a/crates/hemlocktack-cli/src/catalogue.rs
+++ b/crates/hemlocktack-cli/src/catalogue.rs
@@ -28,3 +28,11 @@
         is_match.then_some((signature, count))
     })
 }
+
+/// Commands that begin with this word and have a second one.
+pub(crate) fn group(word: &str) -> impl Iterator<Item = &'static Signature> {
+    CATALOGUE.into_iter().filter(move |signature| {
+        let group = signature.words.split_once(' ').map(|(group, _)| group);
+        group == Some(word)
+    })
+}
--- a/crates/hemlocktack-cli/tests/examples.rs
+++ b/crates/hemlocktack-cli/tests/examples.rs
@@ -70,6 +70,22 @@
     insta::assert_snapshot!(help);
 }
 
+/// An operator who knows the first word of a command only is told that it is no
+/// command, and has to find the others in the list of all.
+#[test]
+fn a_group_alone_or_with_a_flag_for_help_lists_its_commands() {
+    let node = FakeNode::start(answers::fleet);
+    let mut reports = String::new();
+    for group in ["config", "logs"] {
+        let alone = node.run(group).to_text();
+        assert_eq!(node.run(&format!("{group} --help")).to_text(), alone);
+        assert_eq!(node.run(&format!("{group} -h")).to_text(), alone);
+        reports += &format!("$ hemlocktack {group}\n{alone}\n");
+    }
+    insta::assert_snapshot!(reports);
+    assert!(node.seen().is_empty());
+}
+
 /// A document with more classes than decisions keep apart would have its last
 /// classes shed as one, against what the operators wrote.
 #[test]
