Test: datagrams of proved senders that say what no node should

Numbers at the edge, names of any length, records of this node, bodies that nobody asked for, in rows of up to seven with ticks between them. The limit of a node's id, which a page reserved room for, becomes a constant of the crate.

Three cases fail on this code: - a record of this node with the highest start order or version: "attempt to add with overflow" at receive.rs and machine.rs with checks; without them the node goes back to 0 and is older than its own past for all others; - a question with a name of 129 bytes and more is answered, with the name in it twice; - the drawn rows: overflow, and with that mended an answer of 1,201 bytes of 1,200.

--- a/crates/hemlocktack-fleet/src/membership/mod.rs
+++ b/crates/hemlocktack-fleet/src/membership/mod.rs
@@ -13,4 +13,4 @@
 
 pub use datagram::{DatagramError, open_datagram, seal_datagram};
 pub use machine::{Action, Membership, Peer};
-pub use settings::{MembershipSettings, Safeguard};
+pub use settings::{MembershipSettings, NODE_ID_LIMIT_BYTES, Safeguard};
--- a/crates/hemlocktack-fleet/src/membership/receive.rs
+++ b/crates/hemlocktack-fleet/src/membership/receive.rs
@@ -11,7 +11,7 @@
 use super::machine::{Action, Membership, Sweep, put_record};
 use super::probes::Relayed;
 use super::record::{self, Freshness};
-use super::settings::Safeguard;
+use super::settings::{NODE_ID_LIMIT_BYTES, Safeguard};
 use super::table::Merged;
 
 /// Tables that a starting node reads, each of another member.
@@ -279,8 +279,7 @@
             complete: true,
         };
         let mut gossip = self.empty_datagram(Some(gossip::Body::SyncPage(full.clone())));
-        const LONGEST_NODE_ID_BYTES: usize = 128;
-        let mut room = self.room_in(&gossip).saturating_sub(LONGEST_NODE_ID_BYTES);
+        let mut room = self.room_in(&gossip).saturating_sub(NODE_ID_LIMIT_BYTES);
         let first = corrections.iter().chain([&self.own]);
         for record in first {
             put_record(&mut gossip, &mut room, record.clone());
--- a/crates/hemlocktack-fleet/src/membership/settings.rs
+++ b/crates/hemlocktack-fleet/src/membership/settings.rs
@@ -4,6 +4,9 @@
 
 use strum::{Display, EnumIter, EnumString};
 
+/// Longest id of a node: a datagram may carry two of them beside its records.
+pub const NODE_ID_LIMIT_BYTES: usize = 128;
+
 /// A rule that a mutation run switches off, to show that the run notices.
 /// A node never does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, EnumIter, EnumString)]
--- a/crates/hemlocktack-fleet/tests/membership/main.rs
+++ b/crates/hemlocktack-fleet/tests/membership/main.rs
@@ -4,6 +4,7 @@
 
 mod datagrams;
 mod merging;
+mod nearly_right;
 mod replacement;
 mod restart;
 mod support;
--- /dev/null
+++ b/crates/hemlocktack-fleet/tests/membership/nearly_right.rs
@@ -0,0 +1,264 @@
+//! Datagrams of proved senders that say what no node should: numbers at the edge,
+//! names of any length, records of this node, bodies that nobody asked for.
+//!
+//! `PROPTEST_CASES=1000000` runs as many cases.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hemlocktack_fleet::membership::{
+    Action, Membership, MembershipSettings, NODE_ID_LIMIT_BYTES, open_datagram, seal_datagram,
+};
+use hemlocktack_protocol::{
+    Gossip, IndirectProbe, Member, Probe, ProbeAck, Succession, SuspectRequest, SyncPage, SyncPull,
+    gossip,
+};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::{Index, select};
+use proptest::test_runner::RngSeed;
+use prost::Message;
+
+use crate::support::{address, news, node, record, rng, tell};
+
+const MAC: [u8; 32] = [7; 32];
+/// Actions that one datagram or one tick may lead to.
+const ACTION_LIMIT: usize = 64;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(27),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Small ones meet what is known, large ones are at the edge.
+fn number() -> impl Strategy<Value = u64> {
+    prop_oneof![0..4_u64, any::<u64>(), select(vec![u64::MAX - 1, u64::MAX])]
+}
+
+/// Mostly of this node and of two others.
+fn node_id() -> impl Strategy<Value = String> {
+    prop_oneof![
+        4 => (0..3_u16).prop_map(|number| record(number, 1).node_id),
+        1 => ".{0,12}",
+        1 => "[a-z]{120,600}",
+    ]
+}
+
+fn gossip_address() -> impl Strategy<Value = String> {
+    prop_oneof![
+        (0..3_u16).prop_map(|number| address(number).to_string()),
+        ".{0,20}",
+    ]
+}
+
+fn member() -> impl Strategy<Value = Member> {
+    let ranks = (number(), number(), number(), any::<u32>());
+    let states = (-1..8_i32, -1..8_i32);
+    let epochs = (number(), number());
+    (node_id(), gossip_address(), ranks, states, epochs).prop_map(
+        |(node_id, gossip_address, ranks, states, epochs)| Member {
+            node_id: node_id.clone(),
+            gossip_address,
+            incarnation: ranks.0,
+            start_order: ranks.1,
+            version: ranks.2,
+            slots: ranks.3,
+            state: states.0,
+            upstream: states.1,
+            ticket_epoch: epochs.0,
+            successions: vec![Succession {
+                home_node_id: node_id,
+                home_incarnation: epochs.1,
+            }],
+            ..record(1, 1)
+        },
+    )
+}
+
+fn suspect() -> impl Strategy<Value = SuspectRequest> {
+    (number(), any::<u32>(), any::<bool>()).prop_map(|(fingerprint, crashes, proven)| {
+        SuspectRequest {
+            fingerprint,
+            crashes,
+            proven,
+        }
+    })
+}
+
+fn body() -> impl Strategy<Value = gossip::Body> {
+    let texts = (node_id(), node_id());
+    (0..5_u8, number(), texts, any::<bool>()).prop_map(|(kind, sequence, texts, complete)| {
+        match kind {
+            0 => gossip::Body::Probe(Probe {
+                sequence,
+                on_behalf_of: texts.0,
+            }),
+            1 => gossip::Body::Ack(ProbeAck {
+                sequence,
+                of_node_id: texts.0,
+            }),
+            2 => gossip::Body::IndirectProbe(IndirectProbe {
+                sequence,
+                target_node_id: texts.0,
+            }),
+            3 => gossip::Body::SyncPull(SyncPull {
+                after_node_id: texts.0,
+            }),
+            _ => gossip::Body::SyncPage(SyncPage {
+                after_node_id: texts.0,
+                last_node_id: texts.1,
+                complete,
+            }),
+        }
+    })
+}
+
+fn message() -> impl Strategy<Value = Gossip> {
+    (
+        node_id(),
+        number(),
+        number(),
+        number(),
+        vec(member(), 0..4),
+        vec(suspect(), 0..3),
+        proptest::option::of(body()),
+    )
+        .prop_map(
+            |(from_node_id, incarnation, generation, digest, members, suspects, body)| Gossip {
+                from_node_id,
+                from_incarnation: incarnation,
+                generation_in_force: generation,
+                table_digest: digest,
+                members,
+                suspects,
+                body,
+            },
+        )
+}
+
+/// A sealed message, seldom with a byte changed or its end cut off before that.
+fn datagram() -> impl Strategy<Value = Bytes> {
+    let byte = proptest::option::weighted(0.2, (any::<Index>(), any::<u8>()));
+    let cut = proptest::option::weighted(0.1, any::<Index>());
+    (message(), byte, cut).prop_map(|(message, byte, cut)| {
+        let mut bytes = message.encode_to_vec();
+        if let (Some((place, byte)), false) = (byte, bytes.is_empty()) {
+            let place = place.index(bytes.len());
+            bytes[place] = byte;
+        }
+        if let (Some(cut), false) = (cut, bytes.is_empty()) {
+            bytes.truncate(cut.index(bytes.len()));
+        }
+        bytes.extend_from_slice(&MAC);
+        Bytes::from(bytes)
+    })
+}
+
+/// Datagrams that go out, each within its limit.
+fn check(actions: &[Action]) -> Result<(), TestCaseError> {
+    prop_assert!(actions.len() <= ACTION_LIMIT, "{} actions", actions.len());
+    let settings = MembershipSettings::default();
+    for action in actions {
+        let Action::Send { gossip, .. } = action else {
+            continue;
+        };
+        let sealed = seal_datagram(gossip, |_| Bytes::copy_from_slice(&MAC));
+        let length = sealed.len();
+        prop_assert!(length <= settings.datagram_limit_bytes, "{length} bytes");
+    }
+    Ok(())
+}
+
+fn receive(
+    membership: &mut Membership,
+    now: Instant,
+    datagram: Bytes,
+) -> Result<(), TestCaseError> {
+    let opened = open_datagram(datagram, MAC.len(), |_, mac| mac == MAC);
+    let Ok(gossip) = opened else {
+        return Ok(());
+    };
+    check(&membership.receive(now, address(900), gossip, &mut rng()))
+}
+
+/// A record of this node with the highest number there is, from a memory fault: a
+/// node that counts on from it begins at 0 and is older than its own past for all.
+#[test]
+fn a_record_of_this_node_at_the_last_number_does_not_set_it_back() {
+    let now = Instant::now();
+    let cases = [
+        (u64::MAX, 1, 1),
+        (1, 1, u64::MAX),
+        (u64::MAX, 2, u64::MAX),
+        (1, 2, u64::MAX),
+    ];
+    for (start_order, incarnation, version) in cases {
+        let mut membership = node(0, now);
+        let before = membership.own().clone();
+        let heard = Member {
+            start_order,
+            version,
+            ..record(0, incarnation)
+        };
+        tell(&mut membership, now, vec![heard]);
+        let own = membership.own();
+        assert!(own.start_order >= before.start_order, "{own:?}");
+        assert!(own.version >= before.version, "{own:?}");
+    }
+}
+
+/// A name that no node can have, in a question: an answer that repeats it is cut
+/// into pieces by the network.
+#[test]
+fn a_question_with_a_name_over_the_limit_is_not_answered() {
+    let now = Instant::now();
+    let name = "a".repeat(NODE_ID_LIMIT_BYTES + 1);
+    let pull = SyncPull {
+        after_node_id: name.clone(),
+    };
+    let asked = Gossip {
+        body: Some(gossip::Body::SyncPull(pull)),
+        ..news(Vec::new())
+    };
+    let from_it = Gossip {
+        from_node_id: name.clone(),
+        ..news(Vec::new())
+    };
+    let of_it = news(vec![Member {
+        node_id: name,
+        ..record(1, 1)
+    }]);
+    for message in [asked, from_it, of_it] {
+        let mut membership = node(0, now);
+        let actions = membership.receive(now, address(900), message, &mut rng());
+        assert_eq!(actions, []);
+        assert_eq!(membership.peers(), []);
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// A node of another version, or one whose memory fails, sends what no node
+    /// should. One that ends on it takes its upstream from the fleet, and the
+    /// next one is told the same.
+    #[test]
+    fn nearly_right_datagrams_are_taken_and_answers_are_bounded(
+        datagrams in vec((datagram(), 0..3_000_u64), 1..8),
+    ) {
+        let mut now = Instant::now();
+        let mut membership = node(0, now);
+        let own = membership.own().clone();
+        for (datagram, pause_ms) in datagrams {
+            receive(&mut membership, now, datagram)?;
+            now += Duration::from_millis(pause_ms);
+            check(&membership.tick(now, &mut rng()))?;
+            prop_assert_eq!(&membership.own().node_id, &own.node_id);
+            prop_assert_eq!(membership.own().incarnation, own.incarnation);
+            prop_assert!(membership.own().version >= own.version);
+        }
+    }
+}
