--- a/crates/hemlocktack-fleet/src/membership/machine.rs
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -256,7 +256,7 @@
     }
 
     pub(super) fn raise_own_version(&mut self) {
-        self.own.version += 1;
+        self.own.version = self.own.version.saturating_add(1);
         self.news.push(&self.own.node_id);
     }
 
--- a/crates/hemlocktack-node/src/settings/read.rs
+++ b/crates/hemlocktack-node/src/settings/read.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use hemlocktack_fleet::membership::NODE_ID_LIMIT_BYTES;
 use hemlocktack_platform::PlatformRates;
 use hemlocktack_protocol::parse_time;
 
@@ -185,6 +186,12 @@
                 &format!("'{text}' is not a name; use letters, digits, '-', '_' and '.'"),
             );
         }
+        if text.len() > NODE_ID_LIMIT_BYTES {
+            self.find(
+                name,
+                &format!("too long; {NODE_ID_LIMIT_BYTES} characters or fewer"),
+            );
+        }
         text
     }
 
--- a/crates/hemlocktack-node/tests/settings.rs
+++ b/crates/hemlocktack-node/tests/settings.rs
@@ -147,3 +147,16 @@
     assert_eq!(["57", "57.0", "0"].map(code), [Some(0); 3]);
     assert_eq!(["-1", "many", "NaN"].map(code), [Some(2); 3]);
 }
+
+/// Nodes leave datagrams with a longer name aside, and would never hear of this one.
+#[test]
+fn a_name_that_no_datagram_has_room_for_is_refused() {
+    let code = |length: usize| {
+        let flag = format!("--node={}", "n".repeat(length));
+        let mut arguments = COMPLETE.to_vec();
+        arguments[0] = &flag;
+        arguments.push("--check");
+        run(&arguments, &[]).status.code()
+    };
+    assert_eq!([128, 129].map(code), [Some(0), Some(2)]);
+}
