Test: settings, their file and their rates as tools and slips of the hand leave them

Drawn flags, variables and files of settings: what is taken is of use, what is refused is told in findings of one line each without a secret. Five cases fail on this code: - a value with a control character is told with it ("--node: '\0' is not a name ..."); - "NaN", "0" or "-1" calls a second pass for the platform's rates; - with such a rate the budget ends its task at the first wait: "cannot convert float seconds to Duration: value is either too big or NaN"; - a settings file of 8 GiB under a limit of 4 GiB: "out of memory" in place of "is it a settings file?", as it is read whole before it is found too large; - two faults of a changed file are two lines of the log, the second without a number.

--- /dev/null
+++ b/crates/hemlocktack-node/tests/decoders/main.rs
@@ -0,0 +1,22 @@
+//! Readers of the node that get what nobody should send: settings.
+//!
+//! `PROPTEST_CASES=1000000` runs as many cases of each.
+
+#![allow(clippy::unwrap_used)]
+
+#[allow(dead_code, unused_imports)]
+#[path = "../../src/settings/mod.rs"]
+mod settings;
+
+mod settings_texts;
+
+use proptest::prelude::ProptestConfig;
+use proptest::test_runner::RngSeed;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(27),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
--- a/crates/hemlocktack-node/tests/settings.rs
+++ b/crates/hemlocktack-node/tests/settings.rs
@@ -1,7 +1,10 @@
 //! Settings of `hemlocktackd`, as an operator gives them.
 
-use std::io::Write;
-use std::process::{Command, Output};
+use std::io::{BufRead, BufReader, Write};
+use std::process::{Child, ChildStdout, Command, Output, Stdio};
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
 
 const COMPLETE: [&str; 10] = [
     "--node=listings-1",
@@ -160,3 +163,79 @@
     };
     assert_eq!([128, 129].map(code), [Some(0), Some(2)]);
 }
+
+/// The flag names a disk image by a slip. Read whole, it takes the memory that the
+/// upstream beside the node needs.
+#[test]
+fn a_file_that_is_no_settings_file_is_not_read_whole() {
+    const MEMORY_LIMIT_KIB: u64 = 4 << 20;
+    let file = tempfile::NamedTempFile::new().expect("a file");
+    let size_bytes = 2 * MEMORY_LIMIT_KIB * 1_024;
+    file.as_file().set_len(size_bytes).expect("a sparse file");
+    let limited = format!("ulimit -v {MEMORY_LIMIT_KIB}; exec \"$0\" \"$@\"");
+    let output = Command::new("sh")
+        .args(["-c", &limited, env!("CARGO_BIN_EXE_hemlocktackd")])
+        .args(COMPLETE)
+        .args([&file_flag(&file), "--check"])
+        .env_clear()
+        .output()
+        .expect("the binary runs");
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    let told = standard_error(&output);
+    assert!(told.contains("is it a settings file?"), "{told}");
+}
+
+/// Ends a node with the test, also on a panic.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Lines of a node's log, read as they come.
+fn lines_of(stdout: ChildStdout) -> mpsc::Receiver<String> {
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || {
+        let lines = BufReader::new(stdout).lines();
+        for line in lines.map_while(Result::ok) {
+            if sender.send(line).is_err() {
+                return;
+            }
+        }
+    });
+    receiver
+}
+
+/// Whoever searches the log of a running node for the event finds its first fault
+/// only, and the rest in lines that belong to nothing.
+#[test]
+fn faults_of_a_changed_file_are_told_in_one_line() {
+    const LONGEST_WAIT: Duration = Duration::from_secs(20);
+    let mut file = settings_file("# nothing yet\n");
+    let mut arguments = COMPLETE.map(str::to_owned);
+    for address in &mut arguments[3..7] {
+        *address = format!("{}0", address.trim_end_matches(char::is_numeric));
+    }
+    let child = Command::new(env!("CARGO_BIN_EXE_hemlocktackd"))
+        .args(arguments)
+        .arg(file_flag(&file))
+        .env_clear()
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the binary runs");
+    let mut node = Running(child);
+    let lines = lines_of(node.0.stdout.take().expect("its log"));
+    let line_with = |text: &str| {
+        let mut next = || lines.recv_timeout(LONGEST_WAIT).expect("a line");
+        std::iter::repeat_with(&mut next).find(|line| line.contains(text))
+    };
+    line_with("number=101").expect("the node listens");
+    file.write_all(b"COLOUR=red\nnonsense\n")
+        .expect("it is written");
+    let told = line_with("number=108").expect("the event");
+    let faults = [":2: 'COLOUR' is no setting", ":3: not of the form"];
+    assert!(faults.iter().all(|fault| told.contains(fault)), "{told}");
+}
--- a/crates/hemlocktack-platform/tests/contract/limits.rs
+++ b/crates/hemlocktack-platform/tests/contract/limits.rs
@@ -35,6 +35,23 @@
     assert_eq!(taken, 40 + 2 * 86_399);
 }
 
+/// A rate that a settings file has wrong: the node waits, and does not end on a wait
+/// without an end.
+#[test]
+fn a_rate_that_earns_nothing_is_a_long_wait() {
+    let start = Instant::now();
+    for calls_per_second in [0.0, -1.0, f64::NAN, f64::INFINITY, f64::MIN_POSITIVE] {
+        let rate = Rate {
+            calls_per_second,
+            burst: 1.0,
+        };
+        let mut budget = Budget::new(rate, start);
+        assert_eq!(budget.take(start), Ok(()));
+        let wait = budget.take(start).err().unwrap_or_default();
+        assert!(wait <= Duration::from_secs(3_600), "{calls_per_second}");
+    }
+}
+
 #[test]
 fn the_fleet_of_the_aim_fits_the_platform() {
     let settings = BudgetSettings::default();
