--- a/crates/hemlocktack-node/src/reload.rs
+++ b/crates/hemlocktack-node/src/reload.rs
@@ -41,7 +41,10 @@
                 adopt(&node, &read, &loaded);
                 loaded = read;
             }
-            Err(faults) => log_event!(Event::SettingsFaulty, %faults),
+            Err(error) => {
+                let faults = error.in_one_line();
+                log_event!(Event::SettingsFaulty, faults);
+            }
         }
     }
 }
--- a/crates/hemlocktack-node/src/settings/file.rs
+++ b/crates/hemlocktack-node/src/settings/file.rs
@@ -1,6 +1,8 @@
 //! The settings file: lines `NAME=value` under the names of the environment.
 
 use std::collections::HashMap;
+use std::fs::File;
+use std::io::Read;
 use std::path::Path;
 
 use super::flags::{FLAGS, environment_name};
@@ -14,15 +16,23 @@
 /// A settings file is a few hundred bytes; one that is much larger is another file.
 const SIZE_LIMIT_BYTES: usize = 64 << 10;
 
+/// Bytes of the file at `path`, no more than tell that it is too large.
+pub(super) fn read_bytes(path: &Path) -> std::io::Result<Vec<u8>> {
+    let mut contents = Vec::new();
+    let most = SIZE_LIMIT_BYTES as u64 + 1;
+    File::open(path)?.take(most).read_to_end(&mut contents)?;
+    Ok(contents)
+}
+
 /// Reads what the file at `path` holds.
 pub(super) fn read(path: &Path, contents: Vec<u8>) -> Result<Values> {
     let place = path.display();
-    let text = String::from_utf8(contents).map_err(|error| vec![format!("{place}: {error}")])?;
-    if text.len() > SIZE_LIMIT_BYTES {
+    if contents.len() > SIZE_LIMIT_BYTES {
         return Err(vec![format!(
             "{place}: over {SIZE_LIMIT_BYTES} bytes; is it a settings file?"
         )]);
     }
+    let text = String::from_utf8(contents).map_err(|error| vec![format!("{place}: {error}")])?;
     parse(&text).map_err(|findings| {
         let with_place = |finding| format!("{place}:{finding}");
         findings.into_iter().map(with_place).collect()
--- a/crates/hemlocktack-node/src/settings/read.rs
+++ b/crates/hemlocktack-node/src/settings/read.rs
@@ -26,6 +26,33 @@
     pub(crate) findings: Vec<String>,
 }
 
+impl Error {
+    /// Findings repeat what was given: whoever puts a line break into it would begin
+    /// a line of the log.
+    pub(super) fn new(findings: Vec<String>) -> Self {
+        let findings = findings.iter().map(|finding| in_one_line(finding));
+        Self {
+            findings: findings.collect(),
+        }
+    }
+
+    /// All of it as one line.
+    pub(crate) fn in_one_line(&self) -> String {
+        self.findings.join("; ")
+    }
+}
+
+fn in_one_line(finding: &str) -> String {
+    let mut line = String::with_capacity(finding.len());
+    for character in finding.chars() {
+        match character.is_control() {
+            true => line.extend(character.escape_default()),
+            false => line.push(character),
+        }
+    }
+    line
+}
+
 /// Everything that was read, and the texts that it was read from.
 pub(crate) struct Loaded {
     pub(crate) settings: Settings,
@@ -80,9 +107,7 @@
     let settings = read_settings(&mut reader);
     let adjustable = read_adjustable(&mut reader);
     if !reader.findings.is_empty() {
-        return Err(Error {
-            findings: reader.findings,
-        });
+        return Err(Error::new(reader.findings));
     }
     Ok(Loaded {
         settings,
@@ -229,11 +254,20 @@
             ),
         }
         Some(PlatformRates {
-            reads_per_second: self.parsed(flags::PLATFORM_READS, "a number", 0.0),
-            writes_per_second: self.parsed(flags::PLATFORM_WRITES, "a number", 0.0),
+            reads_per_second: self.rate(flags::PLATFORM_READS),
+            writes_per_second: self.rate(flags::PLATFORM_WRITES),
         })
     }
 
+    /// Calls a second; with none the node would wait for ever.
+    fn rate(&mut self, name: &str) -> f64 {
+        let rate: f64 = self.parsed(name, "a number", 1.0);
+        if !(rate > 0.0 && rate.is_finite()) {
+            self.find(name, "a rate is above 0");
+        }
+        rate
+    }
+
     fn share_per_mille(&mut self, name: &str) -> Option<u32> {
         self.value(name)?;
         let share: f64 = self.parsed(name, "a number between 0 and 1", 0.0);
--- a/crates/hemlocktack-node/src/settings/sources.rs
+++ b/crates/hemlocktack-node/src/settings/sources.rs
@@ -39,9 +39,9 @@
     arguments: &[String],
     environment: impl Fn(&str) -> Option<String> + Send + Sync + 'static,
 ) -> Result<Invocation> {
-    let matches = flags::options().parse(arguments).map_err(|error| Error {
-        findings: vec![error.to_string()],
-    })?;
+    let matches = flags::options()
+        .parse(arguments)
+        .map_err(|error| Error::new(vec![error.to_string()]))?;
     if matches.opt_present(flags::HELP) {
         return Ok(Invocation::Help);
     }
@@ -100,6 +100,6 @@
     pub(crate) fn file_contents(&self) -> FileContents {
         let path = self.file.as_deref()?;
         let place = path.display();
-        Some(std::fs::read(path).map_err(|error| format!("{place}: {error}")))
+        Some(file::read_bytes(path).map_err(|error| format!("{place}: {error}")))
     }
 }
--- a/crates/hemlocktack-platform/src/budget.rs
+++ b/crates/hemlocktack-platform/src/budget.rs
@@ -40,6 +40,9 @@
 /// operators and for shares that overlap while members come and go.
 const FLEET_SHARE: f64 = 0.5;
 
+/// For rates that earn next to nothing: settings may change meanwhile.
+const LONGEST_WAIT: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// What the platform takes from all nodes together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlatformRates {
@@ -95,10 +98,9 @@
         self.saved = (self.saved + earned).min(self.rate.burst);
         self.counted_at = now;
         if self.saved < 1.0 {
-            let missing = 1.0 - self.saved;
-            return Err(Duration::from_secs_f64(
-                missing / self.rate.calls_per_second,
-            ));
+            let missing_s = (1.0 - self.saved) / self.rate.calls_per_second;
+            let wait = Duration::try_from_secs_f64(missing_s).unwrap_or(LONGEST_WAIT);
+            return Err(wait.min(LONGEST_WAIT));
         }
         self.saved -= 1.0;
         Ok(())
