Test: bytes on a link that are nearly frames

Frames of all kinds, whole in any pieces, or with bytes changed, lengths that are wrong, at the limit or over it. One case fails on this code: four bytes that announce a frame of 20 MiB make the link's buffer 20,971,520 bytes large before any of it has come; the library's codec reserves what is announced, and the opening, which nobody has proved anything in yet, is read by the same codec.

--- a/crates/hemlocktack-node/tests/decoders/main.rs
+++ b/crates/hemlocktack-node/tests/decoders/main.rs
@@ -1,13 +1,20 @@
-//! Readers of the node that get what nobody should send: settings.
+//! Readers of the node that get what nobody should send: settings and link frames.
 //!
 //! `PROPTEST_CASES=1000000` runs as many cases of each.
 
 #![allow(clippy::unwrap_used)]
 
+#[allow(dead_code)]
+#[path = "../../src/links/codec.rs"]
+mod codec;
+#[allow(dead_code)]
+#[path = "../../src/links/heard.rs"]
+mod heard;
 #[allow(dead_code, unused_imports)]
 #[path = "../../src/settings/mod.rs"]
 mod settings;
 
+mod link_frames;
 mod settings_texts;
 
 use proptest::prelude::ProptestConfig;
