--- a/crates/hemlocktack-config/src/bounds.rs
+++ b/crates/hemlocktack-config/src/bounds.rs
@@ -93,3 +93,9 @@
 pub const NAME_LIMIT_BYTES: usize = 63;
 /// Longest path prefix of a rule.
 pub const PATH_PREFIX_LIMIT_BYTES: usize = 1_024;
+/// Each connection of a caller may hold one head in memory.
+pub const HEAD_LIMIT_BYTES: usize = 1 << 20;
+/// Bodies of callers are held whole in memory.
+pub const CLIENT_BODY_LIMIT_BYTES: usize = 64 << 20;
+/// As many upstreams as a call with the largest allowance of retries reaches.
+pub const ATTEMPT_LIMIT: u32 = 17;
