Nearly right messages come from the testkit

Moves only: the same seeds make the same messages as before. The seeded configuration of proptest stands there once for these tests.

--- a/crates/hemlocktack-node/tests/decoders/link_frames.rs
+++ b/crates/hemlocktack-node/tests/decoders/link_frames.rs
@@ -5,6 +5,7 @@
     Answer, Call, CallResolution, CancelCall, Challenge, ConfigurationDocument, ConfigurationPull,
     Frame, Handover, HandoverEntry, Header, Hello, LoadHint, NodeStatus, Proof, ResolveCall, frame,
 };
+use hemlocktack_testkit::nearly_right::cases;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::sample::{Index, select};
@@ -12,7 +13,6 @@
 use tokio_util::codec::Decoder;
 
 use crate::codec::{FrameCodec, MAX_FRAME_BYTES};
-use crate::config;
 
 /// Room for reading before anything has come.
 const FIRST_BUFFER_BYTES: usize = 8 << 10;
@@ -222,7 +222,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(cases(27))]
 
     /// Frames that nothing was done to come out as they went in, whatever the
     /// pieces they come in.
--- a/crates/hemlocktack-node/tests/decoders/main.rs
+++ b/crates/hemlocktack-node/tests/decoders/main.rs
@@ -16,14 +16,3 @@
 
 mod link_frames;
 mod settings_texts;
-
-use proptest::prelude::ProptestConfig;
-use proptest::test_runner::RngSeed;
-
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(27),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
--- a/crates/hemlocktack-node/tests/decoders/settings_texts.rs
+++ b/crates/hemlocktack-node/tests/decoders/settings_texts.rs
@@ -4,11 +4,11 @@
 use std::io::Write;
 use std::path::Path;
 
+use hemlocktack_testkit::nearly_right::cases;
 use proptest::collection::{hash_map, vec};
 use proptest::prelude::*;
 use proptest::sample::{Index, select};
 
-use crate::config;
 use crate::settings::{Invocation, Loaded, Run, read};
 
 const FLEET_KEY: &str = "a fleet key for tests, long enough";
@@ -141,7 +141,7 @@
 }
 
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(cases(27))]
 
     /// A variable or a flag that cannot be used ends the start with what is wrong,
     /// and not a running node an hour later.
--- a/crates/hemlocktack-testkit/src/lib.rs
+++ b/crates/hemlocktack-testkit/src/lib.rs
@@ -4,6 +4,7 @@
 mod addresses;
 mod datagram_relay;
 mod http;
+pub mod nearly_right;
 pub mod platform;
 mod relay;
 mod server;
