--- /dev/null
+++ b/crates/hemlocktack-platform/tests/nearly_right.rs
@@ -0,0 +1,111 @@
+//! Answers of the store that are nearly right: each reader takes them or says what is
+//! wrong.
+//!
+//! `PROPTEST_CASES=1000000` runs as many cases.
+
+#![allow(clippy::unwrap_used)]
+
+use hemlocktack_platform::{OWN_CODEC, Object, StoreRefusal};
+use hemlocktack_protocol::Member;
+use hemlocktack_testkit::nearly_right::{cases, nearly};
+use proptest::prelude::*;
+use reqwest::StatusCode;
+use serde_json::{Value, json};
+
+fn configuration() -> Value {
+    json!({
+        "key": "configuration/current",
+        "version": 41,
+        "value": {
+            "generation": "7", "changeId": "c7", "author": "asha",
+            "document": "[[classes]]\nname = \"all\"\n",
+        },
+    })
+}
+
+fn node_record() -> Value {
+    json!({
+        "key": "nodes/listings-1",
+        "version": 42,
+        "value": {
+            "nodeId": "listings-1", "incarnation": "9", "version": "3", "startOrder": "1",
+            "state": "NODE_STATE_READY", "upstream": "UPSTREAM_STATE_READY",
+            "service": "listings", "dataCentre": "howrah", "region": "kolkata",
+            "linkAddress": "10.0.0.7:7401", "gossipAddress": "10.0.0.7:7402", "slots": 44,
+            "successions": [{ "homeNodeId": "listings-2", "homeIncarnation": "4" }],
+        },
+    })
+}
+
+fn listing() -> Value {
+    json!({ "revision": 533, "objects": [node_record(), configuration()] })
+}
+
+fn watched() -> Value {
+    let mut changed = configuration();
+    changed["deleted"] = json!(false);
+    json!({ "revision": 533, "objects": [changed] })
+}
+
+fn written() -> Value {
+    json!({ "version": 43 })
+}
+
+fn refusal() -> Value {
+    json!({ "error": "version-conflict", "current_version": 44 })
+}
+
+fn bytes(message: Value) -> Vec<u8> {
+    message.to_string().into_bytes()
+}
+
+fn member(object: Object) -> Option<Member> {
+    serde_json::from_value(object.value).ok()
+}
+
+/// What is changed into nearly right messages has to be right itself, or readers
+/// stop at the same first fault in all of them.
+#[test]
+fn messages_that_nothing_was_changed_in_are_read_whole() {
+    let stored = (OWN_CODEC.read_object)("", &bytes(configuration())).unwrap();
+    let stored = (OWN_CODEC.read_configuration)(&stored).unwrap();
+    assert_eq!((stored.generation, stored.author.as_str()), (7, "asha"));
+    let page = (OWN_CODEC.read_listing)("nodes/", &bytes(listing())).unwrap();
+    assert_eq!(page.listing.objects.len(), 2);
+    let first = page.listing.objects.into_iter().next().and_then(member);
+    assert_eq!(first.unwrap().successions.len(), 1);
+    let watched = (OWN_CODEC.read_watched)("", &bytes(watched())).unwrap();
+    assert_eq!(watched.objects.len(), 1);
+    assert_eq!((OWN_CODEC.read_written)(&bytes(written())), Ok(43));
+    let refused = (OWN_CODEC.read_refusal)(StatusCode::CONFLICT, &bytes(refusal()));
+    assert_eq!(refused, StoreRefusal::Conflict(44));
+}
+
+proptest! {
+    #![proptest_config(cases(27))]
+
+    /// A store that was written by hand, or another version of it, answers what no
+    /// table of cases thinks of. A node that ends on it takes its upstream along.
+    #[test]
+    fn objects_of_the_store_are_taken_or_refused(
+        one in nearly(configuration), record in nearly(node_record),
+        page in nearly(listing), events in nearly(watched),
+        short in nearly(written), refused in nearly(refusal), status in 100_u16..1000,
+    ) {
+        for body in [&one, &record] {
+            if let Ok(object) = (OWN_CODEC.read_object)("", body) {
+                let _ = (OWN_CODEC.read_configuration)(&object);
+                let _ = member(object);
+            }
+        }
+        if let Ok(page) = (OWN_CODEC.read_listing)("nodes/", &page) {
+            prop_assert!(page.next_after.is_none());
+            page.listing.objects.into_iter().for_each(|object| drop(member(object)));
+        }
+        let _ = (OWN_CODEC.read_watched)("", &events);
+        let _ = (OWN_CODEC.read_written)(&short);
+        let _ = (OWN_CODEC.read_deleted)(&short);
+        let status = StatusCode::from_u16(status).unwrap();
+        let _ = (OWN_CODEC.read_refusal)(status, &refused);
+    }
+}
