Test: a secret that stands in the wrong place of a settings file is not told

Found by the drawn files: a lost line break makes the fleet's key a part of the value before, and the finding quotes that value.

--- a/crates/hemlocktack-node/tests/decoders/settings_texts.rs
+++ b/crates/hemlocktack-node/tests/decoders/settings_texts.rs
@@ -1,11 +1,11 @@
 //! Settings as a tool, a template or a slip of the hand leaves them.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::path::Path;
 
 use hemlocktack_testkit::nearly_right::cases;
-use proptest::collection::{hash_map, vec};
+use proptest::collection::{btree_map, vec};
 use proptest::prelude::*;
 use proptest::sample::{Index, select};
 
@@ -33,7 +33,7 @@
 ];
 const OTHERS: [&str; 4] = ["drain-limit-ms", "log-format", "interface", "colour"];
 
-type Texts = HashMap<String, String>;
+type Texts = BTreeMap<String, String>;
 
 fn variable(flag: &str) -> String {
     format!("HEMLOCKTACK_{}", flag.replace('-', "_").to_uppercase())
@@ -64,7 +64,7 @@
 }
 
 fn changes() -> impl Strategy<Value = Texts> {
-    hash_map(name(), text(), 0..4)
+    btree_map(name(), text(), 0..4)
 }
 
 /// A settings file with some values changed, and seldom some of its bytes.
--- a/crates/hemlocktack-node/tests/settings.rs
+++ b/crates/hemlocktack-node/tests/settings.rs
@@ -129,6 +129,28 @@
     insta::assert_snapshot!(told);
 }
 
+/// A line is written as in another format, or a line break is lost: the fleet's key
+/// stands where a name or another value is due, and whoever reads the log has it.
+#[test]
+fn a_secret_in_the_wrong_place_is_not_told() {
+    const SECRET: &str = "c2VjcmV0IG9mIGFsbCBub2Rlcw";
+    for line in [
+        format!("HEMLOCKTACK_FLEET_KEY: {SECRET}=="),
+        format!("HEMLOCKTACK_REGION=kolkata HEMLOCKTACK_FLEET_KEY={SECRET}"),
+        format!("HEMLOCKTACK_SEED_PEERS=127.0.0.1:6,HEMLOCKTACK_FLEET_KEY={SECRET}=="),
+        format!("{SECRET}=HEMLOCKTACK_FLEET_KEY"),
+    ] {
+        let file = settings_file(&line);
+        let mut arguments = COMPLETE.to_vec();
+        let flag = file_flag(&file);
+        arguments.extend([flag.as_str(), "--check"]);
+        let output = run(&arguments, &[]);
+        assert_eq!(output.status.code(), Some(2), "{line}: {output:?}");
+        let told = standard_error(&output);
+        assert!(told.contains(":1: ") && !told.contains(SECRET), "{told}");
+    }
+}
+
 #[test]
 fn a_missing_settings_file_is_a_fault() {
     let mut arguments = COMPLETE.to_vec();
