Configuration documents with values at the edge, doubled lines and deep nesting

Drawn changes to the example: what is taken is within the bounds that a node is built for. Brackets, tables and dots a hundred thousand deep are refused. No fault found. PROPTEST_CASES raises the number of cases, 512 at least as before.

--- a/crates/hemlocktack-config/tests/properties.rs
+++ b/crates/hemlocktack-config/tests/properties.rs
@@ -1,18 +1,28 @@
 //! Properties over random texts and documents.
+//!
+//! `PROPTEST_CASES=1000000` runs as many cases of each.
 #![allow(clippy::unwrap_used)]
 
-use hemlocktack_config::{CallerKind, Class, Document, Limits, RequestRule, Service, parse};
+use hemlocktack_config::{
+    BOUNDS, CALLER_KIND_LIMIT, CLASS_LIMIT, CallerKind, Class, Document, Limits, RULE_LIMIT,
+    RequestRule, SERVICE_LIMIT, Service, parse,
+};
+use proptest::collection::vec;
 use proptest::prelude::*;
-use proptest::sample::Index;
+use proptest::sample::{Index, select};
 
 const BHADRALOK: &str = include_str!("../../../docs/examples/bhadralok.toml");
 
+/// Cases of each property, or more where `PROPTEST_CASES` says so.
+const CASES_LEAST: u32 = 512;
+
 fn config() -> ProptestConfig {
+    let from_environment = ProptestConfig::default();
     ProptestConfig {
-        cases: 512,
+        cases: from_environment.cases.max(CASES_LEAST),
         rng_seed: proptest::test_runner::RngSeed::Fixed(20),
         failure_persistence: None,
-        ..ProptestConfig::default()
+        ..from_environment
     }
 }
 
@@ -61,9 +71,99 @@
     }
 }
 
+/// Values that stand where another kind is due, or at the edge of their own.
+fn odd_value() -> impl Strategy<Value = String> {
+    prop_oneof![
+        any::<i64>().prop_map(|number| number.to_string()),
+        any::<u32>().prop_map(|number| number.to_string()),
+        select(vec![
+            "0",
+            "-1",
+            "18446744073709551615",
+            "1e308",
+            "nan",
+            "inf"
+        ])
+        .prop_map(str::to_owned),
+        select(vec!["[]", "{}", "true", "1979-05-27", "[[1], {a = 2}]"]).prop_map(str::to_owned),
+        "[a-zA-Z0-9/. -]{0,80}".prop_map(|text| format!("\"{text}\"")),
+        "\\PC{0,20}".prop_map(|text| format!("'{text}'")),
+    ]
+}
+
+/// The example with the values of some lines replaced, or the lines gone or doubled.
+fn nearly_right() -> impl Strategy<Value = String> {
+    let changes = vec((any::<Index>(), 0..4_u8, odd_value()), 1..4);
+    changes.prop_map(|changes| {
+        let mut lines: Vec<String> = BHADRALOK.lines().map(str::to_owned).collect();
+        for (place, kind, value) in changes {
+            let place = place.index(lines.len());
+            match (kind, lines[place].split_once('=')) {
+                (0, _) => drop(lines.remove(place)),
+                (1, _) => lines.insert(place, lines[place].clone()),
+                (_, Some((name, _))) => lines[place] = format!("{name}= {value}"),
+                (_, None) => lines.insert(place, value),
+            }
+        }
+        lines.join("\n")
+    })
+}
+
+/// Whether each number and each list is within what a node is built for.
+fn is_bounded(document: &Document) -> bool {
+    let is_within = |field: &str, value: u64| {
+        let bound = BOUNDS.iter().find(|bound| bound.field == field).unwrap();
+        (bound.least..=bound.greatest).contains(&value)
+    };
+    let limits = &document.limits;
+    let of_service = |service: &Service| {
+        is_within("body_limit_bytes", service.body_limit_bytes as u64)
+            && is_within("answer_limit_bytes", service.answer_limit_bytes as u64)
+            && is_within("queue_limit_calls", service.queue_limit_calls as u64)
+            && service.requests.len() <= RULE_LIMIT
+    };
+    let of_kind = |kind: &CallerKind| {
+        is_within("patience_ms", kind.patience_ms)
+            && is_within("retry_allowance", kind.retry_allowance.into())
+    };
+    is_within("drain_limit_ms", limits.drain_limit_ms)
+        && is_within("kept_answers_bytes", limits.kept_answers_bytes)
+        && is_within("quarantine_ms", limits.quarantine_ms)
+        && is_within("retry_share_percent", limits.retry_share_percent.into())
+        && (1..=CLASS_LIMIT).contains(&document.classes.len())
+        && document.caller_kinds.len() <= CALLER_KIND_LIMIT
+        && document.services.len() <= SERVICE_LIMIT
+        && document.services.iter().all(of_service)
+        && document.caller_kinds.iter().all(of_kind)
+}
+
+/// Brackets, tables and dots by the hundred thousand, as no editor writes them: a
+/// reader that calls itself for each ends the process, and no test can catch that.
+#[test]
+fn deep_documents_are_refused() {
+    const DEPTH: usize = 100_000;
+    for text in [
+        format!("a = {}", "[".repeat(DEPTH)),
+        format!("a = {}{}", "[".repeat(DEPTH), "]".repeat(DEPTH)),
+        format!("a = {}", "{a=".repeat(DEPTH)),
+        format!("{}a = 1", "a.".repeat(DEPTH)),
+        format!("[{}a]", "a.".repeat(DEPTH)),
+    ] {
+        assert!(parse(&text).is_err());
+    }
+}
+
 proptest! {
     #![proptest_config(config())]
 
+    #[test]
+    fn nearly_right_documents_are_taken_within_their_bounds_or_refused(text in nearly_right()) {
+        match parse(&text) {
+            Ok(document) => prop_assert!(is_bounded(&document), "{document:?}"),
+            Err(error) => prop_assert!(!error.findings.is_empty()),
+        }
+    }
+
     #[test]
     fn no_text_makes_the_reader_panic(text in any::<String>()) {
         let _ = parse(&text);
