Documents of any generation from everywhere: the last good one stays in force

Drawn rows of what the store and peers may say to the machine that owns the configuration: what is in force can be read, never goes back, and each document that cannot be read is told once. No fault found. Random datagrams have a fixed seed now.

--- /dev/null
+++ b/crates/hemlocktack-fleet/tests/configuration/any_documents.rs
@@ -0,0 +1,127 @@
+//! Documents of any generation from everywhere, readable or not.
+//!
+//! `PROPTEST_CASES=1000000` runs as many cases.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use hemlocktack_fleet::configuration::{ConfigurationAction, InForce, PeersView};
+use hemlocktack_protocol::{ConfigurationDocument, Generation};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::select;
+use proptest::test_runner::RngSeed;
+
+use crate::{document, older_version, peers, rng, unreadable};
+
+/// Actions that one event may lead to.
+const ACTION_LIMIT: usize = 4;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Heard(Generation),
+    StoredHere(ConfigurationDocument),
+    PlatformAnswered(Option<ConfigurationDocument>),
+    PlatformFailed,
+    RevisionGone,
+    PeerAnswered(Generation, Option<ConfigurationDocument>),
+    PeerFailed,
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(27),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn generation() -> impl Strategy<Value = Generation> {
+    prop_oneof![
+        4 => 0..6_u64,
+        1 => any::<u64>(),
+        1 => select(vec![u64::MAX - 1, u64::MAX]),
+    ]
+}
+
+fn any_document() -> impl Strategy<Value = ConfigurationDocument> {
+    (generation(), any::<bool>()).prop_map(|(generation, can_read)| match can_read {
+        true => document(generation),
+        false => unreadable(generation),
+    })
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let maybe = || proptest::option::of(any_document());
+    prop_oneof![
+        generation().prop_map(Event::Heard),
+        any_document().prop_map(Event::StoredHere),
+        maybe().prop_map(Event::PlatformAnswered),
+        (generation(), maybe())
+            .prop_map(|(generation, document)| { Event::PeerAnswered(generation, document) }),
+        select(vec![
+            Event::PlatformFailed,
+            Event::RevisionGone,
+            Event::PeerFailed,
+        ]),
+    ]
+}
+
+fn handle(
+    in_force: &mut InForce,
+    event: Event,
+    now: Instant,
+    view: &PeersView,
+) -> Vec<ConfigurationAction> {
+    match event {
+        Event::Heard(generation) => in_force.hear("a", generation),
+        Event::StoredHere(document) => return in_force.stored_here(document),
+        Event::PlatformAnswered(document) => {
+            return in_force.platform_answered(now, document, view, &mut rng());
+        }
+        Event::PlatformFailed => in_force.platform_failed(now, &mut rng()),
+        Event::RevisionGone => in_force.revision_gone(now),
+        Event::PeerAnswered(generation, document) => {
+            return in_force.peer_answered(now, "a", generation, document);
+        }
+        Event::PeerFailed => in_force.peer_failed(now, "a", &mut rng()),
+    }
+    Vec::new()
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// A store that lost its mind and peers of other versions: what is in force can be
+    /// read and never goes back, and each document that cannot be is told once.
+    #[test]
+    fn the_last_good_document_stays_in_force(
+        events in vec((event(), 0..3_000_u64), 1..24), is_watcher in any::<bool>(),
+    ) {
+        let mut now = Instant::now();
+        let view = PeersView { is_watcher, ..peers(&["a", "b"]) };
+        let mut in_force = older_version(now);
+        let mut told = BTreeSet::new();
+        let mut before = 0;
+        for (event, pause_ms) in events {
+            let mut actions = handle(&mut in_force, event, now, &view);
+            now += Duration::from_millis(pause_ms);
+            actions.extend(in_force.tick(now, &view, &mut rng()));
+            prop_assert!(actions.len() <= ACTION_LIMIT, "{actions:?}");
+            prop_assert!(in_force.generation() >= before);
+            before = in_force.generation();
+            prop_assert!(in_force.current().is_none_or(|document| document.document == "text"));
+            for action in actions {
+                match action {
+                    ConfigurationAction::Install { document } => {
+                        prop_assert_eq!(document.generation, before);
+                    }
+                    ConfigurationAction::ReportUnreadable { generation } => {
+                        prop_assert!(told.insert(generation), "told twice: {generation}");
+                    }
+                    _ => {}
+                }
+            }
+        }
+    }
+}
--- a/crates/hemlocktack-fleet/tests/configuration/main.rs
+++ b/crates/hemlocktack-fleet/tests/configuration/main.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod any_documents;
+
 use std::time::{Duration, Instant};
 
 use hemlocktack_fleet::configuration::{
--- a/crates/hemlocktack-fleet/tests/membership/datagrams.rs
+++ b/crates/hemlocktack-fleet/tests/membership/datagrams.rs
@@ -10,7 +10,7 @@
 use proptest::prelude::*;
 use prost::Message;
 
-use crate::support::{address, news, node, record, rng, tell};
+use crate::support::{address, config, news, node, record, rng, tell};
 
 const MAC: [u8; 32] = [7; 32];
 
@@ -74,6 +74,8 @@
 }
 
 proptest! {
+    #![proptest_config(config())]
+
     /// Whatever a proved sender says, no panic, and the answers are bounded.
     #[test]
     fn any_bytes_are_taken(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
--- a/crates/hemlocktack-fleet/tests/membership/nearly_right.rs
+++ b/crates/hemlocktack-fleet/tests/membership/nearly_right.rs
@@ -16,23 +16,14 @@
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::sample::{Index, select};
-use proptest::test_runner::RngSeed;
 use prost::Message;
 
-use crate::support::{address, news, node, record, rng, tell};
+use crate::support::{address, config, news, node, record, rng, tell};
 
 const MAC: [u8; 32] = [7; 32];
 /// Actions that one datagram or one tick may lead to.
 const ACTION_LIMIT: usize = 64;
 
-fn config() -> ProptestConfig {
-    ProptestConfig {
-        rng_seed: RngSeed::Fixed(27),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 /// Small ones meet what is known, large ones are at the edge.
 fn number() -> impl Strategy<Value = u64> {
     prop_oneof![0..4_u64, any::<u64>(), select(vec![u64::MAX - 1, u64::MAX])]
--- a/crates/hemlocktack-fleet/tests/membership/support.rs
+++ b/crates/hemlocktack-fleet/tests/membership/support.rs
@@ -5,9 +5,20 @@
 
 use hemlocktack_fleet::membership::{Action, Membership, MembershipSettings};
 use hemlocktack_protocol::{Gossip, Member, NodeState, UpstreamState};
+use proptest::prelude::ProptestConfig;
+use proptest::test_runner::RngSeed;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+/// The same cases in each run, as many as `PROPTEST_CASES` says, or else 256.
+pub(crate) fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(27),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 pub(crate) fn address(number: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 20_000 + number))
 }
