--- a/crates/hemlocktack-decide/examples/scenarios/driver/mod.rs
+++ b/crates/hemlocktack-decide/examples/scenarios/driver/mod.rs
@@ -10,7 +10,9 @@
 mod outcome;
 mod scenario;
 mod upstream;
+mod upstream_crash;
 mod upstream_side;
+mod upstream_work;
 mod world;
 
 pub(crate) use capacity::{allowed, with_long_calls};
