Split the world of the fleet runs: queue and time, steps of a process, its actions

Moves only; `step`, `act`, `configure`, `live` and the number of seeds can be seen by the sister files. 4 of 4 cases of fleet_runs as before.

--- a/crates/hemlocktack-fleet/examples/fleet_runs/main.rs
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/main.rs
@@ -3,6 +3,7 @@
 //! `cargo run --release -p hemlocktack-fleet --example fleet_runs -- --seed 1
 //! --steps 60 --seeds 1000 [--without SAFEGUARD]`
 
+mod actions;
 mod checks;
 mod exchanges;
 mod faults;
@@ -11,6 +12,7 @@
 mod platform;
 mod run;
 mod safeguards;
+mod steps;
 mod world;
 
 use std::process::ExitCode;
--- a/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
+++ b/crates/hemlocktack-fleet/examples/fleet_runs/world.rs
@@ -6,11 +6,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hemlocktack_fleet::configuration::{ConfigurationAction, ConfigurationSettings};
-use hemlocktack_fleet::drain::{Announcement, DrainSettings, LifeAction};
-use hemlocktack_fleet::membership::{Action, MembershipSettings};
-use hemlocktack_protocol::{ConfigurationDocument, Generation, Gossip, Incarnation, NodeState};
-use prost::Message;
+use hemlocktack_fleet::configuration::ConfigurationSettings;
+use hemlocktack_fleet::drain::{DrainSettings, LifeAction};
+use hemlocktack_fleet::membership::MembershipSettings;
+use hemlocktack_protocol::{ConfigurationDocument, Generation, Gossip, Incarnation};
 use rand::rngs::StdRng;
 use rand::seq::IteratorRandom;
 use rand::{RngExt, SeedableRng};
@@ -18,13 +17,10 @@
 use crate::checks::{Checks, LEAVING_LIMIT};
 use crate::network::Network;
 use crate::node::{Process, Slot};
-use crate::platform::{Platform, Weather};
+use crate::platform::Platform;
 
 pub(crate) const TICK_PERIOD: Duration = Duration::from_millis(100);
-const SEED_COUNT: usize = 3;
-const RESEED_TICKS: u64 = 300;
-const ANNOUNCE_TICKS: u64 = 10;
-
+pub(crate) const SEED_COUNT: usize = 3;
 /// Settings of all machines in a run.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Settings {
@@ -233,93 +229,6 @@
         outcome.map(|_| ())
     }
 
-    /// Feeds one event to a process; whether the process has left.
-    fn step(
-        &mut self,
-        number: usize,
-        process: &mut Process,
-        event: Event,
-        instant: Instant,
-    ) -> Result<bool, String> {
-        match event {
-            Event::Tick(count) => return self.tick(number, process, count, instant),
-            Event::Datagram { from, gossip } => {
-                let actions = process
-                    .membership
-                    .receive(instant, from, *gossip, &mut self.rng);
-                self.act(number, process, actions);
-            }
-            Event::PullRequest { from, above } => self.answer_pull(number, process, from, above),
-            Event::PullAnswer {
-                from,
-                in_force,
-                document,
-            } => {
-                let actions = process
-                    .in_force
-                    .peer_answered(instant, &from, in_force, document);
-                self.configure(number, process, actions)?;
-            }
-            Event::PullFailed { from } => {
-                process.in_force.peer_failed(instant, &from, &mut self.rng);
-            }
-            Event::PlatformAnswer(document) => {
-                let view = process.peers_view(self.settings.configuration.watchers_per_data_centre);
-                let rng = &mut self.rng;
-                let actions = process
-                    .in_force
-                    .platform_answered(instant, document, &view, rng);
-                self.configure(number, process, actions)?;
-            }
-            Event::PlatformFailed => process.in_force.platform_failed(instant, &mut self.rng),
-            Event::Stored(document) => {
-                let actions = process.in_force.stored_here(document);
-                self.configure(number, process, actions)?;
-            }
-            Event::Write {
-                expected,
-                change_id,
-            } => self.write(number, expected, change_id),
-        }
-        Ok(false)
-    }
-
-    fn tick(
-        &mut self,
-        number: usize,
-        process: &mut Process,
-        count: u64,
-        instant: Instant,
-    ) -> Result<bool, String> {
-        let next = Event::Tick(count + 1);
-        self.follow(number, TICK_PERIOD, next);
-        if count % RESEED_TICKS == RESEED_TICKS - 1 && self.platform.weather == Weather::Fine {
-            let others = self.slots.iter().map(|slot| slot.address);
-            process
-                .membership
-                .set_seeds(others.sample(&mut self.rng, SEED_COUNT));
-        }
-        let actions = process.membership.tick(instant, &mut self.rng);
-        self.act(number, process, actions);
-        let view = process.peers_view(self.settings.configuration.watchers_per_data_centre);
-        let actions = process.in_force.tick(instant, &view, &mut self.rng);
-        self.configure(number, process, actions)?;
-        if count.is_multiple_of(ANNOUNCE_TICKS) {
-            let announcement = Announcement {
-                address: process.upstream_address,
-                slots: 45,
-                is_cold: false,
-                is_other_start: false,
-            };
-            let actions = process.life.announce(instant, announcement);
-            self.live(number, process, &actions);
-        }
-        process.in_flight = process.in_flight.saturating_sub(1);
-        let mut actions = process.life.check_upstream(instant);
-        actions.append(&mut process.life.check_stop(instant, process.in_flight));
-        Ok(self.live(number, process, &actions))
-    }
-
     /// Lets something happen to a running process's life.
     pub(crate) fn with_life(
         &mut self,
@@ -345,109 +254,4 @@
     pub(crate) fn follow(&mut self, to: usize, delay: Duration, event: Event) {
         self.outbox.push((to, delay, event));
     }
-
-    fn act(&mut self, number: usize, process: &mut Process, actions: Vec<Action>) {
-        for action in actions {
-            match action {
-                Action::Send { to, gossip } => self.send(number, to, gossip),
-                Action::GenerationHeard {
-                    node_id,
-                    generation,
-                } => {
-                    process.in_force.hear(&node_id, generation);
-                }
-                Action::Superseded { .. } => {
-                    let actions = process.life.drain(self.instant());
-                    self.live(number, process, &actions);
-                }
-                Action::MembersChanged | Action::SuspectsHeard { .. } => {}
-            }
-        }
-    }
-
-    fn send(&mut self, from: usize, to: SocketAddr, gossip: Box<Gossip>) {
-        const IP_AND_UDP_BYTES: usize = 28;
-        let membership = &self.settings.membership;
-        let length = gossip.encoded_len() + membership.mac_bytes;
-        assert!(
-            length <= membership.datagram_limit_bytes,
-            "datagram of {length} bytes"
-        );
-        self.bytes_sent += (length + IP_AND_UDP_BYTES) as u64;
-        let Some(target) = self.slots.iter().position(|slot| slot.address == to) else {
-            return;
-        };
-        let address = self.slots[from].address;
-        for delay in self.network.deliveries(from, target, &mut self.rng) {
-            let gossip = gossip.clone();
-            let event = Event::Datagram {
-                from: address,
-                gossip,
-            };
-            self.follow(target, delay, event);
-        }
-    }
-
-    fn configure(
-        &mut self,
-        number: usize,
-        process: &mut Process,
-        actions: Vec<ConfigurationAction>,
-    ) -> Result<(), String> {
-        for action in actions {
-            match action {
-                ConfigurationAction::AskPlatform { above, wait } => {
-                    self.ask_platform(number, above, wait);
-                }
-                ConfigurationAction::Pull { node_id, above } => {
-                    self.pull(number, node_id, above);
-                }
-                ConfigurationAction::Install { document } => {
-                    self.checks
-                        .installed(number, process, document.generation)?;
-                    let generation = document.generation;
-                    self.note(format!("{number} installs {generation}"));
-                    let actions = process.membership.set_generation(generation, &mut self.rng);
-                    self.act(number, process, actions);
-                }
-                ConfigurationAction::ReportUnreadable { generation } => {
-                    return Err(format!("{number} cannot read {generation}"));
-                }
-                ConfigurationAction::CaughtUp => {
-                    self.note(format!("{number} caught up"));
-                    self.checks
-                        .caught_up(number, process, &self.slots[number])?;
-                    let actions = process.life.caught_up();
-                    self.live(number, process, &actions);
-                }
-            }
-        }
-        Ok(())
-    }
-
-    fn live(&mut self, number: usize, process: &mut Process, actions: &[LifeAction]) -> bool {
-        for action in actions {
-            match action {
-                LifeAction::Publish(publication) => {
-                    self.note(format!("{number} publishes {:?}", publication.state));
-                    let actions = process.membership.update_own(*publication, &mut self.rng);
-                    self.act(number, process, actions);
-                }
-                LifeAction::HandOver => {
-                    let actions = process.life.handed_over();
-                    return self.live(number, process, &actions);
-                }
-                LifeAction::ReportOverrun { .. } => {}
-                LifeAction::Leave => return true,
-            }
-        }
-        let is_leaving =
-            process.life.state() != NodeState::Starting && !process.life.takes_new_work();
-        if !is_leaving {
-            process.leaving_since = None;
-        } else if process.leaving_since.is_none() {
-            process.leaving_since = Some(self.now);
-        }
-        false
-    }
 }
--- a/crates/hemlocktack-fleet/tests/fleet_runs.rs
+++ b/crates/hemlocktack-fleet/tests/fleet_runs.rs
@@ -4,6 +4,8 @@
 
 #![allow(clippy::unwrap_used, dead_code)]
 
+#[path = "../examples/fleet_runs/actions.rs"]
+mod actions;
 #[path = "../examples/fleet_runs/checks.rs"]
 mod checks;
 #[path = "../examples/fleet_runs/exchanges.rs"]
@@ -20,6 +22,8 @@
 mod run;
 #[path = "../examples/fleet_runs/safeguards.rs"]
 mod safeguards;
+#[path = "../examples/fleet_runs/steps.rs"]
+mod steps;
 #[path = "../examples/fleet_runs/world.rs"]
 mod world;
 
