--- a/crates/hemlocktack-fleet/src/membership/machine.rs
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -1,18 +1,14 @@
 //! The membership of one node: its own record and what it believes of others.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Instant;
 
 use hemlocktack_protocol::{
     Generation, Gossip, Incarnation, Member, NodeState, Succession, SuspectRequest, UpstreamState,
-    gossip,
 };
-use prost::Message;
 use rand::Rng;
-use rand::seq::IteratorRandom;
 
-use super::news::{News, tellings_limit};
+use super::news::News;
 use super::probes::Probes;
 use super::record;
 use super::settings::{MembershipSettings, Safeguard};
@@ -260,194 +256,7 @@
         self.news.push(&self.own.node_id);
     }
 
-    /// Sends news of this node's own to a few members right away, with one at
-    /// least in each data centre. Within one period only so many, so that a mass
-    /// of drains cannot raise the cost without bound; what is over the limit
-    /// rides on the ordinary datagrams. For the same reason these carry nothing
-    /// else.
-    pub(super) fn tell_at_once(
-        &mut self,
-        records: Vec<Member>,
-        actions: &mut Vec<Action>,
-        rng: &mut impl Rng,
-    ) {
-        let mut targets = self.far_targets(rng);
-        targets.extend(self.targets(true, self.settings.urgent_fanout / 2, rng));
-        self.send_at_once(&targets, &records, actions);
-    }
-
-    /// Passes urgent news on: to one member elsewhere, and for the rest to the
-    /// own data centre, which its owner has told one of.
-    pub(super) fn pass_on_at_once(
-        &mut self,
-        records: Vec<Member>,
-        actions: &mut Vec<Action>,
-        rng: &mut impl Rng,
-    ) {
-        let fanout = self.settings.urgent_fanout;
-        let mut targets = self.targets(true, fanout.saturating_sub(1), rng);
-        targets.extend(self.targets(false, fanout - targets.len(), rng));
-        self.send_at_once(&targets, &records, actions);
-    }
-
-    fn send_at_once(
-        &mut self,
-        targets: &[SocketAddr],
-        records: &[Member],
-        actions: &mut Vec<Action>,
-    ) {
-        if !self.settings.keeps(Safeguard::UrgentNews) {
-            return;
-        }
-        for to in targets {
-            if self.urgent_sent >= self.settings.urgent_limit {
-                return;
-            }
-            self.urgent_sent += 1;
-            self.send_without_news(*to, None, records, actions);
-        }
-    }
-
-    /// One member of each other data centre.
-    ///
-    /// Failure: members mostly probe and tell those of their own data centre.
-    /// Where the few who are told happen to lie in the others, a whole data
-    /// centre hears nothing for seconds. Symptom: all its nodes place calls on
-    /// an upstream that left.
-    fn far_targets(&self, rng: &mut impl Rng) -> Vec<SocketAddr> {
-        let mut by_data_centre: BTreeMap<&str, Vec<SocketAddr>> = BTreeMap::new();
-        for (_, entry) in self.table.live() {
-            let data_centre = entry.member.data_centre.as_str();
-            let Some(address) = entry.address else {
-                continue;
-            };
-            if data_centre != self.own.data_centre {
-                by_data_centre.entry(data_centre).or_default().push(address);
-            }
-        }
-        let members = by_data_centre.into_values();
-        members
-            .filter_map(|members| members.into_iter().choose(rng))
-            .collect()
-    }
-
-    /// Members of the own data centre, or of the others. A sample comes in no
-    /// random order: it is drawn in the number that is wanted and not cut down.
-    fn targets(&self, near: bool, count: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
-        let is_near = |entry: &Entry| entry.member.data_centre == self.own.data_centre;
-        self.table
-            .live()
-            .filter(|(_, entry)| is_near(entry) == near)
-            .filter_map(|(_, entry)| entry.address)
-            .sample(rng, count)
-    }
-
-    /// Adds a datagram: first the given records, then as much other news as
-    /// fits.
-    pub(super) fn send(
-        &mut self,
-        to: SocketAddr,
-        body: Option<gossip::Body>,
-        first: &[Member],
-        actions: &mut Vec<Action>,
-    ) {
-        let (mut gossip, room) = self.datagram(body, first);
-        self.fill_with_news(&mut gossip, room);
-        let gossip = Box::new(gossip);
-        actions.push(Action::Send { to, gossip });
-    }
-
-    /// Adds a datagram with nothing but the given records.
-    pub(super) fn send_without_news(
-        &mut self,
-        to: SocketAddr,
-        body: Option<gossip::Body>,
-        first: &[Member],
-        actions: &mut Vec<Action>,
-    ) {
-        let (gossip, _) = self.datagram(body, first);
-        let gossip = Box::new(gossip);
-        actions.push(Action::Send { to, gossip });
-    }
-
-    /// A datagram with the given records, and the room that is left in it.
-    fn datagram(&self, body: Option<gossip::Body>, first: &[Member]) -> (Gossip, usize) {
-        let mut gossip = self.empty_datagram(body);
-        let mut room = self.room_in(&gossip);
-        for record in first {
-            if !put_record(&mut gossip, &mut room, record.clone()) {
-                break;
-            }
-        }
-        (gossip, room)
-    }
-
-    pub(super) fn empty_datagram(&self, body: Option<gossip::Body>) -> Gossip {
-        Gossip {
-            from_node_id: self.own.node_id.clone(),
-            from_incarnation: self.own.incarnation,
-            generation_in_force: self.generation,
-            table_digest: self.digest(),
-            suspects: Vec::new(),
-            members: Vec::new(),
-            body,
-        }
-    }
-
-    pub(super) fn room_in(&self, gossip: &Gossip) -> usize {
-        let limit = self.settings.datagram_limit_bytes;
-        limit.saturating_sub(self.settings.mac_bytes + gossip.encoded_len())
-    }
-
-    fn fill_with_news(&mut self, gossip: &mut Gossip, mut room: usize) {
-        let limit = tellings_limit(self.table.count() + 1);
-        for node_id in self.news.pending() {
-            let already_in = gossip
-                .members
-                .iter()
-                .any(|record| record.node_id == node_id);
-            let Some(record) = self.fresh_belief(&node_id) else {
-                self.news.told(&node_id, 0);
-                continue;
-            };
-            if already_in {
-                continue;
-            }
-            if !put_record(gossip, &mut room, record) {
-                return;
-            }
-            self.news.told(&node_id, limit);
-        }
-    }
-
-    /// What to tell others of a member; `None` for an accusation that is too
-    /// old. A node that was cut off for a while holds all others for dead. Were
-    /// it to tell that when it is back, the fleet would doubt itself for a
-    /// while; by then its accusations are past their age.
-    fn fresh_belief(&self, node_id: &str) -> Option<Member> {
-        if node_id == self.own.node_id {
-            return Some(self.own.clone());
-        }
-        let entry = self.table.get(node_id)?;
-        let age = self.now.saturating_duration_since(entry.since);
-        let is_old = entry.is_accused() && age >= self.suspicion_timeout();
-        let keeps = self.settings.keeps(Safeguard::AccusationAge);
-        (!is_old || !keeps).then(|| entry.belief())
-    }
-
     pub(super) fn digest(&self) -> u64 {
         self.table.digest() ^ table::member_digest(&self.own)
     }
 }
-
-/// Puts a record into a datagram if there is room for it.
-pub(super) fn put_record(gossip: &mut Gossip, room: &mut usize, record: Member) -> bool {
-    let length = record.encoded_len();
-    let needed = 1 + prost::length_delimiter_len(length) + length;
-    if needed > *room {
-        return false;
-    }
-    *room -= needed;
-    gossip.members.push(record);
-    true
-}
--- a/crates/hemlocktack-fleet/src/membership/mod.rs
+++ b/crates/hemlocktack-fleet/src/membership/mod.rs
@@ -4,12 +4,14 @@
 mod datagram;
 mod machine;
 mod news;
+mod outgoing;
 mod probes;
 mod receive;
 mod record;
 mod settings;
 mod table;
 mod tick;
+mod urgent;
 
 pub use datagram::{DatagramError, open_datagram, seal_datagram};
 pub use machine::{Action, Membership, Peer};
--- a/crates/hemlocktack-fleet/src/membership/receive.rs
+++ b/crates/hemlocktack-fleet/src/membership/receive.rs
@@ -8,7 +8,8 @@
 };
 use rand::Rng;
 
-use super::machine::{Action, Membership, Sweep, put_record};
+use super::machine::{Action, Membership, Sweep};
+use super::outgoing::put_record;
 use super::probes::Relayed;
 use super::record::{self, Freshness};
 use super::settings::{NODE_ID_LIMIT_BYTES, Safeguard};
