--- a/crates/hemlocktack-fleet/src/tickets/table.rs
+++ b/crates/hemlocktack-fleet/src/tickets/table.rs
@@ -1,22 +1,16 @@
 //! The home's record of every ticket that it has seen.
 
 use std::collections::{HashMap, VecDeque};
-use std::sync::Arc;
 
-use hemlocktack_protocol::{Answer, Fingerprint, Incarnation, NodeId, Reason, Refusal, Unfinished};
+use hemlocktack_protocol::{Incarnation, NodeId};
 
 use crate::peer::NodeIncarnation;
 use crate::tickets::epochs::{EpochAge, EpochWindow};
 use crate::tickets::kept_answers::KeptAnswers;
-use crate::tickets::record::{End, Nonce, Record, State, WrongState};
-use crate::tickets::ticket::Ticket;
+use crate::tickets::record::{End, Nonce, Record, State};
 
 const FIRST_EPOCH: u64 = 1;
 const OWN_HOME_NUMBER: u32 = 0;
-// Expired records removed with each new one: faster than records are made, and
-// no single call pays for a whole epoch.
-const PURGED_PER_START: usize = 4;
-
 /// Bounds of a table's memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TableLimits {
@@ -51,21 +45,6 @@
     }
 }
 
-/// What the home does with a call that came with a ticket.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Start {
-    /// First of its ticket: admit it; it is queued now.
-    Run,
-    /// It is queued or running: wait for the same end.
-    Join,
-    /// It has run: here is the answer.
-    Answered(Arc<Answer>),
-    /// It has run and its answer is no longer kept.
-    AnswerNotKept,
-    /// It has not run and never will, or it may have run and never will again.
-    Refused(Unfinished),
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
     Accepting,
@@ -168,149 +147,6 @@
         }
     }
 
-    /// Decides on a call with a genuine ticket, first send or re-send alike.
-    ///
-    /// The first send binds the ticket to its request. A caller that uses the
-    /// ticket for another one would otherwise get the answer of the first.
-    pub fn start(&mut self, ticket: &Ticket, fingerprint: Fingerprint) -> Start {
-        self.purge(PURGED_PER_START);
-        let window = self.homes.iter().find(|window| window.home == ticket.home);
-        if let Some(record) = self.records.get(&ticket.nonce) {
-            return self.restart(record, ticket, fingerprint, window);
-        }
-        // Another start of this node may have run it; so may a home whose
-        // table was dropped here.
-        let Some(window) = window else {
-            return Start::Refused(Unfinished::Unknown(Reason::HomeGone));
-        };
-        match window.age(ticket.epoch) {
-            EpochAge::Kept => {}
-            // Its record may have gone with its epoch.
-            EpochAge::Expired => {
-                return Start::Refused(Unfinished::Unknown(Reason::TicketExpired));
-            }
-            EpochAge::NotReached => {
-                return Start::Refused(Unfinished::Unknown(Reason::TicketForeign));
-            }
-        }
-        let record = |state| Record {
-            home_number: window.number,
-            epoch: ticket.epoch,
-            fingerprint,
-            state,
-        };
-        match self.phase {
-            Phase::Accepting => {
-                let record = record(State::Queued);
-                self.insert(ticket.nonce, record);
-                Start::Run
-            }
-            // The caller will be told `not_run`: an earlier send that is still
-            // under way must find the fence, here or at the successor.
-            Phase::Stopping => {
-                let record = record(State::Ended(End::NotRun(Reason::Draining)));
-                self.insert(ticket.nonce, record);
-                Start::Refused(not_run(Reason::Draining))
-            }
-            // A fence made now would miss the successor. Asking it once it is
-            // known is safe: a re-send of the same ticket always is.
-            Phase::Frozen => Start::Refused(Unfinished::Unknown(Reason::Draining)),
-        }
-    }
-
-    /// Records that another node may start the request, before it is sent there.
-    ///
-    /// # Errors
-    /// [`WrongState`] where the ticket is not in the state that this step needs.
-    pub fn delegate(&mut self, nonce: Nonce, delegate: NodeIncarnation) -> Result<(), WrongState> {
-        let state = self.state_mut(nonce)?;
-        let State::Queued = state else {
-            return Err(WrongState);
-        };
-        *state = State::Delegated(Box::new(delegate));
-        Ok(())
-    }
-
-    /// Records the start, before the first byte goes to the upstream.
-    ///
-    /// # Errors
-    /// [`WrongState`] where the ticket is not in the state that this step needs.
-    pub fn started(&mut self, nonce: Nonce) -> Result<(), WrongState> {
-        let state = self.state_mut(nonce)?;
-        let State::Queued = state else {
-            return Err(WrongState);
-        };
-        *state = State::Started;
-        Ok(())
-    }
-
-    /// The upstream proved that it shed the request before it began: startable again.
-    ///
-    /// # Errors
-    /// [`WrongState`] where the ticket is not in the state that this step needs.
-    pub fn give_back(&mut self, nonce: Nonce) -> Result<(), WrongState> {
-        let state = self.state_mut(nonce)?;
-        let State::Started = state else {
-            return Err(WrongState);
-        };
-        *state = State::Queued;
-        Ok(())
-    }
-
-    /// The delegate proved that it has not run and will not: startable again.
-    ///
-    /// Only the recorded delegate's word counts. A late word from an earlier
-    /// one would let the request out a second time.
-    ///
-    /// # Errors
-    /// [`WrongState`] where the ticket is not in the state that this step needs.
-    pub fn give_back_from(
-        &mut self,
-        nonce: Nonce,
-        from: &NodeIncarnation,
-    ) -> Result<(), WrongState> {
-        let state = self.state_mut(nonce)?;
-        match state {
-            State::Delegated(delegate) if **delegate == *from => *state = State::Queued,
-            _ => return Err(WrongState),
-        }
-        Ok(())
-    }
-
-    /// Ends a queued ticket for good: `not_run` is told, and no send of it,
-    /// however late, will find it startable.
-    ///
-    /// # Errors
-    /// [`WrongState`] where the ticket is not in the state that this step needs.
-    pub fn refuse(&mut self, nonce: Nonce, reason: Reason) -> Result<(), WrongState> {
-        let State::Queued = self.state_mut(nonce)? else {
-            return Err(WrongState);
-        };
-        self.end(nonce, End::NotRun(reason));
-        Ok(())
-    }
-
-    /// Ends a started or delegated ticket with the upstream's whole answer.
-    ///
-    /// # Errors
-    /// [`WrongState`] where the ticket is not in the state that this step needs.
-    pub fn answer(&mut self, nonce: Nonce, answer: Arc<Answer>) -> Result<(), WrongState> {
-        self.expect_may_have_run(nonce)?;
-        self.answers.keep(nonce, answer);
-        self.end(nonce, End::Answered);
-        Ok(())
-    }
-
-    /// Ends a started or delegated ticket that came to no whole answer.
-    ///
-    /// # Errors
-    /// [`WrongState`] where the ticket is not in the state that this step needs.
-    pub fn give_up(&mut self, nonce: Nonce, reason: Reason) -> Result<(), WrongState> {
-        self.expect_may_have_run(nonce)?;
-        self.end(nonce, End::Unknown(reason));
-        Ok(())
-    }
-
     /// Takes no new tickets from now on; those in flight go on to their end.
     pub fn stop_accepting(&mut self) {
         if self.phase == Phase::Accepting {
@@ -350,47 +186,6 @@
         );
     }
 
-    fn restart(
-        &self,
-        record: &Record,
-        ticket: &Ticket,
-        fingerprint: Fingerprint,
-        window: Option<&EpochWindow>,
-    ) -> Start {
-        let same_home = window.is_none_or(|window| window.number == record.home_number);
-        if record.epoch != ticket.epoch || !same_home {
-            return Start::Refused(Unfinished::Unknown(Reason::TicketForeign));
-        }
-        if record.fingerprint != fingerprint {
-            return Start::Refused(not_run(Reason::TicketForeign));
-        }
-        let State::Ended(end) = record.state else {
-            return Start::Join;
-        };
-        match end {
-            End::Answered => match self.answers.get(&ticket.nonce) {
-                Some(answer) => Start::Answered(answer),
-                None => Start::AnswerNotKept,
-            },
-            End::NotRun(reason) => Start::Refused(not_run(reason)),
-            End::Unknown(reason) => Start::Refused(Unfinished::Unknown(reason)),
-        }
-    }
-
-    fn state_mut(&mut self, nonce: Nonce) -> Result<&mut State, WrongState> {
-        self.records
-            .get_mut(&nonce)
-            .map(|record| &mut record.state)
-            .ok_or(WrongState)
-    }
-
-    fn expect_may_have_run(&self, nonce: Nonce) -> Result<(), WrongState> {
-        match self.records.get(&nonce) {
-            Some(record) if record.may_have_run() => Ok(()),
-            _ => Err(WrongState),
-        }
-    }
-
     pub(crate) fn insert(&mut self, nonce: Nonce, record: Record) {
         let (home_number, epoch) = (record.home_number, record.epoch);
         if !record.is_ended() {
@@ -426,7 +221,7 @@
     }
 
     // Records in flight stay until their end, which lists them once more.
-    fn purge(&mut self, limit: usize) {
+    pub(super) fn purge(&mut self, limit: usize) {
         for _ in 0..limit {
             let Some(nonce) = self.expired.pop_front() else {
                 return;
@@ -451,10 +246,3 @@
         number
     }
 }
-
-fn not_run(reason: Reason) -> Unfinished {
-    Unfinished::NotRun(Refusal {
-        reason,
-        retry_after: None,
-    })
-}
