--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -3,12 +3,12 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use reqwest::{RequestBuilder, Response, StatusCode, Url};
+use reqwest::{RequestBuilder, Url};
 use serde_json::Value;
 
+use crate::exchange::{Access, Missing, exchange, missing_as_none, too_large, unavailable};
 use crate::own_codec::OWN_CODEC;
-use crate::store_codec::{Read, StoreCall, StoreCodec, StoreRefusal};
+use crate::store_codec::{Read, StoreCall, StoreCodec};
 use crate::{
     Backoff, BackoffSettings, Budget, BudgetSettings, Effect, Error, Listing, Object,
     PlatformRates, Result, Revision, Version, Watched,
@@ -16,9 +16,6 @@
 
 /// Largest value that the platform stores.
 pub const VALUE_LIMIT_BYTES: usize = 1 << 20;
-/// Larger answers are not read to their end: a list of 560 records is under 1 MiB.
-const ANSWER_LIMIT_BYTES: usize = 32 << 20;
-
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// A connection that has gone silent, behind a cut or for good, must not hold a
 /// watch for its whole wait: it is probed after this, and given up when so many
@@ -91,22 +88,6 @@
     }
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Access {
-    Read,
-    Write,
-}
-
-impl Access {
-    /// What a lost answer may mean.
-    fn effect_of_lost_answer(self) -> Effect {
-        match self {
-            Access::Read => Effect::None,
-            Access::Write => Effect::Possible,
-        }
-    }
-}
-
 impl Client {
     /// Does not connect yet.
     ///
@@ -352,136 +333,3 @@
         limits.backoff.wait(now).unwrap_or_default()
     }
 }
-
-/// Why a call gave no value: the object does not exist, or it failed.
-enum Missing {
-    Object,
-    Failed(Error),
-}
-
-impl From<Error> for Missing {
-    fn from(error: Error) -> Missing {
-        Missing::Failed(error)
-    }
-}
-
-impl Missing {
-    /// For calls that no missing object can answer.
-    fn into_error(self) -> Error {
-        match self {
-            Missing::Object => malformed(
-                Effect::None,
-                "a missing object where none was asked for".to_owned(),
-            ),
-            Missing::Failed(error) => error,
-        }
-    }
-
-    fn with_wait(self, wait: Duration) -> Missing {
-        let Missing::Failed(error) = self else {
-            return self;
-        };
-        Missing::Failed(match error {
-            Error::Unavailable { effect, detail, .. } => Error::Unavailable {
-                effect,
-                detail,
-                retry_after: wait,
-            },
-            Error::Malformed { effect, detail, .. } => Error::Malformed {
-                effect,
-                detail,
-                retry_after: Some(wait),
-            },
-            other => other,
-        })
-    }
-}
-
-fn missing_as_none<T>(result: std::result::Result<T, Missing>) -> Result<Option<T>> {
-    match result {
-        Ok(value) => Ok(Some(value)),
-        Err(Missing::Object) => Ok(None),
-        Err(Missing::Failed(error)) => Err(error),
-    }
-}
-
-async fn exchange<T>(
-    access: Access,
-    request: RequestBuilder,
-    read_refusal: fn(StatusCode, &[u8]) -> StoreRefusal,
-    read: impl FnOnce(&[u8]) -> Read<T>,
-) -> std::result::Result<T, Missing> {
-    let lost = access.effect_of_lost_answer();
-    let response = request.send().await.map_err(|error| {
-        let effect = if error.is_connect() {
-            Effect::None
-        } else {
-            lost
-        };
-        unavailable(effect, &error, Duration::ZERO)
-    })?;
-    let status = response.status();
-    let body = read_whole(response, lost).await?;
-    if !status.is_success() {
-        return Err(refused(read_refusal(status, &body), lost));
-    }
-    let value = read(&body).map_err(|detail| malformed(lost, detail))?;
-    Ok(value)
-}
-
-async fn read_whole(mut response: Response, lost: Effect) -> Result<Bytes> {
-    let mut body = Vec::new();
-    loop {
-        let chunk = response.chunk().await;
-        let chunk = chunk.map_err(|error| unavailable(lost, &error, Duration::ZERO))?;
-        let Some(chunk) = chunk else {
-            return Ok(Bytes::from(body));
-        };
-        if body.len() + chunk.len() > ANSWER_LIMIT_BYTES {
-            return Err(malformed(
-                lost,
-                format!("an answer over {ANSWER_LIMIT_BYTES} bytes"),
-            ));
-        }
-        body.extend_from_slice(&chunk);
-    }
-}
-
-fn refused(refusal: StoreRefusal, lost: Effect) -> Missing {
-    let unavailable = |effect, detail| Error::Unavailable {
-        effect,
-        detail,
-        retry_after: Duration::ZERO,
-    };
-    Missing::Failed(match refusal {
-        StoreRefusal::Missing => return Missing::Object,
-        StoreRefusal::Conflict(current_version) => Error::Conflict { current_version },
-        StoreRefusal::TooLarge => too_large(),
-        StoreRefusal::RevisionGone => Error::RevisionGone,
-        StoreRefusal::NotDone(detail) => unavailable(Effect::None, detail),
-        StoreRefusal::Failed(detail) => unavailable(lost, detail),
-        StoreRefusal::Malformed(detail) => malformed(lost, detail),
-    })
-}
-
-fn too_large() -> Error {
-    Error::TooLarge {
-        limit_bytes: VALUE_LIMIT_BYTES,
-    }
-}
-
-fn malformed(effect: Effect, detail: String) -> Error {
-    Error::Malformed {
-        effect,
-        detail,
-        retry_after: None,
-    }
-}
-
-fn unavailable(effect: Effect, error: &reqwest::Error, retry_after: Duration) -> Error {
-    Error::Unavailable {
-        effect,
-        detail: error.to_string(),
-        retry_after,
-    }
-}
--- /dev/null
+++ b/crates/hemlocktack-platform/src/exchange.rs
@@ -0,0 +1,162 @@
+//! One exchange with the platform over HTTP, and what its failures mean.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use reqwest::{RequestBuilder, Response, StatusCode};
+
+use crate::client::VALUE_LIMIT_BYTES;
+use crate::store_codec::{Read, StoreRefusal};
+use crate::{Effect, Error, Result};
+
+/// Larger answers are not read to their end: a list of 560 records is under 1 MiB.
+const ANSWER_LIMIT_BYTES: usize = 32 << 20;
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Access {
+    Read,
+    Write,
+}
+
+impl Access {
+    /// What a lost answer may mean.
+    fn effect_of_lost_answer(self) -> Effect {
+        match self {
+            Access::Read => Effect::None,
+            Access::Write => Effect::Possible,
+        }
+    }
+}
+
+/// Why a call gave no value: the object does not exist, or it failed.
+pub(crate) enum Missing {
+    Object,
+    Failed(Error),
+}
+
+impl From<Error> for Missing {
+    fn from(error: Error) -> Missing {
+        Missing::Failed(error)
+    }
+}
+
+impl Missing {
+    /// For calls that no missing object can answer.
+    pub(crate) fn into_error(self) -> Error {
+        match self {
+            Missing::Object => malformed(
+                Effect::None,
+                "a missing object where none was asked for".to_owned(),
+            ),
+            Missing::Failed(error) => error,
+        }
+    }
+
+    pub(crate) fn with_wait(self, wait: Duration) -> Missing {
+        let Missing::Failed(error) = self else {
+            return self;
+        };
+        Missing::Failed(match error {
+            Error::Unavailable { effect, detail, .. } => Error::Unavailable {
+                effect,
+                detail,
+                retry_after: wait,
+            },
+            Error::Malformed { effect, detail, .. } => Error::Malformed {
+                effect,
+                detail,
+                retry_after: Some(wait),
+            },
+            other => other,
+        })
+    }
+}
+
+pub(crate) fn missing_as_none<T>(result: std::result::Result<T, Missing>) -> Result<Option<T>> {
+    match result {
+        Ok(value) => Ok(Some(value)),
+        Err(Missing::Object) => Ok(None),
+        Err(Missing::Failed(error)) => Err(error),
+    }
+}
+
+pub(crate) async fn exchange<T>(
+    access: Access,
+    request: RequestBuilder,
+    read_refusal: fn(StatusCode, &[u8]) -> StoreRefusal,
+    read: impl FnOnce(&[u8]) -> Read<T>,
+) -> std::result::Result<T, Missing> {
+    let lost = access.effect_of_lost_answer();
+    let response = request.send().await.map_err(|error| {
+        let effect = if error.is_connect() {
+            Effect::None
+        } else {
+            lost
+        };
+        unavailable(effect, &error, Duration::ZERO)
+    })?;
+    let status = response.status();
+    let body = read_whole(response, lost).await?;
+    if !status.is_success() {
+        return Err(refused(read_refusal(status, &body), lost));
+    }
+    let value = read(&body).map_err(|detail| malformed(lost, detail))?;
+    Ok(value)
+}
+
+async fn read_whole(mut response: Response, lost: Effect) -> Result<Bytes> {
+    let mut body = Vec::new();
+    loop {
+        let chunk = response.chunk().await;
+        let chunk = chunk.map_err(|error| unavailable(lost, &error, Duration::ZERO))?;
+        let Some(chunk) = chunk else {
+            return Ok(Bytes::from(body));
+        };
+        if body.len() + chunk.len() > ANSWER_LIMIT_BYTES {
+            return Err(malformed(
+                lost,
+                format!("an answer over {ANSWER_LIMIT_BYTES} bytes"),
+            ));
+        }
+        body.extend_from_slice(&chunk);
+    }
+}
+
+fn refused(refusal: StoreRefusal, lost: Effect) -> Missing {
+    let unavailable = |effect, detail| Error::Unavailable {
+        effect,
+        detail,
+        retry_after: Duration::ZERO,
+    };
+    Missing::Failed(match refusal {
+        StoreRefusal::Missing => return Missing::Object,
+        StoreRefusal::Conflict(current_version) => Error::Conflict { current_version },
+        StoreRefusal::TooLarge => too_large(),
+        StoreRefusal::RevisionGone => Error::RevisionGone,
+        StoreRefusal::NotDone(detail) => unavailable(Effect::None, detail),
+        StoreRefusal::Failed(detail) => unavailable(lost, detail),
+        StoreRefusal::Malformed(detail) => malformed(lost, detail),
+    })
+}
+
+pub(crate) fn too_large() -> Error {
+    Error::TooLarge {
+        limit_bytes: VALUE_LIMIT_BYTES,
+    }
+}
+
+fn malformed(effect: Effect, detail: String) -> Error {
+    Error::Malformed {
+        effect,
+        detail,
+        retry_after: None,
+    }
+}
+
+pub(crate) fn unavailable(effect: Effect, error: &reqwest::Error, retry_after: Duration) -> Error {
+    Error::Unavailable {
+        effect,
+        detail: error.to_string(),
+        retry_after,
+    }
+}
--- a/crates/hemlocktack-platform/src/lib.rs
+++ b/crates/hemlocktack-platform/src/lib.rs
@@ -8,6 +8,7 @@
 mod client;
 mod configuration;
 mod error;
+mod exchange;
 mod nodes;
 mod own_codec;
 mod resolve;
