--- a/crates/hemlocktack-node/tests/settings.rs
+++ b/crates/hemlocktack-node/tests/settings.rs
@@ -1,23 +1,11 @@
 //! Settings of `hemlocktackd`, as an operator gives them.
 
-use std::io::{BufRead, BufReader, Write};
-use std::process::{Child, ChildStdout, Command, Output, Stdio};
-use std::sync::mpsc;
-use std::thread;
-use std::time::Duration;
+mod support;
 
-const COMPLETE: [&str; 10] = [
-    "--node=listings-1",
-    "--service=listings",
-    "--data-centre=salt-lake",
-    "--caller-address=127.0.0.1:1",
-    "--control-address=127.0.0.1:2",
-    "--link-address=127.0.0.1:3",
-    "--gossip-address=127.0.0.1:4",
-    "--platform-url=http://127.0.0.1:5",
-    "--fleet-key=a fleet key for tests, long enough",
-    "--operator-token=a token for tests",
-];
+use std::io::Write;
+use std::process::{Command, Output};
+
+use support::{COMPLETE, RunningNode};
 
 fn run(arguments: &[&str], environment: &[(&str, &str)]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_hemlocktackd"))
@@ -214,57 +202,16 @@
     assert!(told.contains("is it a settings file?"), "{told}");
 }
 
-/// Ends a node with the test, also on a panic.
-struct Running(Child);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-/// Lines of a node's log, read as they come.
-fn lines_of(stdout: ChildStdout) -> mpsc::Receiver<String> {
-    let (sender, receiver) = mpsc::channel();
-    thread::spawn(move || {
-        let lines = BufReader::new(stdout).lines();
-        for line in lines.map_while(Result::ok) {
-            if sender.send(line).is_err() {
-                return;
-            }
-        }
-    });
-    receiver
-}
-
 /// Whoever searches the log of a running node for the event finds its first fault
 /// only, and the rest in lines that belong to nothing.
 #[test]
 fn faults_of_a_changed_file_are_told_in_one_line() {
-    const LONGEST_WAIT: Duration = Duration::from_secs(20);
     let mut file = settings_file("# nothing yet\n");
-    let mut arguments = COMPLETE.map(str::to_owned);
-    for address in &mut arguments[3..7] {
-        *address = format!("{}0", address.trim_end_matches(char::is_numeric));
-    }
-    let child = Command::new(env!("CARGO_BIN_EXE_hemlocktackd"))
-        .args(arguments)
-        .arg(file_flag(&file))
-        .env_clear()
-        .stdout(Stdio::piped())
-        .spawn()
-        .expect("the binary runs");
-    let mut node = Running(child);
-    let lines = lines_of(node.0.stdout.take().expect("its log"));
-    let line_with = |text: &str| {
-        let mut next = || lines.recv_timeout(LONGEST_WAIT).expect("a line");
-        std::iter::repeat_with(&mut next).find(|line| line.contains(text))
-    };
-    line_with("number=101").expect("the node listens");
+    let node = RunningNode::start(&[&file_flag(&file)]);
+    node.line_with("number=101");
     file.write_all(b"COLOUR=red\nnonsense\n")
         .expect("it is written");
-    let told = line_with("number=108").expect("the event");
+    let told = node.line_with("number=108");
     let faults = [":2: 'COLOUR' is no setting", ":3: not of the form"];
     assert!(faults.iter().all(|fault| told.contains(fault)), "{told}");
 }
