Tell refused datagrams in a line a second at most, event 407

Cause: they were counted for the metrics and nothing else, and those with overlong ids not even that. The check of ids moves to where datagrams are opened, so that all four reasons are counted and told in one place; its case asks there now for the reason, in place of no answer and no record of it at the machine behind.

--- a/crates/hemlocktack-fleet/src/membership/datagram.rs
+++ b/crates/hemlocktack-fleet/src/membership/datagram.rs
@@ -2,9 +2,11 @@
 
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
-use hemlocktack_protocol::Gossip;
+use hemlocktack_protocol::{Gossip, gossip};
 use prost::Message;
 
+use super::settings::NODE_ID_LIMIT_BYTES;
+
 type Result<T> = std::result::Result<T, DatagramError>;
 
 /// Why a datagram was dropped.
@@ -19,6 +21,9 @@
     /// Not a gossip message.
     #[display("datagram cannot be decoded")]
     Undecodable,
+    /// It names a node by an id that none can have.
+    #[display("datagram has an id over {NODE_ID_LIMIT_BYTES} bytes")]
+    OverlongId,
 }
 
 /// Encodes a message and puts its MAC behind it.
@@ -45,5 +50,29 @@
     if !is_right(&datagram, &mac) {
         return Err(DatagramError::WrongMac);
     }
-    Gossip::decode(datagram).map_err(|_| DatagramError::Undecodable)
+    let gossip = Gossip::decode(datagram).map_err(|_| DatagramError::Undecodable)?;
+    if has_overlong_id(&gossip) {
+        return Err(DatagramError::OverlongId);
+    }
+    Ok(gossip)
+}
+
+/// Whether a node is named in it by an id that none can have.
+///
+/// Failure: an answer repeats such an id, and does not fit a datagram. Symptom: it is
+/// cut into pieces by the network and lost as a whole when one of them is.
+fn has_overlong_id(gossip: &Gossip) -> bool {
+    let in_body: [&str; 2] = match &gossip.body {
+        Some(gossip::Body::Probe(probe)) => [&probe.on_behalf_of, ""],
+        Some(gossip::Body::Ack(ack)) => [&ack.of_node_id, ""],
+        Some(gossip::Body::IndirectProbe(probe)) => [&probe.target_node_id, ""],
+        Some(gossip::Body::SyncPull(pull)) => [&pull.after_node_id, ""],
+        Some(gossip::Body::SyncPage(page)) => [&page.after_node_id, &page.last_node_id],
+        None => ["", ""],
+    };
+    let of_members = gossip.members.iter().map(|member| member.node_id.as_str());
+    let mut all = of_members
+        .chain(in_body)
+        .chain([gossip.from_node_id.as_str()]);
+    all.any(|id| id.len() > NODE_ID_LIMIT_BYTES)
 }
--- a/crates/hemlocktack-fleet/src/membership/receive.rs
+++ b/crates/hemlocktack-fleet/src/membership/receive.rs
@@ -29,9 +29,6 @@
     ) -> Vec<Action> {
         let mut actions = Vec::new();
         self.now = now;
-        if has_overlong_id(&gossip) {
-            return actions;
-        }
         if gossip.from_node_id == self.own.node_id
             && gossip.from_incarnation == self.own.incarnation
         {
@@ -342,23 +339,3 @@
         self.send(to, Some(gossip::Body::SyncPull(pull)), &[own], actions);
     }
 }
-
-/// Whether a node is named in it by an id that none can have.
-///
-/// Failure: an answer repeats such an id, and does not fit a datagram. Symptom: it is
-/// cut into pieces by the network and lost as a whole when one of them is.
-fn has_overlong_id(gossip: &Gossip) -> bool {
-    let in_body: [&str; 2] = match &gossip.body {
-        Some(gossip::Body::Probe(probe)) => [&probe.on_behalf_of, ""],
-        Some(gossip::Body::Ack(ack)) => [&ack.of_node_id, ""],
-        Some(gossip::Body::IndirectProbe(probe)) => [&probe.target_node_id, ""],
-        Some(gossip::Body::SyncPull(pull)) => [&pull.after_node_id, ""],
-        Some(gossip::Body::SyncPage(page)) => [&page.after_node_id, &page.last_node_id],
-        None => ["", ""],
-    };
-    let of_members = gossip.members.iter().map(|member| member.node_id.as_str());
-    let mut all = of_members
-        .chain(in_body)
-        .chain([gossip.from_node_id.as_str()]);
-    all.any(|id| id.len() > NODE_ID_LIMIT_BYTES)
-}
--- a/crates/hemlocktack-fleet/tests/membership/nearly_right.rs
+++ b/crates/hemlocktack-fleet/tests/membership/nearly_right.rs
@@ -7,7 +7,8 @@
 
 use bytes::Bytes;
 use hemlocktack_fleet::membership::{
-    Action, Membership, MembershipSettings, NODE_ID_LIMIT_BYTES, open_datagram, seal_datagram,
+    Action, DatagramError, Membership, MembershipSettings, NODE_ID_LIMIT_BYTES, open_datagram,
+    seal_datagram,
 };
 use hemlocktack_protocol::{
     Gossip, IndirectProbe, Member, Probe, ProbeAck, Succession, SuspectRequest, SyncPage, SyncPull,
@@ -204,8 +205,7 @@
 /// A name that no node can have, in a question: an answer that repeats it is cut
 /// into pieces by the network.
 #[test]
-fn a_question_with_a_name_over_the_limit_is_not_answered() {
-    let now = Instant::now();
+fn a_datagram_with_an_id_over_the_limit_is_refused() {
     let name = "a".repeat(NODE_ID_LIMIT_BYTES + 1);
     let pull = SyncPull {
         after_node_id: name.clone(),
@@ -223,10 +223,9 @@
         ..record(1, 1)
     }]);
     for message in [asked, from_it, of_it] {
-        let mut membership = node(0, now);
-        let actions = membership.receive(now, address(900), message, &mut rng());
-        assert_eq!(actions, []);
-        assert_eq!(membership.peers(), []);
+        let sealed = seal_datagram(&message, |_| Bytes::copy_from_slice(&MAC));
+        let opened = open_datagram(sealed, MAC.len(), |_, mac| mac == MAC);
+        assert_eq!(opened, Err(DatagramError::OverlongId));
     }
 }
 
--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -58,6 +58,7 @@
     pub(crate) operator_refusals: LogLimit,
     pub(crate) unreadable_answers: LogLimit,
     pub(crate) link_refusals: LogLimit,
+    pub(crate) datagram_refusals: LogLimit,
     /// Log lines about single calls.
     pub(crate) call_lines: LineBudget,
     pub(crate) tracer: Tracer,
@@ -138,6 +139,7 @@
             operator_refusals: LogLimit::default(),
             unreadable_answers: LogLimit::default(),
             link_refusals: LogLimit::default(),
+            datagram_refusals: LogLimit::default(),
             call_lines: LineBudget::default(),
             tracer,
             waits: Waits::default(),
--- a/crates/hemlocktack-node/src/peers/counts.rs
+++ b/crates/hemlocktack-node/src/peers/counts.rs
@@ -46,8 +46,6 @@
 #[derive(Debug, Default)]
 pub(crate) struct GossipCounts {
     bytes: [[AtomicU64; GossipKind::COUNT]; Direction::COUNT],
-    /// Datagrams without a right MAC.
-    refused: AtomicU64,
 }
 
 impl GossipCounts {
@@ -56,18 +54,10 @@
         self.bytes[direction as usize][kind as usize].fetch_add(bytes, Ordering::Relaxed);
     }
 
-    pub(crate) fn count_refused(&self) {
-        self.refused.fetch_add(1, Ordering::Relaxed);
-    }
-
     pub(crate) fn bytes(&self, direction: Direction, kind: GossipKind) -> u64 {
         self.bytes[direction as usize][kind as usize].load(Ordering::Relaxed)
     }
 
-    pub(crate) fn refused_count(&self) -> u64 {
-        self.refused.load(Ordering::Relaxed)
-    }
-
     /// All pairs of direction and kind.
     pub(crate) fn each() -> impl Iterator<Item = (Direction, GossipKind)> {
         Direction::iter()
--- a/crates/hemlocktack-node/src/peers/gossip.rs
+++ b/crates/hemlocktack-node/src/peers/gossip.rs
@@ -8,7 +8,7 @@
 use hemlocktack_decide::Suspect;
 use hemlocktack_fleet::keys::{MAC_LENGTH_BYTES, MacPurpose};
 use hemlocktack_fleet::membership::{
-    Action, Membership, MembershipSettings, Peer, open_datagram, seal_datagram,
+    Action, DatagramError, Membership, MembershipSettings, Peer, open_datagram, seal_datagram,
 };
 use hemlocktack_protocol::{Gossip, Member, NodeState, SuspectRequest};
 use hemlocktack_telemetry::{Event, log_event};
@@ -89,9 +89,9 @@
         let is_right =
             |message: &[u8], mac: &[u8]| node.keys.verify(MacPurpose::Gossip, &[message], mac);
         let opened = open_datagram(Bytes::copy_from_slice(datagram), MAC_LENGTH_BYTES, is_right);
-        let Ok(gossip) = opened else {
-            node.gossip_counts.count_refused();
-            return;
+        let gossip = match opened {
+            Ok(gossip) => gossip,
+            Err(reason) => return log_refused(&node, from, reason),
         };
         let kind = GossipKind::of(&gossip);
         node.gossip_counts
@@ -225,6 +225,12 @@
     }
 }
 
+fn log_refused(node: &Node, address: SocketAddr, reason: DatagramError) {
+    if let Some(refused_count) = node.datagram_refusals.count() {
+        log_event!(Event::DatagramRefused, %address, %reason, refused_count);
+    }
+}
+
 /// After a pause of this process one tick follows, not all that were missed.
 fn ticks() -> Interval {
     let mut ticks = tokio::time::interval(TICK_PERIOD);
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -175,8 +175,8 @@
     }
     let help = "Bytes of gossip with IP and UDP headers, by direction and kind";
     registry.register("gossip_bytes", help, bytes);
-    let help = "Datagrams that were dropped because their MAC was wrong";
-    let refused = node.gossip_counts.refused_count();
+    let help = "Datagrams that were dropped because their MAC was wrong or they could not be read";
+    let refused = node.datagram_refusals.total();
     counter(registry, "refused_datagrams", help, refused);
 }
 
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -70,6 +70,7 @@
     405 INFO PeerChanged: "what this node believes of another one, or of its upstream, has changed", "nothing; compare with the other node's own log";
 
     406 WARN LinkSilent: "the other end of a link gave no sign of life while calls waited on it; the link is closed", "nothing unless it repeats with the same peer: then look at it, and at the network between";
+    407 WARN DatagramRefused: "a datagram of gossip could not prove the fleet key or be read, and was dropped", "compare the fleet keys and the versions of both nodes; if the address is not a node's, look who it is";
 
     501 WARN OperatorRefused: "an operators' call without the right token was refused", "if it was you, check the token; if not, look who asks";
     502 INFO OperatorCommand: "an operator's command is carried out", "nothing";
