Test that fails: a node at the address of one that is gone answers all that it runs

A neighbour that knows both holds two links to one process.

Reply { status: 504, outcome: "unknown", reason: "timeout" }

for a page that its upstream had answered: the answer went over the link of the node that is gone, where nobody waited.

--- a/crates/hemlocktack-node/tests/processes/harness/fleet.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/fleet.rs
@@ -90,7 +90,19 @@
 
     /// Starts one more instance; its number makes its name.
     pub(crate) fn add(&mut self, plan: &Plan, number: usize) -> usize {
-        let options = NodeOptions {
+        self.nodes.push(Node::start(self.options(plan, number)));
+        self.nodes.len() - 1
+    }
+
+    /// Kills an instance, and starts one of this plan at its addresses.
+    pub(crate) fn replace(&mut self, position: usize, plan: &Plan, number: usize) {
+        let options = self.options(plan, number);
+        self.nodes[position].process.kill();
+        self.nodes[position] = Node::start_in_place_of(&self.nodes[position], options);
+    }
+
+    fn options(&self, plan: &Plan, number: usize) -> NodeOptions {
+        NodeOptions {
             id: format!("{}-{number}", plan.service),
             service: plan.service.to_owned(),
             data_centre: DATA_CENTRES[number % DATA_CENTRES.len()].to_owned(),
@@ -105,9 +117,7 @@
                 .iter()
                 .map(|flag| (*flag).to_owned())
                 .collect(),
-        };
-        self.nodes.push(Node::start(options));
-        self.nodes.len() - 1
+        }
     }
 
     /// Ends a node and starts it again with other fleet keys.
--- a/crates/hemlocktack-node/tests/processes/harness/node.rs
+++ b/crates/hemlocktack-node/tests/processes/harness/node.rs
@@ -48,14 +48,21 @@
 
 impl Node {
     pub(crate) fn start(options: NodeOptions) -> Node {
+        Node::start_at(options, next_address(), next_address())
+    }
+
+    /// Starts where another node was, for nodes that still know that one.
+    pub(crate) fn start_in_place_of(gone: &Node, options: NodeOptions) -> Node {
+        Node::start_at(options, gone.link, gone.gossip)
+    }
+
+    fn start_at(options: NodeOptions, link: SocketAddr, gossip: SocketAddr) -> Node {
         let callers = next_address();
         let control = next_address();
-        let link = next_address();
         let link_listen = match options.is_relayed {
             true => next_address(),
             false => link,
         };
-        let gossip = next_address();
         let flags = [
             ("node", options.id.clone()),
             ("service", options.service.clone()),
--- a/crates/hemlocktack-node/tests/processes/main.rs
+++ b/crates/hemlocktack-node/tests/processes/main.rs
@@ -6,6 +6,7 @@
 //! is bounded and ends as soon as what it waits for is there.
 #![allow(clippy::unwrap_used)]
 
+mod addresses;
 mod at_most_once;
 mod bad_input;
 mod chains;
