Lines for an answer that could not be given, and for another node at an address

The incident of unanswered requests: no line told whether an answer left the node that had it, nor that the process at a node's address was another one. 407 names the request, the call and the node that sent it; 408 the node meant and the one found, one line a second. 401 says how far an opening came: one that closed before its proof looked like a wrong key.

--- a/crates/hemlocktack-node/src/links/connection.rs
+++ b/crates/hemlocktack-node/src/links/connection.rs
@@ -123,19 +123,22 @@
     }
 
     /// Waits until all that was sent so far is with the socket, or until the
-    /// connection is closed.
-    pub(crate) async fn flushed(&self) {
+    /// connection is closed; whether the socket has it.
+    pub(crate) async fn flushed(&self) -> bool {
         let end_bytes = self.shared.outbox().end_bytes();
         loop {
             let progress = self.shared.progress.notified();
             tokio::pin!(progress);
             progress.as_mut().enable();
-            if self.is_closed() || self.shared.outbox().written_bytes >= end_bytes {
-                return;
+            if self.shared.outbox().written_bytes >= end_bytes {
+                return true;
+            }
+            if self.is_closed() {
+                return false;
             }
             tokio::select! {
                 () = progress => {}
-                () = self.closed() => return,
+                () = self.closed() => return self.shared.outbox().written_bytes >= end_bytes,
             }
         }
     }
--- a/crates/hemlocktack-node/src/links/handshake.rs
+++ b/crates/hemlocktack-node/src/links/handshake.rs
@@ -34,6 +34,8 @@
     Closed,
     #[display("the peer sent something else than the opening asks for")]
     Unexpected,
+    #[display("the peer did not prove itself in time")]
+    TooSlow,
     #[display("the peer does not hold a fleet key")]
     #[from(ignore)]
     Refused,
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -63,11 +63,13 @@
     let address = stream.peer_addr().ok()?;
     let opening = handshake::accept(stream, &node.identity, &node.keys);
     let opened = tokio::time::timeout(handshake::OPENING_TIMEOUT, opening).await;
-    if let Ok(Ok(open)) = opened {
-        return Some(open);
-    }
+    let error = match opened {
+        Ok(Ok(open)) => return Some(open),
+        Ok(Err(error)) => error,
+        Err(_) => handshake::Error::TooSlow,
+    };
     if let Some(refused_count) = node.link_refusals.count() {
-        log_event!(Event::LinkRefused, %address, refused_count);
+        log_event!(Event::LinkRefused, %address, %error, refused_count);
     }
     None
 }
@@ -117,9 +119,12 @@
     let sender = sender.clone();
     tokio::spawn(async move {
         let call_id = call.call_id;
+        let request_id = call.request_id.clone();
         let mut answer = calls::receive(&node, call, &cancelled).await;
         answer.call_id = call_id;
-        finish_call(&node, &sender, answer).await;
+        if !finish_call(&node, &sender, answer).await {
+            log_undelivered(&node, &sender, call_id, &request_id);
+        }
         drop(in_flight);
     });
 }
@@ -128,12 +133,29 @@
 /// again. Symptom: it is told that the call is running, and the answer goes to
 /// the lost link. The call stays listed until its answer has gone, so the entry
 /// stays and the answer takes the newest link.
-async fn finish_call(node: &Node, sender: &Sender, answer: Answer) {
+///
+/// Returns whether the answer has left.
+async fn finish_call(node: &Node, sender: &Sender, answer: Answer) -> bool {
     let call_id = answer.call_id;
     node.senders.finish(sender, &answer);
-    sender.send_out(frame::Body::Answer(answer)).await;
+    let has_left = sender.send_out(frame::Body::Answer(answer)).await;
     sender.forget_cancellation(call_id);
     node.senders.disconnected(sender);
+    has_left
+}
+
+fn log_undelivered(node: &Node, sender: &Sender, call_id: CallId, request_id: &str) {
+    let Some(left_out) = node.call_lines.take() else {
+        return;
+    };
+    log_event!(
+        Event::AnswerUndelivered,
+        request_id,
+        call_id,
+        sender = %sender.identity.node_id,
+        sender_incarnation = sender.identity.incarnation,
+        left_out
+    );
 }
 
 /// Says what became of a call whose link was lost; see `Links::ask_again`.
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -22,6 +22,7 @@
 use super::connection::Connection;
 use super::handshake::{self, Reader};
 use crate::sockets;
+use crate::telemetry::LogLimit;
 
 /// Opening a link within a data centre takes a millisecond and between regions
 /// a few dozen; a peer that has not answered by then is as good as gone.
@@ -85,10 +86,12 @@
     next_call_id: AtomicU64,
     pub(super) next_query_id: AtomicU64,
     pub(super) queries: super::queries::PendingQueries,
+    other_nodes: LogLimit,
 }
 
 /// The link to one node, over as many connections as it takes.
 pub(super) struct Link {
+    node_id: NodeId,
     address: ArcSwap<SocketAddr>,
     connection: ArcSwapOption<Connection>,
     dialling: tokio::sync::Mutex<()>,
@@ -104,6 +107,7 @@
             next_call_id: AtomicU64::new(1),
             next_query_id: AtomicU64::new(1),
             queries: super::queries::PendingQueries::default(),
+            other_nodes: LogLimit::default(),
         }
     }
 
@@ -225,6 +229,7 @@
             return link.clone();
         }
         let link = Arc::new(Link {
+            node_id: peer.node_id.clone(),
             address: ArcSwap::from_pointee(peer.link_address),
             connection: ArcSwapOption::empty(),
             dialling: tokio::sync::Mutex::new(()),
@@ -264,6 +269,9 @@
         let stream = TcpStream::connect(**link.address.load()).await.ok()?;
         sockets::prepare_to_ask(&stream).ok()?;
         let open = handshake::dial(stream, &self.own, &self.keys).await.ok()?;
+        if open.peer.node_id != link.node_id {
+            self.log_other_node(link, &open.peer);
+        }
         let peer_incarnation = open.peer.incarnation;
         let answers_echo = open.answers_echo;
         let (reader, writer) = open.split();
@@ -279,6 +287,20 @@
         link.connection.store(Some(Arc::new(connection.clone())));
         Some(connection)
     }
+
+    fn log_other_node(&self, link: &Link, found: &NodeIncarnation) {
+        let Some(found_count) = self.other_nodes.count() else {
+            return;
+        };
+        log_event!(
+            Event::OtherNodeAtAddress,
+            node = %link.node_id,
+            address = %**link.address.load(),
+            found = %found.node_id,
+            found_incarnation = found.incarnation,
+            found_count
+        );
+    }
 }
 
 impl Link {
--- a/crates/hemlocktack-node/src/links/senders.rs
+++ b/crates/hemlocktack-node/src/links/senders.rs
@@ -108,15 +108,15 @@
             .is_empty()
     }
 
-    /// Sends and waits until the frame has left.
+    /// Sends and waits until the frame has left; whether it has.
     ///
     /// Failure: a node stops while a large answer waits for a sender that reads
     /// slowly; the sender would get a part of it and a closed link.
-    pub(super) async fn send_out(&self, body: frame::Body) {
-        if let Some(connection) = self.connection.load_full() {
-            connection.send(body).await;
-            connection.flushed().await;
-        }
+    pub(super) async fn send_out(&self, body: frame::Body) -> bool {
+        let Some(connection) = self.connection.load_full() else {
+            return false;
+        };
+        connection.send(body).await && connection.flushed().await
     }
 }
 
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -63,7 +63,7 @@
     306 INFO ConfigurationStored: "an operator's change is stored as a new generation", "nothing";
     307 ERROR PlatformUnreadable: "the platform answered something else than its interface says; the last good configuration stays in force", "read the detail; look what wrote the object";
 
-    401 WARN LinkRefused: "a process could not prove the fleet key", "compare the fleet keys of both nodes; if the address is not a node's, look who it is";
+    401 WARN LinkRefused: "a process opened a link and did not prove that it is a node of the fleet", "error says how far it came: closed before its proof, it may have meant another node; else compare the fleet keys of both nodes, and if the address is not a node's, look who it is";
     402 INFO LinkLost: "a link to another node broke; calls on it are resolved over a new one", "nothing unless it repeats: then look at the network between the two";
     403 WARN FrameMalformed: "a frame could not be read and its link was closed", "compare the versions of both nodes";
     404 INFO PeerLost: "another node no longer answers probes", "nothing unless many go at once: then look at their data centre";
@@ -71,6 +71,9 @@
 
     406 WARN LinkSilent: "the other end of a link gave no sign of life while calls waited on it; the link is closed", "nothing unless it repeats with the same peer: then look at it, and at the network between";
 
+    407 WARN AnswerUndelivered: "an answer could not be given to the node that sent the call; it is kept until that node asks", "look for 402 or 406 of this node's incarnation on the other node; there the request's 711 tells what its caller got";
+    408 WARN OtherNodeAtAddress: "another node than the one meant answers at its address", "nothing if the node meant is gone for good; else two nodes are configured with one address";
+
     501 WARN OperatorRefused: "an operators' call without the right token was refused", "if it was you, check the token; if not, look who asks";
     502 INFO OperatorCommand: "an operator's command is carried out", "nothing";
 
