Answers go over the link that their call waits on

What callers saw: requests that an upstream had finished were never answered; while the entry stopped, they ended with a closed connection at the drain limit, else with unknown after their whole patience.

Cause: the receiver of calls sent an answer over the link that its sender had opened last. A sender that knows one process under two names (a node is gone, and another one has its address) has two links there, each with a list of its own of calls that wait. Whatever came over the older one was answered over the younger one, where nobody waited; the older one stayed well, so nobody asked.

Ruled out: a panic or a hang of the call's task (715 is its last line, but the answers did leave, over the other link); a lost wake-up at the entry.

Why it is enough: an answer goes where its call came, or where its sender asked for it last. That link's loss is one that the sender sees, and it asks then; the answer is kept before the link is looked up, so the question finds either the call or the answer. Cancellations still reach a call over any link.

--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -46,7 +46,7 @@
     let (mut reader, writer) = open.split();
     let heard = reader.codec().heard().clone();
     let connection = Connection::start(peer.incarnation, writer, heard, answers_echo);
-    let sender = node.senders.connected(&peer, connection.clone());
+    let sender = node.senders.connected(&peer);
     while let Some(next) = next_frame(&mut reader, &connection).await {
         let Ok(Frame { body }) = next.inspect_err(log_malformed) else {
             break;
@@ -91,7 +91,7 @@
     body: frame::Body,
 ) {
     match body {
-        frame::Body::Call(call) => take_call(node, sender, call),
+        frame::Body::Call(call) => take_call(node, sender, connection, call),
         frame::Body::EchoRequest(EchoRequest {}) => {
             connection.send_if_room(frame::Body::EchoReply(EchoReply {}));
         }
@@ -109,11 +109,11 @@
     }
 }
 
-fn take_call(node: &Arc<Node>, sender: &Arc<Sender>, call: Call) {
+fn take_call(node: &Arc<Node>, sender: &Arc<Sender>, connection: &Connection, call: Call) {
     if node.senders.arrive(sender, call.call_id) != Arrival::New {
         return;
     }
-    let cancelled = sender.register_cancellation(call.call_id);
+    let cancelled = sender.open_call(call.call_id, connection.clone());
     let in_flight = node.enter_call();
     let node = node.clone();
     let sender = sender.clone();
@@ -129,19 +129,22 @@
     });
 }
 
-/// Failure: the sender's entry is dropped between these steps while it dials
-/// again. Symptom: it is told that the call is running, and the answer goes to
-/// the lost link. The call stays listed until its answer has gone, so the entry
-/// stays and the answer takes the newest link.
+/// Gives an answer to the link where its call is waited for; whether it has left.
 ///
-/// Returns whether the answer has left.
+/// Failure: one sender has two links here, because it knows this process under two
+/// names or opened a later one. Symptom: the answer goes over the other link, which
+/// knows nothing of the call or is closed, and the sender, whose own link is well,
+/// waits to its deadline. The link that the call came over, or was asked for over,
+/// is the one whose loss the sender notices, and then it asks again; the answer is
+/// kept for that before the link is looked up, so that no question falls between.
 async fn finish_call(node: &Node, sender: &Sender, answer: Answer) -> bool {
-    let call_id = answer.call_id;
     node.senders.finish(sender, &answer);
-    let has_left = sender.send_out(frame::Body::Answer(answer)).await;
-    sender.forget_cancellation(call_id);
-    node.senders.disconnected(sender);
-    has_left
+    let Some(connection) = node.senders.close_call(sender, answer.call_id) else {
+        return false;
+    };
+    let has_room = connection.send(frame::Body::Answer(answer)).await;
+    // A stop would end a large answer that waits for a slow reader.
+    has_room && connection.flushed().await
 }
 
 fn log_undelivered(node: &Node, sender: &Sender, call_id: CallId, request_id: &str) {
@@ -160,6 +163,7 @@
 
 /// Says what became of a call whose link was lost; see `Links::ask_again`.
 async fn resolve_call(node: &Node, sender: &Sender, connection: &Connection, call_id: CallId) {
+    sender.waits_on(call_id, connection);
     let resolution = node.senders.resolve(sender, call_id);
     let progress = resolution.progress().into();
     if let Resolution::Finished(answer) = resolution {
--- a/crates/hemlocktack-node/src/links/senders.rs
+++ b/crates/hemlocktack-node/src/links/senders.rs
@@ -1,30 +1,41 @@
 //! Those who send calls here, and what became of their calls.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use arc_swap::ArcSwapOption;
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::calls::{Arrival, ArrivalLimits, Arrivals, Resolution};
-use hemlocktack_protocol::{Answer, CallId, frame};
+use hemlocktack_protocol::{Answer, CallId};
 use tokio_util::sync::CancellationToken;
 
 use super::connection::Connection;
 
 /// What this node remembers of those who send it calls.
 ///
-/// It outlives connections: a call is answered, or asked about, over whichever
-/// connection from the same sender is open by then.
+/// It outlives connections: a call that its sender asks about is answered over the
+/// connection that the question came over.
 pub(crate) struct Senders {
     arrivals: Mutex<Arrivals>,
     senders: Mutex<HashMap<NodeIncarnation, Arc<Sender>>>,
 }
 
-/// One start of a node that has a link here.
+/// One start of a node that has a link here, or several.
 pub(super) struct Sender {
     pub(super) identity: NodeIncarnation,
-    connection: ArcSwapOption<Connection>,
-    cancellations: Mutex<HashMap<CallId, CancellationToken>>,
+    state: Mutex<SenderState>,
+}
+
+#[derive(Default)]
+struct SenderState {
+    open_links: usize,
+    calls: HashMap<CallId, OpenCall>,
+}
+
+/// A call that has no answer yet.
+struct OpenCall {
+    cancelled: CancellationToken,
+    /// Where its sender waits for the answer.
+    waits_on: Connection,
 }
 
 impl Default for Senders {
@@ -37,31 +48,30 @@
 }
 
 impl Senders {
-    pub(super) fn connected(
-        &self,
-        identity: &NodeIncarnation,
-        connection: Connection,
-    ) -> Arc<Sender> {
+    pub(super) fn connected(&self, identity: &NodeIncarnation) -> Arc<Sender> {
         let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
         let sender = senders
             .entry(identity.clone())
             .or_insert_with(|| Sender::new(identity.clone()))
             .clone();
-        sender.connection.store(Some(Arc::new(connection)));
+        sender.state().open_links += 1;
         sender
     }
 
-    /// Forgets a sender whose last connection closed with no call of it running.
-    /// What became of its calls stays known in `arrivals`, which is bounded.
+    /// Forgets a sender whose last link closed with no call of it running. What
+    /// became of its calls stays known in `arrivals`, which is bounded.
     pub(super) fn disconnected(&self, sender: &Sender) {
         let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
-        // A newer link may have brought a newer entry of the same identity.
-        let is_listed = senders
-            .get(&sender.identity)
-            .is_some_and(|listed| std::ptr::eq(Arc::as_ptr(listed), sender));
-        if is_listed && sender.is_closed() && sender.is_idle() {
-            senders.remove(&sender.identity);
-        }
+        sender.state().open_links -= 1;
+        forget_if_gone(&mut senders, sender);
+    }
+
+    /// Takes a call off the list that is finished, and says where its sender waits.
+    pub(super) fn close_call(&self, sender: &Sender, call_id: CallId) -> Option<Connection> {
+        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
+        let closed = sender.state().calls.remove(&call_id);
+        forget_if_gone(&mut senders, sender);
+        Some(closed?.waits_on)
     }
 
     pub(super) fn arrive(&self, sender: &Sender, call_id: CallId) -> Arrival {
@@ -85,67 +95,56 @@
     }
 }
 
+fn forget_if_gone(senders: &mut HashMap<NodeIncarnation, Arc<Sender>>, sender: &Sender) {
+    // A newer link may have brought a newer entry of the same identity.
+    let is_listed = senders
+        .get(&sender.identity)
+        .is_some_and(|listed| std::ptr::eq(Arc::as_ptr(listed), sender));
+    if is_listed && sender.state().is_gone() {
+        senders.remove(&sender.identity);
+    }
+}
+
+impl SenderState {
+    fn is_gone(&self) -> bool {
+        self.open_links == 0 && self.calls.is_empty()
+    }
+}
+
 impl Sender {
-    pub(super) fn new(identity: NodeIncarnation) -> Arc<Self> {
+    fn new(identity: NodeIncarnation) -> Arc<Self> {
         Arc::new(Self {
             identity,
-            connection: ArcSwapOption::empty(),
-            cancellations: Mutex::default(),
+            state: Mutex::default(),
         })
     }
 
-    pub(super) fn is_closed(&self) -> bool {
-        self.connection
-            .load()
-            .as_ref()
-            .is_none_or(|connection| connection.is_closed())
+    fn state(&self) -> MutexGuard<'_, SenderState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(super) fn is_idle(&self) -> bool {
-        self.cancellations
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .is_empty()
-    }
-
-    /// Sends and waits until the frame has left; whether it has.
-    ///
-    /// Failure: a node stops while a large answer waits for a sender that reads
-    /// slowly; the sender would get a part of it and a closed link.
-    pub(super) async fn send_out(&self, body: frame::Body) -> bool {
-        let Some(connection) = self.connection.load_full() else {
-            return false;
+    /// Lists a call that came over this connection; what it returns is cancelled
+    /// when nobody waits for the call any more.
+    pub(super) fn open_call(&self, call_id: CallId, came_over: Connection) -> CancellationToken {
+        let cancelled = CancellationToken::new();
+        let call = OpenCall {
+            cancelled: cancelled.clone(),
+            waits_on: came_over,
         };
-        connection.send(body).await && connection.flushed().await
-    }
-}
-
-impl Sender {
-    pub(super) fn register_cancellation(&self, call_id: CallId) -> CancellationToken {
-        let token = CancellationToken::new();
-        self.cancellations
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .insert(call_id, token.clone());
-        token
+        self.state().calls.insert(call_id, call);
+        cancelled
     }
 
-    pub(super) fn forget_cancellation(&self, call_id: CallId) {
-        self.cancellations
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(&call_id);
+    /// The sender has asked for a call over this connection and waits there now.
+    pub(super) fn waits_on(&self, call_id: CallId, asked_over: &Connection) {
+        if let Some(call) = self.state().calls.get_mut(&call_id) {
+            call.waits_on = asked_over.clone();
+        }
     }
 
     pub(super) fn cancel(&self, call_id: CallId) {
-        let token = self
-            .cancellations
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(&call_id)
-            .cloned();
-        if let Some(token) = token {
-            token.cancel();
+        if let Some(call) = self.state().calls.get(&call_id) {
+            call.cancelled.cancel();
         }
     }
 }
--- a/crates/hemlocktack-node/tests/processes/frames.rs
+++ b/crates/hemlocktack-node/tests/processes/frames.rs
@@ -159,6 +159,57 @@
     assert_serves(&fleet).await;
 }
 
+/// Guards against answers that go over a link of which their call knows nothing: a
+/// node holds two links to one process, and only the caller's own link waits.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_goes_over_the_link_that_its_call_came_over() {
+    let fleet = Fleet::start(&[Plan::new("diaries", 1)]).await;
+    let mut first = open(&fleet.nodes[0], FLEET_KEY).await;
+    assert!(is_answered(&mut first).await);
+    let mut second = open(&fleet.nodes[0], FLEET_KEY).await;
+    assert!(is_answered(&mut second).await);
+    send(&mut first, frame::Body::Call(page(1))).await;
+    assert_eq!(answered_call(&mut first).await, Some(1));
+    send(&mut second, frame::Body::Call(page(2))).await;
+    assert_eq!(answered_call(&mut second).await, Some(2));
+}
+
+/// Guards against answers that are dropped with the link opened last, while the
+/// link that waits for them is well.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_outlives_a_later_link_of_its_sender() {
+    let fleet = Fleet::start(&[Plan::new("diaries", 1)]).await;
+    let mut first = open(&fleet.nodes[0], FLEET_KEY).await;
+    assert!(is_answered(&mut first).await);
+    let mut second = open(&fleet.nodes[0], FLEET_KEY).await;
+    assert!(is_answered(&mut second).await);
+    fleet.set_service_time_ms("diaries", 500).await;
+    send(&mut first, frame::Body::Call(page(1))).await;
+    drop(second);
+    assert_eq!(answered_call(&mut first).await, Some(1));
+}
+
+fn page(call_id: u64) -> Call {
+    Call {
+        call_id,
+        purpose: CallPurpose::Placed.into(),
+        service: "diaries".to_owned(),
+        method: "GET".to_owned(),
+        path: "/slots".to_owned(),
+        time_left_us: 5_000_000,
+        ..Call::default()
+    }
+}
+
+/// The call that the next answer on this link is for.
+async fn answered_call(link: &mut Link) -> Option<u64> {
+    let next = tokio::time::timeout(PATIENCE, receive(link)).await;
+    match next {
+        Ok(Some(frame::Body::Answer(answer))) => Some(answer.call_id),
+        _ => None,
+    }
+}
+
 /// A home gets a ticket that it cannot verify: signed with a key that it does
 /// not hold, while keys are changed. The booking may have run under that key,
 /// so the home must not say that it was not run.
