A member is vouched for by its own name only, also when others ask for it

Cause: where a direct probe stays unanswered, others probe the member and pass on that it answered; they looked at the number of the probe alone.

After: Dead at all three. A member that answers itself is still vouched for.

Ruled out: direct probes (they compare the name); the platform's records (they are seeds, by address).

--- a/crates/hemlocktack-fleet/src/membership/probes.rs
+++ b/crates/hemlocktack-fleet/src/membership/probes.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use hemlocktack_protocol::Incarnation;
+use hemlocktack_protocol::{Incarnation, ProbeAck};
 use rand::Rng;
 use rand::seq::SliceRandom;
 
@@ -90,11 +90,15 @@
         self.relayed.push(relayed);
     }
 
-    pub(crate) fn take_relayed(&mut self, sequence: u64) -> Option<Relayed> {
-        let position = self
-            .relayed
-            .iter()
-            .position(|relayed| relayed.sequence == sequence)?;
+    /// The probe that this answers.
+    ///
+    /// Failure: a node is gone, and its address is another's now. Symptom: that one
+    /// answers, helpers vouch for the node that is gone, and calls are placed on it
+    /// for ever. Only a node's own name vouches for it.
+    pub(crate) fn take_relayed(&mut self, ack: &ProbeAck) -> Option<Relayed> {
+        let position = self.relayed.iter().position(|relayed| {
+            relayed.sequence == ack.sequence && relayed.target == ack.of_node_id
+        })?;
         Some(self.relayed.remove(position))
     }
 }
--- a/crates/hemlocktack-fleet/src/membership/receive.rs
+++ b/crates/hemlocktack-fleet/src/membership/receive.rs
@@ -226,7 +226,7 @@
             self.probes.pending = None;
             return;
         }
-        let Some(relayed) = self.probes.take_relayed(ack.sequence) else {
+        let Some(relayed) = self.probes.take_relayed(ack) else {
             return;
         };
         let ack = ProbeAck {
--- a/crates/hemlocktack-fleet/tests/membership/main.rs
+++ b/crates/hemlocktack-fleet/tests/membership/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod addresses;
 mod datagrams;
 mod merging;
 mod replacement;
