A link is opened to the node that is meant and to no other

Cause: the dialling end took any node of the fleet that proved itself. The call is told as never arrived, which is true, and moves to another node.

Left: a call whose link was lost asks an address that is another node's until its limit of asking again (0.15 s, 1 s), where it used to hear at once that its node was gone; both tell its caller the same.

--- a/crates/hemlocktack-node/src/links/handshake.rs
+++ b/crates/hemlocktack-node/src/links/handshake.rs
@@ -11,7 +11,7 @@
 use futures::{SinkExt, StreamExt};
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::keys::{FleetKeys, MacPurpose};
-use hemlocktack_protocol::{Challenge, Frame, Hello, Proof, frame};
+use hemlocktack_protocol::{Challenge, Frame, Hello, NodeId, Proof, frame};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio_util::codec::{Framed, FramedParts};
@@ -36,6 +36,10 @@
     Unexpected,
     #[display("the peer did not prove itself in time")]
     TooSlow,
+    #[display("{} answers at the address", _0.node_id)]
+    #[from(ignore)]
+    #[error(ignore)]
+    OtherNode(NodeIncarnation),
     #[display("the peer does not hold a fleet key")]
     #[from(ignore)]
     Refused,
@@ -69,10 +73,16 @@
     }
 }
 
-/// The dialling end.
+/// The dialling end, which wants this node and no other.
+///
+/// Failure: a node is gone and another one has its address. Symptom: calls to the
+/// first go to the second, which cannot run them, or is told of each load twice. It
+/// says its name under the MAC before this end has proved itself, so it never takes
+/// the link for open.
 pub(crate) async fn dial(
     stream: TcpStream,
     own: &NodeIncarnation,
+    wanted: &NodeId,
     keys: &FleetKeys,
 ) -> Result<OpenLink> {
     let mut framed = Framed::new(stream, FrameCodec::new());
@@ -94,12 +104,15 @@
     ) {
         return Err(Error::Refused);
     }
-    let mac = sign(keys, MacPurpose::LinkDialler, &hello, &challenge);
-    send(&mut framed, frame::Body::Proof(Proof { mac })).await?;
     let peer = NodeIncarnation {
         node_id: challenge.node_id.as_str().into(),
         incarnation: challenge.incarnation,
     };
+    if peer.node_id != *wanted {
+        return Err(Error::OtherNode(peer));
+    }
+    let mac = sign(keys, MacPurpose::LinkDialler, &hello, &challenge);
+    send(&mut framed, frame::Body::Proof(Proof { mac })).await?;
     Ok(OpenLink {
         peer,
         answers_echo: challenge.answers_echo,
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -268,10 +268,11 @@
         }
         let stream = TcpStream::connect(**link.address.load()).await.ok()?;
         sockets::prepare_to_ask(&stream).ok()?;
-        let open = handshake::dial(stream, &self.own, &self.keys).await.ok()?;
-        if open.peer.node_id != link.node_id {
-            self.log_other_node(link, &open.peer);
+        let opened = handshake::dial(stream, &self.own, &link.node_id, &self.keys).await;
+        if let Err(handshake::Error::OtherNode(found)) = &opened {
+            self.log_other_node(link, found);
         }
+        let open = opened.ok()?;
         let peer_incarnation = open.peer.incarnation;
         let answers_echo = open.answers_echo;
         let (reader, writer) = open.split();
--- a/crates/hemlocktack-node/tests/processes/addresses.rs
+++ b/crates/hemlocktack-node/tests/processes/addresses.rs
@@ -32,3 +32,25 @@
         assert!(asked.elapsed() < SOON, "{:?}", asked.elapsed());
     }
 }
+
+/// Guards against calls that go to whoever answers at the address of their node: one
+/// of another service can only refuse them, and one that may run them is counted
+/// twice by those who place calls.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_go_to_the_node_that_is_meant_and_to_no_other() {
+    let mut fleet = Fleet::start(&[Plan::new("listings", 3), Plan::new("diaries", 1)]).await;
+    let taken = fleet.of("diaries")[0];
+    fleet.replace(taken, &Plan::new("keys", 1), 1);
+    let caller = fleet.caller(0);
+    wait_until("the new node is reached", || async {
+        caller.get("keys/status", "first").await.is_answered()
+    })
+    .await;
+    for _ in 0..5 {
+        let gone = caller.get("diaries/slots", "gone").await;
+        assert_eq!(gone.outcome, "not-run", "{gone:?}");
+    }
+    let strays = "hemlocktack_refused_calls_total{reason=\"no-upstream\"}";
+    let strays = fleet.nodes[taken].metric(strays).await;
+    assert_eq!(strays.unwrap_or("0".to_owned()), "0");
+}
