Split links to other nodes: what waits, how they are opened, what a call does

Moves only: links/pending.rs (calls that wait on a link), links/dial.rs (opening a link and reading it), links/outgoing.rs (a call and its end).

--- /dev/null
+++ b/crates/hemlocktack-node/src/links/dial.rs
@@ -0,0 +1,147 @@
+//! Opening the links that calls go over, and reading what comes back.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use futures::StreamExt;
+use hemlocktack_fleet::NodeIncarnation;
+use hemlocktack_protocol::{Frame, NodeId, frame};
+use hemlocktack_telemetry::{Event, log_event};
+use tokio::net::TcpStream;
+
+use super::codec::log_malformed;
+use super::connection::Connection;
+use super::handshake::{self, Reader};
+use super::outgoing::{Links, Peer};
+use super::pending::{CallEvent, Pending, settle};
+use super::queries::PendingQueries;
+use crate::sockets;
+
+/// Opening a link within a data centre takes a millisecond and between regions
+/// a few dozen; a peer that has not answered by then is as good as gone.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// The link to one node, over as many connections as it takes.
+pub(super) struct Link {
+    node_id: NodeId,
+    address: ArcSwap<SocketAddr>,
+    connection: ArcSwapOption<Connection>,
+    dialling: tokio::sync::Mutex<()>,
+    pub(super) pending: Pending,
+}
+
+impl Links {
+    /// The open connection, or a new one.
+    pub(super) async fn connect(&self, link: &Link, deadline: Instant) -> Option<Connection> {
+        if let Some(connection) = link.open_connection() {
+            return Some(connection);
+        }
+        let dial_deadline = deadline.min(Instant::now() + DIAL_TIMEOUT);
+        tokio::time::timeout_at(dial_deadline.into(), self.dial(link))
+            .await
+            .ok()
+            .flatten()
+    }
+
+    async fn dial(&self, link: &Link) -> Option<Connection> {
+        let _one_dials = link.dialling.lock().await;
+        if let Some(connection) = link.open_connection() {
+            return Some(connection);
+        }
+        let stream = TcpStream::connect(**link.address.load()).await.ok()?;
+        sockets::prepare_to_ask(&stream).ok()?;
+        let opened = handshake::dial(stream, &self.own, &link.node_id, &self.keys).await;
+        if let Err(handshake::Error::OtherNode(found)) = &opened {
+            self.log_other_node(link, found);
+        }
+        let open = opened.ok()?;
+        let peer_incarnation = open.peer.incarnation;
+        let answers_echo = open.answers_echo;
+        let (reader, writer) = open.split();
+        let heard = reader.codec().heard().clone();
+        let connection = Connection::start(peer_incarnation, writer, heard, answers_echo);
+        let answers = read_answers(
+            reader,
+            connection.clone(),
+            link.pending.clone(),
+            self.queries.clone(),
+        );
+        tokio::spawn(answers);
+        link.connection.store(Some(Arc::new(connection.clone())));
+        Some(connection)
+    }
+
+    fn log_other_node(&self, link: &Link, found: &NodeIncarnation) {
+        let Some(found_count) = self.other_nodes.count() else {
+            return;
+        };
+        log_event!(
+            Event::OtherNodeAtAddress,
+            node = %link.node_id,
+            address = %**link.address.load(),
+            found = %found.node_id,
+            found_incarnation = found.incarnation,
+            found_count
+        );
+    }
+}
+
+impl Link {
+    pub(super) fn new(peer: &Peer) -> Self {
+        Self {
+            node_id: peer.node_id.clone(),
+            address: ArcSwap::from_pointee(peer.link_address),
+            connection: ArcSwapOption::empty(),
+            dialling: tokio::sync::Mutex::new(()),
+            pending: Pending::default(),
+        }
+    }
+
+    /// The node is at this address now; the next connection goes there.
+    pub(super) fn set_address(&self, address: SocketAddr) {
+        if **self.address.load() != address {
+            self.address.store(Arc::new(address));
+        }
+    }
+
+    fn open_connection(&self) -> Option<Connection> {
+        let connection = self.connection.load_full()?;
+        (!connection.is_closed()).then(|| Connection::clone(&connection))
+    }
+}
+
+async fn read_answers(
+    mut reader: Reader,
+    connection: Connection,
+    pending: Pending,
+    queries: PendingQueries,
+) {
+    loop {
+        let next = tokio::select! {
+            next = reader.next() => next,
+            () = connection.closed() => None,
+        };
+        let next = next.map(|next| next.inspect_err(log_malformed));
+        let Some(Ok(Frame { body })) = next else {
+            break;
+        };
+        match body {
+            Some(frame::Body::Answer(answer)) => {
+                settle(&pending, answer.call_id, CallEvent::Answer(answer))
+            }
+            Some(frame::Body::Resolution(resolution)) => {
+                settle(
+                    &pending,
+                    resolution.call_id,
+                    CallEvent::Resolution(resolution.progress()),
+                );
+            }
+            Some(other) => queries.settle(other),
+            None => {}
+        }
+    }
+    connection.close();
+    let peer_incarnation = connection.peer_incarnation;
+    log_event!(Event::LinkLost, peer_incarnation);
+}
--- a/crates/hemlocktack-node/src/links/mod.rs
+++ b/crates/hemlocktack-node/src/links/mod.rs
@@ -6,10 +6,12 @@
 
 mod codec;
 mod connection;
+mod dial;
 mod handshake;
 mod heard;
 mod incoming;
 mod outgoing;
+mod pending;
 mod queries;
 mod questions;
 mod senders;
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -2,31 +2,24 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use arc_swap::{ArcSwap, ArcSwapOption};
-use futures::StreamExt;
+use arc_swap::ArcSwap;
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::keys::FleetKeys;
 use hemlocktack_protocol::{
-    Answer, Call, CallId, CallProgress, CallPurpose, CancelCall, Frame, Incarnation, NodeId,
-    Reason, ResolveCall, frame,
+    Answer, Call, CallId, CallProgress, CallPurpose, CancelCall, Incarnation, NodeId, Reason,
+    ResolveCall, frame,
 };
-use hemlocktack_telemetry::{Event, log_event};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
-use super::codec::log_malformed;
 use super::connection::Connection;
-use super::handshake::{self, Reader};
-use crate::sockets;
+use super::dial::Link;
+use super::pending::{CallEvent, EVENTS_A_CALL, PendingCall};
 use crate::telemetry::LogLimit;
 
-/// Opening a link within a data centre takes a millisecond and between regions
-/// a few dozen; a peer that has not answered by then is as good as gone.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
 /// A link that broke by itself is back within a few of these waits. A peer that
 /// was killed never is, and its callers must not wait for that: an idempotent
 /// call goes elsewhere then, and a ticket is sent to its home again.
@@ -36,9 +29,6 @@
 const ASK_AGAIN_LIMIT_IDEMPOTENT: Duration = Duration::from_millis(150);
 /// Wait between two attempts to reach a peer that has calls of ours pending.
 const REDIAL_PAUSE: Duration = Duration::from_millis(50);
-/// Answers or resolutions that may wait for one call; there are two at most.
-const EVENTS_A_CALL: usize = 4;
-
 /// Where a node is reached and which start of it is meant.
 #[derive(Clone, Debug)]
 pub(crate) struct Peer {
@@ -55,13 +45,6 @@
     Unknown(Reason),
 }
 
-enum CallEvent {
-    Answer(Answer),
-    Resolution(CallProgress),
-}
-
-type Pending = Arc<Mutex<HashMap<CallId, mpsc::Sender<CallEvent>>>>;
-
 /// A call that waits for its end.
 struct Wait<'a> {
     link: &'a Link,
@@ -80,22 +63,13 @@
 
 /// All outgoing links of a node.
 pub(crate) struct Links {
-    own: NodeIncarnation,
-    keys: FleetKeys,
+    pub(super) own: NodeIncarnation,
+    pub(super) keys: FleetKeys,
     links: ArcSwap<HashMap<NodeId, Arc<Link>>>,
     next_call_id: AtomicU64,
     pub(super) next_query_id: AtomicU64,
     pub(super) queries: super::queries::PendingQueries,
-    other_nodes: LogLimit,
-}
-
-/// The link to one node, over as many connections as it takes.
-pub(super) struct Link {
-    node_id: NodeId,
-    address: ArcSwap<SocketAddr>,
-    connection: ArcSwapOption<Connection>,
-    dialling: tokio::sync::Mutex<()>,
-    pending: Pending,
+    pub(super) other_nodes: LogLimit,
 }
 
 impl Links {
@@ -223,18 +197,10 @@
 
     pub(super) fn link(&self, peer: &Peer) -> Arc<Link> {
         if let Some(link) = self.links.load().get(&peer.node_id) {
-            if **link.address.load() != peer.link_address {
-                link.address.store(Arc::new(peer.link_address));
-            }
+            link.set_address(peer.link_address);
             return link.clone();
         }
-        let link = Arc::new(Link {
-            node_id: peer.node_id.clone(),
-            address: ArcSwap::from_pointee(peer.link_address),
-            connection: ArcSwapOption::empty(),
-            dialling: tokio::sync::Mutex::new(()),
-            pending: Pending::default(),
-        });
+        let link = Arc::new(Link::new(peer));
         self.links.rcu(|links| {
             let mut links = HashMap::clone(links);
             links
@@ -248,67 +214,6 @@
             .cloned()
             .unwrap_or(link)
     }
-
-    /// The open connection, or a new one.
-    pub(super) async fn connect(&self, link: &Link, deadline: Instant) -> Option<Connection> {
-        if let Some(connection) = link.open_connection() {
-            return Some(connection);
-        }
-        let dial_deadline = deadline.min(Instant::now() + DIAL_TIMEOUT);
-        tokio::time::timeout_at(dial_deadline.into(), self.dial(link))
-            .await
-            .ok()
-            .flatten()
-    }
-
-    async fn dial(&self, link: &Link) -> Option<Connection> {
-        let _one_dials = link.dialling.lock().await;
-        if let Some(connection) = link.open_connection() {
-            return Some(connection);
-        }
-        let stream = TcpStream::connect(**link.address.load()).await.ok()?;
-        sockets::prepare_to_ask(&stream).ok()?;
-        let opened = handshake::dial(stream, &self.own, &link.node_id, &self.keys).await;
-        if let Err(handshake::Error::OtherNode(found)) = &opened {
-            self.log_other_node(link, found);
-        }
-        let open = opened.ok()?;
-        let peer_incarnation = open.peer.incarnation;
-        let answers_echo = open.answers_echo;
-        let (reader, writer) = open.split();
-        let heard = reader.codec().heard().clone();
-        let connection = Connection::start(peer_incarnation, writer, heard, answers_echo);
-        let answers = read_answers(
-            reader,
-            connection.clone(),
-            link.pending.clone(),
-            self.queries.clone(),
-        );
-        tokio::spawn(answers);
-        link.connection.store(Some(Arc::new(connection.clone())));
-        Some(connection)
-    }
-
-    fn log_other_node(&self, link: &Link, found: &NodeIncarnation) {
-        let Some(found_count) = self.other_nodes.count() else {
-            return;
-        };
-        log_event!(
-            Event::OtherNodeAtAddress,
-            node = %link.node_id,
-            address = %**link.address.load(),
-            found = %found.node_id,
-            found_incarnation = found.incarnation,
-            found_count
-        );
-    }
-}
-
-impl Link {
-    fn open_connection(&self) -> Option<Connection> {
-        let connection = self.connection.load_full()?;
-        (!connection.is_closed()).then(|| Connection::clone(&connection))
-    }
 }
 
 /// Tells the receiver that nobody waits for a call any more, unless its end is
@@ -348,35 +253,6 @@
     }
 }
 
-/// A call that waits; leaving takes it off the list, so that a late answer
-/// finds nobody and is dropped.
-struct PendingCall {
-    pending: Pending,
-    call_id: CallId,
-}
-
-impl PendingCall {
-    fn register(pending: &Pending, call_id: CallId, events: mpsc::Sender<CallEvent>) -> Self {
-        pending
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .insert(call_id, events);
-        Self {
-            pending: pending.clone(),
-            call_id,
-        }
-    }
-}
-
-impl Drop for PendingCall {
-    fn drop(&mut self) {
-        self.pending
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(&self.call_id);
-    }
-}
-
 fn settled(progress: CallProgress) -> Option<Sent> {
     match progress {
         CallProgress::NeverArrived => Some(Sent::NeverArrived(Reason::Fenced)),
@@ -386,49 +262,3 @@
         CallProgress::Running | CallProgress::Finished => None,
     }
 }
-
-async fn read_answers(
-    mut reader: Reader,
-    connection: Connection,
-    pending: Pending,
-    queries: super::queries::PendingQueries,
-) {
-    loop {
-        let next = tokio::select! {
-            next = reader.next() => next,
-            () = connection.closed() => None,
-        };
-        let next = next.map(|next| next.inspect_err(log_malformed));
-        let Some(Ok(Frame { body })) = next else {
-            break;
-        };
-        match body {
-            Some(frame::Body::Answer(answer)) => {
-                settle(&pending, answer.call_id, CallEvent::Answer(answer))
-            }
-            Some(frame::Body::Resolution(resolution)) => {
-                settle(
-                    &pending,
-                    resolution.call_id,
-                    CallEvent::Resolution(resolution.progress()),
-                );
-            }
-            Some(other) => queries.settle(other),
-            None => {}
-        }
-    }
-    connection.close();
-    let peer_incarnation = connection.peer_incarnation;
-    log_event!(Event::LinkLost, peer_incarnation);
-}
-
-fn settle(pending: &Pending, call_id: CallId, event: CallEvent) {
-    let waiting = pending
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .get(&call_id)
-        .cloned();
-    if let Some(events) = waiting {
-        let _ = events.try_send(event);
-    }
-}
