Test that fails: a late question over a lost link takes the answer there

The node counts the link of the question that it treats last as the one where the sender waits. A question that was held up on a lost link is treated after the one over the next link; the answer goes over the lost link, and the sender, whose own link is well, waits to its deadline. Seen: no answer within 40 s.

--- a/crates/hemlocktack-node/tests/processes/frames.rs
+++ b/crates/hemlocktack-node/tests/processes/frames.rs
@@ -6,7 +6,8 @@
 use hemlocktack_fleet::keys::{FleetKeys, MacPurpose};
 use hemlocktack_fleet::tickets::Ticket;
 use hemlocktack_protocol::{
-    Call, CallPurpose, Frame, Hello, Outcome, Proof, Reason, StatusPull, frame,
+    Call, CallProgress, CallPurpose, Frame, Hello, Outcome, Proof, Reason, ResolveCall, StatusPull,
+    frame,
 };
 use prost::Message;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -189,6 +190,37 @@
     assert_eq!(answered_call(&mut first).await, Some(1));
 }
 
+/// Guards against a question that was held up on a lost link: it comes after the one
+/// over the next link, and the answer goes over the lost link, where nobody waits.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_question_over_a_lost_link_does_not_take_the_answer_there() {
+    let fleet = Fleet::start(&[Plan::new("diaries", 1)]).await;
+    let mut first = open(&fleet.nodes[0], FLEET_KEY).await;
+    assert!(is_answered(&mut first).await);
+    fleet.set_service_time_ms("diaries", 1_000).await;
+    send(&mut first, frame::Body::Call(page(1))).await;
+    assert!(is_answered(&mut first).await);
+    drop(first);
+    let mut lost = open(&fleet.nodes[0], FLEET_KEY).await;
+    assert!(is_answered(&mut lost).await);
+    let mut next = open(&fleet.nodes[0], FLEET_KEY).await;
+    assert!(is_answered(&mut next).await);
+    assert_eq!(progress(&mut next).await, Some(CallProgress::Running));
+    assert_eq!(progress(&mut lost).await, Some(CallProgress::Running));
+    drop(lost);
+    assert_eq!(answered_call(&mut next).await, Some(1));
+}
+
+/// What the node says of the first call, asked over this link.
+async fn progress(link: &mut Link) -> Option<CallProgress> {
+    send(link, frame::Body::Resolve(ResolveCall { call_id: 1 })).await;
+    let next = tokio::time::timeout(PATIENCE, receive(link)).await;
+    match next {
+        Ok(Some(frame::Body::Resolution(resolution))) => Some(resolution.progress()),
+        _ => None,
+    }
+}
+
 fn page(call_id: u64) -> Call {
     Call {
         call_id,
