An answer goes to every link that its call waits on, whichever question came last

Cause: two questions for one call, of which the one on a lost link is read last, moved the answer there; and a question between the noting and the listing of its call moved nothing, though its sender was told that the call runs.

Why it is enough: noting and listing are one step under the sender's lock, as are a question and the list of its connections; the answer goes to all of these that are open, and a sender that gets it twice drops the second.

--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures::StreamExt;
-use hemlocktack_fleet::calls::{Arrival, Resolution};
+use hemlocktack_fleet::calls::Resolution;
 use hemlocktack_protocol::{
     Answer, Call, CallId, CallResolution, EchoReply, EchoRequest, Frame, frame,
 };
@@ -110,10 +110,9 @@
 }
 
 fn take_call(node: &Arc<Node>, sender: &Arc<Sender>, connection: &Connection, call: Call) {
-    if node.senders.arrive(sender, call.call_id) != Arrival::New {
+    let Some(cancelled) = node.senders.take(sender, call.call_id, connection) else {
         return;
-    }
-    let cancelled = sender.open_call(call.call_id, connection.clone());
+    };
     let in_flight = node.enter_call();
     let node = node.clone();
     let sender = sender.clone();
@@ -129,22 +128,26 @@
     });
 }
 
-/// Gives an answer to the link where its call is waited for; whether it has left.
+/// Gives an answer to the links where its call is waited for; whether it has left.
 ///
 /// Failure: one sender has two links here, because it knows this process under two
 /// names or opened a later one. Symptom: the answer goes over the other link, which
 /// knows nothing of the call or is closed, and the sender, whose own link is well,
 /// waits to its deadline. The link that the call came over, or was asked for over,
-/// is the one whose loss the sender notices, and then it asks again; the answer is
-/// kept for that before the link is looked up, so that no question falls between.
+/// is the one whose loss the sender notices, and then it asks again.
 async fn finish_call(node: &Node, sender: &Sender, answer: Answer) -> bool {
-    node.senders.finish(sender, &answer);
-    let Some(connection) = node.senders.close_call(sender, answer.call_id) else {
-        return false;
-    };
-    let has_room = connection.send(frame::Body::Answer(answer)).await;
-    // A stop would end a large answer that waits for a slow reader.
-    has_room && connection.flushed().await
+    let connections = node.senders.finish(sender, &answer);
+    let sends = connections
+        .iter()
+        .map(|connection| send_out(connection, answer.clone()));
+    let left = futures::future::join_all(sends).await;
+    left.contains(&true)
+}
+
+/// Waits until the answer is with the socket: a stop would end a large one that waits
+/// for a slow reader.
+async fn send_out(connection: &Connection, answer: Answer) -> bool {
+    connection.send(frame::Body::Answer(answer)).await && connection.flushed().await
 }
 
 fn log_undelivered(node: &Node, sender: &Sender, call_id: CallId, request_id: &str) {
@@ -163,8 +166,7 @@
 
 /// Says what became of a call whose link was lost; see `Links::ask_again`.
 async fn resolve_call(node: &Node, sender: &Sender, connection: &Connection, call_id: CallId) {
-    sender.waits_on(call_id, connection);
-    let resolution = node.senders.resolve(sender, call_id);
+    let resolution = node.senders.ask(sender, call_id, connection);
     let progress = resolution.progress().into();
     if let Resolution::Finished(answer) = resolution {
         connection
--- a/crates/hemlocktack-node/src/links/mod.rs
+++ b/crates/hemlocktack-node/src/links/mod.rs
@@ -15,6 +15,8 @@
 mod queries;
 mod questions;
 mod senders;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use codec::FrameCodec;
 pub(crate) use incoming::serve_links;
--- a/crates/hemlocktack-node/src/links/senders.rs
+++ b/crates/hemlocktack-node/src/links/senders.rs
@@ -13,7 +13,7 @@
 /// What this node remembers of those who send it calls.
 ///
 /// It outlives connections: a call that its sender asks about is answered over the
-/// connection that the question came over.
+/// connection that the question came over, too.
 pub(crate) struct Senders {
     arrivals: Mutex<Arrivals>,
     senders: Mutex<HashMap<NodeIncarnation, Arc<Sender>>>,
@@ -34,8 +34,9 @@
 /// A call that has no answer yet.
 struct OpenCall {
     cancelled: CancellationToken,
-    /// Where its sender waits for the answer.
-    waits_on: Connection,
+    /// Where its sender waits for the answer: the connection that it came over, and
+    /// those that it was asked for over.
+    waits_on: Vec<Connection>,
 }
 
 impl Default for Senders {
@@ -66,32 +67,65 @@
         forget_if_gone(&mut senders, sender);
     }
 
-    /// Takes a call off the list that is finished, and says where its sender waits.
-    pub(super) fn close_call(&self, sender: &Sender, call_id: CallId) -> Option<Connection> {
-        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
-        let closed = sender.state().calls.remove(&call_id);
-        forget_if_gone(&mut senders, sender);
-        Some(closed?.waits_on)
+    /// Lists a call that came over this connection; what it returns is cancelled when
+    /// nobody waits for the call any more. `None` for a call that came before.
+    ///
+    /// Noted and listed in one step, as a question that came between the two would be
+    /// told that the call runs, and its connection would not hear of the answer.
+    pub(super) fn take(
+        &self,
+        sender: &Sender,
+        call_id: CallId,
+        came_over: &Connection,
+    ) -> Option<CancellationToken> {
+        let mut state = sender.state();
+        if self.arrivals().arrive(&sender.identity, call_id) != Arrival::New {
+            return None;
+        }
+        let cancelled = CancellationToken::new();
+        let call = OpenCall {
+            cancelled: cancelled.clone(),
+            waits_on: vec![came_over.clone()],
+        };
+        state.calls.insert(call_id, call);
+        Some(cancelled)
     }
 
-    pub(super) fn arrive(&self, sender: &Sender, call_id: CallId) -> Arrival {
-        self.arrivals
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .arrive(&sender.identity, call_id)
+    /// What became of a call that its sender asks about over this connection, where it
+    /// waits from now on.
+    ///
+    /// A question may lie on a lost connection and be read after the one over the
+    /// next, so the answer goes to all that are open.
+    pub(super) fn ask(
+        &self,
+        sender: &Sender,
+        call_id: CallId,
+        asked_over: &Connection,
+    ) -> Resolution {
+        let mut state = sender.state();
+        if let Some(call) = state.calls.get_mut(&call_id) {
+            call.waits_on.retain(|connection| !connection.is_closed());
+            call.waits_on.push(asked_over.clone());
+        }
+        self.arrivals().resolve(&sender.identity, call_id)
     }
 
-    pub(super) fn finish(&self, sender: &Sender, answer: &Answer) {
+    /// Keeps an answer for questions, takes its call off the list, and says where its
+    /// sender waits.
+    pub(super) fn finish(&self, sender: &Sender, answer: &Answer) -> Vec<Connection> {
         let kept = Some(Arc::new(answer.clone()));
-        let mut arrivals = self.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
-        arrivals.finish(&sender.identity, answer.call_id, kept);
+        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = sender.state();
+        self.arrivals()
+            .finish(&sender.identity, answer.call_id, kept);
+        let closed = state.calls.remove(&answer.call_id);
+        drop(state);
+        forget_if_gone(&mut senders, sender);
+        closed.map_or_else(Vec::new, |call| call.waits_on)
     }
 
-    pub(super) fn resolve(&self, sender: &Sender, call_id: CallId) -> Resolution {
-        self.arrivals
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .resolve(&sender.identity, call_id)
+    fn arrivals(&self) -> MutexGuard<'_, Arrivals> {
+        self.arrivals.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -123,25 +157,6 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Lists a call that came over this connection; what it returns is cancelled
-    /// when nobody waits for the call any more.
-    pub(super) fn open_call(&self, call_id: CallId, came_over: Connection) -> CancellationToken {
-        let cancelled = CancellationToken::new();
-        let call = OpenCall {
-            cancelled: cancelled.clone(),
-            waits_on: came_over,
-        };
-        self.state().calls.insert(call_id, call);
-        cancelled
-    }
-
-    /// The sender has asked for a call over this connection and waits there now.
-    pub(super) fn waits_on(&self, call_id: CallId, asked_over: &Connection) {
-        if let Some(call) = self.state().calls.get_mut(&call_id) {
-            call.waits_on = asked_over.clone();
-        }
-    }
-
     pub(super) fn cancel(&self, call_id: CallId) {
         if let Some(call) = self.state().calls.get(&call_id) {
             call.cancelled.cancel();
