Test that fails: the answer of a call that outlasts many later ones is kept

Of the settled calls of a sender the one with the smallest id is forgotten first. A call that ends after 256 later ones is that one: its answer is dropped as it is given, and a question over the next link finds nothing.

--- a/crates/hemlocktack-fleet/tests/at_most_once/arrivals.rs
+++ b/crates/hemlocktack-fleet/tests/at_most_once/arrivals.rs
@@ -24,6 +24,26 @@
     assert_eq!(arrivals.counts().duplicates, 2);
 }
 
+/// Guards against an answer that is dropped as it is given: of the settled calls the
+/// one with the smallest id is forgotten, and that is the one that took longest.
+#[test]
+fn the_answer_of_a_call_that_outlasts_many_later_ones_is_kept() {
+    let limits = ArrivalLimits::default();
+    let mut arrivals = Arrivals::new(limits);
+    let sender = peer("dum-dum-1");
+    assert_eq!(arrivals.arrive(&sender, 0), Arrival::New);
+    for call_id in 1..=limits.settled_per_sender as u64 {
+        assert_eq!(arrivals.arrive(&sender, call_id), Arrival::New);
+        arrivals.finish(&sender, call_id, Some(answer("page")));
+    }
+    assert_eq!(arrivals.resolve(&sender, 0), Resolution::Running);
+    arrivals.finish(&sender, 0, Some(answer("booked")));
+    assert_eq!(
+        arrivals.resolve(&sender, 0),
+        Resolution::Finished(answer("booked"))
+    );
+}
+
 // A link is lost with a call still in the receiver's buffer. The sender asks over
 // a new link, hears "never arrived" and tells `not_run`; then the buffer is read.
 #[test]
