Forget the calls of a sender that were settled first, not those with the least ids

Where a link is lost as a call ends that took longer than 256 later ones of its sender, its caller is told that the end is unknown, though the answer was there.

Cause: of the settled calls the one with the smallest id was forgotten, which is the one that took longest, at the moment in which its answer was given.

Why it is safe: what is forgotten raises the mark as before; a call that is still known is looked up before the mark, and ids come in order on each link.

--- a/crates/hemlocktack-fleet/src/calls/arrivals.rs
+++ b/crates/hemlocktack-fleet/src/calls/arrivals.rs
@@ -1,6 +1,6 @@
 //! Receiver side: which calls of which sender have arrived.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
 use hemlocktack_protocol::{Answer, CallId, CallProgress};
@@ -94,7 +94,7 @@
 #[derive(Clone, Debug)]
 struct Sender {
     progress: HashMap<CallId, Progress>,
-    settled: BTreeSet<CallId>,
+    oldest_settled_first: VecDeque<CallId>,
     // An id below it that is not in `progress` may have been settled and
     // forgotten. `None`: nothing has arrived yet from a sender that may have
     // been forgotten as a whole, so that every id is in doubt.
@@ -105,7 +105,7 @@
     fn doubtful() -> Sender {
         Sender {
             progress: HashMap::new(),
-            settled: BTreeSet::new(),
+            oldest_settled_first: VecDeque::new(),
             mark: None,
         }
     }
@@ -227,12 +227,12 @@
             let is_running = |progress: &&Progress| **progress == Progress::Running;
             let running_count = sender.progress.values().filter(is_running).count();
             assert!(
-                sender.settled.len() <= self.limits.settled_per_sender,
+                sender.oldest_settled_first.len() <= self.limits.settled_per_sender,
                 "settled calls"
             );
             assert_eq!(
                 sender.progress.len(),
-                running_count + sender.settled.len(),
+                running_count + sender.oldest_settled_first.len(),
                 "calls"
             );
         }
@@ -250,10 +250,11 @@
         let Some(sender) = self.senders.get_mut(from) else {
             return;
         };
-        sender.settled.insert(call_id);
-        // The smallest id goes: its frame is the least likely to be still under way.
-        while sender.settled.len() > self.limits.settled_per_sender {
-            let Some(forgotten) = sender.settled.pop_first() else {
+        sender.oldest_settled_first.push_back(call_id);
+        // Not the smallest id, which may be that of a call that took long and whose
+        // answer is just being given.
+        while sender.oldest_settled_first.len() > self.limits.settled_per_sender {
+            let Some(forgotten) = sender.oldest_settled_first.pop_front() else {
                 return;
             };
             sender.progress.remove(&forgotten);
@@ -296,7 +297,7 @@
         let Some(sender) = self.senders.remove(&oldest) else {
             return;
         };
-        for call_id in &sender.settled {
+        for call_id in &sender.oldest_settled_first {
             self.answers.remove(&(oldest.clone(), *call_id));
         }
         let above_highest = sender
