A run is found by its request also after a second send of it has ended

What callers saw: nothing that could be traced to it; found by the review. A request that is sent to one node twice, while its first send still runs, took the name over; when the second ended first, deeper calls of the first were made without their request's class, objective and retries.

Test, before: nothing found; after: the first run, and nothing once it has ended too. While both run, a deeper call counts as the latest one's, as before: it says its request's name, not which send of it.

--- a/crates/hemlocktack-node/src/calls/context.rs
+++ b/crates/hemlocktack-node/src/calls/context.rs
@@ -137,7 +137,8 @@
 #[derive(Default)]
 pub(crate) struct ContextTable {
     shards: [Mutex<HashMap<u64, Arc<RunningCall>>>; SHARDS],
-    by_request: Mutex<HashMap<String, Arc<RunningCall>>>,
+    /// A request may be sent here again while its first send still runs.
+    by_request: Mutex<HashMap<String, Vec<Arc<RunningCall>>>>,
 }
 
 /// Keeps a running call findable until it ends.
@@ -158,7 +159,9 @@
         let handle = rand::random();
         let running = Arc::new(running);
         if !request_id.is_empty() {
-            self.named().insert(request_id.to_owned(), running.clone());
+            let mut named = self.named();
+            let runs = named.entry(request_id.to_owned()).or_default();
+            runs.push(running.clone());
         }
         self.shard(handle)
             .lock()
@@ -172,12 +175,12 @@
         }
     }
 
-    /// The running call of a request that a deeper call is made for.
+    /// The running call of a request that a deeper call is made for: its latest.
     pub(crate) fn find_by_request(&self, request_id: &str) -> Option<Arc<RunningCall>> {
-        self.named().get(request_id).cloned()
+        self.named().get(request_id)?.last().cloned()
     }
 
-    fn named(&self) -> MutexGuard<'_, HashMap<String, Arc<RunningCall>>> {
+    fn named(&self) -> MutexGuard<'_, HashMap<String, Vec<Arc<RunningCall>>>> {
         self.by_request
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -223,11 +226,11 @@
             return;
         }
         let mut named = self.table.named();
-        // A second send of the same request may have taken the name meanwhile.
-        let is_own = named
-            .get(&self.request_id)
-            .is_some_and(|running| Arc::ptr_eq(running, &self.running));
-        if is_own {
+        let Some(runs) = named.get_mut(&self.request_id) else {
+            return;
+        };
+        runs.retain(|run| !Arc::ptr_eq(run, &self.running));
+        if runs.is_empty() {
             named.remove(&self.request_id);
         }
     }
--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -17,6 +17,8 @@
 mod receive;
 mod run;
 mod service_directory;
+#[cfg(test)]
+mod tests;
 mod ticketed;
 mod tries;
 
