Show a connection that is served after the close of a planned stop (failing)

The accept loop chooses at random between a connection and the close where both are ready. The test forces that order: in one turn of the runtime the close is called first, which finds no connection and returns, and the accept loop finds both. What it reads after the close has returned, the process ends under.

A node that nothing has been started for can be made apart from its run.

--- a/crates/hemlocktack-node/src/gateway/mod.rs
+++ b/crates/hemlocktack-node/src/gateway/mod.rs
@@ -15,6 +15,8 @@
 mod requests;
 mod server;
 mod start;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use headers::passed_on;
 pub(crate) use server::close;
--- /dev/null
+++ b/crates/hemlocktack-node/src/gateway/tests.rs
@@ -0,0 +1,115 @@
+//! The close of the listeners, and what comes in its moment.
+//!
+//! A test's own future runs before all tasks that wake with it, so that what it
+//! does then comes before what they find ready in the same turn.
+
+#![allow(clippy::unwrap_used)]
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use tokio::net::{TcpListener, UnixStream};
+
+use super::server;
+use crate::node::Node;
+use crate::run::new_node;
+use crate::settings::{self, Invocation};
+
+const REQUEST: &[u8] = b"POST /book/x HTTP/1.1\r\nhost: flats.example\r\ncontent-length: 0\r\n\r\n";
+/// Where two branches are ready, one is taken at random: so many rounds leave no
+/// doubt about either.
+const ROUNDS: usize = 64;
+/// In which tasks do what they were woken for.
+const A_FEW_TURNS: Duration = Duration::from_millis(5);
+
+/// A listener that counts the requests that it reads.
+struct Served {
+    node: Arc<Node>,
+    address: SocketAddr,
+    read_count: &'static AtomicUsize,
+}
+
+impl Served {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let node = Arc::new(node());
+        let read_count: &'static AtomicUsize = Box::leak(Box::default());
+        let handle = move |_, _| async move {
+            read_count.fetch_add(1, Ordering::SeqCst);
+            server::plain(Response::new(Bytes::new()))
+        };
+        tokio::spawn(server::serve(node.clone(), listener, handle));
+        tokio::time::sleep(A_FEW_TURNS).await;
+        node.begin_stop();
+        Self {
+            node,
+            address,
+            read_count,
+        }
+    }
+
+    fn reads(&self) -> usize {
+        self.read_count.load(Ordering::SeqCst)
+    }
+
+    /// Lets something happen in the same turn as the close, which is first.
+    async fn close_while(&self, happening: impl FnOnce()) {
+        let (alarm, woken) = UnixStream::pair().unwrap();
+        tokio::time::sleep(A_FEW_TURNS).await;
+        alarm.try_write(b"!").unwrap();
+        happening();
+        woken.readable().await.unwrap();
+        server::close(&self.node).await;
+    }
+}
+
+fn node() -> Node {
+    let unused = "127.0.0.1:9";
+    let texts = [
+        ("--interface", "cooperative"),
+        ("--node", "howrah-1"),
+        ("--service", "listings"),
+        ("--data-centre", "howrah"),
+        ("--caller-address", unused),
+        ("--announce-address", unused),
+        ("--readiness-address", unused),
+        ("--control-address", unused),
+        ("--link-address", unused),
+        ("--gossip-address", unused),
+        ("--platform-url", "http://127.0.0.1:9"),
+        ("--stop-grace", "6s"),
+        ("--fleet-key", "a-key-of-32-characters-for-tests-only"),
+        ("--operator-token", "a-token-for-tests"),
+    ];
+    let pairs = texts.iter().flat_map(|(name, value)| [*name, *value]);
+    let arguments: Vec<String> = pairs.map(str::to_owned).collect();
+    let Ok(Invocation::Run(order)) = settings::read(&arguments, |_| None) else {
+        panic!("the settings are usable");
+    };
+    new_node(order.loaded.settings, order.loaded.adjustable).unwrap()
+}
+
+/// A caller connects in the moment in which no connection is left and the
+/// listener closes: its request is passed on, and the process ends under it.
+#[tokio::test]
+async fn a_connection_in_the_moment_of_the_close_is_not_served_when_none_is_waited_for() {
+    for round in 0..ROUNDS {
+        let served = Served::start().await;
+        let mut caller = None;
+        let connect = || {
+            let mut stream = TcpStream::connect(served.address).unwrap();
+            stream.write_all(REQUEST).unwrap();
+            caller = Some(stream);
+        };
+        served.close_while(connect).await;
+        let reads_until_the_close = served.reads();
+        tokio::time::sleep(A_FEW_TURNS).await;
+        assert_eq!(served.reads(), reads_until_the_close, "round {round}");
+    }
+}
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -126,25 +126,8 @@
 /// Runs one node until `stop_signal` ends; then drains and stops it.
 pub(crate) async fn run(order: Run, stop_signal: impl Future<Output = ()>) -> Result<()> {
     let Run { loaded, sources } = order;
-    let (settings, adjustable) = (loaded.settings.clone(), loaded.adjustable.clone());
-    let previous = settings.previous_fleet_key.as_deref().map(str::as_bytes);
-    let keys = FleetKeys::new(settings.fleet_key.as_bytes(), previous)?;
-    let interface = interfaces::find(settings.interface);
-    let platform = Arc::new(Client::new(platform_settings(
-        &settings,
-        &adjustable,
-        interface,
-    ))?);
-    let tracer = telemetry::start_tracer(&settings)?;
-    let upstream_client = UpstreamClient::new(interface)?;
-    let node = Node::new(
-        settings,
-        adjustable,
-        keys,
-        platform,
-        upstream_client,
-        tracer,
-    );
+    let node = new_node(loaded.settings.clone(), loaded.adjustable.clone())?;
+    let interface = node.interface;
     let node = Arc::new(node);
     tokio::spawn(reload::follow_settings(node.clone(), sources, loaded));
     tokio::spawn(node.admission_queue.clone().keep_awake());
@@ -206,6 +189,24 @@
     Ok(())
 }
 
+/// A node that nothing has been started for.
+pub(crate) fn new_node(settings: Settings, adjustable: AdjustableSettings) -> Result<Node> {
+    let previous = settings.previous_fleet_key.as_deref().map(str::as_bytes);
+    let keys = FleetKeys::new(settings.fleet_key.as_bytes(), previous)?;
+    let interface = interfaces::find(settings.interface);
+    let platform = Client::new(platform_settings(&settings, &adjustable, interface))?;
+    let tracer = telemetry::start_tracer(&settings)?;
+    let upstream_client = UpstreamClient::new(interface)?;
+    Ok(Node::new(
+        settings,
+        adjustable,
+        keys,
+        Arc::new(platform),
+        upstream_client,
+        tracer,
+    ))
+}
+
 async fn own_callers(node: &Arc<Node>) -> Result<Rocket<Ignite>> {
     let callers = http(node, node.settings.caller_address).mount("/", callers::routes(node));
     Ok(callers.ignite().await.map_err(Box::new)?)
