Show a request that is read in the moment of the close (failing)

A connection at rest chooses at random between bytes that have come and the close where both are ready. The request is read and passed on although the node has closed; it is waited for, but only for as long as the stop has time left, and an idle one was about to end.

--- a/crates/hemlocktack-node/src/gateway/tests.rs
+++ b/crates/hemlocktack-node/src/gateway/tests.rs
@@ -113,3 +113,17 @@
         assert_eq!(served.reads(), reads_until_the_close, "round {round}");
     }
 }
+
+/// Bytes come on a connection at rest in the moment of the close: a request is
+/// read that the stop has no time left for.
+#[tokio::test]
+async fn bytes_on_a_resting_connection_in_the_moment_of_the_close_are_not_read() {
+    for round in 0..ROUNDS {
+        let served = Served::start().await;
+        let mut caller = TcpStream::connect(served.address).unwrap();
+        served
+            .close_while(|| caller.write_all(REQUEST).unwrap())
+            .await;
+        assert_eq!(served.reads(), 0, "round {round}");
+    }
+}
