Let the connections of the close's test come to rest first

The connections of the test before were not at rest: a new one first goes to the HTTP library and rests after half a second without a request. It showed that a connection that the library serves reads on after the close, not what its name says. Now 64 connections rest, and bytes come on all of them in the moment of the close.

--- a/crates/hemlocktack-node/src/gateway/tests.rs
+++ b/crates/hemlocktack-node/src/gateway/tests.rs
@@ -27,6 +27,9 @@
 /// In which tasks do what they were woken for.
 const A_FEW_TURNS: Duration = Duration::from_millis(5);
 
+/// Longer than a connection without a request keeps its buffers.
+const UNTIL_AT_REST: Duration = Duration::from_secs(1);
+
 /// A listener that counts the requests that it reads.
 struct Served {
     node: Arc<Node>,
@@ -114,16 +117,17 @@
     }
 }
 
-/// Bytes come on a connection at rest in the moment of the close: a request is
+/// Bytes come on connections at rest in the moment of the close: requests are
 /// read that the stop has no time left for.
 #[tokio::test]
-async fn bytes_on_a_resting_connection_in_the_moment_of_the_close_are_not_read() {
-    for round in 0..ROUNDS {
-        let served = Served::start().await;
-        let mut caller = TcpStream::connect(served.address).unwrap();
-        served
-            .close_while(|| caller.write_all(REQUEST).unwrap())
-            .await;
-        assert_eq!(served.reads(), 0, "round {round}");
-    }
+async fn bytes_on_resting_connections_in_the_moment_of_the_close_are_not_read() {
+    let served = Served::start().await;
+    let connect = |_| TcpStream::connect(served.address).unwrap();
+    let mut callers: Vec<_> = (0..ROUNDS).map(connect).collect();
+    tokio::time::sleep(UNTIL_AT_REST).await;
+    let send = |caller: &mut TcpStream| caller.write_all(REQUEST).unwrap();
+    served
+        .close_while(|| callers.iter_mut().for_each(send))
+        .await;
+    assert_eq!(served.reads(), 0, "of {ROUNDS}");
 }
