Close a resting connection before reading what comes with the close

What callers saw: nothing yet that could be traced to it; a request that is read in this moment is passed on, and waited for only while the stop has time left.

Cause: something_comes chose at random between bytes and the close where both were ready.

Why it works: the close comes first. The socket is closed with its bytes unread, which tells the caller that nothing ran.

--- a/crates/hemlocktack-node/src/gateway/connection.rs
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -55,9 +55,11 @@
 async fn something_comes(node: &Node, socket: &CallerSocket) -> bool {
     let limits = node.client_limits();
     tokio::select! {
+        // A caller whose bytes were not read knows that nothing ran.
+        biased;
+        () = node.signals.closing.cancelled() => false,
         readable = socket.readable() => readable.is_ok(),
         () = tokio::time::sleep(limits.idle_timeout()) => false,
-        () = node.signals.closing.cancelled() => false,
     }
 }
 
