Show requests that are read after the close and placed (failing)

A connection that is in use reads on when the close comes, and an upload that was under way ends after it; both requests are placed although the process is about to end. The service of the tests has no nodes, so the reason tells how far a request came.

--- a/crates/hemlocktack-node/src/gateway/tests.rs
+++ b/crates/hemlocktack-node/src/gateway/tests.rs
@@ -5,22 +5,44 @@
 
 #![allow(clippy::unwrap_used)]
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Response;
+use hemlocktack_protocol::ConfigurationDocument;
+use http::{Request, Response};
+use hyper::body::Incoming;
 use tokio::net::{TcpListener, UnixStream};
 
-use super::server;
+use super::leaving::LeavingBody;
+use super::{requests, server};
+use crate::interfaces;
 use crate::node::Node;
 use crate::run::new_node;
-use crate::settings::{self, Invocation};
+use crate::settings::{self, InterfaceName, Invocation};
 
 const REQUEST: &[u8] = b"POST /book/x HTTP/1.1\r\nhost: flats.example\r\ncontent-length: 0\r\n\r\n";
+const HALF_UPLOAD: &[u8] =
+    b"POST /book/x HTTP/1.1\r\nhost: flats.example\r\ncontent-length: 8\r\n\r\nhalf";
+const OTHER_HALF: &[u8] = b"half";
+const CONFIGURATION: &str = r#"{
+    "version": 1,
+    "resources": [
+        { "resource_kind": "routes", "metadata": { "name": "r-1" },
+          "specification": { "host": "flats.example", "path_prefix": "/book/",
+                             "kind": "unsafe", "timeout": "5000ms",
+                             "target_latency": "1500ms", "priority": 0,
+                             "service": "listings", "attempts": 2 } },
+        { "resource_kind": "services", "metadata": { "name": "listings" },
+          "specification": { "health_check_path": "/health", "connection_limit": 36 } },
+        { "resource_kind": "limits", "metadata": {},
+          "specification": { "max_header_bytes": 16384, "max_body_bytes": 65536,
+                             "header_timeout": "3000ms", "idle_timeout": "15000ms" } }
+    ]
+}"#;
 /// Where two branches are ready, one is taken at random: so many rounds leave no
 /// doubt about either.
 const ROUNDS: usize = 64;
@@ -38,15 +60,37 @@
 }
 
 impl Served {
+    /// Reads requests and answers them itself.
     async fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let node = Arc::new(node());
         let read_count: &'static AtomicUsize = Box::leak(Box::default());
         let handle = move |_, _| async move {
             read_count.fetch_add(1, Ordering::SeqCst);
             server::plain(Response::new(Bytes::new()))
         };
+        Self::start_with(handle, read_count).await
+    }
+
+    /// Places requests on a service that has no nodes.
+    async fn start_placing() -> Self {
+        let interface = interfaces::find(InterfaceName::Cooperative).unwrap();
+        let handle = move |node, request| requests::answer(node, interface, request);
+        let served = Self::start_with(handle, Box::leak(Box::default())).await;
+        served.node.take_configuration(ConfigurationDocument {
+            generation: 1,
+            document: CONFIGURATION.to_owned(),
+            ..ConfigurationDocument::default()
+        });
+        served
+    }
+
+    async fn start_with<H, F>(handle: H, read_count: &'static AtomicUsize) -> Self
+    where
+        H: Fn(Arc<Node>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
+        F: Future<Output = Response<LeavingBody>> + Send + 'static,
+    {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let node = Arc::new(node());
         tokio::spawn(server::serve(node.clone(), listener, handle));
         tokio::time::sleep(A_FEW_TURNS).await;
         node.begin_stop();
@@ -131,3 +175,40 @@
         .await;
     assert_eq!(served.reads(), 0, "of {ROUNDS}");
 }
+
+/// A connection is in use, and its next request comes in the moment of the close.
+/// It is read; passed on, it would run in a time that the stop may not have.
+#[tokio::test]
+async fn a_request_that_is_read_after_the_close_is_refused_and_not_placed() {
+    let served = Served::start_placing().await;
+    let mut caller = TcpStream::connect(served.address).unwrap();
+    served
+        .close_while(|| caller.write_all(REQUEST).unwrap())
+        .await;
+    assert_refused_by_the_stop(&answer_to(caller));
+}
+
+/// An upload is under way at the close, and the rest of it comes then.
+#[tokio::test]
+async fn an_upload_that_ends_after_the_close_is_refused_and_not_placed() {
+    let served = Served::start_placing().await;
+    let mut caller = TcpStream::connect(served.address).unwrap();
+    caller.write_all(HALF_UPLOAD).unwrap();
+    served
+        .close_while(|| caller.write_all(OTHER_HALF).unwrap())
+        .await;
+    assert_refused_by_the_stop(&answer_to(caller));
+}
+
+/// All that came until the connection's end.
+fn answer_to(mut caller: TcpStream) -> String {
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).unwrap();
+    answer
+}
+
+fn assert_refused_by_the_stop(answer: &str) {
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    assert!(answer.ends_with("{\"error\":\"draining\"}"), "{answer}");
+}
