Refuse what is read after the close instead of placing it

What callers saw: nothing yet that could be traced to it; such a request ran in a time that the stop may not have, and ended without an answer if it had not.

Cause: nothing between the close and the placing of a request looked whether the node had closed.

Ruled out: refusing at the head. The body would stay unread, and the close of the socket would reset the connection and take the answer with it.

Why it works: the close is one step from which on a whole request is refused as not run. What was passed on before it is on a connection that is waited for.

--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -68,6 +68,9 @@
         Ok(body) => body,
         Err(reason) => return not_run(reason, None),
     };
+    if node.has_closed() {
+        return not_run(Reason::Draining, None);
+    }
     let call = Call {
         request_id: entered.request_id.clone(),
         method: head.method.as_str().to_owned(),
--- a/crates/hemlocktack-node/src/node/life.rs
+++ b/crates/hemlocktack-node/src/node/life.rs
@@ -48,6 +48,12 @@
             .is_some_and(|began| began.elapsed() >= ENTRIES_TAKEN_IN_STOP)
     }
 
+    /// Whether nothing is passed on any more: the stop waits for the answers to
+    /// what was passed on before, and for nothing else.
+    pub(crate) fn has_closed(&self) -> bool {
+        self.signals.closing.is_cancelled()
+    }
+
     /// Whether a planned stop has begun.
     pub(crate) fn is_stopping(&self) -> bool {
         matches!(self.state(), NodeState::Draining | NodeState::Left)
