Look at the drain's limit also where it comes before others have heard

What callers saw: with a grace period of 2 s, a request that waited was cut by the end by force.

Cause: the drain slept for the time in which others hear of it, 2 s, before it looked at its limit for the first time.

Why it works: the sleep ends with the limit.

--- a/crates/hemlocktack-node/src/stop.rs
+++ b/crates/hemlocktack-node/src/stop.rs
@@ -40,7 +40,7 @@
     // Others still issue tickets for this home until they hear of the drain;
     // until then it delegates them. A home that never stopped taking them
     // would not come to an end under load.
-    tokio::time::sleep(DRAIN_SETTLE).await;
+    tokio::time::sleep(DRAIN_SETTLE.min(node.drain_time_left())).await;
     node.home.table().stop_accepting();
     loop {
         let in_flight = usize::try_from(node.counters.in_flight()).unwrap_or(usize::MAX);
