--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -4,6 +4,8 @@
 mod life;
 mod members;
 mod policies;
+#[cfg(test)]
+mod tests;
 mod upstream;
 
 pub(crate) use configuration::InForce;
