Keep back a sixth of a short grace period at most

What callers saw: nothing that was traced to it; with a grace period under 4.2 s the drain broke off requests before its last sixth, though their upstreams were at work and a later answer would have reached them.

Cause: 0.7 s were kept back whatever the grace period.

Evidence: a_drain_waits_until_the_last_sixth_of_the_grace_period failed at 0.5 s and passes for 0.5 to 30 s.

Why it works: what is kept back is a sixth at most. From 4.2 s on nothing has changed.

--- a/crates/hemlocktack-node/src/node/policies.rs
+++ b/crates/hemlocktack-node/src/node/policies.rs
@@ -16,8 +16,11 @@
 /// least so long.
 const INTERFACE_DRAIN_SETTLE: Duration = Duration::from_millis(2_500);
 /// Kept back from the time between the signal to stop and the end by force:
-/// to say farewell and to exit.
+/// to tell callers, to say farewell and to exit.
 const EXIT_TIME: Duration = Duration::from_millis(700);
+/// The largest share of it that is kept back, as one in so many: before the last
+/// sixth nothing is broken off at which an upstream works.
+const EXIT_TIME_ONE_IN: u32 = 6;
 /// An upstream whose announcements come through an interface renews every
 /// second or two and may be seconds late; that it is down shows when a
 /// connection fails.
@@ -60,6 +63,6 @@
 pub(super) fn drain_limit(adjustable: &AdjustableSettings) -> Duration {
     let grace = adjustable.stop_grace;
     grace.map_or(adjustable.drain_limit, |grace| {
-        grace.saturating_sub(EXIT_TIME)
+        grace - EXIT_TIME.min(grace / EXIT_TIME_ONE_IN)
     })
 }
