--- a/crates/hemlocktack-node/src/gateway/tests.rs
+++ b/crates/hemlocktack-node/src/gateway/tests.rs
@@ -22,7 +22,7 @@
 use crate::interfaces;
 use crate::node::Node;
 use crate::run::new_node;
-use crate::settings::{self, InterfaceName, Invocation};
+use crate::settings::{InterfaceName, for_tests};
 
 const REQUEST: &[u8] = b"POST /book/x HTTP/1.1\r\nhost: flats.example\r\ncontent-length: 0\r\n\r\n";
 const HALF_UPLOAD: &[u8] =
@@ -117,29 +117,14 @@
 }
 
 fn node() -> Node {
-    let unused = "127.0.0.1:9";
-    let texts = [
+    let own = [
         ("--interface", "cooperative"),
-        ("--node", "howrah-1"),
-        ("--service", "listings"),
-        ("--data-centre", "howrah"),
-        ("--caller-address", unused),
-        ("--announce-address", unused),
-        ("--readiness-address", unused),
-        ("--control-address", unused),
-        ("--link-address", unused),
-        ("--gossip-address", unused),
-        ("--platform-url", "http://127.0.0.1:9"),
+        ("--announce-address", "127.0.0.1:9"),
+        ("--readiness-address", "127.0.0.1:9"),
         ("--stop-grace", "6s"),
-        ("--fleet-key", "a-key-of-32-characters-for-tests-only"),
-        ("--operator-token", "a-token-for-tests"),
     ];
-    let pairs = texts.iter().flat_map(|(name, value)| [*name, *value]);
-    let arguments: Vec<String> = pairs.map(str::to_owned).collect();
-    let Ok(Invocation::Run(order)) = settings::read(&arguments, |_| None) else {
-        panic!("the settings are usable");
-    };
-    new_node(order.loaded.settings, order.loaded.adjustable).unwrap()
+    let loaded = for_tests::with_flags(&own);
+    new_node(loaded.settings, loaded.adjustable).unwrap()
 }
 
 /// A caller connects in the moment in which no connection is left and the
--- a/crates/hemlocktack-node/src/settings/mod.rs
+++ b/crates/hemlocktack-node/src/settings/mod.rs
@@ -2,6 +2,8 @@
 
 mod file;
 mod flags;
+#[cfg(test)]
+pub(crate) mod for_tests;
 mod read;
 mod sources;
 
