--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -16,6 +16,7 @@
 mod place;
 mod receive;
 mod run;
+mod send_record;
 mod service_directory;
 #[cfg(test)]
 mod tests;
@@ -30,4 +31,5 @@
 pub(crate) use home_table::Home;
 pub(crate) use place::run_placed;
 pub(crate) use receive::receive;
+pub(crate) use send_record::{SendRecord, WaitingSend};
 pub(crate) use service_directory::ServiceDirectory;
