Look at the socket once more before a kept connection is closed for its time

Callers saw: a request sent in time on a kept connection got a closed connection where the node, or its whole machine, had stood still meanwhile. Cause: after a standstill the runtime's timers end before it has looked at the sockets (a wait that was interrupted returns no events and then fires timers). Two such timers close a connection: the idle time of a socket at rest, where select! chose the timer, and the library's time for a head, which runs between two requests too and ends the connection with an error that nobody looked at. Ruled out: a biased select! alone. Why it works: a timer of one more millisecond cannot end before the runtime has turned once, and the sockets come first in a turn. A head that has run out of its time between two requests puts the connection to rest, where the idle time counts; with a part of a head it goes on only if more has come by then. The select! between bytes and the planned close is left as it was.

--- a/crates/hemlocktack-node/src/gateway/caller_socket.rs
+++ b/crates/hemlocktack-node/src/gateway/caller_socket.rs
@@ -53,6 +53,10 @@
         Self { read_ahead, ..self }
     }
 
+    pub(super) fn has_read_ahead(&self) -> bool {
+        !self.read_ahead.is_empty()
+    }
+
     pub(super) fn traffic(&self) -> Traffic {
         self.traffic.clone()
     }
--- a/crates/hemlocktack-node/src/gateway/connection.rs
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -10,7 +10,7 @@
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
+use hyper::server::conn::http1::{Builder, Parts};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
@@ -25,6 +25,15 @@
 /// Room for the request line and for what the library reads ahead, above the
 /// operators' limit of a head.
 const READ_AHEAD_BYTES: usize = 8 << 10;
+/// One turn of the runtime.
+const LAST_LOOK: Duration = Duration::from_millis(1);
+
+/// What comes next on a connection that the library serves.
+enum Next {
+    Ended(hyper::Result<()>),
+    Close,
+    Rest,
+}
 
 /// Serves a connection until one end closes it.
 ///
@@ -56,11 +65,27 @@
     let limits = node.client_limits();
     tokio::select! {
         readable = socket.readable() => readable.is_ok(),
-        () = tokio::time::sleep(limits.idle_timeout()) => false,
+        () = tokio::time::sleep(limits.idle_timeout()) => comes_now(socket).await,
         () = node.signals.closing.cancelled() => false,
     }
 }
 
+/// Whether bytes have come by now.
+///
+/// After a standstill a timer may end before the runtime has looked at the sockets;
+/// before the next one ends it has.
+async fn comes_now(socket: &CallerSocket) -> bool {
+    let readable = tokio::time::timeout(LAST_LOOK, socket.readable()).await;
+    matches!(readable, Ok(Ok(())))
+}
+
+/// What becomes of a connection whose time for a head is over: it may have run out
+/// between two requests, or while bytes lie in the socket.
+async fn after_head_timeout(socket: CallerSocket) -> Option<CallerSocket> {
+    let goes_on = !socket.has_read_ahead() || comes_now(&socket).await;
+    goes_on.then_some(socket)
+}
+
 /// Serves requests until the connection is closed, or until none has come for a
 /// while: then the socket is given back.
 async fn serve_requests<H, F>(
@@ -85,34 +110,45 @@
         .boxed()
     });
     let limits = node.client_limits();
-    let mut builder = http1::Builder::new();
+    let mut builder = Builder::new();
     builder
         .timer(TokioTimer::new())
         // The library counts the time between two requests as well.
         .header_read_timeout(limits.header_timeout().max(REST_AFTER * 2))
         .max_buf_size(limits.header_limit_bytes + READ_AHEAD_BYTES);
     let mut connection = builder.serve_connection(TokioIo::new(socket), service);
-    // It ends with an error if its caller goes or sends what is no request:
-    // there is nobody to tell.
-    let rests = tokio::select! {
+    let next = tokio::select! {
         // What has come is read before the connection counts as quiet.
         biased;
-        _ = &mut connection => return None,
-        () = node.signals.closing.cancelled() => false,
-        () = traffic.quiet_for(REST_AFTER) => true,
+        ended = &mut connection => Next::Ended(ended),
+        () = node.signals.closing.cancelled() => Next::Close,
+        () = traffic.quiet_for(REST_AFTER) => Next::Rest,
     };
-    Pin::new(&mut connection).graceful_shutdown();
-    if rests {
-        let ended = std::future::poll_fn(|context| connection.poll_without_shutdown(context));
-        if let Some(Ok(())) = ended.now_or_never() {
-            let parts = connection.into_parts();
-            return Some(parts.io.into_inner().with_read_ahead(parts.read_buf));
+    match next {
+        Next::Ended(Err(error)) if error.is_timeout() => {
+            let socket = socket_of(connection.into_parts());
+            return after_head_timeout(socket).await;
+        }
+        // With an error if its caller goes or sends what is no request: there is
+        // nobody to tell.
+        Next::Ended(_) => return None,
+        Next::Close => Pin::new(&mut connection).graceful_shutdown(),
+        Next::Rest => {
+            Pin::new(&mut connection).graceful_shutdown();
+            let ended = std::future::poll_fn(|context| connection.poll_without_shutdown(context));
+            if let Some(Ok(())) = ended.now_or_never() {
+                return Some(socket_of(connection.into_parts()));
+            }
         }
     }
     let _ = connection.await;
     None
 }
 
+fn socket_of<S>(parts: Parts<TokioIo<CallerSocket>, S>) -> CallerSocket {
+    parts.io.into_inner().with_read_ahead(parts.read_buf)
+}
+
 async fn answer<H, F>(
     node: Arc<Node>,
     request: Request<Incoming>,
