Take the rest of a body beside its refusal before the connection is closed

Callers saw: a reset connection in place of a refusal, where the refusal was known before the whole body had come. Cause: a request that is refused by its head leaves its body unread; the HTTP library then closes the connection at once, and closing a socket with bytes unread resets it. Ruled out: reading the whole body before the refusal, which holds callers with a slow link up for an answer that is known; taking the rest without an end in time. Why it works: the answer leaves at once with Connection: close, what still comes is read and dropped for two seconds at most, and the connection is closed with nothing unread. A caller that waits for leave to send its body (Expect) has sent nothing.

--- a/crates/hemlocktack-node/src/gateway/mod.rs
+++ b/crates/hemlocktack-node/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod requests;
 mod server;
 mod start;
+mod unread_body;
 
 pub(crate) use headers::passed_on;
 pub(crate) use server::close;
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -14,6 +14,7 @@
 use super::classify::{Routed, find_route};
 use super::leaving::LeavingBody;
 use super::lines::{log_late, log_refused};
+use super::unread_body::refuse_beside;
 use super::{passed_on, server};
 use crate::calls::{self, not_run, retry_after};
 use crate::counters::CallInFlight;
@@ -27,20 +28,22 @@
     request: Request<Incoming>,
 ) -> Response<LeavingBody> {
     let in_flight = node.enter_call();
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let entered = match (interface.callers.read)(&head) {
         Ok(entered) => entered,
         Err(reason) => {
             let unread = Entered::default();
             let answer = not_run(reason, None);
             log_refused(&node, &unread, &answer);
-            return refuse(interface, unread.request_id, answer);
+            let refusal = refuse(interface, unread.request_id, answer);
+            return refuse_beside(refusal, &head, body);
         }
     };
-    let answer = run(&node, interface, &head, &entered, body).await;
+    let answer = run(&node, interface, &head, &entered, &mut body).await;
     if answer.outcome() != Outcome::Answered {
         log_refused(&node, &entered, &answer);
-        return refuse(interface, entered.request_id, answer);
+        let refusal = refuse(interface, entered.request_id, answer);
+        return refuse_beside(refusal, &head, body);
     }
     respond(answer, in_flight)
 }
@@ -50,7 +53,7 @@
     interface: Interface,
     head: &request::Parts,
     entered: &Entered,
-    body: Incoming,
+    body: &mut Incoming,
 ) -> Answer {
     let path = head.uri.path();
     let span = node
@@ -97,7 +100,7 @@
 }
 
 /// The whole body, while its caller would still wait for an answer.
-async fn read_body(body: Incoming, routed: &Routed) -> Result<Bytes, Reason> {
+async fn read_body(body: &mut Incoming, routed: &Routed) -> Result<Bytes, Reason> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
