Answer a request whose work panics, and say so in the log

Callers saw: a closed connection without an answer, and nothing in the log; where the work was another node's, its sender waited to its deadline. Cause: a panic in the work on a request unwinds through the HTTP library and ends the task of the connection, or that of the call on a link, and with it whoever would have answered. Ruled out: a guard round the connection alone, which cannot name the request and leaves calls of other nodes waiting. Why it works: the panic is caught where a request enters and where a call is received, so both ways end in an answer: unknown, which promises nothing. State is behind locks that take over after a panic, and slots and places in tables are given back as their guards are dropped.

--- a/crates/hemlocktack-node/src/calls/receive.rs
+++ b/crates/hemlocktack-node/src/calls/receive.rs
@@ -9,7 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::run::{RunOrder, run};
-use super::{home, not_run, unknown};
+use super::{answer_of, home, not_run, unknown};
 use crate::node::Node;
 use crate::telemetry::{ObservedSpan, request_line};
 
@@ -23,7 +23,8 @@
     node.counters.demanded();
     let span = ObservedSpan::begin(node, SpanName::Hop, &mut call);
     let what = request_line(&call.method, &call.path);
-    let answer = treat(node, call, cancelled).await;
+    let request_id = call.request_id.clone();
+    let answer = answer_of(&request_id, treat(node, call, cancelled)).await;
     span.end(node, &answer, || what);
     answer
 }
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -39,7 +39,8 @@
             return refuse_beside(refusal, &head, body);
         }
     };
-    let answer = run(&node, interface, &head, &entered, &mut body).await;
+    let running = run(&node, interface, &head, &entered, &mut body);
+    let answer = calls::answer_of(&entered.request_id, running).await;
     if answer.outcome() != Outcome::Answered {
         log_refused(&node, &entered, &answer);
         let refusal = refuse(interface, entered.request_id, answer);
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -94,6 +94,8 @@
     714 INFO AnsweredLate: "an answer left later than the operators' objective for its route", "follow its request_id to 715; the rest of the time went to earlier sends (711) and links";
     715 INFO RunLate: "a root request's wait and run took longer than was left of its objective", "compare queue_ms, own_ms and below_ms: look at load, at the upstream, or at the services below";
 
+    721 ERROR RequestPanicked: "the work on a request met a fault of the node itself; its caller is told that its end is unknown", "report it with the lines about the panic on standard error";
+
     801 WARN CollectorLost: "spans cannot be exported; they are dropped and counted", "look at the collector; calls are not affected";
     802 INFO CollectorBack: "spans are exported again", "nothing";
 }
