Bound the time that an upstream says it keeps a connection

Cause: the time to reuse a connection is added to the clock, and the sum overflows from about 9.2 times 10^18 seconds on. Evidence: an_upstream_that_keeps_connections_for_ever_is_answered_for failed with a closed connection, then with 502; it passes with this. Ruled out: other sums of that kind (deadlines, objectives, limits of time: whole milliseconds in 64 bits, a thousandth of what overflows). Why it works: an hour is more than any connection is left idle, and is far from the end of the clock.

--- a/crates/hemlocktack-node/src/upstream/connections.rs
+++ b/crates/hemlocktack-node/src/upstream/connections.rs
@@ -24,6 +24,8 @@
 const REUSED_UP_TO: f64 = 0.7;
 /// The same where the upstream does not say when it closes them.
 const REUSED_FOR_UNSAID: Duration = Duration::from_secs(4);
+/// What an upstream says beyond this changes nothing.
+const KEPT_MOST_S: u64 = 3_600;
 /// Longest wait for a connection to be free again after its answer: the rest
 /// of a request that was answered early has to leave first.
 const FREED_WITHIN: Duration = Duration::from_secs(1);
@@ -151,6 +153,6 @@
         parameters.find_map(|parameter| parameter.strip_prefix("timeout=")?.parse::<u64>().ok())
     });
     timeout_s.map_or(REUSED_FOR_UNSAID, |timeout_s| {
-        Duration::from_secs(timeout_s).mul_f64(REUSED_UP_TO)
+        Duration::from_secs(timeout_s.min(KEPT_MOST_S)).mul_f64(REUSED_UP_TO)
     })
 }
