Let no header limit end the connections of callers

Callers saw: every connection closed with its first byte. Cause: the library's buffer is the operators' limit of a head and a little more; the sum overflows for the largest numbers and the connection's task panics (in a build without overflow checks the sum is tiny and the library's own check panics). Evidence: a_header_limit_of_any_size_ends_no_connection failed and passes with this; the test now waits until the configuration is in force. Why it works: the sum ends at the largest number; the buffer grows with what has come, whatever its limit.

--- a/crates/hemlocktack-node/src/gateway/connection.rs
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -115,7 +115,7 @@
         .timer(TokioTimer::new())
         // The library counts the time between two requests as well.
         .header_read_timeout(limits.header_timeout().max(REST_AFTER * 2))
-        .max_buf_size(limits.header_limit_bytes + READ_AHEAD_BYTES);
+        .max_buf_size(limits.header_limit_bytes.saturating_add(READ_AHEAD_BYTES));
     let mut connection = builder.serve_connection(TokioIo::new(socket), service);
     let next = tokio::select! {
         // What has come is read before the connection counts as quiet.
