Take a change of the protocol for no answer

Callers saw: 101 as the end of a request that asked for no other protocol. Cause: every status of an upstream with the request's id is passed on, and the library does not drop 101 as it drops other interim answers. Evidence: an_upstream_that_changes_the_protocol_has_not_answered failed with 101 and passes with this: 502, which promises nothing. Why it works: the headers that ask for another protocol are those of one connection and are never passed on, so no upstream was asked; its connection goes with the call.

--- a/crates/hemlocktack-node/src/upstream/interface_client.rs
+++ b/crates/hemlocktack-node/src/upstream/interface_client.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use hemlocktack_interface::{AnswerCheck, Health, Upstreams};
 use hemlocktack_protocol::Reason;
-use http::{HeaderName, HeaderValue, Method, Request, Response, Uri};
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 
@@ -55,6 +55,10 @@
             Err(NotSent::Malformed) => return UpstreamEnd::NotRun(Reason::MalformedRequest),
         };
         let (head, body) = response.into_parts();
+        // It speaks another protocol from here on, which nobody asked for.
+        if head.status == StatusCode::SWITCHING_PROTOCOLS {
+            return UpstreamEnd::Unknown(Reason::UpstreamFailed);
+        }
         let end = match (self.codec.check_answer)(&head, &send.call.request_id) {
             AnswerCheck::Answer => None,
             AnswerCheck::NotRun(reason) => Some(UpstreamEnd::NotRun(reason)),
