Log a request that was read and ends without an answer

Seen: where a caller's connection ended under its request, the log of its node said nothing; whether the caller had left or the node had cut it could not be told. Now the handler of a request leaves line 722 when it is dropped before it has an answer: request, time since its head was read, whether the node stops. It counts against the budget of lines about single calls, and is written at the end of the process too, when the runtime drops what is left. Evidence: a_request_that_ends_without_an_answer_leaves_a_line failed before (no line) and passes with this. Not covered: an answer that was given to the HTTP library and did not leave, as it is no longer known by its request there.

--- a/crates/hemlocktack-node/src/gateway/lines.rs
+++ b/crates/hemlocktack-node/src/gateway/lines.rs
@@ -1,5 +1,6 @@
 //! Log lines about requests that ended otherwise than wanted.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use hemlocktack_interface::Entered;
@@ -9,6 +10,48 @@
 use crate::calls::Classified;
 use crate::node::Node;
 
+/// A request that was read. Dropped before its answer is given to the HTTP library,
+/// it leaves a line: its caller has gone, or its connection or the process ends.
+pub(super) struct ReadRequest {
+    node: Arc<Node>,
+    request_id: String,
+    read: Instant,
+    is_answered: bool,
+}
+
+impl ReadRequest {
+    pub(super) fn new(node: &Arc<Node>, request_id: &str) -> Self {
+        Self {
+            node: node.clone(),
+            request_id: request_id.to_owned(),
+            read: Instant::now(),
+            is_answered: false,
+        }
+    }
+
+    pub(super) fn answered(mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl Drop for ReadRequest {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        let Some(left_out) = self.node.call_lines.take() else {
+            return;
+        };
+        log_event!(
+            Event::RequestUnanswered,
+            request_id = self.request_id,
+            elapsed_ms = self.read.elapsed().as_millis() as u64,
+            is_stopping = self.node.is_stopping(),
+            left_out
+        );
+    }
+}
+
 pub(super) fn log_refused(node: &Node, entered: &Entered, answer: &Answer) {
     let Some(left_out) = node.call_lines.take() else {
         return;
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -13,7 +13,7 @@
 
 use super::classify::{Routed, find_route};
 use super::leaving::LeavingBody;
-use super::lines::{log_late, log_refused};
+use super::lines::{ReadRequest, log_late, log_refused};
 use super::unread_body::refuse_beside;
 use super::{passed_on, server};
 use crate::calls::{self, not_run, retry_after};
@@ -39,8 +39,10 @@
             return refuse_beside(refusal, &head, body);
         }
     };
+    let read = ReadRequest::new(&node, &entered.request_id);
     let running = run(&node, interface, &head, &entered, &mut body);
     let answer = calls::answer_of(&entered.request_id, running).await;
+    read.answered();
     if answer.outcome() != Outcome::Answered {
         log_refused(&node, &entered, &answer);
         let refusal = refuse(interface, entered.request_id, answer);
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -95,6 +95,7 @@
     715 INFO RunLate: "a root request's wait and run took longer than was left of its objective", "compare queue_ms, own_ms and below_ms: look at load, at the upstream, or at the services below";
 
     721 ERROR RequestPanicked: "the work on a request met a fault of the node itself; its caller is told that its end is unknown", "report it with the lines about the panic on standard error";
+    722 INFO RequestUnanswered: "a request that was read ended without an answer: its caller has gone, or its connection or the process has ended", "nothing where callers give up; with is_stopping, or beside a change, follow its request_id on all nodes";
 
     801 WARN CollectorLost: "spans cannot be exported; they are dropped and counted", "look at the collector; calls are not affected";
     802 INFO CollectorBack: "spans are exported again", "nothing";
