Close a connection at rest by the idle time that holds by then

Callers saw: a kept connection closed earlier than the operators' configuration in force says, where the limit had been raised while it was at rest. Cause: the idle time was read once, as the rest began. Evidence: a_longer_idle_time_holds_for_connections_at_rest failed and passes with this; the whole file passes (49), the memory of quiet connections included. Why it works: at the end of the time the limit is read again, and what is left of it is waited for. A shorter limit takes effect at the old one's end: a connection that stays open too long cuts nobody.

--- a/crates/hemlocktack-node/src/gateway/connection.rs
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -4,7 +4,7 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::FutureExt;
 use http::header::CONNECTION;
@@ -62,14 +62,24 @@
 
 /// Whether bytes or the far end's close come before this end closes.
 async fn something_comes(node: &Node, socket: &CallerSocket) -> bool {
-    let limits = node.client_limits();
     tokio::select! {
         readable = socket.readable() => readable.is_ok(),
-        () = tokio::time::sleep(limits.idle_timeout()) => comes_now(socket).await,
+        () = idle_time_over(node) => comes_now(socket).await,
         () = node.signals.closing.cancelled() => false,
     }
 }
 
+/// Ends when a connection has been at rest for as long as operators allow by then: they
+/// may allow more than at the beginning.
+async fn idle_time_over(node: &Node) {
+    let began = Instant::now();
+    let mut allowed = node.client_limits().idle_timeout();
+    while let Some(left) = allowed.checked_sub(began.elapsed()) {
+        tokio::time::sleep(left).await;
+        allowed = node.client_limits().idle_timeout();
+    }
+}
+
 /// Whether bytes have come by now.
 ///
 /// After a standstill a timer may end before the runtime has looked at the sockets;
