Failing: the product's own interface loses a refusal as well

The same as on an interface of a deployment: a request is refused before its whole body has come, and its caller is reset while it sends.

bad_input::a_refusal_reaches_a_caller_that_still_sends_its_body panicked at tests/processes/bad_input.rs:107: payments/x: piece 18

--- a/crates/hemlocktack-node/tests/processes/bad_input.rs
+++ b/crates/hemlocktack-node/tests/processes/bad_input.rs
@@ -1,8 +1,11 @@
 //! What callers and operators get for input that is at fault.
 
 use std::fmt::Write;
+use std::time::Duration;
 
 use reqwest::Method;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::harness::{Fleet, OPERATOR_TOKEN, Plan};
 
@@ -88,6 +91,27 @@
     assert_eq!(fleet.starts("diaries", "faulty").await, 0);
 }
 
+/// Failure: a request is refused before its whole body has come, its connection is reset
+/// under a caller that still sends, and the refusal is lost with it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_reaches_a_caller_that_still_sends_its_body() {
+    let fleet = Fleet::start(&[Plan::new("listings", 1)]).await;
+    for (path, status) in [("payments/x", "404"), ("listings/x", "413")] {
+        let entry = fleet.nodes[0].callers;
+        let mut caller = TcpStream::connect(entry).await.unwrap();
+        let head = format!("POST /{path} HTTP/1.1\r\nhost: x\r\ncontent-length: 80000\r\n\r\n");
+        caller.write_all(head.as_bytes()).await.unwrap();
+        for piece in 0..20 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            let sent = caller.write_all(&[b'x'; 4_000]).await;
+            assert!(sent.is_ok(), "{path}: piece {piece}");
+        }
+        let mut answer = [0; 12];
+        caller.read_exact(&mut answer).await.unwrap();
+        assert_eq!(answer, format!("HTTP/1.1 {status}").as_bytes());
+    }
+}
+
 /// Faulty operators' calls: refused with the schema's error, nothing done.
 #[tokio::test(flavor = "multi_thread")]
 async fn faulty_operators_calls_are_refused() {
