Refuse by the head in the test of a refusal on the product's own interface

An unknown service is refused after its body, so the first case was one of a body over the limit. Without a service it is refused by its head. Fails as before:

bad_input::a_refusal_reaches_a_caller_that_still_sends_its_body

--- a/crates/hemlocktack-node/tests/processes/bad_input.rs
+++ b/crates/hemlocktack-node/tests/processes/bad_input.rs
@@ -96,7 +96,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refusal_reaches_a_caller_that_still_sends_its_body() {
     let fleet = Fleet::start(&[Plan::new("listings", 1)]).await;
-    for (path, status) in [("payments/x", "404"), ("listings/x", "413")] {
+    for (path, status) in [("", "404"), ("listings/x", "413")] {
         let entry = fleet.nodes[0].callers;
         let mut caller = TcpStream::connect(entry).await.unwrap();
         let head = format!("POST /{path} HTTP/1.1\r\nhost: x\r\ncontent-length: 80000\r\n\r\n");
