Take the rest of a refused body on the product's own interface

Callers saw: a reset connection in place of 404 or 413 while they were sending. Cause: a request that is refused by its head, or for a body over the limit, leaves bytes unread, and the HTTP framework closes the connection on them. Evidence: a_refusal_reaches_a_caller_that_still_sends_its_body failed at the second piece of twenty and passes with this. Why it works: the rest is read and dropped before the refusal leaves, for two seconds at most. Beside the refusal, as on interfaces of deployments, it cannot be read: the framework lends a body for as long as its handler runs.

--- a/crates/hemlocktack-node/src/callers/routes.rs
+++ b/crates/hemlocktack-node/src/callers/routes.rs
@@ -1,19 +1,24 @@
 //! One route for any method and any path.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hemlocktack_protocol::Reason;
-use rocket::data::{Data, ToByteUnit};
+use rocket::data::{Data, DataStream, ToByteUnit};
 use rocket::http::Method;
 use rocket::route::{Handler, Outcome, Route};
 use rocket::{Request, async_trait};
+use tokio::io::AsyncReadExt;
 
 use super::observe::ObservedEntry;
 use super::{CallerRequest, has_key, read_head};
 use crate::calls;
 use crate::node::Node;
 
+/// What a caller may go on sending of a body that is refused, and for how long.
+const REST_TAKEN_BYTES: usize = 64 << 20;
+const REST_TAKEN_FOR: Duration = Duration::from_secs(2);
 const METHODS: [Method; 7] = [
     Method::Get,
     Method::Head,
@@ -57,20 +62,40 @@
 }
 
 async fn read(node: &Node, request: &Request<'_>, data: Data<'_>) -> Result<CallerRequest, Reason> {
-    let mut call = read_head(request)?;
+    let mut call = match read_head(request) {
+        Ok(call) => call,
+        Err(reason) => {
+            take_rest(data.open(REST_TAKEN_BYTES.bytes())).await;
+            return Err(reason);
+        }
+    };
     call.body = read_body(node, &call, data).await?;
     Ok(call)
 }
 
 async fn read_body(node: &Node, call: &CallerRequest, data: Data<'_>) -> Result<Bytes, Reason> {
     let limit_bytes = node.body_limit_bytes(&call.service);
-    let body = data
-        .open(limit_bytes.bytes())
-        .into_bytes()
+    let mut stream = data.open((limit_bytes + REST_TAKEN_BYTES).bytes());
+    let mut body = Vec::new();
+    let more_than_limit = limit_bytes as u64 + 1;
+    (&mut stream)
+        .take(more_than_limit)
+        .read_to_end(&mut body)
         .await
         .map_err(|_| Reason::MalformedRequest)?;
-    if !body.is_complete() {
+    if body.len() > limit_bytes {
+        take_rest(stream).await;
         return Err(Reason::BodyTooLarge);
     }
-    Ok(Bytes::from(body.into_inner()))
+    Ok(Bytes::from(body))
+}
+
+/// Takes the rest of a body that nobody needs, for a while.
+///
+/// Failure: a connection that is closed with bytes unread is reset, and the reset
+/// takes the refusal away from a caller that reads it once all is sent.
+async fn take_rest(mut rest: DataStream<'_>) {
+    let mut nowhere = tokio::io::sink();
+    let taking = tokio::io::copy(&mut rest, &mut nowhere);
+    let _ = tokio::time::timeout(REST_TAKEN_FOR, taking).await;
 }
