--- a/crates/hemlocktack-node/src/gateway/mod.rs
+++ b/crates/hemlocktack-node/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod start;
 #[cfg(test)]
 mod tests;
+mod unread_body;
 
 pub(crate) use headers::passed_on;
 pub(crate) use server::close;
