--- a/crates/hemlocktack-fleet/src/membership/receive.rs
+++ b/crates/hemlocktack-fleet/src/membership/receive.rs
@@ -8,10 +8,11 @@
 };
 use rand::Rng;
 
-use super::machine::{Action, Membership, Sweep, put_record};
+use super::machine::{Action, Membership, Sweep};
+use super::outgoing::put_record;
 use super::probes::Relayed;
 use super::record::{self, Freshness};
-use super::settings::Safeguard;
+use super::settings::{NODE_ID_LIMIT_BYTES, Safeguard};
 use super::table::Merged;
 
 /// Tables that a starting node reads, each of another member.
@@ -129,7 +130,7 @@
             });
             return;
         }
-        self.own.start_order = heard.start_order + 1;
+        self.own.start_order = heard.start_order.saturating_add(1);
         self.raise_own_version();
         corrections.push(self.own.clone());
     }
@@ -279,8 +280,7 @@
             complete: true,
         };
         let mut gossip = self.empty_datagram(Some(gossip::Body::SyncPage(full.clone())));
-        const LONGEST_NODE_ID_BYTES: usize = 128;
-        let mut room = self.room_in(&gossip).saturating_sub(LONGEST_NODE_ID_BYTES);
+        let mut room = self.room_in(&gossip).saturating_sub(NODE_ID_LIMIT_BYTES);
         let first = corrections.iter().chain([&self.own]);
         for record in first {
             put_record(&mut gossip, &mut room, record.clone());
--- a/crates/hemlocktack-fleet/tests/membership/main.rs
+++ b/crates/hemlocktack-fleet/tests/membership/main.rs
@@ -5,6 +5,7 @@
 mod addresses;
 mod datagrams;
 mod merging;
+mod nearly_right;
 mod replacement;
 mod restart;
 mod support;
--- a/crates/hemlocktack-node/src/settings/read.rs
+++ b/crates/hemlocktack-node/src/settings/read.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
+use hemlocktack_fleet::membership::NODE_ID_LIMIT_BYTES;
 use hemlocktack_platform::PlatformRates;
 use hemlocktack_protocol::parse_time;
 
@@ -25,6 +26,46 @@
     pub(crate) findings: Vec<String>,
 }
 
+impl Error {
+    /// Findings repeat what was given: whoever puts a line break into it would begin
+    /// a line of the log.
+    pub(super) fn new(findings: Vec<String>) -> Self {
+        let findings = findings.iter().map(|finding| in_one_line(finding));
+        Self {
+            findings: findings.collect(),
+        }
+    }
+
+    /// All of it as one line.
+    pub(crate) fn in_one_line(&self) -> String {
+        self.findings.join("; ")
+    }
+}
+
+/// A value as findings repeat it, where it is one.
+///
+/// Failure: a line break of the settings file is lost, and the next line is a part of
+/// the value. Symptom: the finding tells the fleet's key to the log. That line has a
+/// `=`, or else spaces, which no value has that is repeated.
+fn shown(text: &str) -> String {
+    let is_strange = |c: char| c == '=' || c.is_whitespace() || c.is_control();
+    if text.contains(is_strange) {
+        return "what is given".to_owned();
+    }
+    format!("'{text}'")
+}
+
+fn in_one_line(finding: &str) -> String {
+    let mut line = String::with_capacity(finding.len());
+    for character in finding.chars() {
+        match character.is_control() {
+            true => line.extend(character.escape_default()),
+            false => line.push(character),
+        }
+    }
+    line
+}
+
 /// Everything that was read, and the texts that it was read from.
 pub(crate) struct Loaded {
     pub(crate) settings: Settings,
@@ -79,9 +120,7 @@
     let settings = read_settings(&mut reader);
     let adjustable = read_adjustable(&mut reader);
     if !reader.findings.is_empty() {
-        return Err(Error {
-            findings: reader.findings,
-        });
+        return Err(Error::new(reader.findings));
     }
     Ok(Loaded {
         settings,
@@ -170,7 +209,7 @@
         match text.parse() {
             Ok(value) => value,
             Err(_) => {
-                self.find(name, &format!("'{text}' is not {expected}"));
+                self.find(name, &format!("{} is not {expected}", shown(&text)));
                 fallback
             }
         }
@@ -182,7 +221,16 @@
         if !text.chars().all(usable) {
             self.find(
                 name,
-                &format!("'{text}' is not a name; use letters, digits, '-', '_' and '.'"),
+                &format!(
+                    "{} is not a name; use letters, digits, '-', '_' and '.'",
+                    shown(&text)
+                ),
+            );
+        }
+        if text.len() > NODE_ID_LIMIT_BYTES {
+            self.find(
+                name,
+                &format!("too long; {NODE_ID_LIMIT_BYTES} characters or fewer"),
             );
         }
         text
@@ -222,11 +270,20 @@
             ),
         }
         Some(PlatformRates {
-            reads_per_second: self.parsed(flags::PLATFORM_READS, "a number", 0.0),
-            writes_per_second: self.parsed(flags::PLATFORM_WRITES, "a number", 0.0),
+            reads_per_second: self.rate(flags::PLATFORM_READS),
+            writes_per_second: self.rate(flags::PLATFORM_WRITES),
         })
     }
 
+    /// Calls a second; with none the node would wait for ever.
+    fn rate(&mut self, name: &str) -> f64 {
+        let rate: f64 = self.parsed(name, "a number", 1.0);
+        if !(rate > 0.0 && rate.is_finite()) {
+            self.find(name, "a rate is above 0");
+        }
+        rate
+    }
+
     fn share_per_mille(&mut self, name: &str) -> Option<u32> {
         self.value(name)?;
         let share: f64 = self.parsed(name, "a number between 0 and 1", 0.0);
@@ -250,7 +307,10 @@
         let text = self.value(name)?;
         let read = parse_time(&text);
         if read.is_none() {
-            self.find(name, &format!("'{text}' is not a time; write 6s or 1500ms"));
+            self.find(
+                name,
+                &format!("{} is not a time; write 6s or 1500ms", shown(&text)),
+            );
         }
         read
     }
@@ -265,7 +325,10 @@
         {
             match part.parse() {
                 Ok(address) => addresses.push(address),
-                Err(_) => self.find(name, &format!("'{part}' is not an IP number with a port")),
+                Err(_) => self.find(
+                    name,
+                    &format!("{} is not an IP number with a port", shown(part)),
+                ),
             }
         }
         addresses
@@ -276,7 +339,10 @@
         if !text.starts_with("http://") && !text.starts_with("https://") {
             self.find(
                 name,
-                &format!("'{text}' is not a URL; it begins with http:// or https://"),
+                &format!(
+                    "{} is not a URL; it begins with http:// or https://",
+                    shown(&text)
+                ),
             );
         }
         Some(text.trim_end_matches('/').to_owned())
--- a/crates/hemlocktack-node/tests/settings.rs
+++ b/crates/hemlocktack-node/tests/settings.rs
@@ -1,20 +1,11 @@
 //! Settings of `hemlocktackd`, as an operator gives them.
 
+mod support;
+
 use std::io::Write;
 use std::process::{Command, Output};
 
-const COMPLETE: [&str; 10] = [
-    "--node=listings-1",
-    "--service=listings",
-    "--data-centre=salt-lake",
-    "--caller-address=127.0.0.1:1",
-    "--control-address=127.0.0.1:2",
-    "--link-address=127.0.0.1:3",
-    "--gossip-address=127.0.0.1:4",
-    "--platform-url=http://127.0.0.1:5",
-    "--fleet-key=a fleet key for tests, long enough",
-    "--operator-token=a token for tests",
-];
+use support::{COMPLETE, RunningNode};
 
 fn run(arguments: &[&str], environment: &[(&str, &str)]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_hemlocktackd"))
@@ -126,6 +117,35 @@
     insta::assert_snapshot!(told);
 }
 
+/// A line is written as in another format, or a line break is lost: the fleet's key
+/// stands where a name or another value is due, and whoever reads the log has it.
+#[test]
+fn a_secret_in_the_wrong_place_is_not_told() {
+    const SECRET: &str = "c2VjcmV0IG9mIGFsbCBub2Rlcw";
+    let cases = [
+        (":1: ", format!("HEMLOCKTACK_FLEET_KEY: {SECRET}==")),
+        (":1: ", format!("{SECRET}=HEMLOCKTACK_FLEET_KEY")),
+        (
+            "--region: ",
+            format!("HEMLOCKTACK_REGION=kolkata HEMLOCKTACK_FLEET_KEY={SECRET}"),
+        ),
+        (
+            "--seed-peers: ",
+            format!("HEMLOCKTACK_SEED_PEERS=127.0.0.1:6,HEMLOCKTACK_FLEET_KEY={SECRET}=="),
+        ),
+    ];
+    for (place, line) in cases {
+        let file = settings_file(&line);
+        let mut arguments = COMPLETE.to_vec();
+        let flag = file_flag(&file);
+        arguments.extend([flag.as_str(), "--check"]);
+        let output = run(&arguments, &[]);
+        assert_eq!(output.status.code(), Some(2), "{line}: {output:?}");
+        let told = standard_error(&output);
+        assert!(told.contains(place) && !told.contains(SECRET), "{told}");
+    }
+}
+
 #[test]
 fn a_missing_settings_file_is_a_fault() {
     let mut arguments = COMPLETE.to_vec();
@@ -147,3 +167,51 @@
     assert_eq!(["57", "57.0", "0"].map(code), [Some(0); 3]);
     assert_eq!(["-1", "many", "NaN"].map(code), [Some(2); 3]);
 }
+
+/// Nodes leave datagrams with a longer name aside, and would never hear of this one.
+#[test]
+fn a_name_that_no_datagram_has_room_for_is_refused() {
+    let code = |length: usize| {
+        let flag = format!("--node={}", "n".repeat(length));
+        let mut arguments = COMPLETE.to_vec();
+        arguments[0] = &flag;
+        arguments.push("--check");
+        run(&arguments, &[]).status.code()
+    };
+    assert_eq!([128, 129].map(code), [Some(0), Some(2)]);
+}
+
+/// The flag names a disk image by a slip. Read whole, it takes the memory that the
+/// upstream beside the node needs.
+#[test]
+fn a_file_that_is_no_settings_file_is_not_read_whole() {
+    const MEMORY_LIMIT_KIB: u64 = 4 << 20;
+    let file = tempfile::NamedTempFile::new().expect("a file");
+    let size_bytes = 2 * MEMORY_LIMIT_KIB * 1_024;
+    file.as_file().set_len(size_bytes).expect("a sparse file");
+    let limited = format!("ulimit -v {MEMORY_LIMIT_KIB}; exec \"$0\" \"$@\"");
+    let output = Command::new("sh")
+        .args(["-c", &limited, env!("CARGO_BIN_EXE_hemlocktackd")])
+        .args(COMPLETE)
+        .args([&file_flag(&file), "--check"])
+        .env_clear()
+        .output()
+        .expect("the binary runs");
+    assert_eq!(output.status.code(), Some(2), "{output:?}");
+    let told = standard_error(&output);
+    assert!(told.contains("is it a settings file?"), "{told}");
+}
+
+/// Whoever searches the log of a running node for the event finds its first fault
+/// only, and the rest in lines that belong to nothing.
+#[test]
+fn faults_of_a_changed_file_are_told_in_one_line() {
+    let mut file = settings_file("# nothing yet\n");
+    let node = RunningNode::start(&[&file_flag(&file)]);
+    node.line_with("number=101");
+    file.write_all(b"COLOUR=red\nnonsense\n")
+        .expect("it is written");
+    let told = node.line_with("number=108");
+    let faults = [":2: 'COLOUR' is no setting", ":3: not of the form"];
+    assert!(faults.iter().all(|fault| told.contains(fault)), "{told}");
+}
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -74,6 +74,7 @@
 
     407 WARN AnswerUndelivered: "an answer could not be given to the node that sent the call; it is kept until that node asks", "look for 402 or 406 of this node's incarnation on the other node; there the request's 711 tells what its caller got";
     408 WARN OtherNodeAtAddress: "another node than the one meant answers at its address", "nothing if the node meant is gone for good; else two nodes are configured with one address";
+    409 WARN DatagramRefused: "a datagram of gossip could not prove the fleet key or be read, and was dropped", "compare the fleet keys and the versions of both nodes; if the address is not a node's, look who it is";
 
     501 WARN OperatorRefused: "an operators' call without the right token was refused", "if it was you, check the token; if not, look who asks";
     502 INFO OperatorCommand: "an operator's command is carried out", "nothing";
