Make room for a frame as its bytes come, not for what it announces

What anybody could do: four bytes that announce a frame of 20 MiB made a link's buffer that large before any of it had come, in the opening too, where nothing is proved yet.

Cause: the library's length codec reserves what is announced.

Test, before: an_announced_length_takes_no_room_before_its_bytes_come, 20,971,520 bytes; after: 16 KiB at most.

--- a/crates/hemlocktack-node/src/links/codec.rs
+++ b/crates/hemlocktack-node/src/links/codec.rs
@@ -1,6 +1,8 @@
 //! Frames on the wire: a length, then one protobuf message.
 
-use bytes::{Bytes, BytesMut};
+use std::io::ErrorKind;
+
+use bytes::{Buf, Bytes, BytesMut};
 use derive_more::{Display, Error, From};
 use hemlocktack_protocol::Frame;
 use hemlocktack_telemetry::{Event, log_event};
@@ -17,6 +19,11 @@
 /// allocated for it.
 pub(crate) const MAX_FRAME_BYTES: usize = 20 << 20;
 
+/// Before each frame stands its length, most significant byte first.
+const LENGTH_BYTES: usize = 4;
+/// Room that is made for the rest of a frame whose beginning has come.
+const READ_ROOM_BYTES: usize = 8 << 10;
+
 /// What can go wrong with a frame.
 #[derive(Debug, Display, Error, From)]
 pub(crate) enum Error {
@@ -65,14 +72,35 @@
     fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Frame>> {
         // Called when bytes have come, and once more for each frame in them.
         self.heard.note();
-        let Some(bytes) = self.lengths.decode(source)? else {
+        let Some(length_bytes) = announced(source)? else {
             return Ok(None);
         };
-        let frame = Frame::decode(bytes.freeze())?;
+        let end_bytes = LENGTH_BYTES + length_bytes;
+        if source.len() < end_bytes {
+            source.reserve((end_bytes - source.len()).min(READ_ROOM_BYTES));
+            return Ok(None);
+        }
+        source.advance(LENGTH_BYTES);
+        let frame = Frame::decode(source.split_to(length_bytes).freeze())?;
         Ok(Some(frame))
     }
 }
 
+/// The length of the next frame, once its bytes have come.
+///
+/// Not the library's: it makes room for the whole frame at once, also in an opening,
+/// which nobody has proved anything in yet.
+fn announced(source: &BytesMut) -> Result<Option<usize>> {
+    let Some(head) = source.first_chunk::<LENGTH_BYTES>() else {
+        return Ok(None);
+    };
+    let length_bytes = u32::from_be_bytes(*head) as usize;
+    if length_bytes > MAX_FRAME_BYTES {
+        return Err(std::io::Error::from(ErrorKind::InvalidData).into());
+    }
+    Ok(Some(length_bytes))
+}
+
 impl Encoder<Frame> for FrameCodec {
     type Error = Error;
 
