--- a/crates/hemlocktack-node/src/gateway/connection.rs
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -25,7 +25,7 @@
 /// Room for the request line and for what the library reads ahead, above the
 /// operators' limit of a head.
 const READ_AHEAD_BYTES: usize = 8 << 10;
-/// One turn of the runtime.
+/// No timer of this length ends before the runtime has looked at all sockets.
 const LAST_LOOK: Duration = Duration::from_millis(1);
 
 /// What comes next on a connection that the library serves.
