--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -17,7 +17,10 @@
 mod place;
 mod receive;
 mod run;
+mod send_record;
 mod service_directory;
+#[cfg(test)]
+mod tests;
 mod ticketed;
 mod tries;
 
@@ -30,4 +33,5 @@
 pub(crate) use panics::answer_of;
 pub(crate) use place::run_placed;
 pub(crate) use receive::receive;
+pub(crate) use send_record::{SendRecord, WaitingSend};
 pub(crate) use service_directory::ServiceDirectory;
--- a/crates/hemlocktack-node/src/gateway/connection.rs
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -63,9 +63,11 @@
 /// Whether bytes or the far end's close come before this end closes.
 async fn something_comes(node: &Node, socket: &CallerSocket) -> bool {
     tokio::select! {
+        // A caller whose bytes were not read knows that nothing ran.
+        biased;
+        () = node.signals.closing.cancelled() => false,
         readable = socket.readable() => readable.is_ok(),
         () = idle_time_over(node) => comes_now(socket).await,
-        () = node.signals.closing.cancelled() => false,
     }
 }
 
