--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -13,10 +13,14 @@
 mod home;
 mod home_table;
 mod open_send;
+mod panics;
 mod place;
 mod receive;
 mod run;
+mod send_record;
 mod service_directory;
+#[cfg(test)]
+mod tests;
 mod ticketed;
 mod tries;
 
@@ -26,6 +30,8 @@
 pub(crate) use ends::{not_run, retry_after, unknown};
 pub(crate) use enter::{enter, refusal};
 pub(crate) use home_table::Home;
+pub(crate) use panics::answer_of;
 pub(crate) use place::run_placed;
 pub(crate) use receive::receive;
+pub(crate) use send_record::{SendRecord, WaitingSend};
 pub(crate) use service_directory::ServiceDirectory;
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures::StreamExt;
-use hemlocktack_fleet::calls::{Arrival, Resolution};
+use hemlocktack_fleet::calls::Resolution;
 use hemlocktack_protocol::{
     Answer, Call, CallId, CallResolution, EchoReply, EchoRequest, Frame, frame,
 };
@@ -46,7 +46,7 @@
     let (mut reader, writer) = open.split();
     let heard = reader.codec().heard().clone();
     let connection = Connection::start(peer.incarnation, writer, heard, answers_echo);
-    let sender = node.senders.connected(&peer, connection.clone());
+    let sender = node.senders.connected(&peer);
     while let Some(next) = next_frame(&mut reader, &connection).await {
         let Ok(Frame { body }) = next.inspect_err(log_malformed) else {
             break;
@@ -63,11 +63,13 @@
     let address = stream.peer_addr().ok()?;
     let opening = handshake::accept(stream, &node.identity, &node.keys);
     let opened = tokio::time::timeout(handshake::OPENING_TIMEOUT, opening).await;
-    if let Ok(Ok(open)) = opened {
-        return Some(open);
-    }
+    let error = match opened {
+        Ok(Ok(open)) => return Some(open),
+        Ok(Err(error)) => error,
+        Err(_) => handshake::Error::TooSlow,
+    };
     if let Some(refused_count) = node.link_refusals.count() {
-        log_event!(Event::LinkRefused, %address, refused_count);
+        log_event!(Event::LinkRefused, %address, %error, refused_count);
     }
     None
 }
@@ -89,7 +91,7 @@
     body: frame::Body,
 ) {
     match body {
-        frame::Body::Call(call) => take_call(node, sender, call),
+        frame::Body::Call(call) => take_call(node, sender, connection, call),
         frame::Body::EchoRequest(EchoRequest {}) => {
             connection.send_if_room(frame::Body::EchoReply(EchoReply {}));
         }
@@ -107,38 +109,64 @@
     }
 }
 
-fn take_call(node: &Arc<Node>, sender: &Arc<Sender>, call: Call) {
-    if node.senders.arrive(sender, call.call_id) != Arrival::New {
+fn take_call(node: &Arc<Node>, sender: &Arc<Sender>, connection: &Connection, call: Call) {
+    let Some(cancelled) = node.senders.take(sender, call.call_id, connection) else {
         return;
-    }
-    let cancelled = sender.register_cancellation(call.call_id);
+    };
     let in_flight = node.enter_call();
     let node = node.clone();
     let sender = sender.clone();
     tokio::spawn(async move {
         let call_id = call.call_id;
+        let request_id = call.request_id.clone();
         let mut answer = calls::receive(&node, call, &cancelled).await;
         answer.call_id = call_id;
-        finish_call(&node, &sender, answer).await;
+        if !finish_call(&node, &sender, answer).await {
+            log_undelivered(&node, &sender, call_id, &request_id);
+        }
         drop(in_flight);
     });
 }
 
-/// Failure: the sender's entry is dropped between these steps while it dials
-/// again. Symptom: it is told that the call is running, and the answer goes to
-/// the lost link. The call stays listed until its answer has gone, so the entry
-/// stays and the answer takes the newest link.
-async fn finish_call(node: &Node, sender: &Sender, answer: Answer) {
-    let call_id = answer.call_id;
-    node.senders.finish(sender, &answer);
-    sender.send_out(frame::Body::Answer(answer)).await;
-    sender.forget_cancellation(call_id);
-    node.senders.disconnected(sender);
+/// Gives an answer to the links where its call is waited for; whether it has left.
+///
+/// Failure: one sender has two links here, because it knows this process under two
+/// names or opened a later one. Symptom: the answer goes over the other link, which
+/// knows nothing of the call or is closed, and the sender, whose own link is well,
+/// waits to its deadline. The link that the call came over, or was asked for over,
+/// is the one whose loss the sender notices, and then it asks again.
+async fn finish_call(node: &Node, sender: &Sender, answer: Answer) -> bool {
+    let connections = node.senders.finish(sender, &answer);
+    let sends = connections
+        .iter()
+        .map(|connection| send_out(connection, answer.clone()));
+    let left = futures::future::join_all(sends).await;
+    left.contains(&true)
+}
+
+/// Waits until the answer is with the socket: a stop would end a large one that waits
+/// for a slow reader.
+async fn send_out(connection: &Connection, answer: Answer) -> bool {
+    connection.send(frame::Body::Answer(answer)).await && connection.flushed().await
+}
+
+fn log_undelivered(node: &Node, sender: &Sender, call_id: CallId, request_id: &str) {
+    let Some(left_out) = node.call_lines.take() else {
+        return;
+    };
+    log_event!(
+        Event::AnswerUndelivered,
+        request_id,
+        call_id,
+        sender = %sender.identity.node_id,
+        sender_incarnation = sender.identity.incarnation,
+        left_out
+    );
 }
 
 /// Says what became of a call whose link was lost; see `Links::ask_again`.
 async fn resolve_call(node: &Node, sender: &Sender, connection: &Connection, call_id: CallId) {
-    let resolution = node.senders.resolve(sender, call_id);
+    let resolution = node.senders.ask(sender, call_id, connection);
     let progress = resolution.progress().into();
     if let Resolution::Finished(answer) = resolution {
         connection
--- a/crates/hemlocktack-node/src/links/mod.rs
+++ b/crates/hemlocktack-node/src/links/mod.rs
@@ -6,13 +6,17 @@
 
 mod codec;
 mod connection;
+mod dial;
 mod handshake;
 mod heard;
 mod incoming;
 mod outgoing;
+mod pending;
 mod queries;
 mod questions;
 mod senders;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use codec::FrameCodec;
 pub(crate) use incoming::serve_links;
--- a/crates/hemlocktack-node/src/links/senders.rs
+++ b/crates/hemlocktack-node/src/links/senders.rs
@@ -1,30 +1,42 @@
 //! Those who send calls here, and what became of their calls.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use arc_swap::ArcSwapOption;
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::calls::{Arrival, ArrivalLimits, Arrivals, Resolution};
-use hemlocktack_protocol::{Answer, CallId, frame};
+use hemlocktack_protocol::{Answer, CallId};
 use tokio_util::sync::CancellationToken;
 
 use super::connection::Connection;
 
 /// What this node remembers of those who send it calls.
 ///
-/// It outlives connections: a call is answered, or asked about, over whichever
-/// connection from the same sender is open by then.
+/// It outlives connections: a call that its sender asks about is answered over the
+/// connection that the question came over, too.
 pub(crate) struct Senders {
     arrivals: Mutex<Arrivals>,
     senders: Mutex<HashMap<NodeIncarnation, Arc<Sender>>>,
 }
 
-/// One start of a node that has a link here.
+/// One start of a node that has a link here, or several.
 pub(super) struct Sender {
     pub(super) identity: NodeIncarnation,
-    connection: ArcSwapOption<Connection>,
-    cancellations: Mutex<HashMap<CallId, CancellationToken>>,
+    state: Mutex<SenderState>,
+}
+
+#[derive(Default)]
+struct SenderState {
+    open_links: usize,
+    calls: HashMap<CallId, OpenCall>,
+}
+
+/// A call that has no answer yet.
+struct OpenCall {
+    cancelled: CancellationToken,
+    /// Where its sender waits for the answer: the connection that it came over, and
+    /// those that it was asked for over.
+    waits_on: Vec<Connection>,
 }
 
 impl Default for Senders {
@@ -37,115 +49,117 @@
 }
 
 impl Senders {
-    pub(super) fn connected(
-        &self,
-        identity: &NodeIncarnation,
-        connection: Connection,
-    ) -> Arc<Sender> {
+    pub(super) fn connected(&self, identity: &NodeIncarnation) -> Arc<Sender> {
         let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
         let sender = senders
             .entry(identity.clone())
             .or_insert_with(|| Sender::new(identity.clone()))
             .clone();
-        sender.connection.store(Some(Arc::new(connection)));
+        sender.state().open_links += 1;
         sender
     }
 
-    /// Forgets a sender whose last connection closed with no call of it running.
-    /// What became of its calls stays known in `arrivals`, which is bounded.
+    /// Forgets a sender whose last link closed with no call of it running. What
+    /// became of its calls stays known in `arrivals`, which is bounded.
     pub(super) fn disconnected(&self, sender: &Sender) {
         let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
-        // A newer link may have brought a newer entry of the same identity.
-        let is_listed = senders
-            .get(&sender.identity)
-            .is_some_and(|listed| std::ptr::eq(Arc::as_ptr(listed), sender));
-        if is_listed && sender.is_closed() && sender.is_idle() {
-            senders.remove(&sender.identity);
+        sender.state().open_links -= 1;
+        forget_if_gone(&mut senders, sender);
+    }
+
+    /// Lists a call that came over this connection; what it returns is cancelled when
+    /// nobody waits for the call any more. `None` for a call that came before.
+    ///
+    /// Noted and listed in one step, as a question that came between the two would be
+    /// told that the call runs, and its connection would not hear of the answer.
+    pub(super) fn take(
+        &self,
+        sender: &Sender,
+        call_id: CallId,
+        came_over: &Connection,
+    ) -> Option<CancellationToken> {
+        let mut state = sender.state();
+        if self.arrivals().arrive(&sender.identity, call_id) != Arrival::New {
+            return None;
         }
+        let cancelled = CancellationToken::new();
+        let call = OpenCall {
+            cancelled: cancelled.clone(),
+            waits_on: vec![came_over.clone()],
+        };
+        state.calls.insert(call_id, call);
+        Some(cancelled)
     }
 
-    pub(super) fn arrive(&self, sender: &Sender, call_id: CallId) -> Arrival {
-        self.arrivals
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .arrive(&sender.identity, call_id)
+    /// What became of a call that its sender asks about over this connection, where it
+    /// waits from now on.
+    ///
+    /// A question may lie on a lost connection and be read after the one over the
+    /// next, so the answer goes to all that are open.
+    pub(super) fn ask(
+        &self,
+        sender: &Sender,
+        call_id: CallId,
+        asked_over: &Connection,
+    ) -> Resolution {
+        let mut state = sender.state();
+        if let Some(call) = state.calls.get_mut(&call_id) {
+            call.waits_on.retain(|connection| !connection.is_closed());
+            call.waits_on.push(asked_over.clone());
+        }
+        self.arrivals().resolve(&sender.identity, call_id)
     }
 
-    pub(super) fn finish(&self, sender: &Sender, answer: &Answer) {
+    /// Keeps an answer for questions, takes its call off the list, and says where its
+    /// sender waits.
+    pub(super) fn finish(&self, sender: &Sender, answer: &Answer) -> Vec<Connection> {
         let kept = Some(Arc::new(answer.clone()));
-        let mut arrivals = self.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
-        arrivals.finish(&sender.identity, answer.call_id, kept);
+        let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = sender.state();
+        self.arrivals()
+            .finish(&sender.identity, answer.call_id, kept);
+        let closed = state.calls.remove(&answer.call_id);
+        drop(state);
+        forget_if_gone(&mut senders, sender);
+        closed.map_or_else(Vec::new, |call| call.waits_on)
     }
 
-    pub(super) fn resolve(&self, sender: &Sender, call_id: CallId) -> Resolution {
-        self.arrivals
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .resolve(&sender.identity, call_id)
+    fn arrivals(&self) -> MutexGuard<'_, Arrivals> {
+        self.arrivals.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-impl Sender {
-    pub(super) fn new(identity: NodeIncarnation) -> Arc<Self> {
-        Arc::new(Self {
-            identity,
-            connection: ArcSwapOption::empty(),
-            cancellations: Mutex::default(),
-        })
-    }
-
-    pub(super) fn is_closed(&self) -> bool {
-        self.connection
-            .load()
-            .as_ref()
-            .is_none_or(|connection| connection.is_closed())
-    }
-
-    pub(super) fn is_idle(&self) -> bool {
-        self.cancellations
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .is_empty()
+fn forget_if_gone(senders: &mut HashMap<NodeIncarnation, Arc<Sender>>, sender: &Sender) {
+    // A newer link may have brought a newer entry of the same identity.
+    let is_listed = senders
+        .get(&sender.identity)
+        .is_some_and(|listed| std::ptr::eq(Arc::as_ptr(listed), sender));
+    if is_listed && sender.state().is_gone() {
+        senders.remove(&sender.identity);
     }
+}
 
-    /// Sends and waits until the frame has left.
-    ///
-    /// Failure: a node stops while a large answer waits for a sender that reads
-    /// slowly; the sender would get a part of it and a closed link.
-    pub(super) async fn send_out(&self, body: frame::Body) {
-        if let Some(connection) = self.connection.load_full() {
-            connection.send(body).await;
-            connection.flushed().await;
-        }
+impl SenderState {
+    fn is_gone(&self) -> bool {
+        self.open_links == 0 && self.calls.is_empty()
     }
 }
 
 impl Sender {
-    pub(super) fn register_cancellation(&self, call_id: CallId) -> CancellationToken {
-        let token = CancellationToken::new();
-        self.cancellations
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .insert(call_id, token.clone());
-        token
+    fn new(identity: NodeIncarnation) -> Arc<Self> {
+        Arc::new(Self {
+            identity,
+            state: Mutex::default(),
+        })
     }
 
-    pub(super) fn forget_cancellation(&self, call_id: CallId) {
-        self.cancellations
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(&call_id);
+    fn state(&self) -> MutexGuard<'_, SenderState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(super) fn cancel(&self, call_id: CallId) {
-        let token = self
-            .cancellations
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .get(&call_id)
-            .cloned();
-        if let Some(token) = token {
-            token.cancel();
+        if let Some(call) = self.state().calls.get(&call_id) {
+            call.cancelled.cancel();
         }
     }
 }
--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -4,6 +4,8 @@
 mod life;
 mod members;
 mod policies;
+#[cfg(test)]
+mod tests;
 mod upstream;
 
 pub(crate) use configuration::InForce;
@@ -61,6 +63,8 @@
     pub(crate) datagram_refusals: LogLimit,
     /// Log lines about single calls.
     pub(crate) call_lines: LineBudget,
+    /// The same about those that the drain's limit ends.
+    pub(crate) limit_lines: LineBudget,
     pub(crate) tracer: Tracer,
     pub(crate) waits: Waits,
     pub(crate) entry_counts: EntryCounts,
@@ -97,6 +101,8 @@
     pub(crate) left_told: Notify,
     /// No request is taken any more: callers' connections end with what is on them.
     pub(crate) closing: CancellationToken,
+    /// The drain's limit has come: callers are told what is known by now.
+    pub(crate) limit_reached: CancellationToken,
     /// The node has stopped: its tasks end.
     pub(crate) stopped: CancellationToken,
 }
@@ -141,6 +147,7 @@
             link_refusals: LogLimit::default(),
             datagram_refusals: LogLimit::default(),
             call_lines: LineBudget::default(),
+            limit_lines: LineBudget::default(),
             tracer,
             waits: Waits::default(),
             entry_counts: EntryCounts::default(),
--- a/crates/hemlocktack-node/tests/gossip_lines.rs
+++ b/crates/hemlocktack-node/tests/gossip_lines.rs
@@ -72,7 +72,7 @@
     let sent = datagrams.len() as u64 * ROUNDS + 1;
     let (mut told, mut lines) = (0, 0);
     while told < sent {
-        told += count_in(&node.line_with("number=407"));
+        told += count_in(&node.line_with("number=409"));
         lines += 1;
     }
     assert_eq!(told, sent);
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -46,6 +46,7 @@
     106 ERROR NodeFailed: "the node ends because a listener or its start failed", "read the error; check addresses and that no other process holds them";
     107 INFO SettingsReloaded: "the settings were read again: those in adjusted are in force, those in deferred hold from the next start on", "start the node again if a setting in deferred has changed";
     108 ERROR SettingsFaulty: "the settings were read again and cannot be used; those before stay in force", "read the faults and mend the settings file";
+    109 WARN RequestEndedByLimit: "the drain limit came while a request waited; its caller was told what was known by then", "look for the request on the node in sent_to, over the link to link_address; without sent_to it waited for its own body or between two sends";
 
     201 INFO UpstreamAnnounced: "the upstream beside the node has announced itself", "nothing";
     202 WARN UpstreamLapsed: "the upstream has not renewed its announcement", "look whether the upstream's process runs and reaches the node's control address";
@@ -63,14 +64,17 @@
     306 INFO ConfigurationStored: "an operator's change is stored as a new generation", "nothing";
     307 ERROR PlatformUnreadable: "the platform answered something else than its interface says; the last good configuration stays in force", "read the detail; look what wrote the object";
 
-    401 WARN LinkRefused: "a process could not prove the fleet key", "compare the fleet keys of both nodes; if the address is not a node's, look who it is";
+    401 WARN LinkRefused: "a process opened a link and did not prove that it is a node of the fleet", "error says how far it came: closed before its proof, it may have meant another node; else compare the fleet keys of both nodes, and if the address is not a node's, look who it is";
     402 INFO LinkLost: "a link to another node broke; calls on it are resolved over a new one", "nothing unless it repeats: then look at the network between the two";
     403 WARN FrameMalformed: "a frame could not be read and its link was closed", "compare the versions of both nodes";
     404 INFO PeerLost: "another node no longer answers probes", "nothing unless many go at once: then look at their data centre";
     405 INFO PeerChanged: "what this node believes of another one, or of its upstream, has changed", "nothing; compare with the other node's own log";
 
     406 WARN LinkSilent: "the other end of a link gave no sign of life while calls waited on it; the link is closed", "nothing unless it repeats with the same peer: then look at it, and at the network between";
-    407 WARN DatagramRefused: "a datagram of gossip could not prove the fleet key or be read, and was dropped", "compare the fleet keys and the versions of both nodes; if the address is not a node's, look who it is";
+
+    407 WARN AnswerUndelivered: "an answer could not be given to the node that sent the call; it is kept until that node asks", "look for 402 or 406 of this node's incarnation on the other node; there the request's 711 tells what its caller got";
+    408 WARN OtherNodeAtAddress: "another node than the one meant answers at its address", "nothing if the node meant is gone for good; else two nodes are configured with one address";
+    409 WARN DatagramRefused: "a datagram of gossip could not prove the fleet key or be read, and was dropped", "compare the fleet keys and the versions of both nodes; if the address is not a node's, look who it is";
 
     501 WARN OperatorRefused: "an operators' call without the right token was refused", "if it was you, check the token; if not, look who asks";
     502 INFO OperatorCommand: "an operator's command is carried out", "nothing";
@@ -92,6 +96,9 @@
     714 INFO AnsweredLate: "an answer left later than the operators' objective for its route", "follow its request_id to 715; the rest of the time went to earlier sends (711) and links";
     715 INFO RunLate: "a root request's wait and run took longer than was left of its objective", "compare queue_ms, own_ms and below_ms: look at load, at the upstream, or at the services below";
 
+    721 ERROR RequestPanicked: "the work on a request met a fault of the node itself; its caller is told that its end is unknown", "report it with the lines about the panic on standard error";
+    722 INFO RequestUnanswered: "a request that was read ended without an answer: its caller has gone, or its connection or the process has ended", "nothing where callers give up; with is_stopping, or beside a change, follow its request_id on all nodes";
+
     801 WARN CollectorLost: "spans cannot be exported; they are dropped and counted", "look at the collector; calls are not affected";
     802 INFO CollectorBack: "spans are exported again", "nothing";
 }
