--- a/crates/hemlocktack-fleet/src/calls/arrivals.rs
+++ b/crates/hemlocktack-fleet/src/calls/arrivals.rs
@@ -94,7 +94,8 @@
 #[derive(Clone, Debug)]
 struct Sender {
     progress: HashMap<CallId, Progress>,
-    oldest_settled_first: VecDeque<CallId>,
+    // In the order in which they were settled.
+    settled: VecDeque<CallId>,
     // An id below it that is not in `progress` may have been settled and
     // forgotten. `None`: nothing has arrived yet from a sender that may have
     // been forgotten as a whole, so that every id is in doubt.
@@ -105,7 +106,7 @@
     fn doubtful() -> Sender {
         Sender {
             progress: HashMap::new(),
-            oldest_settled_first: VecDeque::new(),
+            settled: VecDeque::new(),
             mark: None,
         }
     }
@@ -227,12 +228,12 @@
             let is_running = |progress: &&Progress| **progress == Progress::Running;
             let running_count = sender.progress.values().filter(is_running).count();
             assert!(
-                sender.oldest_settled_first.len() <= self.limits.settled_per_sender,
+                sender.settled.len() <= self.limits.settled_per_sender,
                 "settled calls"
             );
             assert_eq!(
                 sender.progress.len(),
-                running_count + sender.oldest_settled_first.len(),
+                running_count + sender.settled.len(),
                 "calls"
             );
         }
@@ -250,11 +251,11 @@
         let Some(sender) = self.senders.get_mut(from) else {
             return;
         };
-        sender.oldest_settled_first.push_back(call_id);
-        // Not the smallest id, which may be that of a call that took long and whose
-        // answer is just being given.
-        while sender.oldest_settled_first.len() > self.limits.settled_per_sender {
-            let Some(forgotten) = sender.oldest_settled_first.pop_front() else {
+        sender.settled.push_back(call_id);
+        // By the order of settling: the answer of a call that took long may just be
+        // under way.
+        while sender.settled.len() > self.limits.settled_per_sender {
+            let Some(forgotten) = sender.settled.pop_front() else {
                 return;
             };
             sender.progress.remove(&forgotten);
@@ -297,7 +298,7 @@
         let Some(sender) = self.senders.remove(&oldest) else {
             return;
         };
-        for call_id in &sender.oldest_settled_first {
+        for call_id in &sender.settled {
             self.answers.remove(&(oldest.clone(), *call_id));
         }
         let above_highest = sender
--- a/crates/hemlocktack-fleet/src/tickets/table.rs
+++ b/crates/hemlocktack-fleet/src/tickets/table.rs
@@ -11,6 +11,7 @@
 
 const FIRST_EPOCH: u64 = 1;
 const OWN_HOME_NUMBER: u32 = 0;
+
 /// Bounds of a table's memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TableLimits {
--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -30,7 +30,7 @@
 pub(crate) use ends::{not_run, retry_after, unknown};
 pub(crate) use enter::{enter, refusal};
 pub(crate) use home_table::Home;
-pub(crate) use panics::answer_of;
+pub(crate) use panics::catch_panic;
 pub(crate) use place::run_placed;
 pub(crate) use receive::receive;
 pub(crate) use send_record::{SendRecord, WaitingSend};
--- a/crates/hemlocktack-node/src/calls/panics.rs
+++ b/crates/hemlocktack-node/src/calls/panics.rs
@@ -12,7 +12,7 @@
 ///
 /// Failure: the task of a connection or of a call ends, and whoever waits for its
 /// answer gets a closed connection, or waits for the whole patience.
-pub(crate) async fn answer_of(request_id: &str, work: impl Future<Output = Answer>) -> Answer {
+pub(crate) async fn catch_panic(request_id: &str, work: impl Future<Output = Answer>) -> Answer {
     // What is shared is behind locks that take over after a panic.
     let worked = AssertUnwindSafe(work).catch_unwind().await;
     worked.unwrap_or_else(|_| {
--- a/crates/hemlocktack-node/src/calls/receive.rs
+++ b/crates/hemlocktack-node/src/calls/receive.rs
@@ -9,7 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::run::{RunOrder, run};
-use super::{answer_of, home, not_run, unknown};
+use super::{catch_panic, home, not_run, unknown};
 use crate::node::Node;
 use crate::telemetry::{ObservedSpan, request_line};
 
@@ -24,7 +24,7 @@
     let span = ObservedSpan::begin(node, SpanName::Hop, &mut call);
     let what = request_line(&call.method, &call.path);
     let request_id = call.request_id.clone();
-    let answer = answer_of(&request_id, treat(node, call, cancelled)).await;
+    let answer = catch_panic(&request_id, treat(node, call, cancelled)).await;
     span.end(node, &answer, || what);
     answer
 }
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -41,7 +41,7 @@
     };
     let read = ReadRequest::new(&node, &entered.request_id);
     let running = run(&node, interface, &head, &entered, &mut body);
-    let answer = calls::answer_of(&entered.request_id, running).await;
+    let answer = calls::catch_panic(&entered.request_id, running).await;
     read.answered();
     if answer.outcome() != Outcome::Answered {
         log_refused(&node, &entered, &answer);
--- a/crates/hemlocktack-node/src/links/codec.rs
+++ b/crates/hemlocktack-node/src/links/codec.rs
@@ -15,14 +15,13 @@
 pub(crate) type Result<T> = std::result::Result<T, Error>;
 
 /// Largest frame: the largest answer that operators may allow, with room for
-/// its headers. A peer that announces more is cut off before anything is
-/// allocated for it.
+/// its headers. A peer that announces more is cut off.
 pub(crate) const MAX_FRAME_BYTES: usize = 20 << 20;
 
 /// Before each frame stands its length, most significant byte first.
 const LENGTH_BYTES: usize = 4;
 /// Room that is made for the rest of a frame whose beginning has come.
-const READ_ROOM_BYTES: usize = 8 << 10;
+const READ_CHUNK_BYTES: usize = 8 << 10;
 
 /// What can go wrong with a frame.
 #[derive(Debug, Display, Error, From)]
@@ -72,12 +71,12 @@
     fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Frame>> {
         // Called when bytes have come, and once more for each frame in them.
         self.heard.note();
-        let Some(length_bytes) = announced(source)? else {
+        let Some(length_bytes) = frame_length(source)? else {
             return Ok(None);
         };
         let end_bytes = LENGTH_BYTES + length_bytes;
         if source.len() < end_bytes {
-            source.reserve((end_bytes - source.len()).min(READ_ROOM_BYTES));
+            source.reserve((end_bytes - source.len()).min(READ_CHUNK_BYTES));
             return Ok(None);
         }
         source.advance(LENGTH_BYTES);
@@ -86,11 +85,11 @@
     }
 }
 
-/// The length of the next frame, once its bytes have come.
+/// Length of the next frame, once its prefix has come.
 ///
-/// Not the library's: it makes room for the whole frame at once, also in an opening,
-/// which nobody has proved anything in yet.
-fn announced(source: &BytesMut) -> Result<Option<usize>> {
+/// `LengthDelimitedCodec` would make room for the whole frame at once, also for a peer
+/// that has not proved itself.
+fn frame_length(source: &BytesMut) -> Result<Option<usize>> {
     let Some(head) = source.first_chunk::<LENGTH_BYTES>() else {
         return Ok(None);
     };
--- a/crates/hemlocktack-node/src/links/dial.rs
+++ b/crates/hemlocktack-node/src/links/dial.rs
@@ -22,6 +22,7 @@
 /// Opening a link within a data centre takes a millisecond and between regions
 /// a few dozen; a peer that has not answered by then is as good as gone.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The link to one node, over as many connections as it takes.
 pub(super) struct Link {
     node_id: NodeId,
@@ -73,7 +74,7 @@
     }
 
     fn log_other_node(&self, link: &Link, found: &NodeIncarnation) {
-        let Some(found_count) = self.other_nodes.count() else {
+        let Some(found_count) = self.address_mismatches.count() else {
             return;
         };
         log_event!(
--- a/crates/hemlocktack-node/src/links/handshake.rs
+++ b/crates/hemlocktack-node/src/links/handshake.rs
@@ -35,8 +35,8 @@
     #[display("the peer sent something else than the opening asks for")]
     Unexpected,
     #[display("the peer did not prove itself in time")]
-    TooSlow,
-    #[display("{} answers at the address", _0.node_id)]
+    Timeout,
+    #[display("another node answers at the address: {}", _0.node_id)]
     #[from(ignore)]
     #[error(ignore)]
     OtherNode(NodeIncarnation),
@@ -75,10 +75,9 @@
 
 /// The dialling end, which wants this node and no other.
 ///
-/// Failure: a node is gone and another one has its address. Symptom: calls to the
-/// first go to the second, which cannot run them, or is told of each load twice. It
-/// says its name under the MAC before this end has proved itself, so it never takes
-/// the link for open.
+/// Failure: a node is gone and another one has its address. Symptom: calls to the first
+/// reach the second, which cannot run them. The far end names itself under its MAC
+/// before this end sends its proof, so a wrong node never holds an open link.
 pub(crate) async fn dial(
     stream: TcpStream,
     own: &NodeIncarnation,
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -66,7 +66,7 @@
     let error = match opened {
         Ok(Ok(open)) => return Some(open),
         Ok(Err(error)) => error,
-        Err(_) => handshake::Error::TooSlow,
+        Err(_) => handshake::Error::Timeout,
     };
     if let Some(refused_count) = node.link_refusals.count() {
         log_event!(Event::LinkRefused, %address, %error, refused_count);
@@ -110,7 +110,7 @@
 }
 
 fn take_call(node: &Arc<Node>, sender: &Arc<Sender>, connection: &Connection, call: Call) {
-    let Some(cancelled) = node.senders.take(sender, call.call_id, connection) else {
+    let Some(cancelled) = node.senders.begin_call(sender, call.call_id, connection) else {
         return;
     };
     let in_flight = node.enter_call();
@@ -166,7 +166,7 @@
 
 /// Says what became of a call whose link was lost; see `Links::ask_again`.
 async fn resolve_call(node: &Node, sender: &Sender, connection: &Connection, call_id: CallId) {
-    let resolution = node.senders.ask(sender, call_id, connection);
+    let resolution = node.senders.resolve(sender, call_id, connection);
     let progress = resolution.progress().into();
     if let Resolution::Finished(answer) = resolution {
         connection
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -29,6 +29,7 @@
 const ASK_AGAIN_LIMIT_IDEMPOTENT: Duration = Duration::from_millis(150);
 /// Wait between two attempts to reach a peer that has calls of ours pending.
 const REDIAL_PAUSE: Duration = Duration::from_millis(50);
+
 /// Where a node is reached and which start of it is meant.
 #[derive(Clone, Debug)]
 pub(crate) struct Peer {
@@ -69,7 +70,7 @@
     next_call_id: AtomicU64,
     pub(super) next_query_id: AtomicU64,
     pub(super) queries: super::queries::PendingQueries,
-    pub(super) other_nodes: LogLimit,
+    pub(super) address_mismatches: LogLimit,
 }
 
 impl Links {
@@ -81,7 +82,7 @@
             next_call_id: AtomicU64::new(1),
             next_query_id: AtomicU64::new(1),
             queries: super::queries::PendingQueries::default(),
-            other_nodes: LogLimit::default(),
+            address_mismatches: LogLimit::default(),
         }
     }
 
--- a/crates/hemlocktack-node/src/links/senders.rs
+++ b/crates/hemlocktack-node/src/links/senders.rs
@@ -12,8 +12,8 @@
 
 /// What this node remembers of those who send it calls.
 ///
-/// It outlives connections: a call that its sender asks about is answered over the
-/// connection that the question came over, too.
+/// It outlives connections: an answer goes to the connection that its call came over
+/// and to those that it was asked about over.
 pub(crate) struct Senders {
     arrivals: Mutex<Arrivals>,
     senders: Mutex<HashMap<NodeIncarnation, Arc<Sender>>>,
@@ -36,7 +36,7 @@
     cancelled: CancellationToken,
     /// Where its sender waits for the answer: the connection that it came over, and
     /// those that it was asked for over.
-    waits_on: Vec<Connection>,
+    reply_to: Vec<Connection>,
 }
 
 impl Default for Senders {
@@ -72,7 +72,7 @@
     ///
     /// Noted and listed in one step, as a question that came between the two would be
     /// told that the call runs, and its connection would not hear of the answer.
-    pub(super) fn take(
+    pub(super) fn begin_call(
         &self,
         sender: &Sender,
         call_id: CallId,
@@ -85,7 +85,7 @@
         let cancelled = CancellationToken::new();
         let call = OpenCall {
             cancelled: cancelled.clone(),
-            waits_on: vec![came_over.clone()],
+            reply_to: vec![came_over.clone()],
         };
         state.calls.insert(call_id, call);
         Some(cancelled)
@@ -96,7 +96,7 @@
     ///
     /// A question may lie on a lost connection and be read after the one over the
     /// next, so the answer goes to all that are open.
-    pub(super) fn ask(
+    pub(super) fn resolve(
         &self,
         sender: &Sender,
         call_id: CallId,
@@ -104,8 +104,8 @@
     ) -> Resolution {
         let mut state = sender.state();
         if let Some(call) = state.calls.get_mut(&call_id) {
-            call.waits_on.retain(|connection| !connection.is_closed());
-            call.waits_on.push(asked_over.clone());
+            call.reply_to.retain(|connection| !connection.is_closed());
+            call.reply_to.push(asked_over.clone());
         }
         self.arrivals().resolve(&sender.identity, call_id)
     }
@@ -118,10 +118,10 @@
         let mut state = sender.state();
         self.arrivals()
             .finish(&sender.identity, answer.call_id, kept);
-        let closed = state.calls.remove(&answer.call_id);
+        let ended = state.calls.remove(&answer.call_id);
         drop(state);
         forget_if_gone(&mut senders, sender);
-        closed.map_or_else(Vec::new, |call| call.waits_on)
+        ended.map_or_else(Vec::new, |call| call.reply_to)
     }
 
     fn arrivals(&self) -> MutexGuard<'_, Arrivals> {
--- a/crates/hemlocktack-node/src/links/tests.rs
+++ b/crates/hemlocktack-node/src/links/tests.rs
@@ -41,7 +41,7 @@
             let mut told_running = Vec::new();
             for call_id in 1..=ROUNDS {
                 start.wait();
-                let resolution = senders.ask(&sender, call_id, &next);
+                let resolution = senders.resolve(&sender, call_id, &next);
                 told_running.push(resolution == Resolution::Running);
                 answered.wait();
             }
@@ -50,7 +50,7 @@
         let mut came_through = Vec::new();
         for call_id in 1..=ROUNDS {
             start.wait();
-            let taken = senders.take(&sender, call_id, &lost);
+            let taken = senders.begin_call(&sender, call_id, &lost);
             if call_id % 2 == 0 {
                 answered.wait();
             }
@@ -58,8 +58,8 @@
                 call_id,
                 ..Answer::default()
             };
-            let waits_on = senders.finish(&sender, &answer);
-            came_through.push(waits_on.iter().any(|waits_on| !waits_on.is_closed()));
+            let reply_to = senders.finish(&sender, &answer);
+            came_through.push(reply_to.iter().any(|reply_to| !reply_to.is_closed()));
             if call_id % 2 == 1 {
                 answered.wait();
             }
--- a/crates/hemlocktack-node/src/node/policies.rs
+++ b/crates/hemlocktack-node/src/node/policies.rs
@@ -18,9 +18,9 @@
 /// Kept back from the time between the signal to stop and the end by force:
 /// to tell callers, to say farewell and to exit.
 const EXIT_TIME: Duration = Duration::from_millis(700);
-/// The largest share of it that is kept back, as one in so many: before the last
-/// sixth nothing is broken off at which an upstream works.
-const EXIT_TIME_ONE_IN: u32 = 6;
+/// Largest part of the grace period that is kept back, as a divisor: of a short one
+/// at least five sixths stay for requests in flight.
+const EXIT_TIME_DIVISOR: u32 = 6;
 /// An upstream whose announcements come through an interface renews every
 /// second or two and may be seconds late; that it is down shows when a
 /// connection fails.
@@ -63,6 +63,6 @@
 pub(super) fn drain_limit(adjustable: &AdjustableSettings) -> Duration {
     let grace = adjustable.stop_grace;
     grace.map_or(adjustable.drain_limit, |grace| {
-        grace - EXIT_TIME.min(grace / EXIT_TIME_ONE_IN)
+        grace - EXIT_TIME.min(grace / EXIT_TIME_DIVISOR)
     })
 }
--- a/crates/hemlocktack-node/tests/panics.rs
+++ b/crates/hemlocktack-node/tests/panics.rs
@@ -18,7 +18,7 @@
 #[tokio::test]
 async fn work_that_panics_comes_to_an_unknown_end() {
     let panicking = async { panic!("a fault of the node itself") };
-    let answer = panics::answer_of("p-1", panicking).await;
+    let answer = panics::catch_panic("p-1", panicking).await;
     assert_eq!(answer.outcome(), Outcome::Unknown);
     let answered = Answer {
         outcome: Outcome::Answered.into(),
@@ -26,5 +26,5 @@
         ..Answer::default()
     };
     let work = async { answered.clone() };
-    assert_eq!(panics::answer_of("p-2", work).await, answered);
+    assert_eq!(panics::catch_panic("p-2", work).await, answered);
 }
