Refused bodies: one time and one reason for both listeners

Cause: the rest of a refused body is taken for a while on the product's own listener and on the deployment's; the time and the failure it guards against stood in both, word for word. Change: refused_body.rs holds them; how a body is read stays with its listener, as the two libraries give it differently. Before and after: same time, same places; the tests of both are unchanged.

--- a/crates/hemlocktack-node/src/callers/routes.rs
+++ b/crates/hemlocktack-node/src/callers/routes.rs
@@ -1,7 +1,6 @@
 //! One route for any method and any path.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use hemlocktack_protocol::Reason;
@@ -15,10 +14,10 @@
 use super::{CallerRequest, has_key, read_head};
 use crate::calls;
 use crate::node::Node;
+use crate::refused_body::take_for_a_while;
 
-/// What a caller may go on sending of a body that is refused, and for how long.
+/// What a caller may go on sending of a body that is refused.
 const REST_TAKEN_BYTES: usize = 64 << 20;
-const REST_TAKEN_FOR: Duration = Duration::from_secs(2);
 const METHODS: [Method; 7] = [
     Method::Get,
     Method::Head,
@@ -90,12 +89,7 @@
     Ok(Bytes::from(body))
 }
 
-/// Takes the rest of a body that nobody needs, for a while.
-///
-/// Failure: a connection that is closed with bytes unread is reset, and the reset
-/// takes the refusal away from a caller that reads it once all is sent.
 async fn take_rest(mut rest: DataStream<'_>) {
     let mut nowhere = tokio::io::sink();
-    let taking = tokio::io::copy(&mut rest, &mut nowhere);
-    let _ = tokio::time::timeout(REST_TAKEN_FOR, taking).await;
+    take_for_a_while(tokio::io::copy(&mut rest, &mut nowhere)).await;
 }
--- a/crates/hemlocktack-node/src/lib.rs
+++ b/crates/hemlocktack-node/src/lib.rs
@@ -13,6 +13,7 @@
 mod node;
 mod operators;
 mod peers;
+mod refused_body;
 mod reload;
 mod run;
 mod settings;
