Tests of the close: their configuration is built, not read in the deployment's words

Cause: the tests of the listeners' close, inside the node, held a configuration in the deployment's own format; only its translation knows that format. Change: they build the document that the translation would give, and the interface under test reads that one. Before and after: 4 of 4 pass; with the check after the close taken out of the product, the same two as before fail (a_request_that_is_read_after_the_close_is_refused_and_not_placed, an_upload_that_ends_after_the_close_is_refused_and_not_placed). Assertions unchanged.

--- a/crates/hemlocktack-node/src/gateway/tests.rs
+++ b/crates/hemlocktack-node/src/gateway/tests.rs
@@ -12,6 +12,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hemlocktack_config::{Class, ClientLimits, Document, Route, RouteTarget, Service};
+use hemlocktack_interface::Interface;
 use hemlocktack_protocol::ConfigurationDocument;
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -29,21 +31,7 @@
 const HALF_UPLOAD: &[u8] =
     b"POST /book/x HTTP/1.1\r\nhost: flats.example\r\ncontent-length: 8\r\n\r\nhalf";
 const OTHER_HALF: &[u8] = b"half";
-const CONFIGURATION: &str = r#"{
-    "version": 1,
-    "resources": [
-        { "resource_kind": "routes", "metadata": { "name": "r-1" },
-          "specification": { "host": "flats.example", "path_prefix": "/book/",
-                             "kind": "unsafe", "timeout": "5000ms",
-                             "target_latency": "1500ms", "priority": 0,
-                             "service": "listings", "attempts": 2 } },
-        { "resource_kind": "services", "metadata": { "name": "listings" },
-          "specification": { "health_check_path": "/health", "connection_limit": 36 } },
-        { "resource_kind": "limits", "metadata": {},
-          "specification": { "max_header_bytes": 16384, "max_body_bytes": 65536,
-                             "header_timeout": "3000ms", "idle_timeout": "15000ms" } }
-    ]
-}"#;
+const SERVICE: &str = "listings";
 /// Where two branches are ready, one is taken at random: so many rounds leave no
 /// doubt about either.
 const ROUNDS: usize = 64;
@@ -73,12 +61,10 @@
 
     /// Places requests on a service that has no nodes.
     async fn start_placing() -> Self {
-        let interface = interfaces::find(InterfaceName::Cooperative).unwrap();
-        let handle = move |node, request| requests::answer(node, interface, request);
+        let handle = |node, request| requests::answer(node, interface(), request);
         let served = Self::start_with(handle, Box::leak(Box::default())).await;
         served.node.take_configuration(ConfigurationDocument {
             generation: 1,
-            document: CONFIGURATION.to_owned(),
             ..ConfigurationDocument::default()
         });
         served
@@ -125,7 +111,62 @@
         ("--stop-grace", "6s"),
     ];
     let loaded = for_tests::with_flags(&own);
-    new_node(loaded.settings, loaded.adjustable).unwrap()
+    let mut node = new_node(loaded.settings, loaded.adjustable).unwrap();
+    node.interface = Some(interface());
+    node
+}
+
+/// The deployment's, with a configuration that is not read from a text.
+fn interface() -> Interface {
+    Interface {
+        read_configuration: |_| Ok(document()),
+        ..interfaces::find(InterfaceName::Cooperative).unwrap()
+    }
+}
+
+/// One route to one service.
+fn document() -> Document {
+    let client_limits = ClientLimits {
+        header_limit_bytes: 16 << 10,
+        body_limit_bytes: 64 << 10,
+        header_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+    };
+    Document {
+        classes: ["rank-0", "rank-1"].map(class).to_vec(),
+        services: vec![Service {
+            body_limit_bytes: client_limits.body_limit_bytes,
+            health_path: Some("/health".to_owned()),
+            connection_limit: Some(36),
+            ..Service::new(SERVICE)
+        }],
+        routes: vec![route()],
+        client_limits,
+        ..Document::default()
+    }
+}
+
+fn class(name: &str) -> Class {
+    Class {
+        name: name.to_owned(),
+    }
+}
+
+fn route() -> Route {
+    Route {
+        name: "r-1".to_owned(),
+        host: "flats.example".to_owned(),
+        path_prefix: "/book/".to_owned(),
+        idempotent: false,
+        timeout_ms: Some(5_000),
+        target_latency_ms: Some(1_500),
+        priority: Some(0),
+        attempts: 2,
+        targets: vec![RouteTarget {
+            service: SERVICE.to_owned(),
+            weight: 1,
+        }],
+    }
 }
 
 /// A caller connects in the moment in which no connection is left and the
