Soak: packets come late in the relay that is there already

Cause: a second relay was written for packets that come late by chance, and stood in front of the first on each link: the same loop, one hop more. Ruled out: leaving it as its passage changes by percent only; the first relay's passage says what becomes of bytes, and this is one more answer. Change: a passage of the relay's own, towards the target as before.

--- a/crates/hemlocktack-testkit/src/relay.rs
+++ b/crates/hemlocktack-testkit/src/relay.rs
@@ -1,11 +1,13 @@
 //! A TCP relay on loopback that a test disturbs: connections through it are
-//! delayed, held up one way or both, cut, refused, or silenced for good.
+//! delayed, all or by chance, held up one way or both, cut, refused, or silenced
+//! for good.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use rand::RngExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -22,6 +24,14 @@
     Open,
     /// They go through so much later.
     Delayed(Duration),
+    /// Towards the target, so many pieces of a hundred go through so much later, as
+    /// those that a path loses: what newer connections carry overtakes them.
+    LateByChance {
+        /// Pieces of a hundred.
+        percent: u32,
+        /// How much later.
+        by: Duration,
+    },
     /// They wait, in these directions, until the passage changes.
     Held(Held),
     /// Connections are cut, and new ones closed as soon as they are accepted.
@@ -51,7 +61,25 @@
             Passage::Held(Held::BothWays) => true,
             Passage::Held(Held::TowardsTarget) => direction == Direction::TowardsTarget,
             Passage::Held(Held::TowardsCaller) => direction == Direction::TowardsCaller,
-            Passage::Open | Passage::Delayed(_) | Passage::Refused => false,
+            Passage::Open
+            | Passage::Delayed(_)
+            | Passage::LateByChance { .. }
+            | Passage::Refused => false,
+        }
+    }
+
+    /// How much later a piece goes through.
+    fn delay(self, direction: Direction) -> Duration {
+        match self {
+            Passage::Delayed(time) => time,
+            Passage::LateByChance { percent, by } => {
+                let is_late = rand::rng().random_range(0..100) < percent;
+                match is_late && direction == Direction::TowardsTarget {
+                    true => by,
+                    false => Duration::ZERO,
+                }
+            }
+            Passage::Open | Passage::Held(_) | Passage::Refused => Duration::ZERO,
         }
     }
 }
@@ -246,8 +274,9 @@
         }
         let opened = self.passage.wait_for(|passage| !passage.holds(direction));
         let passage = opened.await.map_or(Passage::Open, |passage| *passage);
-        if let Passage::Delayed(time) = passage {
-            tokio::time::sleep(time).await;
+        let delay = passage.delay(direction);
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
         }
     }
 }
