Queue: while calls with prior work are lost, the same root requests win each time

Two of three upstreams of the deepest service are gone for good; a grant needs eight checks there, and 1.2 times as many are asked for as fit.

Cause: a full queue went by the age of its calls, so each of the eight checks of a grant competed anew and nearly every grant lost one of the last, after most of its work had been done.

Ruled out: lookups that take the room (their lane is behind).

--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -16,6 +16,7 @@
     AdmissionDecision, CancelResult, OfferedCall, QueueDecision, RunResult, WorkKind,
 };
 use crate::policy::AdmissionPolicy;
+use crate::prior_work_losses::PriorWorkLosses;
 use crate::quarantine::{Quarantine, QuarantineStatus};
 use crate::queue::{ClassQueue, QueuedCall};
 use crate::shed::{Pressure, ShedController, ShedLevel};
@@ -57,6 +58,7 @@
     probed_at: Option<Instant>,
     hold_back: Option<HoldBack>,
     long_queue_since: Option<Instant>,
+    prior_work_losses: PriorWorkLosses,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -95,6 +97,7 @@
             probed_at: None,
             hold_back: None,
             long_queue_since: None,
+            prior_work_losses: PriorWorkLosses::new(now),
             policy,
         }
     }
@@ -154,6 +157,9 @@
             return AdmissionDecision::Refused(self.refusal(self.refusal_reason, offer.call_id));
         }
         self.shed.arrived(offer.class_rank, offer.root_request_id);
+        if offer.work_spent > Duration::ZERO {
+            self.prior_work_losses.record_offer(now);
+        }
         match self.quarantine.status(offer.fingerprint, now) {
             QuarantineStatus::Clear => self.run_or_queue(offer, now),
             QuarantineStatus::Quarantined => AdmissionDecision::Refused(QUARANTINED),
@@ -264,6 +270,12 @@
         self.queue.len() + self.suspects.len()
     }
 
+    /// Returns whether calls with prior work are lost for lack of capacity, so that they leave the
+    /// queue in the order of their root requests.
+    pub fn is_ordered_by_root_request(&self) -> bool {
+        self.prior_work_losses.is_losing()
+    }
+
     /// Returns the current shed level.
     pub fn shed_level(&self) -> ShedLevel {
         self.shed.level()
--- a/crates/hemlocktack-decide/src/admission/offered.rs
+++ b/crates/hemlocktack-decide/src/admission/offered.rs
@@ -1,12 +1,12 @@
 //! Decides whether an offered call runs, waits or is refused.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use hemlocktack_protocol::Reason;
 
 use super::Admission;
-use crate::offer::{AdmissionDecision, OfferedCall, QueueDecision};
-use crate::queue::{QueuedCall, class_of};
+use crate::offer::{AdmissionDecision, OfferedCall};
+use crate::queue::{QueuePlace, QueuedCall};
 
 impl Admission {
     pub(super) fn run_or_queue(&mut self, offer: &OfferedCall, now: Instant) -> AdmissionDecision {
@@ -17,10 +17,9 @@
         if let Some(limit) = &mut self.objective_limit {
             limit.mark_saturated();
         }
-        let class = class_of(offer.class_rank);
-        let has_prior_work = offer.work_spent > Duration::ZERO;
-        let ahead = self.queue.calls_ahead_of(class, has_prior_work);
         let queued_call = QueuedCall::from_offer(offer, now);
+        let place = queued_call.place;
+        let ahead = self.queue.calls_ahead_of(place, self.queue_order(now));
         let wait = self.wait_for(ahead + 1);
         let is_wait_too_long = queued_call
             .objective
@@ -29,26 +28,14 @@
             || self.has_returned_too_late(&queued_call, now)
             || self.misses_deadline(offer.kind, queued_call.deadline, wait, now)
         {
-            return AdmissionDecision::Refused(self.refusal_within_objective(
-                Reason::DeadlineTooShort,
-                &queued_call,
-                now,
-            ));
+            return self.refuse_offer(Reason::DeadlineTooShort, &queued_call, now);
         }
-        if self.is_shed(offer, class, has_prior_work, now) {
-            return AdmissionDecision::Refused(self.refusal_within_objective(
-                Reason::Shed,
-                &queued_call,
-                now,
-            ));
+        if self.is_shed(offer, place, now) {
+            return self.refuse_offer(Reason::Shed, &queued_call, now);
         }
-        if !self.make_room(class, has_prior_work) {
-            self.hold_back_below(class, now);
-            return AdmissionDecision::Refused(self.refusal_within_objective(
-                Reason::QueueFull,
-                &queued_call,
-                now,
-            ));
+        if !self.make_room(place, now) {
+            self.hold_back_below(place.class, now);
+            return self.refuse_offer(Reason::QueueFull, &queued_call, now);
         }
         self.queue.push(queued_call);
         AdmissionDecision::Queued
@@ -76,18 +63,17 @@
         AdmissionDecision::Queued
     }
 
-    fn make_room(&mut self, class: usize, has_prior_work: bool) -> bool {
+    fn make_room(&mut self, place: QueuePlace, now: Instant) -> bool {
         // A queue full of calls with prior work must not block a fresh call that has its turn.
-        let has_fresh_turn = !has_prior_work && self.queue.has_fresh_turn(class);
+        let has_fresh_turn = !place.has_prior_work() && self.queue.has_fresh_turn(place.class);
         if self.queue.len() < self.queue_bound() || has_fresh_turn {
             return true;
         }
-        let Some(evicted) = self.queue.evict_less_important(class, has_prior_work) else {
+        let order = self.queue_order(now);
+        let Some(evicted) = self.queue.evict_less_important(place, order) else {
             return false;
         };
-        let refusal = self.refusal(Reason::QueueFull, evicted.call_id);
-        self.refusals
-            .push(QueueDecision::Refuse(evicted.call_id, refusal));
+        self.refuse_dequeued(Reason::QueueFull, &evicted);
         true
     }
 
--- a/crates/hemlocktack-decide/src/admission/refuse.rs
+++ b/crates/hemlocktack-decide/src/admission/refuse.rs
@@ -6,8 +6,8 @@
 
 use super::{Admission, HoldBack};
 use crate::mix::mix;
-use crate::offer::{OfferedCall, WorkKind};
-use crate::queue::QueuedCall;
+use crate::offer::{AdmissionDecision, OfferedCall, QueueDecision, WorkKind};
+use crate::queue::{QueuePlace, QueuedCall};
 use crate::retry_after::{cap_to_objective, retry_after};
 
 impl Admission {
@@ -47,13 +47,33 @@
         }
     }
 
-    /// Returns a refusal whose Retry-After lets the caller be answered in time, if possible.
-    pub(super) fn refusal_within_objective(
-        &self,
+    /// Refuses an offered call for lack of time or room.
+    pub(super) fn refuse_offer(
+        &mut self,
         reason: Reason,
         call: &QueuedCall,
         now: Instant,
-    ) -> Refusal {
+    ) -> AdmissionDecision {
+        self.record_loss(reason, call);
+        AdmissionDecision::Refused(self.refusal_within_objective(reason, call, now))
+    }
+
+    /// Refuses a call that has been removed from the queue.
+    pub(super) fn refuse_dequeued(&mut self, reason: Reason, call: &QueuedCall) {
+        self.record_loss(reason, call);
+        let refusal = self.refusal(reason, call.call_id);
+        self.refusals
+            .push(QueueDecision::Refuse(call.call_id, refusal));
+    }
+
+    fn record_loss(&mut self, reason: Reason, call: &QueuedCall) {
+        if call.place.has_prior_work() && reason != Reason::NoUpstream {
+            self.prior_work_losses.record_loss();
+        }
+    }
+
+    /// Returns a refusal whose Retry-After lets the caller be answered in time, if possible.
+    fn refusal_within_objective(&self, reason: Reason, call: &QueuedCall, now: Instant) -> Refusal {
         let refusal = self.refusal(reason, call.call_id);
         let expected = self.work.expected(call.kind, now);
         let cut = |wait| match call.objective {
@@ -81,16 +101,10 @@
     /// Returns whether the shed level refuses a call on this node. The entry has already applied
     /// a slightly older level. While the queue is short, or consists of calls with prior work
     /// beside which a fresh call has its turn, every call that got here is therefore accepted.
-    pub(super) fn is_shed(
-        &self,
-        offer: &OfferedCall,
-        class: usize,
-        has_prior_work: bool,
-        now: Instant,
-    ) -> bool {
+    pub(super) fn is_shed(&self, offer: &OfferedCall, place: QueuePlace, now: Instant) -> bool {
         let is_held_back = self
             .hold_back
-            .is_some_and(|hold_back| class > hold_back.class && now < hold_back.until);
+            .is_some_and(|hold_back| place.class > hold_back.class && now < hold_back.until);
         if is_held_back {
             return true;
         }
@@ -98,8 +112,8 @@
         let is_short = (self.queue.len() as f64) < target_queue.max(1.0);
         let level = self.shed.level();
         !is_short
-            && !has_prior_work
-            && !self.queue.has_fresh_turn(class)
+            && !place.has_prior_work()
+            && !self.queue.has_fresh_turn(place.class)
             && !level.admits(offer.class_rank, offer.root_request_id)
     }
 
--- a/crates/hemlocktack-decide/src/admission/waiting.rs
+++ b/crates/hemlocktack-decide/src/admission/waiting.rs
@@ -7,7 +7,7 @@
 use super::{Admission, QUARANTINED};
 use crate::offer::QueueDecision;
 use crate::quarantine::QuarantineStatus;
-use crate::queue::QueuedCall;
+use crate::queue::{QueueOrder, QueuedCall};
 
 /// After a queue has been above half its bound for this long, it will not be drained in time for
 /// its oldest calls: the newest calls run first until it is.
@@ -20,13 +20,11 @@
             return Some(call);
         }
         while self.has_free_slot() {
-            let call = self.queue.pop(self.is_queue_long(now))?;
+            let call = self.queue.pop(self.queue_order(now))?;
             if self.misses_deadline(call.kind, call.deadline, Duration::ZERO, now)
                 && !self.probe(now)
             {
-                let refusal = self.refusal(Reason::QueueTimeout, call.call_id);
-                self.refusals
-                    .push(QueueDecision::Refuse(call.call_id, refusal));
+                self.refuse_dequeued(Reason::QueueTimeout, &call);
                 continue;
             }
             self.start(&call, now);
@@ -54,6 +52,13 @@
         None
     }
 
+    pub(super) fn queue_order(&self, now: Instant) -> QueueOrder {
+        QueueOrder {
+            is_newest_first: self.is_queue_long(now),
+            is_by_root_request: self.prior_work_losses.is_losing(),
+        }
+    }
+
     fn is_queue_long(&self, now: Instant) -> bool {
         self.long_queue_since
             .is_some_and(|since| now.saturating_duration_since(since) >= NEWEST_FIRST_AFTER)
@@ -79,9 +84,7 @@
             .take_matching(&which, |call| refused.push(call));
         self.swept_at = now;
         for call in refused {
-            let refusal = self.refusal(reason, call.call_id);
-            self.refusals
-                .push(QueueDecision::Refuse(call.call_id, refusal));
+            self.refuse_dequeued(reason, &call);
         }
     }
 }
--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -17,6 +17,7 @@
 mod peer_load;
 mod placement;
 mod policy;
+mod prior_work_losses;
 mod quarantine;
 mod queue;
 mod retry;
--- a/crates/hemlocktack-decide/src/queue.rs
+++ b/crates/hemlocktack-decide/src/queue.rs
@@ -1,18 +1,25 @@
-//! Queue of calls that wait for a slot, with one lane per class and per whether work has already
-//! been done for the call.
+//! Queue of calls that wait for a slot. Each class has lanes for calls with prior work, one per
+//! group of root requests, and a lane for fresh calls.
 
 use std::collections::{HashMap, VecDeque};
+use std::ops::Range;
 use std::time::{Duration, Instant};
 
-use hemlocktack_protocol::{CallId, ClassRank, Fingerprint};
+use hemlocktack_protocol::{CallId, ClassRank, Fingerprint, RootRequestId};
 
+use crate::mix::mix;
 use crate::offer::{OfferedCall, WorkKind};
 
 /// Maximum number of classes that operators may declare. Higher ranks are treated as the last
 /// class.
 pub const MAX_CLASSES: usize = 16;
-/// Lanes of each class: calls with prior work, then fresh calls.
-const LANES_PER_CLASS: usize = 2;
+/// Groups of root requests. Under overload, requests of one group still compete with each other
+/// for the last free slots; with more groups less work is wasted on those that lose.
+const ROOT_GROUPS: usize = 1 << ROOT_GROUP_BITS;
+const ROOT_GROUP_BITS: u32 = 5;
+/// Lanes of each class: calls with prior work by the group of their root request, then fresh
+/// calls.
+const LANES_PER_CLASS: usize = ROOT_GROUPS + 1;
 const LANES: usize = MAX_CLASSES * LANES_PER_CLASS;
 /// Calls with prior work that start before a fresh call of their class gets a turn.
 ///
@@ -23,12 +30,63 @@
 /// calls with prior work.
 const PRIOR_WORK_CALLS_PER_FRESH: usize = 7;
 
+/// Stale entries that a lane may hold in addition to twice its calls.
+const MAX_STALE_ENTRIES: usize = 32;
+
+/// Order in which calls of one class leave the queue.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct QueueOrder {
+    /// The newest call goes first, not the oldest.
+    pub(crate) is_newest_first: bool,
+    /// Calls with prior work go by the group of their root request first.
+    ///
+    /// A request may need several calls of one service. If their age decided, each would compete
+    /// anew, and while calls are lost here nearly every request would lose one after the others
+    /// had run. In a stable order of root requests the same ones win each time. The shed level has
+    /// the same order.
+    pub(crate) is_by_root_request: bool,
+}
+
+/// Where a call belongs in the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct QueuePlace {
+    pub(crate) class: usize,
+    /// Group of the root request of a call with prior work.
+    root_group: Option<usize>,
+}
+
+impl QueuePlace {
+    pub(crate) fn of(offer: &OfferedCall) -> Self {
+        let has_prior_work = offer.work_spent > Duration::ZERO;
+        QueuePlace {
+            class: class_of(offer.class_rank),
+            root_group: has_prior_work.then(|| root_group(offer.root_request_id)),
+        }
+    }
+
+    pub(crate) fn has_prior_work(self) -> bool {
+        self.root_group.is_some()
+    }
+
+    fn lane(self) -> usize {
+        let group_lane = self.root_group.map(|group| first_lane(self.class) + group);
+        group_lane.unwrap_or(fresh_lane(self.class))
+    }
+
+    /// Returns the last lane whose calls are as important as this one, whatever their group.
+    fn last_equal_lane(self) -> usize {
+        match self.has_prior_work() {
+            true => fresh_lane(self.class) - 1,
+            false => fresh_lane(self.class),
+        }
+    }
+}
+
 /// A call in the queue.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct QueuedCall {
     pub(crate) call_id: CallId,
-    pub(crate) class: usize,
-    pub(crate) has_prior_work: bool,
+    pub(crate) place: QueuePlace,
     /// Until when the call may wait and still be worth running.
     pub(crate) deadline: Instant,
     /// Time allowed for the answer, measured from the offer.
@@ -43,8 +101,7 @@
         let worth_until = offer.objective.unwrap_or(offer.deadline);
         QueuedCall {
             call_id: offer.call_id,
-            class: class_of(offer.class_rank),
-            has_prior_work: offer.work_spent > Duration::ZERO,
+            place: QueuePlace::of(offer),
             deadline: offer.deadline.min(worth_until),
             objective: offer
                 .objective
@@ -56,12 +113,20 @@
     }
 }
 
-/// Bounded queue. All memory is allocated on creation; each operation except
-/// [`ClassQueue::take_matching`] takes constant time, amortized over cancelled entries.
+#[derive(Clone, Copy, Debug)]
+struct LaneEntry {
+    call_id: CallId,
+    /// Increases with each call that is queued.
+    arrival: u64,
+}
+
+/// Bounded queue. Each operation except [`ClassQueue::take_matching`] takes constant time,
+/// amortized over cancelled entries.
 #[derive(Debug)]
 pub(crate) struct ClassQueue {
-    lanes: [VecDeque<CallId>; LANES],
+    lanes: [VecDeque<LaneEntry>; LANES],
     lane_lengths: [usize; LANES],
+    last_arrival: u64,
     /// Per class: calls with prior work started since a fresh call of the class last started or
     /// began to wait.
     started_since_fresh: [usize; MAX_CLASSES],
@@ -73,6 +138,7 @@
         ClassQueue {
             lanes: std::array::from_fn(|_| VecDeque::new()),
             lane_lengths: [0; LANES],
+            last_arrival: 0,
             started_since_fresh: [0; MAX_CLASSES],
             waiting: HashMap::with_capacity(capacity),
         }
@@ -86,17 +152,27 @@
         self.waiting.is_empty()
     }
 
-    /// Returns the number of queued calls that would run before a new call of this class.
-    pub(crate) fn calls_ahead_of(&self, class: usize, has_prior_work: bool) -> usize {
-        let before: usize = self.lane_lengths[..lane(class, true)].iter().sum();
-        let with_prior_work = self.lane_lengths[lane(class, true)];
-        let fresh = self.lane_lengths[lane(class, false)];
-        if has_prior_work {
-            return before
-                + with_prior_work
-                + fresh.min(with_prior_work / PRIOR_WORK_CALLS_PER_FRESH);
+    /// Returns the number of queued calls that would run before a new call at this place.
+    pub(crate) fn calls_ahead_of(&self, place: QueuePlace, order: QueueOrder) -> usize {
+        let before = self.queued_in(0..first_lane(place.class));
+        let fresh = self.lane_lengths[fresh_lane(place.class)];
+        if !place.has_prior_work() {
+            let with_prior_work = self.queued_with_prior_work(place.class);
+            return before + fresh + with_prior_work.min((fresh + 1) * PRIOR_WORK_CALLS_PER_FRESH);
         }
-        before + fresh + with_prior_work.min((fresh + 1) * PRIOR_WORK_CALLS_PER_FRESH)
+        let ahead = match order.is_by_root_request {
+            true => self.queued_in(first_lane(place.class)..place.lane() + 1),
+            false => self.queued_with_prior_work(place.class),
+        };
+        before + ahead + fresh.min(ahead / PRIOR_WORK_CALLS_PER_FRESH)
+    }
+
+    fn queued_with_prior_work(&self, class: usize) -> usize {
+        self.queued_in(first_lane(class)..fresh_lane(class))
+    }
+
+    fn queued_in(&self, lanes: Range<usize>) -> usize {
+        self.lane_lengths[lanes].iter().sum()
     }
 
     /// Returns, per class, the number of queued calls of the class and of all more important
@@ -111,24 +187,51 @@
     }
 
     pub(crate) fn push(&mut self, call: QueuedCall) {
-        let lane = lane(call.class, call.has_prior_work);
-        self.lanes[lane].push_back(call.call_id);
+        let lane = call.place.lane();
+        self.last_arrival += 1;
+        self.lanes[lane].push_back(LaneEntry {
+            call_id: call.call_id,
+            arrival: self.last_arrival,
+        });
         self.lane_lengths[lane] += 1;
         self.waiting.insert(call.call_id, call);
     }
 
-    /// Removes the next call to run: the oldest or the newest of the most important lane.
-    pub(crate) fn pop(&mut self, newest_first: bool) -> Option<QueuedCall> {
+    /// Removes the next call to run, from the most important class.
+    pub(crate) fn pop(&mut self, order: QueueOrder) -> Option<QueuedCall> {
         let first = self.lane_lengths.iter().position(|length| *length > 0)?;
         let lane = self.next_lane(first);
-        self.take_from(lane, newest_first)
+        let class = lane / LANES_PER_CLASS;
+        if order.is_by_root_request || lane == fresh_lane(class) {
+            return self.take_from(lane, order.is_newest_first);
+        }
+        self.take_with_prior_work(class, order.is_newest_first)
+    }
+
+    /// Removes the oldest or the newest call with prior work of a class.
+    fn take_with_prior_work(&mut self, class: usize, newest: bool) -> Option<QueuedCall> {
+        loop {
+            let lanes = first_lane(class)..fresh_lane(class);
+            let next = if newest {
+                let ends = lanes.filter_map(|lane| Some((self.lanes[lane].back()?.arrival, lane)));
+                ends.max()
+            } else {
+                let ends = lanes.filter_map(|lane| Some((self.lanes[lane].front()?.arrival, lane)));
+                ends.min()
+            };
+            let (_, lane) = next?;
+            let call = self.take_entry(lane, newest)?;
+            if call.is_some() {
+                return call;
+            }
+        }
     }
 
     /// Returns the first non-empty lane, or the fresh lane of its class if that one has its
     /// turn.
     fn next_lane(&mut self, first: usize) -> usize {
         let class = first / LANES_PER_CLASS;
-        let fresh = lane(class, false);
+        let fresh = fresh_lane(class);
         if first == fresh || self.lane_lengths[fresh] == 0 {
             self.started_since_fresh[class] = 0;
             return first;
@@ -141,17 +244,21 @@
         fresh
     }
 
-    /// Removes the call that would run last if its lane is less important than that of a new
-    /// call of this class. Fresh calls of the same class that would start before calls with
-    /// prior work are kept.
+    /// Removes the call that would run last if it is less important than a new call at this
+    /// place. Fresh calls of the same class that would start before calls with prior work are
+    /// kept.
     pub(crate) fn evict_less_important(
         &mut self,
-        class: usize,
-        has_prior_work: bool,
+        place: QueuePlace,
+        order: QueueOrder,
     ) -> Option<QueuedCall> {
         let last = self.lane_lengths.iter().rposition(|length| *length > 0)?;
-        let has_fresh_turn = last == lane(class, false) && self.has_fresh_turn(class);
-        if last <= lane(class, has_prior_work) || has_fresh_turn {
+        let own = match order.is_by_root_request {
+            true => place.lane(),
+            false => place.last_equal_lane(),
+        };
+        let has_fresh_turn = last == fresh_lane(place.class) && self.has_fresh_turn(place.class);
+        if last <= own || has_fresh_turn {
             return None;
         }
         self.take_from(last, true)
@@ -160,19 +267,19 @@
     /// Returns whether one more fresh call of this class would start before all queued calls
     /// with prior work have started.
     pub(crate) fn has_fresh_turn(&self, class: usize) -> bool {
-        let fresh = self.lane_lengths[lane(class, false)];
-        fresh * PRIOR_WORK_CALLS_PER_FRESH < self.lane_lengths[lane(class, true)]
+        let fresh = self.lane_lengths[fresh_lane(class)];
+        fresh * PRIOR_WORK_CALLS_PER_FRESH < self.queued_with_prior_work(class)
     }
 
     pub(crate) fn remove(&mut self, call_id: CallId) -> Option<QueuedCall> {
         let call = self.waiting.remove(&call_id)?;
         // The id stays in the lane. It is skipped when it reaches the front, or dropped here
         // once stale ids outnumber the queued calls.
-        let lane = lane(call.class, call.has_prior_work);
+        let lane = call.place.lane();
         self.lane_lengths[lane] -= 1;
-        if self.lanes[lane].len() > 2 * self.lane_lengths[lane] + LANES {
+        if self.lanes[lane].len() > 2 * self.lane_lengths[lane] + MAX_STALE_ENTRIES {
             let waiting = &self.waiting;
-            self.lanes[lane].retain(|id| waiting.contains_key(id));
+            self.lanes[lane].retain(|entry| waiting.contains_key(&entry.call_id));
         }
         Some(call)
     }
@@ -189,14 +296,14 @@
             }
             let waiting = &mut self.waiting;
             let length = &mut self.lane_lengths[lane];
-            self.lanes[lane].retain(|call_id| {
-                let Some(call) = waiting.get(call_id).copied() else {
+            self.lanes[lane].retain(|entry| {
+                let Some(call) = waiting.get(&entry.call_id).copied() else {
                     return false;
                 };
                 if !matches(&call) {
                     return true;
                 }
-                waiting.remove(call_id);
+                waiting.remove(&entry.call_id);
                 *length -= 1;
                 taken(call);
                 false
@@ -206,21 +313,39 @@
 
     fn take_from(&mut self, lane: usize, newest: bool) -> Option<QueuedCall> {
         loop {
-            let call_id = if newest {
-                self.lanes[lane].pop_back()?
-            } else {
-                self.lanes[lane].pop_front()?
-            };
-            if let Some(call) = self.waiting.remove(&call_id) {
-                self.lane_lengths[lane] -= 1;
-                return Some(call);
+            let call = self.take_entry(lane, newest)?;
+            if call.is_some() {
+                return call;
             }
         }
     }
+
+    /// Removes an entry at one end of a lane and returns its call, or `Some(None)` if that was
+    /// cancelled; `None` if the lane is empty.
+    fn take_entry(&mut self, lane: usize, newest: bool) -> Option<Option<QueuedCall>> {
+        let entry = match newest {
+            true => self.lanes[lane].pop_back()?,
+            false => self.lanes[lane].pop_front()?,
+        };
+        let call = self.waiting.remove(&entry.call_id);
+        if call.is_some() {
+            self.lane_lengths[lane] -= 1;
+        }
+        Some(call)
+    }
+}
+
+fn first_lane(class: usize) -> usize {
+    class * LANES_PER_CLASS
+}
+
+fn fresh_lane(class: usize) -> usize {
+    first_lane(class) + ROOT_GROUPS
 }
 
-fn lane(class: usize, has_prior_work: bool) -> usize {
-    class * LANES_PER_CLASS + usize::from(!has_prior_work)
+/// Returns the group of a root request. The shed level sheds the highest numbers first.
+fn root_group(root_request_id: RootRequestId) -> usize {
+    (mix(root_request_id) >> (u64::BITS - ROOT_GROUP_BITS)) as usize
 }
 
 /// Returns the queue class for the class rank of a call.
--- a/crates/hemlocktack-node/src/telemetry/monitor.rs
+++ b/crates/hemlocktack-node/src/telemetry/monitor.rs
@@ -30,7 +30,7 @@
         logged.log_upstream(&status);
         logged.log_platform(&status, now);
         logged.log_shedding(&status, now);
-        log_load(&status);
+        log_load(&node, &status);
         logged.log_quarantine(&status);
         logged.log_peers(&node.members());
     }
@@ -38,10 +38,13 @@
 
 /// Logs the values that decide about queued calls with each poll while calls wait, so that
 /// a refusal can be explained afterwards.
-fn log_load(status: &NodeStatus) {
+fn log_load(node: &Node, status: &NodeStatus) {
     let Some(load) = status.load.filter(|load| load.queued > 0) else {
         return;
     };
+    let is_ordered_by_root_request = node
+        .admission_queue
+        .with_admission(|admission| admission.is_ordered_by_root_request());
     log_event!(
         Event::CallsWait,
         in_flight = load.in_flight,
@@ -49,7 +52,8 @@
         queued = load.queued,
         queue_delay_us = load.queue_delay_us,
         service_time_us = load.service_time_us,
-        shed_level = load.shed_level
+        shed_level = load.shed_level,
+        is_ordered_by_root_request
     );
 }
 
