Queue: an empty queue is not searched lane by lane

The lanes are 528 since calls are grouped by root request; each end of a call asked for the next one.

--- a/crates/hemlocktack-decide/src/queue.rs
+++ b/crates/hemlocktack-decide/src/queue.rs
@@ -199,6 +199,9 @@
 
     /// Removes the next call to run, from the most important class.
     pub(crate) fn pop(&mut self, order: QueueOrder) -> Option<QueuedCall> {
+        if self.is_empty() {
+            return None;
+        }
         let first = self.lane_lengths.iter().position(|length| *length > 0)?;
         let lane = self.next_lane(first);
         let class = lane / LANES_PER_CLASS;
