A response that is not written as a whole has a line

Hyper flushes the socket once it has written all it holds, so a response counts as sent from there on.

--- a/crates/hemlocktack-node/src/gateway/caller_socket.rs
+++ b/crates/hemlocktack-node/src/gateway/caller_socket.rs
@@ -29,6 +29,8 @@
     is_receiving: bool,
     /// The last write of a response returned `Pending`.
     is_write_blocked: bool,
+    /// Id of the request whose response is not yet written as a whole.
+    unsent_response: Option<String>,
     last_response: Instant,
 }
 
@@ -73,6 +75,7 @@
             open_requests: 0,
             is_receiving: false,
             is_write_blocked: false,
+            unsent_response: None,
             last_response: Instant::now(),
         };
         Self {
@@ -91,6 +94,16 @@
         }
     }
 
+    /// Records that the response to a request is about to be written.
+    pub(super) fn response_ready(&self, request_id: String) {
+        self.state().unsent_response = Some(request_id);
+    }
+
+    /// Returns the id of the request whose response is not yet written as a whole, once.
+    pub(super) fn take_unsent_response(&self) -> Option<String> {
+        self.state().unsent_response.take()
+    }
+
     /// Completes when the connection has been idle for `time`.
     pub(super) async fn idle_for(&self, time: Duration) {
         loop {
@@ -169,7 +182,9 @@
         self.stream.is_write_vectored()
     }
 
+    /// Hyper flushes once it has written all that it holds.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.activity.state().unsent_response = None;
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
--- a/crates/hemlocktack-node/src/gateway/connection.rs
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -15,7 +15,8 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
 
-use super::caller_socket::CallerSocket;
+use super::caller_socket::{Activity, CallerSocket};
+use super::request_log::log_unsent;
 use super::tracked_body::TrackedBody;
 use crate::node::Node;
 
@@ -28,6 +29,24 @@
 /// Long enough that the runtime polls all sockets before a timer of this length fires.
 const FINAL_POLL_TIMEOUT: Duration = Duration::from_millis(1);
 
+/// Extension of a response that names its request, for the log.
+#[derive(Clone)]
+pub(super) struct RequestId(pub(super) String);
+
+/// Logs a response that has not been written as a whole when its connection ends.
+struct UnsentGuard<'a> {
+    node: &'a Node,
+    activity: &'a Activity,
+}
+
+impl Drop for UnsentGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(request_id) = self.activity.take_unsent_response() {
+            log_unsent(self.node, &request_id);
+        }
+    }
+}
+
 /// Why hyper stops serving a connection.
 enum ServeEnd {
     Ended(hyper::Result<()>),
@@ -110,12 +129,20 @@
     F: Future<Output = Response<TrackedBody>> + Send + 'static,
 {
     let activity = socket.activity();
+    let _unsent = UnsentGuard {
+        node,
+        activity: &activity,
+    };
     // Boxed as well, because hyper reserves memory for the future between two requests.
     let service = service_fn(|request| {
         let open_request = activity.begin_request();
         let answering = answer(node.clone(), request, handle);
+        let activity = activity.clone();
         async move {
-            let response = answering.await;
+            let mut response = answering.await;
+            if let Some(RequestId(id)) = response.extensions_mut().remove() {
+                activity.response_ready(id);
+            }
             drop(open_request);
             Ok::<_, Infallible>(response)
         }
--- a/crates/hemlocktack-node/src/gateway/request_log.rs
+++ b/crates/hemlocktack-node/src/gateway/request_log.rs
@@ -52,6 +52,15 @@
     }
 }
 
+/// Logs a response of which the caller has not got the end, or nothing.
+pub(super) fn log_unsent(node: &Node, request_id: &str) {
+    let Some(left_out) = node.call_log_limiter.try_acquire() else {
+        return;
+    };
+    let is_stopping = node.is_stopping();
+    log_event!(Event::ResponseUnsent, request_id, is_stopping, left_out);
+}
+
 pub(super) fn log_refused(node: &Node, request: &IncomingRequest, answer: &Answer) {
     let Some(left_out) = node.call_log_limiter.try_acquire() else {
         return;
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -12,6 +12,7 @@
 use hyper::body::{Body, Incoming};
 
 use super::classify::{RoutedRequest, find_route};
+use super::connection::RequestId;
 use super::request_log::{UnansweredGuard, log_ended_by_limit, log_late, log_refused};
 use super::tracked_body::TrackedBody;
 use super::unread_body::refuse_and_discard;
@@ -43,12 +44,16 @@
     let running = run(&node, interface, &head, &incoming, &mut body);
     let answer = calls::catch_panic(&incoming.request_id, running).await;
     guard.mark_answered();
-    if answer.outcome() != Outcome::Answered {
+    let request_id = RequestId(incoming.request_id.clone());
+    let mut response = if answer.outcome() == Outcome::Answered {
+        respond(answer, in_flight)
+    } else {
         log_refused(&node, &incoming, &answer);
         let refusal = refuse(interface, incoming.request_id, answer);
-        return refuse_and_discard(refusal, &head, body);
-    }
-    respond(answer, in_flight)
+        refuse_and_discard(refusal, &head, body)
+    };
+    response.extensions_mut().insert(request_id);
+    response
 }
 
 async fn run(
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -98,6 +98,7 @@
 
     721 ERROR RequestPanicked: "a bug of the node interrupted the work on a request; its caller is told that the outcome is unknown", "report it together with the panic message on standard error";
     722 INFO RequestUnanswered: "a request that had been read ended without an answer: its caller has disconnected, or its connection or the process has ended", "nothing if callers give up; with is_stopping, or during a change, follow its request_id on all nodes";
+    723 INFO ResponseUnsent: "a response was ready, but its connection ended before all of it was written", "nothing if callers give up; with is_stopping, compare its time with 104 and 105 of this node";
 
     801 WARN CollectorLost: "spans cannot be exported; they are dropped and counted", "check the collector; calls are not affected";
     802 INFO CollectorBack: "spans are exported again", "nothing";
