--- a/crates/hemlocktack-decide/src/queue.rs
+++ b/crates/hemlocktack-decide/src/queue.rs
@@ -214,22 +214,24 @@
     /// Removes the oldest or the newest call with prior work of a class.
     fn take_with_prior_work(&mut self, class: usize, newest: bool) -> Option<QueuedCall> {
         loop {
-            let lanes = first_lane(class)..fresh_lane(class);
-            let next = if newest {
-                let ends = lanes.filter_map(|lane| Some((self.lanes[lane].back()?.arrival, lane)));
-                ends.max()
-            } else {
-                let ends = lanes.filter_map(|lane| Some((self.lanes[lane].front()?.arrival, lane)));
-                ends.min()
-            };
-            let (_, lane) = next?;
-            let call = self.take_entry(lane, newest)?;
-            if call.is_some() {
-                return call;
+            let lane = self.lane_of_prior_work(class, newest)?;
+            let call_id = self.pop_entry(lane, newest)?;
+            if let Some(call) = self.take_waiting(lane, call_id) {
+                return Some(call);
             }
         }
     }
 
+    /// Returns the lane that holds the oldest or the newest entry with prior work of a class.
+    fn lane_of_prior_work(&self, class: usize, newest: bool) -> Option<usize> {
+        let lanes = first_lane(class)..fresh_lane(class);
+        let lanes = lanes.filter(|lane| !self.lanes[*lane].is_empty());
+        match newest {
+            true => lanes.max_by_key(|lane| self.lanes[*lane].back().map(|entry| entry.arrival)),
+            false => lanes.min_by_key(|lane| self.lanes[*lane].front().map(|entry| entry.arrival)),
+        }
+    }
+
     /// Returns the first non-empty lane, or the fresh lane of its class if that one has its
     /// turn.
     fn next_lane(&mut self, first: usize) -> usize {
@@ -316,24 +318,26 @@
 
     fn take_from(&mut self, lane: usize, newest: bool) -> Option<QueuedCall> {
         loop {
-            let call = self.take_entry(lane, newest)?;
-            if call.is_some() {
-                return call;
+            let call_id = self.pop_entry(lane, newest)?;
+            if let Some(call) = self.take_waiting(lane, call_id) {
+                return Some(call);
             }
         }
     }
 
-    /// Removes an entry at one end of a lane and returns its call, or `Some(None)` if that was
-    /// cancelled; `None` if the lane is empty.
-    fn take_entry(&mut self, lane: usize, newest: bool) -> Option<Option<QueuedCall>> {
+    /// Removes an entry at one end of a lane; its call may have been cancelled.
+    fn pop_entry(&mut self, lane: usize, newest: bool) -> Option<CallId> {
         let entry = match newest {
             true => self.lanes[lane].pop_back()?,
             false => self.lanes[lane].pop_front()?,
         };
-        let call = self.waiting.remove(&entry.call_id);
-        if call.is_some() {
-            self.lane_lengths[lane] -= 1;
-        }
+        Some(entry.call_id)
+    }
+
+    /// Removes a call whose entry has left its lane; `None` if it was cancelled.
+    fn take_waiting(&mut self, lane: usize, call_id: CallId) -> Option<QueuedCall> {
+        let call = self.waiting.remove(&call_id)?;
+        self.lane_lengths[lane] -= 1;
         Some(call)
     }
 }
