--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -157,7 +157,7 @@
             return AdmissionDecision::Refused(self.refusal(self.refusal_reason, offer.call_id));
         }
         self.shed.arrived(offer.class_rank, offer.root_request_id);
-        if offer.work_spent > Duration::ZERO {
+        if offer.has_prior_work() {
             self.prior_work_losses.record_offer(now);
         }
         match self.quarantine.status(offer.fingerprint, now) {
--- a/crates/hemlocktack-decide/src/admission/refuse.rs
+++ b/crates/hemlocktack-decide/src/admission/refuse.rs
@@ -66,6 +66,7 @@
             .push(QueueDecision::Refuse(call.call_id, refusal));
     }
 
+    /// Calls that wait for an upstream that goes are not lost for lack of capacity.
     fn record_loss(&mut self, reason: Reason, call: &QueuedCall) {
         if call.place.has_prior_work() && reason != Reason::NoUpstream {
             self.prior_work_losses.record_loss();
--- a/crates/hemlocktack-decide/src/offer.rs
+++ b/crates/hemlocktack-decide/src/offer.rs
@@ -33,6 +33,12 @@
     pub kind: WorkKind,
 }
 
+impl OfferedCall {
+    pub(crate) fn has_prior_work(&self) -> bool {
+        self.work_spent > Duration::ZERO
+    }
+}
+
 /// Immediate decision on an offered call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AdmissionDecision {
--- a/crates/hemlocktack-decide/src/queue.rs
+++ b/crates/hemlocktack-decide/src/queue.rs
@@ -57,10 +57,10 @@
 
 impl QueuePlace {
     pub(crate) fn of(offer: &OfferedCall) -> Self {
-        let has_prior_work = offer.work_spent > Duration::ZERO;
+        let root_group = || root_group(offer.root_request_id);
         QueuePlace {
             class: class_of(offer.class_rank),
-            root_group: has_prior_work.then(|| root_group(offer.root_request_id)),
+            root_group: offer.has_prior_work().then(root_group),
         }
     }
 
@@ -180,8 +180,7 @@
     pub(crate) fn cumulative_queued(&self) -> [usize; MAX_CLASSES] {
         let mut sum = 0;
         std::array::from_fn(|class| {
-            let lanes = &self.lane_lengths[class * LANES_PER_CLASS..][..LANES_PER_CLASS];
-            sum += lanes.iter().sum::<usize>();
+            sum += self.queued_in(first_lane(class)..first_lane(class + 1));
             sum
         })
     }
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -44,14 +44,14 @@
     let running = run(&node, interface, &head, &incoming, &mut body);
     let answer = calls::catch_panic(&incoming.request_id, running).await;
     guard.mark_answered();
-    let request_id = RequestId(incoming.request_id.clone());
     let mut response = if answer.outcome() == Outcome::Answered {
         respond(answer, in_flight)
     } else {
         log_refused(&node, &incoming, &answer);
-        let refusal = refuse(interface, incoming.request_id, answer);
+        let refusal = refuse(interface, incoming.request_id.clone(), answer);
         refuse_and_discard(refusal, &head, body)
     };
+    let request_id = RequestId(incoming.request_id);
     response.extensions_mut().insert(request_id);
     response
 }
