--- a/crates/hemlocktack-cli/src/catalogue.rs
+++ b/crates/hemlocktack-cli/src/catalogue.rs
@@ -4,11 +4,12 @@
 use crate::{commands, queries};
 
 /// All commands, in the order in which the help shows them.
-pub const CATALOGUE: [&Signature; 12] = [
+pub const CATALOGUE: [&Signature; 13] = [
     &queries::config::check::SIGNATURE,
     &queries::config::diff::SIGNATURE,
     &queries::config::show::SIGNATURE,
     &queries::config::history::SIGNATURE,
+    &queries::config::new_key::SIGNATURE,
     &commands::config::apply::SIGNATURE,
     &queries::fleet::status::SIGNATURE,
     &queries::fleet::nodes::SIGNATURE,
--- a/crates/hemlocktack-cli/src/queries/config/mod.rs
+++ b/crates/hemlocktack-cli/src/queries/config/mod.rs
@@ -3,4 +3,5 @@
 pub(crate) mod check;
 pub(crate) mod diff;
 pub(crate) mod history;
+pub(crate) mod new_key;
 pub(crate) mod show;
--- /dev/null
+++ b/crates/hemlocktack-config/src/accounts/directory.rs
@@ -0,0 +1,51 @@
+//! Index of the client accounts of one configuration.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use hemlocktack_protocol::AccountId;
+
+use super::account::ClientAccount;
+use super::key::KeyDigest;
+
+/// The client accounts of one configuration, by key and by id.
+#[derive(Clone, Debug, Default)]
+pub struct AccountDirectory {
+    by_key: HashMap<KeyDigest, Arc<ClientAccount>>,
+    by_id: HashMap<AccountId, Arc<ClientAccount>>,
+}
+
+impl AccountDirectory {
+    /// Creates the index.
+    pub fn new(accounts: &[ClientAccount]) -> AccountDirectory {
+        let mut directory = AccountDirectory::default();
+        for account in accounts {
+            let account = Arc::new(account.clone());
+            for key in &account.keys {
+                directory.by_key.insert(*key, account.clone());
+            }
+            directory.by_id.insert(account.id(), account);
+        }
+        directory
+    }
+
+    /// Returns whether no accounts are configured, so that requests need no keys.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
+    /// Returns the account that holds a key.
+    pub fn by_key(&self, key: &KeyDigest) -> Option<&Arc<ClientAccount>> {
+        self.by_key.get(key)
+    }
+
+    /// Returns the account with this id.
+    pub fn by_id(&self, id: AccountId) -> Option<&Arc<ClientAccount>> {
+        self.by_id.get(&id)
+    }
+
+    /// Returns all accounts, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<ClientAccount>> {
+        self.by_id.values()
+    }
+}
--- /dev/null
+++ b/crates/hemlocktack-config/src/accounts/mod.rs
@@ -0,0 +1,10 @@
+//! Client accounts: on whose behalf requests are made, how important they are, and how many of
+//! them may run.
+
+mod account;
+mod directory;
+mod key;
+
+pub use account::{ClientAccount, Quota};
+pub use directory::AccountDirectory;
+pub use key::{KEY_DIGEST_LENGTH_BYTES, KeyDigest, digest_key};
--- a/crates/hemlocktack-config/src/bounds.rs
+++ b/crates/hemlocktack-config/src/bounds.rs
@@ -63,8 +63,16 @@
 pub(crate) const QUARANTINE_CRASHES: Bound = optional("quarantine_crashes", 2, 2, 100);
 pub(crate) const QUARANTINE_MS: Bound = optional("quarantine_ms", 300_000, 1_000, HOUR_MS);
 
-/// Bounds of every integer field of the document.
-pub const BOUNDS: [Bound; 11] = [
+/// Requests per second of one client account; the limit is the largest integer that every JSON
+/// reader represents exactly.
+pub(crate) const RATE_PER_S: Bound = optional("rate_per_s", 0, 0, 1 << 53);
+pub(crate) const BURST_REQUESTS: Bound = optional("burst_requests", 0, 0, 1 << 53);
+
+/// Rank of a class: one of at most [`CLASS_LIMIT`]. Without one, that of the route applies.
+pub(crate) const PRIORITY: Bound = optional("priority", 0, 0, CLASS_LIMIT as u64 - 1);
+
+/// Bounds of every integer field of the document that has a default or is required.
+pub const BOUNDS: [Bound; 13] = [
     PATIENCE_MS,
     RETRY_ALLOWANCE,
     BODY_LIMIT_BYTES,
@@ -76,6 +84,8 @@
     RETRY_SHARE_PERCENT,
     QUARANTINE_CRASHES,
     QUARANTINE_MS,
+    RATE_PER_S,
+    BURST_REQUESTS,
 ];
 
 /// The platform stores values of up to 1 MiB; the other half is left for the generation, the author
@@ -87,6 +97,10 @@
 pub const CALLER_KIND_LIMIT: usize = 64;
 /// Services are metric label values too; the limit is ten times the intended number.
 pub const SERVICE_LIMIT: usize = 1_024;
+/// Ten times the intended number; the document has room for about as many.
+pub const ACCOUNT_LIMIT: usize = 5_000;
+/// An account has one key for each program that uses it, and two during a replacement.
+pub const ACCOUNT_KEY_LIMIT: usize = 64;
 /// The rules of a service are matched in order for every request.
 pub const RULE_LIMIT: usize = 128;
 /// A name is one path segment and one metric label value.
--- a/crates/hemlocktack-config/src/check.rs
+++ b/crates/hemlocktack-config/src/check.rs
@@ -1,5 +1,7 @@
 //! Checks of a document that go beyond the type and range of single fields.
 
+mod accounts;
+
 use std::collections::BTreeMap;
 
 use hemlocktack_protocol::Finding;
@@ -53,6 +55,7 @@
     check_names("caller_kinds", kinds, &mut findings);
     let services = document.services.iter().map(|service| &service.name);
     check_names("services", services, &mut findings);
+    accounts::check(document, &mut findings);
     check_drain_limit(document, &mut findings);
     for (position, service) in document.services.iter().enumerate() {
         let place = places::element("services", position);
@@ -75,6 +78,10 @@
         let help = format!("add at least one [[{place}]]");
         add(findings, place.to_owned(), "the list is empty".into(), help);
     }
+    check_length_limit(place, length, limit, findings);
+}
+
+fn check_length_limit(place: &str, length: usize, limit: usize, findings: &mut Vec<Finding>) {
     if length > limit {
         let label = format!("the list has {length} entries");
         let help = format!("the maximum is {limit}");
--- a/crates/hemlocktack-config/src/diff.rs
+++ b/crates/hemlocktack-config/src/diff.rs
@@ -1,5 +1,7 @@
 //! Differences between two documents, as changes that people can review.
 
+mod accounts;
+
 use std::fmt::Display;
 
 use derive_more::Display;
@@ -93,6 +95,34 @@
         /// Service of the rules.
         service: String,
     },
+    /// A client account that the old document did not have.
+    #[display("client account {name} added")]
+    ClientAccountAdded {
+        /// Its name.
+        name: String,
+    },
+    /// A client account that the new document does not have: its requests are refused.
+    #[display("client account {name} removed")]
+    ClientAccountRemoved {
+        /// Its name.
+        name: String,
+    },
+    /// A key that an account did not have before.
+    #[display("client account {account}: key {digest} added")]
+    KeyAdded {
+        /// Name of the account.
+        account: String,
+        /// Digest of the key.
+        digest: String,
+    },
+    /// A key that is no longer accepted.
+    #[display("client account {account}: key {digest} removed")]
+    KeyRemoved {
+        /// Name of the account.
+        account: String,
+        /// Digest of the key.
+        digest: String,
+    },
     /// A field with a different value.
     #[display("{place}: {from} -> {to}")]
     ValueChanged {
@@ -112,6 +142,7 @@
     diff_classes(&old.classes, &new.classes, &mut changes);
     diff_caller_kinds(&old.caller_kinds, &new.caller_kinds, &mut changes);
     diff_services(&old.services, &new.services, &mut changes);
+    accounts::diff(&old.client_accounts, &new.client_accounts, &mut changes);
     changes
 }
 
--- a/crates/hemlocktack-config/src/document.rs
+++ b/crates/hemlocktack-config/src/document.rs
@@ -2,6 +2,7 @@
 
 use serde::Serialize;
 
+use crate::accounts::ClientAccount;
 use crate::bounds::{
     ANSWER_LIMIT_BYTES, BODY_LIMIT_BYTES, Bound, DRAIN_LIMIT_MS, KEPT_ANSWERS_BYTES,
     QUARANTINE_CRASHES, QUARANTINE_MS, QUEUE_LIMIT_CALLS, RETRY_SHARE_PERCENT,
@@ -20,6 +21,9 @@
     pub caller_kinds: Vec<CallerKind>,
     /// Services of the call graph.
     pub services: Vec<Service>,
+    /// Client accounts. If there are none, requests need no key.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub client_accounts: Vec<ClientAccount>,
     /// Routes, for deployments whose callers name no service. They come from the
     /// deployment's own configuration format; the TOML format has none.
     #[serde(skip)]
--- a/crates/hemlocktack-config/src/lib.rs
+++ b/crates/hemlocktack-config/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! `docs/CONFIGURATION.md` describes every field.
 
+mod accounts;
 mod bounds;
 mod check;
 mod diff;
@@ -12,10 +13,13 @@
 mod routes;
 mod table_reader;
 
+pub use accounts::{
+    AccountDirectory, ClientAccount, KEY_DIGEST_LENGTH_BYTES, KeyDigest, Quota, digest_key,
+};
 pub use bounds::{
-    ATTEMPT_LIMIT, BOUNDS, Bound, CALLER_KIND_LIMIT, CLASS_LIMIT, CLIENT_BODY_LIMIT_BYTES,
-    DOCUMENT_LIMIT_BYTES, HEAD_LIMIT_BYTES, NAME_LIMIT_BYTES, PATH_PREFIX_LIMIT_BYTES, RULE_LIMIT,
-    SERVICE_LIMIT,
+    ACCOUNT_KEY_LIMIT, ACCOUNT_LIMIT, ATTEMPT_LIMIT, BOUNDS, Bound, CALLER_KIND_LIMIT, CLASS_LIMIT,
+    CLIENT_BODY_LIMIT_BYTES, DOCUMENT_LIMIT_BYTES, HEAD_LIMIT_BYTES, NAME_LIMIT_BYTES,
+    PATH_PREFIX_LIMIT_BYTES, RULE_LIMIT, SERVICE_LIMIT,
 };
 pub use diff::{Change, diff};
 pub use document::{ANY_METHOD, CallerKind, Class, Document, Limits, RequestRule, Service};
--- a/crates/hemlocktack-config/src/read.rs
+++ b/crates/hemlocktack-config/src/read.rs
@@ -2,10 +2,11 @@
 
 use toml::de::DeTable;
 
+use crate::accounts::{ClientAccount, Quota};
 use crate::bounds::{
-    ANSWER_LIMIT_BYTES, BODY_LIMIT_BYTES, DRAIN_LIMIT_MS, KEPT_ANSWERS_BYTES, PATIENCE_MS,
-    QUARANTINE_CRASHES, QUARANTINE_MS, QUEUE_LIMIT_CALLS, RETRY_ALLOWANCE, RETRY_SHARE_PERCENT,
-    TRACE_SAMPLE_PER_MILLION,
+    ANSWER_LIMIT_BYTES, BODY_LIMIT_BYTES, BURST_REQUESTS, DRAIN_LIMIT_MS, KEPT_ANSWERS_BYTES,
+    PATIENCE_MS, PRIORITY, QUARANTINE_CRASHES, QUARANTINE_MS, QUEUE_LIMIT_CALLS, RATE_PER_S,
+    RETRY_ALLOWANCE, RETRY_SHARE_PERCENT, TRACE_SAMPLE_PER_MILLION,
 };
 use crate::table_reader::{ParseState, TableReader};
 use crate::{CallerKind, Class, Document, Limits, RequestRule, Service};
@@ -18,6 +19,7 @@
         classes: reader.list("classes", state, class),
         caller_kinds: reader.list("caller_kinds", state, caller_kind),
         services: reader.list("services", state, service),
+        client_accounts: accounts(&mut reader, state),
         ..Document::default()
     };
     reader.finish(state);
@@ -55,6 +57,30 @@
     kind
 }
 
+/// Reads the accounts; their classes are names until all classes are known.
+fn accounts(reader: &mut TableReader<'_, '_>, state: &mut ParseState) -> Vec<ClientAccount> {
+    reader.list("client_accounts", state, account)
+}
+
+fn account(mut reader: TableReader<'_, '_>, state: &mut ParseState) -> ClientAccount {
+    let rate_per_s = reader.integer(RATE_PER_S, state);
+    let burst_requests = reader.integer(BURST_REQUESTS, state);
+    reader.check_both_or_neither([RATE_PER_S.field, BURST_REQUESTS.field], state);
+    let account = ClientAccount {
+        name: reader.string("name", state),
+        keys: reader.digests("key_digests", state),
+        priority: reader
+            .optional_integer(PRIORITY, state)
+            .map(|rank| rank as u32),
+        quota: (rate_per_s > 0).then_some(Quota {
+            rate_per_s,
+            burst_requests,
+        }),
+    };
+    reader.finish(state);
+    account
+}
+
 fn service(mut reader: TableReader<'_, '_>, state: &mut ParseState) -> Service {
     let service = Service {
         body_limit_bytes: reader.integer(BODY_LIMIT_BYTES, state) as usize,
--- a/crates/hemlocktack-config/src/routes.rs
+++ b/crates/hemlocktack-config/src/routes.rs
@@ -23,6 +23,8 @@
     pub priority: Option<u32>,
     /// Maximum number of upstreams that one request is sent to.
     pub attempts: u32,
+    /// Whether requests need no key of a client account.
+    pub is_public: bool,
     /// Services that its requests are split between.
     pub targets: Vec<RouteTarget>,
 }
--- a/crates/hemlocktack-config/src/table_reader.rs
+++ b/crates/hemlocktack-config/src/table_reader.rs
@@ -6,6 +6,7 @@
 use toml::Spanned;
 use toml::de::{DeTable, DeValue};
 
+use crate::accounts::KeyDigest;
 use crate::bounds::Bound;
 use crate::places::{self, Places};
 
@@ -135,6 +136,57 @@
         number
     }
 
+    /// Reads an integer that may be absent.
+    pub(crate) fn optional_integer(&mut self, bound: Bound, state: &mut ParseState) -> Option<u64> {
+        self.value(bound.field)?;
+        Some(self.integer(bound, state))
+    }
+
+    /// Adds a finding if only one of two fields is present.
+    pub(crate) fn check_both_or_neither(
+        &mut self,
+        fields: [&'static str; 2],
+        state: &mut ParseState,
+    ) {
+        let [first, second] = fields.map(|field| self.value(field).is_some());
+        let (missing, present) = match (first, second) {
+            (true, false) => (fields[1], fields[0]),
+            (false, true) => (fields[0], fields[1]),
+            _ => return,
+        };
+        let place = places::field(&self.place, missing);
+        let help = format!("`{present}` and `{missing}` apply only together");
+        state.add(&place, "missing".to_owned(), help);
+    }
+
+    /// Reads a list of key digests. The findings don't repeat the texts: one of them may be a key
+    /// that was written in place of its digest.
+    pub(crate) fn digests(&mut self, name: &'static str, state: &mut ParseState) -> Vec<KeyDigest> {
+        const KIND: &str = "a list of key digests, each in quotation marks";
+        let Some(value) = self.required_value(name, KIND, state) else {
+            return Vec::new();
+        };
+        let Some(elements) = value.as_array() else {
+            self.add_type_finding(name, KIND, value, state);
+            return Vec::new();
+        };
+        let list = places::field(&self.place, name);
+        let mut digests = Vec::with_capacity(elements.len());
+        for (position, element) in elements.iter().enumerate() {
+            let place = places::element(&list, position);
+            state.places.record(&place, element.span());
+            let text = element.get_ref().as_str().unwrap_or_default();
+            match KeyDigest::parse(text) {
+                Ok(digest) => digests.push(digest),
+                Err(error) => {
+                    let help = "write the digest that `hemlocktack config new-key` prints";
+                    state.add(&place, error.to_string(), help.to_owned());
+                }
+            }
+        }
+        digests
+    }
+
     /// Reads each table of a list; an absent list counts as empty.
     pub(crate) fn list<T>(
         &mut self,
--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -4,6 +4,7 @@
 //! and random numbers are arguments. README.md shows how a node uses the components for one
 //! call.
 
+pub mod accounts;
 mod admission;
 mod caller_timeout;
 mod edge_budget;
--- a/crates/hemlocktack-fleet/src/lib.rs
+++ b/crates/hemlocktack-fleet/src/lib.rs
@@ -7,10 +7,12 @@
 pub mod calls;
 pub mod configuration;
 pub mod drain;
+pub mod freshness;
 pub mod handover;
 pub mod keys;
 pub mod membership;
 mod peer;
+pub mod quotas;
 pub mod tickets;
 
 pub use peer::NodeIncarnation;
--- /dev/null
+++ b/crates/hemlocktack-fleet/tests/quotas/main.rs
@@ -0,0 +1,147 @@
+//! Quotas over a fleet in virtual time: nodes that are cut off, frozen, killed, joined and stopped
+//! while requests of several accounts enter everywhere.
+//!
+//! `QUOTA_SEEDS=10000` runs that many seeds.
+
+#![allow(clippy::unwrap_used)]
+
+mod world;
+
+use hemlocktack_fleet::quotas::{AccountQuota, QuotaGrantor, QuotaSafeguard, QuotaSettings};
+use hemlocktack_protocol::{BootTime, QuotaDemand, QuotaReport};
+use strum::IntoEnumIterator;
+use world::{Bound, Trouble, World};
+
+/// Seeds of each test unless `QUOTA_SEEDS` sets another number.
+const SEEDS: u64 = 20;
+/// Seeds within which each missing safeguard has to show.
+const MUTATION_SEEDS: u64 = 10;
+
+const TROUBLES: [Trouble; 4] = [
+    Trouble::Overload,
+    Trouble::Growth,
+    Trouble::SlowLinks,
+    Trouble::All,
+];
+
+fn seeds() -> u64 {
+    let variable = std::env::var("QUOTA_SEEDS").ok();
+    variable.map_or(SEEDS, |text| text.parse().unwrap())
+}
+
+/// Guards against more requests of an account than its quota in any window, whatever the nodes can
+/// reach.
+#[test]
+fn no_window_exceeds_the_quota() {
+    for seed in 0..seeds() {
+        for trouble in TROUBLES {
+            let mut world = World::new(seed, 12, QuotaSettings::default(), trouble);
+            world.run();
+            assert_eq!(
+                world.first_excess(Bound::Stated),
+                None,
+                "{trouble:?} {seed}"
+            );
+            assert_eq!(
+                world.first_excess(Bound::Design),
+                None,
+                "{trouble:?} {seed}"
+            );
+        }
+    }
+}
+
+/// Guards against refusals of requests within the quota: an account whose clients sit at few nodes
+/// needs the shares of all of them.
+#[test]
+fn requests_within_the_quota_are_served_in_calm() {
+    let mut within = 0;
+    let mut served = 0;
+    for seed in 0..20 {
+        let mut world = World::new(seed, 12, QuotaSettings::default(), Trouble::None);
+        world.run();
+        within += world.within_quota_count();
+        served += world.served_within_quota_count();
+    }
+    let share = served as f64 / within as f64;
+    println!("served within the quota in calm: {share:.4} of {within}");
+    assert!(share >= 0.99, "{share}");
+}
+
+/// Guards against tokens that lapse unused while requests are refused.
+#[test]
+fn an_account_over_its_quota_gets_all_of_it() {
+    let mut world = World::new(1, 12, QuotaSettings::default(), Trouble::Overload);
+    world.run();
+    let used = world.used_parts();
+    println!("used of the rate in overload: {used:?}");
+    assert!(used.iter().all(|used| *used >= 0.95), "{used:?}");
+}
+
+/// Guards against a share at two places: a report that arrives late lends no longer than its sender
+/// lends.
+#[test]
+fn a_late_report_lends_only_for_the_rest_of_its_lease() {
+    let ms = |ms: u64| BootTime::from_micros(1_000_000 + ms * 1_000);
+    let tokens_after_a_late_report = |settings: QuotaSettings| {
+        let mut grantor = QuotaGrantor::new(settings);
+        let quota = |account| {
+            Some(AccountQuota {
+                account,
+                rate_per_s: 100.0,
+                burst_requests: 100.0,
+            })
+        };
+        let report = QuotaReport {
+            grant_seen_us: ms(0).as_micros(),
+            lease_us: 600_000,
+            share_divisor: 1,
+            demands: vec![QuotaDemand {
+                account: 1,
+                waiting: vec![100],
+                ..QuotaDemand::default()
+            }],
+            ..QuotaReport::default()
+        };
+        grantor.handle(7, &report, quota, ms(500));
+        let later = QuotaReport {
+            share_divisor: 0,
+            ..report
+        };
+        let grant = grantor.handle(8, &later, quota, ms(1_050));
+        grant.tokens[0].granted
+    };
+    assert_eq!(tokens_after_a_late_report(QuotaSettings::default()), 0);
+    let undated = QuotaSettings {
+        disabled_safeguard: Some(QuotaSafeguard::LeaseDatedByGrant),
+        ..QuotaSettings::default()
+    };
+    assert!(tokens_after_a_late_report(undated) > 0);
+}
+
+/// Guards against a world that is too tame: without any one of the safeguards, some seed exceeds a
+/// quota. The date of a lease has a test of its own.
+#[test]
+fn each_safeguard_is_needed() {
+    let mut not_needed = Vec::new();
+    let in_the_world = |safeguard: &QuotaSafeguard| *safeguard != QuotaSafeguard::LeaseDatedByGrant;
+    for safeguard in QuotaSafeguard::iter().filter(in_the_world) {
+        let settings = QuotaSettings {
+            disabled_safeguard: Some(safeguard),
+            ..QuotaSettings::default()
+        };
+        let breaks = |seed: &u64| {
+            TROUBLES.into_iter().find(|trouble| {
+                let mut world = World::new(*seed, 12, settings, *trouble);
+                world.run();
+                world.first_excess(Bound::Design).is_some()
+            })
+        };
+        let found = (0..MUTATION_SEEDS).find_map(|seed| Some((seed, breaks(&seed)?)));
+        println!("without {safeguard}: {found:?}");
+        if found.is_none() {
+            not_needed.push(safeguard);
+        }
+    }
+    assert!(not_needed.is_empty(), "{not_needed:?}");
+}
--- a/crates/hemlocktack-interface/src/lib.rs
+++ b/crates/hemlocktack-interface/src/lib.rs
@@ -9,7 +9,7 @@
 mod upstreams;
 
 pub use announcements::{AnnouncedState, AnnouncementCodec, UpstreamMessage, UpstreamReport};
-pub use callers::{CallerCodec, ErrorResponse, IncomingRequest};
+pub use callers::{CallerCodec, Credential, ErrorResponse, IncomingRequest};
 pub use upstreams::{AnswerCheck, Health, UpstreamCodec};
 
 use hemlocktack_config::Document;
--- a/crates/hemlocktack-node/src/calls/outcomes.rs
+++ b/crates/hemlocktack-node/src/calls/outcomes.rs
@@ -76,6 +76,8 @@
             | Reason::QueueTimeout
             | Reason::RetriesSpent
             | Reason::Starting
+            | Reason::ConfigurationStale
+            | Reason::QuotaUnknown
             | Reason::Draining
             | Reason::UpstreamDraining
             | Reason::LinkLost
--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -38,6 +38,8 @@
     },
     /// An operator's change was stored through this node.
     StoredLocally(ConfigurationDocument),
+    /// A proof of freshness came with a newer document.
+    ReadForProof(ConfigurationDocument),
     PlatformAnswered(ConfigurationSnapshot),
     RevisionGone,
     PlatformFailed,
@@ -116,7 +118,10 @@
                 self.state.peer_announced(&node_id, generation);
                 self.state.tick(now, &self.peer_view(), &mut self.rng)
             }
-            Event::StoredLocally(document) => self.state.stored_locally(document),
+            Event::StoredLocally(document) | Event::ReadForProof(document) => {
+                self.record_parse_error(&document);
+                self.state.stored_locally(document)
+            }
             Event::PlatformAnswered(seen) => self.platform_answered(now, seen),
             Event::RevisionGone => {
                 self.state.revision_gone(now);
@@ -245,7 +250,8 @@
     }
 }
 
-async fn pull_from_peer(
+/// Pulls the active document of another node, if it is newer, and its proof of freshness.
+pub(crate) async fn pull_from_peer(
     node: &Node,
     node_id: &str,
     above: Generation,
--- a/crates/hemlocktack-node/src/configuration/mod.rs
+++ b/crates/hemlocktack-node/src/configuration/mod.rs
@@ -3,5 +3,5 @@
 mod follow;
 mod relay;
 
-pub(crate) use follow::{Event, start};
+pub(crate) use follow::{Event, pull_from_peer, start};
 pub(crate) use relay::answer_pull;
--- a/crates/hemlocktack-node/src/gateway/announcements.rs
+++ b/crates/hemlocktack-node/src/gateway/announcements.rs
@@ -13,6 +13,7 @@
 
 use super::server::untracked;
 use super::tracked_body::TrackedBody;
+use crate::freshness::boot_time;
 use crate::node::Node;
 use crate::upstream::{Announcement, MessageOrigin};
 
@@ -50,12 +51,13 @@
     untracked((interface.announcements.write_acknowledgement)())
 }
 
-/// Reports ready while a configuration is active and the node is not stopping. An
+/// Reports ready while a configuration is active, the node is not stopping and it may admit keys,
+/// if callers need them. Another node may have a newer proof of its configuration. An
 /// unreachable platform or a silent upstream does not make the node unready: other nodes
 /// would be no better off, so redirecting callers would not help.
 fn readiness(node: &Node) -> Response<Bytes> {
     let mut response = Response::new(Bytes::new());
-    if node.state() != NodeState::Ready {
+    if node.state() != NodeState::Ready || !node.can_admit_keys(boot_time()) {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
     response
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hemlocktack_config::{Document, Route};
+use hemlocktack_config::{ClientAccount, Document, Route};
 use hemlocktack_decide::RetryAllowance;
-use hemlocktack_interface::IncomingRequest;
+use hemlocktack_interface::{Credential, IncomingRequest};
 use hemlocktack_protocol::{Call, ClassRank, Generation, Reason, stable_hash};
 
+use crate::accounts;
 use crate::calls::{ClassifiedCall, RunningCall, SendRecord, fingerprint};
-use crate::node::Node;
+use crate::node::{ActiveConfiguration, Node};
 
 /// Timeout of a request if neither the caller nor its route sets one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -30,10 +31,14 @@
     objective: Option<Instant>,
     has_returned: bool,
     idempotent: bool,
-    class_rank: ClassRank,
+    pub(super) class_rank: ClassRank,
     attempts: u32,
     generation: Generation,
     parent: Option<Arc<RunningCall>>,
+    /// Client account that the request is made for.
+    pub(super) account: Option<Arc<ClientAccount>>,
+    /// Whether the caller's key must not reach the upstream.
+    pub(super) drops_key: bool,
     /// Whether an upstream made the request for a parent call, which may be unknown here.
     pub(super) is_child_call: bool,
 }
@@ -52,17 +57,20 @@
     let route = document
         .route(&request.host, path)
         .ok_or(Reason::UnknownService)?;
+    let (parent_id, parent) = find_parent(node, &active, request)?;
+    let account = match parent_id {
+        Some(_) => None,
+        None => accounts::identify(node, &active, route, request.credential)?,
+    };
     let target = route
         .pick_target(rand::random())
         .ok_or(Reason::UnknownService)?;
-    let parent_id = request.parent_request_id.as_deref();
     let waited = match (parent_id, request.time_left) {
         (None, Some(time_left)) => node
             .services
             .estimate_time_waited(route_id(route), time_left),
         _ => Duration::ZERO,
     };
-    let parent = parent_id.and_then(|parent| node.contexts.find_by_request(parent));
     Ok(RoutedRequest {
         route: route.name.clone(),
         service: target.service.clone(),
@@ -76,14 +84,39 @@
         },
         has_returned: !waited.is_zero(),
         idempotent: route.idempotent,
-        class_rank: class_rank(document, route),
+        class_rank: class_rank(document, route, account.as_deref()),
         attempts: route.attempts,
         generation: active.generation,
+        drops_key: !active.accounts.is_empty(),
+        account,
         parent,
         is_child_call: parent_id.is_some(),
     })
 }
 
+/// Returns the id of the request that the upstream made this one for, and that request if it is
+/// running here.
+///
+/// Child calls need no key. Where requests need one, a call counts as a child call only while its
+/// parent runs here: otherwise any caller could do without a key by choosing such an id.
+fn find_parent<'a>(
+    node: &Node,
+    active: &ActiveConfiguration,
+    request: &'a IncomingRequest,
+) -> Result<(Option<&'a str>, Option<Arc<RunningCall>>), Reason> {
+    let Some(parent_id) = request.parent_request_id.as_deref() else {
+        return Ok((None, None));
+    };
+    let parent = node.contexts.find_by_request(parent_id);
+    if parent.is_some() || active.accounts.is_empty() {
+        return Ok((Some(parent_id), parent));
+    }
+    match request.credential {
+        Credential::Missing => Err(Reason::ContextExpired),
+        _ => Ok((None, None)),
+    }
+}
+
 fn route_id(route: &Route) -> u64 {
     stable_hash(&[route.name.as_bytes()])
 }
@@ -104,11 +137,13 @@
     timeouts.min().unwrap_or(DEFAULT_TIMEOUT)
 }
 
-/// Returns the rank of a route's class. Routes without a priority get the lowest class.
-fn class_rank(document: &Document, route: &Route) -> ClassRank {
+/// Returns the rank of a request's class: its account's priority, or else its route's. Without
+/// either it is in the lowest class.
+fn class_rank(document: &Document, route: &Route, account: Option<&ClientAccount>) -> ClassRank {
     let last = document.classes.len().saturating_sub(1);
-    let rank = route
-        .priority
+    let of_account = account.and_then(|account| account.priority);
+    let rank = of_account
+        .or(route.priority)
         .map_or(last, |rank| usize::try_from(rank).unwrap_or(last));
     ClassRank::try_from(rank.min(last)).unwrap_or(ClassRank::MAX)
 }
--- a/crates/hemlocktack-node/src/gateway/request_log.rs
+++ b/crates/hemlocktack-node/src/gateway/request_log.rs
@@ -2,11 +2,13 @@
 
 use std::time::Instant;
 
+use hemlocktack_config::ClientAccount;
 use hemlocktack_interface::IncomingRequest;
-use hemlocktack_protocol::{Answer, Outcome};
+use hemlocktack_protocol::{Answer, Outcome, Reason, Refusal};
 use hemlocktack_telemetry::{Event, log_event};
 
 use crate::calls::{ClassifiedCall, PendingSend};
+use crate::freshness::boot_time;
 use crate::node::Node;
 
 /// Guard of a request that was read. If it is dropped before the response is handed to
@@ -61,6 +63,56 @@
     log_event!(Event::ResponseUnsent, request_id, is_stopping, left_out);
 }
 
+/// Logs a request that was refused because of its key.
+pub(super) fn log_key_refused(node: &Node, request: &IncomingRequest, reason: Reason) {
+    let is_about_keys = matches!(
+        reason,
+        Reason::KeyRequired | Reason::KeyUnknown | Reason::ConfigurationStale
+    );
+    if !is_about_keys {
+        return;
+    }
+    let Some(left_out) = node.call_log_limiter.try_acquire() else {
+        return;
+    };
+    let generation = node.active_generation();
+    let proof_age = node.freshness_age(generation, boot_time());
+    let reason: &'static str = reason.into();
+    log_event!(
+        Event::KeyRefused,
+        request_id = request.request_id,
+        reason,
+        generation,
+        proof_age_ms = proof_age.map(|age| age.as_millis() as u64),
+        left_out
+    );
+}
+
+/// Logs a request that was refused because of its account's quota.
+pub(super) fn log_quota_refused(
+    node: &Node,
+    request: &IncomingRequest,
+    account: &ClientAccount,
+    refusal: &Refusal,
+) {
+    let Some(left_out) = node.call_log_limiter.try_acquire() else {
+        return;
+    };
+    let reason: &'static str = refusal.reason.into();
+    let retry_after = refusal.retry_after.unwrap_or_default();
+    let quota = account.quota;
+    log_event!(
+        Event::QuotaRefused,
+        request_id = request.request_id,
+        account = account.name,
+        reason,
+        rate_per_s = quota.map(|quota| quota.rate_per_s),
+        burst_requests = quota.map(|quota| quota.burst_requests),
+        retry_after_ms = retry_after.as_millis() as u64,
+        left_out
+    );
+}
+
 pub(super) fn log_refused(node: &Node, request: &IncomingRequest, answer: &Answer) {
     let Some(left_out) = node.call_log_limiter.try_acquire() else {
         return;
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -5,21 +5,24 @@
 
 use bytes::Bytes;
 use hemlocktack_interface::{ErrorResponse, IncomingRequest, Interface};
-use hemlocktack_protocol::{Answer, Call, Header, Outcome, Reason};
-use hemlocktack_telemetry::{SpanEnd, SpanName};
+use hemlocktack_protocol::{Answer, Call, Header, Outcome, Reason, Refusal};
+use hemlocktack_telemetry::{ActiveSpan, SpanEnd, SpanName};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 
 use super::classify::{RoutedRequest, find_route};
 use super::connection::RequestId;
-use super::request_log::{UnansweredGuard, log_ended_by_limit, log_late, log_refused};
+use super::request_log::{
+    UnansweredGuard, log_ended_by_limit, log_key_refused, log_late, log_quota_refused, log_refused,
+};
 use super::tracked_body::TrackedBody;
 use super::unread_body::refuse_and_discard;
 use super::{forwarded_headers, server};
 use crate::calls::{self, ClassifiedCall, not_run_answer, retry_after};
 use crate::counters::InFlightGuard;
 use crate::node::Node;
+use crate::quotas::{self, HeldToken};
 use crate::telemetry::request_line;
 
 /// Answers a request as soon as its outcome is known.
@@ -70,11 +73,59 @@
     let began = Instant::now();
     let routed = match find_route(node, incoming, path, began) {
         Ok(routed) => routed,
-        Err(reason) => return not_run_answer(reason, None),
+        Err(reason) => {
+            log_key_refused(node, incoming, reason);
+            return not_run_answer(reason, None);
+        }
     };
     if !routed.is_child_call && node.refuses_entries() {
         return not_run_answer(Reason::Draining, None);
     }
+    let token = match acquire_token(node, incoming, &routed).await {
+        Ok(token) => token,
+        Err(refusal) => return not_run_answer(refusal.reason, refusal.retry_after),
+    };
+    let answer = Box::pin(run_routed(
+        node,
+        interface,
+        head,
+        incoming,
+        body,
+        (routed, span, began),
+    ))
+    .await;
+    if let Some(token) = token {
+        token.settle(node, &answer);
+    }
+    answer
+}
+
+/// Takes a token of the quota of the request's account, if that has one.
+async fn acquire_token(
+    node: &Arc<Node>,
+    incoming: &IncomingRequest,
+    routed: &RoutedRequest,
+) -> Result<Option<HeldToken>, Refusal> {
+    let Some(account) = &routed.account else {
+        return Ok(None);
+    };
+    let token = quotas::acquire(node, account, routed.class_rank, routed.deadline).await;
+    if let Err(refusal) = &token {
+        log_quota_refused(node, incoming, account, refusal);
+    }
+    token
+}
+
+/// Runs a request that may enter.
+async fn run_routed(
+    node: &Arc<Node>,
+    interface: Interface,
+    head: &request::Parts,
+    incoming: &IncomingRequest,
+    body: &mut Incoming,
+    (routed, span, began): (RoutedRequest, ActiveSpan, Instant),
+) -> Answer {
+    let path = head.uri.path();
     let service = routed.service.clone();
     let body = match receive_body(node, incoming, body, &routed, began).await {
         Ok(body) => body,
@@ -84,7 +135,7 @@
         request_id: incoming.request_id.clone(),
         method: head.method.as_str().to_owned(),
         path: request_target(head),
-        headers: call_headers(node, interface, head),
+        headers: call_headers(node, interface, head, &routed),
         body,
         traceparent: span.context().header(),
         ..Call::default()
@@ -172,11 +223,22 @@
 
 /// Returns the forwarded headers, together with the system's own headers about the origin
 /// of the request.
-fn call_headers(node: &Node, interface: Interface, head: &request::Parts) -> Vec<Header> {
-    let origin = (interface.callers.origin_headers)(&node.settings.service);
-    let origin_names: Vec<&str> = origin.iter().map(|header| header.name.as_str()).collect();
-    let mut headers = forwarded_headers(&head.headers, &origin_names);
-    headers.extend(origin);
+fn call_headers(
+    node: &Node,
+    interface: Interface,
+    head: &request::Parts,
+    routed: &RoutedRequest,
+) -> Vec<Header> {
+    let account = routed.account.as_ref().map(|account| account.name.as_str());
+    let mut dropped = interface.callers.origin_header_names.to_vec();
+    if routed.drops_key {
+        dropped.push(interface.callers.key_header_name);
+    }
+    let mut headers = forwarded_headers(&head.headers, &dropped);
+    headers.extend((interface.callers.origin_headers)(
+        &node.settings.service,
+        account,
+    ));
     headers
 }
 
--- a/crates/hemlocktack-node/src/gateway/tests.rs
+++ b/crates/hemlocktack-node/src/gateway/tests.rs
@@ -162,6 +162,7 @@
         target_latency_ms: Some(1_500),
         priority: Some(0),
         attempts: 2,
+        is_public: false,
         targets: vec![RouteTarget {
             service: SERVICE.to_owned(),
             weight: 1,
--- a/crates/hemlocktack-node/src/lib.rs
+++ b/crates/hemlocktack-node/src/lib.rs
@@ -1,11 +1,13 @@
 //! The node that runs beside each upstream instance. It accepts calls, places them on
 //! nodes, admits them to its upstream, and reports their outcome.
 
+mod accounts;
 mod callers;
 mod calls;
 mod configuration;
 mod control;
 mod counters;
+mod freshness;
 mod gateway;
 mod handover;
 mod interfaces;
@@ -13,6 +15,7 @@
 mod node;
 mod operators;
 mod peers;
+mod quotas;
 mod refused_body;
 mod reload;
 mod run;
--- a/crates/hemlocktack-node/src/links/queries.rs
+++ b/crates/hemlocktack-node/src/links/queries.rs
@@ -106,6 +106,7 @@
         frame::Body::DrainOrderAccepted(accepted) => Some(accepted.query_id),
         frame::Body::Configuration(document) => Some(document.query_id),
         frame::Body::HandoverAccepted(accepted) => Some(accepted.query_id),
+        frame::Body::QuotaGrant(grant) => Some(grant.query_id),
         _ => None,
     }
 }
--- a/crates/hemlocktack-node/src/links/query_handler.rs
+++ b/crates/hemlocktack-node/src/links/query_handler.rs
@@ -7,6 +7,7 @@
 use super::connection::Connection;
 use crate::configuration;
 use crate::node::Node;
+use crate::quotas;
 use crate::telemetry;
 
 /// Answers a query; ignores any other frame.
@@ -26,8 +27,12 @@
                 query_id: order.query_id,
             })
         }
-        frame::Body::ConfigurationPull(pull) => {
-            frame::Body::Configuration(configuration::answer_pull(node, pull))
+        frame::Body::ConfigurationPull(pull) => frame::Body::Configuration(
+            configuration::answer_pull(node, pull, connection.peer_incarnation),
+        ),
+        frame::Body::QuotaReport(report) => {
+            let from = connection.peer_incarnation;
+            frame::Body::QuotaGrant(quotas::answer_report(node, from, &report))
         }
         _ => return,
     };
--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! State shared by all parts of a node, with one module per concern.
 
 mod configuration;
+mod freshness;
 mod lifecycle;
 mod members;
 mod policies;
@@ -9,6 +10,7 @@
 mod upstream;
 
 pub(crate) use configuration::ActiveConfiguration;
+pub(crate) use freshness::DENY_WITHIN;
 pub(crate) use members::NodeLocation;
 pub(crate) use policies::MIN_DRAIN_TIME;
 
@@ -20,6 +22,7 @@
 use hemlocktack_decide::ChainEdges;
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::drain::{NodeLifecycle, PublishedState};
+use hemlocktack_fleet::freshness::FreshnessProof;
 use hemlocktack_fleet::handover::{HandoverLimits, IncomingHandovers};
 use hemlocktack_fleet::keys::FleetKeys;
 use hemlocktack_interface::Interface;
@@ -33,9 +36,11 @@
 use crate::calls::{AdmissionQueue, ContextTable, ServiceDirectory, TicketHome};
 use crate::configuration as follower;
 use crate::counters::{Counters, InFlightGuard};
+use crate::freshness::StoreQuestions;
 use crate::interfaces;
 use crate::links::{Links, Senders};
 use crate::peers::GossipCounts;
+use crate::quotas::Quotas;
 use crate::settings::{AdjustableSettings, Settings};
 use crate::telemetry::{EntryCounts, LogRateLimiter, LogThrottle, Waits};
 use crate::upstream::{Announcement, UpstreamClient, UpstreamStarts};
@@ -79,6 +84,9 @@
     /// Gossip addresses to try while no other node is known.
     pub(crate) seeds: ArcSwap<Vec<SocketAddr>>,
     pub(crate) records: NodeRecords,
+    pub(crate) store_questions: StoreQuestions,
+    freshness_proof: ArcSwapOption<FreshnessProof>,
+    pub(crate) quotas: Quotas,
     pub(crate) gossip_counts: GossipCounts,
     pub(crate) signals: Signals,
     lifecycle: Mutex<NodeLifecycle>,
@@ -90,6 +98,12 @@
     start_order: u64,
 }
 
+/// The node's ways to the platform's store.
+pub(crate) struct PlatformAccess {
+    pub(crate) client: Arc<Client>,
+    pub(crate) questions: StoreQuestions,
+}
+
 /// Signals between the node's tasks.
 #[derive(Default)]
 pub(crate) struct Signals {
@@ -112,14 +126,14 @@
 
 impl Node {
     pub(crate) fn new(
+        identity: NodeIncarnation,
         settings: Settings,
         adjustable: AdjustableSettings,
         keys: FleetKeys,
-        platform: Arc<Client>,
+        platform: PlatformAccess,
         upstream_client: UpstreamClient,
         tracer: Tracer,
     ) -> Self {
-        let identity = NodeIncarnation::new(settings.node_id.clone(), rand::random());
         let (configuration_events, receiver) = mpsc::channel(CONFIGURATION_EVENT_CAPACITY);
         let lifecycle = NodeLifecycle::new(
             policies::drain_settings(&settings, &adjustable),
@@ -128,7 +142,10 @@
         Self {
             seeds: ArcSwap::from_pointee(adjustable.seed_peers.clone()),
             adjustable: ArcSwap::from_pointee(adjustable),
-            records: NodeRecords::new(platform.clone()),
+            records: NodeRecords::new(platform.client.clone()),
+            store_questions: platform.questions,
+            freshness_proof: ArcSwapOption::empty(),
+            quotas: Quotas::default(),
             gossip_counts: GossipCounts::default(),
             signals: Signals::default(),
             published_state: ArcSwap::from_pointee(lifecycle.publication()),
@@ -136,7 +153,7 @@
             configuration_events,
             configuration_receiver: Mutex::new(Some(receiver)),
             start_order: unix_ms(),
-            platform,
+            platform: platform.client,
             links: Links::new(identity.clone(), keys.clone()),
             home: TicketHome::new(&identity),
             services: ServiceDirectory::new(settings.data_centre.clone()),
--- a/crates/hemlocktack-node/src/operators/commands/apply_configuration.rs
+++ b/crates/hemlocktack-node/src/operators/commands/apply_configuration.rs
@@ -39,7 +39,7 @@
         change_id: change.change_id.clone(),
         author: change.author.clone(),
         document: change.document.clone(),
-        query_id: 0,
+        ..ConfigurationDocument::default()
     }));
     log_event!(
         Event::ConfigurationStored,
--- a/crates/hemlocktack-node/src/peers/records.rs
+++ b/crates/hemlocktack-node/src/peers/records.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hemlocktack_platform::{Publication, PublishedNodes};
+use hemlocktack_platform::{Publication, PublishedNodes, RecordChange};
 use hemlocktack_protocol::{Member, NodeState};
 use hemlocktack_telemetry::{Event, log_event};
 use rand::RngExt;
 use rand::seq::IteratorRandom;
 
+use crate::freshness::boot_time;
 use crate::node::Node;
 
 /// Interval of checks whether this node's own record has changed.
@@ -60,7 +61,21 @@
         return true;
     }
     match node.records.publish(own).await {
-        Ok(Publication::Published) => true,
+        Ok(Publication::Published(change)) => {
+            let now = boot_time();
+            match change {
+                RecordChange::Refreshed => {}
+                RecordChange::ReplacedEarlierStart { link_address }
+                    if link_address == own.link_address =>
+                {
+                    node.quotas.took_over_record(now);
+                }
+                RecordChange::Created | RecordChange::ReplacedEarlierStart { .. } => {
+                    node.quotas.created_record(now);
+                }
+            }
+            true
+        }
         Ok(Publication::Replaced { by_incarnation }) => {
             log_event!(Event::RecordReplaced, by_incarnation);
             node.request_stop();
--- /dev/null
+++ b/crates/hemlocktack-node/src/quotas/exchange.rs
@@ -0,0 +1,132 @@
+//! Reports to the grantors, one task for each group of accounts.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hemlocktack_fleet::quotas::AccountGroup;
+use hemlocktack_protocol::{Incarnation, Member, NodeState, QuotaGrant, QuotaReport, frame};
+
+use super::answer::answer_report;
+use super::waiters::Waiter;
+use crate::freshness::boot_time;
+use crate::node::{Node, NodeLocation};
+
+/// How often a node without quotas looks whether there are any.
+const IDLE_PERIOD: Duration = Duration::from_millis(500);
+
+/// The grantor of a group, as this node sees it.
+struct Grantor {
+    location: NodeLocation,
+    node_id: String,
+    incarnation: Incarnation,
+}
+
+/// Starts the tasks.
+pub(crate) fn start(node: &Arc<Node>) {
+    for group in 0..node.quotas.settings.groups {
+        tokio::spawn(run(node.clone(), group));
+    }
+}
+
+async fn run(node: Arc<Node>, group: AccountGroup) {
+    let queue = &node.quotas.groups[group as usize];
+    loop {
+        let pause = match node.has_quotas() {
+            true => node.quotas.settings.report_interval,
+            false => IDLE_PERIOD,
+        };
+        tokio::select! {
+            () = queue.has_waiting.notified() => {}
+            () = tokio::time::sleep(pause) => {}
+            () = node.signals.stopped.cancelled() => return,
+        }
+        if node.has_quotas() {
+            exchange(&node, group).await;
+        }
+    }
+}
+
+/// Reports to the group's grantor, and hands out what it grants.
+async fn exchange(node: &Arc<Node>, group: AccountGroup) {
+    let Some(grantor) = grantor_of(node, group) else {
+        return;
+    };
+    let waiting = node.quotas.groups[group as usize].waiters().take_all();
+    let now = boot_time();
+    let share = node.quotas.owned_share(node, now);
+    let report = {
+        let mut ledger = node.quotas.ledger();
+        for waiter in &waiting {
+            ledger.wait(waiter.quota.account, waiter.class_rank);
+        }
+        let report = ledger.report(group, grantor.incarnation, share, now);
+        for waiter in &waiting {
+            ledger.stop_waiting(waiter.quota.account, waiter.class_rank);
+        }
+        report
+    };
+    let Some(grant) = send(node, &grantor, report).await else {
+        let pause = node.quotas.settings.grantor_pause;
+        node.quotas
+            .choice()
+            .pass_over(&grantor.node_id, pause, boot_time());
+        let queue = &node.quotas.groups[group as usize];
+        queue.waiters().put_back(waiting);
+        if !queue.waiters().is_empty() {
+            queue.has_waiting.notify_one();
+        }
+        return;
+    };
+    let granted_at = boot_time();
+    node.quotas
+        .ledger()
+        .granted(group, grantor.incarnation, &grant, now, granted_at);
+    waiting.into_iter().for_each(|waiter| serve(node, waiter));
+}
+
+/// Gives a waiting request a token, or tells it when to come back.
+fn serve(node: &Node, waiter: Waiter) {
+    let now = boot_time();
+    let mut ledger = node.quotas.ledger();
+    let account = waiter.quota.account;
+    let grant = match ledger.take_granted(account, now) {
+        Some(token) => Ok(token),
+        None => Err(ledger.refused(&waiter.quota, waiter.class_rank, now)),
+    };
+    if let Err(Ok(token)) = waiter.grant.send(grant) {
+        // The request was given up while it waited.
+        ledger.give_back(account, token, now);
+    }
+}
+
+async fn send(node: &Node, grantor: &Grantor, report: QuotaReport) -> Option<QuotaGrant> {
+    let NodeLocation::Remote(peer) = &grantor.location else {
+        return Some(answer_report(node, grantor.incarnation, &report));
+    };
+    let deadline = Instant::now() + node.quotas.settings.report_timeout;
+    let build = |query_id| frame::Body::QuotaReport(QuotaReport { query_id, ..report });
+    let links = &node.links;
+    let answer = links.query_incarnation(peer, grantor.incarnation, deadline, build);
+    match answer.await? {
+        frame::Body::QuotaGrant(grant) => Some(grant),
+        _ => None,
+    }
+}
+
+fn grantor_of(node: &Node, group: AccountGroup) -> Option<Grantor> {
+    let members = node.members();
+    let is_ready = |member: &&Member| member.state() == NodeState::Ready;
+    let ready = members.iter().filter(is_ready);
+    let ids = ready.map(|member| member.node_id.as_str());
+    let chosen = node
+        .quotas
+        .choice()
+        .choose(group, ids, boot_time())?
+        .to_owned();
+    let member = members.iter().find(|member| member.node_id == chosen)?;
+    Some(Grantor {
+        location: node.locate(member)?,
+        incarnation: member.incarnation,
+        node_id: chosen,
+    })
+}
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error, From};
+use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::keys::{FleetKeys, KeyError};
 use hemlocktack_interface::Interface;
 use hemlocktack_platform::{BackoffSettings, Client, ClientSettings};
@@ -14,12 +15,13 @@
 use rocket::{Build, Config, Ignite, Rocket};
 use tokio::net::TcpListener;
 
-use crate::node::Node;
+use crate::freshness::StoreQuestions;
+use crate::node::{Node, PlatformAccess};
 use crate::settings::{self, AdjustableSettings, Invocation, RunSettings, Settings};
 use crate::upstream::UpstreamClient;
 use crate::{
-    callers, configuration, control, gateway, interfaces, links, operators, peers, reload, stop,
-    telemetry, upstream,
+    callers, configuration, control, freshness, gateway, interfaces, links, operators, peers,
+    quotas, reload, stop, telemetry, upstream,
 };
 
 /// Result of starting a node.
@@ -151,6 +153,8 @@
     tokio::spawn(links::serve_links(node.clone(), link_listener));
     peers::start(&node).await?;
     configuration::start(&node)?;
+    freshness::start(&node);
+    quotas::start(&node);
     tokio::spawn(upstream::poll_load(node.clone()));
     tokio::spawn(telemetry::monitor(node.clone()));
     log_event!(
@@ -198,14 +202,20 @@
     let previous = settings.previous_fleet_key.as_deref().map(str::as_bytes);
     let keys = FleetKeys::new(settings.fleet_key.as_bytes(), previous)?;
     let interface = interfaces::find(settings.interface);
-    let platform = Client::new(platform_settings(&settings, &adjustable, interface))?;
+    let platform_settings = platform_settings(&settings, &adjustable, interface);
+    let identity = NodeIncarnation::new(settings.node_id.clone(), rand::random());
+    let platform = PlatformAccess {
+        questions: StoreQuestions::new(identity.clone(), platform_settings.clone())?,
+        client: Arc::new(Client::new(platform_settings)?),
+    };
     let tracer = telemetry::start_tracer(&settings)?;
     let upstream_client = UpstreamClient::new(interface)?;
     Ok(Node::new(
+        identity,
         settings,
         adjustable,
         keys,
-        Arc::new(platform),
+        platform,
         upstream_client,
         tracer,
     ))
--- a/crates/hemlocktack-node/src/settings/flags.rs
+++ b/crates/hemlocktack-node/src/settings/flags.rs
@@ -88,9 +88,10 @@
 pub(crate) const STOP_GRACE: &str = "stop-grace";
 pub(crate) const RETRY_SHARE: &str = "retry-share";
 pub(crate) const RETRIES_BESIDE_SHARE: &str = "retries-beside-share";
+pub(crate) const REVOCATION_BOUND: &str = "revocation-bound";
 
 /// All settings that take a value.
-pub(crate) const FLAGS: [Flag; 28] = [
+pub(crate) const FLAGS: [Flag; 29] = [
     required(
         NODE,
         "NAME",
@@ -223,6 +224,12 @@
         "retries of a service's calls that all nodes together may always make in ten seconds, even with few calls, such as 50",
     )
     .adjustable(),
+    optional(
+        REVOCATION_BOUND,
+        "TIME",
+        "time within which a key that operators take away stops working at every node, such as 5s; a node that has not heard from the platform for so long refuses requests with keys",
+    )
+    .adjustable(),
 ];
 
 /// Path of the settings file; not a setting itself.
--- a/crates/hemlocktack-node/src/settings/mod.rs
+++ b/crates/hemlocktack-node/src/settings/mod.rs
@@ -82,4 +82,6 @@
     /// Retries of a service's calls that all nodes together may make in ten seconds even if
     /// there are few calls.
     pub(crate) retries_beside_share: Option<u32>,
+    /// Time within which a removed key stops working at every node.
+    pub(crate) revocation_bound: Option<Duration>,
 }
--- a/crates/hemlocktack-node/src/settings/read.rs
+++ b/crates/hemlocktack-node/src/settings/read.rs
@@ -172,6 +172,7 @@
         stop_grace: reader.duration(flags::STOP_GRACE),
         retry_share_per_mille: reader.share_per_mille(flags::RETRY_SHARE),
         retries_beside_share: reader.count(flags::RETRIES_BESIDE_SHARE),
+        revocation_bound: reader.duration(flags::REVOCATION_BOUND),
     }
 }
 
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -14,6 +14,7 @@
 use strum::IntoEnumIterator;
 
 use super::status;
+use crate::freshness::boot_time;
 use crate::node::Node;
 use crate::peers::GossipCounts;
 
@@ -153,6 +154,15 @@
     let help = "1 if the platform answered the last request";
     let reachable = u64::from(status.platform_reachable);
     gauge(registry, "platform_reachable", help, reachable);
+    let now = boot_time();
+    let help = "1 if requests with keys are admitted, or need none";
+    let admits_keys = u64::from(node.can_admit_keys(now));
+    gauge(registry, "admits_keys", help, admits_keys);
+    let help =
+        "Time since the active configuration was proved to be the newest one, 0 without keys";
+    let age = node.freshness_age(node.active_generation(), now);
+    let age = age.unwrap_or_default().as_secs_f64();
+    seconds(registry, "configuration_proof_age", help, age);
     let help = "1 if this node accepts calls";
     let ready = u64::from(status.state() == NodeState::Ready);
     gauge(registry, "node_ready", help, ready);
--- a/crates/hemlocktack-node/src/telemetry/monitor.rs
+++ b/crates/hemlocktack-node/src/telemetry/monitor.rs
@@ -11,6 +11,7 @@
 use hemlocktack_telemetry::{Event, log_event};
 
 use super::status;
+use crate::freshness::boot_time;
 use crate::node::Node;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -29,6 +30,7 @@
         let status = status(&node);
         logged.log_upstream(&status);
         logged.log_platform(&status, now);
+        logged.log_key_admission(&node);
         logged.log_shedding(&status, now);
         log_load(&node, &status);
         logged.log_quarantine(&status);
@@ -63,6 +65,7 @@
     upstream: UpstreamState,
     platform: DebouncedFlag,
     shedding: DebouncedFlag,
+    refuses_keys: bool,
     quarantined: HashSet<Fingerprint>,
     lost_peers: HashSet<String>,
 }
@@ -128,6 +131,29 @@
         }
     }
 
+    fn log_key_admission(&mut self, node: &Node) {
+        let now = boot_time();
+        let refuses_keys = !node.can_admit_keys(now);
+        let is_changed = refuses_keys != self.refuses_keys;
+        self.refuses_keys = refuses_keys;
+        if !is_changed {
+            return;
+        }
+        let generation = node.active_generation();
+        let proof = node.freshness_proof();
+        let proof_age_ms = proof.map(|proof| proof.age(now).as_millis() as u64);
+        let proven_generation = proof.map(|proof| proof.generation);
+        match refuses_keys {
+            true => log_event!(
+                Event::KeysNotAdmitted,
+                generation,
+                proven_generation,
+                proof_age_ms
+            ),
+            false => log_event!(Event::KeysAdmitted, generation, proof_age_ms),
+        }
+    }
+
     fn log_shedding(&mut self, status: &NodeStatus, now: Instant) {
         let is_shedding = status.load.is_some_and(|load| load.shed_level > 0);
         let delay = match is_shedding {
--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -176,6 +176,18 @@
         self.list_pages(prefix, true).await
     }
 
+    /// Reads the store's revision, which grows with each change of any object.
+    ///
+    /// # Errors
+    /// See [`Error`].
+    pub async fn revision(&self) -> Result<Revision> {
+        let read = self.codec().read_listing;
+        let call = (self.codec().revision)();
+        let got = self.call(Access::Read, call, |body| read("", body));
+        let page = got.await.map_err(CallError::into_error)?;
+        Ok(page.listing.revision)
+    }
+
     /// Reads all pages of a list. Pages may have different revisions; a watch from the first page's
     /// revision reports what changed between them.
     async fn list_pages(&self, prefix: &str, keys_only: bool) -> Result<Listing> {
--- a/crates/hemlocktack-platform/src/lib.rs
+++ b/crates/hemlocktack-platform/src/lib.rs
@@ -22,6 +22,6 @@
 };
 pub use error::{Effect, Error, Result};
 pub use native_codec::NATIVE_CODEC;
-pub use nodes::{NodeRecords, Publication, PublishedNode, PublishedNodes};
+pub use nodes::{NodeRecords, Publication, PublishedNode, PublishedNodes, RecordChange};
 pub use store_codec::{DecodeResult, ListingPage, StoreCall, StoreCodec, StoreError};
 pub use values::{Listing, Object, Revision, Version, WatchResponse, WatchedObject};
--- a/crates/hemlocktack-platform/src/native_codec.rs
+++ b/crates/hemlocktack-platform/src/native_codec.rs
@@ -12,6 +12,8 @@
 use crate::store_codec::{DecodeResult, ListingPage, StoreCall, StoreCodec, StoreError};
 use crate::{Object, Revision, Version};
 
+/// A prefix that no key has.
+const NO_KEYS_PREFIX: &str = "none/";
 /// Error code of a 404 response for a missing object.
 const NOT_FOUND: &str = "not-found";
 
@@ -19,6 +21,7 @@
 pub const NATIVE_CODEC: StoreCodec = StoreCodec {
     get,
     list,
+    revision: || list(NO_KEYS_PREFIX, None, true),
     watch,
     put,
     delete,
--- a/crates/hemlocktack-platform/src/nodes.rs
+++ b/crates/hemlocktack-platform/src/nodes.rs
@@ -15,10 +15,10 @@
 const ATTEMPT_LIMIT: usize = 3;
 
 /// Result of a publication.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Publication {
     /// The record is stored.
-    Published,
+    Published(RecordChange),
     /// A later start of the same node has written the record; it was not overwritten.
     Replaced {
         /// Incarnation of the later start.
@@ -26,6 +26,20 @@
     },
 }
 
+/// How a published record changed the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RecordChange {
+    /// The node had no record.
+    Created,
+    /// The record of an earlier start was replaced.
+    ReplacedEarlierStart {
+        /// Link address of the earlier start.
+        link_address: String,
+    },
+    /// This start's own record was replaced.
+    Refreshed,
+}
+
 /// A record with its stored version.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PublishedNode {
@@ -77,12 +91,16 @@
         let key = key(&member.node_id);
         let value = serde_json::to_value(member).map_err(|error| malformed(&key, &error))?;
         let mut expected_version = self.own_version().unwrap_or(0);
+        let mut change = match self.own_version() {
+            Some(_) => RecordChange::Refreshed,
+            None => RecordChange::Created,
+        };
         for _ in 0..ATTEMPT_LIMIT {
             let stored = self.client.put_confirmed(&key, expected_version, &value);
             match stored.await {
                 Ok(version) => {
                     self.set_own_version(Some(version));
-                    return Ok(Publication::Published);
+                    return Ok(Publication::Published(change));
                 }
                 Err(Error::Conflict { .. }) => {}
                 Err(error) => return Err(error),
@@ -91,7 +109,8 @@
             if let Some(by_incarnation) = self.replaced_by(member, found.as_ref()) {
                 return Ok(Publication::Replaced { by_incarnation });
             }
-            expected_version = found.map_or(0, |object| object.version);
+            expected_version = found.as_ref().map_or(0, |object| object.version);
+            change = change_of(member, found);
         }
         Err(Error::Conflict {
             current_version: expected_version,
@@ -168,6 +187,18 @@
     }
 }
 
+/// Returns the change that replacing the record that was found will be. A record of the same start
+/// whose write was not confirmed counts as created now.
+fn change_of(own: &Member, found: Option<Object>) -> RecordChange {
+    let earlier = found.and_then(|object| decode(object.value));
+    match earlier.filter(|earlier| earlier.incarnation != own.incarnation) {
+        Some(earlier) => RecordChange::ReplacedEarlierStart {
+            link_address: earlier.link_address,
+        },
+        None => RecordChange::Created,
+    }
+}
+
 fn key(node_id: &str) -> String {
     format!("{PREFIX}{node_id}")
 }
--- a/crates/hemlocktack-platform/src/store_codec.rs
+++ b/crates/hemlocktack-platform/src/store_codec.rs
@@ -63,6 +63,8 @@
     pub get: fn(key: &str) -> StoreCall,
     /// Encodes a read of all objects under a prefix; `after` is the previous page's `next_after`.
     pub list: fn(prefix: &str, after: Option<&str>, keys_only: bool) -> StoreCall,
+    /// Encodes a read of the store's revision: a list without entries.
+    pub revision: fn() -> StoreCall,
     /// Encodes a watch for changes under a prefix.
     pub watch: fn(prefix: &str, after: Revision, wait: Duration) -> StoreCall,
     /// Encodes a conditional write: the object must have the version; 0 means it must not exist.
--- a/crates/hemlocktack-protocol/src/ids.rs
+++ b/crates/hemlocktack-protocol/src/ids.rs
@@ -20,3 +20,5 @@
 pub type ClassRank = u8;
 /// Number of a configuration; increases by one with each accepted change.
 pub type Generation = u64;
+/// Hash of a client account's name; the same on every node.
+pub type AccountId = u64;
--- a/crates/hemlocktack-protocol/src/lib.rs
+++ b/crates/hemlocktack-protocol/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here does I/O. The code in `src/generated/` is generated from the files in `schema/`; it
 //! is committed, so that the build needs no generator.
 
+mod boot_time;
 mod generated;
 mod headers;
 mod ids;
@@ -11,14 +12,15 @@
 mod stable_hash;
 mod time;
 
+pub use boot_time::BootTime;
 pub use generated::*;
 pub use headers::{
     CALLER_KIND_HEADER, CONTEXT_HEADER, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, REASON_HEADER,
     RETRY_AFTER_HEADER, TIMEOUT_HEADER, TRACEPARENT_HEADER, is_reserved_header,
 };
 pub use ids::{
-    CallId, ClassRank, DataCentre, Fingerprint, Generation, Incarnation, NodeId, RootRequestId,
-    ServiceName,
+    AccountId, CallId, ClassRank, DataCentre, Fingerprint, Generation, Incarnation, NodeId,
+    RootRequestId, ServiceName,
 };
 pub use operators::{OPERATORS_SERVICE, OperatorErrorCode};
 pub use outcome::{CallFailure, Refusal};
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -63,6 +63,8 @@
     305 ERROR RecordReplaced: "another start with this node's name has published its record", "two processes have the same --node, or this one was paused and replaced: stop one of them";
     306 INFO ConfigurationStored: "an operator's change was stored as a new generation", "nothing";
     307 ERROR PlatformUnreadable: "a response of the platform does not conform to its interface; the last valid configuration stays in force", "read the detail; find out what wrote the object";
+    308 WARN KeysNotAdmitted: "the node cannot prove that its configuration is recent enough; it refuses requests with keys and reports itself as not ready", "check whether the node reaches the platform and other nodes; 309 follows once it does";
+    309 INFO KeysAdmitted: "the configuration is proved to be recent again; requests with keys are admitted", "nothing";
 
     401 WARN LinkRefused: "a process opened a link and did not prove that it is a node of the fleet", "error says how far it got: if it closed the link before its proof, it may have meant another node; otherwise compare the fleet keys of both nodes, and if the address is not a node's, find out whose it is";
     402 INFO LinkLost: "a link to another node was lost; its calls are resolved over a new one", "nothing unless it repeats: then check the network between the two nodes";
@@ -95,6 +97,8 @@
 
     714 INFO AnsweredLate: "an answer was sent later than the operators' objective for its route", "follow its request_id to 715; the rest of the time was spent on earlier sends (711) and links";
     715 INFO RunLate: "waiting and running a root request took longer than was left of its objective", "compare queue_ms, own_ms and below_ms: check the load, the upstream, or the services that it calls";
+    716 INFO KeyRefused: "a request was refused because of its key; proof_age_ms is the time since the generation was proved to be the newest one", "for key-unknown and key-required check the caller's key against the accounts of this generation; for configuration-stale see 308";
+    717 INFO QuotaRefused: "a request was refused because of its client account's quota, or because no node could say what is left of it", "compare the account's quota with its demand; for quota-unknown look for 404 and 406 about the account's grantor";
 
     721 ERROR RequestPanicked: "a bug of the node interrupted the work on a request; its caller is told that the outcome is unknown", "report it together with the panic message on standard error";
     722 INFO RequestUnanswered: "a request that had been read ended without an answer: its caller has disconnected, or its connection or the process has ended", "nothing if callers give up; with is_stopping, or during a change, follow its request_id on all nodes";
