--- a/crates/hemlocktack-fleet/tests/freshness/main.rs
+++ b/crates/hemlocktack-fleet/tests/freshness/main.rs
@@ -9,7 +9,7 @@
 
 use std::time::Duration;
 
-use hemlocktack_fleet::freshness::{FreshnessProof, FreshnessSafeguard};
+use hemlocktack_fleet::freshness::{FreshnessProof, FreshnessSafeguard, FreshnessSettings};
 use hemlocktack_protocol::BootTime;
 use strum::IntoEnumIterator;
 use world::{Trouble, World};
@@ -54,6 +54,23 @@
     }
 }
 
+/// Shows why few nodes ask the store: the calls of all would grow with the fleet.
+#[test]
+fn a_store_that_every_node_asks_gets_many_times_the_calls() {
+    let calls_per_s = |nodes_per_source: usize| {
+        let mut world = World::new(1, 71, Trouble::None, None);
+        world.ask_with(FreshnessSettings {
+            nodes_per_source,
+            ..FreshnessSettings::default()
+        });
+        world.run();
+        println!("one source for {nodes_per_source}: {}", world.cost());
+        world.store_calls_per_s()
+    };
+    let of_sources = calls_per_s(FreshnessSettings::default().nodes_per_source);
+    assert!(calls_per_s(1) > 10.0 * of_sources);
+}
+
 /// Guards against a world that is too tame: without any one of the safeguards, some seed admits a
 /// key too late.
 #[test]
--- a/crates/hemlocktack-fleet/tests/freshness/world.rs
+++ b/crates/hemlocktack-fleet/tests/freshness/world.rs
@@ -26,6 +26,7 @@
 /// What goes wrong in a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Trouble {
+    None,
     StoreOutage,
     All,
 }
@@ -145,6 +146,14 @@
         world
     }
 
+    /// Replaces the settings of all nodes.
+    pub(crate) fn ask_with(&mut self, settings: FreshnessSettings) {
+        self.settings = settings;
+        for node in &mut self.nodes {
+            node.state = FreshnessState::new(settings, BootTime::from_micros(node.clock));
+        }
+    }
+
     pub(crate) fn run(&mut self) {
         while let Some(Reverse((time, order))) = self.events.pop() {
             if time > END {
@@ -169,11 +178,15 @@
     /// Returns the calls to the store and between nodes, for people.
     pub(crate) fn cost(&self) -> String {
         let seconds = END as f64 / SECOND as f64;
-        let store = self.store_calls as f64 / seconds;
+        let store = self.store_calls_per_s();
         let peers = self.peer_calls as f64 / seconds / self.nodes.len() as f64;
         format!("{store:.1} store calls a second, {peers:.2} questions a second and node")
     }
 
+    pub(crate) fn store_calls_per_s(&self) -> f64 {
+        self.store_calls as f64 / (END as f64 / SECOND as f64)
+    }
+
     fn at(&mut self, time: Micros, event: Event) {
         self.order += 1;
         self.events.push(Reverse((time, self.order)));
--- a/crates/hemlocktack-fleet/tests/quotas/main.rs
+++ b/crates/hemlocktack-fleet/tests/quotas/main.rs
@@ -7,6 +7,8 @@
 
 mod world;
 
+use std::time::Duration;
+
 use hemlocktack_fleet::quotas::{AccountQuota, QuotaGrantor, QuotaSafeguard, QuotaSettings};
 use hemlocktack_protocol::{BootTime, QuotaDemand, QuotaReport};
 use strum::IntoEnumIterator;
@@ -68,6 +70,21 @@
     assert!(share >= 0.99, "{share}");
 }
 
+/// Shows why shares are lent: with an equal share for each node, an account whose clients sit at few
+/// nodes is refused most of what its quota allows.
+#[test]
+fn shares_that_are_not_lent_refuse_requests_within_the_quota() {
+    let settings = QuotaSettings {
+        lease: Duration::ZERO,
+        ..QuotaSettings::default()
+    };
+    let mut world = World::new(1, 12, settings, Trouble::None);
+    world.run();
+    let share = world.served_within_quota_count() as f64 / world.within_quota_count() as f64;
+    println!("served within the quota with equal shares: {share:.4}");
+    assert!(share < 0.9, "{share}");
+}
+
 /// Guards against tokens that lapse unused while requests are refused.
 #[test]
 fn an_account_over_its_quota_gets_all_of_it() {
