--- a/crates/hemlocktack-fleet/src/freshness/settings.rs
+++ b/crates/hemlocktack-fleet/src/freshness/settings.rs
@@ -52,7 +52,7 @@
             ask_interval: Duration::from_millis(250),
             overdue_interval: Duration::from_millis(100),
             overdue_age: Duration::from_millis(1_000),
-            other_ask_interval: Duration::from_millis(500),
+            other_ask_interval: Duration::from_millis(1_000),
             ask_timeout: Duration::from_millis(700),
             max_unanswered: 4,
         }
--- a/crates/hemlocktack-fleet/tests/quotas/main.rs
+++ b/crates/hemlocktack-fleet/tests/quotas/main.rs
@@ -5,6 +5,8 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod reports;
+mod troubles;
 mod world;
 
 use std::time::Duration;
--- a/crates/hemlocktack-fleet/tests/quotas/world.rs
+++ b/crates/hemlocktack-fleet/tests/quotas/world.rs
@@ -11,10 +11,10 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
-type Micros = u64;
+pub(crate) type Micros = u64;
 
-const MS: Micros = 1_000;
-const SECOND: Micros = 1_000_000;
+pub(crate) const MS: Micros = 1_000;
+pub(crate) const SECOND: Micros = 1_000_000;
 /// Traffic begins once the first nodes own their shares.
 const TRAFFIC_FROM: Micros = 6 * SECOND;
 const END: Micros = 18 * SECOND;
@@ -24,7 +24,7 @@
 /// Requests beyond the rate of an account without a burst.
 const ROUNDING_REQUESTS: f64 = 4.0;
 const PROOF_INTERVAL: Micros = 250 * MS;
-const REPORT_TIMEOUT: Micros = 250 * MS;
+pub(crate) const REPORT_TIMEOUT: Micros = 250 * MS;
 const ACCOUNTS: [(f64, f64); 4] = [(30.0, 30.0), (80.0, 10.0), (200.0, 200.0), (20.0, 0.0)];
 
 /// Limit on the requests of an account in a window.
@@ -52,17 +52,17 @@
 
 /// A report on its way to a grantor.
 #[derive(Clone, Copy, Debug)]
-struct SentReport {
-    node: usize,
-    incarnation: u64,
-    group: AccountGroup,
-    serial: u64,
-    to: usize,
-    to_incarnation: u64,
-    asked_at: BootTime,
+pub(crate) struct SentReport {
+    pub(crate) node: usize,
+    pub(crate) incarnation: u64,
+    pub(crate) group: AccountGroup,
+    pub(crate) serial: u64,
+    pub(crate) to: usize,
+    pub(crate) to_incarnation: u64,
+    pub(crate) asked_at: BootTime,
 }
 
-enum Event {
+pub(crate) enum Event {
     AskStore {
         node: usize,
     },
@@ -112,47 +112,47 @@
     },
 }
 
-struct Node {
-    incarnation: u64,
-    is_up: bool,
-    is_frozen: bool,
-    held: Vec<Event>,
+pub(crate) struct Node {
+    pub(crate) incarnation: u64,
+    pub(crate) is_up: bool,
+    pub(crate) is_frozen: bool,
+    pub(crate) held: Vec<Event>,
     /// Offset of the node's clock.
-    clock: Micros,
-    side: u8,
-    reaches_store: bool,
-    proof: Option<FreshnessProof>,
-    ownership: ShareOwnership,
-    ledger: QuotaLedger,
-    grantor: QuotaGrantor,
-    choice: GrantorChoice,
+    pub(crate) clock: Micros,
+    pub(crate) side: u8,
+    pub(crate) reaches_store: bool,
+    pub(crate) proof: Option<FreshnessProof>,
+    pub(crate) ownership: ShareOwnership,
+    pub(crate) ledger: QuotaLedger,
+    pub(crate) grantor: QuotaGrantor,
+    pub(crate) choice: GrantorChoice,
     /// Accounts of requests that wait, by group.
-    waiting: BTreeMap<AccountGroup, Vec<usize>>,
+    pub(crate) waiting: BTreeMap<AccountGroup, Vec<usize>>,
     /// Serial number of the report that is on its way, by group.
-    reporting: BTreeMap<AccountGroup, u64>,
+    pub(crate) reporting: BTreeMap<AccountGroup, u64>,
     /// Accounts of requests whose report is on its way, by group.
-    reported: BTreeMap<AccountGroup, Vec<usize>>,
+    pub(crate) reported: BTreeMap<AccountGroup, Vec<usize>>,
 }
 
 /// The fleet and what its requests came to.
 pub(crate) struct World {
-    rng: StdRng,
-    settings: QuotaSettings,
-    trouble: Trouble,
-    now: Micros,
-    order: u64,
-    events: BinaryHeap<Reverse<(Micros, u64)>>,
-    bodies: BTreeMap<u64, Event>,
-    nodes: Vec<Node>,
+    pub(crate) rng: StdRng,
+    pub(crate) settings: QuotaSettings,
+    pub(crate) trouble: Trouble,
+    pub(crate) now: Micros,
+    pub(crate) order: u64,
+    pub(crate) events: BinaryHeap<Reverse<(Micros, u64)>>,
+    pub(crate) bodies: BTreeMap<u64, Event>,
+    pub(crate) nodes: Vec<Node>,
     /// Recorded incarnations, by node.
-    store: BTreeMap<usize, u64>,
+    pub(crate) store: BTreeMap<usize, u64>,
     /// Times of requests that ran, by account.
-    ran: Vec<Vec<Micros>>,
-    within_quota: u64,
-    served_within_quota: u64,
+    pub(crate) ran: Vec<Vec<Micros>>,
+    pub(crate) within_quota: u64,
+    pub(crate) served_within_quota: u64,
 }
 
-fn quota(account: usize) -> AccountQuota {
+pub(crate) fn quota(account: usize) -> AccountQuota {
     AccountQuota {
         account: account as u64 + 1,
         rate_per_s: ACCOUNTS[account].0,
@@ -262,28 +262,28 @@
         self.served_within_quota
     }
 
-    fn at(&mut self, time: Micros, event: Event) {
+    pub(crate) fn at(&mut self, time: Micros, event: Event) {
         self.order += 1;
         self.events.push(Reverse((time, self.order)));
         self.bodies.insert(self.order, event);
     }
 
-    fn after(&mut self, delay: Micros, event: Event) {
+    pub(crate) fn after(&mut self, delay: Micros, event: Event) {
         self.at(self.now + delay, event);
     }
 
     /// Returns a network delay; in trouble some are long.
-    fn delay(&mut self) -> Micros {
+    pub(crate) fn delay(&mut self) -> Micros {
         let is_long = self.trouble == Trouble::All && self.rng.random_bool(0.05);
         let longest = if is_long { 700 * MS } else { 4 * MS };
         self.rng.random_range(200..longest)
     }
 
-    fn local(&self, node: usize) -> BootTime {
+    pub(crate) fn local(&self, node: usize) -> BootTime {
         BootTime::from_micros(self.now + self.nodes[node].clock)
     }
 
-    fn join(&mut self) {
+    pub(crate) fn join(&mut self) {
         let clock = self.rng.random_range(0..1_000 * SECOND);
         let incarnation = self.rng.next_u64();
         let settings = self.settings;
@@ -426,117 +426,16 @@
         }
     }
 
-    fn name(node: usize) -> String {
+    pub(crate) fn name(node: usize) -> String {
         format!("node-{node:03}")
     }
 
-    fn report(&mut self, node: usize, group: AccountGroup) {
-        if self.nodes[node].reporting.contains_key(&group) {
-            return;
-        }
-        let now = self.local(node);
-        let names: Vec<String> = (0..self.nodes.len()).map(World::name).collect();
-        // Membership is known late: a node that is down is still chosen until it fails to answer.
-        let ids = names.iter().map(String::as_str);
-        let chosen = self.nodes[node].choice.choose(group, ids, now);
-        let to = names.iter().position(|name| Some(name.as_str()) == chosen);
-        let to = to.unwrap();
-        self.order += 1;
-        let sent = SentReport {
-            node,
-            incarnation: self.nodes[node].incarnation,
-            group,
-            serial: self.order,
-            to,
-            to_incarnation: self.nodes[to].incarnation,
-            asked_at: now,
-        };
-        let settings = self.settings;
-        let state = &mut self.nodes[node];
-        let share = state.ownership.owned(state.proof.as_ref(), &settings, now);
-        let waiting = state.waiting.remove(&group).unwrap_or_default();
-        for account in &waiting {
-            state.ledger.wait(quota(*account).account, 0);
-        }
-        let report = state.ledger.report(group, sent.to_incarnation, share, now);
-        for account in &waiting {
-            state.ledger.stop_waiting(quota(*account).account, 0);
-        }
-        state.reporting.insert(group, sent.serial);
-        state.reported.insert(group, waiting);
-        // The node gives up after its timeout, also if an answer comes later.
-        self.after(REPORT_TIMEOUT, Event::Lost { sent });
-        if !self.is_cut(node, to) {
-            let delay = self.report_delay(node, to);
-            self.after(delay, Event::Reported { sent, report });
-        }
-    }
-
-    fn reported(&mut self, sent: SentReport, report: &QuotaReport) {
-        let SentReport { node, to, .. } = sent;
-        if self.nodes[to].incarnation != sent.to_incarnation {
-            return;
-        }
-        let now = self.local(to);
-        let find = |id: u64| Some(quota(id as usize - 1));
-        let grant = self.nodes[to]
-            .grantor
-            .handle(sent.incarnation, report, find, now);
-        if !self.is_cut(node, to) {
-            let delay = if to == node { 0 } else { self.delay() };
-            self.after(delay, Event::Granted { sent, grant });
-        }
-    }
-
-    /// Returns the requests that waited for a report, if it is the one that is on its way.
-    fn take_reported(&mut self, sent: &SentReport) -> Option<Vec<usize>> {
-        let state = &mut self.nodes[sent.node];
-        if state.reporting.get(&sent.group) != Some(&sent.serial) {
-            return None;
-        }
-        state.reporting.remove(&sent.group);
-        Some(state.reported.remove(&sent.group).unwrap_or_default())
-    }
-
-    fn granted(&mut self, sent: SentReport, grant: &QuotaGrant) {
-        let Some(waiting) = self.take_reported(&sent) else {
-            return;
-        };
-        let now = self.local(sent.node);
-        let ledger = &mut self.nodes[sent.node].ledger;
-        ledger.granted(sent.group, sent.to_incarnation, grant, sent.asked_at, now);
-        for account in waiting {
-            let quota = quota(account);
-            let ledger = &mut self.nodes[sent.node].ledger;
-            match ledger.take_granted(quota.account, now) {
-                Some(_) => self.runs(account),
-                None => drop(ledger.refused(&quota, 0, now)),
-            }
-        }
-        let has_waiting = self.nodes[sent.node].waiting.contains_key(&sent.group);
-        if has_waiting {
-            self.report(sent.node, sent.group);
-        }
-    }
-
-    fn lost(&mut self, sent: SentReport) {
-        let Some(waiting) = self.take_reported(&sent) else {
-            return;
-        };
-        let now = self.local(sent.node);
-        let pause = self.settings.grantor_pause;
-        let state = &mut self.nodes[sent.node];
-        state.choice.pass_over(&World::name(sent.to), pause, now);
-        state.waiting.entry(sent.group).or_default().extend(waiting);
-        self.report(sent.node, sent.group);
-    }
-
-    fn is_cut(&mut self, a: usize, b: usize) -> bool {
+    pub(crate) fn is_cut(&mut self, a: usize, b: usize) -> bool {
         let is_lost = self.trouble == Trouble::All && self.rng.random_bool(0.01);
         a != b && (self.nodes[a].side != self.nodes[b].side || is_lost)
     }
 
-    fn runs(&mut self, account: usize) {
+    pub(crate) fn runs(&mut self, account: usize) {
         self.ran[account].push(self.now);
         self.served_within_quota += u64::from(is_within_quota(account));
     }
@@ -588,87 +487,4 @@
             }
         }
     }
-
-    fn grow(&mut self, nodes: usize) {
-        let length = 9 * SECOND;
-        for node in 0..self.nodes.len() {
-            self.nodes[node].reaches_store = false;
-            self.after(length, Event::Heal { node });
-        }
-        while self.nodes.len() < nodes {
-            self.join();
-        }
-    }
-
-    /// Returns the delay of a report.
-    fn report_delay(&mut self, node: usize, to: usize) -> Micros {
-        let is_fast = node == (to + 1) % self.nodes.len();
-        let is_slow = self.trouble == Trouble::SlowLinks && !is_fast;
-        match (node == to, is_slow) {
-            (true, _) => 0,
-            (_, true) => self.rng.random_range(400 * MS..590 * MS),
-            _ => self.delay(),
-        }
-    }
-
-    fn disturb(&mut self) {
-        let pause = self.rng.random_range(300 * MS..2 * SECOND);
-        self.after(pause, Event::Disturb);
-        let node = self.rng.random_range(0..self.nodes.len());
-        let length = self.rng.random_range(200 * MS..8 * SECOND);
-        match self.rng.random_range(0..7) {
-            0 => {
-                self.nodes[node].is_frozen = true;
-                self.after(length, Event::Wake { node });
-            }
-            1 => {
-                self.nodes[node].is_up = false;
-                self.nodes[node].is_frozen = false;
-                self.nodes[node].held.clear();
-                self.after(length / 4, Event::Restart { node });
-            }
-            2 => self.split(length),
-            3 => self.join(),
-            4 => {
-                self.nodes[node].reaches_store = false;
-                self.after(length, Event::Heal { node });
-            }
-            5 => self.leave(node, length),
-            _ => {
-                self.nodes[node].side = 2;
-                self.nodes[node].reaches_store = self.rng.random_bool(0.5);
-                self.after(length, Event::Heal { node });
-            }
-        }
-    }
-
-    /// Cuts the fleet into two sides, one of which may lose the store.
-    fn split(&mut self, length: Micros) {
-        let loses_store = self.rng.random_bool(0.5);
-        for node in 0..self.nodes.len() {
-            if self.rng.random_bool(0.5) {
-                self.nodes[node].side = 1;
-                self.nodes[node].reaches_store = !loses_store;
-                self.after(length, Event::Heal { node });
-            }
-        }
-    }
-
-    /// A node stops for good: it removes its record once it uses its share no more.
-    fn leave(&mut self, node: usize, length: Micros) {
-        if self.nodes[node].reaches_store && self.nodes[node].is_up {
-            self.nodes[node].is_up = false;
-            self.nodes[node].is_frozen = false;
-            self.nodes[node].held.clear();
-            self.store.remove(&node);
-            self.after(length, Event::Restart { node });
-        }
-    }
-
-    fn wake(&mut self, node: usize) {
-        self.nodes[node].is_frozen = false;
-        for event in std::mem::take(&mut self.nodes[node].held) {
-            self.after(0, event);
-        }
-    }
 }
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -85,15 +85,13 @@
         Ok(token) => token,
         Err(refusal) => return not_run_answer(refusal.reason, refusal.retry_after),
     };
-    let answer = Box::pin(run_routed(
-        node,
-        interface,
-        head,
-        incoming,
-        body,
-        (routed, span, began),
-    ))
-    .await;
+    let entered = EnteredRequest {
+        routed,
+        span,
+        began,
+    };
+    // Boxed: the state of the whole request would otherwise be part of its connection's.
+    let answer = Box::pin(run_entered(node, interface, head, incoming, body, entered)).await;
     if let Some(token) = token {
         token.settle(node, &answer);
     }
@@ -116,15 +114,26 @@
     token
 }
 
-/// Runs a request that may enter.
-async fn run_routed(
+/// A request that may enter.
+struct EnteredRequest {
+    routed: RoutedRequest,
+    span: ActiveSpan,
+    began: Instant,
+}
+
+async fn run_entered(
     node: &Arc<Node>,
     interface: Interface,
     head: &request::Parts,
     incoming: &IncomingRequest,
     body: &mut Incoming,
-    (routed, span, began): (RoutedRequest, ActiveSpan, Instant),
+    entered: EnteredRequest,
 ) -> Answer {
+    let EnteredRequest {
+        routed,
+        span,
+        began,
+    } = entered;
     let path = head.uri.path();
     let service = routed.service.clone();
     let body = match receive_body(node, incoming, body, &routed, began).await {
