Importance: the route decides among requests of accounts with the same priority

Now a class is the pair of both, the account first; without accounts the classes are as before. Among requests of one account for a scarce quota the route decides alone.

Ways: account alone (as the format says), route alone (an account that pays for more would not go first), both in order.

--- a/crates/hemlocktack-config/src/accounts/account.rs
+++ b/crates/hemlocktack-config/src/accounts/account.rs
@@ -12,8 +12,7 @@
     pub name: String,
     /// Digests of the keys that its requests may present.
     pub keys: Vec<KeyDigest>,
-    /// Rank of the class of its requests, 0 is the most important; `None` leaves them in the class
-    /// of their route.
+    /// Importance of its requests, 0 is the most important; goes before that of their routes.
     pub priority: Option<u32>,
     /// How many of its requests may run; `None` for no limit.
     pub quota: Option<Quota>,
--- a/crates/hemlocktack-config/src/accounts/mod.rs
+++ b/crates/hemlocktack-config/src/accounts/mod.rs
@@ -4,7 +4,9 @@
 mod account;
 mod directory;
 mod key;
+mod ranks;
 
 pub use account::{ClientAccount, Quota};
 pub use directory::AccountDirectory;
 pub use key::{KEY_DIGEST_LENGTH_BYTES, KeyDigest, digest_key};
+pub use ranks::RequestRanks;
--- a/crates/hemlocktack-config/src/lib.rs
+++ b/crates/hemlocktack-config/src/lib.rs
@@ -14,7 +14,8 @@
 mod table_reader;
 
 pub use accounts::{
-    AccountDirectory, ClientAccount, KEY_DIGEST_LENGTH_BYTES, KeyDigest, Quota, digest_key,
+    AccountDirectory, ClientAccount, KEY_DIGEST_LENGTH_BYTES, KeyDigest, Quota, RequestRanks,
+    digest_key,
 };
 pub use bounds::{
     ACCOUNT_KEY_LIMIT, ACCOUNT_LIMIT, ATTEMPT_LIMIT, BOUNDS, Bound, CALLER_KIND_LIMIT, CLASS_LIMIT,
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hemlocktack_config::{ClientAccount, Document, Route};
+use hemlocktack_config::{ClientAccount, Route};
 use hemlocktack_decide::RetryAllowance;
 use hemlocktack_interface::{Credential, IncomingRequest};
 use hemlocktack_protocol::{Call, ClassRank, Generation, Reason, stable_hash};
@@ -31,7 +31,9 @@
     objective: Option<Instant>,
     has_returned: bool,
     idempotent: bool,
-    pub(super) class_rank: ClassRank,
+    class_rank: ClassRank,
+    /// Rank among the requests of its account, which share a quota.
+    pub(super) rank_in_account: ClassRank,
     attempts: u32,
     generation: Generation,
     parent: Option<Arc<RunningCall>>,
@@ -84,7 +86,8 @@
         },
         has_returned: !waited.is_zero(),
         idempotent: route.idempotent,
-        class_rank: class_rank(document, route, account.as_deref()),
+        class_rank: active.ranks.rank(route, account.as_deref()),
+        rank_in_account: active.ranks.rank_in_account(route),
         attempts: route.attempts,
         generation: active.generation,
         drops_key: !active.accounts.is_empty(),
@@ -137,17 +140,6 @@
     timeouts.min().unwrap_or(DEFAULT_TIMEOUT)
 }
 
-/// Returns the rank of a request's class: its account's priority, or else its route's. Without
-/// either it is in the lowest class.
-fn class_rank(document: &Document, route: &Route, account: Option<&ClientAccount>) -> ClassRank {
-    let last = document.classes.len().saturating_sub(1);
-    let of_account = account.and_then(|account| account.priority);
-    let rank = of_account
-        .or(route.priority)
-        .map_or(last, |rank| usize::try_from(rank).unwrap_or(last));
-    ClassRank::try_from(rank.min(last)).unwrap_or(ClassRank::MAX)
-}
-
 /// Work reported for a child call whose parent is unknown because this node restarted in
 /// between. It is not zero, because the calls above it have already done some work.
 const UNKNOWN_WORK_US: u64 = 1;
--- a/crates/hemlocktack-node/src/node/configuration.rs
+++ b/crates/hemlocktack-node/src/node/configuration.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
-use hemlocktack_config::{AccountDirectory, ClientLimits, Document, Service};
+use hemlocktack_config::{AccountDirectory, ClientLimits, Document, RequestRanks, Service};
 use hemlocktack_decide::FleetRetryLimits;
 use hemlocktack_protocol::{ConfigurationDocument, Generation};
 use hemlocktack_telemetry::{Event, log_event};
@@ -24,6 +24,7 @@
     pub(crate) generation: Generation,
     pub(crate) document: Document,
     pub(crate) accounts: AccountDirectory,
+    pub(crate) ranks: RequestRanks,
     /// The stored form, sent to nodes that do not have this generation.
     pub(crate) stored: ConfigurationDocument,
 }
@@ -53,6 +54,7 @@
         let next = Arc::new(ActiveConfiguration {
             generation: stored.generation,
             accounts: AccountDirectory::new(&document.client_accounts),
+            ranks: RequestRanks::new(&document.routes, &document.client_accounts),
             document,
             stored,
         });
