--- a/crates/hemlocktack-node/src/quotas/state.rs
+++ b/crates/hemlocktack-node/src/quotas/state.rs
@@ -79,10 +79,11 @@
     /// Returns the share of every quota that the node owns now.
     pub(super) fn owned_share(&self, node: &Node, now: BootTime) -> Option<OwnedShare> {
         let proof = node.freshness_proof();
+        // Never longer than a new node waits, so that all owners have counted it by then.
+        let longest = self.settings.proof_lifetime;
+        let limit = node.admit_keys_within().unwrap_or(longest);
         let settings = QuotaSettings {
-            proof_lifetime: node
-                .admit_keys_within()
-                .unwrap_or(self.settings.proof_lifetime),
+            proof_lifetime: limit.min(longest),
             ..self.settings
         };
         self.ownership().owned(proof.as_ref(), &settings, now)
