Quotas: the waiting requests go with the report; less work on the request path

The ledger counted waiting requests in before each report and out after it, in the node and in the test's world alike, so the counts were those of the caller's list: it is passed instead. A request computes the node's own share only if that may be used (nearly always it is lent). Gone: has_waiting, lender_count and the sum that advance returned to nobody.

--- a/crates/hemlocktack-config/src/accounts/directory.rs
+++ b/crates/hemlocktack-config/src/accounts/directory.rs
@@ -13,12 +13,16 @@
 pub struct AccountDirectory {
     by_key: HashMap<KeyDigest, Arc<ClientAccount>>,
     by_id: HashMap<AccountId, Arc<ClientAccount>>,
+    has_quotas: bool,
 }
 
 impl AccountDirectory {
     /// Creates the index.
     pub fn new(accounts: &[ClientAccount]) -> AccountDirectory {
-        let mut directory = AccountDirectory::default();
+        let mut directory = AccountDirectory {
+            has_quotas: accounts.iter().any(|account| account.quota.is_some()),
+            ..AccountDirectory::default()
+        };
         for account in accounts {
             let account = Arc::new(account.clone());
             for key in &account.keys {
@@ -44,8 +48,8 @@
         self.by_id.get(&id)
     }
 
-    /// Returns all accounts, in no particular order.
-    pub fn iter(&self) -> impl Iterator<Item = &Arc<ClientAccount>> {
-        self.by_id.values()
+    /// Returns whether any account has a quota.
+    pub fn has_quotas(&self) -> bool {
+        self.has_quotas
     }
 }
--- a/crates/hemlocktack-fleet/src/quotas/grantor.rs
+++ b/crates/hemlocktack-fleet/src/quotas/grantor.rs
@@ -50,22 +50,22 @@
 }
 
 impl Group {
-    /// Returns the parts that are lent now, after their shares of the time so far were added up.
-    fn advance(&mut self, now: BootTime, lapses: bool) -> f64 {
+    /// Adds up what has been lent so far, and drops the shares whose lease is over.
+    fn advance(&mut self, now: BootTime, lapses: bool) {
         let since = self.updated;
-        let mut part = 0.0;
         for share in self.lent.values() {
             let until = if lapses { share.until.min(now) } else { now };
             self.part_seconds += share.part * until.saturating_since(since).as_secs_f64();
-            if !lapses || share.until > now {
-                part += share.part;
-            }
         }
         if lapses {
             self.lent.retain(|_, share| share.until > now);
         }
         self.updated = self.updated.max(now);
-        part
+    }
+
+    /// Returns the part of every quota that is lent now.
+    fn part(&self) -> f64 {
+        self.lent.values().map(|share| share.part).sum()
     }
 }
 
@@ -98,7 +98,7 @@
         let group = self.groups.entry(report.group).or_default();
         group.advance(now, lapses);
         record_lent_share(&self.settings, group, from, report, now);
-        let part: f64 = group.lent.values().map(|share| share.part).sum();
+        let part = group.part();
         let mut tokens = Vec::with_capacity(report.demands.len());
         for demand in &report.demands {
             let Some(quota) = quota(demand.account) else {
@@ -112,12 +112,6 @@
             tokens,
         }
     }
-
-    /// Returns the number of shares that are lent for a group, for operators.
-    pub fn lender_count(&self, group: AccountGroup) -> usize {
-        let group = self.groups.get(&group);
-        group.map_or(0, |group| group.lent.len())
-    }
 }
 
 /// Takes a lent share. The lease runs from the last grant that the lender had seen when it sent the
@@ -199,16 +193,27 @@
     quota.burst_requests.max(least) * part
 }
 
+/// Longest time that a refused caller is told to wait.
+const LONGEST_PROMISE: Duration = Duration::from_secs(10);
+
 /// Returns the time until there will be a token for the first of the refused requests, and promises
 /// as many tokens: the next refused ones get later times.
 fn promise(account: &mut AccountTokens, refused: u32, rate_per_s: f64, now: BootTime) -> Duration {
-    const LONGEST: Duration = Duration::from_secs(10);
     if rate_per_s <= 0.0 {
-        return LONGEST;
+        return LONGEST_PROMISE;
     }
     let from = account.promised_until.max(now);
-    let wait = from.saturating_since(now) + Duration::from_secs_f64((1.0 / rate_per_s).min(10.0));
-    let taken = Duration::from_secs_f64((f64::from(refused) / rate_per_s).min(10.0));
-    account.promised_until = from.plus(taken).min(now.plus(LONGEST));
-    wait.min(LONGEST)
+    let first = from.plus(time_for(1, rate_per_s));
+    let latest = now.plus(LONGEST_PROMISE);
+    account.promised_until = from.plus(time_for(refused, rate_per_s)).min(latest);
+    first.min(latest).saturating_since(now)
+}
+
+/// Returns the time in which so many tokens accrue, at most [`LONGEST_PROMISE`].
+fn time_for(tokens: u32, rate_per_s: f64) -> Duration {
+    let seconds = f64::from(tokens) / rate_per_s;
+    match seconds < LONGEST_PROMISE.as_secs_f64() {
+        true => Duration::from_secs_f64(seconds),
+        false => LONGEST_PROMISE,
+    }
 }
--- a/crates/hemlocktack-fleet/src/quotas/ledger.rs
+++ b/crates/hemlocktack-fleet/src/quotas/ledger.rs
@@ -39,6 +39,18 @@
     },
 }
 
+/// A request that waits for a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WaitingRequest {
+    /// Its account.
+    pub account: AccountId,
+    /// Its importance among the requests of the account.
+    pub class_rank: ClassRank,
+}
+
+/// Waiting requests of one account, by class.
+type WaitingByClass = [u32; CLASSES];
+
 #[derive(Debug, Default)]
 struct Account {
     /// Granted tokens, by the end of their lifetime.
@@ -46,7 +58,6 @@
     /// From the node's own share, while that is not lent.
     own: Bucket,
     own_updated: BootTime,
-    waiting: [u32; CLASSES],
     /// Requests since the last report, and their mean.
     demand: u32,
     mean_demand: f64,
@@ -82,16 +93,16 @@
         }
     }
 
-    /// Takes a token for a request, if there is one. `share` is the share that the node owns now.
+    /// Takes a token for a request, if there is one. `share` returns the share that the node owns
+    /// now; it is called only if that may be used.
     pub fn request(
         &mut self,
         quota: &AccountQuota,
         class_rank: ClassRank,
-        share: Option<OwnedShare>,
+        share: impl FnOnce() -> Option<OwnedShare>,
         now: BootTime,
     ) -> TokenRequest {
         let lent_until = self.lent_until(group_of(quota.account, self.settings.groups));
-        let share = share.filter(|_| lent_until <= now);
         let expires = now.plus(self.settings.token_lifetime);
         let account = account_of(&mut self.accounts, quota.account, now);
         account.demand += 1;
@@ -100,6 +111,7 @@
         if let Some(expires) = account.take_granted() {
             return TokenRequest::Taken(QuotaToken { expires });
         }
+        let share = if lent_until <= now { share() } else { None };
         if account.take_own(quota, share, lent_until, now) {
             return TokenRequest::Taken(QuotaToken { expires });
         }
@@ -111,20 +123,6 @@
         TokenRequest::Ask
     }
 
-    /// Counts a request that waits for the next grant.
-    pub fn wait(&mut self, account: AccountId, class_rank: ClassRank) {
-        let account = self.accounts.entry(account).or_default();
-        account.waiting[class_of(class_rank)] += 1;
-    }
-
-    /// Counts a request out that no longer waits.
-    pub fn stop_waiting(&mut self, account: AccountId, class_rank: ClassRank) {
-        if let Some(account) = self.accounts.get_mut(&account) {
-            let waiting = &mut account.waiting[class_of(class_rank)];
-            *waiting = waiting.saturating_sub(1);
-        }
-    }
-
     /// Takes a granted token for a request that waited.
     pub fn take_granted(&mut self, account: AccountId, now: BootTime) -> Option<QuotaToken> {
         let account = self.accounts.get_mut(&account)?;
@@ -151,7 +149,8 @@
         lending.map_or_else(BootTime::default, |lending| lending.lent_until)
     }
 
-    /// Returns the report of a group to its grantor, and lends the node's share with it.
+    /// Returns the report of a group to its grantor, with the requests of the group that wait, and
+    /// lends the node's share with it.
     ///
     /// While the share is lent to another grantor, it is not lent again.
     pub fn report(
@@ -159,9 +158,10 @@
         group: AccountGroup,
         grantor: Incarnation,
         share: Option<OwnedShare>,
+        waiting: &[WaitingRequest],
         now: BootTime,
     ) -> QuotaReport {
-        let demands = self.demands(group, now);
+        let demands = self.demands(group, waiting, now);
         let lease = self.settings.lease;
         let is_enabled = |safeguard| self.settings.is_enabled(safeguard);
         let lent_once = is_enabled(QuotaSafeguard::LentOnce);
@@ -202,16 +202,23 @@
         accounts.for_each(|(_, account)| account.own = Bucket::default());
     }
 
-    fn demands(&mut self, group: AccountGroup, now: BootTime) -> Vec<QuotaDemand> {
+    fn demands(
+        &mut self,
+        group: AccountGroup,
+        waiting: &[WaitingRequest],
+        now: BootTime,
+    ) -> Vec<QuotaDemand> {
         let groups = self.settings.groups;
         let returned_before = now.plus(self.settings.token_lifetime / 2);
-        self.accounts.retain(|_, account| {
-            let is_idle = now.saturating_since(account.last_demand) > FORGET_AFTER;
-            !is_idle || account.waiting_count() > 0
-        });
+        let waiting = by_account(waiting);
+        self.accounts
+            .retain(|_, account| now.saturating_since(account.last_demand) <= FORGET_AFTER);
         let accounts = self.accounts.iter_mut();
         let accounts = accounts.filter(|(id, _)| group_of(**id, groups) == group);
-        let demands = accounts.map(|(id, account)| account.report(*id, returned_before, now));
+        let demands = accounts.map(|(id, account)| {
+            let waiting = waiting.get(id).copied().unwrap_or_default();
+            account.report(*id, &waiting, returned_before, now)
+        });
         let is_needed = |demand: &QuotaDemand| {
             demand.expected > 0 || demand.returned > 0 || !demand.waiting.is_empty()
         };
@@ -263,20 +270,9 @@
         account.retry_at = account.retry_at.max(now).plus(step);
         retry_after
     }
-
-    /// Returns the accounts that requests wait for in a group.
-    pub fn has_waiting(&self, group: AccountGroup) -> bool {
-        let groups = self.settings.groups;
-        let mut accounts = self.accounts.iter();
-        accounts.any(|(id, account)| group_of(*id, groups) == group && account.waiting_count() > 0)
-    }
 }
 
 impl Account {
-    fn waiting_count(&self) -> u32 {
-        self.waiting.iter().sum()
-    }
-
     fn drop_expired(&mut self, now: BootTime) {
         self.granted.retain(|(expires, _)| *expires > now);
     }
@@ -312,7 +308,13 @@
         self.own.take(1, 0.0) == 1
     }
 
-    fn report(&mut self, id: AccountId, returned_before: BootTime, now: BootTime) -> QuotaDemand {
+    fn report(
+        &mut self,
+        id: AccountId,
+        waiting: &WaitingByClass,
+        returned_before: BootTime,
+        now: BootTime,
+    ) -> QuotaDemand {
         self.drop_expired(now);
         let mean = self.mean_demand;
         self.mean_demand = mean + DEMAND_WEIGHT * (f64::from(self.demand) - mean);
@@ -328,16 +330,24 @@
             is_kept
         });
         let expected = self.mean_demand.ceil() as u32;
-        let last = self.waiting.iter().rposition(|count| *count > 0);
+        let last = waiting.iter().rposition(|count| *count > 0);
         QuotaDemand {
             account: id,
-            waiting: self.waiting[..last.map_or(0, |last| last + 1)].to_vec(),
+            waiting: waiting[..last.map_or(0, |last| last + 1)].to_vec(),
             expected: expected.saturating_sub(kept),
             returned,
         }
     }
 }
 
+fn by_account(waiting: &[WaitingRequest]) -> HashMap<AccountId, WaitingByClass> {
+    let mut counts: HashMap<AccountId, WaitingByClass> = HashMap::new();
+    for request in waiting {
+        counts.entry(request.account).or_default()[class_of(request.class_rank)] += 1;
+    }
+    counts
+}
+
 /// Returns the entry of an account. In a new one the node's own share accrues from now on.
 fn account_of(
     accounts: &mut HashMap<AccountId, Account>,
--- a/crates/hemlocktack-fleet/src/quotas/mod.rs
+++ b/crates/hemlocktack-fleet/src/quotas/mod.rs
@@ -14,7 +14,7 @@
 
 pub use grantor::QuotaGrantor;
 pub use groups::{GrantorChoice, group_of};
-pub use ledger::{QuotaLedger, QuotaToken, TokenRequest};
+pub use ledger::{QuotaLedger, QuotaToken, TokenRequest, WaitingRequest};
 pub use settings::{QuotaSafeguard, QuotaSettings};
 pub use share::{OwnedShare, ShareOwnership};
 
--- a/crates/hemlocktack-fleet/tests/quotas/reports.rs
+++ b/crates/hemlocktack-fleet/tests/quotas/reports.rs
@@ -1,6 +1,6 @@
 //! Reports of nodes to grantors, and what is granted.
 
-use hemlocktack_fleet::quotas::AccountGroup;
+use hemlocktack_fleet::quotas::{AccountGroup, WaitingRequest};
 use hemlocktack_protocol::{QuotaGrant, QuotaReport};
 use rand::RngExt;
 
@@ -32,13 +32,10 @@
         let state = &mut self.nodes[node];
         let share = state.ownership.owned(state.proof.as_ref(), &settings, now);
         let waiting = state.waiting.remove(&group).unwrap_or_default();
-        for account in &waiting {
-            state.ledger.wait(quota(*account).account, 0);
-        }
-        let report = state.ledger.report(group, sent.to_incarnation, share, now);
-        for account in &waiting {
-            state.ledger.stop_waiting(quota(*account).account, 0);
-        }
+        let requests: Vec<WaitingRequest> = waiting.iter().map(waiting_request).collect();
+        let report = state
+            .ledger
+            .report(group, sent.to_incarnation, share, &requests, now);
         state.reporting.insert(group, sent.serial);
         state.reported.insert(group, waiting);
         // The node gives up after its timeout, also if an answer comes later.
@@ -119,3 +116,10 @@
         }
     }
 }
+
+fn waiting_request(account: &usize) -> WaitingRequest {
+    WaitingRequest {
+        account: quota(*account).account,
+        class_rank: 0,
+    }
+}
--- a/crates/hemlocktack-fleet/tests/quotas/steps.rs
+++ b/crates/hemlocktack-fleet/tests/quotas/steps.rs
@@ -91,6 +91,6 @@
         divisor: 2,
         left: QuotaSettings::default().lease,
     };
-    let request = ledger.request(&quota(1), 0, Some(share), at_ms(10));
+    let request = ledger.request(&quota(1), 0, || Some(share), at_ms(10));
     assert!(!matches!(request, TokenRequest::Taken(_)), "{request:?}");
 }
--- a/crates/hemlocktack-fleet/tests/quotas/world.rs
+++ b/crates/hemlocktack-fleet/tests/quotas/world.rs
@@ -134,6 +134,28 @@
     pub(crate) reported: BTreeMap<AccountGroup, Vec<usize>>,
 }
 
+impl Node {
+    fn new(incarnation: u64, clock: Micros, settings: QuotaSettings) -> Node {
+        Node {
+            incarnation,
+            is_up: true,
+            is_frozen: false,
+            held: Vec::new(),
+            clock,
+            side: 0,
+            reaches_store: true,
+            proof: None,
+            ownership: ShareOwnership::default(),
+            ledger: QuotaLedger::new(settings),
+            grantor: QuotaGrantor::new(settings),
+            choice: GrantorChoice::default(),
+            waiting: BTreeMap::new(),
+            reporting: BTreeMap::new(),
+            reported: BTreeMap::new(),
+        }
+    }
+}
+
 /// The fleet and what its requests came to.
 pub(crate) struct World {
     pub(crate) rng: StdRng,
@@ -286,24 +308,8 @@
     pub(crate) fn join(&mut self) {
         let clock = self.rng.random_range(0..1_000 * SECOND);
         let incarnation = self.rng.next_u64();
-        let settings = self.settings;
-        self.nodes.push(Node {
-            incarnation,
-            is_up: true,
-            is_frozen: false,
-            held: Vec::new(),
-            clock,
-            side: 0,
-            reaches_store: true,
-            proof: None,
-            ownership: ShareOwnership::default(),
-            ledger: QuotaLedger::new(settings),
-            grantor: QuotaGrantor::new(settings),
-            choice: GrantorChoice::default(),
-            waiting: BTreeMap::new(),
-            reporting: BTreeMap::new(),
-            reported: BTreeMap::new(),
-        });
+        self.nodes
+            .push(Node::new(incarnation, clock, self.settings));
         let node = self.nodes.len() - 1;
         self.begin(node);
     }
@@ -319,18 +325,13 @@
 
     fn restart(&mut self, node: usize) {
         let incarnation = self.rng.next_u64();
-        let settings = self.settings;
-        let node_state = &mut self.nodes[node];
-        node_state.incarnation = incarnation;
-        node_state.is_up = true;
-        node_state.proof = None;
-        node_state.ownership = ShareOwnership::default();
-        node_state.ledger = QuotaLedger::new(settings);
-        node_state.grantor = QuotaGrantor::new(settings);
-        node_state.choice = GrantorChoice::default();
-        node_state.waiting = BTreeMap::new();
-        node_state.reporting = BTreeMap::new();
-        node_state.reported = BTreeMap::new();
+        let before = &self.nodes[node];
+        let started = Node {
+            side: before.side,
+            reaches_store: before.reaches_store,
+            ..Node::new(incarnation, before.clock, self.settings)
+        };
+        self.nodes[node] = started;
         self.begin(node);
     }
 
@@ -477,7 +478,7 @@
         if !is_proven {
             return;
         }
-        match state.ledger.request(&quota(account), 0, share, now) {
+        match state.ledger.request(&quota(account), 0, || share, now) {
             TokenRequest::Taken(_) => self.runs(account),
             TokenRequest::Refused { .. } => {}
             TokenRequest::Ask => {
--- a/crates/hemlocktack-node/src/node/freshness.rs
+++ b/crates/hemlocktack-node/src/node/freshness.rs
@@ -48,8 +48,8 @@
     /// Returns whether any client account has a quota.
     pub(crate) fn has_quotas(&self) -> bool {
         let active = self.active_configuration.load();
-        let mut accounts = active.iter().flat_map(|active| active.accounts.iter());
-        accounts.any(|account| account.quota.is_some())
+        let active = active.as_ref();
+        active.is_some_and(|active| active.accounts.has_quotas())
     }
 
     /// Returns whether this node may admit keys, or needs none.
--- a/crates/hemlocktack-node/src/quotas/acquire.rs
+++ b/crates/hemlocktack-node/src/quotas/acquire.rs
@@ -47,7 +47,7 @@
         return Ok(None);
     };
     let now = boot_time();
-    let share = node.quotas.owned_share(node, now);
+    let share = || node.quotas.owned_share(node, now);
     let request = node.quotas.ledger().request(&quota, class_rank, share, now);
     let token = match request {
         TokenRequest::Taken(token) => token,
--- a/crates/hemlocktack-node/src/quotas/exchange.rs
+++ b/crates/hemlocktack-node/src/quotas/exchange.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hemlocktack_fleet::quotas::AccountGroup;
+use hemlocktack_fleet::quotas::{AccountGroup, WaitingRequest};
 use hemlocktack_protocol::{Incarnation, Member, NodeState, QuotaGrant, QuotaReport, frame};
 
 use super::answer::answer_report;
@@ -51,26 +51,20 @@
     let Some(grantor) = grantor_of(node, group) else {
         return;
     };
-    let waiting = node.quotas.groups[group as usize].waiters().take_all();
+    let queue = &node.quotas.groups[group as usize];
+    let waiting = queue.waiters().take_all();
     let now = boot_time();
     let share = node.quotas.owned_share(node, now);
-    let report = {
-        let mut ledger = node.quotas.ledger();
-        for waiter in &waiting {
-            ledger.wait(waiter.quota.account, waiter.class_rank);
-        }
-        let report = ledger.report(group, grantor.incarnation, share, now);
-        for waiter in &waiting {
-            ledger.stop_waiting(waiter.quota.account, waiter.class_rank);
-        }
-        report
-    };
+    let requests: Vec<WaitingRequest> = waiting.iter().map(waiting_request).collect();
+    let report = node
+        .quotas
+        .ledger()
+        .report(group, grantor.incarnation, share, &requests, now);
     let Some(grant) = send(node, &grantor, report).await else {
         let pause = node.quotas.settings.grantor_pause;
         node.quotas
             .choice()
             .pass_over(&grantor.node_id, pause, boot_time());
-        let queue = &node.quotas.groups[group as usize];
         queue.waiters().put_back(waiting);
         if !queue.waiters().is_empty() {
             queue.has_waiting.notify_one();
@@ -84,6 +78,13 @@
     waiting.into_iter().for_each(|waiter| serve(node, waiter));
 }
 
+fn waiting_request(waiter: &Waiter) -> WaitingRequest {
+    WaitingRequest {
+        account: waiter.quota.account,
+        class_rank: waiter.class_rank,
+    }
+}
+
 /// Gives a waiting request a token, or tells it when to come back.
 fn serve(node: &Node, waiter: Waiter) {
     let now = boot_time();
