Proofs: whom to ask is looked up only when a question is due, and ranked once

A configuration that is active already is not parsed again when it is installed a second time, as it is after a proof brought it. One time-out in place of two of 700 ms, one event for a document from another part of the node in place of two that did the same, no revision 0 that meant none, no function that only passes a call on.

--- a/crates/hemlocktack-fleet/src/configuration/mod.rs
+++ b/crates/hemlocktack-fleet/src/configuration/mod.rs
@@ -9,4 +9,4 @@
 
 pub use settings::{ConfigurationSafeguard, ConfigurationSettings};
 pub use state::{ConfigurationAction, ConfigurationState, PeerView};
-pub use watchers::watches_platform;
+pub use watchers::{platform_watchers, watches_platform};
--- a/crates/hemlocktack-fleet/src/configuration/watchers.rs
+++ b/crates/hemlocktack-fleet/src/configuration/watchers.rs
@@ -14,8 +14,19 @@
     live_others: impl Iterator<Item = &'a str>,
     watchers: usize,
 ) -> bool {
-    let rank = |node_id: &str| stable_hash(&[b"watcher", node_id.as_bytes()]);
-    let own = (rank(own_node_id), own_node_id);
-    let lower = live_others.filter(|other| (rank(other), *other) < own);
+    let own = rank(own_node_id);
+    let lower = live_others.filter(|other| rank(other) < own);
     lower.count() < watchers
 }
+
+/// Returns the nodes that [`watches_platform`] is true for, of all live ones of a data centre.
+pub fn platform_watchers<'a>(live: impl Iterator<Item = &'a str>, watchers: usize) -> Vec<&'a str> {
+    let mut live: Vec<&str> = live.collect();
+    live.sort_by_cached_key(|node_id| rank(node_id));
+    live.truncate(watchers);
+    live
+}
+
+fn rank(node_id: &str) -> (u64, &str) {
+    (stable_hash(&[b"watcher", node_id.as_bytes()]), node_id)
+}
--- a/crates/hemlocktack-fleet/src/freshness/state.rs
+++ b/crates/hemlocktack-fleet/src/freshness/state.rs
@@ -62,26 +62,31 @@
         self.proof
     }
 
-    /// Returns the questions that are due; must be called several times per interval.
+    /// Returns the questions that are due; must be called several times per interval. `sources` is
+    /// called only if there are any.
     pub fn tick(
         &mut self,
         now: BootTime,
-        sources: &FreshnessSources,
+        sources: impl FnOnce() -> FreshnessSources,
         rng: &mut impl Rng,
     ) -> Vec<FreshnessAction> {
         let mut actions = Vec::new();
         let is_overdue = self.is_overdue(now);
-        if now >= self.next_ask && self.unanswered < self.settings.max_unanswered {
+        let asks = now >= self.next_ask;
+        let asks_another = is_overdue && now >= self.next_other_ask;
+        let is_due = asks || asks_another;
+        if !is_due || self.unanswered >= self.settings.max_unanswered {
+            return actions;
+        }
+        let sources = sources();
+        if asks {
             self.next_ask = now.plus(self.interval(sources.is_source, is_overdue));
-            actions.extend(self.question(sources, rng));
+            actions.extend(self.question(&sources, rng));
         }
-        if is_overdue
-            && now >= self.next_other_ask
-            && self.unanswered < self.settings.max_unanswered
-        {
+        if asks_another {
             let pause = self.settings.other_ask_interval;
             self.next_other_ask = now.plus(pause.mul_f64(rng.random_range(0.5..1.5)));
-            actions.extend(other_question(sources, rng));
+            actions.extend(other_question(&sources, rng));
         }
         self.unanswered += actions.len();
         actions
@@ -115,12 +120,9 @@
     }
 
     /// Handles an answer; returns whether it is newer than the proof so far.
-    pub fn answered(&mut self, proof: Option<FreshnessProof>) -> bool {
+    pub fn answered(&mut self, proof: FreshnessProof) -> bool {
         self.unanswered = self.unanswered.saturating_sub(1);
         self.peer_failed = false;
-        let Some(proof) = proof else {
-            return false;
-        };
         let is_newer = self
             .proof
             .is_none_or(|known| proof.proven_at > known.proven_at);
@@ -130,7 +132,7 @@
         is_newer
     }
 
-    /// Handles a question without an answer.
+    /// Handles a question without an answer, or one whose answer proves nothing.
     pub fn failed(&mut self, action: &FreshnessAction) {
         self.unanswered = self.unanswered.saturating_sub(1);
         if matches!(action, FreshnessAction::AskPeer { .. }) {
--- a/crates/hemlocktack-fleet/tests/configuration/main.rs
+++ b/crates/hemlocktack-fleet/tests/configuration/main.rs
@@ -7,7 +7,8 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_fleet::configuration::{
-    ConfigurationAction, ConfigurationSettings, ConfigurationState, PeerView, watches_platform,
+    ConfigurationAction, ConfigurationSettings, ConfigurationState, PeerView, platform_watchers,
+    watches_platform,
 };
 use hemlocktack_protocol::{ConfigurationDocument, Generation};
 use rand::SeedableRng;
@@ -192,3 +193,19 @@
         "{reads} reads in 300 s"
     );
 }
+
+/// Guards against a node that takes itself for a watcher where the others do not.
+#[test]
+fn each_watcher_knows_that_it_is_one() {
+    for size in 1..30 {
+        let ids: Vec<String> = (0..size).map(|node| format!("node-{node}")).collect();
+        let live = || ids.iter().map(String::as_str);
+        for count in [1, 2, 5, 40] {
+            let watchers = platform_watchers(live(), count);
+            for id in live() {
+                let knows = watches_platform(id, live().filter(|other| *other != id), count);
+                assert_eq!(watchers.contains(&id), knows, "{id} of {size}, {count}");
+            }
+        }
+    }
+}
--- a/crates/hemlocktack-fleet/tests/freshness/world.rs
+++ b/crates/hemlocktack-fleet/tests/freshness/world.rs
@@ -259,7 +259,8 @@
         self.admit(node);
         let now = self.local(node);
         let sources = self.sources(node);
-        let actions = self.nodes[node].state.tick(now, &sources, &mut self.rng);
+        let state = &mut self.nodes[node].state;
+        let actions = state.tick(now, || sources, &mut self.rng);
         for action in actions {
             self.ask(node, action, now);
         }
@@ -372,7 +373,10 @@
         if !is_late {
             state.generation = state.generation.max(generation);
         }
-        state.state.answered(proof);
+        match proof {
+            Some(proof) => drop(state.state.answered(proof)),
+            None => state.state.failed(&question.action),
+        }
     }
 
     /// Admits a request by the key that the next generation takes away, if there is one.
--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -36,10 +36,9 @@
         node_id: String,
         generation: Generation,
     },
-    /// An operator's change was stored through this node.
-    StoredLocally(ConfigurationDocument),
-    /// A proof of freshness came with a newer document.
-    ReadForProof(ConfigurationDocument),
+    /// Another part of this node has a document: an operator's change that was stored through it, or
+    /// one that came with a proof of freshness.
+    DocumentFound(ConfigurationDocument),
     PlatformAnswered(ConfigurationSnapshot),
     RevisionGone,
     PlatformFailed,
@@ -118,7 +117,7 @@
                 self.state.peer_announced(&node_id, generation);
                 self.state.tick(now, &self.peer_view(), &mut self.rng)
             }
-            Event::StoredLocally(document) | Event::ReadForProof(document) => {
+            Event::DocumentFound(document) => {
                 self.record_parse_error(&document);
                 self.state.stored_locally(document)
             }
--- a/crates/hemlocktack-node/src/freshness/ask_store.rs
+++ b/crates/hemlocktack-node/src/freshness/ask_store.rs
@@ -5,18 +5,15 @@
 use std::time::Duration;
 
 use hemlocktack_fleet::NodeIncarnation;
-use hemlocktack_fleet::freshness::FreshnessProof;
+use hemlocktack_fleet::freshness::{FreshnessProof, FreshnessSettings};
 use hemlocktack_platform::{
     BackoffSettings, BudgetSettings, Client, ClientSettings, ConfigurationStore, NodeRecords, Rate,
     Result, Revision,
 };
-use hemlocktack_protocol::{ConfigurationDocument, Generation, Incarnation};
+use hemlocktack_protocol::{BootTime, ConfigurationDocument, Generation, Incarnation};
 
 use super::boot_clock::boot_time;
 
-/// Shorter than that of other calls: a question that takes longer proves nothing useful, and the
-/// next one goes out over a new connection.
-const QUESTION_TIMEOUT: Duration = Duration::from_millis(700);
 /// The schedule of the questions limits them; a budget and a backoff of their own would delay the
 /// first proof after an outage.
 const UNLIMITED: Rate = Rate {
@@ -31,7 +28,8 @@
 /// The store's contents as of one of its revisions.
 #[derive(Debug, Default)]
 pub(crate) struct StoreContents {
-    revision: Revision,
+    /// `None` if it was read at two revisions, or not yet.
+    revision: Option<Revision>,
     generation: Generation,
     /// Starts of nodes that have a record.
     recorded: Vec<NodeIncarnation>,
@@ -44,11 +42,7 @@
         recorded.any(|node| node.incarnation == incarnation)
     }
 
-    fn proof(
-        &self,
-        own: &NodeIncarnation,
-        proven_at: hemlocktack_protocol::BootTime,
-    ) -> FreshnessProof {
+    fn proof(&self, own: &NodeIncarnation, proven_at: BootTime) -> FreshnessProof {
         FreshnessProof {
             generation: self.generation,
             proven_at,
@@ -68,6 +62,7 @@
 /// Asks the store, and remembers what it held.
 pub(crate) struct StoreQuestions {
     own: NodeIncarnation,
+    client: Arc<Client>,
     configurations: ConfigurationStore,
     records: NodeRecords,
     contents: Mutex<Arc<StoreContents>>,
@@ -83,14 +78,17 @@
             },
             rates: None,
             backoff: NO_BACKOFF,
-            call_timeout: QUESTION_TIMEOUT,
+            // Shorter than that of other calls: a question that takes longer proves nothing useful,
+            // and the next one goes out over a new connection.
+            call_timeout: FreshnessSettings::default().ask_timeout,
             ..settings
         })?;
         let client = Arc::new(client);
         Ok(Self {
             own,
             configurations: ConfigurationStore::new(client.clone()),
-            records: NodeRecords::new(client),
+            records: NodeRecords::new(client.clone()),
+            client,
             contents: Mutex::default(),
         })
     }
@@ -108,8 +106,8 @@
     pub(super) async fn ask(&self) -> Result<StoreAnswer> {
         let known = self.contents();
         let asked_at = boot_time();
-        let revision = self.configurations.revision().await?;
-        if revision == known.revision {
+        let revision = self.client.revision().await?;
+        if known.revision == Some(revision) {
             return Ok(StoreAnswer {
                 proof: known.proof(&self.own, asked_at),
                 configuration: None,
@@ -128,8 +126,7 @@
         let is_one_state = configuration.revision == records.revision;
         let members = records.nodes.into_iter().map(|node| node.member);
         let contents = StoreContents {
-            // Contents of two revisions are read again with the next question.
-            revision: if is_one_state { records.revision } else { 0 },
+            revision: is_one_state.then_some(records.revision),
             generation: stored.as_ref().map_or(0, |stored| stored.generation),
             recorded: members
                 .map(|member| NodeIncarnation::new(member.node_id.as_str(), member.incarnation))
--- a/crates/hemlocktack-node/src/freshness/renew.rs
+++ b/crates/hemlocktack-node/src/freshness/renew.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hemlocktack_fleet::configuration::watches_platform;
+use hemlocktack_fleet::configuration::platform_watchers;
 use hemlocktack_fleet::freshness::{
     FreshnessAction, FreshnessProof, FreshnessSettings, FreshnessSources, FreshnessState,
 };
@@ -51,9 +51,9 @@
                     tokio::time::sleep(IDLE_PERIOD).await;
                     continue;
                 }
-                let sources = sources(&node, &settings);
-                for action in state.tick(boot_time(), &sources, &mut rng) {
-                    tokio::spawn(ask(node.clone(), action, ends.clone()));
+                let sources = || sources(&node, &settings);
+                for action in state.tick(boot_time(), sources, &mut rng) {
+                    tokio::spawn(ask(node.clone(), action, settings.ask_timeout, ends.clone()));
                 }
             }
         }
@@ -68,7 +68,7 @@
     if let Some(document) = answer.configuration {
         install(node, document);
     }
-    if state.answered(Some(answer.proof)) {
+    if state.answered(answer.proof) {
         node.set_freshness_proof(answer.proof);
     }
 }
@@ -80,20 +80,25 @@
         return;
     }
     node.install_configuration(document.clone());
-    node.send_configuration_event(configuration::Event::ReadForProof(document));
+    node.send_configuration_event(configuration::Event::DocumentFound(document));
 }
 
-async fn ask(node: Arc<Node>, action: FreshnessAction, ends: mpsc::Sender<QuestionEnd>) {
+async fn ask(
+    node: Arc<Node>,
+    action: FreshnessAction,
+    timeout: Duration,
+    ends: mpsc::Sender<QuestionEnd>,
+) {
     let answer = match &action {
         FreshnessAction::AskStore => node.store_questions.ask().await.ok(),
-        FreshnessAction::AskPeer { node_id } => ask_peer(&node, node_id).await,
+        FreshnessAction::AskPeer { node_id } => ask_peer(&node, node_id, timeout).await,
     };
     let _ = ends.send(QuestionEnd { action, answer }).await;
 }
 
-async fn ask_peer(node: &Node, node_id: &str) -> Option<StoreAnswer> {
+async fn ask_peer(node: &Node, node_id: &str, timeout: Duration) -> Option<StoreAnswer> {
     let asked_at = boot_time();
-    let deadline = Instant::now() + FreshnessSettings::default().ask_timeout;
+    let deadline = Instant::now() + timeout;
     let above = node.active_generation();
     let document = configuration::pull_from_peer(node, node_id, above, deadline).await?;
     let report = document.freshness?;
@@ -112,24 +117,15 @@
     };
     let is_local = |member: &&Member| *member.data_centre == *node.settings.data_centre;
     let others: Vec<&Member> = members.iter().filter(is_ready).collect();
-    let local: Vec<&str> = others
-        .iter()
-        .filter(|member| is_local(member))
-        .map(|member| member.node_id.as_str())
-        .collect();
+    let local = others.iter().copied().filter(is_local);
+    let local: Vec<&str> = local.map(|member| member.node_id.as_str()).collect();
+    let live = local.iter().copied().chain([own_id]);
     let count = (local.len() + 1).div_ceil(settings.nodes_per_source);
-    let count = count.max(settings.min_sources);
-    let is_source = |id: &str| {
-        let rest = local.iter().copied().chain([own_id]);
-        watches_platform(id, rest.filter(|other| *other != id), count)
-    };
+    let sources = platform_watchers(live, count.max(settings.min_sources));
+    let other_sources = sources.iter().filter(|id| **id != own_id);
     FreshnessSources {
-        is_source: is_source(own_id),
-        local_sources: local
-            .iter()
-            .filter(|id| is_source(id))
-            .map(|id| (*id).to_owned())
-            .collect(),
+        is_source: sources.contains(&own_id),
+        local_sources: other_sources.map(|id| (*id).to_owned()).collect(),
         others: others.iter().map(|member| member.node_id.clone()).collect(),
     }
 }
--- a/crates/hemlocktack-node/src/node/configuration.rs
+++ b/crates/hemlocktack-node/src/node/configuration.rs
@@ -43,6 +43,9 @@
     /// Activates a higher generation; a lower or equal one is ignored. The task that follows
     /// the configuration has already checked that the document can be parsed.
     pub(crate) fn install_configuration(&self, stored: ConfigurationDocument) {
+        if stored.generation <= self.active_generation() {
+            return;
+        }
         let document = match self.read_configuration(&stored.document) {
             Ok(document) => document,
             Err(fault) => {
--- a/crates/hemlocktack-node/src/operators/commands/apply_configuration.rs
+++ b/crates/hemlocktack-node/src/operators/commands/apply_configuration.rs
@@ -34,7 +34,7 @@
         applied.map_err(|error| Failure::from_platform(&error))?,
         &change,
     )?;
-    node.send_configuration_event(configuration::Event::StoredLocally(ConfigurationDocument {
+    node.send_configuration_event(configuration::Event::DocumentFound(ConfigurationDocument {
         generation: response.generation,
         change_id: change.change_id.clone(),
         author: change.author.clone(),
--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -176,7 +176,8 @@
         self.list_pages(prefix, true).await
     }
 
-    /// Reads the store's revision, which grows with each change of any object.
+    /// Reads the store's revision, which grows with each change of any object: as long as it is the
+    /// same, nothing in the store has changed.
     ///
     /// # Errors
     /// See [`Error`].
--- a/crates/hemlocktack-platform/src/configuration.rs
+++ b/crates/hemlocktack-platform/src/configuration.rs
@@ -149,14 +149,6 @@
         })
     }
 
-    /// Reads the store's revision. As long as it is the same, nothing in the store has changed.
-    ///
-    /// # Errors
-    /// See [`Error`].
-    pub async fn revision(&self) -> Result<Revision> {
-        self.client.revision().await
-    }
-
     /// Waits up to `wait` for a configuration stored after the revision; `stored` is `None` if
     /// there is none in time.
     ///
