Keys and entry: what stood already is called, and the origin of a request has a type

Who made a request was a pair of an optional text, of which only the presence counted, and an optional call: an enum now. A list of accounts is read without a function of its own, whose comment spoke of classes that accounts do not name. The length of a digest is nobody else's business.

--- a/crates/hemlocktack-config/src/accounts/key.rs
+++ b/crates/hemlocktack-config/src/accounts/key.rs
@@ -7,7 +7,7 @@
 use sha2::{Digest, Sha256};
 
 /// Length of a digest in bytes.
-pub const KEY_DIGEST_LENGTH_BYTES: usize = 32;
+const KEY_DIGEST_LENGTH_BYTES: usize = 32;
 
 /// Result of parsing a digest.
 pub(crate) type Result<T> = std::result::Result<T, MalformedDigest>;
--- a/crates/hemlocktack-config/src/accounts/mod.rs
+++ b/crates/hemlocktack-config/src/accounts/mod.rs
@@ -8,5 +8,5 @@
 
 pub use account::{ClientAccount, Quota};
 pub use directory::AccountDirectory;
-pub use key::{KEY_DIGEST_LENGTH_BYTES, KeyDigest, digest_key};
+pub use key::{KeyDigest, digest_key};
 pub use ranks::RequestRanks;
--- a/crates/hemlocktack-config/src/bounds.rs
+++ b/crates/hemlocktack-config/src/bounds.rs
@@ -63,10 +63,8 @@
 pub(crate) const QUARANTINE_CRASHES: Bound = optional("quarantine_crashes", 2, 2, 100);
 pub(crate) const QUARANTINE_MS: Bound = optional("quarantine_ms", 300_000, 1_000, HOUR_MS);
 
-/// Requests per second of one client account; the limit is the largest integer that every JSON
-/// reader represents exactly.
-pub(crate) const RATE_PER_S: Bound = optional("rate_per_s", 0, 0, 1 << 53);
-pub(crate) const BURST_REQUESTS: Bound = optional("burst_requests", 0, 0, 1 << 53);
+pub(crate) const RATE_PER_S: Bound = optional("rate_per_s", 0, 0, QUOTA_LIMIT);
+pub(crate) const BURST_REQUESTS: Bound = optional("burst_requests", 0, 0, QUOTA_LIMIT);
 
 /// Rank of a class: one of at most [`CLASS_LIMIT`]. Without one, that of the route applies.
 pub(crate) const PRIORITY: Bound = optional("priority", 0, 0, CLASS_LIMIT as u64 - 1);
@@ -97,6 +95,9 @@
 pub const CALLER_KIND_LIMIT: usize = 64;
 /// Services are metric label values too; the limit is ten times the intended number.
 pub const SERVICE_LIMIT: usize = 1_024;
+/// Largest rate and burst of a client account: the largest integer up to which every JSON reader
+/// represents all exactly.
+pub const QUOTA_LIMIT: u64 = 1 << 53;
 /// Ten times the intended number; the document has room for about as many.
 pub const ACCOUNT_LIMIT: usize = 5_000;
 /// An account has one key for each program that uses it, and two during a replacement.
--- a/crates/hemlocktack-config/src/diff/accounts.rs
+++ b/crates/hemlocktack-config/src/diff/accounts.rs
@@ -4,18 +4,15 @@
 use crate::ClientAccount;
 
 pub(super) fn diff(old: &[ClientAccount], new: &[ClientAccount], out: &mut Vec<Change>) {
-    let find = |list: &'_ [ClientAccount], name: &str| {
-        list.iter().position(|account| account.name == name)
-    };
     for account in old {
-        if find(new, &account.name).is_none() {
+        if !new.iter().any(|other| other.name == account.name) {
             let name = account.name.clone();
             out.push(Change::ClientAccountRemoved { name });
         }
     }
     for account in new {
-        match find(old, &account.name) {
-            Some(before) => diff_account(&old[before], account, out),
+        match old.iter().find(|other| other.name == account.name) {
+            Some(before) => diff_account(before, account, out),
             None => {
                 let name = account.name.clone();
                 out.push(Change::ClientAccountAdded { name });
@@ -25,14 +22,17 @@
 }
 
 fn diff_account(old: &ClientAccount, new: &ClientAccount, out: &mut Vec<Change>) {
-    let change = |digest: String| (new.name.clone(), digest);
     for key in old.keys.iter().filter(|key| !new.keys.contains(key)) {
-        let (account, digest) = change(key.to_string());
-        out.push(Change::KeyRemoved { account, digest });
+        out.push(Change::KeyRemoved {
+            account: new.name.clone(),
+            digest: key.to_string(),
+        });
     }
     for key in new.keys.iter().filter(|key| !old.keys.contains(key)) {
-        let (account, digest) = change(key.to_string());
-        out.push(Change::KeyAdded { account, digest });
+        out.push(Change::KeyAdded {
+            account: new.name.clone(),
+            digest: key.to_string(),
+        });
     }
     let place = format!("client account {}", new.name);
     let priority = |account: &ClientAccount| match account.priority {
--- a/crates/hemlocktack-config/src/lib.rs
+++ b/crates/hemlocktack-config/src/lib.rs
@@ -13,14 +13,11 @@
 mod routes;
 mod table_reader;
 
-pub use accounts::{
-    AccountDirectory, ClientAccount, KEY_DIGEST_LENGTH_BYTES, KeyDigest, Quota, RequestRanks,
-    digest_key,
-};
+pub use accounts::{AccountDirectory, ClientAccount, KeyDigest, Quota, RequestRanks, digest_key};
 pub use bounds::{
     ACCOUNT_KEY_LIMIT, ACCOUNT_LIMIT, ATTEMPT_LIMIT, BOUNDS, Bound, CALLER_KIND_LIMIT, CLASS_LIMIT,
     CLIENT_BODY_LIMIT_BYTES, DOCUMENT_LIMIT_BYTES, HEAD_LIMIT_BYTES, NAME_LIMIT_BYTES,
-    PATH_PREFIX_LIMIT_BYTES, RULE_LIMIT, SERVICE_LIMIT,
+    PATH_PREFIX_LIMIT_BYTES, QUOTA_LIMIT, RULE_LIMIT, SERVICE_LIMIT,
 };
 pub use diff::{Change, diff};
 pub use document::{ANY_METHOD, CallerKind, Class, Document, Limits, RequestRule, Service};
--- a/crates/hemlocktack-config/src/read.rs
+++ b/crates/hemlocktack-config/src/read.rs
@@ -19,7 +19,7 @@
         classes: reader.list("classes", state, class),
         caller_kinds: reader.list("caller_kinds", state, caller_kind),
         services: reader.list("services", state, service),
-        client_accounts: accounts(&mut reader, state),
+        client_accounts: reader.list("client_accounts", state, account),
         ..Document::default()
     };
     reader.finish(state);
@@ -57,11 +57,6 @@
     kind
 }
 
-/// Reads the accounts; their classes are names until all classes are known.
-fn accounts(reader: &mut TableReader<'_, '_>, state: &mut ParseState) -> Vec<ClientAccount> {
-    reader.list("client_accounts", state, account)
-}
-
 fn account(mut reader: TableReader<'_, '_>, state: &mut ParseState) -> ClientAccount {
     let rate_per_s = reader.integer(RATE_PER_S, state);
     let burst_requests = reader.integer(BURST_REQUESTS, state);
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -59,16 +59,16 @@
     let route = document
         .route(&request.host, path)
         .ok_or(Reason::UnknownService)?;
-    let (parent_id, parent) = find_parent(node, &active, request)?;
-    let account = match parent_id {
-        Some(_) => None,
-        None => accounts::identify(node, &active, route, request.credential)?,
+    let origin = find_origin(node, &active, request)?;
+    let account = match origin {
+        Origin::Upstream { .. } => None,
+        Origin::Caller => accounts::identify(node, &active, route, request.credential)?,
     };
     let target = route
         .pick_target(rand::random())
         .ok_or(Reason::UnknownService)?;
-    let waited = match (parent_id, request.time_left) {
-        (None, Some(time_left)) => node
+    let waited = match (&origin, request.time_left) {
+        (Origin::Caller, Some(time_left)) => node
             .services
             .estimate_time_waited(route_id(route), time_left),
         _ => Duration::ZERO,
@@ -78,9 +78,9 @@
         service: target.service.clone(),
         body_limit_bytes: document.client_limits.body_limit_bytes,
         deadline: now + timeout(request, route),
-        objective: match parent_id {
-            Some(_) => parent.as_ref().and_then(|parent| parent.objective),
-            None => route
+        objective: match &origin {
+            Origin::Upstream { parent } => parent.as_ref().and_then(|parent| parent.objective),
+            Origin::Caller => route
                 .target_latency_ms
                 .map(|target| now + objective_left(target, waited)),
         },
@@ -92,31 +92,42 @@
         generation: active.generation,
         drops_key: !active.accounts.is_empty(),
         account,
-        parent,
-        is_child_call: parent_id.is_some(),
+        is_child_call: matches!(origin, Origin::Upstream { .. }),
+        parent: match origin {
+            Origin::Upstream { parent } => parent,
+            Origin::Caller => None,
+        },
     })
 }
 
-/// Returns the id of the request that the upstream made this one for, and that request if it is
-/// running here.
+/// Who made a request.
+enum Origin {
+    Caller,
+    /// This node's upstream, for a request that is running here, or was before a restart.
+    Upstream {
+        parent: Option<Arc<RunningCall>>,
+    },
+}
+
+/// Returns who made a request.
 ///
 /// Child calls need no key. Where requests need one, a call counts as a child call only while its
 /// parent runs here: otherwise any caller could do without a key by choosing such an id.
-fn find_parent<'a>(
+fn find_origin(
     node: &Node,
     active: &ActiveConfiguration,
-    request: &'a IncomingRequest,
-) -> Result<(Option<&'a str>, Option<Arc<RunningCall>>), Reason> {
+    request: &IncomingRequest,
+) -> Result<Origin, Reason> {
     let Some(parent_id) = request.parent_request_id.as_deref() else {
-        return Ok((None, None));
+        return Ok(Origin::Caller);
     };
     let parent = node.contexts.find_by_request(parent_id);
     if parent.is_some() || active.accounts.is_empty() {
-        return Ok((Some(parent_id), parent));
+        return Ok(Origin::Upstream { parent });
     }
     match request.credential {
         Credential::Missing => Err(Reason::ContextExpired),
-        _ => Ok((None, None)),
+        _ => Ok(Origin::Caller),
     }
 }
 
