Random runs of quotas and proofs: one agenda and one way to take seeds

Both worlds had the same queue of events and the same reading of the number of seeds, written twice. The agendas of the older examples differ (incarnations, delays by duration) and stay.

--- a/crates/hemlocktack-fleet/tests/freshness/main.rs
+++ b/crates/hemlocktack-fleet/tests/freshness/main.rs
@@ -5,6 +5,8 @@
 
 #![allow(clippy::unwrap_used)]
 
+#[path = "../support/mod.rs"]
+mod support;
 mod world;
 
 use std::time::Duration;
@@ -20,8 +22,7 @@
 const MUTATION_SEEDS: u64 = 60;
 
 fn seeds() -> u64 {
-    let variable = std::env::var("FRESHNESS_SEEDS").ok();
-    variable.map_or(SEEDS, |text| text.parse().unwrap())
+    support::seeds("FRESHNESS_SEEDS", SEEDS)
 }
 
 /// Guards against requests that run with a key long after operators have taken it away.
--- a/crates/hemlocktack-fleet/tests/freshness/world.rs
+++ b/crates/hemlocktack-fleet/tests/freshness/world.rs
@@ -1,7 +1,5 @@
 //! A fleet in virtual time that asks a store, and each other, for proofs.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
 use hemlocktack_fleet::freshness::{
@@ -12,10 +10,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-type Micros = u64;
+use crate::support::{Agenda, MS, Micros, SECOND};
 
-const MS: Micros = 1_000;
-const SECOND: Micros = 1_000_000;
 const END: Micros = 25 * SECOND;
 const TICK: Micros = 50 * MS;
 /// What operators are promised.
@@ -82,10 +78,7 @@
     trouble: Trouble,
     disabled: Option<FreshnessSafeguard>,
     settings: FreshnessSettings,
-    now: Micros,
-    order: u64,
-    events: BinaryHeap<Reverse<(Micros, u64)>>,
-    bodies: BTreeMap<u64, Event>,
+    agenda: Agenda<Event>,
     nodes: Vec<Node>,
     /// When each generation was acknowledged; each takes a key away that the one before had.
     changes: Vec<Micros>,
@@ -108,10 +101,7 @@
             trouble,
             disabled,
             settings: FreshnessSettings::default(),
-            now: 0,
-            order: 0,
-            events: BinaryHeap::new(),
-            bodies: BTreeMap::new(),
+            agenda: Agenda::new(),
             nodes: Vec::new(),
             changes: vec![0],
             late: None,
@@ -137,11 +127,11 @@
                 state,
             });
             let first = world.rng.random_range(0..TICK);
-            world.at(first, Event::Tick { node });
+            world.agenda.at(first, Event::Tick { node });
         }
         if trouble == Trouble::All {
-            world.at(2 * SECOND, Event::Disturb);
-            world.at(SECOND, Event::Change);
+            world.agenda.at(2 * SECOND, Event::Disturb);
+            world.agenda.at(SECOND, Event::Change);
         }
         world
     }
@@ -155,12 +145,7 @@
     }
 
     pub(crate) fn run(&mut self) {
-        while let Some(Reverse((time, order))) = self.events.pop() {
-            if time > END {
-                return;
-            }
-            self.now = time;
-            let event = self.bodies.remove(&order).unwrap();
+        while let Some(event) = self.agenda.next(END) {
             self.handle(event);
         }
     }
@@ -187,14 +172,8 @@
         self.store_calls as f64 / (END as f64 / SECOND as f64)
     }
 
-    fn at(&mut self, time: Micros, event: Event) {
-        self.order += 1;
-        self.events.push(Reverse((time, self.order)));
-        self.bodies.insert(self.order, event);
-    }
-
     fn after(&mut self, delay: Micros, event: Event) {
-        self.at(self.now + delay, event);
+        self.agenda.after(delay, event);
     }
 
     fn delay(&mut self) -> Micros {
@@ -210,7 +189,7 @@
             true => state.suspended,
             false => 0,
         };
-        BootTime::from_micros((self.now + state.clock).saturating_sub(missing))
+        BootTime::from_micros((self.agenda.now() + state.clock).saturating_sub(missing))
     }
 
     fn is_disabled(&self, safeguard: FreshnessSafeguard) -> bool {
@@ -311,7 +290,7 @@
     }
 
     fn is_out(&self) -> bool {
-        self.trouble == Trouble::StoreOutage && (OUTAGE.0..OUTAGE.1).contains(&self.now)
+        self.trouble == Trouble::StoreOutage && (OUTAGE.0..OUTAGE.1).contains(&self.agenda.now())
     }
 
     fn at_store(&mut self, question: Question) {
@@ -392,19 +371,19 @@
             proof.age(now) <= ADMIT_WITHIN || self.is_disabled(FreshnessSafeguard::Expiry)
         };
         let is_admitted = proof.is_some_and(is_recent);
-        if self.now > 2 * SECOND {
+        if self.agenda.now() > 2 * SECOND {
             self.asked += 1;
             self.refused += u64::from(!is_admitted);
         }
         let removed_at = self.changes.get(state.generation as usize);
-        let is_late = removed_at.is_some_and(|at| self.now > at + REVOCATION_BOUND);
+        let is_late = removed_at.is_some_and(|at| self.agenda.now() > at + REVOCATION_BOUND);
         if is_admitted && is_late && self.late.is_none() {
-            self.late = Some((self.now, node));
+            self.late = Some((self.agenda.now(), node));
         }
     }
 
     fn change(&mut self) {
-        self.changes.push(self.now);
+        self.changes.push(self.agenda.now());
         let pause = self.rng.random_range(500 * MS..4 * SECOND);
         self.after(pause, Event::Change);
     }
@@ -428,7 +407,7 @@
     }
 
     fn freeze(&mut self, node: usize, length: Micros, is_suspended: bool) {
-        let now = self.now;
+        let now = self.agenda.now();
         let state = &mut self.nodes[node];
         if !state.is_frozen {
             state.is_frozen = true;
@@ -439,7 +418,7 @@
     }
 
     fn wake(&mut self, node: usize) {
-        let now = self.now;
+        let now = self.agenda.now();
         let state = &mut self.nodes[node];
         state.is_frozen = false;
         if state.is_suspended {
--- a/crates/hemlocktack-fleet/tests/quotas/main.rs
+++ b/crates/hemlocktack-fleet/tests/quotas/main.rs
@@ -7,6 +7,8 @@
 
 mod reports;
 mod steps;
+#[path = "../support/mod.rs"]
+mod support;
 mod troubles;
 mod world;
 
@@ -29,8 +31,7 @@
 ];
 
 fn seeds() -> u64 {
-    let variable = std::env::var("QUOTA_SEEDS").ok();
-    variable.map_or(SEEDS, |text| text.parse().unwrap())
+    support::seeds("QUOTA_SEEDS", SEEDS)
 }
 
 /// Guards against more requests of an account than its quota in any window, whatever the nodes can
--- a/crates/hemlocktack-fleet/tests/quotas/reports.rs
+++ b/crates/hemlocktack-fleet/tests/quotas/reports.rs
@@ -4,7 +4,8 @@
 use hemlocktack_protocol::{QuotaGrant, QuotaReport};
 use rand::RngExt;
 
-use crate::world::{Event, MS, Micros, REPORT_TIMEOUT, SentReport, Trouble, World, quota};
+use crate::support::{MS, Micros};
+use crate::world::{Event, REPORT_TIMEOUT, SentReport, Trouble, World, quota};
 
 impl World {
     pub(crate) fn report(&mut self, node: usize, group: AccountGroup) {
@@ -18,12 +19,12 @@
         let chosen = self.nodes[node].choice.choose(group, ids, now);
         let to = names.iter().position(|name| Some(name.as_str()) == chosen);
         let to = to.unwrap();
-        self.order += 1;
+        self.last_serial += 1;
         let sent = SentReport {
             node,
             incarnation: self.nodes[node].incarnation,
             group,
-            serial: self.order,
+            serial: self.last_serial,
             to,
             to_incarnation: self.nodes[to].incarnation,
             asked_at: now,
--- a/crates/hemlocktack-fleet/tests/quotas/troubles.rs
+++ b/crates/hemlocktack-fleet/tests/quotas/troubles.rs
@@ -2,7 +2,8 @@
 
 use rand::RngExt;
 
-use crate::world::{Event, MS, Micros, SECOND, World};
+use crate::support::{MS, Micros, SECOND};
+use crate::world::{Event, World};
 
 impl World {
     pub(crate) fn grow(&mut self, nodes: usize) {
--- a/crates/hemlocktack-fleet/tests/quotas/world.rs
+++ b/crates/hemlocktack-fleet/tests/quotas/world.rs
@@ -8,13 +8,10 @@
 use hemlocktack_protocol::{BootTime, QuotaGrant, QuotaReport};
 use rand::rngs::StdRng;
 use rand::{Rng, RngExt, SeedableRng};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
 
-pub(crate) type Micros = u64;
+use crate::support::{Agenda, MS, Micros, SECOND};
+use std::collections::BTreeMap;
 
-pub(crate) const MS: Micros = 1_000;
-pub(crate) const SECOND: Micros = 1_000_000;
 /// Traffic begins once the first nodes own their shares.
 const TRAFFIC_FROM: Micros = 6 * SECOND;
 const END: Micros = 18 * SECOND;
@@ -161,10 +158,8 @@
     pub(crate) rng: StdRng,
     pub(crate) settings: QuotaSettings,
     pub(crate) trouble: Trouble,
-    pub(crate) now: Micros,
-    pub(crate) order: u64,
-    pub(crate) events: BinaryHeap<Reverse<(Micros, u64)>>,
-    pub(crate) bodies: BTreeMap<u64, Event>,
+    pub(crate) agenda: Agenda<Event>,
+    pub(crate) last_serial: u64,
     pub(crate) nodes: Vec<Node>,
     /// Recorded incarnations, by node.
     pub(crate) store: BTreeMap<usize, u64>,
@@ -193,10 +188,8 @@
             rng: StdRng::seed_from_u64(seed),
             settings,
             trouble,
-            now: 0,
-            order: 0,
-            events: BinaryHeap::new(),
-            bodies: BTreeMap::new(),
+            agenda: Agenda::new(),
+            last_serial: 0,
             nodes: Vec::new(),
             store: BTreeMap::new(),
             ran: vec![Vec::new(); ACCOUNTS.len()],
@@ -211,22 +204,17 @@
         for _ in 0..first {
             world.join();
         }
-        world.at(TRAFFIC_FROM, Event::Arrive);
+        world.agenda.at(TRAFFIC_FROM, Event::Arrive);
         match trouble {
-            Trouble::All => world.at(TRAFFIC_FROM, Event::Disturb),
-            Trouble::Growth => world.at(TRAFFIC_FROM, Event::Grow { nodes }),
+            Trouble::All => world.agenda.at(TRAFFIC_FROM, Event::Disturb),
+            Trouble::Growth => world.agenda.at(TRAFFIC_FROM, Event::Grow { nodes }),
             _ => {}
         }
         world
     }
 
     pub(crate) fn run(&mut self) {
-        while let Some(Reverse((time, order))) = self.events.pop() {
-            if time > END {
-                return;
-            }
-            self.now = time;
-            let event = self.bodies.remove(&order).unwrap();
+        while let Some(event) = self.agenda.next(END) {
             self.handle(event);
         }
     }
@@ -284,14 +272,8 @@
         self.served_within_quota
     }
 
-    pub(crate) fn at(&mut self, time: Micros, event: Event) {
-        self.order += 1;
-        self.events.push(Reverse((time, self.order)));
-        self.bodies.insert(self.order, event);
-    }
-
     pub(crate) fn after(&mut self, delay: Micros, event: Event) {
-        self.at(self.now + delay, event);
+        self.agenda.after(delay, event);
     }
 
     /// Returns a network delay; in trouble some are long.
@@ -302,7 +284,7 @@
     }
 
     pub(crate) fn local(&self, node: usize) -> BootTime {
-        BootTime::from_micros(self.now + self.nodes[node].clock)
+        BootTime::from_micros(self.agenda.now() + self.nodes[node].clock)
     }
 
     pub(crate) fn join(&mut self) {
@@ -437,7 +419,7 @@
     }
 
     pub(crate) fn runs(&mut self, account: usize) {
-        self.ran[account].push(self.now);
+        self.ran[account].push(self.agenda.now());
         self.served_within_quota += u64::from(is_within_quota(account));
     }
 
