Callers' connections: the system holds at most 128 KB of a response that a caller does not read

Cause: the system accepts four megabytes for a connection of which nothing is read (measured on loopback: 4,253,184 bytes, 3,145,728 of them in the first write), more than the test's response of three. It is written whole by one call, counts as sent, and the close leaves no trace. The test passed because its caller closed while that call was still copying.

Fix: TCP_NOTSENT_LOWAT on callers' connections. A response now counts as sent once the caller's system has taken all but 128 KB of it, so the close is seen.

Ruled out: line 722 in its place (the caller had its first byte, so the handler had ended), the limit on log lines (under 200 a second), a log that is not flushed (the node is stopped, and its log read to the end).

--- a/crates/hemlocktack-node/src/gateway/connection.rs
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -19,6 +19,7 @@
 use super::request_log::log_unsent;
 use super::tracked_body::TrackedBody;
 use crate::node::Node;
+use crate::sockets;
 
 /// A connection without a request for this long releases its buffers. Connections of
 /// upstreams, which make child calls in quick succession, keep theirs.
@@ -65,7 +66,7 @@
     H: Fn(Arc<Node>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
     F: Future<Output = Response<TrackedBody>> + Send + 'static,
 {
-    if stream.set_nodelay(true).is_err() {
+    if sockets::configure_caller(&stream).is_err() {
         return;
     }
     let mut socket = CallerSocket::new(stream);
--- a/crates/hemlocktack-node/src/sockets.rs
+++ b/crates/hemlocktack-node/src/sockets.rs
@@ -15,6 +15,9 @@
 /// within this time.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Bytes of responses that the system accepts for a caller beyond those that it has sent.
+const MAX_UNSENT_RESPONSE_BYTES: u32 = 128 << 10;
+
 /// Turns off Nagle's algorithm and turns on TCP keep-alive.
 ///
 /// After a network partition, a power loss of the peer or the loss of a NAT entry, packets
@@ -37,3 +40,12 @@
     configure(stream)?;
     SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
 }
+
+/// Configures a caller's connection, and limits the response bytes that wait in the system.
+///
+/// The system accepts up to four megabytes for a caller that reads nothing. Responses would
+/// count as sent, and a caller that disconnects then would leave no trace in the log.
+pub(crate) fn configure_caller(stream: &TcpStream) -> Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_RESPONSE_BYTES)
+}
