A planned stop has one owner, and final responses get most of the time that is reserved for the exit

What callers see: a request that waits at the drain limit gets no final response when its node is short of processor time. The process gave final responses 0.2 s, announced its departure for up to 0.3 s after that, and exited, although 0.7 s of the grace period were reserved.

The test a_slow_final_response_is_sent_before_the_end_of_the_grace_period (virtual time) failed before and passes now.

--- a/crates/hemlocktack-node/src/gateway/server.rs
+++ b/crates/hemlocktack-node/src/gateway/server.rs
@@ -17,8 +17,6 @@
 /// Delay after a failed accept. Without it the loop would spin, for example while the
 /// process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Time for sending responses that are ready when the drain limit is reached.
-const FINAL_RESPONSES_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Accepts and serves connections until the node closes its listeners.
 ///
@@ -63,7 +61,7 @@
     let in_flight = node.counters.in_flight();
     log_event!(Event::DrainLimitReached, in_flight);
     node.signals.drain_limit_reached.cancel();
-    connections_end_within(node, FINAL_RESPONSES_TIMEOUT).await;
+    connections_end_within(node, node.final_responses_time()).await;
 }
 
 async fn connections_end_within(node: &Node, limit: Duration) -> bool {
--- a/crates/hemlocktack-node/src/gateway/tests.rs
+++ b/crates/hemlocktack-node/src/gateway/tests.rs
@@ -8,7 +8,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -41,6 +41,9 @@
 /// for a stalled machine.
 const TURNS_UNTIL_IDLE: usize = 200;
 
+/// Less than the time from the drain limit to the end of the grace period.
+const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(500);
+
 /// A listener that counts the requests it reads.
 struct TestServer {
     node: Arc<Node>,
@@ -244,6 +247,23 @@
     assert_refused_as_draining(&answer);
 }
 
+/// Guards against an exit at the drain limit that cuts a final response although the grace
+/// period lasts longer, as on a machine with little processor time.
+#[tokio::test(start_paused = true)]
+async fn a_slow_final_response_is_sent_before_the_end_of_the_grace_period() {
+    let node = Arc::new(node());
+    let is_sent: &'static AtomicBool = Box::leak(Box::default());
+    let limit_reached = node.signals.drain_limit_reached.clone();
+    node.connections.spawn(async move {
+        limit_reached.cancelled().await;
+        tokio::time::sleep(FINAL_RESPONSE_TIME).await;
+        is_sent.store(true, Ordering::SeqCst);
+    });
+    node.begin_stop();
+    server::close(&node).await;
+    assert!(is_sent.load(Ordering::SeqCst));
+}
+
 fn assert_refused_as_draining(answer: &str) {
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     assert!(answer.contains("connection: close"), "{answer}");
--- a/crates/hemlocktack-node/src/node/lifecycle.rs
+++ b/crates/hemlocktack-node/src/node/lifecycle.rs
@@ -37,6 +37,11 @@
         elapsed.map_or(Duration::ZERO, |elapsed| limit.saturating_sub(elapsed))
     }
 
+    /// Returns how long a planned stop sends final responses after its drain limit.
+    pub(crate) fn final_responses_time(&self) -> Duration {
+        super::policies::final_responses_time(&self.adjustable())
+    }
+
     /// Returns whether new requests from callers are refused because the node is stopping.
     ///
     /// The platform redirects callers only after two failed readiness probes. Refusing
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -178,12 +178,7 @@
     if let Some(ended) = failed {
         return ended.unwrap_or(Ok(()));
     }
-    stop::drain(&node).await;
-    if interface.is_some() {
-        gateway::close(&node).await;
-    }
-    peers::announce_departure(&node).await;
-    node.signals.stopped.cancel();
+    stop::stop(&node).await;
     // The gateway has already sent its responses, and the process has little time left.
     if interface.is_some() {
         return Ok(());
--- a/crates/hemlocktack-node/src/stop.rs
+++ b/crates/hemlocktack-node/src/stop.rs
@@ -1,4 +1,5 @@
-//! The planned stop, which lets the calls in flight finish.
+//! The planned stop, which lets the calls in flight finish. It alone decides the order of
+//! the steps and when the node has stopped.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,8 +8,8 @@
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::handover;
 use crate::node::{MIN_DRAIN_TIME, Node};
+use crate::{gateway, handover, peers};
 
 /// How often the drain checks whether calls are still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
@@ -31,10 +32,26 @@
     }
 }
 
+/// Stops the node: waits for the calls in flight, sends the last responses and leaves the
+/// fleet. All of it takes at most the grace period, if one is configured.
+pub(crate) async fn stop(node: &Arc<Node>) {
+    drain(node).await;
+    // At the drain limit little of the grace period is left. Announcing the departure first
+    // would leave too little of it for the final responses.
+    tokio::join!(close_gateway(node), peers::announce_departure(node));
+    node.signals.stopped.cancel();
+}
+
+async fn close_gateway(node: &Node) {
+    if node.interface.is_some() {
+        gateway::close(node).await;
+    }
+}
+
 /// Stops accepting calls, waits up to the configured limit for those in flight, and hands
 /// the node's tickets over to a successor. `hemlocktack_fleet::drain` decides when each
 /// step happens.
-pub(crate) async fn drain(node: &Arc<Node>) {
+async fn drain(node: &Arc<Node>) {
     let in_flight_count = node.counters.in_flight();
     log_event!(Event::DrainBegun, in_flight_count);
     node.begin_stop();
