Rate limits and departures that an upstream names in its answers are heeded

What callers and upstreams saw: an upstream in need named a limit on its calls per second, or that it leaves, in the headers of its answers.

Cause: no code read the headers. Every header of an answer is forwarded, and only those that were known when the adapter was written are read.

Now the node beside the upstream, the only way to it, counts tokens for whatever arrives there. What it knows would end with its process, while entries stay bound by what they have passed on: entries keep the notice of each node's upstream by the node's name and send it along with each call, so a restarted node hears of it before the first call that is bound by it runs. Ruled out by reading: shares dealt out to entries, gossip of limits, a slow start after each restart (docs/decisions/upstream-notices.md).

Found on the way by tests: a lock taken twice as a departure was adopted (the new process test hung); a departure that an entry sent back was taken for that of a later start with the same id (upstreams::a_later_start_of_the_same_name_gets_requests failed, on this change alone): a node adopts nothing that it has said itself.

--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -1,6 +1,7 @@
 //! Admission on the node beside an upstream: each call runs, is queued or is refused.
 
 mod learn;
+mod notices;
 mod offered;
 mod refuse;
 mod waiting;
@@ -21,6 +22,7 @@
 use crate::queue::{ClassQueue, QueuedCall};
 use crate::shed::{Pressure, ShedController, ShedLevel};
 use crate::suspects::SuspectQueue;
+use crate::upstream_notices::UpstreamNotices;
 use crate::work::WorkEstimates;
 
 #[derive(Clone, Copy, Debug)]
@@ -59,6 +61,7 @@
     hold_back: Option<HoldBack>,
     long_queue_since: Option<Instant>,
     prior_work_losses: PriorWorkLosses,
+    notices: UpstreamNotices,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -98,6 +101,7 @@
             hold_back: None,
             long_queue_since: None,
             prior_work_losses: PriorWorkLosses::new(now),
+            notices: UpstreamNotices::default(),
             policy,
         }
     }
@@ -219,6 +223,7 @@
         if self.state == UpstreamState::Absent {
             return;
         }
+        self.refuse_beyond_rate_limit(now);
         while let Some(call) = self.next_call(now) {
             decisions.push(QueueDecision::Run(call.call_id));
         }
@@ -237,7 +242,7 @@
         (self.shed.level() != ShedLevel::OPEN).then(|| self.shed.next_due())
     }
 
-    /// Returns the load hint that replies carry. `chain_level` is the strictest level of the
+    /// Returns the load hint that replies carry, without [`Admission::rate_wait`]. `chain_level` is the strictest level of the
     /// services that the answered call's kind depends on.
     pub fn hint(&self, chain_level: ShedLevel) -> LoadHint {
         LoadHint {
@@ -248,6 +253,7 @@
             service_time_us: self.work.expected_any().as_micros() as u64,
             shed_level: self.shed.level().pack(),
             chain_shed_level: chain_level.pack(),
+            rate_wait_us: 0,
         }
     }
 
@@ -304,6 +310,9 @@
     }
 
     fn start(&mut self, call: &QueuedCall, now: Instant) {
+        if let Some(limiter) = self.notices.rate_limiter() {
+            limiter.take(now);
+        }
         self.running.insert(
             call.call_id,
             Running {
--- a/crates/hemlocktack-decide/src/admission/offered.rs
+++ b/crates/hemlocktack-decide/src/admission/offered.rs
@@ -10,6 +10,10 @@
 
 impl Admission {
     pub(super) fn run_or_queue(&mut self, offer: &OfferedCall, now: Instant) -> AdmissionDecision {
+        if !self.admits_within_rate_limit(offer, now) {
+            let queued_call = QueuedCall::from_offer(offer, now);
+            return self.refuse_offer(Reason::UpstreamRateLimited, &queued_call, now);
+        }
         if self.has_free_slot() && self.queue.is_empty() {
             return self.run_in_free_slot(offer, now);
         }
--- a/crates/hemlocktack-decide/src/admission/refuse.rs
+++ b/crates/hemlocktack-decide/src/admission/refuse.rs
@@ -40,11 +40,13 @@
 
     fn capacity_per_sec(&self) -> f64 {
         let expected = self.work.expected_any().as_secs_f64();
-        if expected > 0.0 {
+        let by_slots = if expected > 0.0 {
             f64::from(self.current_limit()) / expected
         } else {
             f64::INFINITY
-        }
+        };
+        let by_rate = self.notices.rate_limit_per_s().unwrap_or(f64::INFINITY);
+        by_slots.min(by_rate)
     }
 
     /// Refuses an offered call for lack of time or room.
@@ -66,9 +68,11 @@
             .push(QueueDecision::Refuse(call.call_id, refusal));
     }
 
-    /// Calls that wait for an upstream that goes are not lost for lack of capacity.
+    /// Calls that wait for an upstream that goes, or one without tokens, are not lost for lack of
+    /// capacity: they move to other nodes.
     fn record_loss(&mut self, reason: Reason, call: &QueuedCall) {
-        if call.place.has_prior_work() && reason != Reason::NoUpstream {
+        let moves = matches!(reason, Reason::NoUpstream | Reason::UpstreamRateLimited);
+        if call.place.has_prior_work() && !moves {
             self.prior_work_losses.record_loss();
         }
     }
--- a/crates/hemlocktack-decide/src/admission/waiting.rs
+++ b/crates/hemlocktack-decide/src/admission/waiting.rs
@@ -19,7 +19,7 @@
             self.start(&call, now);
             return Some(call);
         }
-        while self.has_free_slot() {
+        while self.has_free_slot() && self.has_token(now) {
             let call = self.queue.pop(self.queue_order(now))?;
             if self.misses_deadline(call.kind, call.deadline, Duration::ZERO, now)
                 && !self.probe(now)
@@ -36,7 +36,7 @@
     /// Returns the next suspected call to run. A call whose fingerprint was quarantined while it
     /// waited is refused, since each copy could crash one more upstream.
     fn next_suspect(&mut self, now: Instant) -> Option<QueuedCall> {
-        while self.has_free_slot() {
+        while self.has_free_slot() && self.has_token(now) {
             let call = self.suspects.next()?;
             match self.quarantine.status(call.fingerprint, now) {
                 QuarantineStatus::Quarantined => self
--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -13,6 +13,7 @@
 mod link_monitor;
 mod mix;
 mod moves;
+mod notice_book;
 mod objective_limit;
 mod offer;
 mod peer_load;
@@ -21,11 +22,13 @@
 mod prior_work_losses;
 mod quarantine;
 mod queue;
+mod rate_limiter;
 mod retry;
 mod retry_after;
 mod sends;
 mod shed;
 mod suspects;
+mod upstream_notices;
 mod upstream_state;
 mod work;
 
@@ -36,6 +39,7 @@
 pub use limit::{ConcurrencyLimit, LimitPolicy};
 pub use link_monitor::{LinkAction, LinkMonitor, LinkMonitorPolicy};
 pub use moves::MoveCounter;
+pub use notice_book::NoticeBook;
 pub use objective_limit::ObjectiveLimitPolicy;
 pub use offer::{AdmissionDecision, CancelResult, OfferedCall, QueueDecision, RunResult, WorkKind};
 pub use peer_load::PeerLoad;
@@ -50,3 +54,6 @@
 pub use retry_after::{RetryAfterPolicy, cap_to_objective, retry_after};
 pub use sends::{CallSends, NextStep};
 pub use shed::{ChainEdges, EntryShedPolicy, EntryShedder, ShedController, ShedLevel, ShedPolicy};
+pub use upstream_notices::{
+    AdoptedNotice, HeardNotice, NoticeChanges, NoticeSafeguard, RateLimitChange, UpstreamStart,
+};
--- a/crates/hemlocktack-decide/src/moves.rs
+++ b/crates/hemlocktack-decide/src/moves.rs
@@ -12,11 +12,16 @@
 /// such a call, so moving it costs nothing but its own time.
 const MAX_MOVES_WHEN_UNREACHABLE: u32 = 3;
 
+/// Maximum moves of one call away from upstreams without tokens. The entry learns of each limit by
+/// such a refusal, and other upstreams of the service may have room.
+const MAX_MOVES_WHEN_RATE_LIMITED: u32 = 3;
+
 /// Counts the moves of one call. Moves are not retries, since nothing ran.
 #[derive(Debug, Default)]
 pub struct MoveCounter {
     after_refusal: u32,
     when_unreachable: u32,
+    when_rate_limited: u32,
 }
 
 impl MoveCounter {
@@ -25,6 +30,9 @@
     pub fn try_move(&mut self, refusal: &Refusal) -> bool {
         let (made, most) = match refusal.reason {
             Reason::LinkLost => (&mut self.when_unreachable, MAX_MOVES_WHEN_UNREACHABLE),
+            Reason::UpstreamRateLimited => {
+                (&mut self.when_rate_limited, MAX_MOVES_WHEN_RATE_LIMITED)
+            }
             reason if may_move(reason) => (&mut self.after_refusal, MAX_MOVES_AFTER_REFUSAL),
             _ => return false,
         };
--- a/crates/hemlocktack-decide/src/peer_load.rs
+++ b/crates/hemlocktack-decide/src/peer_load.rs
@@ -48,6 +48,8 @@
     last_hint_us: AtomicU64,
     /// Time until which it is avoided after a refusal or a failure.
     avoided_until_us: AtomicU64,
+    /// Time until which its upstream's limit on calls per second probably admits no further call.
+    rate_limited_until_us: AtomicU64,
     /// Consecutive failed attempts.
     consecutive_failures: AtomicU32,
     /// Share of failures among about the last 16 calls, per mille.
@@ -81,6 +83,7 @@
             silent_since_us: AtomicU64::new(0),
             last_hint_us: AtomicU64::new(NEVER),
             avoided_until_us: AtomicU64::new(0),
+            rate_limited_until_us: AtomicU64::new(0),
             consecutive_failures: AtomicU32::new(0),
             failures_per_mille: AtomicU32::new(0),
             last_outcome_us: AtomicU64::new(NEVER),
@@ -226,6 +229,9 @@
             .store(hint.queue_delay_us, Ordering::Release);
         self.last_hint_us.store(self.micros(now), Ordering::Release);
         self.sent_since_hint.store(0, Ordering::Release);
+        let rate_limited_until = now + Duration::from_micros(hint.rate_wait_us);
+        self.rate_limited_until_us
+            .store(self.micros(rate_limited_until), Ordering::Release);
     }
 
     fn record_outcome(&self, failed: bool, now: Instant) {
@@ -301,7 +307,15 @@
     }
 
     pub(crate) fn is_avoided(&self, now: Instant) -> bool {
-        self.micros(now) < self.avoided_until_us.load(Ordering::Acquire) || self.is_silent(now)
+        self.micros(now) < self.avoided_until_us.load(Ordering::Acquire)
+            || self.is_silent(now)
+            || self.is_rate_limited(now)
+    }
+
+    /// Returns whether the upstream has named a limit on its calls per second and other upstreams
+    /// are preferable for now.
+    pub(crate) fn is_rate_limited(&self, now: Instant) -> bool {
+        self.micros(now) < self.rate_limited_until_us.load(Ordering::Acquire)
     }
 }
 
--- a/crates/hemlocktack-decide/src/placement.rs
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -109,8 +109,12 @@
             .filter(|local| prefers_local(*local, any))
             .or(Some(any))
     };
+    // A full upstream queues the call, one without tokens refuses it.
+    let has_tokens =
+        |index: usize, peer: &PeerLoad| takes(index, peer) && !peer.is_rate_limited(now);
     choose_nearest(&has_room)
         .or_else(|| choose_nearest(&available))
+        .or_else(|| choose_nearest(&has_tokens))
         .or_else(|| choose_nearest(&takes))
 }
 
@@ -120,7 +124,10 @@
 /// caller instead. The expected wait is specific to one node: its upstream may be the slow one
 /// of its data centre.
 pub fn may_move(reason: Reason) -> bool {
-    matches!(reason, Reason::QueueFull | Reason::DeadlineTooShort) || is_unavailable(reason)
+    matches!(
+        reason,
+        Reason::QueueFull | Reason::DeadlineTooShort | Reason::UpstreamRateLimited
+    ) || is_unavailable(reason)
 }
 
 pub(crate) fn is_unavailable(reason: Reason) -> bool {
--- a/crates/hemlocktack-decide/src/queue.rs
+++ b/crates/hemlocktack-decide/src/queue.rs
@@ -268,6 +268,12 @@
         self.take_from(last, true)
     }
 
+    /// Removes the call that would run last.
+    pub(crate) fn pop_last(&mut self) -> Option<QueuedCall> {
+        let last = self.lane_lengths.iter().rposition(|length| *length > 0)?;
+        self.take_from(last, true)
+    }
+
     /// Returns whether one more fresh call of this class would start before all queued calls
     /// with prior work have started.
     pub(crate) fn has_fresh_turn(&self, class: usize) -> bool {
--- a/crates/hemlocktack-interface/src/upstreams.rs
+++ b/crates/hemlocktack-interface/src/upstreams.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hemlocktack_protocol::Reason;
+use hemlocktack_protocol::{AnswerNotice, Reason};
 use http::{HeaderMap, response};
 
 /// Encodes requests to the upstream and decodes its responses.
@@ -13,6 +13,8 @@
     pub write_headers: fn(&mut HeaderMap, time_left: Duration, upstream_start: Option<&str>),
     /// Classifies a response by its head, given the id of the request that was sent.
     pub check_answer: fn(&response::Parts, request_id: &str) -> AnswerCheck,
+    /// Decodes what an answer says about its upstream.
+    pub read_notice: fn(&HeaderMap) -> AnswerNotice,
     /// Decodes a health check response.
     pub read_health: fn(&response::Parts) -> Option<Health>,
     /// Path of health checks, unless the configuration sets another.
@@ -36,7 +38,7 @@
 }
 
 /// Health check result of an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Health {
     /// Id of the upstream instance.
     pub upstream_start: String,
@@ -44,4 +46,6 @@
     pub is_healthy: bool,
     /// Number of requests that the upstream runs concurrently, if it reports it.
     pub slots: Option<u32>,
+    /// What the response says about the upstream otherwise.
+    pub notice: AnswerNotice,
 }
--- a/crates/hemlocktack-node/src/calls/admission_queue.rs
+++ b/crates/hemlocktack-node/src/calls/admission_queue.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Applies the queue decisions that are due.
+    pub(crate) fn apply_decisions(&self) {
+        self.lock().apply_decisions(Instant::now());
+    }
+
     /// Reads or changes the admission state and applies the resulting queue decisions.
     pub(crate) fn with_admission<T>(&self, use_admission: impl FnOnce(&mut Admission) -> T) -> T {
         let mut state = self.lock();
@@ -104,6 +109,14 @@
         result
     }
 
+    /// Reads or changes the admission state where that leads to no queue decision.
+    pub(crate) fn with_admission_only<T>(
+        &self,
+        use_admission: impl FnOnce(&mut Admission) -> T,
+    ) -> T {
+        use_admission(&mut self.lock().admission)
+    }
+
     /// Returns the crash quarantine status of a request, as far as this node knows.
     pub(crate) fn quarantine_status(&self, fingerprint: Fingerprint) -> QuarantineStatus {
         let mut state = self.lock();
@@ -114,7 +127,12 @@
     }
 
     pub(crate) fn hint(&self, chain_level: ShedLevel) -> LoadHint {
-        self.lock().admission.hint(chain_level)
+        let state = self.lock();
+        let rate_wait = state.admission.rate_wait(Instant::now());
+        LoadHint {
+            rate_wait_us: rate_wait.as_micros() as u64,
+            ..state.admission.hint(chain_level)
+        }
     }
 
     /// Applies queue decisions whenever the admission's next deadline is reached.
--- a/crates/hemlocktack-node/src/calls/deliver.rs
+++ b/crates/hemlocktack-node/src/calls/deliver.rs
@@ -38,6 +38,7 @@
     let given = allowance.grant_to_child();
     call.retries_given = given;
     call.time_left_us = time_left_us(deadline);
+    call.upstream_notice = node.notice_for(&peer.identity.node_id).map(Box::new);
     let result = match node.locate(&peer.member) {
         Some(NodeLocation::Local) => SendResult {
             answer: receive_locally(node, call).await,
@@ -47,6 +48,9 @@
         None => never_arrived(call.purpose(), given, Reason::LinkLost),
     };
     allowance.return_unspent(result.answer.retries_unspent, given);
+    if let Some(notice) = &result.answer.upstream_notice {
+        node.record_notice(&peer.identity.node_id, notice);
+    }
     result
 }
 
--- a/crates/hemlocktack-node/src/calls/outcomes.rs
+++ b/crates/hemlocktack-node/src/calls/outcomes.rs
@@ -39,6 +39,7 @@
             | Reason::Shed
             | Reason::DeadlineTooShort
             | Reason::QueueTimeout
+            | Reason::UpstreamRateLimited
             | Reason::Timeout
     );
     match answer.outcome() {
@@ -72,6 +73,7 @@
             | Reason::QueueFull
             | Reason::Shed
             | Reason::UpstreamShed
+            | Reason::UpstreamRateLimited
             | Reason::DeadlineTooShort
             | Reason::QueueTimeout
             | Reason::RetriesSpent
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -86,6 +86,8 @@
     let time_left = classified
         .deadline
         .saturating_duration_since(Instant::now());
+    let notice = node.notice_for(&peer.identity.node_id);
+    let rate_limit_per_s = notice.map(|notice| notice.rate_limit_per_s);
     log_event!(
         Event::SendEnded,
         request_id = classified.call.request_id,
@@ -101,6 +103,7 @@
         generation = classified.generation,
         time_left_ms = time_left.as_millis() as u64,
         retries_left = classified.allowance.left_for_own_sends(),
+        rate_limit_per_s,
         left_out
     );
 }
--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -5,7 +5,7 @@
 
 use hemlocktack_decide::{OfferedCall, RunResult, WorkKind};
 use hemlocktack_fleet::tickets::Nonce;
-use hemlocktack_protocol::{Answer, Call, ClassRank, Outcome, Reason};
+use hemlocktack_protocol::{Answer, Call, ClassRank, Outcome, Reason, Refusal};
 use hemlocktack_telemetry::{Event, SpanName, log_event};
 use tokio::net::TcpStream;
 
@@ -13,7 +13,7 @@
 use super::{RunningCall, not_run_answer, objective_of, unknown_answer, work_kind_of};
 use crate::node::Node;
 use crate::telemetry::{CallSpan, request_line};
-use crate::upstream::{UpstreamOutcome, UpstreamRequest};
+use crate::upstream::{UpstreamOutcome, UpstreamRequest, UpstreamResponse, heed_answer, heed_call};
 
 /// A running upstream accepts a connection within a millisecond; one that does not within this
 /// time counts as crashed.
@@ -43,6 +43,18 @@
     let class_rank = ClassRank::try_from(call.class_rank).unwrap_or(ClassRank::MAX);
     let kind = work_kind_of(node, &call);
     let arrived = Instant::now();
+    if let Some(reason) = heed_call(node, &call) {
+        return refused(
+            node,
+            &call,
+            kind,
+            deadline,
+            Refusal {
+                reason,
+                retry_after: None,
+            },
+        );
+    }
     let queue = CallSpan::begin_leaf(node, SpanName::Queue, &call);
     let admitted = node.admission_queue.admit(|call_id| OfferedCall {
         call_id,
@@ -60,16 +72,7 @@
     queue.end_leaf(node, admitted.as_ref().err().map(|refusal| refusal.reason));
     let admitted = match admitted {
         Ok(admitted) => admitted,
-        Err(refusal) => {
-            node.counters.record_refusal(refusal.reason);
-            let answer = Answer {
-                retries_unspent: call.retries_given,
-                ..not_run_answer(refusal.reason, refusal.retry_after)
-            };
-            let answer = with_load_hint(node, kind, answer);
-            log_refused(node, &call, &answer, deadline);
-            return answer;
-        }
+        Err(refusal) => return refused(node, &call, kind, deadline, refusal),
     };
     if !may_start() {
         drop(admitted);
@@ -79,6 +82,12 @@
         };
     }
     node.counters.record_admitted();
+    let is_rate_limited = node
+        .admission_queue
+        .with_admission_only(|admission| admission.rate_limit_per_s().is_some());
+    if is_rate_limited {
+        node.counters.record_rate_limited_start();
+    }
     let upstream = CallSpan::begin(node, SpanName::Upstream, &mut call);
     let running = RunningCall::new(&call, class_rank, nonce, deadline);
     let forwarded = Instant::now();
@@ -86,7 +95,24 @@
     log_late(node, &call, arrived, forwarded, child_wait);
     node.waits.upstream.observe(upstream.elapsed());
     upstream.end(node, &answer, || request_line(&call.method, &call.path));
-    with_load_hint(node, kind, answer)
+    with_load_hint(node, &call, kind, answer)
+}
+
+fn refused(
+    node: &Node,
+    call: &Call,
+    kind: WorkKind,
+    deadline: Instant,
+    refusal: Refusal,
+) -> Answer {
+    node.counters.record_refusal(refusal.reason);
+    let answer = Answer {
+        retries_unspent: call.retries_given,
+        ..not_run_answer(refusal.reason, refusal.retry_after)
+    };
+    let answer = with_load_hint(node, call, kind, answer);
+    log_refused(node, call, &answer, deadline);
+    answer
 }
 
 fn log_refused(node: &Node, call: &Call, answer: &Answer, deadline: Instant) {
@@ -95,7 +121,12 @@
     };
     let reason: &'static str = answer.reason().into();
     let hint = answer.hint.unwrap_or_default();
-    let time_left = deadline.saturating_duration_since(Instant::now());
+    let now = Instant::now();
+    let time_left = deadline.saturating_duration_since(now);
+    let (rate_limit_per_s, rate_limit_age) =
+        node.admission_queue.with_admission_only(|admission| {
+            (admission.rate_limit_per_s(), admission.rate_limit_age(now))
+        });
     log_event!(
         Event::CallRefused,
         request_id = call.request_id,
@@ -111,6 +142,8 @@
         objective_left_ms = call.objective_left_us / 1_000,
         has_returned = call.has_returned,
         retry_after_ms = answer.retry_after_ms,
+        rate_limit_per_s,
+        rate_limit_age_ms = rate_limit_age.map(|age| age.as_millis() as u64),
         left_out
     );
 }
@@ -131,7 +164,7 @@
     };
     let deadline = running.deadline;
     let context = node.contexts.open(running, &call.request_id);
-    let outcome = node
+    let UpstreamResponse { outcome, heard } = node
         .upstream_client
         .send(UpstreamRequest {
             announcement: &announcement,
@@ -141,6 +174,9 @@
             answer_limit_bytes: node.answer_limit_bytes(),
         })
         .await;
+    if let Some(heard) = &heard {
+        heed_answer(node, announcement.start_number, &call.request_id, heard);
+    }
     if matches!(outcome, UpstreamOutcome::Unknown(Reason::UpstreamFailed))
         && !is_alive(announcement.address).await
     {
@@ -198,10 +234,17 @@
     }
 }
 
-fn with_load_hint(node: &Node, kind: WorkKind, answer: Answer) -> Answer {
-    let hint = node.admission_queue.hint(node.chain_shed_level(kind));
+fn with_load_hint(node: &Node, call: &Call, kind: WorkKind, answer: Answer) -> Answer {
+    let chain_level = node.chain_shed_level(kind);
+    let hint = node.admission_queue.hint(chain_level);
+    let upstream_notice = node.admission_queue.with_admission_only(|admission| {
+        let is_of_interest = call.upstream_notice.is_some() || admission.has_notice_in_force();
+        let notice = || admission.notice(node.identity.incarnation);
+        is_of_interest.then(notice).flatten().map(Box::new)
+    });
     Answer {
         hint: Some(hint),
+        upstream_notice,
         ..answer
     }
 }
--- a/crates/hemlocktack-node/src/gateway/announcements.rs
+++ b/crates/hemlocktack-node/src/gateway/announcements.rs
@@ -15,7 +15,7 @@
 use super::tracked_body::TrackedBody;
 use crate::freshness::boot_time;
 use crate::node::Node;
-use crate::upstream::{Announcement, MessageOrigin};
+use crate::upstream::{Announcement, HeardAnswer, MessageOrigin, heed_answer, says_leaving};
 
 /// Limit of an announcement's body; announcements have a few hundred bytes.
 const BODY_LIMIT_BYTES: usize = 16 << 10;
@@ -82,38 +82,54 @@
     let origin = node
         .upstream_starts()
         .origin_of(upstream_start, started_unix_ms);
+    let mut listening = None;
     match origin {
         MessageOrigin::Current => {}
         MessageOrigin::Earlier => return,
         MessageOrigin::Later => node.upstream_starts().set_current(upstream_start),
         MessageOrigin::Other => {
-            if !set_current_if_listening(node, interface, upstream_start).await {
+            listening = check_health(node, interface).await;
+            if !set_current_if_listening(node, listening.as_ref(), upstream_start) {
                 return;
             }
         }
     }
-    node.upstream_starts().set_started(started_unix_ms);
+    node.set_upstream_started(started_unix_ms);
     match message {
         UpstreamMessage::Report(report) => apply_report(node, &report),
         UpstreamMessage::Leaving { .. } => mark_leaving(node),
     }
+    if let Some(health) = listening {
+        heed_health(node, health);
+    }
 }
 
 /// Makes this start the current one unless a different start answers the health check;
 /// returns whether it did.
-async fn set_current_if_listening(node: &Node, interface: Interface, upstream_start: &str) -> bool {
-    let listening = check_health(node, interface).await;
-    let listening = listening
-        .as_ref()
-        .map(|health| health.upstream_start.as_str());
+fn set_current_if_listening(node: &Node, listening: Option<&Health>, upstream_start: &str) -> bool {
+    let listening_start = listening.map(|health| health.upstream_start.as_str());
     let mut starts = node.upstream_starts();
-    let becomes_current = starts.may_become_current(upstream_start, listening);
+    let becomes_current = starts.may_become_current(upstream_start, listening_start);
     if becomes_current {
         starts.set_current(upstream_start);
     }
+    if becomes_current && listening.is_some_and(|health| says_leaving(&health.notice)) {
+        starts.mark_left();
+    }
     becomes_current
 }
 
+/// Heeds what a health check response of the current start said about the upstream.
+fn heed_health(node: &Node, health: Health) {
+    let start_number = node.upstream_starts().current_number();
+    let heard = HeardAnswer {
+        notice: health.notice,
+        request_sent_at: Instant::now(),
+        is_complete: false,
+    };
+    heed_answer(node, start_number, "", &heard);
+}
+
 fn apply_report(node: &Node, report: &UpstreamReport) {
     if *report.service != *node.settings.service {
         log_event!(
@@ -143,8 +159,8 @@
 }
 
 fn mark_leaving(node: &Node) {
-    node.upstream_starts().mark_left();
-    node.mark_upstream_draining();
+    let start_number = node.upstream_starts().current_number();
+    node.mark_upstream_leaving(start_number);
 }
 
 fn announce(
@@ -154,6 +170,10 @@
     slots: u32,
     cold: bool,
 ) {
+    let (start_number, started_unix_ms) = {
+        let starts = node.upstream_starts();
+        (starts.current_number(), starts.started_unix_ms())
+    };
     node.apply_announcement(Announcement {
         // Only this node connects to the upstream, so the address in the settings, if there
         // is one, takes precedence.
@@ -163,7 +183,8 @@
         cold,
         load_path: None,
         upstream_start: Some(upstream_start.into()),
-        start_number: node.upstream_starts().current_number(),
+        started_unix_ms,
+        start_number,
     });
 }
 
@@ -179,16 +200,17 @@
     }
     while !node.signals.stopped.is_cancelled() && node.upstream_state() == UpstreamState::Absent {
         if let Some(health) = check_health(&node, interface).await {
-            announce_discovered(&node, &health);
+            announce_discovered(&node, health);
         }
         tokio::time::sleep(DISCOVERY_INTERVAL).await;
     }
 }
 
-fn announce_discovered(node: &Node, health: &Health) {
+fn announce_discovered(node: &Node, health: Health) {
     {
         let mut starts = node.upstream_starts();
-        if !health.is_healthy || starts.has_current() {
+        let is_leaving = says_leaving(&health.notice);
+        if !health.is_healthy || is_leaving || starts.has_current() {
             return;
         }
         starts.set_current(&health.upstream_start);
@@ -198,6 +220,7 @@
     };
     let slots = health.slots.unwrap_or(DEFAULT_SLOTS);
     announce(node, &health.upstream_start, address, slots, false);
+    heed_health(node, health);
 }
 
 async fn check_health(node: &Node, interface: Interface) -> Option<Health> {
--- a/crates/hemlocktack-node/src/node/members.rs
+++ b/crates/hemlocktack-node/src/node/members.rs
@@ -40,6 +40,7 @@
                 known.incarnation == from.incarnation && !is_gone
             })
         });
+        self.forget_notices_of_former_members(&members);
         self.members.store(Arc::new(members));
     }
 
--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod freshness;
 mod lifecycle;
 mod members;
+mod notices;
 mod policies;
 #[cfg(test)]
 mod tests;
@@ -19,7 +20,7 @@
 use std::time::{Instant, SystemTime};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use hemlocktack_decide::ChainEdges;
+use hemlocktack_decide::{ChainEdges, NoticeBook};
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::drain::{NodeLifecycle, PublishedState};
 use hemlocktack_fleet::freshness::FreshnessProof;
@@ -61,6 +62,8 @@
     pub(crate) admission_queue: Arc<AdmissionQueue>,
     pub(crate) home: TicketHome,
     pub(crate) services: ServiceDirectory,
+    /// What other nodes' upstreams have said in answers that entered or passed here.
+    pub(crate) notices: ArcSwap<NoticeBook>,
     pub(crate) counters: Counters,
     pub(crate) operator_refusals: LogThrottle,
     pub(crate) unreadable_answers: LogThrottle,
@@ -157,6 +160,7 @@
             links: Links::new(identity.clone(), keys.clone()),
             home: TicketHome::new(&identity),
             services: ServiceDirectory::new(settings.data_centre.clone()),
+            notices: ArcSwap::default(),
             admission_queue: Arc::new(AdmissionQueue::new(policies::admission_policy(&settings))),
             counters: Counters::default(),
             operator_refusals: LogThrottle::default(),
--- a/crates/hemlocktack-node/src/node/upstream.rs
+++ b/crates/hemlocktack-node/src/node/upstream.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use hemlocktack_decide::{ShedLevel, WorkKind};
+use hemlocktack_decide::{ShedLevel, UpstreamStart, WorkKind};
 use hemlocktack_fleet::drain::{self, NodeLifecycle};
 use hemlocktack_protocol::UpstreamState;
 
@@ -18,6 +18,24 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records when the current start of the upstream began, if it has reported that.
+    pub(crate) fn set_upstream_started(&self, started_unix_ms: Option<u64>) {
+        let Some(started_unix_ms) = started_unix_ms else {
+            return;
+        };
+        let (is_news, number) = {
+            let mut starts = self.upstream_starts();
+            let is_news = starts.started_unix_ms() != Some(started_unix_ms);
+            starts.set_started(started_unix_ms);
+            (is_news, starts.current_number())
+        };
+        if is_news {
+            self.admission_queue.with_admission_only(|admission| {
+                admission.set_upstream_started(number, started_unix_ms);
+            });
+        }
+    }
+
     /// Applies an announcement; from then on calls go to the announced address.
     pub(crate) fn apply_announcement(&self, announcement: Announcement) {
         self.update_lifecycle(|lifecycle, now| {
@@ -55,10 +73,24 @@
         self.update_lifecycle(|lifecycle, now| {
             let actions = lifecycle.drain_upstream();
             self.sync_admission(lifecycle, now);
+            self.admission_queue
+                .with_admission(|admission| admission.begin_to_leave());
             actions
         });
     }
 
+    /// Records that this start of the upstream is leaving, unless another has begun since.
+    pub(crate) fn mark_upstream_leaving(&self, start_number: u64) {
+        {
+            let mut starts = self.upstream_starts();
+            if starts.current_number() != start_number {
+                return;
+            }
+            starts.mark_left();
+        }
+        self.mark_upstream_draining();
+    }
+
     /// Updates the admission to the upstream's state. The admission's lock is taken while the
     /// lifecycle's is held, never the other way round, so that the effects of one event are
     /// applied before the next event.
@@ -67,8 +99,12 @@
         let announcement = announcement.as_deref();
         let slots = announcement.map_or(0, |announcement| announcement.slots);
         let connections = announcement.map_or(0, |announcement| announcement.connections);
+        let start = announcement.and_then(start_of);
         self.admission_queue.with_admission(|admission| {
-            admission.sync_upstream_state(lifecycle.upstream(), slots, connections, now)
+            if let Some(start) = start {
+                admission.set_upstream_start(start);
+            }
+            admission.sync_upstream_state(lifecycle.upstream(), slots, connections, now);
         });
     }
 
@@ -99,3 +135,11 @@
         })
     }
 }
+
+fn start_of(announcement: &Announcement) -> Option<UpstreamStart> {
+    Some(UpstreamStart {
+        id: announcement.upstream_start.clone()?,
+        started_unix_ms: announcement.started_unix_ms,
+        number: announcement.start_number,
+    })
+}
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -138,6 +138,26 @@
     let help =
         "Classes being shed, starting with the lowest; 1.5 means one class and half of the next";
     float(registry, "shed_classes", help, shed);
+    let rate_limit = node
+        .admission_queue
+        .with_admission_only(|admission| admission.rate_limit_per_s());
+    let help = "Calls per second that the upstream has said it accepts, 0 for no limit";
+    float(
+        registry,
+        "upstream_rate_limit_calls_per_second",
+        help,
+        rate_limit.unwrap_or_default(),
+    );
+    let help = "Calls that were started within a limit on calls per second";
+    counter(
+        registry,
+        "rate_limited_starts",
+        help,
+        node.counters.rate_limited_start_count(),
+    );
+    let known = node.notices.load().rate_limit_count() as u64;
+    let help = "Limits on calls per second that this node knows of other nodes' upstreams";
+    gauge(registry, "known_rate_limits", help, known);
     let quarantined = status.quarantined_fingerprints.len() as u64;
     let help = "Requests refused because upstreams crashed while running them";
     gauge(registry, "quarantined_requests", help, quarantined);
--- a/crates/hemlocktack-node/src/upstream/announce.rs
+++ b/crates/hemlocktack-node/src/upstream/announce.rs
@@ -7,7 +7,7 @@
 use rocket::http::{ContentType, Status};
 use rocket::{Route, post, routes};
 
-use super::Announcement;
+use super::{Announcement, MessageOrigin};
 use crate::node::Node;
 
 /// Interval in which an upstream renews its announcement. Its lease expires after three missed
@@ -23,7 +23,7 @@
 
 #[post("/upstream/announce", data = "<body>")]
 fn announce(node: &State<Arc<Node>>, body: Vec<u8>) -> (Status, (ContentType, String)) {
-    let announcement: Announcement = match serde_json::from_slice(&body) {
+    let mut announcement: Announcement = match serde_json::from_slice(&body) {
         Ok(announcement) => announcement,
         Err(error) => return bad_request(&error.to_string()),
     };
@@ -34,14 +34,31 @@
     if load_path.is_some_and(|path| !path.starts_with('/')) {
         return bad_request("load_path begins with /");
     }
-    node.apply_announcement(announcement);
+    announcement.start_number = start_number(node, &announcement);
+    // A start that is leaving stays so, even if it still announces itself as cold.
+    let names_start = announcement.upstream_start.is_some();
+    if !names_start || !node.upstream_starts().has_left() {
+        node.apply_announcement(announcement);
+    }
     let reply = serde_json::json!({ "renew_every_ms": RENEWAL_INTERVAL.as_millis() as u64 });
     (Status::Ok, (ContentType::JSON, reply.to_string()))
 }
 
+/// Returns the number of the upstream's start; another id is that of another start.
+fn start_number(node: &Node, announcement: &Announcement) -> u64 {
+    let mut starts = node.upstream_starts();
+    if let Some(id) = &announcement.upstream_start
+        && starts.origin_of(id, None) == MessageOrigin::Other
+    {
+        starts.set_current(id);
+    }
+    starts.current_number()
+}
+
 #[post("/upstream/drain")]
 fn drain(node: &State<Arc<Node>>) -> Status {
-    node.mark_upstream_draining();
+    let start_number = node.upstream_starts().current_number();
+    node.mark_upstream_leaving(start_number);
     Status::Ok
 }
 
--- a/crates/hemlocktack-node/src/upstream/client.rs
+++ b/crates/hemlocktack-node/src/upstream/client.rs
@@ -5,11 +5,12 @@
 
 use bytes::{Bytes, BytesMut};
 use hemlocktack_protocol::{
-    CONTEXT_HEADER, Header, OUTCOME_HEADER, Outcome, Reason, TIMEOUT_HEADER, TRACEPARENT_HEADER,
+    AnswerNotice, CONTEXT_HEADER, Header, LEAVING_HEADER, OUTCOME_HEADER, Outcome,
+    RATE_LIMIT_HEADER, Reason, TIMEOUT_HEADER, TRACEPARENT_HEADER, read_departure, read_rate_limit,
 };
 use reqwest::{Client, Method, Response};
 
-use super::{UpstreamOutcome, UpstreamRequest};
+use super::{HeardAnswer, UpstreamOutcome, UpstreamRequest, UpstreamResponse};
 use crate::callers::is_forwarded_header;
 
 /// Client for one upstream with the native interface.
@@ -50,19 +51,19 @@
     ///
     /// The HTTP library reports a body shorter than its declared length as an error, which becomes
     /// `Unknown`: the caller never gets a truncated answer.
-    pub(super) async fn send(&self, send: &UpstreamRequest<'_>) -> UpstreamOutcome {
+    pub(super) async fn send(&self, send: &UpstreamRequest<'_>) -> UpstreamResponse {
         let time_left = send.deadline.saturating_duration_since(Instant::now());
         match tokio::time::timeout(time_left, self.exchange(send, time_left)).await {
             Ok(end) => end,
-            Err(_) => UpstreamOutcome::Unknown(Reason::Timeout),
+            Err(_) => UpstreamOutcome::Unknown(Reason::Timeout).into(),
         }
     }
 
-    async fn exchange(&self, send: &UpstreamRequest<'_>, time_left: Duration) -> UpstreamOutcome {
+    async fn exchange(&self, send: &UpstreamRequest<'_>, time_left: Duration) -> UpstreamResponse {
         let call = send.call;
         let address = send.announcement.address;
         let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
-            return UpstreamOutcome::NotRun(Reason::MalformedRequest);
+            return UpstreamOutcome::NotRun(Reason::MalformedRequest).into();
         };
         let mut request = self
             .client
@@ -76,14 +77,41 @@
         if !call.traceparent.is_empty() {
             request = request.header(TRACEPARENT_HEADER, call.traceparent.as_str());
         }
-        match request.body(call.body.clone()).send().await {
-            Ok(response) => read_whole(response, send.answer_limit_bytes).await,
-            Err(error) if error.is_builder() => UpstreamOutcome::NotRun(Reason::MalformedRequest),
-            Err(error) if error.is_connect() => {
-                UpstreamOutcome::NotRun(Reason::UpstreamUnreachable)
-            }
-            Err(_) => UpstreamOutcome::Unknown(Reason::UpstreamFailed),
-        }
+        let request_sent_at = Instant::now();
+        let response = match request.body(call.body.clone()).send().await {
+            Ok(response) => response,
+            Err(error) => return failed_outcome(&error).into(),
+        };
+        let notice = read_notice(&response);
+        let outcome = read_whole(response, send.answer_limit_bytes).await;
+        let is_complete = matches!(outcome, UpstreamOutcome::Answered { .. });
+        let heard = Some(HeardAnswer {
+            notice,
+            request_sent_at,
+            is_complete,
+        });
+        UpstreamResponse { outcome, heard }
+    }
+}
+
+fn failed_outcome(error: &reqwest::Error) -> UpstreamOutcome {
+    if error.is_builder() {
+        return UpstreamOutcome::NotRun(Reason::MalformedRequest);
+    }
+    match error.is_connect() {
+        true => UpstreamOutcome::NotRun(Reason::UpstreamUnreachable),
+        false => UpstreamOutcome::Unknown(Reason::UpstreamFailed),
+    }
+}
+
+fn read_notice(response: &Response) -> AnswerNotice {
+    let values = |name| {
+        let all = response.headers().get_all(name);
+        all.iter().map(|value| value.as_bytes())
+    };
+    AnswerNotice {
+        rate_limit_per_s: read_rate_limit(values(RATE_LIMIT_HEADER)),
+        leaving: read_departure(values(LEAVING_HEADER)),
     }
 }
 
--- a/crates/hemlocktack-node/src/upstream/interface_client.rs
+++ b/crates/hemlocktack-node/src/upstream/interface_client.rs
@@ -12,7 +12,7 @@
 use hyper::body::Incoming;
 
 use super::connections::{Connections, LeasedConnection};
-use super::{UpstreamOutcome, UpstreamRequest};
+use super::{HeardAnswer, UpstreamOutcome, UpstreamRequest, UpstreamResponse};
 use crate::gateway::forwarded_headers;
 
 /// Idle connections that may turn out to be closed before a new one is opened.
@@ -24,6 +24,13 @@
     connections: Connections,
 }
 
+/// The head of an answer, on the connection that the rest of it arrives on.
+struct AnswerHead {
+    leased: LeasedConnection,
+    response: Response<Incoming>,
+    request_sent_at: Instant,
+}
+
 /// Why a request was not sent; no byte of it was written.
 enum NotSent {
     Unreachable,
@@ -40,47 +47,70 @@
 
     /// Sends the call and reads the complete answer, until the deadline. If the caller disconnects
     /// before, this future is dropped, which closes the connection.
-    pub(super) async fn send(&self, send: &UpstreamRequest<'_>) -> UpstreamOutcome {
+    pub(super) async fn send(&self, send: &UpstreamRequest<'_>) -> UpstreamResponse {
         match tokio::time::timeout_at(send.deadline.into(), self.exchange(send)).await {
             Ok(end) => end,
-            Err(_) => UpstreamOutcome::Unknown(Reason::Timeout),
+            Err(_) => UpstreamOutcome::Unknown(Reason::Timeout).into(),
         }
     }
 
-    async fn exchange(&self, send: &UpstreamRequest<'_>) -> UpstreamOutcome {
-        let (leased, response) = match self.send_head(send).await {
-            Ok(Ok(sent)) => sent,
-            Ok(Err(reason)) => return UpstreamOutcome::Unknown(reason),
+    async fn exchange(&self, send: &UpstreamRequest<'_>) -> UpstreamResponse {
+        let AnswerHead {
+            leased,
+            response,
+            request_sent_at,
+        } = match self.send_head(send).await {
+            Ok(Ok(head)) => head,
+            Ok(Err(reason)) => return UpstreamOutcome::Unknown(reason).into(),
             Err(NotSent::Unreachable) => {
-                return UpstreamOutcome::NotRun(Reason::UpstreamUnreachable);
+                return UpstreamOutcome::NotRun(Reason::UpstreamUnreachable).into();
+            }
+            Err(NotSent::Malformed) => {
+                return UpstreamOutcome::NotRun(Reason::MalformedRequest).into();
             }
-            Err(NotSent::Malformed) => return UpstreamOutcome::NotRun(Reason::MalformedRequest),
         };
         let (head, body) = response.into_parts();
         // The upstream switched to another protocol without being asked to.
         if head.status == StatusCode::SWITCHING_PROTOCOLS {
-            return UpstreamOutcome::Unknown(Reason::UpstreamFailed);
+            return UpstreamOutcome::Unknown(Reason::UpstreamFailed).into();
         }
         let end = match (self.codec.check_answer)(&head, &send.call.request_id) {
             AnswerCheck::Answer => None,
             AnswerCheck::NotRun(reason) => Some(UpstreamOutcome::NotRun(reason)),
             AnswerCheck::OtherInstance => Some(UpstreamOutcome::NotRun(Reason::UpstreamReplaced)),
             // The connection cannot be reused: what follows belongs to no request of this node.
-            AnswerCheck::OtherRequest => return UpstreamOutcome::Unknown(Reason::UpstreamFailed),
+            AnswerCheck::OtherRequest => {
+                return UpstreamOutcome::Unknown(Reason::UpstreamFailed).into();
+            }
             AnswerCheck::UnconfirmedNotRun => {
                 Some(UpstreamOutcome::Unknown(Reason::UpstreamFailed))
             }
         };
+        let is_own_answer = !matches!(end, Some(UpstreamOutcome::NotRun(Reason::UpstreamReplaced)));
+        let heard = |is_complete| {
+            is_own_answer.then(|| HeardAnswer {
+                notice: (self.codec.read_notice)(&head.headers),
+                request_sent_at,
+                is_complete,
+            })
+        };
         let body = match read_whole(body, send.answer_limit_bytes).await {
             Ok(body) => body,
-            Err(reason) => return end.unwrap_or(UpstreamOutcome::Unknown(reason)),
+            Err(reason) => {
+                return UpstreamResponse {
+                    outcome: end.unwrap_or(UpstreamOutcome::Unknown(reason)),
+                    heard: heard(false),
+                };
+            }
         };
         self.connections.release(leased, &head.headers);
-        end.unwrap_or_else(|| UpstreamOutcome::Answered {
+        let heard = heard(end.is_none());
+        let outcome = end.unwrap_or_else(|| UpstreamOutcome::Answered {
             status: head.status.as_u16(),
             headers: forwarded_headers(&head.headers, &[]),
             body,
-        })
+        });
+        UpstreamResponse { outcome, heard }
     }
 
     /// Sends the request and returns the head of the answer. A request is resent, on another
@@ -88,7 +118,7 @@
     async fn send_head(
         &self,
         send: &UpstreamRequest<'_>,
-    ) -> Result<Result<(LeasedConnection, Response<Incoming>), Reason>, NotSent> {
+    ) -> Result<Result<AnswerHead, Reason>, NotSent> {
         let address = send.announcement.address;
         for attempt in 0.. {
             let leased = match attempt < MAX_STALE_CONNECTIONS {
@@ -100,8 +130,15 @@
             let Some(sender) = leased.sender.as_mut() else {
                 continue;
             };
+            let request_sent_at = Instant::now();
             match sender.try_send_request(request).await {
-                Ok(response) => return Ok(Ok((leased, response))),
+                Ok(response) => {
+                    return Ok(Ok(AnswerHead {
+                        leased,
+                        response,
+                        request_sent_at,
+                    }));
+                }
                 Err(mut error) => {
                     let nothing_sent = error.take_message().is_some();
                     if !nothing_sent {
--- a/crates/hemlocktack-node/src/upstream/send.rs
+++ b/crates/hemlocktack-node/src/upstream/send.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hemlocktack_protocol::{Call, Header, Reason};
 
-use super::Announcement;
+use super::{Announcement, HeardAnswer};
 
 /// A call to send to the upstream.
 pub(crate) struct UpstreamRequest<'a> {
@@ -17,6 +17,22 @@
     pub(crate) answer_limit_bytes: usize,
 }
 
+/// How a call to the upstream ended, and what its answer said about the upstream.
+pub(crate) struct UpstreamResponse {
+    pub(crate) outcome: UpstreamOutcome,
+    /// `None` without an answer from this start of the upstream.
+    pub(crate) heard: Option<HeardAnswer>,
+}
+
+impl From<UpstreamOutcome> for UpstreamResponse {
+    fn from(outcome: UpstreamOutcome) -> Self {
+        Self {
+            outcome,
+            heard: None,
+        }
+    }
+}
+
 /// Outcome of a call that was sent to the upstream.
 pub(crate) enum UpstreamOutcome {
     Answered {
--- a/crates/hemlocktack-node/src/upstream/starts.rs
+++ b/crates/hemlocktack-node/src/upstream/starts.rs
@@ -64,9 +64,14 @@
         }
     }
 
-    /// Records when the current start began, if it has reported that.
-    pub(crate) fn set_started(&mut self, started_unix_ms: Option<u64>) {
-        self.started_unix_ms = started_unix_ms.or(self.started_unix_ms);
+    /// Records when the current start began.
+    pub(crate) fn set_started(&mut self, started_unix_ms: u64) {
+        self.started_unix_ms = Some(started_unix_ms);
+    }
+
+    /// Returns when the current start began, if it has reported that.
+    pub(crate) fn started_unix_ms(&self) -> Option<u64> {
+        self.started_unix_ms
     }
 
     /// Returns the number of the current start.
--- a/crates/hemlocktack-node/src/upstream/upstream_client.rs
+++ b/crates/hemlocktack-node/src/upstream/upstream_client.rs
@@ -8,7 +8,7 @@
 
 use super::client::NativeClient;
 use super::interface_client::InterfaceClient;
-use super::{UpstreamOutcome, UpstreamRequest};
+use super::{UpstreamRequest, UpstreamResponse};
 
 /// Client for one upstream.
 pub(crate) enum UpstreamClient {
@@ -26,7 +26,7 @@
     }
 
     /// Sends the call and reads the complete answer.
-    pub(crate) async fn send(&self, send: UpstreamRequest<'_>) -> UpstreamOutcome {
+    pub(crate) async fn send(&self, send: UpstreamRequest<'_>) -> UpstreamResponse {
         match self {
             Self::Native(client) => client.send(&send).await,
             Self::Interface(client) => client.send(&send).await,
--- a/crates/hemlocktack-protocol/src/headers.rs
+++ b/crates/hemlocktack-protocol/src/headers.rs
@@ -17,6 +17,11 @@
 /// Seconds after which the caller may try again.
 pub const RETRY_AFTER_HEADER: &str = "retry-after";
 
+/// Calls per second that an upstream accepts from all nodes together, on its answers.
+pub const RATE_LIMIT_HEADER: &str = "hemlocktack-rate-limit";
+/// `1` on the answers of an upstream that is leaving.
+pub const LEAVING_HEADER: &str = "hemlocktack-leaving";
+
 /// Headers that nodes process and set themselves. `Retry-After` is not one of them: in an
 /// upstream's answer it was set by the upstream and belongs to the answer.
 const RESERVED_HEADERS: [&str; 7] = [
--- a/crates/hemlocktack-protocol/src/lib.rs
+++ b/crates/hemlocktack-protocol/src/lib.rs
@@ -7,6 +7,7 @@
 mod generated;
 mod headers;
 mod ids;
+mod notice;
 mod operators;
 mod outcome;
 mod stable_hash;
@@ -15,13 +16,15 @@
 pub use boot_time::BootTime;
 pub use generated::*;
 pub use headers::{
-    CALLER_KIND_HEADER, CONTEXT_HEADER, IDEMPOTENCY_KEY_HEADER, OUTCOME_HEADER, REASON_HEADER,
-    RETRY_AFTER_HEADER, TIMEOUT_HEADER, TRACEPARENT_HEADER, is_reserved_header,
+    CALLER_KIND_HEADER, CONTEXT_HEADER, IDEMPOTENCY_KEY_HEADER, LEAVING_HEADER, OUTCOME_HEADER,
+    RATE_LIMIT_HEADER, REASON_HEADER, RETRY_AFTER_HEADER, TIMEOUT_HEADER, TRACEPARENT_HEADER,
+    is_reserved_header,
 };
 pub use ids::{
     AccountId, CallId, ClassRank, DataCentre, Fingerprint, Generation, Incarnation, NodeId,
     RootRequestId, ServiceName,
 };
+pub use notice::{AnswerNotice, Statement, read_departure, read_rate_limit};
 pub use operators::{OPERATORS_SERVICE, OperatorErrorCode};
 pub use outcome::{CallFailure, Refusal};
 pub use stable_hash::stable_hash;
--- a/crates/hemlocktack-protocol/tests/generated.rs
+++ b/crates/hemlocktack-protocol/tests/generated.rs
@@ -10,6 +10,9 @@
 /// Enums that are also written and parsed as kebab-case names.
 const NAMED_ENUMS: [&str; 4] = ["Outcome", "Reason", "NodeState", "UpstreamState"];
 
+/// Fields that few messages have. Boxed, they cost the others no memory.
+const RARE_FIELDS: [&str; 2] = ["Call.upstream_notice", "Answer.upstream_notice"];
+
 fn generate(target: &Path) {
     let package = Path::new(env!("CARGO_MANIFEST_DIR"));
     let descriptors =
@@ -24,6 +27,9 @@
         );
         config.type_attribute(&path, "#[strum(serialize_all = \"kebab-case\")]");
     }
+    for field in RARE_FIELDS {
+        config.boxed(format!(".hemlocktack.v1.{field}"));
+    }
     config
         .compile_fds(descriptors.clone())
         .expect("messages are generated");
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -56,6 +56,11 @@
 
     206 WARN AnnouncementMalformed: "a message of the upstream cannot be read or is of another service; it is ignored", "compare the versions of the upstream and the node";
 
+    207 INFO UpstreamNamedRateLimit: "the upstream limits the calls that it accepts per second, or has changed that limit", "nothing: calls go to other upstreams; if those of a whole service name limits, add upstreams";
+    208 INFO UpstreamRateLimitEnded: "the upstream no longer limits the calls that it accepts per second", "nothing";
+    209 INFO UpstreamNamedDeparture: "the upstream is leaving, by an answer of its own or by what another node has passed on", "nothing; 203 follows";
+    210 WARN UpstreamNoticeMalformed: "an answer names a rate limit or a departure that cannot be read; nothing is taken from it", "compare the value with the interface of the upstream";
+
     301 INFO ConfigurationInForce: "a newer generation of the configuration is in force", "nothing";
     302 ERROR ConfigurationUnreadable: "this version of the node cannot read a stored generation and keeps the previous one", "upgrade the node, or apply a document that all versions can read";
     303 WARN PlatformLost: "the platform does not respond; calls continue with the configuration in force", "check the platform; configuration changes are not possible until it responds";
