Notices: when a start of the upstream began is kept; a health check that names a departure drains as an answer does

Read on the diff: each check of the announcement's age (every 100 ms) set the start anew from the last announcement, which may be from before the upstream told when it began. A start whose health check named a departure was marked as leaving before it was announced, and the earlier start's announcement stayed in force; it is announced and drained at once now. The test of the uncertain start leaned on the first fault for its set-up and uses another start number; what it asserts is unchanged.

--- a/crates/hemlocktack-decide/src/upstream_notices.rs
+++ b/crates/hemlocktack-decide/src/upstream_notices.rs
@@ -102,10 +102,12 @@
 
 impl UpstreamNotices {
     /// Sets the current start. Another start owes nothing of the earlier one's notices.
-    pub(crate) fn set_start(&mut self, start: UpstreamStart) {
+    pub(crate) fn set_start(&mut self, mut start: UpstreamStart) {
         let known = self.start.as_ref();
-        let is_same =
-            known.is_some_and(|known| known.number == start.number && known.id == start.id);
+        let same = known.filter(|known| known.number == start.number && known.id == start.id);
+        let is_same = same.is_some();
+        let known_birth_unix_ms = same.and_then(|known| known.started_unix_ms);
+        start.started_unix_ms = start.started_unix_ms.or(known_birth_unix_ms);
         if !is_same && self.is_enabled(NoticeSafeguard::OtherStart) {
             self.rate_limiter = None;
             self.last_change = None;
--- a/crates/hemlocktack-decide/tests/notices/admission.rs
+++ b/crates/hemlocktack-decide/tests/notices/admission.rs
@@ -225,7 +225,7 @@
 fn a_departure_is_not_adopted_while_the_start_is_uncertain() {
     let now = Instant::now();
     let mut admission = admission(now);
-    admission.set_upstream_start(start("i-1", None, START_NUMBER));
+    admission.set_upstream_start(start("i-1", None, START_NUMBER + 1));
     let adopted = admission.adopt_notice(&notice("i-1", 7, true), OWN, now);
     assert_eq!(adopted, AdoptedNotice::Unconfirmed);
     assert!(!admission.has_notice_in_force());
@@ -245,6 +245,20 @@
     assert!(!admission.has_notice_in_force());
 }
 
+/// Failure: an announcement from before the upstream told when it began is applied again, the node
+/// no longer knows which start it has, and refuses the calls of all entries that know of a departure.
+#[test]
+fn a_renewed_announcement_does_not_undo_when_the_start_began() {
+    let now = Instant::now();
+    let mut admission = admission(now);
+    admission.set_upstream_start(start("i-2", None, START_NUMBER + 1));
+    admission.set_upstream_started(START_NUMBER + 1, 9);
+    admission.set_upstream_start(start("i-2", None, START_NUMBER + 1));
+    let adopted = admission.adopt_notice(&notice("i-2", 8, true), OWN, now);
+    assert_eq!(adopted, AdoptedNotice::Heeded(NoticeChanges::default()));
+    assert!(!admission.has_notice_in_force());
+}
+
 /// What the node has heard from the upstream itself outweighs what others still believe.
 #[test]
 fn a_limit_that_has_ended_is_not_adopted_again() {
--- a/crates/hemlocktack-node/src/gateway/announcements.rs
+++ b/crates/hemlocktack-node/src/gateway/announcements.rs
@@ -113,9 +113,6 @@
     if becomes_current {
         starts.set_current(upstream_start);
     }
-    if becomes_current && listening.is_some_and(|health| says_leaving(&health.notice)) {
-        starts.mark_left();
-    }
     becomes_current
 }
 
