--- a/crates/hemlocktack-node/tests/processes/frames.rs
+++ b/crates/hemlocktack-node/tests/processes/frames.rs
@@ -75,7 +75,7 @@
 }
 
 /// Whether the node answers a query on this link.
-async fn is_answered(link: &mut Link) -> bool {
+pub(crate) async fn is_answered(link: &mut Link) -> bool {
     send(link, frame::Body::StatusPull(StatusPull { query_id: 9 })).await;
     loop {
         match receive(link).await {
@@ -220,7 +220,7 @@
     }
 }
 
-fn page(call_id: u64) -> Call {
+pub(crate) fn page(call_id: u64) -> Call {
     Call {
         call_id,
         purpose: CallPurpose::Placed.into(),
--- a/crates/hemlocktack-node/tests/processes/main.rs
+++ b/crates/hemlocktack-node/tests/processes/main.rs
@@ -11,6 +11,7 @@
 mod bad_input;
 mod chains;
 mod crash;
+mod departures;
 mod frames;
 mod harness;
 mod links;
