Logs that tell the hypotheses apart: where a request or a call was when nobody waited for it any longer

722 says where the request was, to whom it had been sent and when; 725 beside the upstream says that its sender cancelled a call, and whether it waited or ran; 410 that the link was down at that moment. What is decided is as before: the token of a cancelled call is Awaited now, which also knows whether the call was started.

--- a/crates/hemlocktack-node/src/calls/classify.rs
+++ b/crates/hemlocktack-node/src/calls/classify.rs
@@ -35,7 +35,7 @@
     pub(crate) parent: Option<Arc<RunningCall>>,
     /// Value of the caller's `Idempotency-Key` header.
     pub(crate) idempotency_key: Option<String>,
-    pub(crate) sends: SendRecord,
+    pub(crate) sends: Arc<SendRecord>,
 }
 
 /// Classifies a request by its rule in the configuration and, for a child call, by its parent.
@@ -110,7 +110,7 @@
         generation: in_force.generation,
         parent,
         idempotency_key,
-        sends: SendRecord::default(),
+        sends: Arc::default(),
     })
 }
 
--- a/crates/hemlocktack-node/src/calls/deliver.rs
+++ b/crates/hemlocktack-node/src/calls/deliver.rs
@@ -6,8 +6,8 @@
 use hemlocktack_decide::RetryAllowance;
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Reason};
 use hemlocktack_telemetry::SpanName;
-use tokio_util::sync::CancellationToken;
 
+use super::awaited::Awaited;
 use super::outcomes::{not_run_answer, unknown_answer};
 use super::receive;
 use super::service_directory::PeerEntry;
@@ -58,21 +58,30 @@
 /// is dropped: a call that may be cancelled ends with it, one that may not continues in its own
 /// task.
 async fn receive_locally(node: &Arc<Node>, call: Call) -> Answer {
-    let cancelled = CancellationToken::new();
+    let awaited = Awaited::default();
     if call.purpose() != CallPurpose::PlacedOnce {
-        return receive(node, call, &cancelled).await;
+        return receive(node, call, &awaited).await;
     }
-    let _cancelled_with_caller = cancelled.clone().drop_guard();
+    let _cancelled_with_caller = CancelOnDrop(awaited.clone());
     let node = node.clone();
     let running = tokio::spawn(async move {
         let _in_flight = node.track_call();
-        receive(&node, call, &cancelled).await
+        receive(&node, call, &awaited).await
     });
     running
         .await
         .unwrap_or_else(|_| unknown_answer(Reason::UpstreamFailed))
 }
 
+/// Cancels a call of this node when its caller's future is dropped.
+struct CancelOnDrop(Awaited);
+
+impl Drop for CancelOnDrop {
+    fn drop(&mut self) {
+        self.0.cancel();
+    }
+}
+
 async fn send_over_link(node: &Node, peer: &Peer, mut call: Call, deadline: Instant) -> SendResult {
     let purpose = call.purpose();
     let given = call.retries_given;
--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -9,6 +9,7 @@
 
 mod admission_queue;
 mod attempts;
+mod awaited;
 mod classify;
 mod context;
 mod deliver;
@@ -28,6 +29,7 @@
 mod ticketed;
 
 pub(crate) use admission_queue::AdmissionQueue;
+pub(crate) use awaited::Awaited;
 pub(crate) use classify::{ClassifiedCall, classify, fingerprint, work_kind_of};
 pub(crate) use context::{ContextTable, RunningCall, objective_of};
 pub(crate) use entry::{handle_request, refused_answer};
--- a/crates/hemlocktack-node/src/calls/receive.rs
+++ b/crates/hemlocktack-node/src/calls/receive.rs
@@ -8,6 +8,7 @@
 use hemlocktack_telemetry::SpanName;
 use tokio_util::sync::CancellationToken;
 
+use super::awaited::Awaited;
 use super::run::{RunRequest, run};
 use super::{catch_panic, home, not_run_answer, unknown_answer};
 use crate::node::Node;
@@ -15,30 +16,26 @@
 
 /// Handles a call according to its purpose and returns its outcome. The code that sends the
 /// answer counts the call as in flight.
-pub(crate) async fn receive(
-    node: &Arc<Node>,
-    mut call: Call,
-    cancelled: &CancellationToken,
-) -> Answer {
+pub(crate) async fn receive(node: &Arc<Node>, mut call: Call, awaited: &Awaited) -> Answer {
     node.counters.record_demand();
     let span = CallSpan::begin(node, SpanName::Hop, &mut call);
     let what = request_line(&call.method, &call.path);
     let request_id = call.request_id.clone();
-    let answer = catch_panic(&request_id, dispatch(node, call, cancelled)).await;
+    let answer = catch_panic(&request_id, dispatch(node, call, awaited)).await;
     span.end(node, &answer, || what);
     answer
 }
 
-async fn dispatch(node: &Arc<Node>, call: Call, cancelled: &CancellationToken) -> Answer {
+async fn dispatch(node: &Arc<Node>, call: Call, awaited: &Awaited) -> Answer {
     let deadline = Instant::now() + Duration::from_micros(call.time_left_us);
     match call.purpose() {
         // The home reports a ticket's outcome even while it drains.
         CallPurpose::Home => home::receive_home(node, call, deadline).await,
         CallPurpose::Delegated => receive_delegated(node, call, deadline).await,
         CallPurpose::Placed | CallPurpose::Unspecified => {
-            receive_placed(node, call, deadline, cancelled).await
+            receive_placed(node, call, deadline, awaited).await
         }
-        CallPurpose::PlacedOnce => receive_once(node, call, deadline, cancelled).await,
+        CallPurpose::PlacedOnce => receive_once(node, call, deadline, awaited).await,
     }
 }
 
@@ -47,7 +44,7 @@
     node: &Arc<Node>,
     call: Call,
     deadline: Instant,
-    cancelled: &CancellationToken,
+    awaited: &Awaited,
 ) -> Answer {
     if let Some(reason) = refusal_reason(node, &call) {
         return refused(node, &call, reason);
@@ -56,11 +53,11 @@
         call,
         nonce: None,
         deadline,
-        may_start: || true,
+        may_start: || awaited.start(),
     };
     tokio::select! {
         answer = run(node, order) => answer,
-        () = cancelled.cancelled() => unknown_answer(Reason::Cancelled),
+        () = awaited.cancelled() => unknown_answer(Reason::Cancelled),
     }
 }
 
@@ -71,7 +68,7 @@
     node: &Arc<Node>,
     call: Call,
     deadline: Instant,
-    cancelled: &CancellationToken,
+    awaited: &Awaited,
 ) -> Answer {
     if let Some(reason) = refusal_reason(node, &call) {
         return refused(node, &call, reason);
@@ -83,7 +80,7 @@
         deadline,
         may_start: || {
             started.cancel();
-            !cancelled.is_cancelled()
+            awaited.start()
         },
     };
     let running = run(node, order);
@@ -92,7 +89,7 @@
         biased;
         answer = &mut running => return answer,
         () = started.cancelled() => {}
-        () = cancelled.cancelled() => return not_run_answer(Reason::Cancelled, None),
+        () = awaited.cancelled() => return not_run_answer(Reason::Cancelled, None),
     }
     running.await
 }
--- a/crates/hemlocktack-node/src/calls/send_record.rs
+++ b/crates/hemlocktack-node/src/calls/send_record.rs
@@ -5,6 +5,7 @@
 
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_protocol::{Answer, Outcome, Reason};
+use strum::IntoStaticStr;
 
 use super::outcomes::{not_run_answer, unknown_answer};
 use super::service_directory::PeerEntry;
@@ -19,9 +20,23 @@
 struct SendState {
     /// A send that has ended may have reached an upstream.
     may_have_run: bool,
+    /// The request has its token and its body.
+    has_entered: bool,
     pending: Option<PendingSend>,
 }
 
+/// Where a request is at its entry node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum RequestPhase {
+    /// It waits for a token of its quota or for its body.
+    Entering,
+    /// It waits to be sent to a node, for the first time or again.
+    Placing,
+    /// It waits for the answer of a node.
+    Sent,
+}
+
 /// A send that has not ended yet.
 #[derive(Clone)]
 pub(crate) struct PendingSend {
@@ -30,6 +45,21 @@
 }
 
 impl SendRecord {
+    /// Records that the request is complete and may be sent.
+    pub(crate) fn enter(&self) {
+        self.state().has_entered = true;
+    }
+
+    /// Returns where the request is.
+    pub(crate) fn phase(&self) -> RequestPhase {
+        let state = self.state();
+        match (state.has_entered, &state.pending) {
+            (false, _) => RequestPhase::Entering,
+            (true, None) => RequestPhase::Placing,
+            (true, Some(_)) => RequestPhase::Sent,
+        }
+    }
+
     pub(super) fn begin(&self, peer: &PeerEntry) {
         self.state().pending = Some(PendingSend {
             receiver: peer.identity.clone(),
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -9,7 +9,7 @@
 use hemlocktack_protocol::{Call, ClassRank, Generation, Reason, stable_hash};
 
 use crate::accounts;
-use crate::calls::{ClassifiedCall, RunningCall, SendRecord, fingerprint};
+use crate::calls::{ClassifiedCall, RunningCall, fingerprint};
 use crate::node::{ActiveConfiguration, Node};
 
 /// Timeout of a request if neither the caller nor its route sets one.
@@ -219,7 +219,7 @@
             generation: self.generation,
             parent,
             idempotency_key: None,
-            sends: SendRecord::default(),
+            sends: Arc::default(),
         }
     }
 }
--- a/crates/hemlocktack-node/src/gateway/request_log.rs
+++ b/crates/hemlocktack-node/src/gateway/request_log.rs
@@ -1,5 +1,6 @@
 //! Log lines about requests that were refused, late or left without an answer.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use hemlocktack_config::ClientAccount;
@@ -7,7 +8,7 @@
 use hemlocktack_protocol::{Answer, Outcome, Reason, Refusal};
 use hemlocktack_telemetry::{Event, log_event};
 
-use crate::calls::{ClassifiedCall, PendingSend};
+use crate::calls::{ClassifiedCall, PendingSend, SendRecord};
 use crate::freshness::boot_time;
 use crate::node::Node;
 
@@ -17,15 +18,17 @@
 pub(super) struct UnansweredGuard<'a> {
     node: &'a Node,
     request_id: &'a str,
+    sends: Arc<SendRecord>,
     read_at: Instant,
     is_answered: bool,
 }
 
 impl<'a> UnansweredGuard<'a> {
-    pub(super) fn new(node: &'a Node, request_id: &'a str) -> Self {
+    pub(super) fn new(node: &'a Node, request_id: &'a str, sends: &Arc<SendRecord>) -> Self {
         Self {
             node,
             request_id,
+            sends: sends.clone(),
             read_at: Instant::now(),
             is_answered: false,
         }
@@ -44,10 +47,17 @@
         let Some(left_out) = self.node.call_log_limiter.try_acquire() else {
             return;
         };
+        let phase: &'static str = self.sends.phase().into();
+        let pending = self.sends.pending();
         log_event!(
             Event::RequestUnanswered,
             request_id = self.request_id,
             elapsed_ms = self.read_at.elapsed().as_millis() as u64,
+            phase,
+            sent_to = pending.as_ref().map(|send| &*send.receiver.node_id),
+            since_sent_ms = pending
+                .as_ref()
+                .map(|send| send.elapsed().as_millis() as u64),
             is_stopping = self.node.is_stopping(),
             left_out
         );
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -19,7 +19,7 @@
 use super::tracked_body::TrackedBody;
 use super::unread_body::refuse_and_discard;
 use super::{forwarded_headers, server};
-use crate::calls::{self, ClassifiedCall, not_run_answer, retry_after};
+use crate::calls::{self, ClassifiedCall, SendRecord, not_run_answer, retry_after};
 use crate::counters::InFlightGuard;
 use crate::node::Node;
 use crate::quotas::{self, HeldToken};
@@ -43,8 +43,9 @@
             return refuse_and_discard(refusal, &head, body);
         }
     };
-    let guard = UnansweredGuard::new(&node, &incoming.request_id);
-    let running = run(&node, interface, &head, &incoming, &mut body);
+    let sends = Arc::default();
+    let guard = UnansweredGuard::new(&node, &incoming.request_id, &sends);
+    let running = run(&node, interface, &head, &incoming, &mut body, &sends);
     let answer = calls::catch_panic(&incoming.request_id, running).await;
     guard.mark_answered();
     let mut response = if answer.outcome() == Outcome::Answered {
@@ -65,6 +66,7 @@
     head: &request::Parts,
     incoming: &IncomingRequest,
     body: &mut Incoming,
+    sends: &Arc<SendRecord>,
 ) -> Answer {
     let path = head.uri.path();
     let span = node
@@ -89,6 +91,7 @@
         routed,
         span,
         began,
+        sends: sends.clone(),
     };
     // Boxed: the state of the whole request would otherwise be part of its connection's.
     let answer = Box::pin(run_entered(node, interface, head, incoming, body, entered)).await;
@@ -119,6 +122,7 @@
     routed: RoutedRequest,
     span: ActiveSpan,
     began: Instant,
+    sends: Arc<SendRecord>,
 }
 
 async fn run_entered(
@@ -133,6 +137,7 @@
         routed,
         span,
         began,
+        sends,
     } = entered;
     let path = head.uri.path();
     let service = routed.service.clone();
@@ -150,7 +155,11 @@
         ..Call::default()
     };
     let started = Instant::now();
-    let classified = routed.classify(node, call, started);
+    sends.enter();
+    let classified = ClassifiedCall {
+        sends,
+        ..routed.classify(node, call, started)
+    };
     if let Some(parent) = &classified.parent {
         parent.child_call_began();
     }
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -95,7 +95,7 @@
         frame::Body::EchoRequest(EchoRequest {}) => {
             connection.send_if_room(frame::Body::EchoReply(EchoReply {}));
         }
-        frame::Body::Cancel(cancel) => sender.cancel(cancel.call_id),
+        frame::Body::Cancel(cancel) => cancel_call(node, sender, cancel.call_id),
         frame::Body::Resolve(resolve) => {
             resolve_call(node, sender, connection, resolve.call_id).await
         }
@@ -110,7 +110,7 @@
 }
 
 fn start_call(node: &Arc<Node>, sender: &Arc<Sender>, connection: &Connection, call: Call) {
-    let Some(cancelled) = node.senders.begin_call(sender, call.call_id, connection) else {
+    let Some(awaited) = node.senders.begin_call(sender, &call, connection) else {
         return;
     };
     let in_flight = node.track_call();
@@ -119,7 +119,7 @@
     tokio::spawn(async move {
         let call_id = call.call_id;
         let request_id = call.request_id.clone();
-        let mut answer = calls::receive(&node, call, &cancelled).await;
+        let mut answer = calls::receive(&node, call, &awaited).await;
         answer.call_id = call_id;
         if !finish_call(&node, &sender, answer).await {
             log_undelivered(&node, &sender, call_id, &request_id);
@@ -128,6 +128,26 @@
     });
 }
 
+fn cancel_call(node: &Node, sender: &Sender, call_id: CallId) {
+    let Some(cancelled) = sender.cancel(call_id) else {
+        return;
+    };
+    let Some(left_out) = node.call_log_limiter.try_acquire() else {
+        return;
+    };
+    let phase: &'static str = cancelled.phase.into();
+    log_event!(
+        Event::CallCancelled,
+        request_id = cancelled.request_id,
+        call_id,
+        sender = %sender.identity.node_id,
+        sender_incarnation = sender.identity.incarnation,
+        phase,
+        elapsed_ms = cancelled.elapsed.as_millis() as u64,
+        left_out
+    );
+}
+
 /// Sends an answer over every link on which its call is waited for; returns whether it was sent.
 ///
 /// One sender may have two links here, because it knows this process under two names or opened
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -13,6 +13,7 @@
     Answer, Call, CallId, CallProgress, CallPurpose, CancelCall, Incarnation, NodeId, Reason,
     ResolveCall, frame,
 };
+use hemlocktack_telemetry::{Event, log_event};
 use tokio::sync::mpsc;
 
 use super::connection::Connection;
@@ -247,6 +248,10 @@
     fn drop(&mut self) {
         if let Some(connection) = self.connection.take() {
             let call_id = self.call_id;
+            if connection.is_closed() {
+                let peer_incarnation = connection.peer_incarnation;
+                log_event!(Event::CancelledWithoutLink, call_id, peer_incarnation);
+            }
             connection.send_if_room(frame::Body::Cancel(CancelCall { call_id }));
         }
     }
--- a/crates/hemlocktack-node/src/links/senders.rs
+++ b/crates/hemlocktack-node/src/links/senders.rs
@@ -2,13 +2,15 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::calls::{Arrival, ArrivalLimits, Arrivals, Resolution};
-use hemlocktack_protocol::{Answer, CallId};
-use tokio_util::sync::CancellationToken;
+use hemlocktack_protocol::{Answer, Call, CallId};
+use strum::IntoStaticStr;
 
 use super::connection::Connection;
+use crate::calls::Awaited;
 
 /// The nodes that send calls to this node, with their calls.
 ///
@@ -33,12 +35,32 @@
 
 /// A call that has not been answered yet.
 struct OpenCall {
-    cancelled: CancellationToken,
+    request_id: String,
+    arrived: Instant,
+    awaited: Awaited,
     /// Connections on which the sender waits for the answer: the one that the call arrived on, and
     /// those that queries for it arrived on.
     reply_to: Vec<Connection>,
 }
 
+/// A call that its sender has cancelled.
+pub(super) struct CancelledCall {
+    pub(super) request_id: String,
+    /// Time since it arrived.
+    pub(super) elapsed: Duration,
+    pub(super) phase: CallPhase,
+}
+
+/// Where a call was when it was cancelled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(super) enum CallPhase {
+    /// It waited to be started.
+    Waiting,
+    /// It had been sent to the upstream.
+    Running,
+}
+
 impl Default for Senders {
     fn default() -> Self {
         Self {
@@ -66,28 +88,34 @@
         self.forget_if_gone(sender);
     }
 
-    /// Registers a call that arrived on this connection. The returned token is cancelled when
-    /// nobody waits for the call any longer. Returns `None` for a call that arrived before.
+    /// Registers a call that arrived on this connection. Returns `None` for a call that arrived
+    /// before.
     ///
     /// The arrival is recorded and the call registered under one lock. A query in between would be
     /// told that the call runs, and its connection would not get the answer.
     pub(super) fn begin_call(
         &self,
         sender: &Sender,
-        call_id: CallId,
+        call: &Call,
         received_on: &Connection,
-    ) -> Option<CancellationToken> {
+    ) -> Option<Awaited> {
         let mut state = sender.state();
-        if self.arrivals().record_arrival(&sender.identity, call_id) != Arrival::New {
+        if self
+            .arrivals()
+            .record_arrival(&sender.identity, call.call_id)
+            != Arrival::New
+        {
             return None;
         }
-        let cancelled = CancellationToken::new();
-        let call = OpenCall {
-            cancelled: cancelled.clone(),
+        let awaited = Awaited::default();
+        let open_call = OpenCall {
+            request_id: call.request_id.clone(),
+            arrived: Instant::now(),
+            awaited: awaited.clone(),
             reply_to: vec![received_on.clone()],
         };
-        state.calls.insert(call_id, call);
-        Some(cancelled)
+        state.calls.insert(call.call_id, open_call);
+        Some(awaited)
     }
 
     /// Returns the state of a call that its sender queries over this connection, on which the
@@ -159,9 +187,18 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub(super) fn cancel(&self, call_id: CallId) {
-        if let Some(call) = self.state().calls.get(&call_id) {
-            call.cancelled.cancel();
-        }
+    /// Cancels a call if it has not been answered yet; returns where it was.
+    pub(super) fn cancel(&self, call_id: CallId) -> Option<CancelledCall> {
+        let state = self.state();
+        let call = state.calls.get(&call_id)?;
+        call.awaited.cancel();
+        Some(CancelledCall {
+            request_id: call.request_id.clone(),
+            elapsed: call.arrived.elapsed(),
+            phase: match call.awaited.is_started() {
+                true => CallPhase::Running,
+                false => CallPhase::Waiting,
+            },
+        })
     }
 }
--- a/crates/hemlocktack-node/src/links/tests.rs
+++ b/crates/hemlocktack-node/src/links/tests.rs
@@ -6,7 +6,7 @@
 
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::calls::Resolution;
-use hemlocktack_protocol::Answer;
+use hemlocktack_protocol::{Answer, Call};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::connection::Connection;
@@ -53,7 +53,11 @@
         let mut came_through = Vec::new();
         for call_id in 1..=ROUNDS {
             start.wait();
-            let taken = senders.begin_call(&sender, call_id, &lost);
+            let call = Call {
+                call_id,
+                ..Call::default()
+            };
+            let taken = senders.begin_call(&sender, &call, &lost);
             if call_id % 2 == 0 {
                 answered.wait();
             }
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -83,6 +83,8 @@
     408 WARN OtherNodeAtAddress: "a node other than the expected one answers at its address", "nothing if the expected node is gone for good; otherwise two nodes are configured with the same address";
     409 WARN DatagramRefused: "a gossip datagram could not be authenticated with the fleet key or decoded, and was dropped", "compare the fleet keys and the versions of both nodes; if the address is not a node's, find out whose it is";
 
+    410 INFO CancelledWithoutLink: "a call that nobody waits for any longer was cancelled while the link to its receiver was down", "nothing; 725 follows on the receiver once a link to it is open";
+
     501 WARN OperatorRefused: "an operator request without a valid token was refused", "if it was yours, check the token; if not, find out who sent it";
     502 INFO OperatorCommand: "an operator's command is being executed", "nothing";
 
@@ -106,9 +108,11 @@
     717 INFO QuotaRefused: "a request was refused because of its client account's quota, or because no node could say what is left of it", "compare the account's quota with its demand; for quota-unknown look for 404 and 406 about the account's grantor";
 
     721 ERROR RequestPanicked: "a bug of the node interrupted the work on a request; its caller is told that the outcome is unknown", "report it together with the panic message on standard error";
-    722 INFO RequestUnanswered: "a request that had been read ended without an answer: its caller has disconnected, or its connection or the process has ended", "nothing if callers give up; with is_stopping, or during a change, follow its request_id on all nodes";
+    722 INFO RequestUnanswered: "a request that had been read ended without an answer: its caller has disconnected, or its connection or the process has ended; phase says where it was", "nothing if callers give up; with is_stopping, or during a change, follow its request_id on all nodes; the node in sent_to was told, see its 725";
     723 INFO ResponseUnsent: "a response was ready, but its connection ended before all of it was written", "nothing if callers give up; with is_stopping, compare its time with 104 and 105 of this node";
 
+    725 INFO CallCancelled: "the node that sent a call no longer waits for it; phase says where the call was", "nothing if callers give up; with phase running, compare its time with 722 of the request's entry node: what started after that was told too late";
+
     801 WARN CollectorLost: "spans cannot be exported; they are dropped and counted", "check the collector; calls are not affected";
     802 INFO CollectorBack: "spans are exported again", "nothing";
 }
