A caller's leaving is noticed behind unread bytes too

Cause: the HTTP library is the only reader of the connection, and it reads no further while a request is served and bytes lie in its buffer, or while the body is not wanted yet (a request that waits for a token of its quota). The end of the connection lies behind bytes that nobody reads.

Now the socket is shared with a watch, which asks the runtime whether the reading side has been closed: that is told whatever lies unread before it. While a request is open its handler races with the watch, and the connection is dropped as for a plain close.

A reset, or the end of what a caller sends, counts as its leaving, as it did before where nothing lay behind the request: a closed connection and one shut in one direction look the same from here.

--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -10,6 +10,7 @@
 mod admission_queue;
 mod attempts;
 mod awaited;
+mod caller_watch;
 mod classify;
 mod context;
 mod deliver;
@@ -30,6 +31,7 @@
 
 pub(crate) use admission_queue::AdmissionQueue;
 pub(crate) use awaited::Awaited;
+pub(crate) use caller_watch::CallerWatch;
 pub(crate) use classify::{ClassifiedCall, classify, fingerprint, work_kind_of};
 pub(crate) use context::{ContextTable, RunningCall, objective_of};
 pub(crate) use entry::{handle_request, refused_answer};
--- a/crates/hemlocktack-node/src/gateway/caller_socket.rs
+++ b/crates/hemlocktack-node/src/gateway/caller_socket.rs
@@ -1,18 +1,23 @@
 //! A caller's socket that tracks whether its connection is idle.
 
-use std::io;
+use std::io::{self, ErrorKind};
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+use crate::calls::CallerWatch;
 
 /// A socket, with bytes already read from it that belong to an incomplete request.
 pub(super) struct CallerSocket {
-    stream: TcpStream,
+    stream: Arc<TcpStream>,
     read_ahead: Bytes,
     activity: Activity,
 }
@@ -21,6 +26,8 @@
 #[derive(Clone)]
 pub(super) struct Activity {
     state: Arc<Mutex<ActivityState>>,
+    /// A caller has left while a request of it was open.
+    departed: Arc<Notify>,
 }
 
 struct ActivityState {
@@ -42,7 +49,7 @@
 impl CallerSocket {
     pub(super) fn new(stream: TcpStream) -> Self {
         Self {
-            stream,
+            stream: Arc::new(stream),
             read_ahead: Bytes::new(),
             activity: Activity::new(),
         }
@@ -63,6 +70,10 @@
         self.activity.clone()
     }
 
+    pub(super) fn watch(&self) -> CallerWatch {
+        CallerWatch::new(&self.stream)
+    }
+
     /// Completes when data has arrived or the peer has closed the connection.
     pub(super) async fn readable(&self) -> io::Result<()> {
         self.stream.readable().await
@@ -80,6 +91,7 @@
         };
         Self {
             state: Arc::new(Mutex::new(state)),
+            departed: Arc::default(),
         }
     }
 
@@ -104,6 +116,16 @@
         self.state().unsent_response.take()
     }
 
+    /// Records that the caller has left while a request of it was open.
+    pub(super) fn caller_left(&self) {
+        self.departed.notify_one();
+    }
+
+    /// Completes when the caller has left while a request of it was open.
+    pub(super) async fn departed(&self) {
+        self.departed.notified().await;
+    }
+
     /// Completes when the connection has been idle for `time`.
     pub(super) async fn idle_for(&self, time: Duration) {
         loop {
@@ -144,7 +166,7 @@
     ) -> Poll<io::Result<()>> {
         let before_bytes = buffer.filled().len();
         let read = if self.read_ahead.is_empty() {
-            Pin::new(&mut self.stream).poll_read(context, buffer)
+            read_from(&self.stream, context, buffer)
         } else {
             let length_bytes = self.read_ahead.len().min(buffer.remaining());
             buffer.put_slice(&self.read_ahead.split_to(length_bytes));
@@ -159,36 +181,84 @@
 
 impl AsyncWrite for CallerSocket {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        let written = write_to(&self.stream, context, |stream| stream.try_write(bytes));
         self.activity.state().is_write_blocked = written.is_pending();
         written
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        let write = |stream: &TcpStream| stream.try_write_vectored(slices);
+        let written = write_to(&self.stream, context, write);
         self.activity.state().is_write_blocked = written.is_pending();
         written
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
     /// Hyper flushes once it has written all that it holds.
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.activity.state().unsent_response = None;
-        Pin::new(&mut self.stream).poll_flush(context)
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let shut = SockRef::from(&*self.stream).shutdown(Shutdown::Write);
+        Poll::Ready(match shut {
+            Err(error) if error.kind() == ErrorKind::NotConnected => Ok(()),
+            shut => shut,
+        })
+    }
+}
+
+fn read_from(
+    stream: &TcpStream,
+    context: &mut Context<'_>,
+    buffer: &mut ReadBuf<'_>,
+) -> Poll<io::Result<()>> {
+    loop {
+        ready!(stream.poll_read_ready(context))?;
+        let room_bytes = buffer.remaining();
+        match stream.try_read_buf(buffer) {
+            Ok(length_bytes) => {
+                if (1..room_bytes).contains(&length_bytes) {
+                    expect_no_more(stream);
+                }
+                return Poll::Ready(Ok(()));
+            }
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(error) => return Poll::Ready(Err(error)),
+        }
     }
+}
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+/// Spares the next read the question to the system: a read that did not fill its buffer has
+/// emptied the socket.
+fn expect_no_more(stream: &TcpStream) {
+    let _ = stream.try_io(Interest::READABLE, || -> io::Result<()> {
+        Err(ErrorKind::WouldBlock.into())
+    });
+}
+
+fn write_to(
+    stream: &TcpStream,
+    context: &mut Context<'_>,
+    write: impl Fn(&TcpStream) -> io::Result<usize>,
+) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(stream.poll_write_ready(context))?;
+        match write(stream) {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            written => return Poll::Ready(written),
+        }
     }
 }
--- a/crates/hemlocktack-node/src/gateway/connection.rs
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -51,6 +51,8 @@
 /// Why hyper stops serving a connection.
 enum ServeEnd {
     Ended(hyper::Result<()>),
+    /// The caller has left without waiting for its response.
+    Departed,
     Closing,
     Idle,
 }
@@ -135,12 +137,22 @@
         activity: &activity,
     };
     // Boxed as well, because hyper reserves memory for the future between two requests.
-    let service = service_fn(|request| {
+    let watch = socket.watch();
+    let service = service_fn(|mut request| {
         let open_request = activity.begin_request();
+        request.extensions_mut().insert(watch.clone());
         let answering = answer(node.clone(), request, handle);
-        let activity = activity.clone();
+        let (activity, watch) = (activity.clone(), watch.clone());
         async move {
-            let mut response = answering.await;
+            let mut response = tokio::select! {
+                biased;
+                response = answering => response,
+                () = watch.left() => {
+                    activity.caller_left();
+                    // Dropped with the connection.
+                    std::future::pending().await
+                }
+            };
             if let Some(RequestId(id)) = response.extensions_mut().remove() {
                 activity.response_ready(id);
             }
@@ -161,6 +173,7 @@
         // Data that has arrived is read before the connection counts as idle.
         biased;
         ended = &mut connection => ServeEnd::Ended(ended),
+        () = activity.departed() => ServeEnd::Departed,
         () = node.signals.closing.cancelled() => ServeEnd::Closing,
         () = activity.idle_for(IDLE_AFTER) => ServeEnd::Idle,
     };
@@ -171,7 +184,7 @@
         }
         // An error means that the caller disconnected or sent invalid HTTP; there is
         // nobody to report it to.
-        ServeEnd::Ended(_) => return None,
+        ServeEnd::Ended(_) | ServeEnd::Departed => return None,
         ServeEnd::Closing => Pin::new(&mut connection).graceful_shutdown(),
         ServeEnd::Idle => {
             Pin::new(&mut connection).graceful_shutdown();
