A request is looked at for its caller's leaving right before it is sent, and right before it is started

What was seen: an entry that stood still for 1.6 s sent requests whose callers had come and left meanwhile; four reached the upstream 1.2 s after their callers had left.

Cause: after a pause, request and close lie in the socket together. The request is read first and handed on at once, and the close is read after that; a request that is not idempotent isn't taken back once it is sent.

Now there is one answer to whether anybody still waits (Awaited; at the entry the caller's watch), asked right before each send to a node and right before the upstream: a peek at the socket, as the runtime has not been told yet.

an_entry_that_stood_still_sends_nothing_for_callers_that_left failed before (four GET in one run) and passes.

--- a/crates/hemlocktack-node/src/calls/attempts.rs
+++ b/crates/hemlocktack-node/src/calls/attempts.rs
@@ -54,8 +54,11 @@
     /// that exists and is only full.
     pub(super) fn into_answer(self) -> Answer {
         let retry_after = Some(retry_delay(NO_CLASSES_SHED));
-        let nowhere = || not_run_answer(Reason::NoUpstream, retry_after);
-        self.reported
-            .map_or_else(nowhere, |reported| reported.answer)
+        self.into_answer_or(not_run_answer(Reason::NoUpstream, retry_after))
+    }
+
+    /// Returns the answer of the failed sends, or this one if there were none.
+    pub(super) fn into_answer_or(self, unsent: Answer) -> Answer {
+        self.reported.map_or(unsent, |reported| reported.answer)
     }
 }
--- a/crates/hemlocktack-node/src/calls/awaited.rs
+++ b/crates/hemlocktack-node/src/calls/awaited.rs
@@ -5,14 +5,32 @@
 
 use tokio_util::sync::CancellationToken;
 
+use super::caller_watch::CallerWatch;
+
 /// Tells whether anybody still waits for a call, and whether the call has been started.
 #[derive(Clone, Default)]
 pub(crate) struct Awaited {
     cancelled: CancellationToken,
     is_started: Arc<AtomicBool>,
+    /// Connection of the caller, for a call that entered at this node.
+    caller: Option<CallerWatch>,
 }
 
 impl Awaited {
+    /// Returns the state of a call that a caller of this node waits for.
+    pub(crate) fn by_caller(caller: Option<CallerWatch>) -> Self {
+        Self {
+            caller,
+            ..Self::default()
+        }
+    }
+
+    /// Whether nobody waits any longer.
+    pub(crate) fn is_over(&self) -> bool {
+        let has_left = || self.caller.as_ref().is_some_and(CallerWatch::has_left);
+        self.cancelled.is_cancelled() || has_left()
+    }
+
     /// Records that nobody waits any longer.
     pub(crate) fn cancel(&self) {
         self.cancelled.cancel();
@@ -26,7 +44,7 @@
     /// Records that the call is about to be sent to the upstream; returns whether anybody still
     /// waits for it.
     pub(crate) fn start(&self) -> bool {
-        if self.cancelled.is_cancelled() {
+        if self.is_over() {
             return false;
         }
         self.is_started.store(true, Ordering::Release);
--- a/crates/hemlocktack-node/src/calls/classify.rs
+++ b/crates/hemlocktack-node/src/calls/classify.rs
@@ -7,7 +7,7 @@
 use hemlocktack_decide::{RetryAllowance, WorkKind};
 use hemlocktack_protocol::{Call, ClassRank, Fingerprint, Generation, Reason, stable_hash};
 
-use super::{RunningCall, SendRecord};
+use super::{CallerWatch, RunningCall, SendRecord};
 use crate::callers::CallerRequest;
 use crate::node::Node;
 
@@ -36,6 +36,15 @@
     /// Value of the caller's `Idempotency-Key` header.
     pub(crate) idempotency_key: Option<String>,
     pub(crate) sends: Arc<SendRecord>,
+    /// Connection of the caller, if it can be watched.
+    pub(crate) caller: Option<CallerWatch>,
+}
+
+impl ClassifiedCall {
+    /// Whether the caller has closed its connection.
+    pub(crate) fn has_caller_left(&self) -> bool {
+        self.caller.as_ref().is_some_and(CallerWatch::has_left)
+    }
 }
 
 /// Classifies a request by its rule in the configuration and, for a child call, by its parent.
@@ -111,6 +120,7 @@
         parent,
         idempotency_key,
         sends: Arc::default(),
+        caller: None,
     })
 }
 
--- a/crates/hemlocktack-node/src/calls/deliver.rs
+++ b/crates/hemlocktack-node/src/calls/deliver.rs
@@ -34,6 +34,7 @@
     mut call: Call,
     deadline: Instant,
     allowance: &RetryAllowance,
+    awaited: Awaited,
 ) -> SendResult {
     let given = allowance.grant_to_child();
     call.retries_given = given;
@@ -41,7 +42,7 @@
     call.upstream_notice = node.notice_for(&peer.identity.node_id).map(Box::new);
     let result = match node.locate(&peer.member) {
         Some(NodeLocation::Local) => SendResult {
-            answer: receive_locally(node, call).await,
+            answer: receive_locally(node, call, awaited).await,
             is_from_receiver: true,
         },
         Some(NodeLocation::Remote(peer)) => send_over_link(node, &peer, call, deadline).await,
@@ -57,8 +58,7 @@
 /// Handles a call that was placed on this node itself. If its caller disconnects, this future
 /// is dropped: a call that may be cancelled ends with it, one that may not continues in its own
 /// task.
-async fn receive_locally(node: &Arc<Node>, call: Call) -> Answer {
-    let awaited = Awaited::default();
+async fn receive_locally(node: &Arc<Node>, call: Call, awaited: Awaited) -> Answer {
     if call.purpose() != CallPurpose::PlacedOnce {
         return receive(node, call, &awaited).await;
     }
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -12,6 +12,7 @@
 
 use super::ClassifiedCall;
 use super::attempts::CallAttempts;
+use super::awaited::Awaited;
 use super::deliver::{micros_left, send_with_allowance};
 use super::in_flight_send::InFlightSend;
 use super::outcomes::{NO_CLASSES_SHED, call_failure, not_run_answer, retry_delay, unknown_answer};
@@ -39,6 +40,9 @@
         if let Some(pause) = attempts.sends.resend_delay() {
             tokio::time::sleep(pause).await;
         }
+        if classified.has_caller_left() {
+            return attempts.into_answer_or(not_run_answer(Reason::Cancelled, None));
+        }
         let is_repeat = attempts.sends.is_repeat();
         let answer = attempt(node, &view, index, classified, purpose, is_repeat).await;
         let Some(failure) = call_failure(&answer) else {
@@ -193,9 +197,11 @@
     let ClassifiedCall {
         deadline,
         allowance,
+        caller,
         ..
     } = classified;
-    let sending = send_with_allowance(node, peer, call, *deadline, allowance);
+    let awaited = Awaited::by_caller(caller.clone());
+    let sending = send_with_allowance(node, peer, call, *deadline, allowance, awaited);
     let answer = tokio::select! {
         result = sending => result.answer,
         () = until_peer_lost(peer.as_ref()), if purpose == CallPurpose::Placed => {
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -220,6 +220,7 @@
             parent,
             idempotency_key: None,
             sends: Arc::default(),
+            caller: None,
         }
     }
 }
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -158,6 +158,7 @@
     sends.enter();
     let classified = ClassifiedCall {
         sends,
+        caller: head.extensions.get().cloned(),
         ..routed.classify(node, call, started)
     };
     if let Some(parent) = &classified.parent {
