A cancellation that overtakes its call fences the call, and each cancellation is confirmed

Symptom: a call held up on a lost link arrived after its cancellation, which had come over the next link, and ran. Cause: a cancellation of a call that is not known was dropped. Now it is fenced, as a call that is resolved before it arrives; its sender is told so, or gets the call's answer, and knows that the cancellation has arrived. a_call_that_arrives_after_its_cancellation_does_not_run failed before (one start) and passes.

--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -14,7 +14,7 @@
 use super::codec::log_malformed;
 use super::connection::Connection;
 use super::handshake::{self, OpenLink, Reader};
-use super::senders::Sender;
+use super::senders::{Cancelled, CancelledCall, Sender};
 use crate::calls;
 use crate::handover;
 use crate::node::Node;
@@ -95,7 +95,7 @@
         frame::Body::EchoRequest(EchoRequest {}) => {
             connection.send_if_room(frame::Body::EchoReply(EchoReply {}));
         }
-        frame::Body::Cancel(cancel) => cancel_call(node, sender, cancel.call_id),
+        frame::Body::Cancel(cancel) => cancel_call(node, sender, connection, cancel.call_id),
         frame::Body::Resolve(resolve) => {
             resolve_call(node, sender, connection, resolve.call_id).await
         }
@@ -128,10 +128,21 @@
     });
 }
 
-fn cancel_call(node: &Node, sender: &Sender, call_id: CallId) {
-    let Some(cancelled) = sender.cancel(call_id) else {
-        return;
+/// Cancels a call and confirms that: by the answer of a call that is open, and otherwise by what
+/// is known of it.
+fn cancel_call(node: &Node, sender: &Sender, connection: &Connection, call_id: CallId) {
+    let cancelled = match node.senders.cancel(sender, call_id) {
+        Cancelled::Open(cancelled) => cancelled,
+        Cancelled::NotOpen(resolution) => {
+            let progress = resolution.progress().into();
+            let known = CallResolution { call_id, progress };
+            return connection.send_if_room(frame::Body::Resolution(known));
+        }
     };
+    log_cancelled(node, sender, call_id, &cancelled);
+}
+
+fn log_cancelled(node: &Node, sender: &Sender, call_id: CallId, cancelled: &CancelledCall) {
     let Some(left_out) = node.call_log_limiter.try_acquire() else {
         return;
     };
--- a/crates/hemlocktack-node/src/links/senders.rs
+++ b/crates/hemlocktack-node/src/links/senders.rs
@@ -43,6 +43,27 @@
     reply_to: Vec<Connection>,
 }
 
+impl OpenCall {
+    fn cancelled(&self) -> CancelledCall {
+        CancelledCall {
+            request_id: self.request_id.clone(),
+            elapsed: self.arrived.elapsed(),
+            phase: match self.awaited.is_started() {
+                true => CallPhase::Running,
+                false => CallPhase::Waiting,
+            },
+        }
+    }
+}
+
+/// What a cancellation found.
+pub(super) enum Cancelled {
+    /// A call that is not answered yet; its answer follows.
+    Open(CancelledCall),
+    /// No such call; this is all that is known of it.
+    NotOpen(Resolution),
+}
+
 /// A call that its sender has cancelled.
 pub(super) struct CancelledCall {
     pub(super) request_id: String,
@@ -153,6 +174,17 @@
         ended.map_or_else(Vec::new, |call| call.reply_to)
     }
 
+    /// Cancels a call. One that has not arrived yet is fenced, so that its frame is dropped when it
+    /// does: it may be held up on a link that is lost, and the cancellation came over the next one.
+    pub(super) fn cancel(&self, sender: &Sender, call_id: CallId) -> Cancelled {
+        let mut state = sender.state();
+        if let Some(call) = state.calls.get_mut(&call_id) {
+            call.awaited.cancel();
+            return Cancelled::Open(call.cancelled());
+        }
+        Cancelled::NotOpen(self.arrivals().resolve(&sender.identity, call_id))
+    }
+
     fn forget_if_gone(&self, sender: &Sender) {
         let mut senders = self.senders.lock().unwrap_or_else(PoisonError::into_inner);
         // A newer link may have created a newer entry of the same identity.
@@ -186,19 +218,4 @@
     fn state(&self) -> MutexGuard<'_, SenderState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    /// Cancels a call if it has not been answered yet; returns where it was.
-    pub(super) fn cancel(&self, call_id: CallId) -> Option<CancelledCall> {
-        let state = self.state();
-        let call = state.calls.get(&call_id)?;
-        call.awaited.cancel();
-        Some(CancelledCall {
-            request_id: call.request_id.clone(),
-            elapsed: call.arrived.elapsed(),
-            phase: match call.awaited.is_started() {
-                true => CallPhase::Running,
-                false => CallPhase::Waiting,
-            },
-        })
-    }
 }
