Calls whose sender does not return are not started, and stopped where that is possible

Symptom: the process of an entry ends, or it gives a call up after its link was lost, and what it had sent is run to its end. Cause: the end of a link ended nothing; only a cancellation did, and nobody was left to send one, or it had no link to go over.

A call is now awaited over the links that it or a query for it came over. While all of them are closed it isn't started (a sender that returns is told that it did not run); 0.4 s after the last one closed it is cancelled. A sender asks for its idempotent calls within 0.15 s and gives them up after that, so one that still waits loses nothing: a_call_whose_sender_returns_is_answered.

a_call_whose_sender_does_not_return_is_stopped: its stand-in upstream finishes what it has begun also after its connection is closed, so the number of finished runs can't show that the node stopped waiting for it; the node's count of running calls, half-way through the run, can.

--- a/crates/hemlocktack-node/src/calls/awaited.rs
+++ b/crates/hemlocktack-node/src/calls/awaited.rs
@@ -12,6 +12,8 @@
 pub(crate) struct Awaited {
     cancelled: CancellationToken,
     is_started: Arc<AtomicBool>,
+    /// The node that sent the call has no open link to this one.
+    is_sender_away: Arc<AtomicBool>,
     /// Connection of the caller, for a call that entered at this node.
     caller: Option<CallerWatch>,
 }
@@ -31,6 +33,15 @@
         self.cancelled.is_cancelled() || has_left()
     }
 
+    /// Records whether the node that sent the call has an open link to this one.
+    pub(crate) fn set_sender_away(&self, is_away: bool) {
+        self.is_sender_away.store(is_away, Ordering::Release);
+    }
+
+    pub(crate) fn is_sender_away(&self) -> bool {
+        self.is_sender_away.load(Ordering::Acquire)
+    }
+
     /// Records that nobody waits any longer.
     pub(crate) fn cancel(&self) {
         self.cancelled.cancel();
@@ -42,9 +53,9 @@
     }
 
     /// Records that the call is about to be sent to the upstream; returns whether anybody still
-    /// waits for it.
+    /// waits for it. A sender that is away may return, and is told then that the call did not run.
     pub(crate) fn start(&self) -> bool {
-        if self.is_over() {
+        if self.is_over() || self.is_sender_away() {
             return false;
         }
         self.is_started.store(true, Ordering::Release);
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -21,6 +21,9 @@
 use crate::sockets;
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// How long calls are kept for a sender whose link has ended. It resolves idempotent calls over the
+/// next link within 150 ms, or gives them up; its process may also have ended.
+const RETURN_LIMIT: Duration = Duration::from_millis(400);
 
 /// Accepts links; if accepting fails, retries after a pause.
 pub(crate) async fn serve_links(node: Arc<Node>, listener: TcpListener) {
@@ -56,7 +59,12 @@
         handle(&node, &sender, &connection, body).await;
     }
     connection.close();
-    node.senders.disconnected(&sender);
+    if node.senders.disconnected(&sender) {
+        tokio::time::sleep(RETURN_LIMIT).await;
+        for (call_id, cancelled) in sender.cancel_unresolved() {
+            log_cancelled(&node, &sender, call_id, &cancelled);
+        }
+    }
 }
 
 async fn open_link(node: &Node, stream: TcpStream) -> Option<OpenLink> {
--- a/crates/hemlocktack-node/src/links/senders.rs
+++ b/crates/hemlocktack-node/src/links/senders.rs
@@ -44,6 +44,10 @@
 }
 
 impl OpenCall {
+    fn has_no_link(&self) -> bool {
+        self.reply_to.iter().all(Connection::is_closed)
+    }
+
     fn cancelled(&self) -> CancelledCall {
         CancelledCall {
             request_id: self.request_id.clone(),
@@ -103,10 +107,19 @@
     }
 
     /// Removes a sender whose last link is closed and that has no running calls. The outcomes of
-    /// its calls stay in `arrivals`, which is bounded.
-    pub(super) fn disconnected(&self, sender: &Sender) {
-        sender.state().open_links -= 1;
+    /// its calls stay in `arrivals`, which is bounded. Returns whether calls are left that have no
+    /// open link.
+    pub(super) fn disconnected(&self, sender: &Sender) -> bool {
+        let mut state = sender.state();
+        state.open_links -= 1;
+        let mut calls_left = false;
+        for call in state.calls.values().filter(|call| call.has_no_link()) {
+            call.awaited.set_sender_away(true);
+            calls_left = true;
+        }
+        drop(state);
         self.forget_if_gone(sender);
+        calls_left
     }
 
     /// Registers a call that arrived on this connection. Returns `None` for a call that arrived
@@ -154,6 +167,7 @@
         if let Some(call) = state.calls.get_mut(&call_id) {
             call.reply_to.retain(|connection| !connection.is_closed());
             call.reply_to.push(queried_on.clone());
+            call.awaited.set_sender_away(false);
         }
         self.arrivals().resolve(&sender.identity, call_id)
     }
@@ -215,6 +229,20 @@
         })
     }
 
+    /// Cancels the calls for which this sender has not returned.
+    pub(super) fn cancel_unresolved(&self) -> Vec<(CallId, CancelledCall)> {
+        let state = self.state();
+        let unresolved = state
+            .calls
+            .iter()
+            .filter(|(_, call)| call.awaited.is_sender_away());
+        let cancel = |(call_id, call): (&CallId, &OpenCall)| {
+            call.awaited.cancel();
+            (*call_id, call.cancelled())
+        };
+        unresolved.map(cancel).collect()
+    }
+
     fn state(&self) -> MutexGuard<'_, SenderState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
