A cancellation survives its link: it is kept until its receiver confirms it

Symptom (tests of links): a caller leaves while the link to its call's receiver is down, or the link is reset before the receiver has read the cancellation, or the receiver reads so slowly that there is no room for it: the entry knows, the receiver never hears of it, and the call runs.

Cause: a cancellation was sent once, if the connection was open and had room.

Now each is kept, bounded, until the call's answer or its resolution comes, and is sent again over every later connection to the same incarnation, before any call; a task opens a link for it if no call does. It goes before the calls that wait for room and needs none itself; a call of which nothing was written is removed instead. A call whose deadline has passed is forgotten: it ends by itself.

Evidence: without the keeping, the two tests of lost links fail; sent as before, the two others of the three do (one of them after a link that was down).

--- a/crates/hemlocktack-fleet/src/calls/mod.rs
+++ b/crates/hemlocktack-fleet/src/calls/mod.rs
@@ -15,7 +15,11 @@
 //!   [`PendingCalls::peer_gone`] is called instead.
 
 mod arrivals;
+mod call_age;
+mod cancellations;
 mod pending_calls;
 
 pub use arrivals::{Arrival, ArrivalCounts, ArrivalLimits, Arrivals, Resolution};
+pub use call_age::CallAges;
+pub use cancellations::Cancellations;
 pub use pending_calls::{LinkLoss, PendingCalls, Resolved};
--- a/crates/hemlocktack-node/src/links/connection.rs
+++ b/crates/hemlocktack-node/src/links/connection.rs
@@ -1,13 +1,14 @@
 //! Sending side of one TCP connection: a bounded buffer that senders write to the socket
 //! themselves when it accepts bytes, and a close signal.
 
+use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use hemlocktack_decide::{LinkAction, LinkMonitor, LinkMonitorPolicy};
-use hemlocktack_protocol::{EchoRequest, Frame, Incarnation, frame};
+use hemlocktack_protocol::{BootTime, CallId, EchoRequest, Frame, Incarnation, frame};
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::{Notify, watch};
@@ -15,10 +16,13 @@
 
 use super::FrameCodec;
 use super::last_received::LastReceived;
+use crate::freshness::boot_time;
 
 /// Unsent bytes above which senders wait. A peer that reads slowly makes senders wait until their
 /// own deadlines.
 const OUTBOX_BYTES: usize = 1 << 20;
+/// Bytes of waiting frames that are made ready for writing at once.
+const WRITE_BYTES: usize = 16 << 10;
 
 /// Sending side of a connection.
 #[derive(Clone)]
@@ -36,27 +40,46 @@
     /// The socket accepted bytes.
     progress: Notify,
     closed: watch::Sender<bool>,
+    /// When the challenge of the handshake was sent or received.
+    opened: BootTime,
     /// When the peer last sent bytes or read some of ours.
     last_received: LastReceived,
     /// The peer answers echo requests.
     answers_echo: bool,
+    /// Number of replies to echo requests, which come in the order of the requests.
+    echoes_received: watch::Sender<u64>,
 }
 
 struct Outbox {
     /// `None` once the connection is closed; dropping the socket notifies the peer.
     socket: Option<Arc<OwnedWriteHalf>>,
     codec: FrameCodec,
+    /// Bytes that are being written, up to the end of a frame.
     bytes: BytesMut,
-    /// Bytes written to the socket since the connection was opened.
+    /// Frames that go before the waiting ones.
+    urgent: BytesMut,
+    /// Frames that wait until the socket accepts bytes again.
+    waiting: VecDeque<WaitingFrame>,
+    waiting_bytes: usize,
+    /// Bytes written to the socket since the connection was opened, and those of removed frames.
     written_bytes: u64,
+    echoes_requested: u64,
     /// The writer task waits until the socket is writable; new frames are only appended.
     is_blocked: bool,
 }
 
+/// An encoded frame of which nothing has been written.
+struct WaitingFrame {
+    /// `None` for a frame that is not a call.
+    call_id: Option<CallId>,
+    bytes: Bytes,
+}
+
 impl Connection {
     pub(super) fn start(
         peer_incarnation: Incarnation,
         socket: OwnedWriteHalf,
+        opened: BootTime,
         last_received: LastReceived,
         answers_echo: bool,
     ) -> Self {
@@ -64,7 +87,11 @@
             socket: Some(Arc::new(socket)),
             codec: FrameCodec::new(),
             bytes: BytesMut::new(),
+            urgent: BytesMut::new(),
+            waiting: VecDeque::new(),
+            waiting_bytes: 0,
             written_bytes: 0,
+            echoes_requested: 0,
             is_blocked: false,
         };
         let shared = Arc::new(Shared {
@@ -73,8 +100,10 @@
             has_room: Notify::new(),
             progress: Notify::new(),
             closed: watch::Sender::new(false),
+            opened,
             last_received,
             answers_echo,
+            echoes_received: watch::Sender::new(0),
         });
         tokio::spawn(write_unsent(shared.clone()));
         Self {
@@ -105,7 +134,7 @@
             if self.is_closed() {
                 return false;
             }
-            if self.shared.outbox().bytes.len() < OUTBOX_BYTES {
+            if self.shared.outbox().unsent_bytes() < OUTBOX_BYTES {
                 return self.shared.take(build);
             }
             tokio::select! {
@@ -117,11 +146,53 @@
 
     /// Sends an optional frame if that needs no waiting; drops it otherwise.
     pub(crate) fn send_if_room(&self, body: frame::Body) {
-        if !self.is_closed() && self.shared.outbox().bytes.len() < OUTBOX_BYTES {
+        if !self.is_closed() && self.shared.outbox().unsent_bytes() < OUTBOX_BYTES {
             self.shared.take(|| body);
         }
     }
 
+    /// Sends a small frame before the calls that wait for room; returns `false` if the connection
+    /// is closed. Takes no part in the limit of unsent bytes: a caller's leaving must not be lost
+    /// because the peer reads slowly.
+    pub(crate) fn send_urgent(&self, body: frame::Body) -> bool {
+        self.shared.take_urgent(&mut self.shared.outbox(), body)
+    }
+
+    /// Removes a call of which nothing has been written; returns whether it was found.
+    pub(crate) fn remove_unsent(&self, call_id: CallId) -> bool {
+        let mut outbox = self.shared.outbox();
+        let is_removed = outbox.remove(call_id);
+        if is_removed {
+            self.shared.has_room.notify_waiters();
+        }
+        is_removed
+    }
+
+    /// Returns the time since this connection was opened.
+    pub(crate) fn age(&self) -> Duration {
+        boot_time().saturating_since(self.shared.opened)
+    }
+
+    /// Requests an echo and returns once it has arrived; `false` if the connection is closed before.
+    /// What the peer had sent before its reply has arrived too.
+    pub(crate) async fn echoed(&self) -> bool {
+        let mut received = self.shared.echoes_received.subscribe();
+        let Some(number) = self.shared.request_echo() else {
+            return false;
+        };
+        tokio::select! {
+            reached = received.wait_for(|received| *received >= number) => reached.is_ok(),
+            () = self.closed() => false,
+        }
+    }
+
+    /// Records that the peer has replied to an echo request.
+    pub(crate) fn echo_received(&self) {
+        self.shared
+            .echoes_received
+            .send_modify(|received| *received += 1);
+    }
+
     /// Waits until everything sent so far is written to the socket, or the connection is closed.
     /// Returns whether it was written.
     pub(crate) async fn flushed(&self) -> bool {
@@ -186,19 +257,73 @@
 impl Outbox {
     /// Appends a frame; returns `false` for one over the size limit.
     fn encode_frame(&mut self, frame: Frame) -> bool {
-        self.codec.encode(frame, &mut self.bytes).is_ok()
+        if !self.is_blocked {
+            return self.codec.encode(frame, &mut self.bytes).is_ok();
+        }
+        let call_id = match &frame.body {
+            Some(frame::Body::Call(call)) => Some(call.call_id),
+            _ => None,
+        };
+        let mut bytes = BytesMut::new();
+        if self.codec.encode(frame, &mut bytes).is_err() {
+            return false;
+        }
+        let bytes = bytes.freeze();
+        self.waiting_bytes += bytes.len();
+        self.waiting.push_back(WaitingFrame { call_id, bytes });
+        true
+    }
+
+    fn encode_urgent(&mut self, frame: Frame) -> bool {
+        let target = match self.is_blocked {
+            true => &mut self.urgent,
+            false => &mut self.bytes,
+        };
+        self.codec.encode(frame, target).is_ok()
+    }
+
+    fn remove(&mut self, call_id: CallId) -> bool {
+        let is_call = |frame: &WaitingFrame| frame.call_id == Some(call_id);
+        let Some(position) = self.waiting.iter().position(is_call) else {
+            return false;
+        };
+        if let Some(frame) = self.waiting.remove(position) {
+            self.waiting_bytes -= frame.bytes.len();
+            self.written_bytes += frame.bytes.len() as u64;
+        }
+        true
+    }
+
+    fn unsent_bytes(&self) -> usize {
+        self.bytes.len() + self.urgent.len() + self.waiting_bytes
     }
 
     /// Returns the stream position after the last frame, comparable to `written_bytes`.
     fn end_bytes(&self) -> u64 {
-        self.written_bytes + self.bytes.len() as u64
+        self.written_bytes + self.unsent_bytes() as u64
+    }
+
+    /// Takes the next frames to write; returns whether there are any.
+    fn refill(&mut self) -> bool {
+        if self.bytes.is_empty() {
+            std::mem::swap(&mut self.bytes, &mut self.urgent);
+        }
+        while self.bytes.len() < WRITE_BYTES {
+            let Some(frame) = self.waiting.pop_front() else {
+                break;
+            };
+            self.waiting_bytes -= frame.bytes.len();
+            self.bytes.extend_from_slice(&frame.bytes);
+        }
+        !self.bytes.is_empty()
     }
 
     fn write(&mut self) -> std::io::Result<()> {
         let Some(socket) = &self.socket else {
             return Err(ErrorKind::NotConnected.into());
         };
-        while !self.bytes.is_empty() {
+        let socket = socket.clone();
+        while !self.bytes.is_empty() || self.refill() {
             match socket.try_write(&self.bytes) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(written) => {
@@ -232,12 +357,33 @@
         if !outbox.encode_frame(Frame { body }) {
             return false;
         }
-        if !outbox.is_blocked {
-            self.write(&mut outbox);
+        self.write_unless_blocked(&mut outbox);
+        true
+    }
+
+    fn take_urgent(&self, outbox: &mut Outbox, body: frame::Body) -> bool {
+        if outbox.socket.is_none() || !outbox.encode_urgent(Frame { body: Some(body) }) {
+            return false;
         }
+        self.write_unless_blocked(outbox);
         true
     }
 
+    /// Sends an echo request and returns its number; `None` if the connection is closed.
+    fn request_echo(&self) -> Option<u64> {
+        let mut outbox = self.outbox();
+        let request = frame::Body::EchoRequest(EchoRequest {});
+        let is_sent = self.take_urgent(&mut outbox, request);
+        outbox.echoes_requested += u64::from(is_sent);
+        is_sent.then_some(outbox.echoes_requested)
+    }
+
+    fn write_unless_blocked(&self, outbox: &mut Outbox) {
+        if !outbox.is_blocked {
+            self.write(outbox);
+        }
+    }
+
     /// Writes until the outbox is empty or the socket accepts no more bytes.
     fn write(&self, outbox: &mut Outbox) {
         let was_blocked = outbox.is_blocked;
--- a/crates/hemlocktack-node/src/links/dial.rs
+++ b/crates/hemlocktack-node/src/links/dial.rs
@@ -7,10 +7,12 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use futures::StreamExt;
 use hemlocktack_fleet::NodeIncarnation;
-use hemlocktack_protocol::{Frame, NodeId, frame};
+use hemlocktack_protocol::{EchoReply, EchoRequest, Frame, NodeId, frame};
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
+use super::cancellations::LinkCancellations;
 use super::codec::log_malformed;
 use super::connection::Connection;
 use super::handshake::{self, Reader};
@@ -21,7 +23,7 @@
 
 /// Longest time for opening a link. It takes one millisecond within a data centre and a few dozen
 /// between regions, so a peer that has not answered by then counts as unreachable.
-const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+pub(super) const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The link to one node, which outlives individual connections.
 pub(super) struct Link {
@@ -30,6 +32,7 @@
     connection: ArcSwapOption<Connection>,
     dial_lock: tokio::sync::Mutex<()>,
     pub(super) pending: Pending,
+    pub(super) cancellations: LinkCancellations,
 }
 
 impl Links {
@@ -58,17 +61,25 @@
         }
         let open = opened.ok()?;
         let peer_incarnation = open.peer.incarnation;
-        let answers_echo = open.answers_echo;
+        let (answers_echo, opened) = (open.answers_echo, open.opened);
         let (reader, writer) = open.split();
         let last_received = reader.codec().last_received().clone();
-        let connection = Connection::start(peer_incarnation, writer, last_received, answers_echo);
+        let connection = Connection::start(
+            peer_incarnation,
+            writer,
+            opened,
+            last_received,
+            answers_echo,
+        );
         let answers = read_answers(
             reader,
             connection.clone(),
             link.pending.clone(),
+            link.cancellations.clone(),
             self.queries.clone(),
         );
         tokio::spawn(answers);
+        link.cancellations.send_over(&connection);
         link.connection.store(Some(Arc::new(connection.clone())));
         Some(connection)
     }
@@ -89,13 +100,14 @@
 }
 
 impl Link {
-    pub(super) fn new(peer: &Peer) -> Self {
+    pub(super) fn new(peer: &Peer, cancellations_waiting: Arc<Notify>) -> Self {
         Self {
             node_id: peer.node_id.clone(),
             address: ArcSwap::from_pointee(peer.link_address),
             connection: ArcSwapOption::empty(),
             dial_lock: tokio::sync::Mutex::new(()),
             pending: Pending::default(),
+            cancellations: LinkCancellations::new(cancellations_waiting),
         }
     }
 
@@ -116,6 +128,7 @@
     mut reader: Reader,
     connection: Connection,
     pending: Pending,
+    cancellations: LinkCancellations,
     queries: PendingQueries,
 ) {
     loop {
@@ -129,9 +142,14 @@
         };
         match body {
             Some(frame::Body::Answer(answer)) => {
-                deliver(&pending, answer.call_id, CallEvent::Answer(answer))
+                cancellations.confirm(answer.call_id);
+                deliver(&pending, answer.call_id, CallEvent::Answer(answer));
+            }
+            Some(frame::Body::EchoRequest(EchoRequest {})) => {
+                connection.send_urgent(frame::Body::EchoReply(EchoReply {}));
             }
             Some(frame::Body::Resolution(resolution)) => {
+                cancellations.confirm(resolution.call_id);
                 deliver(
                     &pending,
                     resolution.call_id,
@@ -143,6 +161,7 @@
         }
     }
     connection.close();
+    cancellations.link_lost();
     let peer_incarnation = connection.peer_incarnation;
     log_event!(Event::LinkLost, peer_incarnation);
 }
--- a/crates/hemlocktack-node/src/links/handshake.rs
+++ b/crates/hemlocktack-node/src/links/handshake.rs
@@ -11,12 +11,13 @@
 use futures::{SinkExt, StreamExt};
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::keys::{FleetKeys, MacPurpose};
-use hemlocktack_protocol::{Challenge, Frame, Hello, NodeId, Proof, frame};
+use hemlocktack_protocol::{BootTime, Challenge, Frame, Hello, NodeId, Proof, frame};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio_util::codec::{Framed, FramedParts};
 
 use super::{FrameCodec, codec};
+use crate::freshness::boot_time;
 
 /// Result of a handshake.
 pub(crate) type Result<T> = std::result::Result<T, Error>;
@@ -50,6 +51,8 @@
     pub(crate) peer: NodeIncarnation,
     /// The peer answers echo requests.
     pub(crate) answers_echo: bool,
+    /// When the challenge was sent or received.
+    pub(crate) opened: BootTime,
     framed: Framed<TcpStream, FrameCodec>,
 }
 
@@ -94,6 +97,7 @@
     let frame::Body::Challenge(challenge) = receive(&mut framed).await? else {
         return Err(Error::Unexpected);
     };
+    let opened = boot_time();
     if !is_valid_mac(
         keys,
         MacPurpose::LinkAcceptor,
@@ -115,6 +119,7 @@
     Ok(OpenLink {
         peer,
         answers_echo: challenge.answers_echo,
+        opened,
         framed,
     })
 }
@@ -137,6 +142,7 @@
         answers_echo: true,
     };
     challenge.mac = sign(keys, MacPurpose::LinkAcceptor, &hello, &challenge);
+    let opened = boot_time();
     send(&mut framed, frame::Body::Challenge(challenge.clone())).await?;
     let frame::Body::Proof(proof) = receive(&mut framed).await? else {
         return Err(Error::Unexpected);
@@ -156,8 +162,9 @@
     };
     Ok(OpenLink {
         peer,
-        // Only the end that sends calls sends echo requests.
+        // Only the end that sends calls monitors the link by echo requests.
         answers_echo: false,
+        opened,
         framed,
     })
 }
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -45,10 +45,16 @@
         return;
     };
     let peer = open.peer.clone();
-    let answers_echo = open.answers_echo;
+    let (answers_echo, opened) = (open.answers_echo, open.opened);
     let (mut reader, writer) = open.split();
     let last_received = reader.codec().last_received().clone();
-    let connection = Connection::start(peer.incarnation, writer, last_received, answers_echo);
+    let connection = Connection::start(
+        peer.incarnation,
+        writer,
+        opened,
+        last_received,
+        answers_echo,
+    );
     let sender = node.senders.connected(&peer);
     while let Some(next) = next_frame(&mut reader, &connection).await {
         let Ok(Frame { body }) = next.inspect_err(log_malformed) else {
--- a/crates/hemlocktack-node/src/links/mod.rs
+++ b/crates/hemlocktack-node/src/links/mod.rs
@@ -4,6 +4,7 @@
 //! link is lost, its calls stay pending until the same incarnation of the receiver has reported
 //! their outcomes.
 
+mod cancellations;
 mod codec;
 mod connection;
 mod dial;
@@ -18,6 +19,7 @@
 #[cfg(test)]
 mod tests;
 
+pub(crate) use cancellations::send_cancellations;
 pub(crate) use codec::FrameCodec;
 pub(crate) use incoming::serve_links;
 pub(crate) use outgoing::{Links, Peer, SendOutcome};
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -10,11 +10,10 @@
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::keys::FleetKeys;
 use hemlocktack_protocol::{
-    Answer, Call, CallId, CallProgress, CallPurpose, CancelCall, Incarnation, NodeId, Reason,
-    ResolveCall, frame,
+    Answer, Call, CallId, CallProgress, CallPurpose, Incarnation, NodeId, Reason, ResolveCall,
+    frame,
 };
-use hemlocktack_telemetry::{Event, log_event};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use super::connection::Connection;
 use super::dial::Link;
@@ -29,7 +28,7 @@
 /// transient reason is back within a few milliseconds in a region.
 const RESOLVE_LIMIT_IDEMPOTENT: Duration = Duration::from_millis(150);
 /// Pause between attempts to reach a peer with pending calls.
-const REDIAL_PAUSE: Duration = Duration::from_millis(50);
+pub(super) const REDIAL_PAUSE: Duration = Duration::from_millis(50);
 
 /// A node and the address of its link port.
 #[derive(Clone, Debug)]
@@ -67,7 +66,8 @@
 pub(crate) struct Links {
     pub(super) own: NodeIncarnation,
     pub(super) keys: FleetKeys,
-    links: ArcSwap<HashMap<NodeId, Arc<Link>>>,
+    pub(super) links: ArcSwap<HashMap<NodeId, Arc<Link>>>,
+    pub(super) cancellations_waiting: Arc<Notify>,
     next_call_id: AtomicU64,
     pub(super) next_query_id: AtomicU64,
     pub(super) queries: super::queries::PendingQueries,
@@ -80,6 +80,7 @@
             own,
             keys,
             links: ArcSwap::default(),
+            cancellations_waiting: Arc::default(),
             next_call_id: AtomicU64::new(1),
             next_query_id: AtomicU64::new(1),
             queries: super::queries::PendingQueries::default(),
@@ -103,6 +104,7 @@
         let mut pending = None;
         let sending = connection.send_built(|| {
             call.call_id = self.next_call_id.fetch_add(1, Ordering::Relaxed);
+            call.queued_at_us = micros(connection.age());
             pending = Some(PendingCall::register(&link.pending, call.call_id, events));
             frame::Body::Call(call)
         });
@@ -131,7 +133,7 @@
         mut events: mpsc::Receiver<CallEvent>,
     ) -> SendOutcome {
         let incarnation = connection.peer_incarnation;
-        let mut cancel_guard = CancelOnDrop::new(wait.call_id, &connection);
+        let mut cancel_guard = CancelOnDrop::new(&wait, &connection);
         let mut sent = Instant::now();
         loop {
             tokio::select! {
@@ -201,7 +203,7 @@
             link.set_address(peer.link_address);
             return link.clone();
         }
-        let link = Arc::new(Link::new(peer));
+        let link = Arc::new(Link::new(peer, self.cancellations_waiting.clone()));
         self.links.rcu(|links| {
             let mut links = HashMap::clone(links);
             links
@@ -222,15 +224,19 @@
 /// If a caller disconnects, its request would otherwise go on in a queue and in an upstream of
 /// another node although nobody needs the answer. The wait for a call is dropped with its caller,
 /// so the cancellation reaches the receiver after one network delay.
-struct CancelOnDrop {
+struct CancelOnDrop<'a> {
+    link: &'a Link,
     call_id: CallId,
+    deadline: Instant,
     connection: Option<Connection>,
 }
 
-impl CancelOnDrop {
-    fn new(call_id: CallId, connection: &Connection) -> Self {
+impl<'a> CancelOnDrop<'a> {
+    fn new(wait: &PendingOutcome<'a>, connection: &Connection) -> Self {
         Self {
-            call_id,
+            link: wait.link,
+            call_id: wait.call_id,
+            deadline: wait.deadline,
             connection: Some(connection.clone()),
         }
     }
@@ -244,19 +250,19 @@
     }
 }
 
-impl Drop for CancelOnDrop {
+impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
         if let Some(connection) = self.connection.take() {
-            let call_id = self.call_id;
-            if connection.is_closed() {
-                let peer_incarnation = connection.peer_incarnation;
-                log_event!(Event::CancelledWithoutLink, call_id, peer_incarnation);
-            }
-            connection.send_if_room(frame::Body::Cancel(CancelCall { call_id }));
+            let cancellations = &self.link.cancellations;
+            cancellations.cancel(self.call_id, &connection, self.deadline);
         }
     }
 }
 
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn resolved_outcome(progress: CallProgress) -> Option<SendOutcome> {
     match progress {
         CallProgress::NeverArrived => Some(SendOutcome::NeverArrived(Reason::Fenced)),
--- a/crates/hemlocktack-node/src/links/tests.rs
+++ b/crates/hemlocktack-node/src/links/tests.rs
@@ -1,17 +1,28 @@
-//! Concurrent calls and queries on two links of one sender.
+//! Concurrent calls and queries on two links of one sender, and cancellations that their link does
+//! not deliver.
 
 #![allow(clippy::unwrap_used)]
 
-use std::sync::Barrier;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::{Arc, Barrier};
+use std::time::{Duration, Instant};
 
+use bytes::Bytes;
+use futures::StreamExt;
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::calls::Resolution;
-use hemlocktack_protocol::{Answer, Call};
+use hemlocktack_fleet::keys::FleetKeys;
+use hemlocktack_protocol::{Answer, Call, CallId, CallPurpose, frame};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
 
 use super::connection::Connection;
+use super::handshake::{self, Reader};
 use super::last_received::LastReceived;
+use super::outgoing::{Links, Peer};
 use super::senders::Senders;
+use crate::freshness::boot_time;
 
 const ROUNDS: u64 = 100_000;
 
@@ -22,7 +33,7 @@
     let (far, _) = listener.accept().await.unwrap();
     let (_, writer) = near.unwrap().into_split();
     (
-        Connection::start(1, writer, LastReceived::new(), false),
+        Connection::start(1, writer, boot_time(), LastReceived::new(), false),
         far,
     )
 }
@@ -81,3 +92,148 @@
         assert_eq!(lost_count, 0, "of {ROUNDS}");
     });
 }
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// With [`LARGE_BODY_BYTES`], more than sockets and the buffer of unsent frames hold together.
+const CALLS_TO_FILL_A_LINK: u64 = 300;
+const LARGE_BODY_BYTES: usize = 60_000;
+
+fn keys() -> FleetKeys {
+    FleetKeys::new(b"a fleet key for tests, long enough", None).unwrap()
+}
+
+/// A node that sends calls, with the task that sends its cancellations.
+fn sender() -> Arc<Links> {
+    let links = Arc::new(Links::new(NodeIncarnation::new("sender", 1), keys()));
+    let served = links.clone();
+    tokio::spawn(async move { served.send_cancellations().await });
+    links
+}
+
+/// A node that only reads.
+struct Receiver {
+    listener: TcpListener,
+}
+
+impl Receiver {
+    async fn listen(address: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).await.unwrap();
+        Self { listener }
+    }
+
+    fn peer(&self) -> Peer {
+        Peer {
+            node_id: "receiver".into(),
+            link_address: self.listener.local_addr().unwrap(),
+        }
+    }
+
+    async fn accept(&self) -> (Reader, tokio::net::tcp::OwnedWriteHalf) {
+        let accepted = tokio::time::timeout(CALL_TIMEOUT, self.listener.accept()).await;
+        let (stream, _) = accepted.expect("a link is opened").unwrap();
+        let own = NodeIncarnation::new("receiver", 1);
+        let open = handshake::accept(stream, &own, &keys()).await.unwrap();
+        open.split()
+    }
+}
+
+fn send_call(links: &Arc<Links>, peer: &Peer, body: Bytes) -> JoinHandle<()> {
+    let (links, peer) = (links.clone(), peer.clone());
+    tokio::spawn(async move {
+        let call = Call {
+            purpose: CallPurpose::PlacedOnce.into(),
+            body,
+            ..Call::default()
+        };
+        let _ = links.call(&peer, call, Instant::now() + CALL_TIMEOUT).await;
+    })
+}
+
+async fn next_body(reader: &mut Reader) -> Option<frame::Body> {
+    let next = tokio::time::timeout(CALL_TIMEOUT, reader.next()).await;
+    next.ok()??.ok()?.body
+}
+
+async fn next_cancelled(reader: &mut Reader) -> Option<CallId> {
+    loop {
+        if let frame::Body::Cancel(cancel) = next_body(reader).await? {
+            return Some(cancel.call_id);
+        }
+    }
+}
+
+/// Failure: a caller leaves while the link is down, its cancellation can't be sent, and the call
+/// runs although its entry knew.
+#[tokio::test]
+async fn a_call_that_is_cancelled_while_its_link_is_down_is_cancelled_over_the_next() {
+    let links = sender();
+    let receiver = Receiver::listen("127.0.0.1:0".parse().unwrap()).await;
+    let peer = receiver.peer();
+    let call = send_call(&links, &peer, Bytes::new());
+    let (mut reader, writer) = receiver.accept().await;
+    let Some(frame::Body::Call(received)) = next_body(&mut reader).await else {
+        panic!("no call");
+    };
+    drop((reader, writer, receiver));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    call.abort();
+    let receiver = Receiver::listen(peer.link_address).await;
+    let (mut reader, _writer) = receiver.accept().await;
+    assert_eq!(next_cancelled(&mut reader).await, Some(received.call_id));
+}
+
+/// Failure: a cancellation is written to a link that is reset before the receiver reads it.
+#[tokio::test]
+async fn a_cancellation_that_is_lost_with_its_link_is_sent_over_the_next() {
+    let links = sender();
+    let receiver = Receiver::listen("127.0.0.1:0".parse().unwrap()).await;
+    let peer = receiver.peer();
+    let call = send_call(&links, &peer, Bytes::new());
+    let (mut reader, writer) = receiver.accept().await;
+    let Some(frame::Body::Call(received)) = next_body(&mut reader).await else {
+        panic!("no call");
+    };
+    call.abort();
+    let _ = call.await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    drop((reader, writer));
+    let (mut reader, _writer) = receiver.accept().await;
+    assert_eq!(next_cancelled(&mut reader).await, Some(received.call_id));
+}
+
+/// Failure: the receiver reads nothing for a while, cancellations find no room, and calls that
+/// were still to be sent are sent although nobody waits for them.
+#[tokio::test]
+async fn calls_that_wait_for_a_slow_receiver_are_cancelled_or_not_sent() {
+    let links = sender();
+    let receiver = Receiver::listen("127.0.0.1:0".parse().unwrap()).await;
+    let body = Bytes::from(vec![b'x'; LARGE_BODY_BYTES]);
+    let calls: Vec<_> = (0..CALLS_TO_FILL_A_LINK)
+        .map(|_| send_call(&links, &receiver.peer(), body.clone()))
+        .collect();
+    let (mut reader, _writer) = receiver.accept().await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    for call in calls {
+        call.abort();
+        let _ = call.await;
+    }
+    let mut sent = BTreeSet::new();
+    let mut cancelled = BTreeSet::new();
+    let last = send_call(&links, &receiver.peer(), Bytes::new());
+    while let Some(body) = next_body(&mut reader).await {
+        match body {
+            frame::Body::Call(call) if call.body.is_empty() => break,
+            frame::Body::Call(call) => {
+                sent.insert(call.call_id);
+            }
+            frame::Body::Cancel(cancel) => {
+                cancelled.insert(cancel.call_id);
+            }
+            _ => {}
+        }
+    }
+    last.abort();
+    assert_eq!(sent, cancelled);
+    let unsent_limit = CALLS_TO_FILL_A_LINK as usize;
+    assert!(sent.len() < unsent_limit, "{} were sent", sent.len());
+}
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -151,6 +151,7 @@
     let mut shutdowns = vec![control.shutdown()];
     shutdowns.extend(callers.as_ref().map(Rocket::<Ignite>::shutdown));
     tokio::spawn(links::serve_links(node.clone(), link_listener));
+    tokio::spawn(links::send_cancellations(node.clone()));
     peers::start(&node).await?;
     configuration::start(&node)?;
     freshness::start(&node);
--- a/crates/hemlocktack-node/tests/decoders/link_frames.rs
+++ b/crates/hemlocktack-node/tests/decoders/link_frames.rs
@@ -104,7 +104,10 @@
                 ..Challenge::default()
             }),
             2 => frame::Body::Proof(Proof { mac: bytes }),
-            3 => frame::Body::Cancel(CancelCall { call_id: number }),
+            3 => frame::Body::Cancel(CancelCall {
+                call_id: number,
+                left_ago_us: number,
+            }),
             4 => frame::Body::Resolve(ResolveCall { call_id: number }),
             5 => frame::Body::Resolution(CallResolution {
                 call_id: number,
--- a/crates/hemlocktack-node/tests/processes/departures.rs
+++ b/crates/hemlocktack-node/tests/processes/departures.rs
@@ -47,7 +47,10 @@
 }
 
 fn cancel(call_id: u64) -> frame::Body {
-    frame::Body::Cancel(CancelCall { call_id })
+    frame::Body::Cancel(CancelCall {
+        call_id,
+        left_ago_us: 0,
+    })
 }
 
 /// Sends frames in as few segments as possible.
