A node that stood still knows what is old before it starts anything

Cause: frames were handled one by one, each call on its own task at once, and a call's time counted from its reading. Nothing told a call that had lain for 1.6 s from one that had just been sent.

Now all frames that lie there are read before any call among them is started, with cancellations and the link's end applied. A call carries when it was queued, on the link's clock (counted from the handshake's challenge, suspended time included); one older than 150 ms has its age taken off its time and is started after an echo from its sender, which comes behind every cancellation sent before it. A sender that does not echo within half a second is told that the call did not run. Old versions send no time; their calls count as young.

A call that was cancelled before its start ends as not run, not as unknown.

--- a/crates/hemlocktack-node/src/calls/receive.rs
+++ b/crates/hemlocktack-node/src/calls/receive.rs
@@ -57,7 +57,10 @@
     };
     tokio::select! {
         answer = run(node, order) => answer,
-        () = awaited.cancelled() => unknown_answer(Reason::Cancelled),
+        () = awaited.cancelled() => match awaited.is_started() {
+            true => unknown_answer(Reason::Cancelled),
+            false => not_run_answer(Reason::Cancelled, None),
+        },
     }
 }
 
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures::StreamExt;
-use hemlocktack_fleet::calls::Resolution;
+use futures::{FutureExt, StreamExt};
+use hemlocktack_fleet::calls::{CallAges, Resolution};
 use hemlocktack_protocol::{
     Answer, Call, CallId, CallResolution, EchoReply, EchoRequest, Frame, frame,
 };
@@ -15,7 +15,7 @@
 use super::connection::Connection;
 use super::handshake::{self, OpenLink, Reader};
 use super::senders::{Cancelled, CancelledCall, Sender};
-use crate::calls;
+use crate::calls::{self, Awaited};
 use crate::handover;
 use crate::node::Node;
 use crate::sockets;
@@ -24,6 +24,14 @@
 /// How long calls are kept for a sender whose link has ended. It resolves idempotent calls over the
 /// next link within 150 ms, or gives them up; its process may also have ended.
 const RETURN_LIMIT: Duration = Duration::from_millis(400);
+/// Frames that are read before the calls among them are started.
+const MAX_BATCH_FRAMES: usize = 4096;
+/// Age from which the sender is asked whether a call is still waited for. Calls arrive within a
+/// few milliseconds in a region, and a few dozen between regions.
+const OLD_CALL_AGE: Duration = Duration::from_millis(150);
+/// Longest wait for the sender's word about old calls. They are then refused, which a sender that
+/// still waits is told.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(500);
 
 /// Accepts links; if accepting fails, retries after a pause.
 pub(crate) async fn serve_links(node: Arc<Node>, listener: TcpListener) {
@@ -56,13 +64,20 @@
         answers_echo,
     );
     let sender = node.senders.connected(&peer);
-    while let Some(next) = next_frame(&mut reader, &connection).await {
-        let Ok(Frame { body }) = next.inspect_err(log_malformed) else {
-            break;
-        };
-        // A body of a newer schema decodes to `None` and is ignored.
-        let Some(body) = body else { continue };
-        handle(&node, &sender, &connection, body).await;
+    let mut ages = CallAges::default();
+    let mut batch = Batch::default();
+    while !batch.is_last {
+        batch.read(&mut reader, &connection).await;
+        let calls = register(&node, &sender, &connection, &mut batch);
+        if batch.is_last {
+            // Calls of a sender that has gone are not started.
+            connection.close();
+            node.senders.mark_without_link(&sender);
+        }
+        start_calls(&node, &sender, &connection, &mut ages, calls);
+        for body in batch.bodies.drain(..) {
+            handle(&node, &sender, &connection, body).await;
+        }
     }
     connection.close();
     if node.senders.disconnected(&sender) {
@@ -88,13 +103,134 @@
     None
 }
 
-async fn next_frame(
-    reader: &mut Reader,
+/// Frames that have arrived together.
+///
+/// A node that stood still, or reads too slowly, finds calls and behind them their cancellations
+/// or the end of their link. All of them are read before any call is started.
+#[derive(Default)]
+struct Batch {
+    bodies: Vec<frame::Body>,
+    /// The link has ended.
+    is_last: bool,
+}
+
+impl Batch {
+    /// Waits for a frame and reads what else has arrived.
+    async fn read(&mut self, reader: &mut Reader, connection: &Connection) {
+        let first = tokio::select! {
+            next = reader.next() => next,
+            () = connection.closed() => None,
+        };
+        self.add(first);
+        while !self.is_last && self.bodies.len() < MAX_BATCH_FRAMES {
+            let Some(next) = reader.next().now_or_never() else {
+                break;
+            };
+            self.add(next);
+        }
+    }
+
+    fn add(&mut self, next: Option<super::codec::Result<Frame>>) {
+        match next.map(|next| next.inspect_err(log_malformed)) {
+            // A body of a newer schema decodes to `None` and is ignored.
+            Some(Ok(Frame { body })) => self.bodies.extend(body),
+            Some(Err(_)) | None => self.is_last = true,
+        }
+    }
+}
+
+/// A call that has arrived and is not started.
+struct ArrivedCall {
+    call: Call,
+    awaited: Awaited,
+}
+
+/// Registers the calls of a batch, and applies what says whether they are waited for. Returns the
+/// calls and leaves the other frames in the batch.
+fn register(
+    node: &Node,
+    sender: &Arc<Sender>,
     connection: &Connection,
-) -> Option<super::codec::Result<Frame>> {
-    tokio::select! {
-        next = reader.next() => next,
-        () = connection.closed() => None,
+    batch: &mut Batch,
+) -> Vec<ArrivedCall> {
+    let mut calls = Vec::new();
+    let mut others = Vec::new();
+    for body in batch.bodies.drain(..) {
+        match body {
+            frame::Body::Call(call) => {
+                let awaited = node.senders.begin_call(sender, &call, connection);
+                calls.extend(awaited.map(|awaited| ArrivedCall { call, awaited }));
+            }
+            frame::Body::Cancel(cancel) => cancel_call(node, sender, connection, cancel.call_id),
+            frame::Body::EchoReply(EchoReply {}) => connection.echo_received(),
+            other => others.push(other),
+        }
+    }
+    batch.bodies = others;
+    calls
+}
+
+/// Starts calls; first asks the sender about those that have been on their way for long.
+fn start_calls(
+    node: &Arc<Node>,
+    sender: &Arc<Sender>,
+    connection: &Connection,
+    ages: &mut CallAges,
+    calls: Vec<ArrivedCall>,
+) {
+    let mut old_calls = Vec::new();
+    for mut arrived in calls {
+        let age = age_of(&arrived.call, ages, connection);
+        if age < OLD_CALL_AGE {
+            start_call(node, sender, arrived);
+            continue;
+        }
+        take_off_age(&mut arrived.call, age);
+        old_calls.push(arrived);
+    }
+    if old_calls.is_empty() {
+        return;
+    }
+    let (node, sender, connection) = (node.clone(), sender.clone(), connection.clone());
+    tokio::spawn(async move { start_confirmed(&node, &sender, &connection, old_calls).await });
+}
+
+/// Takes the time that a call has been on its way off the times that were left when it was sent.
+fn take_off_age(call: &mut Call, age: Duration) {
+    let age_us = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+    call.time_left_us = call.time_left_us.saturating_sub(age_us);
+    // Zero would mean that there is no objective.
+    let has_objective = call.objective_left_us > 0;
+    let objective_left_us = call.objective_left_us.saturating_sub(age_us);
+    call.objective_left_us = objective_left_us.max(u64::from(has_objective));
+}
+
+fn age_of(call: &Call, ages: &mut CallAges, connection: &Connection) -> Duration {
+    if call.queued_at_us == 0 {
+        return Duration::ZERO;
+    }
+    let queued_at = Duration::from_micros(call.queued_at_us);
+    ages.age(queued_at, connection.age())
+}
+
+/// Starts calls that are old once their sender has had the chance to cancel them.
+///
+/// Their cancellations may still be on their way: behind them in the sender's buffer, or in the
+/// network. The reply to an echo request comes behind all that were sent before it. If the link
+/// has ended, calls are started only for a sender that returns.
+async fn start_confirmed(
+    node: &Arc<Node>,
+    sender: &Arc<Sender>,
+    connection: &Connection,
+    calls: Vec<ArrivedCall>,
+) {
+    let echoed = tokio::time::timeout(CONFIRM_LIMIT, connection.echoed()).await;
+    let is_confirmed = echoed.is_ok();
+    for arrived in calls {
+        if !is_confirmed {
+            arrived.awaited.cancel();
+        }
+        start_call(node, sender, arrived);
     }
 }
 
@@ -105,11 +241,9 @@
     body: frame::Body,
 ) {
     match body {
-        frame::Body::Call(call) => start_call(node, sender, connection, call),
         frame::Body::EchoRequest(EchoRequest {}) => {
             connection.send_if_room(frame::Body::EchoReply(EchoReply {}));
         }
-        frame::Body::Cancel(cancel) => cancel_call(node, sender, connection, cancel.call_id),
         frame::Body::Resolve(resolve) => {
             resolve_call(node, sender, connection, resolve.call_id).await
         }
@@ -123,10 +257,8 @@
     }
 }
 
-fn start_call(node: &Arc<Node>, sender: &Arc<Sender>, connection: &Connection, call: Call) {
-    let Some(awaited) = node.senders.begin_call(sender, &call, connection) else {
-        return;
-    };
+fn start_call(node: &Arc<Node>, sender: &Arc<Sender>, arrived: ArrivedCall) {
+    let ArrivedCall { call, awaited } = arrived;
     let in_flight = node.track_call();
     let node = node.clone();
     let sender = sender.clone();
--- a/crates/hemlocktack-node/src/links/senders.rs
+++ b/crates/hemlocktack-node/src/links/senders.rs
@@ -110,18 +110,20 @@
     /// its calls stay in `arrivals`, which is bounded. Returns whether calls are left that have no
     /// open link.
     pub(super) fn disconnected(&self, sender: &Sender) -> bool {
-        let mut state = sender.state();
-        state.open_links -= 1;
-        let mut calls_left = false;
-        for call in state.calls.values().filter(|call| call.has_no_link()) {
-            call.awaited.set_sender_away(true);
-            calls_left = true;
-        }
-        drop(state);
+        sender.state().open_links -= 1;
+        let calls_left = self.mark_without_link(sender);
         self.forget_if_gone(sender);
         calls_left
     }
 
+    /// Marks the calls of a sender that have no open link; returns whether there are any.
+    pub(super) fn mark_without_link(&self, sender: &Sender) -> bool {
+        let state = sender.state();
+        let without_link = state.calls.values().filter(|call| call.has_no_link());
+        let marked = without_link.inspect(|call| call.awaited.set_sender_away(true));
+        marked.count() > 0
+    }
+
     /// Registers a call that arrived on this connection. Returns `None` for a call that arrived
     /// before.
     ///
--- a/crates/hemlocktack-node/tests/processes/departures.rs
+++ b/crates/hemlocktack-node/tests/processes/departures.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
-use hemlocktack_protocol::{Call, CancelCall, Frame, Header, frame};
+use hemlocktack_protocol::{Call, CancelCall, EchoReply, EchoRequest, Frame, Header, frame};
 use prost::Message;
 
-use crate::frames::{Link, is_answered, open, page, send};
+use crate::frames::{Link, is_answered, open, page, receive, send};
 use crate::harness::{FLEET_KEY, Fleet, Plan};
 
 const SERVICE: &str = "diaries";
@@ -131,6 +131,41 @@
     assert_eq!(fleet.starts(SERVICE, CANCELLED).await, 0);
 }
 
+/// Failure: a node that stood still finds calls whose cancellations are still on their way, and
+/// starts the calls.
+#[tokio::test(flavor = "multi_thread")]
+async fn old_calls_are_started_only_after_their_sender_could_cancel_them() {
+    let fleet = start_fleet().await;
+    let mut link = open_link(&fleet).await;
+    fleet.nodes[0].process.signal("STOP");
+    let bodies = (1..=CALLS).map(|id| match id == CALLS {
+        true => queued_call(id, AWAITED),
+        false => queued_call(id, CANCELLED),
+    });
+    send_together(&mut link, bodies).await;
+    tokio::time::sleep(PAUSE).await;
+    fleet.nodes[0].process.signal("CONT");
+    let asked = tokio::time::timeout(WATCH_TIME, receive(&mut link)).await;
+    let asked = asked.expect("the node asks before it starts old calls");
+    assert_eq!(asked, Some(frame::Body::EchoRequest(EchoRequest {})));
+    send_together(&mut link, (1..CALLS).map(cancel)).await;
+    send(&mut link, frame::Body::EchoReply(EchoReply {})).await;
+    fleet.wait_for_start(SERVICE, AWAITED).await;
+    tokio::time::sleep(WATCH_TIME).await;
+    assert_eq!(fleet.starts(SERVICE, CANCELLED).await, 0);
+}
+
+/// Returns a call that was queued when the link was opened.
+fn queued_call(call_id: u64, marker: &str) -> frame::Body {
+    match call(call_id, marker) {
+        frame::Body::Call(call) => frame::Body::Call(Call {
+            queued_at_us: 1,
+            ..call
+        }),
+        other => other,
+    }
+}
+
 /// Failure: a sender whose link was lost returns for its call, and the call has been stopped.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_whose_sender_returns_is_answered() {
