Child calls end with a run that was stopped

Symptom: a caller leaves, its run is stopped, but the upstream goes on (not all drop a request with its connection), and its child calls run at other upstreams.

Cause: a child call inherited its parent's deadline, class and retries, but not its end; after the run was stopped its children counted as those of a parent unknown since a restart, and were let in.

child_calls_of_a_run_that_was_stopped_end_with_it: with every run counted as ended the child call's run goes on, as before; passes now.

--- a/crates/hemlocktack-node/src/calls/context.rs
+++ b/crates/hemlocktack-node/src/calls/context.rs
@@ -9,6 +9,7 @@
 use hemlocktack_fleet::tickets::{ChildCalls, Nonce};
 use hemlocktack_protocol::{Answer, Call, ClassRank, Reason, RootRequestId};
 use hemlocktack_telemetry::TraceContext;
+use tokio_util::sync::CancellationToken;
 
 use super::outcomes::lacked_capacity;
 
@@ -16,6 +17,8 @@
 const CONTEXT_DIGITS: usize = 16;
 /// Number of separately locked tables, which keeps lock contention between calls low.
 const SHARDS: usize = 16;
+/// Stopped runs that are remembered.
+const MAX_CANCELLED_RUNS: usize = 1024;
 
 /// A call that the upstream is running, with what its child calls inherit.
 pub(crate) struct RunningCall {
@@ -33,6 +36,8 @@
     pub(crate) children: Mutex<ChildCalls>,
     /// Trace context of the upstream's work, for child calls without a `traceparent`.
     pub(crate) trace: Option<TraceContext>,
+    /// Cancelled if the run is stopped because nobody waits for it any longer.
+    cancelled: CancellationToken,
     started: Instant,
     /// Work that the parent calls had spent when this call started.
     work_spent_before: Duration,
@@ -69,6 +74,7 @@
                 ChildCalls::for_ticketed_parent,
             )),
             trace: TraceContext::parse(&call.traceparent),
+            cancelled: CancellationToken::new(),
             started: Instant::now(),
             work_spent_before: Duration::from_micros(call.work_spent_us),
             child_calls: Mutex::default(),
@@ -82,6 +88,11 @@
         u64::try_from(spent.as_micros()).unwrap_or(u64::MAX)
     }
 
+    /// Returns once the run is stopped because nobody waits for it any longer.
+    pub(crate) async fn cancelled(&self) {
+        self.cancelled.cancelled().await;
+    }
+
     /// Records that a child call begins, whatever its outcome.
     pub(crate) fn child_call_began(&self) {
         self.made_child_call.store(true, Ordering::Release);
@@ -141,6 +152,9 @@
     shards: [Mutex<HashMap<u64, Arc<RunningCall>>>; SHARDS],
     /// Runs by request id. A request may be sent here again while its first send still runs.
     by_request: Mutex<HashMap<String, Vec<Arc<RunningCall>>>>,
+    /// Request ids of runs that were stopped, until their deadlines. Their upstream may go on and
+    /// make child calls.
+    cancelled: Mutex<HashMap<String, Instant>>,
 }
 
 /// Entry of a running call in the [`ContextTable`]; dropping it removes the entry.
@@ -148,6 +162,7 @@
     table: &'a ContextTable,
     handle: u64,
     request_id: String,
+    has_ended: bool,
     pub(crate) running: Arc<RunningCall>,
 }
 
@@ -173,6 +188,7 @@
             table: self,
             handle,
             request_id: request_id.to_owned(),
+            has_ended: false,
             running,
         }
     }
@@ -182,6 +198,29 @@
         self.named().get(request_id)?.last().cloned()
     }
 
+    /// Whether a run of this request was stopped because nobody waits for it, and none goes on.
+    pub(crate) fn is_cancelled(&self, request_id: &str) -> bool {
+        let is_stopped = self.cancelled_runs().contains_key(request_id);
+        is_stopped && self.find_by_request(request_id).is_none()
+    }
+
+    fn record_cancelled(&self, request_id: &str, deadline: Instant) {
+        let mut cancelled = self.cancelled_runs();
+        if cancelled.len() >= MAX_CANCELLED_RUNS {
+            let now = Instant::now();
+            cancelled.retain(|_, deadline| now < *deadline);
+        }
+        if cancelled.len() < MAX_CANCELLED_RUNS {
+            cancelled.insert(request_id.to_owned(), deadline);
+        }
+    }
+
+    fn cancelled_runs(&self) -> MutexGuard<'_, HashMap<String, Instant>> {
+        self.cancelled
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn named(&self) -> MutexGuard<'_, HashMap<String, Vec<Arc<RunningCall>>>> {
         self.by_request
             .lock()
@@ -211,6 +250,11 @@
 }
 
 impl OpenContext<'_> {
+    /// Records that the upstream has ended the run, or had the time that it was given.
+    pub(crate) fn mark_ended(&mut self) {
+        self.has_ended = true;
+    }
+
     /// Returns the value of the opaque context header.
     pub(crate) fn header(&self) -> String {
         format!("{:0width$x}", self.handle, width = CONTEXT_DIGITS)
@@ -219,6 +263,9 @@
 
 impl Drop for OpenContext<'_> {
     fn drop(&mut self) {
+        if !self.has_ended {
+            self.running.cancelled.cancel();
+        }
         self.table
             .shard(self.handle)
             .lock()
@@ -227,6 +274,10 @@
         if self.request_id.is_empty() {
             return;
         }
+        if !self.has_ended {
+            let deadline = self.running.deadline;
+            self.table.record_cancelled(&self.request_id, deadline);
+        }
         let mut named = self.table.named();
         let Some(runs) = named.get_mut(&self.request_id) else {
             return;
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -20,9 +20,22 @@
 use crate::node::Node;
 
 /// Sends a call without a ticket to a node of its service, retries it where allowed, and returns
-/// its answer. A call that is not idempotent goes to another node only after the previous one
-/// has confirmed that the call did not run there.
+/// its answer. A child call ends with its parent's run if that is stopped.
 pub(crate) async fn run_with_retries(node: &Arc<Node>, classified: &ClassifiedCall) -> Answer {
+    let running = send_with_retries(node, classified);
+    let Some(parent) = &classified.parent else {
+        return running.await;
+    };
+    tokio::select! {
+        biased;
+        answer = running => answer,
+        () = parent.cancelled() => classified.sends.early_answer(Reason::Cancelled),
+    }
+}
+
+/// A call that is not idempotent goes to another node only after the previous one has confirmed
+/// that the call did not run there.
+async fn send_with_retries(node: &Arc<Node>, classified: &ClassifiedCall) -> Answer {
     let view = match admit_at_entry(node, classified) {
         Ok(view) => view,
         Err(refusal) => return not_run_answer(refusal.reason, refusal.retry_after),
--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -157,7 +157,7 @@
         return (answer, Duration::ZERO);
     };
     let deadline = running.deadline;
-    let context = node.contexts.open(running, &call.request_id);
+    let mut context = node.contexts.open(running, &call.request_id);
     let UpstreamResponse { outcome, heard } = node
         .upstream_client
         .send(UpstreamRequest {
@@ -168,6 +168,7 @@
             answer_limit_bytes: node.answer_limit_bytes(),
         })
         .await;
+    context.mark_ended();
     if let Some(heard) = &heard {
         heed_answer(node, announcement.start_number, &call.request_id, heard);
     }
