--- a/crates/hemlocktack-node/src/calls/awaited.rs
+++ b/crates/hemlocktack-node/src/calls/awaited.rs
@@ -1,7 +1,8 @@
 //! Whether anybody still waits for a call.
 
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::Instant;
 
 use tokio_util::sync::CancellationToken;
 
@@ -11,7 +12,7 @@
 #[derive(Clone, Default)]
 pub(crate) struct Awaited {
     cancelled: CancellationToken,
-    is_started: Arc<AtomicBool>,
+    started_at: Arc<OnceLock<Instant>>,
     /// The node that sent the call has no open link to this one.
     is_sender_away: Arc<AtomicBool>,
     /// Connection of the caller, for a call that entered at this node.
@@ -58,11 +59,18 @@
         if self.is_over() || self.is_sender_away() {
             return false;
         }
-        self.is_started.store(true, Ordering::Release);
+        let _ = self.started_at.set(Instant::now());
         true
     }
 
     pub(crate) fn is_started(&self) -> bool {
-        self.is_started.load(Ordering::Acquire)
+        self.started_at.get().is_some()
+    }
+
+    /// Whether the call was started after this time.
+    pub(crate) fn was_started_after(&self, time: Instant) -> bool {
+        self.started_at
+            .get()
+            .is_some_and(|started_at| *started_at > time)
     }
 }
--- a/crates/hemlocktack-node/src/counters.rs
+++ b/crates/hemlocktack-node/src/counters.rs
@@ -15,6 +15,7 @@
     in_flight: Arc<AtomicU64>,
     demand: AtomicU64,
     admitted: AtomicU64,
+    late_starts: AtomicU64,
     ended_sends: [AtomicU64; NextStep::COUNT],
     refused: [AtomicU64; REASON_SLOTS],
 }
@@ -30,6 +31,7 @@
             in_flight: Arc::default(),
             demand: AtomicU64::new(0),
             admitted: AtomicU64::new(0),
+            late_starts: AtomicU64::new(0),
             ended_sends: std::array::from_fn(|_| AtomicU64::new(0)),
             refused: std::array::from_fn(|_| AtomicU64::new(0)),
         }
@@ -68,6 +70,15 @@
         self.admitted.load(Ordering::Relaxed)
     }
 
+    /// Counts a call that was started after its caller had left.
+    pub(crate) fn record_late_start(&self) {
+        self.late_starts.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn late_starts_count(&self) -> u64 {
+        self.late_starts.load(Ordering::Relaxed)
+    }
+
     /// Counts a send that ended without an answer, by the step that followed it.
     pub(crate) fn record_send_end(&self, next: NextStep) {
         self.ended_sends[next as usize].fetch_add(1, Ordering::Relaxed);
--- a/crates/hemlocktack-node/src/links/cancellations.rs
+++ b/crates/hemlocktack-node/src/links/cancellations.rs
@@ -12,7 +12,7 @@
 
 use super::connection::Connection;
 use super::dial::{DIAL_TIMEOUT, Link};
-use super::outgoing::{Links, REDIAL_PAUSE};
+use super::outgoing::{Links, REDIAL_PAUSE, micros};
 use crate::node::Node;
 
 /// Unconfirmed cancellations of one link, which outlive its connections.
@@ -92,10 +92,11 @@
 }
 
 fn send(connection: &Connection, call_id: CallId, left_ago: Duration) -> bool {
-    let left_ago_us = u64::try_from(left_ago.as_micros()).unwrap_or(u64::MAX);
+    let left_ago_us = micros(left_ago);
     connection.send_urgent(frame::Body::Cancel(CancelCall {
         call_id,
         left_ago_us,
+        queued_at_us: micros(connection.age()),
     }))
 }
 
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -1,12 +1,12 @@
 //! Links that other nodes opened: their calls, cancellations and queries.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::{FutureExt, StreamExt};
 use hemlocktack_fleet::calls::{CallAges, Resolution};
 use hemlocktack_protocol::{
-    Answer, Call, CallId, CallResolution, EchoReply, EchoRequest, Frame, frame,
+    Answer, Call, CallId, CallResolution, CancelCall, EchoReply, EchoRequest, Frame, frame,
 };
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::net::{TcpListener, TcpStream};
@@ -68,7 +68,7 @@
     let mut batch = Batch::default();
     while !batch.is_last {
         batch.read(&mut reader, &connection).await;
-        let calls = register(&node, &sender, &connection, &mut batch);
+        let calls = register(&node, &sender, &connection, &mut ages, &mut batch);
         if batch.is_last {
             // Calls of a sender that has gone are not started.
             connection.close();
@@ -151,6 +151,7 @@
     node: &Node,
     sender: &Arc<Sender>,
     connection: &Connection,
+    ages: &mut CallAges,
     batch: &mut Batch,
 ) -> Vec<ArrivedCall> {
     let mut calls = Vec::new();
@@ -161,7 +162,10 @@
                 let awaited = node.senders.begin_call(sender, &call, connection);
                 calls.extend(awaited.map(|awaited| ArrivedCall { call, awaited }));
             }
-            frame::Body::Cancel(cancel) => cancel_call(node, sender, connection, cancel.call_id),
+            frame::Body::Cancel(cancel) => {
+                let age = age_of(cancel.queued_at_us, ages, connection);
+                cancel_call(node, sender, connection, &cancel, age);
+            }
             frame::Body::EchoReply(EchoReply {}) => connection.echo_received(),
             other => others.push(other),
         }
@@ -180,7 +184,7 @@
 ) {
     let mut old_calls = Vec::new();
     for mut arrived in calls {
-        let age = age_of(&arrived.call, ages, connection);
+        let age = age_of(arrived.call.queued_at_us, ages, connection);
         if age < OLD_CALL_AGE {
             start_call(node, sender, arrived);
             continue;
@@ -205,11 +209,12 @@
     call.objective_left_us = objective_left_us.max(u64::from(has_objective));
 }
 
-fn age_of(call: &Call, ages: &mut CallAges, connection: &Connection) -> Duration {
-    if call.queued_at_us == 0 {
+/// Returns how long a frame has been on its way; zero for one of an older version.
+fn age_of(queued_at_us: u64, ages: &mut CallAges, connection: &Connection) -> Duration {
+    if queued_at_us == 0 {
         return Duration::ZERO;
     }
-    let queued_at = Duration::from_micros(call.queued_at_us);
+    let queued_at = Duration::from_micros(queued_at_us);
     ages.age(queued_at, connection.age())
 }
 
@@ -276,8 +281,18 @@
 
 /// Cancels a call and confirms that: by the answer of a call that is open, and otherwise by what
 /// is known of it.
-fn cancel_call(node: &Node, sender: &Sender, connection: &Connection, call_id: CallId) {
-    let cancelled = match node.senders.cancel(sender, call_id) {
+fn cancel_call(
+    node: &Node,
+    sender: &Sender,
+    connection: &Connection,
+    cancel: &CancelCall,
+    age: Duration,
+) {
+    let call_id = cancel.call_id;
+    let now = Instant::now();
+    let left_ago = Duration::from_micros(cancel.left_ago_us).saturating_add(age);
+    let left_at = now.checked_sub(left_ago).unwrap_or(now);
+    let cancelled = match node.senders.cancel(sender, call_id, left_at) {
         Cancelled::Open(cancelled) => cancelled,
         Cancelled::NotOpen(resolution) => {
             let progress = resolution.progress().into();
@@ -285,6 +300,9 @@
             return connection.send_if_room(frame::Body::Resolution(known));
         }
     };
+    if cancelled.was_started_late {
+        node.counters.record_late_start();
+    }
     log_cancelled(node, sender, call_id, &cancelled);
 }
 
@@ -300,6 +318,7 @@
         sender = %sender.identity.node_id,
         sender_incarnation = sender.identity.incarnation,
         phase,
+        was_started_late = cancelled.was_started_late,
         elapsed_ms = cancelled.elapsed.as_millis() as u64,
         left_out
     );
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -259,7 +259,7 @@
     }
 }
 
-fn micros(duration: Duration) -> u64 {
+pub(super) fn micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
 }
 
--- a/crates/hemlocktack-node/src/links/senders.rs
+++ b/crates/hemlocktack-node/src/links/senders.rs
@@ -52,6 +52,7 @@
         CancelledCall {
             request_id: self.request_id.clone(),
             elapsed: self.arrived.elapsed(),
+            was_started_late: false,
             phase: match self.awaited.is_started() {
                 true => CallPhase::Running,
                 false => CallPhase::Waiting,
@@ -74,6 +75,8 @@
     /// Time since it arrived.
     pub(super) elapsed: Duration,
     pub(super) phase: CallPhase,
+    /// It was started after its caller had left.
+    pub(super) was_started_late: bool,
 }
 
 /// Where a call was when it was cancelled.
@@ -192,11 +195,15 @@
 
     /// Cancels a call. One that has not arrived yet is fenced, so that its frame is dropped when it
     /// does: it may be held up on a link that is lost, and the cancellation came over the next one.
-    pub(super) fn cancel(&self, sender: &Sender, call_id: CallId) -> Cancelled {
-        let mut state = sender.state();
-        if let Some(call) = state.calls.get_mut(&call_id) {
+    /// Its caller left at `left_at`.
+    pub(super) fn cancel(&self, sender: &Sender, call_id: CallId, left_at: Instant) -> Cancelled {
+        let state = sender.state();
+        if let Some(call) = state.calls.get(&call_id) {
             call.awaited.cancel();
-            return Cancelled::Open(call.cancelled());
+            return Cancelled::Open(CancelledCall {
+                was_started_late: call.awaited.was_started_after(left_at),
+                ..call.cancelled()
+            });
         }
         Cancelled::NotOpen(self.arrivals().resolve(&sender.identity, call_id))
     }
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -93,6 +93,13 @@
     counter(registry, "demand_calls", help, status.demand_count);
     let help = "Calls that got a slot of the upstream";
     counter(registry, "admitted_calls", help, status.admitted_count);
+    let help = "Calls that were started after their callers had left, as far as their senders told";
+    counter(
+        registry,
+        "late_starts",
+        help,
+        node.counters.late_starts_count(),
+    );
     let help = "Retries of calls that entered at this node";
     counter(registry, "retries", help, status.retried_count);
     let help = "Sends that ended without an answer, by the step that followed";
--- a/crates/hemlocktack-node/tests/decoders/link_frames.rs
+++ b/crates/hemlocktack-node/tests/decoders/link_frames.rs
@@ -107,6 +107,7 @@
             3 => frame::Body::Cancel(CancelCall {
                 call_id: number,
                 left_ago_us: number,
+                queued_at_us: number,
             }),
             4 => frame::Body::Resolve(ResolveCall { call_id: number }),
             5 => frame::Body::Resolution(CallResolution {
--- a/crates/hemlocktack-node/tests/processes/departures.rs
+++ b/crates/hemlocktack-node/tests/processes/departures.rs
@@ -49,7 +49,7 @@
 fn cancel(call_id: u64) -> frame::Body {
     frame::Body::Cancel(CancelCall {
         call_id,
-        left_ago_us: 0,
+        ..CancelCall::default()
     })
 }
 
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -111,7 +111,7 @@
     722 INFO RequestUnanswered: "a request that had been read ended without an answer: its caller has disconnected, or its connection or the process has ended; phase says where it was", "nothing if callers give up; with is_stopping, or during a change, follow its request_id on all nodes; the node in sent_to was told, see its 725";
     723 INFO ResponseUnsent: "a response was ready, but its connection ended before all of it was written", "nothing if callers give up; with is_stopping, compare its time with 104 and 105 of this node";
 
-    725 INFO CallCancelled: "the node that sent a call no longer waits for it; phase says where the call was", "nothing if callers give up; with phase running, compare its time with 722 of the request's entry node: what started after that was told too late";
+    725 INFO CallCancelled: "the node that sent a call no longer waits for it; phase says where the call was", "nothing if callers give up; with was_started_late it reached the upstream after its caller had left: compare with 722 of its entry node, and look for 402, 406 and 410 between the two";
 
     801 WARN CollectorLost: "spans cannot be exported; they are dropped and counted", "check the collector; calls are not affected";
     802 INFO CollectorBack: "spans are exported again", "nothing";
