--- /dev/null
+++ b/crates/hemlocktack-fleet/tests/departures/world.rs
@@ -0,0 +1,752 @@
+//! A sender, a receiver and the links between them, in steps of a millisecond.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use hemlocktack_fleet::NodeIncarnation;
+use hemlocktack_fleet::calls::{
+    Arrival, ArrivalLimits, Arrivals, CallAges, Cancellations, Resolution,
+};
+use hemlocktack_protocol::CallId;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// Milliseconds since the start of the world.
+type Millis = u64;
+
+const LENGTH_MS: Millis = 12_000;
+/// Calls arrive until then; the rest of the time shows what becomes of them.
+const CALLS_UNTIL_MS: Millis = 9_000;
+const LATENCY_MS: Millis = 1;
+const SLOTS: usize = 20;
+const RUN_MS: std::ops::Range<Millis> = 20..900;
+const CALL_TIMEOUT_MS: Millis = 3_000;
+const PATIENCE_MS: std::ops::Range<Millis> = 1..1_200;
+/// What is promised: time from a caller's leaving until nothing is started or runs for it.
+const HEED_MS: Millis = 500;
+/// As in the node: silence after which a link is given up.
+const SILENCE_MS: Millis = 420;
+const RESOLVE_LIMIT_MS: Millis = 150;
+const REDIAL_PAUSE_MS: Millis = 50;
+const RETURN_LIMIT_MS: Millis = 400;
+/// As in the node: after it stood still, what lies in its sockets is read first.
+const RETURN_RECHECK_MS: Millis = 50;
+const OLD_CALL_AGE_MS: Millis = 150;
+const CONFIRM_LIMIT_MS: Millis = 500;
+
+/// What keeps the promise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Safeguard {
+    /// The sender looks for its caller's leaving right before it sends.
+    LookBeforeSending,
+    /// The sender keeps cancellations until they are confirmed.
+    KeepCancellations,
+    /// The receiver fences calls whose cancellation overtakes them.
+    Fence,
+    /// The receiver reads all that lies there before it starts anything.
+    ReadAllFirst,
+    /// The receiver asks about old calls before it starts them.
+    AskAboutOldCalls,
+    /// The receiver starts nothing for a sender without a link.
+    HeedEndOfLink,
+    /// The receiver ends the calls of a sender that does not return.
+    EndUnreturned,
+}
+
+pub(crate) const SAFEGUARDS: [Safeguard; 7] = [
+    Safeguard::LookBeforeSending,
+    Safeguard::KeepCancellations,
+    Safeguard::Fence,
+    Safeguard::ReadAllFirst,
+    Safeguard::AskAboutOldCalls,
+    Safeguard::HeedEndOfLink,
+    Safeguard::EndUnreturned,
+];
+
+/// What came of the calls.
+#[derive(Debug, Default)]
+pub(crate) struct Outcome {
+    pub(crate) departed: u64,
+    pub(crate) answered: u64,
+    pub(crate) late_starts: u64,
+    pub(crate) late_runs: u64,
+    /// Calls that the receiver ended although their sender waited over an open link.
+    pub(crate) lost_by_waiting_callers: u64,
+}
+
+impl Outcome {
+    pub(crate) fn add(&mut self, other: &Outcome) {
+        self.departed += other.departed;
+        self.answered += other.answered;
+        self.late_starts += other.late_starts;
+        self.late_runs += other.late_runs;
+        self.lost_by_waiting_callers += other.lost_by_waiting_callers;
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Frame {
+    Call { id: CallId, queued_at: Millis },
+    Cancel(CallId),
+    Resolve(CallId),
+    EchoReply(u64),
+    Answer(CallId),
+    NotRun(CallId),
+    Resolution(CallId, bool),
+    EchoRequest(u64),
+}
+
+/// One direction of a connection.
+#[derive(Default)]
+struct Pipe {
+    frames: VecDeque<(Millis, Frame)>,
+    /// When the end reaches the reader, behind the frames.
+    ended_at: Option<Millis>,
+}
+
+impl Pipe {
+    fn has_ended(&self, now: Millis) -> bool {
+        self.frames.is_empty() && self.ended_at.is_some_and(|ended_at| ended_at <= now)
+    }
+}
+
+#[derive(Default)]
+struct Connection {
+    opened: Millis,
+    to_receiver: Pipe,
+    to_sender: Pipe,
+    ages: CallAges,
+    is_closed_at_sender: bool,
+    is_closed_at_receiver: bool,
+}
+
+/// A call as its sender sees it.
+struct SentCall {
+    link: usize,
+    sent_at: Millis,
+    deadline: Millis,
+    /// When the loss of its link was noticed.
+    in_doubt_since: Option<Millis>,
+}
+
+/// A caller at the sender.
+struct Caller {
+    leaves_at: Option<Millis>,
+    is_settled: bool,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    /// Asked about: may start once this echo has come, and not after the limit.
+    Asked {
+        echo: u64,
+        until: Millis,
+    },
+    Waiting,
+    Running {
+        until: Millis,
+    },
+}
+
+/// A call as its receiver sees it.
+struct ArrivedCall {
+    stage: Stage,
+    links: BTreeSet<usize>,
+    without_link_since: Option<Millis>,
+}
+
+pub(crate) struct World {
+    left_out: Option<Safeguard>,
+    random: StdRng,
+    start: Instant,
+    now: Millis,
+    sender_stalled_until: Millis,
+    receiver_stalled_until: Millis,
+    cut_until: Millis,
+    /// Times for which the sender stood still.
+    sender_stalls: Vec<(Millis, Millis)>,
+    /// Times for which no word could come through.
+    cuts: Vec<(Millis, Millis)>,
+    links: Vec<Connection>,
+    next_dial: Millis,
+    callers: BTreeMap<CallId, Caller>,
+    sent: BTreeMap<CallId, SentCall>,
+    unsent: VecDeque<CallId>,
+    cancellations: Cancellations,
+    has_unsent_cancellations: bool,
+    last_heard: Millis,
+    identity: NodeIncarnation,
+    arrivals: Arrivals,
+    arrived: BTreeMap<CallId, ArrivedCall>,
+    echoes: u64,
+    outcome: Outcome,
+}
+
+impl World {
+    pub(crate) fn new(seed: u64, left_out: Option<Safeguard>) -> World {
+        World {
+            left_out,
+            random: StdRng::seed_from_u64(seed),
+            start: Instant::now(),
+            now: 0,
+            sender_stalled_until: 0,
+            receiver_stalled_until: 0,
+            cut_until: 0,
+            sender_stalls: Vec::new(),
+            cuts: Vec::new(),
+            links: Vec::new(),
+            next_dial: 0,
+            callers: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            unsent: VecDeque::new(),
+            cancellations: Cancellations::default(),
+            has_unsent_cancellations: false,
+            last_heard: 0,
+            identity: NodeIncarnation::new("sender", 1),
+            arrivals: Arrivals::new(ArrivalLimits::default()),
+            arrived: BTreeMap::new(),
+            echoes: 0,
+            outcome: Outcome::default(),
+        }
+    }
+
+    pub(crate) fn play(mut self) -> Outcome {
+        while self.now < LENGTH_MS {
+            self.disturb();
+            self.add_callers();
+            if self.now >= self.sender_stalled_until {
+                self.step_sender();
+            }
+            if self.now >= self.receiver_stalled_until {
+                self.step_receiver();
+            }
+            self.check_runs();
+            self.now += 1;
+        }
+        self.outcome
+    }
+
+    fn has(&self, safeguard: Safeguard) -> bool {
+        self.left_out != Some(safeguard)
+    }
+
+    fn instant(&self, at: Millis) -> Instant {
+        self.start + Duration::from_millis(at)
+    }
+
+    fn is_cut(&self) -> bool {
+        self.now < self.cut_until
+    }
+
+    fn disturb(&mut self) {
+        if !self.now.is_multiple_of(100) {
+            return;
+        }
+        let until = self.now + self.random.random_range(100..1_700);
+        match self.random.random_range(0..100) {
+            0..4 => {
+                self.sender_stalled_until = until;
+                self.sender_stalls.push((self.now, until));
+            }
+            4..9 => self.receiver_stalled_until = until,
+            9..12 => {
+                self.cut_until = until;
+                self.cuts.push((self.now, until));
+            }
+            12..24 => self.reset_link(),
+            _ => {}
+        }
+    }
+
+    /// Loses what is on its way; what has reached the receiver's machine stays readable there.
+    /// Or only the sender notices at once, and the rest reaches the receiver late.
+    fn reset_link(&mut self) {
+        let now = self.now;
+        let is_late = self.random.random_range(0..2) == 0;
+        let frames_by = now + self.random.random_range(0..OLD_CALL_AGE_MS);
+        let end_by = frames_by + self.random.random_range(0..HEED_MS);
+        let Some(link) = self.links.last_mut() else {
+            return;
+        };
+        link.to_sender.frames.retain(|(at, _)| *at <= now);
+        link.to_sender.ended_at.get_or_insert(now);
+        let to_receiver = &mut link.to_receiver;
+        if is_late {
+            let on_their_way = to_receiver.frames.iter_mut().filter(|(at, _)| *at > now);
+            on_their_way.for_each(|(at, _)| *at = frames_by.max(*at));
+            to_receiver.ended_at.get_or_insert(end_by);
+        } else {
+            to_receiver.frames.retain(|(at, _)| *at <= now);
+            to_receiver.ended_at.get_or_insert(now);
+        }
+    }
+
+    fn add_callers(&mut self) {
+        if self.now >= CALLS_UNTIL_MS || self.random.random_range(0..25) > 0 {
+            return;
+        }
+        let id = self.callers.len() as CallId + 1;
+        let leaves = self.random.random_range(0..2) == 0;
+        let patience = self.random.random_range(PATIENCE_MS);
+        let leaves_at = leaves.then_some(self.now + patience);
+        let caller = Caller {
+            leaves_at,
+            is_settled: false,
+        };
+        self.callers.insert(id, caller);
+        self.unsent.push_back(id);
+    }
+
+    fn has_left(&self, id: CallId) -> bool {
+        let leaves_at = self.callers[&id].leaves_at;
+        leaves_at.is_some_and(|leaves_at| leaves_at <= self.now)
+    }
+
+    fn settle(&mut self, id: CallId) {
+        if let Some(caller) = self.callers.get_mut(&id) {
+            caller.is_settled = true;
+        }
+        self.sent.remove(&id);
+    }
+
+    // The sender.
+
+    fn step_sender(&mut self) {
+        self.send_new_calls();
+        self.read_at_sender();
+        self.notice_silence();
+        self.notice_departures();
+        self.resolve_calls();
+        self.send_kept_cancellations();
+    }
+
+    fn open_link(&self) -> Option<usize> {
+        let last = self.links.len().checked_sub(1)?;
+        (!self.links[last].is_closed_at_sender).then_some(last)
+    }
+
+    /// Returns the open link, or a new one if the receiver can be reached.
+    fn connect(&mut self) -> Option<usize> {
+        if let Some(link) = self.open_link() {
+            return Some(link);
+        }
+        let is_reachable = !self.is_cut() && self.now >= self.receiver_stalled_until;
+        if !is_reachable || self.now < self.next_dial {
+            return None;
+        }
+        self.next_dial = self.now + REDIAL_PAUSE_MS;
+        self.last_heard = self.now;
+        self.links.push(Connection {
+            opened: self.now,
+            ..Connection::default()
+        });
+        let link = self.links.len() - 1;
+        self.send_cancellations_over(link);
+        Some(link)
+    }
+
+    fn send_cancellations_over(&mut self, link: usize) {
+        self.has_unsent_cancellations = false;
+        if !self.has(Safeguard::KeepCancellations) {
+            return;
+        }
+        for (id, _) in self.cancellations.to_send(1, self.instant(self.now)) {
+            self.send(link, Frame::Cancel(id));
+        }
+    }
+
+    fn send(&mut self, link: usize, frame: Frame) {
+        let at = self.arrival_time();
+        let link = &mut self.links[link];
+        if link.to_receiver.ended_at.is_none() {
+            link.to_receiver.frames.push_back((at, frame));
+        }
+    }
+
+    fn reply(&mut self, link: usize, frame: Frame) {
+        let at = self.arrival_time();
+        let link = &mut self.links[link];
+        if link.to_sender.ended_at.is_none() {
+            link.to_sender.frames.push_back((at, frame));
+        }
+    }
+
+    /// A cut holds frames back until it ends.
+    fn arrival_time(&self) -> Millis {
+        self.now.max(self.cut_until) + LATENCY_MS
+    }
+
+    fn send_new_calls(&mut self) {
+        while let Some(id) = self.unsent.front().copied() {
+            if self.has(Safeguard::LookBeforeSending) && self.has_left(id) {
+                self.unsent.pop_front();
+                self.outcome.departed += 1;
+                self.settle(id);
+                continue;
+            }
+            let Some(link) = self.connect() else {
+                return;
+            };
+            self.unsent.pop_front();
+            let queued_at = self.now - self.links[link].opened;
+            self.send(link, Frame::Call { id, queued_at });
+            let call = SentCall {
+                link,
+                sent_at: self.now,
+                deadline: self.now + CALL_TIMEOUT_MS,
+                in_doubt_since: None,
+            };
+            self.sent.insert(id, call);
+        }
+    }
+
+    fn read_at_sender(&mut self) {
+        for index in 0..self.links.len() {
+            while let Some((at, frame)) = self.links[index].to_sender.frames.front().copied() {
+                if at > self.now || self.links[index].is_closed_at_sender {
+                    break;
+                }
+                self.links[index].to_sender.frames.pop_front();
+                self.last_heard = self.now;
+                self.handle_at_sender(index, frame);
+            }
+            if self.links[index].to_sender.has_ended(self.now) {
+                self.close_at_sender(index);
+            }
+        }
+    }
+
+    fn handle_at_sender(&mut self, link: usize, frame: Frame) {
+        match frame {
+            Frame::Answer(id) => {
+                self.cancellations.confirm(id);
+                if self.sent.contains_key(&id) {
+                    self.outcome.answered += 1;
+                    self.settle(id);
+                }
+            }
+            Frame::NotRun(id) => {
+                self.cancellations.confirm(id);
+                self.settle(id);
+            }
+            Frame::Resolution(id, is_running) => {
+                self.cancellations.confirm(id);
+                if !is_running {
+                    self.settle(id);
+                }
+            }
+            Frame::EchoRequest(number) => self.send(link, Frame::EchoReply(number)),
+            _ => {}
+        }
+    }
+
+    fn close_at_sender(&mut self, index: usize) {
+        if self.links[index].is_closed_at_sender {
+            return;
+        }
+        let arrives_at = self.arrival_time();
+        let link = &mut self.links[index];
+        link.is_closed_at_sender = true;
+        link.to_receiver.ended_at.get_or_insert(arrives_at);
+        for call in self.sent.values_mut().filter(|call| call.link == index) {
+            call.in_doubt_since.get_or_insert(self.now);
+        }
+        self.has_unsent_cancellations = true;
+    }
+
+    fn notice_silence(&mut self) {
+        let Some(link) = self.open_link() else {
+            return;
+        };
+        if self.receiver_can_answer() {
+            self.last_heard = self.now;
+        } else if self.now > self.last_heard + SILENCE_MS && !self.sent.is_empty() {
+            self.close_at_sender(link);
+        }
+    }
+
+    /// Echo requests of the sender are answered by a receiver that runs.
+    fn receiver_can_answer(&self) -> bool {
+        !self.is_cut() && self.now >= self.receiver_stalled_until
+    }
+
+    fn notice_departures(&mut self) {
+        // The runtime tells of a close after it has run the code that sends the request.
+        let sent = self.sent.iter().filter(|(_, call)| call.sent_at < self.now);
+        let sent = sent.map(|(id, _)| *id);
+        let left: Vec<CallId> = sent.filter(|id| self.has_left(*id)).collect();
+        for id in left {
+            self.outcome.departed += 1;
+            self.cancel(id);
+        }
+    }
+
+    fn cancel(&mut self, id: CallId) {
+        let Some(call) = self.sent.get(&id) else {
+            return;
+        };
+        let (link, deadline) = (call.link, call.deadline);
+        let (now, deadline) = (self.instant(self.now), self.instant(deadline));
+        self.cancellations.add(id, 1, now, deadline);
+        match self.links[link].is_closed_at_sender {
+            true => self.has_unsent_cancellations = true,
+            false => self.send(link, Frame::Cancel(id)),
+        }
+        self.settle(id);
+    }
+
+    /// Asks for calls whose link was lost; gives them up after a while.
+    fn resolve_calls(&mut self) {
+        let in_doubt: Vec<(CallId, Millis)> = self
+            .sent
+            .iter()
+            .filter_map(|(id, call)| Some((*id, call.in_doubt_since?)))
+            .collect();
+        for (id, since) in in_doubt {
+            if self.now > since + RESOLVE_LIMIT_MS {
+                self.cancel(id);
+                continue;
+            }
+            let Some(link) = self.connect() else {
+                continue;
+            };
+            self.send(link, Frame::Resolve(id));
+            if let Some(call) = self.sent.get_mut(&id) {
+                call.link = link;
+                call.in_doubt_since = None;
+            }
+        }
+        let now = self.now;
+        let timed_out = self.sent.iter().filter(|(_, call)| call.deadline <= now);
+        let timed_out: Vec<CallId> = timed_out.map(|(id, _)| *id).collect();
+        for id in timed_out {
+            self.cancel(id);
+        }
+    }
+
+    fn send_kept_cancellations(&mut self) {
+        let is_wanted = self.has(Safeguard::KeepCancellations) && self.has_unsent_cancellations;
+        if !is_wanted || self.cancellations.is_empty(self.instant(self.now)) {
+            return;
+        }
+        if let Some(link) = self.connect()
+            && self.has_unsent_cancellations
+        {
+            self.send_cancellations_over(link);
+        }
+    }
+
+    // The receiver.
+
+    fn step_receiver(&mut self) {
+        // The newest link first: what was held up on an older one may be read later.
+        for index in (0..self.links.len()).rev() {
+            self.read_at_receiver(index);
+        }
+        self.end_unreturned();
+        self.finish_runs();
+        self.start_calls();
+    }
+
+    fn read_at_receiver(&mut self, index: usize) {
+        if self.links[index].is_closed_at_receiver {
+            return;
+        }
+        while let Some((at, frame)) = self.links[index].to_receiver.frames.front().copied() {
+            if at > self.now {
+                break;
+            }
+            self.links[index].to_receiver.frames.pop_front();
+            self.handle_at_receiver(index, frame);
+            if !self.has(Safeguard::ReadAllFirst) {
+                self.start_calls();
+            }
+        }
+        if self.links[index].to_receiver.has_ended(self.now) {
+            self.close_at_receiver(index);
+        }
+    }
+
+    fn handle_at_receiver(&mut self, link: usize, frame: Frame) {
+        match frame {
+            Frame::Call { id, queued_at } => self.arrive(link, id, queued_at),
+            Frame::Cancel(id) => self.cancel_at_receiver(link, id),
+            Frame::Resolve(id) => {
+                let resolution = self.arrivals.resolve(&self.identity.clone(), id);
+                let is_running = resolution == Resolution::Running;
+                if let Some(call) = self.arrived.get_mut(&id) {
+                    call.links.insert(link);
+                    call.without_link_since = None;
+                }
+                self.reply(link, Frame::Resolution(id, is_running));
+            }
+            Frame::EchoReply(number) => {
+                for call in self.arrived.values_mut() {
+                    if matches!(call.stage, Stage::Asked { echo, .. } if echo <= number) {
+                        call.stage = Stage::Waiting;
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn arrive(&mut self, link: usize, id: CallId, queued_at: Millis) {
+        if self.arrivals.record_arrival(&self.identity.clone(), id) != Arrival::New {
+            return;
+        }
+        let connection = &mut self.links[link];
+        let read_at = Duration::from_millis(self.now - connection.opened);
+        let age = connection
+            .ages
+            .age(Duration::from_millis(queued_at), read_at);
+        let is_old = age >= Duration::from_millis(OLD_CALL_AGE_MS);
+        let mut stage = Stage::Waiting;
+        if is_old && self.has(Safeguard::AskAboutOldCalls) {
+            self.echoes += 1;
+            stage = Stage::Asked {
+                echo: self.echoes,
+                until: self.now + CONFIRM_LIMIT_MS,
+            };
+            self.reply(link, Frame::EchoRequest(self.echoes));
+        }
+        let call = ArrivedCall {
+            stage,
+            links: BTreeSet::from([link]),
+            without_link_since: None,
+        };
+        self.arrived.insert(id, call);
+    }
+
+    fn cancel_at_receiver(&mut self, link: usize, id: CallId) {
+        if self.arrived.contains_key(&id) {
+            return self.end(id, Frame::NotRun(id));
+        }
+        if self.has(Safeguard::Fence) {
+            self.arrivals.resolve(&self.identity.clone(), id);
+        }
+        self.reply(link, Frame::Resolution(id, false));
+    }
+
+    fn close_at_receiver(&mut self, index: usize) {
+        self.links[index].is_closed_at_receiver = true;
+        let now = self.now;
+        for call in self.arrived.values_mut() {
+            call.links.remove(&index);
+            if call.links.is_empty() {
+                call.without_link_since.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Ends a call and tells its sender over every link on which it waits.
+    fn end(&mut self, id: CallId, answer: Frame) {
+        let Some(call) = self.arrived.remove(&id) else {
+            return;
+        };
+        self.arrivals.finish(&self.identity.clone(), id, None);
+        for link in call.links {
+            self.reply(link, answer);
+        }
+    }
+
+    fn end_unreturned(&mut self) {
+        let has_read = self.now >= self.receiver_stalled_until + RETURN_RECHECK_MS;
+        if !self.has(Safeguard::EndUnreturned) || !has_read {
+            return;
+        }
+        let is_unreturned = |call: &ArrivedCall| {
+            call.without_link_since
+                .is_some_and(|since| self.now >= since + RETURN_LIMIT_MS)
+        };
+        let unreturned = self.arrived.iter().filter(|(_, call)| is_unreturned(call));
+        let unreturned: Vec<CallId> = unreturned.map(|(id, _)| *id).collect();
+        for id in unreturned {
+            self.count_if_waited_for(id);
+            self.end(id, Frame::NotRun(id));
+        }
+    }
+
+    /// Counts a call that is ended although its sender waits for it over an open link.
+    fn count_if_waited_for(&mut self, id: CallId) {
+        let is_waited_for = self
+            .sent
+            .get(&id)
+            .is_some_and(|call| !self.links[call.link].is_closed_at_sender);
+        let is_reachable = !self.is_excused(self.now.saturating_sub(RETURN_LIMIT_MS));
+        if is_waited_for && is_reachable {
+            self.outcome.lost_by_waiting_callers += 1;
+        }
+    }
+
+    fn finish_runs(&mut self) {
+        let now = self.now;
+        let is_done =
+            |call: &ArrivedCall| matches!(call.stage, Stage::Running { until } if until <= now);
+        let done = self.arrived.iter().filter(|(_, call)| is_done(call));
+        let done: Vec<CallId> = done.map(|(id, _)| *id).collect();
+        for id in done {
+            self.end(id, Frame::Answer(id));
+        }
+    }
+
+    fn start_calls(&mut self) {
+        let ids: Vec<CallId> = self.arrived.keys().copied().collect();
+        for id in ids {
+            let is_running = |call: &&ArrivedCall| matches!(call.stage, Stage::Running { .. });
+            if self.arrived.values().filter(is_running).count() >= SLOTS {
+                return;
+            }
+            match self.arrived[&id].stage {
+                Stage::Asked { until, .. } if self.now >= until => {
+                    self.end(id, Frame::NotRun(id));
+                }
+                Stage::Waiting => self.start_call(id),
+                Stage::Asked { .. } | Stage::Running { .. } => {}
+            }
+        }
+    }
+
+    fn start_call(&mut self, id: CallId) {
+        let is_away = self.arrived[&id].links.is_empty();
+        if is_away && self.has(Safeguard::HeedEndOfLink) {
+            return self.end(id, Frame::NotRun(id));
+        }
+        if self.is_late(id) {
+            self.outcome.late_starts += 1;
+        }
+        let until = self.now + self.random.random_range(RUN_MS);
+        if let Some(call) = self.arrived.get_mut(&id) {
+            call.stage = Stage::Running { until };
+        }
+    }
+
+    fn check_runs(&mut self) {
+        if self.now < self.receiver_stalled_until {
+            return;
+        }
+        let is_running = |call: &ArrivedCall| matches!(call.stage, Stage::Running { .. });
+        let running = self.arrived.iter().filter(|(_, call)| is_running(call));
+        let late = running.filter(|(id, _)| self.is_late(**id)).count();
+        self.outcome.late_runs += late as u64;
+    }
+
+    /// Whether the caller left more than the promised time ago, not counting what is excused.
+    fn is_late(&self, id: CallId) -> bool {
+        let Some(left_at) = self.callers[&id].leaves_at else {
+            return false;
+        };
+        left_at + HEED_MS < self.now && !self.is_excused(left_at)
+    }
+
+    /// Whether no word could come since then: the sender stood still until a moment ago, or the
+    /// network was cut, or only just not.
+    fn is_excused(&self, since: Millis) -> bool {
+        let stalls = self.sender_stalls.iter();
+        let mut stalls = stalls.map(|(began, ended)| (*began, *ended + 3 * LATENCY_MS));
+        let cuts = self.cuts.iter();
+        let mut cuts = cuts.map(|(began, ended)| (*began, *ended + HEED_MS));
+        stalls.any(|(began, ended)| began <= self.now && self.now < ended)
+            || cuts.any(|(began, ended)| began <= self.now && since < ended)
+    }
+}
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -23,7 +23,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// How long calls are kept for a sender whose link has ended. It resolves idempotent calls over the
 /// next link within 150 ms, or gives them up; its process may also have ended.
-const RETURN_LIMIT: Duration = Duration::from_millis(400);
+const RETURN_LIMIT: Duration = Duration::from_millis(350);
+/// After this node stood still, the limit may have passed before the sender's next link is read.
+const RETURN_RECHECK: Duration = Duration::from_millis(50);
 /// Frames that are read before the calls among them are started.
 const MAX_BATCH_FRAMES: usize = 4096;
 /// Age from which the sender is asked whether a call is still waited for. Calls arrive within a
@@ -82,6 +84,7 @@
     connection.close();
     if node.senders.disconnected(&sender) {
         tokio::time::sleep(RETURN_LIMIT).await;
+        tokio::time::sleep(RETURN_RECHECK).await;
         for (call_id, cancelled) in sender.cancel_unresolved() {
             log_cancelled(&node, &sender, call_id, &cancelled);
         }
--- a/crates/hemlocktack-node/tests/processes/departures.rs
+++ b/crates/hemlocktack-node/tests/processes/departures.rs
@@ -33,6 +33,12 @@
     link
 }
 
+/// Suspends the node and waits until all its threads stand still.
+async fn suspend(fleet: &Fleet) {
+    fleet.nodes[0].process.signal("STOP");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+}
+
 fn call(call_id: u64, marker: &str) -> frame::Body {
     let value = Bytes::copy_from_slice(marker.as_bytes());
     let marker = Header {
@@ -102,7 +108,7 @@
 async fn calls_found_together_with_their_cancellations_are_not_started() {
     let fleet = start_fleet().await;
     let mut link = open_link(&fleet).await;
-    fleet.nodes[0].process.signal("STOP");
+    suspend(&fleet).await;
     send(&mut link, call(1, AWAITED)).await;
     send_together(&mut link, (2..CALLS).map(|id| call(id, CANCELLED))).await;
     send_together(&mut link, (2..CALLS).map(cancel)).await;
@@ -121,7 +127,7 @@
 async fn calls_found_together_with_the_end_of_their_link_are_not_started() {
     let fleet = start_fleet().await;
     let mut link = open_link(&fleet).await;
-    fleet.nodes[0].process.signal("STOP");
+    suspend(&fleet).await;
     send_together(&mut link, (1..CALLS).map(|id| call(id, CANCELLED))).await;
     SinkExt::<Bytes>::close(&mut link).await.unwrap();
     drop(link);
@@ -137,7 +143,7 @@
 async fn old_calls_are_started_only_after_their_sender_could_cancel_them() {
     let fleet = start_fleet().await;
     let mut link = open_link(&fleet).await;
-    fleet.nodes[0].process.signal("STOP");
+    suspend(&fleet).await;
     let bodies = (1..=CALLS).map(|id| match id == CALLS {
         true => queued_call(id, AWAITED),
         false => queued_call(id, CANCELLED),
