--- a/crates/hemlocktack-node/src/calls/context.rs
+++ b/crates/hemlocktack-node/src/calls/context.rs
@@ -200,7 +200,8 @@
 
     /// Whether a run of this request was stopped because nobody waits for it, and none goes on.
     pub(crate) fn is_cancelled(&self, request_id: &str) -> bool {
-        let is_stopped = self.cancelled_runs().contains_key(request_id);
+        let deadline = self.cancelled_runs().get(request_id).copied();
+        let is_stopped = deadline.is_some_and(|deadline| Instant::now() < deadline);
         is_stopped && self.find_by_request(request_id).is_none()
     }
 
