A caller's leaving ends its connection as an error of its request does

The handler told the connection by a signal of its own, stood still, and was dropped by a fourth way to end. The HTTP library has one for this: a request that ends with an error closes its connection, and is dropped with it.

--- a/crates/hemlocktack-node/src/gateway/caller_socket.rs
+++ b/crates/hemlocktack-node/src/gateway/caller_socket.rs
@@ -11,7 +11,6 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 
 use crate::calls::CallerWatch;
 
@@ -26,8 +25,6 @@
 #[derive(Clone)]
 pub(super) struct Activity {
     state: Arc<Mutex<ActivityState>>,
-    /// A caller has left while a request of it was open.
-    departed: Arc<Notify>,
 }
 
 struct ActivityState {
@@ -91,7 +88,6 @@
         };
         Self {
             state: Arc::new(Mutex::new(state)),
-            departed: Arc::default(),
         }
     }
 
@@ -116,16 +112,6 @@
         self.state().unsent_response.take()
     }
 
-    /// Records that the caller has left while a request of it was open.
-    pub(super) fn caller_left(&self) {
-        self.departed.notify_one();
-    }
-
-    /// Completes when the caller has left while a request of it was open.
-    pub(super) async fn departed(&self) {
-        self.departed.notified().await;
-    }
-
     /// Completes when the connection has been idle for `time`.
     pub(super) async fn idle_for(&self, time: Duration) {
         loop {
--- a/crates/hemlocktack-node/src/gateway/connection.rs
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -1,11 +1,11 @@
 //! One connection of a caller. Hyper serves it while requests arrive; while it is
 //! idle, only the bare socket is kept.
 
-use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use derive_more::{Display, Error};
 use futures::FutureExt;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
@@ -48,11 +48,14 @@
     }
 }
 
+/// The caller has left without waiting for its response, which ends its connection.
+#[derive(Debug, Display, Error)]
+#[display("the caller has left")]
+struct CallerLeft;
+
 /// Why hyper stops serving a connection.
 enum ServeEnd {
     Ended(hyper::Result<()>),
-    /// The caller has left without waiting for its response.
-    Departed,
     Closing,
     Idle,
 }
@@ -136,8 +139,8 @@
         node,
         activity: &activity,
     };
-    // Boxed as well, because hyper reserves memory for the future between two requests.
     let watch = socket.watch();
+    // Boxed as well, because hyper reserves memory for the future between two requests.
     let service = service_fn(|mut request| {
         let open_request = activity.begin_request();
         request.extensions_mut().insert(watch.clone());
@@ -147,17 +150,13 @@
             let mut response = tokio::select! {
                 biased;
                 response = answering => response,
-                () = watch.left() => {
-                    activity.caller_left();
-                    // Dropped with the connection.
-                    std::future::pending().await
-                }
+                () = watch.left() => return Err(CallerLeft),
             };
             if let Some(RequestId(id)) = response.extensions_mut().remove() {
                 activity.response_ready(id);
             }
             drop(open_request);
-            Ok::<_, Infallible>(response)
+            Ok(response)
         }
         .boxed()
     });
@@ -173,7 +172,6 @@
         // Data that has arrived is read before the connection counts as idle.
         biased;
         ended = &mut connection => ServeEnd::Ended(ended),
-        () = activity.departed() => ServeEnd::Departed,
         () = node.signals.closing.cancelled() => ServeEnd::Closing,
         () = activity.idle_for(IDLE_AFTER) => ServeEnd::Idle,
     };
@@ -184,7 +182,7 @@
         }
         // An error means that the caller disconnected or sent invalid HTTP; there is
         // nobody to report it to.
-        ServeEnd::Ended(_) | ServeEnd::Departed => return None,
+        ServeEnd::Ended(_) => return None,
         ServeEnd::Closing => Pin::new(&mut connection).graceful_shutdown(),
         ServeEnd::Idle => {
             Pin::new(&mut connection).graceful_shutdown();
