Departures: what is already there is used, and work is done once

Read on the diff; what is decided is as before.

- A send to another node made a token and a state for a call that this node doesn't run.
The caller goes along instead, and they are made where the call is received.
- A guard that cancels when dropped stood beside the library's own.
- Each write to a link cloned its socket; the last connection of a sender was closed twice; the parent of a child call was looked up twice.
- A cancelled call was described first and corrected after it; one function cancels and describes.
- Two tests of links share the way to their first call.
Assertions as they were.

--- a/crates/hemlocktack-node/src/calls/awaited.rs
+++ b/crates/hemlocktack-node/src/calls/awaited.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Instant;
 
-use tokio_util::sync::CancellationToken;
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 use super::caller_watch::CallerWatch;
 
@@ -33,7 +33,7 @@
     }
 
     /// Whether nobody waits any longer.
-    pub(crate) fn is_over(&self) -> bool {
+    fn is_over(&self) -> bool {
         let has_left = || self.caller.as_ref().is_some_and(CallerWatch::has_left);
         self.cancelled.is_cancelled() || has_left()
     }
@@ -65,6 +65,11 @@
         self.cancelled.cancel();
     }
 
+    /// Returns a guard that records that nobody waits any longer when it is dropped.
+    pub(crate) fn cancel_on_drop(&self) -> DropGuard {
+        self.cancelled.clone().drop_guard()
+    }
+
     /// Returns once nobody waits any longer.
     pub(crate) async fn cancelled(&self) {
         self.cancelled.cancelled().await;
--- a/crates/hemlocktack-node/src/calls/context.rs
+++ b/crates/hemlocktack-node/src/calls/context.rs
@@ -198,11 +198,11 @@
         self.named().get(request_id)?.last().cloned()
     }
 
-    /// Whether a run of this request was stopped because nobody waits for it, and none goes on.
-    pub(crate) fn is_cancelled(&self, request_id: &str) -> bool {
+    /// Whether a run of this request was stopped because nobody waits for it. Another run of it
+    /// may go on.
+    pub(crate) fn was_cancelled(&self, request_id: &str) -> bool {
         let deadline = self.cancelled_runs().get(request_id).copied();
-        let is_stopped = deadline.is_some_and(|deadline| Instant::now() < deadline);
-        is_stopped && self.find_by_request(request_id).is_none()
+        deadline.is_some_and(|deadline| Instant::now() < deadline)
     }
 
     fn record_cancelled(&self, request_id: &str, deadline: Instant) {
--- a/crates/hemlocktack-node/src/calls/deliver.rs
+++ b/crates/hemlocktack-node/src/calls/deliver.rs
@@ -8,6 +8,7 @@
 use hemlocktack_telemetry::SpanName;
 
 use super::awaited::Awaited;
+use super::caller_watch::CallerWatch;
 use super::outcomes::{not_run_answer, unknown_answer};
 use super::receive;
 use super::service_directory::PeerEntry;
@@ -27,14 +28,15 @@
 }
 
 /// Sends a call with a share of the retry allowance and takes unspent retries back. A call
-/// without an answer returns none, since it may have spent them all.
+/// without an answer returns none, since it may have spent them all. `caller` is watched if the
+/// receiver is this node itself; others are told that it has left.
 pub(crate) async fn send_with_allowance(
     node: &Arc<Node>,
     peer: &PeerEntry,
     mut call: Call,
     deadline: Instant,
     allowance: &RetryAllowance,
-    awaited: Awaited,
+    caller: Option<&CallerWatch>,
 ) -> SendResult {
     let given = allowance.grant_to_child();
     call.retries_given = given;
@@ -42,7 +44,7 @@
     call.upstream_notice = node.notice_for(&peer.identity.node_id).map(Box::new);
     let result = match node.locate(&peer.member) {
         Some(NodeLocation::Local) => SendResult {
-            answer: receive_locally(node, call, awaited).await,
+            answer: receive_locally(node, call, caller).await,
             is_from_receiver: true,
         },
         Some(NodeLocation::Remote(peer)) => send_over_link(node, &peer, call, deadline).await,
@@ -58,11 +60,12 @@
 /// Handles a call that was placed on this node itself. If its caller disconnects, this future
 /// is dropped: a call that may be cancelled ends with it, one that may not continues in its own
 /// task.
-async fn receive_locally(node: &Arc<Node>, call: Call, awaited: Awaited) -> Answer {
+async fn receive_locally(node: &Arc<Node>, call: Call, caller: Option<&CallerWatch>) -> Answer {
+    let awaited = Awaited::by_caller(caller.cloned());
     if call.purpose() != CallPurpose::PlacedOnce {
         return receive(node, call, &awaited).await;
     }
-    let _cancelled_with_caller = CancelOnDrop(awaited.clone());
+    let _cancelled_with_caller = awaited.cancel_on_drop();
     let node = node.clone();
     let running = tokio::spawn(async move {
         let _in_flight = node.track_call();
@@ -73,15 +76,6 @@
         .unwrap_or_else(|_| unknown_answer(Reason::UpstreamFailed))
 }
 
-/// Cancels a call of this node when its caller's future is dropped.
-struct CancelOnDrop(Awaited);
-
-impl Drop for CancelOnDrop {
-    fn drop(&mut self) {
-        self.0.cancel();
-    }
-}
-
 async fn send_over_link(node: &Node, peer: &Peer, mut call: Call, deadline: Instant) -> SendResult {
     let purpose = call.purpose();
     let given = call.retries_given;
--- a/crates/hemlocktack-node/src/calls/home.rs
+++ b/crates/hemlocktack-node/src/calls/home.rs
@@ -8,7 +8,6 @@
 use hemlocktack_fleet::tickets::{Nonce, StartDecision, Ticket};
 use hemlocktack_protocol::{Answer, Call, CallFailure, CallPurpose, Outcome, Reason};
 
-use super::awaited::Awaited;
 use super::deliver::{SendResult, send_with_allowance};
 use super::home_table::OutcomeReceiver;
 use super::in_flight_send::InFlightSend;
@@ -170,7 +169,7 @@
     let allowance = hemlocktack_decide::RetryAllowance::new(call.retries_given);
     let in_flight_send = InFlightSend::begin(peer);
     let SendResult { answer, .. } =
-        send_with_allowance(node, peer, call, deadline, &allowance, Awaited::default()).await;
+        send_with_allowance(node, peer, call, deadline, &allowance, None).await;
     in_flight_send.finish(&answer);
     if answer.outcome() == Outcome::NotRun {
         let given_back = node.home.table().requeue_from(nonce, &peer.identity);
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -12,7 +12,6 @@
 
 use super::ClassifiedCall;
 use super::attempts::CallAttempts;
-use super::awaited::Awaited;
 use super::deliver::{micros_left, send_with_allowance};
 use super::in_flight_send::InFlightSend;
 use super::outcomes::{NO_CLASSES_SHED, call_failure, not_run_answer, retry_delay, unknown_answer};
@@ -213,8 +212,7 @@
         caller,
         ..
     } = classified;
-    let awaited = Awaited::by_caller(caller.clone());
-    let sending = send_with_allowance(node, peer, call, *deadline, allowance, awaited);
+    let sending = send_with_allowance(node, peer, call, *deadline, allowance, caller.as_ref());
     let answer = tokio::select! {
         result = sending => result.answer,
         () = until_peer_lost(peer.as_ref()), if purpose == CallPurpose::Placed => {
--- a/crates/hemlocktack-node/src/calls/ticketed.rs
+++ b/crates/hemlocktack-node/src/calls/ticketed.rs
@@ -7,7 +7,6 @@
 use hemlocktack_fleet::tickets::{ChildHome, ChildRefusal, Ticket, TicketError, find_home};
 use hemlocktack_protocol::{Answer, CallPurpose, NodeState, Outcome, Reason};
 
-use super::awaited::Awaited;
 use super::deliver::{SendResult, send_with_allowance};
 use super::outcomes::{NO_CLASSES_SHED, retry_delay};
 use super::place::{admit_at_entry, choose_peer};
@@ -143,8 +142,7 @@
                     allowance,
                     ..
                 } = classified;
-                send_with_allowance(node, peer, call, *deadline, allowance, Awaited::default())
-                    .await
+                send_with_allowance(node, peer, call, *deadline, allowance, None).await
             }
             None => SendResult {
                 answer: unknown_answer(Reason::HomeGone),
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -122,7 +122,7 @@
         return Ok(Origin::Caller);
     };
     let parent = node.contexts.find_by_request(parent_id);
-    if parent.is_none() && node.contexts.is_cancelled(parent_id) {
+    if parent.is_none() && node.contexts.was_cancelled(parent_id) {
         return Err(Reason::Cancelled);
     }
     if parent.is_some() || active.accounts.is_empty() {
--- a/crates/hemlocktack-node/src/links/cancellations.rs
+++ b/crates/hemlocktack-node/src/links/cancellations.rs
@@ -44,8 +44,11 @@
         if send(connection, call_id, Duration::ZERO) {
             return;
         }
-        let peer_incarnation = receiver;
-        log_event!(Event::CancelledWithoutLink, call_id, peer_incarnation);
+        log_event!(
+            Event::CancelledWithoutLink,
+            call_id,
+            peer_incarnation = receiver
+        );
         self.want_link();
     }
 
@@ -92,14 +95,14 @@
 }
 
 fn send(connection: &Connection, call_id: CallId, left_ago: Duration) -> bool {
-    let left_ago_us = micros(left_ago);
     connection.send_urgent(frame::Body::Cancel(CancelCall {
         call_id,
-        left_ago_us,
+        left_ago_us: micros(left_ago),
         queued_at_us: micros(connection.age()),
     }))
 }
 
+/// Sends this node's cancellations whose connection was lost, for the lifetime of the process.
 pub(crate) async fn send_cancellations(node: Arc<Node>) {
     node.links.send_cancellations().await;
 }
--- a/crates/hemlocktack-node/src/links/connection.rs
+++ b/crates/hemlocktack-node/src/links/connection.rs
@@ -303,11 +303,12 @@
         self.written_bytes + self.unsent_bytes() as u64
     }
 
-    /// Takes the next frames to write; returns whether there are any.
+    /// Takes the next frames once the last ones are written; returns whether there are any.
     fn refill(&mut self) -> bool {
-        if self.bytes.is_empty() {
-            std::mem::swap(&mut self.bytes, &mut self.urgent);
+        if !self.bytes.is_empty() {
+            return true;
         }
+        std::mem::swap(&mut self.bytes, &mut self.urgent);
         while self.bytes.len() < WRITE_BYTES {
             let Some(frame) = self.waiting.pop_front() else {
                 break;
@@ -319,11 +320,10 @@
     }
 
     fn write(&mut self) -> std::io::Result<()> {
-        let Some(socket) = &self.socket else {
-            return Err(ErrorKind::NotConnected.into());
-        };
-        let socket = socket.clone();
-        while !self.bytes.is_empty() || self.refill() {
+        while self.refill() {
+            let Some(socket) = &self.socket else {
+                return Err(ErrorKind::NotConnected.into());
+            };
             match socket.try_write(&self.bytes) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(written) => {
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -82,7 +82,6 @@
             handle(&node, &sender, &connection, body).await;
         }
     }
-    connection.close();
     if node.senders.disconnected(&sender) {
         tokio::time::sleep(RETURN_LIMIT).await;
         tokio::time::sleep(RETURN_RECHECK).await;
--- a/crates/hemlocktack-node/src/links/senders.rs
+++ b/crates/hemlocktack-node/src/links/senders.rs
@@ -48,11 +48,13 @@
         self.reply_to.iter().all(Connection::is_closed)
     }
 
-    fn cancelled(&self) -> CancelledCall {
+    /// Records that nobody waits for it, since `left_at` if that is known.
+    fn cancel(&self, left_at: Option<Instant>) -> CancelledCall {
+        self.awaited.cancel();
         CancelledCall {
             request_id: self.request_id.clone(),
             elapsed: self.arrived.elapsed(),
-            was_started_late: false,
+            was_started_late: left_at.is_some_and(|at| self.awaited.was_started_after(at)),
             phase: match self.awaited.is_started() {
                 true => CallPhase::Running,
                 false => CallPhase::Waiting,
@@ -200,11 +202,7 @@
     pub(super) fn cancel(&self, sender: &Sender, call_id: CallId, left_at: Instant) -> Cancelled {
         let state = sender.state();
         if let Some(call) = state.calls.get(&call_id) {
-            call.awaited.cancel();
-            return Cancelled::Open(CancelledCall {
-                was_started_late: call.awaited.was_started_after(left_at),
-                ..call.cancelled()
-            });
+            return Cancelled::Open(call.cancel(Some(left_at)));
         }
         Cancelled::NotOpen(self.arrivals().resolve(&sender.identity, call_id))
     }
@@ -247,11 +245,9 @@
             away_since.is_some_and(|since| since.elapsed() >= limit)
         };
         let unresolved = state.calls.iter().filter(|(_, call)| is_unresolved(call));
-        let cancel = |(call_id, call): (&CallId, &OpenCall)| {
-            call.awaited.cancel();
-            (*call_id, call.cancelled())
-        };
-        unresolved.map(cancel).collect()
+        unresolved
+            .map(|(call_id, call)| (*call_id, call.cancel(None)))
+            .collect()
     }
 
     fn state(&self) -> MutexGuard<'_, SenderState> {
--- a/crates/hemlocktack-node/src/links/tests.rs
+++ b/crates/hemlocktack-node/src/links/tests.rs
@@ -14,6 +14,7 @@
 use hemlocktack_fleet::calls::Resolution;
 use hemlocktack_fleet::keys::FleetKeys;
 use hemlocktack_protocol::{Answer, Call, CallId, CallPurpose, frame};
+use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
@@ -128,7 +129,16 @@
         }
     }
 
-    async fn accept(&self) -> (Reader, tokio::net::tcp::OwnedWriteHalf) {
+    /// Accepts a link and reads the call that comes over it first.
+    async fn accept_with_call(&self) -> ((Reader, OwnedWriteHalf), CallId) {
+        let (mut reader, writer) = self.accept().await;
+        let Some(frame::Body::Call(call)) = next_body(&mut reader).await else {
+            panic!("no call");
+        };
+        ((reader, writer), call.call_id)
+    }
+
+    async fn accept(&self) -> (Reader, OwnedWriteHalf) {
         let accepted = tokio::time::timeout(CALL_TIMEOUT, self.listener.accept()).await;
         let (stream, _) = accepted.expect("a link is opened").unwrap();
         let own = NodeIncarnation::new("receiver", 1);
@@ -170,16 +180,13 @@
     let receiver = Receiver::listen("127.0.0.1:0".parse().unwrap()).await;
     let peer = receiver.peer();
     let call = send_call(&links, &peer, Bytes::new());
-    let (mut reader, writer) = receiver.accept().await;
-    let Some(frame::Body::Call(received)) = next_body(&mut reader).await else {
-        panic!("no call");
-    };
-    drop((reader, writer, receiver));
+    let (connection, call_id) = receiver.accept_with_call().await;
+    drop((connection, receiver));
     tokio::time::sleep(Duration::from_millis(200)).await;
     call.abort();
     let receiver = Receiver::listen(peer.link_address).await;
     let (mut reader, _writer) = receiver.accept().await;
-    assert_eq!(next_cancelled(&mut reader).await, Some(received.call_id));
+    assert_eq!(next_cancelled(&mut reader).await, Some(call_id));
 }
 
 /// Failure: a cancellation is written to a link that is reset before the receiver reads it.
@@ -189,16 +196,13 @@
     let receiver = Receiver::listen("127.0.0.1:0".parse().unwrap()).await;
     let peer = receiver.peer();
     let call = send_call(&links, &peer, Bytes::new());
-    let (mut reader, writer) = receiver.accept().await;
-    let Some(frame::Body::Call(received)) = next_body(&mut reader).await else {
-        panic!("no call");
-    };
+    let (connection, call_id) = receiver.accept_with_call().await;
     call.abort();
     let _ = call.await;
     tokio::time::sleep(Duration::from_millis(50)).await;
-    drop((reader, writer));
+    drop(connection);
     let (mut reader, _writer) = receiver.accept().await;
-    assert_eq!(next_cancelled(&mut reader).await, Some(received.call_id));
+    assert_eq!(next_cancelled(&mut reader).await, Some(call_id));
 }
 
 /// Failure: the receiver reads nothing for a while, cancellations find no room, and calls that
