--- a/crates/hemlocktack-fleet/src/freshness/proof.rs
+++ b/crates/hemlocktack-fleet/src/freshness/proof.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hemlocktack_protocol::{BootTime, FreshnessReport, Generation};
+use hemlocktack_protocol::{BootTime, FreshnessReport, Generation, whole_micros};
 
 /// Proof that `generation` was the newest one in the store at `proven_at`, together with what the
 /// store held then.
@@ -28,7 +28,7 @@
     pub fn report(&self, asker_is_recorded: bool, now: BootTime) -> FreshnessReport {
         FreshnessReport {
             generation: self.generation,
-            age_us: u64::try_from(self.age(now).as_micros()).unwrap_or(u64::MAX),
+            age_us: whole_micros(self.age(now)),
             recorded_nodes: self.recorded_nodes,
             asker_is_recorded,
         }
--- a/crates/hemlocktack-fleet/src/quotas/grantor.rs
+++ b/crates/hemlocktack-fleet/src/quotas/grantor.rs
@@ -5,6 +5,7 @@
 
 use hemlocktack_protocol::{
     AccountId, BootTime, Incarnation, QuotaDemand, QuotaGrant, QuotaReport, QuotaTokens,
+    whole_micros,
 };
 
 use super::bucket::Bucket;
@@ -183,7 +184,7 @@
     QuotaTokens {
         account: demand.account,
         granted,
-        retry_after_us: u64::try_from(retry_after.as_micros()).unwrap_or(u64::MAX),
+        retry_after_us: whole_micros(retry_after),
     }
 }
 
--- a/crates/hemlocktack-fleet/src/quotas/ledger.rs
+++ b/crates/hemlocktack-fleet/src/quotas/ledger.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hemlocktack_protocol::{
-    AccountId, BootTime, ClassRank, Incarnation, QuotaDemand, QuotaGrant, QuotaReport,
+    AccountId, BootTime, ClassRank, Incarnation, QuotaDemand, QuotaGrant, QuotaReport, whole_micros,
 };
 
 use super::bucket::Bucket;
@@ -185,7 +185,7 @@
         };
         let lease = lease.min(share.left);
         report.grant_seen_us = lending.grant_seen_us;
-        report.lease_us = u64::try_from(lease.as_micros()).unwrap_or(u64::MAX);
+        report.lease_us = whole_micros(lease);
         report.share_divisor = share.divisor;
         lending.lent_until = lending.lent_until.max(now.plus(lease));
         if lent_once {
--- a/crates/hemlocktack-node/src/calls/context.rs
+++ b/crates/hemlocktack-node/src/calls/context.rs
@@ -7,7 +7,7 @@
 
 use hemlocktack_decide::{RetryAllowance, WorkKind};
 use hemlocktack_fleet::tickets::{ChildCalls, Nonce};
-use hemlocktack_protocol::{Answer, Call, ClassRank, Reason, RootRequestId};
+use hemlocktack_protocol::{Answer, Call, ClassRank, Reason, RootRequestId, whole_micros};
 use hemlocktack_telemetry::TraceContext;
 use tokio_util::sync::CancellationToken;
 
@@ -85,7 +85,7 @@
 
     pub(crate) fn work_spent_us(&self, now: Instant) -> u64 {
         let spent = self.work_spent_before + now.saturating_duration_since(self.started);
-        u64::try_from(spent.as_micros()).unwrap_or(u64::MAX)
+        whole_micros(spent)
     }
 
     /// Returns once the run is stopped because nobody waits for it any longer.
--- a/crates/hemlocktack-node/src/calls/deliver.rs
+++ b/crates/hemlocktack-node/src/calls/deliver.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::RetryAllowance;
-use hemlocktack_protocol::{Answer, Call, CallPurpose, Reason};
+use hemlocktack_protocol::{Answer, Call, CallPurpose, Reason, whole_micros};
 use hemlocktack_telemetry::SpanName;
 
 use super::awaited::Awaited;
@@ -122,6 +122,5 @@
 
 /// Returns the time left as it is sent with a call.
 pub(super) fn micros_left(until: Instant) -> u64 {
-    let left = until.saturating_duration_since(Instant::now());
-    u64::try_from(left.as_micros()).unwrap_or(u64::MAX)
+    whole_micros(until.saturating_duration_since(Instant::now()))
 }
--- a/crates/hemlocktack-node/src/links/cancellations.rs
+++ b/crates/hemlocktack-node/src/links/cancellations.rs
@@ -6,13 +6,13 @@
 
 use futures::future::join_all;
 use hemlocktack_fleet::calls::Cancellations;
-use hemlocktack_protocol::{CallId, CancelCall, frame};
+use hemlocktack_protocol::{CallId, CancelCall, frame, whole_micros};
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::sync::Notify;
 
 use super::connection::Connection;
 use super::dial::{DIAL_TIMEOUT, Link};
-use super::outgoing::{Links, REDIAL_PAUSE, micros};
+use super::outgoing::{Links, REDIAL_PAUSE};
 use crate::node::Node;
 
 /// Unconfirmed cancellations of one link, which outlive its connections.
@@ -97,8 +97,8 @@
 fn send(connection: &Connection, call_id: CallId, left_ago: Duration) -> bool {
     connection.send_urgent(frame::Body::Cancel(CancelCall {
         call_id,
-        left_ago_us: micros(left_ago),
-        queued_at_us: micros(connection.age()),
+        left_ago_us: whole_micros(left_ago),
+        queued_at_us: whole_micros(connection.age()),
     }))
 }
 
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -7,6 +7,7 @@
 use hemlocktack_fleet::calls::{CallAges, Resolution};
 use hemlocktack_protocol::{
     Answer, Call, CallId, CallResolution, CancelCall, EchoReply, EchoRequest, Frame, frame,
+    whole_micros,
 };
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::net::{TcpListener, TcpStream};
@@ -209,7 +210,7 @@
 
 /// Takes the time that a call has been on its way off the times that were left when it was sent.
 fn take_off_age(call: &mut Call, age: Duration) {
-    let age_us = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+    let age_us = whole_micros(age);
     call.time_left_us = call.time_left_us.saturating_sub(age_us);
     // Zero would mean that there is no objective.
     let has_objective = call.objective_left_us > 0;
--- a/crates/hemlocktack-node/src/links/last_received.rs
+++ b/crates/hemlocktack-node/src/links/last_received.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+use hemlocktack_protocol::whole_micros;
+
 /// Time of the last activity of a link's peer. Bytes count rather than whole frames, because a
 /// large answer over a slow network takes long although the peer is active.
 #[derive(Clone)]
@@ -21,8 +23,7 @@
     }
 
     pub(super) fn update(&self) {
-        let since_us = self.opened.elapsed().as_micros();
-        let since_us = u64::try_from(since_us).unwrap_or(u64::MAX);
+        let since_us = whole_micros(self.opened.elapsed());
         self.last_us.store(since_us, Ordering::Release);
     }
 
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -11,7 +11,7 @@
 use hemlocktack_fleet::keys::FleetKeys;
 use hemlocktack_protocol::{
     Answer, Call, CallId, CallProgress, CallPurpose, Incarnation, NodeId, Reason, ResolveCall,
-    frame,
+    frame, whole_micros,
 };
 use tokio::sync::{Notify, mpsc};
 
@@ -104,7 +104,7 @@
         let mut pending = None;
         let sending = connection.send_built(|| {
             call.call_id = self.next_call_id.fetch_add(1, Ordering::Relaxed);
-            call.queued_at_us = micros(connection.age());
+            call.queued_at_us = whole_micros(connection.age());
             pending = Some(PendingCall::register(&link.pending, call.call_id, events));
             frame::Body::Call(call)
         });
@@ -259,10 +259,6 @@
     }
 }
 
-pub(super) fn micros(duration: Duration) -> u64 {
-    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
-}
-
 fn resolved_outcome(progress: CallProgress) -> Option<SendOutcome> {
     match progress {
         CallProgress::NeverArrived => Some(SendOutcome::NeverArrived(Reason::Fenced)),
--- a/crates/hemlocktack-node/src/telemetry/histogram.rs
+++ b/crates/hemlocktack-node/src/telemetry/histogram.rs
@@ -4,6 +4,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use hemlocktack_protocol::whole_micros;
+
 use prometheus_client::encoding::{EncodeMetric, MetricEncoder, NoLabelSet};
 use prometheus_client::metrics::{MetricType, TypedMetric};
 
@@ -25,7 +27,7 @@
 
 impl DurationHistogram {
     pub(crate) fn observe(&self, duration: Duration) {
-        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        let micros = whole_micros(duration);
         let bucket = BOUNDS_US.partition_point(|bound| *bound < micros);
         self.buckets[bucket].fetch_add(1, Ordering::Relaxed);
         self.sum_us.fetch_add(micros, Ordering::Relaxed);
--- a/crates/hemlocktack-protocol/src/boot_time.rs
+++ b/crates/hemlocktack-protocol/src/boot_time.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::whole_micros;
+
 /// Time since the machine was started, including the time for which it was suspended.
 ///
 /// `Instant` stands still while a machine is suspended. A time limit that other nodes rely on, such
@@ -22,7 +24,7 @@
 
     /// Returns whole microseconds after the machine's start.
     pub fn as_micros(self) -> u64 {
-        u64::try_from(self.0.as_micros()).unwrap_or(u64::MAX)
+        whole_micros(self.0)
     }
 
     /// Returns the time from `earlier` to this point; zero if `earlier` is later.
--- a/crates/hemlocktack-protocol/src/lib.rs
+++ b/crates/hemlocktack-protocol/src/lib.rs
@@ -28,4 +28,4 @@
 pub use operators::{OPERATORS_SERVICE, OperatorErrorCode};
 pub use outcome::{CallFailure, Refusal};
 pub use stable_hash::stable_hash;
-pub use time::parse_duration;
+pub use time::{parse_duration, whole_micros};
--- a/crates/hemlocktack-telemetry/src/span.rs
+++ b/crates/hemlocktack-telemetry/src/span.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use hemlocktack_protocol::{NodeId, Outcome, Reason, ServiceName, Span};
+use hemlocktack_protocol::{NodeId, Outcome, Reason, ServiceName, Span, whole_micros};
 use strum::{EnumIter, IntoStaticStr};
 
 use crate::{SpanId, TraceContext, TraceId, Tracer};
@@ -105,9 +105,9 @@
         service: ServiceName,
         detail: String,
     ) -> Self {
-        let duration_us = micros(span.started.elapsed().as_micros());
+        let duration_us = whole_micros(span.started.elapsed());
         let now = SystemTime::now().duration_since(UNIX_EPOCH);
-        let now_us = micros(now.unwrap_or_default().as_micros());
+        let now_us = whole_micros(now.unwrap_or_default());
         SpanRecord {
             trace_id: span.context.trace_id,
             span_id: span.context.span_id,
@@ -137,7 +137,3 @@
         }
     }
 }
-
-fn micros(micros: u128) -> u64 {
-    u64::try_from(micros).unwrap_or(u64::MAX)
-}
