--- a/crates/hemlocktack-decide/examples/rate_limit_fleet.rs
+++ b/crates/hemlocktack-decide/examples/rate_limit_fleet.rs
@@ -3,18 +3,23 @@
 //! All nodes of the fleet call one service with several upstreams. One of these names a limit and
 //! later drops it. The others have room for everything.
 
+#[path = "../tests/support/mod.rs"]
+mod support;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Admission, AdmissionDecision, AdmissionPolicy, HeardNotice, NoticeBook, OfferedCall, PeerLoad,
+    Admission, AdmissionDecision, AdmissionPolicy, HeardNotice, NoticeBook, PeerLoad,
     PlacementPolicy, RunResult, ShedLevel, UpstreamStart, place,
 };
 use hemlocktack_protocol::{AnswerNotice, LoadHint, NodeId, Reason, Statement, UpstreamState};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::support::first_attempt;
+
 const UPSTREAMS: usize = 6;
 const LIMITED: usize = 0;
 const SLOTS: u32 = 800;
@@ -223,17 +228,8 @@
             self.admission.adopt_notice(notice, INCARNATION, self.at);
         }
         self.last_call_id += 1;
-        let offer = OfferedCall {
-            call_id: self.last_call_id,
-            class_rank: 0,
-            deadline: self.at + Duration::from_secs(5),
-            objective: None,
-            has_returned: false,
-            root_request_id: self.last_call_id,
-            work_spent: Duration::ZERO,
-            fingerprint: self.last_call_id,
-            kind: 1,
-        };
+        let deadline = self.at + Duration::from_secs(5);
+        let offer = first_attempt(self.last_call_id, 0, deadline);
         self.entries[entry].peers[LIMITED].sent(self.at);
         let runs = self.admission.offer(&offer, self.at) == AdmissionDecision::Run;
         if !runs {
--- a/crates/hemlocktack-decide/tests/admission.rs
+++ b/crates/hemlocktack-decide/tests/admission.rs
@@ -1,6 +1,8 @@
 //! Admission on the node of one upstream.
 #![allow(clippy::unwrap_used)]
 
+mod support;
+
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
@@ -11,6 +13,8 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::support::first_attempt;
+
 const CALLER_TIMEOUT: Duration = Duration::from_secs(2);
 const WORK: Duration = Duration::from_millis(20);
 
@@ -21,17 +25,7 @@
 }
 
 fn offer(call_id: CallId, class_rank: u8, now: Instant) -> OfferedCall {
-    OfferedCall {
-        call_id,
-        class_rank,
-        deadline: now + CALLER_TIMEOUT,
-        objective: None,
-        has_returned: false,
-        root_request_id: call_id,
-        work_spent: Duration::ZERO,
-        fingerprint: call_id,
-        kind: 1,
-    }
+    first_attempt(call_id, class_rank, now + CALLER_TIMEOUT)
 }
 
 fn ready(admission: &mut Admission, now: Instant) -> Vec<QueueDecision> {
--- a/crates/hemlocktack-decide/tests/after_overload.rs
+++ b/crates/hemlocktack-decide/tests/after_overload.rs
@@ -1,5 +1,7 @@
 //! Estimates of a node after its child services were overloaded.
 
+mod support;
+
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
@@ -8,6 +10,8 @@
 };
 use hemlocktack_protocol::Reason;
 
+use crate::support::first_attempt;
+
 const SLOTS: u32 = 100;
 const CALLER_TIMEOUT: Duration = Duration::from_millis(1_500);
 const OWN_WORK: Duration = Duration::from_millis(15);
@@ -27,15 +31,8 @@
 /// A child call to read data, three hops below a lookup.
 fn read(call_id: u64, now: Instant) -> OfferedCall {
     OfferedCall {
-        call_id,
-        class_rank: 2,
-        deadline: now + CALLER_TIMEOUT,
-        objective: None,
-        has_returned: false,
-        root_request_id: call_id,
         work_spent: OWN_WORK,
-        fingerprint: call_id,
-        kind: 1,
+        ..first_attempt(call_id, 2, now + CALLER_TIMEOUT)
     }
 }
 
--- a/crates/hemlocktack-decide/tests/notices/admission.rs
+++ b/crates/hemlocktack-decide/tests/notices/admission.rs
@@ -8,6 +8,8 @@
 };
 use hemlocktack_protocol::{AnswerNotice, Reason, Statement, UpstreamNotice};
 
+use crate::support::first_attempt;
+
 const SLOTS: u32 = 2;
 const RATE_LIMIT_PER_S: f64 = 6.4;
 const START_NUMBER: u64 = 1;
@@ -54,17 +56,7 @@
 }
 
 fn offer(call_id: u64, class_rank: u8, now: Instant) -> OfferedCall {
-    OfferedCall {
-        call_id,
-        class_rank,
-        deadline: now + Duration::from_secs(5),
-        objective: None,
-        has_returned: false,
-        root_request_id: call_id,
-        work_spent: Duration::ZERO,
-        fingerprint: call_id,
-        kind: 1,
-    }
+    first_attempt(call_id, class_rank, now + Duration::from_secs(5))
 }
 
 /// Offers calls of one class every 10 ms, each of which ends at once; returns how many ran.
--- a/crates/hemlocktack-decide/tests/notices/main.rs
+++ b/crates/hemlocktack-decide/tests/notices/main.rs
@@ -3,6 +3,8 @@
 
 mod admission;
 mod placement;
+#[path = "../support/mod.rs"]
+mod support;
 mod world;
 
 use hemlocktack_decide::NoticeSafeguard;
--- a/crates/hemlocktack-decide/tests/notices/world/mod.rs
+++ b/crates/hemlocktack-decide/tests/notices/world/mod.rs
@@ -7,7 +7,7 @@
 
 use hemlocktack_decide::{
     Admission, AdmissionDecision, AdmissionPolicy, AdoptedNotice, HeardNotice, NoticeBook,
-    NoticeSafeguard, OfferedCall, QueueDecision, RunResult, UpstreamStart,
+    NoticeSafeguard, QueueDecision, RunResult, UpstreamStart,
 };
 use hemlocktack_protocol::{
     AnswerNotice, CallId, NodeId, Reason, Statement, UpstreamNotice, UpstreamState,
@@ -16,6 +16,8 @@
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 
+use crate::support::first_attempt;
+
 pub(crate) use checks::Broken;
 
 const TICK: Duration = Duration::from_millis(5);
@@ -432,17 +434,9 @@
             }
         }
         self.last_call_id += 1;
-        let offer = OfferedCall {
-            call_id: self.last_call_id,
-            class_rank: self.random.random_range(0..3),
-            deadline: self.now + Duration::from_secs(2),
-            objective: None,
-            has_returned: false,
-            root_request_id: self.last_call_id,
-            work_spent: Duration::ZERO,
-            fingerprint: self.last_call_id,
-            kind: 1,
-        };
+        let class_rank = self.random.random_range(0..3);
+        let deadline = self.now + Duration::from_secs(2);
+        let offer = first_attempt(self.last_call_id, class_rank, deadline);
         match self.admission.offer(&offer, self.now) {
             AdmissionDecision::Run => self.begin(offer.call_id, entry, notice.is_some()),
             AdmissionDecision::Queued => {
--- a/crates/hemlocktack-decide/tests/objectives.rs
+++ b/crates/hemlocktack-decide/tests/objectives.rs
@@ -1,11 +1,15 @@
 //! The concurrency limit by latency objectives, under overload.
 
+mod support;
+
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
     Admission, AdmissionDecision, AdmissionPolicy, ObjectiveLimitPolicy, OfferedCall, RunResult,
 };
 
+use crate::support::first_attempt;
+
 const SLOTS: u32 = 92;
 /// Usable slots of 92, since some upstreams slow down when they are nearly full.
 const FILLED_SLOTS: u32 = 86;
@@ -25,15 +29,8 @@
 
 fn offer(call_id: u64, now: Instant) -> OfferedCall {
     OfferedCall {
-        call_id,
-        class_rank: 2,
-        deadline: now + CALLER_TIMEOUT,
         objective: Some(now + OBJECTIVE),
-        has_returned: false,
-        root_request_id: call_id,
-        work_spent: Duration::ZERO,
-        fingerprint: call_id,
-        kind: 1,
+        ..first_attempt(call_id, 2, now + CALLER_TIMEOUT)
     }
 }
 
--- a/crates/hemlocktack-decide/tests/operators_limits.rs
+++ b/crates/hemlocktack-decide/tests/operators_limits.rs
@@ -1,6 +1,8 @@
 //! Limits that operators change while calls run.
 #![allow(clippy::unwrap_used)]
 
+mod support;
+
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
@@ -9,18 +11,10 @@
 };
 use hemlocktack_protocol::{CallId, Reason};
 
+use crate::support::first_attempt;
+
 fn offer(call_id: CallId, now: Instant) -> OfferedCall {
-    OfferedCall {
-        call_id,
-        class_rank: 0,
-        deadline: now + Duration::from_secs(2),
-        objective: None,
-        has_returned: false,
-        root_request_id: call_id,
-        work_spent: Duration::ZERO,
-        fingerprint: call_id,
-        kind: 1,
-    }
+    first_attempt(call_id, 0, now + Duration::from_secs(2))
 }
 
 /// The operators set the queue limit to 0 while one call is queued. That call was accepted and
--- a/crates/hemlocktack-decide/tests/quarantine.rs
+++ b/crates/hemlocktack-decide/tests/quarantine.rs
@@ -1,6 +1,8 @@
 //! Crash quarantine over several upstreams.
 #![allow(clippy::unwrap_used)]
 
+mod support;
+
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
@@ -9,6 +11,8 @@
 };
 use hemlocktack_protocol::{Fingerprint, Reason};
 
+use crate::support::first_attempt;
+
 const CRASHING: Fingerprint = 666;
 
 fn admission(now: Instant) -> Admission {
@@ -19,15 +23,8 @@
 
 fn offer(call_id: u64, fingerprint: Fingerprint, now: Instant) -> OfferedCall {
     OfferedCall {
-        call_id,
-        class_rank: 0,
-        deadline: now + Duration::from_secs(2),
-        objective: None,
-        has_returned: false,
-        root_request_id: call_id,
-        work_spent: Duration::ZERO,
         fingerprint,
-        kind: 1,
+        ..first_attempt(call_id, 0, now + Duration::from_secs(2))
     }
 }
 
