Settings: a change right after the start is noticed

The settings file was read at startup and, for comparison, once more when its follower first ran. The follower now compares with the contents that were loaded.

--- a/crates/hemlocktack-node/src/reload.rs
+++ b/crates/hemlocktack-node/src/reload.rs
@@ -1,5 +1,8 @@
 //! Reloads changed settings while the node runs.
 
+#[cfg(test)]
+mod tests;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,7 +10,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::node::Node;
-use crate::settings::{FileContents, LoadedSettings, Sources};
+use crate::settings::{FileContents, LoadedSettings, RunSettings};
 
 /// How often the settings file is compared with what was last read. With this interval a
 /// change without a signal takes effect about as soon as a new configuration does.
@@ -18,11 +21,18 @@
 ///
 /// Handling SIGHUP matters: platforms send it to all nodes when a settings file changes,
 /// and its default action would terminate the process with its callers' requests.
-pub(crate) async fn follow_settings(node: Arc<Node>, sources: Sources, mut loaded: LoadedSettings) {
+///
+/// The file is compared with the contents that were loaded at startup. Read again here for the
+/// comparison, it may have changed since, and that change would never be applied.
+pub(crate) async fn follow_settings(node: Arc<Node>, settings: RunSettings) {
+    let RunSettings {
+        mut loaded,
+        file_contents: mut contents,
+        sources,
+    } = settings;
     let Ok(mut reload) = signal(SignalKind::hangup()) else {
         return;
     };
-    let mut contents = sources.file_contents();
     loop {
         let is_signalled = wait_for_signal(&mut reload).await;
         let current = sources.file_contents();
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -132,11 +132,11 @@
     settings: RunSettings,
     stop_signal: impl Future<Output = ()>,
 ) -> Result<()> {
-    let RunSettings { loaded, sources } = settings;
+    let loaded = &settings.loaded;
     let node = new_node(loaded.settings.clone(), loaded.adjustable.clone())?;
     let interface = node.interface;
     let node = Arc::new(node);
-    tokio::spawn(reload::follow_settings(node.clone(), sources, loaded));
+    tokio::spawn(reload::follow_settings(node.clone(), settings));
     tokio::spawn(node.admission_queue.clone().run_timer());
     let link_listener = listen(node.settings.link_listen_address).await?;
     let control = http(&node, node.settings.control_address)
--- a/crates/hemlocktack-node/src/settings/mod.rs
+++ b/crates/hemlocktack-node/src/settings/mod.rs
@@ -9,7 +9,7 @@
 
 pub(crate) use flags::usage;
 pub(crate) use read::LoadedSettings;
-pub(crate) use sources::{FileContents, Invocation, RunSettings, Sources, read};
+pub(crate) use sources::{FileContents, Invocation, RunSettings, read};
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/hemlocktack-node/src/settings/sources.rs
+++ b/crates/hemlocktack-node/src/settings/sources.rs
@@ -19,6 +19,8 @@
 /// Settings of a node to run, with their sources.
 pub(crate) struct RunSettings {
     pub(crate) loaded: LoadedSettings,
+    /// Contents of the settings file that `loaded` was read from.
+    pub(crate) file_contents: FileContents,
     pub(crate) sources: Sources,
 }
 
@@ -51,11 +53,16 @@
     }
     let is_check = matches.opt_present(flags::CHECK);
     let sources = Sources::new(matches, Box::new(environment));
-    let loaded = sources.read(sources.file_contents())?;
+    let file_contents = sources.file_contents();
+    let loaded = sources.read(file_contents.clone())?;
     if is_check {
         return Ok(Invocation::Check);
     }
-    Ok(Invocation::Run(Box::new(RunSettings { loaded, sources })))
+    Ok(Invocation::Run(Box::new(RunSettings {
+        loaded,
+        file_contents,
+        sources,
+    })))
 }
 
 impl Sources {
--- a/crates/hemlocktack-node/tests/decoders/settings_texts.rs
+++ b/crates/hemlocktack-node/tests/decoders/settings_texts.rs
@@ -170,7 +170,9 @@
     #[test]
     fn settings_files_are_applied_or_refused(files in vec(contents(), 1..4)) {
         let file = valid_file();
-        let RunSettings { mut loaded, sources } = run_settings_from(file.path());
+        let RunSettings {
+            mut loaded, sources, ..
+        } = run_settings_from(file.path());
         for contents in files {
             match sources.read(Some(Ok(contents))) {
                 Ok(read) => {
