Queue: a call that waits in vain is refused before its sender gives up

Most refusals therefore came too late, and the caller was told 504 for a call that never left the queue. They are now refused 20 ms before the deadline, or after half of their time if that is less.

--- a/crates/hemlocktack-decide/src/admission/waiting.rs
+++ b/crates/hemlocktack-decide/src/admission/waiting.rs
@@ -69,7 +69,7 @@
             return;
         }
         self.swept_at = now;
-        self.refuse_queued(Reason::QueueTimeout, |call| call.deadline <= now, now);
+        self.refuse_queued(Reason::QueueTimeout, |call| call.refuse_at <= now, now);
     }
 
     pub(super) fn refuse_queued(
--- a/crates/hemlocktack-decide/src/queue.rs
+++ b/crates/hemlocktack-decide/src/queue.rs
@@ -30,6 +30,12 @@
 /// calls with prior work.
 const PRIOR_WORK_CALLS_PER_FRESH: usize = 7;
 
+/// Time before its deadline at which a queued call is refused: two intervals of the sweep, one of
+/// them for the way of the refusal to the node that sent the call.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(20);
+/// Maximum of that margin as a share of the time left when the call arrives.
+const MAX_REFUSAL_MARGIN_SHARE: f64 = 0.5;
+
 /// Stale entries that a lane may hold in addition to twice its calls.
 const MAX_STALE_ENTRIES: usize = 32;
 
@@ -89,6 +95,8 @@
     pub(crate) place: QueuePlace,
     /// Until when the call may wait and still be worth running.
     pub(crate) deadline: Instant,
+    /// When the call is refused if it still waits.
+    pub(crate) refuse_at: Instant,
     /// Time allowed for the answer, measured from the offer.
     pub(crate) objective: Option<Duration>,
     pub(crate) has_returned: bool,
@@ -103,6 +111,7 @@
             call_id: offer.call_id,
             place: QueuePlace::of(offer),
             deadline: offer.deadline.min(worth_until),
+            refuse_at: refuse_at(offer.deadline, now).min(worth_until),
             objective: offer
                 .objective
                 .map(|objective| objective.saturating_duration_since(now)),
@@ -113,6 +122,15 @@
     }
 }
 
+/// Returns when a call with this deadline is refused if it still waits.
+///
+/// The node that sent the call answers its caller at the deadline. A refusal that is decided then
+/// arrives too late, and the caller is told that the call may have run.
+fn refuse_at(deadline: Instant, now: Instant) -> Instant {
+    let time_left = deadline.saturating_duration_since(now);
+    deadline - REFUSAL_MARGIN.min(time_left.mul_f64(MAX_REFUSAL_MARGIN_SHARE))
+}
+
 #[derive(Clone, Copy, Debug)]
 struct LaneEntry {
     call_id: CallId,
