Calls that reached no upstream are reported as not run

Ways in which a call that was never handed to an upstream ended with 502 or 504, and what is done now: - its frame was still in the buffer of the link at the deadline, when the link was lost, or when the receiver stood still: never arrived - opening the link took part of the time that was sent with the call, or the call was late, so that the receiver's deadline was behind the sender's: the times left are those of the frame, less its time on the way - the receiver waited for an echo of a silent sender beyond the deadline: at most until 20 ms before it - no time was left before a send, or before the call was forwarded: not sent - the upstream accepted no connection until the deadline: not run - the entry gave a call up (drain limit, parent stopped, peer lost) before it had left the entry: not run, by a state that a send leaves or is given up in - a node of a deployment without tickets reached its drain limit while calls waited there: they are refused before the process ends 'not run' for a timeout carries a Retry-After.

--- a/crates/hemlocktack-node/src/calls/awaited.rs
+++ b/crates/hemlocktack-node/src/calls/awaited.rs
@@ -6,6 +6,7 @@
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use super::caller_watch::CallerWatch;
+use super::send_progress::SendProgress;
 
 /// Tells whether anybody still waits for a call, and whether the call has been started.
 #[derive(Clone, Default)]
@@ -14,6 +15,8 @@
     state: Arc<State>,
     /// Connection of the caller, for a call that entered at this node.
     caller: Option<CallerWatch>,
+    /// The send of a call that entered at this node.
+    send: Option<Arc<SendProgress>>,
 }
 
 #[derive(Default)]
@@ -25,9 +28,10 @@
 
 impl Awaited {
     /// Returns the state of a call that a caller of this node waits for.
-    pub(crate) fn by_caller(caller: Option<CallerWatch>) -> Self {
+    pub(crate) fn by_caller(caller: Option<CallerWatch>, send: Arc<SendProgress>) -> Self {
         Self {
             caller,
+            send: Some(send),
             ..Self::default()
         }
     }
@@ -81,6 +85,9 @@
         if self.is_over() || self.away_since().is_some() {
             return false;
         }
+        if self.send.as_ref().is_some_and(|send| !send.try_leave()) {
+            return false;
+        }
         let _ = self.state.started_at.set(Instant::now());
         true
     }
--- a/crates/hemlocktack-node/src/calls/deliver.rs
+++ b/crates/hemlocktack-node/src/calls/deliver.rs
@@ -7,6 +7,7 @@
 use hemlocktack_protocol::{Answer, Call, CallPurpose, Reason, whole_micros};
 use hemlocktack_telemetry::SpanName;
 
+use super::SendProgress;
 use super::awaited::Awaited;
 use super::caller_watch::CallerWatch;
 use super::outcomes::{not_run_answer, unknown_answer};
@@ -18,7 +19,15 @@
 
 /// Subtracted from the time left that is sent with a call. It lets the receiver's outcome at the
 /// deadline reach the entry node before that has to answer without it.
-const ANSWER_RETURN_MARGIN: Duration = Duration::from_millis(5);
+pub(super) const ANSWER_RETURN_MARGIN: Duration = Duration::from_millis(5);
+
+/// What a send shares with the entry of its call.
+#[derive(Default)]
+pub(crate) struct SendWatch {
+    /// Watched if the receiver is this node itself; others are told that the caller has left.
+    pub(crate) caller: Option<CallerWatch>,
+    pub(crate) progress: Arc<SendProgress>,
+}
 
 /// Result of one send.
 pub(crate) struct SendResult {
@@ -28,15 +37,14 @@
 }
 
 /// Sends a call with a share of the retry allowance and takes unspent retries back. A call
-/// without an answer returns none, since it may have spent them all. `caller` is watched if the
-/// receiver is this node itself; others are told that it has left.
+/// without an answer returns none, since it may have spent them all.
 pub(crate) async fn send_with_allowance(
     node: &Arc<Node>,
     peer: &PeerEntry,
     mut call: Call,
     deadline: Instant,
     allowance: &RetryAllowance,
-    caller: Option<&CallerWatch>,
+    watch: &SendWatch,
 ) -> SendResult {
     let given = allowance.grant_to_child();
     call.retries_given = given;
@@ -44,10 +52,12 @@
     call.upstream_notice = node.notice_for(&peer.identity.node_id).map(Box::new);
     let result = match node.locate(&peer.member) {
         Some(NodeLocation::Local) => SendResult {
-            answer: receive_locally(node, call, caller).await,
+            answer: receive_locally(node, call, watch).await,
             is_from_receiver: true,
         },
-        Some(NodeLocation::Remote(peer)) => send_over_link(node, &peer, call, deadline).await,
+        Some(NodeLocation::Remote(peer)) => {
+            send_over_link(node, &peer, call, deadline, &watch.progress).await
+        }
         None => never_arrived(call.purpose(), given, Reason::LinkLost),
     };
     allowance.return_unspent(result.answer.retries_unspent, given);
@@ -60,8 +70,8 @@
 /// Handles a call that was placed on this node itself. If its caller disconnects, this future
 /// is dropped: a call that may be cancelled ends with it, one that may not continues in its own
 /// task.
-async fn receive_locally(node: &Arc<Node>, call: Call, caller: Option<&CallerWatch>) -> Answer {
-    let awaited = Awaited::by_caller(caller.cloned());
+async fn receive_locally(node: &Arc<Node>, call: Call, watch: &SendWatch) -> Answer {
+    let awaited = Awaited::by_caller(watch.caller.clone(), watch.progress.clone());
     if call.purpose() != CallPurpose::PlacedOnce {
         return receive(node, call, &awaited).await;
     }
@@ -76,11 +86,17 @@
         .unwrap_or_else(|_| unknown_answer(Reason::UpstreamFailed))
 }
 
-async fn send_over_link(node: &Node, peer: &Peer, mut call: Call, deadline: Instant) -> SendResult {
+async fn send_over_link(
+    node: &Node,
+    peer: &Peer,
+    mut call: Call,
+    deadline: Instant,
+    progress: &SendProgress,
+) -> SendResult {
     let purpose = call.purpose();
     let given = call.retries_given;
     let span = CallSpan::begin(node, SpanName::Link, &mut call);
-    let result = match node.links.call(peer, call, deadline).await {
+    let result = match node.links.call(peer, call, deadline, progress).await {
         SendOutcome::Answer(answer) => SendResult {
             answer,
             is_from_receiver: true,
--- a/crates/hemlocktack-node/src/calls/home.rs
+++ b/crates/hemlocktack-node/src/calls/home.rs
@@ -8,7 +8,7 @@
 use hemlocktack_fleet::tickets::{Nonce, StartDecision, Ticket};
 use hemlocktack_protocol::{Answer, Call, CallFailure, CallPurpose, Outcome, Reason};
 
-use super::deliver::{SendResult, send_with_allowance};
+use super::deliver::{SendResult, SendWatch, send_with_allowance};
 use super::home_table::OutcomeReceiver;
 use super::in_flight_send::InFlightSend;
 use super::outcomes::call_failure;
@@ -168,8 +168,9 @@
     call.purpose = CallPurpose::Delegated.into();
     let allowance = hemlocktack_decide::RetryAllowance::new(call.retries_given);
     let in_flight_send = InFlightSend::begin(peer);
+    let watch = SendWatch::default();
     let SendResult { answer, .. } =
-        send_with_allowance(node, peer, call, deadline, &allowance, None).await;
+        send_with_allowance(node, peer, call, deadline, &allowance, &watch).await;
     in_flight_send.finish(&answer);
     if answer.outcome() == Outcome::NotRun {
         let given_back = node.home.table().requeue_from(nonce, &peer.identity);
--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -23,6 +23,7 @@
 mod place;
 mod receive;
 mod run;
+mod send_progress;
 mod send_record;
 mod service_directory;
 #[cfg(test)]
@@ -40,5 +41,6 @@
 pub(crate) use panics::catch_panic;
 pub(crate) use place::run_with_retries;
 pub(crate) use receive::receive;
+pub(crate) use send_progress::SendProgress;
 pub(crate) use send_record::{PendingSend, SendRecord};
 pub(crate) use service_directory::ServiceDirectory;
--- a/crates/hemlocktack-node/src/calls/outcomes.rs
+++ b/crates/hemlocktack-node/src/calls/outcomes.rs
@@ -84,6 +84,7 @@
             | Reason::UpstreamDraining
             | Reason::LinkLost
             | Reason::Fenced
+            | Reason::Timeout
             | Reason::UpstreamFailed
             | Reason::UpstreamUnreachable
             | Reason::UpstreamReplaced
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -10,25 +10,46 @@
 use hemlocktack_protocol::{Answer, Call, CallFailure, CallPurpose, Reason, Refusal};
 use hemlocktack_telemetry::{Event, log_event};
 
-use super::ClassifiedCall;
 use super::attempts::CallAttempts;
-use super::deliver::{micros_left, send_with_allowance};
+use super::deliver::{ANSWER_RETURN_MARGIN, SendWatch, micros_left, send_with_allowance};
 use super::in_flight_send::InFlightSend;
 use super::outcomes::{NO_CLASSES_SHED, call_failure, not_run_answer, retry_delay, unknown_answer};
 use super::service_directory::{PeerEntry, ServiceView};
+use super::{ClassifiedCall, SendRecord};
 use crate::node::Node;
 
+/// Time after its deadline at which a call is answered without the outcome of its sends. These end
+/// at the deadline; what happens around them, such as a check whether the upstream still lives,
+/// may take longer, and the caller waits for it in vain.
+const ANSWER_GRACE: Duration = Duration::from_millis(20);
+
 /// Sends a call without a ticket to a node of its service, retries it where allowed, and returns
-/// its answer. A child call ends with its parent's run if that is stopped.
+/// its answer, at the latest shortly after its deadline. A child call ends with its parent's run
+/// if that is stopped.
 pub(crate) async fn run_with_retries(node: &Arc<Node>, classified: &ClassifiedCall) -> Answer {
     let running = send_with_retries(node, classified);
+    let sends = &classified.sends;
+    let answer = answer_by_deadline(running, sends, classified.deadline);
     let Some(parent) = &classified.parent else {
-        return running.await;
+        return answer.await;
     };
     tokio::select! {
         biased;
-        answer = running => answer,
-        () = parent.cancelled() => classified.sends.early_answer(Reason::Cancelled),
+        answer = answer => answer,
+        () = parent.cancelled() => sends.early_answer(Reason::Cancelled),
+    }
+}
+
+/// Returns the answer of a call, or shortly after its deadline what is known of its sends.
+pub(super) async fn answer_by_deadline(
+    running: impl Future<Output = Answer>,
+    sends: &SendRecord,
+    deadline: Instant,
+) -> Answer {
+    let limit = deadline + ANSWER_GRACE;
+    match tokio::time::timeout_at(limit.into(), running).await {
+        Ok(answer) => answer,
+        Err(_) => sends.early_answer(Reason::Timeout),
     }
 }
 
@@ -55,6 +76,10 @@
         if classified.has_caller_left() {
             return attempts.into_answer_or(not_run_answer(Reason::Cancelled, None));
         }
+        // A send without time left would be given up at once, and its end would be unknown.
+        if Instant::now() + ANSWER_RETURN_MARGIN >= classified.deadline {
+            return attempts.into_answer_or(not_run_answer(Reason::DeadlineTooShort, None));
+        }
         let is_repeat = attempts.sends.is_repeat();
         let answer = attempt(node, &view, index, classified, purpose, is_repeat).await;
         let Some(failure) = call_failure(&answer) else {
@@ -205,18 +230,24 @@
     call.is_repeat |= is_repeat;
     call.objective_left_us = classified.objective.map_or(0, micros_left);
     let in_flight_send = InFlightSend::begin(peer);
-    classified.sends.begin(peer);
+    let watch = SendWatch {
+        caller: classified.caller.clone(),
+        progress: classified.sends.begin(peer),
+    };
     let ClassifiedCall {
         deadline,
         allowance,
-        caller,
         ..
     } = classified;
-    let sending = send_with_allowance(node, peer, call, *deadline, allowance, caller.as_ref());
+    let sending = send_with_allowance(node, peer, call, *deadline, allowance, &watch);
     let answer = tokio::select! {
         result = sending => result.answer,
         () = until_peer_lost(peer.as_ref()), if purpose == CallPurpose::Placed => {
-            unknown_answer(Reason::LinkLost)
+            // The send has been dropped; one that had not left this node never will.
+            match watch.progress.give_up() {
+                true => not_run_answer(Reason::LinkLost, None),
+                false => unknown_answer(Reason::LinkLost),
+            }
         }
     };
     if let Some(hint) = &answer.hint {
--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -74,6 +74,16 @@
         Ok(admitted) => admitted,
         Err(refusal) => return refused(node, &call, kind, deadline, refusal),
     };
+    // Forwarded without time left, the call would end at once, and nobody could tell whether the
+    // upstream got it.
+    if Instant::now() >= deadline {
+        drop(admitted);
+        let refusal = Refusal {
+            reason: Reason::DeadlineTooShort,
+            retry_after: None,
+        };
+        return refused(node, &call, kind, deadline, refusal);
+    }
     if !may_start() {
         drop(admitted);
         return Answer {
--- a/crates/hemlocktack-node/src/calls/send_record.rs
+++ b/crates/hemlocktack-node/src/calls/send_record.rs
@@ -1,12 +1,13 @@
 //! State of the sends of one call, used to answer it before they end.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_protocol::{Answer, Outcome, Reason};
 use strum::IntoStaticStr;
 
+use super::SendProgress;
 use super::outcomes::{not_run_answer, unknown_answer};
 use super::service_directory::PeerEntry;
 
@@ -42,6 +43,7 @@
 pub(crate) struct PendingSend {
     pub(crate) receiver: NodeIncarnation,
     since: Instant,
+    progress: Arc<SendProgress>,
 }
 
 impl SendRecord {
@@ -60,11 +62,15 @@
         }
     }
 
-    pub(super) fn begin(&self, peer: &PeerEntry) {
+    /// Records the begin of a send to this node and returns its progress.
+    pub(super) fn begin(&self, peer: &PeerEntry) -> Arc<SendProgress> {
+        let progress = Arc::<SendProgress>::default();
         self.state().pending = Some(PendingSend {
             receiver: peer.identity.clone(),
             since: Instant::now(),
+            progress: progress.clone(),
         });
+        progress
     }
 
     pub(super) fn end(&self, answer: &Answer) {
@@ -78,10 +84,13 @@
         self.state().pending.clone()
     }
 
-    /// Returns the answer to a call that is given up before its sends have ended.
+    /// Returns the answer to a call that is given up before its sends have ended. A pending send
+    /// that has not left this node never will; its future must have been dropped.
     pub(crate) fn early_answer(&self, reason: Reason) -> Answer {
         let state = self.state();
-        match state.may_have_run || state.pending.is_some() {
+        let pending = state.pending.as_ref();
+        let has_left = pending.is_some_and(|pending| !pending.progress.give_up());
+        match state.may_have_run || has_left {
             true => unknown_answer(reason),
             false => not_run_answer(reason, None),
         }
--- a/crates/hemlocktack-node/src/calls/tests.rs
+++ b/crates/hemlocktack-node/src/calls/tests.rs
@@ -1,11 +1,14 @@
-//! Looking up running calls by request id.
+//! Looking up running calls by request id, and what is known of a call that is given up.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use hemlocktack_protocol::{Call, ClassRank};
+use hemlocktack_protocol::{Answer, Call, ClassRank, Outcome, Reason};
 
+use super::SendRecord;
 use super::context::{ContextTable, RunningCall};
+use super::place::answer_by_deadline;
+use super::send_progress::SendProgress;
 
 fn running() -> RunningCall {
     RunningCall::new(&Call::default(), ClassRank::MAX, None, Instant::now())
@@ -24,3 +27,60 @@
     drop(first);
     assert!(table.find_by_request("request").is_none());
 }
+
+/// Time that a caller may be kept waiting after its deadline.
+const MAX_LATE: Duration = Duration::from_millis(50);
+
+/// Guards against a request that is held after its timeout: its send ends late, because it checks
+/// whether the upstream still lives, or never.
+#[tokio::test(start_paused = true)]
+async fn a_call_is_answered_by_its_deadline() {
+    let deadline = Instant::now() + Duration::from_secs(1);
+    let sends = SendRecord::default();
+    let answer = answer_by_deadline(std::future::pending(), &sends, deadline).await;
+    let limit = tokio::time::Instant::from_std(deadline + MAX_LATE);
+    assert!(tokio::time::Instant::now() <= limit);
+    assert_eq!(
+        (answer.outcome(), answer.reason()),
+        (Outcome::NotRun, Reason::Timeout)
+    );
+}
+
+/// Guards against dropping an outcome that arrives at the deadline.
+#[tokio::test(start_paused = true)]
+async fn an_outcome_at_the_deadline_is_used() {
+    let deadline = Instant::now() + Duration::from_secs(1);
+    let running = async {
+        tokio::time::sleep_until(deadline.into()).await;
+        Answer {
+            outcome: Outcome::Answered.into(),
+            ..Answer::default()
+        }
+    };
+    let answer = answer_by_deadline(running, &SendRecord::default(), deadline).await;
+    assert_eq!(answer.outcome(), Outcome::Answered);
+}
+
+/// Guards against an untrue `not run`: a call is given up on one thread while another starts it.
+#[test]
+fn a_send_either_leaves_or_is_given_up() {
+    for _ in 0..20_000 {
+        let progress = SendProgress::default();
+        let (has_left, is_not_run) = std::thread::scope(|scope| {
+            let leaving = scope.spawn(|| progress.try_leave());
+            let is_not_run = progress.give_up();
+            (leaving.join(), is_not_run)
+        });
+        assert_eq!(has_left.ok(), Some(!is_not_run));
+    }
+}
+
+/// Guards against reporting a call as possibly run that was taken out of the buffer of its link.
+#[test]
+fn a_send_that_is_taken_back_has_not_left() {
+    let progress = SendProgress::default();
+    assert!(progress.try_leave());
+    progress.take_back();
+    assert!(progress.give_up());
+    assert!(!progress.try_leave());
+}
--- a/crates/hemlocktack-node/src/calls/ticketed.rs
+++ b/crates/hemlocktack-node/src/calls/ticketed.rs
@@ -7,7 +7,7 @@
 use hemlocktack_fleet::tickets::{ChildHome, ChildRefusal, Ticket, TicketError, find_home};
 use hemlocktack_protocol::{Answer, CallPurpose, NodeState, Outcome, Reason};
 
-use super::deliver::{SendResult, send_with_allowance};
+use super::deliver::{SendResult, SendWatch, send_with_allowance};
 use super::outcomes::{NO_CLASSES_SHED, retry_delay};
 use super::place::{admit_at_entry, choose_peer};
 use super::service_directory::{PeerEntry, ServiceView};
@@ -142,7 +142,8 @@
                     allowance,
                     ..
                 } = classified;
-                send_with_allowance(node, peer, call, *deadline, allowance, None).await
+                let watch = SendWatch::default();
+                send_with_allowance(node, peer, call, *deadline, allowance, &watch).await
             }
             None => SendResult {
                 answer: unknown_answer(Reason::HomeGone),
--- a/crates/hemlocktack-node/src/links/cancellations.rs
+++ b/crates/hemlocktack-node/src/links/cancellations.rs
@@ -35,14 +35,20 @@
     }
 
     /// Cancels a call that was sent over this connection and that nobody waits for any longer.
-    pub(super) fn cancel(&self, call_id: CallId, connection: &Connection, deadline: Instant) {
+    /// Returns whether no byte of it was written, so that it never arrives.
+    pub(super) fn cancel(
+        &self,
+        call_id: CallId,
+        connection: &Connection,
+        deadline: Instant,
+    ) -> bool {
         if connection.remove_unsent(call_id) {
-            return;
+            return true;
         }
         let receiver = connection.peer_incarnation;
         self.lock().add(call_id, receiver, Instant::now(), deadline);
         if send(connection, call_id, Duration::ZERO) {
-            return;
+            return false;
         }
         log_event!(
             Event::CancelledWithoutLink,
@@ -50,6 +56,7 @@
             peer_incarnation = receiver
         );
         self.want_link();
+        false
     }
 
     /// Sends all of them over a new connection, before any call.
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -7,11 +7,11 @@
 use hemlocktack_fleet::calls::{CallAges, Resolution};
 use hemlocktack_protocol::{
     Answer, Call, CallId, CallResolution, CancelCall, EchoReply, EchoRequest, Frame, frame,
-    whole_micros,
 };
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::call_times::take_off_time;
 use super::codec::log_malformed;
 use super::connection::Connection;
 use super::handshake::{self, OpenLink, Reader};
@@ -36,6 +36,8 @@
 /// Longest wait for the sender's word about old calls. They are then refused, which a sender that
 /// still waits is told.
 const CONFIRM_LIMIT: Duration = Duration::from_millis(500);
+/// Time before its deadline at which a call is refused whose sender has not confirmed it.
+const REFUSAL_MARGIN: Duration = Duration::from_millis(20);
 
 /// Accepts links; if accepting fails, retries after a pause.
 pub(crate) async fn serve_links(node: Arc<Node>, listener: TcpListener) {
@@ -148,6 +150,7 @@
     call: Call,
     awaited: Awaited,
     in_flight: InFlightGuard,
+    arrived_at: Instant,
 }
 
 /// Registers the calls of a batch, and applies what says whether they are waited for. Returns the
@@ -169,6 +172,7 @@
                     call,
                     awaited,
                     in_flight: node.track_call(),
+                    arrived_at: Instant::now(),
                 }));
             }
             frame::Body::Cancel(cancel) => {
@@ -194,11 +198,12 @@
     let mut old_calls = Vec::new();
     for mut arrived in calls {
         let age = age_of(arrived.call.queued_at_us, ages, connection);
+        // A late call has less time left, and its sender gives it up that much earlier.
+        take_off_time(&mut arrived.call, age);
         if age < OLD_CALL_AGE {
             start_call(node, sender, arrived);
             continue;
         }
-        take_off_age(&mut arrived.call, age);
         old_calls.push(arrived);
     }
     if old_calls.is_empty() {
@@ -208,16 +213,6 @@
     tokio::spawn(async move { start_confirmed(&node, &sender, &connection, old_calls).await });
 }
 
-/// Takes the time that a call has been on its way off the times that were left when it was sent.
-fn take_off_age(call: &mut Call, age: Duration) {
-    let age_us = whole_micros(age);
-    call.time_left_us = call.time_left_us.saturating_sub(age_us);
-    // Zero would mean that there is no objective.
-    let has_objective = call.objective_left_us > 0;
-    let objective_left_us = call.objective_left_us.saturating_sub(age_us);
-    call.objective_left_us = objective_left_us.max(u64::from(has_objective));
-}
-
 /// Returns how long a frame has been on its way; zero for one of an older version.
 fn age_of(queued_at_us: u64, ages: &mut CallAges, connection: &Connection) -> Duration {
     if queued_at_us == 0 {
@@ -236,11 +231,19 @@
     node: &Arc<Node>,
     sender: &Arc<Sender>,
     connection: &Connection,
-    calls: Vec<ArrivedCall>,
+    mut calls: Vec<ArrivedCall>,
 ) {
-    let echoed = tokio::time::timeout(CONFIRM_LIMIT, connection.echoed()).await;
-    let is_confirmed = echoed.is_ok();
+    let confirm_until = Instant::now() + CONFIRM_LIMIT;
+    let mut is_confirmed = false;
+    let echoed = connection.echoed();
+    tokio::pin!(echoed);
+    calls.sort_by_key(|arrived| arrived.call.time_left_us);
     for arrived in calls {
+        if !is_confirmed {
+            let until = confirm_until.min(refuse_at(&arrived));
+            let echoed = tokio::time::timeout_at(until.into(), echoed.as_mut()).await;
+            is_confirmed = echoed.is_ok();
+        }
         if !is_confirmed {
             arrived.awaited.cancel();
         }
@@ -248,6 +251,13 @@
     }
 }
 
+/// Returns when the sender of an unconfirmed call has to be told that the call will not run, so
+/// that it learns of that before it gives the call up.
+fn refuse_at(arrived: &ArrivedCall) -> Instant {
+    let time_left = Duration::from_micros(arrived.call.time_left_us);
+    arrived.arrived_at + time_left.saturating_sub(REFUSAL_MARGIN)
+}
+
 async fn handle(
     node: &Arc<Node>,
     sender: &Arc<Sender>,
@@ -276,6 +286,7 @@
         call,
         awaited,
         in_flight,
+        ..
     } = arrived;
     let node = node.clone();
     let sender = sender.clone();
--- a/crates/hemlocktack-node/src/links/mod.rs
+++ b/crates/hemlocktack-node/src/links/mod.rs
@@ -4,6 +4,7 @@
 //! link is lost, its calls stay pending until the same incarnation of the receiver has reported
 //! their outcomes.
 
+mod call_times;
 mod cancellations;
 mod codec;
 mod connection;
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -15,9 +15,11 @@
 };
 use tokio::sync::{Notify, mpsc};
 
+use super::call_times::take_off_time;
 use super::connection::Connection;
 use super::dial::Link;
 use super::pending::{CallEvent, EVENTS_PER_CALL, PendingCall};
+use crate::calls::SendProgress;
 use crate::telemetry::LogThrottle;
 
 /// How long a lost peer is queried for a call. A link that broke for a transient reason is back
@@ -52,6 +54,7 @@
     call_id: CallId,
     deadline: Instant,
     resolve_limit: Duration,
+    progress: &'a SendProgress,
 }
 
 /// Returns how long a lost peer is retried before the call's outcome counts as unknown.
@@ -94,7 +97,17 @@
     /// this incarnation, never reused, and increase on each link. An id assigned before a wait for
     /// room could arrive after so many later ones that the receiver takes it for a call from long
     /// ago.
-    pub(crate) async fn call(&self, peer: &Peer, mut call: Call, deadline: Instant) -> SendOutcome {
+    ///
+    /// The times left in the call are those of its frame: opening the link may take long, and a
+    /// receiver that counts from its arrival would report its end only after the deadline.
+    pub(crate) async fn call(
+        &self,
+        peer: &Peer,
+        mut call: Call,
+        deadline: Instant,
+        progress: &SendProgress,
+    ) -> SendOutcome {
+        let began = Instant::now();
         let link = self.link(peer);
         let Some(connection) = self.connect(&link, deadline).await else {
             return SendOutcome::NeverArrived(Reason::LinkLost);
@@ -105,6 +118,8 @@
         let sending = connection.send_built(|| {
             call.call_id = self.next_call_id.fetch_add(1, Ordering::Relaxed);
             call.queued_at_us = whole_micros(connection.age());
+            take_off_time(&mut call, began.elapsed());
+            progress.try_leave();
             pending = Some(PendingCall::register(&link.pending, call.call_id, events));
             frame::Body::Call(call)
         });
@@ -122,6 +137,7 @@
             call_id: pending.call_id,
             deadline,
             resolve_limit,
+            progress,
         };
         self.wait_for_outcome(wait, connection, receiver).await
     }
@@ -135,6 +151,15 @@
         let incarnation = connection.peer_incarnation;
         let mut cancel_guard = CancelOnDrop::new(&wait, &connection);
         let mut sent = Instant::now();
+        // Whether the frame is still in the buffer of the connection that it was sent over.
+        let take_back = |connection: &Connection, cancel_guard: &mut CancelOnDrop<'_>| {
+            let is_unsent = connection.remove_unsent(wait.call_id);
+            if is_unsent {
+                wait.progress.take_back();
+                cancel_guard.disarm();
+            }
+            is_unsent
+        };
         loop {
             tokio::select! {
                 biased;
@@ -154,6 +179,9 @@
                 // Closing it notifies the other calls that wait on this connection.
                 () = connection.lost(sent) => connection.close(),
                 () = connection.closed() => {
+                    if take_back(&connection, &mut cancel_guard) {
+                        return SendOutcome::NeverArrived(Reason::LinkLost);
+                    }
                     match self.resolve_after_reconnect(&wait, incarnation).await {
                         Ok(next) => {
                             cancel_guard.set_connection(&next);
@@ -164,7 +192,10 @@
                     }
                 }
                 () = tokio::time::sleep_until(wait.deadline.into()) => {
-                    return SendOutcome::Unknown(Reason::Timeout);
+                    return match take_back(&connection, &mut cancel_guard) {
+                        true => SendOutcome::NeverArrived(Reason::Timeout),
+                        false => SendOutcome::Unknown(Reason::Timeout),
+                    };
                 }
             }
         }
@@ -229,6 +260,7 @@
     call_id: CallId,
     deadline: Instant,
     connection: Option<Connection>,
+    progress: &'a SendProgress,
 }
 
 impl<'a> CancelOnDrop<'a> {
@@ -238,6 +270,7 @@
             call_id: wait.call_id,
             deadline: wait.deadline,
             connection: Some(connection.clone()),
+            progress: wait.progress,
         }
     }
 
@@ -254,7 +287,9 @@
     fn drop(&mut self) {
         if let Some(connection) = self.connection.take() {
             let cancellations = &self.link.cancellations;
-            cancellations.cancel(self.call_id, &connection, self.deadline);
+            if cancellations.cancel(self.call_id, &connection, self.deadline) {
+                self.progress.take_back();
+            }
         }
     }
 }
--- a/crates/hemlocktack-node/src/links/tests.rs
+++ b/crates/hemlocktack-node/src/links/tests.rs
@@ -21,8 +21,9 @@
 use super::connection::Connection;
 use super::handshake::{self, Reader};
 use super::last_received::LastReceived;
-use super::outgoing::{Links, Peer};
+use super::outgoing::{Links, Peer, SendOutcome};
 use super::senders::Senders;
+use crate::calls::SendProgress;
 use crate::freshness::boot_time;
 
 const ROUNDS: u64 = 100_000;
@@ -155,7 +156,14 @@
             body,
             ..Call::default()
         };
-        let _ = links.call(&peer, call, Instant::now() + CALL_TIMEOUT).await;
+        let _ = links
+            .call(
+                &peer,
+                call,
+                Instant::now() + CALL_TIMEOUT,
+                &SendProgress::default(),
+            )
+            .await;
     })
 }
 
@@ -241,3 +249,84 @@
     let unsent_limit = CALLS_TO_FILL_A_LINK as usize;
     assert!(sent.len() < unsent_limit, "{} were sent", sent.len());
 }
+
+const SHORT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How many of the calls that fill a link ended with each outcome.
+#[derive(Debug, Default)]
+struct Ends {
+    never_arrived: usize,
+    unknown: usize,
+}
+
+/// Sends calls that fill a link and returns how they ended.
+async fn fill_link(links: &Arc<Links>, peer: &Peer, timeout: Duration) -> JoinHandle<Ends> {
+    let deadline = Instant::now() + timeout;
+    let body = Bytes::from(vec![b'x'; LARGE_BODY_BYTES]);
+    let send = |_| {
+        let (links, peer, body) = (links.clone(), peer.clone(), body.clone());
+        tokio::spawn(async move {
+            let call = Call {
+                purpose: CallPurpose::PlacedOnce.into(),
+                body,
+                ..Call::default()
+            };
+            links
+                .call(&peer, call, deadline, &SendProgress::default())
+                .await
+        })
+    };
+    let calls: Vec<_> = (0..CALLS_TO_FILL_A_LINK).map(send).collect();
+    tokio::spawn(async move {
+        let mut ends = Ends::default();
+        for call in calls {
+            match call.await.unwrap() {
+                SendOutcome::NeverArrived(_) => ends.never_arrived += 1,
+                SendOutcome::Unknown(_) => ends.unknown += 1,
+                SendOutcome::Answer(_) => panic!("nothing answers"),
+            }
+        }
+        ends
+    })
+}
+
+/// Reads all calls that were written to a link; returns their number.
+async fn count_calls(mut reader: Reader) -> usize {
+    let mut count = 0;
+    while let Ok(Some(Ok(frame))) =
+        tokio::time::timeout(Duration::from_millis(500), reader.next()).await
+    {
+        count += usize::from(matches!(frame.body, Some(frame::Body::Call(_))));
+    }
+    count
+}
+
+/// Failure: the receiver reads nothing until the deadline, and calls whose frames have not left
+/// this node are reported as possibly run.
+#[tokio::test]
+async fn a_call_that_was_not_written_by_its_deadline_never_arrived() {
+    let links = sender();
+    let receiver = Receiver::listen("127.0.0.1:0".parse().unwrap()).await;
+    let ends = fill_link(&links, &receiver.peer(), SHORT_TIMEOUT).await;
+    let (reader, _writer) = receiver.accept().await;
+    let ends = ends.await.unwrap();
+    let arrived = count_calls(reader).await;
+    assert_eq!(ends.unknown, arrived, "{ends:?}");
+    assert!(ends.never_arrived > 0, "{ends:?}");
+}
+
+/// Failure: a link is lost while calls wait to be written to it. Each of them is asked for at a
+/// receiver that is gone, and reported as possibly run.
+#[tokio::test]
+async fn a_call_that_was_not_written_to_a_lost_link_never_arrived() {
+    let links = sender();
+    let receiver = Receiver::listen("127.0.0.1:0".parse().unwrap()).await;
+    let ends = fill_link(&links, &receiver.peer(), CALL_TIMEOUT).await;
+    let connection = receiver.accept().await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    drop((connection, receiver));
+    let ends = ends.await.unwrap();
+    // Sockets and the frame that was being written may hold this much.
+    let written_limit = CALLS_TO_FILL_A_LINK as usize - (1 << 20) / LARGE_BODY_BYTES;
+    assert!(ends.unknown <= written_limit, "{ends:?}");
+}
--- a/crates/hemlocktack-node/src/stop.rs
+++ b/crates/hemlocktack-node/src/stop.rs
@@ -2,7 +2,7 @@
 //! the steps and when the node has stopped.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hemlocktack_fleet::drain::LifecycleAction;
 use hemlocktack_telemetry::{Event, log_event};
@@ -75,9 +75,18 @@
     }
 }
 
+/// Refuses the calls that still wait for a slot at the drain limit. They would end with the process
+/// otherwise, and the nodes that sent them could not tell whether they had run.
+fn refuse_waiting(node: &Node) {
+    let now = Instant::now();
+    node.admission_queue
+        .with_admission(|admission| admission.lost(now));
+}
+
 async fn hand_over(node: &Arc<Node>) {
     // Callers of another interface hold no tickets.
     if node.interface.is_some() {
+        refuse_waiting(node);
         log_event!(Event::DrainFinished);
         node.update_lifecycle(|lifecycle, _| lifecycle.handed_over());
         return;
--- a/crates/hemlocktack-node/src/upstream/interface_client.rs
+++ b/crates/hemlocktack-node/src/upstream/interface_client.rs
@@ -1,7 +1,11 @@
 //! HTTP client for upstreams with a deployment-specific interface. A call ends with a complete
 //! answer or with the reason why there is none.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
@@ -47,19 +51,30 @@
 
     /// Sends the call and reads the complete answer, until the deadline. If the caller disconnects
     /// before, this future is dropped, which closes the connection.
+    ///
+    /// An upstream that accepts no connection until the deadline has not got the call.
     pub(super) async fn send(&self, send: &UpstreamRequest<'_>) -> UpstreamResponse {
-        match tokio::time::timeout_at(send.deadline.into(), self.exchange(send)).await {
+        let is_handed_over = AtomicBool::new(false);
+        let exchange = self.exchange(send, &is_handed_over);
+        match tokio::time::timeout_at(send.deadline.into(), exchange).await {
             Ok(end) => end,
-            Err(_) => UpstreamOutcome::Unknown(Reason::Timeout).into(),
+            Err(_) if is_handed_over.into_inner() => {
+                UpstreamOutcome::Unknown(Reason::Timeout).into()
+            }
+            Err(_) => UpstreamOutcome::NotRun(Reason::UpstreamUnreachable).into(),
         }
     }
 
-    async fn exchange(&self, send: &UpstreamRequest<'_>) -> UpstreamResponse {
+    async fn exchange(
+        &self,
+        send: &UpstreamRequest<'_>,
+        is_handed_over: &AtomicBool,
+    ) -> UpstreamResponse {
         let AnswerHead {
             leased,
             response,
             request_sent_at,
-        } = match self.send_head(send).await {
+        } = match self.send_head(send, is_handed_over).await {
             Ok(Ok(head)) => head,
             Ok(Err(reason)) => return UpstreamOutcome::Unknown(reason).into(),
             Err(NotSent::Unreachable) => {
@@ -115,10 +130,12 @@
     }
 
     /// Sends the request and returns the head of the answer. A request is resent, on another
-    /// connection, only if nothing of it was written.
+    /// connection, only if nothing of it was written. `is_handed_over` is set while some of it may
+    /// have been.
     async fn send_head(
         &self,
         send: &UpstreamRequest<'_>,
+        is_handed_over: &AtomicBool,
     ) -> Result<Result<AnswerHead, Reason>, NotSent> {
         let address = send.announcement.address;
         for attempt in 0.. {
@@ -132,6 +149,7 @@
                 continue;
             };
             let request_sent_at = Instant::now();
+            is_handed_over.store(true, Ordering::Relaxed);
             match sender.try_send_request(request).await {
                 Ok(response) => {
                     return Ok(Ok(AnswerHead {
@@ -145,6 +163,7 @@
                     if !nothing_sent {
                         return Ok(Err(Reason::UpstreamFailed));
                     }
+                    is_handed_over.store(false, Ordering::Relaxed);
                     if leased.is_fresh {
                         return Err(NotSent::Unreachable);
                     }
