Pipelined requests: those behind the one being served start early

Hyper reads the next request of a connection only after the response to the previous one, so requests that a caller sends at once waited for one another unseen: four that take a second each were answered after 4.0 s.

A look-ahead beside hyper observes the bytes of the connection, splits off complete heads with httparse and starts those on idempotent routes, at most eight, with the same handler. The service takes an early response if hyper parses an equal request.

During a stop, Connection: close is set on the response to the last request that was started.

--- a/crates/hemlocktack-node/src/counters.rs
+++ b/crates/hemlocktack-node/src/counters.rs
@@ -16,6 +16,8 @@
     demand: AtomicU64,
     admitted: AtomicU64,
     late_starts: AtomicU64,
+    early_starts: AtomicU64,
+    early_discards: AtomicU64,
     ended_sends: [AtomicU64; NextStep::COUNT],
     refused: [AtomicU64; REASON_SLOTS],
 }
@@ -32,6 +34,8 @@
             demand: AtomicU64::new(0),
             admitted: AtomicU64::new(0),
             late_starts: AtomicU64::new(0),
+            early_starts: AtomicU64::new(0),
+            early_discards: AtomicU64::new(0),
             ended_sends: std::array::from_fn(|_| AtomicU64::new(0)),
             refused: std::array::from_fn(|_| AtomicU64::new(0)),
         }
@@ -79,6 +83,24 @@
         self.late_starts.load(Ordering::Relaxed)
     }
 
+    /// Counts a pipelined request that was started before the response to an earlier one.
+    pub(crate) fn record_early_start(&self) {
+        self.early_starts.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn early_starts_count(&self) -> u64 {
+        self.early_starts.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request that was started early and whose response was not used.
+    pub(crate) fn record_early_discard(&self) {
+        self.early_discards.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn early_discards_count(&self) -> u64 {
+        self.early_discards.load(Ordering::Relaxed)
+    }
+
     /// Counts a send that ended without an answer, by the step that followed it.
     pub(crate) fn record_send_end(&self, next: NextStep) {
         self.ended_sends[next as usize].fetch_add(1, Ordering::Relaxed);
--- a/crates/hemlocktack-node/src/gateway/announcements.rs
+++ b/crates/hemlocktack-node/src/gateway/announcements.rs
@@ -9,8 +9,8 @@
 use hemlocktack_telemetry::{Event, log_event};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 
+use super::connection::RequestBody;
 use super::server::untracked;
 use super::tracked_body::TrackedBody;
 use crate::freshness::boot_time;
@@ -32,7 +32,7 @@
 pub(super) async fn answer(
     node: Arc<Node>,
     interface: Interface,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<TrackedBody> {
     let (head, body) = request.into_parts();
     if (interface.announcements.asks_readiness)(&head) {
--- a/crates/hemlocktack-node/src/gateway/caller_socket.rs
+++ b/crates/hemlocktack-node/src/gateway/caller_socket.rs
@@ -12,6 +12,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::look_ahead::LookAhead;
 use crate::calls::CallerWatch;
 
 /// A socket, with bytes already read from it that belong to an incomplete request.
@@ -19,6 +20,8 @@
     stream: Arc<TcpStream>,
     read_ahead: Bytes,
     activity: Activity,
+    /// Look-ahead that sees all bytes read from the socket.
+    look_ahead: Option<Arc<LookAhead>>,
 }
 
 /// Activity of one connection, shared by its socket and its requests.
@@ -49,14 +52,35 @@
             stream: Arc::new(stream),
             read_ahead: Bytes::new(),
             activity: Activity::new(),
+            look_ahead: None,
         }
     }
 
-    /// Returns the socket with bytes that are read before the rest of the stream.
-    pub(super) fn with_read_ahead(self, read_ahead: Bytes) -> Self {
+    /// Returns the socket with a look-ahead that sees all bytes from here on.
+    pub(super) fn with_look_ahead(self, look_ahead: Arc<LookAhead>) -> Self {
+        look_ahead.push_read_ahead(&self.read_ahead);
+        Self {
+            read_ahead: Bytes::new(),
+            look_ahead: Some(look_ahead),
+            ..self
+        }
+    }
+
+    /// Returns the socket without its look-ahead. `unparsed` and what the look-ahead has read
+    /// are read before the rest of the stream.
+    pub(super) fn with_read_ahead(self, unparsed: Bytes) -> Self {
+        let behind = self.look_ahead.map(|ahead| ahead.take_read_ahead());
         // A copy, because even an empty slice keeps the buffer it was cut from alive.
-        let read_ahead = Bytes::copy_from_slice(&read_ahead);
-        Self { read_ahead, ..self }
+        let read_ahead = [unparsed, behind.unwrap_or_default()].concat();
+        Self {
+            read_ahead: read_ahead.into(),
+            look_ahead: None,
+            ..self
+        }
+    }
+
+    pub(super) fn stream(&self) -> Arc<TcpStream> {
+        self.stream.clone()
     }
 
     pub(super) fn has_read_ahead(&self) -> bool {
@@ -71,6 +95,16 @@
         CallerWatch::new(&self.stream)
     }
 
+    /// Moves bytes that were read earlier to the buffer; returns whether there were any.
+    fn deliver_read_ahead(&mut self, buffer: &mut ReadBuf<'_>) -> bool {
+        if let Some(look_ahead) = &self.look_ahead {
+            return look_ahead.deliver(buffer);
+        }
+        let length_bytes = self.read_ahead.len().min(buffer.remaining());
+        buffer.put_slice(&self.read_ahead.split_to(length_bytes));
+        length_bytes > 0
+    }
+
     /// Completes when data has arrived or the peer has closed the connection.
     pub(super) async fn readable(&self) -> io::Result<()> {
         self.stream.readable().await
@@ -102,6 +136,11 @@
         }
     }
 
+    /// Returns whether a request is being served.
+    pub(super) fn is_serving(&self) -> bool {
+        self.state().open_requests > 0
+    }
+
     /// Records that the response to a request is about to be written.
     pub(super) fn response_ready(&self, request_id: String) {
         self.state().unsent_response = Some(request_id);
@@ -151,12 +190,14 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before_bytes = buffer.filled().len();
-        let read = if self.read_ahead.is_empty() {
-            read_from(&self.stream, context, buffer)
-        } else {
-            let length_bytes = self.read_ahead.len().min(buffer.remaining());
-            buffer.put_slice(&self.read_ahead.split_to(length_bytes));
+        let read = if self.deliver_read_ahead(buffer) {
             Poll::Ready(Ok(()))
+        } else {
+            let read = read_from(&self.stream, context, buffer);
+            if let Some(look_ahead) = &self.look_ahead {
+                look_ahead.observe(&buffer.filled()[before_bytes..]);
+            }
+            read
         };
         if buffer.filled().len() > before_bytes {
             self.activity.state().is_receiving = true;
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -30,7 +30,7 @@
     pub(super) deadline: Instant,
     objective: Option<Instant>,
     has_returned: bool,
-    idempotent: bool,
+    pub(super) idempotent: bool,
     class_rank: ClassRank,
     /// Rank among the requests of its account, which share a quota.
     pub(super) rank_in_account: ClassRank,
@@ -100,6 +100,15 @@
     })
 }
 
+/// Returns whether the route of a request is declared idempotent.
+pub(super) fn has_idempotent_route(node: &Node, request: &IncomingRequest, path: &str) -> bool {
+    let Some(active) = node.active_configuration() else {
+        return false;
+    };
+    let route = active.document.route(&request.host, path);
+    route.is_some_and(|route| route.idempotent)
+}
+
 /// Who made a request.
 enum Origin {
     Caller,
--- a/crates/hemlocktack-node/src/gateway/connection.rs
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -1,21 +1,26 @@
 //! One connection of a caller. Hyper serves it while requests arrive; while it is
 //! idle, only the bare socket is kept.
 
+use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use derive_more::{Display, Error};
 use futures::FutureExt;
+use hemlocktack_interface::Interface;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
-use hyper::body::Incoming;
+use http_body_util::{Either, Empty};
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1::{Builder, Parts};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpStream;
 
 use super::caller_socket::{Activity, CallerSocket};
+use super::look_ahead::{EarlyEnd, EarlyRequest, LookAhead};
 use super::request_log::log_unsent;
 use super::tracked_body::TrackedBody;
 use crate::node::Node;
@@ -30,6 +35,9 @@
 /// Long enough that the runtime polls all sockets before a timer of this length fires.
 const FINAL_POLL_TIMEOUT: Duration = Duration::from_millis(1);
 
+/// Body of a request; that of an early request is empty.
+pub(super) type RequestBody = Either<Incoming, Empty<Bytes>>;
+
 /// Extension of a response that names its request, for the log.
 #[derive(Clone)]
 pub(super) struct RequestId(pub(super) String);
@@ -66,9 +74,13 @@
 /// and the state of a call, each such connection held 20 KB, and thousands of them
 /// exhausted the memory of a small machine. An idle connection is therefore reduced
 /// to its socket, which is enough to notice the next request.
-pub(super) async fn serve<H, F>(node: Arc<Node>, stream: TcpStream, handle: H)
-where
-    H: Fn(Arc<Node>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
+pub(super) async fn serve<H, F>(
+    node: Arc<Node>,
+    stream: TcpStream,
+    handle: H,
+    pipelining: Option<Interface>,
+) where
+    H: Fn(Arc<Node>, Request<RequestBody>) -> F + Copy + Send + Sync + 'static,
     F: Future<Output = Response<TrackedBody>> + Send + 'static,
 {
     if sockets::configure_caller(&stream).is_err() {
@@ -77,7 +89,7 @@
     let mut socket = CallerSocket::new(stream);
     while wait_for_data(&node, &socket).await {
         // Boxed, so that an idle connection does not keep memory for it.
-        let requests = Box::pin(serve_requests(&node, socket, handle));
+        let requests = Box::pin(serve_requests(&node, socket, handle, pipelining));
         let Some(idle_socket) = requests.await else {
             return;
         };
@@ -129,9 +141,10 @@
     node: &Arc<Node>,
     socket: CallerSocket,
     handle: H,
+    pipelining: Option<Interface>,
 ) -> Option<CallerSocket>
 where
-    H: Fn(Arc<Node>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
+    H: Fn(Arc<Node>, Request<RequestBody>) -> F + Copy + Send + Sync + 'static,
     F: Future<Output = Response<TrackedBody>> + Send + 'static,
 {
     let activity = socket.activity();
@@ -140,16 +153,31 @@
         activity: &activity,
     };
     let watch = socket.watch();
+    let stream = socket.stream();
+    let look_ahead = pipelining.map(|interface| {
+        let look_ahead = LookAhead::new(node, interface, watch.clone(), activity.clone());
+        Arc::new(look_ahead)
+    });
+    let socket = match &look_ahead {
+        Some(look_ahead) => socket.with_look_ahead(look_ahead.clone()),
+        None => socket,
+    };
     // Boxed as well, because hyper reserves memory for the future between two requests.
-    let service = service_fn(|mut request| {
+    let service = service_fn(|request: Request<Incoming>| {
         let open_request = activity.begin_request();
-        request.extensions_mut().insert(watch.clone());
-        let answering = answer(node.clone(), request, handle);
+        let (mut head, body) = request.into_parts();
+        head.extensions.insert(watch.clone());
+        let has_body = !body.is_end_stream();
+        let early = look_ahead
+            .as_ref()
+            .and_then(|look_ahead| look_ahead.begin(&mut head, has_body));
+        let request = Request::from_parts(head, Either::Left(body));
+        let answering = answer(node.clone(), request, handle, early, look_ahead.clone());
         let (activity, watch) = (activity.clone(), watch.clone());
         async move {
             let mut response = tokio::select! {
                 biased;
-                response = answering => response,
+                response = answering => response?,
                 () = watch.left() => return Err(CallerLeft),
             };
             if let Some(RequestId(id)) = response.extensions_mut().remove() {
@@ -174,6 +202,7 @@
         ended = &mut connection => ServeEnd::Ended(ended),
         () = node.signals.closing.cancelled() => ServeEnd::Closing,
         () = activity.idle_for(IDLE_AFTER) => ServeEnd::Idle,
+        never = run_look_ahead(look_ahead.as_deref(), &stream) => match never {},
     };
     match end {
         ServeEnd::Ended(Err(error)) if error.is_timeout() => {
@@ -183,7 +212,17 @@
         // An error means that the caller disconnected or sent invalid HTTP; there is
         // nobody to report it to.
         ServeEnd::Ended(_) => return None,
-        ServeEnd::Closing => Pin::new(&mut connection).graceful_shutdown(),
+        ServeEnd::Closing => {
+            if let Some(look_ahead) = &look_ahead {
+                look_ahead.end();
+                tokio::select! {
+                    biased;
+                    _ = &mut connection => return None,
+                    () = look_ahead.all_taken() => {}
+                }
+            }
+            Pin::new(&mut connection).graceful_shutdown();
+        }
         ServeEnd::Idle => {
             Pin::new(&mut connection).graceful_shutdown();
             let ended = std::future::poll_fn(|context| connection.poll_without_shutdown(context));
@@ -200,19 +239,40 @@
     parts.io.into_inner().with_read_ahead(parts.read_buf)
 }
 
+/// Runs the look-ahead, if there is one, as long as the connection is served.
+async fn run_look_ahead(look_ahead: Option<&LookAhead>, stream: &TcpStream) -> Infallible {
+    match look_ahead {
+        Some(look_ahead) => look_ahead.run(stream).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Answers a request that hyper has read, with its early response if it was started early.
 async fn answer<H, F>(
     node: Arc<Node>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
     handle: H,
-) -> Response<TrackedBody>
+    early: Option<EarlyRequest>,
+    look_ahead: Option<Arc<LookAhead>>,
+) -> Result<Response<TrackedBody>, CallerLeft>
 where
-    H: Fn(Arc<Node>, Request<Incoming>) -> F,
+    H: Fn(Arc<Node>, Request<RequestBody>) -> F,
     F: Future<Output = Response<TrackedBody>>,
 {
-    let mut response = handle(node.clone(), request).await;
-    if node.is_stopping() {
+    let early_end = match early {
+        Some(early) => early.end().await,
+        None => EarlyEnd::Failed,
+    };
+    let mut response = match early_end {
+        EarlyEnd::Answered(response) => response,
+        EarlyEnd::CallerLeft => return Err(CallerLeft),
+        EarlyEnd::Failed => handle(node.clone(), request).await,
+    };
+    let may_close = || look_ahead.is_none_or(|look_ahead| look_ahead.end_if_none_started());
+    // A request that was started early is answered before its connection closes.
+    if node.is_stopping() && may_close() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    response
+    Ok(response)
 }
--- a/crates/hemlocktack-node/src/gateway/mod.rs
+++ b/crates/hemlocktack-node/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod classify;
 mod connection;
 mod headers;
+mod look_ahead;
 mod request_log;
 mod requests;
 mod server;
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -9,10 +9,11 @@
 use hemlocktack_telemetry::{ActiveSpan, SpanEnd, SpanName};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, request};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 
 use super::classify::{RoutedRequest, find_route};
-use super::connection::RequestId;
+use super::connection::{RequestBody, RequestId};
+use super::look_ahead::RouteGate;
 use super::request_log::{
     UnansweredGuard, log_ended_by_limit, log_key_refused, log_late, log_quota_refused, log_refused,
 };
@@ -29,7 +30,7 @@
 pub(super) async fn answer(
     node: Arc<Node>,
     interface: Interface,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<TrackedBody> {
     let in_flight = node.track_call();
     let (head, mut body) = request.into_parts();
@@ -65,7 +66,7 @@
     interface: Interface,
     head: &request::Parts,
     incoming: &IncomingRequest,
-    body: &mut Incoming,
+    body: &mut RequestBody,
     sends: &Arc<SendRecord>,
 ) -> Answer {
     let path = head.uri.path();
@@ -80,6 +81,11 @@
             return not_run_answer(reason, None);
         }
     };
+    if routed.idempotent
+        && let Some(gate) = head.extensions.get::<RouteGate>()
+    {
+        gate.open();
+    }
     if !routed.is_child_call && node.refuses_entries() {
         return not_run_answer(Reason::Draining, None);
     }
@@ -130,7 +136,7 @@
     interface: Interface,
     head: &request::Parts,
     incoming: &IncomingRequest,
-    body: &mut Incoming,
+    body: &mut RequestBody,
     entered: EnteredRequest,
 ) -> Answer {
     let EnteredRequest {
@@ -182,7 +188,7 @@
 async fn receive_body(
     node: &Node,
     incoming: &IncomingRequest,
-    body: &mut Incoming,
+    body: &mut RequestBody,
     routed: &RoutedRequest,
     began: Instant,
 ) -> Result<Bytes, Reason> {
@@ -220,7 +226,7 @@
 }
 
 /// Reads the whole body, at most until the deadline of the request.
-async fn read_body(body: &mut Incoming, routed: &RoutedRequest) -> Result<Bytes, Reason> {
+async fn read_body(body: &mut RequestBody, routed: &RoutedRequest) -> Result<Bytes, Reason> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
--- a/crates/hemlocktack-node/src/gateway/server.rs
+++ b/crates/hemlocktack-node/src/gateway/server.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hemlocktack_interface::Interface;
 use hemlocktack_telemetry::{Event, log_event};
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use tokio::net::TcpListener;
 
-use super::connection;
+use super::connection::{self, RequestBody};
 use super::tracked_body::TrackedBody;
 use crate::node::Node;
 
@@ -22,9 +22,15 @@
 ///
 /// If a caller disconnects while its request waits, hyper drops the handler, which
 /// cancels everything that the request still has in progress.
-pub(super) async fn serve<H, F>(node: Arc<Node>, listener: TcpListener, handle: H)
-where
-    H: Fn(Arc<Node>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
+///
+/// With an interface of callers, pipelined requests are started early.
+pub(super) async fn serve<H, F>(
+    node: Arc<Node>,
+    listener: TcpListener,
+    handle: H,
+    pipelining: Option<Interface>,
+) where
+    H: Fn(Arc<Node>, Request<RequestBody>) -> F + Copy + Send + Sync + 'static,
     F: Future<Output = Response<TrackedBody>> + Send + 'static,
 {
     // Makes `close` wait for this loop too, so that no connection starts after the last
@@ -40,7 +46,7 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let connection = connection::serve(node.clone(), stream, handle);
+        let connection = connection::serve(node.clone(), stream, handle, pipelining);
         node.connections.spawn(connection);
     }
 }
--- a/crates/hemlocktack-node/src/gateway/start.rs
+++ b/crates/hemlocktack-node/src/gateway/start.rs
@@ -14,11 +14,16 @@
     let settings = &node.settings;
     let callers = listen(settings.caller_address).await?;
     let handle = move |node, request| requests::answer(node, interface, request);
-    tokio::spawn(server::serve(node.clone(), callers, handle));
+    tokio::spawn(server::serve(
+        node.clone(),
+        callers,
+        handle,
+        Some(interface),
+    ));
     for address in probe_addresses(settings.announce_address, settings.readiness_address) {
         let listener = listen(address).await?;
         let handle = move |node, request| announcements::answer(node, interface, request);
-        tokio::spawn(server::serve(node.clone(), listener, handle));
+        tokio::spawn(server::serve(node.clone(), listener, handle, None));
     }
     tokio::spawn(announcements::discover_upstream(node.clone(), interface));
     Ok(())
--- a/crates/hemlocktack-node/src/gateway/tests.rs
+++ b/crates/hemlocktack-node/src/gateway/tests.rs
@@ -16,10 +16,10 @@
 use hemlocktack_interface::Interface;
 use hemlocktack_protocol::ConfigurationDocument;
 use http::{Request, Response};
-use hyper::body::Incoming;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, UnixStream};
 
+use super::connection::RequestBody;
 use super::tracked_body::TrackedBody;
 use super::{requests, server};
 use crate::interfaces;
@@ -75,13 +75,18 @@
 
     async fn start_with<H, F>(handle: H, read_count: &'static AtomicUsize) -> Self
     where
-        H: Fn(Arc<Node>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
+        H: Fn(Arc<Node>, Request<RequestBody>) -> F + Copy + Send + Sync + 'static,
         F: Future<Output = Response<TrackedBody>> + Send + 'static,
     {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let node = Arc::new(node());
-        tokio::spawn(server::serve(node.clone(), listener, handle));
+        tokio::spawn(server::serve(
+            node.clone(),
+            listener,
+            handle,
+            Some(interface()),
+        ));
         tokio::time::sleep(A_FEW_TURNS).await;
         Self {
             node,
--- a/crates/hemlocktack-node/src/gateway/unread_body.rs
+++ b/crates/hemlocktack-node/src/gateway/unread_body.rs
@@ -3,8 +3,9 @@
 use http::header::{CONNECTION, EXPECT};
 use http::{HeaderValue, Response, request};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 
+use super::connection::RequestBody;
 use super::tracked_body::TrackedBody;
 use crate::refused_body::discard_with_timeout;
 
@@ -13,7 +14,7 @@
 pub(super) fn refuse_and_discard(
     mut refusal: Response<TrackedBody>,
     head: &request::Parts,
-    body: Incoming,
+    body: RequestBody,
 ) -> Response<TrackedBody> {
     if body.is_end_stream() {
         return refusal;
@@ -27,6 +28,6 @@
     refusal
 }
 
-async fn read_to_end(mut body: Incoming) {
+async fn read_to_end(mut body: RequestBody) {
     while let Some(Ok(_)) = body.frame().await {}
 }
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -100,6 +100,20 @@
         help,
         node.counters.late_starts_count(),
     );
+    let help = "Pipelined requests that were started before the response to an earlier one";
+    counter(
+        registry,
+        "early_starts",
+        help,
+        node.counters.early_starts_count(),
+    );
+    let help = "Requests that were started early and whose responses were not used";
+    counter(
+        registry,
+        "early_discards",
+        help,
+        node.counters.early_discards_count(),
+    );
     let help = "Retries of calls that entered at this node";
     counter(registry, "retries", help, status.retried_count);
     let help = "Sends that ended without an answer, by the step that followed";
