--- a/crates/hemlocktack-decide/examples/rate_limit_fleet.rs
+++ b/crates/hemlocktack-decide/examples/rate_limit_fleet.rs
@@ -259,6 +259,7 @@
         let notice = AnswerNotice {
             rate_limit_per_s: limit,
             leaving: Statement::Absent,
+            ..AnswerNotice::default()
         };
         let heard = HeardNotice {
             notice: &notice,
--- a/crates/hemlocktack-decide/tests/notices/admission.rs
+++ b/crates/hemlocktack-decide/tests/notices/admission.rs
@@ -36,6 +36,7 @@
     AnswerNotice {
         rate_limit_per_s: rate_limit_per_s.map_or(Statement::Absent, Statement::Said),
         leaving: Statement::Absent,
+        ..AnswerNotice::default()
     }
 }
 
@@ -170,6 +171,7 @@
     let malformed = AnswerNotice {
         rate_limit_per_s: Statement::Malformed("x".to_owned()),
         leaving: Statement::Malformed("yes".to_owned()),
+        ..AnswerNotice::default()
     };
     assert!(!hear(&mut admission, &malformed, later, later));
     let cut_off = HeardNotice {
--- a/crates/hemlocktack-decide/tests/notices/world/mod.rs
+++ b/crates/hemlocktack-decide/tests/notices/world/mod.rs
@@ -293,6 +293,7 @@
                 } else {
                     Statement::Absent
                 },
+                ..AnswerNotice::default()
             };
             let arrives_at = self.now + self.millis(ANSWER_DELAY_MS);
             self.written.push(WrittenAnswer {
--- a/crates/hemlocktack-interface/src/upstreams.rs
+++ b/crates/hemlocktack-interface/src/upstreams.rs
@@ -44,8 +44,6 @@
     pub upstream_start: String,
     /// Whether the upstream reports that it accepts work.
     pub is_healthy: bool,
-    /// Number of requests that the upstream runs concurrently, if it reports it.
-    pub slots: Option<u32>,
-    /// What the response says about the upstream otherwise.
+    /// What the response says about the upstream otherwise, such as its load.
     pub notice: AnswerNotice,
 }
--- a/crates/hemlocktack-node/src/gateway/announcements.rs
+++ b/crates/hemlocktack-node/src/gateway/announcements.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use hemlocktack_interface::{AnnouncedState, Health, Interface, UpstreamMessage, UpstreamReport};
-use hemlocktack_protocol::{NodeState, UpstreamState};
+use hemlocktack_protocol::{NodeState, Statement, UpstreamState};
 use hemlocktack_telemetry::{Event, log_event};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -215,7 +215,11 @@
     let Some(address) = node.settings.upstream_address else {
         return;
     };
-    let slots = health.slots.unwrap_or(DEFAULT_SLOTS);
+    let reported_slots = match health.notice.load {
+        Statement::Said(load) => load.slots,
+        Statement::Absent | Statement::Malformed(_) => None,
+    };
+    let slots = reported_slots.unwrap_or(DEFAULT_SLOTS);
     announce(node, &health.upstream_start, address, slots, false);
     heed_health(node, health);
 }
--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -67,6 +67,7 @@
     pub(crate) counters: Counters,
     pub(crate) operator_refusals: LogThrottle,
     pub(crate) unreadable_answers: LogThrottle,
+    pub(crate) malformed_load_reports: LogThrottle,
     pub(crate) link_refusals: LogThrottle,
     pub(crate) datagram_refusals: LogThrottle,
     /// Limits log lines about single calls.
@@ -165,6 +166,7 @@
             counters: Counters::default(),
             operator_refusals: LogThrottle::default(),
             unreadable_answers: LogThrottle::default(),
+            malformed_load_reports: LogThrottle::default(),
             link_refusals: LogThrottle::default(),
             datagram_refusals: LogThrottle::default(),
             call_log_limiter: LogRateLimiter::default(),
--- a/crates/hemlocktack-node/src/upstream/client.rs
+++ b/crates/hemlocktack-node/src/upstream/client.rs
@@ -6,7 +6,8 @@
 use bytes::{Bytes, BytesMut};
 use hemlocktack_protocol::{
     AnswerNotice, CONTEXT_HEADER, Header, LEAVING_HEADER, OUTCOME_HEADER, Outcome,
-    RATE_LIMIT_HEADER, Reason, TIMEOUT_HEADER, TRACEPARENT_HEADER, read_departure, read_rate_limit,
+    RATE_LIMIT_HEADER, Reason, Statement, TIMEOUT_HEADER, TRACEPARENT_HEADER, read_departure,
+    read_rate_limit,
 };
 use reqwest::{Client, Method, Response};
 
@@ -112,6 +113,7 @@
     AnswerNotice {
         rate_limit_per_s: read_rate_limit(values(RATE_LIMIT_HEADER)),
         leaving: read_departure(values(LEAVING_HEADER)),
+        load: Statement::Absent,
     }
 }
 
--- a/crates/hemlocktack-node/src/upstream/notices.rs
+++ b/crates/hemlocktack-node/src/upstream/notices.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use hemlocktack_decide::{AdoptedNotice, HeardNotice, NoticeChanges};
-use hemlocktack_protocol::{AnswerNotice, Call, Reason, Statement};
+use hemlocktack_protocol::{AnswerNotice, Call, LoadReport, Reason, Statement};
 use hemlocktack_telemetry::{Event, log_event};
 use strum::IntoStaticStr;
 
@@ -28,6 +28,7 @@
 /// Heeds what an answer of the upstream said.
 pub(crate) fn heed_answer(node: &Node, start_number: u64, request_id: &str, heard: &HeardAnswer) {
     log_malformed(node, request_id, &heard.notice);
+    log_malformed_load(node, request_id, &heard.notice.load);
     let heard = HeardNotice {
         notice: &heard.notice,
         request_sent_at: heard.request_sent_at,
@@ -131,6 +132,17 @@
     }
 }
 
+/// Logs a load report that cannot be read, at its own rate: an upstream whose reports are all
+/// malformed would otherwise use up the lines about single calls.
+fn log_malformed_load(node: &Node, request_id: &str, load: &Statement<LoadReport>) {
+    let Some(load) = malformed(load) else {
+        return;
+    };
+    if let Some(count) = node.malformed_load_reports.record() {
+        log_event!(Event::UpstreamLoadMalformed, request_id, load, count);
+    }
+}
+
 fn malformed<T>(statement: &Statement<T>) -> Option<&str> {
     match statement {
         Statement::Malformed(value) => Some(value),
--- a/crates/hemlocktack-protocol/src/lib.rs
+++ b/crates/hemlocktack-protocol/src/lib.rs
@@ -7,6 +7,7 @@
 mod generated;
 mod headers;
 mod ids;
+mod load_report;
 mod notice;
 mod operators;
 mod outcome;
@@ -24,6 +25,7 @@
     AccountId, CallId, ClassRank, DataCentre, Fingerprint, Generation, Incarnation, NodeId,
     RootRequestId, ServiceName,
 };
+pub use load_report::{LoadReport, read_load_report};
 pub use notice::{AnswerNotice, Statement, read_departure, read_rate_limit};
 pub use operators::{OPERATORS_SERVICE, OperatorErrorCode};
 pub use outcome::{CallFailure, Refusal};
--- a/crates/hemlocktack-protocol/src/notice.rs
+++ b/crates/hemlocktack-protocol/src/notice.rs
@@ -1,5 +1,7 @@
 //! What an upstream says about itself in the headers of its answers.
 
+use crate::LoadReport;
+
 /// Longest rate limit that is read, in characters.
 const MAX_RATE_LIMIT_CHARS: usize = 20;
 /// Characters of a malformed value that are kept for the log.
@@ -25,6 +27,8 @@
     pub rate_limit_per_s: Statement<f64>,
     /// The upstream is leaving and wants no new calls.
     pub leaving: Statement<()>,
+    /// Load of the upstream.
+    pub load: Statement<LoadReport>,
 }
 
 /// Reads a rate limit from all values of its header: one positive decimal number.
@@ -62,7 +66,7 @@
     (per_s > 0.0).then_some(per_s)
 }
 
-fn absent_or_malformed<T>(values: &[&[u8]]) -> Statement<T> {
+pub(crate) fn absent_or_malformed<T>(values: &[&[u8]]) -> Statement<T> {
     if values.is_empty() {
         return Statement::Absent;
     }
