Callers that return on time after a refusal come first in their class

The root request id was drawn at random for each attempt, and the shed level, the retry priority and the queue order the requests of a class by its hash. A caller that waited as it was told was refused again as often as one that had just come, and one that repeated at once had several draws.

The id of a caller that has waited 75 ms or more (the shortest wait that a refusal for lack of capacity tells) is now the best of eight draws, where the route has a latency objective. Earlier returns draw once.

Two metrics count such requests and those refused again.

--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -25,6 +25,7 @@
 mod rate_limiter;
 mod retry;
 mod retry_after;
+mod returned_callers;
 mod sends;
 mod shed;
 mod suspects;
@@ -52,6 +53,7 @@
     share_for_child,
 };
 pub use retry_after::{RetryAfterPolicy, cap_to_objective, retry_after};
+pub use returned_callers::{draw_root_request_id, has_returned_on_time};
 pub use sends::{CallSends, NextStep};
 pub use shed::{ChainEdges, EntryShedPolicy, EntryShedder, ShedController, ShedLevel, ShedPolicy};
 pub use upstream_notices::{
--- a/crates/hemlocktack-decide/src/retry_after.rs
+++ b/crates/hemlocktack-decide/src/retry_after.rs
@@ -27,6 +27,10 @@
 /// With less slack than this, a caller cannot be answered in time any more.
 const MIN_SLACK: Duration = Duration::from_millis(100);
 
+/// Shortest wait that [`cap_to_objective`] leaves of a Retry-After for lack of capacity:
+/// `MAX_SLACK_SHARE` of `MIN_SLACK`.
+pub(crate) const MIN_CAPPED_WAIT: Duration = Duration::from_millis(75);
+
 /// Shortens a Retry-After wait so that the caller can still be answered in time.
 ///
 /// In an overload of some seconds, callers told to wait one second, with a run of one second and
--- a/crates/hemlocktack-node/src/counters.rs
+++ b/crates/hemlocktack-node/src/counters.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use hemlocktack_decide::NextStep;
-use hemlocktack_protocol::{Reason, RefusalCount};
+use hemlocktack_protocol::{Outcome, Reason, RefusalCount};
 use strum::{EnumCount, IntoEnumIterator};
 
 /// Larger than any number of a `Reason` in the schema.
@@ -16,6 +16,8 @@
     demand: AtomicU64,
     admitted: AtomicU64,
     late_starts: AtomicU64,
+    returned_requests: AtomicU64,
+    returned_requests_refused: AtomicU64,
     ended_sends: [AtomicU64; NextStep::COUNT],
     refused: [AtomicU64; REASON_SLOTS],
 }
@@ -32,6 +34,8 @@
             demand: AtomicU64::new(0),
             admitted: AtomicU64::new(0),
             late_starts: AtomicU64::new(0),
+            returned_requests: AtomicU64::new(0),
+            returned_requests_refused: AtomicU64::new(0),
             ended_sends: std::array::from_fn(|_| AtomicU64::new(0)),
             refused: std::array::from_fn(|_| AtomicU64::new(0)),
         }
@@ -79,6 +83,23 @@
         self.late_starts.load(Ordering::Relaxed)
     }
 
+    /// Counts a request of a caller that returned on time after a refusal.
+    pub(crate) fn record_returned_request(&self, outcome: Outcome) {
+        self.returned_requests.fetch_add(1, Ordering::Relaxed);
+        if outcome == Outcome::NotRun {
+            self.returned_requests_refused
+                .fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    pub(crate) fn returned_requests_count(&self) -> u64 {
+        self.returned_requests.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn returned_requests_refused_count(&self) -> u64 {
+        self.returned_requests_refused.load(Ordering::Relaxed)
+    }
+
     /// Counts a send that ended without an answer, by the step that followed it.
     pub(crate) fn record_send_end(&self, next: NextStep) {
         self.ended_sends[next as usize].fetch_add(1, Ordering::Relaxed);
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_config::{ClientAccount, Route};
-use hemlocktack_decide::RetryAllowance;
+use hemlocktack_decide::{RetryAllowance, draw_root_request_id, has_returned_on_time};
 use hemlocktack_interface::{Credential, IncomingRequest};
 use hemlocktack_protocol::{Call, ClassRank, Generation, Reason, stable_hash};
 
@@ -29,6 +29,9 @@
     pub(super) body_limit_bytes: usize,
     pub(super) deadline: Instant,
     objective: Option<Instant>,
+    /// How long the caller has waited since its first attempt, as far as it says so. Zero without
+    /// a latency objective, and for a child call.
+    waited: Duration,
     has_returned: bool,
     idempotent: bool,
     class_rank: ClassRank,
@@ -84,6 +87,7 @@
                 .target_latency_ms
                 .map(|target| now + objective_left(target, waited)),
         },
+        waited: route.target_latency_ms.map_or(Duration::ZERO, |_| waited),
         has_returned: !waited.is_zero(),
         idempotent: route.idempotent,
         class_rank: active.ranks.rank(route, account.as_deref()),
@@ -175,6 +179,11 @@
 }
 
 impl RoutedRequest {
+    /// Whether the caller returns after a refusal, no earlier than it was told.
+    pub(super) fn has_returned_on_time(&self) -> bool {
+        has_returned_on_time(self.waited)
+    }
+
     /// Builds the call that is placed in the fleet. A child call inherits the class of its
     /// root request and uses its retry allowance.
     pub(super) fn classify(self, node: &Node, call: Call, now: Instant) -> ClassifiedCall {
@@ -202,9 +211,10 @@
                 class_rank: class_rank.into(),
                 depth: parent.as_ref().map_or(0, |parent| parent.depth + 1),
                 is_repeat: parent.as_ref().is_some_and(|parent| parent.is_repeat),
-                root_request_id: parent
-                    .as_ref()
-                    .map_or_else(rand::random, |parent| parent.root_request_id),
+                root_request_id: parent.as_ref().map_or_else(
+                    || draw_root_request_id(self.waited, rand::random),
+                    |parent| parent.root_request_id,
+                ),
                 work_spent_us: parent.as_ref().map_or(work_without_parent_us, |parent| {
                     parent.work_spent_us(now).max(UNKNOWN_WORK_US)
                 }),
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -141,6 +141,7 @@
     } = entered;
     let path = head.uri.path();
     let service = routed.service.clone();
+    let has_returned_on_time = routed.has_returned_on_time();
     let body = match receive_body(node, incoming, body, &routed, began).await {
         Ok(body) => body,
         Err(reason) => return not_run_answer(reason, None),
@@ -172,6 +173,9 @@
     node.waits.entry.observe(span.elapsed());
     log_late(node, &classified, &answer, started);
     node.entry_counts.record(&service, outcome, reason);
+    if has_returned_on_time {
+        node.counters.record_returned_request(outcome);
+    }
     span.end(&node.tracer, SpanEnd { outcome, reason }, || {
         request_line(head.method.as_str(), path)
     });
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -100,6 +100,12 @@
         help,
         node.counters.late_starts_count(),
     );
+    let help = "Requests of callers that returned after a refusal when they were told to, or later";
+    let returned = node.counters.returned_requests_count();
+    counter(registry, "returned_requests", help, returned);
+    let help = "Requests of callers that returned when they were told to and were refused again";
+    let refused = node.counters.returned_requests_refused_count();
+    counter(registry, "returned_requests_refused", help, refused);
     let help = "Retries of calls that entered at this node";
     counter(registry, "retries", help, status.retried_count);
     let help = "Sends that ended without an answer, by the step that followed";
