--- a/crates/hemlocktack-node/src/gateway/tests.rs
+++ b/crates/hemlocktack-node/src/gateway/tests.rs
@@ -111,7 +111,7 @@
     }
 }
 
-fn node() -> Node {
+pub(super) fn node() -> Node {
     let own = [
         ("--interface", "cooperative"),
         ("--announce-address", "127.0.0.1:9"),
@@ -125,7 +125,7 @@
 }
 
 /// Returns the deployment's interface with a fixed configuration instead of a parsed one.
-fn interface() -> Interface {
+pub(super) fn interface() -> Interface {
     Interface {
         read_configuration: |_| Ok(document()),
         ..interfaces::find(InterfaceName::Cooperative).unwrap()
