--- a/crates/hemlocktack-fleet/src/quotas/ledger.rs
+++ b/crates/hemlocktack-fleet/src/quotas/ledger.rs
@@ -16,6 +16,10 @@
 const CLASSES: usize = 8;
 /// Weight of the latest interval in the mean demand.
 const DEMAND_WEIGHT: f64 = 0.3;
+/// Least mean demand between two reports for which a node asks for tokens in advance. With many
+/// nodes, those with less demand would hold the few tokens of a small account unused, while its
+/// requests at other nodes are refused.
+const MIN_EXPECTED_DEMAND: f64 = 0.5;
 /// Accounts without demand for this long are forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(10);
 
@@ -329,7 +333,10 @@
             }
             is_kept
         });
-        let expected = self.mean_demand.ceil() as u32;
+        let expected = match self.mean_demand >= MIN_EXPECTED_DEMAND {
+            true => self.mean_demand.ceil() as u32,
+            false => 0,
+        };
         let last = waiting.iter().rposition(|count| *count > 0);
         QuotaDemand {
             account: id,
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -28,7 +28,7 @@
     pub(super) service: String,
     pub(super) body_limit_bytes: usize,
     pub(super) deadline: Instant,
-    objective: Option<Instant>,
+    pub(super) objective: Option<Instant>,
     /// How long the caller has waited since its first attempt, as far as it says so. Zero without
     /// a latency objective, and for a child call.
     waited: Duration,
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -116,7 +116,14 @@
     let Some(account) = &routed.account else {
         return Ok(None);
     };
-    let token = quotas::acquire(node, account, routed.rank_in_account, routed.deadline).await;
+    let token = quotas::acquire(
+        node,
+        account,
+        routed.rank_in_account,
+        routed.objective,
+        routed.deadline,
+    )
+    .await;
     if let Err(refusal) = &token {
         log_quota_refused(node, incoming, account, refusal);
     }
--- a/crates/hemlocktack-node/src/quotas/acquire.rs
+++ b/crates/hemlocktack-node/src/quotas/acquire.rs
@@ -5,7 +5,7 @@
 
 use hemlocktack_config::ClientAccount;
 use hemlocktack_fleet::quotas::{AccountQuota, QuotaToken, TokenRequest, group_of};
-use hemlocktack_protocol::{AccountId, Answer, ClassRank, Outcome, Reason, Refusal};
+use hemlocktack_protocol::{AccountId, Answer, BootTime, ClassRank, Outcome, Reason, Refusal};
 use rand::RngExt;
 use tokio::sync::oneshot;
 
@@ -16,6 +16,8 @@
 
 /// Longest time that a request waits for a grantor, and for the next one if that does not answer.
 const WAIT_LIMIT: Duration = Duration::from_millis(600);
+/// Part of its latency objective for which a request waits for a token.
+const WAIT_SHARE: f64 = 0.125;
 /// Wait after which a request that no grantor answered may come back.
 const UNANSWERED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -41,18 +43,35 @@
     node: &Arc<Node>,
     account: &ClientAccount,
     class_rank: ClassRank,
+    objective: Option<Instant>,
     deadline: Instant,
 ) -> Result<Option<HeldToken>, Refusal> {
     let Some(quota) = quota_of(account) else {
         return Ok(None);
     };
     let now = boot_time();
+    let waits_until = now.plus(longest_wait(objective));
     let share = || node.quotas.owned_share(node, now);
     let request = node.quotas.ledger().request(&quota, class_rank, share, now);
     let token = match request {
         TokenRequest::Taken(token) => token,
-        TokenRequest::Refused { retry_after } => return Err(exceeded(retry_after)),
-        TokenRequest::Ask => wait_for_grant(node, &quota, class_rank, deadline).await?,
+        TokenRequest::Refused { retry_after } if now.plus(retry_after) > waits_until => {
+            return Err(exceeded(retry_after));
+        }
+        TokenRequest::Refused { retry_after } => {
+            let wait = TokenWait {
+                due: now.plus(retry_after),
+                waits_until,
+            };
+            wait_for_grant(node, &quota, class_rank, wait, deadline).await?
+        }
+        TokenRequest::Ask => {
+            let wait = TokenWait {
+                due: now,
+                waits_until,
+            };
+            wait_for_grant(node, &quota, class_rank, wait, deadline).await?
+        }
     };
     Ok(Some(HeldToken {
         account: quota.account,
@@ -60,10 +79,23 @@
     }))
 }
 
+/// Returns how long a request waits for a token after the grantor had none.
+fn longest_wait(objective: Option<Instant>) -> Duration {
+    let left = objective.map(|objective| objective.saturating_duration_since(Instant::now()));
+    left.unwrap_or_default().mul_f64(WAIT_SHARE)
+}
+
+/// When a request without a token asks for one, and until when it waits.
+struct TokenWait {
+    due: BootTime,
+    waits_until: BootTime,
+}
+
 async fn wait_for_grant(
     node: &Arc<Node>,
     quota: &AccountQuota,
     class_rank: ClassRank,
+    wait: TokenWait,
     deadline: Instant,
 ) -> Result<QuotaToken, Refusal> {
     let group = group_of(quota.account, node.quotas.settings.groups);
@@ -72,6 +104,8 @@
     queue.waiters().push(Waiter {
         quota: *quota,
         class_rank,
+        due: wait.due,
+        waits_until: wait.waits_until,
         grant,
     });
     queue.has_waiting.notify_one();
--- a/crates/hemlocktack-node/src/quotas/exchange.rs
+++ b/crates/hemlocktack-node/src/quotas/exchange.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_fleet::quotas::{AccountGroup, WaitingRequest};
-use hemlocktack_protocol::{Incarnation, Member, NodeState, QuotaGrant, QuotaReport, frame};
+use hemlocktack_protocol::{
+    BootTime, Incarnation, Member, NodeState, QuotaGrant, QuotaReport, frame,
+};
 
 use super::answer::answer_report;
 use super::waiters::Waiter;
@@ -14,6 +16,9 @@
 /// How often a node without quotas looks whether there are any.
 const IDLE_PERIOD: Duration = Duration::from_millis(500);
 
+/// Shortest time after which the grantor is asked again for a waiting request.
+const MIN_ASK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// The grantor of a group, as this node sees it.
 struct Grantor {
     location: NodeLocation,
@@ -30,9 +35,10 @@
 
 async fn run(node: Arc<Node>, group: AccountGroup) {
     let queue = &node.quotas.groups[group as usize];
+    let mut reported_at = boot_time();
     loop {
         let pause = match node.has_quotas() {
-            true => node.quotas.settings.report_interval,
+            true => pause(&node, group, reported_at),
             false => IDLE_PERIOD,
         };
         tokio::select! {
@@ -40,20 +46,29 @@
             () = tokio::time::sleep(pause) => {}
             () = node.signals.stopped.cancelled() => return,
         }
-        if node.has_quotas() {
+        if node.has_quotas() && self::pause(&node, group, reported_at).is_zero() {
+            reported_at = boot_time();
             exchange(&node, group).await;
         }
     }
 }
 
+/// Returns the time until the next report: until the interval is over, or a request is due.
+fn pause(node: &Node, group: AccountGroup, reported_at: BootTime) -> Duration {
+    let interval_ends = reported_at.plus(node.quotas.settings.report_interval);
+    let next_due = node.quotas.groups[group as usize].waiters().next_due();
+    let next_report = next_due.map_or(interval_ends, |due| due.min(interval_ends));
+    next_report.saturating_since(boot_time())
+}
+
 /// Reports to the group's grantor, and hands out what it grants.
 async fn exchange(node: &Arc<Node>, group: AccountGroup) {
     let Some(grantor) = grantor_of(node, group) else {
         return;
     };
     let queue = &node.quotas.groups[group as usize];
-    let waiting = queue.waiters().take_all();
     let now = boot_time();
+    let waiting = queue.waiters().take_due(now);
     let share = node.quotas.owned_share(node, now);
     let requests: Vec<WaitingRequest> = waiting.iter().map(waiting_request).collect();
     let report = node
@@ -75,7 +90,9 @@
     node.quotas
         .ledger()
         .granted(group, grantor.incarnation, &grant, now, granted_at);
-    waiting.into_iter().for_each(|waiter| serve(node, waiter));
+    let later = waiting.into_iter().filter_map(|waiter| serve(node, waiter));
+    let later = later.collect();
+    queue.waiters().put_back(later);
 }
 
 fn waiting_request(waiter: &Waiter) -> WaitingRequest {
@@ -85,8 +102,9 @@
     }
 }
 
-/// Gives a waiting request a token, or tells it when to come back.
-fn serve(node: &Node, waiter: Waiter) {
+/// Gives a waiting request a token, or tells it when to come back. Returns the request if there
+/// will probably be a token while it still waits.
+fn serve(node: &Node, waiter: Waiter) -> Option<Waiter> {
     let now = boot_time();
     let mut ledger = node.quotas.ledger();
     let account = waiter.quota.account;
@@ -94,10 +112,17 @@
         Some(token) => Ok(token),
         None => Err(ledger.refused(&waiter.quota, waiter.class_rank, now)),
     };
+    if let Err(retry_after) = grant
+        && now.plus(retry_after) <= waiter.waits_until
+    {
+        let due = now.plus(retry_after.max(MIN_ASK_INTERVAL));
+        return Some(Waiter { due, ..waiter });
+    }
     if let Err(Ok(token)) = waiter.grant.send(grant) {
         // The request was given up while it waited.
         ledger.give_back(account, token, now);
     }
+    None
 }
 
 async fn send(node: &Node, grantor: &Grantor, report: QuotaReport) -> Option<QuotaGrant> {
--- a/crates/hemlocktack-node/src/quotas/waiters.rs
+++ b/crates/hemlocktack-node/src/quotas/waiters.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hemlocktack_fleet::quotas::{AccountQuota, QuotaToken};
-use hemlocktack_protocol::ClassRank;
+use hemlocktack_protocol::{BootTime, ClassRank};
 use tokio::sync::oneshot;
 
 /// A token, or the time after which there may be one.
@@ -13,6 +13,10 @@
 pub(super) struct Waiter {
     pub(super) quota: AccountQuota,
     pub(super) class_rank: ClassRank,
+    /// When the grantor is asked.
+    pub(super) due: BootTime,
+    /// How long the request waits for a token.
+    pub(super) waits_until: BootTime,
     pub(super) grant: oneshot::Sender<Grant>,
 }
 
@@ -31,11 +35,18 @@
         self.waiting.is_empty()
     }
 
-    /// Takes all, the most important ones first.
-    pub(super) fn take_all(&mut self) -> Vec<Waiter> {
-        let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.sort_by_key(|waiter| waiter.class_rank);
-        waiting
+    /// Returns when the grantor has to be asked next, if any request waits.
+    pub(super) fn next_due(&self) -> Option<BootTime> {
+        self.waiting.iter().map(|waiter| waiter.due).min()
+    }
+
+    /// Takes those for which the grantor has to be asked now, the most important ones first.
+    pub(super) fn take_due(&mut self, now: BootTime) -> Vec<Waiter> {
+        let waiting = std::mem::take(&mut self.waiting);
+        let (mut due, later) = waiting.into_iter().partition(|waiter| waiter.due <= now);
+        self.waiting = later;
+        due.sort_by_key(|waiter: &Waiter| waiter.class_rank);
+        due
     }
 
     /// Puts those back for which no grant came, in front of later ones.
