Placement follows the slowness that upstreams report

A machine that other work shares takes 2.5 times as long for 0.6 s at a time. Means over 32 calls notice that late and forget it late, and they made the baseline rise and the limit go on trial.

The node keeps the report of the current start with the time it was read, and its load hints carry the present slowness and its age. Estimates and limits are learnt from times divided by the slowness during the run.

--- a/crates/hemlocktack-decide/src/admission.rs
+++ b/crates/hemlocktack-decide/src/admission.rs
@@ -1,6 +1,7 @@
 //! Admission on the node beside an upstream: each call runs, is queued or is refused.
 
 mod learn;
+mod load_reports;
 mod notices;
 mod offered;
 mod refuse;
@@ -21,6 +22,7 @@
 use crate::quarantine::{Quarantine, QuarantineStatus};
 use crate::queue::{ClassQueue, QueuedCall};
 use crate::shed::{Pressure, ShedController, ShedLevel};
+use crate::slowness::Slowness;
 use crate::suspects::SuspectQueue;
 use crate::upstream_notices::UpstreamNotices;
 use crate::work::WorkEstimates;
@@ -50,6 +52,8 @@
     /// Replaces `limit` where operators set latency objectives.
     objective_limit: Option<ObjectiveLimit>,
     work: WorkEstimates,
+    slowness: Slowness,
+    reported_slots: Option<u32>,
     queue: ClassQueue,
     suspects: SuspectQueue,
     running: HashMap<CallId, Running>,
@@ -91,6 +95,8 @@
             limit: ConcurrencyLimit::new(policy.limit, 1, 1, false, now),
             objective_limit: None,
             work: WorkEstimates::new(now),
+            slowness: Slowness::default(),
+            reported_slots: None,
             queue: ClassQueue::new(RUNNING_CAPACITY),
             suspects: SuspectQueue::new(),
             running: HashMap::with_capacity(RUNNING_CAPACITY),
@@ -247,15 +253,18 @@
     /// Returns the load hint that replies carry. `chain_level` is the strictest level of the
     /// services that the answered call's kind depends on.
     pub fn hint(&self, chain_level: ShedLevel, now: Instant) -> LoadHint {
+        let slowness = self.service_slowness(now);
         LoadHint {
             in_flight: self.running.len() as u32,
             limit: self.current_limit(),
             queued: self.queue.len() as u32,
-            queue_delay_us: self.wait_for(self.queue.len()).as_micros() as u64,
+            queue_delay_us: self.wait_for(self.queue.len(), now).as_micros() as u64,
             service_time_us: self.work.expected_any().as_micros() as u64,
             shed_level: self.shed.level().pack(),
             chain_shed_level: chain_level.pack(),
             rate_wait_us: self.notices.rate_wait(now).as_micros() as u64,
+            slowness_percent: slowness.percent,
+            slowness_age_us: slowness.age.as_micros() as u64,
         }
     }
 
@@ -340,7 +349,7 @@
             queue_bound: self.queue_bound(),
             in_flight: self.running.len(),
             limit: self.current_limit(),
-            service_time: self.work.expected_any(),
+            service_time: self.expected_any(now),
         };
         self.shed.end_interval(&pressure, now);
         let is_queue_long = self.queue.len() * 2 > self.queue_bound();
@@ -348,8 +357,8 @@
     }
 
     /// Returns the expected time until `calls` calls have started.
-    fn wait_for(&self, calls: usize) -> Duration {
-        let per_call = self.work.expected_any() / self.current_limit().max(1);
+    fn wait_for(&self, calls: usize, now: Instant) -> Duration {
+        let per_call = self.expected_any(now) / self.current_limit().max(1);
         per_call.mul_f64(calls as f64)
     }
 
--- a/crates/hemlocktack-decide/src/admission/learn.rs
+++ b/crates/hemlocktack-decide/src/admission/learn.rs
@@ -13,7 +13,11 @@
     pub(super) fn record_answer(&mut self, call: &Running, child_wait: Duration, now: Instant) {
         let total = now.saturating_duration_since(call.started);
         let own = total.saturating_sub(child_wait);
-        let ratio = self.work.observe(call.kind, total, own, now);
+        self.slowness.compare(call.kind, own, call.started, now);
+        let usual_own = own.mul_f64(self.slowness.usual_share(call.started, now));
+        let ratio = self
+            .work
+            .observe(call.kind, usual_own + (total - own), usual_own, now);
         if self.objective_limit.is_some() {
             self.observe_root_run(call, child_wait, now, |_, child| child);
             return;
@@ -40,7 +44,7 @@
     }
 
     /// Reports to the objective limit the shares of its objective that a root request spent on
-    /// its own work and, computed from both by `counted_child_share`, waiting for child calls.
+    /// its own work at the upstream's usual speed and, computed from both by `counted_child_share`, waiting for child calls.
     /// Requests that were retried have only part of their objective left and are ignored.
     fn observe_root_run(
         &mut self,
@@ -57,8 +61,9 @@
         };
         let total = now.saturating_duration_since(call.started);
         let own = total.saturating_sub(child_wait);
+        let usual_own = own.mul_f64(self.slowness.usual_share(call.started, now));
         let objective_secs = objective.as_secs_f64().max(MIN_OBJECTIVE_SECS);
-        let own_share = own.as_secs_f64() / objective_secs;
+        let own_share = usual_own.as_secs_f64() / objective_secs;
         let child_share = (total - own).as_secs_f64() / objective_secs;
         limit.observe(
             total,
--- a/crates/hemlocktack-decide/src/admission/notices.rs
+++ b/crates/hemlocktack-decide/src/admission/notices.rs
@@ -15,7 +15,11 @@
 impl Admission {
     /// Sets the current start of the upstream.
     pub fn set_upstream_start(&mut self, start: UpstreamStart) {
+        let before = self.notices.start_number();
         self.notices.set_start(start);
+        if self.notices.start_number() != before {
+            self.forget_load_reports();
+        }
     }
 
     /// Records when the current start of the upstream began, by its number on this node.
--- a/crates/hemlocktack-decide/src/admission/offered.rs
+++ b/crates/hemlocktack-decide/src/admission/offered.rs
@@ -24,7 +24,7 @@
         let queued_call = QueuedCall::from_offer(offer, now);
         let place = queued_call.place;
         let ahead = self.queue.calls_ahead_of(place, self.queue_order(now));
-        let wait = self.wait_for(ahead + 1);
+        let wait = self.wait_for(ahead + 1, now);
         let is_wait_too_long = queued_call
             .objective
             .is_some_and(|objective| wait > objective.mul_f64(self.policy.queue.max_wait_share));
@@ -49,7 +49,7 @@
     /// capacity for nobody, so only a call without any chance to finish in time is refused, and
     /// one of these runs occasionally to correct the estimate.
     fn run_in_free_slot(&mut self, offer: &OfferedCall, now: Instant) -> AdmissionDecision {
-        let expected = self.work.expected(offer.kind, now);
+        let expected = self.expected(offer.kind, now);
         let time_left = offer.deadline.saturating_duration_since(now);
         if time_left < expected / 2 && !self.probe(now) {
             return AdmissionDecision::Refused(
--- a/crates/hemlocktack-decide/src/admission/refuse.rs
+++ b/crates/hemlocktack-decide/src/admission/refuse.rs
@@ -17,7 +17,7 @@
     /// request that could be answered in time. First attempts are never refused for this reason:
     /// if even those are late, late answers are all that the service can give.
     pub(super) fn has_returned_too_late(&self, call: &QueuedCall, now: Instant) -> bool {
-        let expected = self.work.expected(call.kind, now);
+        let expected = self.expected(call.kind, now);
         call.has_returned && call.objective.is_some_and(|objective| objective < expected)
     }
 
@@ -32,7 +32,6 @@
         now: Instant,
     ) -> bool {
         let work = self
-            .work
             .expected(kind, now)
             .mul_f64(self.policy.queue.work_margin);
         now + wait + work > deadline
@@ -80,7 +79,7 @@
     /// Returns a refusal whose Retry-After lets the caller be answered in time, if possible.
     fn refusal_within_objective(&self, reason: Reason, call: &QueuedCall, now: Instant) -> Refusal {
         let refusal = self.refusal(reason, call.call_id);
-        let expected = self.work.expected(call.kind, now);
+        let expected = self.expected(call.kind, now);
         let cut = |wait| match call.objective {
             Some(objective) => cap_to_objective(wait, objective, expected),
             None => wait,
--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -27,6 +27,7 @@
 mod retry_after;
 mod sends;
 mod shed;
+mod slowness;
 mod suspects;
 mod upstream_notices;
 mod upstream_state;
--- a/crates/hemlocktack-decide/src/peer_load.rs
+++ b/crates/hemlocktack-decide/src/peer_load.rs
@@ -6,6 +6,7 @@
 use hemlocktack_protocol::{LoadHint, Reason, UpstreamState};
 
 use crate::placement::{PlacementPolicy, is_unavailable};
+use crate::slowness::{REPORT_LIFETIME, factor_of};
 
 /// How long an upstream is avoided after refusing a call because of load: about as long as its
 /// queue takes to advance.
@@ -43,6 +44,10 @@
     limit: AtomicU32,
     service_time_us: AtomicU64,
     queue_delay_us: AtomicU64,
+    /// By which factor calls currently take longer than `service_time_us`, in per cent.
+    slowness_percent: AtomicU32,
+    /// Time until which that counts.
+    slowness_until_us: AtomicU64,
     /// Since when an answer is outstanding and nothing has been received.
     silent_since_us: AtomicU64,
     last_hint_us: AtomicU64,
@@ -80,6 +85,8 @@
             limit: AtomicU32::new(0),
             service_time_us: AtomicU64::new(0),
             queue_delay_us: AtomicU64::new(0),
+            slowness_percent: AtomicU32::new(0),
+            slowness_until_us: AtomicU64::new(0),
             silent_since_us: AtomicU64::new(0),
             last_hint_us: AtomicU64::new(NEVER),
             avoided_until_us: AtomicU64::new(0),
@@ -227,6 +234,7 @@
             .store(hint.service_time_us, Ordering::Release);
         self.queue_delay_us
             .store(hint.queue_delay_us, Ordering::Release);
+        self.apply_slowness(hint, now);
         self.last_hint_us.store(self.micros(now), Ordering::Release);
         self.sent_since_hint.store(0, Ordering::Release);
         let rate_limited_until = now + Duration::from_micros(hint.rate_wait_us);
@@ -234,6 +242,26 @@
             .store(self.micros(rate_limited_until), Ordering::Release);
     }
 
+    fn apply_slowness(&self, hint: &LoadHint, now: Instant) {
+        let age = Duration::from_micros(hint.slowness_age_us);
+        let left = match hint.slowness_percent {
+            0 => Duration::ZERO,
+            _ => REPORT_LIFETIME.saturating_sub(age),
+        };
+        self.slowness_percent
+            .store(hint.slowness_percent, Ordering::Release);
+        self.slowness_until_us
+            .store(self.micros(now + left), Ordering::Release);
+    }
+
+    /// Returns by which factor calls currently take longer than usual, 1 while that is unknown.
+    fn slowness(&self, now: Instant) -> f64 {
+        match self.micros(now) < self.slowness_until_us.load(Ordering::Acquire) {
+            true => factor_of(self.slowness_percent.load(Ordering::Acquire)),
+            false => 1.0,
+        }
+    }
+
     fn record_outcome(&self, failed: bool, now: Instant) {
         let towards = if failed { 1000 } else { 0 };
         let share = (self.failure_share(now) * 1000.0) as u32;
@@ -286,6 +314,7 @@
         } else {
             service_us as f64 / 1e6
         };
+        let service = service * self.slowness(now);
         let utilisation = self.utilisation(policy, now);
         let excess = (utilisation - 1.0).max(0.0);
         // Below the limit no call waits; the small utilisation term distributes calls evenly.
--- a/crates/hemlocktack-decide/src/upstream_notices.rs
+++ b/crates/hemlocktack-decide/src/upstream_notices.rs
@@ -118,6 +118,11 @@
         self.start = Some(start);
     }
 
+    /// Returns the number of the current start.
+    pub(crate) fn start_number(&self) -> Option<u64> {
+        self.start.as_ref().map(|start| start.number)
+    }
+
     /// Records when the current start began.
     pub(crate) fn set_started(&mut self, number: u64, started_unix_ms: u64) {
         let current = self.start.as_mut().filter(|start| start.number == number);
--- a/crates/hemlocktack-decide/src/work.rs
+++ b/crates/hemlocktack-decide/src/work.rs
@@ -87,19 +87,30 @@
         }
     }
 
-    /// Returns the mean time of a call of the kind, including its child calls; the mean over all
-    /// kinds if the kind is unknown.
-    pub(crate) fn expected(&self, kind: WorkKind, now: Instant) -> Duration {
+    /// Returns the mean time of a call of the kind, including its child calls, if its own work
+    /// takes `slowness` times as long as usual; the mean over all kinds if the kind is unknown.
+    pub(crate) fn expected(&self, kind: WorkKind, slowness: f64, now: Instant) -> Duration {
         let entry = &self.kinds[entry_index(kind)];
         let known = if entry.samples > 0 { entry } else { &self.all };
-        Duration::from_secs_f64(known.expected_secs(now))
+        let extra_secs = known.own_secs * (slowness - 1.0);
+        Duration::from_secs_f64((known.expected_secs(now) + extra_secs).max(0.0))
     }
 
-    /// Returns the mean time of a call over all kinds.
+    /// Returns the mean time of a call over all kinds at the upstream's usual speed.
     pub(crate) fn expected_any(&self) -> Duration {
         Duration::from_secs_f64(self.all.total_secs)
     }
 
+    /// Returns by which factor a call takes longer if its own work takes `slowness` times as long
+    /// as usual. The wait for child calls does not depend on the upstream's speed.
+    pub(crate) fn slowed(&self, slowness: f64) -> f64 {
+        if self.all.total_secs > 0.0 {
+            1.0 + self.all.own_secs / self.all.total_secs * (slowness - 1.0)
+        } else {
+            slowness
+        }
+    }
+
     /// Sets the baselines to the current mean service times.
     pub(crate) fn adopt_baselines(&mut self) {
         for entry in &mut self.kinds {
--- a/crates/hemlocktack-node/src/gateway/announcements.rs
+++ b/crates/hemlocktack-node/src/gateway/announcements.rs
@@ -122,6 +122,7 @@
     let heard = HeardAnswer {
         notice: health.notice,
         request_sent_at: Instant::now(),
+        read_at: Instant::now(),
         is_complete: false,
     };
     heed_answer(node, start_number, "", &heard);
--- a/crates/hemlocktack-node/src/upstream/client.rs
+++ b/crates/hemlocktack-node/src/upstream/client.rs
@@ -83,12 +83,14 @@
             Ok(response) => response,
             Err(error) => return failed_outcome(&error).into(),
         };
+        let read_at = Instant::now();
         let notice = read_notice(&response);
         let outcome = read_whole(response, send.answer_limit_bytes).await;
         let is_complete = matches!(outcome, UpstreamOutcome::Answered { .. });
         let heard = Some(HeardAnswer {
             notice,
             request_sent_at,
+            read_at,
             is_complete,
         });
         UpstreamResponse { outcome, heard }
--- a/crates/hemlocktack-node/src/upstream/interface_client.rs
+++ b/crates/hemlocktack-node/src/upstream/interface_client.rs
@@ -69,6 +69,7 @@
                 return UpstreamOutcome::NotRun(Reason::MalformedRequest).into();
             }
         };
+        let read_at = Instant::now();
         let (head, body) = response.into_parts();
         // The upstream switched to another protocol without being asked to.
         if head.status == StatusCode::SWITCHING_PROTOCOLS {
@@ -92,6 +93,7 @@
             is_own_answer.then(|| HeardAnswer {
                 notice: (self.codec.read_notice)(&head.headers),
                 request_sent_at,
+                read_at,
                 is_complete,
             })
         };
--- a/crates/hemlocktack-node/src/upstream/notices.rs
+++ b/crates/hemlocktack-node/src/upstream/notices.rs
@@ -13,6 +13,8 @@
 pub(crate) struct HeardAnswer {
     pub(crate) notice: AnswerNotice,
     pub(crate) request_sent_at: Instant,
+    /// When the head of the answer was read. Its body may take much longer.
+    pub(crate) read_at: Instant,
     /// The answer of a run, received completely.
     pub(crate) is_complete: bool,
 }
@@ -29,15 +31,19 @@
 pub(crate) fn heed_answer(node: &Node, start_number: u64, request_id: &str, heard: &HeardAnswer) {
     log_malformed(node, request_id, &heard.notice);
     log_malformed_load(node, request_id, &heard.notice.load);
+    let read_at = heard.read_at;
     let heard = HeardNotice {
         notice: &heard.notice,
         request_sent_at: heard.request_sent_at,
         is_complete: heard.is_complete,
         start_number,
     };
-    let changes = node
-        .admission_queue
-        .with_admission_only(|admission| admission.hear_notice(&heard, Instant::now()));
+    let changes = node.admission_queue.with_admission_only(|admission| {
+        if let Statement::Said(load) = &heard.notice.load {
+            admission.hear_load(load, start_number, read_at);
+        }
+        admission.hear_notice(&heard, Instant::now())
+    });
     if changes.rate_limit.is_some() {
         node.admission_queue.apply_decisions();
     }
