Peaks spill over before they queue, large answers stay near

Where all upstreams were above 0.8 of their limit, calls queued at the local one beside free slots in other data centres, and were refused there. Below that, large answers were fetched from other data centres although local slots were free.

An upstream with a free slot now goes before a queue, wherever it is. Nodes learn the mean size of answers by kind of work; from 32 KiB on local upstreams are preferred up to 0.95 of their limit, and another data centre costs 0.25 ms more for each KiB.

--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod accounts;
 mod admission;
+mod answer_sizes;
 mod caller_timeout;
 mod edge_budget;
 mod edge_budgets;
@@ -34,6 +35,7 @@
 mod work;
 
 pub use admission::Admission;
+pub use answer_sizes::AnswerSizes;
 pub use caller_timeout::CallerTimeoutEstimator;
 pub use edge_budget::{EdgeRetryBudget, RetryPriority};
 pub use edge_budgets::{EdgeRetryBudgets, FleetRetryLimits, NodePosition};
--- a/crates/hemlocktack-decide/src/placement.rs
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -10,9 +10,24 @@
 /// Parameters of [`place`].
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementPolicy {
-    /// Load (calls over limit) at which local upstreams lose their preference: below 1, so that
-    /// calls spill over before the local upstream queues.
+    /// Load (calls over limit) below which an upstream has spare capacity: below 1, so that calls
+    /// spill over before the local upstream queues.
     pub spill_over_load: f64,
+    /// The same for local upstreams, which lose their preference at this load. Higher than
+    /// `spill_over_load` where answers are large.
+    pub local_spill_over_load: f64,
+    /// Load below which a queue is not expected: where no upstream has spare capacity, one below
+    /// this is preferred, wherever it is.
+    pub free_slot_load: f64,
+    /// Replaces `spill_over_load` for local upstreams where answers are large.
+    pub large_answer_spill_over_load: f64,
+    /// Mean size of answers from which `large_answer_spill_over_load` holds; between zero and this
+    /// size the load at which calls spill over grows in proportion.
+    pub large_answer_bytes: f64,
+    /// Cost of another data centre for each KiB of the expected answer.
+    pub remote_cost_per_kib: Duration,
+    /// Most that the size of answers adds to the cost of another data centre.
+    pub max_size_cost: Duration,
     /// An upstream in another data centre is preferred to a local one with spare capacity if its
     /// expected time to an answer is shorter by this factor. Traffic between data centres costs
     /// money, and smaller differences are noise.
@@ -48,6 +63,12 @@
     fn default() -> Self {
         PlacementPolicy {
             spill_over_load: 0.8,
+            local_spill_over_load: 0.8,
+            free_slot_load: 1.0,
+            large_answer_spill_over_load: 0.95,
+            large_answer_bytes: 32.0 * 1024.0,
+            remote_cost_per_kib: Duration::from_micros(250),
+            max_size_cost: Duration::from_millis(100),
             remote_speedup: 1.3,
             local_objective_share: 0.1,
             probe_load_below: 0.2,
@@ -61,6 +82,20 @@
     }
 }
 
+impl PlacementPolicy {
+    /// Returns the policy for calls whose answers have this mean size.
+    pub fn for_answers_of(self, bytes: f64) -> Self {
+        let share = (bytes / self.large_answer_bytes).clamp(0.0, 1.0);
+        let extra = self.large_answer_spill_over_load - self.spill_over_load;
+        let size_cost = self.remote_cost_per_kib.mul_f64(bytes.max(0.0) / 1024.0);
+        PlacementPolicy {
+            local_spill_over_load: self.spill_over_load + extra * share,
+            remote_cost: self.remote_cost + size_cost.min(self.max_size_cost),
+            ..self
+        }
+    }
+}
+
 /// Selects the upstream for a call and returns its index in `peers`, or `None` if none takes
 /// calls. Only peers accepted by `may_send_to` are considered; it excludes, for instance, the
 /// peer that has just refused the call.
@@ -72,7 +107,8 @@
 /// centre costs two milliseconds, a queue or an old machine more. A slower local upstream loses
 /// its preference only if it could make the answer late for `objective`; otherwise a fast
 /// upstream would attract the calls of all data centres, and traffic between them costs money.
-/// Among full upstreams the choice is made in the same way.
+/// Among full upstreams the choice is made in the same way, those without a queue first: a data
+/// centre's peak demand would otherwise queue, and be refused, beside free slots in others.
 pub fn place(
     peers: &[impl AsRef<PeerLoad>],
     may_send_to: impl Fn(usize) -> bool,
@@ -84,7 +120,14 @@
     let takes = |index: usize, peer: &PeerLoad| may_send_to(index) && peer.takes_calls();
     let available = |index: usize, peer: &PeerLoad| takes(index, peer) && !peer.is_avoided(now);
     let has_room = |index: usize, peer: &PeerLoad| {
-        available(index, peer) && peer.utilisation(policy, now) < policy.spill_over_load
+        let most = match peer.is_local {
+            true => policy.local_spill_over_load,
+            false => policy.spill_over_load,
+        };
+        available(index, peer) && peer.utilisation(policy, now) < most
+    };
+    let has_free_slot = |index: usize, peer: &PeerLoad| {
+        available(index, peer) && peer.utilisation(policy, now) < policy.free_slot_load
     };
     let cost = |index: usize| peers[index].as_ref().cost(policy, now);
     let is_fast_enough = |local: usize| {
@@ -113,6 +156,7 @@
     let has_tokens =
         |index: usize, peer: &PeerLoad| takes(index, peer) && !peer.is_rate_limited(now);
     choose_nearest(&has_room)
+        .or_else(|| choose_nearest(&has_free_slot))
         .or_else(|| choose_nearest(&available))
         .or_else(|| choose_nearest(&has_tokens))
         .or_else(|| choose_nearest(&takes))
--- a/crates/hemlocktack-decide/tests/placement.rs
+++ b/crates/hemlocktack-decide/tests/placement.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hemlocktack_decide::{PeerLoad, PlacementPolicy, place};
+use hemlocktack_decide::{AnswerSizes, PeerLoad, PlacementPolicy, place};
 use hemlocktack_protocol::{LoadHint, Reason, UpstreamState};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -261,3 +261,62 @@
     }
     assert!((10..500).contains(&tried), "{tried} of 5000");
 }
+
+/// All upstreams are nearly full, and the local one has a queue. A local queue is no reason to
+/// wait, or to be refused, beside a free slot in another data centre.
+#[test]
+fn a_free_slot_elsewhere_is_preferred_to_a_local_queue() {
+    let now = Instant::now();
+    assert_eq!(
+        shares(&peers(&[(true, 44), (false, 35)], now), now),
+        [0, 100]
+    );
+    assert_eq!(
+        shares(&peers(&[(true, 35), (false, 35)], now), now),
+        [100, 0]
+    );
+}
+
+/// Bytes between data centres cost money. Large answers come from the local upstream while it has
+/// a free slot, and from elsewhere once it would queue; small ones spill over at the usual load.
+#[test]
+fn large_answers_stay_near_until_calls_would_queue() {
+    let now = Instant::now();
+    let choose = |local_load: u32, bytes: f64| {
+        let peers = peers(&[(true, local_load), (false, 10)], now);
+        let policy = PlacementPolicy::default().for_answers_of(bytes);
+        let mut rng = SmallRng::seed_from_u64(3);
+        place(&peers, |_| true, None, now, &policy, &mut rng)
+    };
+    let (small, large) = (200.0, 100_000.0);
+    assert_eq!([choose(31, small), choose(31, large)], [Some(0), Some(0)]);
+    assert_eq!([choose(36, small), choose(36, large)], [Some(1), Some(0)]);
+    assert_eq!([choose(39, small), choose(39, large)], [Some(1), Some(1)]);
+}
+
+/// The learnt size is bounded whatever the answers are, and a size that is unknown or zero changes
+/// nothing.
+#[test]
+fn the_size_of_answers_is_learnt_by_kind_and_bounded() {
+    let usual = PlacementPolicy::default();
+    let sizes = AnswerSizes::default();
+    let unknown = usual.for_answers_of(sizes.mean_bytes(7));
+    assert_eq!(unknown.remote_cost, usual.remote_cost);
+    assert_eq!(unknown.local_spill_over_load, usual.spill_over_load);
+    for _ in 0..200 {
+        sizes.record(7, 50_000);
+        sizes.record(8, 0);
+    }
+    assert!((49_000.0..51_000.0).contains(&sizes.mean_bytes(7)));
+    assert!(sizes.mean_bytes(8) < 1.0);
+    for _ in 0..200 {
+        sizes.record(7, usize::MAX);
+    }
+    let huge = usual.for_answers_of(sizes.mean_bytes(7));
+    assert_eq!(huge.remote_cost, usual.remote_cost + usual.max_size_cost);
+    assert!(huge.local_spill_over_load < 1.0);
+    for _ in 0..1_000 {
+        sizes.record(7, 1_000);
+    }
+    assert!(sizes.mean_bytes(7) < 2_000.0);
+}
--- a/crates/hemlocktack-decide/tests/uneven/world.rs
+++ b/crates/hemlocktack-decide/tests/uneven/world.rs
@@ -31,14 +31,15 @@
 /// How upstreams are chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Choice {
-    /// By load hints alone: no report and no size is known.
+    /// By load hints alone, with the parameters that [`policy`] names.
     WithoutReports,
-    /// By load hints with slowness and by the size of answers.
+    /// By load hints with slowness, by the size of answers, and by free slots elsewhere.
     WithReports,
     /// Sees all queues and speeds as they are; local while there is a free slot.
     CompleteKnowledge,
 }
 
+#[derive(Clone)]
 pub(crate) struct Load {
     pub(crate) machines: Vec<Machine>,
     pub(crate) data_centres: usize,
@@ -47,6 +48,7 @@
     pub(crate) rate: fn(data_centre: usize, mean: f64, at_secs: f64) -> f64,
     pub(crate) mean_rate: f64,
     pub(crate) answer_bytes: u64,
+    pub(crate) seed: u64,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -54,7 +56,7 @@
     pub(crate) p99_ms: f64,
     pub(crate) in_time: f64,
     pub(crate) remote_mb: f64,
-    pub(crate) refused: u64,
+    pub(crate) refused: f64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -112,13 +114,26 @@
 
 /// Plays the load and returns what the callers saw.
 pub(crate) fn play(load: &Load, choice: Choice) -> Outcome {
-    let mut world = World::new(load, choice, PlacementPolicy::default());
+    let mut world = World::new(load, choice);
     world.run();
     world.outcome()
 }
 
+/// Returns the parameters of placement. Without reports, those that change nothing by the size of
+/// answers and let local upstreams queue while others have free slots.
+fn policy(load: &Load, choice: Choice) -> PlacementPolicy {
+    let present = PlacementPolicy::default();
+    match choice {
+        Choice::WithoutReports => PlacementPolicy {
+            free_slot_load: 0.0,
+            ..present
+        },
+        _ => present.for_answers_of(load.answer_bytes as f64),
+    }
+}
+
 impl<'a> World<'a> {
-    fn new(load: &'a Load, choice: Choice, policy: PlacementPolicy) -> Self {
+    fn new(load: &'a Load, choice: Choice) -> Self {
         let epoch = Instant::now();
         let upstreams: Vec<_> = load
             .machines
@@ -143,7 +158,7 @@
         World {
             load,
             choice,
-            policy,
+            policy: policy(load, choice),
             epoch,
             now: 0.0,
             events: BinaryHeap::new(),
@@ -153,7 +168,7 @@
             calls: HashMap::new(),
             upstreams,
             entries: entries.collect(),
-            rng: SmallRng::seed_from_u64(11),
+            rng: SmallRng::seed_from_u64(load.seed),
             latencies_ms: Vec::new(),
             counted: 0,
             in_time: 0,
@@ -400,7 +415,7 @@
             p99_ms: self.latencies_ms.get(p99).copied().unwrap_or_default(),
             in_time: self.in_time as f64 / self.counted.max(1) as f64,
             remote_mb: self.remote_bytes as f64 / 1e6,
-            refused: self.refused,
+            refused: self.refused as f64,
         }
     }
 }
--- a/crates/hemlocktack-node/src/calls/attempts.rs
+++ b/crates/hemlocktack-node/src/calls/attempts.rs
@@ -36,7 +36,12 @@
         classified: &ClassifiedCall,
     ) -> Option<usize> {
         let may_send_to = |node| self.sends.may_send_to(node);
-        let chosen = choose_peer_among(view, may_send_to, classified.objective);
+        let chosen = choose_peer_among(
+            view,
+            may_send_to,
+            classified.objective,
+            Some(classified.kind),
+        );
         chosen.or_else(|| self.sends.resend_target())
     }
 
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    CallSends, NextStep, PeerLoad, PlacementPolicy, QuarantineStatus, RetryBudget, RetryDecision,
-    RetryPriority, cap_to_objective, decide_retry, place,
+    CallSends, NextStep, PeerLoad, QuarantineStatus, RetryBudget, RetryDecision, RetryPriority,
+    WorkKind, cap_to_objective, decide_retry, place,
 };
-use hemlocktack_protocol::{Answer, Call, CallFailure, CallPurpose, Reason, Refusal};
+use hemlocktack_protocol::{Answer, Call, CallFailure, CallPurpose, Outcome, Reason, Refusal};
 use hemlocktack_telemetry::{Event, log_event};
 
 use super::ClassifiedCall;
@@ -171,13 +171,14 @@
 
 /// Chooses the peer that a call is sent to.
 pub(crate) fn choose_peer(view: &ServiceView, excluded: Option<usize>) -> Option<usize> {
-    choose_peer_among(view, |index| Some(index) != excluded, None)
+    choose_peer_among(view, |index| Some(index) != excluded, None, None)
 }
 
 pub(super) fn choose_peer_among(
     view: &ServiceView,
     may_send_to: impl Fn(usize) -> bool,
     objective: Option<Instant>,
+    kind: Option<WorkKind>,
 ) -> Option<usize> {
     let now = Instant::now();
     place(
@@ -185,7 +186,7 @@
         may_send_to,
         objective.map(|objective| objective.saturating_duration_since(now)),
         now,
-        &PlacementPolicy::default(),
+        &view.placement_policy(kind),
         &mut rand::rng(),
     )
 }
@@ -222,6 +223,9 @@
     if let Some(hint) = &answer.hint {
         view.record_hint(index, classified.kind, hint);
     }
+    if answer.outcome() == Outcome::Answered {
+        view.record_answer_size(classified.kind, answer.body.len());
+    }
     in_flight_send.finish(&answer);
     classified.sends.end(&answer);
     answer
--- a/crates/hemlocktack-node/src/calls/service_directory.rs
+++ b/crates/hemlocktack-node/src/calls/service_directory.rs
@@ -6,8 +6,8 @@
 
 use arc_swap::ArcSwap;
 use hemlocktack_decide::{
-    CallerTimeoutEstimator, EdgeRetryBudget, EdgeRetryBudgets, EntryShedPolicy, EntryShedder,
-    FleetRetryLimits, NodePosition, PeerLoad, ShedLevel, WorkKind,
+    AnswerSizes, CallerTimeoutEstimator, EdgeRetryBudget, EdgeRetryBudgets, EntryShedPolicy,
+    EntryShedder, FleetRetryLimits, NodePosition, PeerLoad, PlacementPolicy, ShedLevel, WorkKind,
 };
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_protocol::{
@@ -36,6 +36,8 @@
     pub(crate) peers: Vec<PeerEntry>,
     pub(crate) edge: Arc<EdgeRetryBudget>,
     shedder: Arc<Mutex<EntryShedder>>,
+    /// Shared by the views of all services: kinds of work differ between them.
+    answer_sizes: Arc<AnswerSizes>,
 }
 
 /// All services; the map is replaced as a whole when membership changes.
@@ -43,6 +45,7 @@
     own_data_centre: DataCentre,
     services: ArcSwap<HashMap<ServiceName, Arc<ServiceView>>>,
     edges: Mutex<EdgeRetryBudgets>,
+    answer_sizes: Arc<AnswerSizes>,
     /// Service of each kind of work that was seen on this node.
     service_of_kind: Mutex<HashMap<WorkKind, ServiceName>>,
     /// Estimates of caller timeouts, by route.
@@ -58,6 +61,7 @@
                 FleetRetryLimits::default(),
                 NodePosition::ONLY_NODE,
             )),
+            answer_sizes: Arc::default(),
             service_of_kind: Mutex::default(),
             timeout_estimators: Mutex::default(),
         }
@@ -128,6 +132,7 @@
             peers,
             edge,
             shedder,
+            answer_sizes: self.answer_sizes.clone(),
         }
     }
 
@@ -210,6 +215,17 @@
         shedder.learn(index, kind, hint, Instant::now());
     }
 
+    /// Records the size of an answer to a call of this kind.
+    pub(crate) fn record_answer_size(&self, kind: WorkKind, bytes: usize) {
+        self.answer_sizes.record(kind, bytes);
+    }
+
+    /// Returns the parameters of placement for calls of this kind, or of an unknown one.
+    pub(crate) fn placement_policy(&self, kind: Option<WorkKind>) -> PlacementPolicy {
+        let bytes = kind.map_or(0.0, |kind| self.answer_sizes.mean_bytes(kind));
+        PlacementPolicy::default().for_answers_of(bytes)
+    }
+
     /// Whether these are the same incarnations in the same order. Only then do the indices that
     /// the shedder uses still refer to the same nodes.
     fn has_peers(&self, peers: &[PeerEntry]) -> bool {
