--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod accounts;
 mod admission;
+mod answer_sizes;
 mod caller_timeout;
 mod edge_budget;
 mod edge_budgets;
@@ -29,12 +30,14 @@
 mod returned_callers;
 mod sends;
 mod shed;
+mod slowness;
 mod suspects;
 mod upstream_notices;
 mod upstream_state;
 mod work;
 
 pub use admission::Admission;
+pub use answer_sizes::AnswerSizes;
 pub use caller_timeout::CallerTimeoutEstimator;
 pub use edge_budget::{EdgeRetryBudget, RetryPriority};
 pub use edge_budgets::{EdgeRetryBudgets, FleetRetryLimits, NodePosition};
