--- a/crates/hemlocktack-node/src/gateway/look_ahead/observer.rs
+++ b/crates/hemlocktack-node/src/gateway/look_ahead/observer.rs
@@ -27,7 +27,8 @@
     activity: Activity,
     state: Mutex<State>,
     held: HeldBytes,
-    /// Notified when bytes wait behind a request and a request may have become startable.
+    /// Notified when bytes wait behind a request and a request may have become startable, and
+    /// when a started request has been taken or discarded.
     changed: Notify,
 }
 
@@ -129,10 +130,12 @@
         has_body: bool,
     ) -> Option<EarlyRequest> {
         let mut state = self.state();
+        let had_started = state.pipeline.started_count() > 0;
         let early = state.pipeline.begin(head, has_body);
-        if early.is_some() {
+        if had_started {
             self.changed.notify_one();
-        } else {
+        }
+        if early.is_none() {
             head.extensions.insert(RouteGate(self.clone()));
         }
         early
