--- a/crates/hemlocktack-node/src/gateway/caller_socket.rs
+++ b/crates/hemlocktack-node/src/gateway/caller_socket.rs
@@ -56,14 +56,12 @@
         }
     }
 
-    /// Returns the socket with a look-ahead that sees all bytes from here on.
-    pub(super) fn with_look_ahead(self, look_ahead: Arc<LookAhead>) -> Self {
-        look_ahead.push_read_ahead(&self.read_ahead);
-        Self {
-            read_ahead: Bytes::new(),
-            look_ahead: Some(look_ahead),
-            ..self
+    /// Returns the socket with a look-ahead, if there is one, that sees all bytes from here on.
+    pub(super) fn with_look_ahead(mut self, look_ahead: Option<Arc<LookAhead>>) -> Self {
+        if let Some(look_ahead) = &look_ahead {
+            look_ahead.push_read_ahead(&std::mem::take(&mut self.read_ahead));
         }
+        Self { look_ahead, ..self }
     }
 
     /// Returns the socket without its look-ahead. `unparsed` and what the look-ahead has read
--- a/crates/hemlocktack-node/src/gateway/connection.rs
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -154,25 +154,21 @@
     };
     let watch = socket.watch();
     let stream = socket.stream();
-    let look_ahead = pipelining.map(|interface| {
-        let look_ahead = LookAhead::new(node, interface, watch.clone(), activity.clone());
-        Arc::new(look_ahead)
-    });
-    let socket = match &look_ahead {
-        Some(look_ahead) => socket.with_look_ahead(look_ahead.clone()),
-        None => socket,
-    };
+    let new_look_ahead = |interface| LookAhead::new(node, interface, &socket);
+    let look_ahead = pipelining.map(new_look_ahead).map(Arc::new);
+    let socket = socket.with_look_ahead(look_ahead.clone());
     // Boxed as well, because hyper reserves memory for the future between two requests.
     let service = service_fn(|request: Request<Incoming>| {
         let open_request = activity.begin_request();
         let (mut head, body) = request.into_parts();
         head.extensions.insert(watch.clone());
         let has_body = !body.is_end_stream();
+        let look_ahead = look_ahead.clone();
         let early = look_ahead
             .as_ref()
             .and_then(|look_ahead| look_ahead.begin(&mut head, has_body));
         let request = Request::from_parts(head, Either::Left(body));
-        let answering = answer(node.clone(), request, handle, early, look_ahead.clone());
+        let answering = answer(node.clone(), request, handle, early, look_ahead);
         let (activity, watch) = (activity.clone(), watch.clone());
         async move {
             let mut response = tokio::select! {
@@ -213,13 +209,10 @@
         // nobody to report it to.
         ServeEnd::Ended(_) => return None,
         ServeEnd::Closing => {
-            if let Some(look_ahead) = &look_ahead {
-                look_ahead.end();
-                tokio::select! {
-                    biased;
-                    _ = &mut connection => return None,
-                    () = look_ahead.all_taken() => {}
-                }
+            tokio::select! {
+                biased;
+                _ = &mut connection => return None,
+                () = end_look_ahead(look_ahead.as_deref()) => {}
             }
             Pin::new(&mut connection).graceful_shutdown();
         }
@@ -247,6 +240,15 @@
     }
 }
 
+/// Ends the look-ahead, if there is one, and completes once hyper has read all requests that
+/// were started early.
+async fn end_look_ahead(look_ahead: Option<&LookAhead>) {
+    if let Some(look_ahead) = look_ahead {
+        look_ahead.end();
+        look_ahead.all_taken().await;
+    }
+}
+
 /// Answers a request that hyper has read, with its early response if it was started early.
 async fn answer<H, F>(
     node: Arc<Node>,
--- a/crates/hemlocktack-node/src/gateway/look_ahead/observer.rs
+++ b/crates/hemlocktack-node/src/gateway/look_ahead/observer.rs
@@ -15,7 +15,7 @@
 use super::heads::SplitHead;
 use super::pipeline::{MAX_HELD_RESPONSE_BYTES, Pipeline};
 use crate::calls::CallerWatch;
-use crate::gateway::caller_socket::Activity;
+use crate::gateway::caller_socket::{Activity, CallerSocket};
 use crate::gateway::classify::has_idempotent_route;
 use crate::node::Node;
 
@@ -57,15 +57,14 @@
     pub(in crate::gateway) fn new(
         node: &Arc<Node>,
         interface: Interface,
-        watch: CallerWatch,
-        activity: Activity,
+        socket: &CallerSocket,
     ) -> Self {
         let header_limit_bytes = node.client_limits().header_limit_bytes;
         Self {
             node: node.clone(),
             interface,
-            watch,
-            activity,
+            watch: socket.watch(),
+            activity: socket.activity(),
             state: Mutex::new(State {
                 pipeline: Pipeline::new(header_limit_bytes),
                 read_ahead: BytesMut::new(),
--- a/crates/hemlocktack-node/src/gateway/look_ahead/tests.rs
+++ b/crates/hemlocktack-node/src/gateway/look_ahead/tests.rs
@@ -294,8 +294,7 @@
     let caller = TcpStream::connect(listener.local_addr().unwrap());
     let (caller, accepted) = tokio::join!(caller, listener.accept());
     let socket = CallerSocket::new(accepted.unwrap().0);
-    let (watch, activity) = (socket.watch(), socket.activity());
-    let look_ahead = LookAhead::new(&Arc::new(node()), interface(), watch, activity);
+    let look_ahead = LookAhead::new(&Arc::new(node()), interface(), &socket);
     (Arc::new(look_ahead), caller.unwrap())
 }
 
