--- a/crates/hemlocktack-node/src/gateway/look_ahead/observer.rs
+++ b/crates/hemlocktack-node/src/gateway/look_ahead/observer.rs
@@ -15,7 +15,7 @@
 use super::heads::SplitHead;
 use super::pipeline::{MAX_HELD_RESPONSE_BYTES, Pipeline};
 use crate::calls::CallerWatch;
-use crate::gateway::caller_socket::Activity;
+use crate::gateway::caller_socket::{Activity, CallerSocket};
 use crate::gateway::classify::has_idempotent_route;
 use crate::node::Node;
 
@@ -27,7 +27,8 @@
     activity: Activity,
     state: Mutex<State>,
     held: HeldBytes,
-    /// Notified when bytes wait behind a request and a request may have become startable.
+    /// Notified when bytes wait behind a request and a request may have become startable, and
+    /// when a started request has been taken or discarded.
     changed: Notify,
 }
 
@@ -56,15 +57,14 @@
     pub(in crate::gateway) fn new(
         node: &Arc<Node>,
         interface: Interface,
-        watch: CallerWatch,
-        activity: Activity,
+        socket: &CallerSocket,
     ) -> Self {
         let header_limit_bytes = node.client_limits().header_limit_bytes;
         Self {
             node: node.clone(),
             interface,
-            watch,
-            activity,
+            watch: socket.watch(),
+            activity: socket.activity(),
             state: Mutex::new(State {
                 pipeline: Pipeline::new(header_limit_bytes),
                 read_ahead: BytesMut::new(),
@@ -129,10 +129,12 @@
         has_body: bool,
     ) -> Option<EarlyRequest> {
         let mut state = self.state();
+        let had_started = state.pipeline.started_count() > 0;
         let early = state.pipeline.begin(head, has_body);
-        if early.is_some() {
+        if had_started {
             self.changed.notify_one();
-        } else {
+        }
+        if early.is_none() {
             head.extensions.insert(RouteGate(self.clone()));
         }
         early
