A call at a node that is frozen or cut off is asked for up to 3 s

A call that is not idempotent was given up 1 s after its link was lost, about 1.4 s after its receiver stood still, with 502 although the receiver could report a little later that it did not run. It is now asked for up to 3 s, at most until its deadline; calls with tickets and idempotent calls as before. The receiver ends such a call as 'cancelled', which now moves to another node, and carries a Retry-After if there is none.

--- a/crates/hemlocktack-decide/src/placement.rs
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -126,7 +126,12 @@
 pub fn may_move(reason: Reason) -> bool {
     matches!(
         reason,
-        Reason::QueueFull | Reason::DeadlineTooShort | Reason::UpstreamRateLimited
+        Reason::QueueFull
+            | Reason::DeadlineTooShort
+            | Reason::UpstreamRateLimited
+            // The receiver ended the call because the link to the sender, which still waits, was
+            // lost or silent.
+            | Reason::Cancelled
     ) || is_unavailable(reason)
 }
 
--- a/crates/hemlocktack-node/src/calls/outcomes.rs
+++ b/crates/hemlocktack-node/src/calls/outcomes.rs
@@ -84,6 +84,7 @@
             | Reason::UpstreamDraining
             | Reason::LinkLost
             | Reason::Fenced
+            | Reason::Cancelled
             | Reason::Timeout
             | Reason::UpstreamFailed
             | Reason::UpstreamUnreachable
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -29,6 +29,10 @@
 /// The same for an idempotent call, which another node may run immediately. A link that broke for a
 /// transient reason is back within a few milliseconds in a region.
 const RESOLVE_LIMIT_IDEMPOTENT: Duration = Duration::from_millis(150);
+/// The same for a call that is not idempotent and has no ticket. Its caller cannot repeat it without
+/// knowing its end, and gains nothing by an early `unknown`. A receiver that was frozen or cut off
+/// for a second or two can still report that the call did not run, or its answer.
+const RESOLVE_LIMIT_ONCE: Duration = Duration::from_secs(3);
 /// Pause between attempts to reach a peer with pending calls.
 pub(super) const REDIAL_PAUSE: Duration = Duration::from_millis(50);
 
@@ -61,6 +65,7 @@
 fn resolve_limit(purpose: CallPurpose) -> Duration {
     match purpose {
         CallPurpose::Placed => RESOLVE_LIMIT_IDEMPOTENT,
+        CallPurpose::PlacedOnce => RESOLVE_LIMIT_ONCE,
         _ => RESOLVE_LIMIT,
     }
 }
