Status and metrics show slots and present slowness of the upstream

Operators could not see what an upstream reports, or whether its reports count. NodeStatus has upstream_slots and upstream_slowness_percent, the text of status names up to five slow upstreams of a service, and two gauges show the same. The slowness is 0 while no recent report counts.

--- a/crates/hemlocktack-cli/src/queries/fleet/summary.rs
+++ b/crates/hemlocktack-cli/src/queries/fleet/summary.rs
@@ -22,8 +22,21 @@
     queued: u64,
     highest_shed_level: u32,
     quarantined: BTreeSet<u64>,
+    slots: u64,
+    slow_nodes: Vec<SlowNode>,
 }
 
+/// A node whose upstream reports a slowness that is not the usual one.
+struct SlowNode {
+    slowness_percent: u32,
+    node_id: String,
+}
+
+/// Slow upstreams that are named for each service, the slowest first.
+const MAX_SLOW_NODES: usize = 5;
+/// Slowness from which an upstream is named.
+const SLOW_FROM_PERCENT: u32 = 130;
+
 /// Counts by reason.
 #[derive(Default)]
 struct Reasons(BTreeMap<&'static str, u64>);
@@ -47,6 +60,13 @@
             self.highest_shed_level = self.highest_shed_level.max(load.shed_level);
         }
         self.quarantined.extend(&node.quarantined_fingerprints);
+        self.slots += u64::from(node.upstream_slots);
+        if node.upstream_slowness_percent >= SLOW_FROM_PERCENT {
+            self.slow_nodes.push(SlowNode {
+                slowness_percent: node.upstream_slowness_percent,
+                node_id: node.node_id.clone(),
+            });
+        }
     }
 
     /// Adds calls to the service that entered at some node.
@@ -94,8 +114,26 @@
                 text += &format!("{service} {kind}: {}\n", reasons.to_text());
             }
         }
+        text += &self.slots_text(service);
         text
     }
+
+    /// Formats the slots and the slow upstreams; nothing where no node reports slots.
+    fn slots_text(&self, service: &str) -> String {
+        if self.slots == 0 {
+            return String::new();
+        }
+        let mut slow = self.slow_nodes.iter().collect::<Vec<_>>();
+        slow.sort_by_key(|node| (Reverse(node.slowness_percent), &node.node_id));
+        let named = slow.iter().take(MAX_SLOW_NODES);
+        let named = named.map(|node| format!("{} {} %", node.node_id, node.slowness_percent));
+        let named = named.collect::<Vec<_>>().join(", ");
+        let slow = match slow.len() {
+            0 => String::new(),
+            count => format!("; {count} slow: {named}"),
+        };
+        format!("{service} slots: {}{slow}\n", self.slots)
+    }
 }
 
 impl Reasons {
--- a/crates/hemlocktack-cli/tests/support/answers.rs
+++ b/crates/hemlocktack-cli/tests/support/answers.rs
@@ -141,6 +141,8 @@
         ],
         quarantined_fingerprints: vec![77],
         platform_reachable: true,
+        upstream_slots: 48,
+        upstream_slowness_percent: 250,
         ..NodeStatus::default()
     };
     let second = NodeStatus {
--- a/crates/hemlocktack-node/src/node/upstream.rs
+++ b/crates/hemlocktack-node/src/node/upstream.rs
@@ -112,6 +112,12 @@
         self.upstream.load().as_deref().cloned()
     }
 
+    /// Returns the slots that the upstream has announced, 0 without an upstream.
+    pub(crate) fn announced_slots(&self) -> u32 {
+        let announcement = self.upstream.load();
+        announcement.as_deref().map_or(0, |upstream| upstream.slots)
+    }
+
     pub(crate) fn upstream_state(&self) -> UpstreamState {
         self.published_state().upstream
     }
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -133,6 +133,11 @@
     gauge(registry, "upstream_in_flight_calls", help, load.in_flight);
     let help = "Measured limit of calls that the upstream runs concurrently";
     gauge(registry, "upstream_limit_calls", help, load.limit);
+    let help = "Slots of the upstream, by its last load report or else its announcement";
+    gauge(registry, "upstream_slots", help, status.upstream_slots);
+    let help = "Time that work currently takes on the upstream's machine, as a multiple of the usual time; 0 without a recent report that measured times follow";
+    let slowness = f64::from(status.upstream_slowness_percent) / 100.0;
+    float(registry, "upstream_slowness_ratio", help, slowness);
     let help = "Calls waiting for a slot of the upstream";
     gauge(registry, "queued_calls", help, load.queued);
     let delay = load.queue_delay_us as f64 / MICROS_PER_SECOND;
--- a/crates/hemlocktack-node/src/telemetry/status.rs
+++ b/crates/hemlocktack-node/src/telemetry/status.rs
@@ -13,6 +13,9 @@
     let quarantined = node
         .admission_queue
         .with_admission(|admission| admission.quarantine().refused(now));
+    let (reported_slots, slowness) = node.admission_queue.with_admission_only(|admission| {
+        (admission.reported_slots(), admission.present_slowness(now))
+    });
     NodeStatus {
         query_id: 0,
         node_id: node.identity.node_id.to_string(),
@@ -33,5 +36,7 @@
         link_address: node.settings.link_address.to_string(),
         platform_reachable: node.platform.is_answering(),
         entries: node.entry_counts.counts(),
+        upstream_slots: reported_slots.unwrap_or_else(|| node.announced_slots()),
+        upstream_slowness_percent: slowness.map_or(0, |factor| (factor * 100.0).round() as u32),
     }
 }
