Child calls get retries by the answers that their request still needs

A node now learns from answered runs how many calls to each service a run of a kind makes, and a failed child call takes its place among those that wish for retries by the answers that its run still needs. Call.has_siblings tells a node that other calls of the root request run beside its run or follow it; there the hash of the root request decides alone, as before. Once a run has lost a call that its kind needs, its other calls come last.

Events 731 and 732 say when retries to a service do not suffice and when they do again, with the failed and the eligible share.

--- a/crates/hemlocktack-decide/src/edge_budget.rs
+++ b/crates/hemlocktack-decide/src/edge_budget.rs
@@ -1,6 +1,6 @@
 //! Retry budget, as a share of first attempts, of each edge between two services.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -34,6 +34,9 @@
 const USUAL_CALLS_LEFT: f64 = 4.0;
 /// Ticks over which the share of failed sends is measured: two seconds.
 const FAILURE_TICKS: u64 = 8;
+/// Ticks after the last refused retry in which retries count as scarce: three seconds, longer than
+/// the pauses between refusals of a node with few calls.
+const SCARCE_TICKS: u64 = 12;
 /// Largest share of failed sends that the retries of a request are predicted from.
 const MAX_FAILED_SHARE: f64 = 0.9;
 /// Calls left at which a request stands in the middle of its class's priority range.
@@ -111,6 +114,15 @@
     (mix(root_request_id) >> 11) as f64 / (1_u64 << 53) as f64
 }
 
+/// Change of whether an edge can give all the retries that are wished for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ScarcityChange {
+    /// A retry has been refused.
+    Began,
+    /// No retry has been refused for some seconds.
+    Ended,
+}
+
 /// Bounds the retries on one edge within any ten seconds.
 ///
 /// After a fault, retries of many requests at once can keep a service overloaded long after the
@@ -128,6 +140,9 @@
     retries: TickCounter,
     /// Sends that asked for a retry.
     failures: TickCounter,
+    /// Tick of the last refused retry; 0 if there was none.
+    refused_at_tick: AtomicU64,
+    is_reported_scarce: AtomicBool,
     threshold: Mutex<RetryThreshold>,
 }
 
@@ -141,6 +156,8 @@
             first_attempts: TickCounter::default(),
             retries: TickCounter::default(),
             failures: TickCounter::default(),
+            refused_at_tick: AtomicU64::new(0),
+            is_reported_scarce: AtomicBool::new(false),
             threshold: Mutex::default(),
         }
     }
@@ -190,12 +207,43 @@
         threshold.record(wish, tick);
         drop(threshold);
         self.failures.add(tick);
-        if may_retry {
-            self.retries.add(tick);
+        match may_retry {
+            true => self.retries.add(tick),
+            false => self.refused_at_tick.store(tick, Ordering::Release),
         }
         may_retry
     }
 
+    /// Returns the share of sends in the last two seconds that ended without an answer and could
+    /// be repeated.
+    pub fn rejected_share(&self, now: Instant) -> f64 {
+        self.failed_share(self.tick(now))
+    }
+
+    /// Returns the share of the priority range that currently gets retries; 1 while all requests
+    /// get them.
+    pub fn eligible_share(&self, now: Instant) -> f64 {
+        let tick = self.tick(now);
+        let made = self.retries.count_in_window(tick, WINDOW_TICKS) as f64;
+        let spendable = self.spendable(self.max_retries(tick), made);
+        self.threshold().at(tick, spendable)
+    }
+
+    /// Returns whether retries have become scarce or are no longer, once for each change.
+    pub fn take_scarcity_change(&self, now: Instant) -> Option<ScarcityChange> {
+        let refused_at = self.refused_at_tick.load(Ordering::Acquire);
+        let is_scarce = refused_at > 0 && self.tick(now) < refused_at + SCARCE_TICKS;
+        if self.is_reported_scarce.load(Ordering::Acquire) == is_scarce {
+            return None;
+        }
+        let was_scarce = self.is_reported_scarce.swap(is_scarce, Ordering::AcqRel);
+        match (was_scarce, is_scarce) {
+            (false, true) => Some(ScarcityChange::Began),
+            (true, false) => Some(ScarcityChange::Ended),
+            _ => None,
+        }
+    }
+
     /// Returns how many retries one answer takes at the share of sends that failed lately.
     fn retries_per_answer(&self, tick: u64) -> f64 {
         let failed = self.failed_share(tick).min(MAX_FAILED_SHARE);
--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -26,6 +26,7 @@
 mod retry;
 mod retry_after;
 mod retry_threshold;
+mod run_profiles;
 mod sends;
 mod shed;
 mod suspects;
@@ -35,7 +36,7 @@
 
 pub use admission::Admission;
 pub use caller_timeout::CallerTimeoutEstimator;
-pub use edge_budget::{EdgeRetryBudget, RetryPriority};
+pub use edge_budget::{EdgeRetryBudget, RetryPriority, ScarcityChange};
 pub use edge_budgets::{EdgeRetryBudgets, FleetRetryLimits, NodePosition};
 pub use limit::{ConcurrencyLimit, LimitPolicy};
 pub use link_monitor::{LinkAction, LinkMonitor, LinkMonitorPolicy};
@@ -53,6 +54,7 @@
     share_for_child,
 };
 pub use retry_after::{RetryAfterPolicy, cap_to_objective, retry_after};
+pub use run_profiles::{ChildCallCounts, RunProfiles};
 pub use sends::{CallSends, NextStep};
 pub use shed::{ChainEdges, EntryShedPolicy, EntryShedder, ShedController, ShedLevel, ShedPolicy};
 pub use upstream_notices::{
--- a/crates/hemlocktack-decide/tests/edge_budget.rs
+++ b/crates/hemlocktack-decide/tests/edge_budget.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use hemlocktack_decide::{EdgeRetryBudget, RetryPolicy, RetryPriority};
+use hemlocktack_decide::{EdgeRetryBudget, RetryPolicy, RetryPriority, ScarcityChange};
 
 const POLICY: RetryPolicy = RetryPolicy {
     share_per_mille: 160,
@@ -144,3 +144,32 @@
         assert_eq!(play_requests(&edge, begin, 2, 6), (6, 0), "{second}");
     }
 }
+
+/// Failure: operators do not learn that requests fail because retries are scarce, or are told so
+/// with every refused retry.
+#[test]
+fn scarce_retries_are_reported_once() {
+    let now = Instant::now();
+    let edge = EdgeRetryBudget::new(POLICY, now);
+    play(&edge, now, &[FIRST_ATTEMPTS_PER_SECOND; 10], 0);
+    let fault = now + SECOND * 10;
+    assert_eq!(edge.take_scarcity_change(fault), None);
+    assert_eq!(edge.eligible_share(fault), 1.0);
+    play(&edge, fault, &[FIRST_ATTEMPTS_PER_SECOND], 0);
+    play_requests(&edge, fault, 2, 400);
+    let after = fault + SECOND;
+    assert_eq!(
+        edge.take_scarcity_change(after),
+        Some(ScarcityChange::Began)
+    );
+    assert_eq!(edge.take_scarcity_change(after), None);
+    assert!(edge.eligible_share(after) < 1.0);
+    assert!(edge.rejected_share(after) > 0.5);
+    let later = fault + SECOND * 5;
+    assert_eq!(
+        edge.take_scarcity_change(later),
+        Some(ScarcityChange::Ended)
+    );
+    assert_eq!(edge.take_scarcity_change(later), None);
+    assert_eq!(edge.rejected_share(later), 0.0);
+}
--- a/crates/hemlocktack-decide/tests/rejecting_service/chain.rs
+++ b/crates/hemlocktack-decide/tests/rejecting_service/chain.rs
@@ -5,7 +5,7 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::time::{Duration, Instant};
 
-use hemlocktack_decide::{EdgeRetryBudget, RetryPolicy, RetryPriority};
+use hemlocktack_decide::{EdgeRetryBudget, MAX_CLASSES, RetryPolicy, RetryPriority, ShedLevel};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
@@ -35,10 +35,19 @@
     /// Sequences that a request makes its calls in, at the same time.
     pub(crate) branches: usize,
     pub(crate) fault_secs: u64,
+    /// Share of all requests that the entries admit during the fault, by a shed level.
+    pub(crate) admitted: f64,
     /// Upstreams of the deep service, of [`UPSTREAMS`], that reject calls.
     pub(crate) rejecting_upstreams: usize,
 }
 
+impl Load {
+    fn shed_level(&self) -> ShedLevel {
+        let shed_classes = MAX_CLASSES as f64 - CLASS_COUNT as f64 * self.admitted;
+        ShedLevel::unpack((shed_classes * f64::from(1 << 16)) as u32)
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RequestClass {
     pub(crate) rank: u8,
@@ -58,6 +67,7 @@
 /// Requests that began during the fault.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ClassOutcome {
+    /// Requests that entered, refused ones included.
     pub(crate) begun: u32,
     pub(crate) whole: u32,
     pub(crate) bad: u32,
@@ -188,6 +198,10 @@
             };
             self.outcome.classes[request.class].begun += u32::from(began_in_fault);
             let root = self.random.random();
+            let is_admitted = self.load.shed_level().admits(classes[class].rank, root);
+            if began_in_fault && !is_admitted {
+                continue;
+            }
             self.requests.insert(root, request);
             let first = Send {
                 root,
--- a/crates/hemlocktack-decide/tests/rejecting_service/main.rs
+++ b/crates/hemlocktack-decide/tests/rejecting_service/main.rs
@@ -72,6 +72,7 @@
         calls,
         branches: 1,
         fault_secs,
+        admitted: 1.0,
         rejecting_upstreams: chain::UPSTREAMS,
     }
 }
@@ -163,3 +164,34 @@
         assert!(outcome.whole_share() >= 0.999, "{}", show(&outcome));
     }
 }
+
+/// Failure: the entries refuse requests beyond those that get all their retries, and fewer are
+/// completed. Refused requests would have been completed by luck or with a few retries, and they
+/// make no first attempts, so that in a long fault the budget shrinks with the admitted share.
+/// While this test holds, no chain level is derived from a shortage of retries.
+#[test]
+fn refusing_at_the_entry_completes_fewer_requests() {
+    let is_scarce = |case: &&Case| case.calls > 1 && case.rejected < 0.8;
+    for case in CASES.iter().filter(is_scarce) {
+        let load = load(case.rejected, case.calls, case.fault_secs);
+        let run = |admitted| {
+            let load = Load { admitted, ..load };
+            chain::run_seeds(&load, &CLASSES, Order::MostAdvanced)
+        };
+        let all = run(1.0);
+        for admitted in [0.9, 0.75, 0.5] {
+            let part = run(admitted);
+            let whole = part.whole_share() / all.whole_share();
+            let found = format!(
+                "{:>2} s, {:.2} rejected, {} calls, {admitted:.2} admitted: whole {whole:.2}, bad {:.2}",
+                case.fault_secs,
+                case.rejected,
+                case.calls,
+                part.bad_share() / all.bad_share(),
+            );
+            println!("{found}");
+            assert!(whole < 1.0, "{found}");
+            assert!(admitted > 0.5 || whole < 0.96, "{found}");
+        }
+    }
+}
--- a/crates/hemlocktack-node/src/calls/classify.rs
+++ b/crates/hemlocktack-node/src/calls/classify.rs
@@ -99,6 +99,9 @@
         work_spent_us: parent
             .as_ref()
             .map_or(0, |parent| parent.work_spent_us(now)),
+        has_siblings: parent
+            .as_ref()
+            .is_some_and(|parent| node.has_sibling_calls(parent)),
         traceparent: request.traceparent.unwrap_or_default(),
         ..Call::default()
     };
--- a/crates/hemlocktack-node/src/calls/context.rs
+++ b/crates/hemlocktack-node/src/calls/context.rs
@@ -5,13 +5,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use hemlocktack_decide::{RetryAllowance, WorkKind};
+use hemlocktack_decide::{ChildCallCounts, RetryAllowance, WorkKind};
 use hemlocktack_fleet::tickets::{ChildCalls, Nonce};
 use hemlocktack_protocol::{Answer, Call, ClassRank, Reason, RootRequestId, whole_micros};
 use hemlocktack_telemetry::TraceContext;
 use tokio_util::sync::CancellationToken;
 
-use super::outcomes::lacked_capacity;
+use super::outcomes::{is_valid_answer, lacked_capacity};
 
 /// Length of the opaque header: one 64-bit number in hexadecimal digits.
 const CONTEXT_DIGITS: usize = 16;
@@ -28,6 +28,10 @@
     /// Target time for the answer to the root request (its latency objective).
     pub(crate) objective: Option<Instant>,
     pub(crate) depth: u32,
+    /// Kind of work of the call; 0 if it is not known.
+    pub(crate) kind: WorkKind,
+    /// Other calls of the same root request run beside this one or follow it.
+    pub(crate) has_siblings: bool,
     /// The call may have run before, and so may its child calls.
     pub(crate) is_repeat: bool,
     /// Retries that were granted with the call; its child calls use them.
@@ -51,6 +55,7 @@
 struct ChildCallStats {
     total: Duration,
     kinds: Vec<WorkKind>,
+    counts: ChildCallCounts,
 }
 
 impl RunningCall {
@@ -67,6 +72,8 @@
             deadline,
             objective: objective_of(call),
             depth: call.depth,
+            kind: call.work_kind,
+            has_siblings: call.has_siblings,
             is_repeat: call.is_repeat,
             allowance: Arc::new(RetryAllowance::new(call.retries_given)),
             children: Mutex::new(nonce.map_or_else(
@@ -83,6 +90,11 @@
         }
     }
 
+    /// Sets the kind of work of a call that came without one.
+    pub(crate) fn of_kind(self, kind: WorkKind) -> Self {
+        Self { kind, ..self }
+    }
+
     pub(crate) fn work_spent_us(&self, now: Instant) -> u64 {
         let spent = self.work_spent_before + now.saturating_duration_since(self.started);
         whole_micros(spent)
@@ -103,8 +115,14 @@
         self.made_child_call.load(Ordering::Acquire)
     }
 
-    /// Records a child call that has ended.
-    pub(crate) fn child_call_ended(&self, kind: WorkKind, duration: Duration, answer: &Answer) {
+    /// Records a child call to this service that has ended.
+    pub(crate) fn child_call_ended(
+        &self,
+        service: &str,
+        kind: WorkKind,
+        duration: Duration,
+        answer: &Answer,
+    ) {
         if lacked_capacity(answer) {
             self.child_lacked_capacity.store(true, Ordering::Release);
         }
@@ -113,6 +131,10 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         child_calls.total += duration;
+        match is_valid_answer(answer) {
+            true => child_calls.counts.record_answer(service),
+            false => child_calls.counts.has_failed = true,
+        }
         if !child_calls.kinds.contains(&kind) {
             child_calls.kinds.push(kind);
         }
@@ -131,6 +153,15 @@
             .min(self.started.elapsed())
     }
 
+    /// Returns the child calls that have ended so far.
+    pub(crate) fn child_call_counts(&self) -> ChildCallCounts {
+        self.child_calls
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .counts
+            .clone()
+    }
+
     pub(crate) fn child_kinds(&self) -> Vec<WorkKind> {
         self.child_calls
             .lock()
--- a/crates/hemlocktack-node/src/calls/entry.rs
+++ b/crates/hemlocktack-node/src/calls/entry.rs
@@ -26,7 +26,8 @@
     }
     let answer = run(node, &mut classified).await;
     if let Some(parent) = &classified.parent {
-        parent.child_call_ended(classified.kind, started.elapsed(), &answer);
+        let service = &classified.call.service;
+        parent.child_call_ended(service, classified.kind, started.elapsed(), &answer);
     }
     CallerAnswer::from_answer(answer)
 }
--- a/crates/hemlocktack-node/src/calls/outcomes.rs
+++ b/crates/hemlocktack-node/src/calls/outcomes.rs
@@ -48,6 +48,14 @@
     }
 }
 
+/// Lowest HTTP status that reports a failure of the upstream.
+pub(crate) const MIN_SERVER_ERROR_STATUS: u16 = 500;
+
+/// Whether an upstream has answered, and not with a failure.
+pub(crate) fn is_valid_answer(answer: &Answer) -> bool {
+    answer.outcome() == Outcome::Answered && answer.status < u32::from(MIN_SERVER_ERROR_STATUS)
+}
+
 /// Returns when the caller may retry: after the time that the refusing node gave, or soon if it
 /// gave none and the reason is transient.
 pub(crate) fn retry_after(answer: &Answer) -> Option<Duration> {
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -5,7 +5,7 @@
 
 use hemlocktack_decide::{
     CallSends, NextStep, PeerLoad, PlacementPolicy, QuarantineStatus, RetryBudget, RetryDecision,
-    RetryPriority, cap_to_objective, decide_retry, place,
+    RetryPriority, ScarcityChange, cap_to_objective, decide_retry, place,
 };
 use hemlocktack_protocol::{Answer, Call, CallFailure, CallPurpose, Reason, Refusal};
 use hemlocktack_telemetry::{Event, log_event};
@@ -83,6 +83,27 @@
         true => view.edge.record_repeated_call(now),
         false => view.edge.record_first_attempt(now),
     }
+    log_scarcity_change(view, &call.service, now);
+}
+
+fn log_scarcity_change(view: &ServiceView, service: &str, now: Instant) {
+    let failed_share = || view.edge.rejected_share(now);
+    match view.edge.take_scarcity_change(now) {
+        None => {}
+        Some(ScarcityChange::Began) => log_event!(
+            Event::RetriesScarce,
+            service,
+            failed_share = failed_share(),
+            eligible_share = view.edge.eligible_share(now)
+        ),
+        Some(ScarcityChange::Ended) => {
+            log_event!(
+                Event::RetriesSuffice,
+                service,
+                failed_share = failed_share()
+            );
+        }
+    }
 }
 
 fn log_failed_send(
@@ -247,6 +268,25 @@
     Duration::from_micros(service_time_us)
 }
 
+/// Returns the priority of a call for retries.
+///
+/// The calls that a request still needs are known only where all of them are made by one run. A
+/// run with siblings may be nearly done while one of them has just begun, or has failed; its calls
+/// are ordered by the hash of the root request alone, which decides alike for all of them.
+fn retry_priority(node: &Node, classified: &ClassifiedCall) -> RetryPriority {
+    let rank = classified.class_rank;
+    let classes = node.class_count();
+    let root = classified.call.root_request_id;
+    let is_root = classified.parent.is_none();
+    let only_run = classified.parent.as_ref().filter(|run| !run.has_siblings);
+    let calls_left = only_run.and_then(|run| node.calls_left(run, &classified.call.service));
+    match calls_left {
+        None => RetryPriority::new(rank, classes, root, is_root),
+        Some(0) => RetryPriority::LOWEST,
+        Some(calls_left) => RetryPriority::by_calls_left(rank, classes, root, calls_left),
+    }
+}
+
 /// Decides on a retry; if allowed, takes it from the allowance and from the edge's budget.
 fn take_retry(
     node: &Node,
@@ -260,12 +300,7 @@
     let budget = RetryBudget {
         allowance: &classified.allowance,
         edge: &view.edge,
-        priority: RetryPriority::new(
-            classified.class_rank,
-            node.class_count(),
-            classified.call.root_request_id,
-            classified.parent.is_none(),
-        ),
+        priority: retry_priority(node, classified),
     };
     decide_retry(
         failure,
--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 
 use super::admission_queue::AdmissionPermit;
+use super::outcomes::{MIN_SERVER_ERROR_STATUS, is_valid_answer};
 use super::{RunningCall, not_run_answer, objective_of, unknown_answer, work_kind_of};
 use crate::node::Node;
 use crate::telemetry::{CallSpan, request_line};
@@ -19,9 +20,6 @@
 /// time counts as crashed.
 const ALIVE_CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Lowest HTTP status that reports a failure of the upstream.
-const MIN_SERVER_ERROR_STATUS: u16 = 500;
-
 /// A call to run, and the conditions of the run.
 pub(crate) struct RunRequest<F> {
     pub(crate) call: Call,
@@ -83,7 +81,7 @@
     }
     node.counters.record_admitted();
     let upstream = CallSpan::begin(node, SpanName::Upstream, &mut call);
-    let running = RunningCall::new(&call, class_rank, nonce, deadline);
+    let running = RunningCall::new(&call, class_rank, nonce, deadline).of_kind(kind);
     let forwarded = Instant::now();
     let (answer, child_wait) = forward_to_upstream(node, &call, running, admitted, kind).await;
     log_late(node, &call, arrived, forwarded, child_wait);
@@ -190,6 +188,9 @@
         lacked_room_below: run_result == RunResult::ChildLackedCapacity,
         ..into_answer(outcome)
     };
+    if is_valid_answer(&answer) {
+        node.record_run_profile(kind, &running.child_call_counts());
+    }
     (answer, running.child_wait())
 }
 
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -209,6 +209,9 @@
                     parent.work_spent_us(now).max(UNKNOWN_WORK_US)
                 }),
                 work_kind: kind,
+                has_siblings: parent
+                    .as_ref()
+                    .is_some_and(|parent| node.has_sibling_calls(parent)),
                 has_returned: self.has_returned,
                 ..call
             },
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -166,7 +166,8 @@
     }
     let answer = place(node, incoming, &classified, began).await;
     if let Some(parent) = &classified.parent {
-        parent.child_call_ended(classified.kind, started.elapsed(), &answer);
+        let service = &classified.call.service;
+        parent.child_call_ended(service, classified.kind, started.elapsed(), &answer);
     }
     let (outcome, reason) = (answer.outcome(), answer.reason());
     node.waits.entry.observe(span.elapsed());
--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod members;
 mod notices;
 mod policies;
+mod run_profiles;
 #[cfg(test)]
 mod tests;
 mod upstream;
@@ -20,7 +21,7 @@
 use std::time::{Instant, SystemTime};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use hemlocktack_decide::{ChainEdges, NoticeBook};
+use hemlocktack_decide::{ChainEdges, NoticeBook, RunProfiles};
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::drain::{NodeLifecycle, PublishedState};
 use hemlocktack_fleet::freshness::FreshnessProof;
@@ -82,6 +83,7 @@
     stop_began: OnceLock<Instant>,
     incoming_handovers: Mutex<IncomingHandovers>,
     chain_edges: Mutex<ChainEdges>,
+    run_profiles: Mutex<RunProfiles>,
     active_configuration: ArcSwapOption<ActiveConfiguration>,
     members: ArcSwap<Vec<Member>>,
     /// Gossip addresses to try while no other node is known.
@@ -177,6 +179,7 @@
             stop_began: OnceLock::new(),
             incoming_handovers: Mutex::new(IncomingHandovers::new(HandoverLimits::default())),
             chain_edges: Mutex::default(),
+            run_profiles: Mutex::default(),
             interface: interfaces::find(settings.interface),
             identity,
             settings,
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -113,6 +113,9 @@
 
     725 INFO CallCancelled: "the node that sent a call no longer waits for it; phase says where the call was", "nothing if callers give up; with was_started_late it reached the upstream after its caller had left: compare with 722 of its entry node, and look for 402, 406 and 410 between the two";
 
+    731 WARN RetriesScarce: "more calls to a service failed than its share of retries can repeat; only the requests nearest to completion of the more important classes still get retries", "compare failed_share with the upstreams named in 711: if all of them fail calls, mend the service; if one does, replace it";
+    732 INFO RetriesSuffice: "every call to a service that failed in the last seconds got the retries that it needed", "nothing";
+
     801 WARN CollectorLost: "spans cannot be exported; they are dropped and counted", "check the collector; calls are not affected";
     802 INFO CollectorBack: "spans are exported again", "nothing";
 }
