--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -28,6 +28,7 @@
 mod retry_after;
 mod retry_threshold;
 mod returned_callers;
+mod run_profiles;
 mod sends;
 mod shed;
 mod slowness;
@@ -39,7 +40,7 @@
 pub use admission::Admission;
 pub use answer_sizes::AnswerSizes;
 pub use caller_timeout::CallerTimeoutEstimator;
-pub use edge_budget::{EdgeRetryBudget, RetryPriority};
+pub use edge_budget::{EdgeRetryBudget, RetryPriority, ScarcityChange};
 pub use edge_budgets::{EdgeRetryBudgets, FleetRetryLimits, NodePosition};
 pub use limit::{ConcurrencyLimit, LimitPolicy};
 pub use link_monitor::{LinkAction, LinkMonitor, LinkMonitorPolicy};
@@ -58,6 +59,7 @@
 };
 pub use retry_after::{RetryAfterPolicy, cap_to_objective, retry_after};
 pub use returned_callers::{draw_root_request_id, has_returned_on_time};
+pub use run_profiles::{ChildCallCounts, RunProfiles};
 pub use sends::{CallSends, NextStep};
 pub use shed::{ChainEdges, EntryShedPolicy, EntryShedder, ShedController, ShedLevel, ShedPolicy};
 pub use upstream_notices::{
