The first retries of a fault are held back by no more than before

A lost link fails many calls at once. The measured threshold held retries back after 0.06 of the share; before, 0.18 of it were free.

--- a/crates/hemlocktack-decide/src/retry_threshold.rs
+++ b/crates/hemlocktack-decide/src/retry_threshold.rs
@@ -10,8 +10,8 @@
 /// retries of a fault that the share covers.
 const MIN_MEASURED_TICKS: u64 = 2;
 /// Part of the share that is given to all requests before any is held back, so that a fault of a
-/// moment gets all the retries it needs.
-const FREE_SHARE: f64 = 0.06;
+/// moment, such as a lost link with many calls on it, gets all the retries it needs.
+const FREE_SHARE: f64 = 0.18;
 /// Wishes stored per tick; further ones are only counted.
 const MAX_STORED_PER_TICK: usize = 128;
 
