Reports stay checked after months of uptime

The integral of the usual speed grows with uptime. After some months its rounding errors exceed a run of nanoseconds, whose share became 0; its inverse is infinite and made the regression of times on reports undefined for good, so that wrong reports were no longer ignored. The share is kept within the bounds of the factor. The new test fails without this and passes with it.

--- a/crates/hemlocktack-decide/src/slowness/history.rs
+++ b/crates/hemlocktack-decide/src/slowness/history.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use super::REPORT_LIFETIME;
+use super::{MAX_FACTOR, MIN_FACTOR, REPORT_LIFETIME};
 
 /// Reports closer together than this share a point.
 const POINT_SPACING: Duration = Duration::from_millis(5);
@@ -58,7 +58,9 @@
     }
 
     /// Returns the share of the time from `from` to `to` that the same work would have taken at the
-    /// usual speed.
+    /// usual speed. After months, rounding errors of the integral exceed a run of nanoseconds, so
+    /// the share is kept within the bounds of the factor: a zero has no inverse, and a negative
+    /// duration panics.
     pub(super) fn usual_share(&self, from: Instant, to: Instant) -> f64 {
         let Some(first) = self.points.front() else {
             return 1.0;
@@ -73,7 +75,10 @@
         let covered_secs = to.saturating_duration_since(covered_from).as_secs_f64();
         let usual_secs = self.usual_secs_at(to) - self.usual_secs_at(covered_from) + lead_secs;
         let secs = covered_secs + reach.as_secs_f64();
-        if secs > 0.0 { usual_secs / secs } else { 1.0 }
+        if secs <= 0.0 {
+            return 1.0;
+        }
+        (usual_secs / secs).clamp(1.0 / MAX_FACTOR, 1.0 / MIN_FACTOR)
     }
 
     fn usual_secs_at(&self, at: Instant) -> f64 {
--- a/crates/hemlocktack-decide/tests/slowness.rs
+++ b/crates/hemlocktack-decide/tests/slowness.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    Admission, AdmissionDecision, AdmissionPolicy, PeerLoad, PlacementPolicy, RunResult, ShedLevel,
-    UpstreamStart, place,
+    Admission, AdmissionDecision, AdmissionPolicy, OfferedCall, PeerLoad, PlacementPolicy,
+    RunResult, ShedLevel, UpstreamStart, place,
 };
 use hemlocktack_protocol::{LoadHint, LoadReport, UpstreamState};
 use rand::SeedableRng;
@@ -239,6 +239,34 @@
     assert_eq!(hint(&admission, at(40_400)).slowness_percent, 250);
 }
 
+/// A node runs for a year, and calls end within nanoseconds of their start. Rounding errors of the
+/// sums kept since the start make the share of such a run zero; taken as it is, its inverse would end
+/// the comparison of reports with times for good.
+#[test]
+fn reports_are_checked_after_short_calls_and_a_long_time() {
+    let mut now = Instant::now();
+    let mut admission = admission(now);
+    for call_id in 0..4_000 {
+        let percent = [50, 400, 130, 77][call_id as usize % 4];
+        admission.hear_load(&report(percent), START, now);
+        let offer = OfferedCall {
+            kind: 2,
+            ..first_attempt(call_id, 0, now + Duration::from_secs(5))
+        };
+        assert_eq!(admission.offer(&offer, now), AdmissionDecision::Run);
+        now += Duration::from_nanos(call_id % 5);
+        admission.hear_load(&report(percent), START, now);
+        admission.finish(call_id, RunResult::Answered, Duration::ZERO, now);
+        let pause = [8_000_000_000, 1, 6_000_000, 300_000_000][call_id as usize % 4];
+        now += Duration::from_millis(8_000 * (call_id % 3)) + Duration::from_micros(pause / 1_000);
+        now += Duration::from_secs(u64::from(call_id % 1_000 == 7) * 8_000_000);
+    }
+    let reported = |now_ms: u64| Some(if now_ms % 2_000 < 600 { 250 } else { 100 });
+    run(&mut admission, now, 10_000, 30_000, |_| 1.0, reported);
+    let end = now + Duration::from_secs(30);
+    assert_eq!(admission.present_slowness(end), None);
+}
+
 /// Answers are read out of order: one with an earlier report does not replace a later one.
 #[test]
 fn an_earlier_report_does_not_replace_a_later_one() {
