--- a/crates/hemlocktack-fleet/tests/quotas/main.rs
+++ b/crates/hemlocktack-fleet/tests/quotas/main.rs
@@ -6,6 +6,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod reports;
+mod small_accounts;
 mod steps;
 #[path = "../support/mod.rs"]
 mod support;
