Quotas: requests that wait for a token are counted, and never reported in a loop

A request whose token comes within an eighth of its objective, at most 400 ms, waits for it. Without a grantor, due requests no longer cause reports in a loop. Two metrics count the waits and those that ended with a token.

--- a/crates/hemlocktack-node/src/counters.rs
+++ b/crates/hemlocktack-node/src/counters.rs
@@ -18,6 +18,8 @@
     late_starts: AtomicU64,
     early_starts: AtomicU64,
     early_discards: AtomicU64,
+    quota_waits: AtomicU64,
+    quota_waits_served: AtomicU64,
     returned_requests: AtomicU64,
     returned_requests_refused: AtomicU64,
     ended_sends: [AtomicU64; NextStep::COUNT],
@@ -38,6 +40,8 @@
             late_starts: AtomicU64::new(0),
             early_starts: AtomicU64::new(0),
             early_discards: AtomicU64::new(0),
+            quota_waits: AtomicU64::new(0),
+            quota_waits_served: AtomicU64::new(0),
             returned_requests: AtomicU64::new(0),
             returned_requests_refused: AtomicU64::new(0),
             ended_sends: std::array::from_fn(|_| AtomicU64::new(0)),
@@ -105,6 +109,24 @@
         self.early_discards.load(Ordering::Relaxed)
     }
 
+    /// Counts a request that waits for a token of its quota because there was none.
+    pub(crate) fn record_quota_wait(&self) {
+        self.quota_waits.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn quota_waits_count(&self) -> u64 {
+        self.quota_waits.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request that got a token after such a wait.
+    pub(crate) fn record_quota_wait_served(&self) {
+        self.quota_waits_served.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn quota_waits_served_count(&self) -> u64 {
+        self.quota_waits_served.load(Ordering::Relaxed)
+    }
+
     /// Counts a request of a caller that returned on time after a refusal.
     pub(crate) fn record_returned_request(&self, outcome: Outcome) {
         self.returned_requests.fetch_add(1, Ordering::Relaxed);
--- a/crates/hemlocktack-node/src/quotas/acquire.rs
+++ b/crates/hemlocktack-node/src/quotas/acquire.rs
@@ -18,6 +18,9 @@
 const WAIT_LIMIT: Duration = Duration::from_millis(600);
 /// Part of its latency objective for which a request waits for a token.
 const WAIT_SHARE: f64 = 0.125;
+/// Longest time that a request waits for a token; the rest of [`WAIT_LIMIT`] is for the answer of
+/// the grantor.
+const MAX_TOKEN_WAIT: Duration = Duration::from_millis(400);
 /// Wait after which a request that no grantor answered may come back.
 const UNANSWERED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -59,9 +62,11 @@
             return Err(exceeded(retry_after));
         }
         TokenRequest::Refused { retry_after } => {
+            node.counters.record_quota_wait();
             let wait = TokenWait {
                 due: now.plus(retry_after),
                 waits_until,
+                has_waited: true,
             };
             wait_for_grant(node, &quota, class_rank, wait, deadline).await?
         }
@@ -69,6 +74,7 @@
             let wait = TokenWait {
                 due: now,
                 waits_until,
+                has_waited: false,
             };
             wait_for_grant(node, &quota, class_rank, wait, deadline).await?
         }
@@ -80,15 +86,20 @@
 }
 
 /// Returns how long a request waits for a token after the grantor had none.
+///
+/// The tokens of a small account come hundreds of milliseconds apart. A caller that is told to
+/// return in such a time loses more of its objective than by waiting here.
 fn longest_wait(objective: Option<Instant>) -> Duration {
     let left = objective.map(|objective| objective.saturating_duration_since(Instant::now()));
-    left.unwrap_or_default().mul_f64(WAIT_SHARE)
+    let share = left.unwrap_or_default().mul_f64(WAIT_SHARE);
+    share.min(MAX_TOKEN_WAIT)
 }
 
 /// When a request without a token asks for one, and until when it waits.
 struct TokenWait {
     due: BootTime,
     waits_until: BootTime,
+    has_waited: bool,
 }
 
 async fn wait_for_grant(
@@ -106,6 +117,7 @@
         class_rank,
         due: wait.due,
         waits_until: wait.waits_until,
+        has_waited: wait.has_waited,
         grant,
     });
     queue.has_waiting.notify_one();
--- a/crates/hemlocktack-node/src/quotas/exchange.rs
+++ b/crates/hemlocktack-node/src/quotas/exchange.rs
@@ -35,10 +35,10 @@
 
 async fn run(node: Arc<Node>, group: AccountGroup) {
     let queue = &node.quotas.groups[group as usize];
-    let mut reported_at = boot_time();
+    let mut next = NextReport::default();
     loop {
         let pause = match node.has_quotas() {
-            true => pause(&node, group, reported_at),
+            true => next.pause(&node, group),
             false => IDLE_PERIOD,
         };
         tokio::select! {
@@ -46,25 +46,42 @@
             () = tokio::time::sleep(pause) => {}
             () = node.signals.stopped.cancelled() => return,
         }
-        if node.has_quotas() && self::pause(&node, group, reported_at).is_zero() {
-            reported_at = boot_time();
-            exchange(&node, group).await;
+        if node.has_quotas() && next.pause(&node, group).is_zero() {
+            let interval_ends = boot_time().plus(node.quotas.settings.report_interval);
+            let has_grantor = exchange(&node, group).await;
+            next = NextReport {
+                interval_ends,
+                // Without a grantor, requests that are due must not cause reports in a loop.
+                not_before: match has_grantor {
+                    true => BootTime::default(),
+                    false => interval_ends,
+                },
+            };
         }
     }
 }
 
-/// Returns the time until the next report: until the interval is over, or a request is due.
-fn pause(node: &Node, group: AccountGroup, reported_at: BootTime) -> Duration {
-    let interval_ends = reported_at.plus(node.quotas.settings.report_interval);
-    let next_due = node.quotas.groups[group as usize].waiters().next_due();
-    let next_report = next_due.map_or(interval_ends, |due| due.min(interval_ends));
-    next_report.saturating_since(boot_time())
+/// When a node reports next.
+#[derive(Clone, Copy, Default)]
+struct NextReport {
+    interval_ends: BootTime,
+    not_before: BootTime,
 }
 
-/// Reports to the group's grantor, and hands out what it grants.
-async fn exchange(node: &Arc<Node>, group: AccountGroup) {
+impl NextReport {
+    /// Returns the time until the interval is over or a waiting request is due.
+    fn pause(&self, node: &Node, group: AccountGroup) -> Duration {
+        let next_due = node.quotas.groups[group as usize].waiters().next_due();
+        let next = next_due.map_or(self.interval_ends, |due| due.min(self.interval_ends));
+        next.max(self.not_before).saturating_since(boot_time())
+    }
+}
+
+/// Reports to the group's grantor, and hands out what it grants. Returns whether there is a
+/// grantor.
+async fn exchange(node: &Arc<Node>, group: AccountGroup) -> bool {
     let Some(grantor) = grantor_of(node, group) else {
-        return;
+        return false;
     };
     let queue = &node.quotas.groups[group as usize];
     let now = boot_time();
@@ -84,7 +101,7 @@
         if !queue.waiters().is_empty() {
             queue.has_waiting.notify_one();
         }
-        return;
+        return true;
     };
     let granted_at = boot_time();
     node.quotas
@@ -93,6 +110,7 @@
     let later = waiting.into_iter().filter_map(|waiter| serve(node, waiter));
     let later = later.collect();
     queue.waiters().put_back(later);
+    true
 }
 
 fn waiting_request(waiter: &Waiter) -> WaitingRequest {
@@ -115,8 +133,17 @@
     if let Err(retry_after) = grant
         && now.plus(retry_after) <= waiter.waits_until
     {
-        let due = now.plus(retry_after.max(MIN_ASK_INTERVAL));
-        return Some(Waiter { due, ..waiter });
+        if !waiter.has_waited {
+            node.counters.record_quota_wait();
+        }
+        return Some(Waiter {
+            due: now.plus(retry_after.max(MIN_ASK_INTERVAL)),
+            has_waited: true,
+            ..waiter
+        });
+    }
+    if waiter.has_waited && grant.is_ok() {
+        node.counters.record_quota_wait_served();
     }
     if let Err(Ok(token)) = waiter.grant.send(grant) {
         // The request was given up while it waited.
--- a/crates/hemlocktack-node/src/quotas/waiters.rs
+++ b/crates/hemlocktack-node/src/quotas/waiters.rs
@@ -17,6 +17,8 @@
     pub(super) due: BootTime,
     /// How long the request waits for a token.
     pub(super) waits_until: BootTime,
+    /// The grantor has had no token for it.
+    pub(super) has_waited: bool,
     pub(super) grant: oneshot::Sender<Grant>,
 }
 
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -114,6 +114,12 @@
         help,
         node.counters.early_discards_count(),
     );
+    let help = "Requests that waited because there was no token of their account's quota";
+    let waits = node.counters.quota_waits_count();
+    counter(registry, "quota_waits", help, waits);
+    let help = "Requests that got a token of their account's quota after such a wait";
+    let served = node.counters.quota_waits_served_count();
+    counter(registry, "quota_waits_served", help, served);
     let help = "Requests of callers that returned after a refusal when they were told to, or later";
     let returned = node.counters.returned_requests_count();
     counter(registry, "returned_requests", help, returned);
