--- a/crates/hemlocktack-fleet/tests/quotas/small_accounts.rs
+++ b/crates/hemlocktack-fleet/tests/quotas/small_accounts.rs
@@ -81,7 +81,7 @@
     /// Reports of all nodes whose interval ends at this step.
     fn report_due(&mut self, step: usize) {
         let interval = self.settings.report_interval.as_millis() as usize;
-        let due = (0..NODES).filter(|node| (step + node) % interval == 0);
+        let due = (0..NODES).filter(|node| (step + node).is_multiple_of(interval));
         due.collect::<Vec<_>>()
             .into_iter()
             .for_each(|node| self.report(node, &[]));
