--- a/crates/hemlocktack-decide/src/admission/learn.rs
+++ b/crates/hemlocktack-decide/src/admission/learn.rs
@@ -44,7 +44,8 @@
     }
 
     /// Reports to the objective limit the shares of its objective that a root request spent on
-    /// its own work at the upstream's usual speed and, computed from both by `counted_child_share`, waiting for child calls.
+    /// its own work at the upstream's usual speed and, computed from both by
+    /// `counted_child_share`, waiting for child calls.
     /// Requests that were retried have only part of their objective left and are ignored.
     fn observe_root_run(
         &mut self,
