--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod accounts;
 mod admission;
+mod answer_sizes;
 mod caller_timeout;
 mod edge_budget;
 mod edge_budgets;
@@ -25,16 +26,21 @@
 mod rate_limiter;
 mod retry;
 mod retry_after;
+mod retry_threshold;
+mod returned_callers;
+mod run_profiles;
 mod sends;
 mod shed;
+mod slowness;
 mod suspects;
 mod upstream_notices;
 mod upstream_state;
 mod work;
 
 pub use admission::Admission;
+pub use answer_sizes::AnswerSizes;
 pub use caller_timeout::CallerTimeoutEstimator;
-pub use edge_budget::{EdgeRetryBudget, RetryPriority};
+pub use edge_budget::{EdgeRetryBudget, RetryPriority, ScarcityChange};
 pub use edge_budgets::{EdgeRetryBudgets, FleetRetryLimits, NodePosition};
 pub use limit::{ConcurrencyLimit, LimitPolicy};
 pub use link_monitor::{LinkAction, LinkMonitor, LinkMonitorPolicy};
@@ -52,6 +58,8 @@
     share_for_child,
 };
 pub use retry_after::{RetryAfterPolicy, cap_to_objective, retry_after};
+pub use returned_callers::{draw_root_request_id, has_returned_on_time};
+pub use run_profiles::{ChildCallCounts, RunProfiles};
 pub use sends::{CallSends, NextStep};
 pub use shed::{ChainEdges, EntryShedPolicy, EntryShedder, ShedController, ShedLevel, ShedPolicy};
 pub use upstream_notices::{
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -4,34 +4,54 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_decide::{
-    CallSends, NextStep, PeerLoad, PlacementPolicy, QuarantineStatus, RetryBudget, RetryDecision,
-    RetryPriority, cap_to_objective, decide_retry, place,
+    CallSends, NextStep, PeerLoad, QuarantineStatus, RetryBudget, RetryDecision, RetryPriority,
+    ScarcityChange, WorkKind, cap_to_objective, decide_retry, place,
 };
-use hemlocktack_protocol::{Answer, Call, CallFailure, CallPurpose, Reason, Refusal};
+use hemlocktack_protocol::{Answer, Call, CallFailure, CallPurpose, Outcome, Reason, Refusal};
 use hemlocktack_telemetry::{Event, log_event};
 
-use super::ClassifiedCall;
 use super::attempts::CallAttempts;
-use super::deliver::{micros_left, send_with_allowance};
+use super::deliver::{ANSWER_RETURN_MARGIN, SendWatch, micros_left, send_with_allowance};
 use super::in_flight_send::InFlightSend;
 use super::outcomes::{NO_CLASSES_SHED, call_failure, not_run_answer, retry_delay, unknown_answer};
 use super::service_directory::{PeerEntry, ServiceView};
+use super::{ClassifiedCall, SendRecord};
 use crate::node::Node;
 
+/// Time after its deadline at which a call is answered without the outcome of its sends. These end
+/// at the deadline; what happens around them, such as a check whether the upstream still lives,
+/// may take longer, and the caller waits for it in vain.
+const ANSWER_GRACE: Duration = Duration::from_millis(20);
+
 /// Sends a call without a ticket to a node of its service, retries it where allowed, and returns
-/// its answer. A child call ends with its parent's run if that is stopped.
+/// its answer, at the latest shortly after its deadline. A child call ends with its parent's run
+/// if that is stopped.
 pub(crate) async fn run_with_retries(node: &Arc<Node>, classified: &ClassifiedCall) -> Answer {
     let running = send_with_retries(node, classified);
+    let sends = &classified.sends;
+    let answer = answer_by_deadline(running, sends, classified.deadline);
     let Some(parent) = &classified.parent else {
-        return running.await;
+        return answer.await;
     };
     tokio::select! {
         biased;
-        answer = running => answer,
-        () = parent.cancelled() => classified.sends.early_answer(Reason::Cancelled),
+        answer = answer => answer,
+        () = parent.cancelled() => sends.early_answer(Reason::Cancelled),
     }
 }
 
+/// Returns the answer of a call, or shortly after its deadline what is known of its sends.
+pub(super) async fn answer_by_deadline(
+    running: impl Future<Output = Answer>,
+    sends: &SendRecord,
+    deadline: Instant,
+) -> Answer {
+    let limit = deadline + ANSWER_GRACE;
+    let answered = tokio::time::timeout_at(limit.into(), running).await;
+    // The send has been dropped here, so that it can be given up.
+    answered.unwrap_or_else(|_| sends.early_answer(Reason::Timeout))
+}
+
 /// A call that is not idempotent goes to another node only after the previous one has confirmed
 /// that the call did not run there.
 async fn send_with_retries(node: &Arc<Node>, classified: &ClassifiedCall) -> Answer {
@@ -55,6 +75,10 @@
         if classified.has_caller_left() {
             return attempts.into_answer_or(not_run_answer(Reason::Cancelled, None));
         }
+        // A send without time left would be given up at once, and its end would be unknown.
+        if Instant::now() + ANSWER_RETURN_MARGIN >= classified.deadline {
+            return attempts.into_answer_or(not_run_answer(Reason::DeadlineTooShort, None));
+        }
         let is_repeat = attempts.sends.is_repeat();
         let answer = attempt(node, &view, index, classified, purpose, is_repeat).await;
         let Some(failure) = call_failure(&answer) else {
@@ -83,6 +107,27 @@
         true => view.edge.record_repeated_call(now),
         false => view.edge.record_first_attempt(now),
     }
+    log_scarcity_change(view, &call.service, now);
+}
+
+fn log_scarcity_change(view: &ServiceView, service: &str, now: Instant) {
+    let failed_share = || view.edge.rejected_share(now);
+    match view.edge.take_scarcity_change(now) {
+        None => {}
+        Some(ScarcityChange::Began) => log_event!(
+            Event::RetriesScarce,
+            service,
+            failed_share = failed_share(),
+            eligible_share = view.edge.eligible_share(now)
+        ),
+        Some(ScarcityChange::Ended) => {
+            log_event!(
+                Event::RetriesSuffice,
+                service,
+                failed_share = failed_share()
+            );
+        }
+    }
 }
 
 fn log_failed_send(
@@ -171,13 +216,14 @@
 
 /// Chooses the peer that a call is sent to.
 pub(crate) fn choose_peer(view: &ServiceView, excluded: Option<usize>) -> Option<usize> {
-    choose_peer_among(view, |index| Some(index) != excluded, None)
+    choose_peer_among(view, |index| Some(index) != excluded, None, None)
 }
 
 pub(super) fn choose_peer_among(
     view: &ServiceView,
     may_send_to: impl Fn(usize) -> bool,
     objective: Option<Instant>,
+    kind: Option<WorkKind>,
 ) -> Option<usize> {
     let now = Instant::now();
     place(
@@ -185,7 +231,7 @@
         may_send_to,
         objective.map(|objective| objective.saturating_duration_since(now)),
         now,
-        &PlacementPolicy::default(),
+        &view.placement_policy(kind),
         &mut rand::rng(),
     )
 }
@@ -205,23 +251,32 @@
     call.is_repeat |= is_repeat;
     call.objective_left_us = classified.objective.map_or(0, micros_left);
     let in_flight_send = InFlightSend::begin(peer);
-    classified.sends.begin(peer);
+    let watch = SendWatch {
+        caller: classified.caller.clone(),
+        progress: classified.sends.begin(peer),
+    };
     let ClassifiedCall {
         deadline,
         allowance,
-        caller,
         ..
     } = classified;
-    let sending = send_with_allowance(node, peer, call, *deadline, allowance, caller.as_ref());
+    let sending = send_with_allowance(node, peer, call, *deadline, allowance, &watch);
     let answer = tokio::select! {
         result = sending => result.answer,
         () = until_peer_lost(peer.as_ref()), if purpose == CallPurpose::Placed => {
-            unknown_answer(Reason::LinkLost)
+            // The send has been dropped; one that had not left this node never will.
+            match watch.progress.give_up() {
+                true => not_run_answer(Reason::LinkLost, None),
+                false => unknown_answer(Reason::LinkLost),
+            }
         }
     };
     if let Some(hint) = &answer.hint {
         view.record_hint(index, classified.kind, hint);
     }
+    if answer.outcome() == Outcome::Answered {
+        view.record_answer_size(classified.kind, answer.body.len());
+    }
     in_flight_send.finish(&answer);
     classified.sends.end(&answer);
     answer
@@ -247,6 +302,25 @@
     Duration::from_micros(service_time_us)
 }
 
+/// Returns the priority of a call for retries.
+///
+/// The calls that a request still needs are known only where all of them are made by one run. A
+/// run with siblings may be nearly done while one of them has just begun, or has failed; its calls
+/// are ordered by the hash of the root request alone, which decides alike for all of them.
+fn retry_priority(node: &Node, classified: &ClassifiedCall) -> RetryPriority {
+    let rank = classified.class_rank;
+    let classes = node.class_count();
+    let root = classified.call.root_request_id;
+    let is_root = classified.parent.is_none();
+    let only_run = classified.parent.as_ref().filter(|run| !run.has_siblings);
+    let calls_left = only_run.and_then(|run| node.calls_left(run, &classified.call.service));
+    match calls_left {
+        None => RetryPriority::new(rank, classes, root, is_root),
+        Some(0) => RetryPriority::LOWEST,
+        Some(calls_left) => RetryPriority::by_calls_left(rank, classes, root, calls_left),
+    }
+}
+
 /// Decides on a retry; if allowed, takes it from the allowance and from the edge's budget.
 fn take_retry(
     node: &Node,
@@ -260,12 +334,7 @@
     let budget = RetryBudget {
         allowance: &classified.allowance,
         edge: &view.edge,
-        priority: RetryPriority::new(
-            classified.class_rank,
-            node.class_count(),
-            classified.call.root_request_id,
-            classified.parent.is_none(),
-        ),
+        priority: retry_priority(node, classified),
     };
     decide_retry(
         failure,
--- a/crates/hemlocktack-node/src/gateway/announcements.rs
+++ b/crates/hemlocktack-node/src/gateway/announcements.rs
@@ -5,12 +5,12 @@
 
 use bytes::Bytes;
 use hemlocktack_interface::{AnnouncedState, Health, Interface, UpstreamMessage, UpstreamReport};
-use hemlocktack_protocol::{NodeState, UpstreamState};
+use hemlocktack_protocol::{NodeState, Statement, UpstreamState};
 use hemlocktack_telemetry::{Event, log_event};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 
+use super::connection::RequestBody;
 use super::server::untracked;
 use super::tracked_body::TrackedBody;
 use crate::freshness::boot_time;
@@ -32,7 +32,7 @@
 pub(super) async fn answer(
     node: Arc<Node>,
     interface: Interface,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<TrackedBody> {
     let (head, body) = request.into_parts();
     if (interface.announcements.asks_readiness)(&head) {
@@ -122,6 +122,7 @@
     let heard = HeardAnswer {
         notice: health.notice,
         request_sent_at: Instant::now(),
+        read_at: Instant::now(),
         is_complete: false,
     };
     heed_answer(node, start_number, "", &heard);
@@ -215,7 +216,11 @@
     let Some(address) = node.settings.upstream_address else {
         return;
     };
-    let slots = health.slots.unwrap_or(DEFAULT_SLOTS);
+    let reported_slots = match health.notice.load {
+        Statement::Said(load) => load.slots,
+        Statement::Absent | Statement::Malformed(_) => None,
+    };
+    let slots = reported_slots.unwrap_or(DEFAULT_SLOTS);
     announce(node, &health.upstream_start, address, slots, false);
     heed_health(node, health);
 }
--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod members;
 mod notices;
 mod policies;
+mod run_profiles;
 #[cfg(test)]
 mod tests;
 mod upstream;
@@ -20,7 +21,7 @@
 use std::time::{Instant, SystemTime};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use hemlocktack_decide::{ChainEdges, NoticeBook};
+use hemlocktack_decide::{ChainEdges, NoticeBook, RunProfiles};
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::drain::{NodeLifecycle, PublishedState};
 use hemlocktack_fleet::freshness::FreshnessProof;
@@ -67,6 +68,7 @@
     pub(crate) counters: Counters,
     pub(crate) operator_refusals: LogThrottle,
     pub(crate) unreadable_answers: LogThrottle,
+    pub(crate) malformed_load_reports: LogThrottle,
     pub(crate) link_refusals: LogThrottle,
     pub(crate) datagram_refusals: LogThrottle,
     /// Limits log lines about single calls.
@@ -82,6 +84,7 @@
     stop_began: OnceLock<Instant>,
     incoming_handovers: Mutex<IncomingHandovers>,
     chain_edges: Mutex<ChainEdges>,
+    run_profiles: Mutex<RunProfiles>,
     active_configuration: ArcSwapOption<ActiveConfiguration>,
     members: ArcSwap<Vec<Member>>,
     /// Gossip addresses to try while no other node is known.
@@ -165,6 +168,7 @@
             counters: Counters::default(),
             operator_refusals: LogThrottle::default(),
             unreadable_answers: LogThrottle::default(),
+            malformed_load_reports: LogThrottle::default(),
             link_refusals: LogThrottle::default(),
             datagram_refusals: LogThrottle::default(),
             call_log_limiter: LogRateLimiter::default(),
@@ -177,6 +181,7 @@
             stop_began: OnceLock::new(),
             incoming_handovers: Mutex::new(IncomingHandovers::new(HandoverLimits::default())),
             chain_edges: Mutex::default(),
+            run_profiles: Mutex::default(),
             interface: interfaces::find(settings.interface),
             identity,
             settings,
--- a/crates/hemlocktack-node/src/quotas/exchange.rs
+++ b/crates/hemlocktack-node/src/quotas/exchange.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_fleet::quotas::{AccountGroup, WaitingRequest};
-use hemlocktack_protocol::{Incarnation, Member, NodeState, QuotaGrant, QuotaReport, frame};
+use hemlocktack_protocol::{
+    BootTime, Incarnation, Member, NodeState, QuotaGrant, QuotaReport, frame,
+};
 
 use super::answer::answer_report;
 use super::waiters::Waiter;
@@ -14,6 +16,9 @@
 /// How often a node without quotas looks whether there are any.
 const IDLE_PERIOD: Duration = Duration::from_millis(500);
 
+/// Shortest time after which the grantor is asked again for a waiting request.
+const MIN_ASK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// The grantor of a group, as this node sees it.
 struct Grantor {
     location: NodeLocation,
@@ -30,9 +35,10 @@
 
 async fn run(node: Arc<Node>, group: AccountGroup) {
     let queue = &node.quotas.groups[group as usize];
+    let mut next = NextReport::default();
     loop {
         let pause = match node.has_quotas() {
-            true => node.quotas.settings.report_interval,
+            true => next.pause(&node, group),
             false => IDLE_PERIOD,
         };
         tokio::select! {
@@ -40,20 +46,46 @@
             () = tokio::time::sleep(pause) => {}
             () = node.signals.stopped.cancelled() => return,
         }
-        if node.has_quotas() {
-            exchange(&node, group).await;
+        if node.has_quotas() && next.pause(&node, group).is_zero() {
+            let interval_ends = boot_time().plus(node.quotas.settings.report_interval);
+            let has_grantor = exchange(&node, group).await;
+            next = NextReport {
+                interval_ends,
+                // Without a grantor, requests that are due must not cause reports in a loop.
+                not_before: match has_grantor {
+                    true => BootTime::default(),
+                    false => interval_ends,
+                },
+            };
         }
     }
 }
 
-/// Reports to the group's grantor, and hands out what it grants.
-async fn exchange(node: &Arc<Node>, group: AccountGroup) {
+/// When a node reports next.
+#[derive(Clone, Copy, Default)]
+struct NextReport {
+    interval_ends: BootTime,
+    not_before: BootTime,
+}
+
+impl NextReport {
+    /// Returns the time until the interval is over or a waiting request is due.
+    fn pause(&self, node: &Node, group: AccountGroup) -> Duration {
+        let next_due = node.quotas.groups[group as usize].waiters().next_due();
+        let next = next_due.map_or(self.interval_ends, |due| due.min(self.interval_ends));
+        next.max(self.not_before).saturating_since(boot_time())
+    }
+}
+
+/// Reports to the group's grantor, and hands out what it grants. Returns whether there is a
+/// grantor.
+async fn exchange(node: &Arc<Node>, group: AccountGroup) -> bool {
     let Some(grantor) = grantor_of(node, group) else {
-        return;
+        return false;
     };
     let queue = &node.quotas.groups[group as usize];
-    let waiting = queue.waiters().take_all();
     let now = boot_time();
+    let waiting = queue.waiters().take_due(now);
     let share = node.quotas.owned_share(node, now);
     let requests: Vec<WaitingRequest> = waiting.iter().map(waiting_request).collect();
     let report = node
@@ -69,13 +101,16 @@
         if !queue.waiters().is_empty() {
             queue.has_waiting.notify_one();
         }
-        return;
+        return true;
     };
     let granted_at = boot_time();
     node.quotas
         .ledger()
         .granted(group, grantor.incarnation, &grant, now, granted_at);
-    waiting.into_iter().for_each(|waiter| serve(node, waiter));
+    let later = waiting.into_iter().filter_map(|waiter| serve(node, waiter));
+    let later = later.collect();
+    queue.waiters().put_back(later);
+    true
 }
 
 fn waiting_request(waiter: &Waiter) -> WaitingRequest {
@@ -85,8 +120,9 @@
     }
 }
 
-/// Gives a waiting request a token, or tells it when to come back.
-fn serve(node: &Node, waiter: Waiter) {
+/// Gives a waiting request a token, or tells it when to come back. Returns the request if there
+/// will probably be a token while it still waits.
+fn serve(node: &Node, waiter: Waiter) -> Option<Waiter> {
     let now = boot_time();
     let mut ledger = node.quotas.ledger();
     let account = waiter.quota.account;
@@ -94,10 +130,26 @@
         Some(token) => Ok(token),
         None => Err(ledger.refused(&waiter.quota, waiter.class_rank, now)),
     };
+    if let Err(retry_after) = grant
+        && now.plus(retry_after) <= waiter.waits_until
+    {
+        if !waiter.has_waited {
+            node.counters.record_quota_wait();
+        }
+        return Some(Waiter {
+            due: now.plus(retry_after.max(MIN_ASK_INTERVAL)),
+            has_waited: true,
+            ..waiter
+        });
+    }
+    if waiter.has_waited && grant.is_ok() {
+        node.counters.record_quota_wait_served();
+    }
     if let Err(Ok(token)) = waiter.grant.send(grant) {
         // The request was given up while it waited.
         ledger.give_back(account, token, now);
     }
+    None
 }
 
 async fn send(node: &Node, grantor: &Grantor, report: QuotaReport) -> Option<QuotaGrant> {
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -100,6 +100,32 @@
         help,
         node.counters.late_starts_count(),
     );
+    let help = "Pipelined requests that were started before the response to an earlier one";
+    counter(
+        registry,
+        "early_starts",
+        help,
+        node.counters.early_starts_count(),
+    );
+    let help = "Requests that were started early and whose responses were not used";
+    counter(
+        registry,
+        "early_discards",
+        help,
+        node.counters.early_discards_count(),
+    );
+    let help = "Requests that waited because there was no token of their account's quota";
+    let waits = node.counters.quota_waits_count();
+    counter(registry, "quota_waits", help, waits);
+    let help = "Requests that got a token of their account's quota after such a wait";
+    let served = node.counters.quota_waits_served_count();
+    counter(registry, "quota_waits_served", help, served);
+    let help = "Requests of callers that returned after a refusal when they were told to, or later";
+    let returned = node.counters.returned_requests_count();
+    counter(registry, "returned_requests", help, returned);
+    let help = "Requests of callers that returned when they were told to and were refused again";
+    let refused = node.counters.returned_requests_refused_count();
+    counter(registry, "returned_requests_refused", help, refused);
     let help = "Retries of calls that entered at this node";
     counter(registry, "retries", help, status.retried_count);
     let help = "Sends that ended without an answer, by the step that followed";
@@ -133,6 +159,11 @@
     gauge(registry, "upstream_in_flight_calls", help, load.in_flight);
     let help = "Measured limit of calls that the upstream runs concurrently";
     gauge(registry, "upstream_limit_calls", help, load.limit);
+    let help = "Slots of the upstream, by its last load report or else its announcement";
+    gauge(registry, "upstream_slots", help, status.upstream_slots);
+    let help = "Time that work currently takes on the upstream's machine, as a multiple of the usual time; 0 without a recent report that measured times follow";
+    let slowness = f64::from(status.upstream_slowness_percent) / 100.0;
+    float(registry, "upstream_slowness_ratio", help, slowness);
     let help = "Calls waiting for a slot of the upstream";
     gauge(registry, "queued_calls", help, load.queued);
     let delay = load.queue_delay_us as f64 / MICROS_PER_SECOND;
