Names and comments: retry demand, send progress, placement limits

Read through as a newcomer: figurative names replaced by the usual terms, comments that leaned on each other made to stand alone, pages brought in line with the code. No behaviour changes.

--- a/crates/hemlocktack-decide/src/edge_budget.rs
+++ b/crates/hemlocktack-decide/src/edge_budget.rs
@@ -8,7 +8,7 @@
 
 use crate::mix::mix;
 use crate::retry::RetryPolicy;
-use crate::retry_threshold::{RetryThreshold, Spendable, Wish};
+use crate::retry_threshold::{RetryDemand, RetryThreshold, Spendable};
 
 /// Resolution at which calls are counted.
 const TICK: Duration = Duration::from_millis(250);
@@ -37,7 +37,8 @@
 /// Ticks after the last refused retry in which retries count as scarce: three seconds, longer than
 /// the pauses between refusals of a node with few calls.
 const SCARCE_TICKS: u64 = 12;
-/// Largest share of failed sends that the retries of a request are predicted from.
+/// Largest share of failed sends that the retries of a request are predicted from, which keeps
+/// the predicted retries per answer below ten.
 const MAX_FAILED_SHARE: f64 = 0.9;
 /// Calls left at which a request stands in the middle of its class's priority range.
 const HALF_SPAN_CALLS: f64 = 4.0;
@@ -114,7 +115,7 @@
     (mix(root_request_id) >> 11) as f64 / (1_u64 << 53) as f64
 }
 
-/// Change of whether an edge can give all the retries that are wished for.
+/// Change of whether an edge can give all the retries that are needed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ScarcityChange {
     /// A retry has been refused.
@@ -194,17 +195,18 @@
         let spendable = self.spendable(max_retries, made);
         let mut threshold = self.threshold();
         // An edge with few calls may make its few retries all at once.
-        let is_eligible = made < min_retries || priority.position <= threshold.at(tick, spendable);
+        let is_eligible =
+            made < min_retries || priority.position <= threshold.update(tick, spendable);
         let may_retry = is_eligible && made < max_retries;
         let retries = match may_retry {
             true => 1.0,
             false => 1.0 + priority.calls_left * self.retries_per_answer(tick),
         };
-        let wish = Wish {
+        let demand = RetryDemand {
             priority: priority.position,
             retries,
         };
-        threshold.record(wish, tick);
+        threshold.record(demand, tick);
         drop(threshold);
         self.failures.add(tick);
         match may_retry {
@@ -216,8 +218,8 @@
 
     /// Returns the share of sends in the last two seconds that ended without an answer and could
     /// be repeated.
-    pub fn rejected_share(&self, now: Instant) -> f64 {
-        self.failed_share(self.tick(now))
+    pub fn failed_share(&self, now: Instant) -> f64 {
+        self.failed_share_at(self.tick(now))
     }
 
     /// Returns the share of the priority range that currently gets retries; 1 while all requests
@@ -226,7 +228,7 @@
         let tick = self.tick(now);
         let made = self.retries.count_in_window(tick, WINDOW_TICKS) as f64;
         let spendable = self.spendable(self.max_retries(tick), made);
-        self.threshold().at(tick, spendable)
+        self.threshold().update(tick, spendable)
     }
 
     /// Returns whether retries have become scarce or are no longer, once for each change.
@@ -246,11 +248,11 @@
 
     /// Returns how many retries one answer takes at the share of sends that failed lately.
     fn retries_per_answer(&self, tick: u64) -> f64 {
-        let failed = self.failed_share(tick).min(MAX_FAILED_SHARE);
+        let failed = self.failed_share_at(tick).min(MAX_FAILED_SHARE);
         failed / (1.0 - failed)
     }
 
-    fn failed_share(&self, tick: u64) -> f64 {
+    fn failed_share_at(&self, tick: u64) -> f64 {
         let lately = |counter: &TickCounter| counter.count_in_window(tick, FAILURE_TICKS) as f64;
         let sends = lately(&self.first_attempts) + lately(&self.retries);
         (lately(&self.failures) / sends.max(1.0)).min(1.0)
--- a/crates/hemlocktack-decide/src/placement.rs
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -13,13 +13,13 @@
     /// Load (calls over limit) below which an upstream has spare capacity: below 1, so that calls
     /// spill over before the local upstream queues.
     pub spill_over_load: f64,
-    /// The same for local upstreams, which lose their preference at this load. Higher than
-    /// `spill_over_load` where answers are large.
+    /// Load below which a local upstream has spare capacity; it loses its preference there. Set by
+    /// [`PlacementPolicy::for_answers_of`].
     pub local_spill_over_load: f64,
-    /// Load below which a queue is not expected: where no upstream has spare capacity, one below
-    /// this is preferred, wherever it is.
+    /// Load below which no call queues. Where no upstream has spare capacity, one below this load
+    /// is preferred, wherever it is.
     pub free_slot_load: f64,
-    /// Replaces `spill_over_load` for local upstreams where answers are large.
+    /// Value of `local_spill_over_load` for answers of `large_answer_bytes` or more.
     pub large_answer_spill_over_load: f64,
     /// Mean size of answers from which `large_answer_spill_over_load` holds; between zero and this
     /// size the load at which calls spill over grows in proportion.
--- a/crates/hemlocktack-decide/src/queue.rs
+++ b/crates/hemlocktack-decide/src/queue.rs
@@ -30,8 +30,8 @@
 /// calls with prior work.
 const PRIOR_WORK_CALLS_PER_FRESH: usize = 7;
 
-/// Time before its deadline at which a queued call is refused: two intervals of the sweep, one of
-/// them for the way of the refusal to the node that sent the call.
+/// Time before its deadline at which a queued call is refused: one interval of the sweep
+/// and as much for the refusal to reach the node that sent the call.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(20);
 /// Maximum of that margin as a share of the time left when the call arrives.
 const MAX_REFUSAL_MARGIN_SHARE: f64 = 0.5;
--- a/crates/hemlocktack-decide/src/retry_threshold.rs
+++ b/crates/hemlocktack-decide/src/retry_threshold.rs
@@ -2,28 +2,28 @@
 
 use std::collections::VecDeque;
 
-/// Ticks over which the wish for retries is measured: four seconds. At a node that makes a few
+/// Ticks over which the demand for retries is measured: four seconds. At a node that makes a few
 /// retries per second, the threshold of a shorter measurement is mostly noise: it gives single
 /// retries to requests of every priority, most of which then fail.
 const MEASURED_TICKS: u64 = 16;
-/// Ticks that a wish which has just begun is taken to last: fewer would hold back the first
-/// retries of a fault that the share covers.
+/// Least number of ticks over which new demand is spread: fewer would hold back the first retries
+/// of a fault that the share covers.
 const MIN_MEASURED_TICKS: u64 = 2;
 /// Part of the share that is given to all requests before any is held back, so that a fault of a
 /// moment, such as a lost link with many calls on it, gets all the retries it needs.
 const FREE_SHARE: f64 = 0.18;
-/// Wishes stored per tick; further ones are only counted.
+/// Demands stored per tick; further ones are only counted.
 const MAX_STORED_PER_TICK: usize = 128;
 
-/// When the threshold was set before this part of all recorded wishes, and before this many, it is
-/// lowered within the tick: a service that begins to reject calls is asked for a fifth of the share
-/// in a quarter of a second.
+/// Share of the recorded demand that must be new before the threshold is lowered within a tick. A
+/// service that begins to reject calls could use a fifth of the share in one tick.
 const SURGE_SHARE: f64 = 0.5;
+/// Minimum new demand for that; the threshold of fewer retries is mostly noise.
 const MIN_SURGE: f64 = 8.0;
 
 /// A request that needs a retry.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Wish {
+pub(crate) struct RetryDemand {
     pub(crate) priority: f64,
     /// Retries that it takes, or would have taken if it had been given any.
     pub(crate) retries: f64,
@@ -38,23 +38,23 @@
     pub(crate) per_tick: f64,
 }
 
-/// Priority up to which requests get retries, measured by what requests wish for.
+/// Priority up to which requests get retries, measured by the demand for them.
 ///
-/// All wishes are recorded, granted or not. The threshold is the priority below which the wishes
-/// of the last seconds are as many as the edge may spend in that time.
+/// All demand is recorded, granted or not. The threshold is the priority below which the demand of
+/// the last seconds is as much as the edge may spend in that time.
 #[derive(Debug)]
 pub(crate) struct RetryThreshold {
-    ticks: VecDeque<WishedTick>,
+    ticks: VecDeque<DemandTick>,
     threshold: f64,
-    set_at_tick: u64,
-    wished_since_set: f64,
+    updated_at_tick: u64,
+    demanded_since_update: f64,
 }
 
 #[derive(Debug, Default)]
-struct WishedTick {
+struct DemandTick {
     tick: u64,
     count: u32,
-    wishes: Vec<Wish>,
+    demands: Vec<RetryDemand>,
 }
 
 impl Default for RetryThreshold {
@@ -62,83 +62,83 @@
         RetryThreshold {
             ticks: VecDeque::new(),
             threshold: 1.0,
-            set_at_tick: 0,
-            wished_since_set: 0.0,
+            updated_at_tick: 0,
+            demanded_since_update: 0.0,
         }
     }
 }
 
 impl RetryThreshold {
-    /// Records that a request wishes for a retry. A refused wish stands for all the retries that
-    /// the request would have wished for.
-    pub(crate) fn record(&mut self, wish: Wish, tick: u64) {
-        self.forget(tick);
+    /// Records that a request needs a retry. A refused one stands for all the retries that the
+    /// request would have needed.
+    pub(crate) fn record(&mut self, demand: RetryDemand, tick: u64) {
+        self.drop_expired(tick);
         if self.ticks.back().is_none_or(|last| last.tick < tick) {
-            self.ticks.push_back(WishedTick {
+            self.ticks.push_back(DemandTick {
                 tick,
-                ..WishedTick::default()
+                ..DemandTick::default()
             });
         }
         let Some(last) = self.ticks.back_mut() else {
             return;
         };
         last.count += 1;
-        self.wished_since_set += 1.0;
-        if last.wishes.len() < MAX_STORED_PER_TICK {
-            last.wishes.push(wish);
+        self.demanded_since_update += 1.0;
+        if last.demands.len() < MAX_STORED_PER_TICK {
+            last.demands.push(demand);
         }
     }
 
-    /// Returns the threshold at this tick.
-    pub(crate) fn at(&mut self, tick: u64, spendable: Spendable) -> f64 {
-        self.forget(tick);
-        let wished = self.wished();
-        let is_surge = self.wished_since_set >= (wished * SURGE_SHARE).max(MIN_SURGE);
-        if wished <= spendable.max * FREE_SHARE {
+    /// Updates the threshold for this tick and returns it.
+    pub(crate) fn update(&mut self, tick: u64, spendable: Spendable) -> f64 {
+        self.drop_expired(tick);
+        let demanded = self.demanded();
+        let is_surge = self.demanded_since_update >= (demanded * SURGE_SHARE).max(MIN_SURGE);
+        if demanded <= spendable.max * FREE_SHARE {
             self.threshold = 1.0;
-        } else if self.set_at_tick != tick {
-            self.threshold = self.measured(tick, spendable);
+        } else if self.updated_at_tick != tick {
+            self.threshold = self.compute_threshold(tick, spendable);
         } else if self.threshold >= 1.0 || is_surge {
-            self.threshold = self.measured(tick, spendable).min(self.threshold);
+            self.threshold = self.compute_threshold(tick, spendable).min(self.threshold);
         } else {
             return self.threshold;
         }
-        self.wished_since_set = 0.0;
-        self.set_at_tick = tick;
+        self.demanded_since_update = 0.0;
+        self.updated_at_tick = tick;
         self.threshold
     }
 
-    fn forget(&mut self, tick: u64) {
-        let is_old = |first: &WishedTick| first.tick + MEASURED_TICKS <= tick;
+    fn drop_expired(&mut self, tick: u64) {
+        let is_old = |first: &DemandTick| first.tick + MEASURED_TICKS <= tick;
         while self.ticks.front().is_some_and(is_old) {
             self.ticks.pop_front();
         }
     }
 
-    fn wished(&self) -> f64 {
+    fn demanded(&self) -> f64 {
         self.ticks.iter().map(|tick| f64::from(tick.count)).sum()
     }
 
-    fn measured(&self, tick: u64, spendable: Spendable) -> f64 {
+    fn compute_threshold(&self, tick: u64, spendable: Spendable) -> f64 {
         let first = self.ticks.front().map_or(tick, |first| first.tick);
         let ticks = (tick + 1 - first).max(MIN_MEASURED_TICKS);
         let mut left = spendable.per_tick * ticks as f64;
-        let mut wishes: Vec<Wish> = self.ticks.iter().flat_map(weighted).collect();
-        wishes.sort_by(|one, other| one.priority.total_cmp(&other.priority));
-        for wish in wishes {
-            left -= wish.retries;
+        let mut demands: Vec<RetryDemand> = self.ticks.iter().flat_map(weighted).collect();
+        demands.sort_by(|one, other| one.priority.total_cmp(&other.priority));
+        for demand in demands {
+            left -= demand.retries;
             if left < 0.0 {
-                return wish.priority;
+                return demand.priority;
             }
         }
         1.0
     }
 }
 
-fn weighted(tick: &WishedTick) -> impl Iterator<Item = Wish> {
-    let weight = f64::from(tick.count) / tick.wishes.len().max(1) as f64;
-    tick.wishes.iter().map(move |wish| Wish {
-        retries: wish.retries * weight,
-        ..*wish
+fn weighted(tick: &DemandTick) -> impl Iterator<Item = RetryDemand> {
+    let weight = f64::from(tick.count) / tick.demands.len().max(1) as f64;
+    tick.demands.iter().map(move |demand| RetryDemand {
+        retries: demand.retries * weight,
+        ..*demand
     })
 }
--- a/crates/hemlocktack-decide/tests/edge_budget.rs
+++ b/crates/hemlocktack-decide/tests/edge_budget.rs
@@ -164,12 +164,12 @@
     );
     assert_eq!(edge.take_scarcity_change(after), None);
     assert!(edge.eligible_share(after) < 1.0);
-    assert!(edge.rejected_share(after) > 0.5);
+    assert!(edge.failed_share(after) > 0.5);
     let later = fault + SECOND * 5;
     assert_eq!(
         edge.take_scarcity_change(later),
         Some(ScarcityChange::Ended)
     );
     assert_eq!(edge.take_scarcity_change(later), None);
-    assert_eq!(edge.rejected_share(later), 0.0);
+    assert_eq!(edge.failed_share(later), 0.0);
 }
--- a/crates/hemlocktack-node/src/calls/awaited.rs
+++ b/crates/hemlocktack-node/src/calls/awaited.rs
@@ -85,7 +85,7 @@
         if self.is_over() || self.away_since().is_some() {
             return false;
         }
-        if self.send.as_ref().is_some_and(|send| !send.try_leave()) {
+        if self.send.as_ref().is_some_and(|send| !send.try_mark_sent()) {
             return false;
         }
         let _ = self.state.started_at.set(Instant::now());
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -111,7 +111,7 @@
 }
 
 fn log_scarcity_change(view: &ServiceView, service: &str, now: Instant) {
-    let failed_share = || view.edge.rejected_share(now);
+    let failed_share = || view.edge.failed_share(now);
     match view.edge.take_scarcity_change(now) {
         None => {}
         Some(ScarcityChange::Began) => log_event!(
@@ -265,7 +265,7 @@
         result = sending => result.answer,
         () = until_peer_lost(peer.as_ref()), if purpose == CallPurpose::Placed => {
             // The send has been dropped; one that had not left this node never will.
-            match watch.progress.give_up() {
+            match watch.progress.abandon() {
                 true => not_run_answer(Reason::LinkLost, None),
                 false => unknown_answer(Reason::LinkLost),
             }
--- a/crates/hemlocktack-node/src/calls/send_progress.rs
+++ b/crates/hemlocktack-node/src/calls/send_progress.rs
@@ -2,36 +2,39 @@
 
 use std::sync::atomic::{AtomicU8, Ordering};
 
-const HELD: u8 = 0;
-const LEFT: u8 = 1;
-const GIVEN_UP: u8 = 2;
+/// Nothing of it has been handed on, and it still may be.
+const NOT_SENT: u8 = 0;
+/// It may have reached an upstream.
+const SENT: u8 = 1;
+/// It never reaches one.
+const ABANDONED: u8 = 2;
 
 /// How far one send of a call has got. It tells whether a call that is given up before its send
 /// has ended can be reported as not run.
 ///
-/// A send leaves when its frame is handed to a link or, on this node itself, when the call is
-/// about to be forwarded to the upstream. One that was given up before never leaves.
+/// A send counts as sent when its frame is handed to a link or, on this node itself, when the call
+/// is about to be forwarded to the upstream. One that was abandoned before never is.
 #[derive(Debug, Default)]
 pub(crate) struct SendProgress {
     state: AtomicU8,
 }
 
 impl SendProgress {
-    /// Records that the send leaves; returns whether it may.
-    pub(crate) fn try_leave(&self) -> bool {
-        let before = self.change(HELD, LEFT);
-        before != GIVEN_UP
+    /// Marks the send as sent; returns whether it may be.
+    pub(crate) fn try_mark_sent(&self) -> bool {
+        let before = self.change(NOT_SENT, SENT);
+        before != ABANDONED
     }
 
-    /// Records that the send was taken back before any byte of it was written.
-    pub(crate) fn take_back(&self) {
-        self.change(LEFT, HELD);
+    /// Records that no byte of the send was written.
+    pub(crate) fn mark_unsent(&self) {
+        self.change(SENT, NOT_SENT);
     }
 
-    /// Gives the send up; returns whether it has not left. It never leaves then.
-    pub(crate) fn give_up(&self) -> bool {
-        let before = self.change(HELD, GIVEN_UP);
-        before != LEFT
+    /// Abandons the send; returns whether it has not been sent, and then it never is.
+    pub(crate) fn abandon(&self) -> bool {
+        let before = self.change(NOT_SENT, ABANDONED);
+        before != SENT
     }
 
     /// Replaces one state by another if it is the current one; returns the state before.
--- a/crates/hemlocktack-node/src/calls/send_record.rs
+++ b/crates/hemlocktack-node/src/calls/send_record.rs
@@ -89,7 +89,7 @@
     pub(crate) fn early_answer(&self, reason: Reason) -> Answer {
         let state = self.state();
         let pending = state.pending.as_ref();
-        let has_left = pending.is_some_and(|pending| !pending.progress.give_up());
+        let has_left = pending.is_some_and(|pending| !pending.progress.abandon());
         match state.may_have_run || has_left {
             true => unknown_answer(reason),
             false => not_run_answer(reason, None),
--- a/crates/hemlocktack-node/src/calls/tests.rs
+++ b/crates/hemlocktack-node/src/calls/tests.rs
@@ -71,10 +71,10 @@
     std::thread::scope(|scope| {
         let leaving = scope.spawn(|| {
             start.wait();
-            sends.iter().map(SendProgress::try_leave).collect()
+            sends.iter().map(SendProgress::try_mark_sent).collect()
         });
         start.wait();
-        let not_run: Vec<bool> = sends.iter().map(SendProgress::give_up).collect();
+        let not_run: Vec<bool> = sends.iter().map(SendProgress::abandon).collect();
         let left: Vec<bool> = leaving.join().unwrap_or_default();
         let is_one = |(left, not_run): (&bool, &bool)| left != not_run;
         assert!(left.len() == SENDS && left.iter().zip(&not_run).all(is_one));
@@ -85,8 +85,8 @@
 #[test]
 fn a_send_that_is_taken_back_has_not_left() {
     let progress = SendProgress::default();
-    assert!(progress.try_leave());
-    progress.take_back();
-    assert!(progress.give_up());
-    assert!(!progress.try_leave());
+    assert!(progress.try_mark_sent());
+    progress.mark_unsent();
+    assert!(progress.abandon());
+    assert!(!progress.try_mark_sent());
 }
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -188,7 +188,8 @@
 }
 
 impl RoutedRequest {
-    /// Whether the caller returns after a refusal, no earlier than it was told.
+    /// Returns whether the caller has waited at least as long as any refusal for lack of capacity
+    /// tells it to.
     pub(super) fn has_returned_on_time(&self) -> bool {
         has_returned_on_time(self.waited)
     }
--- a/crates/hemlocktack-node/src/gateway/connection.rs
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -262,13 +262,13 @@
     F: Future<Output = Response<TrackedBody>>,
 {
     let early_end = match early {
-        Some(early) => early.end().await,
-        None => EarlyEnd::Failed,
+        Some(early) => Some(early.wait().await),
+        None => None,
     };
     let mut response = match early_end {
-        EarlyEnd::Answered(response) => response,
-        EarlyEnd::CallerLeft => return Err(CallerLeft),
-        EarlyEnd::Failed => handle(node.clone(), request).await,
+        Some(EarlyEnd::Answered(response)) => response,
+        Some(EarlyEnd::CallerLeft) => return Err(CallerLeft),
+        Some(EarlyEnd::Failed) | None => handle(node.clone(), request).await,
     };
     let may_close = || look_ahead.is_none_or(|look_ahead| look_ahead.end_if_none_started());
     // A request that was started early is answered before its connection closes.
--- a/crates/hemlocktack-node/src/gateway/look_ahead/early.rs
+++ b/crates/hemlocktack-node/src/gateway/look_ahead/early.rs
@@ -82,7 +82,7 @@
     }
 
     /// Waits for the response.
-    pub(in crate::gateway) async fn end(mut self) -> EarlyEnd {
+    pub(in crate::gateway) async fn wait(mut self) -> EarlyEnd {
         let ended = (&mut self.task).await;
         match ended {
             Ok(Some(held)) => {
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -37,7 +37,7 @@
 /// still waits is told.
 const CONFIRM_LIMIT: Duration = Duration::from_millis(500);
 /// Time before its deadline at which a call is refused whose sender has not confirmed it.
-const REFUSAL_MARGIN: Duration = Duration::from_millis(20);
+const UNCONFIRMED_REFUSAL_MARGIN: Duration = Duration::from_millis(20);
 
 /// Accepts links; if accepting fails, retries after a pause.
 pub(crate) async fn serve_links(node: Arc<Node>, listener: TcpListener) {
@@ -255,7 +255,7 @@
 /// that it learns of that before it gives the call up.
 fn refuse_at(arrived: &ArrivedCall) -> Instant {
     let time_left = Duration::from_micros(arrived.call.time_left_us);
-    arrived.arrived_at + time_left.saturating_sub(REFUSAL_MARGIN)
+    arrived.arrived_at + time_left.saturating_sub(UNCONFIRMED_REFUSAL_MARGIN)
 }
 
 async fn handle(
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -124,7 +124,8 @@
             call.call_id = self.next_call_id.fetch_add(1, Ordering::Relaxed);
             call.queued_at_us = whole_micros(connection.age());
             take_off_time(&mut call, began.elapsed());
-            progress.try_leave();
+            // Always allowed here: a send is abandoned only after this future has been dropped.
+            progress.try_mark_sent();
             pending = Some(PendingCall::register(&link.pending, call.call_id, events));
             frame::Body::Call(call)
         });
@@ -160,7 +161,7 @@
         let take_back = |connection: &Connection, cancel_guard: &mut CancelOnDrop<'_>| {
             let is_unsent = connection.remove_unsent(wait.call_id);
             if is_unsent {
-                wait.progress.take_back();
+                wait.progress.mark_unsent();
                 cancel_guard.disarm();
             }
             is_unsent
@@ -293,7 +294,7 @@
         if let Some(connection) = self.connection.take() {
             let cancellations = &self.link.cancellations;
             if cancellations.cancel(self.call_id, &connection, self.deadline) {
-                self.progress.take_back();
+                self.progress.mark_unsent();
             }
         }
     }
