--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -10,5 +10,22 @@
     exit 2
 fi
 folder=$(mktemp -d) || exit 2
-trap 'rm -rf "$folder"' EXIT
-"$program" repeated-rejection "$folder" review/2/record.txt
+end_all() {
+    [ -n "$running" ] && kill "$running" 2> /dev/null
+    # Only a program that was ended leaves processes of its own.
+    while read -r id; do
+        if tr '\0' ' ' 2> /dev/null < "/proc/$id/cmdline" | grep -qF "$folder"; then
+            kill -KILL "$id" 2> /dev/null
+        fi
+    done < <(cat "$folder/processes" 2> /dev/null)
+    rm -rf "$folder"
+}
+running=
+trap end_all EXIT
+trap 'exit 2' HUP INT TERM
+"$program" repeated-rejection "$folder" review/2/record.txt &
+running=$!
+wait "$running"
+code=$?
+running=
+exit "$code"
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -1,7 +1,8 @@
 //! Starts nodes with the command and the settings template of the deploy file.
 
 use std::collections::BTreeMap;
-use std::fs::{self, File};
+use std::fs::{self, File, OpenOptions};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -12,6 +13,7 @@
 use crate::record::Record;
 
 const DEPLOY_FILE: &str = "deploy/system.toml";
+const PROCESSES_FILE: &str = "processes";
 const TEMPLATE: &str = "deploy/settings.env";
 const SETTINGS_PATH: &str = "/etc/hemlocktack/settings.yaml";
 
@@ -84,6 +86,7 @@
             child.id()
         ));
         RUNNING.lock().unwrap().push(child.id());
+        note_process(folder, child.id());
         Node {
             child,
             outbound,
@@ -121,6 +124,14 @@
     }
 }
 
+/// Notes the process for the script, which ends it if this program is ended itself.
+fn note_process(folder: &Path, id: u32) {
+    let path = folder.join(PROCESSES_FILE);
+    let file = OpenOptions::new().create(true).append(true).open(path);
+    let mut file = file.expect("the list of processes cannot be written");
+    writeln!(file, "{id}").expect("the list of processes cannot be written");
+}
+
 /// Ends all processes that were started.
 pub fn kill_all() {
     for id in RUNNING.lock().unwrap().drain(..) {
