--- a/review/standins/src/repeated_rejection.rs
+++ b/review/standins/src/repeated_rejection.rs
@@ -4,7 +4,7 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use crate::backend::{Backend, Delay};
+use crate::backend::Backend;
 use crate::configuration::{configuration, Route};
 use crate::load::Load;
 use crate::node::{free_address, Node, NodeOptions};
@@ -14,6 +14,8 @@
 const ROUNDS: usize = 4;
 const ZONES: [&str; 2] = ["salt-lake", "howrah"];
 const CLIENTS: usize = 2;
+/// 3 in 100 of the answers of a backend in 5 s.
+const MOST_EXTRAS: u64 = 2;
 /// At most 10 s in the users' site files.
 const SHED_TIME: Duration = Duration::from_secs(6);
 
@@ -65,9 +67,10 @@
             backends.iter().for_each(|backend| backend.shed(SHED_TIME));
         }
         if case.trouble == Trouble::Full {
-            backends[0].garble(Delay::NextAnswer);
+            backends[0].garble(MOST_EXTRAS);
         }
         sleep(SHED_TIME);
+        backends[0].end_garble();
     }
     load.end(record)
 }
