--- a/crates/hemlocktack-interface/src/upstreams.rs
+++ b/crates/hemlocktack-interface/src/upstreams.rs
@@ -30,7 +30,7 @@
     NotRun(Reason),
     /// A different upstream instance listens at the address; it has not run the request.
     OtherInstance,
-    /// It answers another request and says nothing about this one.
+    /// It names another request, or none, and says nothing about this one.
     OtherRequest,
     /// It is an answer to the request whose status implies that it has not run, without the
     /// upstream stating so explicitly.
