A connection to the upstream carries the id of a request once

Callers' bookings ran at two upstreams: a booking was rejected as not run, and sent again on the same connection. There the upstream ran it, and a copy of its rejection arrived late, where the second answer was expected. It names the same request, so the node took it for the second rejection and sent the booking to another upstream.

Cause: the pool gave the connection that it had used last to the next send, also to one that it had carried before; nothing in an answer tells the sends of one id apart, and ids are forwarded as callers sent them.

A copy stays on its connection. So each connection remembers the ids that it has carried, whatever became of them, and is not leased for them again; of all others the one used last is taken as before. That covers rejections of all statuses, sends after a late or failed answer and requests that come back over another route. If each idle connection has carried the id, one is closed for the new one: requests with one id, or none, do not add to the idle connections.

--- a/crates/hemlocktack-node/src/upstream/connections.rs
+++ b/crates/hemlocktack-node/src/upstream/connections.rs
@@ -1,5 +1,9 @@
 //! Connections to the upstream, each used for one request at a time.
 
+#[cfg(test)]
+mod tests;
+
+use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -13,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::carried_ids::{CarriedIds, IdHash};
 use crate::sockets;
 
 /// Longest time for connecting. The upstream runs on this machine and accepts a connection within a
@@ -35,12 +40,14 @@
 #[derive(Default)]
 pub(super) struct Connections {
     idle: Arc<Mutex<Vec<IdleConnection>>>,
+    id_hasher: RandomState,
 }
 
 struct IdleConnection {
     sender: Sender,
     task: AbortHandle,
     address: SocketAddr,
+    carried_ids: CarriedIds,
     reuse_until: Instant,
 }
 
@@ -50,20 +57,38 @@
     pub(super) sender: Option<Sender>,
     task: AbortHandle,
     address: SocketAddr,
+    carried_ids: CarriedIds,
     /// No request was sent on this connection before.
     pub(super) is_fresh: bool,
 }
 
 impl Connections {
-    /// Returns the most recently used connection, or a new one; `None` if the upstream accepts
-    /// none.
-    pub(super) async fn lease(&self, address: SocketAddr) -> Option<LeasedConnection> {
-        match self.take_idle(address) {
+    /// Returns the most recently used connection that has not carried this id, or a new one; `None`
+    /// if the upstream accepts none.
+    pub(super) async fn lease(
+        &self,
+        address: SocketAddr,
+        request_id: &str,
+    ) -> Option<LeasedConnection> {
+        let id = self.id_hasher.hash_one(request_id);
+        match self.take_idle(address, id) {
             Some(leased) => Some(leased),
-            None => self.dial(address).await,
+            None => self.lease_new(address, request_id).await,
         }
     }
 
+    /// Returns a new connection for this request; `None` if the upstream accepts none.
+    pub(super) async fn lease_new(
+        &self,
+        address: SocketAddr,
+        request_id: &str,
+    ) -> Option<LeasedConnection> {
+        let mut leased = self.dial(address).await?;
+        let id = self.id_hasher.hash_one(request_id);
+        leased.carried_ids.insert(id);
+        Some(leased)
+    }
+
     /// Opens a new connection; `None` if the upstream accepts none.
     pub(super) async fn dial(&self, address: SocketAddr) -> Option<LeasedConnection> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
@@ -77,11 +102,14 @@
             sender: Some(sender),
             task: task.abort_handle(),
             address,
+            carried_ids: CarriedIds::default(),
             is_fresh: true,
         })
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<LeasedConnection> {
+    /// Takes the most recently used connection that has not carried this id. If all have, closes
+    /// one of them, so that the new connection does not add to their number.
+    fn take_idle(&self, address: SocketAddr, id: IdHash) -> Option<LeasedConnection> {
         let now = Instant::now();
         let mut idle = lock(&self.idle);
         idle.retain(|connection| {
@@ -89,20 +117,32 @@
                 && now < connection.reuse_until
                 && !connection.sender.is_closed()
         });
-        let connection = idle.pop()?;
+        let has_not_carried = |connection: &IdleConnection| !connection.carried_ids.contains(id);
+        let Some(index) = idle.iter().rposition(has_not_carried) else {
+            idle.pop();
+            return None;
+        };
+        let mut connection = idle.remove(index);
+        connection.carried_ids.insert(id);
         Some(LeasedConnection {
             sender: Some(connection.sender),
             task: connection.task,
             address,
+            carried_ids: connection.carried_ids,
             is_fresh: false,
         })
     }
 
-    /// Returns a connection whose answer has been read completely to the idle connections.
+    /// Returns a connection whose answer has been read completely to the idle connections, unless
+    /// it may carry no further request.
     pub(super) fn release(&self, mut leased: LeasedConnection, answer: &HeaderMap) {
         let Some(mut sender) = leased.sender.take() else {
             return;
         };
+        let carried_ids = std::mem::take(&mut leased.carried_ids);
+        if carried_ids.is_full() {
+            return;
+        }
         let reuse_until = Instant::now() + reuse_time(answer);
         let idle = self.idle.clone();
         let (task, address) = (leased.task.clone(), leased.address);
@@ -111,6 +151,7 @@
                 sender,
                 task,
                 address,
+                carried_ids,
                 reuse_until,
             });
         };
--- a/crates/hemlocktack-node/src/upstream/interface_client.rs
+++ b/crates/hemlocktack-node/src/upstream/interface_client.rs
@@ -140,10 +140,11 @@
         is_handed_over: &AtomicBool,
     ) -> Result<Result<AnswerHead, Reason>, NotSent> {
         let address = send.announcement.address;
+        let request_id = &send.call.request_id;
         for attempt in 0.. {
             let leased = match attempt < MAX_STALE_CONNECTIONS {
-                true => self.connections.lease(address).await,
-                false => self.connections.dial(address).await,
+                true => self.connections.lease(address, request_id).await,
+                false => self.connections.lease_new(address, request_id).await,
             };
             let mut leased = leased.ok_or(NotSent::Unreachable)?;
             let request = self.request(send).ok_or(NotSent::Malformed)?;
--- a/crates/hemlocktack-node/src/upstream/mod.rs
+++ b/crates/hemlocktack-node/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod announce;
 mod announcement;
+mod carried_ids;
 mod client;
 mod connections;
 mod interface_client;
