Answers that belong to another request are logged with both ids

A request that meets another one's answer ends upstream-failed, as one whose answer is lost, and the log told neither of the two. Event 212 names the request, the status and the id that the answer names, at the rate of the lines about single calls.

--- a/crates/hemlocktack-interface/src/upstreams.rs
+++ b/crates/hemlocktack-interface/src/upstreams.rs
@@ -22,7 +22,7 @@
 }
 
 /// Meaning of an upstream's response to a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AnswerCheck {
     /// It is the answer to the request.
     Answer,
@@ -31,7 +31,10 @@
     /// A different upstream instance listens at the address; it has not run the request.
     OtherInstance,
     /// It names another request, or none, and says nothing about this one.
-    OtherRequest,
+    OtherRequest {
+        /// The id that it names, shortened if it is long.
+        answered_id: Option<String>,
+    },
     /// It is an answer to the request whose status implies that it has not run, without the
     /// upstream stating so explicitly.
     UnconfirmedNotRun,
--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -14,7 +14,9 @@
 use super::{RunningCall, not_run_answer, objective_of, unknown_answer, work_kind_of};
 use crate::node::Node;
 use crate::telemetry::{CallSpan, request_line};
-use crate::upstream::{UpstreamOutcome, UpstreamRequest, UpstreamResponse, heed_answer, heed_call};
+use crate::upstream::{
+    ForeignAnswer, UpstreamOutcome, UpstreamRequest, UpstreamResponse, heed_answer, heed_call,
+};
 
 /// A running upstream accepts a connection within a millisecond; one that does not within this
 /// time counts as crashed.
@@ -166,7 +168,11 @@
     };
     let deadline = running.deadline;
     let mut context = node.contexts.open(running, &call.request_id);
-    let UpstreamResponse { outcome, heard } = node
+    let UpstreamResponse {
+        outcome,
+        heard,
+        foreign,
+    } = node
         .upstream_client
         .send(UpstreamRequest {
             announcement: &announcement,
@@ -180,6 +186,9 @@
     if let Some(heard) = &heard {
         heed_answer(node, announcement.start_number, &call.request_id, heard);
     }
+    if let Some(foreign) = &foreign {
+        log_foreign(node, call, foreign);
+    }
     if matches!(outcome, UpstreamOutcome::Unknown(Reason::UpstreamFailed))
         && !is_alive(announcement.address).await
     {
@@ -204,6 +213,19 @@
     (answer, running.child_wait())
 }
 
+fn log_foreign(node: &Node, call: &Call, foreign: &ForeignAnswer) {
+    let Some(left_out) = node.call_log_limiter.try_acquire() else {
+        return;
+    };
+    log_event!(
+        Event::ForeignAnswer,
+        request_id = call.request_id,
+        status = foreign.status,
+        answered_id = foreign.answered_id.as_deref(),
+        left_out
+    );
+}
+
 fn log_late(node: &Node, call: &Call, arrived: Instant, forwarded: Instant, child_wait: Duration) {
     let objective = Duration::from_micros(call.objective_left_us);
     let elapsed = arrived.elapsed();
--- a/crates/hemlocktack-node/src/upstream/client.rs
+++ b/crates/hemlocktack-node/src/upstream/client.rs
@@ -93,7 +93,11 @@
             read_at,
             is_complete,
         });
-        UpstreamResponse { outcome, heard }
+        UpstreamResponse {
+            outcome,
+            heard,
+            foreign: None,
+        }
     }
 }
 
--- a/crates/hemlocktack-node/src/upstream/interface_client.rs
+++ b/crates/hemlocktack-node/src/upstream/interface_client.rs
@@ -16,7 +16,7 @@
 use hyper::body::Incoming;
 
 use super::connections::{Connections, LeasedConnection};
-use super::{HeardAnswer, UpstreamOutcome, UpstreamRequest, UpstreamResponse};
+use super::{ForeignAnswer, HeardAnswer, UpstreamOutcome, UpstreamRequest, UpstreamResponse};
 use crate::gateway::forwarded_headers;
 
 /// Idle connections that may turn out to be closed before a new one is opened.
@@ -97,8 +97,9 @@
             AnswerCheck::NotRun(reason) => Some(UpstreamOutcome::NotRun(reason)),
             AnswerCheck::OtherInstance => Some(UpstreamOutcome::NotRun(Reason::UpstreamReplaced)),
             // The connection cannot be reused: what follows belongs to no request of this node.
-            AnswerCheck::OtherRequest => {
-                return UpstreamOutcome::Unknown(Reason::UpstreamFailed).into();
+            AnswerCheck::OtherRequest { answered_id } => {
+                let status = head.status.as_u16();
+                return foreign_response(status, answered_id);
             }
             AnswerCheck::UnconfirmedNotRun => {
                 Some(UpstreamOutcome::Unknown(Reason::UpstreamFailed))
@@ -118,6 +119,7 @@
                 return UpstreamResponse {
                     outcome: end.unwrap_or(UpstreamOutcome::Unknown(reason)),
                     heard: heard(false),
+                    foreign: None,
                 };
             }
         };
@@ -128,7 +130,11 @@
             headers: forwarded_headers(&head.headers, &[]),
             body,
         });
-        UpstreamResponse { outcome, heard }
+        UpstreamResponse {
+            outcome,
+            heard,
+            foreign: None,
+        }
     }
 
     /// Sends the request and returns the head of the answer. A request is resent, on another
@@ -215,6 +221,17 @@
     }
 }
 
+fn foreign_response(status: u16, answered_id: Option<String>) -> UpstreamResponse {
+    UpstreamResponse {
+        outcome: UpstreamOutcome::Unknown(Reason::UpstreamFailed),
+        heard: None,
+        foreign: Some(ForeignAnswer {
+            status,
+            answered_id,
+        }),
+    }
+}
+
 /// Reads the complete body. The HTTP library reports a body shorter than its declared length as an
 /// error, so a caller never gets a truncated answer as if it were complete.
 async fn read_whole(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, Reason> {
--- a/crates/hemlocktack-node/src/upstream/send.rs
+++ b/crates/hemlocktack-node/src/upstream/send.rs
@@ -22,6 +22,15 @@
     pub(crate) outcome: UpstreamOutcome,
     /// `None` without an answer from this start of the upstream.
     pub(crate) heard: Option<HeardAnswer>,
+    /// An answer to another request that came in place of the expected one.
+    pub(crate) foreign: Option<ForeignAnswer>,
+}
+
+/// An answer that belongs to another request, or does not say to which.
+pub(crate) struct ForeignAnswer {
+    pub(crate) status: u16,
+    /// Id of the request that it names.
+    pub(crate) answered_id: Option<String>,
 }
 
 impl From<UpstreamOutcome> for UpstreamResponse {
@@ -29,6 +38,7 @@
         Self {
             outcome,
             heard: None,
+            foreign: None,
         }
     }
 }
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -61,6 +61,7 @@
     209 INFO UpstreamNamedDeparture: "the upstream is leaving, by an answer of its own or by what another node has passed on", "nothing; 203 follows";
     210 WARN UpstreamNoticeMalformed: "an answer names a rate limit or a departure that cannot be read; nothing is taken from it", "compare the value with the interface of the upstream";
     211 WARN UpstreamLoadMalformed: "a load report of the upstream cannot be read and is ignored", "compare the value with the interface of the upstream";
+    212 WARN ForeignAnswer: "the upstream sent an answer that names another request, or none, where this request's was expected; whether this request ran is unknown", "look for answered_id on this node: an answer that came twice or late is a fault of the upstream";
 
     301 INFO ConfigurationInForce: "a newer generation of the configuration is in force", "nothing";
     302 ERROR ConfigurationUnreadable: "this version of the node cannot read a stored generation and keeps the previous one", "upgrade the node, or apply a document that all versions can read";
