Rejections of upstreams are logged with how they were received

Cause: of a send whose upstream is believed to have rejected it, nothing was logged beside the upstream. Whether the rejection belongs to this send (its connection has carried others, it came sooner than the upstream can have read the request) could not be told from the logs. Change: 213 says so for rejections, and 212 with the same fields for answers of other requests: status, time since the send, age of the connection, requests that it had carried before.

--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -15,7 +15,8 @@
 use crate::node::Node;
 use crate::telemetry::{CallSpan, request_line};
 use crate::upstream::{
-    ForeignAnswer, UpstreamOutcome, UpstreamRequest, UpstreamResponse, heed_answer, heed_call,
+    AnswerClaim, ContestedAnswer, UpstreamOutcome, UpstreamRequest, UpstreamResponse, heed_answer,
+    heed_call,
 };
 
 /// A running upstream accepts a connection within a millisecond; one that does not within this
@@ -171,7 +172,7 @@
     let UpstreamResponse {
         outcome,
         heard,
-        foreign,
+        contested,
     } = node
         .upstream_client
         .send(UpstreamRequest {
@@ -186,8 +187,8 @@
     if let Some(heard) = &heard {
         heed_answer(node, announcement.start_number, &call.request_id, heard);
     }
-    if let Some(foreign) = &foreign {
-        log_foreign(node, call, foreign);
+    if let Some(contested) = &contested {
+        log_contested(node, call, contested);
     }
     if matches!(outcome, UpstreamOutcome::Unknown(Reason::UpstreamFailed))
         && !is_alive(announcement.address).await
@@ -213,17 +214,40 @@
     (answer, running.child_wait())
 }
 
-fn log_foreign(node: &Node, call: &Call, foreign: &ForeignAnswer) {
+fn log_contested(node: &Node, call: &Call, contested: &ContestedAnswer) {
     let Some(left_out) = node.call_log_limiter.try_acquire() else {
         return;
     };
-    log_event!(
-        Event::ForeignAnswer,
-        request_id = call.request_id,
-        status = foreign.status,
-        answered_id = foreign.answered_id.as_deref(),
-        left_out
-    );
+    let ContestedAnswer {
+        claim,
+        status,
+        elapsed,
+        connection_age,
+        earlier_requests,
+    } = contested;
+    let elapsed_us = elapsed.as_micros() as u64;
+    let connection_age_ms = connection_age.as_millis() as u64;
+    match claim {
+        AnswerClaim::NotRun => log_event!(
+            Event::UpstreamRejected,
+            request_id = call.request_id,
+            status,
+            elapsed_us,
+            connection_age_ms,
+            earlier_requests,
+            left_out
+        ),
+        AnswerClaim::OtherRequest { answered_id } => log_event!(
+            Event::ForeignAnswer,
+            request_id = call.request_id,
+            status,
+            answered_id = answered_id.as_deref(),
+            elapsed_us,
+            connection_age_ms,
+            earlier_requests,
+            left_out
+        ),
+    }
 }
 
 fn log_late(node: &Node, call: &Call, arrived: Instant, forwarded: Instant, child_wait: Duration) {
--- a/crates/hemlocktack-node/src/upstream/carried_ids.rs
+++ b/crates/hemlocktack-node/src/upstream/carried_ids.rs
@@ -27,6 +27,11 @@
         self.hashes.push(id);
     }
 
+    /// Returns the number of requests that the connection has carried.
+    pub(super) fn len(&self) -> usize {
+        self.hashes.len()
+    }
+
     /// Whether the connection may carry no further request.
     pub(super) fn is_full(&self) -> bool {
         self.hashes.len() >= MAX_CARRIED_IDS
--- a/crates/hemlocktack-node/src/upstream/client.rs
+++ b/crates/hemlocktack-node/src/upstream/client.rs
@@ -96,7 +96,7 @@
         UpstreamResponse {
             outcome,
             heard,
-            foreign: None,
+            contested: None,
         }
     }
 }
--- a/crates/hemlocktack-node/src/upstream/connections.rs
+++ b/crates/hemlocktack-node/src/upstream/connections.rs
@@ -48,6 +48,7 @@
     task: AbortHandle,
     address: SocketAddr,
     carried_ids: CarriedIds,
+    opened_at: Instant,
     reuse_until: Instant,
 }
 
@@ -58,6 +59,7 @@
     task: AbortHandle,
     address: SocketAddr,
     carried_ids: CarriedIds,
+    opened_at: Instant,
     /// No request was sent on this connection before.
     pub(super) is_fresh: bool,
 }
@@ -103,6 +105,7 @@
             task: task.abort_handle(),
             address,
             carried_ids: CarriedIds::default(),
+            opened_at: Instant::now(),
             is_fresh: true,
         })
     }
@@ -129,6 +132,7 @@
             task: connection.task,
             address,
             carried_ids: connection.carried_ids,
+            opened_at: connection.opened_at,
             is_fresh: false,
         })
     }
@@ -146,12 +150,14 @@
         let reuse_until = Instant::now() + reuse_time(answer);
         let idle = self.idle.clone();
         let (task, address) = (leased.task.clone(), leased.address);
+        let opened_at = leased.opened_at;
         let keep = move |sender| {
             lock(&idle).push(IdleConnection {
                 sender,
                 task,
                 address,
                 carried_ids,
+                opened_at,
                 reuse_until,
             });
         };
@@ -171,6 +177,18 @@
     }
 }
 
+impl LeasedConnection {
+    /// Returns the time since the connection was opened.
+    pub(super) fn age(&self) -> Duration {
+        self.opened_at.elapsed()
+    }
+
+    /// Returns the number of requests that it had carried before the one that it is leased for.
+    pub(super) fn earlier_requests(&self) -> usize {
+        self.carried_ids.len().saturating_sub(1)
+    }
+}
+
 impl Drop for LeasedConnection {
     fn drop(&mut self) {
         if self.sender.is_some() {
--- a/crates/hemlocktack-node/src/upstream/interface_client.rs
+++ b/crates/hemlocktack-node/src/upstream/interface_client.rs
@@ -16,7 +16,9 @@
 use hyper::body::Incoming;
 
 use super::connections::{Connections, LeasedConnection};
-use super::{ForeignAnswer, HeardAnswer, UpstreamOutcome, UpstreamRequest, UpstreamResponse};
+use super::{
+    AnswerClaim, ContestedAnswer, HeardAnswer, UpstreamOutcome, UpstreamRequest, UpstreamResponse,
+};
 use crate::gateway::forwarded_headers;
 
 /// Idle connections that may turn out to be closed before a new one is opened.
@@ -92,19 +94,33 @@
         }
         let check = (self.codec.check_answer)(&head, &send.call.request_id);
         let is_own_answer = check != AnswerCheck::OtherInstance;
+        let contested = |claim| ContestedAnswer {
+            claim,
+            status: head.status.as_u16(),
+            elapsed: read_at.duration_since(request_sent_at),
+            connection_age: leased.age(),
+            earlier_requests: leased.earlier_requests(),
+        };
         let end = match check {
             AnswerCheck::Answer => None,
             AnswerCheck::NotRun(reason) => Some(UpstreamOutcome::NotRun(reason)),
             AnswerCheck::OtherInstance => Some(UpstreamOutcome::NotRun(Reason::UpstreamReplaced)),
             // The connection cannot be reused: what follows belongs to no request of this node.
             AnswerCheck::OtherRequest { answered_id } => {
-                let status = head.status.as_u16();
-                return foreign_response(status, answered_id);
+                return UpstreamResponse {
+                    outcome: UpstreamOutcome::Unknown(Reason::UpstreamFailed),
+                    heard: None,
+                    contested: Some(contested(AnswerClaim::OtherRequest { answered_id })),
+                };
             }
             AnswerCheck::UnconfirmedNotRun => {
                 Some(UpstreamOutcome::Unknown(Reason::UpstreamFailed))
             }
         };
+        let contested = match &end {
+            Some(UpstreamOutcome::NotRun(_)) => Some(contested(AnswerClaim::NotRun)),
+            _ => None,
+        };
         let heard = |is_complete| {
             is_own_answer.then(|| HeardAnswer {
                 notice: (self.codec.read_notice)(&head.headers),
@@ -119,7 +135,7 @@
                 return UpstreamResponse {
                     outcome: end.unwrap_or(UpstreamOutcome::Unknown(reason)),
                     heard: heard(false),
-                    foreign: None,
+                    contested,
                 };
             }
         };
@@ -133,7 +149,7 @@
         UpstreamResponse {
             outcome,
             heard,
-            foreign: None,
+            contested,
         }
     }
 
@@ -221,17 +237,6 @@
     }
 }
 
-fn foreign_response(status: u16, answered_id: Option<String>) -> UpstreamResponse {
-    UpstreamResponse {
-        outcome: UpstreamOutcome::Unknown(Reason::UpstreamFailed),
-        heard: None,
-        foreign: Some(ForeignAnswer {
-            status,
-            answered_id,
-        }),
-    }
-}
-
 /// Reads the complete body. The HTTP library reports a body shorter than its declared length as an
 /// error, so a caller never gets a truncated answer as if it were complete.
 async fn read_whole(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, Reason> {
--- a/crates/hemlocktack-node/src/upstream/mod.rs
+++ b/crates/hemlocktack-node/src/upstream/mod.rs
@@ -16,6 +16,8 @@
 pub(crate) use announcement::Announcement;
 pub(crate) use load::poll_load;
 pub(crate) use notices::{HeardAnswer, heed_answer, heed_call, says_leaving};
-pub(crate) use send::{ForeignAnswer, UpstreamOutcome, UpstreamRequest, UpstreamResponse};
+pub(crate) use send::{
+    AnswerClaim, ContestedAnswer, UpstreamOutcome, UpstreamRequest, UpstreamResponse,
+};
 pub(crate) use starts::{MessageOrigin, UpstreamStarts};
 pub(crate) use upstream_client::UpstreamClient;
--- a/crates/hemlocktack-node/src/upstream/send.rs
+++ b/crates/hemlocktack-node/src/upstream/send.rs
@@ -1,6 +1,6 @@
 //! A call sent to the upstream, and its outcome.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use hemlocktack_protocol::{Call, Header, Reason};
@@ -22,15 +22,31 @@
     pub(crate) outcome: UpstreamOutcome,
     /// `None` without an answer from this start of the upstream.
     pub(crate) heard: Option<HeardAnswer>,
-    /// An answer to another request that came in place of the expected one.
-    pub(crate) foreign: Option<ForeignAnswer>,
+    /// An answer by which the call counts as not run, or as unknown although it was read.
+    pub(crate) contested: Option<ContestedAnswer>,
 }
 
-/// An answer that belongs to another request, or does not say to which.
-pub(crate) struct ForeignAnswer {
+/// An answer that is not passed on, and how it was received. That tells whether it can belong to
+/// the request: one that arrives sooner than the upstream can have read the request does not.
+pub(crate) struct ContestedAnswer {
+    pub(crate) claim: AnswerClaim,
     pub(crate) status: u16,
-    /// Id of the request that it names.
-    pub(crate) answered_id: Option<String>,
+    /// Time from sending the request until its head was read.
+    pub(crate) elapsed: Duration,
+    pub(crate) connection_age: Duration,
+    /// Requests that the connection had carried before this one.
+    pub(crate) earlier_requests: usize,
+}
+
+/// What an answer that is not passed on says.
+pub(crate) enum AnswerClaim {
+    /// The upstream has not run the request.
+    NotRun,
+    /// The answer belongs to another request, or does not say to which.
+    OtherRequest {
+        /// Id of the request that it names.
+        answered_id: Option<String>,
+    },
 }
 
 impl From<UpstreamOutcome> for UpstreamResponse {
@@ -38,7 +54,7 @@
         Self {
             outcome,
             heard: None,
-            foreign: None,
+            contested: None,
         }
     }
 }
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -62,6 +62,7 @@
     210 WARN UpstreamNoticeMalformed: "an answer names a rate limit or a departure that cannot be read; nothing is taken from it", "compare the value with the interface of the upstream";
     211 WARN UpstreamLoadMalformed: "a load report of the upstream cannot be read and is ignored", "compare the value with the interface of the upstream";
     212 WARN ForeignAnswer: "the upstream sent an answer that names another request, or none, where this request's was expected; whether this request ran is unknown", "look for answered_id on this node: an answer that came twice or late is a fault of the upstream";
+    213 INFO UpstreamRejected: "the upstream answered that it has not run the request, which is believed", "nothing; if the upstream says that it ran the request, compare elapsed_us with the time that the upstream needs to read one, and earlier_requests with those of other lines";
 
     301 INFO ConfigurationInForce: "a newer generation of the configuration is in force", "nothing";
     302 ERROR ConfigurationUnreadable: "this version of the node cannot read a stored generation and keeps the previous one", "upgrade the node, or apply a document that all versions can read";
