A rejection takes effect with its head

What callers saw: an upstream says that it has not run a request, with the request's own id, and the body of that answer has no end. The caller was held to its deadline and told 504, although nothing had run and another upstream could have been asked. Cause: the outcome of a rejection, known from its head, was returned only when its body was complete, so that its connection could be used again. Change: a body that nobody waits for is read for 20 ms and 16 KiB at most; beyond that its connection is closed. Answers that are passed on are read as before. Why it is enough: no outcome depends on the bytes behind a rejection's head.

--- a/crates/hemlocktack-node/src/upstream/interface_client.rs
+++ b/crates/hemlocktack-node/src/upstream/interface_client.rs
@@ -6,7 +6,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use hemlocktack_interface::{AnswerCheck, Health, UpstreamCodec};
@@ -24,6 +24,11 @@
 /// Idle connections that may turn out to be closed before a new one is opened.
 const MAX_STALE_CONNECTIONS: usize = 3;
 
+/// Most bytes of a body that nobody waits for. It is read so that its connection can be used again.
+const MAX_UNUSED_BODY_BYTES: usize = 16 << 10;
+/// Longest time for reading such a body; it usually arrives with its head.
+const MAX_UNUSED_BODY_TIME: Duration = Duration::from_millis(20);
+
 /// Client for the node's upstream.
 pub(crate) struct InterfaceClient {
     codec: UpstreamCodec,
@@ -129,23 +134,29 @@
                 is_complete,
             })
         };
-        let body = match read_whole(body, send.answer_limit_bytes).await {
-            Ok(body) => body,
-            Err(reason) => {
-                return UpstreamResponse {
-                    outcome: end.unwrap_or(UpstreamOutcome::Unknown(reason)),
-                    heard: heard(false),
-                    contested,
-                };
+        if let Some(outcome) = end {
+            if read_unused(body).await {
+                self.connections.release(leased, &head.headers);
+            }
+            return UpstreamResponse {
+                outcome,
+                heard: heard(false),
+                contested,
+            };
+        }
+        let whole = read_whole(body, send.answer_limit_bytes).await;
+        let heard = heard(whole.is_ok());
+        let outcome = match whole {
+            Ok(body) => {
+                self.connections.release(leased, &head.headers);
+                UpstreamOutcome::Answered {
+                    status: head.status.as_u16(),
+                    headers: forwarded_headers(&head.headers, &[]),
+                    body,
+                }
             }
+            Err(reason) => UpstreamOutcome::Unknown(reason),
         };
-        self.connections.release(leased, &head.headers);
-        let heard = heard(end.is_none());
-        let outcome = end.unwrap_or_else(|| UpstreamOutcome::Answered {
-            status: head.status.as_u16(),
-            headers: forwarded_headers(&head.headers, &[]),
-            body,
-        });
         UpstreamResponse {
             outcome,
             heard,
@@ -237,6 +248,14 @@
     }
 }
 
+/// Reads a body that nobody waits for, and returns whether it is complete. The outcome of its
+/// request is known from the head, so a body that is long or slow is given up.
+async fn read_unused(body: Incoming) -> bool {
+    let reading = read_whole(body, MAX_UNUSED_BODY_BYTES);
+    let read = tokio::time::timeout(MAX_UNUSED_BODY_TIME, reading).await;
+    matches!(read, Ok(Ok(_)))
+}
+
 /// Reads the complete body. The HTTP library reports a body shorter than its declared length as an
 /// error, so a caller never gets a truncated answer as if it were complete.
 async fn read_whole(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, Reason> {
