A head without end is given up

What callers saw: an upstream in trouble sends a head, its lines or interim answers without end. The caller was held to its deadline (504), and a node with one thread did little else: in a soak of debug builds such nodes logged nothing for 13 to 17 s, in one of release builds for about a second at a time, also for other requests. Cause: the HTTP library reads a head of up to 400 KB, without limit of time, and any number of interim answers. Change: 64 KiB for a head, and for what is read at once; 1 s from its first byte to its last; 16 interim answers. After that the outcome is unknown, the connection is closed, and an idempotent request goes elsewhere. The time of a head begins anew after an interim answer, so an upstream at work is waited for. Evidence: endless_answers::a_head_without_end_is_given_up: 504 after 5 s before, 502 within 1.3 s after for all four forms; a_slow_answer_is_waited_for holds before and after.

--- a/crates/hemlocktack-node/src/upstream/connections.rs
+++ b/crates/hemlocktack-node/src/upstream/connections.rs
@@ -12,17 +12,20 @@
 use futures::FutureExt;
 use http::HeaderMap;
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 use super::carried_ids::{CarriedIds, IdHash};
+use super::head_watch::{HeadWatch, WatchedStream};
 use crate::sockets;
 
 /// Longest time for connecting. The upstream runs on this machine and accepts a connection within a
 /// millisecond; one that takes longer than this is gone or hangs.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest head of an answer, and the most that is read of a body at once.
+const MAX_READ_BYTES: usize = 64 << 10;
 /// Share of the upstream's keep-alive timeout for which an idle connection is reused. A request
 /// that is sent while the upstream closes the connection may or may not have been read.
 const REUSE_SHARE: f64 = 0.7;
@@ -48,6 +51,7 @@
     task: AbortHandle,
     address: SocketAddr,
     carried_ids: CarriedIds,
+    head_watch: Arc<HeadWatch>,
     opened_at: Instant,
     reuse_until: Instant,
 }
@@ -59,6 +63,7 @@
     task: AbortHandle,
     address: SocketAddr,
     carried_ids: CarriedIds,
+    pub(super) head_watch: Arc<HeadWatch>,
     opened_at: Instant,
     /// No request was sent on this connection before.
     pub(super) is_fresh: bool,
@@ -96,7 +101,11 @@
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.ok()?.ok()?;
         sockets::configure(&stream).ok()?;
-        let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        let head_watch = Arc::<HeadWatch>::default();
+        let stream = TokioIo::new(WatchedStream::new(stream, head_watch.clone()));
+        let mut builder = Builder::new();
+        builder.max_buf_size(MAX_READ_BYTES);
+        let (sender, connection) = builder.handshake(stream).await.ok()?;
         // The task ends with an error if the upstream sends unsolicited data. The connection is
         // closed then, and its sender reports that.
         let task = tokio::spawn(connection.map(|_| ()));
@@ -105,6 +114,7 @@
             task: task.abort_handle(),
             address,
             carried_ids: CarriedIds::default(),
+            head_watch,
             opened_at: Instant::now(),
             is_fresh: true,
         })
@@ -132,6 +142,7 @@
             task: connection.task,
             address,
             carried_ids: connection.carried_ids,
+            head_watch: connection.head_watch,
             opened_at: connection.opened_at,
             is_fresh: false,
         })
@@ -150,13 +161,14 @@
         let reuse_until = Instant::now() + reuse_time(answer);
         let idle = self.idle.clone();
         let (task, address) = (leased.task.clone(), leased.address);
-        let opened_at = leased.opened_at;
+        let (head_watch, opened_at) = (leased.head_watch.clone(), leased.opened_at);
         let keep = move |sender| {
             lock(&idle).push(IdleConnection {
                 sender,
                 task,
                 address,
                 carried_ids,
+                head_watch,
                 opened_at,
                 reuse_until,
             });
--- a/crates/hemlocktack-node/src/upstream/interface_client.rs
+++ b/crates/hemlocktack-node/src/upstream/interface_client.rs
@@ -14,6 +14,7 @@
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::ext::on_informational;
 
 use super::connections::{Connections, LeasedConnection};
 use super::{
@@ -180,13 +181,24 @@
                 false => self.connections.lease_new(address, request_id).await,
             };
             let mut leased = leased.ok_or(NotSent::Unreachable)?;
-            let request = self.request(send).ok_or(NotSent::Malformed)?;
+            let mut request = self.request(send).ok_or(NotSent::Malformed)?;
+            let watch = leased.head_watch.clone();
+            watch.begin();
+            on_informational(&mut request, {
+                let watch = watch.clone();
+                move |_| watch.record_interim_answer()
+            });
             let Some(sender) = leased.sender.as_mut() else {
                 continue;
             };
             let request_sent_at = Instant::now();
             is_handed_over.store(true, Ordering::Relaxed);
-            match sender.try_send_request(request).await {
+            let sent = tokio::select! {
+                biased;
+                sent = sender.try_send_request(request) => sent,
+                () = watch.exceeded() => return Ok(Err(Reason::UpstreamFailed)),
+            };
+            match sent {
                 Ok(response) => {
                     return Ok(Ok(AnswerHead {
                         leased,
--- a/crates/hemlocktack-node/src/upstream/mod.rs
+++ b/crates/hemlocktack-node/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 mod carried_ids;
 mod client;
 mod connections;
+mod head_watch;
 mod interface_client;
 mod load;
 mod notices;
