Failing tests: a departure that a restarted node hears of from calls

By reading, two windows let a call pass there. The node adopts the departure and drains under two locks: a second call that arrives in between brings nothing new and is offered to an admission that is still ready. And a call that comes before the node knows its upstream is checked against no start, then offered under another lock, so an announcement in between lets it run.

Both are shown here without timing, and fail.

--- a/crates/hemlocktack-decide/tests/notices/admission.rs
+++ b/crates/hemlocktack-decide/tests/notices/admission.rs
@@ -225,6 +225,42 @@
     assert!(!admission.has_notice_in_force());
 }
 
+/// Failure: two calls reach a restarted node at once; the first brings the departure, and the second
+/// runs, because the node has not begun to drain yet.
+#[test]
+fn no_call_runs_between_the_news_of_a_departure_and_the_drain() {
+    let now = Instant::now();
+    let mut admission = admission(now);
+    let departure = notice("i-1", 7, true);
+    for call_id in [1, 2] {
+        let adopted = admission.adopt_notice(&departure, OWN, now);
+        assert!(matches!(adopted, AdoptedNotice::Heeded(_)));
+        let decision = admission.offer(&offer(call_id, 0, now), now);
+        assert!(refused_as_draining(&decision), "{call_id}: {decision:?}");
+    }
+}
+
+/// Failure: a call brings the departure of an upstream that a restarted node does not know yet, the
+/// upstream announces itself in the same moment, and the call runs.
+#[test]
+fn no_call_with_a_departure_runs_on_an_upstream_that_appears_meanwhile() {
+    let now = Instant::now();
+    let mut admission = Admission::new(AdmissionPolicy::default(), now);
+    let adopted = admission.adopt_notice(&notice("i-1", 7, true), OWN, now);
+    admission.set_upstream_start(start("i-1", Some(7), START_NUMBER));
+    admission.announced(SLOTS, SLOTS * 8, false, now);
+    let decision = admission.offer(&offer(1, 0, now), now);
+    let is_kept_away = adopted == AdoptedNotice::Unconfirmed || refused_as_draining(&decision);
+    assert!(is_kept_away, "{adopted:?}, {decision:?}");
+}
+
+fn refused_as_draining(decision: &AdmissionDecision) -> bool {
+    let AdmissionDecision::Refused(refusal) = decision else {
+        return false;
+    };
+    refusal.reason == Reason::UpstreamDraining
+}
+
 /// Failure: an entry sends back what this node has said of an earlier start of its upstream, whose
 /// id the current one has again, and the current one counts as leaving for as long as it runs.
 #[test]
