--- a/review/stand-ins-2/src/backend.rs
+++ b/review/stand-ins-2/src/backend.rs
@@ -19,6 +19,9 @@
     pub body_bytes: usize,
 }
 
+/// What a backend does with a request, which came over this connection; `None` if it drops it.
+pub type Behaviour = Arc<dyn Fn(&Run, &TcpStream) -> Option<(u16, String)> + Send + Sync>;
+
 #[derive(Clone)]
 pub struct Backend {
     pub address: SocketAddr,
@@ -31,12 +34,29 @@
     runs: Mutex<Vec<Run>>,
     ends: AtomicBool,
     sequence: AtomicU64,
-    work: Duration,
+    behaviour: Behaviour,
     record: Record,
 }
 
 impl Backend {
+    /// Starts a backend that works on each request for this long and answers it with success.
     pub fn start(service: &str, id: &str, work: Duration, record: &Record) -> Backend {
+        let name = service.to_owned();
+        let behaviour = move |run: &Run, _: &TcpStream| {
+            std::thread::sleep(work);
+            let mut body = format!("answer to {} of {name}", run.id);
+            if let Some((_, length)) = run.target.rsplit_once("bytes=") {
+                let length = length.parse().unwrap_or(0);
+                while body.len() < length {
+                    body.push('.');
+                }
+            }
+            Some((200, body))
+        };
+        Backend::start_with(service, id, Arc::new(behaviour), record)
+    }
+
+    pub fn start_with(service: &str, id: &str, behaviour: Behaviour, record: &Record) -> Backend {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let backend = Backend {
             address: listener.local_addr().unwrap(),
@@ -46,7 +66,7 @@
                 runs: Mutex::default(),
                 ends: AtomicBool::new(false),
                 sequence: AtomicU64::new(0),
-                work,
+                behaviour,
                 record: record.clone(),
             }),
         };
@@ -136,17 +156,12 @@
                 run.caller_service,
                 run.tenant
             ));
-            self.shared.runs.lock().unwrap().push(run);
-            std::thread::sleep(self.shared.work);
-            let mut body = format!("answer to {id} of {}", self.service);
-            if let Some((_, length)) = request.target().rsplit_once("bytes=") {
-                let length = length.parse().unwrap_or(0);
-                while body.len() < length {
-                    body.push('.');
-                }
-            }
+            self.shared.runs.lock().unwrap().push(run.clone());
+            let Some((status, body)) = (self.shared.behaviour)(&run, &writer) else {
+                return;
+            };
             let answer = format!(
-                "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: {}.{id}\r\nContent-Length: {}\r\n\r\n{body}",
+                "HTTP/1.1 {status} X\r\nAttempt-Id: {id}\r\nResponse-Signature: {}.{id}\r\nContent-Length: {}\r\n\r\n{body}",
                 self.id,
                 body.len()
             );
--- a/review/stand-ins-2/src/large_bodies.rs
+++ b/review/stand-ins-2/src/large_bodies.rs
@@ -10,11 +10,11 @@
 
 use crate::End;
 use crate::backend::Backend;
+use crate::configuration::resource;
 use crate::http::read_message;
 use crate::json::{Json, number, table, text};
 use crate::node::{Node, Settings, is_ready};
 use crate::record::Record;
-use crate::restored_store::resource;
 use crate::store::Store;
 
 const HOST: &str = "jepu9.example";
@@ -33,7 +33,7 @@
 /// How long clients send.
 const SENDING_FOR: Duration = Duration::from_secs(70);
 /// Ends by itself, of each of two processes, that break the rule.
-const ENDS: u32 = 3;
+pub const ENDS: u32 = 3;
 
 fn configuration() -> Json {
     let route = table([
@@ -94,14 +94,14 @@
     Some(read_message(&mut BufReader::new(stream))?.status())
 }
 
-struct Watched {
-    node: Mutex<Node>,
-    ends: AtomicU32,
-    most_bytes: AtomicU64,
+pub struct Watched {
+    pub node: Mutex<Node>,
+    pub ends: AtomicU32,
+    pub most_bytes: AtomicU64,
 }
 
 /// The platform: kills the process when it exceeds its memory, and starts it again.
-fn watch(watched: &Watched, record: &Record, stops: &AtomicBool) {
+pub fn watch(watched: &Watched, record: &Record, stops: &AtomicBool) {
     while !stops.load(Ordering::Relaxed) {
         {
             let mut node = watched.node.lock().unwrap();
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -3,13 +3,15 @@
 //! disruption out. Exits with 0 if the rule held, 1 if it was broken, 2 if the case couldn't run.
 
 mod backend;
+mod cancelled_child;
+mod configuration;
+mod endless_answers;
 mod http;
 mod json;
 mod large_bodies;
 mod node;
 mod pipelined_stop;
 mod record;
-mod restored_store;
 mod split_heads;
 mod store;
 
@@ -36,10 +38,11 @@
     let record = Record::new();
     record.note(format!("case {case}, trouble: {has_trouble}"));
     let end = match case.as_str() {
-        "restored-store" => restored_store::run(&record, &scratch, has_trouble),
+        "cancelled-child" => cancelled_child::run(&record, &scratch, has_trouble),
         "large-bodies" => large_bodies::run(&record, &scratch, has_trouble),
         "split-heads" => split_heads::run(&record, &scratch, has_trouble),
         "pipelined-stop" => pipelined_stop::run(&record, &scratch, has_trouble),
+        "endless-answers" => endless_answers::run(&record, &scratch, has_trouble),
         other => End::NotRun(format!("no case {other}")),
     };
     let (code, word) = match end {
--- a/review/stand-ins-2/src/pipelined_stop.rs
+++ b/review/stand-ins-2/src/pipelined_stop.rs
@@ -7,11 +7,11 @@
 
 use crate::End;
 use crate::backend::Backend;
+use crate::configuration::resource;
 use crate::http::read_head;
 use crate::json::{Json, number, table, text};
 use crate::node::{Node, Settings};
 use crate::record::Record;
-use crate::restored_store::resource;
 use crate::store::Store;
 
 const HOST: &str = "hulo84.example";
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -34,9 +34,6 @@
     state: Arc<(Mutex<State>, Condvar)>,
 }
 
-/// A copy of the store's contents.
-pub struct Copy(Contents);
-
 impl Store {
     pub fn start() -> (Store, SocketAddr) {
         let store = Store::default();
@@ -67,49 +64,6 @@
         Some(revision)
     }
 
-    pub fn revision(&self) -> u64 {
-        self.state.0.lock().unwrap().contents.revision
-    }
-
-    pub fn copy(&self) -> Copy {
-        Copy(self.state.0.lock().unwrap().contents.clone())
-    }
-
-    /// The store is away: its connections are reset, and new ones are closed.
-    pub fn go_away(&self) {
-        let (state, changed) = &*self.state;
-        let mut state = state.lock().unwrap();
-        state.is_away = true;
-        for connection in state.connections.drain(..) {
-            let _ = connection.shutdown(Shutdown::Both);
-        }
-        changed.notify_all();
-    }
-
-    /// The store comes back from a copy; the operator's own writes follow at once.
-    pub fn come_back_from(&self, copy: Copy, operator: &[&Json]) -> Vec<u64> {
-        let (state, changed) = &*self.state;
-        let mut state = state.lock().unwrap();
-        state.contents = copy.0;
-        state.era += 1;
-        state.is_away = false;
-        let writes = operator
-            .iter()
-            .map(|configuration| {
-                state
-                    .contents
-                    .write("config", "main", configuration, &Json::Null)
-            })
-            .collect();
-        changed.notify_all();
-        writes
-    }
-
-    /// Returns the calls that changed something or were answered with a failure.
-    pub fn take_log(&self) -> Vec<String> {
-        std::mem::take(&mut self.state.0.lock().unwrap().log)
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         {
