Memory held for bodies and frames as a gauge

Hypotheses of where the bytes are, and the figure that tells them apart: 1. bodies of callers, without a bound for all together: held_bytes of caller-bodies is above one body while memory peaks; 2. frames, with a body of which a link holds copies: received-frames and unsent-frames; 3. bytes in sockets: TCP memory of the machine.

The metrics told none of them. hemlocktack_held_bytes does, by what memory is held for. With 55 to 65 MB of bodies held a process takes 95 to 217 MB: the pieces, the copy that joins them, and what the allocator keeps of both.

--- a/crates/hemlocktack-node/src/callers/routes.rs
+++ b/crates/hemlocktack-node/src/callers/routes.rs
@@ -13,6 +13,7 @@
 use super::observe::ObservedEntry;
 use super::{CallerRequest, has_idempotency_key, read_head};
 use crate::calls;
+use crate::memory::HeldFor;
 use crate::node::Node;
 use crate::refused_body::discard_with_timeout;
 
@@ -86,7 +87,7 @@
         discard_rest(stream).await;
         return Err(Reason::BodyTooLarge);
     }
-    Ok(Bytes::from(body))
+    Ok(node.memory.track(HeldFor::CallerBodies, Bytes::from(body)))
 }
 
 async fn discard_rest(mut rest: DataStream<'_>) {
--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -181,6 +181,7 @@
             context: &context.header(),
             deadline,
             answer_limit_bytes: node.answer_limit_bytes(),
+            memory: &node.memory,
         })
         .await;
     context.mark_ended();
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -22,6 +22,7 @@
 use super::{forwarded_headers, server};
 use crate::calls::{self, ClassifiedCall, SendRecord, not_run_answer, retry_after};
 use crate::counters::InFlightGuard;
+use crate::memory::{HeldFor, HeldMemory};
 use crate::node::Node;
 use crate::quotas::{self, HeldToken};
 use crate::telemetry::request_line;
@@ -206,7 +207,7 @@
 ) -> Result<Bytes, Reason> {
     let body = tokio::select! {
         biased;
-        body = read_body(body, routed) => body?,
+        body = read_body(&node.memory, body, routed) => body?,
         () = node.signals.drain_limit_reached.cancelled() => {
             log_ended_by_limit(node, incoming, None, Outcome::NotRun, began);
             return Err(Reason::Draining);
@@ -238,14 +239,23 @@
 }
 
 /// Reads the whole body, at most until the deadline of the request.
-async fn read_body(body: &mut RequestBody, routed: &RoutedRequest) -> Result<Bytes, Reason> {
+async fn read_body(
+    memory: &HeldMemory,
+    body: &mut RequestBody,
+    routed: &RoutedRequest,
+) -> Result<Bytes, Reason> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let limited = Limited::new(body, routed.body_limit_bytes);
+    let mut pieces = memory.hold(HeldFor::CallerBodies);
+    let counted = body.map_frame(|frame| {
+        pieces.add(frame.data_ref().map_or(0, Bytes::len));
+        frame
+    });
+    let limited = Limited::new(counted, routed.body_limit_bytes);
     let collected = tokio::time::timeout_at(routed.deadline.into(), limited.collect()).await;
     match collected {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Ok(body)) => Ok(memory.track(HeldFor::CallerBodies, body.to_bytes())),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::BodyTooLarge),
         Ok(Err(_)) => Err(Reason::MalformedRequest),
         Err(_) => Err(Reason::DeadlineTooShort),
--- a/crates/hemlocktack-node/src/lib.rs
+++ b/crates/hemlocktack-node/src/lib.rs
@@ -12,6 +12,7 @@
 mod handover;
 mod interfaces;
 mod links;
+mod memory;
 mod node;
 mod operators;
 mod peers;
--- a/crates/hemlocktack-node/src/links/codec.rs
+++ b/crates/hemlocktack-node/src/links/codec.rs
@@ -10,6 +10,7 @@
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 use super::last_received::LastReceived;
+use crate::memory::{HeldBytes, HeldFor, HeldMemory};
 
 /// Result of reading or writing a frame.
 pub(crate) type Result<T> = std::result::Result<T, Error>;
@@ -47,10 +48,12 @@
 pub(crate) struct FrameCodec {
     lengths: LengthDelimitedCodec,
     last_received: LastReceived,
+    /// Buffer of the bytes that are decoded.
+    received: HeldBytes,
 }
 
 impl FrameCodec {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(memory: &HeldMemory) -> Self {
         let lengths = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME_BYTES)
             .new_codec();
@@ -58,6 +61,7 @@
         Self {
             lengths,
             last_received,
+            received: memory.hold(HeldFor::ReceivedFrames),
         }
     }
 
@@ -74,6 +78,7 @@
     fn decode(&mut self, source: &mut BytesMut) -> Result<Option<Frame>> {
         // Called when bytes have arrived, and once more for each frame in them.
         self.last_received.update();
+        self.received.set(source.capacity());
         let Some(length_bytes) = frame_length(source)? else {
             return Ok(None);
         };
--- a/crates/hemlocktack-node/src/links/connection.rs
+++ b/crates/hemlocktack-node/src/links/connection.rs
@@ -17,6 +17,7 @@
 use super::FrameCodec;
 use super::last_received::LastReceived;
 use crate::freshness::boot_time;
+use crate::memory::{HeldBytes, HeldFor, HeldMemory};
 
 /// Unsent bytes above which senders wait. A peer that reads slowly makes senders wait until their
 /// own deadlines.
@@ -66,6 +67,8 @@
     echoes_requested: u64,
     /// The writer task waits until the socket is writable; new frames are only appended.
     is_blocked: bool,
+    /// Buffers of unsent frames.
+    unsent: HeldBytes,
 }
 
 /// An encoded frame of which nothing has been written.
@@ -82,10 +85,11 @@
         opened: BootTime,
         last_received: LastReceived,
         answers_echo: bool,
+        memory: &HeldMemory,
     ) -> Self {
         let outbox = Outbox {
             socket: Some(Arc::new(socket)),
-            codec: FrameCodec::new(),
+            codec: FrameCodec::new(memory),
             bytes: BytesMut::new(),
             urgent: BytesMut::new(),
             waiting: VecDeque::new(),
@@ -93,6 +97,7 @@
             written_bytes: 0,
             echoes_requested: 0,
             is_blocked: false,
+            unsent: memory.hold(HeldFor::UnsentFrames),
         };
         let shared = Arc::new(Shared {
             outbox: Mutex::new(outbox),
@@ -294,6 +299,12 @@
         true
     }
 
+    /// Counts the memory of the buffers.
+    fn count_buffers(&mut self) {
+        let bytes = self.bytes.capacity() + self.urgent.capacity() + self.waiting_bytes;
+        self.unsent.set(bytes);
+    }
+
     fn unsent_bytes(&self) -> usize {
         self.bytes.len() + self.urgent.len() + self.waiting_bytes
     }
@@ -388,6 +399,7 @@
     fn write(&self, outbox: &mut Outbox) {
         let was_blocked = outbox.is_blocked;
         let before_bytes = outbox.written_bytes;
+        outbox.count_buffers();
         let written = outbox.write();
         if was_blocked && outbox.written_bytes > before_bytes {
             // The peer has made room, so it is reading what was sent before.
--- a/crates/hemlocktack-node/src/links/dial.rs
+++ b/crates/hemlocktack-node/src/links/dial.rs
@@ -55,7 +55,8 @@
         }
         let stream = TcpStream::connect(**link.address.load()).await.ok()?;
         sockets::configure_sender(&stream).ok()?;
-        let opened = handshake::dial(stream, &self.own, &link.node_id, &self.keys).await;
+        let opened =
+            handshake::dial(stream, &self.own, &link.node_id, &self.keys, &self.memory).await;
         if let Err(handshake::Error::OtherNode(found)) = &opened {
             self.log_other_node(link, found);
         }
@@ -70,6 +71,7 @@
             opened,
             last_received,
             answers_echo,
+            &self.memory,
         );
         let answers = read_answers(
             reader,
--- a/crates/hemlocktack-node/src/links/handshake.rs
+++ b/crates/hemlocktack-node/src/links/handshake.rs
@@ -18,6 +18,7 @@
 
 use super::{FrameCodec, codec};
 use crate::freshness::boot_time;
+use crate::memory::HeldMemory;
 
 /// Result of a handshake.
 pub(crate) type Result<T> = std::result::Result<T, Error>;
@@ -53,6 +54,7 @@
     pub(crate) answers_echo: bool,
     /// When the challenge was sent or received.
     pub(crate) opened: BootTime,
+    memory: HeldMemory,
     framed: Framed<TcpStream, FrameCodec>,
 }
 
@@ -69,7 +71,7 @@
     pub(super) fn split(self) -> (Reader, OwnedWriteHalf) {
         let parts = self.framed.into_parts();
         let (read, write) = parts.io.into_split();
-        let mut read_parts = FramedParts::new::<Frame>(read, FrameCodec::new());
+        let mut read_parts = FramedParts::new::<Frame>(read, FrameCodec::new(&self.memory));
         read_parts.read_buf = parts.read_buf;
         let reader = Framed::from_parts(read_parts);
         (reader, write)
@@ -86,8 +88,9 @@
     own: &NodeIncarnation,
     wanted: &NodeId,
     keys: &FleetKeys,
+    memory: &HeldMemory,
 ) -> Result<OpenLink> {
-    let mut framed = Framed::new(stream, FrameCodec::new());
+    let mut framed = Framed::new(stream, FrameCodec::new(memory));
     let hello = Hello {
         node_id: own.node_id.to_string(),
         incarnation: own.incarnation,
@@ -120,6 +123,7 @@
         peer,
         answers_echo: challenge.answers_echo,
         opened,
+        memory: memory.clone(),
         framed,
     })
 }
@@ -129,8 +133,9 @@
     stream: TcpStream,
     own: &NodeIncarnation,
     keys: &FleetKeys,
+    memory: &HeldMemory,
 ) -> Result<OpenLink> {
-    let mut framed = Framed::new(stream, FrameCodec::new());
+    let mut framed = Framed::new(stream, FrameCodec::new(memory));
     let frame::Body::Hello(hello) = receive(&mut framed).await? else {
         return Err(Error::Unexpected);
     };
@@ -165,6 +170,7 @@
         // Only the end that sends calls monitors the link by echo requests.
         answers_echo: false,
         opened,
+        memory: memory.clone(),
         framed,
     })
 }
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -68,6 +68,7 @@
         opened,
         last_received,
         answers_echo,
+        &node.memory,
     );
     let sender = node.senders.connected(&peer);
     let mut ages = CallAges::default();
@@ -96,7 +97,7 @@
 
 async fn open_link(node: &Node, stream: TcpStream) -> Option<OpenLink> {
     let address = stream.peer_addr().ok()?;
-    let opening = handshake::accept(stream, &node.identity, &node.keys);
+    let opening = handshake::accept(stream, &node.identity, &node.keys, &node.memory);
     let opened = tokio::time::timeout(handshake::OPENING_TIMEOUT, opening).await;
     let error = match opened {
         Ok(Ok(open)) => return Some(open),
--- a/crates/hemlocktack-node/src/links/tests.rs
+++ b/crates/hemlocktack-node/src/links/tests.rs
@@ -25,6 +25,7 @@
 use super::senders::Senders;
 use crate::calls::{SendProgress, not_run_answer};
 use crate::freshness::boot_time;
+use crate::memory::HeldMemory;
 
 const ROUNDS: u64 = 100_000;
 
@@ -35,7 +36,14 @@
     let (far, _) = listener.accept().await.unwrap();
     let (_, writer) = near.unwrap().into_split();
     (
-        Connection::start(1, writer, boot_time(), LastReceived::new(), false),
+        Connection::start(
+            1,
+            writer,
+            boot_time(),
+            LastReceived::new(),
+            false,
+            &HeldMemory::default(),
+        ),
         far,
     )
 }
@@ -106,7 +114,11 @@
 
 /// A node that sends calls, with the task that sends its cancellations.
 fn sender() -> Arc<Links> {
-    let links = Arc::new(Links::new(NodeIncarnation::new("sender", 1), keys()));
+    let links = Arc::new(Links::new(
+        NodeIncarnation::new("sender", 1),
+        keys(),
+        HeldMemory::default(),
+    ));
     let served = links.clone();
     tokio::spawn(async move { served.send_cancellations().await });
     links
@@ -143,7 +155,9 @@
         let accepted = tokio::time::timeout(CALL_TIMEOUT, self.listener.accept()).await;
         let (stream, _) = accepted.expect("a link is opened").unwrap();
         let own = NodeIncarnation::new("receiver", 1);
-        let open = handshake::accept(stream, &own, &keys()).await.unwrap();
+        let open = handshake::accept(stream, &own, &keys(), &HeldMemory::default())
+            .await
+            .unwrap();
         open.split()
     }
 }
@@ -364,7 +378,14 @@
         let is_asked =
             matches!(asked, Some(frame::Body::Resolve(asked)) if asked.call_id == call_id);
         assert!(is_asked, "{unreachable_ms} ms");
-        let connection = Connection::start(1, writer, boot_time(), LastReceived::new(), false);
+        let connection = Connection::start(
+            1,
+            writer,
+            boot_time(),
+            LastReceived::new(),
+            false,
+            &HeldMemory::default(),
+        );
         let refusal = Answer {
             call_id,
             ..not_run_answer(Reason::QueueTimeout, None)
--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -41,6 +41,7 @@
 use crate::freshness::StoreQuestions;
 use crate::interfaces;
 use crate::links::{Links, Senders};
+use crate::memory::HeldMemory;
 use crate::peers::GossipCounts;
 use crate::quotas::Quotas;
 use crate::settings::{AdjustableSettings, Settings};
@@ -56,6 +57,8 @@
     pub(crate) identity: NodeIncarnation,
     pub(crate) keys: FleetKeys,
     pub(crate) platform: Arc<Client>,
+    /// Memory held for bodies and frames.
+    pub(crate) memory: HeldMemory,
     pub(crate) links: Links,
     pub(crate) senders: Senders,
     pub(crate) contexts: ContextTable,
@@ -141,6 +144,7 @@
         tracer: Tracer,
     ) -> Self {
         let (configuration_events, receiver) = mpsc::channel(CONFIGURATION_EVENT_CAPACITY);
+        let memory = HeldMemory::default();
         let lifecycle = NodeLifecycle::new(
             policies::drain_settings(&settings, &adjustable),
             Instant::now(),
@@ -160,7 +164,8 @@
             configuration_receiver: Mutex::new(Some(receiver)),
             start_order: unix_ms(),
             platform: platform.client,
-            links: Links::new(identity.clone(), keys.clone()),
+            links: Links::new(identity.clone(), keys.clone(), memory.clone()),
+            memory,
             home: TicketHome::new(&identity),
             services: ServiceDirectory::new(settings.data_centre.clone()),
             notices: ArcSwap::default(),
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -15,6 +15,7 @@
 
 use super::status;
 use crate::freshness::boot_time;
+use crate::memory::HeldFor;
 use crate::node::Node;
 use crate::peers::GossipCounts;
 
@@ -50,6 +51,12 @@
     state: &'static str,
 }
 
+/// Labels of held memory. Bounded by what memory is held for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct HeldLabels {
+    held_for: &'static str,
+}
+
 /// Labels of gossip traffic. Bounded by two directions and six kinds of datagrams.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct GossipLabels {
@@ -64,6 +71,7 @@
     register_calls(&mut registry, node, &status);
     register_load(&mut registry, node, &status);
     register_fleet(&mut registry, node, &status);
+    register_memory(&mut registry, node);
     register_tickets(&mut registry, node);
     register_waits(&mut registry, node);
     register_telemetry(&mut registry, node);
@@ -248,6 +256,19 @@
     counter(registry, "refused_datagrams", help, refused);
 }
 
+fn register_memory(registry: &mut Registry, node: &Node) {
+    let held = Family::<HeldLabels, Gauge>::default();
+    for held_for in HeldFor::iter() {
+        let labels = HeldLabels {
+            held_for: held_for.into(),
+        };
+        let bytes = as_signed(node.memory.bytes(held_for));
+        held.get_or_create(&labels).set(bytes);
+    }
+    let help = "Memory held for bodies and frames, by what it is held for";
+    registry.register_with_unit("held", help, Unit::Bytes, held);
+}
+
 fn register_tickets(registry: &mut Registry, node: &Node) {
     let table = node.home.table();
     let help = "Records of the tickets that this node is home of";
--- a/crates/hemlocktack-node/src/upstream/client.rs
+++ b/crates/hemlocktack-node/src/upstream/client.rs
@@ -13,6 +13,7 @@
 
 use super::{HeardAnswer, UpstreamOutcome, UpstreamRequest, UpstreamResponse};
 use crate::callers::is_forwarded_header;
+use crate::memory::{HeldFor, HeldMemory};
 
 /// Client for one upstream with the native interface.
 pub(crate) struct NativeClient {
@@ -42,7 +43,8 @@
     ) -> Option<Bytes> {
         let response = self.client.get(url).timeout(timeout).send().await.ok()?;
         let response = response.error_for_status().ok()?;
-        match read_whole(response, limit_bytes).await {
+        let uncounted = HeldMemory::default();
+        match read_whole(response, limit_bytes, &uncounted).await {
             UpstreamOutcome::Answered { body, .. } => Some(body),
             UpstreamOutcome::NotRun(_) | UpstreamOutcome::Unknown(_) => None,
         }
@@ -85,7 +87,7 @@
         };
         let read_at = Instant::now();
         let notice = read_notice(&response);
-        let outcome = read_whole(response, send.answer_limit_bytes).await;
+        let outcome = read_whole(response, send.answer_limit_bytes, send.memory).await;
         let is_complete = matches!(outcome, UpstreamOutcome::Answered { .. });
         let heard = Some(HeardAnswer {
             notice,
@@ -123,27 +125,36 @@
     }
 }
 
-async fn read_whole(mut response: Response, limit_bytes: usize) -> UpstreamOutcome {
+async fn read_whole(
+    mut response: Response,
+    limit_bytes: usize,
+    memory: &HeldMemory,
+) -> UpstreamOutcome {
     let status = response.status().as_u16();
     if is_refused_by_upstream(&response) {
         return UpstreamOutcome::NotRun(Reason::UpstreamShed);
     }
     let headers = forwarded_headers(&response);
     let mut body = BytesMut::new();
+    let mut held = memory.hold(HeldFor::Answers);
     loop {
         match response.chunk().await {
             Ok(Some(chunk)) if body.len() + chunk.len() > limit_bytes => {
                 return UpstreamOutcome::Unknown(Reason::AnswerTooLarge);
             }
-            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+            Ok(Some(chunk)) => {
+                body.extend_from_slice(&chunk);
+                held.set(body.capacity());
+            }
             Ok(None) => break,
             Err(_) => return UpstreamOutcome::Unknown(Reason::UpstreamFailed),
         }
     }
+    drop(held);
     UpstreamOutcome::Answered {
         status,
         headers,
-        body: body.freeze(),
+        body: memory.track(HeldFor::Answers, body.freeze()),
     }
 }
 
--- a/crates/hemlocktack-node/src/upstream/interface_client.rs
+++ b/crates/hemlocktack-node/src/upstream/interface_client.rs
@@ -21,6 +21,7 @@
     AnswerClaim, ContestedAnswer, HeardAnswer, UpstreamOutcome, UpstreamRequest, UpstreamResponse,
 };
 use crate::gateway::forwarded_headers;
+use crate::memory::{HeldFor, HeldMemory};
 
 /// Idle connections that may turn out to be closed before a new one is opened.
 const MAX_STALE_CONNECTIONS: usize = 3;
@@ -136,7 +137,7 @@
             })
         };
         if let Some(outcome) = end {
-            if read_unused(body).await {
+            if read_unused(body, send.memory).await {
                 self.connections.release(leased, &head.headers);
             }
             return UpstreamResponse {
@@ -145,7 +146,7 @@
                 contested,
             };
         }
-        let whole = read_whole(body, send.answer_limit_bytes).await;
+        let whole = read_whole(body, send.answer_limit_bytes, send.memory).await;
         let heard = heard(whole.is_ok());
         let outcome = match whole {
             Ok(body) => {
@@ -262,16 +263,21 @@
 
 /// Reads a body that nobody waits for, and returns whether it is complete. The outcome of its
 /// request is known from the head, so a body that is long or slow is given up.
-async fn read_unused(body: Incoming) -> bool {
-    let reading = read_whole(body, MAX_UNUSED_BODY_BYTES);
+async fn read_unused(body: Incoming, memory: &HeldMemory) -> bool {
+    let reading = read_whole(body, MAX_UNUSED_BODY_BYTES, memory);
     let read = tokio::time::timeout(MAX_UNUSED_BODY_TIME, reading).await;
     matches!(read, Ok(Ok(_)))
 }
 
 /// Reads the complete body. The HTTP library reports a body shorter than its declared length as an
 /// error, so a caller never gets a truncated answer as if it were complete.
-async fn read_whole(mut body: Incoming, limit_bytes: usize) -> Result<Bytes, Reason> {
+async fn read_whole(
+    mut body: Incoming,
+    limit_bytes: usize,
+    memory: &HeldMemory,
+) -> Result<Bytes, Reason> {
     let mut whole = BytesMut::new();
+    let mut held = memory.hold(HeldFor::Answers);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Reason::UpstreamFailed)?;
         let Ok(data) = frame.into_data() else {
@@ -281,6 +287,8 @@
             return Err(Reason::AnswerTooLarge);
         }
         whole.extend_from_slice(&data);
+        held.set(whole.capacity());
     }
-    Ok(whole.freeze())
+    drop(held);
+    Ok(memory.track(HeldFor::Answers, whole.freeze()))
 }
--- a/crates/hemlocktack-node/src/upstream/interface_client/tests.rs
+++ b/crates/hemlocktack-node/src/upstream/interface_client/tests.rs
@@ -11,6 +11,7 @@
 
 use super::InterfaceClient;
 use crate::interfaces;
+use crate::memory::HeldMemory;
 use crate::settings::InterfaceName;
 use crate::upstream::{Announcement, UpstreamOutcome, UpstreamRequest};
 
@@ -64,6 +65,7 @@
         context: "",
         deadline: Instant::now() + TIME_LEFT,
         answer_limit_bytes: 1_024,
+        memory: &HeldMemory::default(),
     };
     let outcome = client.send(&request).await.outcome;
     let is_not_run = matches!(
--- a/crates/hemlocktack-node/src/upstream/send.rs
+++ b/crates/hemlocktack-node/src/upstream/send.rs
@@ -6,6 +6,7 @@
 use hemlocktack_protocol::{Call, Header, Reason};
 
 use super::{Announcement, HeardAnswer};
+use crate::memory::HeldMemory;
 
 /// A call to send to the upstream.
 pub(crate) struct UpstreamRequest<'a> {
@@ -15,6 +16,8 @@
     pub(crate) context: &'a str,
     pub(crate) deadline: Instant,
     pub(crate) answer_limit_bytes: usize,
+    /// Counts what is held for the answer.
+    pub(crate) memory: &'a HeldMemory,
 }
 
 /// How a call to the upstream ended, and what its answer said about the upstream.
--- a/crates/hemlocktack-node/tests/decoders/main.rs
+++ b/crates/hemlocktack-node/tests/decoders/main.rs
@@ -10,6 +10,9 @@
 #[allow(dead_code)]
 #[path = "../../src/links/last_received.rs"]
 mod last_received;
+#[allow(dead_code)]
+#[path = "../../src/memory.rs"]
+mod memory;
 #[allow(dead_code, unused_imports)]
 #[path = "../../src/settings/mod.rs"]
 mod settings;
