Bodies: one budget for all that a process holds, whoever sends or answers them

Cause: each body was collected whole, up to its own limit, and neither their number nor their sum was known anywhere. While the pieces were joined they were held a second time, and the allocator kept what it had released. A piece of the same cause is in the system: it receives some megabytes for a connection that nobody reads.

Change: a body reserves its length before it is read, into pages of its own, which go back to the system with its last reference. Who gets memory, waits or is turned away is decided in hemlocktack-decide (BodyBudget): small bodies have a share without a lock; of the others the more important go first, and a body waits for at most half of its request's time. What is turned away has not run and is told so at once (503, Retry-After; 704). Bodies of unknown length grow in steps; only the oldest of them may wait, so that no two wait for each other. One that stands still while others wait makes room for them (705). Answers of the upstream reserve from a part that callers' large bodies can't take. Sockets on this machine receive at most 128 KiB ahead.

--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod accounts;
 mod admission;
 mod answer_sizes;
+mod body_budget;
 mod caller_timeout;
 mod edge_budget;
 mod edge_budgets;
@@ -39,6 +40,10 @@
 
 pub use admission::Admission;
 pub use answer_sizes::AnswerSizes;
+pub use body_budget::{
+    BodyBudget, BodyBudgetPolicy, BodyClaim, BodyDecision, BodyId, BodyOwner, BodyPool,
+    SMALL_BODY_BYTES, WaitEnd,
+};
 pub use caller_timeout::CallerTimeoutEstimator;
 pub use edge_budget::{EdgeRetryBudget, RetryPriority, ScarcityChange};
 pub use edge_budgets::{EdgeRetryBudgets, FleetRetryLimits, NodePosition};
--- a/crates/hemlocktack-decide/src/placement.rs
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -173,6 +173,7 @@
         Reason::QueueFull
             | Reason::DeadlineTooShort
             | Reason::UpstreamRateLimited
+            | Reason::MemoryFull
             // The receiver ended the call because the link to the sender, which still waits, was
             // lost or silent.
             | Reason::Cancelled
--- a/crates/hemlocktack-node/src/callers/routes.rs
+++ b/crates/hemlocktack-node/src/callers/routes.rs
@@ -1,24 +1,28 @@
 //! Route handler for all methods and paths.
 
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hemlocktack_protocol::Reason;
+use hemlocktack_decide::BodyOwner;
+use hemlocktack_protocol::{ClassRank, Reason};
 use rocket::data::{Data, DataStream, ToByteUnit};
 use rocket::http::Method;
 use rocket::route::{Handler, Outcome, Route};
 use rocket::{Request, async_trait};
-use tokio::io::AsyncReadExt;
+use tokio_util::io::ReaderStream;
 
 use super::observe::ObservedEntry;
 use super::{CallerRequest, has_idempotency_key, read_head};
 use crate::calls;
-use crate::memory::HeldFor;
+use crate::memory::{self, BodyNeed, BodyPlan, CollectError, log_body_displaced, log_body_refused};
 use crate::node::Node;
 use crate::refused_body::discard_with_timeout;
 
 /// Most bytes of a refused body that are read and discarded.
 const MAX_DISCARDED_BYTES: usize = 64 << 20;
+/// Time of a request whose caller names none, as far as its body may wait for memory.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 const METHODS: [Method; 7] = [
     Method::Get,
     Method::Head,
@@ -69,25 +73,54 @@
             return Err(reason);
         }
     };
-    call.body = read_body(node, &call, data).await?;
+    let length_bytes = request.headers().get_one("content-length");
+    let length_bytes = length_bytes.and_then(|length| length.parse().ok());
+    call.body = read_body(node, &call, length_bytes, data).await?;
     Ok(call)
 }
 
-async fn read_body(node: &Node, call: &CallerRequest, data: Data<'_>) -> Result<Bytes, Reason> {
+async fn read_body(
+    node: &Node,
+    call: &CallerRequest,
+    length_bytes: Option<usize>,
+    data: Data<'_>,
+) -> Result<Bytes, Reason> {
     let limit_bytes = node.body_limit_bytes(&call.service);
     let mut stream = data.open((limit_bytes + MAX_DISCARDED_BYTES).bytes());
-    let mut body = Vec::new();
-    let more_than_limit = limit_bytes as u64 + 1;
-    (&mut stream)
-        .take(more_than_limit)
-        .read_to_end(&mut body)
-        .await
-        .map_err(|_| Reason::MalformedRequest)?;
-    if body.len() > limit_bytes {
-        discard_rest(stream).await;
-        return Err(Reason::BodyTooLarge);
-    }
-    Ok(node.memory.track(HeldFor::CallerBodies, Bytes::from(body)))
+    let began = Instant::now();
+    let deadline = began + call.timeout.unwrap_or(DEFAULT_TIMEOUT);
+    let need = BodyNeed {
+        owner: BodyOwner::Caller,
+        class_rank: ClassRank::MAX,
+        refuse_at: memory::wait_limit(began, deadline),
+    };
+    let plan = BodyPlan {
+        length_bytes,
+        limit_bytes,
+        may_be_displaced: true,
+    };
+    let collected = node
+        .memory
+        .collect(&need, plan, ReaderStream::new(&mut stream))
+        .await;
+    let refused = match collected {
+        Ok(body) => return Ok(body),
+        Err(error) => error,
+    };
+    let reason = match &refused {
+        CollectError::TooLarge => Reason::BodyTooLarge,
+        CollectError::NoMemory(refusal) => {
+            log_body_refused(node, "", BodyOwner::Caller, refusal);
+            Reason::MemoryFull
+        }
+        CollectError::Standstill => {
+            log_body_displaced(node, "", began);
+            Reason::MemoryFull
+        }
+        CollectError::Source(_) => return Err(Reason::MalformedRequest),
+    };
+    discard_rest(stream).await;
+    Err(reason)
 }
 
 async fn discard_rest(mut rest: DataStream<'_>) {
--- a/crates/hemlocktack-node/src/calls/outcomes.rs
+++ b/crates/hemlocktack-node/src/calls/outcomes.rs
@@ -82,6 +82,7 @@
             | Reason::Shed
             | Reason::UpstreamShed
             | Reason::UpstreamRateLimited
+            | Reason::MemoryFull
             | Reason::DeadlineTooShort
             | Reason::QueueTimeout
             | Reason::RetriesSpent
--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hemlocktack_decide::{OfferedCall, RunResult, WorkKind};
+use hemlocktack_decide::{BodyOwner, OfferedCall, RunResult, WorkKind};
 use hemlocktack_fleet::tickets::Nonce;
 use hemlocktack_protocol::{Answer, Call, ClassRank, Outcome, Reason, Refusal};
 use hemlocktack_telemetry::{Event, SpanName, log_event};
@@ -12,6 +12,7 @@
 use super::admission_queue::AdmissionPermit;
 use super::outcomes::{MIN_SERVER_ERROR_STATUS, is_valid_answer};
 use super::{RunningCall, not_run_answer, objective_of, unknown_answer, work_kind_of};
+use crate::memory::log_body_refused;
 use crate::node::Node;
 use crate::telemetry::{CallSpan, request_line};
 use crate::upstream::{
@@ -173,6 +174,7 @@
         outcome,
         heard,
         contested,
+        no_memory,
     } = node
         .upstream_client
         .send(UpstreamRequest {
@@ -191,6 +193,9 @@
     if let Some(contested) = &contested {
         log_contested(node, call, contested);
     }
+    if let Some(refusal) = &no_memory {
+        log_body_refused(node, &call.request_id, BodyOwner::Answer, refusal);
+    }
     if matches!(outcome, UpstreamOutcome::Unknown(Reason::UpstreamFailed))
         && !is_alive(announcement.address).await
     {
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -194,16 +194,20 @@
         has_returned_on_time(self.waited)
     }
 
+    /// Returns the rank of the request's class; a child call has that of its root request.
+    pub(super) fn class_rank(&self) -> ClassRank {
+        let parent = self.parent.as_ref();
+        parent.map_or(self.class_rank, |parent| parent.class_rank)
+    }
+
     /// Builds the call that is placed in the fleet. A child call inherits the class of its
     /// root request and uses its retry allowance.
     pub(super) fn classify(self, node: &Node, call: Call, now: Instant) -> ClassifiedCall {
         let kind = stable_hash(&[self.service.as_bytes(), self.route.as_bytes()]);
         node.services.register_work_kind(kind, &self.service);
+        let class_rank = self.class_rank();
         let fingerprint = fingerprint(&self.service, &call.method, &call.path, &call.body);
         let parent = self.parent;
-        let class_rank = parent
-            .as_ref()
-            .map_or(self.class_rank, |parent| parent.class_rank);
         let work_without_parent_us = if self.is_child_call {
             UNKNOWN_WORK_US
         } else {
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -4,11 +4,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use hemlocktack_decide::BodyOwner;
 use hemlocktack_interface::{ErrorResponse, IncomingRequest, Interface};
 use hemlocktack_protocol::{Answer, Call, Header, Outcome, Reason, Refusal};
 use hemlocktack_telemetry::{ActiveSpan, SpanEnd, SpanName};
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode, request};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Body;
 
 use super::classify::{RoutedRequest, find_route};
@@ -22,7 +23,7 @@
 use super::{forwarded_headers, server};
 use crate::calls::{self, ClassifiedCall, SendRecord, not_run_answer, retry_after};
 use crate::counters::InFlightGuard;
-use crate::memory::{HeldFor, HeldMemory};
+use crate::memory::{self, BodyNeed, BodyPlan, CollectError, log_body_displaced, log_body_refused};
 use crate::node::Node;
 use crate::quotas::{self, HeldToken};
 use crate::telemetry::request_line;
@@ -207,7 +208,7 @@
 ) -> Result<Bytes, Reason> {
     let body = tokio::select! {
         biased;
-        body = read_body(&node.memory, body, routed) => body?,
+        body = read_body(node, incoming, body, routed, began) => body?,
         () = node.signals.drain_limit_reached.cancelled() => {
             log_ended_by_limit(node, incoming, None, Outcome::NotRun, began);
             return Err(Reason::Draining);
@@ -240,24 +241,40 @@
 
 /// Reads the whole body, at most until the deadline of the request.
 async fn read_body(
-    memory: &HeldMemory,
+    node: &Node,
+    incoming: &IncomingRequest,
     body: &mut RequestBody,
     routed: &RoutedRequest,
+    began: Instant,
 ) -> Result<Bytes, Reason> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let mut pieces = memory.hold(HeldFor::CallerBodies);
-    let counted = body.map_frame(|frame| {
-        pieces.add(frame.data_ref().map_or(0, Bytes::len));
-        frame
-    });
-    let limited = Limited::new(counted, routed.body_limit_bytes);
-    let collected = tokio::time::timeout_at(routed.deadline.into(), limited.collect()).await;
+    let need = BodyNeed {
+        owner: BodyOwner::Caller,
+        class_rank: routed.class_rank(),
+        refuse_at: memory::wait_limit(began, routed.deadline),
+    };
+    let length_bytes = body.size_hint().exact();
+    let plan = BodyPlan {
+        length_bytes: length_bytes.and_then(|length| usize::try_from(length).ok()),
+        limit_bytes: routed.body_limit_bytes,
+        may_be_displaced: true,
+    };
+    let collecting = node.memory.collect(&need, plan, body.into_data_stream());
+    let collected = tokio::time::timeout_at(routed.deadline.into(), collecting).await;
     match collected {
-        Ok(Ok(body)) => Ok(memory.track(HeldFor::CallerBodies, body.to_bytes())),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Reason::BodyTooLarge),
-        Ok(Err(_)) => Err(Reason::MalformedRequest),
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(CollectError::TooLarge)) => Err(Reason::BodyTooLarge),
+        Ok(Err(CollectError::NoMemory(refusal))) => {
+            log_body_refused(node, &incoming.request_id, BodyOwner::Caller, &refusal);
+            Err(Reason::MemoryFull)
+        }
+        Ok(Err(CollectError::Standstill)) => {
+            log_body_displaced(node, &incoming.request_id, began);
+            Err(Reason::MemoryFull)
+        }
+        Ok(Err(CollectError::Source(_))) => Err(Reason::MalformedRequest),
         Err(_) => Err(Reason::DeadlineTooShort),
     }
 }
--- a/crates/hemlocktack-node/src/links/codec.rs
+++ b/crates/hemlocktack-node/src/links/codec.rs
@@ -10,7 +10,7 @@
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 use super::last_received::LastReceived;
-use crate::memory::{HeldBytes, HeldFor, HeldMemory};
+use crate::memory::{GaugedBytes, HeldFor, MemoryGauge};
 
 /// Result of reading or writing a frame.
 pub(crate) type Result<T> = std::result::Result<T, Error>;
@@ -49,11 +49,11 @@
     lengths: LengthDelimitedCodec,
     last_received: LastReceived,
     /// Buffer of the bytes that are decoded.
-    received: HeldBytes,
+    received: GaugedBytes,
 }
 
 impl FrameCodec {
-    pub(crate) fn new(memory: &HeldMemory) -> Self {
+    pub(crate) fn new(memory: &MemoryGauge) -> Self {
         let lengths = LengthDelimitedCodec::builder()
             .max_frame_length(MAX_FRAME_BYTES)
             .new_codec();
--- a/crates/hemlocktack-node/src/links/connection.rs
+++ b/crates/hemlocktack-node/src/links/connection.rs
@@ -17,7 +17,7 @@
 use super::FrameCodec;
 use super::last_received::LastReceived;
 use crate::freshness::boot_time;
-use crate::memory::{HeldBytes, HeldFor, HeldMemory};
+use crate::memory::{GaugedBytes, HeldFor, MemoryGauge};
 
 /// Unsent bytes above which senders wait. A peer that reads slowly makes senders wait until their
 /// own deadlines.
@@ -68,7 +68,7 @@
     /// The writer task waits until the socket is writable; new frames are only appended.
     is_blocked: bool,
     /// Buffers of unsent frames.
-    unsent: HeldBytes,
+    unsent: GaugedBytes,
 }
 
 /// An encoded frame of which nothing has been written.
@@ -85,7 +85,7 @@
         opened: BootTime,
         last_received: LastReceived,
         answers_echo: bool,
-        memory: &HeldMemory,
+        memory: &MemoryGauge,
     ) -> Self {
         let outbox = Outbox {
             socket: Some(Arc::new(socket)),
--- a/crates/hemlocktack-node/src/links/dial.rs
+++ b/crates/hemlocktack-node/src/links/dial.rs
@@ -55,8 +55,14 @@
         }
         let stream = TcpStream::connect(**link.address.load()).await.ok()?;
         sockets::configure_sender(&stream).ok()?;
-        let opened =
-            handshake::dial(stream, &self.own, &link.node_id, &self.keys, &self.memory).await;
+        let opened = handshake::dial(
+            stream,
+            &self.own,
+            &link.node_id,
+            &self.keys,
+            self.memory.gauge(),
+        )
+        .await;
         if let Err(handshake::Error::OtherNode(found)) = &opened {
             self.log_other_node(link, found);
         }
@@ -71,7 +77,7 @@
             opened,
             last_received,
             answers_echo,
-            &self.memory,
+            self.memory.gauge(),
         );
         let answers = read_answers(
             reader,
--- a/crates/hemlocktack-node/src/links/handshake.rs
+++ b/crates/hemlocktack-node/src/links/handshake.rs
@@ -18,7 +18,7 @@
 
 use super::{FrameCodec, codec};
 use crate::freshness::boot_time;
-use crate::memory::HeldMemory;
+use crate::memory::MemoryGauge;
 
 /// Result of a handshake.
 pub(crate) type Result<T> = std::result::Result<T, Error>;
@@ -54,7 +54,7 @@
     pub(crate) answers_echo: bool,
     /// When the challenge was sent or received.
     pub(crate) opened: BootTime,
-    memory: HeldMemory,
+    memory: MemoryGauge,
     framed: Framed<TcpStream, FrameCodec>,
 }
 
@@ -88,7 +88,7 @@
     own: &NodeIncarnation,
     wanted: &NodeId,
     keys: &FleetKeys,
-    memory: &HeldMemory,
+    memory: &MemoryGauge,
 ) -> Result<OpenLink> {
     let mut framed = Framed::new(stream, FrameCodec::new(memory));
     let hello = Hello {
@@ -133,7 +133,7 @@
     stream: TcpStream,
     own: &NodeIncarnation,
     keys: &FleetKeys,
-    memory: &HeldMemory,
+    memory: &MemoryGauge,
 ) -> Result<OpenLink> {
     let mut framed = Framed::new(stream, FrameCodec::new(memory));
     let frame::Body::Hello(hello) = receive(&mut framed).await? else {
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -68,7 +68,7 @@
         opened,
         last_received,
         answers_echo,
-        &node.memory,
+        node.memory.gauge(),
     );
     let sender = node.senders.connected(&peer);
     let mut ages = CallAges::default();
@@ -97,7 +97,7 @@
 
 async fn open_link(node: &Node, stream: TcpStream) -> Option<OpenLink> {
     let address = stream.peer_addr().ok()?;
-    let opening = handshake::accept(stream, &node.identity, &node.keys, &node.memory);
+    let opening = handshake::accept(stream, &node.identity, &node.keys, node.memory.gauge());
     let opened = tokio::time::timeout(handshake::OPENING_TIMEOUT, opening).await;
     let error = match opened {
         Ok(Ok(open)) => return Some(open),
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -20,7 +20,7 @@
 use super::dial::Link;
 use super::pending::{CallEvent, EVENTS_PER_CALL, PendingCall};
 use crate::calls::SendProgress;
-use crate::memory::HeldMemory;
+use crate::memory::BodyMemory;
 use crate::telemetry::LogThrottle;
 
 /// How long a lost peer is queried for a call. A link that broke for a transient reason is back
@@ -75,7 +75,7 @@
 pub(crate) struct Links {
     pub(super) own: NodeIncarnation,
     pub(super) keys: FleetKeys,
-    pub(super) memory: HeldMemory,
+    pub(super) memory: BodyMemory,
     pub(super) links: ArcSwap<HashMap<NodeId, Arc<Link>>>,
     pub(super) cancellations_waiting: Arc<Notify>,
     next_call_id: AtomicU64,
@@ -85,7 +85,7 @@
 }
 
 impl Links {
-    pub(crate) fn new(own: NodeIncarnation, keys: FleetKeys, memory: HeldMemory) -> Self {
+    pub(crate) fn new(own: NodeIncarnation, keys: FleetKeys, memory: BodyMemory) -> Self {
         Self {
             own,
             keys,
--- a/crates/hemlocktack-node/src/links/tests.rs
+++ b/crates/hemlocktack-node/src/links/tests.rs
@@ -25,7 +25,8 @@
 use super::senders::Senders;
 use crate::calls::{SendProgress, not_run_answer};
 use crate::freshness::boot_time;
-use crate::memory::HeldMemory;
+use crate::memory::MemoryGauge;
+use crate::memory::tests::body_memory;
 
 const ROUNDS: u64 = 100_000;
 
@@ -42,7 +43,7 @@
             boot_time(),
             LastReceived::new(),
             false,
-            &HeldMemory::default(),
+            &MemoryGauge::default(),
         ),
         far,
     )
@@ -117,7 +118,7 @@
     let links = Arc::new(Links::new(
         NodeIncarnation::new("sender", 1),
         keys(),
-        HeldMemory::default(),
+        body_memory(),
     ));
     let served = links.clone();
     tokio::spawn(async move { served.send_cancellations().await });
@@ -155,7 +156,7 @@
         let accepted = tokio::time::timeout(CALL_TIMEOUT, self.listener.accept()).await;
         let (stream, _) = accepted.expect("a link is opened").unwrap();
         let own = NodeIncarnation::new("receiver", 1);
-        let open = handshake::accept(stream, &own, &keys(), &HeldMemory::default())
+        let open = handshake::accept(stream, &own, &keys(), &MemoryGauge::default())
             .await
             .unwrap();
         open.split()
@@ -384,7 +385,7 @@
             boot_time(),
             LastReceived::new(),
             false,
-            &HeldMemory::default(),
+            &MemoryGauge::default(),
         );
         let refusal = Answer {
             call_id,
--- /dev/null
+++ b/crates/hemlocktack-node/src/memory/buffer.rs
@@ -0,0 +1,235 @@
+//! Collects the pieces of a body into one buffer, within the budget.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error, From};
+use futures::{Stream, StreamExt};
+use hemlocktack_decide::SMALL_BODY_BYTES;
+use memmap2::MmapMut;
+
+use super::budget::{BodyMemory, BodyNeed, HeldBytes, NoMemory};
+
+/// Result of collecting a body.
+pub(crate) type Result<T, E> = std::result::Result<T, CollectError<E>>;
+
+/// Bodies from this size on are kept in pages of their own, which go back to the system at once.
+/// The allocator would keep them: its limit for that grows with the blocks that it has released.
+const MIN_MAPPED_BYTES: usize = 256 << 10;
+/// What a body of unknown length reserves at a time.
+const GROWTH_BYTES: usize = 1 << 20;
+/// How long a body may stand still while others wait for its memory.
+const MAX_STANDSTILL: Duration = Duration::from_millis(500);
+
+/// Why a body was not collected.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum CollectError<E> {
+    #[display("longer than allowed")]
+    #[from(ignore)]
+    TooLarge,
+    #[display("{_0}")]
+    NoMemory(NoMemory),
+    #[display("its sender stands still while other bodies wait for memory")]
+    #[from(ignore)]
+    Standstill,
+    #[display("not received completely")]
+    #[from(ignore)]
+    #[error(ignore)]
+    Source(E),
+}
+
+/// A body to collect.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyPlan {
+    /// Its length, if that is known.
+    pub(crate) length_bytes: Option<usize>,
+    pub(crate) limit_bytes: usize,
+    /// Whether it loses its memory to bodies that wait when it stands still.
+    pub(crate) may_be_displaced: bool,
+}
+
+/// A buffer for one body, whose memory is reserved.
+struct BodyBuffer {
+    storage: Storage,
+    held: HeldBytes,
+}
+
+enum Storage {
+    Heap(Vec<u8>),
+    Pages { pages: MmapMut, length_bytes: usize },
+}
+
+impl BodyMemory {
+    /// Collects a body, and holds its memory until the last reference to it is dropped.
+    pub(crate) async fn collect<E>(
+        &self,
+        need: &BodyNeed,
+        plan: BodyPlan,
+        mut pieces: impl Stream<Item = std::result::Result<Bytes, E>> + Unpin,
+    ) -> Result<Bytes, E> {
+        if plan.length_bytes.unwrap_or(0) > plan.limit_bytes {
+            return Err(CollectError::TooLarge);
+        }
+        let held = match plan.length_bytes {
+            Some(length_bytes) => self.reserve(need, length_bytes).await?,
+            None => {
+                let first_bytes = plan.limit_bytes.min(SMALL_BODY_BYTES);
+                self.reserve_growing(need, first_bytes).await?
+            }
+        };
+        let mut buffer = None;
+        let mut held = Some(held);
+        while let Some(piece) = self.next_piece(plan, &mut pieces).await? {
+            let piece = piece.map_err(CollectError::Source)?;
+            if buffer.is_none() && plan.length_bytes == Some(piece.len()) {
+                // All of it in one piece, which needs no copy.
+                if let Some(held) = held.take() {
+                    return Ok(track(piece, held));
+                }
+            }
+            let buffer = match &mut buffer {
+                Some(buffer) => buffer,
+                empty => {
+                    let Some(held) = held.take() else { break };
+                    empty.insert(BodyBuffer::new(held))
+                }
+            };
+            buffer.append_growing(need, plan, &piece).await?;
+        }
+        let whole = buffer.map_or_else(Bytes::new, BodyBuffer::into_bytes);
+        Ok(whole)
+    }
+
+    async fn next_piece<E>(
+        &self,
+        plan: BodyPlan,
+        pieces: &mut (impl Stream<Item = std::result::Result<Bytes, E>> + Unpin),
+    ) -> Result<Option<std::result::Result<Bytes, E>>, E> {
+        let is_small = plan
+            .length_bytes
+            .is_some_and(|length_bytes| length_bytes <= SMALL_BODY_BYTES);
+        if is_small || !plan.may_be_displaced {
+            return Ok(pieces.next().await);
+        }
+        loop {
+            let next = tokio::time::timeout(MAX_STANDSTILL, pieces.next()).await;
+            match next {
+                Ok(piece) => return Ok(piece),
+                Err(_) if self.waiting_count() > 0 => return Err(CollectError::Standstill),
+                Err(_) => {}
+            }
+        }
+    }
+}
+
+impl BodyBuffer {
+    /// Creates a buffer of the size that is reserved for it.
+    fn new(held: HeldBytes) -> Self {
+        Self {
+            storage: Storage::with_capacity(held.bytes()),
+            held,
+        }
+    }
+
+    fn len(&self) -> usize {
+        match &self.storage {
+            Storage::Heap(bytes) => bytes.len(),
+            Storage::Pages { length_bytes, .. } => *length_bytes,
+        }
+    }
+
+    async fn append_growing<E>(
+        &mut self,
+        need: &BodyNeed,
+        plan: BodyPlan,
+        piece: &[u8],
+    ) -> Result<(), E> {
+        let end_bytes = self.len() + piece.len();
+        if end_bytes > plan.limit_bytes {
+            return Err(CollectError::TooLarge);
+        }
+        while end_bytes > self.held.bytes() {
+            let left_bytes = plan.limit_bytes - self.held.bytes();
+            let more_bytes = left_bytes.min(GROWTH_BYTES);
+            self.held.grow(need, more_bytes).await?;
+            self.storage.make_room(plan.limit_bytes);
+        }
+        self.storage.append(piece);
+        Ok(())
+    }
+
+    /// Returns the bytes, whose memory is held until the last reference to them is dropped.
+    fn into_bytes(mut self) -> Bytes {
+        self.held.shrink(self.len());
+        Bytes::from_owner(self)
+    }
+}
+
+impl AsRef<[u8]> for BodyBuffer {
+    fn as_ref(&self) -> &[u8] {
+        match &self.storage {
+            Storage::Heap(bytes) => bytes,
+            Storage::Pages {
+                pages,
+                length_bytes,
+            } => &pages[..*length_bytes],
+        }
+    }
+}
+
+impl Storage {
+    fn with_capacity(capacity_bytes: usize) -> Self {
+        if capacity_bytes >= MIN_MAPPED_BYTES
+            && let Ok(pages) = MmapMut::map_anon(capacity_bytes)
+        {
+            return Storage::Pages {
+                pages,
+                length_bytes: 0,
+            };
+        }
+        Storage::Heap(Vec::with_capacity(capacity_bytes))
+    }
+
+    /// Makes room for a body of this length. Pages that are not written take no memory.
+    fn make_room(&mut self, capacity_bytes: usize) {
+        let Storage::Heap(bytes) = self else {
+            return;
+        };
+        let mut larger = Storage::with_capacity(capacity_bytes);
+        larger.append(bytes);
+        *self = larger;
+    }
+
+    fn append(&mut self, piece: &[u8]) {
+        match self {
+            Storage::Heap(bytes) => bytes.extend_from_slice(piece),
+            Storage::Pages {
+                pages,
+                length_bytes,
+            } => {
+                let end_bytes = *length_bytes + piece.len();
+                pages[*length_bytes..end_bytes].copy_from_slice(piece);
+                *length_bytes = end_bytes;
+            }
+        }
+    }
+}
+
+/// A buffer that arrived in one piece.
+struct TrackedPiece {
+    piece: Bytes,
+    _held: HeldBytes,
+}
+
+impl AsRef<[u8]> for TrackedPiece {
+    fn as_ref(&self) -> &[u8] {
+        &self.piece
+    }
+}
+
+fn track(piece: Bytes, held: HeldBytes) -> Bytes {
+    if piece.is_empty() {
+        return piece;
+    }
+    Bytes::from_owner(TrackedPiece { piece, _held: held })
+}
--- a/crates/hemlocktack-node/src/memory/gauge.rs
+++ b/crates/hemlocktack-node/src/memory/gauge.rs
@@ -1,9 +1,9 @@
-//! Memory that the node holds for bodies and for frames, by what it is held for.
+//! What memory is held for, as a metric.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use bytes::Bytes;
+use hemlocktack_decide::BodyOwner;
 use strum::{EnumCount, EnumIter, IntoStaticStr};
 
 /// What memory is held for.
@@ -12,7 +12,9 @@
 pub(crate) enum HeldFor {
     /// Request bodies that callers send here.
     CallerBodies,
-    /// Answers of this node's upstream.
+    /// Request bodies that other nodes forward here.
+    PeerBodies,
+    /// Bodies of answers.
     Answers,
     /// Frames of other nodes, as far as they have arrived.
     ReceivedFrames,
@@ -20,55 +22,46 @@
     UnsentFrames,
 }
 
+impl From<BodyOwner> for HeldFor {
+    fn from(owner: BodyOwner) -> Self {
+        match owner {
+            BodyOwner::Caller => HeldFor::CallerBodies,
+            BodyOwner::Peer => HeldFor::PeerBodies,
+            BodyOwner::Answer => HeldFor::Answers,
+        }
+    }
+}
+
 /// Bytes held by this process.
 #[derive(Clone, Default)]
-pub(crate) struct HeldMemory {
+pub(crate) struct MemoryGauge {
     bytes: Arc<[AtomicU64; HeldFor::COUNT]>,
 }
 
 /// Counts bytes as held until it is dropped.
-pub(crate) struct HeldBytes {
-    memory: HeldMemory,
+pub(crate) struct GaugedBytes {
+    memory: MemoryGauge,
     held_for: HeldFor,
     bytes: usize,
 }
 
-/// A buffer that counts as held until the last reference to it is dropped.
-struct TrackedBuffer {
-    buffer: Bytes,
-    _held: HeldBytes,
-}
-
-impl HeldMemory {
+impl MemoryGauge {
     /// Returns the bytes held for this.
     pub(crate) fn bytes(&self, held_for: HeldFor) -> u64 {
         self.bytes[held_for as usize].load(Ordering::Relaxed)
     }
 
     /// Returns a count of no bytes yet.
-    pub(crate) fn hold(&self, held_for: HeldFor) -> HeldBytes {
-        HeldBytes {
+    pub(crate) fn hold(&self, held_for: HeldFor) -> GaugedBytes {
+        GaugedBytes {
             memory: self.clone(),
             held_for,
             bytes: 0,
         }
     }
-
-    /// Returns the same bytes, counted until the last reference to them is dropped.
-    pub(crate) fn track(&self, held_for: HeldFor, buffer: Bytes) -> Bytes {
-        if buffer.is_empty() {
-            return buffer;
-        }
-        let mut held = self.hold(held_for);
-        held.set(buffer.len());
-        Bytes::from_owner(TrackedBuffer {
-            buffer,
-            _held: held,
-        })
-    }
 }
 
-impl HeldBytes {
+impl GaugedBytes {
     /// Sets the number of bytes that are held.
     pub(crate) fn set(&mut self, bytes: usize) {
         let total = &self.memory.bytes[self.held_for as usize];
@@ -78,20 +71,10 @@
         };
         self.bytes = bytes;
     }
-
-    pub(crate) fn add(&mut self, bytes: usize) {
-        self.set(self.bytes + bytes);
-    }
 }
 
-impl Drop for HeldBytes {
+impl Drop for GaugedBytes {
     fn drop(&mut self) {
         self.set(0);
     }
 }
-
-impl AsRef<[u8]> for TrackedBuffer {
-    fn as_ref(&self) -> &[u8] {
-        &self.buffer
-    }
-}
--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -41,7 +41,7 @@
 use crate::freshness::StoreQuestions;
 use crate::interfaces;
 use crate::links::{Links, Senders};
-use crate::memory::HeldMemory;
+use crate::memory::{BodyMemory, BudgetSizes};
 use crate::peers::GossipCounts;
 use crate::quotas::Quotas;
 use crate::settings::{AdjustableSettings, Settings};
@@ -57,8 +57,7 @@
     pub(crate) identity: NodeIncarnation,
     pub(crate) keys: FleetKeys,
     pub(crate) platform: Arc<Client>,
-    /// Memory held for bodies and frames.
-    pub(crate) memory: HeldMemory,
+    pub(crate) memory: BodyMemory,
     pub(crate) links: Links,
     pub(crate) senders: Senders,
     pub(crate) contexts: ContextTable,
@@ -144,7 +143,7 @@
         tracer: Tracer,
     ) -> Self {
         let (configuration_events, receiver) = mpsc::channel(CONFIGURATION_EVENT_CAPACITY);
-        let memory = HeldMemory::default();
+        let memory = BodyMemory::new(BudgetSizes::of_memory(settings.memory_bytes));
         let lifecycle = NodeLifecycle::new(
             policies::drain_settings(&settings, &adjustable),
             Instant::now(),
--- a/crates/hemlocktack-node/src/settings/flags.rs
+++ b/crates/hemlocktack-node/src/settings/flags.rs
@@ -89,9 +89,10 @@
 pub(crate) const RETRY_SHARE: &str = "retry-share";
 pub(crate) const RETRIES_BESIDE_SHARE: &str = "retries-beside-share";
 pub(crate) const REVOCATION_BOUND: &str = "revocation-bound";
+pub(crate) const MEMORY_MB: &str = "memory-mb";
 
 /// All settings that take a value.
-pub(crate) const FLAGS: [Flag; 29] = [
+pub(crate) const FLAGS: [Flag; 30] = [
     required(
         NODE,
         "NAME",
@@ -224,6 +225,12 @@
         "retries of a service's calls that all nodes together may always make in ten seconds, even with few calls, such as 50",
     )
     .adjustable(),
+    defaulted(
+        MEMORY_MB,
+        "NUMBER",
+        "memory in MiB that the process may use at most; half of it, or 128 if that is less, is shared by the node itself, 32, and all bodies that it holds at a time",
+        "256",
+    ),
     optional(
         REVOCATION_BOUND,
         "TIME",
--- a/crates/hemlocktack-node/src/settings/mod.rs
+++ b/crates/hemlocktack-node/src/settings/mod.rs
@@ -61,6 +61,8 @@
     pub(crate) announce_address: Option<SocketAddr>,
     /// Address of the upstream, if it is known before the upstream announces itself.
     pub(crate) upstream_address: Option<SocketAddr>,
+    /// Memory that the process may use at most.
+    pub(crate) memory_bytes: usize,
 }
 
 /// Settings that a running node reloads when their file changes.
--- a/crates/hemlocktack-node/src/settings/read.rs
+++ b/crates/hemlocktack-node/src/settings/read.rs
@@ -17,6 +17,10 @@
 
 const FLEET_KEY_MIN_CHARS: usize = 32;
 const OPERATOR_TOKEN_MIN_CHARS: usize = 16;
+/// Half of it holds the node itself, 32 MiB, and as much for bodies.
+const MIN_MEMORY_MB: f64 = 128.0;
+/// More than any machine has; keeps the number of bytes in range.
+const MAX_MEMORY_MB: f64 = 16_777_216.0;
 
 /// Invalid settings, with all findings.
 #[derive(Debug, Display, Error)]
@@ -155,6 +159,7 @@
         readiness_address: reader.optional_address(flags::READINESS_ADDRESS),
         announce_address: reader.optional_address(flags::ANNOUNCE_ADDRESS),
         upstream_address: reader.optional_address(flags::UPSTREAM_ADDRESS),
+        memory_bytes: reader.memory_bytes(flags::MEMORY_MB),
     }
 }
 
@@ -308,6 +313,17 @@
         Some(count as u32)
     }
 
+    /// Returns an amount of memory that leaves room for bodies beside the node itself. A decimal
+    /// fraction is accepted, as in a count.
+    fn memory_bytes(&mut self, name: &str) -> usize {
+        let memory_mb: f64 = self.parsed(name, "a number of MiB such as 256", MIN_MEMORY_MB);
+        if !(MIN_MEMORY_MB..=MAX_MEMORY_MB).contains(&memory_mb) {
+            let fault = format!("must be between {MIN_MEMORY_MB} and {MAX_MEMORY_MB} MiB");
+            self.add_finding(name, &fault);
+        }
+        (memory_mb as usize) << 20
+    }
+
     fn duration(&mut self, name: &str) -> Option<Duration> {
         let text = self.value(name)?;
         let read = parse_duration(&text);
--- a/crates/hemlocktack-node/src/sockets.rs
+++ b/crates/hemlocktack-node/src/sockets.rs
@@ -18,6 +18,18 @@
 /// Bytes of responses that the system accepts for a caller beyond those that it has sent.
 const MAX_UNSENT_RESPONSE_BYTES: u32 = 128 << 10;
 
+/// Bytes that the system receives for a connection on this machine before they are read.
+const RECEIVE_BUFFER_BYTES: usize = 128 << 10;
+
+/// Limits the bytes that arrive while this process reads nothing.
+///
+/// A body that waits for memory is not read, but the system would go on receiving some megabytes
+/// of it, which count as memory of this process. Only for connections on this machine: on a long
+/// path so small a buffer would limit the throughput. Without it the connection works as well.
+pub(crate) fn limit_received(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+}
+
 /// Turns off Nagle's algorithm and turns on TCP keep-alive.
 ///
 /// After a network partition, a power loss of the peer or the loss of a NAT entry, packets
@@ -47,5 +59,6 @@
 /// count as sent, and a caller that disconnects then would leave no trace in the log.
 pub(crate) fn configure_caller(stream: &TcpStream) -> Result<()> {
     stream.set_nodelay(true)?;
+    limit_received(stream);
     SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_RESPONSE_BYTES)
 }
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -262,11 +262,25 @@
         let labels = HeldLabels {
             held_for: held_for.into(),
         };
-        let bytes = as_signed(node.memory.bytes(held_for));
+        let bytes = as_signed(node.memory.gauge().bytes(held_for));
         held.get_or_create(&labels).set(bytes);
     }
     let help = "Memory held for bodies and frames, by what it is held for";
     registry.register_with_unit("held", help, Unit::Bytes, held);
+    let help = "Memory that all bodies together may use";
+    let budget = Gauge::<i64>::default();
+    budget.set(as_signed(node.memory.sizes().total_bytes() as u64));
+    registry.register_with_unit("body_budget", help, Unit::Bytes, budget);
+    let help = "Bodies that wait for memory";
+    let waiting = node.memory.waiting_count() as u64;
+    gauge(registry, "waiting_bodies", help, waiting);
+    let help = "Bodies for which there was no memory until their wait ended";
+    counter(
+        registry,
+        "refused_bodies",
+        help,
+        node.memory.refused_count(),
+    );
 }
 
 fn register_tickets(registry: &mut Registry, node: &Node) {
--- a/crates/hemlocktack-node/src/upstream/client.rs
+++ b/crates/hemlocktack-node/src/upstream/client.rs
@@ -11,9 +11,10 @@
 };
 use reqwest::{Client, Method, Response};
 
+use super::send::IncompleteAnswer;
 use super::{HeardAnswer, UpstreamOutcome, UpstreamRequest, UpstreamResponse};
 use crate::callers::is_forwarded_header;
-use crate::memory::{HeldFor, HeldMemory};
+use crate::memory::NoMemory;
 
 /// Client for one upstream with the native interface.
 pub(crate) struct NativeClient {
@@ -43,11 +44,7 @@
     ) -> Option<Bytes> {
         let response = self.client.get(url).timeout(timeout).send().await.ok()?;
         let response = response.error_for_status().ok()?;
-        let uncounted = HeldMemory::default();
-        match read_whole(response, limit_bytes, &uncounted).await {
-            UpstreamOutcome::Answered { body, .. } => Some(body),
-            UpstreamOutcome::NotRun(_) | UpstreamOutcome::Unknown(_) => None,
-        }
+        read_small(response, limit_bytes).await
     }
 
     /// Sends the call and reads the complete answer.
@@ -87,7 +84,7 @@
         };
         let read_at = Instant::now();
         let notice = read_notice(&response);
-        let outcome = read_whole(response, send.answer_limit_bytes, send.memory).await;
+        let (outcome, no_memory) = read_whole(response, send).await;
         let is_complete = matches!(outcome, UpstreamOutcome::Answered { .. });
         let heard = Some(HeardAnswer {
             notice,
@@ -99,6 +96,7 @@
             outcome,
             heard,
             contested: None,
+            no_memory,
         }
     }
 }
@@ -126,36 +124,43 @@
 }
 
 async fn read_whole(
-    mut response: Response,
-    limit_bytes: usize,
-    memory: &HeldMemory,
-) -> UpstreamOutcome {
+    response: Response,
+    send: &UpstreamRequest<'_>,
+) -> (UpstreamOutcome, Option<NoMemory>) {
     let status = response.status().as_u16();
     if is_refused_by_upstream(&response) {
-        return UpstreamOutcome::NotRun(Reason::UpstreamShed);
+        return (UpstreamOutcome::NotRun(Reason::UpstreamShed), None);
     }
     let headers = forwarded_headers(&response);
-    let mut body = BytesMut::new();
-    let mut held = memory.hold(HeldFor::Answers);
-    loop {
-        match response.chunk().await {
-            Ok(Some(chunk)) if body.len() + chunk.len() > limit_bytes => {
-                return UpstreamOutcome::Unknown(Reason::AnswerTooLarge);
-            }
-            Ok(Some(chunk)) => {
-                body.extend_from_slice(&chunk);
-                held.set(body.capacity());
-            }
-            Ok(None) => break,
-            Err(_) => return UpstreamOutcome::Unknown(Reason::UpstreamFailed),
+    let plan = send.answer_plan(response.content_length());
+    let pieces = Box::pin(response.bytes_stream());
+    let collected = send.memory.collect(&send.answer_need(), plan, pieces).await;
+    match collected.map_err(IncompleteAnswer::from) {
+        Ok(body) => {
+            let answered = UpstreamOutcome::Answered {
+                status,
+                headers,
+                body,
+            };
+            (answered, None)
+        }
+        Err(incomplete) => {
+            let outcome = UpstreamOutcome::Unknown(incomplete.reason());
+            (outcome, incomplete.no_memory())
         }
     }
-    drop(held);
-    UpstreamOutcome::Answered {
-        status,
-        headers,
-        body: memory.track(HeldFor::Answers, body.freeze()),
+}
+
+/// Reads a body within this limit; `None` if it is longer or incomplete.
+async fn read_small(mut response: Response, limit_bytes: usize) -> Option<Bytes> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = response.chunk().await.ok()? {
+        if body.len() + chunk.len() > limit_bytes {
+            return None;
+        }
+        body.extend_from_slice(&chunk);
     }
+    Some(body.freeze())
 }
 
 fn is_refused_by_upstream(response: &Response) -> bool {
--- a/crates/hemlocktack-node/src/upstream/connections.rs
+++ b/crates/hemlocktack-node/src/upstream/connections.rs
@@ -101,6 +101,7 @@
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.ok()?.ok()?;
         sockets::configure(&stream).ok()?;
+        sockets::limit_received(&stream);
         let head_watch = Arc::<HeadWatch>::default();
         let stream = TokioIo::new(WatchedStream::new(stream, head_watch.clone()));
         let mut builder = Builder::new();
--- a/crates/hemlocktack-node/src/upstream/interface_client.rs
+++ b/crates/hemlocktack-node/src/upstream/interface_client.rs
@@ -8,20 +8,20 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hemlocktack_interface::{AnswerCheck, Health, UpstreamCodec};
 use hemlocktack_protocol::Reason;
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::ext::on_informational;
 
 use super::connections::{Connections, LeasedConnection};
+use super::send::IncompleteAnswer;
 use super::{
     AnswerClaim, ContestedAnswer, HeardAnswer, UpstreamOutcome, UpstreamRequest, UpstreamResponse,
 };
 use crate::gateway::forwarded_headers;
-use crate::memory::{HeldFor, HeldMemory};
 
 /// Idle connections that may turn out to be closed before a new one is opened.
 const MAX_STALE_CONNECTIONS: usize = 3;
@@ -118,6 +118,7 @@
                     outcome: UpstreamOutcome::Unknown(Reason::UpstreamFailed),
                     heard: None,
                     contested: Some(contested(AnswerClaim::OtherRequest { answered_id })),
+                    no_memory: None,
                 };
             }
             AnswerCheck::UnconfirmedNotRun => {
@@ -137,17 +138,19 @@
             })
         };
         if let Some(outcome) = end {
-            if read_unused(body, send.memory).await {
+            if read_unused(body).await {
                 self.connections.release(leased, &head.headers);
             }
             return UpstreamResponse {
                 outcome,
                 heard: heard(false),
                 contested,
+                no_memory: None,
             };
         }
-        let whole = read_whole(body, send.answer_limit_bytes, send.memory).await;
+        let whole = read_whole(body, send).await;
         let heard = heard(whole.is_ok());
+        let no_memory = whole.as_ref().err().and_then(IncompleteAnswer::no_memory);
         let outcome = match whole {
             Ok(body) => {
                 self.connections.release(leased, &head.headers);
@@ -157,12 +160,13 @@
                     body,
                 }
             }
-            Err(reason) => UpstreamOutcome::Unknown(reason),
+            Err(incomplete) => UpstreamOutcome::Unknown(incomplete.reason()),
         };
         UpstreamResponse {
             outcome,
             heard,
             contested,
+            no_memory,
         }
     }
 
@@ -263,32 +267,27 @@
 
 /// Reads a body that nobody waits for, and returns whether it is complete. The outcome of its
 /// request is known from the head, so a body that is long or slow is given up.
-async fn read_unused(body: Incoming, memory: &HeldMemory) -> bool {
-    let reading = read_whole(body, MAX_UNUSED_BODY_BYTES, memory);
+async fn read_unused(mut body: Incoming) -> bool {
+    let reading = async {
+        let mut read_bytes = 0;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return false };
+            read_bytes += frame.data_ref().map_or(0, Bytes::len);
+            if read_bytes > MAX_UNUSED_BODY_BYTES {
+                return false;
+            }
+        }
+        true
+    };
     let read = tokio::time::timeout(MAX_UNUSED_BODY_TIME, reading).await;
-    matches!(read, Ok(Ok(_)))
+    matches!(read, Ok(true))
 }
 
 /// Reads the complete body. The HTTP library reports a body shorter than its declared length as an
 /// error, so a caller never gets a truncated answer as if it were complete.
-async fn read_whole(
-    mut body: Incoming,
-    limit_bytes: usize,
-    memory: &HeldMemory,
-) -> Result<Bytes, Reason> {
-    let mut whole = BytesMut::new();
-    let mut held = memory.hold(HeldFor::Answers);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Reason::UpstreamFailed)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if whole.len() + data.len() > limit_bytes {
-            return Err(Reason::AnswerTooLarge);
-        }
-        whole.extend_from_slice(&data);
-        held.set(whole.capacity());
-    }
-    drop(held);
-    Ok(memory.track(HeldFor::Answers, whole.freeze()))
+async fn read_whole(body: Incoming, send: &UpstreamRequest<'_>) -> Result<Bytes, IncompleteAnswer> {
+    let plan = send.answer_plan(body.size_hint().exact());
+    let pieces = body.into_data_stream();
+    let collected = send.memory.collect(&send.answer_need(), plan, pieces).await;
+    Ok(collected?)
 }
--- a/crates/hemlocktack-node/src/upstream/interface_client/tests.rs
+++ b/crates/hemlocktack-node/src/upstream/interface_client/tests.rs
@@ -11,7 +11,7 @@
 
 use super::InterfaceClient;
 use crate::interfaces;
-use crate::memory::HeldMemory;
+use crate::memory::{BodyMemory, BudgetSizes};
 use crate::settings::InterfaceName;
 use crate::upstream::{Announcement, UpstreamOutcome, UpstreamRequest};
 
@@ -65,7 +65,7 @@
         context: "",
         deadline: Instant::now() + TIME_LEFT,
         answer_limit_bytes: 1_024,
-        memory: &HeldMemory::default(),
+        memory: &BodyMemory::new(BudgetSizes::of_budget(1 << 20)),
     };
     let outcome = client.send(&request).await.outcome;
     let is_not_run = matches!(
--- a/crates/hemlocktack-node/src/upstream/send.rs
+++ b/crates/hemlocktack-node/src/upstream/send.rs
@@ -3,10 +3,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hemlocktack_protocol::{Call, Header, Reason};
+use hemlocktack_decide::BodyOwner;
+use hemlocktack_protocol::{Call, ClassRank, Header, Reason};
 
 use super::{Announcement, HeardAnswer};
-use crate::memory::HeldMemory;
+use crate::memory::{BodyMemory, BodyNeed, BodyPlan, CollectError, NoMemory};
 
 /// A call to send to the upstream.
 pub(crate) struct UpstreamRequest<'a> {
@@ -16,8 +17,8 @@
     pub(crate) context: &'a str,
     pub(crate) deadline: Instant,
     pub(crate) answer_limit_bytes: usize,
-    /// Counts what is held for the answer.
-    pub(crate) memory: &'a HeldMemory,
+    /// Memory for the answer.
+    pub(crate) memory: &'a BodyMemory,
 }
 
 /// How a call to the upstream ended, and what its answer said about the upstream.
@@ -27,6 +28,8 @@
     pub(crate) heard: Option<HeardAnswer>,
     /// An answer by which the call counts as not run, or as unknown although it was read.
     pub(crate) contested: Option<ContestedAnswer>,
+    /// Why there was no memory for the answer.
+    pub(crate) no_memory: Option<NoMemory>,
 }
 
 /// An answer that is not passed on, and how it was received. That tells whether it can belong to
@@ -52,12 +55,34 @@
     },
 }
 
+impl UpstreamRequest<'_> {
+    /// Returns what the answer needs. Its request has run, so it may wait for memory until the
+    /// deadline.
+    pub(super) fn answer_need(&self) -> BodyNeed {
+        BodyNeed {
+            owner: BodyOwner::Answer,
+            class_rank: ClassRank::try_from(self.call.class_rank).unwrap_or(ClassRank::MAX),
+            refuse_at: self.deadline,
+        }
+    }
+
+    /// Returns how an answer with a body of this length, if that is known, is collected.
+    pub(super) fn answer_plan(&self, length_bytes: Option<u64>) -> BodyPlan {
+        BodyPlan {
+            length_bytes: length_bytes.map(|length| usize::try_from(length).unwrap_or(usize::MAX)),
+            limit_bytes: self.answer_limit_bytes,
+            may_be_displaced: false,
+        }
+    }
+}
+
 impl From<UpstreamOutcome> for UpstreamResponse {
     fn from(outcome: UpstreamOutcome) -> Self {
         Self {
             outcome,
             heard: None,
             contested: None,
+            no_memory: None,
         }
     }
 }
@@ -73,3 +98,37 @@
     NotRun(Reason),
     Unknown(Reason),
 }
+
+/// Why there is no complete answer although its head was read.
+pub(super) enum IncompleteAnswer {
+    Failed(Reason),
+    NoMemory(NoMemory),
+}
+
+impl IncompleteAnswer {
+    pub(super) fn reason(&self) -> Reason {
+        match self {
+            IncompleteAnswer::Failed(reason) => *reason,
+            IncompleteAnswer::NoMemory(_) => Reason::MemoryFull,
+        }
+    }
+
+    pub(super) fn no_memory(&self) -> Option<NoMemory> {
+        match self {
+            IncompleteAnswer::Failed(_) => None,
+            IncompleteAnswer::NoMemory(refusal) => Some(*refusal),
+        }
+    }
+}
+
+impl<E> From<CollectError<E>> for IncompleteAnswer {
+    fn from(error: CollectError<E>) -> Self {
+        match error {
+            CollectError::TooLarge => Self::Failed(Reason::AnswerTooLarge),
+            CollectError::NoMemory(refusal) => Self::NoMemory(refusal),
+            CollectError::Standstill | CollectError::Source(_) => {
+                Self::Failed(Reason::UpstreamFailed)
+            }
+        }
+    }
+}
--- a/crates/hemlocktack-node/tests/decoders/link_frames.rs
+++ b/crates/hemlocktack-node/tests/decoders/link_frames.rs
@@ -13,7 +13,7 @@
 use tokio_util::codec::Decoder;
 
 use crate::codec::{FrameCodec, MAX_FRAME_BYTES};
-use crate::memory::HeldMemory;
+use crate::memory::MemoryGauge;
 
 /// Initial capacity of the read buffer.
 const INITIAL_BUFFER_BYTES: usize = 8 << 10;
@@ -199,7 +199,7 @@
 /// Returns the largest capacity that the read buffer of a link reaches; the link ends at its
 /// first error.
 fn largest_buffer_bytes(pieces: &[Vec<u8>]) -> usize {
-    let mut codec = FrameCodec::new(&HeldMemory::default());
+    let mut codec = FrameCodec::new(&MemoryGauge::default());
     let mut buffer = BytesMut::with_capacity(INITIAL_BUFFER_BYTES);
     let mut largest = 0;
     for piece in pieces {
@@ -239,7 +239,7 @@
             wire.put_u32(u32::try_from(frame.encoded_len()).unwrap());
             wire.extend(frame.encode_to_vec());
         }
-        let mut codec = FrameCodec::new(&HeldMemory::default());
+        let mut codec = FrameCodec::new(&MemoryGauge::default());
         let mut buffer = BytesMut::new();
         let mut read = Vec::new();
         for piece in wire.chunks(size) {
--- a/crates/hemlocktack-node/tests/decoders/main.rs
+++ b/crates/hemlocktack-node/tests/decoders/main.rs
@@ -11,7 +11,7 @@
 #[path = "../../src/links/last_received.rs"]
 mod last_received;
 #[allow(dead_code)]
-#[path = "../../src/memory.rs"]
+#[path = "../../src/memory/gauge.rs"]
 mod memory;
 #[allow(dead_code, unused_imports)]
 #[path = "../../src/settings/mod.rs"]
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -101,6 +101,9 @@
 
     703 INFO CallsWait: "calls are waiting for the upstream", "nothing unless it lasts: compare in_flight with limit, and service_time_us with that of other nodes";
 
+    704 WARN BodyRefused: "there was no memory for the body of a request or an answer until its wait ended", "nothing unless it lasts: compare held_bytes with budget_bytes; give the node more memory, or lower the limits of bodies";
+    705 INFO BodyDisplaced: "the sender of a large body stood still while other bodies waited for memory; its request was turned away", "nothing unless it repeats: look for a slow caller";
+
     711 INFO SendEnded: "a send of a call ended without an answer; next says what follows", "look for the same request_id on the node in the field node; because names the limit that ended the sends";
     712 INFO CallRefused: "the node of an upstream refused a call", "compare the reason with the values of the other fields";
     713 INFO RequestRefused: "a request ended at its entry node without an answer from an upstream", "follow its request_id through 711 and 712";
