Links: a large body follows its call or answer in parts, once there is memory

Cause: a body was part of its call's frame. Encoding it took a vector, and a copy in the buffer of the link, which kept that capacity; the receiver held what arrived without being asked; all other frames of the link waited behind.

Change: a body over 64 KiB is left out of its frame, which gives its length. The receiver reserves memory, asks for the body and gets it in parts of 64 KiB between other frames. A call runs only with all of its body, so a link that is lost before means that it has not run. Bodies of frames reserve their memory too; a frame is encoded once, into the buffer of its link; what is read of a link before calls are started is bounded in bytes. Nodes tell each other in the handshake that they take parts; an older one gets bodies in frames, as before.

--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -40,7 +40,7 @@
 pub(crate) use outcomes::{not_run_answer, retry_after, unknown_answer};
 pub(crate) use panics::catch_panic;
 pub(crate) use place::run_with_retries;
-pub(crate) use receive::receive;
+pub(crate) use receive::{receive, refused_by_link};
 pub(crate) use send_progress::SendProgress;
 pub(crate) use send_record::{PendingSend, SendRecord};
 pub(crate) use service_directory::ServiceDirectory;
--- a/crates/hemlocktack-node/src/calls/receive.rs
+++ b/crates/hemlocktack-node/src/calls/receive.rs
@@ -119,6 +119,12 @@
     .await
 }
 
+/// Refuses a call whose body has not arrived.
+pub(crate) fn refused_by_link(node: &Node, call: &Call, reason: Reason) -> Answer {
+    node.counters.record_demand();
+    refused(node, call, reason)
+}
+
 fn refused(node: &Node, call: &Call, reason: Reason) -> Answer {
     node.counters.record_refusal(reason);
     Answer {
--- /dev/null
+++ b/crates/hemlocktack-node/src/links/bodies.rs
@@ -0,0 +1,290 @@
+//! Bodies that follow their calls and answers in parts.
+//!
+//! A large body in the frame of its call would be held several times, and all that its link carries
+//! would wait behind it. It is left out of the frame instead. The receiver asks for it once it has
+//! memory, and gets it in parts, between the other frames.
+
+#[cfg(test)]
+mod tests;
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hemlocktack_decide::{BodyOwner, SMALL_BODY_BYTES};
+use hemlocktack_protocol::{Answer, BodyPart, BodyRequest, Call, CallId, ClassRank, Reason, frame};
+use tokio::sync::oneshot;
+
+use super::call_times::take_off_time;
+use super::connection::Connection;
+use crate::calls::{Awaited, SendProgress};
+use crate::memory::{
+    BodyBuffer, BodyMemory, BodyNeed, HeldBytes, log_body_refused, track, wait_limit,
+};
+use crate::node::Node;
+
+/// Bytes of a body in one frame. A small frame waits for one such part at most.
+const PART_BYTES: usize = 64 << 10;
+
+/// Bodies that arrive over one connection, by the ids of their calls.
+#[derive(Default)]
+pub(super) struct ArrivingBodies {
+    bodies: Mutex<HashMap<CallId, ArrivingBody>>,
+}
+
+struct ArrivingBody {
+    buffer: BodyBuffer,
+    length_bytes: usize,
+    whole: oneshot::Sender<Bytes>,
+}
+
+/// Bodies of answers that the other end of one connection may ask for.
+#[derive(Default)]
+pub(super) struct OfferedBodies {
+    bodies: Mutex<HashMap<CallId, OfferedBody>>,
+}
+
+struct OfferedBody {
+    body: Bytes,
+    sent: oneshot::Sender<bool>,
+}
+
+/// Forgets a body when nobody waits for it any longer.
+struct ForgetOnDrop<'a> {
+    connection: &'a Connection,
+    call_id: CallId,
+}
+
+/// An answer whose frame has been sent.
+pub(super) struct SentAnswer {
+    connection: Connection,
+    call_id: CallId,
+    /// Tells whether a body that was left out has been sent.
+    body_sent: Option<oneshot::Receiver<bool>>,
+}
+
+impl ArrivingBodies {
+    /// Adds a part to its body. More than was announced ends the body.
+    pub(super) fn add_part(&self, part: &BodyPart) {
+        let mut bodies = lock(&self.bodies);
+        let Some(arriving) = bodies.get_mut(&part.call_id) else {
+            return;
+        };
+        let fits = arriving.buffer.append(&part.bytes);
+        let is_whole = arriving.buffer.len() == arriving.length_bytes;
+        if !fits || is_whole {
+            let arriving = bodies.remove(&part.call_id);
+            drop(bodies);
+            if let Some(arriving) = arriving.filter(|_| fits) {
+                // Nobody waits any longer if this fails.
+                let _ = arriving.whole.send(arriving.buffer.into_bytes());
+            }
+        }
+    }
+}
+
+impl Drop for ForgetOnDrop<'_> {
+    fn drop(&mut self) {
+        lock(&self.connection.arriving().bodies).remove(&self.call_id);
+        lock(&self.connection.offered().bodies).remove(&self.call_id);
+    }
+}
+
+/// Takes the body out of a frame if it is to follow in parts.
+pub(super) fn leave_out(connection: &Connection, body: &mut Bytes) -> Option<Bytes> {
+    let is_left_out = body.len() > SMALL_BODY_BYTES && connection.takes_parts();
+    is_left_out.then(|| std::mem::take(body))
+}
+
+/// Asks the other end for a body that was left out, and returns it once it is whole; `None` if the
+/// connection is lost before.
+async fn fetch(connection: &Connection, call_id: CallId, held: HeldBytes) -> Option<Bytes> {
+    let (whole, received) = oneshot::channel();
+    let arriving = ArrivingBody {
+        length_bytes: held.bytes(),
+        buffer: BodyBuffer::new(held),
+        whole,
+    };
+    let _forget = ForgetOnDrop {
+        connection,
+        call_id,
+    };
+    lock(&connection.arriving().bodies).insert(call_id, arriving);
+    let request = frame::Body::BodyRequest(BodyRequest { call_id });
+    if !connection.send(request).await {
+        return None;
+    }
+    tokio::select! {
+        biased;
+        body = received => body.ok(),
+        () = connection.closed() => None,
+    }
+}
+
+/// Sends the body of a call; returns whether all of it was handed to the connection. The call counts
+/// as sent with its last part, without which it never runs.
+pub(super) async fn send_call_body(
+    connection: Connection,
+    call_id: CallId,
+    body: Bytes,
+    progress: &SendProgress,
+) -> bool {
+    send_parts(&connection, call_id, body, || progress.try_mark_sent()).await
+}
+
+async fn send_parts(
+    connection: &Connection,
+    call_id: CallId,
+    mut body: Bytes,
+    may_send_last: impl Fn() -> bool,
+) -> bool {
+    while !body.is_empty() {
+        let bytes = body.split_to(body.len().min(PART_BYTES));
+        if body.is_empty() && !may_send_last() {
+            return false;
+        }
+        let part = frame::Body::BodyPart(BodyPart { call_id, bytes });
+        if !connection.send(part).await {
+            return false;
+        }
+    }
+    true
+}
+
+/// Sends the frame of an answer; `None` if no byte of it was sent.
+pub(super) async fn send_answer(connection: &Connection, mut answer: Answer) -> Option<SentAnswer> {
+    let call_id = answer.call_id;
+    let body_sent = leave_out(connection, &mut answer.body).map(|body| {
+        let (sent, body_sent) = oneshot::channel();
+        answer.body_length = body.len() as u64;
+        lock(&connection.offered().bodies).insert(call_id, OfferedBody { body, sent });
+        body_sent
+    });
+    let sent = SentAnswer {
+        connection: connection.clone(),
+        call_id,
+        body_sent,
+    };
+    let is_sent = connection.send(frame::Body::Answer(answer)).await;
+    is_sent.then_some(sent)
+}
+
+impl SentAnswer {
+    /// Returns once the answer is written to the socket; `false` if it never is. Otherwise a stop of
+    /// this node would cut off a large answer that waits for a slow reader.
+    pub(super) async fn written(self) -> bool {
+        let Some(body_sent) = self.body_sent else {
+            return self.connection.flushed().await;
+        };
+        let _forget = ForgetOnDrop {
+            connection: &self.connection,
+            call_id: self.call_id,
+        };
+        tokio::select! {
+            biased;
+            sent = body_sent => sent.unwrap_or(false) && self.connection.flushed().await,
+            () = self.connection.closed() => false,
+        }
+    }
+}
+
+/// Sends the body of an answer that the other end asks for.
+pub(super) fn send_offered(connection: &Connection, call_id: CallId) {
+    let Some(offered) = lock(&connection.offered().bodies).remove(&call_id) else {
+        return;
+    };
+    let connection = connection.clone();
+    tokio::spawn(async move {
+        let is_sent = send_parts(&connection, call_id, offered.body, || true).await;
+        // The answer's own task may have ended.
+        let _ = offered.sent.send(is_sent);
+    });
+}
+
+/// Forgets the body of an answer that nobody waits for any longer.
+pub(super) fn withdraw_offered(connection: &Connection, call_id: CallId) {
+    lock(&connection.offered().bodies).remove(&call_id);
+}
+
+/// Completes a call that has arrived: reserves memory for its body, and gets it if it was left out.
+/// Returns why the call can't run.
+pub(super) async fn complete_call(
+    node: &Node,
+    connection: &Connection,
+    call: &mut Call,
+    awaited: &Awaited,
+) -> Result<(), Reason> {
+    let length_bytes = call.body.len() + usize::try_from(call.body_length).unwrap_or(usize::MAX);
+    if length_bytes == 0 {
+        return Ok(());
+    }
+    let began = Instant::now();
+    let deadline = began + Duration::from_micros(call.time_left_us);
+    let need = BodyNeed {
+        owner: BodyOwner::Peer,
+        class_rank: ClassRank::try_from(call.class_rank).unwrap_or(ClassRank::MAX),
+        refuse_at: wait_limit(began, deadline),
+    };
+    let completing = async {
+        let reserved = node.memory.reserve(&need, length_bytes).await;
+        let held = reserved.map_err(|refusal| {
+            log_body_refused(node, &call.request_id, BodyOwner::Peer, &refusal);
+            Reason::MemoryFull
+        })?;
+        match call.body_length {
+            0 => Ok(track(std::mem::take(&mut call.body), held)),
+            _ => {
+                let fetched = fetch(connection, call.call_id, held).await;
+                fetched.ok_or(Reason::LinkLost)
+            }
+        }
+    };
+    let body = tokio::select! {
+        biased;
+        body = completing => body?,
+        () = awaited.cancelled() => return Err(Reason::Cancelled),
+        () = tokio::time::sleep_until(deadline.into()) => return Err(Reason::DeadlineTooShort),
+    };
+    call.body = body;
+    if call.body_length > 0 {
+        call.body_length = 0;
+        take_off_time(call, began.elapsed());
+    }
+    Ok(())
+}
+
+/// Completes an answer that has arrived, within its call's deadline. `None` if the connection is
+/// lost before, or if there is no memory until then.
+pub(super) async fn complete_answer(
+    memory: &BodyMemory,
+    connection: &Connection,
+    mut answer: Answer,
+    deadline: Instant,
+) -> Option<Answer> {
+    let left_out_bytes = usize::try_from(answer.body_length).unwrap_or(usize::MAX);
+    let length_bytes = answer.body.len().saturating_add(left_out_bytes);
+    if length_bytes == 0 {
+        return Some(answer);
+    }
+    let need = BodyNeed {
+        owner: BodyOwner::Answer,
+        class_rank: ClassRank::default(),
+        refuse_at: deadline,
+    };
+    let completing = async {
+        let held = memory.reserve(&need, length_bytes).await.ok()?;
+        match left_out_bytes {
+            0 => Some(track(std::mem::take(&mut answer.body), held)),
+            _ => fetch(connection, answer.call_id, held).await,
+        }
+    };
+    let completed = tokio::time::timeout_at(deadline.into(), completing).await;
+    answer.body = completed.ok().flatten()?;
+    answer.body_length = 0;
+    Some(answer)
+}
+
+fn lock<T>(bodies: &Mutex<HashMap<CallId, T>>) -> MutexGuard<'_, HashMap<CallId, T>> {
+    bodies.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/hemlocktack-node/src/links/codec.rs
+++ b/crates/hemlocktack-node/src/links/codec.rs
@@ -2,12 +2,12 @@
 
 use std::io::ErrorKind;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, BufMut, BytesMut};
 use derive_more::{Display, Error, From};
 use hemlocktack_protocol::Frame;
 use hemlocktack_telemetry::{Event, log_event};
 use prost::Message;
-use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+use tokio_util::codec::{Decoder, Encoder};
 
 use super::last_received::LastReceived;
 use crate::memory::{GaugedBytes, HeldFor, MemoryGauge};
@@ -46,7 +46,6 @@
 
 /// Codec for length-delimited protobuf frames.
 pub(crate) struct FrameCodec {
-    lengths: LengthDelimitedCodec,
     last_received: LastReceived,
     /// Buffer of the bytes that are decoded.
     received: GaugedBytes,
@@ -54,13 +53,8 @@
 
 impl FrameCodec {
     pub(crate) fn new(memory: &MemoryGauge) -> Self {
-        let lengths = LengthDelimitedCodec::builder()
-            .max_frame_length(MAX_FRAME_BYTES)
-            .new_codec();
-        let last_received = LastReceived::new();
         Self {
-            lengths,
-            last_received,
+            last_received: LastReceived::new(),
             received: memory.hold(HeldFor::ReceivedFrames),
         }
     }
@@ -84,6 +78,7 @@
         };
         let end_bytes = LENGTH_BYTES + length_bytes;
         if source.len() < end_bytes {
+            // Not the whole frame: the peer may not have authenticated yet.
             source.reserve((end_bytes - source.len()).min(READ_CHUNK_BYTES));
             return Ok(None);
         }
@@ -94,9 +89,6 @@
 }
 
 /// Returns the length of the next frame once its prefix has arrived.
-///
-/// `LengthDelimitedCodec` would allocate the whole frame at once, even for a peer that has not
-/// authenticated yet.
 fn frame_length(source: &BytesMut) -> Result<Option<usize>> {
     let Some(head) = source.first_chunk::<LENGTH_BYTES>() else {
         return Ok(None);
@@ -112,8 +104,13 @@
     type Error = Error;
 
     fn encode(&mut self, frame: Frame, target: &mut BytesMut) -> Result<()> {
-        let bytes = Bytes::from(frame.encode_to_vec());
-        self.lengths.encode(bytes, target)?;
+        let length_bytes = frame.encoded_len();
+        if length_bytes > MAX_FRAME_BYTES {
+            return Err(std::io::Error::from(ErrorKind::InvalidData).into());
+        }
+        target.reserve(LENGTH_BYTES + length_bytes);
+        target.put_u32(length_bytes as u32);
+        frame.encode_raw(target);
         Ok(())
     }
 }
--- a/crates/hemlocktack-node/src/links/connection.rs
+++ b/crates/hemlocktack-node/src/links/connection.rs
@@ -15,6 +15,7 @@
 use tokio_util::codec::Encoder;
 
 use super::FrameCodec;
+use super::bodies::{ArrivingBodies, OfferedBodies};
 use super::last_received::LastReceived;
 use crate::freshness::boot_time;
 use crate::memory::{GaugedBytes, HeldFor, MemoryGauge};
@@ -45,12 +46,24 @@
     opened: BootTime,
     /// When the peer last sent bytes or read some of ours.
     last_received: LastReceived,
-    /// The peer answers echo requests.
-    answers_echo: bool,
+    peer_features: PeerFeatures,
+    /// Bodies that the peer sends in parts.
+    arriving: ArrivingBodies,
+    /// Bodies that the peer may ask for.
+    offered: OfferedBodies,
     /// Number of replies to echo requests, which come in the order of the requests.
     echoes_received: watch::Sender<u64>,
 }
 
+/// What the peer's version can do.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct PeerFeatures {
+    /// It answers echo requests.
+    pub(super) answers_echo: bool,
+    /// It takes bodies that follow in parts.
+    pub(super) takes_parts: bool,
+}
+
 struct Outbox {
     /// `None` once the connection is closed; dropping the socket notifies the peer.
     socket: Option<Arc<OwnedWriteHalf>>,
@@ -84,7 +97,7 @@
         socket: OwnedWriteHalf,
         opened: BootTime,
         last_received: LastReceived,
-        answers_echo: bool,
+        peer_features: PeerFeatures,
         memory: &MemoryGauge,
     ) -> Self {
         let outbox = Outbox {
@@ -107,7 +120,9 @@
             closed: watch::Sender::new(false),
             opened,
             last_received,
-            answers_echo,
+            peer_features,
+            arriving: ArrivingBodies::default(),
+            offered: OfferedBodies::default(),
             echoes_received: watch::Sender::new(0),
         });
         tokio::spawn(write_unsent(shared.clone()));
@@ -163,6 +178,18 @@
         self.shared.take_urgent(&mut self.shared.outbox(), body)
     }
 
+    pub(super) fn takes_parts(&self) -> bool {
+        self.shared.peer_features.takes_parts
+    }
+
+    pub(super) fn arriving(&self) -> &ArrivingBodies {
+        &self.shared.arriving
+    }
+
+    pub(super) fn offered(&self) -> &OfferedBodies {
+        &self.shared.offered
+    }
+
     /// Removes a call of which nothing has been written; returns whether it was found.
     pub(crate) fn remove_unsent(&self, call_id: CallId) -> bool {
         let mut outbox = self.shared.outbox();
@@ -230,7 +257,7 @@
     /// Returns when the peer, or the path to it, counts as lost for a call that was sent at `sent`;
     /// see [`LinkMonitor`].
     pub(crate) async fn lost(&self, sent: Instant) {
-        if !self.shared.answers_echo {
+        if !self.shared.peer_features.answers_echo {
             return std::future::pending().await;
         }
         let mut watch = LinkMonitor::new(LinkMonitorPolicy::default());
@@ -319,6 +346,9 @@
         if !self.bytes.is_empty() {
             return true;
         }
+        if self.bytes.capacity() > OUTBOX_BYTES {
+            self.bytes = BytesMut::new();
+        }
         std::mem::swap(&mut self.bytes, &mut self.urgent);
         while self.bytes.len() < WRITE_BYTES {
             let Some(frame) = self.waiting.pop_front() else {
--- a/crates/hemlocktack-node/src/links/dial.rs
+++ b/crates/hemlocktack-node/src/links/dial.rs
@@ -7,7 +7,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use futures::StreamExt;
 use hemlocktack_fleet::NodeIncarnation;
-use hemlocktack_protocol::{EchoReply, EchoRequest, Frame, NodeId, frame};
+use hemlocktack_protocol::{CancelCall, EchoReply, EchoRequest, Frame, NodeId, frame};
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -68,7 +68,7 @@
         }
         let open = opened.ok()?;
         let peer_incarnation = open.peer.incarnation;
-        let (answers_echo, opened) = (open.answers_echo, open.opened);
+        let (peer_features, opened) = (open.peer_features, open.opened);
         let (reader, writer) = open.split();
         let last_received = reader.codec().last_received().clone();
         let connection = Connection::start(
@@ -76,7 +76,7 @@
             writer,
             opened,
             last_received,
-            answers_echo,
+            peer_features,
             self.memory.gauge(),
         );
         let answers = read_answers(
@@ -150,8 +150,16 @@
         };
         match body {
             Some(frame::Body::Answer(answer)) => {
-                cancellations.confirm(answer.call_id);
-                deliver(&pending, answer.call_id, CallEvent::Answer(answer));
+                let (call_id, is_complete) = (answer.call_id, answer.body_length == 0);
+                cancellations.confirm(call_id);
+                let is_awaited = deliver(&pending, call_id, CallEvent::Answer(answer));
+                if !is_awaited && !is_complete {
+                    // The sender need not keep the body any longer.
+                    connection.send_urgent(frame::Body::Cancel(CancelCall {
+                        call_id,
+                        ..CancelCall::default()
+                    }));
+                }
             }
             Some(frame::Body::EchoRequest(EchoRequest {})) => {
                 connection.send_urgent(frame::Body::EchoReply(EchoReply {}));
@@ -164,6 +172,10 @@
                     CallEvent::Resolution(resolution.progress()),
                 );
             }
+            Some(frame::Body::BodyRequest(request)) => {
+                deliver(&pending, request.call_id, CallEvent::BodyRequested);
+            }
+            Some(frame::Body::BodyPart(part)) => connection.arriving().add_part(&part),
             Some(other) => queries.deliver(other),
             None => {}
         }
--- a/crates/hemlocktack-node/src/links/handshake.rs
+++ b/crates/hemlocktack-node/src/links/handshake.rs
@@ -16,6 +16,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio_util::codec::{Framed, FramedParts};
 
+use super::connection::PeerFeatures;
 use super::{FrameCodec, codec};
 use crate::freshness::boot_time;
 use crate::memory::MemoryGauge;
@@ -50,8 +51,7 @@
 /// A link whose peer has authenticated.
 pub(crate) struct OpenLink {
     pub(crate) peer: NodeIncarnation,
-    /// The peer answers echo requests.
-    pub(crate) answers_echo: bool,
+    pub(super) peer_features: PeerFeatures,
     /// When the challenge was sent or received.
     pub(crate) opened: BootTime,
     memory: MemoryGauge,
@@ -95,6 +95,7 @@
         node_id: own.node_id.to_string(),
         incarnation: own.incarnation,
         nonce: fresh_nonce(),
+        takes_body_parts: true,
     };
     send(&mut framed, frame::Body::Hello(hello.clone())).await?;
     let frame::Body::Challenge(challenge) = receive(&mut framed).await? else {
@@ -121,7 +122,10 @@
     send(&mut framed, frame::Body::Proof(Proof { mac })).await?;
     Ok(OpenLink {
         peer,
-        answers_echo: challenge.answers_echo,
+        peer_features: PeerFeatures {
+            answers_echo: challenge.answers_echo,
+            takes_parts: challenge.takes_body_parts,
+        },
         opened,
         memory: memory.clone(),
         framed,
@@ -145,6 +149,7 @@
         nonce: fresh_nonce(),
         mac: Bytes::new(),
         answers_echo: true,
+        takes_body_parts: true,
     };
     challenge.mac = sign(keys, MacPurpose::LinkAcceptor, &hello, &challenge);
     let opened = boot_time();
@@ -167,8 +172,11 @@
     };
     Ok(OpenLink {
         peer,
-        // Only the end that sends calls monitors the link by echo requests.
-        answers_echo: false,
+        peer_features: PeerFeatures {
+            // Only the end that sends calls monitors the link by echo requests.
+            answers_echo: false,
+            takes_parts: hello.takes_body_parts,
+        },
         opened,
         memory: memory.clone(),
         framed,
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -11,6 +11,7 @@
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::bodies::{complete_call, send_answer, send_offered, withdraw_offered};
 use super::call_times::take_off_time;
 use super::codec::log_malformed;
 use super::connection::Connection;
@@ -30,6 +31,8 @@
 const RETURN_RECHECK: Duration = Duration::from_millis(50);
 /// Frames that are read before the calls among them are started.
 const MAX_BATCH_FRAMES: usize = 4096;
+/// Bytes of bodies after which no further frame is read before the calls are started.
+const MAX_BATCH_BODY_BYTES: usize = 4 << 20;
 /// Age from which the sender is asked whether a call is still waited for. Calls arrive within a
 /// few milliseconds in a region, and a few dozen between regions.
 const OLD_CALL_AGE: Duration = Duration::from_millis(150);
@@ -59,7 +62,7 @@
         return;
     };
     let peer = open.peer.clone();
-    let (answers_echo, opened) = (open.answers_echo, open.opened);
+    let (peer_features, opened) = (open.peer_features, open.opened);
     let (mut reader, writer) = open.split();
     let last_received = reader.codec().last_received().clone();
     let connection = Connection::start(
@@ -67,7 +70,7 @@
         writer,
         opened,
         last_received,
-        answers_echo,
+        peer_features,
         node.memory.gauge(),
     );
     let sender = node.senders.connected(&peer);
@@ -117,6 +120,8 @@
 #[derive(Default)]
 struct Batch {
     bodies: Vec<frame::Body>,
+    /// Bytes of the bodies of its calls.
+    body_bytes: usize,
     /// The link has ended.
     is_last: bool,
 }
@@ -124,23 +129,36 @@
 impl Batch {
     /// Waits for a frame and reads what else has arrived.
     async fn read(&mut self, reader: &mut Reader, connection: &Connection) {
+        self.body_bytes = 0;
         let first = tokio::select! {
             next = reader.next() => next,
             () = connection.closed() => None,
         };
-        self.add(first);
-        while !self.is_last && self.bodies.len() < MAX_BATCH_FRAMES {
+        self.add(first, connection);
+        while !self.is_last && !self.is_full() {
             let Some(next) = reader.next().now_or_never() else {
                 break;
             };
-            self.add(next);
+            self.add(next, connection);
         }
     }
 
-    fn add(&mut self, next: Option<super::codec::Result<Frame>>) {
+    fn is_full(&self) -> bool {
+        self.bodies.len() >= MAX_BATCH_FRAMES || self.body_bytes >= MAX_BATCH_BODY_BYTES
+    }
+
+    fn add(&mut self, next: Option<super::codec::Result<Frame>>, connection: &Connection) {
         match next.map(|next| next.inspect_err(log_malformed)) {
+            Some(Ok(Frame {
+                body: Some(frame::Body::BodyPart(part)),
+            })) => connection.arriving().add_part(&part),
             // A body of a newer schema decodes to `None` and is ignored.
-            Some(Ok(Frame { body })) => self.bodies.extend(body),
+            Some(Ok(Frame { body })) => {
+                if let Some(frame::Body::Call(call)) = &body {
+                    self.body_bytes += call.body.len();
+                }
+                self.bodies.extend(body);
+            }
             Some(Err(_)) | None => self.is_last = true,
         }
     }
@@ -177,6 +195,7 @@
                 }));
             }
             frame::Body::Cancel(cancel) => {
+                withdraw_offered(connection, cancel.call_id);
                 let age = age_of(cancel.queued_at_us, ages, connection);
                 cancel_call(node, sender, connection, &cancel, age);
             }
@@ -202,7 +221,7 @@
         // A late call has less time left, and its sender gives it up that much earlier.
         take_off_time(&mut arrived.call, age);
         if age < OLD_CALL_AGE {
-            start_call(node, sender, arrived);
+            start_call(node, sender, connection, arrived);
             continue;
         }
         old_calls.push(arrived);
@@ -248,7 +267,7 @@
         if !is_confirmed {
             arrived.awaited.cancel();
         }
-        start_call(node, sender, arrived);
+        start_call(node, sender, connection, arrived);
     }
 }
 
@@ -272,6 +291,7 @@
         frame::Body::Resolve(resolve) => {
             resolve_call(node, sender, connection, resolve.call_id).await
         }
+        frame::Body::BodyRequest(request) => send_offered(connection, request.call_id),
         frame::Body::Handover(part) => {
             let accepted = handover::receive_frame(node, &sender.identity, part);
             connection
@@ -282,19 +302,28 @@
     }
 }
 
-fn start_call(node: &Arc<Node>, sender: &Arc<Sender>, arrived: ArrivedCall) {
+fn start_call(
+    node: &Arc<Node>,
+    sender: &Arc<Sender>,
+    connection: &Connection,
+    arrived: ArrivedCall,
+) {
     let ArrivedCall {
-        call,
+        mut call,
         awaited,
         in_flight,
         ..
     } = arrived;
     let node = node.clone();
-    let sender = sender.clone();
+    let (sender, connection) = (sender.clone(), connection.clone());
     tokio::spawn(async move {
         let call_id = call.call_id;
         let request_id = call.request_id.clone();
-        let mut answer = calls::receive(&node, call, &awaited).await;
+        let completed = complete_call(&node, &connection, &mut call, &awaited).await;
+        let mut answer = match completed {
+            Ok(()) => calls::receive(&node, call, &awaited).await,
+            Err(reason) => calls::refused_by_link(&node, &call, reason),
+        };
         answer.call_id = call_id;
         if !finish_call(&node, &sender, answer).await {
             log_undelivered(&node, &sender, call_id, &request_id);
@@ -368,10 +397,12 @@
     has_left || others.contains(&true)
 }
 
-/// Sends an answer and waits until it is written to the socket. Otherwise a stop of this node would
-/// cut off a large answer that waits for a slow reader.
+/// Sends an answer and waits until it is written to the socket.
 async fn send_and_flush(connection: &Connection, answer: Answer) -> bool {
-    connection.send(frame::Body::Answer(answer)).await && connection.flushed().await
+    match send_answer(connection, answer).await {
+        Some(sent) => sent.written().await,
+        None => false,
+    }
 }
 
 fn log_undelivered(node: &Node, sender: &Sender, call_id: CallId, request_id: &str) {
@@ -393,9 +424,13 @@
     let resolution = node.senders.resolve(sender, call_id, connection);
     let progress = resolution.progress().into();
     if let Resolution::Finished(answer) = resolution {
-        connection
-            .send(frame::Body::Answer(Arc::unwrap_or_clone(answer)))
-            .await;
+        let sent = send_answer(connection, Arc::unwrap_or_clone(answer)).await;
+        // The request for its body comes over this link, which is not read meanwhile.
+        tokio::spawn(async move {
+            if let Some(sent) = sent {
+                sent.written().await;
+            }
+        });
     }
     connection
         .send(frame::Body::Resolution(CallResolution {
--- a/crates/hemlocktack-node/src/links/mod.rs
+++ b/crates/hemlocktack-node/src/links/mod.rs
@@ -4,6 +4,7 @@
 //! link is lost, its calls stay pending until the same incarnation of the receiver has reported
 //! their outcomes.
 
+mod bodies;
 mod call_times;
 mod cancellations;
 mod codec;
@@ -18,7 +19,7 @@
 mod query_handler;
 mod senders;
 #[cfg(test)]
-mod tests;
+pub(super) mod tests;
 
 pub(crate) use cancellations::send_cancellations;
 pub(crate) use codec::FrameCodec;
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -7,6 +7,9 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
+use bytes::Bytes;
+use futures::FutureExt;
+use futures::future::Fuse;
 use hemlocktack_fleet::NodeIncarnation;
 use hemlocktack_fleet::keys::FleetKeys;
 use hemlocktack_protocol::{
@@ -15,6 +18,7 @@
 };
 use tokio::sync::{Notify, mpsc};
 
+use super::bodies::{complete_answer, leave_out, send_call_body};
 use super::call_times::take_off_time;
 use super::connection::Connection;
 use super::dial::Link;
@@ -60,6 +64,8 @@
     deadline: Instant,
     resolve_limit: Duration,
     progress: &'a SendProgress,
+    /// Body that was left out of the call.
+    body: Option<Bytes>,
 }
 
 /// Returns how long a lost peer is retried before the call's outcome counts as unknown.
@@ -121,14 +127,19 @@
             return SendOutcome::NeverArrived(Reason::LinkLost);
         };
         let (events, receiver) = mpsc::channel(EVENTS_PER_CALL);
+        let body = leave_out(&connection, &mut call.body);
+        call.body_length = body.as_ref().map_or(0, |body| body.len() as u64);
+        let is_whole = body.is_none();
         let resolve_limit = resolve_limit(call.purpose());
         let mut pending = None;
         let sending = connection.send_built(|| {
             call.call_id = self.next_call_id.fetch_add(1, Ordering::Relaxed);
             call.queued_at_us = whole_micros(connection.age());
             take_off_time(&mut call, began.elapsed());
-            // Always allowed here: a send is abandoned only after this future has been dropped.
-            progress.try_mark_sent();
+            if is_whole {
+                // Always allowed here: a send is abandoned only after this future has been dropped.
+                progress.try_mark_sent();
+            }
             pending = Some(PendingCall::register(&link.pending, call.call_id, events));
             frame::Body::Call(call)
         });
@@ -147,6 +158,7 @@
             deadline,
             resolve_limit,
             progress,
+            body,
         };
         self.wait_for_outcome(wait, connection, receiver).await
     }
@@ -160,6 +172,10 @@
         let incarnation = connection.peer_incarnation;
         let mut cancel_guard = CancelOnDrop::new(&wait, &connection);
         let mut sent = Instant::now();
+        // Without all of its body the call never runs.
+        let mut is_whole = wait.body.is_none();
+        let sending_body = Fuse::terminated();
+        tokio::pin!(sending_body);
         // Whether the frame is still in the buffer of the connection that it was sent over.
         let take_back = |connection: &Connection, cancel_guard: &mut CancelOnDrop<'_>| {
             let is_unsent = connection.remove_unsent(wait.call_id);
@@ -174,8 +190,23 @@
                 biased;
                 event = events.recv() => match event {
                     Some(CallEvent::Answer(answer)) => {
-                        cancel_guard.disarm();
-                        return SendOutcome::Answer(answer);
+                        let memory = &self.memory;
+                        let answer = complete_answer(memory, &connection, answer, wait.deadline);
+                        if let Some(answer) = answer.await {
+                            cancel_guard.disarm();
+                            return SendOutcome::Answer(answer);
+                        }
+                        if !connection.is_closed() {
+                            return SendOutcome::Unknown(Reason::MemoryFull);
+                        }
+                    }
+                    Some(CallEvent::BodyRequested) => {
+                        if let Some(body) = &wait.body {
+                            let (connection, body) = (connection.clone(), body.clone());
+                            let sending =
+                                send_call_body(connection, wait.call_id, body, wait.progress);
+                            sending_body.set(sending.fuse());
+                        }
                     }
                     Some(CallEvent::Resolution(progress)) => {
                         if let Some(sent) = resolved_outcome(progress) {
@@ -185,9 +216,15 @@
                     }
                     None => return SendOutcome::Unknown(Reason::LinkLost),
                 },
+                sent = &mut sending_body => is_whole |= sent,
                 // Closing it notifies the other calls that wait on this connection.
                 () = connection.lost(sent) => connection.close(),
                 () = connection.closed() => {
+                    if !is_whole {
+                        // The receiver ends it too when the connection is lost.
+                        cancel_guard.disarm();
+                        return SendOutcome::NeverArrived(Reason::LinkLost);
+                    }
                     if take_back(&connection, &mut cancel_guard) {
                         return SendOutcome::NeverArrived(Reason::LinkLost);
                     }
@@ -201,7 +238,7 @@
                     }
                 }
                 () = tokio::time::sleep_until(wait.deadline.into()) => {
-                    return match take_back(&connection, &mut cancel_guard) {
+                    return match !is_whole || take_back(&connection, &mut cancel_guard) {
                         true => SendOutcome::NeverArrived(Reason::Timeout),
                         false => SendOutcome::Unknown(Reason::Timeout),
                     };
--- a/crates/hemlocktack-node/src/links/pending.rs
+++ b/crates/hemlocktack-node/src/links/pending.rs
@@ -6,13 +6,15 @@
 use hemlocktack_protocol::{Answer, CallId, CallProgress};
 use tokio::sync::mpsc;
 
-/// Capacity of a call's event channel; there are at most two events per call.
-pub(super) const EVENTS_PER_CALL: usize = 4;
+/// Capacity of a call's event channel; there are at most three events per call and connection.
+pub(super) const EVENTS_PER_CALL: usize = 6;
 
 /// Event that a waiting call receives.
 pub(super) enum CallEvent {
     Answer(Answer),
     Resolution(CallProgress),
+    /// The receiver asks for the body that was left out of the call.
+    BodyRequested,
 }
 
 /// Event channels of the calls that wait on one link.
@@ -51,14 +53,13 @@
     }
 }
 
-/// Delivers an event to a waiting call; drops it if nobody waits any longer.
-pub(super) fn deliver(pending: &Pending, call_id: CallId, event: CallEvent) {
+/// Delivers an event to a waiting call; drops it if nobody waits any longer. Returns whether
+/// somebody does.
+pub(super) fn deliver(pending: &Pending, call_id: CallId, event: CallEvent) -> bool {
     let waiting = pending
         .lock()
         .unwrap_or_else(PoisonError::into_inner)
         .get(&call_id)
         .cloned();
-    if let Some(events) = waiting {
-        let _ = events.try_send(event);
-    }
+    waiting.is_some_and(|events| events.try_send(event).is_ok())
 }
--- a/crates/hemlocktack-node/src/links/tests.rs
+++ b/crates/hemlocktack-node/src/links/tests.rs
@@ -18,7 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
-use super::connection::Connection;
+use super::connection::{Connection, PeerFeatures};
 use super::handshake::{self, Reader};
 use super::last_received::LastReceived;
 use super::outgoing::{Links, Peer, SendOutcome};
@@ -42,7 +42,7 @@
             writer,
             boot_time(),
             LastReceived::new(),
-            false,
+            PeerFeatures::default(),
             &MemoryGauge::default(),
         ),
         far,
@@ -114,7 +114,7 @@
 }
 
 /// A node that sends calls, with the task that sends its cancellations.
-fn sender() -> Arc<Links> {
+pub(super) fn sender() -> Arc<Links> {
     let links = Arc::new(Links::new(
         NodeIncarnation::new("sender", 1),
         keys(),
@@ -126,17 +126,17 @@
 }
 
 /// A node that only reads.
-struct Receiver {
+pub(super) struct Receiver {
     listener: TcpListener,
 }
 
 impl Receiver {
-    async fn listen(address: SocketAddr) -> Self {
+    pub(super) async fn listen(address: SocketAddr) -> Self {
         let listener = TcpListener::bind(address).await.unwrap();
         Self { listener }
     }
 
-    fn peer(&self) -> Peer {
+    pub(super) fn peer(&self) -> Peer {
         Peer {
             node_id: "receiver".into(),
             link_address: self.listener.local_addr().unwrap(),
@@ -152,7 +152,7 @@
         ((reader, writer), call.call_id)
     }
 
-    async fn accept(&self) -> (Reader, OwnedWriteHalf) {
+    pub(super) async fn accept(&self) -> (Reader, OwnedWriteHalf) {
         let accepted = tokio::time::timeout(CALL_TIMEOUT, self.listener.accept()).await;
         let (stream, _) = accepted.expect("a link is opened").unwrap();
         let own = NodeIncarnation::new("receiver", 1);
@@ -182,7 +182,7 @@
     })
 }
 
-async fn next_body(reader: &mut Reader) -> Option<frame::Body> {
+pub(super) async fn next_body(reader: &mut Reader) -> Option<frame::Body> {
     let next = tokio::time::timeout(CALL_TIMEOUT, reader.next()).await;
     next.ok()??.ok()?.body
 }
@@ -384,7 +384,7 @@
             writer,
             boot_time(),
             LastReceived::new(),
-            false,
+            PeerFeatures::default(),
             &MemoryGauge::default(),
         );
         let refusal = Answer {
--- a/crates/hemlocktack-node/src/memory/buffer.rs
+++ b/crates/hemlocktack-node/src/memory/buffer.rs
@@ -49,7 +49,7 @@
 }
 
 /// A buffer for one body, whose memory is reserved.
-struct BodyBuffer {
+pub(crate) struct BodyBuffer {
     storage: Storage,
     held: HeldBytes,
 }
@@ -77,44 +77,38 @@
                 self.reserve_growing(need, first_bytes).await?
             }
         };
-        let mut buffer = None;
-        let mut held = Some(held);
+        let Some(first) = self.next_piece(plan, &mut pieces).await? else {
+            return Ok(Bytes::new());
+        };
+        if plan.length_bytes == Some(first.len()) {
+            // All of it in one piece, which needs no copy.
+            return Ok(track(first, held));
+        }
+        let mut buffer = BodyBuffer::new(held);
+        buffer.append_growing(need, plan, &first).await?;
         while let Some(piece) = self.next_piece(plan, &mut pieces).await? {
-            let piece = piece.map_err(CollectError::Source)?;
-            if buffer.is_none() && plan.length_bytes == Some(piece.len()) {
-                // All of it in one piece, which needs no copy.
-                if let Some(held) = held.take() {
-                    return Ok(track(piece, held));
-                }
-            }
-            let buffer = match &mut buffer {
-                Some(buffer) => buffer,
-                empty => {
-                    let Some(held) = held.take() else { break };
-                    empty.insert(BodyBuffer::new(held))
-                }
-            };
             buffer.append_growing(need, plan, &piece).await?;
         }
-        let whole = buffer.map_or_else(Bytes::new, BodyBuffer::into_bytes);
-        Ok(whole)
+        Ok(buffer.into_bytes())
     }
 
+    /// Returns the next piece; `None` at the end of the body.
     async fn next_piece<E>(
         &self,
         plan: BodyPlan,
         pieces: &mut (impl Stream<Item = std::result::Result<Bytes, E>> + Unpin),
-    ) -> Result<Option<std::result::Result<Bytes, E>>, E> {
+    ) -> Result<Option<Bytes>, E> {
         let is_small = plan
             .length_bytes
             .is_some_and(|length_bytes| length_bytes <= SMALL_BODY_BYTES);
         if is_small || !plan.may_be_displaced {
-            return Ok(pieces.next().await);
+            let piece = pieces.next().await.transpose();
+            return piece.map_err(CollectError::Source);
         }
         loop {
             let next = tokio::time::timeout(MAX_STANDSTILL, pieces.next()).await;
             match next {
-                Ok(piece) => return Ok(piece),
+                Ok(piece) => return piece.transpose().map_err(CollectError::Source),
                 Err(_) if self.waiting_count() > 0 => return Err(CollectError::Standstill),
                 Err(_) => {}
             }
@@ -124,20 +118,29 @@
 
 impl BodyBuffer {
     /// Creates a buffer of the size that is reserved for it.
-    fn new(held: HeldBytes) -> Self {
+    pub(crate) fn new(held: HeldBytes) -> Self {
         Self {
             storage: Storage::with_capacity(held.bytes()),
             held,
         }
     }
 
-    fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         match &self.storage {
             Storage::Heap(bytes) => bytes.len(),
             Storage::Pages { length_bytes, .. } => *length_bytes,
         }
     }
 
+    /// Appends bytes for which memory is reserved; `false` if there are more than that.
+    pub(crate) fn append(&mut self, piece: &[u8]) -> bool {
+        if self.len() + piece.len() > self.held.bytes() {
+            return false;
+        }
+        self.storage.append(piece);
+        true
+    }
+
     async fn append_growing<E>(
         &mut self,
         need: &BodyNeed,
@@ -159,7 +162,7 @@
     }
 
     /// Returns the bytes, whose memory is held until the last reference to them is dropped.
-    fn into_bytes(mut self) -> Bytes {
+    pub(crate) fn into_bytes(mut self) -> Bytes {
         self.held.shrink(self.len());
         Bytes::from_owner(self)
     }
@@ -227,7 +230,8 @@
     }
 }
 
-fn track(piece: Bytes, held: HeldBytes) -> Bytes {
+/// Returns the same bytes, which hold memory until their last reference is dropped.
+pub(crate) fn track(piece: Bytes, held: HeldBytes) -> Bytes {
     if piece.is_empty() {
         return piece;
     }
--- a/crates/hemlocktack-node/src/memory/mod.rs
+++ b/crates/hemlocktack-node/src/memory/mod.rs
@@ -10,8 +10,8 @@
 #[cfg(test)]
 pub(crate) mod tests;
 
-pub(crate) use budget::{BodyMemory, BodyNeed, BudgetSizes, NoMemory};
-pub(crate) use buffer::{BodyPlan, CollectError};
+pub(crate) use budget::{BodyMemory, BodyNeed, BudgetSizes, HeldBytes, NoMemory};
+pub(crate) use buffer::{BodyBuffer, BodyPlan, CollectError, track};
 pub(crate) use gauge::{GaugedBytes, HeldFor, MemoryGauge};
 pub(crate) use log::{log_body_displaced, log_body_refused};
 
--- a/crates/hemlocktack-node/tests/decoders/link_frames.rs
+++ b/crates/hemlocktack-node/tests/decoders/link_frames.rs
@@ -97,6 +97,7 @@
                 node_id: text,
                 incarnation: number,
                 nonce: bytes,
+                takes_body_parts: true,
             }),
             1 => frame::Body::Challenge(Challenge {
                 node_id: text,
--- a/crates/hemlocktack-node/tests/processes/frames.rs
+++ b/crates/hemlocktack-node/tests/processes/frames.rs
@@ -57,6 +57,7 @@
         node_id: "visitor".to_owned(),
         incarnation: OWN_INCARNATION,
         nonce: Bytes::from_static(b"sixteen bytes ok"),
+        takes_body_parts: false,
     };
     send(&mut link, frame::Body::Hello(hello.clone())).await;
     let Some(frame::Body::Challenge(challenge)) = receive(&mut link).await else {
