Placement: a call with a large body stays at its entry node while that has a free slot

What callers saw: of bodies that hold most of a node's memory, two of three went to another node of the same service, where they were held a second time, so that fewer were served at a time.

Change: a body of 1 MiB or more is placed on its entry node's own upstream, if that takes calls, is not avoided and has a free slot; otherwise as before. The index of a node in its service's view is found in one place.

--- a/crates/hemlocktack-decide/src/lib.rs
+++ b/crates/hemlocktack-decide/src/lib.rs
@@ -54,7 +54,7 @@
 pub use objective_limit::ObjectiveLimitPolicy;
 pub use offer::{AdmissionDecision, CancelResult, OfferedCall, QueueDecision, RunResult, WorkKind};
 pub use peer_load::PeerLoad;
-pub use placement::{PlacementPolicy, may_move, place};
+pub use placement::{PlacementPolicy, keeps_large_body, may_move, place};
 pub use policy::{AdmissionPolicy, QueuePolicy};
 pub use quarantine::{Quarantine, QuarantinePolicy, QuarantineStatus, Suspect};
 pub use queue::MAX_CLASSES;
--- a/crates/hemlocktack-decide/src/placement.rs
+++ b/crates/hemlocktack-decide/src/placement.rs
@@ -162,6 +162,14 @@
         .or_else(|| choose_nearest(&takes))
 }
 
+/// Returns whether a call with a large body should stay at its entry node, whose upstream is `own`.
+/// Sent to another node, the body would be held by both.
+pub fn keeps_large_body(own: &PeerLoad, now: Instant, policy: &PlacementPolicy) -> bool {
+    own.takes_calls()
+        && !own.is_avoided(now)
+        && own.utilisation(policy, now) < policy.free_slot_load
+}
+
 /// Returns whether a call refused by one node for this reason may be sent to another node. This
 /// is allowed at most once per call after a refusal and is not a retry, since nothing ran.
 /// Refusals that the other nodes would share (shed by level, quarantined) are returned to the
--- a/crates/hemlocktack-node/src/calls/attempts.rs
+++ b/crates/hemlocktack-node/src/calls/attempts.rs
@@ -1,6 +1,8 @@
 //! Attempts to run one call, and the answer that its caller finally gets.
 
-use hemlocktack_decide::{CallSends, combined_outcome};
+use std::time::Instant;
+
+use hemlocktack_decide::{CallSends, combined_outcome, keeps_large_body};
 use hemlocktack_protocol::{Answer, CallFailure, Reason};
 
 use super::ClassifiedCall;
@@ -8,9 +10,14 @@
 use super::place::choose_peer_among;
 use super::service_directory::ServiceView;
 
+/// Bodies from this size on stay at their entry node while its upstream has a free slot.
+const MIN_LARGE_BODY_BYTES: usize = 1 << 20;
+
 /// The attempts of one call so far.
 pub(super) struct CallAttempts {
     pub(super) sends: CallSends,
+    /// This node, for a call with a large body.
+    own: Option<usize>,
     /// Failure that the caller gets if no later send is answered.
     reported: Option<ReportedFailure>,
 }
@@ -21,8 +28,10 @@
 }
 
 impl CallAttempts {
-    pub(super) fn new(classified: &ClassifiedCall) -> Self {
+    pub(super) fn new(classified: &ClassifiedCall, own: Option<usize>) -> Self {
+        let is_large = classified.call.body.len() >= MIN_LARGE_BODY_BYTES;
         CallAttempts {
+            own: own.filter(|_| is_large),
             sends: CallSends::new(classified.max_upstreams.unwrap_or(usize::MAX)),
             reported: None,
         }
@@ -36,6 +45,14 @@
         classified: &ClassifiedCall,
     ) -> Option<usize> {
         let may_send_to = |node| self.sends.may_send_to(node);
+        let stays = |own: &usize| {
+            let policy = view.placement_policy(Some(classified.kind));
+            let peer = view.peers[*own].as_ref();
+            may_send_to(*own) && keeps_large_body(peer, Instant::now(), &policy)
+        };
+        if let Some(own) = self.own.filter(stays) {
+            return Some(own);
+        }
         let chosen = choose_peer_among(
             view,
             may_send_to,
--- a/crates/hemlocktack-node/src/calls/home.rs
+++ b/crates/hemlocktack-node/src/calls/home.rs
@@ -15,7 +15,7 @@
 use super::place::choose_peer;
 use super::receive::refusal_reason;
 use super::run::{RunRequest, run};
-use super::service_directory::{PeerEntry, ServiceView};
+use super::service_directory::PeerEntry;
 use super::{not_run_answer, unknown_answer};
 use crate::node::Node;
 
@@ -96,7 +96,7 @@
     let mut excluded = node
         .services
         .service(&call.service)
-        .and_then(|view| own_index(&node, &view));
+        .and_then(|view| view.index_of(&node.identity));
     for _ in 0..MAX_DELEGATIONS {
         let may_go_on = call_failure(&answer).is_some_and(
             |failure| matches!(failure, CallFailure::NotRun(refusal) if may_move(refusal.reason)),
@@ -110,7 +110,7 @@
         let Some(index) = choose_peer(&view, excluded) else {
             break;
         };
-        if Some(index) == own_index(&node, &view) {
+        if Some(index) == view.index_of(&node.identity) {
             break;
         }
         answer = delegate_to(&node, &call, nonce, &view.peers[index], deadline).await;
@@ -119,12 +119,6 @@
     node.home.record_outcome(nonce, answer);
 }
 
-fn own_index(node: &Node, view: &ServiceView) -> Option<usize> {
-    view.peers
-        .iter()
-        .position(|peer| peer.identity == node.identity)
-}
-
 async fn run_locally(node: &Arc<Node>, call: &Call, nonce: Nonce, deadline: Instant) -> Answer {
     if let Some(reason) = refusal_reason(node, call) {
         return not_run_answer(reason, None);
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -64,7 +64,8 @@
         true => CallPurpose::Placed,
         false => CallPurpose::PlacedOnce,
     };
-    let mut attempts = CallAttempts::new(classified);
+    let own = view.index_of(&node.identity);
+    let mut attempts = CallAttempts::new(classified, own);
     loop {
         let Some(index) = attempts.next_peer(&view, classified) else {
             return attempts.into_answer();
--- a/crates/hemlocktack-node/src/calls/service_directory.rs
+++ b/crates/hemlocktack-node/src/calls/service_directory.rs
@@ -191,6 +191,11 @@
 }
 
 impl ServiceView {
+    /// Returns the index of this incarnation of a node, if it has an upstream of the service.
+    pub(crate) fn index_of(&self, node: &NodeIncarnation) -> Option<usize> {
+        self.peers.iter().position(|peer| peer.identity == *node)
+    }
+
     /// Whether a request may go on to the service; see [`EntryShedder`].
     pub(crate) fn admits(
         &self,
