Kept answers of tickets hold no memory of the budget for bodies

They have a budget of their own, 16 MiB by default: held in both, they would take that much from the bodies under way for as long as they are kept.

--- a/crates/hemlocktack-node/src/calls/home.rs
+++ b/crates/hemlocktack-node/src/calls/home.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use bytes::Bytes;
 use futures::future::BoxFuture;
 use hemlocktack_decide::may_move;
 use hemlocktack_fleet::tickets::{Nonce, StartDecision, Ticket};
@@ -116,7 +117,14 @@
         answer = delegate_to(&node, &call, nonce, &view.peers[index], deadline).await;
         excluded = Some(index);
     }
-    node.home.record_outcome(nonce, answer);
+    node.home.record_outcome(nonce, detached(answer));
+}
+
+/// Returns an answer that holds no memory of the node's budget for bodies: kept answers have a
+/// budget of their own.
+fn detached(answer: Answer) -> Answer {
+    let body = Bytes::copy_from_slice(&answer.body);
+    Answer { body, ..answer }
 }
 
 async fn run_locally(node: &Arc<Node>, call: &Call, nonce: Nonce, deadline: Instant) -> Answer {
