Budget for bodies: four fifths of a machine's memory where that is under 128 MiB

With half, a machine of 160 MB could hold no body over 32 MiB, although the limits of its configuration allow 64. With four fifths it has the same 96 MiB as one of 260 MB, and 32 MB remain for buffers of sockets.

--- a/crates/hemlocktack-node/src/memory/budget.rs
+++ b/crates/hemlocktack-node/src/memory/budget.rs
@@ -44,10 +44,10 @@
 }
 
 impl BudgetSizes {
-    /// Returns the shares of a process that may use this much memory. Half of it remains for what
-    /// is not counted: buffers of sockets, of links and of calls.
+    /// Returns the shares of a process that may use this much memory. A fifth of it, or more,
+    /// remains for what is not counted: buffers of sockets, of links and of calls.
     pub(crate) fn of_memory(memory_bytes: usize) -> Self {
-        let used_bytes = (memory_bytes / 2).min(MAX_USED_BYTES);
+        let used_bytes = (memory_bytes / 5 * 4).min(MAX_USED_BYTES);
         Self::of_budget(used_bytes.saturating_sub(NODE_BYTES))
     }
 
--- a/crates/hemlocktack-node/src/settings/flags.rs
+++ b/crates/hemlocktack-node/src/settings/flags.rs
@@ -228,7 +228,7 @@
     defaulted(
         MEMORY_MB,
         "NUMBER",
-        "memory in MiB that the process may use at most; half of it, or 128 if that is less, is shared by the node itself, 32, and all bodies that it holds at a time",
+        "memory in MiB that the process may use at most; four fifths of it, or 128 if that is less, are shared by the node itself, 32, and all bodies that it holds at a time",
         "256",
     ),
     optional(
--- a/crates/hemlocktack-node/src/settings/read.rs
+++ b/crates/hemlocktack-node/src/settings/read.rs
@@ -17,8 +17,8 @@
 
 const FLEET_KEY_MIN_CHARS: usize = 32;
 const OPERATOR_TOKEN_MIN_CHARS: usize = 16;
-/// Half of it holds the node itself, 32 MiB, and as much for bodies.
-const MIN_MEMORY_MB: f64 = 128.0;
+/// Leaves as much memory for bodies as the node itself takes.
+const MIN_MEMORY_MB: f64 = 80.0;
 /// More than any machine has; keeps the number of bytes in range.
 const MAX_MEMORY_MB: f64 = 16_777_216.0;
 
