Bodies: one that trickles makes room for those that wait

A caller that sends a byte now and then kept the memory for all of its body until its deadline: only one that stood still for half a second lost it. Also a test of the placement of large bodies.

--- a/crates/hemlocktack-decide/tests/placement.rs
+++ b/crates/hemlocktack-decide/tests/placement.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hemlocktack_decide::{AnswerSizes, PeerLoad, PlacementPolicy, place};
+use hemlocktack_decide::{AnswerSizes, PeerLoad, PlacementPolicy, keeps_large_body, place};
 use hemlocktack_protocol::{LoadHint, Reason, UpstreamState};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -320,3 +320,16 @@
     }
     assert!(sizes.mean_bytes(7) < 2_000.0);
 }
+
+/// Failure: a large body is held by two nodes although its entry node's own upstream has room, or
+/// waits for that upstream although another one has room.
+#[test]
+fn a_large_body_stays_while_the_own_upstream_has_a_free_slot() {
+    let now = Instant::now();
+    let own = peers(&[(true, 10), (true, 60)], now);
+    let policy = PlacementPolicy::default();
+    let stays = |own: &PeerLoad| keeps_large_body(own, now, &policy);
+    assert_eq!([stays(&own[0]), stays(&own[1])], [true, false]);
+    own[0].set_state(UpstreamState::Draining);
+    assert!(!stays(&own[0]));
+}
--- a/crates/hemlocktack-node/src/memory/buffer.rs
+++ b/crates/hemlocktack-node/src/memory/buffer.rs
@@ -1,6 +1,6 @@
 //! Collects the pieces of a body into one buffer, within the budget.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use derive_more::{Display, Error, From};
@@ -18,8 +18,10 @@
 const MIN_MAPPED_BYTES: usize = 256 << 10;
 /// What a body of unknown length reserves at a time.
 const GROWTH_BYTES: usize = 1 << 20;
-/// How long a body may stand still while others wait for its memory.
-const MAX_STANDSTILL: Duration = Duration::from_millis(500);
+/// Interval in which a body must receive [`MIN_INTERVAL_BYTES`] while others wait for its memory.
+const PACE_INTERVAL: Duration = Duration::from_millis(500);
+/// A thousandth of what a caller on the same machine sends in that time.
+const MIN_INTERVAL_BYTES: usize = 256 << 10;
 
 /// Why a body was not collected.
 #[derive(Debug, Display, Error, From)]
@@ -29,7 +31,7 @@
     TooLarge,
     #[display("{_0}")]
     NoMemory(NoMemory),
-    #[display("its sender stands still while other bodies wait for memory")]
+    #[display("its sender is too slow while other bodies wait for memory")]
     #[from(ignore)]
     Standstill,
     #[display("not received completely")]
@@ -77,7 +79,8 @@
                 self.reserve_growing(need, first_bytes).await?
             }
         };
-        let Some(first) = self.next_piece(plan, &mut pieces).await? else {
+        let mut pace = Pace::start();
+        let Some(first) = self.next_piece(plan, &mut pace, &mut pieces).await? else {
             return Ok(Bytes::new());
         };
         if plan.length_bytes == Some(first.len()) {
@@ -86,7 +89,7 @@
         }
         let mut buffer = BodyBuffer::new(held);
         buffer.append_growing(need, plan, &first).await?;
-        while let Some(piece) = self.next_piece(plan, &mut pieces).await? {
+        while let Some(piece) = self.next_piece(plan, &mut pace, &mut pieces).await? {
             buffer.append_growing(need, plan, &piece).await?;
         }
         Ok(buffer.into_bytes())
@@ -96,6 +99,7 @@
     async fn next_piece<E>(
         &self,
         plan: BodyPlan,
+        pace: &mut Pace,
         pieces: &mut (impl Stream<Item = std::result::Result<Bytes, E>> + Unpin),
     ) -> Result<Option<Bytes>, E> {
         let is_small = plan
@@ -106,12 +110,31 @@
             return piece.map_err(CollectError::Source);
         }
         loop {
-            let next = tokio::time::timeout(MAX_STANDSTILL, pieces.next()).await;
-            match next {
-                Ok(piece) => return piece.transpose().map_err(CollectError::Source),
-                Err(_) if self.waiting_count() > 0 => return Err(CollectError::Standstill),
-                Err(_) => {}
+            let next = tokio::time::timeout_at(pace.ends_at.into(), pieces.next()).await;
+            if let Ok(piece) = next {
+                let piece = piece.transpose().map_err(CollectError::Source)?;
+                pace.received_bytes += piece.as_ref().map_or(0, Bytes::len);
+                return Ok(piece);
             }
+            if pace.received_bytes < MIN_INTERVAL_BYTES && self.waiting_count() > 0 {
+                return Err(CollectError::Standstill);
+            }
+            *pace = Pace::start();
+        }
+    }
+}
+
+/// What a body has received in the current interval.
+struct Pace {
+    ends_at: Instant,
+    received_bytes: usize,
+}
+
+impl Pace {
+    fn start() -> Self {
+        Self {
+            ends_at: Instant::now() + PACE_INTERVAL,
+            received_bytes: 0,
         }
     }
 }
