--- a/crates/hemlocktack-node/src/gateway/caller_socket.rs
+++ b/crates/hemlocktack-node/src/gateway/caller_socket.rs
@@ -11,6 +11,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use super::look_ahead::LookAhead;
 use crate::calls::CallerWatch;
@@ -28,14 +29,16 @@
 #[derive(Clone)]
 pub(super) struct Activity {
     state: Arc<Mutex<ActivityState>>,
+    /// A write has returned `Pending`.
+    write_blocked: Arc<Notify>,
 }
 
 struct ActivityState {
     open_requests: u32,
     /// Bytes have arrived since the last response, so a request may be arriving.
     is_receiving: bool,
-    /// The last write of a response returned `Pending`.
-    is_write_blocked: bool,
+    /// Since when writes of a response return `Pending`.
+    write_blocked_since: Option<Instant>,
     /// Id of the request whose response is not yet written as a whole.
     unsent_response: Option<String>,
     last_response: Instant,
@@ -114,12 +117,13 @@
         let state = ActivityState {
             open_requests: 0,
             is_receiving: false,
-            is_write_blocked: false,
+            write_blocked_since: None,
             unsent_response: None,
             last_response: Instant::now(),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
+            write_blocked: Arc::default(),
         }
     }
 
@@ -149,6 +153,28 @@
         self.state().unsent_response.take()
     }
 
+    fn record_write(&self, is_blocked: bool) {
+        let mut state = self.state();
+        if !is_blocked {
+            state.write_blocked_since = None;
+        } else if state.write_blocked_since.is_none() {
+            state.write_blocked_since = Some(Instant::now());
+            self.write_blocked.notify_one();
+        }
+    }
+
+    /// Completes when the caller has read nothing of a response for `time`.
+    pub(super) async fn unread_for(&self, time: Duration) {
+        loop {
+            let since = self.state().write_blocked_since;
+            match since.map(|since| since + time) {
+                None => self.write_blocked.notified().await,
+                Some(unread_at) if unread_at <= Instant::now() => return,
+                Some(unread_at) => tokio::time::sleep_until(unread_at.into()).await,
+            }
+        }
+    }
+
     /// Completes when the connection has been idle for `time`.
     pub(super) async fn idle_for(&self, time: Duration) {
         loop {
@@ -163,7 +189,8 @@
 
 impl ActivityState {
     fn idle_since(&self) -> Instant {
-        let is_busy = self.open_requests > 0 || self.is_receiving || self.is_write_blocked;
+        let is_busy =
+            self.open_requests > 0 || self.is_receiving || self.write_blocked_since.is_some();
         if is_busy {
             Instant::now()
         } else {
@@ -211,7 +238,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let written = write_to(&self.stream, context, |stream| stream.try_write(bytes));
-        self.activity.state().is_write_blocked = written.is_pending();
+        self.activity.record_write(written.is_pending());
         written
     }
 
@@ -222,7 +249,7 @@
     ) -> Poll<io::Result<usize>> {
         let write = |stream: &TcpStream| stream.try_write_vectored(slices);
         let written = write_to(&self.stream, context, write);
-        self.activity.state().is_write_blocked = written.is_pending();
+        self.activity.record_write(written.is_pending());
         written
     }
 
--- a/crates/hemlocktack-node/src/gateway/connection.rs
+++ b/crates/hemlocktack-node/src/gateway/connection.rs
@@ -29,6 +29,9 @@
 /// A connection without a request for this long releases its buffers. Connections of
 /// upstreams, which make child calls in quick succession, keep theirs.
 const IDLE_AFTER: Duration = Duration::from_millis(500);
+/// How long a caller may leave a response unread while bodies wait for memory.
+const MAX_UNREAD: Duration = Duration::from_secs(2);
+const UNREAD_RECHECK: Duration = Duration::from_millis(500);
 /// Buffer space beyond the configured header limit, for the request line and for
 /// bytes that hyper reads ahead.
 const READ_AHEAD_BYTES: usize = 8 << 10;
@@ -66,6 +69,8 @@
     Ended(hyper::Result<()>),
     Closing,
     Idle,
+    /// Its caller reads no response, whose memory others wait for.
+    Unread,
 }
 
 /// Serves a connection until either end closes it.
@@ -198,6 +203,7 @@
         ended = &mut connection => ServeEnd::Ended(ended),
         () = node.signals.closing.cancelled() => ServeEnd::Closing,
         () = activity.idle_for(IDLE_AFTER) => ServeEnd::Idle,
+        () = unread_while_others_wait(node, &activity) => ServeEnd::Unread,
         never = run_look_ahead(look_ahead.as_deref(), &stream) => match never {},
     };
     match end {
@@ -207,7 +213,7 @@
         }
         // An error means that the caller disconnected or sent invalid HTTP; there is
         // nobody to report it to.
-        ServeEnd::Ended(_) => return None,
+        ServeEnd::Ended(_) | ServeEnd::Unread => return None,
         ServeEnd::Closing => {
             tokio::select! {
                 biased;
@@ -232,6 +238,18 @@
     parts.io.into_inner().with_read_ahead(parts.read_buf)
 }
 
+/// Completes when the caller has read nothing of its response for [`MAX_UNREAD`] and bodies wait for
+/// memory. Otherwise callers that read nothing would keep all of it.
+async fn unread_while_others_wait(node: &Node, activity: &Activity) {
+    loop {
+        activity.unread_for(MAX_UNREAD).await;
+        if node.memory.waiting_count() > 0 {
+            return;
+        }
+        tokio::time::sleep(UNREAD_RECHECK).await;
+    }
+}
+
 /// Runs the look-ahead, if there is one, as long as the connection is served.
 async fn run_look_ahead(look_ahead: Option<&LookAhead>, stream: &TcpStream) -> Infallible {
     match look_ahead {
--- a/crates/hemlocktack-node/src/links/connection.rs
+++ b/crates/hemlocktack-node/src/links/connection.rs
@@ -22,7 +22,7 @@
 
 /// Unsent bytes above which senders wait. A peer that reads slowly makes senders wait until their
 /// own deadlines.
-const OUTBOX_BYTES: usize = 1 << 20;
+const OUTBOX_BYTES: usize = 256 << 10;
 /// Bytes of waiting frames that are made ready for writing at once.
 const WRITE_BYTES: usize = 16 << 10;
 
