Bodies of ordinary size: no room for waits in the state of a call

The states of a call had room for a wait and for a body in parts; these are boxed now, and a small body takes its share without them.

--- a/crates/hemlocktack-node/src/links/bodies.rs
+++ b/crates/hemlocktack-node/src/links/bodies.rs
@@ -215,10 +215,28 @@
     call: &mut Call,
     awaited: &Awaited,
 ) -> Result<(), Reason> {
-    let length_bytes = call.body.len() + usize::try_from(call.body_length).unwrap_or(usize::MAX);
-    if length_bytes == 0 {
-        return Ok(());
+    if call.body_length == 0 {
+        if call.body.is_empty() {
+            return Ok(());
+        }
+        let reserved = node.memory.reserve_small(BodyOwner::Peer, call.body.len());
+        if let Some(held) = reserved {
+            call.body = track(std::mem::take(&mut call.body), held);
+            return Ok(());
+        }
     }
+    // Boxed, so that a call with a small body has no room for it.
+    Box::pin(complete_large_call(node, connection, call, awaited)).await
+}
+
+async fn complete_large_call(
+    node: &Node,
+    connection: &Connection,
+    call: &mut Call,
+    awaited: &Awaited,
+) -> Result<(), Reason> {
+    let left_out_bytes = usize::try_from(call.body_length).unwrap_or(usize::MAX);
+    let length_bytes = call.body.len().saturating_add(left_out_bytes);
     let began = Instant::now();
     let deadline = began + Duration::from_micros(call.time_left_us);
     let need = BodyNeed {
@@ -261,12 +279,28 @@
     connection: &Connection,
     mut answer: Answer,
     deadline: Instant,
+) -> Option<Answer> {
+    if answer.body_length == 0 {
+        if answer.body.is_empty() {
+            return Some(answer);
+        }
+        let reserved = memory.reserve_small(BodyOwner::Answer, answer.body.len());
+        if let Some(held) = reserved {
+            answer.body = track(std::mem::take(&mut answer.body), held);
+            return Some(answer);
+        }
+    }
+    Box::pin(complete_large_answer(memory, connection, answer, deadline)).await
+}
+
+async fn complete_large_answer(
+    memory: &BodyMemory,
+    connection: &Connection,
+    mut answer: Answer,
+    deadline: Instant,
 ) -> Option<Answer> {
     let left_out_bytes = usize::try_from(answer.body_length).unwrap_or(usize::MAX);
     let length_bytes = answer.body.len().saturating_add(left_out_bytes);
-    if length_bytes == 0 {
-        return Some(answer);
-    }
     let need = BodyNeed {
         owner: BodyOwner::Answer,
         class_rank: ClassRank::default(),
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -205,7 +205,7 @@
                             let (connection, body) = (connection.clone(), body.clone());
                             let sending =
                                 send_call_body(connection, wait.call_id, body, wait.progress);
-                            sending_body.set(sending.fuse());
+                            sending_body.set(sending.boxed().fuse());
                         }
                     }
                     Some(CallEvent::Resolution(progress)) => {
--- a/crates/hemlocktack-node/src/memory/budget.rs
+++ b/crates/hemlocktack-node/src/memory/budget.rs
@@ -170,12 +170,23 @@
         self.inner.refused_count.load(Ordering::Relaxed)
     }
 
+    /// Reserves the bytes of a small body, unless its share is used up.
+    pub(crate) fn reserve_small(&self, owner: BodyOwner, bytes: usize) -> Option<HeldBytes> {
+        if bytes > SMALL_BODY_BYTES {
+            return None;
+        }
+        let mut held = HeldBytes::nothing(self, owner);
+        held.take_small(bytes).then_some(held)
+    }
+
     /// Reserves the bytes of a body of known length, waiting for them if need be.
     pub(crate) async fn reserve(&self, need: &BodyNeed, bytes: usize) -> Result<HeldBytes> {
-        let mut held = HeldBytes::nothing(self, need.owner);
-        if bytes > SMALL_BODY_BYTES || !held.take_small(bytes) {
-            held.claim(need, bytes, false).await?;
+        if let Some(held) = self.reserve_small(need.owner, bytes) {
+            return Ok(held);
         }
+        let mut held = HeldBytes::nothing(self, need.owner);
+        // Boxed, so that a request that need not wait has no room for it.
+        Box::pin(held.claim(need, bytes, false)).await?;
         Ok(held)
     }
 
@@ -260,7 +271,7 @@
         if self.bytes() + bytes <= SMALL_BODY_BYTES && self.take_small(bytes) {
             return Ok(());
         }
-        self.claim(need, bytes, true).await
+        Box::pin(self.claim(need, bytes, true)).await
     }
 
     /// Releases what exceeds the length of a body that is complete.
