Bodies: a small one takes the memory of its length, not of what it was read into

Cause: an answer that came in one piece was kept as that piece, which keeps the whole buffer that it was read into, 8 KiB and more for 1.5 KB; the answers that are kept for senders that lost a link did so too. A small body of unknown length had a buffer of 64 KiB. What the budget counted was less than what was held.

--- a/crates/hemlocktack-node/src/memory/buffer.rs
+++ b/crates/hemlocktack-node/src/memory/buffer.rs
@@ -83,11 +83,11 @@
         let Some(first) = self.next_piece(plan, &mut pace, &mut pieces).await? else {
             return Ok(Bytes::new());
         };
-        if plan.length_bytes == Some(first.len()) {
-            // All of it in one piece, which needs no copy.
-            return Ok(track(first, held));
-        }
-        let mut buffer = BodyBuffer::new(held);
+        // Copied even if it is all: a piece keeps the whole buffer that it was read into.
+        let mut buffer = match plan.length_bytes {
+            Some(_) => BodyBuffer::new(held),
+            None => BodyBuffer::growing(held),
+        };
         buffer.append_growing(need, plan, &first).await?;
         while let Some(piece) = self.next_piece(plan, &mut pace, &mut pieces).await? {
             buffer.append_growing(need, plan, &piece).await?;
@@ -148,6 +148,14 @@
         }
     }
 
+    /// Creates a buffer that takes no more than it contains while it is small.
+    fn growing(held: HeldBytes) -> Self {
+        Self {
+            storage: Storage::Heap(Vec::new()),
+            held,
+        }
+    }
+
     pub(crate) fn len(&self) -> usize {
         match &self.storage {
             Storage::Heap(bytes) => bytes.len(),
@@ -186,6 +194,9 @@
 
     /// Returns the bytes, whose memory is held until the last reference to them is dropped.
     pub(crate) fn into_bytes(mut self) -> Bytes {
+        if let Storage::Heap(bytes) = &mut self.storage {
+            bytes.shrink_to_fit();
+        }
         self.held.shrink(self.len());
         Bytes::from_owner(self)
     }
