Bodies: less work for each small one

For every call the node looked itself up among those of the service, though only a large body stays there. Each body drew an id, held a second count of its bytes for the metric and a reference of its own to it, and each frame wrote the metric although the size of its buffer had not changed.

The lookup is made for large bodies alone; a body of known length draws an id with its first claim, one that grows at its beginning, as before, from which its age counts (of_two_growing_bodies_one_completes failed when a first try drew it later); the metric follows what the body itself counts, and is written when it changes.

--- a/crates/hemlocktack-node/src/calls/attempts.rs
+++ b/crates/hemlocktack-node/src/calls/attempts.rs
@@ -28,10 +28,11 @@
 }
 
 impl CallAttempts {
-    pub(super) fn new(classified: &ClassifiedCall, own: Option<usize>) -> Self {
+    /// `own` finds this node among those of the call's service.
+    pub(super) fn new(classified: &ClassifiedCall, own: impl FnOnce() -> Option<usize>) -> Self {
         let is_large = classified.call.body.len() >= MIN_LARGE_BODY_BYTES;
         CallAttempts {
-            own: own.filter(|_| is_large),
+            own: if is_large { own() } else { None },
             sends: CallSends::new(classified.max_upstreams.unwrap_or(usize::MAX)),
             reported: None,
         }
--- a/crates/hemlocktack-node/src/calls/place.rs
+++ b/crates/hemlocktack-node/src/calls/place.rs
@@ -64,8 +64,7 @@
         true => CallPurpose::Placed,
         false => CallPurpose::PlacedOnce,
     };
-    let own = view.index_of(&node.identity);
-    let mut attempts = CallAttempts::new(classified, own);
+    let mut attempts = CallAttempts::new(classified, || view.index_of(&node.identity));
     loop {
         let Some(index) = attempts.next_peer(&view, classified) else {
             return attempts.into_answer();
--- a/crates/hemlocktack-node/src/memory/budget.rs
+++ b/crates/hemlocktack-node/src/memory/budget.rs
@@ -14,7 +14,7 @@
 use hemlocktack_protocol::ClassRank;
 use tokio::sync::oneshot;
 
-use super::gauge::{GaugedBytes, MemoryGauge};
+use super::gauge::{HeldFor, MemoryGauge};
 
 /// Memory that a node may use for itself and for bodies.
 const MAX_USED_BYTES: usize = 128 << 20;
@@ -105,8 +105,9 @@
 /// Bytes of the budget that one body holds until this is dropped.
 pub(crate) struct HeldBytes {
     memory: BodyMemory,
-    gauged: GaugedBytes,
-    id: BodyId,
+    held_for: HeldFor,
+    /// Of a body that may claim memory of the pools.
+    id: Option<BodyId>,
     small_bytes: usize,
     shared_bytes: usize,
     reserve_bytes: usize,
@@ -193,6 +194,8 @@
     /// Reserves the first bytes of a body of unknown length.
     pub(crate) async fn reserve_growing(&self, need: &BodyNeed, bytes: usize) -> Result<HeldBytes> {
         let mut held = HeldBytes::nothing(self, need.owner);
+        // Its age counts from here, also if it asks for more much later.
+        held.id();
         held.grow(need, bytes).await?;
         Ok(held)
     }
@@ -254,8 +257,8 @@
     fn nothing(memory: &BodyMemory, owner: BodyOwner) -> Self {
         Self {
             memory: memory.clone(),
-            gauged: memory.gauge().hold(owner.into()),
-            id: memory.inner.next_id.fetch_add(1, Ordering::Relaxed),
+            held_for: owner.into(),
+            id: None,
             small_bytes: 0,
             shared_bytes: 0,
             reserve_bytes: 0,
@@ -266,6 +269,14 @@
         self.small_bytes + self.shared_bytes + self.reserve_bytes
     }
 
+    /// Returns the body's id, which is drawn when it is first needed.
+    fn id(&mut self) -> BodyId {
+        let next_id = &self.memory.inner.next_id;
+        *self
+            .id
+            .get_or_insert_with(|| next_id.fetch_add(1, Ordering::Relaxed))
+    }
+
     /// Reserves more bytes for a body whose length is unknown.
     pub(crate) async fn grow(&mut self, need: &BodyNeed, bytes: usize) -> Result<()> {
         if self.bytes() + bytes <= SMALL_BODY_BYTES && self.take_small(bytes) {
@@ -277,6 +288,9 @@
     /// Releases what exceeds the length of a body that is complete.
     pub(crate) fn shrink(&mut self, length_bytes: usize) {
         let mut excess_bytes = self.bytes().saturating_sub(length_bytes);
+        if excess_bytes == 0 {
+            return;
+        }
         let small_bytes = excess_bytes.min(self.small_bytes);
         excess_bytes -= small_bytes;
         let reserve_bytes = excess_bytes.min(self.reserve_bytes);
@@ -293,15 +307,16 @@
             return false;
         }
         self.small_bytes += bytes;
-        self.gauged.set(self.bytes());
+        inner.gauge.add(self.held_for, bytes);
         true
     }
 
     async fn claim(&mut self, need: &BodyNeed, bytes: usize, is_growing: bool) -> Result<()> {
         let inner = self.memory.inner.clone();
         let began = Instant::now();
+        let id = self.id();
         let claim = BodyClaim {
-            id: self.id,
+            id,
             owner: need.owner,
             class_rank: need.class_rank,
             bytes,
@@ -315,7 +330,7 @@
             Decision::Waits(end) => {
                 let wait = Wait {
                     inner: &inner,
-                    id: self.id,
+                    id,
                     bytes,
                     end,
                     is_over: false,
@@ -333,7 +348,7 @@
             BodyPool::Shared => self.shared_bytes += bytes,
             BodyPool::Reserve => self.reserve_bytes += bytes,
         }
-        self.gauged.set(self.bytes());
+        self.memory.inner.gauge.add(self.held_for, bytes);
     }
 
     fn release(&mut self, small_bytes: usize, shared_bytes: usize, reserve_bytes: usize) {
@@ -352,7 +367,8 @@
             state.budget.release(BodyPool::Reserve, reserve_bytes);
             state.end_waits(Instant::now());
         }
-        self.gauged.set(self.bytes());
+        let bytes = small_bytes + shared_bytes + reserve_bytes;
+        inner.gauge.subtract(self.held_for, bytes);
     }
 }
 
--- a/crates/hemlocktack-node/src/memory/gauge.rs
+++ b/crates/hemlocktack-node/src/memory/gauge.rs
@@ -51,6 +51,14 @@
         self.bytes[held_for as usize].load(Ordering::Relaxed)
     }
 
+    pub(super) fn add(&self, held_for: HeldFor, bytes: usize) {
+        self.bytes[held_for as usize].fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    pub(super) fn subtract(&self, held_for: HeldFor, bytes: usize) {
+        self.bytes[held_for as usize].fetch_sub(bytes as u64, Ordering::Relaxed);
+    }
+
     /// Returns a count of no bytes yet.
     pub(crate) fn hold(&self, held_for: HeldFor) -> GaugedBytes {
         GaugedBytes {
@@ -64,11 +72,14 @@
 impl GaugedBytes {
     /// Sets the number of bytes that are held.
     pub(crate) fn set(&mut self, bytes: usize) {
-        let total = &self.memory.bytes[self.held_for as usize];
+        // Most frames leave the size of their buffer as it was.
+        if bytes == self.bytes {
+            return;
+        }
         match bytes.checked_sub(self.bytes) {
-            Some(more) => total.fetch_add(more as u64, Ordering::Relaxed),
-            None => total.fetch_sub((self.bytes - bytes) as u64, Ordering::Relaxed),
-        };
+            Some(more) => self.memory.add(self.held_for, more),
+            None => self.memory.subtract(self.held_for, self.bytes - bytes),
+        }
         self.bytes = bytes;
     }
 }
