Links: one table for what waits by the id of its call or query

Bodies that arrive and bodies that are offered had a map, a lock and a guard each, beside the same of pending calls and of pending queries. One Registry with a registration that removes its entry serves all four. A query whose task is dropped is removed now too; before, it stayed until its answer came.

Both ends took an opened link apart and started its connection in the same ten lines; OpenLink::start does it.

--- a/crates/hemlocktack-node/src/links/bodies.rs
+++ b/crates/hemlocktack-node/src/links/bodies.rs
@@ -7,8 +7,6 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -18,6 +16,7 @@
 
 use super::call_times::take_off_time;
 use super::connection::Connection;
+use super::registry::Registered;
 use crate::calls::{Awaited, SendProgress};
 use crate::memory::{
     BodyBuffer, BodyMemory, BodyNeed, HeldBytes, log_body_refused, track, wait_limit,
@@ -27,67 +26,42 @@
 /// Bytes of a body in one frame. A small frame waits for one such part at most.
 const PART_BYTES: usize = 64 << 10;
 
-/// Bodies that arrive over one connection, by the ids of their calls.
-#[derive(Default)]
-pub(super) struct ArrivingBodies {
-    bodies: Mutex<HashMap<CallId, ArrivingBody>>,
-}
-
-struct ArrivingBody {
+/// A body that arrives over a connection.
+pub(super) struct ArrivingBody {
     buffer: BodyBuffer,
     length_bytes: usize,
     whole: oneshot::Sender<Bytes>,
 }
 
-/// Bodies of answers that the other end of one connection may ask for.
-#[derive(Default)]
-pub(super) struct OfferedBodies {
-    bodies: Mutex<HashMap<CallId, OfferedBody>>,
-}
-
-struct OfferedBody {
+/// Body of an answer that the other end may ask for.
+pub(super) struct OfferedBody {
     body: Bytes,
     sent: oneshot::Sender<bool>,
 }
 
-/// Forgets a body when nobody waits for it any longer.
-struct ForgetOnDrop<'a> {
-    connection: &'a Connection,
-    call_id: CallId,
-}
-
 /// An answer whose frame has been sent.
 pub(super) struct SentAnswer {
     connection: Connection,
-    call_id: CallId,
-    /// Tells whether a body that was left out has been sent.
-    body_sent: Option<oneshot::Receiver<bool>>,
+    /// Body that was left out. Withdrawn when nobody waits for it any longer.
+    offered: Option<(Registered<OfferedBody>, oneshot::Receiver<bool>)>,
 }
 
-impl ArrivingBodies {
-    /// Adds a part to its body. More than was announced ends the body.
-    pub(super) fn add_part(&self, part: &BodyPart) {
-        let mut bodies = lock(&self.bodies);
-        let Some(arriving) = bodies.get_mut(&part.call_id) else {
-            return;
-        };
-        let fits = arriving.buffer.append(&part.bytes);
-        let is_whole = arriving.buffer.len() == arriving.length_bytes;
-        if !fits || is_whole {
-            let arriving = bodies.remove(&part.call_id);
-            drop(bodies);
-            if let Some(arriving) = arriving.filter(|_| fits) {
-                // Nobody waits any longer if this fails.
-                let _ = arriving.whole.send(arriving.buffer.into_bytes());
-            }
-        }
+/// Adds a part to its body. More than was announced ends the body.
+pub(super) fn add_part(connection: &Connection, part: &BodyPart) {
+    let mut bodies = connection.arriving().lock();
+    let Some(arriving) = bodies.get_mut(&part.call_id) else {
+        return;
+    };
+    let fits = arriving.buffer.append(&part.bytes);
+    let is_whole = arriving.buffer.len() == arriving.length_bytes;
+    if fits && !is_whole {
+        return;
     }
-}
-
-impl Drop for ForgetOnDrop<'_> {
-    fn drop(&mut self) {
-        lock(&self.connection.arriving().bodies).remove(&self.call_id);
-        lock(&self.connection.offered().bodies).remove(&self.call_id);
+    let ended = bodies.remove(&part.call_id);
+    drop(bodies);
+    if let Some(arriving) = ended.filter(|_| fits) {
+        // Nobody waits any longer if this fails.
+        let _ = arriving.whole.send(arriving.buffer.into_bytes());
     }
 }
 
@@ -106,11 +80,7 @@
         buffer: BodyBuffer::new(held),
         whole,
     };
-    let _forget = ForgetOnDrop {
-        connection,
-        call_id,
-    };
-    lock(&connection.arriving().bodies).insert(call_id, arriving);
+    let _registered = connection.arriving().register(call_id, arriving);
     let request = frame::Body::BodyRequest(BodyRequest { call_id });
     if !connection.send(request).await {
         return None;
@@ -155,16 +125,15 @@
 /// Sends the frame of an answer; `None` if no byte of it was sent.
 pub(super) async fn send_answer(connection: &Connection, mut answer: Answer) -> Option<SentAnswer> {
     let call_id = answer.call_id;
-    let body_sent = leave_out(connection, &mut answer.body).map(|body| {
+    let offered = leave_out(connection, &mut answer.body).map(|body| {
         let (sent, body_sent) = oneshot::channel();
         answer.body_length = body.len() as u64;
-        lock(&connection.offered().bodies).insert(call_id, OfferedBody { body, sent });
-        body_sent
+        let offered = OfferedBody { body, sent };
+        (connection.offered().register(call_id, offered), body_sent)
     });
     let sent = SentAnswer {
         connection: connection.clone(),
-        call_id,
-        body_sent,
+        offered,
     };
     let is_sent = connection.send(frame::Body::Answer(answer)).await;
     is_sent.then_some(sent)
@@ -174,13 +143,9 @@
     /// Returns once the answer is written to the socket; `false` if it never is. Otherwise a stop of
     /// this node would cut off a large answer that waits for a slow reader.
     pub(super) async fn written(self) -> bool {
-        let Some(body_sent) = self.body_sent else {
+        let Some((_registered, body_sent)) = self.offered else {
             return self.connection.flushed().await;
         };
-        let _forget = ForgetOnDrop {
-            connection: &self.connection,
-            call_id: self.call_id,
-        };
         tokio::select! {
             biased;
             sent = body_sent => sent.unwrap_or(false) && self.connection.flushed().await,
@@ -191,7 +156,7 @@
 
 /// Sends the body of an answer that the other end asks for.
 pub(super) fn send_offered(connection: &Connection, call_id: CallId) {
-    let Some(offered) = lock(&connection.offered().bodies).remove(&call_id) else {
+    let Some(offered) = connection.offered().remove(call_id) else {
         return;
     };
     let connection = connection.clone();
@@ -202,11 +167,6 @@
     });
 }
 
-/// Forgets the body of an answer that nobody waits for any longer.
-pub(super) fn withdraw_offered(connection: &Connection, call_id: CallId) {
-    lock(&connection.offered().bodies).remove(&call_id);
-}
-
 /// Completes a call that has arrived: reserves memory for its body, and gets it if it was left out.
 /// Returns why the call can't run.
 pub(super) async fn complete_call(
@@ -318,7 +278,3 @@
     answer.body_length = 0;
     Some(answer)
 }
-
-fn lock<T>(bodies: &Mutex<HashMap<CallId, T>>) -> MutexGuard<'_, HashMap<CallId, T>> {
-    bodies.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/hemlocktack-node/src/links/connection.rs
+++ b/crates/hemlocktack-node/src/links/connection.rs
@@ -15,8 +15,9 @@
 use tokio_util::codec::Encoder;
 
 use super::FrameCodec;
-use super::bodies::{ArrivingBodies, OfferedBodies};
+use super::bodies::{ArrivingBody, OfferedBody};
 use super::last_received::LastReceived;
+use super::registry::Registry;
 use crate::freshness::boot_time;
 use crate::memory::{GaugedBytes, HeldFor, MemoryGauge};
 
@@ -48,9 +49,9 @@
     last_received: LastReceived,
     peer_features: PeerFeatures,
     /// Bodies that the peer sends in parts.
-    arriving: ArrivingBodies,
-    /// Bodies that the peer may ask for.
-    offered: OfferedBodies,
+    arriving: Registry<ArrivingBody>,
+    /// Bodies of answers that the peer may ask for.
+    offered: Registry<OfferedBody>,
     /// Number of replies to echo requests, which come in the order of the requests.
     echoes_received: watch::Sender<u64>,
 }
@@ -121,8 +122,8 @@
             opened,
             last_received,
             peer_features,
-            arriving: ArrivingBodies::default(),
-            offered: OfferedBodies::default(),
+            arriving: Registry::default(),
+            offered: Registry::default(),
             echoes_received: watch::Sender::new(0),
         });
         tokio::spawn(write_unsent(shared.clone()));
@@ -182,11 +183,11 @@
         self.shared.peer_features.takes_parts
     }
 
-    pub(super) fn arriving(&self) -> &ArrivingBodies {
+    pub(super) fn arriving(&self) -> &Registry<ArrivingBody> {
         &self.shared.arriving
     }
 
-    pub(super) fn offered(&self) -> &OfferedBodies {
+    pub(super) fn offered(&self) -> &Registry<OfferedBody> {
         &self.shared.offered
     }
 
--- a/crates/hemlocktack-node/src/links/dial.rs
+++ b/crates/hemlocktack-node/src/links/dial.rs
@@ -12,13 +12,14 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use super::bodies::add_part;
 use super::cancellations::LinkCancellations;
 use super::codec::log_malformed;
 use super::connection::Connection;
 use super::handshake::{self, Reader};
 use super::outgoing::{Links, Peer};
 use super::pending::{CallEvent, Pending, deliver};
-use super::queries::PendingQueries;
+use super::queries::{self, PendingQueries};
 use crate::sockets;
 
 /// Longest time for opening a link. It takes one millisecond within a data centre and a few dozen
@@ -67,18 +68,7 @@
             self.log_other_node(link, found);
         }
         let open = opened.ok()?;
-        let peer_incarnation = open.peer.incarnation;
-        let (peer_features, opened) = (open.peer_features, open.opened);
-        let (reader, writer) = open.split();
-        let last_received = reader.codec().last_received().clone();
-        let connection = Connection::start(
-            peer_incarnation,
-            writer,
-            opened,
-            last_received,
-            peer_features,
-            self.memory.gauge(),
-        );
+        let (reader, connection) = open.start();
         let answers = read_answers(
             reader,
             connection.clone(),
@@ -175,8 +165,8 @@
             Some(frame::Body::BodyRequest(request)) => {
                 deliver(&pending, request.call_id, CallEvent::BodyRequested);
             }
-            Some(frame::Body::BodyPart(part)) => connection.arriving().add_part(&part),
-            Some(other) => queries.deliver(other),
+            Some(frame::Body::BodyPart(part)) => add_part(&connection, &part),
+            Some(other) => queries::deliver(&queries, other),
             None => {}
         }
     }
--- a/crates/hemlocktack-node/src/links/handshake.rs
+++ b/crates/hemlocktack-node/src/links/handshake.rs
@@ -16,7 +16,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio_util::codec::{Framed, FramedParts};
 
-use super::connection::PeerFeatures;
+use super::connection::{Connection, PeerFeatures};
 use super::{FrameCodec, codec};
 use crate::freshness::boot_time;
 use crate::memory::MemoryGauge;
@@ -51,9 +51,9 @@
 /// A link whose peer has authenticated.
 pub(crate) struct OpenLink {
     pub(crate) peer: NodeIncarnation,
-    pub(super) peer_features: PeerFeatures,
+    peer_features: PeerFeatures,
     /// When the challenge was sent or received.
-    pub(crate) opened: BootTime,
+    opened: BootTime,
     memory: MemoryGauge,
     framed: Framed<TcpStream, FrameCodec>,
 }
@@ -62,7 +62,25 @@
 pub(super) type Reader = Framed<OwnedReadHalf, FrameCodec>;
 
 impl OpenLink {
-    /// Splits the link into its two halves, for use by separate tasks.
+    /// Starts the sending side; returns it with the receiving half, for use by separate tasks.
+    pub(super) fn start(self) -> (Reader, Connection) {
+        let incarnation = self.peer.incarnation;
+        let (peer_features, opened) = (self.peer_features, self.opened);
+        let memory = self.memory.clone();
+        let (reader, writer) = self.split();
+        let last_received = reader.codec().last_received().clone();
+        let connection = Connection::start(
+            incarnation,
+            writer,
+            opened,
+            last_received,
+            peer_features,
+            &memory,
+        );
+        (reader, connection)
+    }
+
+    /// Splits the link into its two halves.
     ///
     /// The first call often arrives in one segment with the proof. A reader that only gets those
     /// bytes added to its buffer would decode them when more bytes arrive, and the first call over
--- a/crates/hemlocktack-node/src/links/incoming.rs
+++ b/crates/hemlocktack-node/src/links/incoming.rs
@@ -11,7 +11,7 @@
 use hemlocktack_telemetry::{Event, log_event};
 use tokio::net::{TcpListener, TcpStream};
 
-use super::bodies::{complete_call, send_answer, send_offered, withdraw_offered};
+use super::bodies::{add_part, complete_call, send_answer, send_offered};
 use super::call_times::take_off_time;
 use super::codec::log_malformed;
 use super::connection::Connection;
@@ -62,17 +62,7 @@
         return;
     };
     let peer = open.peer.clone();
-    let (peer_features, opened) = (open.peer_features, open.opened);
-    let (mut reader, writer) = open.split();
-    let last_received = reader.codec().last_received().clone();
-    let connection = Connection::start(
-        peer.incarnation,
-        writer,
-        opened,
-        last_received,
-        peer_features,
-        node.memory.gauge(),
-    );
+    let (mut reader, connection) = open.start();
     let sender = node.senders.connected(&peer);
     let mut ages = CallAges::default();
     let mut batch = Batch::default();
@@ -151,7 +141,7 @@
         match next.map(|next| next.inspect_err(log_malformed)) {
             Some(Ok(Frame {
                 body: Some(frame::Body::BodyPart(part)),
-            })) => connection.arriving().add_part(&part),
+            })) => add_part(connection, &part),
             // A body of a newer schema decodes to `None` and is ignored.
             Some(Ok(Frame { body })) => {
                 if let Some(frame::Body::Call(call)) = &body {
@@ -195,7 +185,8 @@
                 }));
             }
             frame::Body::Cancel(cancel) => {
-                withdraw_offered(connection, cancel.call_id);
+                // Nobody waits for the body of its answer any longer.
+                connection.offered().remove(cancel.call_id);
                 let age = age_of(cancel.queued_at_us, ages, connection);
                 cancel_call(node, sender, connection, &cancel, age);
             }
--- a/crates/hemlocktack-node/src/links/mod.rs
+++ b/crates/hemlocktack-node/src/links/mod.rs
@@ -17,6 +17,7 @@
 mod pending;
 mod queries;
 mod query_handler;
+mod registry;
 mod senders;
 #[cfg(test)]
 pub(super) mod tests;
--- a/crates/hemlocktack-node/src/links/outgoing.rs
+++ b/crates/hemlocktack-node/src/links/outgoing.rs
@@ -22,7 +22,7 @@
 use super::call_times::take_off_time;
 use super::connection::Connection;
 use super::dial::Link;
-use super::pending::{CallEvent, EVENTS_PER_CALL, PendingCall};
+use super::pending::{CallEvent, EVENTS_PER_CALL};
 use crate::calls::SendProgress;
 use crate::memory::BodyMemory;
 use crate::telemetry::LogThrottle;
@@ -140,7 +140,8 @@
                 // Always allowed here: a send is abandoned only after this future has been dropped.
                 progress.try_mark_sent();
             }
-            pending = Some(PendingCall::register(&link.pending, call.call_id, events));
+            // A late answer is discarded once this is dropped.
+            pending = Some(link.pending.register(call.call_id, events));
             frame::Body::Call(call)
         });
         // A hung peer reads nothing, so the wait for room needs a timeout too.
@@ -154,7 +155,7 @@
         };
         let wait = PendingOutcome {
             link: &link,
-            call_id: pending.call_id,
+            call_id: pending.id,
             deadline,
             resolve_limit,
             progress,
--- a/crates/hemlocktack-node/src/links/queries.rs
+++ b/crates/hemlocktack-node/src/links/queries.rs
@@ -1,8 +1,6 @@
 //! Queries to other nodes, apart from calls: status, spans, configuration, drain, handover.
 
-use std::collections::HashMap;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
 use hemlocktack_protocol::{Incarnation, frame};
@@ -10,45 +8,18 @@
 
 use super::connection::Connection;
 use super::outgoing::{Links, Peer};
-
-type Waiting = HashMap<u64, oneshot::Sender<frame::Body>>;
+use super::registry::Registry;
 
 /// Queries that wait for their answer, by query id.
-#[derive(Clone, Default)]
-pub(crate) struct PendingQueries {
-    waiting: Arc<Mutex<Waiting>>,
-}
-
-impl PendingQueries {
-    /// Delivers an answer to the query that waits for it; drops it if none does.
-    pub(super) fn deliver(&self, body: frame::Body) {
-        let Some(query_id) = query_id(&body) else {
-            return;
-        };
-        let reply_sender = self
-            .waiting
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(&query_id);
-        if let Some(reply_sender) = reply_sender {
-            let _ = reply_sender.send(body);
-        }
-    }
-
-    fn register(&self, query_id: u64) -> oneshot::Receiver<frame::Body> {
-        let (reply_sender, answer) = oneshot::channel();
-        self.waiting
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .insert(query_id, reply_sender);
-        answer
-    }
+pub(crate) type PendingQueries = Registry<oneshot::Sender<frame::Body>>;
 
-    fn forget(&self, query_id: u64) {
-        self.waiting
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(&query_id);
+/// Delivers an answer to the query that waits for it; drops it if none does.
+pub(super) fn deliver(pending: &PendingQueries, body: frame::Body) {
+    let Some(query_id) = query_id(&body) else {
+        return;
+    };
+    if let Some(waiting) = pending.remove(query_id) {
+        let _ = waiting.send(body);
     }
 }
 
@@ -88,13 +59,12 @@
         build_query: impl FnOnce(u64) -> frame::Body,
     ) -> Option<frame::Body> {
         let query_id = self.next_query_id.fetch_add(1, Ordering::Relaxed);
-        let answer = self.queries.register(query_id);
+        let (waiting, answer) = oneshot::channel();
+        let _registered = self.queries.register(query_id, waiting);
         if !connection.send(build_query(query_id)).await {
-            self.queries.forget(query_id);
             return None;
         }
         let answer = tokio::time::timeout_at(deadline.into(), answer).await;
-        self.queries.forget(query_id);
         answer.ok()?.ok()
     }
 }
