Callers' bodies: one way to collect them for both interfaces

The gateway and the native interface set up the same need and plan and turned the same failures into reasons and log lines; CallerBody does it. The timeout of a request that names none stood twice, the rank of a call's class from its frame three times.

--- a/crates/hemlocktack-node/src/callers/routes.rs
+++ b/crates/hemlocktack-node/src/callers/routes.rs
@@ -1,10 +1,9 @@
 //! Route handler for all methods and paths.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
-use hemlocktack_decide::BodyOwner;
 use hemlocktack_protocol::{ClassRank, Reason};
 use rocket::data::{Data, DataStream, ToByteUnit};
 use rocket::http::Method;
@@ -14,15 +13,13 @@
 
 use super::observe::ObservedEntry;
 use super::{CallerRequest, has_idempotency_key, read_head};
-use crate::calls;
-use crate::memory::{self, BodyNeed, BodyPlan, CollectError, log_body_displaced, log_body_refused};
+use crate::calls::{self, DEFAULT_TIMEOUT};
+use crate::memory::CallerBody;
 use crate::node::Node;
 use crate::refused_body::discard_with_timeout;
 
 /// Most bytes of a refused body that are read and discarded.
 const MAX_DISCARDED_BYTES: usize = 64 << 20;
-/// Time of a request whose caller names none, as far as its body may wait for memory.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 const METHODS: [Method; 7] = [
     Method::Get,
     Method::Head,
@@ -88,39 +85,23 @@
     let limit_bytes = node.body_limit_bytes(&call.service);
     let mut stream = data.open((limit_bytes + MAX_DISCARDED_BYTES).bytes());
     let began = Instant::now();
-    let deadline = began + call.timeout.unwrap_or(DEFAULT_TIMEOUT);
-    let need = BodyNeed {
-        owner: BodyOwner::Caller,
+    let body = CallerBody {
+        request_id: "",
         class_rank: ClassRank::MAX,
-        refuse_at: memory::wait_limit(began, deadline),
-    };
-    let plan = BodyPlan {
+        began,
+        deadline: began + call.timeout.unwrap_or(DEFAULT_TIMEOUT),
         length_bytes,
         limit_bytes,
-        may_be_displaced: true,
-    };
-    let collected = node
-        .memory
-        .collect(&need, plan, ReaderStream::new(&mut stream))
-        .await;
-    let refused = match collected {
-        Ok(body) => return Ok(body),
-        Err(error) => error,
-    };
-    let reason = match &refused {
-        CollectError::TooLarge => Reason::BodyTooLarge,
-        CollectError::NoMemory(refusal) => {
-            log_body_refused(node, "", BodyOwner::Caller, refusal);
-            Reason::MemoryFull
-        }
-        CollectError::Standstill => {
-            log_body_displaced(node, "", began);
-            Reason::MemoryFull
-        }
-        CollectError::Source(_) => return Err(Reason::MalformedRequest),
     };
-    discard_rest(stream).await;
-    Err(reason)
+    let collected = body.collect(node, ReaderStream::new(&mut stream)).await;
+    // What is malformed can't be read on.
+    if collected
+        .as_ref()
+        .is_err_and(|reason| *reason != Reason::MalformedRequest)
+    {
+        discard_rest(stream).await;
+    }
+    collected
 }
 
 async fn discard_rest(mut rest: DataStream<'_>) {
--- a/crates/hemlocktack-node/src/calls/classify.rs
+++ b/crates/hemlocktack-node/src/calls/classify.rs
@@ -11,6 +11,8 @@
 use crate::callers::CallerRequest;
 use crate::node::Node;
 
+/// Timeout of a request if neither its caller nor the configuration sets one.
+pub(crate) const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest allowed chain of nested calls. The deepest known call graph has ten levels; the limit
 /// ends a loop in a call graph before its deadline does.
 const MAX_CALL_DEPTH: u32 = 16;
@@ -199,3 +201,8 @@
 pub(crate) fn fingerprint(service: &str, method: &str, path: &str, body: &[u8]) -> Fingerprint {
     stable_hash(&[service.as_bytes(), method.as_bytes(), path.as_bytes(), body])
 }
+
+/// Returns the rank of a call's class. One that is out of range is the last.
+pub(crate) fn class_rank_of(call: &Call) -> ClassRank {
+    ClassRank::try_from(call.class_rank).unwrap_or(ClassRank::MAX)
+}
--- a/crates/hemlocktack-node/src/calls/mod.rs
+++ b/crates/hemlocktack-node/src/calls/mod.rs
@@ -33,7 +33,9 @@
 pub(crate) use admission_queue::AdmissionQueue;
 pub(crate) use awaited::Awaited;
 pub(crate) use caller_watch::CallerWatch;
-pub(crate) use classify::{ClassifiedCall, classify, fingerprint, work_kind_of};
+pub(crate) use classify::{
+    ClassifiedCall, DEFAULT_TIMEOUT, class_rank_of, classify, fingerprint, work_kind_of,
+};
 pub(crate) use context::{ContextTable, RunningCall, objective_of};
 pub(crate) use entry::{handle_request, refused_answer};
 pub(crate) use home_table::TicketHome;
--- a/crates/hemlocktack-node/src/calls/run.rs
+++ b/crates/hemlocktack-node/src/calls/run.rs
@@ -5,13 +5,15 @@
 
 use hemlocktack_decide::{BodyOwner, OfferedCall, RunResult, WorkKind};
 use hemlocktack_fleet::tickets::Nonce;
-use hemlocktack_protocol::{Answer, Call, ClassRank, Outcome, Reason, Refusal};
+use hemlocktack_protocol::{Answer, Call, Outcome, Reason, Refusal};
 use hemlocktack_telemetry::{Event, SpanName, log_event};
 use tokio::net::TcpStream;
 
 use super::admission_queue::AdmissionPermit;
 use super::outcomes::{MIN_SERVER_ERROR_STATUS, is_valid_answer};
-use super::{RunningCall, not_run_answer, objective_of, unknown_answer, work_kind_of};
+use super::{
+    RunningCall, class_rank_of, not_run_answer, objective_of, unknown_answer, work_kind_of,
+};
 use crate::memory::log_body_refused;
 use crate::node::Node;
 use crate::telemetry::{CallSpan, request_line};
@@ -42,7 +44,7 @@
         deadline,
         may_start,
     } = order;
-    let class_rank = ClassRank::try_from(call.class_rank).unwrap_or(ClassRank::MAX);
+    let class_rank = class_rank_of(&call);
     let kind = work_kind_of(node, &call);
     let arrived = Instant::now();
     if let Some(reason) = heed_call(node, &call) {
--- a/crates/hemlocktack-node/src/gateway/classify.rs
+++ b/crates/hemlocktack-node/src/gateway/classify.rs
@@ -9,12 +9,9 @@
 use hemlocktack_protocol::{Call, ClassRank, Generation, Reason, stable_hash};
 
 use crate::accounts;
-use crate::calls::{ClassifiedCall, RunningCall, fingerprint};
+use crate::calls::{ClassifiedCall, DEFAULT_TIMEOUT, RunningCall, fingerprint};
 use crate::node::{ActiveConfiguration, Node};
 
-/// Timeout of a request if neither the caller nor its route sets one.
-const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Retries that all child calls of a request may make together, per retry of the request
 /// itself. Each hop grants half of its allowance, rounded up, to a child call. Services
 /// currently call each other up to three hops deep, and there a request makes four calls in
--- a/crates/hemlocktack-node/src/gateway/requests.rs
+++ b/crates/hemlocktack-node/src/gateway/requests.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hemlocktack_decide::BodyOwner;
 use hemlocktack_interface::{ErrorResponse, IncomingRequest, Interface};
 use hemlocktack_protocol::{Answer, Call, Header, Outcome, Reason, Refusal};
 use hemlocktack_telemetry::{ActiveSpan, SpanEnd, SpanName};
@@ -23,7 +22,7 @@
 use super::{forwarded_headers, server};
 use crate::calls::{self, ClassifiedCall, SendRecord, not_run_answer, retry_after};
 use crate::counters::InFlightGuard;
-use crate::memory::{self, BodyNeed, BodyPlan, CollectError, log_body_displaced, log_body_refused};
+use crate::memory::CallerBody;
 use crate::node::Node;
 use crate::quotas::{self, HeldToken};
 use crate::telemetry::request_line;
@@ -250,33 +249,18 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let need = BodyNeed {
-        owner: BodyOwner::Caller,
-        class_rank: routed.class_rank(),
-        refuse_at: memory::wait_limit(began, routed.deadline),
-    };
     let length_bytes = body.size_hint().exact();
-    let plan = BodyPlan {
+    let caller_body = CallerBody {
+        request_id: &incoming.request_id,
+        class_rank: routed.class_rank(),
+        began,
+        deadline: routed.deadline,
         length_bytes: length_bytes.and_then(|length| usize::try_from(length).ok()),
         limit_bytes: routed.body_limit_bytes,
-        may_be_displaced: true,
     };
-    let collecting = node.memory.collect(&need, plan, body.into_data_stream());
+    let collecting = caller_body.collect(node, body.into_data_stream());
     let collected = tokio::time::timeout_at(routed.deadline.into(), collecting).await;
-    match collected {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(CollectError::TooLarge)) => Err(Reason::BodyTooLarge),
-        Ok(Err(CollectError::NoMemory(refusal))) => {
-            log_body_refused(node, &incoming.request_id, BodyOwner::Caller, &refusal);
-            Err(Reason::MemoryFull)
-        }
-        Ok(Err(CollectError::Standstill)) => {
-            log_body_displaced(node, &incoming.request_id, began);
-            Err(Reason::MemoryFull)
-        }
-        Ok(Err(CollectError::Source(_))) => Err(Reason::MalformedRequest),
-        Err(_) => Err(Reason::DeadlineTooShort),
-    }
+    collected.unwrap_or(Err(Reason::DeadlineTooShort))
 }
 
 /// Returns path and query as they were sent, also for a request target in absolute form.
--- a/crates/hemlocktack-node/src/memory/mod.rs
+++ b/crates/hemlocktack-node/src/memory/mod.rs
@@ -5,6 +5,7 @@
 
 mod budget;
 mod buffer;
+mod caller_body;
 mod gauge;
 mod log;
 #[cfg(test)]
@@ -12,8 +13,9 @@
 
 pub(crate) use budget::{BodyMemory, BodyNeed, BudgetSizes, HeldBytes, NoMemory};
 pub(crate) use buffer::{BodyBuffer, BodyPlan, CollectError, track};
+pub(crate) use caller_body::CallerBody;
 pub(crate) use gauge::{GaugedBytes, HeldFor, MemoryGauge};
-pub(crate) use log::{log_body_displaced, log_body_refused};
+pub(crate) use log::log_body_refused;
 
 use std::time::Instant;
 
--- a/crates/hemlocktack-node/src/upstream/send.rs
+++ b/crates/hemlocktack-node/src/upstream/send.rs
@@ -4,9 +4,10 @@
 
 use bytes::Bytes;
 use hemlocktack_decide::BodyOwner;
-use hemlocktack_protocol::{Call, ClassRank, Header, Reason};
+use hemlocktack_protocol::{Call, Header, Reason};
 
 use super::{Announcement, HeardAnswer};
+use crate::calls::class_rank_of;
 use crate::memory::{BodyMemory, BodyNeed, BodyPlan, CollectError, NoMemory};
 
 /// A call to send to the upstream.
@@ -61,7 +62,7 @@
     pub(super) fn answer_need(&self) -> BodyNeed {
         BodyNeed {
             owner: BodyOwner::Answer,
-            class_rank: ClassRank::try_from(self.call.class_rank).unwrap_or(ClassRank::MAX),
+            class_rank: class_rank_of(self.call),
             refuse_at: self.deadline,
         }
     }
