--- a/crates/hemlocktack-node/src/upstream/client.rs
+++ b/crates/hemlocktack-node/src/upstream/client.rs
@@ -3,12 +3,13 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hemlocktack_protocol::{
     AnswerNotice, CONTEXT_HEADER, Header, LEAVING_HEADER, OUTCOME_HEADER, Outcome,
     RATE_LIMIT_HEADER, Reason, Statement, TIMEOUT_HEADER, TRACEPARENT_HEADER, read_departure,
     read_rate_limit,
 };
+use http_body_util::{BodyExt, Limited};
 use reqwest::{Client, Method, Response};
 
 use super::send::IncompleteAnswer;
@@ -152,15 +153,10 @@
 }
 
 /// Reads a body within this limit; `None` if it is longer or incomplete.
-async fn read_small(mut response: Response, limit_bytes: usize) -> Option<Bytes> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = response.chunk().await.ok()? {
-        if body.len() + chunk.len() > limit_bytes {
-            return None;
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Some(body.freeze())
+async fn read_small(response: Response, limit_bytes: usize) -> Option<Bytes> {
+    let body = http::Response::from(response).into_body();
+    let read = Limited::new(body, limit_bytes).collect().await.ok()?;
+    Some(read.to_bytes())
 }
 
 fn is_refused_by_upstream(response: &Response) -> bool {
--- a/crates/hemlocktack-node/src/upstream/interface_client.rs
+++ b/crates/hemlocktack-node/src/upstream/interface_client.rs
@@ -12,7 +12,7 @@
 use hemlocktack_interface::{AnswerCheck, Health, UpstreamCodec};
 use hemlocktack_protocol::Reason;
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::ext::on_informational;
 
@@ -267,20 +267,10 @@
 
 /// Reads a body that nobody waits for, and returns whether it is complete. The outcome of its
 /// request is known from the head, so a body that is long or slow is given up.
-async fn read_unused(mut body: Incoming) -> bool {
-    let reading = async {
-        let mut read_bytes = 0;
-        while let Some(frame) = body.frame().await {
-            let Ok(frame) = frame else { return false };
-            read_bytes += frame.data_ref().map_or(0, Bytes::len);
-            if read_bytes > MAX_UNUSED_BODY_BYTES {
-                return false;
-            }
-        }
-        true
-    };
+async fn read_unused(body: Incoming) -> bool {
+    let reading = Limited::new(body, MAX_UNUSED_BODY_BYTES).collect();
     let read = tokio::time::timeout(MAX_UNUSED_BODY_TIME, reading).await;
-    matches!(read, Ok(true))
+    matches!(read, Ok(Ok(_)))
 }
 
 /// Reads the complete body. The HTTP library reports a body shorter than its declared length as an
