Links: calls and answers complete their bodies by the same steps

Both took memory for a small body of their frame, and both reserved, fetched or tracked a larger one; that stood twice. What differs stays: who may cancel it, and what a failure means.

--- a/crates/hemlocktack-node/src/links/bodies.rs
+++ b/crates/hemlocktack-node/src/links/bodies.rs
@@ -17,9 +17,9 @@
 use super::call_times::take_off_time;
 use super::connection::Connection;
 use super::registry::Registered;
-use crate::calls::{Awaited, SendProgress};
+use crate::calls::{Awaited, SendProgress, class_rank_of};
 use crate::memory::{
-    BodyBuffer, BodyMemory, BodyNeed, HeldBytes, log_body_refused, track, wait_limit,
+    BodyBuffer, BodyMemory, BodyNeed, HeldBytes, NoMemory, log_body_refused, track, wait_limit,
 };
 use crate::node::Node;
 
@@ -167,6 +167,12 @@
     });
 }
 
+/// Why a body is not complete.
+enum Incomplete {
+    NoMemory(NoMemory),
+    LinkLost,
+}
+
 /// Completes a call that has arrived: reserves memory for its body, and gets it if it was left out.
 /// Returns why the call can't run.
 pub(super) async fn complete_call(
@@ -175,15 +181,13 @@
     call: &mut Call,
     awaited: &Awaited,
 ) -> Result<(), Reason> {
-    if call.body_length == 0 {
-        if call.body.is_empty() {
-            return Ok(());
-        }
-        let reserved = node.memory.reserve_small(BodyOwner::Peer, call.body.len());
-        if let Some(held) = reserved {
-            call.body = track(std::mem::take(&mut call.body), held);
-            return Ok(());
-        }
+    if holds_small(
+        &node.memory,
+        BodyOwner::Peer,
+        &mut call.body,
+        call.body_length,
+    ) {
+        return Ok(());
     }
     // Boxed, so that a call with a small body has no room for it.
     Box::pin(complete_large_call(node, connection, call, awaited)).await
@@ -195,38 +199,37 @@
     call: &mut Call,
     awaited: &Awaited,
 ) -> Result<(), Reason> {
-    let left_out_bytes = usize::try_from(call.body_length).unwrap_or(usize::MAX);
-    let length_bytes = call.body.len().saturating_add(left_out_bytes);
     let began = Instant::now();
     let deadline = began + Duration::from_micros(call.time_left_us);
     let need = BodyNeed {
         owner: BodyOwner::Peer,
-        class_rank: ClassRank::try_from(call.class_rank).unwrap_or(ClassRank::MAX),
+        class_rank: class_rank_of(call),
         refuse_at: wait_limit(began, deadline),
     };
-    let completing = async {
-        let reserved = node.memory.reserve(&need, length_bytes).await;
-        let held = reserved.map_err(|refusal| {
-            log_body_refused(node, &call.request_id, BodyOwner::Peer, &refusal);
-            Reason::MemoryFull
-        })?;
-        match call.body_length {
-            0 => Ok(track(std::mem::take(&mut call.body), held)),
-            _ => {
-                let fetched = fetch(connection, call.call_id, held).await;
-                fetched.ok_or(Reason::LinkLost)
-            }
-        }
-    };
-    let body = tokio::select! {
+    let in_frame = std::mem::take(&mut call.body);
+    let left_out_bytes = std::mem::take(&mut call.body_length);
+    let completing = complete(
+        &node.memory,
+        connection,
+        &need,
+        call.call_id,
+        in_frame,
+        left_out_bytes,
+    );
+    let completed = tokio::select! {
         biased;
-        body = completing => body?,
+        completed = completing => completed,
         () = awaited.cancelled() => return Err(Reason::Cancelled),
         () = tokio::time::sleep_until(deadline.into()) => return Err(Reason::DeadlineTooShort),
     };
-    call.body = body;
-    if call.body_length > 0 {
-        call.body_length = 0;
+    call.body = completed.map_err(|incomplete| match incomplete {
+        Incomplete::NoMemory(refusal) => {
+            log_body_refused(node, &call.request_id, need.owner, &refusal);
+            Reason::MemoryFull
+        }
+        Incomplete::LinkLost => Reason::LinkLost,
+    })?;
+    if left_out_bytes > 0 {
         take_off_time(call, began.elapsed());
     }
     Ok(())
@@ -240,15 +243,13 @@
     mut answer: Answer,
     deadline: Instant,
 ) -> Option<Answer> {
-    if answer.body_length == 0 {
-        if answer.body.is_empty() {
-            return Some(answer);
-        }
-        let reserved = memory.reserve_small(BodyOwner::Answer, answer.body.len());
-        if let Some(held) = reserved {
-            answer.body = track(std::mem::take(&mut answer.body), held);
-            return Some(answer);
-        }
+    if holds_small(
+        memory,
+        BodyOwner::Answer,
+        &mut answer.body,
+        answer.body_length,
+    ) {
+        return Some(answer);
     }
     Box::pin(complete_large_answer(memory, connection, answer, deadline)).await
 }
@@ -259,22 +260,61 @@
     mut answer: Answer,
     deadline: Instant,
 ) -> Option<Answer> {
-    let left_out_bytes = usize::try_from(answer.body_length).unwrap_or(usize::MAX);
-    let length_bytes = answer.body.len().saturating_add(left_out_bytes);
     let need = BodyNeed {
         owner: BodyOwner::Answer,
         class_rank: ClassRank::default(),
         refuse_at: deadline,
     };
-    let completing = async {
-        let held = memory.reserve(&need, length_bytes).await.ok()?;
-        match left_out_bytes {
-            0 => Some(track(std::mem::take(&mut answer.body), held)),
-            _ => fetch(connection, answer.call_id, held).await,
-        }
-    };
+    let in_frame = std::mem::take(&mut answer.body);
+    let left_out_bytes = std::mem::take(&mut answer.body_length);
+    let completing = complete(
+        memory,
+        connection,
+        &need,
+        answer.call_id,
+        in_frame,
+        left_out_bytes,
+    );
     let completed = tokio::time::timeout_at(deadline.into(), completing).await;
-    answer.body = completed.ok().flatten()?;
-    answer.body_length = 0;
+    answer.body = completed.ok()?.ok()?;
     Some(answer)
 }
+
+/// Takes memory for a body if all of it is in its frame and the share for small ones has room;
+/// returns whether it has.
+fn holds_small(
+    memory: &BodyMemory,
+    owner: BodyOwner,
+    body: &mut Bytes,
+    left_out_bytes: u64,
+) -> bool {
+    if left_out_bytes > 0 {
+        return false;
+    }
+    if body.is_empty() {
+        return true;
+    }
+    let reserved = memory.reserve_small(owner, body.len());
+    let holds = reserved.map(|held| *body = track(std::mem::take(body), held));
+    holds.is_some()
+}
+
+/// Returns a body once there is memory for it: that of its frame, or the one that was left out.
+async fn complete(
+    memory: &BodyMemory,
+    connection: &Connection,
+    need: &BodyNeed,
+    call_id: CallId,
+    in_frame: Bytes,
+    left_out_bytes: u64,
+) -> Result<Bytes, Incomplete> {
+    let left_out_bytes = usize::try_from(left_out_bytes).unwrap_or(usize::MAX);
+    let length_bytes = in_frame.len().saturating_add(left_out_bytes);
+    let reserved = memory.reserve(need, length_bytes).await;
+    let held = reserved.map_err(Incomplete::NoMemory)?;
+    if left_out_bytes == 0 {
+        return Ok(track(in_frame, held));
+    }
+    let fetched = fetch(connection, call_id, held).await;
+    fetched.ok_or(Incomplete::LinkLost)
+}
