--- a/crates/hemlocktack-decide/src/body_budget.rs
+++ b/crates/hemlocktack-decide/src/body_budget.rs
@@ -13,6 +13,8 @@
 const MEDIUM_BODY_BYTES: usize = 1 << 20;
 /// Most bodies that wait. The socket of each one that waits holds bytes as well.
 const MAX_WAITING: usize = 64;
+/// Number of [`BodyPool`]s.
+const POOLS: usize = 2;
 
 /// Whose body it is, the most important first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -88,27 +90,22 @@
 #[derive(Debug)]
 pub struct BodyBudget {
     policy: BodyBudgetPolicy,
-    shared_held_bytes: usize,
-    reserve_held_bytes: usize,
+    /// By pool.
+    held_bytes: [usize; POOLS],
     /// In the order in which they get memory.
     waiting: Vec<BodyClaim>,
     ends: Vec<WaitEnd>,
 }
 
-/// Pools that a body may not use because one that goes before it waits for them.
-#[derive(Clone, Copy, Default)]
-struct Taken {
-    shared: bool,
-    reserve: bool,
-}
+/// Whether a body may not use a pool, because one that goes before it waits for it; by pool.
+type Taken = [bool; POOLS];
 
 impl BodyBudget {
     /// Creates a budget of which nothing is held.
     pub fn new(policy: BodyBudgetPolicy) -> Self {
         Self {
             policy,
-            shared_held_bytes: 0,
-            reserve_held_bytes: 0,
+            held_bytes: [0; POOLS],
             waiting: Vec::new(),
             ends: Vec::new(),
         }
@@ -121,7 +118,7 @@
         }
         let mut taken = Taken::default();
         for other in &self.waiting[..self.place_of(&claim)] {
-            taken.add(self.pools(other));
+            mark_taken(&mut taken, self.pools(other));
         }
         if let Some(pool) = self.take(&claim, taken) {
             return BodyDecision::Granted(pool);
@@ -135,7 +132,7 @@
 
     /// Releases bytes that were held in a pool.
     pub fn release(&mut self, pool: BodyPool, bytes: usize) {
-        let held_bytes = self.held_in(pool);
+        let held_bytes = &mut self.held_bytes[pool as usize];
         *held_bytes = held_bytes.saturating_sub(bytes);
     }
 
@@ -155,7 +152,7 @@
             } else if let Some(pool) = self.take(&claim, taken) {
                 self.ends.push(WaitEnd::Granted(claim.id, pool));
             } else {
-                taken.add(self.pools(&claim));
+                mark_taken(&mut taken, self.pools(&claim));
                 self.waiting.push(claim);
             }
         }
@@ -164,7 +161,7 @@
 
     /// Returns the bytes that are held in both pools.
     pub fn held_bytes(&self) -> usize {
-        self.shared_held_bytes + self.reserve_held_bytes
+        self.held_bytes.iter().sum()
     }
 
     /// Returns the number of bodies that wait.
@@ -185,7 +182,7 @@
     }
 
     /// Returns the pools that a body may use, the preferred one first.
-    fn pools(&self, claim: &BodyClaim) -> [Option<BodyPool>; 2] {
+    fn pools(&self, claim: &BodyClaim) -> [Option<BodyPool>; POOLS] {
         let fits_reserve = claim.bytes <= self.policy.reserve_bytes;
         match claim.owner {
             // Growing answers may have no end, and must leave callers their share.
@@ -202,12 +199,14 @@
 
     fn take(&mut self, claim: &BodyClaim, taken: Taken) -> Option<BodyPool> {
         let pools = self.pools(claim).into_iter().flatten();
-        let mut free = pools.filter(|pool| !taken.contains(*pool));
+        let mut free = pools.filter(|pool| !taken[*pool as usize]);
         let pool = free.find(|pool| {
-            let free_bytes = self.size_of(*pool).saturating_sub(self.bytes_in(*pool));
+            let free_bytes = self
+                .size_of(*pool)
+                .saturating_sub(self.held_bytes[*pool as usize]);
             claim.bytes <= free_bytes
         })?;
-        *self.held_in(pool) += claim.bytes;
+        self.held_bytes[pool as usize] += claim.bytes;
         Some(pool)
     }
 
@@ -242,37 +241,11 @@
             BodyPool::Reserve => self.policy.reserve_bytes,
         }
     }
-
-    fn bytes_in(&self, pool: BodyPool) -> usize {
-        match pool {
-            BodyPool::Shared => self.shared_held_bytes,
-            BodyPool::Reserve => self.reserve_held_bytes,
-        }
-    }
-
-    fn held_in(&mut self, pool: BodyPool) -> &mut usize {
-        match pool {
-            BodyPool::Shared => &mut self.shared_held_bytes,
-            BodyPool::Reserve => &mut self.reserve_held_bytes,
-        }
-    }
 }
 
-impl Taken {
-    fn add(&mut self, pools: [Option<BodyPool>; 2]) {
-        for pool in pools.into_iter().flatten() {
-            match pool {
-                BodyPool::Shared => self.shared = true,
-                BodyPool::Reserve => self.reserve = true,
-            }
-        }
-    }
-
-    fn contains(self, pool: BodyPool) -> bool {
-        match pool {
-            BodyPool::Shared => self.shared,
-            BodyPool::Reserve => self.reserve,
-        }
+fn mark_taken(taken: &mut Taken, pools: [Option<BodyPool>; POOLS]) {
+    for pool in pools.into_iter().flatten() {
+        taken[pool as usize] = true;
     }
 }
 
