--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -268,9 +268,8 @@
     let help = "Memory held for bodies and frames, by what it is held for";
     registry.register_with_unit("held", help, Unit::Bytes, held);
     let help = "Memory that all bodies together may use";
-    let budget = Gauge::<i64>::default();
-    budget.set(as_signed(node.memory.sizes().total_bytes() as u64));
-    registry.register_with_unit("body_budget", help, Unit::Bytes, budget);
+    let budget = node.memory.sizes().total_bytes() as u64;
+    bytes(registry, "body_budget", help, budget);
     let help = "Bodies that wait for memory";
     let waiting = node.memory.waiting_count() as u64;
     gauge(registry, "waiting_bodies", help, waiting);
@@ -297,9 +296,7 @@
     gauge(registry, "tickets_in_flight", help, in_flight);
     let kept = table.kept_answer_bytes() as u64;
     let help = "Memory used by answers kept for at-most-once requests";
-    let value = Gauge::<i64>::default();
-    value.set(as_signed(kept));
-    registry.register_with_unit("kept_answers", help, Unit::Bytes, value);
+    bytes(registry, "kept_answers", help, kept);
 }
 
 fn register_waits(registry: &mut Registry, node: &Node) {
@@ -360,6 +357,12 @@
     registry.register(name, help, metric);
 }
 
+fn bytes(registry: &mut Registry, name: &str, help: &str, value: u64) {
+    let metric = Gauge::<i64>::default();
+    metric.set(as_signed(value));
+    registry.register_with_unit(name, help, Unit::Bytes, metric);
+}
+
 fn seconds(registry: &mut Registry, name: &str, help: &str, value: f64) {
     let metric = FloatGauge::default();
     metric.set(value);
