--- a/crates/hemlocktack-node/src/links/bodies/tests.rs
+++ b/crates/hemlocktack-node/src/links/bodies/tests.rs
@@ -11,13 +11,10 @@
 use tokio::task::JoinHandle;
 
 use crate::calls::SendProgress;
-use crate::freshness::boot_time;
-use crate::links::connection::{Connection, PeerFeatures};
+use crate::links::connection::Connection;
 use crate::links::handshake::Reader;
-use crate::links::last_received::LastReceived;
 use crate::links::outgoing::SendOutcome;
-use crate::links::tests::{Receiver, next_body, sender};
-use crate::memory::MemoryGauge;
+use crate::links::tests::{Receiver, next_body, sender, start_sending};
 
 const BODY_BYTES: usize = 150_000;
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -54,14 +51,7 @@
             panic!("no call");
         };
         assert_eq!((call.body.len(), call.body_length), (0, BODY_BYTES as u64));
-        let connection = Connection::start(
-            1,
-            writer,
-            boot_time(),
-            LastReceived::new(),
-            PeerFeatures::default(),
-            &MemoryGauge::default(),
-        );
+        let connection = start_sending(writer);
         Self {
             call_id: call.call_id,
             outcome,
--- a/crates/hemlocktack-node/src/links/tests.rs
+++ b/crates/hemlocktack-node/src/links/tests.rs
@@ -36,16 +36,18 @@
     let near = TcpStream::connect(listener.local_addr().unwrap()).await;
     let (far, _) = listener.accept().await.unwrap();
     let (_, writer) = near.unwrap().into_split();
-    (
-        Connection::start(
-            1,
-            writer,
-            boot_time(),
-            LastReceived::new(),
-            PeerFeatures::default(),
-            &MemoryGauge::default(),
-        ),
-        far,
+    (start_sending(writer), far)
+}
+
+/// Returns the sending side of a connection.
+pub(super) fn start_sending(writer: OwnedWriteHalf) -> Connection {
+    Connection::start(
+        1,
+        writer,
+        boot_time(),
+        LastReceived::new(),
+        PeerFeatures::default(),
+        &MemoryGauge::default(),
     )
 }
 
@@ -379,14 +381,7 @@
         let is_asked =
             matches!(asked, Some(frame::Body::Resolve(asked)) if asked.call_id == call_id);
         assert!(is_asked, "{unreachable_ms} ms");
-        let connection = Connection::start(
-            1,
-            writer,
-            boot_time(),
-            LastReceived::new(),
-            PeerFeatures::default(),
-            &MemoryGauge::default(),
-        );
+        let connection = start_sending(writer);
         let refusal = Answer {
             call_id,
             ..not_run_answer(Reason::QueueTimeout, None)
