--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -119,6 +119,7 @@
             }
             Event::DocumentFound(document) => {
                 self.record_parse_error(&document);
+                self.log_received(&document, "this-node");
                 self.state.stored_locally(document)
             }
             Event::PlatformAnswered(seen) => self.platform_answered(now, seen),
@@ -133,6 +134,7 @@
             Event::PeerAnswered { node_id, document } => {
                 let generation = document.generation;
                 self.record_parse_error(&document);
+                self.log_received(&document, &node_id);
                 let document = (!document.document.is_empty()).then_some(document);
                 self.state
                     .peer_answered(now, &node_id, generation, document)
@@ -155,12 +157,30 @@
         let document = snapshot.stored.map(|stored| stored.configuration);
         if let Some(document) = &document {
             self.record_parse_error(document);
+            self.log_received(document, "store");
         }
+        self.node.store_access.answered(self.revision);
         let view = self.peer_view();
         self.state
             .platform_answered(now, document, &view, &mut self.rng)
     }
 
+    /// Logs a document that is newer than the active one. `source` is the store or the node that
+    /// it came from.
+    fn log_received(&self, document: &ConfigurationDocument, source: &str) {
+        let generation = document.generation;
+        if generation <= self.state.generation() {
+            return;
+        }
+        let revision = self.revision;
+        log_event!(
+            LogEvent::ConfigurationReceived,
+            generation,
+            source,
+            revision
+        );
+    }
+
     /// Remembers the error of a document that cannot be parsed, for the log line about it.
     fn record_parse_error(&mut self, document: &ConfigurationDocument) {
         if document.document.is_empty() {
@@ -200,6 +220,9 @@
                 true => store.watch_newer(revision, WATCH_WAIT).await,
                 false => store.read_with_revision().await,
             };
+            if let Err(error) = &answer {
+                log_failed_read(&node, wait, revision, error);
+            }
             let event = match answer {
                 Ok(seen) => Event::PlatformAnswered(seen),
                 Err(Error::RevisionGone) => Event::RevisionGone,
@@ -227,6 +250,15 @@
     }
 
     fn peer_view(&self) -> PeerView {
+        let view = self.members_view();
+        if self.node.store_access.set_watching(view.is_watcher) {
+            let (is_watching, revision) = (view.is_watcher, self.revision);
+            log_event!(LogEvent::StoreWatchChanged, is_watching, revision);
+        }
+        view
+    }
+
+    fn members_view(&self) -> PeerView {
         let members = self.node.members();
         let own_id = &*self.node.identity.node_id;
         let others = || members.iter().filter(|member| member.node_id != own_id);
@@ -249,6 +281,20 @@
     }
 }
 
+fn log_failed_read(node: &Node, is_watch: bool, revision: Revision, error: &Error) {
+    node.store_access.failed();
+    let Some(count) = node.store_read_failures.record() else {
+        return;
+    };
+    log_event!(
+        LogEvent::StoreReadFailed,
+        is_watch,
+        revision,
+        %error,
+        count
+    );
+}
+
 /// Pulls the active document of another node, if it is newer, and its proof of freshness.
 pub(crate) async fn pull_from_peer(
     node: &Node,
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -218,6 +218,7 @@
     let help = "1 if the platform answered the last request";
     let reachable = u64::from(status.platform_reachable);
     gauge(registry, "platform_reachable", help, reachable);
+    register_store(registry, node);
     let now = boot_time();
     let help = "1 if requests with keys are admitted, or need none";
     let admits_keys = u64::from(node.can_admit_keys(now));
@@ -239,6 +240,29 @@
     registry.register("members", help, members);
 }
 
+fn register_store(registry: &mut Registry, node: &Node) {
+    let store = node.store_access.snapshot();
+    let help = "1 if this node watches the configuration in the platform's store";
+    gauge(
+        registry,
+        "store_watching",
+        help,
+        u64::from(store.is_watching),
+    );
+    let help = "Time since the store last answered a read or a watch of the configuration, 0 before the first answer";
+    let age = store.answered_at.map(|answered_at| answered_at.elapsed());
+    seconds(
+        registry,
+        "store_answer_age",
+        help,
+        age.unwrap_or_default().as_secs_f64(),
+    );
+    let help = "Revision of the store from which this node would watch next";
+    gauge(registry, "store_revision", help, store.revision);
+    let help = "Reads and watches of the configuration without a valid answer of the store";
+    counter(registry, "store_read_failures", help, store.failed_count);
+}
+
 fn register_gossip(registry: &mut Registry, node: &Node) {
     let bytes = Family::<GossipLabels, Counter>::default();
     for (direction, kind) in GossipCounts::all_pairs() {
