Tests of answers that are cut at any byte of their head or body

Other operators report a 200 with an empty or short body, framed as whole, after an upstream stopped in the middle of an answer's head. No test showed whether that can happen here.

The tests cut answers with a length, chunked, with a trailer, without a length, after interim answers, with bare line feeds and of HTTP/1.0, and rejections, at every byte: by close, half-close, reset and silence (silence, and the other ends through a link, at the borders only), for requests that may be repeated and ones that may not, at the own node, through a link, and by the client of the native interface.

No fault was found: all pass on without a change of the nodes' code.

An answer without a length that its upstream closes in an orderly way counts as whole: nobody can tell how long it was meant to be. One whose connection is reset does not.

--- a/crates/hemlocktack-node/src/upstream/client.rs
+++ b/crates/hemlocktack-node/src/upstream/client.rs
@@ -1,6 +1,9 @@
 //! HTTP client for upstreams with the native interface. A call ends with a complete answer or with
 //! the reason why there is none.
 
+#[cfg(test)]
+mod tests;
+
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
--- a/crates/hemlocktack-testkit/src/lib.rs
+++ b/crates/hemlocktack-testkit/src/lib.rs
@@ -2,6 +2,7 @@
 //! traffic through them. The stand-ins also run as processes (`examples/`).
 
 mod addresses;
+pub mod cut_answers;
 mod datagram_relay;
 mod http;
 pub mod mutated_json;
