Configuration: an answer for the follower waits for room in its queue

What callers saw: nothing that is shown to have happened; found by reading. Where the queue of the task that follows the configuration is full, the store's answer was dropped. The request that it answers then counted as outstanding until its timeout, 40 s for a watch, in which the node neither read nor watched: a confirmed change was late by that much.

Cause: all events went into a queue of 256 by try_send. The comment said that the task polls again anyway, which holds for peers' generations and not for answers. Many peers that announce a new generation at once fill the queue while the task reads a large document.

Fix: events that nobody repeats (answers and failures of the store and of peers, documents that another task has found) wait for room. Their senders are tasks of their own, and the follower sends itself nothing, so it never waits for them. Peers' generations are still dropped from a full queue, since every later message of the peer repeats them. A freshness proof is set before its document is reported, so that it does not wait with it.

--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -234,7 +234,7 @@
                 }
                 Err(_) => Event::PlatformFailed,
             };
-            node.send_configuration_event(event);
+            node.send_configuration_event(event).await;
         });
     }
 
@@ -245,7 +245,7 @@
                 Some(document) => Event::PeerAnswered { node_id, document },
                 None => Event::PeerFailed { node_id },
             };
-            node.send_configuration_event(event);
+            node.send_configuration_event(event).await;
         });
     }
 
--- a/crates/hemlocktack-node/src/freshness/renew.rs
+++ b/crates/hemlocktack-node/src/freshness/renew.rs
@@ -44,7 +44,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            Some(end) = ended.recv() => handle_end(&node, &mut state, end),
+            Some(end) = ended.recv() => handle_end(&node, &mut state, end).await,
             () = node.signals.stopped.cancelled() => return,
             _ = ticks.tick() => {
                 if !node.needs_freshness() {
@@ -60,27 +60,29 @@
     }
 }
 
-fn handle_end(node: &Arc<Node>, state: &mut FreshnessState, end: QuestionEnd) {
+async fn handle_end(node: &Arc<Node>, state: &mut FreshnessState, end: QuestionEnd) {
     let Some(answer) = end.answer else {
         state.failed(&end.action);
         return;
     };
-    if let Some(document) = answer.configuration {
-        install(node, document);
+    let newer = answer
+        .configuration
+        .filter(|document| is_newer(node, document));
+    // Active before its proof counts: with the proof first, requests would be refused until then.
+    if let Some(document) = &newer {
+        node.install_configuration(document.clone());
     }
     if state.answered(answer.proof) {
         node.set_freshness_proof(answer.proof);
     }
+    if let Some(document) = newer {
+        node.send_configuration_event(configuration::Event::DocumentFound(document))
+            .await;
+    }
 }
 
-/// Activates a configuration before its proof counts: with the proof first, requests would be
-/// refused until the configuration is active.
-fn install(node: &Node, document: ConfigurationDocument) {
-    if document.document.is_empty() || document.generation <= node.active_generation() {
-        return;
-    }
-    node.install_configuration(document.clone());
-    node.send_configuration_event(configuration::Event::DocumentFound(document));
+fn is_newer(node: &Node, document: &ConfigurationDocument) -> bool {
+    !document.document.is_empty() && document.generation > node.active_generation()
 }
 
 async fn ask(
--- a/crates/hemlocktack-node/src/node/configuration.rs
+++ b/crates/hemlocktack-node/src/node/configuration.rs
@@ -182,9 +182,21 @@
         active.as_ref().map_or(0, |active| active.generation)
     }
 
-    /// Sends an event to the task that follows the configuration. If the queue is full, the
-    /// event is dropped; the task polls again anyway.
-    pub(crate) fn send_configuration_event(&self, event: configuration::Event) {
+    /// Sends an event to the task that follows the configuration, and waits while its queue is
+    /// full. The task would wait for a dropped answer until the timeout of its request, which is
+    /// long for a watch.
+    pub(crate) async fn send_configuration_event(&self, event: configuration::Event) {
+        // Fails only once the task has ended, with its node.
+        let _ = self.configuration_events.send(event).await;
+    }
+
+    /// Reports a peer's active generation to the same task. If the queue is full, the report is
+    /// dropped: each later message of the peer repeats it.
+    pub(crate) fn report_peer_generation(&self, node_id: String, generation: Generation) {
+        let event = configuration::Event::PeerGeneration {
+            node_id,
+            generation,
+        };
         let _ = self.configuration_events.try_send(event);
     }
 
--- a/crates/hemlocktack-node/src/operators/commands/apply_configuration.rs
+++ b/crates/hemlocktack-node/src/operators/commands/apply_configuration.rs
@@ -34,13 +34,15 @@
         applied.map_err(|error| Failure::from_platform(&error))?,
         &change,
     )?;
-    node.send_configuration_event(configuration::Event::DocumentFound(ConfigurationDocument {
+    let stored = ConfigurationDocument {
         generation: response.generation,
         change_id: change.change_id.clone(),
         author: change.author.clone(),
         document: change.document.clone(),
         ..ConfigurationDocument::default()
-    }));
+    };
+    node.send_configuration_event(configuration::Event::DocumentFound(stored))
+        .await;
     log_event!(
         Event::ConfigurationStored,
         generation = response.generation,
--- a/crates/hemlocktack-node/src/peers/gossip.rs
+++ b/crates/hemlocktack-node/src/peers/gossip.rs
@@ -19,7 +19,6 @@
 use tokio::time::{Interval, MissedTickBehavior};
 
 use super::counts::{Direction, GossipKind};
-use crate::configuration;
 use crate::node::Node;
 use crate::run::{Result, StartError};
 
@@ -175,12 +174,7 @@
                 MembershipAction::NewerGenerationSeen {
                     node_id,
                     generation,
-                } => self
-                    .node
-                    .send_configuration_event(configuration::Event::PeerGeneration {
-                        node_id,
-                        generation,
-                    }),
+                } => self.node.report_peer_generation(node_id, generation),
                 MembershipAction::SuspectsReceived { suspects } => self.record_suspects(&suspects),
                 MembershipAction::Superseded { by } => {
                     log_event!(Event::RecordReplaced, by_incarnation = by);
