Configuration: who watches follows from whom the store serves

What callers saw: while the store refused, or was silent to, the two nodes of a data centre that watch it, a change that it had acknowledged was in force at no node for as long as one looked, although the store served the other nodes and the operator.

Cause: the two live nodes with the lowest hash watched, whether or not the store served them. The others read it once in 2.5 to 7.5 minutes. Silence of the store looks like an idle watch until its timeout of 23 s.

Each node's record now says whether the store serves or refuses this start. Refused nodes do not watch while others can; a watcher sends a small stale read after 0.4 s without an answer, and 1 s of silence or two failures in a row count as a refusal, which its data centre learns at once. While no node is known to be served, more of them try. A node that begins to watch reads first. The sources of the freshness proof follow the same rule. The reads and watches have a client of their own, so that a refused publication of the node's record does not delay them. No node rewrites its record in the store for this.

The state machines are tested in virtual time with up to 94 nodes: each subset of four, one served of 16, silence, slow stores, recovery, and whole outages.

--- a/crates/hemlocktack-fleet/src/configuration/from_platform.rs
+++ b/crates/hemlocktack-fleet/src/configuration/from_platform.rs
@@ -29,6 +29,7 @@
         let delay = self.delay_after_answer(view, rng);
         self.platform.record_success(now, delay);
         self.is_revision_gone = false;
+        self.must_read = false;
         if self.current.is_some() && !self.is_behind() {
             self.catch_up(&mut actions);
         }
@@ -44,28 +45,41 @@
 
     /// Handles a failed platform call: refused, unavailable, or its answer lost.
     pub fn platform_failed(&mut self, now: Instant, rng: &mut impl Rng) {
-        self.platform.record_failure(now, &self.settings, rng);
+        self.record_platform_failure(now, rng);
         let keeps_configuration = self.settings.is_enabled(ConfigurationSafeguard::FailStatic);
         if !keeps_configuration {
             self.caught_up = false;
         }
     }
 
+    pub(super) fn record_platform_failure(&mut self, now: Instant, rng: &mut impl Rng) {
+        self.platform.record_failure(now, &self.settings, rng);
+        if self.caught_up && !self.was_watcher {
+            self.poll_later(now, rng);
+        }
+    }
+
     pub(super) fn read_platform(
         &mut self,
         now: Instant,
         view: &PeerView,
         actions: &mut Vec<ConfigurationAction>,
+        rng: &mut impl Rng,
     ) {
         let watches = self.watches(view);
         if watches && !self.was_watcher {
             self.platform.schedule_now(now);
+            self.must_read = true;
+        }
+        if !watches && self.was_watcher && self.caught_up {
+            self.poll_later(now, rng);
         }
         self.was_watcher = watches;
         if !self.platform.is_due(now) {
             return;
         }
-        let wait = watches && self.caught_up && !self.is_revision_gone;
+        let may_wait = self.caught_up && !self.is_revision_gone && !self.must_read;
+        let wait = watches && may_wait;
         let timeout = match wait {
             true => self.settings.watch_timeout,
             false => self.settings.read_timeout,
@@ -75,6 +89,18 @@
         actions.push(ConfigurationAction::ReadPlatform { above, wait });
     }
 
+    /// Makes the next call as late as the polls of a node that does not watch. Without this, each
+    /// node that the store has refused would go on calling it, although others watch.
+    fn poll_later(&mut self, now: Instant, rng: &mut impl Rng) {
+        let delay = self.poll_delay(rng);
+        self.platform.schedule_not_before(now + delay);
+    }
+
+    fn poll_delay(&self, rng: &mut impl Rng) -> Duration {
+        let interval = self.settings.poll_interval;
+        interval.mul_f64(rng.random_range(0.5..1.5))
+    }
+
     fn watches(&self, view: &PeerView) -> bool {
         view.is_watcher && self.settings.is_enabled(ConfigurationSafeguard::Watchers)
     }
@@ -103,7 +129,6 @@
         if !self.caught_up {
             return self.settings.backoff_base;
         }
-        let interval = self.settings.poll_interval;
-        interval.mul_f64(rng.random_range(0.5..1.5))
+        self.poll_delay(rng)
     }
 }
--- a/crates/hemlocktack-fleet/src/configuration/platform_calls.rs
+++ b/crates/hemlocktack-fleet/src/configuration/platform_calls.rs
@@ -64,10 +64,13 @@
         self.outstanding.is_some_and(|deadline| now >= deadline)
     }
 
-    /// Makes the next call due now, unless the previous call failed.
+    /// Makes the next call due now.
     pub(super) fn schedule_now(&mut self, now: Instant) {
-        if self.failures == 0 {
-            self.next = self.next.min(now);
-        }
+        self.next = self.next.min(now);
+    }
+
+    /// Makes the next call due no earlier than at `next`.
+    pub(super) fn schedule_not_before(&mut self, next: Instant) {
+        self.next = self.next.max(next);
     }
 }
--- a/crates/hemlocktack-fleet/src/configuration/state.rs
+++ b/crates/hemlocktack-fleet/src/configuration/state.rs
@@ -69,6 +69,9 @@
     pub(super) next_pull: Instant,
     pub(super) platform: PlatformCalls,
     pub(super) was_watcher: bool,
+    /// Whether the next call must be a read. The revision of a node that has not watched may be
+    /// minutes old.
+    pub(super) must_read: bool,
     /// Whether the store no longer knows the revision that the watch started from.
     pub(super) is_revision_gone: bool,
 }
@@ -87,6 +90,7 @@
             next_pull: now,
             platform: PlatformCalls::new(now),
             was_watcher: false,
+            must_read: false,
             is_revision_gone: false,
         }
     }
@@ -127,10 +131,10 @@
     ) -> Vec<ConfigurationAction> {
         let mut actions = Vec::new();
         if self.platform.has_timed_out(now) {
-            self.platform.record_failure(now, &self.settings, rng);
+            self.record_platform_failure(now, rng);
         }
         self.drop_timed_out_pull(now);
-        self.read_platform(now, view, &mut actions);
+        self.read_platform(now, view, &mut actions, rng);
         self.check_caught_up(view, &mut actions);
         self.pull_from_peer(now, view, &mut actions, rng);
         actions
--- a/crates/hemlocktack-fleet/src/membership/machine.rs
+++ b/crates/hemlocktack-fleet/src/membership/machine.rs
@@ -4,7 +4,8 @@
 use std::time::Instant;
 
 use hemlocktack_protocol::{
-    Generation, Gossip, Incarnation, Member, NodeState, Succession, SuspectRequest, UpstreamState,
+    Generation, Gossip, Incarnation, Member, NodeState, StoreContact, Succession, SuspectRequest,
+    UpstreamState,
 };
 use rand::Rng;
 
@@ -101,6 +102,7 @@
     pub(super) next_sync: Instant,
     pub(super) pages_sent: u32,
     pub(super) urgent_sent: u32,
+    pub(super) contacts_sent: u32,
 }
 
 impl Membership {
@@ -136,6 +138,7 @@
             next_sync: now,
             pages_sent: 0,
             urgent_sent: 0,
+            contacts_sent: 0,
         }
     }
 
@@ -238,6 +241,25 @@
         actions
     }
 
+    /// Updates what this node knows of its access to the store. An answer or a refusal is sent to
+    /// the own data centre at once: who watches the store there follows from it.
+    pub fn set_store_contact(
+        &mut self,
+        contact: StoreContact,
+        rng: &mut impl Rng,
+    ) -> Vec<MembershipAction> {
+        let mut actions = Vec::new();
+        if self.own.store_contact() == contact {
+            return actions;
+        }
+        self.own.store_contact = contact.into();
+        self.raise_own_version();
+        if contact != StoreContact::Unknown {
+            self.send_store_contact(self.own.clone(), &mut actions, rng);
+        }
+        actions
+    }
+
     /// Reports requests that crash upstreams to the other nodes of this service, which would
     /// otherwise run them next. A service has few nodes, whatever the size of the fleet; the limit
     /// is for services that have many.
--- a/crates/hemlocktack-fleet/src/membership/receive.rs
+++ b/crates/hemlocktack-fleet/src/membership/receive.rs
@@ -4,7 +4,8 @@
 use std::time::Instant;
 
 use hemlocktack_protocol::{
-    Gossip, IndirectProbe, Member, NodeState, Probe, ProbeAck, SyncPage, SyncPull, gossip,
+    Gossip, IndirectProbe, Member, NodeState, Probe, ProbeAck, StoreContact, SyncPage, SyncPull,
+    gossip,
 };
 use rand::Rng;
 
@@ -70,6 +71,7 @@
                 continue;
             }
             let node_id = record.node_id.clone();
+            let has_new_contact = self.has_new_store_contact(&record);
             let merged = self.table.merge(now, record.clone());
             if merged == Merged::Stale {
                 corrections.extend(self.table.departure_record(&record));
@@ -79,6 +81,9 @@
             if !is_page {
                 self.gossip_queue.push(&node_id);
             }
+            if has_new_contact && !is_page {
+                self.forward_store_contact(record.clone(), actions, rng);
+            }
             if merged == Merged::BeganLeaving && !is_page {
                 urgent.push(record);
             }
@@ -91,6 +96,15 @@
         }
     }
 
+    /// Returns whether a record says that the store now serves or now refuses a known member of the
+    /// own data centre.
+    fn has_new_store_contact(&self, record: &Member) -> bool {
+        let is_news = record.data_centre == self.own.data_centre
+            && record.store_contact() != StoreContact::Unknown;
+        let known = self.table.get(&record.node_id);
+        is_news && known.is_some_and(|entry| entry.member.store_contact != record.store_contact)
+    }
+
     /// Handles a record of this node that another node sent.
     ///
     /// An accusation is refuted with a higher version. A record of another incarnation with this
--- a/crates/hemlocktack-fleet/src/membership/settings.rs
+++ b/crates/hemlocktack-fleet/src/membership/settings.rs
@@ -69,6 +69,11 @@
     pub urgent_fanout: usize,
     /// Maximum number of datagrams with urgent updates in a probe period.
     pub urgent_limit: u32,
+    /// Number of members of its data centre to which a node sends a change of its access to the
+    /// store at once.
+    pub contact_fanout: usize,
+    /// Maximum number of datagrams with such changes in a probe period.
+    pub contact_limit: u32,
     /// Safeguard that a mutation test disables.
     pub disabled_safeguard: Option<MembershipSafeguard>,
 }
@@ -90,6 +95,8 @@
             mac_bytes: 32,
             urgent_fanout: 4,
             urgent_limit: 16,
+            contact_fanout: 16,
+            contact_limit: 64,
             disabled_safeguard: None,
         }
     }
--- a/crates/hemlocktack-fleet/src/membership/tick.rs
+++ b/crates/hemlocktack-fleet/src/membership/tick.rs
@@ -43,6 +43,7 @@
     ) {
         self.pages_sent = 0;
         self.urgent_sent = 0;
+        self.contacts_sent = 0;
         self.suspect_unanswered(now, actions);
         self.declare_dead(now, actions);
         let (age, limit) = (self.settings.tombstone_age, self.settings.tombstone_limit);
--- a/crates/hemlocktack-fleet/src/membership/urgent.rs
+++ b/crates/hemlocktack-fleet/src/membership/urgent.rs
@@ -43,6 +43,41 @@
         self.send_urgent(&targets, &records, actions);
     }
 
+    /// Sends a change of a node's access to the store to members of the own data centre, most often
+    /// all of them. The number per period is limited, so that a node that the store serves by turns
+    /// cannot raise the cost without bound.
+    pub(super) fn send_store_contact(
+        &mut self,
+        record: Member,
+        actions: &mut Vec<MembershipAction>,
+        rng: &mut impl Rng,
+    ) {
+        let targets = self.sample_members(true, self.settings.contact_fanout, rng);
+        let record = [record];
+        for to in targets {
+            if self.contacts_sent >= self.settings.contact_limit {
+                return;
+            }
+            self.contacts_sent += 1;
+            self.send_without_queued(to, None, &record, actions);
+        }
+    }
+
+    /// Forwards such a change once, in a data centre that is larger than the number of members to
+    /// which the node that it is about has sent it.
+    pub(super) fn forward_store_contact(
+        &mut self,
+        record: Member,
+        actions: &mut Vec<MembershipAction>,
+        rng: &mut impl Rng,
+    ) {
+        let is_local = |entry: &Entry| entry.member.data_centre == self.own.data_centre;
+        let local = self.table.live().filter(|(_, entry)| is_local(entry));
+        if local.count() > self.settings.contact_fanout {
+            self.send_store_contact(record, actions, rng);
+        }
+    }
+
     fn send_urgent(
         &mut self,
         targets: &[SocketAddr],
--- a/crates/hemlocktack-fleet/tests/configuration/main.rs
+++ b/crates/hemlocktack-fleet/tests/configuration/main.rs
@@ -3,6 +3,8 @@
 #![allow(clippy::unwrap_used)]
 
 mod any_documents;
+mod store_refusals;
+mod store_world;
 
 use std::time::{Duration, Instant};
 
--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -5,18 +5,21 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_fleet::configuration::{
-    ConfigurationAction, ConfigurationSettings, ConfigurationState, PeerView, watches_platform,
+    ConfigurationAction, ConfigurationSettings, ConfigurationState, PeerView, StoreCandidate,
+    StoreContactView, store_watchers,
 };
 use hemlocktack_platform::{ConfigurationSnapshot, ConfigurationStore, Error, Revision};
 use hemlocktack_protocol::{
-    ConfigurationDocument, ConfigurationPull, Generation, Member, NodeState, frame,
+    ConfigurationDocument, ConfigurationPull, Generation, Member, NodeState, StoreContact, frame,
 };
 use hemlocktack_telemetry::{Event as LogEvent, log_event};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
 use tokio::time::MissedTickBehavior;
 
+use super::store_access::{self, StoreCall};
 use crate::interfaces;
 use crate::node::{Node, NodeLocation};
 use crate::run::Result;
@@ -66,9 +69,10 @@
         watchers: settings.watchers_per_data_centre,
         pull_timeout: settings.pull_timeout,
         state: ConfigurationState::new(settings, Instant::now()),
-        store: Arc::new(ConfigurationStore::new(node.platform.clone())),
+        store: Arc::new(ConfigurationStore::new(node.store_access.client.clone())),
         parse_error: String::new(),
         revision: 0,
+        call: None,
         rng: StdRng::seed_from_u64(rand::random()),
         node: node.clone(),
     };
@@ -86,9 +90,16 @@
     parse_error: String,
     /// Revision from which to watch, as of the platform's last answer.
     revision: Revision,
+    /// The last call to the store.
+    call: Option<Call>,
     rng: StdRng,
 }
 
+struct Call {
+    is_watch: bool,
+    task: AbortHandle,
+}
+
 impl Follower {
     async fn run(mut self, mut events: mpsc::Receiver<Event>) {
         let node = self.node.clone();
@@ -101,6 +112,7 @@
                     let view = self.peer_view();
                     let actions = self.state.tick(Instant::now(), &view, &mut self.rng);
                     self.perform(actions);
+                    self.check_store(view.is_watcher);
                 }
                 () = node.signals.stopped.cancelled() => return,
             }
@@ -213,13 +225,42 @@
         }
     }
 
-    fn read_platform(&self, wait: bool) {
+    /// Judges the access to the store, and ends a watch of a store that refuses this node: it would
+    /// be held open for its whole timeout, and a read must follow once the store answers.
+    fn check_store(&mut self, is_watcher: bool) {
+        let view = self.contact_view(is_watcher);
+        store_access::check(&self.node, &view);
+        let is_refused = self.node.store_access.contact() == StoreContact::Refused;
+        let Some(call) = self.call.take_if(|call| is_refused && call.is_watch) else {
+            return;
+        };
+        if call.task.is_finished() {
+            return;
+        }
+        call.task.abort();
+        self.state.platform_failed(Instant::now(), &mut self.rng);
+    }
+
+    fn contact_view(&self, is_watcher: bool) -> StoreContactView {
+        let members = self.node.members();
+        let local = || local_followers(&self.node, &members);
+        let is_served = |member: &Member| member.store_contact() == StoreContact::Served;
+        StoreContactView {
+            is_active: is_watcher || self.node.store_access.is_source(),
+            local_nodes: local().count() + 1,
+            is_other_served: local().any(is_served),
+        }
+    }
+
+    fn read_platform(&mut self, wait: bool) {
         let (node, store, revision) = (self.node.clone(), self.store.clone(), self.revision);
-        tokio::spawn(async move {
+        let call = StoreCall::start(&node, wait);
+        let task = tokio::spawn(async move {
             let answer = match wait {
                 true => store.watch_newer(revision, WATCH_WAIT).await,
                 false => store.read_with_revision().await,
             };
+            call.end(answer.as_ref().err());
             if let Err(error) = &answer {
                 log_failed_read(&node, wait, revision, error);
             }
@@ -236,6 +277,14 @@
             };
             node.send_configuration_event(event);
         });
+        let call = Call {
+            is_watch: wait,
+            task: task.abort_handle(),
+        };
+        // One that has timed out must not answer as well: each answer is followed by the next call.
+        if let Some(earlier) = self.call.replace(call) {
+            earlier.task.abort();
+        }
     }
 
     fn pull(&self, node_id: String, above: Generation) {
@@ -253,7 +302,15 @@
         let view = self.members_view();
         if self.node.store_access.set_watching(view.is_watcher) {
             let (is_watching, revision) = (view.is_watcher, self.revision);
-            log_event!(LogEvent::StoreWatchChanged, is_watching, revision);
+            let members = self.node.members();
+            let is_refused = |member: &&Member| member.store_contact() == StoreContact::Refused;
+            let others_refused = local_followers(&self.node, &members).filter(is_refused);
+            log_event!(
+                LogEvent::StoreWatchChanged,
+                is_watching,
+                revision,
+                others_refused = others_refused.count()
+            );
         }
         view
     }
@@ -263,24 +320,39 @@
         let own_id = &*self.node.identity.node_id;
         let others = || members.iter().filter(|member| member.node_id != own_id);
         let is_ready = |member: &&Member| member.state() == NodeState::Ready;
-        let is_local = |member: &&Member| *member.data_centre == *self.node.settings.data_centre;
-        let may_watch =
-            |member: &&Member| matches!(member.state(), NodeState::Ready | NodeState::Starting);
-        let local = others().filter(is_local).filter(may_watch);
+        let local = local_followers(&self.node, &members).map(candidate);
+        let own = StoreCandidate {
+            node_id: own_id,
+            contact: self.node.store_access.contact(),
+        };
+        let watchers = store_watchers(local.chain([own]), self.watchers);
         // Only a starting node queries peers that have not announced a generation.
         let is_starting = !self.state.is_caught_up();
         let ready = others().filter(is_ready).filter(|_| is_starting);
         PeerView {
             ready: ready.map(|member| member.node_id.clone()).collect(),
-            is_watcher: watches_platform(
-                own_id,
-                local.map(|member| member.node_id.as_str()),
-                self.watchers,
-            ),
+            is_watcher: watchers.contains(&own_id),
         }
     }
 }
 
+/// Returns the other live nodes of the data centre that follow the configuration.
+fn local_followers<'a>(node: &Node, members: &'a [Member]) -> impl Iterator<Item = &'a Member> {
+    let (own_id, data_centre) = (&*node.identity.node_id, &*node.settings.data_centre);
+    members.iter().filter(move |member| {
+        let follows = matches!(member.state(), NodeState::Ready | NodeState::Starting);
+        follows && member.node_id != own_id && member.data_centre == data_centre
+    })
+}
+
+/// Returns a member as a candidate for calls to the store.
+pub(crate) fn candidate(member: &Member) -> StoreCandidate<'_> {
+    StoreCandidate {
+        node_id: &member.node_id,
+        contact: member.store_contact(),
+    }
+}
+
 fn log_failed_read(node: &Node, is_watch: bool, revision: Revision, error: &Error) {
     node.store_access.failed();
     let Some(count) = node.store_read_failures.record() else {
--- a/crates/hemlocktack-node/src/configuration/mod.rs
+++ b/crates/hemlocktack-node/src/configuration/mod.rs
@@ -4,6 +4,6 @@
 mod relay;
 mod store_access;
 
-pub(crate) use follow::{Event, pull_from_peer, start};
+pub(crate) use follow::{Event, candidate, pull_from_peer, start};
 pub(crate) use relay::answer_pull;
-pub(crate) use store_access::StoreAccess;
+pub(crate) use store_access::{StoreAccess, StoreCall};
--- a/crates/hemlocktack-node/src/configuration/store_access.rs
+++ b/crates/hemlocktack-node/src/configuration/store_access.rs
@@ -1,9 +1,19 @@
-//! What this node knows of its access to the platform's store, for metrics.
+//! What this node knows of its access to the platform's store.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
-use hemlocktack_platform::Revision;
+use hemlocktack_fleet::configuration::{StoreContactSettings, StoreContactState, StoreContactView};
+use hemlocktack_platform::{Client, Error, Revision};
+use hemlocktack_protocol::StoreContact;
+use hemlocktack_telemetry::{Event, log_event};
+
+use crate::node::Node;
+
+/// Timeout of a probe. Longer than the silence that counts as a refusal, since a late answer still
+/// shows that the store serves this node.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Result of the reads and watches of the configuration so far.
 #[derive(Clone, Copy, Debug, Default)]
@@ -16,13 +26,47 @@
     pub(crate) failed_count: u64,
 }
 
-/// Shared between the task that follows the configuration and the metrics.
-#[derive(Debug, Default)]
+/// Shared between the tasks that call the store, gossip and the metrics.
+#[derive(Debug)]
 pub(crate) struct StoreAccess {
+    /// Client of the reads and watches of the configuration, and of the probes. Its waits are its
+    /// own: a refused publication of this node's record must not delay a read.
+    pub(crate) client: Arc<Client>,
     seen: Mutex<StoreAccessSnapshot>,
+    contact: Mutex<StoreContactState>,
+    /// Whether this node asks the store for the proofs of others.
+    is_source: AtomicBool,
 }
 
 impl StoreAccess {
+    pub(crate) fn new(client: Arc<Client>) -> Self {
+        let settings = StoreContactSettings::default();
+        Self {
+            client,
+            seen: Mutex::default(),
+            contact: Mutex::new(StoreContactState::new(settings, Instant::now())),
+            is_source: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns whether the store serves this node.
+    pub(crate) fn contact(&self) -> StoreContact {
+        self.lock_contact().contact()
+    }
+
+    /// Sets whether this node asks the store for the proofs of others.
+    pub(crate) fn set_source(&self, is_source: bool) {
+        self.is_source.store(is_source, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_source(&self) -> bool {
+        self.is_source.load(Ordering::Relaxed)
+    }
+
+    fn lock_contact(&self) -> MutexGuard<'_, StoreContactState> {
+        self.contact.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the current values.
     pub(crate) fn snapshot(&self) -> StoreAccessSnapshot {
         *self.lock()
@@ -50,3 +94,71 @@
         self.seen.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// A call to the store, whose end shows whether the store serves this node.
+pub(crate) struct StoreCall {
+    node: Arc<Node>,
+    started: Instant,
+    is_watch: bool,
+}
+
+impl StoreCall {
+    /// Records the start of a call.
+    pub(crate) fn start(node: &Arc<Node>, is_watch: bool) -> Self {
+        let started = Instant::now();
+        if !is_watch {
+            node.store_access.lock_contact().asked(started);
+        }
+        StoreCall {
+            node: node.clone(),
+            started,
+            is_watch,
+        }
+    }
+
+    /// Records the end of the call.
+    pub(crate) fn end(self, error: Option<&Error>) {
+        let now = Instant::now();
+        update_contact(&self.node, |contact| match error {
+            None => contact.answered(now),
+            Some(error) if error.is_answer() => contact.answered(now),
+            // Not sent at all.
+            Some(Error::BudgetSpent { .. }) => {}
+            Some(_) if self.is_watch => contact.watch_failed(now),
+            Some(_) => contact.failed(now, self.started, &mut rand::rng()),
+        });
+    }
+}
+
+/// Judges the access to the store and starts a probe if one is due; called several times per
+/// second.
+pub(crate) fn check(node: &Arc<Node>, view: &StoreContactView) {
+    let mut is_probe_due = false;
+    update_contact(node, |contact| {
+        is_probe_due = contact.tick(Instant::now(), view, &mut rand::rng());
+    });
+    if is_probe_due {
+        let node = node.clone();
+        tokio::spawn(async move {
+            let call = StoreCall::start(&node, false);
+            let answer = node.store_access.client.probe(PROBE_TIMEOUT).await;
+            call.end(answer.err().as_ref());
+        });
+    }
+}
+
+/// Changes the state; other nodes learn at once if the store now serves this node, or refuses it.
+fn update_contact(node: &Node, change: impl FnOnce(&mut StoreContactState)) {
+    let (before, after) = {
+        let mut contact = node.store_access.lock_contact();
+        let before = contact.contact();
+        change(&mut contact);
+        (before, contact.contact())
+    };
+    if before == after {
+        return;
+    }
+    let contact: &str = after.into();
+    log_event!(Event::StoreContactChanged, contact);
+    node.signals.own_record_changed.notify_one();
+}
--- a/crates/hemlocktack-node/src/freshness/renew.rs
+++ b/crates/hemlocktack-node/src/freshness/renew.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use hemlocktack_fleet::configuration::platform_watchers;
+use hemlocktack_fleet::configuration::{StoreCandidate, store_watchers};
 use hemlocktack_fleet::freshness::{
     FreshnessAction, FreshnessProof, FreshnessSettings, FreshnessSources, FreshnessState,
 };
@@ -48,6 +48,7 @@
             () = node.signals.stopped.cancelled() => return,
             _ = ticks.tick() => {
                 if !node.needs_freshness() {
+                    node.store_access.set_source(false);
                     tokio::time::sleep(IDLE_PERIOD).await;
                     continue;
                 }
@@ -90,12 +91,19 @@
     ends: mpsc::Sender<QuestionEnd>,
 ) {
     let answer = match &action {
-        FreshnessAction::AskStore => node.store_questions.ask().await.ok(),
+        FreshnessAction::AskStore => ask_store(&node).await,
         FreshnessAction::AskPeer { node_id } => ask_peer(&node, node_id, timeout).await,
     };
     let _ = ends.send(QuestionEnd { action, answer }).await;
 }
 
+async fn ask_store(node: &Arc<Node>) -> Option<StoreAnswer> {
+    let call = configuration::StoreCall::start(node, false);
+    let answer = node.store_questions.ask().await;
+    call.end(answer.as_ref().err());
+    answer.ok()
+}
+
 async fn ask_peer(node: &Node, node_id: &str, timeout: Duration) -> Option<StoreAnswer> {
     let asked_at = boot_time();
     let deadline = Instant::now() + timeout;
@@ -118,10 +126,15 @@
     let is_local = |member: &&Member| *member.data_centre == *node.settings.data_centre;
     let others: Vec<&Member> = members.iter().filter(is_ready).collect();
     let local = others.iter().copied().filter(is_local);
-    let local: Vec<&str> = local.map(|member| member.node_id.as_str()).collect();
-    let live = local.iter().copied().chain([own_id]);
+    let local: Vec<StoreCandidate> = local.map(configuration::candidate).collect();
+    let own = StoreCandidate {
+        node_id: own_id,
+        contact: node.store_access.contact(),
+    };
     let count = (local.len() + 1).div_ceil(settings.nodes_per_source);
-    let sources = platform_watchers(live, count.max(settings.min_sources));
+    let live = local.into_iter().chain([own]);
+    let sources = store_watchers(live, count.max(settings.min_sources));
+    node.store_access.set_source(sources.contains(&own_id));
     let other_sources = sources.iter().filter(|id| **id != own_id);
     FreshnessSources {
         is_source: sources.contains(&own_id),
--- a/crates/hemlocktack-node/src/node/members.rs
+++ b/crates/hemlocktack-node/src/node/members.rs
@@ -164,6 +164,7 @@
             successions,
             slots: self.published_state().slots,
             start_order: self.start_order,
+            store_contact: self.store_access.contact().into(),
             // Set by membership.
             version: 0,
         }
--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -112,6 +112,7 @@
 pub(crate) struct PlatformAccess {
     pub(crate) client: Arc<Client>,
     pub(crate) questions: StoreQuestions,
+    pub(crate) store_access: follower::StoreAccess,
 }
 
 /// Signals between the node's tasks.
@@ -155,7 +156,7 @@
             adjustable: ArcSwap::from_pointee(adjustable),
             records: NodeRecords::new(platform.client.clone()),
             store_questions: platform.questions,
-            store_access: follower::StoreAccess::default(),
+            store_access: platform.store_access,
             store_read_failures: LogThrottle::default(),
             freshness_proof: ArcSwapOption::empty(),
             quotas: Quotas::default(),
--- a/crates/hemlocktack-node/src/peers/gossip.rs
+++ b/crates/hemlocktack-node/src/peers/gossip.rs
@@ -141,11 +141,14 @@
             self.execute(actions).await;
         }
         let own = self.node.own_member();
+        let contact = own.store_contact();
         let (epoch, successions) = (own.ticket_epoch, own.successions);
         let actions = self
             .membership
             .update_tickets(epoch, successions, &mut self.rng);
         self.execute(actions).await;
+        let actions = self.membership.set_store_contact(contact, &mut self.rng);
+        self.execute(actions).await;
         let generation = self.node.active_generation();
         let actions = self.membership.set_generation(generation, &mut self.rng);
         self.execute(actions).await;
--- a/crates/hemlocktack-node/src/peers/records.rs
+++ b/crates/hemlocktack-node/src/peers/records.rs
@@ -52,6 +52,7 @@
         ticket_epoch: 0,
         upstream: 0,
         slots: 0,
+        store_contact: 0,
         ..node.own_member()
     }
 }
--- a/crates/hemlocktack-node/src/run.rs
+++ b/crates/hemlocktack-node/src/run.rs
@@ -15,6 +15,7 @@
 use rocket::{Build, Config, Ignite, Rocket};
 use tokio::net::TcpListener;
 
+use crate::configuration::StoreAccess;
 use crate::freshness::StoreQuestions;
 use crate::node::{Node, PlatformAccess};
 use crate::settings::{self, AdjustableSettings, Invocation, RunSettings, Settings};
@@ -202,6 +203,7 @@
     let identity = NodeIncarnation::new(settings.node_id.clone(), rand::random());
     let platform = PlatformAccess {
         questions: StoreQuestions::new(identity.clone(), platform_settings.clone())?,
+        store_access: StoreAccess::new(Arc::new(follower_client(&platform_settings, interface)?)),
         client: Arc::new(Client::new(platform_settings)?),
     };
     let tracer = telemetry::start_tracer(&settings)?;
@@ -248,6 +250,20 @@
     }
 }
 
+/// Returns the client that follows the configuration. Few nodes read and watch, and their own
+/// schedule limits their calls.
+fn follower_client(settings: &ClientSettings, interface: Option<Interface>) -> Result<Client> {
+    let no_backoff = BackoffSettings {
+        first: Duration::ZERO,
+        longest: Duration::ZERO,
+    };
+    Ok(Client::new(ClientSettings {
+        rates: None,
+        backoff: interface.map_or(settings.backoff, |_| no_backoff),
+        ..settings.clone()
+    })?)
+}
+
 /// Serves until shutdown is requested and the last responses are sent.
 async fn serve_http(rocket: Rocket<Ignite>) -> Result<()> {
     match rocket.launch().await {
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::AtomicU64;
 
 use hemlocktack_decide::{NextStep, ShedLevel};
-use hemlocktack_protocol::{NodeState, NodeStatus, Outcome, Reason};
+use hemlocktack_protocol::{NodeState, NodeStatus, Outcome, Reason, StoreContact};
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -249,6 +249,9 @@
         help,
         u64::from(store.is_watching),
     );
+    let help = "1 if the store serves this node, 0 if it refuses it or is not asked";
+    let is_served = node.store_access.contact() == StoreContact::Served;
+    gauge(registry, "store_served", help, u64::from(is_served));
     let help = "Time since the store last answered a read or a watch of the configuration, 0 before the first answer";
     let age = store.answered_at.map(|answered_at| answered_at.elapsed());
     seconds(
--- a/crates/hemlocktack-node/src/telemetry/status.rs
+++ b/crates/hemlocktack-node/src/telemetry/status.rs
@@ -34,7 +34,7 @@
         load: Some(node.admission_queue.hint(ShedLevel::OPEN)),
         quarantined_fingerprints: quarantined,
         link_address: node.settings.link_address.to_string(),
-        platform_reachable: node.platform.is_answering(),
+        platform_reachable: node.store_access.client.is_answering(),
         entries: node.entry_counts.counts(),
         upstream_slots: reported_slots.unwrap_or_else(|| node.announced_slots()),
         upstream_slowness_percent: slowness.map_or(0, |factor| (factor * 100.0).round() as u32),
--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -189,6 +189,21 @@
         Ok(page.listing.revision)
     }
 
+    /// Asks the store for any answer, however outdated, within the timeout.
+    ///
+    /// The call neither waits for the backoff nor counts toward it, nor toward the budget: it shows
+    /// whether the store answers this node and must neither delay a read nor be delayed.
+    ///
+    /// # Errors
+    /// See [`Error`].
+    pub async fn probe(&self, timeout: Duration) -> Result<()> {
+        let read = self.codec().read_listing;
+        let request = self.request((self.codec().probe)(), timeout);
+        let read_error = self.codec().read_error;
+        let got = exchange(Access::Read, request, read_error, |body| read("", body)).await;
+        got.map(|_| ()).map_err(CallError::into_error)
+    }
+
     /// Reads all pages of a list. Pages may have different revisions; a watch from the first page's
     /// revision reports what changed between them.
     async fn list_pages(&self, prefix: &str, keys_only: bool) -> Result<Listing> {
--- a/crates/hemlocktack-platform/src/error.rs
+++ b/crates/hemlocktack-platform/src/error.rs
@@ -85,6 +85,14 @@
         }
     }
 
+    /// Returns whether the platform has answered the call, with whatever answer.
+    pub fn is_answer(&self) -> bool {
+        !matches!(
+            self,
+            Error::Unavailable { .. } | Error::BudgetSpent { .. } | Error::BadAddress { .. }
+        )
+    }
+
     /// Returns how long to wait before trying again; `None` if that would not help.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
--- a/crates/hemlocktack-platform/src/native_codec.rs
+++ b/crates/hemlocktack-platform/src/native_codec.rs
@@ -22,6 +22,7 @@
     get,
     list,
     revision: || list(NO_KEYS_PREFIX, None, true),
+    probe: || list(NO_KEYS_PREFIX, None, true),
     watch,
     put,
     delete,
--- a/crates/hemlocktack-platform/src/store_codec.rs
+++ b/crates/hemlocktack-platform/src/store_codec.rs
@@ -65,6 +65,9 @@
     pub list: fn(prefix: &str, after: Option<&str>, keys_only: bool) -> StoreCall,
     /// Encodes a read of the store's revision: a list without entries.
     pub revision: fn() -> StoreCall,
+    /// Smallest read that shows whether the store answers; its contents may be outdated.
+    /// `read_listing` decodes the response.
+    pub probe: fn() -> StoreCall,
     /// Encodes a watch for changes under a prefix.
     pub watch: fn(prefix: &str, after: Revision, wait: Duration) -> StoreCall,
     /// Encodes a conditional write: the object must have the version; 0 means it must not exist.
--- a/crates/hemlocktack-protocol/tests/generated.rs
+++ b/crates/hemlocktack-protocol/tests/generated.rs
@@ -8,7 +8,13 @@
 /// Set this to regenerate the code after a change of the schema.
 const REGENERATE_VARIABLE: &str = "HEMLOCKTACK_REGENERATE";
 /// Enums that are also written and parsed as kebab-case names.
-const NAMED_ENUMS: [&str; 4] = ["Outcome", "Reason", "NodeState", "UpstreamState"];
+const NAMED_ENUMS: [&str; 5] = [
+    "Outcome",
+    "Reason",
+    "NodeState",
+    "StoreContact",
+    "UpstreamState",
+];
 
 /// Fields that few messages have. Boxed, they cost the others no memory.
 const RARE_FIELDS: [&str; 2] = ["Call.upstream_notice", "Answer.upstream_notice"];
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -74,8 +74,9 @@
     308 WARN KeysNotAdmitted: "the node cannot prove that its configuration is recent enough; it refuses requests with keys and reports itself as not ready", "check whether the node reaches the platform and other nodes; 309 follows once it does";
     309 INFO KeysAdmitted: "the configuration is proved to be recent again; requests with keys are admitted", "nothing";
     310 INFO ConfigurationReceived: "a newer generation of the configuration has arrived; source says from where, and revision is the store's that this node knew then", "nothing; 301 follows, or 302";
-    311 INFO StoreWatchChanged: "this node has begun or ceased to watch the configuration in the platform's store", "nothing; the live nodes of a data centre with is_watching should be two";
+    311 INFO StoreWatchChanged: "this node has begun or ceased to watch the configuration in the platform's store; others_refused counts the other nodes of the data centre that the store refuses", "nothing; the live nodes of a data centre with is_watching should be two, or more for a moment after the store has refused some";
     312 WARN StoreReadFailed: "a read or a watch of the configuration ended without a valid answer of the platform's store", "read the error; if it repeats on the watching nodes of a data centre while others are answered, compare the ways to the store";
+    315 INFO StoreContactChanged: "the platform's store has begun to serve this node or to refuse it, or is no longer asked (unknown)", "if contact is refused, compare the ways to the store with those of the other nodes; they watch in place of this one";
 
     401 WARN LinkRefused: "a process opened a link and did not prove that it is a node of the fleet", "error says how far it got: if it closed the link before its proof, it may have meant another node; otherwise compare the fleet keys of both nodes, and if the address is not a node's, find out whose it is";
     402 INFO LinkLost: "a link to another node was lost; its calls are resolved over a new one", "nothing unless it repeats: then check the network between the two nodes";
