Platform: the store's era beside each revision, read from every answer

Callers saw a change that the store had acknowledged stay out of force: the store came back from a copy, gave a revision out again, and the bare number that a node kept stood for another content. Nothing read the store's era.

StoreRevision holds era and revision; two are equal only if both are, and there is no order. An answer to a watch in another era counts as RevisionGone; pages of two eras are listed again; a conditional write with a version of another era is not sent (EraEnded). A client that had no answer for 500 ms asks for the era first. An answer without an era, or with a smaller one, counts as a change of the era: read again, event 314. Event 313 and hemlocktack_store_era show a return, and 310 to 312 name the era.

Error::EraEnded is resolved by put_confirmed as a conflict is.

Tests: of the five in contract/eras.rs, four fail when the header is not read (record() returning None); a_record_that_the_return_lost passes without it too, through the conflict, and guards the new path. Changed tests: an expected version of 0 is None now, and numbers are taken out of StoreRevision; nothing that they check is different.

--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -7,7 +7,9 @@
 use hemlocktack_fleet::configuration::{
     ConfigurationAction, ConfigurationSettings, ConfigurationState, PeerView, watches_platform,
 };
-use hemlocktack_platform::{ConfigurationSnapshot, ConfigurationStore, Error, Revision};
+use hemlocktack_platform::{
+    ConfigurationSnapshot, ConfigurationStore, Error, SeenEra, StoreRevision,
+};
 use hemlocktack_protocol::{
     ConfigurationDocument, ConfigurationPull, Generation, Member, NodeState, frame,
 };
@@ -68,7 +70,8 @@
         state: ConfigurationState::new(settings, Instant::now()),
         store: Arc::new(ConfigurationStore::new(node.platform.clone())),
         parse_error: String::new(),
-        revision: 0,
+        revision: StoreRevision::default(),
+        seen_era: node.platform.eras().seen(),
         rng: StdRng::seed_from_u64(rand::random()),
         node: node.clone(),
     };
@@ -85,18 +88,25 @@
     /// Error of the last document that could not be parsed.
     parse_error: String,
     /// Revision from which to watch, as of the platform's last answer.
-    revision: Revision,
+    revision: StoreRevision,
+    /// What the answers to all calls of this node said of the store's era.
+    seen_era: SeenEra,
     rng: StdRng,
 }
 
 impl Follower {
     async fn run(mut self, mut events: mpsc::Receiver<Event>) {
         let node = self.node.clone();
+        let mut eras = node.platform.eras().subscribe();
         let mut ticks = tokio::time::interval(TICK_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 Some(event) = events.recv() => self.handle(event),
+                Ok(()) = eras.changed() => {
+                    let seen = *eras.borrow_and_update();
+                    self.era_changed(seen);
+                }
                 _ = ticks.tick() => {
                     let view = self.peer_view();
                     let actions = self.state.tick(Instant::now(), &view, &mut self.rng);
@@ -107,6 +117,19 @@
         }
     }
 
+    fn era_changed(&mut self, seen: SeenEra) {
+        let is_doubtful = seen.doubtful_changes > self.seen_era.doubtful_changes;
+        let era_before = self.seen_era.era;
+        self.seen_era = seen;
+        if !is_doubtful {
+            return;
+        }
+        if let Some(count) = self.node.doubtful_eras.record() {
+            let era = seen.era;
+            log_event!(LogEvent::StoreEraDoubtful, era, era_before, count);
+        }
+    }
+
     fn handle(&mut self, event: Event) {
         let now = Instant::now();
         let actions = match event {
@@ -152,7 +175,7 @@
         now: Instant,
         snapshot: ConfigurationSnapshot,
     ) -> Vec<ConfigurationAction> {
-        // May be lower than before if the store lost its newest writes; it is correct then, too.
+        self.log_era(snapshot.revision);
         self.revision = snapshot.revision;
         let document = snapshot.stored.map(|stored| stored.configuration);
         if let Some(document) = &document {
@@ -165,6 +188,21 @@
             .platform_answered(now, document, &view, &mut self.rng)
     }
 
+    /// Logs that the store answers in another era than before.
+    fn log_era(&self, revision: StoreRevision) {
+        let before = self.revision;
+        if before == StoreRevision::default() || before.era == revision.era {
+            return;
+        }
+        log_event!(
+            LogEvent::StoreReturned,
+            era = revision.era,
+            era_before = before.era,
+            revision = revision.number,
+            revision_before = before.number
+        );
+    }
+
     /// Logs a document that is newer than the active one. `source` is the store or the node that
     /// it came from.
     fn log_received(&self, document: &ConfigurationDocument, source: &str) {
@@ -172,11 +210,12 @@
         if generation <= self.state.generation() {
             return;
         }
-        let revision = self.revision;
+        let (era, revision) = (self.revision.era, self.revision.number);
         log_event!(
             LogEvent::ConfigurationReceived,
             generation,
             source,
+            era,
             revision
         );
     }
@@ -252,8 +291,9 @@
     fn peer_view(&self) -> PeerView {
         let view = self.members_view();
         if self.node.store_access.set_watching(view.is_watcher) {
-            let (is_watching, revision) = (view.is_watcher, self.revision);
-            log_event!(LogEvent::StoreWatchChanged, is_watching, revision);
+            let is_watching = view.is_watcher;
+            let (era, revision) = (self.revision.era, self.revision.number);
+            log_event!(LogEvent::StoreWatchChanged, is_watching, era, revision);
         }
         view
     }
@@ -281,7 +321,7 @@
     }
 }
 
-fn log_failed_read(node: &Node, is_watch: bool, revision: Revision, error: &Error) {
+fn log_failed_read(node: &Node, is_watch: bool, revision: StoreRevision, error: &Error) {
     node.store_access.failed();
     let Some(count) = node.store_read_failures.record() else {
         return;
@@ -289,7 +329,8 @@
     log_event!(
         LogEvent::StoreReadFailed,
         is_watch,
-        revision,
+        era = revision.era,
+        revision = revision.number,
         %error,
         count
     );
--- a/crates/hemlocktack-node/src/configuration/store_access.rs
+++ b/crates/hemlocktack-node/src/configuration/store_access.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use hemlocktack_platform::Revision;
+use hemlocktack_platform::StoreRevision;
 
 /// Result of the reads and watches of the configuration so far.
 #[derive(Clone, Copy, Debug, Default)]
@@ -12,7 +12,7 @@
     /// When the store last answered; `None` before the first answer.
     pub(crate) answered_at: Option<Instant>,
     /// Revision from which this node would watch next.
-    pub(crate) revision: Revision,
+    pub(crate) revision: StoreRevision,
     pub(crate) failed_count: u64,
 }
 
@@ -35,7 +35,7 @@
     }
 
     /// Records an answer of the store.
-    pub(crate) fn answered(&self, revision: Revision) {
+    pub(crate) fn answered(&self, revision: StoreRevision) {
         let mut seen = self.lock();
         seen.answered_at = Some(Instant::now());
         seen.revision = revision;
--- a/crates/hemlocktack-node/src/freshness/ask_store.rs
+++ b/crates/hemlocktack-node/src/freshness/ask_store.rs
@@ -8,7 +8,7 @@
 use hemlocktack_fleet::freshness::{FreshnessProof, FreshnessSettings};
 use hemlocktack_platform::{
     BackoffSettings, BudgetSettings, Client, ClientSettings, ConfigurationStore, NodeRecords, Rate,
-    Result, Revision,
+    Result, StoreRevision,
 };
 use hemlocktack_protocol::{BootTime, ConfigurationDocument, Generation, Incarnation};
 
@@ -29,7 +29,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct StoreContents {
     /// `None` if it was read at two revisions, or not yet.
-    revision: Option<Revision>,
+    revision: Option<StoreRevision>,
+    /// Changes of the store's era that were known before it was read.
+    era_changes: u64,
     generation: Generation,
     /// Starts of nodes that have a record.
     recorded: Vec<NodeIncarnation>,
@@ -101,13 +103,14 @@
 
     /// Asks the store for the newest configuration.
     ///
-    /// As long as the store's revision is the same, nothing in it has changed, so that a question
-    /// costs an answer of some bytes and not the whole configuration.
+    /// As long as the store's revision and era are the same, nothing in it has changed, so that a
+    /// question costs an answer of some bytes and not the whole configuration.
     pub(super) async fn ask(&self) -> Result<StoreAnswer> {
         let known = self.contents();
         let asked_at = boot_time();
         let revision = self.client.revision().await?;
-        if known.revision == Some(revision) {
+        let is_same_era = known.era_changes == self.client.eras().seen().changes;
+        if is_same_era && known.revision == Some(revision) {
             return Ok(StoreAnswer {
                 proof: known.proof(&self.own, asked_at),
                 configuration: None,
@@ -118,6 +121,7 @@
 
     async fn read(&self) -> Result<StoreAnswer> {
         let asked_at = boot_time();
+        let era_changes = self.client.eras().seen().changes;
         let (configuration, records) = futures::try_join!(
             self.configurations.read_with_revision(),
             self.records.list()
@@ -127,6 +131,7 @@
         let members = records.nodes.into_iter().map(|node| node.member);
         let contents = StoreContents {
             revision: is_one_state.then_some(records.revision),
+            era_changes,
             generation: stored.as_ref().map_or(0, |stored| stored.generation),
             recorded: members
                 .map(|member| NodeIncarnation::new(member.node_id.as_str(), member.incarnation))
--- a/crates/hemlocktack-node/src/telemetry/metrics.rs
+++ b/crates/hemlocktack-node/src/telemetry/metrics.rs
@@ -258,7 +258,10 @@
         age.unwrap_or_default().as_secs_f64(),
     );
     let help = "Revision of the store from which this node would watch next";
-    gauge(registry, "store_revision", help, store.revision);
+    gauge(registry, "store_revision", help, store.revision.number);
+    let help = "Era of the store in its last answer to any call of this node, 0 if it names none";
+    let era = node.platform.eras().seen().era;
+    gauge(registry, "store_era", help, era.unwrap_or_default());
     let help = "Reads and watches of the configuration without a valid answer of the store";
     counter(registry, "store_read_failures", help, store.failed_count);
 }
--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -1,17 +1,19 @@
 //! HTTP client of the object API.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use reqwest::{RequestBuilder, Url};
 use serde_json::Value;
 
-use crate::exchange::{Access, CallError, exchange, not_found_as_none, too_large, unavailable};
+use crate::exchange::{
+    Access, Answer, CallError, exchange, not_found_as_none, too_large, unavailable,
+};
 use crate::native_codec::NATIVE_CODEC;
 use crate::store_codec::{DecodeResult, StoreCall, StoreCodec};
 use crate::{
     Backoff, BackoffSettings, Budget, BudgetSettings, Effect, Error, Listing, Object,
-    PlatformRates, Result, Revision, Version, WatchResponse,
+    PlatformRates, Result, StoreEras, StoreRevision, WatchResponse,
 };
 
 /// Largest value that the platform stores.
@@ -24,6 +26,10 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// The platform responds in milliseconds; a call that takes this long is part of an outage.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Attempts to read all pages of a list in one era.
+const LIST_ATTEMPT_LIMIT: usize = 3;
+/// Time after an answer for which a conditional write relies on the era that it named.
+const ERA_VALIDITY: Duration = Duration::from_millis(500);
 
 /// Settings of a [`Client`].
 #[derive(Clone, Debug)]
@@ -41,6 +47,8 @@
     pub call_timeout: Duration,
     /// Wire format of the platform.
     pub codec: StoreCodec,
+    /// Eras that answers of the platform name; shared by all clients with a copy of the settings.
+    pub eras: Arc<StoreEras>,
 }
 
 impl ClientSettings {
@@ -53,6 +61,7 @@
             backoff: BackoffSettings::default(),
             call_timeout: CALL_TIMEOUT,
             codec: NATIVE_CODEC,
+            eras: Arc::default(),
         }
     }
 }
@@ -74,6 +83,10 @@
     reads: Budget,
     writes: Budget,
     backoff: Backoff,
+    /// Changes of the era that the backoff knows of.
+    era_changes: u64,
+    /// When a call last got a valid answer.
+    answered_at: Option<Instant>,
 }
 
 impl Limits {
@@ -115,6 +128,8 @@
             reads: Budget::new(settings.budget.reads, now),
             writes: Budget::new(settings.budget.writes, now),
             backoff: Backoff::new(settings.backoff),
+            era_changes: 0,
+            answered_at: None,
         };
         Ok(Client {
             settings,
@@ -126,24 +141,29 @@
 
     /// Returns whether the last call got a valid response; also true before the first call.
     pub fn is_answering(&self) -> bool {
-        let limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        let limits = self.lock();
         !limits.backoff.is_failing()
     }
 
     /// Sets how many nodes share the platform's rates.
     pub fn set_node_count(&self, nodes: usize) {
-        let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut limits = self.lock();
         limits.nodes = nodes;
         limits.apply_rates();
     }
 
     /// Sets the rates that the platform accepts from all nodes.
     pub fn set_rates(&self, rates: Option<PlatformRates>) {
-        let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut limits = self.lock();
         limits.rates = rates;
         limits.apply_rates();
     }
 
+    /// Returns the eras that answers of the platform name.
+    pub fn eras(&self) -> &StoreEras {
+        &self.settings.eras
+    }
+
     /// Returns the wire format of the platform.
     pub(crate) fn codec(&self) -> &StoreCodec {
         &self.settings.codec
@@ -157,7 +177,8 @@
         let read = self.codec().read_object;
         let call = (self.codec().get)(key);
         let got = self.call(Access::Read, call, |body| read(key, body));
-        not_found_as_none(got.await)
+        let got = not_found_as_none(got.await)?;
+        Ok(got.map(|answer| answer.value.in_era(answer.era)))
     }
 
     /// Lists all objects whose keys begin with the prefix.
@@ -176,39 +197,60 @@
         self.list_pages(prefix, true).await
     }
 
-    /// Reads the store's revision, which grows with each change of any object: as long as it is the
-    /// same, nothing in the store has changed.
+    /// Reads the store's revision, which grows with each change of any object: as long as it and
+    /// its era are the same, nothing in the store has changed.
     ///
     /// # Errors
     /// See [`Error`].
-    pub async fn revision(&self) -> Result<Revision> {
+    pub async fn revision(&self) -> Result<StoreRevision> {
         let read = self.codec().read_listing;
         let call = (self.codec().revision)();
         let got = self.call(Access::Read, call, |body| read("", body));
-        let page = got.await.map_err(CallError::into_error)?;
-        Ok(page.listing.revision)
+        let answer = got.await.map_err(CallError::into_error)?;
+        Ok(answer.value.listing.revision.in_era(answer.era))
     }
 
-    /// Reads all pages of a list. Pages may have different revisions; a watch from the first page's
-    /// revision reports what changed between them.
+    /// Reads all pages of a list, again if the era changes between two of them.
     async fn list_pages(&self, prefix: &str, keys_only: bool) -> Result<Listing> {
+        for _ in 0..LIST_ATTEMPT_LIMIT {
+            if let Some(listing) = self.list_pages_of_one_era(prefix, keys_only).await? {
+                return Ok(listing);
+            }
+        }
+        Err(Error::Unavailable {
+            effect: Effect::None,
+            detail: "the platform's era has changed within each attempt to read a list".to_owned(),
+            retry_after: Duration::ZERO,
+        })
+    }
+
+    /// Reads all pages of a list; `None` if their eras differ. Pages may have different revisions;
+    /// a watch from the first page's revision reports what changed between them.
+    async fn list_pages_of_one_era(
+        &self,
+        prefix: &str,
+        keys_only: bool,
+    ) -> Result<Option<Listing>> {
         let read = self.codec().read_listing;
         let mut whole: Option<Listing> = None;
         let mut after: Option<String> = None;
         loop {
             let call = (self.codec().list)(prefix, after.as_deref(), keys_only);
             let got = self.call(Access::Read, call, |body| read(prefix, body));
-            let page = got.await.map_err(CallError::into_error)?;
+            let answer = got.await.map_err(CallError::into_error)?;
+            let (page, era) = (answer.value, answer.era);
             let listing = match whole {
+                Some(listing) if listing.revision.era != era => return Ok(None),
                 Some(mut listing) => {
-                    listing.objects.extend(page.listing.objects);
-                    listing.unreadable_count += page.listing.unreadable_count;
+                    let next = page.listing.in_era(era);
+                    listing.objects.extend(next.objects);
+                    listing.unreadable_count += next.unreadable_count;
                     listing
                 }
-                None => page.listing,
+                None => page.listing.in_era(era),
             };
             if page.next_after.is_none() || page.next_after <= after {
-                return Ok(listing);
+                return Ok(Some(listing));
             }
             whole = Some(listing);
             after = page.next_after;
@@ -218,22 +260,29 @@
     /// Waits up to `wait` for changes under the prefix after the revision.
     ///
     /// # Errors
-    /// See [`Error`]; after `RevisionGone` the objects have to be listed again.
+    /// See [`Error`]; after `RevisionGone` the objects have to be listed again. An answer of another
+    /// era counts as that, too: its events do not continue what was read before.
     pub async fn watch(
         &self,
         prefix: &str,
-        after: Revision,
+        after: StoreRevision,
         wait: Duration,
     ) -> Result<WatchResponse> {
         let read = self.codec().read_watched;
-        let call = (self.codec().watch)(prefix, after, wait);
+        let call = (self.codec().watch)(prefix, after.number, wait);
         let timeout = wait + self.settings.call_timeout;
+        let era_changes = self.eras().seen().changes;
         let got = self.call_within(timeout, Access::Read, call, |body| read(prefix, body));
-        got.await.map_err(CallError::into_error)
+        let answer = got.await.map_err(CallError::into_error)?;
+        let era_changed = self.eras().seen().changes != era_changes;
+        if era_changed || answer.era != after.era {
+            return Err(Error::RevisionGone);
+        }
+        Ok(answer.value.in_era(answer.era))
     }
 
-    /// Replaces the value of an object if it has the expected version; 0 means that it must not
-    /// exist.
+    /// Replaces the value of an object if it has the expected version; `None` means that it must
+    /// not exist.
     ///
     /// # Errors
     /// See [`Error`]. With `Effect::Possible` it is not known whether the value was stored;
@@ -241,10 +290,11 @@
     pub async fn put_conditional(
         &self,
         key: &str,
-        expected_version: Version,
+        expected_version: Option<StoreRevision>,
         value: &Value,
-    ) -> Result<Version> {
-        let call = (self.codec().put)(key, expected_version, value);
+    ) -> Result<StoreRevision> {
+        let expected_number = expected_version.map_or(0, |version| version.number);
+        let call = (self.codec().put)(key, expected_number, value);
         if call
             .body
             .as_ref()
@@ -252,10 +302,18 @@
         {
             return Err(too_large());
         }
+        self.confirm_era(expected_version).await?;
         let got = self.call(Access::Write, call, self.codec().read_written);
-        match got.await {
-            Err(CallError::NotFound) => Err(Error::Conflict { current_version: 0 }),
-            other => other.map_err(CallError::into_error),
+        let answer = match got.await {
+            Err(CallError::NotFound) => return Err(Error::Conflict { current_version: 0 }),
+            other => other.map_err(CallError::into_error)?,
+        };
+        let stored = StoreRevision::from(answer.value).in_era(answer.era);
+        match expected_version {
+            Some(expected) if expected.era != stored.era => Err(Error::EraEnded {
+                effect: Effect::Possible,
+            }),
+            _ => Ok(stored),
         }
     }
 
@@ -263,12 +321,41 @@
     ///
     /// # Errors
     /// See [`Error`].
-    pub async fn delete(&self, key: &str, expected_version: Version) -> Result<()> {
-        let call = (self.codec().delete)(key, expected_version);
+    pub async fn delete(&self, key: &str, expected_version: StoreRevision) -> Result<()> {
+        self.confirm_era(Some(expected_version)).await?;
+        let call = (self.codec().delete)(key, expected_version.number);
         let got = self.call(Access::Write, call, self.codec().read_deleted);
         not_found_as_none(got.await).map(|_| ())
     }
 
+    /// Fails if the version is of another era than the store's answers are now.
+    ///
+    /// The store compares the revision only. After its return from a copy the number may stand for
+    /// another content, which a write with the old number would replace. A node that has not called
+    /// for long does not know of the return, so it asks first.
+    async fn confirm_era(&self, expected_version: Option<StoreRevision>) -> Result<()> {
+        let Some(expected) = expected_version else {
+            return Ok(());
+        };
+        if expected.era.is_none() && self.eras().seen().era.is_none() {
+            return Ok(());
+        }
+        let is_recent = self
+            .lock()
+            .answered_at
+            .is_some_and(|at| at.elapsed() < ERA_VALIDITY);
+        let era = match is_recent {
+            true => self.eras().seen().era,
+            false => self.revision().await?.era,
+        };
+        if era == expected.era {
+            return Ok(());
+        }
+        Err(Error::EraEnded {
+            effect: Effect::None,
+        })
+    }
+
     fn url(&self, call: &StoreCall) -> Url {
         let mut url = self.base_url.clone();
         url.set_path(&format!(
@@ -298,7 +385,7 @@
         access: Access,
         call: StoreCall,
         read: impl FnOnce(&[u8]) -> DecodeResult<T>,
-    ) -> std::result::Result<T, CallError> {
+    ) -> std::result::Result<Answer<T>, CallError> {
         self.call_within(self.settings.call_timeout, access, call, read)
             .await
     }
@@ -309,11 +396,10 @@
         access: Access,
         call: StoreCall,
         read: impl FnOnce(&[u8]) -> DecodeResult<T>,
-    ) -> std::result::Result<T, CallError> {
+    ) -> std::result::Result<Answer<T>, CallError> {
         self.admit(access, Instant::now())?;
         let request = self.request(call, timeout);
-        let read_error = self.codec().read_error;
-        let result = exchange(access, request, read_error, read).await;
+        let result = exchange(access, request, self.codec(), self.eras(), read).await;
         let failed = matches!(
             result,
             Err(CallError::Failed(
@@ -325,7 +411,13 @@
     }
 
     fn admit(&self, access: Access, now: Instant) -> Result<()> {
-        let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        let era_changes = self.eras().seen().changes;
+        let mut limits = self.lock();
+        if limits.era_changes != era_changes {
+            // The store has answered another client of this node.
+            limits.era_changes = era_changes;
+            limits.backoff.succeeded();
+        }
         if let Some(wait) = limits.backoff.wait(now) {
             return Err(Error::Unavailable {
                 effect: Effect::None,
@@ -343,12 +435,17 @@
     }
 
     fn record(&self, failed: bool, now: Instant) -> Duration {
-        let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut limits = self.lock();
         if failed {
             limits.backoff.failed(now, rand::random::<f64>());
         } else {
             limits.backoff.succeeded();
+            limits.answered_at = Some(now);
         }
         limits.backoff.wait(now).unwrap_or_default()
     }
+
+    fn lock(&self) -> MutexGuard<'_, Limits> {
+        self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/hemlocktack-platform/src/configuration.rs
+++ b/crates/hemlocktack-platform/src/configuration.rs
@@ -10,7 +10,7 @@
 use hemlocktack_protocol::{ConfigurationDocument, Generation};
 use serde_json::Value;
 
-use crate::{Client, Effect, Error, Object, Result, Revision, Version};
+use crate::{Client, Effect, Error, Object, Result, StoreRevision};
 
 const CURRENT_KEY: &str = "configuration/current";
 const HISTORY_PREFIX: &str = "configuration/history/";
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct StoredConfiguration {
     /// Version to expect in the next conditional write.
-    pub version: Version,
+    pub version: StoreRevision,
     /// The stored document.
     pub configuration: ConfigurationDocument,
 }
@@ -36,7 +36,7 @@
 pub struct ConfigurationSnapshot {
     /// Store revision to watch from next. It grows with writes to any object, so the store still
     /// knows it after it has compacted the configuration's own version.
-    pub revision: Revision,
+    pub revision: StoreRevision,
     /// The configuration; `None` if there is none, or none newer in response to a watch.
     pub stored: Option<StoredConfiguration>,
 }
@@ -157,7 +157,7 @@
     /// revision it returns.
     pub async fn watch_newer(
         &self,
-        after: Revision,
+        after: StoreRevision,
         wait: Duration,
     ) -> Result<ConfigurationSnapshot> {
         let watched = self.client.watch(CURRENT_KEY, after, wait).await?;
@@ -192,7 +192,7 @@
         if newest_generation != change.expected_generation {
             return self.detect_repeat(change, newest.as_ref()).await;
         }
-        let mut expected_version = 0;
+        let mut expected_version = None;
         if let Some(newest) = &newest {
             if newest.configuration.change_id == change.change_id {
                 return Ok(Applied::ChangeIdReused {
@@ -200,7 +200,7 @@
                 });
             }
             self.copy_to_history(&newest.configuration).await?;
-            expected_version = newest.version;
+            expected_version = Some(newest.version);
         }
         let next = ConfigurationDocument {
             generation: newest_generation + 1,
@@ -220,7 +220,9 @@
                     generation: next.generation,
                 })
             }
-            Err(Error::Conflict { .. }) => self.detect_repeat_after_conflict(change).await,
+            Err(Error::Conflict { .. } | Error::EraEnded { .. }) => {
+                self.detect_repeat_after_conflict(change).await
+            }
             Err(error) => Err(error),
         }
     }
@@ -299,7 +301,7 @@
     async fn copy_to_history(&self, configuration: &ConfigurationDocument) -> Result<()> {
         let key = history_key(configuration.generation);
         let value = self.encode(configuration)?;
-        match self.client.put_confirmed(&key, 0, &value).await {
+        match self.client.put_confirmed(&key, None, &value).await {
             Ok(_) | Err(Error::Conflict { .. }) => Ok(()),
             Err(error) => Err(with_no_effect(error)),
         }
--- a/crates/hemlocktack-platform/src/error.rs
+++ b/crates/hemlocktack-platform/src/error.rs
@@ -58,6 +58,13 @@
     /// The platform cannot watch from that revision; list the objects again.
     #[display("the platform no longer has the changes after this revision")]
     RevisionGone,
+    /// The expected version is of another era of the store than its answers are now; read the
+    /// object again.
+    #[display("the object's version is of another era of the platform; {effect}")]
+    EraEnded {
+        /// Whether a write may have taken effect.
+        effect: Effect,
+    },
     /// The platform's address in the settings is invalid.
     #[display("invalid platform address {base_url:?}")]
     BadAddress {
@@ -76,7 +83,9 @@
     /// Returns whether the failed write may have changed the object.
     pub fn effect(&self) -> Effect {
         match self {
-            Error::Unavailable { effect, .. } | Error::Malformed { effect, .. } => *effect,
+            Error::Unavailable { effect, .. }
+            | Error::Malformed { effect, .. }
+            | Error::EraEnded { effect } => *effect,
             Error::Conflict { .. }
             | Error::TooLarge { .. }
             | Error::RevisionGone
@@ -95,6 +104,7 @@
             Error::Conflict { .. }
             | Error::TooLarge { .. }
             | Error::RevisionGone
+            | Error::EraEnded { .. }
             | Error::BadAddress { .. } => None,
         }
     }
--- a/crates/hemlocktack-platform/src/exchange.rs
+++ b/crates/hemlocktack-platform/src/exchange.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use reqwest::{RequestBuilder, Response, StatusCode};
+use reqwest::{RequestBuilder, Response};
 
 use crate::client::VALUE_LIMIT_BYTES;
-use crate::store_codec::{DecodeResult, StoreError};
-use crate::{Effect, Error, Result};
+use crate::store_codec::{DecodeResult, StoreCodec, StoreError};
+use crate::{Effect, Era, Error, Result, StoreEras};
 
 /// Larger responses are not read to the end; a list of 560 records is under 1 MiB.
 const ANSWER_LIMIT_BYTES: usize = 32 << 20;
@@ -80,12 +80,19 @@
     }
 }
 
+/// Decoded answer with the era that its head names.
+pub(crate) struct Answer<T> {
+    pub(crate) value: T,
+    pub(crate) era: Option<Era>,
+}
+
 pub(crate) async fn exchange<T>(
     access: Access,
     request: RequestBuilder,
-    read_error: fn(StatusCode, &[u8]) -> StoreError,
+    codec: &StoreCodec,
+    eras: &StoreEras,
     read: impl FnOnce(&[u8]) -> DecodeResult<T>,
-) -> std::result::Result<T, CallError> {
+) -> std::result::Result<Answer<T>, CallError> {
     let effect_if_lost = access.effect_of_lost_answer();
     let response = request.send().await.map_err(|error| {
         let effect = if error.is_connect() {
@@ -96,12 +103,16 @@
         unavailable(effect, &error, Duration::ZERO)
     })?;
     let status = response.status();
+    let era = eras.record(response.headers().get(codec.era_header));
     let body = read_body(response, effect_if_lost).await?;
     if !status.is_success() {
-        return Err(into_call_error(read_error(status, &body), effect_if_lost));
+        return Err(into_call_error(
+            (codec.read_error)(status, &body),
+            effect_if_lost,
+        ));
     }
     let value = read(&body).map_err(|detail| malformed(effect_if_lost, detail))?;
-    Ok(value)
+    Ok(Answer { value, era })
 }
 
 async fn read_body(mut response: Response, effect_if_lost: Effect) -> Result<Bytes> {
--- a/crates/hemlocktack-platform/src/lib.rs
+++ b/crates/hemlocktack-platform/src/lib.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod client;
 mod configuration;
+mod eras;
 mod error;
 mod exchange;
 mod native_codec;
@@ -20,8 +21,11 @@
 pub use configuration::{
     Applied, Change, ConfigurationSnapshot, ConfigurationStore, HISTORY_LENGTH, StoredConfiguration,
 };
+pub use eras::{SeenEra, StoreEras};
 pub use error::{Effect, Error, Result};
 pub use native_codec::NATIVE_CODEC;
 pub use nodes::{NodeRecords, Publication, PublishedNode, PublishedNodes, RecordChange};
 pub use store_codec::{DecodeResult, ListingPage, StoreCall, StoreCodec, StoreError};
-pub use values::{Listing, Object, Revision, Version, WatchResponse, WatchedObject};
+pub use values::{
+    Era, Listing, Object, Revision, StoreRevision, Version, WatchResponse, WatchedObject,
+};
--- a/crates/hemlocktack-platform/src/native_codec.rs
+++ b/crates/hemlocktack-platform/src/native_codec.rs
@@ -19,6 +19,7 @@
 
 /// The project's own wire format.
 pub const NATIVE_CODEC: StoreCodec = StoreCodec {
+    era_header: "object-store-era",
     get,
     list,
     revision: || list(NO_KEYS_PREFIX, None, true),
--- a/crates/hemlocktack-platform/src/nodes.rs
+++ b/crates/hemlocktack-platform/src/nodes.rs
@@ -8,7 +8,7 @@
 use hemlocktack_protocol::{Incarnation, Member};
 use serde_json::Value;
 
-use crate::{Client, Effect, Error, Object, Result, Revision, Version};
+use crate::{Client, Effect, Error, Object, Result, StoreRevision};
 
 const PREFIX: &str = "nodes/";
 /// Attempts of one publication; after as many conflicting writes the next refresh tries again.
@@ -44,7 +44,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct PublishedNode {
     /// Version to pass to `delete`.
-    pub version: Version,
+    pub version: StoreRevision,
     /// The node's description of itself.
     pub member: Member,
 }
@@ -53,7 +53,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct PublishedNodes {
     /// Revision at which the records were read.
-    pub revision: Revision,
+    pub revision: StoreRevision,
     /// Records in order of node ids.
     pub nodes: Vec<PublishedNode>,
     /// Keys of records that cannot be decoded; the others are returned all the same.
@@ -67,7 +67,7 @@
 pub struct NodeRecords {
     client: Arc<Client>,
     /// Version of this node's record; `None` until this start has published it.
-    own_version: Mutex<Option<Version>>,
+    own_version: Mutex<Option<StoreRevision>>,
 }
 
 impl NodeRecords {
@@ -90,7 +90,7 @@
     pub async fn publish(&self, member: &Member) -> Result<Publication> {
         let key = key(&member.node_id);
         let value = serde_json::to_value(member).map_err(|error| malformed(&key, &error))?;
-        let mut expected_version = self.own_version().unwrap_or(0);
+        let mut expected_version = self.own_version();
         let mut change = match self.own_version() {
             Some(_) => RecordChange::Refreshed,
             None => RecordChange::Created,
@@ -102,18 +102,18 @@
                     self.set_own_version(Some(version));
                     return Ok(Publication::Published(change));
                 }
-                Err(Error::Conflict { .. }) => {}
+                Err(Error::Conflict { .. } | Error::EraEnded { .. }) => {}
                 Err(error) => return Err(error),
             }
             let found = self.client.get(&key).await?;
             if let Some(by_incarnation) = self.replaced_by(member, found.as_ref()) {
                 return Ok(Publication::Replaced { by_incarnation });
             }
-            expected_version = found.as_ref().map_or(0, |object| object.version);
+            expected_version = found.as_ref().map(|object| object.version);
             change = change_of(member, found);
         }
         Err(Error::Conflict {
-            current_version: expected_version,
+            current_version: expected_version.map_or(0, |version| version.number),
         })
     }
 
@@ -172,14 +172,14 @@
         (found.incarnation != own.incarnation).then_some(found.incarnation)
     }
 
-    fn own_version(&self) -> Option<Version> {
+    fn own_version(&self) -> Option<StoreRevision> {
         *self
             .own_version
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn set_own_version(&self, version: Option<Version>) {
+    fn set_own_version(&self, version: Option<StoreRevision>) {
         *self
             .own_version
             .lock()
--- a/crates/hemlocktack-platform/src/resolve.rs
+++ b/crates/hemlocktack-platform/src/resolve.rs
@@ -4,7 +4,7 @@
 
 use serde_json::Value;
 
-use crate::{Client, Effect, Error, Result, Version};
+use crate::{Client, Effect, Error, Result, StoreRevision};
 
 /// Time after which a write that is still ambiguous is reported as such; an operator is waiting for
 /// the result.
@@ -27,24 +27,26 @@
     pub async fn put_confirmed(
         &self,
         key: &str,
-        expected_version: Version,
+        expected_version: Option<StoreRevision>,
         value: &Value,
-    ) -> Result<Version> {
+    ) -> Result<StoreRevision> {
         let deadline = Instant::now() + RESOLVE_TIMEOUT;
         let mut lost_answer: Option<Error> = None;
         for _ in 0..ATTEMPT_LIMIT {
             let error = match self.put_conditional(key, expected_version, value).await {
                 Ok(version) => return Ok(version),
-                Err(Error::Conflict { current_version }) if lost_answer.is_some() => {
-                    let stored = self.stored_version(key, value, deadline).await;
-                    return match stored {
-                        Ok(Some(version)) => Ok(version),
-                        Ok(None) => Err(Error::Conflict { current_version }),
-                        Err(_) => Err(lost_answer.unwrap_or(Error::Conflict { current_version })),
-                    };
-                }
                 Err(error) => error,
             };
+            let is_refused = matches!(error, Error::Conflict { .. } | Error::EraEnded { .. });
+            let may_be_stored = lost_answer.is_some() || error.effect() == Effect::Possible;
+            if is_refused && may_be_stored {
+                let stored = self.stored_version(key, value, deadline).await;
+                return match stored {
+                    Ok(Some(version)) => Ok(version),
+                    Ok(None) => Err(error),
+                    Err(_) => Err(lost_answer.unwrap_or(error)),
+                };
+            }
             let Some(wait) = retry_delay(&error, deadline) else {
                 return Err(lost_answer.unwrap_or(error));
             };
@@ -67,7 +69,7 @@
         key: &str,
         value: &Value,
         deadline: Instant,
-    ) -> Result<Option<Version>> {
+    ) -> Result<Option<StoreRevision>> {
         loop {
             let error = match self.get(key).await {
                 Ok(object) => {
--- a/crates/hemlocktack-platform/src/store_codec.rs
+++ b/crates/hemlocktack-platform/src/store_codec.rs
@@ -59,6 +59,8 @@
 /// as `nodes/NAME` and `configuration/current`.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreCodec {
+    /// Header of all answers that names the store's era, in lower case.
+    pub era_header: &'static str,
     /// Encodes a read of one object.
     pub get: fn(key: &str) -> StoreCall,
     /// Encodes a read of all objects under a prefix; `after` is the previous page's `next_after`.
--- a/crates/hemlocktack-platform/tests/contract/client.rs
+++ b/crates/hemlocktack-platform/tests/contract/client.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::support::{client, kind, settings, start_platform};
-use hemlocktack_platform::{Client, ClientSettings, Result, VALUE_LIMIT_BYTES};
+use hemlocktack_platform::{Client, ClientSettings, Result, StoreRevision, VALUE_LIMIT_BYTES};
 use hemlocktack_testkit::Relay;
 use hemlocktack_testkit::platform::Switches;
 use serde_json::{Value, json};
@@ -71,7 +71,7 @@
     "delete missing",
 ];
 
-async fn run(client: &Client, operation: &str, version: u64) -> Result<String> {
+async fn run(client: &Client, operation: &str, version: StoreRevision) -> Result<String> {
     let value = json!({ "new": true });
     match operation {
         "get" => client.get("a/1").await.map(|object| format!("{object:?}")),
@@ -82,11 +82,15 @@
             watched.map(|watched| format!("{watched:?}"))
         }
         "put" => {
-            let version = client.put_conditional("a/1", version, &value).await;
+            let version = client.put_conditional("a/1", Some(version), &value).await;
             version.map(|version| format!("version {version}"))
         }
         "put, other version" => {
-            let version = client.put_conditional("a/1", version + 7, &value).await;
+            let other = StoreRevision {
+                number: version.number + 7,
+                ..version
+            };
+            let version = client.put_conditional("a/1", Some(other), &value).await;
             version.map(|version| format!("version {version}"))
         }
         "delete" => client.delete("a/1", version).await.map(|()| "done".into()),
@@ -105,7 +109,10 @@
         for operation in OPERATIONS {
             let platform = start_platform().await;
             let before = client(platform.address());
-            let version = before.put_conditional("a/1", 0, &json!({})).await.unwrap();
+            let version = before
+                .put_conditional("a/1", None, &json!({}))
+                .await
+                .unwrap();
             platform.set(fault.switches.clone());
             let seen = run(&client(platform.address()), operation, version).await;
             platform.set(Switches::default());
@@ -133,7 +140,7 @@
         tokio::task::yield_now().await;
     }
     let error = client(address)
-        .put_conditional("a/1", 0, &json!({}))
+        .put_conditional("a/1", None, &json!({}))
         .await
         .unwrap_err();
     assert_eq!(kind(&error), "Unavailable, no effect");
@@ -151,7 +158,10 @@
     let far = client(relay.address);
     let watching = tokio::spawn({
         let far = far.clone();
-        async move { far.watch("a/", 0, Duration::from_secs(30)).await }
+        async move {
+            far.watch("a/", StoreRevision::default(), Duration::from_secs(30))
+                .await
+        }
     });
     while platform.counts().watches == 0 {
         tokio::time::sleep(Duration::from_millis(1)).await;
@@ -159,10 +169,13 @@
     relay.cut();
     let error = watching.await.unwrap().unwrap_err();
     assert_eq!(kind(&error), "Unavailable, no effect");
-    near.put_conditional("a/1", 0, &json!(1)).await.unwrap();
+    near.put_conditional("a/1", None, &json!(1)).await.unwrap();
     relay.restore();
     let watched = loop {
-        match far.watch("a/", 0, Duration::from_secs(30)).await {
+        match far
+            .watch("a/", StoreRevision::default(), Duration::from_secs(30))
+            .await
+        {
             Ok(watched) => break watched,
             Err(error) => tokio::time::sleep(error.retry_after().unwrap()).await,
         }
@@ -175,7 +188,7 @@
 async fn a_watch_from_an_unknown_revision_fails() {
     let platform = start_platform().await;
     let client = client(platform.address());
-    let error = client.watch("a/", 99, WAIT).await.unwrap_err();
+    let error = client.watch("a/", 99.into(), WAIT).await.unwrap_err();
     assert_eq!(kind(&error), "RevisionGone");
 }
 
@@ -186,9 +199,12 @@
     let client = client(platform.address());
     let quotes = 2;
     let largest = Value::String("x".repeat(VALUE_LIMIT_BYTES - quotes));
-    client.put_conditional("a/1", 0, &largest).await.unwrap();
+    client.put_conditional("a/1", None, &largest).await.unwrap();
     let larger = Value::String("x".repeat(VALUE_LIMIT_BYTES - quotes + 1));
-    let error = client.put_conditional("a/2", 0, &larger).await.unwrap_err();
+    let error = client
+        .put_conditional("a/2", None, &larger)
+        .await
+        .unwrap_err();
     assert_eq!(kind(&error), "TooLarge over 1048576 bytes");
     assert_eq!(platform.counts().puts, 1);
 }
@@ -219,8 +235,8 @@
         lose_answers: 1,
         ..Switches::default()
     });
-    let version = client.put_confirmed("a/1", 0, &json!("mine")).await;
-    assert_eq!(version, Ok(1));
+    let version = client.put_confirmed("a/1", None, &json!("mine")).await;
+    assert_eq!(version, Ok(1.into()));
     assert_eq!(platform.counts().puts, 2);
     assert_eq!(platform.counts().conflicts, 1);
 }
@@ -236,7 +252,7 @@
         ..Switches::default()
     });
     let error = client
-        .put_confirmed("a/1", 0, &json!("mine"))
+        .put_confirmed("a/1", None, &json!("mine"))
         .await
         .unwrap_err();
     assert_eq!(kind(&error), "Malformed, effect possible");
--- a/crates/hemlocktack-platform/tests/contract/configuration.rs
+++ b/crates/hemlocktack-platform/tests/contract/configuration.rs
@@ -223,7 +223,7 @@
     let (platform, _client, store) = start().await;
     let watching = tokio::spawn({
         let store = store.clone();
-        async move { store.watch_newer(0, LONG_WAIT).await }
+        async move { store.watch_newer(0.into(), LONG_WAIT).await }
     });
     while platform.counts().watches == 0 {
         tokio::time::sleep(Duration::from_millis(1)).await;
@@ -238,7 +238,7 @@
     assert_eq!(second.configuration.generation, 2);
     let none = store.watch_newer(seen.revision, Duration::from_millis(5));
     assert_eq!(none.await.unwrap().stored, None);
-    let unknown_revision = store.watch_newer(u64::MAX, LONG_WAIT).await;
+    let unknown_revision = store.watch_newer(u64::MAX.into(), LONG_WAIT).await;
     assert_eq!(unknown_revision, Err(Error::RevisionGone));
     let read_again = store.read_with_revision().await.unwrap();
     assert_eq!(read_again.stored, Some(second));
@@ -251,7 +251,7 @@
 async fn a_watch_resumes_from_the_revision_of_the_read() {
     let (platform, client, store) = start().await;
     store.apply(&change("one", 0)).await.unwrap();
-    let written = client.put_conditional("nodes/a", 0, &1.into()).await;
+    let written = client.put_conditional("nodes/a", None, &1.into()).await;
     assert!(written.is_ok());
     platform.set(Switches {
         forgets_revisions: true,
--- a/crates/hemlocktack-platform/tests/contract/limits.rs
+++ b/crates/hemlocktack-platform/tests/contract/limits.rs
@@ -118,7 +118,7 @@
     let error = client.get("a").await.unwrap_err();
     assert_eq!(kind(&error), "BudgetSpent");
     assert!(error.retry_after().unwrap() > Duration::from_secs(3_600));
-    client.put_conditional("a", 0, &json!(1)).await.unwrap();
+    client.put_conditional("a", None, &json!(1)).await.unwrap();
     assert_eq!(platform.counts().gets, 2);
     assert_eq!(platform.counts().puts, 1);
 }
--- a/crates/hemlocktack-platform/tests/contract/main.rs
+++ b/crates/hemlocktack-platform/tests/contract/main.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod configuration;
+mod eras;
 mod limits;
 mod nodes;
 mod support;
--- a/crates/hemlocktack-platform/tests/contract/nodes.rs
+++ b/crates/hemlocktack-platform/tests/contract/nodes.rs
@@ -81,7 +81,7 @@
     let records = NodeRecords::new(client.clone());
     let junk = json!({ "node_id": 7 });
     client
-        .put_conditional("nodes/junk", 0, &junk)
+        .put_conditional("nodes/junk", None, &junk)
         .await
         .unwrap();
     records.publish(&member(1, 1)).await.unwrap();
--- a/crates/hemlocktack-platform/tests/contract/support.rs
+++ b/crates/hemlocktack-platform/tests/contract/support.rs
@@ -50,6 +50,7 @@
         Error::Malformed { effect, .. } => format!("Malformed, {}", effect_name(*effect)),
         Error::TooLarge { limit_bytes } => format!("TooLarge over {limit_bytes} bytes"),
         Error::RevisionGone => "RevisionGone".to_owned(),
+        Error::EraEnded { effect } => format!("EraEnded, {}", effect_name(*effect)),
         Error::BadAddress { .. } => "BadAddress".to_owned(),
         Error::BudgetSpent { .. } => "BudgetSpent".to_owned(),
     }
--- a/crates/hemlocktack-testkit/src/platform/routes.rs
+++ b/crates/hemlocktack-testkit/src/platform/routes.rs
@@ -13,6 +13,7 @@
 use crate::platform::store::Conflict;
 use crate::platform::{Shared, Switches, VALUE_LIMIT_BYTES};
 
+const ERA_HEADER: &str = "Object-Store-Era";
 const WATCH_WAIT_LIMIT_MS: u64 = 60_000;
 
 #[derive(Clone)]
@@ -21,7 +22,10 @@
 #[rocket::async_trait]
 impl Handler for Routes {
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
-        let reply = self.0.route(request, data).await;
+        let mut reply = self.0.route(request, data).await;
+        if let Some(era) = self.0.era().clone() {
+            reply = reply.with_header(ERA_HEADER, era);
+        }
         Outcome::Success(reply.into_response())
     }
 }
--- a/crates/hemlocktack-testkit/src/platform/store.rs
+++ b/crates/hemlocktack-testkit/src/platform/store.rs
@@ -31,8 +31,8 @@
 }
 
 /// Deleted objects are kept as tombstones, so that watches report them.
-#[derive(Debug, Default)]
-struct Objects {
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Objects {
     revision: u64,
     by_key: BTreeMap<String, Object>,
 }
@@ -108,6 +108,14 @@
         Ok(version)
     }
 
+    pub(crate) fn copy(&self) -> Objects {
+        self.lock().clone()
+    }
+
+    pub(crate) fn restore(&self, copy: &Objects) {
+        self.lock().clone_from(copy);
+    }
+
     pub(crate) fn revisions(&self) -> watch::Receiver<u64> {
         self.revision.subscribe()
     }
