Configuration: a read after each broken watch, and at once in a new era

Callers saw a confirmed change stay out of force at all nodes: after a failed watch the follower watched on from its old revision, which the returned store had given to another content, and heard nothing until the next write.

Now a read precedes the watch after any broken one. A new era that an answer to any call of the node names ends its outstanding watch, whose connection the store may have forgotten, and the node reads at once, also if it does not watch. Answers to calls from before give their document and nothing else. The first broken watch causes no pause after its read; further ones in a row do, doubling from 250 ms to the 2 s of before. Reads because of eras are 1 s apart, for a store whose every answer names another one. A watch answered with a smaller revision than it started from counts as RevisionGone.

--- a/crates/hemlocktack-fleet/src/configuration/from_platform.rs
+++ b/crates/hemlocktack-fleet/src/configuration/from_platform.rs
@@ -8,9 +8,13 @@
 use super::settings::ConfigurationSafeguard;
 use super::state::{ConfigurationAction, ConfigurationState, PeerView};
 
-/// Maximum delay before the next watch after the platform refused one. Short enough that a change
-/// still becomes active within seconds.
+/// Delay before the next watch after two in a row were refused or broke; doubles with each further
+/// one.
+const FIRST_REWATCH_DELAY: Duration = Duration::from_millis(250);
+/// Maximum of that delay. Short enough that a change still becomes active within seconds.
 const MAX_REWATCH_DELAY: Duration = Duration::from_secs(2);
+/// Minimum time between reads because of a new era, in case each answer names another one.
+const MIN_RETURN_INTERVAL: Duration = Duration::from_secs(1);
 
 impl ConfigurationState {
     /// Handles an answer of the platform: a document, or `None` if nothing is newer than the active
@@ -26,9 +30,12 @@
         if let Some(document) = document {
             self.apply_if_newer(document, &mut actions);
         }
+        if std::mem::take(&mut self.is_watch_outstanding) {
+            self.broken_watches = 0;
+        }
         let delay = self.delay_after_answer(view, rng);
         self.platform.record_success(now, delay);
-        self.is_revision_gone = false;
+        self.must_read = false;
         if self.current.is_some() && !self.is_behind() {
             self.catch_up(&mut actions);
         }
@@ -36,14 +43,41 @@
     }
 
     /// Handles that the platform no longer knows the revision that the watch started from. A read
-    /// follows at once, and a delay before the next watch.
+    /// follows at once.
     pub fn revision_gone(&mut self, now: Instant) {
+        self.record_broken_watch();
         self.platform.record_success(now, Duration::ZERO);
-        self.is_revision_gone = true;
+    }
+
+    /// Handles that the platform's store has come back from a copy, as the answer to any call of
+    /// this node says. A read follows, also while a call is outstanding, whose answer then counts
+    /// no longer.
+    pub fn store_returned(&mut self, now: Instant) {
+        let earliest = self.last_return.map(|last| last + MIN_RETURN_INTERVAL);
+        let next = earliest.map_or(now, |earliest| earliest.max(now));
+        let pending_read = self.platform.planned().filter(|_| self.must_read);
+        let next = pending_read.map_or(next, |planned| planned.min(next));
+        self.last_return = Some(next);
+        self.platform.reschedule(next);
+        self.is_watch_outstanding = false;
+        self.must_read = true;
+        self.broken_watches = 0;
+    }
+
+    /// Records the end of a watch without an answer.
+    ///
+    /// What the failure was is not known for certain: the store may have been replaced by a copy
+    /// that gives the revision of the watch to another content, so a read precedes the next watch.
+    pub(super) fn record_broken_watch(&mut self) {
+        if std::mem::take(&mut self.is_watch_outstanding) {
+            self.must_read = true;
+            self.broken_watches = self.broken_watches.saturating_add(1);
+        }
     }
 
     /// Handles a failed platform call: refused, unavailable, or its answer lost.
     pub fn platform_failed(&mut self, now: Instant, rng: &mut impl Rng) {
+        self.record_broken_watch();
         self.platform.record_failure(now, &self.settings, rng);
         let keeps_configuration = self.settings.is_enabled(ConfigurationSafeguard::FailStatic);
         if !keeps_configuration {
@@ -65,12 +99,13 @@
         if !self.platform.is_due(now) {
             return;
         }
-        let wait = watches && self.caught_up && !self.is_revision_gone;
+        let wait = watches && self.caught_up && !self.must_read;
         let timeout = match wait {
             true => self.settings.watch_timeout,
             false => self.settings.read_timeout,
         };
         self.platform.record_start(now, timeout);
+        self.is_watch_outstanding = wait;
         let above = self.generation();
         actions.push(ConfigurationAction::ReadPlatform { above, wait });
     }
@@ -86,10 +121,8 @@
     /// newest document polls slowly as well: it also learns of a newer one from its peers, and a
     /// whole fleet of an older version must not use up the platform's rate limit.
     fn delay_after_answer(&self, view: &PeerView, rng: &mut impl Rng) -> Duration {
-        if self.is_revision_gone {
-            // If the store discards revisions faster than watches follow, reads and refused watches
-            // without a delay would use up the node's budget of platform calls.
-            return MAX_REWATCH_DELAY.mul_f64(rng.random_range(0.5..1.0));
+        if self.must_read && self.broken_watches > 1 {
+            return rewatch_delay(self.broken_watches, rng);
         }
         if self.watches(view) && self.caught_up {
             return Duration::ZERO;
@@ -107,3 +140,16 @@
         interval.mul_f64(rng.random_range(0.5..1.5))
     }
 }
+
+/// Returns the delay before a watch that follows on several broken ones.
+///
+/// If the store discards revisions faster than watches follow, or breaks each watch, reads and
+/// watches without a delay would use up the node's budget of platform calls.
+fn rewatch_delay(broken_watches: u32, rng: &mut impl Rng) -> Duration {
+    const MAX_DOUBLINGS: u32 = 8;
+    let doublings = broken_watches.saturating_sub(2).min(MAX_DOUBLINGS);
+    let delay = FIRST_REWATCH_DELAY * 2u32.pow(doublings);
+    delay
+        .min(MAX_REWATCH_DELAY)
+        .mul_f64(rng.random_range(0.5..1.0))
+}
--- a/crates/hemlocktack-fleet/src/configuration/platform_calls.rs
+++ b/crates/hemlocktack-fleet/src/configuration/platform_calls.rs
@@ -59,6 +59,18 @@
         self.next = now + max_delay.mul_f64(rng.random_range(0.5..1.0));
     }
 
+    /// Returns when the next call is due; `None` while one is outstanding.
+    pub(super) fn planned(&self) -> Option<Instant> {
+        self.outstanding.is_none().then_some(self.next)
+    }
+
+    /// Gives up an outstanding call, forgets the failures and makes the next call due at `next`.
+    pub(super) fn reschedule(&mut self, next: Instant) {
+        self.outstanding = None;
+        self.failures = 0;
+        self.next = next;
+    }
+
     /// Returns whether the outstanding call has timed out.
     pub(super) fn has_timed_out(&self, now: Instant) -> bool {
         self.outstanding.is_some_and(|deadline| now >= deadline)
--- a/crates/hemlocktack-fleet/src/configuration/state.rs
+++ b/crates/hemlocktack-fleet/src/configuration/state.rs
@@ -69,8 +69,13 @@
     pub(super) next_pull: Instant,
     pub(super) platform: PlatformCalls,
     pub(super) was_watcher: bool,
-    /// Whether the store no longer knows the revision that the watch started from.
-    pub(super) is_revision_gone: bool,
+    /// Whether a read has to precede the next watch.
+    pub(super) must_read: bool,
+    /// Watches that broke or were refused since the last one that was answered.
+    pub(super) broken_watches: u32,
+    /// Whether the outstanding call is a watch.
+    pub(super) is_watch_outstanding: bool,
+    pub(super) last_return: Option<Instant>,
 }
 
 impl ConfigurationState {
@@ -87,7 +92,10 @@
             next_pull: now,
             platform: PlatformCalls::new(now),
             was_watcher: false,
-            is_revision_gone: false,
+            must_read: false,
+            broken_watches: 0,
+            is_watch_outstanding: false,
+            last_return: None,
         }
     }
 
@@ -127,6 +135,7 @@
     ) -> Vec<ConfigurationAction> {
         let mut actions = Vec::new();
         if self.platform.has_timed_out(now) {
+            self.record_broken_watch();
             self.platform.record_failure(now, &self.settings, rng);
         }
         self.drop_timed_out_pull(now);
--- a/crates/hemlocktack-fleet/tests/configuration/any_documents.rs
+++ b/crates/hemlocktack-fleet/tests/configuration/any_documents.rs
@@ -24,6 +24,7 @@
     PlatformAnswered(Option<ConfigurationDocument>),
     PlatformFailed,
     RevisionGone,
+    StoreReturned,
     PeerAnswered(Generation, Option<ConfigurationDocument>),
     PeerFailed,
 }
@@ -62,6 +63,7 @@
         select(vec![
             Event::PlatformFailed,
             Event::RevisionGone,
+            Event::StoreReturned,
             Event::PeerFailed,
         ]),
     ]
@@ -81,6 +83,7 @@
         }
         Event::PlatformFailed => in_force.platform_failed(now, &mut rng()),
         Event::RevisionGone => in_force.revision_gone(now),
+        Event::StoreReturned => in_force.store_returned(now),
         Event::PeerAnswered(generation, document) => {
             return in_force.peer_answered(now, "a", generation, document);
         }
--- a/crates/hemlocktack-fleet/tests/configuration/main.rs
+++ b/crates/hemlocktack-fleet/tests/configuration/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod any_documents;
+mod returns;
 
 use std::time::{Duration, Instant};
 
--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -17,6 +17,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
 use tokio::time::MissedTickBehavior;
 
 use crate::interfaces;
@@ -41,9 +42,11 @@
     /// Another part of this node has a document: an operator's change that was stored through it, or
     /// one that came with a proof of freshness.
     DocumentFound(ConfigurationDocument),
-    PlatformAnswered(ConfigurationSnapshot),
-    RevisionGone,
-    PlatformFailed,
+    /// End of one of the task's calls to the platform.
+    PlatformCallEnded {
+        call: CallNumber,
+        end: CallEnd,
+    },
     PeerAnswered {
         node_id: String,
         document: ConfigurationDocument,
@@ -53,6 +56,27 @@
     },
 }
 
+/// Number of a call to the platform.
+pub(crate) type CallNumber = u64;
+
+/// How a call to the platform ended.
+pub(crate) enum CallEnd {
+    Answered(ConfigurationSnapshot),
+    RevisionGone,
+    Failed,
+}
+
+/// A read that is outstanding for longer when the store's era changes is repeated.
+const READ_PATIENCE: Duration = Duration::from_millis(500);
+
+/// The last call to the platform.
+struct PlatformCall {
+    number: CallNumber,
+    is_watch: bool,
+    started: Instant,
+    task: AbortHandle,
+}
+
 /// Starts the task; the node becomes ready once its configuration has caught up.
 pub(crate) fn start(node: &Arc<Node>) -> Result<()> {
     let Some(events) = node.take_configuration_events() else {
@@ -71,6 +95,9 @@
         store: Arc::new(ConfigurationStore::new(node.platform.clone())),
         parse_error: String::new(),
         revision: StoreRevision::default(),
+        call: None,
+        next_call: 0,
+        first_valid_call: 0,
         seen_era: node.platform.eras().seen(),
         rng: StdRng::seed_from_u64(rand::random()),
         node: node.clone(),
@@ -89,6 +116,10 @@
     parse_error: String,
     /// Revision from which to watch, as of the platform's last answer.
     revision: StoreRevision,
+    call: Option<PlatformCall>,
+    next_call: CallNumber,
+    /// Answers to earlier calls are of an era before; only their documents count.
+    first_valid_call: CallNumber,
     /// What the answers to all calls of this node said of the store's era.
     seen_era: SeenEra,
     rng: StdRng,
@@ -121,6 +152,7 @@
         let is_doubtful = seen.doubtful_changes > self.seen_era.doubtful_changes;
         let era_before = self.seen_era.era;
         self.seen_era = seen;
+        self.read_in_new_era();
         if !is_doubtful {
             return;
         }
@@ -130,6 +162,29 @@
         }
     }
 
+    /// Reads the configuration in the era that an answer to any call of this node has named.
+    ///
+    /// A watch may wait on a connection that the store has forgotten, so it is given up. A read
+    /// that has just begun is answered in the new era, or compared with it when it is answered.
+    fn read_in_new_era(&mut self) {
+        let now = Instant::now();
+        let call = self.call.as_ref();
+        let outstanding = call.filter(|call| !call.task.is_finished());
+        let is_reading = |call: &PlatformCall| {
+            !call.is_watch && now.saturating_duration_since(call.started) < READ_PATIENCE
+        };
+        if outstanding.is_some_and(is_reading) {
+            return;
+        }
+        if let Some(call) = self.call.take() {
+            call.task.abort();
+            self.first_valid_call = call.number + 1;
+        }
+        self.state.store_returned(now);
+        let actions = self.state.tick(now, &self.peer_view(), &mut self.rng);
+        self.perform(actions);
+    }
+
     fn handle(&mut self, event: Event) {
         let now = Instant::now();
         let actions = match event {
@@ -145,15 +200,7 @@
                 self.log_received(&document, "this-node");
                 self.state.stored_locally(document)
             }
-            Event::PlatformAnswered(seen) => self.platform_answered(now, seen),
-            Event::RevisionGone => {
-                self.state.revision_gone(now);
-                self.state.tick(now, &self.peer_view(), &mut self.rng)
-            }
-            Event::PlatformFailed => {
-                self.state.platform_failed(now, &mut self.rng);
-                Vec::new()
-            }
+            Event::PlatformCallEnded { call, end } => self.platform_call_ended(now, call, end),
             Event::PeerAnswered { node_id, document } => {
                 let generation = document.generation;
                 self.record_parse_error(&document);
@@ -170,6 +217,31 @@
         self.perform(actions);
     }
 
+    fn platform_call_ended(
+        &mut self,
+        now: Instant,
+        call: CallNumber,
+        end: CallEnd,
+    ) -> Vec<ConfigurationAction> {
+        let is_superseded = call < self.first_valid_call;
+        match end {
+            CallEnd::Answered(snapshot) if is_superseded => {
+                let document = snapshot.stored.map(|stored| stored.configuration);
+                document.map_or_else(Vec::new, |document| self.state.stored_locally(document))
+            }
+            _ if is_superseded => Vec::new(),
+            CallEnd::Answered(snapshot) => self.platform_answered(now, snapshot),
+            CallEnd::RevisionGone => {
+                self.state.revision_gone(now);
+                self.state.tick(now, &self.peer_view(), &mut self.rng)
+            }
+            CallEnd::Failed => {
+                self.state.platform_failed(now, &mut self.rng);
+                Vec::new()
+            }
+        }
+    }
+
     fn platform_answered(
         &mut self,
         now: Instant,
@@ -184,8 +256,13 @@
         }
         self.node.store_access.answered(self.revision);
         let view = self.peer_view();
-        self.state
-            .platform_answered(now, document, &view, &mut self.rng)
+        let actions = self
+            .state
+            .platform_answered(now, document, &view, &mut self.rng);
+        if self.revision.era != self.node.platform.eras().seen().era {
+            self.state.store_returned(now);
+        }
+        actions
     }
 
     /// Logs that the store answers in another era than before.
@@ -252,9 +329,11 @@
         }
     }
 
-    fn read_platform(&self, wait: bool) {
+    fn read_platform(&mut self, wait: bool) {
         let (node, store, revision) = (self.node.clone(), self.store.clone(), self.revision);
-        tokio::spawn(async move {
+        let call = self.next_call;
+        self.next_call += 1;
+        let task = tokio::spawn(async move {
             let answer = match wait {
                 true => store.watch_newer(revision, WATCH_WAIT).await,
                 false => store.read_with_revision().await,
@@ -262,18 +341,24 @@
             if let Err(error) = &answer {
                 log_failed_read(&node, wait, revision, error);
             }
-            let event = match answer {
-                Ok(seen) => Event::PlatformAnswered(seen),
-                Err(Error::RevisionGone) => Event::RevisionGone,
+            let end = match answer {
+                Ok(seen) => CallEnd::Answered(seen),
+                Err(Error::RevisionGone) => CallEnd::RevisionGone,
                 Err(Error::Malformed { detail, .. }) => {
                     if let Some(count) = node.unreadable_answers.record() {
                         log_event!(LogEvent::PlatformUnreadable, detail, count);
                     }
-                    Event::PlatformFailed
+                    CallEnd::Failed
                 }
-                Err(_) => Event::PlatformFailed,
+                Err(_) => CallEnd::Failed,
             };
-            node.send_configuration_event(event);
+            node.send_configuration_event(Event::PlatformCallEnded { call, end });
+        });
+        self.call = Some(PlatformCall {
+            number: call,
+            is_watch: wait,
+            started: Instant::now(),
+            task: task.abort_handle(),
         });
     }
 
--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -261,7 +261,8 @@
     ///
     /// # Errors
     /// See [`Error`]; after `RevisionGone` the objects have to be listed again. An answer of another
-    /// era counts as that, too: its events do not continue what was read before.
+    /// era, or of an earlier revision, counts as that, too: its events do not continue what was
+    /// read before.
     pub async fn watch(
         &self,
         prefix: &str,
@@ -275,7 +276,8 @@
         let got = self.call_within(timeout, Access::Read, call, |body| read(prefix, body));
         let answer = got.await.map_err(CallError::into_error)?;
         let era_changed = self.eras().seen().changes != era_changes;
-        if era_changed || answer.era != after.era {
+        let is_older = answer.value.revision.number < after.number;
+        if era_changed || is_older || answer.era != after.era {
             return Err(Error::RevisionGone);
         }
         Ok(answer.value.in_era(answer.era))
