--- a/crates/hemlocktack-fleet/src/configuration/state.rs
+++ b/crates/hemlocktack-fleet/src/configuration/state.rs
@@ -69,11 +69,14 @@
     pub(super) next_pull: Instant,
     pub(super) platform: PlatformCalls,
     pub(super) was_watcher: bool,
-    /// Whether the next call must be a read. The revision of a node that has not watched may be
-    /// minutes old.
+    /// Whether a read has to precede the next watch. The revision of a node that has not watched may
+    /// be minutes old.
     pub(super) must_read: bool,
-    /// Whether the store no longer knows the revision that the watch started from.
-    pub(super) is_revision_gone: bool,
+    /// Watches that broke or were refused since the last one that was answered.
+    pub(super) broken_watches: u32,
+    /// Whether the outstanding call is a watch.
+    pub(super) is_watch_outstanding: bool,
+    pub(super) last_return: Option<Instant>,
 }
 
 impl ConfigurationState {
@@ -91,7 +94,9 @@
             platform: PlatformCalls::new(now),
             was_watcher: false,
             must_read: false,
-            is_revision_gone: false,
+            broken_watches: 0,
+            is_watch_outstanding: false,
+            last_return: None,
         }
     }
 
--- a/crates/hemlocktack-fleet/tests/configuration/main.rs
+++ b/crates/hemlocktack-fleet/tests/configuration/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod any_documents;
+mod returns;
 mod store_refusals;
 mod store_world;
 
--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -8,7 +8,9 @@
     ConfigurationAction, ConfigurationSettings, ConfigurationState, PeerView, StoreCandidate,
     StoreContactView, store_watchers,
 };
-use hemlocktack_platform::{ConfigurationSnapshot, ConfigurationStore, Error, Revision};
+use hemlocktack_platform::{
+    ConfigurationSnapshot, ConfigurationStore, Error, SeenEra, StoreRevision,
+};
 use hemlocktack_protocol::{
     ConfigurationDocument, ConfigurationPull, Generation, Member, NodeState, StoreContact, frame,
 };
@@ -42,9 +44,11 @@
     /// Another part of this node has a document: an operator's change that was stored through it, or
     /// one that came with a proof of freshness.
     DocumentFound(ConfigurationDocument),
-    PlatformAnswered(ConfigurationSnapshot),
-    RevisionGone,
-    PlatformFailed,
+    /// End of one of the task's calls to the platform.
+    PlatformCallEnded {
+        call: CallNumber,
+        end: CallEnd,
+    },
     PeerAnswered {
         node_id: String,
         document: ConfigurationDocument,
@@ -54,6 +58,27 @@
     },
 }
 
+/// Number of a call to the platform.
+pub(crate) type CallNumber = u64;
+
+/// How a call to the platform ended.
+pub(crate) enum CallEnd {
+    Answered(ConfigurationSnapshot),
+    RevisionGone,
+    Failed,
+}
+
+/// A read that is outstanding for longer when the store's era changes is repeated.
+const READ_PATIENCE: Duration = Duration::from_millis(500);
+
+/// The last call to the platform.
+struct PlatformCall {
+    number: CallNumber,
+    is_watch: bool,
+    started: Instant,
+    task: AbortHandle,
+}
+
 /// Starts the task; the node becomes ready once its configuration has caught up.
 pub(crate) fn start(node: &Arc<Node>) -> Result<()> {
     let Some(events) = node.take_configuration_events() else {
@@ -71,8 +96,11 @@
         state: ConfigurationState::new(settings, Instant::now()),
         store: Arc::new(ConfigurationStore::new(node.store_access.client.clone())),
         parse_error: String::new(),
-        revision: 0,
+        revision: StoreRevision::default(),
         call: None,
+        next_call: 0,
+        first_valid_call: 0,
+        seen_era: node.platform.eras().seen(),
         rng: StdRng::seed_from_u64(rand::random()),
         node: node.clone(),
     };
@@ -89,25 +117,29 @@
     /// Error of the last document that could not be parsed.
     parse_error: String,
     /// Revision from which to watch, as of the platform's last answer.
-    revision: Revision,
-    /// The last call to the store.
-    call: Option<Call>,
+    revision: StoreRevision,
+    call: Option<PlatformCall>,
+    next_call: CallNumber,
+    /// Answers to earlier calls are of an era before; only their documents count.
+    first_valid_call: CallNumber,
+    /// What the answers to all calls of this node said of the store's era.
+    seen_era: SeenEra,
     rng: StdRng,
 }
 
-struct Call {
-    is_watch: bool,
-    task: AbortHandle,
-}
-
 impl Follower {
     async fn run(mut self, mut events: mpsc::Receiver<Event>) {
         let node = self.node.clone();
+        let mut eras = node.platform.eras().subscribe();
         let mut ticks = tokio::time::interval(TICK_PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 Some(event) = events.recv() => self.handle(event),
+                Ok(()) = eras.changed() => {
+                    let seen = *eras.borrow_and_update();
+                    self.era_changed(seen);
+                }
                 _ = ticks.tick() => {
                     let view = self.peer_view();
                     let actions = self.state.tick(Instant::now(), &view, &mut self.rng);
@@ -119,6 +151,43 @@
         }
     }
 
+    fn era_changed(&mut self, seen: SeenEra) {
+        let is_doubtful = seen.doubtful_changes > self.seen_era.doubtful_changes;
+        let era_before = self.seen_era.era;
+        self.seen_era = seen;
+        self.read_in_new_era();
+        if !is_doubtful {
+            return;
+        }
+        if let Some(count) = self.node.doubtful_eras.record() {
+            let era = seen.era;
+            log_event!(LogEvent::StoreEraDoubtful, era, era_before, count);
+        }
+    }
+
+    /// Reads the configuration in the era that an answer to any call of this node has named.
+    ///
+    /// A watch may wait on a connection that the store has forgotten, so it is given up. A read
+    /// that has just begun is answered in the new era, or compared with it when it is answered.
+    fn read_in_new_era(&mut self) {
+        let now = Instant::now();
+        let call = self.call.as_ref();
+        let outstanding = call.filter(|call| !call.task.is_finished());
+        let is_reading = |call: &PlatformCall| {
+            !call.is_watch && now.saturating_duration_since(call.started) < READ_PATIENCE
+        };
+        if outstanding.is_some_and(is_reading) {
+            return;
+        }
+        if let Some(call) = self.call.take() {
+            call.task.abort();
+            self.first_valid_call = call.number + 1;
+        }
+        self.state.store_returned(now);
+        let actions = self.state.tick(now, &self.peer_view(), &mut self.rng);
+        self.perform(actions);
+    }
+
     fn handle(&mut self, event: Event) {
         let now = Instant::now();
         let actions = match event {
@@ -134,15 +203,7 @@
                 self.log_received(&document, "this-node");
                 self.state.stored_locally(document)
             }
-            Event::PlatformAnswered(seen) => self.platform_answered(now, seen),
-            Event::RevisionGone => {
-                self.state.revision_gone(now);
-                self.state.tick(now, &self.peer_view(), &mut self.rng)
-            }
-            Event::PlatformFailed => {
-                self.state.platform_failed(now, &mut self.rng);
-                Vec::new()
-            }
+            Event::PlatformCallEnded { call, end } => self.platform_call_ended(now, call, end),
             Event::PeerAnswered { node_id, document } => {
                 let generation = document.generation;
                 self.record_parse_error(&document);
@@ -159,12 +220,37 @@
         self.perform(actions);
     }
 
+    fn platform_call_ended(
+        &mut self,
+        now: Instant,
+        call: CallNumber,
+        end: CallEnd,
+    ) -> Vec<ConfigurationAction> {
+        let is_superseded = call < self.first_valid_call;
+        match end {
+            CallEnd::Answered(snapshot) if is_superseded => {
+                let document = snapshot.stored.map(|stored| stored.configuration);
+                document.map_or_else(Vec::new, |document| self.state.stored_locally(document))
+            }
+            _ if is_superseded => Vec::new(),
+            CallEnd::Answered(snapshot) => self.platform_answered(now, snapshot),
+            CallEnd::RevisionGone => {
+                self.state.revision_gone(now);
+                self.state.tick(now, &self.peer_view(), &mut self.rng)
+            }
+            CallEnd::Failed => {
+                self.state.platform_failed(now, &mut self.rng);
+                Vec::new()
+            }
+        }
+    }
+
     fn platform_answered(
         &mut self,
         now: Instant,
         snapshot: ConfigurationSnapshot,
     ) -> Vec<ConfigurationAction> {
-        // May be lower than before if the store lost its newest writes; it is correct then, too.
+        self.log_era(snapshot.revision);
         self.revision = snapshot.revision;
         let document = snapshot.stored.map(|stored| stored.configuration);
         if let Some(document) = &document {
@@ -173,8 +259,28 @@
         }
         self.node.store_access.answered(self.revision);
         let view = self.peer_view();
-        self.state
-            .platform_answered(now, document, &view, &mut self.rng)
+        let actions = self
+            .state
+            .platform_answered(now, document, &view, &mut self.rng);
+        if self.revision.era != self.node.platform.eras().seen().era {
+            self.state.store_returned(now);
+        }
+        actions
+    }
+
+    /// Logs that the store answers in another era than before.
+    fn log_era(&self, revision: StoreRevision) {
+        let before = self.revision;
+        if before == StoreRevision::default() || before.era == revision.era {
+            return;
+        }
+        log_event!(
+            LogEvent::StoreReturned,
+            era = revision.era,
+            era_before = before.era,
+            revision = revision.number,
+            revision_before = before.number
+        );
     }
 
     /// Logs a document that is newer than the active one. `source` is the store or the node that
@@ -184,11 +290,12 @@
         if generation <= self.state.generation() {
             return;
         }
-        let revision = self.revision;
+        let (era, revision) = (self.revision.era, self.revision.number);
         log_event!(
             LogEvent::ConfigurationReceived,
             generation,
             source,
+            era,
             revision
         );
     }
@@ -238,6 +345,7 @@
             return;
         }
         call.task.abort();
+        self.first_valid_call = call.number + 1;
         self.state.platform_failed(Instant::now(), &mut self.rng);
     }
 
@@ -254,36 +362,41 @@
 
     fn read_platform(&mut self, wait: bool) {
         let (node, store, revision) = (self.node.clone(), self.store.clone(), self.revision);
-        let call = StoreCall::start(&node, wait);
+        let call = self.next_call;
+        self.next_call += 1;
+        let store_call = StoreCall::start(&node, wait);
         let task = tokio::spawn(async move {
             let answer = match wait {
                 true => store.watch_newer(revision, WATCH_WAIT).await,
                 false => store.read_with_revision().await,
             };
-            call.end(answer.as_ref().err());
+            store_call.end(answer.as_ref().err());
             if let Err(error) = &answer {
                 log_failed_read(&node, wait, revision, error);
             }
-            let event = match answer {
-                Ok(seen) => Event::PlatformAnswered(seen),
-                Err(Error::RevisionGone) => Event::RevisionGone,
+            let end = match answer {
+                Ok(seen) => CallEnd::Answered(seen),
+                Err(Error::RevisionGone) => CallEnd::RevisionGone,
                 Err(Error::Malformed { detail, .. }) => {
                     if let Some(count) = node.unreadable_answers.record() {
                         log_event!(LogEvent::PlatformUnreadable, detail, count);
                     }
-                    Event::PlatformFailed
+                    CallEnd::Failed
                 }
-                Err(_) => Event::PlatformFailed,
+                Err(_) => CallEnd::Failed,
             };
-            node.send_configuration_event(event);
+            node.send_configuration_event(Event::PlatformCallEnded { call, end });
         });
-        let call = Call {
+        let earlier = self.call.replace(PlatformCall {
+            number: call,
             is_watch: wait,
+            started: Instant::now(),
             task: task.abort_handle(),
-        };
-        // One that has timed out must not answer as well: each answer is followed by the next call.
-        if let Some(earlier) = self.call.replace(call) {
-            earlier.task.abort();
+        });
+        if let Some(watch) = earlier.filter(|earlier| earlier.is_watch) {
+            // One that has timed out must not answer as well: the next call follows each answer.
+            watch.task.abort();
+            self.first_valid_call = call;
         }
     }
 
@@ -301,13 +414,15 @@
     fn peer_view(&self) -> PeerView {
         let view = self.members_view();
         if self.node.store_access.set_watching(view.is_watcher) {
-            let (is_watching, revision) = (view.is_watcher, self.revision);
+            let is_watching = view.is_watcher;
+            let (era, revision) = (self.revision.era, self.revision.number);
             let members = self.node.members();
             let is_refused = |member: &&Member| member.store_contact() == StoreContact::Refused;
             let others_refused = local_followers(&self.node, &members).filter(is_refused);
             log_event!(
                 LogEvent::StoreWatchChanged,
                 is_watching,
+                era,
                 revision,
                 others_refused = others_refused.count()
             );
@@ -353,7 +468,7 @@
     }
 }
 
-fn log_failed_read(node: &Node, is_watch: bool, revision: Revision, error: &Error) {
+fn log_failed_read(node: &Node, is_watch: bool, revision: StoreRevision, error: &Error) {
     node.store_access.failed();
     let Some(count) = node.store_read_failures.record() else {
         return;
@@ -361,7 +476,8 @@
     log_event!(
         LogEvent::StoreReadFailed,
         is_watch,
-        revision,
+        era = revision.era,
+        revision = revision.number,
         %error,
         count
     );
--- a/crates/hemlocktack-node/src/configuration/store_access.rs
+++ b/crates/hemlocktack-node/src/configuration/store_access.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use hemlocktack_fleet::configuration::{StoreContactSettings, StoreContactState, StoreContactView};
-use hemlocktack_platform::{Client, Error, Revision};
+use hemlocktack_platform::{Client, Error, StoreRevision};
 use hemlocktack_protocol::StoreContact;
 use hemlocktack_telemetry::{Event, log_event};
 
@@ -22,7 +22,7 @@
     /// When the store last answered; `None` before the first answer.
     pub(crate) answered_at: Option<Instant>,
     /// Revision from which this node would watch next.
-    pub(crate) revision: Revision,
+    pub(crate) revision: StoreRevision,
     pub(crate) failed_count: u64,
 }
 
@@ -79,7 +79,7 @@
     }
 
     /// Records an answer of the store.
-    pub(crate) fn answered(&self, revision: Revision) {
+    pub(crate) fn answered(&self, revision: StoreRevision) {
         let mut seen = self.lock();
         seen.answered_at = Some(Instant::now());
         seen.revision = revision;
