--- a/crates/hemlocktack-fleet/src/configuration/state.rs
+++ b/crates/hemlocktack-fleet/src/configuration/state.rs
@@ -69,8 +69,14 @@
     pub(super) next_pull: Instant,
     pub(super) platform: PlatformCalls,
     pub(super) was_watcher: bool,
-    /// Whether the store no longer knows the revision that the watch started from.
-    pub(super) is_revision_gone: bool,
+    /// Whether a read has to precede the next watch. The revision of a node that has not watched may
+    /// be minutes old.
+    pub(super) must_read: bool,
+    /// Watches that broke or were refused since the last one that was answered.
+    pub(super) broken_watches: u32,
+    /// Whether the outstanding call is a watch.
+    pub(super) is_watch_outstanding: bool,
+    pub(super) last_return: Option<Instant>,
 }
 
 impl ConfigurationState {
@@ -87,7 +93,10 @@
             next_pull: now,
             platform: PlatformCalls::new(now),
             was_watcher: false,
-            is_revision_gone: false,
+            must_read: false,
+            broken_watches: 0,
+            is_watch_outstanding: false,
+            last_return: None,
         }
     }
 
@@ -127,10 +136,10 @@
     ) -> Vec<ConfigurationAction> {
         let mut actions = Vec::new();
         if self.platform.has_timed_out(now) {
-            self.platform.record_failure(now, &self.settings, rng);
+            self.record_platform_failure(now, rng);
         }
         self.drop_timed_out_pull(now);
-        self.read_platform(now, view, &mut actions);
+        self.read_platform(now, view, &mut actions, rng);
         self.check_caught_up(view, &mut actions);
         self.pull_from_peer(now, view, &mut actions, rng);
         actions
--- a/crates/hemlocktack-fleet/tests/configuration/main.rs
+++ b/crates/hemlocktack-fleet/tests/configuration/main.rs
@@ -3,6 +3,9 @@
 #![allow(clippy::unwrap_used)]
 
 mod any_documents;
+mod returns;
+mod store_refusals;
+mod store_world;
 
 use std::time::{Duration, Instant};
 
--- a/crates/hemlocktack-node/src/node/mod.rs
+++ b/crates/hemlocktack-node/src/node/mod.rs
@@ -95,6 +95,7 @@
     pub(crate) store_questions: StoreQuestions,
     pub(crate) store_access: follower::StoreAccess,
     pub(crate) store_read_failures: LogThrottle,
+    pub(crate) doubtful_eras: LogThrottle,
     freshness_proof: ArcSwapOption<FreshnessProof>,
     pub(crate) quotas: Quotas,
     pub(crate) gossip_counts: GossipCounts,
@@ -112,6 +113,7 @@
 pub(crate) struct PlatformAccess {
     pub(crate) client: Arc<Client>,
     pub(crate) questions: StoreQuestions,
+    pub(crate) store_access: follower::StoreAccess,
 }
 
 /// Signals between the node's tasks.
@@ -155,8 +157,9 @@
             adjustable: ArcSwap::from_pointee(adjustable),
             records: NodeRecords::new(platform.client.clone()),
             store_questions: platform.questions,
-            store_access: follower::StoreAccess::default(),
+            store_access: platform.store_access,
             store_read_failures: LogThrottle::default(),
+            doubtful_eras: LogThrottle::default(),
             freshness_proof: ArcSwapOption::empty(),
             quotas: Quotas::default(),
             gossip_counts: GossipCounts::default(),
--- a/crates/hemlocktack-platform/src/error.rs
+++ b/crates/hemlocktack-platform/src/error.rs
@@ -58,6 +58,13 @@
     /// The platform cannot watch from that revision; list the objects again.
     #[display("the platform no longer has the changes after this revision")]
     RevisionGone,
+    /// The expected version is of another era of the store than its answers are now; read the
+    /// object again.
+    #[display("the object's version is of another era of the platform; {effect}")]
+    EraEnded {
+        /// Whether a write may have taken effect.
+        effect: Effect,
+    },
     /// The platform's address in the settings is invalid.
     #[display("invalid platform address {base_url:?}")]
     BadAddress {
@@ -76,7 +83,9 @@
     /// Returns whether the failed write may have changed the object.
     pub fn effect(&self) -> Effect {
         match self {
-            Error::Unavailable { effect, .. } | Error::Malformed { effect, .. } => *effect,
+            Error::Unavailable { effect, .. }
+            | Error::Malformed { effect, .. }
+            | Error::EraEnded { effect } => *effect,
             Error::Conflict { .. }
             | Error::TooLarge { .. }
             | Error::RevisionGone
@@ -85,6 +94,14 @@
         }
     }
 
+    /// Returns whether the platform has answered the call, with whatever answer.
+    pub fn is_answer(&self) -> bool {
+        !matches!(
+            self,
+            Error::Unavailable { .. } | Error::BudgetSpent { .. } | Error::BadAddress { .. }
+        )
+    }
+
     /// Returns how long to wait before trying again; `None` if that would not help.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
@@ -95,6 +112,7 @@
             Error::Conflict { .. }
             | Error::TooLarge { .. }
             | Error::RevisionGone
+            | Error::EraEnded { .. }
             | Error::BadAddress { .. } => None,
         }
     }
--- a/crates/hemlocktack-platform/src/native_codec.rs
+++ b/crates/hemlocktack-platform/src/native_codec.rs
@@ -19,9 +19,11 @@
 
 /// The project's own wire format.
 pub const NATIVE_CODEC: StoreCodec = StoreCodec {
+    era_header: "object-store-era",
     get,
     list,
     revision: || list(NO_KEYS_PREFIX, None, true),
+    probe: || list(NO_KEYS_PREFIX, None, true),
     watch,
     put,
     delete,
--- a/crates/hemlocktack-platform/src/store_codec.rs
+++ b/crates/hemlocktack-platform/src/store_codec.rs
@@ -59,12 +59,17 @@
 /// as `nodes/NAME` and `configuration/current`.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreCodec {
+    /// Header of all answers that names the store's era, in lower case.
+    pub era_header: &'static str,
     /// Encodes a read of one object.
     pub get: fn(key: &str) -> StoreCall,
     /// Encodes a read of all objects under a prefix; `after` is the previous page's `next_after`.
     pub list: fn(prefix: &str, after: Option<&str>, keys_only: bool) -> StoreCall,
     /// Encodes a read of the store's revision: a list without entries.
     pub revision: fn() -> StoreCall,
+    /// Smallest read that shows whether the store answers; its contents may be outdated.
+    /// `read_listing` decodes the response.
+    pub probe: fn() -> StoreCall,
     /// Encodes a watch for changes under a prefix.
     pub watch: fn(prefix: &str, after: Revision, wait: Duration) -> StoreCall,
     /// Encodes a conditional write: the object must have the version; 0 means it must not exist.
