Store: each entry of a list and of a watch is decoded by itself

What callers saw: with one entry of another writer that is nested 200 deep or holds 1e999 in the list of the configuration's kind, no node took a change any more, and a fleet that started never became ready; with one among the nodes' records, a fleet that started never found itself.

Cause: a whole page was parsed as values before its entries were looked at one by one. A JSON parser rejects a whole text for one number out of range, one lone surrogate, one byte that is not UTF-8, or one value nested 128 deep. The answer then counted as a failure of the store.

Now only quotes, brackets and commas are looked at to find the entries; each is decoded by itself, and in it only what is needed. Nothing recurses deeper than 32, and no value nested deeper than 128 is ever built, so none overflows the stack when it is dropped. RawValue is not enough for this: it rejects a whole text that is not UTF-8, and NaN, which some writers' JSON libraries emit.

An unreadable change of the configuration itself is no "no change": a read follows. If the configuration is not found in a list with unreadable entries, or in a list that ends with a page without a readable name, it is read by its name.

--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -223,13 +223,15 @@
             if let Err(error) = &answer {
                 log_failed_read(&node, wait, revision, error);
             }
+            let seen = answer.as_ref().ok();
+            if let Some(place) = seen.and_then(|seen| seen.first_unreadable.as_ref()) {
+                log_unreadable(&node, &format!("{place}: an entry that cannot be read"));
+            }
             let event = match answer {
                 Ok(seen) => Event::PlatformAnswered(seen),
                 Err(Error::RevisionGone) => Event::RevisionGone,
                 Err(Error::Malformed { detail, .. }) => {
-                    if let Some(count) = node.unreadable_answers.record() {
-                        log_event!(LogEvent::PlatformUnreadable, detail, count);
-                    }
+                    log_unreadable(&node, &detail);
                     Event::PlatformFailed
                 }
                 Err(_) => Event::PlatformFailed,
@@ -295,6 +297,12 @@
     );
 }
 
+fn log_unreadable(node: &Node, detail: &str) {
+    if let Some(count) = node.unreadable_answers.record() {
+        log_event!(LogEvent::PlatformUnreadable, detail, count);
+    }
+}
+
 /// Pulls the active document of another node, if it is newer, and its proof of freshness.
 pub(crate) async fn pull_from_peer(
     node: &Node,
--- a/crates/hemlocktack-node/src/peers/records.rs
+++ b/crates/hemlocktack-node/src/peers/records.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use hemlocktack_platform::json_pieces::shown;
 use hemlocktack_platform::{Publication, PublishedNodes, RecordChange};
 use hemlocktack_protocol::{Member, NodeState};
 use hemlocktack_telemetry::{Event, log_event};
@@ -120,7 +121,10 @@
         return;
     }
     if let Some(count) = node.unreadable_answers.record() {
-        let detail = format!("{unreadable} node records cannot be read");
+        let first_key = listed.malformed_keys.first().map(|key| shown(key));
+        let place = listed.first_unreadable.clone().or(first_key);
+        let place = place.unwrap_or_default();
+        let detail = format!("{unreadable} node records cannot be read, the first is {place}");
         log_event!(Event::PlatformUnreadable, detail, count);
     }
 }
--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -203,15 +203,24 @@
                 Some(mut listing) => {
                     listing.objects.extend(page.listing.objects);
                     listing.unreadable_count += page.listing.unreadable_count;
+                    listing.first_unreadable =
+                        listing.first_unreadable.or(page.listing.first_unreadable);
+                    listing.is_complete = page.listing.is_complete;
                     listing
                 }
                 None => page.listing,
             };
-            if page.next_after.is_none() || page.next_after <= after {
+            let Some(next_after) = page.next_after else {
                 return Ok(listing);
+            };
+            if after.as_ref().is_some_and(|after| next_after <= *after) {
+                return Ok(Listing {
+                    is_complete: false,
+                    ..listing
+                });
             }
             whole = Some(listing);
-            after = page.next_after;
+            after = Some(next_after);
         }
     }
 
--- a/crates/hemlocktack-platform/src/configuration.rs
+++ b/crates/hemlocktack-platform/src/configuration.rs
@@ -39,6 +39,8 @@
     pub revision: Revision,
     /// The configuration; `None` if there is none, or none newer in response to a watch.
     pub stored: Option<StoredConfiguration>,
+    /// Place of the first entry of another writer that cannot be read.
+    pub first_unreadable: Option<String>,
 }
 
 /// A configuration change requested by an operator.
@@ -142,10 +144,15 @@
     pub async fn read_with_revision(&self) -> Result<ConfigurationSnapshot> {
         let listing = self.client.list(CURRENT_KEY).await?;
         let mut objects = listing.objects.into_iter();
-        let current = objects.find(|object| object.key == CURRENT_KEY);
+        let mut current = objects.find(|object| object.key == CURRENT_KEY);
+        let may_be_hidden = listing.unreadable_count > 0 || !listing.is_complete;
+        if current.is_none() && may_be_hidden {
+            current = self.client.get(CURRENT_KEY).await?;
+        }
         Ok(ConfigurationSnapshot {
             revision: listing.revision,
             stored: current.map(|object| self.decode(object)).transpose()?,
+            first_unreadable: listing.first_unreadable,
         })
     }
 
@@ -161,6 +168,9 @@
         wait: Duration,
     ) -> Result<ConfigurationSnapshot> {
         let watched = self.client.watch(CURRENT_KEY, after, wait).await?;
+        if watched.is_own_unreadable {
+            return self.read_with_revision().await;
+        }
         let current = watched
             .objects
             .into_iter()
@@ -173,6 +183,7 @@
         Ok(ConfigurationSnapshot {
             revision: watched.revision,
             stored: current.map(|object| self.decode(object)).transpose()?,
+            first_unreadable: watched.first_unreadable,
         })
     }
 
--- a/crates/hemlocktack-platform/src/lib.rs
+++ b/crates/hemlocktack-platform/src/lib.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod error;
 mod exchange;
+pub mod json_pieces;
 mod native_codec;
 mod nodes;
 mod resolve;
--- a/crates/hemlocktack-platform/src/native_codec.rs
+++ b/crates/hemlocktack-platform/src/native_codec.rs
@@ -9,8 +9,9 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
+use crate::json_pieces::{decode, elements, member, place, read_value};
 use crate::store_codec::{DecodeResult, ListingPage, StoreCall, StoreCodec, StoreError};
-use crate::{Object, Revision, Version};
+use crate::{Listing, Object, Revision, Version, WatchResponse, WatchedObject};
 
 /// A prefix that no key has.
 const NO_KEYS_PREFIX: &str = "none/";
@@ -25,9 +26,9 @@
     watch,
     put,
     delete,
-    read_object: |_, body| read(body),
+    read_object: |_, body| object(body).ok_or_else(|| "not an object with a key".to_owned()),
     read_listing,
-    read_watched: |_, body| read(body),
+    read_watched,
     read_written: |body| read::<Written>(body).map(|written| written.version),
     read_deleted: |body| read::<Written>(body).map(|_| ()),
     read_error,
@@ -98,13 +99,96 @@
     serde_json::from_slice(body).map_err(|error| error.to_string())
 }
 
+/// Decodes an object. Its value is read as far as possible: another writer may have stored it.
+fn object(entry: &[u8]) -> Option<Object> {
+    Some(Object {
+        key: decode(member(entry, "key")?)?,
+        version: decode(member(entry, "version")?)?,
+        value: read_value(member(entry, "value")?),
+    })
+}
+
+fn revision(body: &[u8]) -> DecodeResult<Revision> {
+    let revision = member(body, "revision").and_then(decode);
+    revision.ok_or_else(|| "revision: missing or not valid".to_owned())
+}
+
+fn objects(body: &[u8]) -> DecodeResult<Vec<&[u8]>> {
+    let objects = member(body, "objects").and_then(elements);
+    objects.ok_or_else(|| "objects: not a list".to_owned())
+}
+
+/// Decodes each object by itself, so that an unreadable one hides no other one.
 fn read_listing(_prefix: &str, body: &[u8]) -> DecodeResult<ListingPage> {
+    let mut listing = Listing {
+        revision: revision(body)?,
+        objects: Vec::new(),
+        unreadable_count: 0,
+        first_unreadable: None,
+        is_complete: true,
+    };
+    for (index, entry) in objects(body)?.into_iter().enumerate() {
+        if let Some(object) = object(entry) {
+            listing.objects.push(object);
+            continue;
+        }
+        listing.unreadable_count += 1;
+        listing
+            .first_unreadable
+            .get_or_insert_with(|| place("objects", index, key_of(entry).as_deref()));
+    }
     Ok(ListingPage {
-        listing: read(body)?,
+        listing,
         next_after: None,
     })
 }
 
+/// Decodes each change by itself, so that an unreadable one hides no other one.
+fn read_watched(prefix: &str, body: &[u8]) -> DecodeResult<WatchResponse> {
+    let mut watched = WatchResponse {
+        revision: revision(body)?,
+        objects: Vec::new(),
+        unreadable_count: 0,
+        first_unreadable: None,
+        is_own_unreadable: false,
+    };
+    for (index, entry) in objects(body)?.into_iter().enumerate() {
+        if let Some(changed) = watched_object(entry) {
+            watched.objects.push(changed);
+            continue;
+        }
+        let key = key_of(entry);
+        watched.is_own_unreadable |= key.as_deref().is_none_or(|key| key == prefix);
+        watched.unreadable_count += 1;
+        watched
+            .first_unreadable
+            .get_or_insert_with(|| place("objects", index, key.as_deref()));
+    }
+    Ok(watched)
+}
+
+fn watched_object(entry: &[u8]) -> Option<WatchedObject> {
+    let deleted = match member(entry, "deleted") {
+        Some(deleted) => decode(deleted)?,
+        None => false,
+    };
+    let Object {
+        key,
+        version,
+        value,
+    } = object(entry)?;
+    Some(WatchedObject {
+        key,
+        version,
+        value,
+        deleted,
+    })
+}
+
+fn key_of(entry: &[u8]) -> Option<String> {
+    decode(member(entry, "key")?)
+}
+
 /// Decodes an error response. A 404 without the API's error code comes from something other than
 /// the object API, and must not be mistaken for "there is no configuration yet".
 fn read_error(status: StatusCode, body: &[u8]) -> StoreError {
--- a/crates/hemlocktack-platform/src/nodes.rs
+++ b/crates/hemlocktack-platform/src/nodes.rs
@@ -60,6 +60,8 @@
     pub malformed_keys: Vec<String>,
     /// Number of listed entries that are not even objects with a key.
     pub unreadable_count: usize,
+    /// Place of the first such entry in the response.
+    pub first_unreadable: Option<String>,
 }
 
 /// Publishes this node's record and reads those of the others.
@@ -154,6 +156,7 @@
             nodes,
             malformed_keys,
             unreadable_count: listing.unreadable_count,
+            first_unreadable: listing.first_unreadable,
         })
     }
 
--- a/crates/hemlocktack-platform/tests/nearly_right.rs
+++ b/crates/hemlocktack-platform/tests/nearly_right.rs
@@ -80,6 +80,43 @@
     assert_eq!(refused, StoreError::Conflict(44));
 }
 
+/// Failure: one object with contents that a parser rejects hides all others from a list or a watch.
+#[test]
+fn an_unreadable_object_hides_no_other_one() {
+    let deep = "[".repeat(100_000) + &"]".repeat(100_000);
+    for odd in ["1e999", "NaN", "\"\\ud800\"", &deep] {
+        for (odd_object, is_readable) in [
+            (odd.to_owned(), false),
+            (
+                format!("{{\"key\":\"nodes/b\",\"version\":{odd},\"value\":1}}"),
+                false,
+            ),
+            (
+                format!("{{\"key\":\"nodes/b\",\"version\":4,\"value\":{odd}}}"),
+                true,
+            ),
+        ] {
+            let good = node_record();
+            let body = format!("{{\"revision\":533,\"objects\":[{good},{odd_object},{good}]}}");
+            let page = (NATIVE_CODEC.read_listing)("nodes/", body.as_bytes()).unwrap();
+            let watched = (NATIVE_CODEC.read_watched)("nodes/", body.as_bytes()).unwrap();
+            let count = 2 + usize::from(is_readable);
+            assert_eq!(
+                (page.listing.objects.len(), watched.objects.len()),
+                (count, count)
+            );
+            assert_eq!(page.listing.unreadable_count, 3 - count);
+            assert_eq!((page.listing.revision, watched.revision), (533, 533));
+            let place = page.listing.first_unreadable.unwrap_or_default();
+            assert_eq!(place.starts_with("objects[1]"), !is_readable, "{place}");
+            page.listing
+                .objects
+                .into_iter()
+                .for_each(|object| drop(member(object)));
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(fixed_seed_config(27))]
 
