Store: an answer that cannot be decoded delays only its own call

What callers saw: a list that could not be decoded kept a node's other calls to the store waiting, for up to 10 s, the watch of the configuration among them.

Cause: the client counted such an answer as an outage, and all calls share the wait after an outage. But an answer that came shows that the store is up; only this call is known to fail again.

Evidence: with undecodable answers counted as outages again, the new test an_undecodable_answer_delays_only_its_own_call fails (is_answering is false, and the next call is not sent).

--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -6,12 +6,13 @@
 use reqwest::{RequestBuilder, Url};
 use serde_json::Value;
 
+use crate::call_backoffs::{CallBackoffs, CallEnd, call_id};
 use crate::exchange::{Access, CallError, exchange, not_found_as_none, too_large, unavailable};
 use crate::native_codec::NATIVE_CODEC;
 use crate::store_codec::{DecodeResult, StoreCall, StoreCodec};
 use crate::{
-    Backoff, BackoffSettings, Budget, BudgetSettings, Effect, Error, Listing, Object,
-    PlatformRates, Result, Revision, Version, WatchResponse,
+    BackoffSettings, Budget, BudgetSettings, Effect, Error, Listing, Object, PlatformRates, Result,
+    Revision, Version, WatchResponse,
 };
 
 /// Largest value that the platform stores.
@@ -73,7 +74,7 @@
     nodes: usize,
     reads: Budget,
     writes: Budget,
-    backoff: Backoff,
+    backoffs: CallBackoffs,
 }
 
 impl Limits {
@@ -114,7 +115,7 @@
             nodes: 1,
             reads: Budget::new(settings.budget.reads, now),
             writes: Budget::new(settings.budget.writes, now),
-            backoff: Backoff::new(settings.backoff),
+            backoffs: CallBackoffs::new(settings.backoff),
         };
         Ok(Client {
             settings,
@@ -124,10 +125,10 @@
         })
     }
 
-    /// Returns whether the last call got a valid response; also true before the first call.
+    /// Returns whether the platform answered the last call; also true before the first call.
     pub fn is_answering(&self) -> bool {
         let limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
-        !limits.backoff.is_failing()
+        !limits.backoffs.is_outage()
     }
 
     /// Sets how many nodes share the platform's rates.
@@ -319,23 +320,23 @@
         call: StoreCall,
         read: impl FnOnce(&[u8]) -> DecodeResult<T>,
     ) -> std::result::Result<T, CallError> {
-        self.admit(access, Instant::now())?;
+        let call_id = call_id(&call);
+        self.admit(&call_id, access, Instant::now())?;
         let request = self.request(call, timeout);
         let read_error = self.codec().read_error;
         let result = exchange(access, request, read_error, read).await;
-        let failed = matches!(
-            result,
-            Err(CallError::Failed(
-                Error::Unavailable { .. } | Error::Malformed { .. }
-            ))
-        );
-        let wait = self.record(failed, Instant::now());
+        let end = match &result {
+            Err(CallError::Failed(Error::Unavailable { .. })) => CallEnd::Unavailable,
+            Err(CallError::Failed(Error::Malformed { .. })) => CallEnd::Undecoded,
+            _ => CallEnd::Answered,
+        };
+        let wait = self.record(call_id, end, Instant::now());
         result.map_err(|error| error.with_retry_after(wait))
     }
 
-    fn admit(&self, access: Access, now: Instant) -> Result<()> {
+    fn admit(&self, call_id: &str, access: Access, now: Instant) -> Result<()> {
         let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(wait) = limits.backoff.wait(now) {
+        if let Some(wait) = limits.backoffs.wait(call_id, now) {
             return Err(Error::Unavailable {
                 effect: Effect::None,
                 detail: "not called: waiting after a failure".to_owned(),
@@ -351,13 +352,10 @@
             .map_err(|retry_after| Error::BudgetSpent { retry_after })
     }
 
-    fn record(&self, failed: bool, now: Instant) -> Duration {
+    fn record(&self, call_id: String, end: CallEnd, now: Instant) -> Duration {
         let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
-        if failed {
-            limits.backoff.failed(now, rand::random::<f64>());
-        } else {
-            limits.backoff.succeeded();
-        }
-        limits.backoff.wait(now).unwrap_or_default()
+        let random = rand::random::<f64>();
+        limits.backoffs.record(call_id.clone(), end, now, random);
+        limits.backoffs.wait(&call_id, now).unwrap_or_default()
     }
 }
--- a/crates/hemlocktack-platform/src/lib.rs
+++ b/crates/hemlocktack-platform/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod backoff;
 mod budget;
+mod call_backoffs;
 mod client;
 mod configuration;
 mod error;
--- a/crates/hemlocktack-platform/tests/contract/limits.rs
+++ b/crates/hemlocktack-platform/tests/contract/limits.rs
@@ -147,3 +147,33 @@
     }
     assert_eq!(platform.counts().gets, 1);
 }
+
+/// Failure: an object whose answer cannot be decoded delays the calls for all other objects, like
+/// an outage. Only the call itself waits.
+#[tokio::test]
+async fn an_undecodable_answer_delays_only_its_own_call() {
+    let platform = start_platform().await;
+    let client = Client::new(ClientSettings {
+        backoff: BackoffSettings {
+            first: Duration::from_secs(3_600),
+            longest: Duration::from_secs(3_600),
+        },
+        ..settings(platform.address())
+    })
+    .unwrap();
+    platform.set(Switches {
+        malformed: true,
+        ..Switches::default()
+    });
+    let error = client.get("a").await.unwrap_err();
+    assert_eq!(kind(&error), "Malformed, no effect");
+    assert!(error.retry_after().unwrap() > Duration::from_secs(60));
+    assert!(client.is_answering());
+    platform.set(Switches::default());
+    assert_eq!(client.get("b").await, Ok(None));
+    client.put_conditional("a", 0, &json!(1)).await.unwrap();
+    client.list("a").await.unwrap();
+    let blocked = client.get("a").await.unwrap_err();
+    assert_eq!(kind(&blocked), "Unavailable, no effect");
+    assert_eq!(platform.counts().gets, 2);
+}
