--- a/crates/hemlocktack-node/src/node/tests.rs
+++ b/crates/hemlocktack-node/src/node/tests.rs
@@ -9,7 +9,7 @@
 
 use super::policies::drain_limit;
 use super::{CONFIGURATION_EVENT_CAPACITY, Node};
-use crate::configuration::Event;
+use crate::configuration::{CallEnd, Event};
 use crate::run::new_node;
 use crate::settings::for_tests;
 
@@ -37,18 +37,24 @@
     for number in 0..2 * CONFIGURATION_EVENT_CAPACITY {
         node.report_peer_generation(format!("howrah-{number}"), 2);
     }
-    let answer = Event::PlatformAnswered(ConfigurationSnapshot {
-        revision: REVISION,
-        stored: None,
-    });
+    let answer = Event::PlatformCallEnded {
+        call: 1,
+        end: CallEnd::Answered(ConfigurationSnapshot {
+            revision: REVISION.into(),
+            stored: None,
+            first_unreadable: None,
+        }),
+    };
     let sender = node.clone();
     let sending = tokio::spawn(async move { sender.send_configuration_event(answer).await });
     // Runs until it waits for room.
     tokio::task::yield_now().await;
     let mut answered_revisions = Vec::new();
     while !events.is_empty() {
-        if let Some(Event::PlatformAnswered(answer)) = events.recv().await {
-            answered_revisions.push(answer.revision);
+        if let Some(Event::PlatformCallEnded { end, .. }) = events.recv().await
+            && let CallEnd::Answered(answer) = end
+        {
+            answered_revisions.push(answer.revision.number);
         }
         tokio::task::yield_now().await;
     }
--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -6,14 +6,15 @@
 use reqwest::{RequestBuilder, Url};
 use serde_json::Value;
 
+use crate::call_backoffs::{CallBackoffs, CallEnd, call_id};
 use crate::exchange::{
     Access, Answer, CallError, exchange, not_found_as_none, too_large, unavailable,
 };
 use crate::native_codec::NATIVE_CODEC;
 use crate::store_codec::{DecodeResult, StoreCall, StoreCodec};
 use crate::{
-    Backoff, BackoffSettings, Budget, BudgetSettings, Effect, Error, Listing, Object,
-    PlatformRates, Result, StoreEras, StoreRevision, WatchResponse,
+    BackoffSettings, Budget, BudgetSettings, Effect, Error, Listing, Object, PlatformRates, Result,
+    StoreEras, StoreRevision, WatchResponse,
 };
 
 /// Largest value that the platform stores.
@@ -82,8 +83,8 @@
     nodes: usize,
     reads: Budget,
     writes: Budget,
-    backoff: Backoff,
-    /// Changes of the era that the backoff knows of.
+    backoffs: CallBackoffs,
+    /// Changes of the era that the backoffs know of.
     era_changes: u64,
     /// When a call last got a valid answer.
     answered_at: Option<Instant>,
@@ -127,7 +128,7 @@
             nodes: 1,
             reads: Budget::new(settings.budget.reads, now),
             writes: Budget::new(settings.budget.writes, now),
-            backoff: Backoff::new(settings.backoff),
+            backoffs: CallBackoffs::new(settings.backoff),
             era_changes: 0,
             answered_at: None,
         };
@@ -139,10 +140,10 @@
         })
     }
 
-    /// Returns whether the last call got a valid response; also true before the first call.
+    /// Returns whether the platform answered the last call; also true before the first call.
     pub fn is_answering(&self) -> bool {
         let limits = self.lock();
-        !limits.backoff.is_failing()
+        !limits.backoffs.is_outage()
     }
 
     /// Sets how many nodes share the platform's rates.
@@ -260,15 +261,23 @@
                     let next = page.listing.in_era(era);
                     listing.objects.extend(next.objects);
                     listing.unreadable_count += next.unreadable_count;
+                    listing.first_unreadable = listing.first_unreadable.or(next.first_unreadable);
+                    listing.is_complete = next.is_complete;
                     listing
                 }
                 None => page.listing.in_era(era),
             };
-            if page.next_after.is_none() || page.next_after <= after {
+            let Some(next_after) = page.next_after else {
                 return Ok(Some(listing));
+            };
+            if after.as_ref().is_some_and(|after| next_after <= *after) {
+                return Ok(Some(Listing {
+                    is_complete: false,
+                    ..listing
+                }));
             }
             whole = Some(listing);
-            after = page.next_after;
+            after = Some(next_after);
         }
     }
 
@@ -414,28 +423,28 @@
         call: StoreCall,
         read: impl FnOnce(&[u8]) -> DecodeResult<T>,
     ) -> std::result::Result<Answer<T>, CallError> {
-        self.admit(access, Instant::now())?;
+        let call_id = call_id(&call);
+        self.admit(&call_id, access, Instant::now())?;
         let request = self.request(call, timeout);
         let result = exchange(access, request, self.codec(), self.eras(), read).await;
-        let failed = matches!(
-            result,
-            Err(CallError::Failed(
-                Error::Unavailable { .. } | Error::Malformed { .. }
-            ))
-        );
-        let wait = self.record(failed, Instant::now());
+        let end = match &result {
+            Err(CallError::Failed(Error::Unavailable { .. })) => CallEnd::Unavailable,
+            Err(CallError::Failed(Error::Malformed { .. })) => CallEnd::Undecoded,
+            _ => CallEnd::Answered,
+        };
+        let wait = self.record(call_id, end, Instant::now());
         result.map_err(|error| error.with_retry_after(wait))
     }
 
-    fn admit(&self, access: Access, now: Instant) -> Result<()> {
+    fn admit(&self, call_id: &str, access: Access, now: Instant) -> Result<()> {
         let era_changes = self.eras().seen().changes;
         let mut limits = self.lock();
         if limits.era_changes != era_changes {
             // The store has answered another client of this node.
             limits.era_changes = era_changes;
-            limits.backoff.succeeded();
+            limits.backoffs.forget();
         }
-        if let Some(wait) = limits.backoff.wait(now) {
+        if let Some(wait) = limits.backoffs.wait(call_id, now) {
             return Err(Error::Unavailable {
                 effect: Effect::None,
                 detail: "not called: waiting after a failure".to_owned(),
@@ -451,15 +460,14 @@
             .map_err(|retry_after| Error::BudgetSpent { retry_after })
     }
 
-    fn record(&self, failed: bool, now: Instant) -> Duration {
+    fn record(&self, call_id: String, end: CallEnd, now: Instant) -> Duration {
         let mut limits = self.lock();
-        if failed {
-            limits.backoff.failed(now, rand::random::<f64>());
-        } else {
-            limits.backoff.succeeded();
+        if end == CallEnd::Answered {
             limits.answered_at = Some(now);
         }
-        limits.backoff.wait(now).unwrap_or_default()
+        let random = rand::random::<f64>();
+        limits.backoffs.record(call_id.clone(), end, now, random);
+        limits.backoffs.wait(&call_id, now).unwrap_or_default()
     }
 
     fn lock(&self) -> MutexGuard<'_, Limits> {
--- a/crates/hemlocktack-platform/src/lib.rs
+++ b/crates/hemlocktack-platform/src/lib.rs
@@ -4,11 +4,13 @@
 
 mod backoff;
 mod budget;
+mod call_backoffs;
 mod client;
 mod configuration;
 mod eras;
 mod error;
 mod exchange;
+pub mod json_pieces;
 mod native_codec;
 mod nodes;
 mod resolve;
--- a/crates/hemlocktack-platform/src/values.rs
+++ b/crates/hemlocktack-platform/src/values.rs
@@ -36,7 +36,7 @@
 }
 
 /// A stored object.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Object {
     /// Key of the object.
     pub key: String,
@@ -47,7 +47,7 @@
 }
 
 /// Objects under a prefix at one revision.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Listing {
     /// Revision to watch from.
     pub revision: StoreRevision,
@@ -55,12 +55,15 @@
     pub objects: Vec<Object>,
     /// Number of entries that are not valid objects, written by something else. The others are
     /// returned all the same.
-    #[serde(default)]
     pub unreadable_count: usize,
+    /// Place of the first such entry in the response.
+    pub first_unreadable: Option<String>,
+    /// Whether all objects were listed. Behind a page without a readable name there may be more.
+    pub is_complete: bool,
 }
 
 /// An object that changed while a watch was waiting.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct WatchedObject {
     /// Key of the object.
     pub key: String,
@@ -69,17 +72,22 @@
     /// New value; null if the object was deleted.
     pub value: Value,
     /// Whether the object was deleted.
-    #[serde(default)]
     pub deleted: bool,
 }
 
 /// Response to a watch; without objects if nothing changed in time.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct WatchResponse {
     /// Revision to watch from next.
     pub revision: StoreRevision,
     /// Changed objects in order of keys.
     pub objects: Vec<WatchedObject>,
+    /// Number of changes that are not valid; the others are returned all the same.
+    pub unreadable_count: usize,
+    /// Place of the first such change in the response.
+    pub first_unreadable: Option<String>,
+    /// Whether one of them may be a change of the only object that the prefix names.
+    pub is_own_unreadable: bool,
 }
 
 impl fmt::Debug for StoreRevision {
@@ -124,6 +132,7 @@
         WatchResponse {
             revision: self.revision.in_era(era),
             objects: objects.map(in_era).collect(),
+            ..self
         }
     }
 }
