--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -76,7 +76,7 @@
     310 INFO ConfigurationReceived: "a newer generation of the configuration has arrived; source says from where, and revision is the store's that this node knew then", "nothing; 301 follows, or 302";
     311 INFO StoreWatchChanged: "this node has begun or ceased to watch the configuration in the platform's store", "nothing; the live nodes of a data centre with is_watching should be two";
     312 WARN StoreReadFailed: "a read or a watch of the configuration ended without a valid answer of the platform's store", "read the error; if it repeats on the watching nodes of a data centre while others are answered, compare the ways to the store";
-    313 WARN StoreReturned: "the platform's store answers in another era than before, so it has come back from a copy; the configuration and this node's record are read again, and no revision from before is used", "nothing; if changes of the last seconds before the return are missing, apply them again";
+    313 WARN StoreReturned: "the platform's store answers in another era than before, so it has come back from a copy; the configuration is read again, and no revision from before is used", "nothing; if changes of the last seconds before the return are missing, apply them again";
     314 ERROR StoreEraDoubtful: "an answer of the platform's store names no era or a smaller one than before; what was read is read again", "find out what answers in place of the store, such as a proxy";
 
     401 WARN LinkRefused: "a process opened a link and did not prove that it is a node of the fleet", "error says how far it got: if it closed the link before its proof, it may have meant another node; otherwise compare the fleet keys of both nodes, and if the address is not a node's, find out whose it is";
