Tests: how nodes learn whom the store serves

A refusal goes to the whole data centre at once, is forwarded once in a large one, and changes are bounded in a probe period; a node that only ceases to watch sends nothing.

--- a/crates/hemlocktack-fleet/tests/membership/main.rs
+++ b/crates/hemlocktack-fleet/tests/membership/main.rs
@@ -8,5 +8,6 @@
 mod merging;
 mod replacement;
 mod restart;
+mod store_contacts;
 mod support;
 mod urgent_updates;
