Configuration: a watch whose answer may be lost is sent again

What callers saw: after the answers of both watches of a data centre were lost on connections that stayed open, a confirmed change was not in force until these watches timed out, 23 s after their start, although the store answered every other call of the same nodes at once.

Cause: an open watch was taken for proof that nothing had changed. The store's interface says that a connection on which a response is lost returns nothing further, so one moment of loss leaves watches that never answer.

Fix: the probes of a watching node already return the store's revision, which was thrown away. If it is newer than the one that the watch started from, and the watch is a second old and silent, it is given up and sent again over another connection, from the same revision: the store answers at once if the configuration has changed since. Each newer revision causes one such call, at most one a second and node, so an idle store costs nothing more.

What remains: a probe allows outdated data. Where the store uses that, the change is late by as much.

--- a/crates/hemlocktack-fleet/src/configuration/from_platform.rs
+++ b/crates/hemlocktack-fleet/src/configuration/from_platform.rs
@@ -49,6 +49,13 @@
         self.platform.record_success(now, Duration::ZERO);
     }
 
+    /// Handles that the outstanding watch was given up because its answer may be lost. The next one
+    /// follows at once, from the same revision.
+    pub fn watch_given_up(&mut self, now: Instant) {
+        self.is_watch_outstanding = false;
+        self.platform.record_success(now, Duration::ZERO);
+    }
+
     /// Handles that the platform's store has come back from a copy, as the answer to any call of
     /// this node says. A read follows, also while a call is outstanding, whose answer then counts
     /// no longer.
--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -28,6 +28,9 @@
 
 const TICK_PERIOD: Duration = Duration::from_millis(100);
 const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Shortest time for which a watch is left alone. Limits the calls while other objects change all
+/// the time, and leaves time for an answer that is on its way.
+const MIN_WATCH_TIME: Duration = Duration::from_secs(1);
 /// Backoff after failed requests. Only the two watchers of a data centre and starting nodes
 /// send them, so a short limit costs the platform little, and a change becomes active soon
 /// after an outage.
@@ -97,6 +100,7 @@
         store: Arc::new(ConfigurationStore::new(node.store_access.client.clone())),
         parse_error: String::new(),
         revision: StoreRevision::default(),
+        checked: StoreRevision::default(),
         call: None,
         next_call: 0,
         first_valid_call: 0,
@@ -118,6 +122,8 @@
     parse_error: String,
     /// Revision from which to watch, as of the platform's last answer.
     revision: StoreRevision,
+    /// Newest revision from before the outstanding watch, or that it has been renewed for.
+    checked: StoreRevision,
     call: Option<PlatformCall>,
     next_call: CallNumber,
     /// Answers to earlier calls are of an era before; only their documents count.
@@ -145,6 +151,7 @@
                     let actions = self.state.tick(Instant::now(), &view, &mut self.rng);
                     self.perform(actions);
                     self.check_store(view.is_watcher);
+                    self.renew_doubtful_watch();
                 }
                 () = node.signals.stopped.cancelled() => return,
             }
@@ -252,6 +259,7 @@
     ) -> Vec<ConfigurationAction> {
         self.log_era(snapshot.revision);
         self.revision = snapshot.revision;
+        self.checked = snapshot.revision;
         let document = snapshot.stored.map(|stored| stored.configuration);
         if let Some(document) = &document {
             self.record_parse_error(document);
@@ -349,6 +357,29 @@
         self.state.platform_failed(Instant::now(), &mut self.rng);
     }
 
+    /// Watches again, from the same revision, if the store has changed since and the watch has not
+    /// said what has. The change may be another object's, or the answer may be lost: on a path that
+    /// is dead in one direction a watch is held open until its timeout, while other calls are
+    /// answered.
+    fn renew_doubtful_watch(&mut self) {
+        let probed = self.node.store_access.snapshot().probed;
+        let is_newer = probed.era == self.checked.era && probed.number > self.checked.number;
+        let is_doubtful = |call: &mut PlatformCall| {
+            let is_old = call.started.elapsed() >= MIN_WATCH_TIME;
+            is_newer && is_old && call.is_watch && !call.task.is_finished()
+        };
+        let Some(call) = self.call.take_if(is_doubtful) else {
+            return;
+        };
+        call.task.abort();
+        self.first_valid_call = call.number + 1;
+        self.checked = probed;
+        let now = Instant::now();
+        self.state.watch_given_up(now);
+        let actions = self.state.tick(now, &self.peer_view(), &mut self.rng);
+        self.perform(actions);
+    }
+
     fn contact_view(&self, is_watcher: bool) -> StoreContactView {
         let members = self.node.members();
         let local = || local_followers(&self.node, &members);
--- a/crates/hemlocktack-node/src/configuration/store_access.rs
+++ b/crates/hemlocktack-node/src/configuration/store_access.rs
@@ -24,6 +24,8 @@
     /// Revision from which this node would watch next.
     pub(crate) revision: StoreRevision,
     pub(crate) failed_count: u64,
+    /// Revision in the answer to the last probe, which may be an outdated one.
+    pub(crate) probed: StoreRevision,
 }
 
 /// Shared between the tasks that call the store, gossip and the metrics.
@@ -142,7 +144,10 @@
         tokio::spawn(async move {
             let call = StoreCall::start(&node, false);
             let answer = node.store_access.client.probe(PROBE_TIMEOUT).await;
-            call.end(answer.err().as_ref());
+            if let Ok(revision) = answer {
+                node.store_access.lock().probed = revision;
+            }
+            call.end(answer.as_ref().err());
         });
     }
 }
--- a/crates/hemlocktack-node/src/node/tests.rs
+++ b/crates/hemlocktack-node/src/node/tests.rs
@@ -5,11 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hemlocktack_platform::ConfigurationSnapshot;
-
 use super::policies::drain_limit;
 use super::{CONFIGURATION_EVENT_CAPACITY, Node};
-use crate::configuration::Event;
+use crate::configuration::{CallEnd, Event};
 use crate::run::new_node;
 use crate::settings::for_tests;
 
@@ -31,28 +29,28 @@
 /// then counts as open for 40 s, in which the node neither reads nor watches.
 #[tokio::test]
 async fn an_answer_of_the_store_reaches_a_follower_whose_queue_is_full() {
-    const REVISION: u64 = 7;
+    const CALL: u64 = 7;
     let node = node();
     let mut events = node.take_configuration_events().unwrap();
     for number in 0..2 * CONFIGURATION_EVENT_CAPACITY {
         node.report_peer_generation(format!("howrah-{number}"), 2);
     }
-    let answer = Event::PlatformAnswered(ConfigurationSnapshot {
-        revision: REVISION,
-        stored: None,
-    });
+    let answer = Event::PlatformCallEnded {
+        call: CALL,
+        end: CallEnd::RevisionGone,
+    };
     let sender = node.clone();
     let sending = tokio::spawn(async move { sender.send_configuration_event(answer).await });
     // Runs until it waits for room.
     tokio::task::yield_now().await;
-    let mut answered_revisions = Vec::new();
+    let mut answered_calls = Vec::new();
     while !events.is_empty() {
-        if let Some(Event::PlatformAnswered(answer)) = events.recv().await {
-            answered_revisions.push(answer.revision);
+        if let Some(Event::PlatformCallEnded { call, .. }) = events.recv().await {
+            answered_calls.push(call);
         }
         tokio::task::yield_now().await;
     }
-    assert_eq!(answered_revisions, [REVISION]);
+    assert_eq!(answered_calls, [CALL]);
     sending.await.unwrap();
 }
 
--- a/crates/hemlocktack-platform/src/client.rs
+++ b/crates/hemlocktack-platform/src/client.rs
@@ -210,19 +210,20 @@
         Ok(answer.value.listing.revision.in_era(answer.era))
     }
 
-    /// Asks the store for any answer, however outdated, within the timeout.
+    /// Asks the store for any answer, however outdated, within the timeout; returns its revision.
     ///
     /// The call neither waits for the backoff nor counts toward it, nor toward the budget: it shows
     /// whether the store answers this node and must neither delay a read nor be delayed.
     ///
     /// # Errors
     /// See [`Error`].
-    pub async fn probe(&self, timeout: Duration) -> Result<()> {
+    pub async fn probe(&self, timeout: Duration) -> Result<StoreRevision> {
         let read = self.codec().read_listing;
         let request = self.request((self.codec().probe)(), timeout);
         let read = |body: &[u8]| read("", body);
         let got = exchange(Access::Read, request, self.codec(), self.eras(), read).await;
-        got.map(|_| ()).map_err(CallError::into_error)
+        let answer = got.map_err(CallError::into_error)?;
+        Ok(answer.value.listing.revision.in_era(answer.era))
     }
 
     /// Reads all pages of a list, again if the era changes between two of them.
