Node records: a record of another writer neither stops a node nor stays in its place

What would be seen: a record under a node's own name with another incarnation stopped the node at its next publication (a drain, a succession), whoever had written it; until then the record stayed in its place, so that nodes that started did not find the node. The record of an earlier start, which a store that returns from a copy may hold, did the same.

Cause: a decodable record of another incarnation counted as proof of a later start. Any writer can store one.

Now a record with a lower start order is an earlier start's and is replaced at once. A record whose node id is not its name counts as malformed, so empty and borrowed ids give no seeds.

--- a/crates/hemlocktack-platform/src/nodes.rs
+++ b/crates/hemlocktack-platform/src/nodes.rs
@@ -56,7 +56,7 @@
     pub revision: Revision,
     /// Records in order of node ids.
     pub nodes: Vec<PublishedNode>,
-    /// Keys of records that cannot be decoded; the others are returned all the same.
+    /// Keys of records that cannot be decoded or name another node; the others are returned all the same.
     pub malformed_keys: Vec<String>,
     /// Number of listed entries that are not even objects with a key.
     pub unreadable_count: usize,
@@ -64,6 +64,13 @@
     pub first_unreadable: Option<String>,
 }
 
+impl PublishedNodes {
+    /// Returns whether a record that cannot be decoded is stored under the node's name.
+    pub fn is_malformed(&self, node_id: &str) -> bool {
+        self.malformed_keys.contains(&key(node_id))
+    }
+}
+
 /// Publishes this node's record and reads those of the others.
 #[derive(Debug)]
 pub struct NodeRecords {
@@ -83,13 +90,27 @@
 
     /// Stores this node's record.
     ///
-    /// Replaces the record of an earlier start. Once this start has published, a record of another
-    /// incarnation belongs to a later start that replaced this process while it was paused. That
-    /// record is kept: otherwise both processes would overwrite each other's record forever.
+    /// Replaces the record of an earlier start. Once this start has published, a record that does
+    /// not rank below it may belong to a later start that replaced this process while it was
+    /// paused. That record is kept: otherwise both processes would overwrite each other's record
+    /// forever. Another writer can store such a record, too, so it proves nothing.
     ///
     /// # Errors
     /// See [`Error`].
     pub async fn publish(&self, member: &Member) -> Result<Publication> {
+        self.publish_over(member, None).await
+    }
+
+    /// Like `publish`, but also replaces the record of an incarnation that is known to be no later
+    /// start.
+    ///
+    /// # Errors
+    /// See [`Error`].
+    pub async fn publish_over(
+        &self,
+        member: &Member,
+        no_start: Option<Incarnation>,
+    ) -> Result<Publication> {
         let key = key(&member.node_id);
         let value = serde_json::to_value(member).map_err(|error| malformed(&key, &error))?;
         let mut expected_version = self.own_version().unwrap_or(0);
@@ -108,7 +129,8 @@
                 Err(error) => return Err(error),
             }
             let found = self.client.get(&key).await?;
-            if let Some(by_incarnation) = self.replaced_by(member, found.as_ref()) {
+            let replaced_by = self.replaced_by(member, found.as_ref());
+            if let Some(by_incarnation) = replaced_by.filter(|by| Some(*by) != no_start) {
                 return Ok(Publication::Replaced { by_incarnation });
             }
             expected_version = found.as_ref().map_or(0, |object| object.version);
@@ -119,6 +141,16 @@
         })
     }
 
+    /// Reads the record that is stored under a node's name; `None` if there is none or it cannot be
+    /// decoded.
+    ///
+    /// # Errors
+    /// See [`Error`].
+    pub async fn read(&self, node_id: &str) -> Result<Option<Member>> {
+        let object = self.client.get(&key(node_id)).await?;
+        Ok(object.and_then(|object| decode(object.value)))
+    }
+
     /// Deletes this node's record at a planned stop.
     ///
     /// # Errors
@@ -146,7 +178,8 @@
                 version,
                 value,
             } = object;
-            match decode(value) {
+            let member = decode(value).filter(|member| self::key(&member.node_id) == key);
+            match member {
                 Some(member) => nodes.push(PublishedNode { version, member }),
                 None => malformed_keys.push(key),
             }
@@ -172,7 +205,9 @@
     fn replaced_by(&self, own: &Member, found: Option<&Object>) -> Option<Incarnation> {
         self.own_version()?;
         let found = decode(found?.value.clone())?;
-        (found.incarnation != own.incarnation).then_some(found.incarnation)
+        let is_earlier_start = found.start_order < own.start_order;
+        let is_other_start = found.incarnation != own.incarnation && !is_earlier_start;
+        is_other_start.then_some(found.incarnation)
     }
 
     fn own_version(&self) -> Option<Version> {
--- a/crates/hemlocktack-platform/tests/contract/nodes.rs
+++ b/crates/hemlocktack-platform/tests/contract/nodes.rs
@@ -89,3 +89,62 @@
     assert_eq!(listed.nodes.len(), 1);
     assert_eq!(listed.malformed_keys, ["nodes/junk"]);
 }
+
+/// Failure: a store that returns from a copy holds the record of a node's earlier start, and the
+/// node takes it for that of a later start and stops.
+#[tokio::test]
+async fn a_record_of_an_earlier_start_is_replaced_at_any_time() {
+    let platform = start_platform().await;
+    let records = NodeRecords::new(client(platform.address()));
+    let other = NodeRecords::new(client(platform.address()));
+    let started = |incarnation: u64, start_order: u64| Member {
+        start_order,
+        ..member(incarnation, 1)
+    };
+    records.publish(&started(2, 20)).await.unwrap();
+    other.publish(&started(1, 10)).await.unwrap();
+    let published = records.publish(&started(2, 20)).await;
+    let change = RecordChange::ReplacedEarlierStart {
+        link_address: String::new(),
+    };
+    assert_eq!(published, Ok(Publication::Published(change)));
+    assert_eq!(
+        records.list().await.unwrap().nodes[0].member,
+        started(2, 20)
+    );
+}
+
+/// Failure: a record that another writer has stored under a node's name stays there for ever, or one
+/// of a later start is replaced along with it.
+#[tokio::test]
+async fn only_the_record_of_the_given_incarnation_is_replaced() {
+    let platform = start_platform().await;
+    let records = NodeRecords::new(client(platform.address()));
+    let other = NodeRecords::new(client(platform.address()));
+    records.publish(&member(1, 1)).await.unwrap();
+    other.publish(&member(9, 1)).await.unwrap();
+    let kept = records.publish_over(&member(1, 1), Some(8)).await;
+    let replaced = Publication::Replaced { by_incarnation: 9 };
+    assert_eq!(kept, Ok(replaced));
+    assert_eq!(records.read("salt-lake-1").await, Ok(Some(member(9, 1))));
+    records.publish_over(&member(1, 1), Some(9)).await.unwrap();
+    assert_eq!(records.read("salt-lake-1").await, Ok(Some(member(1, 1))));
+}
+
+/// Failure: a record under one node's name that names another node, or none, sends others to the
+/// wrong address.
+#[tokio::test]
+async fn a_record_under_another_name_is_malformed() {
+    let platform = start_platform().await;
+    let client = client(platform.address());
+    let records = NodeRecords::new(client.clone());
+    records.publish(&member(1, 1)).await.unwrap();
+    for (key, node_id) in [("nodes/a", "salt-lake-1"), ("nodes/b", "")] {
+        let value = json!({ "nodeId": node_id, "incarnation": "7" });
+        client.put_conditional(key, 0, &value).await.unwrap();
+    }
+    let listed = records.list().await.unwrap();
+    assert_eq!(listed.nodes.len(), 1);
+    assert_eq!(listed.malformed_keys, ["nodes/a", "nodes/b"]);
+    assert!(listed.is_malformed("a") && !listed.is_malformed("salt-lake-1"));
+}
--- a/crates/hemlocktack-telemetry/src/event.rs
+++ b/crates/hemlocktack-telemetry/src/event.rs
@@ -68,7 +68,7 @@
     302 ERROR ConfigurationUnreadable: "this version of the node cannot read a stored generation and keeps the previous one", "upgrade the node, or apply a document that all versions can read";
     303 WARN PlatformLost: "the platform does not respond; calls continue with the configuration in force", "check the platform; configuration changes are not possible until it responds";
     304 INFO PlatformBack: "the platform responds again", "nothing";
-    305 ERROR RecordReplaced: "another start with this node's name has published its record", "two processes have the same --node, or this one was paused and replaced: stop one of them";
+    305 ERROR RecordReplaced: "another start has this node's name, or its record does; this node stops if that start answers by gossip, and replaces the record otherwise", "two processes have the same --node, or this one was paused and replaced: stop one of them; otherwise find out what wrote the record";
     306 INFO ConfigurationStored: "an operator's change was stored as a new generation", "nothing";
     307 ERROR PlatformUnreadable: "a response of the platform does not conform to its interface; the last valid configuration stays in force", "read the detail; find out what wrote the object";
     308 WARN KeysNotAdmitted: "the node cannot prove that its configuration is recent enough; it refuses requests with keys and reports itself as not ready", "check whether the node reaches the platform and other nodes; 309 follows once it does";
