--- a/crates/hemlocktack-platform/tests/contract/nodes.rs
+++ b/crates/hemlocktack-platform/tests/contract/nodes.rs
@@ -141,7 +141,7 @@
     records.publish(&member(1, 1)).await.unwrap();
     for (key, node_id) in [("nodes/a", "salt-lake-1"), ("nodes/b", "")] {
         let value = json!({ "nodeId": node_id, "incarnation": "7" });
-        client.put_conditional(key, 0, &value).await.unwrap();
+        client.put_conditional(key, None, &value).await.unwrap();
     }
     let listed = records.list().await.unwrap();
     assert_eq!(listed.nodes.len(), 1);
