Configuration: read by its name where a list cannot be split into entries

An entry whose quotes or brackets are not balanced makes a whole page unreadable, and with it the configuration (by reading: the list failed before the fallback that reads the object by its name). Now such a list leads to that read; changes still come. Node records behind such an entry are still not found.

--- a/crates/hemlocktack-platform/src/configuration.rs
+++ b/crates/hemlocktack-platform/src/configuration.rs
@@ -142,7 +142,10 @@
     /// # Errors
     /// See [`Error`].
     pub async fn read_with_revision(&self) -> Result<ConfigurationSnapshot> {
-        let listing = self.client.list(CURRENT_KEY).await?;
+        let listing = match self.client.list(CURRENT_KEY).await {
+            Err(Error::Malformed { detail, .. }) => return self.read_by_name(detail).await,
+            listing => listing?,
+        };
         let mut objects = listing.objects.into_iter();
         let mut current = objects.find(|object| object.key == CURRENT_KEY);
         let may_be_hidden = listing.unreadable_count > 0 || !listing.is_complete;
@@ -156,6 +159,21 @@
         })
     }
 
+    /// Reads the configuration by its name, where an entry of another writer makes the list
+    /// unreadable as a whole.
+    async fn read_by_name(&self, first_unreadable: String) -> Result<ConfigurationSnapshot> {
+        let current = self.client.get(CURRENT_KEY).await?;
+        let Some(current) = current else {
+            return Err(malformed(first_unreadable));
+        };
+        Ok(ConfigurationSnapshot {
+            // Changes after the configuration's own are reported once more.
+            revision: current.version,
+            stored: Some(self.decode(current)?),
+            first_unreadable: Some(first_unreadable),
+        })
+    }
+
     /// Waits up to `wait` for a configuration stored after the revision; `stored` is `None` if
     /// there is none in time.
     ///
