Store access: lost reads, lone watchers and rejected reads are made up for in time

It counts as lost after 0.8 s; a later answer still counts, and its late failure is not taken for that of a newer call.

--- a/crates/hemlocktack-fleet/src/configuration/from_platform.rs
+++ b/crates/hemlocktack-fleet/src/configuration/from_platform.rs
@@ -11,8 +11,8 @@
 /// Delay before the next watch after two in a row were refused or broke; doubles with each further
 /// one.
 const FIRST_REWATCH_DELAY: Duration = Duration::from_millis(250);
-/// Maximum of that delay. Short enough that a change still becomes active within seconds.
-const MAX_REWATCH_DELAY: Duration = Duration::from_secs(2);
+/// Maximum of that delay. Half of the time within which a change becomes active.
+const MAX_REWATCH_DELAY: Duration = Duration::from_secs(1);
 /// Minimum time between reads because of a new era, in case each answer names another one.
 const MIN_RETURN_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -49,10 +49,11 @@
         self.platform.record_success(now, Duration::ZERO);
     }
 
-    /// Handles that the outstanding watch was given up because its answer may be lost. The next one
-    /// follows at once, from the same revision.
+    /// Handles that the outstanding watch was given up because its answer may be lost. A read
+    /// follows at once.
     pub fn watch_given_up(&mut self, now: Instant) {
         self.is_watch_outstanding = false;
+        self.must_read = true;
         self.platform.record_success(now, Duration::ZERO);
     }
 
--- a/crates/hemlocktack-fleet/src/configuration/settings.rs
+++ b/crates/hemlocktack-fleet/src/configuration/settings.rs
@@ -31,7 +31,8 @@
     pub catch_up_peers: usize,
     /// Timeout of a pull from a peer, after which another peer is asked.
     pub pull_timeout: Duration,
-    /// Timeout of a read from the platform.
+    /// Time after which a read from the platform counts as lost and is repeated. An answer that
+    /// comes later still counts.
     pub read_timeout: Duration,
     /// Timeout of a watch, including the time for which the platform holds it open.
     pub watch_timeout: Duration,
@@ -54,7 +55,7 @@
             watchers_per_data_centre: 2,
             catch_up_peers: 3,
             pull_timeout: Duration::from_millis(700),
-            read_timeout: Duration::from_secs(2),
+            read_timeout: Duration::from_millis(800),
             watch_timeout: Duration::from_secs(40),
             backoff_base: Duration::from_millis(500),
             backoff_limit: Duration::from_secs(30),
--- a/crates/hemlocktack-fleet/src/configuration/store_contact.rs
+++ b/crates/hemlocktack-fleet/src/configuration/store_contact.rs
@@ -51,8 +51,8 @@
     pub is_active: bool,
     /// Live nodes of the data centre, this one included.
     pub local_nodes: usize,
-    /// Whether the store serves another live node of the data centre.
-    pub is_other_served: bool,
+    /// Whether the store serves as many other live nodes of the data centre as shall watch.
+    pub are_others_served: bool,
 }
 
 /// State machine for the access of one node to the store.
@@ -64,7 +64,10 @@
     settings: StoreContactSettings,
     contact: StoreContact,
     is_active: bool,
-    failures: u32,
+    /// Failures of reads since the last answer to a read or a watch.
+    read_failures: u32,
+    /// Failures of probes since the last answer to any call.
+    probe_failures: u32,
     /// Start of the first call since the last answer.
     unanswered_since: Option<Instant>,
     next_probe: Instant,
@@ -84,7 +87,8 @@
             settings,
             contact: StoreContact::Unknown,
             is_active: false,
-            failures: 0,
+            read_failures: 0,
+            probe_failures: 0,
             unanswered_since: None,
             next_probe: now,
             last_try: now,
@@ -106,24 +110,52 @@
         self.next_probe = now + self.settings.probe_interval;
     }
 
-    /// Records an answer to any call.
+    /// Records an answer to a read or a watch.
     pub fn answered(&mut self, now: Instant) {
-        self.failures = 0;
+        self.read_failures = 0;
+        self.record_answer(now);
+    }
+
+    /// Records an answer to a probe. It does not make up for failed reads: the store may reject
+    /// those, and answer probes, for which it may use old data.
+    pub fn probe_answered(&mut self, now: Instant) {
+        if self.contact == StoreContact::Refused {
+            self.read_failures = 0;
+        }
+        self.record_answer(now);
+    }
+
+    fn record_answer(&mut self, now: Instant) {
+        self.probe_failures = 0;
         self.unanswered_since = None;
         self.next_probe = now + self.settings.probe_interval;
         self.served_since.get_or_insert(now);
         self.contact = self.contact_once_served();
     }
 
-    /// Records the failure of a call that was started at `started` and is no watch. One that took
-    /// long is no refusal but silence, which counts by its time.
+    /// Records the failure of a read that was started at `started`. One that took long is no refusal
+    /// but silence, which counts by its time.
     pub fn failed(&mut self, now: Instant, started: Instant, rng: &mut impl Rng) {
-        let is_silence = now.saturating_duration_since(started) >= self.settings.silence_limit / 2;
-        if is_silence {
-            return;
+        if !self.is_silence(now, started) {
+            self.read_failures = self.read_failures.saturating_add(1);
+            self.judge_failures(now, rng);
+        }
+    }
+
+    /// Records the failure of a probe that was started at `started`.
+    pub fn probe_failed(&mut self, now: Instant, started: Instant, rng: &mut impl Rng) {
+        if !self.is_silence(now, started) {
+            self.probe_failures = self.probe_failures.saturating_add(1);
+            self.judge_failures(now, rng);
         }
-        self.failures = self.failures.saturating_add(1);
-        if self.failures >= self.settings.refusing_failures {
+    }
+
+    fn is_silence(&self, now: Instant, started: Instant) -> bool {
+        now.saturating_duration_since(started) >= self.settings.silence_limit / 2
+    }
+
+    fn judge_failures(&mut self, now: Instant, rng: &mut impl Rng) {
+        if self.read_failures + self.probe_failures >= self.settings.refusing_failures {
             self.refuse(now, rng);
             return;
         }
@@ -200,8 +232,11 @@
         self.unanswered_since = None;
         self.served_since = None;
         self.refusals = self.refusals.saturating_add(1);
-        self.last_try = now;
-        self.retry_factor = retry_factor(rng);
+        // The interval to the next probe begins with the last one, and not with its failure.
+        if self.contact != StoreContact::Refused {
+            self.last_try = now;
+            self.retry_factor = retry_factor(rng);
+        }
         self.contact = StoreContact::Refused;
     }
 
@@ -223,7 +258,7 @@
     fn retry_interval(&self, view: &StoreContactView) -> Duration {
         const MAX_DOUBLINGS: u32 = 16;
         let settings = &self.settings;
-        if view.is_other_served {
+        if view.are_others_served {
             let doublings = self.refusals.saturating_sub(1).min(MAX_DOUBLINGS);
             return (settings.retry_base * 2u32.pow(doublings)).min(settings.retry_limit);
         }
--- a/crates/hemlocktack-fleet/src/configuration/watchers.rs
+++ b/crates/hemlocktack-fleet/src/configuration/watchers.rs
@@ -46,7 +46,7 @@
     candidates: impl Iterator<Item = StoreCandidate<'a>>,
     wanted: usize,
 ) -> Vec<&'a str> {
-    const TRIED_PER_REFUSED: usize = 4;
+    const TRIED_PER_REFUSED: usize = 8;
     let (refused, others): (Vec<_>, Vec<_>) =
         candidates.partition(|candidate| candidate.contact == StoreContact::Refused);
     let is_served = |candidate: &StoreCandidate| candidate.contact == StoreContact::Served;
--- a/crates/hemlocktack-fleet/tests/configuration/store_refusals.rs
+++ b/crates/hemlocktack-fleet/tests/configuration/store_refusals.rs
@@ -93,6 +93,50 @@
     }
 }
 
+/// A read that was sent just before the store's return is lost, and the next one waits for its end.
+#[test]
+fn after_a_silent_outage_a_change_reaches_small_data_centres() {
+    for nodes in 1..=3 {
+        for seed in 0..100 {
+            let mut world = World::start(1, nodes, seed);
+            world.treat_all(Treatment::Silence);
+            world.run(5 * SECOND + SECOND * (seed as u32) / 37);
+            world.change();
+            world.treat_all(SERVE);
+            let time = world.time_until_in_force(BOUND);
+            assert!(time.is_some(), "{nodes} nodes, seed {seed}");
+        }
+    }
+}
+
+/// After an outage one node is served first and the others wait, so that nobody watches once that
+/// node stands still.
+#[test]
+fn two_nodes_watch_soon_after_an_outage() {
+    for treatment in [Treatment::Refuse, Treatment::Silence] {
+        let mut world = World::start(1, 8, 1);
+        world.treat_all(treatment);
+        world.run(60 * SECOND);
+        world.treat_all(SERVE);
+        world.run(3 * SECOND);
+        assert!(world.watchers().len() >= 2, "after {treatment:?}");
+    }
+}
+
+/// The store rejects the reads of the watching nodes and answers their probes, for which it may use
+/// old data, so that they count as served and no other node reads.
+#[test]
+fn answered_probes_do_not_hide_rejected_reads() {
+    let mut world = World::start(1, 4, 1);
+    for node in world.watchers() {
+        world.treat(node, Treatment::RefuseReads);
+    }
+    world.break_watches();
+    world.run(SECOND);
+    world.change();
+    assert!(world.time_until_in_force(BOUND).is_some());
+}
+
 /// A data centre in which the store serves nobody gets a change from another one.
 #[test]
 fn a_change_reaches_a_data_centre_that_the_store_refuses() {
@@ -141,7 +185,8 @@
     assert!(world.time_until_in_force(BOUND).is_some());
 }
 
-/// A store that takes longer than the silence that counts as a refusal still brings a change.
+/// A store that takes longer than the silence that counts as a refusal still brings a change. Its
+/// nodes are not in touch with it, so the bound of others does not hold.
 #[test]
 fn a_very_slow_store_brings_a_change() {
     let mut world = World::start(1, 4, 1);
--- a/crates/hemlocktack-fleet/tests/configuration/store_world.rs
+++ b/crates/hemlocktack-fleet/tests/configuration/store_world.rs
@@ -22,6 +22,8 @@
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
 const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Nodes of a data centre that watch.
+const WATCHERS: usize = 2;
 
 /// What the store does with the calls of one node.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -30,6 +32,8 @@
     Serve(u64, u64),
     /// It refuses each new call; watches that are open already stay open without an answer.
     Refuse,
+    /// It refuses each new read and watch, and answers probes.
+    RefuseReads,
     /// It answers nothing.
     Silence,
 }
@@ -50,6 +54,8 @@
     latency: Duration,
     /// Whether the store refused it on arrival.
     is_refused: bool,
+    /// Whether it arrived while the store was silent, which never answers it.
+    is_lost: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -82,6 +88,8 @@
     seen: BTreeMap<usize, StoreContact>,
     is_watcher: bool,
     calls: Vec<Call>,
+    /// Start of the last read or watch.
+    last_call: Instant,
     pulls: Vec<(Instant, usize)>,
     next_tick: Instant,
 }
@@ -114,6 +122,7 @@
             seen: BTreeMap::new(),
             is_watcher: false,
             calls: Vec::new(),
+            last_call: now,
             pulls: Vec::new(),
             next_tick: now + Duration::from_millis(number as u64 * 37 % 100),
         };
@@ -135,6 +144,19 @@
         self.nodes[node].treatment = treatment;
     }
 
+    /// Ends all open watches without an answer.
+    pub(crate) fn break_watches(&mut self) {
+        for node in 0..self.nodes.len() {
+            let calls = std::mem::take(&mut self.nodes[node].calls);
+            for call in calls {
+                match call.kind {
+                    Kind::Watch => self.end_call(node, &call, false),
+                    _ => self.nodes[node].calls.push(call),
+                }
+            }
+        }
+    }
+
     pub(crate) fn treat_all(&mut self, treatment: Treatment) {
         for node in 0..self.nodes.len() {
             self.treat(node, treatment);
@@ -260,13 +282,15 @@
         };
         let others = local.iter().map(|other| (*other, seen(*other)));
         let all = others.chain([(node, self.contact(node))]).map(candidate);
-        let is_watcher = store_watchers(all, 2).contains(&self.nodes[node].id.as_str());
+        let is_watcher = store_watchers(all, WATCHERS).contains(&self.nodes[node].id.as_str());
         let contact_view = StoreContactView {
             is_active: is_watcher,
             local_nodes: local.len() + 1,
-            is_other_served: local
+            are_others_served: local
                 .iter()
-                .any(|other| seen(*other) == StoreContact::Served),
+                .filter(|other| seen(**other) == StoreContact::Served)
+                .count()
+                >= WATCHERS,
         };
         let view = PeerView {
             ready: Vec::new(),
@@ -304,7 +328,7 @@
                         false => Kind::Read,
                     };
                     let calls = &mut self.nodes[node].calls;
-                    calls.retain(|call| call.kind == Kind::Probe);
+                    calls.retain(|call| call.kind != Kind::Watch);
                     if kind == Kind::Read {
                         self.nodes[node].contact.asked(self.now);
                     }
@@ -329,6 +353,9 @@
             Kind::Watch => self.calls.watches += 1,
             Kind::Probe => self.calls.probes += 1,
         }
+        if kind != Kind::Probe {
+            self.nodes[node].last_call = self.now;
+        }
         let treatment = self.nodes[node].treatment;
         let latency = match treatment {
             Treatment::Serve(least, most) => self.rng.random_range(least..=most),
@@ -339,7 +366,12 @@
             above,
             started: self.now,
             latency: Duration::from_millis(latency),
-            is_refused: treatment == Treatment::Refuse,
+            is_refused: match treatment {
+                Treatment::Refuse => true,
+                Treatment::RefuseReads => kind != Kind::Probe,
+                Treatment::Serve(..) | Treatment::Silence => false,
+            },
+            is_lost: treatment == Treatment::Silence,
         });
     }
 
@@ -367,25 +399,34 @@
         if call.is_refused {
             return (age >= REFUSAL_DELAY).then_some(false);
         }
-        let is_served = matches!(self.nodes[node].treatment, Treatment::Serve(..));
+        let is_served = match self.nodes[node].treatment {
+            Treatment::Serve(..) => true,
+            Treatment::RefuseReads => call.kind == Kind::Probe,
+            Treatment::Refuse | Treatment::Silence => false,
+        };
         let has_news = match call.kind {
             Kind::Watch => self.stored > call.above || age >= WATCH_WAIT,
             Kind::Read | Kind::Probe => true,
         };
-        (is_served && has_news && age >= call.latency).then_some(true)
+        (is_served && !call.is_lost && has_news && age >= call.latency).then_some(true)
     }
 
     fn end_call(&mut self, node: usize, call: &Call, is_answered: bool) {
         let (now, stored) = (self.now, self.stored);
         let own = &mut self.nodes[node];
         match (is_answered, call.kind) {
+            (true, Kind::Probe) => own.contact.probe_answered(now),
             (true, _) => own.contact.answered(now),
             (false, Kind::Watch) => own.contact.watch_failed(now),
+            (false, Kind::Probe) => own.contact.probe_failed(now, call.started, &mut self.rng),
             (false, _) => own.contact.failed(now, call.started, &mut self.rng),
         }
         if call.kind == Kind::Probe {
             return;
         }
+        if !is_answered && call.started < own.last_call {
+            return;
+        }
         if !is_answered {
             own.configuration.platform_failed(now, &mut self.rng);
             return;
--- a/crates/hemlocktack-node/src/configuration/follow.rs
+++ b/crates/hemlocktack-node/src/configuration/follow.rs
@@ -21,7 +21,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::MissedTickBehavior;
 
-use super::store_access::{self, StoreCall};
+use super::store_access::{self, StoreCall, StoreCallKind};
 use crate::interfaces;
 use crate::node::{Node, NodeLocation};
 use crate::run::Result;
@@ -100,7 +100,6 @@
         store: Arc::new(ConfigurationStore::new(node.store_access.client.clone())),
         parse_error: String::new(),
         revision: StoreRevision::default(),
-        checked: StoreRevision::default(),
         call: None,
         next_call: 0,
         first_valid_call: 0,
@@ -122,8 +121,6 @@
     parse_error: String,
     /// Revision from which to watch, as of the platform's last answer.
     revision: StoreRevision,
-    /// Newest revision from before the outstanding watch, or that it has been renewed for.
-    checked: StoreRevision,
     call: Option<PlatformCall>,
     next_call: CallNumber,
     /// Answers to earlier calls are of an era before; only their documents count.
@@ -162,6 +159,7 @@
         let is_doubtful = seen.doubtful_changes > self.seen_era.doubtful_changes;
         let era_before = self.seen_era.era;
         self.seen_era = seen;
+        store_access::record_other_answer(&self.node);
         self.read_in_new_era();
         if !is_doubtful {
             return;
@@ -239,8 +237,8 @@
                 let document = snapshot.stored.map(|stored| stored.configuration);
                 document.map_or_else(Vec::new, |document| self.state.stored_locally(document))
             }
-            _ if is_superseded => Vec::new(),
             CallEnd::Answered(snapshot) => self.platform_answered(now, snapshot),
+            _ if is_superseded || !self.is_last_call(call) => Vec::new(),
             CallEnd::RevisionGone => {
                 self.state.revision_gone(now);
                 self.state.tick(now, &self.peer_view(), &mut self.rng)
@@ -252,6 +250,12 @@
         }
     }
 
+    /// Returns whether no later call has been sent. The failure of an earlier one, which has counted
+    /// as lost by its time, says nothing about the last one.
+    fn is_last_call(&self, call: CallNumber) -> bool {
+        call + 1 == self.next_call
+    }
+
     fn platform_answered(
         &mut self,
         now: Instant,
@@ -259,7 +263,6 @@
     ) -> Vec<ConfigurationAction> {
         self.log_era(snapshot.revision);
         self.revision = snapshot.revision;
-        self.checked = snapshot.revision;
         let document = snapshot.stored.map(|stored| stored.configuration);
         if let Some(document) = &document {
             self.record_parse_error(document);
@@ -357,13 +360,12 @@
         self.state.platform_failed(Instant::now(), &mut self.rng);
     }
 
-    /// Watches again, from the same revision, if the store has changed since and the watch has not
-    /// said what has. The change may be another object's, or the answer may be lost: on a path that
-    /// is dead in one direction a watch is held open until its timeout, while other calls are
-    /// answered.
+    /// Reads if the store has changed and the watch has not said what has. The change may be another
+    /// object's, or the answer may be lost: on a path that is dead in one direction a watch is held
+    /// open until its timeout, while other calls are answered.
     fn renew_doubtful_watch(&mut self) {
         let probed = self.node.store_access.snapshot().probed;
-        let is_newer = probed.era == self.checked.era && probed.number > self.checked.number;
+        let is_newer = probed.era == self.revision.era && probed.number > self.revision.number;
         let is_doubtful = |call: &mut PlatformCall| {
             let is_old = call.started.elapsed() >= MIN_WATCH_TIME;
             is_newer && is_old && call.is_watch && !call.task.is_finished()
@@ -373,7 +375,6 @@
         };
         call.task.abort();
         self.first_valid_call = call.number + 1;
-        self.checked = probed;
         let now = Instant::now();
         self.state.watch_given_up(now);
         let actions = self.state.tick(now, &self.peer_view(), &mut self.rng);
@@ -383,11 +384,11 @@
     fn contact_view(&self, is_watcher: bool) -> StoreContactView {
         let members = self.node.members();
         let local = || local_followers(&self.node, &members);
-        let is_served = |member: &Member| member.store_contact() == StoreContact::Served;
+        let is_served = |member: &&Member| member.store_contact() == StoreContact::Served;
         StoreContactView {
             is_active: is_watcher || self.node.store_access.is_source(),
             local_nodes: local().count() + 1,
-            is_other_served: local().any(is_served),
+            are_others_served: local().filter(is_served).count() >= self.watchers,
         }
     }
 
@@ -395,7 +396,11 @@
         let (node, store, revision) = (self.node.clone(), self.store.clone(), self.revision);
         let call = self.next_call;
         self.next_call += 1;
-        let store_call = StoreCall::start(&node, wait);
+        let kind = match wait {
+            true => StoreCallKind::Watch,
+            false => StoreCallKind::Read,
+        };
+        let store_call = StoreCall::start(&node, kind);
         let task = tokio::spawn(async move {
             let answer = match wait {
                 true => store.watch_newer(revision, WATCH_WAIT).await,
--- a/crates/hemlocktack-node/src/configuration/mod.rs
+++ b/crates/hemlocktack-node/src/configuration/mod.rs
@@ -8,4 +8,4 @@
 pub(crate) use follow::CallEnd;
 pub(crate) use follow::{Event, candidate, pull_from_peer, start};
 pub(crate) use relay::answer_pull;
-pub(crate) use store_access::{StoreAccess, StoreCall};
+pub(crate) use store_access::{StoreAccess, StoreCall, StoreCallKind};
--- a/crates/hemlocktack-node/src/configuration/store_access.rs
+++ b/crates/hemlocktack-node/src/configuration/store_access.rs
@@ -101,20 +101,32 @@
 pub(crate) struct StoreCall {
     node: Arc<Node>,
     started: Instant,
-    is_watch: bool,
+    kind: StoreCallKind,
+}
+
+/// What a call to the store is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StoreCallKind {
+    /// The store answers it once there is news.
+    Watch,
+    Read,
+    /// May be answered with old data.
+    Probe,
+    /// One or several calls for the proof of the configuration's freshness.
+    Question,
 }
 
 impl StoreCall {
     /// Records the start of a call.
-    pub(crate) fn start(node: &Arc<Node>, is_watch: bool) -> Self {
+    pub(crate) fn start(node: &Arc<Node>, kind: StoreCallKind) -> Self {
         let started = Instant::now();
-        if !is_watch {
+        if matches!(kind, StoreCallKind::Read | StoreCallKind::Probe) {
             node.store_access.lock_contact().asked(started);
         }
         StoreCall {
             node: node.clone(),
             started,
-            is_watch,
+            kind,
         }
     }
 
@@ -122,16 +134,28 @@
     pub(crate) fn end(self, error: Option<&Error>) {
         let now = Instant::now();
         update_contact(&self.node, |contact| match error {
-            None => contact.answered(now),
-            Some(error) if error.is_answer() => contact.answered(now),
             // Not sent at all.
             Some(Error::BudgetSpent { .. }) => {}
-            Some(_) if self.is_watch => contact.watch_failed(now),
-            Some(_) => contact.failed(now, self.started, &mut rand::rng()),
+            Some(error) if !error.is_answer() => self.failed(contact, now),
+            _ if self.kind == StoreCallKind::Probe => contact.probe_answered(now),
+            _ => contact.answered(now),
         });
     }
 }
 
+impl StoreCall {
+    fn failed(&self, contact: &mut StoreContactState, now: Instant) {
+        let rng = &mut rand::rng();
+        match self.kind {
+            StoreCallKind::Watch => contact.watch_failed(now),
+            StoreCallKind::Probe => contact.probe_failed(now, self.started, rng),
+            StoreCallKind::Read | StoreCallKind::Question => {
+                contact.failed(now, self.started, rng);
+            }
+        }
+    }
+}
+
 /// Judges the access to the store and starts a probe if one is due; called several times per
 /// second.
 pub(crate) fn check(node: &Arc<Node>, view: &StoreContactView) {
@@ -142,7 +166,7 @@
     if is_probe_due {
         let node = node.clone();
         tokio::spawn(async move {
-            let call = StoreCall::start(&node, false);
+            let call = StoreCall::start(&node, StoreCallKind::Probe);
             let answer = node.store_access.client.probe(PROBE_TIMEOUT).await;
             if let Ok(revision) = answer {
                 node.store_access.lock().probed = revision;
@@ -152,6 +176,11 @@
     }
 }
 
+/// Records that the store has answered a call of another part of this node.
+pub(crate) fn record_other_answer(node: &Node) {
+    update_contact(node, |contact| contact.probe_answered(Instant::now()));
+}
+
 /// Changes the state; other nodes learn at once if the store now serves this node, or refuses it.
 fn update_contact(node: &Node, change: impl FnOnce(&mut StoreContactState)) {
     let (before, after) = {
--- a/crates/hemlocktack-node/src/freshness/renew.rs
+++ b/crates/hemlocktack-node/src/freshness/renew.rs
@@ -15,7 +15,7 @@
 
 use super::ask_store::StoreAnswer;
 use super::boot_clock::boot_time;
-use crate::configuration;
+use crate::configuration::{self, StoreCall, StoreCallKind};
 use crate::node::Node;
 
 const TICK_PERIOD: Duration = Duration::from_millis(50);
@@ -100,7 +100,7 @@
 }
 
 async fn ask_store(node: &Arc<Node>) -> Option<StoreAnswer> {
-    let call = configuration::StoreCall::start(node, false);
+    let call = StoreCall::start(node, StoreCallKind::Question);
     let answer = node.store_questions.ask().await;
     call.end(answer.as_ref().err());
     answer.ok()
